Contracts between the parts

Cause: the parts are to be built side by side, so the ports, the shared types and the numbered result codes have to stand first. No behaviour yet.

--- /dev/null
+++ b/internal/partition/partition.go
@@ -0,0 +1,41 @@
+// Package partition maps keys, teams, racks and executors to partitions, and
+// partitions to members.
+package partition
+
+import (
+	"github.com/cespare/xxhash/v2"
+	rendezvous "github.com/dgryski/go-rendezvous"
+)
+
+// DefaultCount is the number of partitions unless the settings say otherwise.
+const DefaultCount = 64
+
+// OfKey returns the home partition of a request key.
+func OfKey(key string, count int) int { return of("key/", key, count) }
+
+// OfTeam returns the home partition of a team's jobs.
+func OfTeam(team string, count int) int { return of("team/", team, count) }
+
+// OfRack returns the partition of all workers in a rack.
+func OfRack(rack string, count int) int { return of("rack/", rack, count) }
+
+// OfExecutor returns the partition of an executor.
+func OfExecutor(name string, count int) int { return of("executor/", name, count) }
+
+func of(space, name string, count int) int {
+	return int(xxhash.Sum64String(space+name) % uint64(count))
+}
+
+// Owner returns which of the members should hold the partition, by rendezvous
+// hashing, or "" when there are none. A member that joins or leaves moves only
+// the partitions that become or were its own.
+func Owner(id int, members []string) string {
+	if len(members) == 0 {
+		return ""
+	}
+	return rendezvous.New(members, xxhash.Sum64String).Lookup(ownerKey(id))
+}
+
+func ownerKey(id int) string {
+	return "partition/" + string([]byte{byte(id >> 16), byte(id >> 8), byte(id)})
+}
--- /dev/null
+++ b/internal/settings/values.go
@@ -0,0 +1,81 @@
+// Package settings is the operators' tree of inherited settings: immutable,
+// content-addressed branches under one head that moves by compare-and-swap.
+package settings
+
+// Values are the effective settings of a branch, after inheritance. Each has
+// its unit in its name. The JSON names are also the names in a branch's
+// overrides, grouped by the objects below.
+type Values struct {
+	Request   Request   `json:"request"`
+	Executor  Executor  `json:"executor"`
+	Placement Placement `json:"placement"`
+	Quota     Quota     `json:"quota"`
+	Task      Task      `json:"task"`
+}
+
+// Request governs callers' requests to a service.
+type Request struct {
+	DefaultDeadlineMS  int64 `json:"default_deadline_ms"`
+	MaxDeadlineMS      int64 `json:"max_deadline_ms"`
+	MaxBodyBytes       int64 `json:"max_body_bytes"`
+	MaxAnswerBytes     int64 `json:"max_answer_bytes"`
+	QueueLimit         int64 `json:"queue_limit"`
+	PostIdempotent     bool  `json:"post_idempotent"`
+	KeyWindowMS        int64 `json:"key_window_ms"`
+	KeyLimit           int64 `json:"key_limit"`
+	RetryBudgetPercent int64 `json:"retry_budget_percent"`
+}
+
+// Executor governs the use of each executor of a service.
+type Executor struct {
+	Slots       int64 `json:"slots"`
+	Connections int64 `json:"connections"`
+}
+
+// Placement governs where tasks of a branch go.
+type Placement struct {
+	Policy      string `json:"policy"` // PolicyPacking or PolicyWaiting
+	SpreadZones bool   `json:"spread_zones"`
+	SpreadRacks bool   `json:"spread_racks"`
+	// LearnedSizePercent is how far observed sizes may shrink declared ones
+	// when packing; zero leaves declared sizes alone.
+	LearnedSizePercent int64 `json:"learned_size_percent"`
+}
+
+// The placement policies.
+const (
+	PolicyPacking = "packing"
+	PolicyWaiting = "waiting"
+)
+
+// Quota bounds what a team's jobs may hold at once; zero means none allowed,
+// negative means no bound.
+type Quota struct {
+	MilliCPU     int64 `json:"milli_cpu"`
+	MemoryMiB    int64 `json:"memory_mib"`
+	Accelerators int64 `json:"accelerators"`
+}
+
+// Task governs the tasks of a branch's jobs.
+type Task struct {
+	MaxAttempts int64 `json:"max_attempts"`
+	LeaseMS     int64 `json:"lease_ms"`
+	// Priority: higher is more urgent; preemption only takes lower ones.
+	Priority    int64 `json:"priority"`
+	MinReplicas int64 `json:"min_replicas"`
+	Surge       int64 `json:"surge"`
+}
+
+// Defaults are the values of the root where it overrides nothing.
+func Defaults() Values {
+	return Values{
+		Request: Request{
+			DefaultDeadlineMS: 2000, MaxDeadlineMS: 30000, MaxBodyBytes: 1 << 20, MaxAnswerBytes: 4 << 20,
+			QueueLimit: 256, KeyWindowMS: 600000, KeyLimit: 200000, RetryBudgetPercent: 10,
+		},
+		Executor:  Executor{Slots: 8, Connections: 64},
+		Placement: Placement{Policy: PolicyWaiting, SpreadZones: true},
+		Quota:     Quota{MilliCPU: -1, MemoryMiB: -1, Accelerators: -1},
+		Task:      Task{MaxAttempts: 5, LeaseMS: 15000, MinReplicas: 1, Surge: 1},
+	}
+}
