Messages between job homes and holders of workers

Cause: the home of a job and the holder of workers are built by different people; their messages and the scheduler's types are the seam.

--- /dev/null
+++ b/internal/peer/mux.go
@@ -0,0 +1,49 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"pulleyquay/internal/result"
+)
+
+// handlerFunc answers one decoded-on-demand message.
+type handlerFunc func(ctx context.Context, payload []byte) ([]byte, error)
+
+// Mux maps message kinds to handlers. Fill it before the first link is served.
+type Mux struct {
+	handlers map[Kind]handlerFunc
+}
+
+// NewMux returns an empty Mux.
+func NewMux() *Mux { return &Mux{handlers: map[Kind]handlerFunc{}} }
+
+// Handle registers fn for one kind. It panics on a kind registered twice. The
+// handler's ctx ends when the caller cancels or the link breaks.
+func Handle[Req, Resp any](m *Mux, kind Kind, fn func(ctx context.Context, req Req) (Resp, error)) {
+	if _, dup := m.handlers[kind]; dup {
+		panic(fmt.Sprintf("peer: kind %d registered twice", kind))
+	}
+	m.handlers[kind] = func(ctx context.Context, payload []byte) ([]byte, error) {
+		var req Req
+		if err := cbor.Unmarshal(payload, &req); err != nil {
+			return nil, result.New(result.BadInput, result.RanNo, "peer message %d: %v", kind, err)
+		}
+		resp, err := fn(ctx, req)
+		if err != nil {
+			return nil, err
+		}
+		return cbor.Marshal(resp)
+	}
+}
+
+// dispatch answers one message with the registered handler.
+func (m *Mux) dispatch(ctx context.Context, kind Kind, payload []byte) ([]byte, error) {
+	h, ok := m.handlers[kind]
+	if !ok {
+		return nil, result.New(result.PeerVersion, result.RanNo, "no handler for message kind %d", kind)
+	}
+	return h(ctx, payload)
+}
--- /dev/null
+++ b/internal/scheduler/scheduler.go
@@ -0,0 +1,56 @@
+// Package scheduler decides on which worker a task runs. It is pure: no I/O, no
+// clock, no goroutines; the caller passes time and a seed and serialises calls.
+//
+// A Cell holds the workers of one holder and their books. Select passes the
+// workers through a chain of named rules: filters (may it run there at all),
+// then scores (where is best). What was turned down is counted per rule.
+package scheduler
+
+import (
+	"pulleyquay/internal/spec"
+	"pulleyquay/internal/taskmsg"
+	"pulleyquay/internal/worker"
+)
+
+// Status tells whether a worker takes new work.
+type Status int
+
+// The statuses of a worker.
+const (
+	StatusUnclaimed Status = iota // its inventory is not known; nothing is placed
+	StatusReady
+	StatusLeaving  // drains
+	StatusSetAside // failed tasks of different jobs; only probes
+	StatusOver     // observed usage above its size
+)
+
+// Worker is one worker as the scheduler sees it.
+type Worker struct {
+	Info      worker.Info
+	Addr      string
+	Partition int
+	Status    Status
+}
+
+// Ask is one placement to decide.
+type Ask struct {
+	Shape taskmsg.Shape
+}
+
+// Choice is the worker chosen, with the score that won.
+type Choice struct {
+	Worker string
+	Score  float64
+}
+
+// Run is one entry in a worker's books.
+type Run struct {
+	Attempt  worker.Attempt
+	Home     int
+	Kind     spec.Kind
+	Size     spec.Resources
+	Priority int64
+	Urgent   bool
+	// Held runs are reserved for a gang and not started.
+	Held bool
+}
