Peer links and strictly checked settings files

Cause: the processes need one way to talk to each other and one to read their own settings. Change: peer.Node multiplexes typed CBOR calls over one WebSocket a pair, in both directions; a failure tells whether a byte may have been sent. config reads JSON with field paths in its refusals. Found on the way: a link that had just broken was handed to the next caller for the moment until its reader noticed; seen failing in TestBrokenLinkLeavesOutcomeUnknownAndIsRedialled, now a broken link is dialled anew. Measured: go test -race -count=5 ./internal/peer passes.

--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,175 @@
+// Package config reads the daemons' own settings files: JSON, checked strictly.
+// An unknown name, a value without its unit, a value out of range or a
+// contradiction is refused with the path of the field.
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+
+	"pulleyquay/internal/result"
+)
+
+// Duration is a length of time written with its unit, such as "3s" or "500ms".
+type Duration time.Duration
+
+// UnmarshalJSON refuses a bare number, whose unit would be a guess.
+func (d *Duration) UnmarshalJSON(data []byte) error {
+	var s string
+	if err := json.Unmarshal(data, &s); err != nil {
+		return fmt.Errorf("%s has no unit; write a string such as \"500ms\"", data)
+	}
+	v, err := time.ParseDuration(s)
+	if err != nil {
+		return err
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// MarshalJSON writes the form that UnmarshalJSON reads.
+func (d Duration) MarshalJSON() ([]byte, error) { return json.Marshal(time.Duration(d).String()) }
+
+// Std returns d as the standard library's type.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
+
+// Checker is a settings type with rules across its fields. Check returns a
+// *result.Error that names the field.
+type Checker interface{ Check() error }
+
+// Load reads the file at path into into, which holds the defaults, and checks
+// it. Every error is a *result.Error with a code of the 7000s.
+func Load(path string, into any) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return result.New(result.ConfigUnreadable, result.RanNo, "%v", err)
+	}
+	return Parse(data, into)
+}
+
+// Parse is Load on bytes.
+func Parse(data []byte, into any) error {
+	var raw any
+	if err := decodeOne(data, &raw); err != nil {
+		return result.New(result.ConfigUnreadable, result.RanNo, "%v", err)
+	}
+	if err := checkNames(raw, reflect.TypeOf(into), ""); err != nil {
+		return err
+	}
+	if err := decodeOne(data, into); err != nil {
+		return typeError(err)
+	}
+	if err := checkRanges(into); err != nil {
+		return err
+	}
+	if c, ok := into.(Checker); ok {
+		return c.Check()
+	}
+	return nil
+}
+
+// decodeOne decodes exactly one JSON value.
+func decodeOne(data []byte, into any) error {
+	dec := json.NewDecoder(bytes.NewReader(data))
+	if err := dec.Decode(into); err != nil {
+		return err
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return errors.New("more than one JSON value")
+	}
+	return nil
+}
+
+func typeError(err error) error {
+	var te *json.UnmarshalTypeError
+	if errors.As(err, &te) {
+		return result.New(result.ConfigValue, result.RanNo, "%s can not be read as %s", te.Value, te.Type).At(te.Field)
+	}
+	return result.New(result.ConfigValue, result.RanNo, "%v", err)
+}
+
+// checkNames walks the file beside the type and refuses names the type lacks.
+func checkNames(raw any, t reflect.Type, path string) error {
+	for t.Kind() == reflect.Pointer {
+		t = t.Elem()
+	}
+	switch v := raw.(type) {
+	case map[string]any:
+		return checkObject(v, t, path)
+	case []any:
+		if t.Kind() != reflect.Slice {
+			return nil // the decoder reports the type
+		}
+		for i, item := range v {
+			if err := checkNames(item, t.Elem(), fmt.Sprintf("%s[%d]", path, i)); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func checkObject(object map[string]any, t reflect.Type, path string) error {
+	if t.Kind() != reflect.Struct {
+		return nil
+	}
+	fields := jsonFields(t)
+	for name, value := range object {
+		where := strings.TrimPrefix(path+"."+name, ".")
+		ft, ok := fields[name]
+		if !ok {
+			return result.New(result.ConfigUnknownName, result.RanNo, "no such setting").At(where)
+		}
+		if err := checkNames(value, ft, where); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func jsonFields(t reflect.Type) map[string]reflect.Type {
+	fields := map[string]reflect.Type{}
+	for f := range fieldsOf(t) {
+		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		if name != "" && name != "-" {
+			fields[name] = f.Type
+		}
+	}
+	return fields
+}
+
+func fieldsOf(t reflect.Type) func(yield func(reflect.StructField) bool) {
+	return func(yield func(reflect.StructField) bool) {
+		for i := range t.NumField() {
+			if !yield(t.Field(i)) {
+				return
+			}
+		}
+	}
+}
+
+func checkRanges(into any) error {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(func(f reflect.StructField) string {
+		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		return name
+	})
+	err := v.Struct(into)
+	var bad validator.ValidationErrors
+	if errors.As(err, &bad) {
+		first := bad[0]
+		_, path, _ := strings.Cut(first.Namespace(), ".")
+		rule := strings.TrimSuffix(first.Tag()+"="+first.Param(), "=")
+		return result.New(result.ConfigValue, result.RanNo, "%v does not satisfy %q", first.Value(), rule).At(path)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/peer/link.go
@@ -0,0 +1,250 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+
+	"pulleyquay/internal/result"
+)
+
+// Limits of a link.
+const (
+	maxFrameBytes = 16 << 20
+	maxInbound    = 8192 // requests of one peer being handled at a time
+	writeTimeout  = 5 * time.Second
+	pingInterval  = time.Second
+	pingTimeout   = 3 * time.Second
+)
+
+var errLinkClosed = errors.New("link closed")
+
+// link is one WebSocket to one peer. Both sides may call over it.
+type link struct {
+	conn *websocket.Conn
+	mux  *Mux
+
+	ctx    context.Context // ends with the link
+	cancel context.CancelCauseFunc
+
+	writing chan struct{} // capacity 1: the lock of conn's writer, taken with a ctx
+	inbound chan struct{} // capacity maxInbound
+
+	mu      sync.Mutex
+	nextID  uint64
+	waiting map[uint64]chan frame
+	serving map[uint64]context.CancelFunc
+
+	onHello func(Hello)
+}
+
+func newLink(conn *websocket.Conn, mux *Mux, onHello func(Hello)) *link {
+	conn.SetReadLimit(maxFrameBytes)
+	ctx, cancel := context.WithCancelCause(context.Background())
+	return &link{
+		conn: conn, mux: mux, ctx: ctx, cancel: cancel,
+		writing: make(chan struct{}, 1),
+		inbound: make(chan struct{}, maxInbound),
+		waiting: map[uint64]chan frame{},
+		serving: map[uint64]context.CancelFunc{},
+		onHello: onHello,
+	}
+}
+
+// run reads frames until the link breaks and returns why.
+func (l *link) run() error {
+	go l.pingLoop()
+	err := l.readLoop()
+	l.close(err)
+	return err
+}
+
+func (l *link) readLoop() error {
+	for {
+		_, data, err := l.conn.Read(l.ctx)
+		if err != nil {
+			return err
+		}
+		f, err := decodeFrame(data)
+		if err != nil {
+			return err
+		}
+		l.receive(f)
+	}
+}
+
+// receive routes one frame. An answer that nobody waits for is dropped: its
+// caller has gone or it came twice.
+func (l *link) receive(f frame) {
+	switch f.Type {
+	case frameAnswer, frameError:
+		if ch := l.takeWaiter(f.ID); ch != nil {
+			ch <- f
+		}
+	case frameCancel:
+		l.mu.Lock()
+		cancel := l.serving[f.ID]
+		l.mu.Unlock()
+		if cancel != nil {
+			cancel()
+		}
+	case frameRequest:
+		l.accept(f)
+	}
+}
+
+func (l *link) takeWaiter(id uint64) chan frame {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ch := l.waiting[id]
+	delete(l.waiting, id)
+	return ch
+}
+
+func (l *link) accept(f frame) {
+	select {
+	case l.inbound <- struct{}{}:
+	default:
+		refusal := result.New(result.NotReady, result.RanNo, "%d requests of this peer are being handled", maxInbound)
+		go l.answer(f.ID, frameError, encodeError(refusal.Later(time.Second)))
+		return
+	}
+	ctx, cancel := context.WithCancel(l.ctx)
+	l.mu.Lock()
+	l.serving[f.ID] = cancel
+	l.mu.Unlock()
+	go l.serve(ctx, cancel, f)
+}
+
+func (l *link) serve(ctx context.Context, cancel context.CancelFunc, f frame) {
+	defer func() {
+		cancel()
+		l.mu.Lock()
+		delete(l.serving, f.ID)
+		l.mu.Unlock()
+		<-l.inbound
+	}()
+	payload, err := l.handle(ctx, f)
+	if err != nil {
+		l.answer(f.ID, frameError, encodeError(err))
+		return
+	}
+	l.answer(f.ID, frameAnswer, payload)
+}
+
+func (l *link) handle(ctx context.Context, f frame) ([]byte, error) {
+	if f.Kind != KindHello {
+		return l.mux.dispatch(ctx, f.Kind, f.Payload)
+	}
+	var hello Hello
+	if err := cbor.Unmarshal(f.Payload, &hello); err != nil {
+		return nil, result.New(result.PeerVersion, result.RanNo, "hello: %v", err)
+	}
+	if l.onHello != nil {
+		l.onHello(hello)
+	}
+	return cbor.Marshal(struct{}{})
+}
+
+// answer sends an answer; one that can not be sent is dropped with the link.
+func (l *link) answer(id uint64, t frameType, payload []byte) {
+	_ = l.write(l.ctx, frame{ID: id, Type: t, Payload: payload})
+}
+
+// write sends one frame. The returned error is errLinkClosed, or ctx's, when
+// nothing was sent; any other error leaves that open and closes the link.
+func (l *link) write(ctx context.Context, f frame) error {
+	data, err := encodeFrame(f)
+	if err != nil {
+		return errLinkClosed
+	}
+	select {
+	case l.writing <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-l.ctx.Done():
+		return errLinkClosed
+	}
+	defer func() { <-l.writing }()
+	if l.ctx.Err() != nil {
+		return errLinkClosed
+	}
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	// The link's own deadline, not the caller's: a write given up half way
+	// would break the link for everybody on it.
+	wctx, cancel := context.WithTimeout(l.ctx, writeTimeout)
+	defer cancel()
+	if err := l.conn.Write(wctx, websocket.MessageBinary, data); err != nil {
+		l.close(err)
+		return &brokenWrite{err}
+	}
+	return nil
+}
+
+// brokenWrite is a write that may have reached the peer in part or whole.
+type brokenWrite struct{ err error }
+
+func (b *brokenWrite) Error() string { return "write: " + b.err.Error() }
+
+// call sends a request and waits for its answer.
+func (l *link) call(ctx context.Context, kind Kind, payload []byte) ([]byte, error) {
+	ch := make(chan frame, 1)
+	l.mu.Lock()
+	l.nextID++
+	id := l.nextID
+	l.waiting[id] = ch
+	l.mu.Unlock()
+	defer l.takeWaiter(id)
+
+	if err := l.write(ctx, frame{ID: id, Type: frameRequest, Kind: kind, Payload: payload}); err != nil {
+		var broken *brokenWrite
+		if errors.As(err, &broken) {
+			return nil, result.New(result.PeerLost, result.RanUnknown, "%v", err)
+		}
+		return nil, result.New(result.PeerNotReached, result.RanNo, "%v", err)
+	}
+	select {
+	case f := <-ch:
+		if f.Type == frameError {
+			return nil, decodeError(f.Payload)
+		}
+		return f.Payload, nil
+	case <-ctx.Done():
+		go l.answer(id, frameCancel, nil)
+		return nil, result.New(result.PeerLost, result.RanUnknown, "gave up waiting for the peer: %v", ctx.Err())
+	case <-l.ctx.Done():
+		return nil, result.New(result.PeerLost, result.RanUnknown, "link broke: %v", context.Cause(l.ctx))
+	}
+}
+
+// pingLoop finds a peer that is gone without closing the connection.
+func (l *link) pingLoop() {
+	ticker := time.NewTicker(pingInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-l.ctx.Done():
+			return
+		case <-ticker.C:
+			ctx, cancel := context.WithTimeout(l.ctx, pingTimeout)
+			err := l.conn.Ping(ctx)
+			cancel()
+			if err != nil {
+				l.close(err)
+				return
+			}
+		}
+	}
+}
+
+// close ends the link at once; calls under way end with PeerLost.
+func (l *link) close(cause error) {
+	l.cancel(cause)
+	_ = l.conn.CloseNow()
+}
--- /dev/null
+++ b/internal/peer/node.go
@@ -0,0 +1,210 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/sirupsen/logrus"
+
+	"pulleyquay/internal/result"
+)
+
+// Path is where a process serves its peer links.
+const Path = "/peer"
+
+// dialTimeout bounds the making of a link, handshake and hello included.
+const dialTimeout = 2 * time.Second
+
+// Node is this process's end of all peer links: a Caller to others and an
+// http.Handler for links from others. One link serves both directions of a pair.
+type Node struct {
+	self Hello
+	mux  *Mux
+	log  *logrus.Entry
+
+	mu     sync.Mutex
+	links  map[string]*link // by the peer's address
+	extra  map[*link]bool   // links from peers without an address, or doubled
+	dials  map[string]*dialing
+	closed bool
+}
+
+// dialing is one attempt that several callers wait for.
+type dialing struct {
+	done chan struct{}
+	link *link
+	err  error
+}
+
+// NewNode returns a Node that names itself by self. An empty self.Addr means
+// that the process serves no peers.
+func NewNode(self Hello, mux *Mux, log *logrus.Entry) *Node {
+	return &Node{
+		self: self, mux: mux, log: log,
+		links: map[string]*link{}, extra: map[*link]bool{}, dials: map[string]*dialing{},
+	}
+}
+
+// Call implements Caller. A call to the Node's own address stays in the process.
+func (n *Node) Call(ctx context.Context, addr string, kind Kind, req, resp any) error {
+	if addr == n.self.Addr && addr != "" {
+		return Local{addr: n.mux}.Call(ctx, addr, kind, req, resp)
+	}
+	payload, err := cbor.Marshal(req)
+	if err != nil {
+		return result.New(result.Internal, result.RanNo, "encode message %d: %v", kind, err)
+	}
+	l, err := n.link(ctx, addr)
+	if err != nil {
+		return result.New(result.PeerNotReached, result.RanNo, "%s: %v", addr, err)
+	}
+	answer, err := l.call(ctx, kind, payload)
+	if err != nil {
+		return err
+	}
+	if err := cbor.Unmarshal(answer, resp); err != nil {
+		return result.New(result.PeerLost, result.RanUnknown, "decode answer %d: %v", kind, err)
+	}
+	return nil
+}
+
+// link returns the live link to addr, or makes one.
+func (n *Node) link(ctx context.Context, addr string) (*link, error) {
+	n.mu.Lock()
+	if n.closed {
+		n.mu.Unlock()
+		return nil, errLinkClosed
+	}
+	if l := n.links[addr]; l != nil && l.ctx.Err() == nil {
+		n.mu.Unlock()
+		return l, nil
+	}
+	d := n.dials[addr]
+	if d == nil {
+		d = &dialing{done: make(chan struct{})}
+		n.dials[addr] = d
+		go n.dial(addr, d)
+	}
+	n.mu.Unlock()
+	select {
+	case <-d.done:
+		return d.link, d.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (n *Node) dial(addr string, d *dialing) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	d.link, d.err = n.connect(ctx, addr)
+	n.mu.Lock()
+	delete(n.dials, addr)
+	n.mu.Unlock()
+	close(d.done)
+}
+
+func (n *Node) connect(ctx context.Context, addr string) (*link, error) {
+	conn, _, err := websocket.Dial(ctx, "ws://"+addr+Path, &websocket.DialOptions{Subprotocols: []string{Subprotocol}})
+	if err != nil {
+		return nil, err
+	}
+	if conn.Subprotocol() != Subprotocol {
+		_ = conn.CloseNow()
+		return nil, result.New(result.PeerVersion, result.RanNo, "%s does not speak %s", addr, Subprotocol)
+	}
+	l := newLink(conn, n.mux, nil)
+	go n.keep(addr, l)
+	hello, err := cbor.Marshal(n.self)
+	if err != nil {
+		l.close(err)
+		return nil, err
+	}
+	if _, err := l.call(ctx, KindHello, hello); err != nil {
+		l.close(err)
+		return nil, err
+	}
+	n.add(addr, l)
+	return l, nil
+}
+
+// keep runs a link to its end and forgets it.
+func (n *Node) keep(addr string, l *link) {
+	err := l.run()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.extra, l)
+	for a, have := range n.links {
+		if have == l {
+			delete(n.links, a)
+			n.log.WithField("peer", a).WithError(err).Info("peer link closed")
+		}
+	}
+}
+
+// add makes l the link used for calls to addr, unless there is one already.
+func (n *Node) add(addr string, l *link) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed || l.ctx.Err() != nil {
+		l.close(errLinkClosed)
+		return
+	}
+	if have := n.links[addr]; addr == "" || have != nil && have.ctx.Err() == nil {
+		n.extra[l] = true
+		return
+	}
+	n.links[addr] = l
+	n.log.WithField("peer", addr).Info("peer link open")
+}
+
+// ServeHTTP accepts a link from another process and serves it to its end.
+func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{Subprotocols: []string{Subprotocol}})
+	if err != nil {
+		return // Accept has answered
+	}
+	if conn.Subprotocol() != Subprotocol {
+		_ = conn.Close(websocket.StatusPolicyViolation, "unknown protocol version")
+		return
+	}
+	var l *link
+	l = newLink(conn, n.mux, func(h Hello) { n.add(h.Addr, l) })
+	n.keep("", l)
+}
+
+// Close ends all links.
+func (n *Node) Close() {
+	n.mu.Lock()
+	n.closed = true
+	var all []*link
+	for _, l := range n.links {
+		all = append(all, l)
+	}
+	for l := range n.extra {
+		all = append(all, l)
+	}
+	n.mu.Unlock()
+	for _, l := range all {
+		l.close(errLinkClosed)
+	}
+}
+
+// Dump lists the addresses with a live link.
+func (n *Node) Dump() any {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	addrs := make([]string, 0, len(n.links))
+	for a := range n.links {
+		addrs = append(addrs, a)
+	}
+	return struct {
+		Self  Hello    `json:"self"`
+		Links []string `json:"links"`
+		Other int      `json:"links_without_address"`
+	}{n.self, addrs, len(n.extra)}
+}
--- /dev/null
+++ b/internal/peer/node_test.go
@@ -0,0 +1,185 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"pulleyquay/internal/result"
+)
+
+type echo struct {
+	Text string `cbor:"1,keyasint"`
+}
+
+const (
+	kindEcho  Kind = 900
+	kindBlock Kind = 901
+	kindFail  Kind = 902
+)
+
+func quiet() *logrus.Entry {
+	l := logrus.New()
+	l.SetLevel(logrus.PanicLevel)
+	return logrus.NewEntry(l)
+}
+
+// server is one process that answers the test kinds.
+type server struct {
+	*httptest.Server
+	node    *Node
+	entered chan struct{}
+	left    chan struct{}
+}
+
+func newServer(t *testing.T) *server {
+	s := &server{entered: make(chan struct{}, 1000), left: make(chan struct{}, 1000)}
+	mux := NewMux()
+	Handle(mux, kindEcho, func(_ context.Context, r echo) (echo, error) { return r, nil })
+	Handle(mux, kindBlock, func(ctx context.Context, r echo) (echo, error) {
+		s.entered <- struct{}{}
+		<-ctx.Done()
+		s.left <- struct{}{}
+		return r, nil
+	})
+	Handle(mux, kindFail, func(context.Context, echo) (echo, error) {
+		return echo{}, result.New(result.TooLarge, result.RanNo, "no").Later(3 * time.Second).At("a.b")
+	})
+	s.Server = httptest.NewUnstartedServer(nil)
+	s.node = NewNode(Hello{Name: "s", Addr: s.Listener.Addr().String()}, mux, quiet())
+	s.Config.Handler = s.node
+	s.Start()
+	t.Cleanup(func() { s.node.Close(); s.Close() })
+	return s
+}
+
+func (s *server) addr() string { return s.node.self.Addr }
+
+func newClient(t *testing.T) *Node {
+	n := NewNode(Hello{Name: "c"}, NewMux(), quiet())
+	t.Cleanup(n.Close)
+	return n
+}
+
+// callers run the Caller contract against the link and the in-process one.
+func TestCallerContract(t *testing.T) {
+	s := newServer(t)
+	for name, c := range map[string]Caller{"link": newClient(t), "local": Local{s.addr(): s.node.mux}, "self": s.node} {
+		t.Run(name, func(t *testing.T) { callerContract(t, c, s.addr()) })
+	}
+}
+
+func callerContract(t *testing.T, c Caller, addr string) {
+	is := is.New(t)
+	ctx := context.Background()
+	var got echo
+	is.NoErr(c.Call(ctx, addr, kindEcho, echo{"whole"}, &got))
+	is.Equal(got.Text, "whole")
+
+	err := result.From(c.Call(ctx, addr, kindFail, echo{}, &got))
+	is.Equal(*err, result.Error{Code: result.TooLarge, Detail: "no", Ran: result.RanNo, RetryAfter: 3 * time.Second, Field: "a.b"})
+
+	err = result.From(c.Call(ctx, "127.0.0.1:1", kindEcho, echo{}, &got))
+	is.Equal(err.Code, result.PeerNotReached) // nothing was sent
+	is.Equal(err.Ran, result.RanNo)
+
+	err = result.From(c.Call(ctx, addr, 999, echo{}, &got))
+	is.Equal(err.Code, result.PeerVersion)
+}
+
+func TestEachCallGetsItsOwnAnswer(t *testing.T) {
+	is := is.New(t)
+	s, c := newServer(t), newClient(t)
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	wrong := 0
+	for i := range 500 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			want := strings.Repeat("x", i)
+			var got echo
+			if err := c.Call(context.Background(), s.addr(), kindEcho, echo{want}, &got); err != nil || got.Text != want {
+				mu.Lock()
+				wrong++
+				mu.Unlock()
+			}
+		}()
+	}
+	wg.Wait()
+	is.Equal(wrong, 0)
+	is.Equal(len(c.links), 1) // one WebSocket a pair
+}
+
+func TestGivingUpEndsTheHandler(t *testing.T) {
+	is := is.New(t)
+	s, c := newServer(t), newClient(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { <-s.entered; cancel() }()
+	err := result.From(c.Call(ctx, s.addr(), kindBlock, echo{}, &echo{}))
+	is.Equal(err.Code, result.PeerLost)
+	is.Equal(err.Ran, result.RanUnknown) // it was sent
+	<-s.left
+}
+
+func TestBrokenLinkLeavesOutcomeUnknownAndIsRedialled(t *testing.T) {
+	is := is.New(t)
+	s, c := newServer(t), newClient(t)
+	go func() {
+		<-s.entered
+		s.CloseClientConnections()
+		s.node.Close() // hijacked connections are the node's to close
+	}()
+	err := result.From(c.Call(context.Background(), s.addr(), kindBlock, echo{}, &echo{}))
+	is.Equal(err.Code, result.PeerLost)
+	is.Equal(err.Ran, result.RanUnknown)
+
+	s.node.mu.Lock()
+	s.node.closed = false
+	s.node.mu.Unlock()
+	var got echo
+	is.NoErr(c.Call(context.Background(), s.addr(), kindEcho, echo{"again"}, &got))
+	is.Equal(got.Text, "again")
+}
+
+func TestLinkServesBothDirections(t *testing.T) {
+	is := is.New(t)
+	a, b := newServer(t), newServer(t)
+	var got echo
+	is.NoErr(a.node.Call(context.Background(), b.addr(), kindEcho, echo{"there"}, &got))
+	is.NoErr(b.node.Call(context.Background(), a.addr(), kindEcho, echo{"back"}, &got))
+	is.Equal(got.Text, "back")
+	b.node.mu.Lock()
+	defer b.node.mu.Unlock()
+	is.Equal(len(b.node.links), 1)
+	is.Equal(len(b.node.extra), 0) // the accepted link was used, none dialled
+}
+
+func TestFrameOfWrongLengthBreaksTheLink(t *testing.T) {
+	is := is.New(t)
+	data, err := encodeFrame(frame{ID: 7, Type: frameAnswer, Payload: []byte{0x63, 'a', 'b', 'c'}})
+	is.NoErr(err)
+	_, err = decodeFrame(data)
+	is.NoErr(err)
+	_, err = decodeFrame(data[:len(data)-1])
+	is.True(err != nil)                          // half an answer is no answer
+	i := strings.Index(string(data), "\x04\x04") // key 4: length 4
+	data[i+1] = 3
+	_, err = decodeFrame(data)
+	is.True(err != nil)
+}
+
+func TestOtherVersionIsRefused(t *testing.T) {
+	is := is.New(t)
+	plain := httptest.NewServer(nil)
+	defer plain.Close()
+	err := newClient(t).Call(context.Background(), plain.Listener.Addr().String(), kindEcho, echo{}, &echo{})
+	is.True(errors.Is(err, &result.Error{Code: result.PeerNotReached}))
+}
