--- /dev/null
+++ b/internal/daemon/command.go
@@ -0,0 +1,34 @@
+package daemon
+
+import (
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"pulleyquay/internal/config"
+)
+
+// Main runs a daemon's command line: one flag, --config, whose file is read
+// into a settings value that starts as defaults. It does not return.
+func Main[C any](name, short string, defaults C, run func(C) error) {
+	var path string
+	cmd := &cobra.Command{
+		Use: name + " --config FILE", Short: short, Args: cobra.NoArgs,
+		SilenceErrors: true, SilenceUsage: true,
+		RunE: func(*cobra.Command, []string) error {
+			settings := defaults
+			if err := config.Load(path, &settings); err != nil {
+				return err
+			}
+			return run(settings)
+		},
+	}
+	cmd.Flags().StringVar(&path, "config", "", "settings file (JSON)")
+	if err := cmd.MarkFlagRequired("config"); err != nil {
+		os.Exit(Fail(name, err))
+	}
+	if err := cmd.Execute(); err != nil {
+		os.Exit(Fail(name, err))
+	}
+	os.Exit(0)
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,235 @@
+// Package daemon is what every long-running binary shares: logging, metrics,
+// the state dump, readiness, and a planned stop on SIGTERM.
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/justinas/alice"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/sirupsen/logrus"
+
+	"pulleyquay/internal/result"
+)
+
+// readHeaderTimeout bounds how long a connection may take to send its headers.
+const readHeaderTimeout = 5 * time.Second
+
+// Daemon is one running process.
+type Daemon struct {
+	Name string
+	Log  *logrus.Entry
+	Reg  *prometheus.Registry
+
+	stopping atomic.Bool
+	mu       sync.Mutex
+	dumps    map[string]func() any
+	lacks    []func() []string
+	servers  []*http.Server
+}
+
+// New returns a daemon that logs JSON lines to stderr.
+func New(name, level string) (*Daemon, error) {
+	logger := logrus.New()
+	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	lv, err := logrus.ParseLevel(level)
+	if err != nil {
+		return nil, result.New(result.ConfigValue, result.RanNo, "%v", err).At("log_level")
+	}
+	logger.SetLevel(lv)
+	reg := prometheus.NewRegistry()
+	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return &Daemon{Name: name, Log: logger.WithField("process", name), Reg: reg, dumps: map[string]func() any{}}, nil
+}
+
+// AddDump adds a named section to the state dump.
+func (d *Daemon) AddDump(name string, fn func() any) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.dumps[name] = fn
+}
+
+// AddReadiness adds a function that lists what the process lacks; it is ready
+// while all lists are empty and no planned stop has begun.
+func (d *Daemon) AddReadiness(fn func() []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lacks = append(d.lacks, fn)
+}
+
+// Stopping reports whether a planned stop has begun.
+func (d *Daemon) Stopping() bool { return d.stopping.Load() }
+
+// Lacks lists what keeps the process from being ready.
+func (d *Daemon) Lacks() []string {
+	if d.Stopping() {
+		return []string{"planned stop"}
+	}
+	d.mu.Lock()
+	fns := append([]func() []string(nil), d.lacks...)
+	d.mu.Unlock()
+	all := []string{}
+	for _, fn := range fns {
+		all = append(all, fn()...)
+	}
+	return all
+}
+
+// Listen opens a TCP listener. A taken port is reported with the field's path.
+func Listen(addr, field string) (net.Listener, error) {
+	l, err := net.Listen("tcp", addr)
+	if err == nil {
+		return l, nil
+	}
+	code := result.StartFailed
+	if errors.Is(err, syscall.EADDRINUSE) {
+		code = result.ConfigPortInUse
+	}
+	return nil, result.New(code, result.RanNo, "%v", err).At(field)
+}
+
+// Serve answers HTTP on the listener until the daemon closes it.
+func (d *Daemon) Serve(l net.Listener, h http.Handler) {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	d.mu.Lock()
+	d.servers = append(d.servers, s)
+	d.mu.Unlock()
+	go func() {
+		if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			d.Log.WithError(err).Error("listener failed")
+		}
+	}()
+}
+
+// Admin returns the handler of /metrics, /healthz, /readyz and /debug/state.
+func (d *Daemon) Admin() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(d.Reg, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, "ok") })
+	mux.HandleFunc("GET /readyz", d.serveReady)
+	mux.HandleFunc("GET /debug/state", d.serveDump)
+	return alice.New(noStore).Then(mux)
+}
+
+func noStore(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Cache-Control", "no-store")
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (d *Daemon) serveReady(w http.ResponseWriter, _ *http.Request) {
+	lacks := d.Lacks()
+	status := http.StatusOK
+	if len(lacks) > 0 {
+		status = http.StatusServiceUnavailable
+	}
+	writeJSON(w, status, struct {
+		Ready bool     `json:"ready"`
+		Lacks []string `json:"lacks"`
+	}{len(lacks) == 0, lacks})
+}
+
+func (d *Daemon) serveDump(w http.ResponseWriter, _ *http.Request) {
+	d.mu.Lock()
+	fns := make(map[string]func() any, len(d.dumps))
+	for name, fn := range d.dumps {
+		fns[name] = fn
+	}
+	d.mu.Unlock()
+	state := map[string]any{"process": d.Name, "pid": os.Getpid(), "lacks": d.Lacks()}
+	for name, fn := range fns {
+		state[name] = fn()
+	}
+	writeJSON(w, http.StatusOK, state)
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	_ = enc.Encode(v) // the client has gone if this fails
+}
+
+// Stopper carries out the phases of a planned stop.
+type Stopper struct {
+	// Announce is how long listeners stay open after readiness went false, so
+	// that the balancer can notice.
+	Announce time.Duration
+	// Limit bounds the whole of Drain.
+	Limit time.Duration
+	// Drain ends work in order. Its error tells what was left.
+	Drain func(ctx context.Context) error
+}
+
+// Wait blocks until SIGTERM or SIGINT, then carries out the planned stop. A
+// second signal ends it at once. The returned error is a *result.Error.
+func (d *Daemon) Wait(s Stopper) error {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	d.stopping.Store(true)
+	d.Log.Info("planned stop began")
+
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		<-signals
+		d.Log.Warn("second signal, stopping at once")
+		cancel()
+	}()
+	err := d.drain(ctx, s)
+	d.closeServers()
+	d.Log.WithError(err).Info("stopped")
+	return err
+}
+
+func (d *Daemon) drain(ctx context.Context, s Stopper) error {
+	select {
+	case <-time.After(s.Announce):
+	case <-ctx.Done():
+		return result.New(result.StopTimeout, result.RanUnknown, "second signal")
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.Limit)
+	defer cancel()
+	if s.Drain == nil {
+		return nil
+	}
+	if err := s.Drain(ctx); err != nil {
+		return result.New(result.StopTimeout, result.RanUnknown, "%v", err)
+	}
+	return nil
+}
+
+func (d *Daemon) closeServers() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.servers {
+		_ = s.Close()
+	}
+}
+
+// Fail reports a failed start on stderr and returns the exit status.
+func Fail(name string, err error) int {
+	l := logrus.New()
+	l.SetFormatter(&logrus.JSONFormatter{})
+	e := result.From(err)
+	l.WithFields(logrus.Fields{"process": name, "code": e.Code, "field": e.Field}).Error(e.Error())
+	if e.Code == result.StopTimeout {
+		return 1
+	}
+	return 2
+}
