--- /dev/null
+++ b/internal/hold/beats.go
@@ -0,0 +1,198 @@
+package hold
+
+import (
+	"sort"
+	"time"
+
+	"pulleyquay/internal/heartbeat"
+	"pulleyquay/internal/partition"
+	"pulleyquay/internal/right"
+	"pulleyquay/internal/view"
+)
+
+// beatHost is the Keeper as its heartbeats see it.
+type beatHost struct{ *Keeper }
+
+// Status implements heartbeat.Host.
+func (b *beatHost) Status() heartbeat.Status {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return heartbeat.Status{
+		Member: b.session.Self(), TableRevision: b.Table().Revision, SettingsRevision: b.settings(),
+		StoreAge: b.storeAge(), Deputy: b.deputyOf(b.session.Self().Name),
+	}
+}
+
+// storeAge is how long ago the last successful renewal was sent; negative when
+// there was none.
+func (k *Keeper) storeAge() time.Duration {
+	at, _ := k.session.Renewed()
+	if at.IsZero() {
+		return -1
+	}
+	return time.Since(at)
+}
+
+// Asks implements heartbeat.Host. It asks once the store is not reached as
+// usual, well before the store lease ends.
+func (b *beatHost) Asks() []heartbeat.Ask {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var asks []heartbeat.Ask
+	var session uint64
+	b.session.Right(func(h *right.Holder) { session = h.Session() })
+	if _, answers := b.session.Renewed(); session > 0 && (!answers || b.storeAge() > b.config.fresh()) {
+		asks = append(asks, heartbeat.Ask{Subject: b.subject(), Session: session, For: b.config.Term})
+	}
+	for s, c := range b.covers {
+		asks = append(asks, heartbeat.Ask{Subject: s, Session: c.right.Session(), For: b.config.Term})
+	}
+	now := time.Now()
+	self := b.subject().Incarnation
+	for _, ask := range asks {
+		if b.promise(now, ask) {
+			b.credit(ask, self, now)
+		}
+	}
+	return asks
+}
+
+// OnAsk implements heartbeat.Host.
+func (b *beatHost) OnAsk(ask heartbeat.Ask) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.promise(time.Now(), ask)
+}
+
+// promise gives this process's vote unless the store is reached by a majority,
+// which makes promises needless and would only delay a takeover. The lock is
+// held.
+func (k *Keeper) promise(now time.Time, ask heartbeat.Ask) bool {
+	if ask.For > k.config.Term || k.storeUp() {
+		return false
+	}
+	if !k.promises.Ask(now, ask.Subject, ask.Session, ask.For) {
+		return false
+	}
+	k.metrics.promises.Inc()
+	return true
+}
+
+// OnReply implements heartbeat.Host.
+func (b *beatHost) OnReply(sent time.Time, reply heartbeat.Reply) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, ask := range reply.Promised {
+		b.credit(ask, reply.Status.Member.Incarnation, sent)
+	}
+	if reply.Table != nil && len(b.mirror.listed) == 0 {
+		b.mirror.adopt(reply.Table)
+		b.publish()
+	}
+}
+
+// credit counts a voter's promise. The lock is held.
+func (k *Keeper) credit(ask heartbeat.Ask, voter string, sent time.Time) {
+	if ask.Subject == k.subject() {
+		k.session.Right(func(h *right.Holder) { h.Promised(voter, ask.Session, sent, ask.For) })
+		return
+	}
+	if c := k.covers[ask.Subject]; c != nil {
+		c.right.Promised(voter, ask.Session, sent, ask.For)
+	}
+}
+
+// OnBeat implements heartbeat.Host.
+func (b *beatHost) OnBeat(heartbeat.Status) {}
+
+// Targets implements heartbeat.Host: all members, the own electorate, and the
+// seeds while no member is known.
+func (b *beatHost) Targets() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	addrs := map[string]bool{}
+	for _, e := range b.mirror.members {
+		addrs[e.Member.Addr] = true
+	}
+	b.session.Right(func(h *right.Holder) {
+		for _, v := range h.Electorate().Voters {
+			addrs[v.Addr] = true
+		}
+	})
+	if len(b.mirror.listed) == 0 {
+		for _, seed := range b.config.Seeds {
+			addrs[seed] = true
+		}
+	}
+	delete(addrs, b.session.Self().Addr)
+	out := make([]string, 0, len(addrs))
+	for addr := range addrs {
+		out = append(out, addr)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// WantTable implements heartbeat.Host.
+func (b *beatHost) WantTable() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.mirror.listed) == 0
+}
+
+// storeUp reports whether a majority of the known members reaches the store, as
+// far as this process has heard. It decides nothing about safety: it only keeps
+// promises from being made when they would merely delay a takeover, and
+// claimants from acting while the store comes back. The lock is held.
+func (k *Keeper) storeUp() bool {
+	var voters []right.Voter
+	k.session.Right(func(h *right.Holder) { voters = h.Electorate().Voters })
+	if len(voters) == 0 {
+		voters = k.mirror.voters()
+	}
+	self, fresh, up := k.subject(), k.config.fresh(), 0
+	for _, v := range voters {
+		if v.Incarnation == self.Incarnation {
+			if age := k.storeAge(); age >= 0 && age < fresh {
+				up++
+			}
+			continue
+		}
+		h, ok := k.beats.Heard(v.Name)
+		if ok && h.Status.StoreAge >= 0 && h.Status.StoreAge+time.Since(h.At) < fresh {
+			up++
+		}
+	}
+	return up >= len(voters)/2+1
+}
+
+// heard reports whether the named member's beats come in. The lock is held.
+func (k *Keeper) heard(name string) bool {
+	e, ok := k.mirror.members[name]
+	return ok && k.heardSubject(right.Subject{Name: name, Incarnation: e.Member.Incarnation})
+}
+
+func (k *Keeper) heardSubject(s right.Subject) bool {
+	return s == k.subject() || k.heardWithin(s, k.config.Suspect)
+}
+
+func (k *Keeper) heardWithin(s right.Subject, d time.Duration) bool {
+	h, ok := k.beats.Heard(s.Name)
+	return ok && h.Status.Member.Incarnation == s.Incarnation && time.Since(h.At) < d
+}
+
+// deputyOf returns who stands in for the named member: by rendezvous hashing
+// over the other members that are heard. The lock is held.
+func (k *Keeper) deputyOf(name string) string {
+	var others []string
+	for other := range k.mirror.members {
+		if other != name && (other == k.session.Self().Name || k.heard(other)) {
+			others = append(others, other)
+		}
+	}
+	sort.Strings(others)
+	return partition.Owner(partition.OfKey(name, partition.DefaultCount), others)
+}
+
+// Table implements heartbeat.Host.
+func (b *beatHost) Table() *view.Table { return b.Keeper.Table() }
--- /dev/null
+++ b/internal/hold/config.go
@@ -0,0 +1,83 @@
+package hold
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"pulleyquay/internal/partition"
+	"pulleyquay/internal/peer"
+	"pulleyquay/internal/platform"
+	"pulleyquay/internal/right"
+	"pulleyquay/internal/view"
+)
+
+// Config holds the durations of holding. All placers of a cell must agree on
+// Term, ClockMargin, OutageLimit and Partitions.
+type Config struct {
+	// Term is the time to live of the member's store lease, in whole seconds,
+	// and the length of a promise while the store is down.
+	Term time.Duration
+	// ClockMargin is by how many parts of a thousand two clocks may run apart.
+	ClockMargin int64
+	// OutageLimit is the longest outage that a right outlives.
+	OutageLimit time.Duration
+	// Heartbeat is the interval of beats between placers.
+	Heartbeat time.Duration
+	// Renew is the interval of lease renewals; below a third of Term.
+	Renew time.Duration
+	// Suspect is after how long without a beat a member counts as unheard.
+	Suspect time.Duration
+	// BackoffMax bounds the wait between attempts on a store that fails.
+	BackoffMax time.Duration
+	// Spread is over how long claims of a dead member's partitions are spread.
+	Spread time.Duration
+	// Partitions is the number of partitions of the cell.
+	Partitions int
+	// Seeds are addresses of placers to learn the members from when the store
+	// is down at the start.
+	Seeds []string
+}
+
+// DefaultConfig returns the settings that the figures in docs/HOLDING.md were
+// measured with.
+func DefaultConfig() Config {
+	return Config{
+		Term: 3 * time.Second, ClockMargin: 10, OutageLimit: time.Hour,
+		Heartbeat: 500 * time.Millisecond, Renew: 750 * time.Millisecond,
+		Suspect: 1500 * time.Millisecond, BackoffMax: time.Second,
+		Spread: 50 * time.Millisecond, Partitions: partition.DefaultCount,
+	}
+}
+
+func (c Config) times() right.Times {
+	return right.Times{Term: c.Term, Margin: c.ClockMargin, OutageLimit: c.OutageLimit}
+}
+
+// fresh is the age up to which a renewal counts as reaching the store.
+func (c Config) fresh() time.Duration { return c.Term / 2 }
+
+// Deps is what a Keeper works with.
+type Deps struct {
+	Store platform.Store
+	Peers peer.Caller
+	Mux   *peer.Mux
+	// Self needs Name, Addr and Zone; an empty Incarnation is filled in.
+	Self     view.Member
+	Config   Config
+	Registry prometheus.Registerer
+	Log      *logrus.Entry
+	// SettingsRevision returns the settings revision in force; it may be nil.
+	SettingsRevision func() int64
+}
+
+// Deputy is the part of the placer that renews the task leases of a member that
+// died while its partitions can not be taken over yet.
+type Deputy interface {
+	// Cover names the partitions, with the records of their dead holder, whose
+	// workers' task leases are to be renewed from now on. It replaces the list
+	// given before; an empty list ends the cover. Orders need Keeper.CheckCover
+	// right before and must only renew. It must not block.
+	Cover(partitions []view.Partition)
+}
--- /dev/null
+++ b/internal/hold/cover.go
@@ -0,0 +1,106 @@
+package hold
+
+import (
+	"slices"
+	"time"
+
+	"pulleyquay/internal/result"
+	"pulleyquay/internal/right"
+	"pulleyquay/internal/view"
+)
+
+// cover is a dead member for whom this process is the deputy. The right to
+// renew is promised by the dead member's electorate in its name, so that the
+// fence of a later claimant ends the cover too.
+type cover struct {
+	right      *right.Holder
+	partitions []view.Partition
+}
+
+// updateCovers works out which dead members to cover. The lock is held.
+func (k *Keeper) updateCovers() {
+	covers := map[right.Subject]*cover{}
+	for _, p := range k.mirror.partitions {
+		s := holderOf(p)
+		if p.Holder == "" || !k.covering(s) {
+			continue
+		}
+		c := covers[s]
+		if c == nil {
+			c = k.coverOf(s)
+			covers[s] = c
+		}
+		c.partitions = append(c.partitions, p)
+	}
+	for _, c := range covers {
+		slices.SortFunc(c.partitions, func(a, b view.Partition) int { return a.ID - b.ID })
+	}
+	k.covers = covers
+}
+
+// covering reports whether this process is to stand in for the subject: it has
+// been silent for long, a majority does not reach the store, and its charter is
+// known.
+func (k *Keeper) covering(s right.Subject) bool {
+	if s == k.subject() || time.Since(k.started) < 2*k.config.Suspect || k.storeUp() {
+		return false
+	}
+	if k.heardWithin(s, 2*k.config.Suspect) || k.mirror.charters[s].Charter == nil {
+		return false
+	}
+	return k.deputyOf(s.Name) == k.session.Self().Name
+}
+
+func (k *Keeper) coverOf(s right.Subject) *cover {
+	electorate := k.mirror.charters[s].Charter.Electorate
+	if old := k.covers[s]; old != nil && old.right.Session() == electorate.Session {
+		return &cover{right: old.right}
+	}
+	limit := time.Now()
+	if h, ok := k.beats.Heard(s.Name); ok && h.Status.StoreAge >= 0 {
+		limit = h.At.Add(-h.Status.StoreAge)
+	}
+	return &cover{right: right.NewDeputy(k.config.times(), electorate, limit)}
+}
+
+// covered lists the partitions that the deputy is to know of, in order.
+func (k *Keeper) covered() []view.Partition {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var out []view.Partition
+	for _, c := range k.covers {
+		out = append(out, c.partitions...)
+	}
+	slices.SortFunc(out, func(a, b view.Partition) int { return a.ID - b.ID })
+	return out
+}
+
+// tellDeputy passes the list on when it has changed.
+func (k *Keeper) tellDeputy(last []view.Partition) []view.Partition {
+	now := k.covered()
+	if k.deputy != nil && !slices.Equal(last, now) {
+		k.deputy.Cover(now)
+	}
+	return now
+}
+
+// CheckCover returns the right to renew task leases on the workers of a covered
+// partition. Orders carry the grant's epoch and its end, and only renew.
+func (k *Keeper) CheckCover(id int) (Grant, error) {
+	now := time.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, c := range k.covers {
+		for _, p := range c.partitions {
+			if p.ID != id {
+				continue
+			}
+			until := c.right.Until(now, c.right.Session())
+			if !until.After(now) {
+				return Grant{}, result.New(result.RightLapsed, result.RanNo, "cover of partition %d", id)
+			}
+			return Grant{Partition: id, Epoch: p.Epoch, Until: until}, nil
+		}
+	}
+	return Grant{}, result.New(result.NotHolder, result.RanNo, "partition %d is not covered here", id)
+}
--- /dev/null
+++ b/internal/hold/dump.go
@@ -0,0 +1,70 @@
+package hold
+
+import (
+	"time"
+
+	"pulleyquay/internal/heartbeat"
+	"pulleyquay/internal/right"
+	"pulleyquay/internal/view"
+)
+
+// State is the Keeper's part of the process dump.
+type State struct {
+	Self       view.Member      `json:"self"`
+	Membership string           `json:"membership"`
+	Lacks      []string         `json:"lacks"`
+	StoreUp    bool             `json:"store_up"`
+	StoreAgeMS int64            `json:"store_age_ms"`
+	LeaseMS    int64            `json:"lease_ms"`
+	Electorate right.Electorate `json:"electorate"`
+	Table      *view.Table      `json:"table"`
+	Slots      []SlotState      `json:"slots"`
+	Heard      []HeardState     `json:"heard"`
+	Covered    []int            `json:"covered"`
+}
+
+// SlotState is one partition that this process owns or works on.
+type SlotState struct {
+	ID      int    `json:"id"`
+	State   string `json:"state"`
+	Epoch   uint64 `json:"epoch"`
+	UntilMS int64  `json:"until_ms"`
+	Busy    bool   `json:"busy,omitempty"`
+}
+
+// HeardState is what was last heard of a member.
+type HeardState struct {
+	Status heartbeat.Status `json:"status"`
+	AgeMS  int64            `json:"age_ms"`
+}
+
+// Dump returns the state for /debug/state.
+func (k *Keeper) Dump() any {
+	lacks, covered := k.Lacks(), k.covered()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := time.Now()
+	out := State{
+		Self: k.session.Self(), Membership: k.session.State(), Lacks: lacks,
+		StoreUp: k.storeUp(), StoreAgeMS: k.storeAge().Milliseconds(), Table: k.Table(),
+	}
+	k.session.Right(func(h *right.Holder) {
+		out.LeaseMS = h.Lease().Sub(now).Milliseconds()
+		out.Electorate = h.Electorate()
+	})
+	for _, s := range k.slots {
+		if s.owned() || s.busy {
+			out.Slots = append(out.Slots, SlotState{
+				ID: s.id, State: s.machine.Current(), Epoch: s.record.Epoch, Busy: s.busy,
+				UntilMS: k.grant(now, s).Until.Sub(now).Milliseconds(),
+			})
+		}
+	}
+	for _, h := range k.beats.All() {
+		out.Heard = append(out.Heard, HeardState{Status: h.Status, AgeMS: now.Sub(h.At).Milliseconds()})
+	}
+	for _, p := range covered {
+		out.Covered = append(out.Covered, p.ID)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/hold/handover.go
@@ -0,0 +1,182 @@
+package hold
+
+import (
+	"context"
+
+	"github.com/sirupsen/logrus"
+
+	"pulleyquay/internal/member"
+	"pulleyquay/internal/peer"
+	"pulleyquay/internal/platform"
+	"pulleyquay/internal/result"
+	"pulleyquay/internal/view"
+)
+
+// HandOver is sent to a partition's next holder twice: with the residents'
+// states before the record is moved, and with the moved record after.
+type HandOver struct {
+	Partition int `cbor:"1,keyasint"`
+	// Epoch is the one that the next holder will have.
+	Epoch uint64 `cbor:"2,keyasint"`
+	// Incarnation is that of the next holder.
+	Incarnation string            `cbor:"3,keyasint"`
+	States      map[string][]byte `cbor:"4,keyasint,omitempty"`
+	Record      *view.Partition   `cbor:"5,keyasint,omitempty"`
+}
+
+// HandOverReply tells that the next holder has kept the states.
+type HandOverReply struct {
+	Kept bool `cbor:"1,keyasint"`
+}
+
+// handOver releases a partition and moves its record to next, or to nobody when
+// next has no name. When the record does not move, this process goes on.
+func (k *Keeper) handOver(ctx context.Context, s *slot, next view.Member, nextMod platform.Revision) {
+	select {
+	case k.moves <- struct{}{}:
+		defer func() { <-k.moves }()
+	case <-ctx.Done():
+		return
+	}
+	k.mu.Lock()
+	s.event(eventRelease)
+	old := s.record
+	k.mu.Unlock()
+	states := k.releaseAll(ctx, s.id)
+	k.mu.Lock()
+	s.event(eventReleased)
+	k.mu.Unlock()
+
+	moved := old
+	moved.Holder, moved.Incarnation, moved.Addr = next.Name, next.Incarnation, next.Addr
+	moved.Epoch++
+	conditions := []platform.Condition{
+		k.session.Condition(), {Key: partitionKey(s.id), ModRevision: platform.Revision(old.ModRevision)},
+	}
+	if next.Name != "" {
+		conditions = append(conditions, platform.Condition{Key: member.Key(next.Name), ModRevision: nextMod})
+		if err := k.sendStates(ctx, next, moved, states); err != nil {
+			k.log.WithError(err).WithFields(logFields(old)).Warn("next holder did not take the state")
+			k.resume(ctx, s, states)
+			return
+		}
+	}
+	rec, ok := k.writeRecord(ctx, moved, conditions)
+	if !ok {
+		k.settleMove(ctx, s, old, states)
+		return
+	}
+	k.handedOver(ctx, s, next, rec)
+}
+
+// handedOver ends a successful hand-over and tells the next holder, which would
+// otherwise see the record a watch's delay later.
+func (k *Keeper) handedOver(ctx context.Context, s *slot, next view.Member, rec view.Partition) {
+	k.mu.Lock()
+	s.event(eventDrop)
+	k.mu.Unlock()
+	k.metrics.handOvers.Inc()
+	k.log.WithFields(logFields(rec)).Info("partition handed over")
+	if next.Name == "" {
+		return
+	}
+	msg := HandOver{Partition: rec.ID, Epoch: rec.Epoch, Incarnation: next.Incarnation, Record: &rec}
+	var reply HandOverReply
+	if err := k.peers.Call(ctx, next.Addr, peer.KindHandOver, msg, &reply); err != nil {
+		k.log.WithError(err).Debug("next holder will see the record by its watch")
+	}
+}
+
+// settleMove finds out whether the record has moved. Writing it anew with the
+// old holder makes a delayed move fail; only then does this process go on.
+func (k *Keeper) settleMove(ctx context.Context, s *slot, old view.Partition, states map[string][]byte) {
+	retry := k.newBackOff()
+	for {
+		k.mu.Lock()
+		known := k.mirror.partitions[s.id]
+		k.mu.Unlock()
+		if known.ModRevision > old.ModRevision && (holderOf(known) != holderOf(old) || known.Epoch != old.Epoch) {
+			k.mu.Lock()
+			s.event(eventDrop)
+			k.mu.Unlock()
+			return
+		}
+		conditions := []platform.Condition{
+			k.session.Condition(), {Key: partitionKey(s.id), ModRevision: platform.Revision(known.ModRevision)},
+		}
+		if rec, ok := k.writeRecord(ctx, old, conditions); ok {
+			k.mu.Lock()
+			s.record = rec
+			k.mu.Unlock()
+			k.resume(ctx, s, states)
+			return
+		}
+		if !sleep(ctx, min(retry.NextBackOff(), k.config.BackoffMax)) {
+			return
+		}
+	}
+}
+
+// resume takes a released partition up again with its own states.
+func (k *Keeper) resume(ctx context.Context, s *slot, states map[string][]byte) {
+	k.mu.Lock()
+	s.event(eventResume)
+	k.mu.Unlock()
+	k.takeUp(ctx, s, states, true, false)
+}
+
+// releaseAll ends the residents' work in order and collects their states.
+func (k *Keeper) releaseAll(ctx context.Context, id int) map[string][]byte {
+	states := map[string][]byte{}
+	for _, r := range k.residents {
+		state, err := r.Release(ctx, id)
+		if err != nil {
+			k.log.WithError(err).WithField("resident", r.Name()).WithField("partition", id).Warn("released without state")
+			continue
+		}
+		states[r.Name()] = state
+	}
+	return states
+}
+
+func (k *Keeper) sendStates(ctx context.Context, next view.Member, moved view.Partition, states map[string][]byte) error {
+	ctx, cancel := context.WithTimeout(ctx, k.config.Term)
+	defer cancel()
+	msg := HandOver{Partition: moved.ID, Epoch: moved.Epoch, Incarnation: next.Incarnation, States: states}
+	var reply HandOverReply
+	if err := k.peers.Call(ctx, next.Addr, peer.KindHandOver, msg, &reply); err != nil {
+		return err
+	}
+	if !reply.Kept {
+		return result.New(result.HandOverFailed, result.RanNo, "%s did not keep the state", next.Name)
+	}
+	return nil
+}
+
+// onHandOver keeps a state that is sent ahead, or takes in the moved record.
+func (k *Keeper) onHandOver(_ context.Context, msg HandOver) (HandOverReply, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if msg.Incarnation != k.subject().Incarnation {
+		return HandOverReply{}, result.New(result.HandOverFailed, result.RanNo, "this is another process than the one meant")
+	}
+	if msg.Partition < 0 || msg.Partition >= len(k.slots) {
+		return HandOverReply{}, result.New(result.PartitionCount, result.RanNo, "no partition %d here", msg.Partition)
+	}
+	if k.leaving && msg.Record == nil {
+		return HandOverReply{}, result.New(result.Stopping, result.RanNo, "leaving")
+	}
+	if msg.Record != nil {
+		_ = k.mirror.apply(recordChange(*msg.Record))
+		k.publish()
+		return HandOverReply{Kept: true}, nil
+	}
+	if s := k.slots[msg.Partition]; s.inbox == nil || s.inbox.Epoch < msg.Epoch {
+		s.inbox = &msg
+	}
+	return HandOverReply{Kept: true}, nil
+}
+
+func logFields(p view.Partition) logrus.Fields {
+	return logrus.Fields{"partition": p.ID, "epoch": p.Epoch, "holder": p.Holder}
+}
--- /dev/null
+++ b/internal/hold/keeper.go
@@ -0,0 +1,260 @@
+package hold
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+
+	"pulleyquay/internal/heartbeat"
+	"pulleyquay/internal/member"
+	"pulleyquay/internal/peer"
+	"pulleyquay/internal/platform"
+	"pulleyquay/internal/result"
+	"pulleyquay/internal/right"
+	"pulleyquay/internal/view"
+)
+
+// maxMoves is how many partitions are handed over at a time.
+const maxMoves = 8
+
+// Keeper keeps this process's membership and partitions. It is the Right that
+// every order asks.
+type Keeper struct {
+	store    platform.Store
+	peers    peer.Caller
+	config   Config
+	log      *logrus.Entry
+	metrics  *metrics
+	session  *member.Session
+	beats    *heartbeat.Service
+	settings func() int64
+	started  time.Time
+
+	residents []Resident
+	deputy    Deputy
+
+	kick   chan struct{} // wakes the decision loop
+	renew  chan struct{} // wakes the renewal loop
+	cancel context.CancelFunc
+	done   sync.WaitGroup // loops
+	steps  sync.WaitGroup // steps of partitions and fences
+	table  atomic.Pointer[view.Table]
+	moves  chan struct{} // bounds the hand-overs at a time
+
+	mu       sync.Mutex
+	mirror   *mirror
+	slots    []*slot
+	promises *right.Promises
+	fencings map[right.Subject]*fencing
+	covers   map[right.Subject]*cover
+	leaving  bool
+	// confirmed is the store session in which the mirror's partitions were read.
+	confirmed uint64
+	lacks     []string // besides members and settings
+}
+
+// New returns a Keeper and registers its message kinds in the mux.
+func New(d Deps) (*Keeper, error) {
+	if d.Self.Incarnation == "" {
+		id, err := uuid.NewV7()
+		if err != nil {
+			return nil, result.New(result.Internal, result.RanNo, "incarnation: %v", err)
+		}
+		d.Self.Incarnation = id.String()
+	}
+	if d.SettingsRevision == nil {
+		d.SettingsRevision = func() int64 { return 0 }
+	}
+	k := &Keeper{
+		store: d.Store, peers: d.Peers, config: d.Config, log: d.Log, settings: d.SettingsRevision,
+		metrics: newMetrics(d.Registry), session: member.NewSession(d.Store, d.Self, d.Config.times()),
+		kick: make(chan struct{}, 1), renew: make(chan struct{}, 1),
+		moves: make(chan struct{}, maxMoves), mirror: newMirror(), promises: right.NewPromises(),
+		fencings: map[right.Subject]*fencing{}, covers: map[right.Subject]*cover{},
+	}
+	for id := range d.Config.Partitions {
+		k.slots = append(k.slots, newSlot(id))
+	}
+	k.table.Store(&view.Table{})
+	k.beats = heartbeat.New(d.Peers, d.Mux, &beatHost{k}, d.Config.Heartbeat, d.Registry)
+	peer.Handle(d.Mux, peer.KindHandOver, k.onHandOver)
+	peer.Handle(d.Mux, peer.KindFence, k.onFence)
+	return k, nil
+}
+
+// AddResident adds a part of the placer that lives in partitions, before Start.
+// Partitions are released in the order of the calls and acquired in reverse.
+func (k *Keeper) AddResident(r Resident) { k.residents = append(k.residents, r) }
+
+// SetDeputy names the part that renews dead members' task leases, before Start.
+func (k *Keeper) SetDeputy(d Deputy) { k.deputy = d }
+
+// Provide adds a value to this process's heartbeats.
+func (k *Keeper) Provide(name string, fn func() any) { k.beats.Provide(name, fn) }
+
+// Extra decodes what a member last provided under the name. This process's own
+// values are not among them.
+func (k *Keeper) Extra(member, name string, into any) (age time.Duration, ok bool) {
+	return k.beats.Extra(member, name, into)
+}
+
+// Self returns this process as a member.
+func (k *Keeper) Self() view.Member { return k.session.Self() }
+
+// Table returns the latest members and partitions. Its revision never goes down.
+func (k *Keeper) Table() *view.Table { return k.table.Load() }
+
+// Start checks the number of partitions if the store answers, and starts to
+// join, beat and claim. It returns at once; Lacks tells what is still missing.
+func (k *Keeper) Start(ctx context.Context) error {
+	k.started = time.Now()
+	if err := k.checkCount(ctx); err != nil {
+		return err
+	}
+	ctx, k.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	for _, loop := range []func(context.Context){
+		k.renewLoop, k.decideLoop, k.beats.Run,
+		func(ctx context.Context) { k.watchLoop(ctx, member.Prefix) },
+		func(ctx context.Context) { k.watchLoop(ctx, PartitionPrefix) },
+	} {
+		k.done.Add(1)
+		go func() {
+			defer k.done.Done()
+			loop(ctx)
+		}()
+	}
+	return nil
+}
+
+// Stop hands every partition over, leaves the cell and ends all loops. When ctx
+// ends first, what is left is dropped and other members take it over as from a
+// dead holder.
+func (k *Keeper) Stop(ctx context.Context) error {
+	k.mu.Lock()
+	k.leaving = true
+	k.mu.Unlock()
+	if k.cancel == nil {
+		return nil
+	}
+	k.wakeRenew()
+	err := k.waitHandedOver(ctx)
+	k.cancel()
+	k.done.Wait()
+	k.steps.Wait()
+	if err != nil {
+		k.dropAll()
+	}
+	leaveCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), k.config.Term)
+	defer cancel()
+	if leaveErr := k.session.Leave(leaveCtx); leaveErr != nil {
+		k.log.WithError(leaveErr).Warn("left without telling the store")
+	}
+	return err
+}
+
+func (k *Keeper) waitHandedOver(ctx context.Context) error {
+	tick := time.NewTicker(k.config.Heartbeat / 10)
+	defer tick.Stop()
+	for {
+		if len(k.Held()) == 0 && k.idle() {
+			return nil
+		}
+		k.wake()
+		select {
+		case <-ctx.Done():
+			return result.New(result.HandOverFailed, result.RanNo, "%d partitions were not handed over", len(k.Held()))
+		case <-tick.C:
+		}
+	}
+}
+
+// idle reports whether no partition is owned and no step is on its way.
+func (k *Keeper) idle() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, s := range k.slots {
+		if s.busy || s.owned() {
+			return false
+		}
+	}
+	return true
+}
+
+// Check implements Right.
+func (k *Keeper) Check(id int) (Grant, error) {
+	now := time.Now()
+	k.mu.Lock()
+	if id < 0 || id >= len(k.slots) || !k.slots[id].acts() {
+		k.mu.Unlock()
+		return Grant{}, result.New(result.NotHolder, result.RanNo, "partition %d", id)
+	}
+	grant := k.grant(now, k.slots[id])
+	k.mu.Unlock()
+	if !grant.Until.After(now) {
+		k.metrics.lapsed.Inc()
+		return Grant{}, result.New(result.RightLapsed, result.RanNo, "partition %d epoch %d", id, grant.Epoch)
+	}
+	return grant, nil
+}
+
+// grant works out the right for a slot. The lock is held.
+func (k *Keeper) grant(now time.Time, s *slot) Grant {
+	g := Grant{Partition: s.id, Epoch: s.record.Epoch}
+	k.session.Right(func(h *right.Holder) { g.Until = h.Until(now, s.session) })
+	return g
+}
+
+// Held implements Right.
+func (k *Keeper) Held() []int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var out []int
+	for _, s := range k.slots {
+		if s.acts() {
+			out = append(out, s.id)
+		}
+	}
+	return out
+}
+
+// Lacks lists what this process still misses to do its full work, for /readyz.
+func (k *Keeper) Lacks() []string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	out := append([]string(nil), k.lacks...)
+	if len(k.mirror.members) == 0 {
+		out = append(out, "members: neither the store nor a seed has answered")
+	} else if len(k.mirror.listed) < 2 {
+		out = append(out, "the store's own list of members and partitions; those of a peer are in use")
+	}
+	if k.settings() == 0 {
+		out = append(out, "settings")
+	}
+	if state := k.session.State(); state != member.StateJoined {
+		out = append(out, "membership: "+state)
+	}
+	return out
+}
+
+func (k *Keeper) wake() {
+	select {
+	case k.kick <- struct{}{}:
+	default:
+	}
+}
+
+func (k *Keeper) wakeRenew() {
+	select {
+	case k.renew <- struct{}{}:
+	default:
+	}
+}
+
+func (k *Keeper) subject() right.Subject {
+	self := k.session.Self()
+	return right.Subject{Name: self.Name, Incarnation: self.Incarnation}
+}
--- /dev/null
+++ b/internal/hold/loops.go
@@ -0,0 +1,258 @@
+package hold
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"pulleyquay/internal/member"
+	"pulleyquay/internal/platform"
+	"pulleyquay/internal/result"
+	"pulleyquay/internal/right"
+	"pulleyquay/internal/view"
+)
+
+// checkCount compares the configured number of partitions with the store's and
+// writes it when there is none. A store that does not answer is asked again by
+// the renewal loop before the first claim.
+func (k *Keeper) checkCount(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, k.config.Term/2)
+	defer cancel()
+	reply, err := k.store.Commit(ctx, platform.Txn{
+		If:   []platform.Condition{{Key: countKey}},
+		Then: []platform.Write{{Key: countKey, Value: []byte(strconv.Itoa(k.config.Partitions))}},
+	})
+	if err != nil {
+		k.setLacks("number of partitions in the store not checked yet")
+		return nil
+	}
+	for _, rec := range reply.Found {
+		if stored := string(rec.Value); stored != strconv.Itoa(k.config.Partitions) {
+			return result.New(result.PartitionCount, result.RanNo, "configured %d, the store holds %s", k.config.Partitions, stored)
+		}
+	}
+	k.setLacks()
+	return nil
+}
+
+func (k *Keeper) setLacks(lacks ...string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.lacks = lacks
+}
+
+// renewLoop joins, renews the lease, keeps the electorate and joins again when
+// the lease is gone.
+func (k *Keeper) renewLoop(ctx context.Context) {
+	retry := k.newBackOff()
+	for ctx.Err() == nil {
+		pause := k.config.Renew
+		if err := k.renewOnce(ctx); err != nil {
+			k.metrics.storeErrors.Inc()
+			pause = min(retry.NextBackOff(), k.config.BackoffMax)
+		} else {
+			retry.Reset()
+		}
+		select {
+		case <-ctx.Done():
+		case <-k.renew:
+		case <-time.After(pause):
+		}
+	}
+}
+
+func (k *Keeper) newBackOff() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = k.config.Renew / 8
+	b.MaxInterval = k.config.BackoffMax
+	return b
+}
+
+// renewOnce makes the one or two calls that the membership needs now.
+func (k *Keeper) renewOnce(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, k.config.Term/2)
+	defer cancel()
+	switch k.session.State() {
+	case member.StateJoined, member.StateLeaving:
+		if err := k.session.Renew(ctx); err != nil {
+			if errors.Is(err, platform.ErrLeaseGone) {
+				return k.join(ctx)
+			}
+			return err
+		}
+		return k.keepSession(ctx)
+	default:
+		return k.join(ctx)
+	}
+}
+
+// keepSession does what a renewed session needs besides: settle a doubt, tell
+// that it leaves, or take new members into the electorate.
+func (k *Keeper) keepSession(ctx context.Context) error {
+	k.mu.Lock()
+	leaving, voters, confirmed := k.leaving, k.mirror.voters(), k.confirmed
+	k.mu.Unlock()
+	var session uint64
+	k.session.Right(func(h *right.Holder) { session = h.Session() })
+	if confirmed != session {
+		return k.confirm(ctx)
+	}
+	if leaving && !k.session.Self().Leaving {
+		return k.session.SetLeaving(ctx)
+	}
+	if err := k.session.SettleVoters(ctx); err != nil {
+		return err
+	}
+	if len(voters) == 0 {
+		return nil
+	}
+	return k.session.SetVoters(ctx, voters)
+}
+
+// join creates the member key and confirms the partitions that are still ours.
+func (k *Keeper) join(ctx context.Context) error {
+	if k.mirrorCount() == 0 {
+		if err := k.checkCount(ctx); err != nil {
+			k.setLacks(err.Error())
+			return err
+		}
+	}
+	self := k.session.Self()
+	k.mu.Lock()
+	voters := k.mirror.voters()
+	k.mu.Unlock()
+	voters = withVoter(voters, right.Voter{Name: self.Name, Incarnation: self.Incarnation, Addr: self.Addr})
+	if err := k.session.Join(ctx, voters); err != nil {
+		if result.CodeOf(err) == result.NameTaken {
+			k.stepDown(err)
+		}
+		return err
+	}
+	k.log.WithField("incarnation", self.Incarnation).Info("joined")
+	return k.confirm(ctx)
+}
+
+func (k *Keeper) mirrorCount() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.mirror.count
+}
+
+func withVoter(voters []right.Voter, self right.Voter) []right.Voter {
+	for i, v := range voters {
+		if v.Name == self.Name {
+			voters[i] = self
+			return voters
+		}
+	}
+	return append(voters, self)
+}
+
+// confirm reads the partitions after a new session has begun: those whose
+// records are unchanged are held on in the new session.
+func (k *Keeper) confirm(ctx context.Context) error {
+	var session uint64
+	k.session.Right(func(h *right.Holder) { session = h.Session() })
+	records, at, err := k.store.List(ctx, PartitionPrefix)
+	if err != nil {
+		return err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if err := k.mirror.list(PartitionPrefix, records, at); err != nil {
+		return err
+	}
+	self := k.subject()
+	for _, s := range k.slots {
+		rec, known := k.mirror.partitions[s.id]
+		if s.owned() && known && holderOf(rec) == self && rec.Epoch == s.record.Epoch {
+			s.session = session
+		}
+	}
+	k.confirmed = session
+	k.publish()
+	return nil
+}
+
+// stepDown forgets everything because another process has the name. The older
+// process keeps the name while it lives; this one waits for it to end.
+func (k *Keeper) stepDown(err error) {
+	if len(k.Held()) > 0 {
+		k.log.WithError(err).Error("another process has this member's name: partitions dropped")
+	}
+	k.setLacks(err.Error())
+	k.dropAll()
+}
+
+// watchLoop keeps the mirror of one prefix: list, then watch from there on.
+func (k *Keeper) watchLoop(ctx context.Context, prefix string) {
+	retry := k.newBackOff()
+	for ctx.Err() == nil {
+		begun := time.Now()
+		err := k.listAndWatch(ctx, prefix)
+		if time.Since(begun) > k.config.Term {
+			retry.Reset()
+		}
+		if err != nil && ctx.Err() == nil {
+			k.metrics.watchBreaks.Inc()
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(min(retry.NextBackOff(), k.config.BackoffMax)):
+		}
+	}
+}
+
+func (k *Keeper) listAndWatch(ctx context.Context, prefix string) error {
+	listCtx, cancel := context.WithTimeout(ctx, k.config.Term)
+	records, at, err := k.store.List(listCtx, prefix)
+	cancel()
+	if err != nil {
+		return err
+	}
+	k.mu.Lock()
+	err = k.mirror.list(prefix, records, at)
+	k.publish()
+	k.mu.Unlock()
+	if err != nil {
+		k.log.WithError(err).Error("the store holds a record that can not be read")
+		return err
+	}
+	return k.store.Watch(ctx, prefix, at, func(b platform.Batch) {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		for _, c := range b.Changes {
+			if err := k.mirror.apply(c); err != nil {
+				k.log.WithError(err).Error("the store holds a record that can not be read")
+			}
+		}
+		k.publish()
+	})
+}
+
+// publish makes the mirror's state visible and wakes the decision loop. The
+// lock is held.
+func (k *Keeper) publish() {
+	k.mirror.noteGone(time.Now())
+	k.table.Store(k.mirror.table())
+	k.wake()
+}
+
+// decideLoop looks at every partition when something has changed, and at least
+// once in each heartbeat interval.
+func (k *Keeper) decideLoop(ctx context.Context) {
+	var covered []view.Partition
+	for ctx.Err() == nil {
+		k.decideAll(ctx)
+		covered = k.tellDeputy(covered)
+		select {
+		case <-ctx.Done():
+		case <-k.kick:
+		case <-time.After(k.config.Heartbeat/2 + rand.N(k.config.Heartbeat/2+1)):
+		}
+	}
+}
--- /dev/null
+++ b/internal/hold/mirror.go
@@ -0,0 +1,224 @@
+package hold
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"pulleyquay/internal/member"
+	"pulleyquay/internal/platform"
+	"pulleyquay/internal/right"
+	"pulleyquay/internal/view"
+)
+
+// PartitionPrefix is where the partitions' records stand in the store.
+const PartitionPrefix = "partitions/"
+
+// countKey holds the number of partitions that the cell was started with.
+const countKey = PartitionPrefix + "count"
+
+// partitionKey has a fixed width, so that no key is the prefix of another.
+func partitionKey(id int) string { return fmt.Sprintf("%s%05d", PartitionPrefix, id) }
+
+// mirror is this process's copy of the members and partitions in the store. A
+// key's state is replaced only by one of a higher revision, whatever order
+// lists, watches and answers come in.
+type mirror struct {
+	members    map[string]member.Entry
+	charters   map[right.Subject]member.Entry
+	partitions map[int]view.Partition
+	revisions  map[string]platform.Revision // of each key, also of deleted ones
+	gone       map[right.Subject]time.Time  // holders first seen without a key
+	count      int                          // as the store says, zero when not read
+	revision   platform.Revision
+	listed     map[string]bool // prefixes that were listed from the store
+}
+
+func newMirror() *mirror {
+	return &mirror{
+		members: map[string]member.Entry{}, charters: map[right.Subject]member.Entry{},
+		partitions: map[int]view.Partition{}, revisions: map[string]platform.Revision{},
+		gone: map[right.Subject]time.Time{}, listed: map[string]bool{},
+	}
+}
+
+// list takes in all records under a prefix at a revision.
+func (m *mirror) list(prefix string, records []platform.Record, at platform.Revision) error {
+	present := map[string]bool{}
+	for _, rec := range records {
+		present[rec.Key] = true
+		if err := m.apply(platform.Change{Record: rec}); err != nil {
+			return err
+		}
+	}
+	for key := range m.revisions {
+		if !strings.HasPrefix(key, prefix) || present[key] {
+			continue
+		}
+		if err := m.apply(platform.Change{Record: platform.Record{Key: key, ModRevision: at}, Deleted: true}); err != nil {
+			return err
+		}
+	}
+	m.listed[prefix] = true
+	return nil
+}
+
+// apply takes in the state of one key unless a newer one is known.
+func (m *mirror) apply(c platform.Change) error {
+	if c.ModRevision <= m.revisions[c.Key] {
+		return nil
+	}
+	m.revisions[c.Key] = c.ModRevision
+	m.revision = max(m.revision, c.ModRevision)
+	if c.Deleted {
+		c.Value = nil
+	}
+	if strings.HasPrefix(c.Key, member.Prefix) {
+		return m.applyMember(c)
+	}
+	return m.applyPartition(c)
+}
+
+func (m *mirror) applyMember(c platform.Change) error {
+	entry, err := member.Decode(c.Record)
+	if err != nil {
+		return err
+	}
+	if entry.IsCharter() {
+		subject := right.Subject{Name: entry.Name, Incarnation: entry.Incarnation}
+		if c.Deleted {
+			delete(m.charters, subject)
+			return nil
+		}
+		m.charters[subject] = entry
+		return nil
+	}
+	if c.Deleted {
+		delete(m.members, entry.Name)
+		return nil
+	}
+	m.members[entry.Name] = entry
+	return nil
+}
+
+func (m *mirror) applyPartition(c platform.Change) error {
+	if c.Key == countKey {
+		m.count = 0
+		if c.Deleted {
+			return nil
+		}
+		return json.Unmarshal(c.Value, &m.count)
+	}
+	id, err := strconv.Atoi(strings.TrimPrefix(c.Key, PartitionPrefix))
+	if err != nil {
+		return fmt.Errorf("record %s: %w", c.Key, err)
+	}
+	if c.Deleted {
+		delete(m.partitions, id)
+		return nil
+	}
+	var p view.Partition
+	if err := json.Unmarshal(c.Value, &p); err != nil {
+		return fmt.Errorf("record %s: %w", c.Key, err)
+	}
+	p.ModRevision = int64(c.ModRevision)
+	m.partitions[id] = p
+	return nil
+}
+
+// adopt takes in a table learned from a peer; only used before the first list.
+func (m *mirror) adopt(t *view.Table) {
+	if len(m.listed) > 0 || t.Revision <= int64(m.revision) {
+		return
+	}
+	m.revision = platform.Revision(t.Revision)
+	for _, member := range t.Members {
+		m.members[member.Name] = entryOf(member)
+	}
+	for _, p := range t.Partitions {
+		m.partitions[p.ID] = p
+	}
+}
+
+func entryOf(m view.Member) member.Entry { return member.Entry{Name: m.Name, Member: &m} }
+
+// table returns a snapshot, sorted by name and by id.
+func (m *mirror) table() *view.Table {
+	t := &view.Table{Revision: int64(m.revision)}
+	for _, e := range m.members {
+		t.Members = append(t.Members, *e.Member)
+	}
+	for _, p := range m.partitions {
+		t.Partitions = append(t.Partitions, p)
+	}
+	sort.Slice(t.Members, func(a, b int) bool { return t.Members[a].Name < t.Members[b].Name })
+	sort.Slice(t.Partitions, func(a, b int) bool { return t.Partitions[a].ID < t.Partitions[b].ID })
+	return t
+}
+
+// alive reports whether the subject's key is in the store.
+func (m *mirror) alive(s right.Subject) bool {
+	e, ok := m.members[s.Name]
+	return ok && e.Member.Incarnation == s.Incarnation
+}
+
+// eligible lists the members that partitions may go to.
+func (m *mirror) eligible() []string {
+	var out []string
+	for name, e := range m.members {
+		if !e.Member.Leaving {
+			out = append(out, name)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+// voters lists the members as an electorate, sorted by name.
+func (m *mirror) voters() []right.Voter {
+	var out []right.Voter
+	for _, e := range m.members {
+		out = append(out, right.Voter{Name: e.Member.Name, Incarnation: e.Member.Incarnation, Addr: e.Member.Addr})
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].Name < out[b].Name })
+	return out
+}
+
+// noteGone remembers since when each holder has been without a member key.
+func (m *mirror) noteGone(now time.Time) {
+	holders := map[right.Subject]bool{}
+	for _, p := range m.partitions {
+		s := holderOf(p)
+		if p.Holder != "" && !m.alive(s) {
+			holders[s] = true
+		}
+	}
+	for s := range m.gone {
+		if !holders[s] {
+			delete(m.gone, s)
+		}
+	}
+	for s := range holders {
+		if _, known := m.gone[s]; !known {
+			m.gone[s] = now
+		}
+	}
+}
+
+func holderOf(p view.Partition) right.Subject {
+	return right.Subject{Name: p.Holder, Incarnation: p.Incarnation}
+}
+
+// recordChange is a partition's record as the store shows it.
+func recordChange(p view.Partition) platform.Change {
+	value, err := json.Marshal(p)
+	if err != nil {
+		panic(fmt.Sprintf("hold: encode %+v: %v", p, err))
+	}
+	return platform.Change{Record: platform.Record{
+		Key: partitionKey(p.ID), Value: value, ModRevision: platform.Revision(p.ModRevision),
+	}}
+}
--- /dev/null
+++ b/internal/hold/steps.go
@@ -0,0 +1,280 @@
+package hold
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"pulleyquay/internal/member"
+	"pulleyquay/internal/platform"
+	"pulleyquay/internal/right"
+	"pulleyquay/internal/view"
+)
+
+// decideAll starts the next step of every partition that has none on its way.
+func (k *Keeper) decideAll(ctx context.Context) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	c := k.cell()
+	for _, s := range k.slots {
+		rec, known := k.mirror.partitions[s.id]
+		next, to := c.decide(s, rec, known)
+		if s.busy {
+			if next == stepDrop && s.cancel != nil {
+				s.cancel()
+			}
+			continue
+		}
+		k.begin(ctx, s, next, to, rec)
+	}
+	k.updateCovers()
+	k.metrics.held.Set(float64(k.countHeld()))
+}
+
+// begin starts a step in a goroutine of its own. The lock is held.
+func (k *Keeper) begin(ctx context.Context, s *slot, next step, to string, rec view.Partition) {
+	var run func()
+	switch next {
+	case stepNone:
+		return
+	case stepFence:
+		k.fence(ctx, holderOf(rec))
+		return
+	case stepDrop:
+		run = func() { k.drop(s) }
+	case stepAcquire:
+		run = func() { k.acquire(ctx, s, rec, false) }
+	case stepClaim:
+		charter := k.mirror.charters[holderOf(rec)].Revision
+		run = func() { k.claim(ctx, s, rec, charter) }
+	case stepHandOver:
+		next := *k.mirror.members[to].Member
+		nextMod := k.mirror.members[to].Revision
+		run = func() { k.handOver(ctx, s, next, nextMod) }
+	case stepSignOff:
+		run = func() { k.handOver(ctx, s, view.Member{}, 0) }
+	}
+	s.busy = true
+	k.steps.Add(1)
+	go func() {
+		defer k.steps.Done()
+		run()
+		k.mu.Lock()
+		s.busy = false
+		k.mu.Unlock()
+		k.wake()
+	}()
+}
+
+// cell gathers what decisions are made from. The lock is held.
+func (k *Keeper) cell() cell {
+	storeUp := k.storeUp()
+	return cell{
+		self: k.subject(), leaving: k.leaving, canMove: k.canMove(), eligible: k.mirror.eligible(),
+		alive: k.mirror.alive,
+		heard: k.heard,
+		mayFence: func(s right.Subject) bool {
+			if time.Since(k.started) < 2*k.config.Suspect {
+				return false
+			}
+			return mayFence(k.heardSubject(s), storeUp, time.Since(k.mirror.gone[s]), k.config.Term)
+		},
+		fenced: func(s right.Subject) bool {
+			f := k.fencings[s]
+			return f != nil && f.charter == k.mirror.charters[s].Revision && f.tally.Done(time.Now())
+		},
+	}
+}
+
+// canMove reports whether the store is reached and the session confirmed.
+func (k *Keeper) canMove() bool {
+	_, answers := k.session.Renewed()
+	age := k.storeAge()
+	return answers && age >= 0 && age < k.config.fresh() && k.confirmed > 0
+}
+
+func (k *Keeper) countHeld() int {
+	n := 0
+	for _, s := range k.slots {
+		if s.acts() {
+			n++
+		}
+	}
+	return n
+}
+
+// claim writes this process into the record of a partition that nobody may act
+// for: never held, signed off, or held by a fenced member.
+func (k *Keeper) claim(ctx context.Context, s *slot, old view.Partition, charter platform.Revision) {
+	if !sleep(ctx, rand.N(k.config.Spread+1)) {
+		return
+	}
+	self := k.session.Self()
+	next := view.Partition{
+		ID: s.id, Holder: self.Name, Incarnation: self.Incarnation, Addr: self.Addr, Epoch: old.Epoch + 1,
+	}
+	conditions := []platform.Condition{k.session.Condition(), {Key: partitionKey(s.id), ModRevision: platform.Revision(old.ModRevision)}}
+	if old.Holder != "" {
+		k.mu.Lock()
+		holder, back := k.mirror.members[old.Holder].Revision, k.mirror.alive(holderOf(old))
+		k.mu.Unlock()
+		if back {
+			return
+		}
+		conditions = append(conditions,
+			platform.Condition{Key: member.Key(old.Holder), ModRevision: holder},
+			platform.Condition{Key: member.CharterKey(old.Holder, old.Incarnation), ModRevision: charter})
+	}
+	k.metrics.claims.Inc()
+	rec, ok := k.writeRecord(ctx, next, conditions)
+	if !ok {
+		return
+	}
+	k.log.WithFields(logFields(rec)).WithField("from", old.Holder).Info("partition claimed")
+	k.acquire(ctx, s, rec, old.Epoch == 0)
+}
+
+// writeRecord moves a partition's record when the conditions hold. A lost
+// answer is settled by the watch or by the next attempt, which fails on the
+// revision when this one took effect.
+func (k *Keeper) writeRecord(ctx context.Context, next view.Partition, conditions []platform.Condition) (view.Partition, bool) {
+	value, err := json.Marshal(next)
+	if err != nil {
+		return next, false
+	}
+	callCtx, cancel := context.WithTimeout(ctx, k.config.Term)
+	defer cancel()
+	reply, err := k.store.Commit(callCtx, platform.Txn{
+		If:   conditions,
+		Then: []platform.Write{{Key: partitionKey(next.ID), Value: value}},
+	})
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if err != nil {
+		k.metrics.storeErrors.Inc()
+		if !errors.Is(err, platform.ErrUnavailable) {
+			k.metrics.unknown.Inc()
+		}
+		return next, false
+	}
+	if !reply.Applied {
+		k.takeFound(conditions, reply)
+		return next, false
+	}
+	next.ModRevision = int64(reply.Revision)
+	_ = k.mirror.apply(recordChange(next))
+	k.publish()
+	return next, true
+}
+
+// takeFound brings the mirror up to date with what a refused transaction found.
+// The lock is held.
+func (k *Keeper) takeFound(conditions []platform.Condition, reply platform.TxnReply) {
+	found := map[string]bool{}
+	for _, rec := range reply.Found {
+		found[rec.Key] = true
+		if err := k.mirror.apply(platform.Change{Record: rec}); err != nil {
+			k.log.WithError(err).Error("the store holds a record that can not be read")
+		}
+	}
+	for _, c := range conditions {
+		if !found[c.Key] && c.ModRevision != 0 {
+			_ = k.mirror.apply(platform.Change{Record: platform.Record{Key: c.Key, ModRevision: reply.Revision}, Deleted: true})
+		}
+	}
+	k.publish()
+}
+
+// acquire takes up a partition whose record names this process.
+func (k *Keeper) acquire(ctx context.Context, s *slot, rec view.Partition, fresh bool) {
+	k.mu.Lock()
+	s.event(eventAcquire)
+	s.record = rec
+	inbox := s.inbox
+	s.inbox = nil
+	k.mu.Unlock()
+	if inbox != nil && inbox.Epoch == rec.Epoch && inbox.Incarnation == rec.Incarnation {
+		k.takeUp(ctx, s, inbox.States, true, false)
+		return
+	}
+	k.takeUp(ctx, s, nil, false, fresh)
+}
+
+// takeUp lets the residents start work for a partition in state acquiring. The
+// record counts for the confirmed session only while the mirror still shows it:
+// the mirror was read after that session began.
+func (k *Keeper) takeUp(ctx context.Context, s *slot, states map[string][]byte, signedOff, fresh bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	k.mu.Lock()
+	s.cancel, s.session = cancel, 0
+	if k.mirror.partitions[s.id] == s.record {
+		s.session = k.confirmed
+	}
+	takeover := Takeover{Grant: k.grant(time.Now(), s), SignedOff: signedOff, Fresh: fresh, TakenAt: time.Now()}
+	k.mu.Unlock()
+	k.acquireAll(ctx, takeover, states)
+	k.mu.Lock()
+	s.cancel = nil
+	s.event(eventAcquired)
+	k.mu.Unlock()
+}
+
+// acquireAll calls the residents in reverse order of their release.
+func (k *Keeper) acquireAll(ctx context.Context, t Takeover, states map[string][]byte) {
+	for i := len(k.residents) - 1; i >= 0; i-- {
+		r := k.residents[i]
+		t.State = states[r.Name()]
+		if err := r.Acquire(ctx, t); err != nil && ctx.Err() == nil {
+			k.log.WithError(err).WithFields(logFields(view.Partition{ID: t.Partition, Epoch: t.Epoch})).
+				WithField("resident", r.Name()).Error("partition not taken up")
+		}
+	}
+}
+
+// drop lets the residents forget a partition that another member holds.
+func (k *Keeper) drop(s *slot) {
+	k.mu.Lock()
+	if !s.owned() {
+		k.mu.Unlock()
+		return
+	}
+	s.event(eventDrop)
+	lost := s.record
+	k.mu.Unlock()
+	for _, r := range k.residents {
+		r.Drop(s.id)
+	}
+	k.metrics.drops.Inc()
+	k.log.WithFields(logFields(lost)).Warn("partition lost")
+}
+
+// dropAll forgets every partition, waiting for none.
+func (k *Keeper) dropAll() {
+	k.mu.Lock()
+	var owned []*slot
+	for _, s := range k.slots {
+		if s.cancel != nil {
+			s.cancel()
+		}
+		if s.owned() && !s.busy {
+			owned = append(owned, s)
+		}
+	}
+	k.mu.Unlock()
+	for _, s := range owned {
+		k.drop(s)
+	}
+}
+
+// sleep waits for d and reports whether ctx is still alive.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -14,6 +14,7 @@
 	KindView      Kind = 3 // long poll for a newer table
 	KindSettings  Kind = 4 // the settings tree newer than a revision
 	KindHandOver  Kind = 5 // a partition's state to its next holder
+	KindFence     Kind = 6 // claimant to voter: no more promises to a session
 
 	KindServe    Kind = 10 // entry to home: one caller's request
 	KindDispatch Kind = 11 // home to a holder with free slots
--- /dev/null
+++ b/internal/right/voter.go
@@ -0,0 +1,48 @@
+package right
+
+import "time"
+
+// Promises is what one process has promised and fenced. It is lost with the
+// process; a replacement has another incarnation and another vote. It is not
+// safe for concurrent use.
+type Promises struct {
+	of map[Subject]promise
+}
+
+type promise struct {
+	until  time.Time
+	fenced uint64 // highest session that gets no more promises
+}
+
+// NewPromises returns the state of a voter that has promised nothing.
+func NewPromises() *Promises { return &Promises{of: map[Subject]promise{}} }
+
+// Ask promises d from now on, or refuses because the session is fenced.
+func (p *Promises) Ask(now time.Time, s Subject, session uint64, d time.Duration) bool {
+	entry := p.of[s]
+	if session <= entry.fenced {
+		return false
+	}
+	if until := now.Add(d); until.After(entry.until) {
+		entry.until = until
+	}
+	p.of[s] = entry
+	return true
+}
+
+// Fence refuses all further promises to sessions up to the given one and
+// returns how long the promises already made still run.
+func (p *Promises) Fence(now time.Time, s Subject, session uint64) time.Duration {
+	entry := p.of[s]
+	entry.fenced = max(entry.fenced, session)
+	p.of[s] = entry
+	return max(0, entry.until.Sub(now))
+}
+
+// Fenced reports whether the session gets no more promises.
+func (p *Promises) Fenced(s Subject, session uint64) bool {
+	return session <= p.of[s].fenced
+}
+
+// Forget drops what is known of a subject whose incarnation is certainly over.
+func (p *Promises) Forget(s Subject) { delete(p.of, s) }
