--- a/internal/peer/mux.go
+++ b/internal/peer/mux.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -15,6 +16,7 @@
 // Mux maps message kinds to handlers. Fill it before the first link is served.
 type Mux struct {
 	handlers map[Kind]handlerFunc
+	stopped  atomic.Bool
 }
 
 // NewMux returns an empty Mux.
@@ -41,9 +43,16 @@
 
 // dispatch answers one message with the registered handler.
 func (m *Mux) dispatch(ctx context.Context, kind Kind, payload []byte) ([]byte, error) {
+	if m.stopped.Load() {
+		return nil, result.New(result.Stopping, result.RanNo, "message kind %d came during a planned stop", kind)
+	}
 	h, ok := m.handlers[kind]
 	if !ok {
 		return nil, result.New(result.PeerVersion, result.RanNo, "no handler for message kind %d", kind)
 	}
 	return h(ctx, payload)
 }
+
+// Stop makes the Mux refuse every message from now on, as a process in the last
+// phase of a planned stop does.
+func (m *Mux) Stop() { m.stopped.Store(true) }
--- /dev/null
+++ b/internal/view/follower.go
@@ -0,0 +1,164 @@
+package view
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/sirupsen/logrus"
+
+	"pulleyquay/internal/peer"
+	"pulleyquay/internal/result"
+)
+
+// Times of the table's long poll.
+const (
+	pollWait     = time.Second            // a placer answers at the latest after this
+	pollStep     = 20 * time.Millisecond  // how often a waiting placer looks
+	pollTimeout  = 3 * time.Second        // then the next placer is asked
+	retryInitial = 50 * time.Millisecond  // first wait after a failure
+	retryMax     = 500 * time.Millisecond // longest wait after failures
+)
+
+// Request asks a placer for a table newer than a revision.
+type Request struct {
+	After int64 `cbor:"1,keyasint"`
+}
+
+// Reply carries a newer table, or nil when there was none in time.
+type Reply struct {
+	Table *Table `cbor:"1,keyasint,omitempty"`
+}
+
+// Serve answers KindView on mux from the placer's own table.
+func Serve(mux *peer.Mux, table func() *Table) {
+	peer.Handle(mux, peer.KindView, func(ctx context.Context, req Request) (Reply, error) {
+		return waitNewer(ctx, table, req.After), nil
+	})
+}
+
+func waitNewer(ctx context.Context, table func() *Table, after int64) Reply {
+	deadline := time.After(pollWait)
+	ticker := time.NewTicker(pollStep)
+	defer ticker.Stop()
+	for {
+		if t := table(); t != nil && t.Revision > after {
+			return Reply{Table: t}
+		}
+		select {
+		case <-ticker.C:
+		case <-deadline:
+			return Reply{}
+		case <-ctx.Done():
+			return Reply{}
+		}
+	}
+}
+
+// Follower keeps a process that holds no partitions up to date. It asks its own
+// host's placer and, beside it, the others in turn, so that one placer that is
+// cut from the store does not keep it behind. Its table never goes down.
+type Follower struct {
+	peers peer.Caller
+	seeds []string
+	log   *logrus.Entry
+	table atomic.Pointer[Table]
+}
+
+// NewFollower returns a follower of the placers at seeds; the first is the one
+// of the same host.
+func NewFollower(peers peer.Caller, seeds []string, log *logrus.Entry) *Follower {
+	return &Follower{peers: peers, seeds: seeds, log: log}
+}
+
+// Table returns the newest table, or an empty one before the first answer.
+func (f *Follower) Table() *Table {
+	if t := f.table.Load(); t != nil {
+		return t
+	}
+	return &Table{}
+}
+
+// Lacks lists what the follower has not learnt yet.
+func (f *Follower) Lacks() []string {
+	if f.table.Load() == nil {
+		return []string{"members and partitions: no placer has answered"}
+	}
+	return nil
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	go f.loop(ctx, func(int) string { return f.seeds[0] })
+	f.loop(ctx, func(turn int) string {
+		others := f.others()
+		return others[turn%len(others)]
+	})
+}
+
+// others lists every known placer but the first seed; that one alone when
+// there are no others.
+func (f *Follower) others() []string {
+	seen := map[string]bool{f.seeds[0]: true}
+	var out []string
+	add := func(addr string) {
+		if !seen[addr] {
+			seen[addr] = true
+			out = append(out, addr)
+		}
+	}
+	for _, m := range f.Table().Members {
+		add(m.Addr)
+	}
+	for _, s := range f.seeds {
+		add(s)
+	}
+	if len(out) == 0 {
+		return f.seeds[:1]
+	}
+	return out
+}
+
+func (f *Follower) loop(ctx context.Context, next func(turn int) string) {
+	wait := &backoff.ExponentialBackOff{
+		InitialInterval: retryInitial, MaxInterval: retryMax,
+		Multiplier: backoff.DefaultMultiplier, RandomizationFactor: backoff.DefaultRandomizationFactor,
+	}
+	wait.Reset()
+	for turn := 0; ctx.Err() == nil; turn++ {
+		if err := f.poll(ctx, next(turn)); err == nil {
+			wait.Reset()
+			continue
+		}
+		select {
+		case <-time.After(wait.NextBackOff()):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (f *Follower) poll(ctx context.Context, addr string) error {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	var reply Reply
+	if err := f.peers.Call(ctx, addr, peer.KindView, Request{After: f.Table().Revision}, &reply); err != nil {
+		return result.From(err)
+	}
+	f.apply(reply.Table)
+	return nil
+}
+
+// apply takes a table only when it is newer than the present one.
+func (f *Follower) apply(t *Table) {
+	for t != nil {
+		have := f.table.Load()
+		if have != nil && t.Revision <= have.Revision {
+			return
+		}
+		if f.table.CompareAndSwap(have, t) {
+			f.log.WithFields(logrus.Fields{"revision": t.Revision, "members": len(t.Members)}).Debug("table applied")
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/view/follower_test.go
@@ -0,0 +1,78 @@
+package view
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"pulleyquay/internal/peer"
+)
+
+// placer is a fake placer whose table a test moves.
+type placer struct {
+	table atomic.Pointer[Table]
+	mux   *peer.Mux
+}
+
+func newPlacer(revision int64) *placer {
+	p := &placer{mux: peer.NewMux()}
+	p.set(revision)
+	Serve(p.mux, func() *Table { return p.table.Load() })
+	return p
+}
+
+func (p *placer) set(revision int64) {
+	p.table.Store(&Table{Revision: revision, Members: []Member{{Name: "a", Addr: "a"}, {Name: "b", Addr: "b"}}})
+}
+
+func TestFollowerNeverGoesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a, b := newPlacer(5), newPlacer(3)
+		f := NewFollower(peer.Local{"a": a.mux, "b": b.mux}, []string{"a"}, logrus.NewEntry(logrus.New()))
+		is.Equal(len(f.Lacks()), 1)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go f.Run(ctx)
+
+		time.Sleep(10 * time.Millisecond)
+		is.Equal(f.Table().Revision, int64(5))
+		is.Equal(len(f.Lacks()), 0)
+
+		time.Sleep(3 * time.Second) // b was asked too
+		is.Equal(f.Table().Revision, int64(5))
+
+		b.set(9) // the own host's placer stays behind
+		time.Sleep(2 * pollWait)
+		is.Equal(f.Table().Revision, int64(9))
+		a.set(7)
+		time.Sleep(2 * pollWait)
+		is.Equal(f.Table().Revision, int64(9))
+		cancel()
+		time.Sleep(pollTimeout)
+	})
+}
+
+func TestFollowerOutlivesItsPlacer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a, b := newPlacer(1), newPlacer(1)
+		peers := peer.Local{"a": a.mux, "b": b.mux}
+		f := NewFollower(peers, []string{"a", "b"}, logrus.NewEntry(logrus.New()))
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go f.Run(ctx)
+		time.Sleep(10 * time.Millisecond)
+		a.mux.Stop() // answers nothing from now on
+		b.set(2)
+		time.Sleep(2*pollTimeout + pollWait)
+		is.Equal(f.Table().Revision, int64(2))
+		cancel()
+		time.Sleep(pollTimeout)
+	})
+}
