Platform's store and host list, thin: engine, HTTP client, stand-in

Cause: every part needs a store to build on, with faults, inside synctest bubbles and between real processes.

Change: memstore is an engine with revisions, compare-and-swap, leases, watches and faults, one client a simulated process. etcdhttp speaks a small subset of the published etcd v3 JSON gateway. storehttp and hostlist serve the engine and a lagging host list over HTTP, with fault switches. One contract test (platformtest) runs against memstore and against etcdhttp with storehttp. platform.Txn.Check holds the store's limits (a value of 1 MiB, 128 writes, no key twice), platform.Failure turns errors into numbered ones.

A write is sent at most once: the body can not be rewound, redirects are not followed, and connections count their writes, so that "not reached" is said only where no byte left. Seen failing: with Idempotency-Key and a body that can be rewound net/http repeats the commit (3 tests red); with EOF counted as "nothing sent" 4 red. Without the redirect rule nothing turns red, because a body that can not be rewound is not redirected either.

Ruled out: refusing whole calls by status 503 as certain (the service uses it also for timeouts after which a write may still apply).

--- /dev/null
+++ b/internal/platform/failure.go
@@ -0,0 +1,30 @@
+package platform
+
+import (
+	"errors"
+
+	"pulleyquay/internal/result"
+)
+
+// Failure turns an error of a Store into a numbered one for a reply. Only
+// ErrUnavailable promises that nothing took effect; an error of no known kind
+// leaves the outcome unknown. It returns nil for a nil error.
+func Failure(err error) *result.Error {
+	var coded *result.Error
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &coded):
+		return coded
+	case errors.Is(err, ErrRefused):
+		return result.New(result.StoreRefused, result.RanNo, "%v", err)
+	case errors.Is(err, ErrUnavailable):
+		return result.New(result.StoreUnavailable, result.RanNo, "%v", err)
+	case errors.Is(err, ErrLeaseGone):
+		return result.New(result.StoreLeaseGone, result.RanNo, "%v", err)
+	case errors.Is(err, ErrCompacted):
+		return result.New(result.StoreCompacted, result.RanNo, "%v", err)
+	default:
+		return result.New(result.StoreOutcomeUnknown, result.RanUnknown, "%v", err)
+	}
+}
--- /dev/null
+++ b/internal/platform/limits.go
@@ -0,0 +1,38 @@
+package platform
+
+import "fmt"
+
+// Limits of the platform's store. A call beyond them fails with ErrRefused.
+const (
+	// MaxValueBytes bounds one value.
+	MaxValueBytes = 1 << 20
+	// MaxTxnOps bounds the conditions, and apart from them the writes, of one
+	// transaction.
+	MaxTxnOps = 128
+)
+
+// ErrRefused: the store will never accept the call as it is, and it did not
+// take effect. It is also an ErrUnavailable.
+var ErrRefused = fmt.Errorf("%w: refused", ErrUnavailable)
+
+// Check returns an ErrRefused when the transaction is beyond the limits or
+// writes a key twice, which the store does not allow.
+func (t Txn) Check() error {
+	if len(t.If) > MaxTxnOps || len(t.Then) > MaxTxnOps {
+		return fmt.Errorf("%w: %d conditions and %d writes, at most %d each", ErrRefused, len(t.If), len(t.Then), MaxTxnOps)
+	}
+	written := make(map[string]struct{}, len(t.Then))
+	for _, w := range t.Then {
+		if w.Key == "" {
+			return fmt.Errorf("%w: empty key", ErrRefused)
+		}
+		if _, twice := written[w.Key]; twice {
+			return fmt.Errorf("%w: key %q written twice", ErrRefused, w.Key)
+		}
+		written[w.Key] = struct{}{}
+		if len(w.Value) > MaxValueBytes {
+			return fmt.Errorf("%w: value of key %q has %d bytes, at most %d", ErrRefused, w.Key, len(w.Value), MaxValueBytes)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/platform/memstore/client.go
@@ -0,0 +1,198 @@
+package memstore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"pulleyquay/internal/platform"
+)
+
+// Client is one process's way to the engine. It implements platform.Store.
+type Client struct {
+	engine        *Engine
+	name          string
+	faults        Faults
+	faultsChanged chan struct{}
+}
+
+// errBroken is the reason of calls whose connection broke.
+var errBroken = errors.New("connection broke")
+
+// Client returns the client of that name, which is made at its first use.
+func (e *Engine) Client(name string) *Client {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	c, ok := e.clients[name]
+	if !ok {
+		c = &Client{engine: e, name: name, faultsChanged: make(chan struct{})}
+		e.clients[name] = c
+	}
+	return c
+}
+
+// Clients returns the faults of every client by name.
+func (e *Engine) Clients() map[string]Faults {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := make(map[string]Faults, len(e.clients))
+	for name, c := range e.clients {
+		out[name] = c.faults
+	}
+	return out
+}
+
+// listing is the answer to List.
+type listing struct {
+	records  []platform.Record
+	revision platform.Revision
+}
+
+// List implements platform.Store.
+func (c *Client) List(ctx context.Context, prefix string) ([]platform.Record, platform.Revision, error) {
+	l, err := send(ctx, c, false, func() (listing, error) {
+		records, revision := c.engine.list(prefix, c.active().StaleReads)
+		return listing{records, revision}, nil
+	})
+	return l.records, l.revision, err
+}
+
+// Commit implements platform.Store.
+func (c *Client) Commit(ctx context.Context, txn platform.Txn) (platform.TxnReply, error) {
+	return send(ctx, c, true, func() (platform.TxnReply, error) { return c.engine.commit(txn) })
+}
+
+// Grant implements platform.Store.
+func (c *Client) Grant(ctx context.Context, ttlSeconds int64) (platform.LeaseID, error) {
+	return send(ctx, c, true, func() (platform.LeaseID, error) { return c.engine.grant(ttlSeconds), nil })
+}
+
+// KeepAlive implements platform.Store.
+func (c *Client) KeepAlive(ctx context.Context, id platform.LeaseID) error {
+	_, err := send(ctx, c, true, func() (struct{}, error) { return struct{}{}, c.engine.keepAlive(id) })
+	return err
+}
+
+// Revoke implements platform.Store.
+func (c *Client) Revoke(ctx context.Context, id platform.LeaseID) error {
+	_, err := send(ctx, c, true, func() (struct{}, error) { return struct{}{}, c.engine.revoke(id) })
+	return err
+}
+
+// outcome is what comes back from a call.
+type outcome[T any] struct {
+	value T
+	err   error
+}
+
+// send carries one call to the engine and back, through the active faults. A
+// request that is under way when its caller gives up still arrives.
+func send[T any](ctx context.Context, c *Client, write bool, apply func() (T, error)) (T, error) {
+	var none T
+	if err := ctx.Err(); err != nil {
+		return none, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	}
+	if c.active().Refuse {
+		return none, platform.ErrUnavailable
+	}
+	answers := make(chan outcome[T], 1)
+	after(c.active().RequestDelayMS, func() { arrive(c, write, apply, answers) })
+	select {
+	case o := <-answers:
+		return o.value, o.err
+	case <-ctx.Done():
+		return none, unknown(context.Cause(ctx))
+	}
+}
+
+// arrive lets a request take effect and sends its answer, unless either is lost.
+func arrive[T any](c *Client, write bool, apply func() (T, error), answers chan<- outcome[T]) {
+	f := c.active()
+	switch {
+	case f.Hang:
+		return
+	case f.Refuse, write && c.loseRequest():
+		answers <- outcome[T]{err: unknown(errBroken)}
+		return
+	}
+	value, err := apply()
+	if write && c.loseAnswer() {
+		answers <- outcome[T]{err: unknown(errBroken)}
+		return
+	}
+	after(f.AnswerDelayMS, func() { answers <- outcome[T]{value, err} })
+}
+
+// after runs fn now, or when the delay in milliseconds has passed.
+func after(delayMS int64, fn func()) {
+	if delayMS <= 0 {
+		fn()
+		return
+	}
+	time.AfterFunc(millis(delayMS), fn)
+}
+
+// unknown is the error of a call that was sent and not answered.
+func unknown(cause error) error {
+	return fmt.Errorf("%w: %w", platform.ErrUnknownOutcome, cause)
+}
+
+// Watch implements platform.Store.
+func (c *Client) Watch(ctx context.Context, prefix string, after platform.Revision, fn func(platform.Batch)) error {
+	w := c.engine.addWatcher(prefix)
+	defer c.engine.removeWatcher(w)
+	for {
+		changed := c.onChange()
+		seen, err := c.deliver(ctx, prefix, after, fn)
+		if err != nil {
+			return err
+		}
+		after = seen
+		select {
+		case <-w.notify:
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// deliver hands over the changes after a revision and returns the revision up
+// to which everything has been seen.
+func (c *Client) deliver(ctx context.Context, prefix string, after platform.Revision, fn func(platform.Batch)) (platform.Revision, error) {
+	f := c.active()
+	switch {
+	case f.Refuse, f.BreakWatches:
+		return after, platform.ErrUnavailable
+	case f.Hang:
+		return after, nil
+	}
+	batch, err := c.engine.since(prefix, after)
+	if err != nil || len(batch.Changes) == 0 {
+		return max(after, batch.Revision), err
+	}
+	if err := pause(ctx, f.WatchDelayMS); err != nil {
+		return after, err
+	}
+	if again := c.active(); again.Refuse || again.BreakWatches || again.Hang {
+		return after, nil // not delivered; the change of faults wakes the watch
+	}
+	fn(batch)
+	return batch.Revision, nil
+}
+
+// pause waits for the delay in milliseconds or the end of ctx.
+func pause(ctx context.Context, delayMS int64) error {
+	if delayMS <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(millis(delayMS))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/platform/memstore/engine.go
@@ -0,0 +1,237 @@
+// Package memstore is an in-memory engine with the behavior of the platform's
+// key-value service, and with faults that can be switched on. The development
+// stand-in serves it over HTTP; tests use it directly, also inside synctest
+// bubbles, where each simulated process has a Client of its own.
+package memstore
+
+import (
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/btree"
+
+	"pulleyquay/internal/platform"
+)
+
+const (
+	// treeDegree is the number of children of a node of the key tree.
+	treeDegree = 32
+	// DefaultHistory is how many changes are kept for watches that start late.
+	DefaultHistory = 10000
+)
+
+// Engine is the store itself. Its methods are safe for concurrent use; it
+// starts no goroutines, only timers.
+type Engine struct {
+	mu        sync.Mutex
+	records   *btree.BTreeG[record]
+	revision  platform.Revision
+	compacted platform.Revision
+	history   []platform.Change
+	keep      int
+	leases    map[platform.LeaseID]*lease
+	lastLease platform.LeaseID
+	watchers  map[*watcher]struct{}
+	faults    Faults
+	stale     *snapshot
+	clients   map[string]*Client
+}
+
+// record is one stored key with the lease that it hangs on.
+type record struct {
+	platform.Record
+	lease platform.LeaseID
+}
+
+// lease deletes its keys when its timer fires.
+type lease struct {
+	ttl   time.Duration
+	timer *time.Timer
+	keys  map[string]struct{}
+}
+
+// watcher is told, without blocking, that a key under its prefix has changed.
+type watcher struct {
+	prefix string
+	notify chan struct{}
+}
+
+// snapshot is what a stale read answers from.
+type snapshot struct {
+	records  *btree.BTreeG[record]
+	revision platform.Revision
+}
+
+// New returns an empty store at revision 1, as the published protocol has it,
+// that keeps DefaultHistory changes.
+func New() *Engine {
+	return &Engine{
+		records:  btree.NewG(treeDegree, func(a, b record) bool { return a.Key < b.Key }),
+		revision: 1,
+		keep:     DefaultHistory,
+		leases:   map[platform.LeaseID]*lease{},
+		watchers: map[*watcher]struct{}{},
+		clients:  map[string]*Client{},
+	}
+}
+
+// SetHistory bounds the number of changes kept for late watches.
+func (e *Engine) SetHistory(changes int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.keep = changes
+	e.trim()
+}
+
+// Compact forgets the changes up to the present revision: a watch that asks for
+// older ones gets platform.ErrCompacted.
+func (e *Engine) Compact() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.history = nil
+	e.compacted = e.revision
+}
+
+// Close stops the timers of all leases without ending them.
+func (e *Engine) Close() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, l := range e.leases {
+		l.timer.Stop()
+	}
+}
+
+// list returns the records under the prefix, fresh or as of when stale reads
+// were switched on.
+func (e *Engine) list(prefix string, stale bool) ([]platform.Record, platform.Revision) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	records, revision := e.records, e.revision
+	if stale && e.stale != nil {
+		records, revision = e.stale.records, e.stale.revision
+	}
+	var out []platform.Record
+	from := record{Record: platform.Record{Key: prefix}}
+	records.AscendGreaterOrEqual(from, func(r record) bool {
+		if !strings.HasPrefix(r.Key, prefix) {
+			return false
+		}
+		out = append(out, r.Record)
+		return true
+	})
+	return out, revision
+}
+
+// commit applies a transaction.
+func (e *Engine) commit(txn platform.Txn) (platform.TxnReply, error) {
+	if err := txn.Check(); err != nil {
+		return platform.TxnReply{}, err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.holds(txn.If) {
+		return platform.TxnReply{Revision: e.revision, Found: e.found(txn.If)}, nil
+	}
+	for _, w := range txn.Then {
+		if _, ok := e.leases[w.Lease]; w.Lease != 0 && !ok {
+			return platform.TxnReply{}, platform.ErrLeaseGone
+		}
+	}
+	e.apply(txn.Then)
+	return platform.TxnReply{Applied: true, Revision: e.revision}, nil
+}
+
+// holds reports whether every condition is met.
+func (e *Engine) holds(conditions []platform.Condition) bool {
+	for _, c := range conditions {
+		if r, _ := e.get(c.Key); r.ModRevision != c.ModRevision {
+			return false
+		}
+	}
+	return true
+}
+
+// found returns the present records of the keys in the conditions.
+func (e *Engine) found(conditions []platform.Condition) []platform.Record {
+	var out []platform.Record
+	for _, c := range conditions {
+		if r, ok := e.get(c.Key); ok {
+			out = append(out, r.Record)
+		}
+	}
+	return out
+}
+
+// get returns the record of a key.
+func (e *Engine) get(key string) (record, bool) {
+	return e.records.Get(record{Record: platform.Record{Key: key}})
+}
+
+// apply carries out the writes at one new revision and tells the watchers.
+// Writes that change nothing, such as the delete of an absent key, leave the
+// revision as it is.
+func (e *Engine) apply(writes []platform.Write) {
+	next := e.revision + 1
+	before := len(e.history)
+	for _, w := range writes {
+		if w.Delete {
+			e.remove(w.Key, next)
+			continue
+		}
+		e.put(w, next)
+	}
+	if len(e.history) == before {
+		return
+	}
+	e.revision = next
+	e.notify(e.history[before:])
+	e.trim()
+}
+
+// put stores one value and hangs the key on its lease.
+func (e *Engine) put(w platform.Write, at platform.Revision) {
+	if old, ok := e.get(w.Key); ok {
+		e.unhang(old)
+	}
+	// The value is copied: the caller may use its slice again.
+	value := append([]byte{}, w.Value...)
+	r := record{Record: platform.Record{Key: w.Key, Value: value, ModRevision: at}, lease: w.Lease}
+	e.records.ReplaceOrInsert(r)
+	if l, ok := e.leases[w.Lease]; ok {
+		l.keys[w.Key] = struct{}{}
+	}
+	e.history = append(e.history, platform.Change{Record: r.Record})
+}
+
+// remove deletes one key when it is there.
+func (e *Engine) remove(key string, at platform.Revision) {
+	old, ok := e.records.Delete(record{Record: platform.Record{Key: key}})
+	if !ok {
+		return
+	}
+	e.unhang(old)
+	gone := platform.Record{Key: key, ModRevision: at}
+	e.history = append(e.history, platform.Change{Record: gone, Deleted: true})
+}
+
+// unhang takes a key from the lease that it hung on.
+func (e *Engine) unhang(r record) {
+	if l, ok := e.leases[r.lease]; ok {
+		delete(l.keys, r.Key)
+	}
+}
+
+// trim drops the oldest changes beyond the bound, whole revisions at a time.
+func (e *Engine) trim() {
+	over := len(e.history) - e.keep
+	// Dropping in large steps keeps the cost of a write constant.
+	if over <= 0 || (over < e.keep/4 && e.keep > 0) {
+		return
+	}
+	e.compacted = e.history[over-1].ModRevision
+	for over < len(e.history) && e.history[over].ModRevision == e.compacted {
+		over++
+	}
+	e.history = append([]platform.Change(nil), e.history[over:]...)
+}
--- /dev/null
+++ b/internal/platform/platformtest/store.go
@@ -0,0 +1,216 @@
+// Package platformtest holds the contract tests that every implementation of
+// the ports in package platform passes.
+package platformtest
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pulleyquay/internal/platform"
+)
+
+// patience bounds each wait of the contract tests.
+const patience = 10 * time.Second
+
+// StoreCase is one way to set up a store under test. Compact makes the store
+// forget old changes; nil leaves that part of the contract out.
+type StoreCase struct {
+	Store   platform.Store
+	Compact func()
+}
+
+// TestStore runs the contract of platform.Store; setup returns an empty store
+// and is called once a test.
+func TestStore(t *testing.T, setup func(t *testing.T) StoreCase) {
+	tests := map[string]func(ctx context.Context, is *is.I, c StoreCase){
+		"list is ordered and by prefix":              listByPrefix,
+		"create once":                                createOnce,
+		"compare and swap":                           compareAndSwap,
+		"transaction is all or nothing":              allOrNothing,
+		"refused transaction shows what is there":    refusedShowsFound,
+		"beyond the limits":                          beyondLimits,
+		"delete":                                     deletes,
+		"empty value and any byte":                   anyByte,
+		"watch sends each change once in order":      watchInOrder,
+		"watch starts in the past":                   watchFromPast,
+		"watch keeps a transaction together":         watchTogether,
+		"watch of a compacted revision":              watchCompacted,
+		"revoked lease takes its keys":               revokeTakesKeys,
+		"lease ends by itself":                       leaseEnds,
+		"kept lease stays":                           leaseKept,
+		"gone lease is told":                         leaseGone,
+		"concurrent swaps have one winner each":      oneWinner,
+		"a call with an ended context has no effect": endedContext,
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), patience)
+			defer cancel()
+			test(ctx, is.New(t), setup(t))
+		})
+	}
+}
+
+// put is a transaction of one unconditional write.
+func put(key, value string) platform.Txn {
+	return platform.Txn{Then: []platform.Write{{Key: key, Value: []byte(value)}}}
+}
+
+// swap is a transaction that writes when the key was last written at rev.
+func swap(key, value string, rev platform.Revision) platform.Txn {
+	txn := put(key, value)
+	txn.If = []platform.Condition{{Key: key, ModRevision: rev}}
+	return txn
+}
+
+// mustCommit commits and fails the test unless it was applied.
+func mustCommit(ctx context.Context, is *is.I, s platform.Store, txn platform.Txn) platform.Revision {
+	is.Helper()
+	reply, err := s.Commit(ctx, txn)
+	is.NoErr(err)
+	is.True(reply.Applied) // transaction is applied
+	return reply.Revision
+}
+
+// mustList lists and returns keys with values, "k=v".
+func mustList(ctx context.Context, is *is.I, s platform.Store, prefix string) []string {
+	is.Helper()
+	records, _, err := s.List(ctx, prefix)
+	is.NoErr(err)
+	out := make([]string, 0, len(records))
+	for _, r := range records {
+		out = append(out, r.Key+"="+string(r.Value))
+	}
+	return out
+}
+
+func listByPrefix(ctx context.Context, is *is.I, c StoreCase) {
+	for _, k := range []string{"b/2", "a/1", "b/1", "c", "b"} {
+		mustCommit(ctx, is, c.Store, put(k, "v"))
+	}
+	is.Equal(mustList(ctx, is, c.Store, "b/"), []string{"b/1=v", "b/2=v"})
+	is.Equal(mustList(ctx, is, c.Store, "c"), []string{"c=v"})
+	is.Equal(mustList(ctx, is, c.Store, "none/"), []string{})
+	_, before, err := c.Store.List(ctx, "b/")
+	is.NoErr(err)
+	after := mustCommit(ctx, is, c.Store, put("d", "v"))
+	is.True(after > before) // each write makes the revision grow
+}
+
+func createOnce(ctx context.Context, is *is.I, c StoreCase) {
+	first := mustCommit(ctx, is, c.Store, swap("k", "one", 0))
+	reply, err := c.Store.Commit(ctx, swap("k", "two", 0))
+	is.NoErr(err)
+	is.True(!reply.Applied)
+	records, rev, err := c.Store.List(ctx, "k")
+	is.NoErr(err)
+	is.Equal(records, []platform.Record{{Key: "k", Value: []byte("one"), ModRevision: first}})
+	is.Equal(rev, first) // a refused transaction leaves the revision alone
+}
+
+func compareAndSwap(ctx context.Context, is *is.I, c StoreCase) {
+	first := mustCommit(ctx, is, c.Store, swap("k", "one", 0))
+	second := mustCommit(ctx, is, c.Store, swap("k", "two", first))
+	is.True(second > first)
+	reply, err := c.Store.Commit(ctx, swap("k", "three", first))
+	is.NoErr(err)
+	is.True(!reply.Applied)
+	is.Equal(mustList(ctx, is, c.Store, "k"), []string{"k=two"})
+}
+
+func allOrNothing(ctx context.Context, is *is.I, c StoreCase) {
+	rev := mustCommit(ctx, is, c.Store, put("a", "1"))
+	txn := platform.Txn{
+		If:   []platform.Condition{{Key: "a", ModRevision: rev}, {Key: "b", ModRevision: 99}},
+		Then: []platform.Write{{Key: "a", Delete: true}, {Key: "b", Value: []byte("2")}},
+	}
+	reply, err := c.Store.Commit(ctx, txn)
+	is.NoErr(err)
+	is.True(!reply.Applied)
+	is.Equal(mustList(ctx, is, c.Store, ""), []string{"a=1"})
+	txn.If[1].ModRevision = 0
+	mustCommit(ctx, is, c.Store, txn)
+	is.Equal(mustList(ctx, is, c.Store, ""), []string{"b=2"})
+}
+
+func refusedShowsFound(ctx context.Context, is *is.I, c StoreCase) {
+	rev := mustCommit(ctx, is, c.Store, put("a", "1"))
+	reply, err := c.Store.Commit(ctx, platform.Txn{
+		If:   []platform.Condition{{Key: "a", ModRevision: rev + 7}, {Key: "none", ModRevision: 0}},
+		Then: []platform.Write{{Key: "a", Value: []byte("2")}},
+	})
+	is.NoErr(err)
+	is.Equal(reply.Found, []platform.Record{{Key: "a", Value: []byte("1"), ModRevision: rev}})
+}
+
+func deletes(ctx context.Context, is *is.I, c StoreCase) {
+	rev := mustCommit(ctx, is, c.Store, put("k", "v"))
+	mustCommit(ctx, is, c.Store, platform.Txn{
+		If:   []platform.Condition{{Key: "k", ModRevision: rev}},
+		Then: []platform.Write{{Key: "k", Delete: true}},
+	})
+	is.Equal(mustList(ctx, is, c.Store, "k"), []string{})
+	mustCommit(ctx, is, c.Store, swap("k", "again", 0))
+}
+
+func anyByte(ctx context.Context, is *is.I, c StoreCase) {
+	all := make([]byte, 256)
+	for i := range all {
+		all[i] = byte(i)
+	}
+	mustCommit(ctx, is, c.Store, put("k/empty", ""))
+	mustCommit(ctx, is, c.Store, put("k/\x00ü\"", string(all)))
+	is.Equal(mustList(ctx, is, c.Store, "k/"), []string{"k/\x00ü\"=" + string(all), "k/empty="})
+}
+
+func beyondLimits(ctx context.Context, is *is.I, c StoreCase) {
+	many := platform.Txn{Then: make([]platform.Write, platform.MaxTxnOps+1)}
+	for i := range many.Then {
+		many.Then[i] = platform.Write{Key: fmt.Sprintf("k/%d", i)}
+	}
+	twice := platform.Txn{Then: []platform.Write{{Key: "k"}, {Key: "k", Delete: true}}}
+	large := put("k", string(make([]byte, platform.MaxValueBytes+1)))
+	for _, txn := range []platform.Txn{many, twice, large, put("", "v")} {
+		_, err := c.Store.Commit(ctx, txn)
+		is.True(errors.Is(err, platform.ErrRefused))
+	}
+	mustCommit(ctx, is, c.Store, put("full", string(make([]byte, platform.MaxValueBytes))))
+	is.Equal(mustList(ctx, is, c.Store, "k"), []string{})
+}
+
+func endedContext(ctx context.Context, is *is.I, c StoreCase) {
+	ended, cancel := context.WithCancel(ctx)
+	cancel()
+	_, err := c.Store.Commit(ended, put("k", "v"))
+	is.True(errors.Is(err, platform.ErrUnavailable)) // nothing was sent
+	is.Equal(mustList(ctx, is, c.Store, "k"), []string{})
+}
+
+func oneWinner(ctx context.Context, is *is.I, c StoreCase) {
+	const rivals, rounds = 4, 8
+	rev := platform.Revision(0)
+	for round := range rounds {
+		var wins []platform.Revision
+		var mu sync.Mutex
+		var wg sync.WaitGroup
+		for i := range rivals {
+			wg.Go(func() {
+				reply, err := c.Store.Commit(ctx, swap("k", fmt.Sprint(round, i), rev))
+				mu.Lock()
+				defer mu.Unlock()
+				if err == nil && reply.Applied {
+					wins = append(wins, reply.Revision)
+				}
+			})
+		}
+		wg.Wait()
+		is.Equal(len(wins), 1)
+		rev = wins[0]
+	}
+}
--- /dev/null
+++ b/internal/standin/hostlist/handler.go
@@ -0,0 +1,82 @@
+package hostlist
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"pulleyquay/internal/platform"
+	"pulleyquay/internal/platform/hosthttp"
+)
+
+// maxRequest bounds a request's body, in bytes.
+const maxRequest = 4 << 20
+
+// Faults is what goes wrong with the list.
+type Faults struct {
+	// Down fails every read of the list.
+	Down bool `json:"down"`
+	// LagMS is by how many milliseconds the list lags.
+	LagMS int64 `json:"lag_ms"`
+}
+
+// Handler serves the list:
+//
+//	GET    /v1/hosts         the list as the platform shows it
+//	PUT    /v1/hosts         replace the whole list
+//	PUT    /v1/hosts/{name}  add or replace one host
+//	DELETE /v1/hosts/{name}  remove one host
+//	PUT    /faults/hosts     switch faults
+func Handler(l *List) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+hosthttp.Path, l.show)
+	mux.HandleFunc("PUT "+hosthttp.Path, func(w http.ResponseWriter, r *http.Request) {
+		var body hosthttp.Reply
+		if read(w, r, &body) {
+			l.Replace(body.Hosts)
+		}
+	})
+	mux.HandleFunc("PUT "+hosthttp.Path+"/{name}", func(w http.ResponseWriter, r *http.Request) {
+		var host platform.Host
+		if !read(w, r, &host) {
+			return
+		}
+		host.Name = r.PathValue("name")
+		l.Put(host)
+	})
+	mux.HandleFunc("DELETE "+hosthttp.Path+"/{name}", func(_ http.ResponseWriter, r *http.Request) {
+		l.Remove(r.PathValue("name"))
+	})
+	mux.HandleFunc("PUT /faults/hosts", func(w http.ResponseWriter, r *http.Request) {
+		var f Faults
+		if !read(w, r, &f) {
+			return
+		}
+		l.SetDown(f.Down)
+		l.SetLag(time.Duration(f.LagMS) * time.Millisecond)
+	})
+	return mux
+}
+
+// show answers with the list as it was one lag ago.
+func (l *List) show(w http.ResponseWriter, r *http.Request) {
+	hosts, err := l.Hosts(r.Context())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// An error means that the caller has gone.
+	_ = json.NewEncoder(w).Encode(hosthttp.Reply{Hosts: hosts})
+}
+
+// read decodes a body of known names only and answers for a bad one.
+func read(w http.ResponseWriter, r *http.Request, into any) bool {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequest))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/internal/standin/storehttp/calls.go
@@ -0,0 +1,166 @@
+package storehttp
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+
+	"pulleyquay/internal/platform"
+	"pulleyquay/internal/platform/etcdhttp"
+	"pulleyquay/internal/platform/memstore"
+)
+
+// rangeKeys answers a read of one key or of all keys with a prefix.
+func (s *server) rangeKeys(r *http.Request, c *memstore.Client, req etcdhttp.RangeRequest) (etcdhttp.RangeReply, error) {
+	prefix, err := prefixOf(req.Key, req.RangeEnd)
+	if err != nil {
+		return etcdhttp.RangeReply{}, err
+	}
+	records, revision, err := c.List(r.Context(), prefix)
+	reply := etcdhttp.RangeReply{Header: etcdhttp.Header{Revision: revision}}
+	for _, record := range records {
+		if len(req.RangeEnd) == 0 && record.Key != prefix {
+			continue
+		}
+		reply.KVs = append(reply.KVs, keyValue(record))
+	}
+	return reply, err
+}
+
+// prefixOf returns the prefix that a range stands for; other ranges are not
+// served here.
+func prefixOf(key, end []byte) (string, error) {
+	all := []byte{0}
+	switch {
+	case bytes.Equal(key, all) && bytes.Equal(end, all):
+		return "", nil
+	case len(end) == 0 || bytes.Equal(end, etcdhttp.PrefixEnd(key)):
+		return string(key), nil
+	default:
+		return "", fmt.Errorf("%w: a range that is no prefix", platform.ErrRefused)
+	}
+}
+
+// keyValue turns a record into the wire's form.
+func keyValue(r platform.Record) etcdhttp.KeyValue {
+	return etcdhttp.KeyValue{Key: []byte(r.Key), Value: r.Value, ModRevision: r.ModRevision}
+}
+
+// txn answers a transaction. On refusal it returns the present records of the
+// keys compared, which is the only failure branch served.
+func (s *server) txn(r *http.Request, c *memstore.Client, req etcdhttp.TxnRequest) (etcdhttp.TxnReply, error) {
+	txn, err := decodeTxn(req)
+	if err != nil {
+		return etcdhttp.TxnReply{}, err
+	}
+	reply, err := c.Commit(r.Context(), txn)
+	out := etcdhttp.TxnReply{Header: etcdhttp.Header{Revision: reply.Revision}, Succeeded: reply.Applied}
+	for _, record := range reply.Found {
+		kvs := []etcdhttp.KeyValue{keyValue(record)}
+		out.Responses = append(out.Responses, etcdhttp.ResponseOp{Range: &etcdhttp.RangeReply{KVs: kvs}})
+	}
+	return out, err
+}
+
+// decodeTxn turns the wire's form of a transaction into the port's.
+func decodeTxn(req etcdhttp.TxnRequest) (platform.Txn, error) {
+	var txn platform.Txn
+	for _, c := range req.Compare {
+		if c.Result != etcdhttp.CompareEqual || c.Target != etcdhttp.CompareMod {
+			return txn, fmt.Errorf("%w: comparison %s of %s", platform.ErrRefused, c.Result, c.Target)
+		}
+		txn.If = append(txn.If, platform.Condition{Key: string(c.Key), ModRevision: c.ModRevision})
+	}
+	for _, op := range req.Success {
+		switch {
+		case op.Put != nil:
+			txn.Then = append(txn.Then, platform.Write{Key: string(op.Put.Key), Value: op.Put.Value, Lease: op.Put.Lease})
+		case op.Delete != nil:
+			txn.Then = append(txn.Then, platform.Write{Key: string(op.Delete.Key), Delete: true})
+		default:
+			return txn, fmt.Errorf("%w: a step that neither puts nor deletes", platform.ErrRefused)
+		}
+	}
+	return txn, nil
+}
+
+// grant answers with a new lease.
+func (s *server) grant(r *http.Request, c *memstore.Client, req etcdhttp.GrantRequest) (etcdhttp.LeaseReply, error) {
+	if req.TTL <= 0 {
+		return etcdhttp.LeaseReply{}, fmt.Errorf("%w: TTL of %d seconds", platform.ErrRefused, req.TTL)
+	}
+	id, err := c.Grant(r.Context(), req.TTL)
+	return etcdhttp.LeaseReply{ID: id, TTL: req.TTL}, err
+}
+
+// keepAlive renews a lease. As in the service, a lease that is gone is told by
+// a TTL of zero.
+func (s *server) keepAlive(r *http.Request, c *memstore.Client, req etcdhttp.LeaseRequest) (etcdhttp.KeepAliveMessage, error) {
+	err := c.KeepAlive(r.Context(), req.ID)
+	if errors.Is(err, platform.ErrLeaseGone) {
+		return etcdhttp.KeepAliveMessage{Result: etcdhttp.LeaseReply{ID: req.ID}}, nil
+	}
+	return etcdhttp.KeepAliveMessage{Result: etcdhttp.LeaseReply{ID: req.ID, TTL: 1}}, err
+}
+
+// revoke ends a lease.
+func (s *server) revoke(r *http.Request, c *memstore.Client, req etcdhttp.LeaseRequest) (etcdhttp.LeaseReply, error) {
+	return etcdhttp.LeaseReply{}, c.Revoke(r.Context(), req.ID)
+}
+
+// watch streams changes, a line a message, until the caller goes away.
+func (s *server) watch(w http.ResponseWriter, r *http.Request) {
+	var req etcdhttp.WatchRequest
+	if !read(w, r, &req) {
+		return
+	}
+	prefix, err := prefixOf(req.Create.Key, req.Create.RangeEnd)
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	stream := &watchStream{writer: w, exact: len(req.Create.RangeEnd) == 0, prefix: prefix}
+	client := s.client(r)
+	if f := client.Faults(); !f.Refuse && !f.BreakWatches {
+		stream.send(etcdhttp.WatchReply{Created: true})
+	}
+	err = client.Watch(r.Context(), prefix, req.Create.StartRevision-1, stream.batch)
+	if !errors.Is(err, platform.ErrCompacted) {
+		panic(http.ErrAbortHandler)
+	}
+	stream.send(etcdhttp.WatchReply{Canceled: true, CompactRevision: req.Create.StartRevision, CancelReason: err.Error()})
+}
+
+// watchStream writes one watch's messages.
+type watchStream struct {
+	writer http.ResponseWriter
+	prefix string
+	exact  bool // one key, not a prefix
+}
+
+// batch sends the changes of a batch.
+func (s *watchStream) batch(b platform.Batch) {
+	reply := etcdhttp.WatchReply{Header: etcdhttp.Header{Revision: b.Revision}}
+	for _, c := range b.Changes {
+		if s.exact && c.Key != s.prefix {
+			continue
+		}
+		event := etcdhttp.Event{KV: keyValue(c.Record)}
+		if c.Deleted {
+			event.Type = etcdhttp.EventDelete
+		}
+		reply.Events = append(reply.Events, event)
+	}
+	if len(reply.Events) > 0 {
+		s.send(reply)
+	}
+}
+
+// send writes one message at once.
+func (s *watchStream) send(reply etcdhttp.WatchReply) {
+	// An error means that the caller has gone; its context ends the watch.
+	_ = json.NewEncoder(s.writer).Encode(etcdhttp.WatchMessage{Result: reply})
+	_ = http.NewResponseController(s.writer).Flush()
+}
