Workers and executors: models with a judge, clients that never replay

Cause: the placer needs workers and executors to speak to, and every failure test needs a record that does not come from the system under test.

Change: internal/judge records what ran where and every breach (overcommit, a task in two places, partly started gangs, keys executed twice, slots, connections, use of leaving executors). workersim and execsim are in-memory models that report to it and refuse nothing on the judge's behalf; they need neither timers nor goroutines for the runs and work in synctest bubbles. workerhttp and exechttp are the HTTP clients, both over internal/httponce, which gives every connection a Transport that can dial once: net/http has nothing to replay a request on. Contract tests run against model and HTTP alike.

Ruled out: a body without GetBody (an empty POST would go out chunked), a lower-case idempotency-key (leans on a detail of net/http, and GET stays replayable), cancelling in httptrace.GetConn (races with an idle connection).

Seen failing first: with a dialer that dials again, TestNeverReplays fails for GET, empty POST and DELETE when the server closes or resets after reading. Answers that end with the connection are refused: they can not be told from truncated ones. Conclusion: Failure.Sent is false only where no write began.

--- /dev/null
+++ b/internal/executor/execsim/execsim.go
@@ -0,0 +1,184 @@
+// Package execsim is an in-memory model of executors for tests and the stand-in.
+// It refuses nothing: a judge.Judge records what each executor was asked to
+// carry and how often each Idempotency-Key was executed.
+package execsim
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"pulleyquay/internal/executor"
+	"pulleyquay/internal/judge"
+)
+
+// The headers that the model reads and writes.
+const (
+	// KeyHeader carries a request's key.
+	KeyHeader = "Idempotency-Key"
+	// WorkHeader in a request is how long its execution takes, in milliseconds.
+	WorkHeader = "Standin-Work-Ms"
+	// ExecutorHeader in an answer names the executor, PathHeader repeats the
+	// request's path; the body is that of the request.
+	ExecutorHeader = "Standin-Executor"
+	PathHeader     = "Standin-Path"
+)
+
+// The causes of failures.
+var (
+	ErrUnreachable = errors.New("execsim: unreachable")
+	ErrTruncated   = errors.New("execsim: answer truncated")
+	ErrTooLarge    = errors.New("execsim: answer larger than allowed")
+)
+
+// Faults are what is wrong with one executor. The zero value is a sound one.
+type Faults struct {
+	// Fail answers with status 500 after the execution.
+	Fail bool `json:"fail,omitempty"`
+	// Slow is added to the time of each execution.
+	Slow time.Duration `json:"slow_ns,omitempty"`
+	// Hang executes and never answers.
+	Hang bool `json:"hang,omitempty"`
+	// Truncate executes and answers half.
+	Truncate bool `json:"truncate,omitempty"`
+	// Leaving answers as usual, with the signal that it leaves.
+	Leaving bool `json:"leaving,omitempty"`
+	// Unreachable refuses connections.
+	Unreachable bool `json:"unreachable,omitempty"`
+}
+
+// Executor is one executor. Its methods are safe for concurrent use.
+type Executor struct {
+	name  string
+	judge *judge.Judge
+
+	mu     sync.Mutex
+	faults Faults
+}
+
+// NewExecutor returns a sound executor; the judge holds it to the slots and
+// connections.
+func NewExecutor(name string, slots, connections int, j *judge.Judge) *Executor {
+	j.Executor(name, slots, connections)
+	return &Executor{name: name, judge: j}
+}
+
+// SetFaults replaces the executor's faults.
+func (e *Executor) SetFaults(f Faults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = f
+	e.judge.Leaving(e.name, f.Leaving, time.Now())
+}
+
+// Faults returns the executor's present faults.
+func (e *Executor) Faults() Faults {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults
+}
+
+// Execute runs one request to its end; an execution goes on when ctx ends
+// before it, as in a real executor. The error is ErrTruncated or ctx's.
+func (e *Executor) Execute(ctx context.Context, req executor.Request) (executor.Answer, error) {
+	faults := e.Faults()
+	x := e.judge.Execute(e.name, req.Header.Get(KeyHeader), req.Method, req.Path, time.Now())
+	if err := e.work(ctx, x, faults, workTime(req)+faults.Slow); err != nil {
+		return executor.Answer{}, err
+	}
+	answer := executor.Answer{
+		Status: http.StatusOK, Body: req.Body, Leaving: faults.Leaving,
+		Header: http.Header{ExecutorHeader: {e.name}, PathHeader: {req.Path}},
+	}
+	if faults.Fail {
+		answer.Status, answer.Body = http.StatusInternalServerError, []byte(fmt.Sprintf("%s fails", e.name))
+	}
+	if faults.Truncate {
+		return answer, ErrTruncated
+	}
+	return answer, nil
+}
+
+func (e *Executor) work(ctx context.Context, x *judge.Execution, faults Faults, d time.Duration) error {
+	if d > 0 {
+		timer := time.NewTimer(d)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			time.AfterFunc(d, func() { e.judge.Executed(x) })
+			return ctx.Err()
+		}
+	}
+	if faults.Hang {
+		<-ctx.Done()
+	}
+	e.judge.Executed(x)
+	if faults.Hang {
+		return ctx.Err()
+	}
+	return nil
+}
+
+func workTime(req executor.Request) time.Duration {
+	ms, err := strconv.Atoi(req.Header.Get(WorkHeader))
+	if err != nil || ms < 0 {
+		return 0
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// Fleet is a set of executors reached by address; it is an executor.Client in
+// which each call is one connection.
+type Fleet struct {
+	Judge *judge.Judge
+
+	mu        sync.Mutex
+	executors map[string]*Executor
+}
+
+// NewFleet returns a fleet without executors.
+func NewFleet(j *judge.Judge) *Fleet {
+	return &Fleet{Judge: j, executors: map[string]*Executor{}}
+}
+
+// Add makes an executor at the address.
+func (f *Fleet) Add(addr, name string, slots, connections int) *Executor {
+	e := NewExecutor(name, slots, connections, f.Judge)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.executors[addr] = e
+	return e
+}
+
+// Executor returns the executor at the address, or nil.
+func (f *Fleet) Executor(addr string) *Executor {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.executors[addr]
+}
+
+// Do is executor.Client's.
+func (f *Fleet) Do(ctx context.Context, addr string, req executor.Request, maxAnswer int64) (executor.Answer, error) {
+	e := f.Executor(addr)
+	if e == nil || e.Faults().Unreachable {
+		return executor.Answer{}, &executor.Failure{Err: ErrUnreachable}
+	}
+	if err := ctx.Err(); err != nil {
+		return executor.Answer{}, &executor.Failure{Err: err}
+	}
+	f.Judge.Connected(e.name, true, time.Now())
+	defer func() { f.Judge.Connected(e.name, false, time.Now()) }()
+	answer, err := e.Execute(ctx, req)
+	if err == nil && int64(len(answer.Body)) > maxAnswer {
+		err = ErrTooLarge
+	}
+	if err != nil {
+		return executor.Answer{}, &executor.Failure{Sent: true, Err: err}
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/internal/httponce/httponce.go
@@ -0,0 +1,228 @@
+// Package httponce is an HTTP/1.1 client that sends each request at most once.
+//
+// net/http's Transport replays a request on a new connection when a reused one
+// turns out to be closed and the request looks replayable: any GET, and
+// anything with an Idempotency-Key header. Here every connection has a
+// Transport of its own that can dial once only, so that there is nothing to
+// replay a request on.
+package httponce
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/semaphore"
+)
+
+// Defaults of Options.
+const (
+	DefaultMaxConns    = 64
+	DefaultIdleTimeout = 30 * time.Second
+	DefaultDialTimeout = 2 * time.Second
+)
+
+// ErrTooLarge is the cause of a failure whose answer's body was over the limit.
+var ErrTooLarge = errors.New("answer larger than allowed")
+
+// ErrNoLength is the cause of a failure whose answer was to end with the
+// connection: it can not be told from a truncated one.
+var ErrNoLength = errors.New("answer without a length")
+
+// errSwitched is the cause when the server changed the protocol unasked.
+var errSwitched = errors.New("answer switches protocols")
+
+// Options of a Client; zero fields take the defaults.
+type Options struct {
+	// MaxConns bounds the open connections to one address.
+	MaxConns int
+	// IdleTimeout closes a connection that was not used for so long.
+	IdleTimeout time.Duration
+	// DialTimeout bounds the opening of a connection.
+	DialTimeout time.Duration
+}
+
+// Answer is a whole answer.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Failure is the only error of Do.
+type Failure struct {
+	// Sent is false only when certainly no byte of the request was written.
+	Sent bool
+	Err  error
+}
+
+// Error tells whether anything was sent, and why it failed.
+func (f *Failure) Error() string { return fmt.Sprintf("sent=%t: %v", f.Sent, f.Err) }
+
+// Unwrap returns the cause.
+func (f *Failure) Unwrap() error { return f.Err }
+
+// Client keeps idle connections by address. It is safe for concurrent use.
+type Client struct {
+	opt Options
+
+	mu    sync.Mutex
+	pools map[string]*pool
+}
+
+// pool holds the connections to one address, the last used at the end.
+type pool struct {
+	slots *semaphore.Weighted
+	idle  []*line
+}
+
+// New returns a client without connections.
+func New(opt Options) *Client {
+	if opt.MaxConns <= 0 {
+		opt.MaxConns = DefaultMaxConns
+	}
+	if opt.IdleTimeout <= 0 {
+		opt.IdleTimeout = DefaultIdleTimeout
+	}
+	if opt.DialTimeout <= 0 {
+		opt.DialTimeout = DefaultDialTimeout
+	}
+	return &Client{opt: opt, pools: map[string]*pool{}}
+}
+
+// Do sends the request to addr (host:port), once, and returns the whole answer
+// with a body of at most maxBody bytes, or a *Failure. The body is given apart;
+// one set in req is ignored. Do waits for one of the address's connections as
+// long as ctx allows.
+func (c *Client) Do(ctx context.Context, addr string, req *http.Request, body []byte, maxBody int64) (Answer, error) {
+	p := c.pool(addr)
+	if err := p.slots.Acquire(ctx, 1); err != nil {
+		return Answer{}, &Failure{Err: err}
+	}
+	defer p.slots.Release(1)
+	for {
+		l, err := c.line(ctx, p, addr)
+		if err != nil {
+			return Answer{}, &Failure{Err: err}
+		}
+		reply, err := l.roundTrip(ctx, req, body, maxBody)
+		if err == nil {
+			c.release(p, l, reply.close)
+			return reply.Answer, nil
+		}
+		sent := l.close()
+		// An idle connection may turn out dead before anything was written:
+		// then another one is as good as the first.
+		if sent || !l.reused || ctx.Err() != nil {
+			return Answer{}, &Failure{Sent: sent, Err: err}
+		}
+	}
+}
+
+func (c *Client) pool(addr string) *pool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.pools[addr]
+	if p == nil {
+		p = &pool{slots: semaphore.NewWeighted(int64(c.opt.MaxConns))}
+		c.pools[addr] = p
+	}
+	return p
+}
+
+// line returns an idle connection that still stands, or a new one.
+func (c *Client) line(ctx context.Context, p *pool, addr string) (*line, error) {
+	for {
+		l := c.takeIdle(p)
+		if l == nil {
+			break
+		}
+		if l.usable(c.opt.IdleTimeout) {
+			return l, nil
+		}
+		l.close()
+	}
+	dialer := net.Dialer{Timeout: c.opt.DialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return newLine(conn, c.opt.IdleTimeout), nil
+}
+
+func (c *Client) takeIdle(p *pool) *line {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(p.idle) == 0 {
+		return nil
+	}
+	l := p.idle[len(p.idle)-1]
+	p.idle = p.idle[:len(p.idle)-1]
+	return l
+}
+
+// release puts the connection back unless the server wants it closed, and
+// closes those that lay idle too long.
+func (c *Client) release(p *pool, l *line, closing bool) {
+	if closing {
+		l.close()
+		return
+	}
+	l.idleSince, l.reused = time.Now(), true
+	c.mu.Lock()
+	p.idle = append(p.idle, l)
+	old := 0
+	for old < len(p.idle) && !p.idle[old].usable(c.opt.IdleTimeout) {
+		old++
+	}
+	stale := append([]*line(nil), p.idle[:old]...)
+	p.idle = p.idle[old:]
+	c.mu.Unlock()
+	for _, s := range stale {
+		s.close()
+	}
+}
+
+// Close closes the idle connections; the client can still be used.
+func (c *Client) Close() {
+	c.mu.Lock()
+	var idle []*line
+	for _, p := range c.pools {
+		idle = append(idle, p.idle...)
+		p.idle = nil
+	}
+	c.mu.Unlock()
+	for _, l := range idle {
+		l.close()
+	}
+}
+
+// readAll reads a whole body of a known length or in chunks.
+func readAll(resp *http.Response, method string, maxBody int64) ([]byte, error) {
+	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusSwitchingProtocols {
+		return nil, errSwitched
+	}
+	if method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified {
+		return nil, nil
+	}
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return nil, ErrNoLength
+	}
+	if resp.ContentLength > maxBody {
+		return nil, ErrTooLarge
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(body)) > maxBody {
+		return nil, ErrTooLarge
+	}
+	return body, nil
+}
--- /dev/null
+++ b/internal/httponce/httponce_test.go
@@ -0,0 +1,258 @@
+package httponce_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pulleyquay/internal/httponce"
+)
+
+const limit = 1 << 10
+
+// server is a raw TCP server: it reads requests and lets a script treat each.
+type server struct {
+	addr  string
+	seen  atomic.Int64 // requests whose first line arrived
+	conns atomic.Int64
+}
+
+// serve runs script for the n-th request (from 1) over all connections; script
+// returns false to close the connection. A whole request is read before it.
+func serve(t *testing.T, script func(n int64, c net.Conn, r *http.Request) bool) *server {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &server{addr: ln.Addr().String()}
+	var wg sync.WaitGroup
+	t.Cleanup(func() { ln.Close(); wg.Wait() })
+	wg.Go(func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			s.conns.Add(1)
+			t.Cleanup(func() { c.Close() })
+			go s.drive(c, script)
+		}
+	})
+	return s
+}
+
+func (s *server) drive(c net.Conn, script func(int64, net.Conn, *http.Request) bool) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for {
+		if _, err := in.Peek(1); err != nil {
+			return
+		}
+		n := s.seen.Add(1)
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil || !script(n, c, r) {
+			return
+		}
+	}
+}
+
+func ok(c net.Conn, extra string) {
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Length: 2\r\n\r\nok", extra)
+}
+
+func request(method string) *http.Request {
+	return &http.Request{
+		Method: method, URL: &url.URL{Scheme: "http", Host: "executor", Path: "/"},
+		Header: http.Header{"Idempotency-Key": {"k"}},
+	}
+}
+
+func do(c *httponce.Client, addr, method, body string) (httponce.Answer, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	return c.Do(ctx, addr, request(method), []byte(body), limit)
+}
+
+// TestNeverReplays closes a reused connection at nasty moments. Every method
+// and body here is one that net/http's Transport would replay.
+func TestNeverReplays(t *testing.T) {
+	moments := []struct {
+		name string
+		end  func(c net.Conn)
+	}{
+		{"after reading", func(net.Conn) {}},
+		{"with a reset", func(c net.Conn) { _ = c.(*net.TCPConn).SetLinger(0) }},
+		{"in the status line", func(c net.Conn) { fmt.Fprint(c, "HTTP/1.1 20") }},
+		{"in the header", func(c net.Conn) { fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Le") }},
+		{"before the body", func(c net.Conn) { fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n") }},
+		{"in the body", func(c net.Conn) { fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no") }},
+		{"in a chunk", func(c net.Conn) { fmt.Fprint(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab") }},
+		{"before the last chunk", func(c net.Conn) {
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n")
+		}},
+	}
+	for _, m := range moments {
+		for _, call := range []struct{ method, body string }{{"GET", ""}, {"POST", ""}, {"POST", "ticket"}, {"DELETE", ""}} {
+			t.Run(m.name+"/"+call.method+call.body, func(t *testing.T) {
+				is := is.New(t)
+				s := serve(t, func(n int64, c net.Conn, _ *http.Request) bool {
+					if n == 2 {
+						m.end(c)
+						return false
+					}
+					ok(c, "")
+					return true
+				})
+				c := httponce.New(httponce.Options{})
+				defer c.Close()
+				_, err := do(c, s.addr, call.method, call.body)
+				is.NoErr(err)
+				_, err = do(c, s.addr, call.method, call.body)
+				var f *httponce.Failure
+				is.True(errors.As(err, &f))
+				is.True(f.Sent)
+				is.Equal(s.conns.Load(), int64(1)) // no second connection, so no replay
+				is.Equal(s.seen.Load(), int64(2))
+				_, err = do(c, s.addr, call.method, call.body)
+				is.NoErr(err) // the next request gets a connection of its own
+			})
+		}
+	}
+}
+
+func TestIdleConnectionClosedByServer(t *testing.T) {
+	is := is.New(t)
+	closed := make(chan struct{}, 1)
+	s := serve(t, func(n int64, c net.Conn, _ *http.Request) bool {
+		ok(c, "")
+		if n == 1 {
+			c.Close()
+			closed <- struct{}{}
+			return false
+		}
+		return true
+	})
+	c := httponce.New(httponce.Options{})
+	defer c.Close()
+	_, err := do(c, s.addr, "POST", "a")
+	is.NoErr(err)
+	<-closed
+	_, err = do(c, s.addr, "POST", "b")
+	var f *httponce.Failure
+	if errors.As(err, &f) {
+		is.True(f.Sent) // written before the close was seen: unknown, not replayed
+		is.Equal(s.seen.Load(), int64(1))
+		return
+	}
+	is.NoErr(err)
+	is.Equal(s.seen.Load(), int64(2))
+}
+
+func TestAnswers(t *testing.T) {
+	cases := []struct {
+		name, method, raw string
+		want              error
+		body              string
+	}{
+		{"by length", "GET", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", nil, "ok"},
+		{"in chunks", "GET", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", nil, "ok"},
+		{"after early hints", "GET", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", nil, "ok"},
+		{"of a HEAD", "HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n", nil, ""},
+		{"without content", "POST", "HTTP/1.1 204 No Content\r\n\r\n", nil, ""},
+		{"ended by the connection", "GET", "HTTP/1.1 200 OK\r\n\r\nok", httponce.ErrNoLength, ""},
+		{"declared too large", "GET", "HTTP/1.1 200 OK\r\nContent-Length: 1025\r\n\r\n", httponce.ErrTooLarge, ""},
+		{"too large in chunks", "GET", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n401\r\n" +
+			strings.Repeat("x", limit+1) + "\r\n0\r\n\r\n", httponce.ErrTooLarge, ""},
+		{"just not too large", "GET", "HTTP/1.1 200 OK\r\nContent-Length: 1024\r\n\r\n" + strings.Repeat("x", limit), nil, strings.Repeat("x", limit)},
+		{"closed by the server's wish", "GET", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", nil, "ok"},
+	}
+	for _, k := range cases {
+		t.Run(k.name, func(t *testing.T) {
+			is := is.New(t)
+			s := serve(t, func(_ int64, c net.Conn, _ *http.Request) bool {
+				fmt.Fprint(c, k.raw)
+				return strings.Contains(k.raw, "Length") && !strings.Contains(k.raw, "close")
+			})
+			c := httponce.New(httponce.Options{})
+			defer c.Close()
+			for range 2 { // the second time on what the first left behind
+				a, err := do(c, s.addr, k.method, "")
+				is.True(errors.Is(err, k.want))
+				is.Equal(string(a.Body), k.body)
+			}
+			is.Equal(s.seen.Load(), int64(2))
+		})
+	}
+}
+
+func TestNotSent(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := ln.Addr().String()
+	ln.Close()
+	is := is.New(t)
+	c := httponce.New(httponce.Options{})
+	_, err = do(c, addr, "POST", "x")
+	var f *httponce.Failure
+	is.True(errors.As(err, &f))
+	is.True(!f.Sent) // nobody listens
+}
+
+func TestConnectionCap(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	s := serve(t, func(_ int64, c net.Conn, _ *http.Request) bool {
+		<-release
+		ok(c, "")
+		return true
+	})
+	c := httponce.New(httponce.Options{MaxConns: 2})
+	defer c.Close()
+	var wg sync.WaitGroup
+	for range 2 {
+		wg.Go(func() { _, _ = do(c, s.addr, "GET", "") })
+	}
+	for s.seen.Load() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := c.Do(ctx, s.addr, request("GET"), nil, limit)
+	var f *httponce.Failure
+	is.True(errors.As(err, &f))
+	is.True(!f.Sent) // it waited for a connection in vain
+	close(release)
+	wg.Wait()
+	is.Equal(s.conns.Load(), int64(2))
+}
+
+func TestGivenUpWhileWaitingForTheAnswer(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, func(_ int64, _ net.Conn, r *http.Request) bool { return true })
+	c := httponce.New(httponce.Options{})
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
+	defer cancel()
+	_, err := c.Do(ctx, s.addr, request("POST"), []byte("x"), limit)
+	var f *httponce.Failure
+	is.True(errors.As(err, &f))
+	is.True(f.Sent)
+	is.True(errors.Is(err, context.DeadlineExceeded))
+}
--- /dev/null
+++ b/internal/judge/record.go
@@ -0,0 +1,105 @@
+package judge
+
+import (
+	"time"
+
+	"pulleyquay/internal/spec"
+)
+
+// Record is the whole record as JSON; it is what a stand-in serves.
+type Record struct {
+	At             time.Time   `json:"at"`
+	Violations     []Violation `json:"violations"`
+	ViolationCount int         `json:"violation_count"`
+	Starts         int         `json:"starts"`
+	Ends           int         `json:"ends"`
+	Running        int         `json:"running"`
+	// PeakStartsPerSecond is the largest number of starts in one clock second.
+	PeakStartsPerSecond int                       `json:"peak_starts_per_second"`
+	Workers             map[string]WorkerRecord   `json:"workers"`
+	Executors           map[string]ExecutorRecord `json:"executors"`
+	Requests            int                       `json:"requests"`
+	Gangs               map[string]GangRecord     `json:"gangs"`
+	// Tasks and Keys are given only when the details were asked for.
+	Tasks map[string][]Place     `json:"tasks,omitempty"`
+	Keys  map[string][]Execution `json:"keys,omitempty"`
+}
+
+// WorkerRecord is what one worker carried.
+type WorkerRecord struct {
+	Size     spec.Resources `json:"size"`
+	Used     spec.Resources `json:"used"`
+	Peak     spec.Resources `json:"peak"`
+	Epoch    uint64         `json:"epoch"`
+	Holder   string         `json:"holder"`
+	Overload int            `json:"overload"`
+}
+
+// ExecutorRecord is what one executor did.
+type ExecutorRecord struct {
+	Executions  int       `json:"executions"`
+	Running     int       `json:"running"`
+	Peak        int       `json:"peak"`
+	Connections int       `json:"connections"`
+	PeakOpen    int       `json:"peak_open"`
+	LastAt      time.Time `json:"last_at"`
+}
+
+// GangRecord is how far a gang came.
+type GangRecord struct {
+	Tasks   int       `json:"tasks"`
+	First   time.Time `json:"first"`
+	Running int       `json:"running"`
+	Peak    int       `json:"peak"`
+}
+
+// Record returns the record at the given time, with details per task and key
+// when asked for.
+func (j *Judge) Record(now time.Time, details bool) Record {
+	violations := j.Violations(now)
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	r := Record{
+		At: now, Violations: violations, ViolationCount: j.count + len(violations) - len(j.violations),
+		Starts: j.starts, Ends: j.ends, Requests: j.executions,
+		Workers: map[string]WorkerRecord{}, Executors: map[string]ExecutorRecord{}, Gangs: map[string]GangRecord{},
+	}
+	for _, n := range j.perSecond {
+		r.PeakStartsPerSecond = max(r.PeakStartsPerSecond, n)
+	}
+	for name, w := range j.workers {
+		r.Workers[name] = WorkerRecord{w.size, w.used, w.peak, w.epoch, w.holder, w.overload}
+	}
+	for name, e := range j.executors {
+		r.Executors[name] = ExecutorRecord{e.executions, e.running, e.peak, e.open, e.peakOpen, e.lastAt}
+	}
+	for job, g := range j.gangs {
+		r.Gangs[job] = GangRecord{g.tasks, g.first, len(g.running), g.peak}
+	}
+	j.detail(&r, now, details)
+	return r
+}
+
+func (j *Judge) detail(r *Record, now time.Time, details bool) {
+	if details {
+		r.Tasks, r.Keys = map[string][]Place{}, map[string][]Execution{}
+	}
+	for task, places := range j.places {
+		for _, p := range places {
+			if p.runsAt(now) {
+				r.Running++
+			}
+			if details {
+				r.Tasks[task.String()] = append(r.Tasks[task.String()], *p)
+			}
+		}
+	}
+	if !details {
+		return
+	}
+	for key, list := range j.keys {
+		for _, x := range list {
+			r.Keys[key] = append(r.Keys[key], *x)
+		}
+	}
+}
--- /dev/null
+++ b/internal/worker/workersim/workersim_test.go
@@ -0,0 +1,174 @@
+package workersim_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pulleyquay/internal/judge"
+	"pulleyquay/internal/spec"
+	"pulleyquay/internal/worker"
+	"pulleyquay/internal/worker/workersim"
+	"pulleyquay/internal/worker/workertest"
+)
+
+var size = spec.Resources{MilliCPU: 4000, MemoryMiB: 4000}
+
+func TestContract(t *testing.T) {
+	workertest.Run(t, func(*testing.T) workertest.Target {
+		f := workersim.NewFleet(judge.New())
+		w := f.Add("a", worker.Info{Name: "w", Size: size})
+		return workertest.Target{
+			Client: f, Addr: "a", NowhereAddr: "nowhere", Restart: w.Restart,
+			LoseAnswer: func() { w.SetFaults(workersim.Faults{LoseAnswers: 1}) },
+		}
+	})
+}
+
+// fleet returns two claimed workers "a" and "b", and a function to start a task
+// of the given size with a lease of one second.
+func fleet(is *is.I) (*workersim.Fleet, func(addr string, index, attempt int, size spec.Resources)) {
+	f := workersim.NewFleet(judge.New())
+	for _, addr := range []string{"a", "b"} {
+		f.Add(addr, worker.Info{Name: addr, Size: size})
+		_, err := f.Claim(context.Background(), addr, worker.ClaimRequest{Epoch: 1})
+		is.NoErr(err)
+	}
+	return f, func(addr string, index, attempt int, size spec.Resources) {
+		_, err := f.Order(context.Background(), addr, worker.Order{Epoch: 1, Expires: 1 << 50, RenewMillis: 1000,
+			Starts: []worker.Start{{Task: spec.TaskID{Job: "j", Index: index}, Attempt: attempt, Kind: spec.KindGang, Size: size}}})
+		is.NoErr(err)
+	}
+}
+
+func TestJudgeSeesBreaches(t *testing.T) {
+	small := spec.Resources{MilliCPU: 1000}
+	cases := []struct {
+		name string
+		run  func(f *workersim.Fleet, start func(string, int, int, spec.Resources))
+		want judge.Rule // empty for none
+	}{
+		{"full is no breach", func(_ *workersim.Fleet, start func(string, int, int, spec.Resources)) {
+			start("a", 0, 1, size)
+		}, ""},
+		{"memory over size", func(_ *workersim.Fleet, start func(string, int, int, spec.Resources)) {
+			start("a", 0, 1, spec.Resources{MemoryMiB: 4001})
+		}, judge.RuleOvercommit},
+		{"two tasks over size", func(_ *workersim.Fleet, start func(string, int, int, spec.Resources)) {
+			start("a", 0, 1, size)
+			start("a", 1, 1, small)
+		}, judge.RuleOvercommit},
+		{"room after a lapsed lease", func(_ *workersim.Fleet, start func(string, int, int, spec.Resources)) {
+			start("a", 0, 1, size)
+			time.Sleep(time.Second)
+			start("a", 1, 1, size)
+		}, ""},
+		{"two places", func(_ *workersim.Fleet, start func(string, int, int, spec.Resources)) {
+			start("a", 0, 1, small)
+			time.Sleep(999 * time.Millisecond)
+			start("b", 0, 2, small)
+		}, judge.RuleTwoPlaces},
+		{"one place after the lease", func(_ *workersim.Fleet, start func(string, int, int, spec.Resources)) {
+			start("a", 0, 1, small)
+			time.Sleep(time.Second)
+			start("b", 0, 2, small)
+		}, ""},
+		{"gang started partly", func(f *workersim.Fleet, start func(string, int, int, spec.Resources)) {
+			f.Judge.Gang("j", 2)
+			start("a", 0, 1, small)
+			time.Sleep(3 * time.Second)
+		}, judge.RuleGangPartly},
+		{"gang started whole", func(f *workersim.Fleet, start func(string, int, int, spec.Resources)) {
+			f.Judge.Gang("j", 2)
+			start("a", 0, 1, small)
+			start("b", 1, 1, small)
+			time.Sleep(3 * time.Second)
+		}, ""},
+		{"one epoch for two holders", func(f *workersim.Fleet, _ func(string, int, int, spec.Resources)) {
+			_, _ = f.Claim(context.Background(), "a", worker.ClaimRequest{Epoch: 1, Holder: "other"})
+		}, judge.RuleSharedEpoch},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f, start := fleet(is)
+				c.run(f, start)
+				var got judge.Rule
+				for _, v := range f.Judge.Violations(time.Now()) {
+					got = v.Rule
+				}
+				is.Equal(got, c.want)
+			})
+		})
+	}
+}
+
+func TestFaults(t *testing.T) {
+	ctx := context.Background()
+	o := worker.Order{Epoch: 1, Expires: 1 << 50, RenewMillis: 60_000, Starts: []worker.Start{
+		{Task: spec.TaskID{Job: "j"}, Attempt: 1, Size: spec.Resources{MilliCPU: 1000}, RunMillis: 10_000}}}
+	cases := []struct {
+		name   string
+		faults workersim.Faults
+		cut    workersim.Cut
+		check  func(is *is.I, f *workersim.Fleet, reply worker.OrderReply, err error)
+	}{
+		{"every task fails", workersim.Faults{FailTasks: true}, 0, func(is *is.I, f *workersim.Fleet, _ worker.OrderReply, err error) {
+			is.NoErr(err)
+			is.Equal(f.Worker("a").Runs()[0].State, worker.StateFinished)
+			is.Equal(f.Worker("a").Runs()[0].ExitCode, 1)
+		}},
+		{"unreachable", workersim.Faults{Unreachable: true}, 0, func(is *is.I, f *workersim.Fleet, _ worker.OrderReply, err error) {
+			is.True(errors.Is(err, worker.ErrNotReached))
+			is.Equal(len(f.Worker("a").Runs()), 0)
+		}},
+		{"cut for one caller", workersim.Faults{}, workersim.CutBefore, func(is *is.I, f *workersim.Fleet, _ worker.OrderReply, err error) {
+			is.True(errors.Is(err, worker.ErrNotReached))
+			_, err = f.Caller("q").Order(ctx, "a", o)
+			is.NoErr(err)
+		}},
+		{"cut of the answers", workersim.Faults{}, workersim.CutAnswer, func(is *is.I, f *workersim.Fleet, _ worker.OrderReply, err error) {
+			is.True(errors.Is(err, worker.ErrLost))
+			is.Equal(len(f.Worker("a").Runs()), 1)
+		}},
+		{"slow beyond the caller's patience", workersim.Faults{Slow: 5 * time.Second}, 0, func(is *is.I, f *workersim.Fleet, _ worker.OrderReply, err error) {
+			is.True(errors.Is(err, worker.ErrLost))
+			is.Equal(len(f.Worker("a").Runs()), 0)
+			time.Sleep(6 * time.Second)
+			is.Equal(len(f.Worker("a").Runs()), 1) // the effect came late
+		}},
+		{"lagging usage above the declared", workersim.Faults{UsageLag: 2 * time.Second, RealSizePercent: 300}, 0, func(is *is.I, f *workersim.Fleet, reply worker.OrderReply, err error) {
+			is.NoErr(err)
+			is.Equal(reply.Usage, spec.Resources{})
+			time.Sleep(2 * time.Second)
+			reply, err = f.Order(ctx, "a", worker.Order{Epoch: 1, Expires: 1 << 50})
+			is.NoErr(err)
+			is.Equal(reply.Usage.MilliCPU, int64(3000))
+		}},
+		{"run time longer than declared", workersim.Faults{RealTimePercent: 200}, 0, func(is *is.I, f *workersim.Fleet, _ worker.OrderReply, _ error) {
+			time.Sleep(19 * time.Second)
+			is.Equal(f.Worker("a").Runs()[0].State, worker.StateRunning)
+			time.Sleep(time.Second)
+			is.Equal(f.Worker("a").Runs()[0].State, worker.StateFinished)
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f, _ := fleet(is)
+				f.Worker("a").SetFaults(c.faults)
+				f.Cut("p", "a", c.cut)
+				ctx, cancel := context.WithTimeout(ctx, time.Second)
+				defer cancel()
+				reply, err := f.Caller("p").Order(ctx, "a", o)
+				c.check(is, f, reply, err)
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/worker/workertest/workertest.go
@@ -0,0 +1,220 @@
+// Package workertest is the contract test of worker.Client and of the worker
+// behind it.
+package workertest
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pulleyquay/internal/spec"
+	"pulleyquay/internal/worker"
+)
+
+// Target is one worker, just started, of at least 4000 milli-CPUs, and the
+// client under test.
+type Target struct {
+	Client worker.Client
+	Addr   string
+	// Restart restarts the worker.
+	Restart func()
+	// LoseAnswer lets the next answer be lost after its call took effect.
+	LoseAnswer func()
+	// NowhereAddr is an address at which nobody listens.
+	NowhereAddr string
+}
+
+const (
+	longLease  = 60_000 // milliseconds
+	shortLease = 30
+	waitLimit  = 5 * time.Second
+	pollEvery  = 5 * time.Millisecond
+)
+
+// Run checks the contract; make returns a new target for each case.
+func Run(t *testing.T, make func(t *testing.T) Target) {
+	cases := []struct {
+		name string
+		run  func(*is.I, Target)
+	}{
+		{"a claim gives the inventory", claimGivesInventory},
+		{"lower epochs are fenced", lowerEpochsAreFenced},
+		{"a late order is refused whole", lateOrderIsRefused},
+		{"nothing without a claim", nothingWithoutClaim},
+		{"a run ends by itself and stays until acknowledged", runEndsAndStays},
+		{"a lapsed lease stops the run", lapsedLeaseStops},
+		{"stops by mode", stopsByMode},
+		{"a lost answer leaves the effect", lostAnswerLeavesEffect},
+		{"nobody there", nobodyThere},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) { c.run(is.New(t), make(t)) })
+	}
+}
+
+func (x Target) claim(epoch uint64) (worker.ClaimReply, error) {
+	return x.Client.Claim(context.Background(), x.Addr, worker.ClaimRequest{Partition: 3, Epoch: epoch, Holder: "h"})
+}
+
+func (x Target) order(o worker.Order) (worker.OrderReply, error) {
+	o.Partition = 3
+	return x.Client.Order(context.Background(), x.Addr, o)
+}
+
+func start(index int, runMillis int64) worker.Start {
+	return worker.Start{
+		Task: spec.TaskID{Job: "job", Index: index}, Attempt: 1, Home: 7, Kind: spec.KindBatch,
+		Size: spec.Resources{MilliCPU: 1000, MemoryMiB: 100}, RunMillis: runMillis,
+	}
+}
+
+func attempt(index int) worker.Attempt {
+	return worker.Attempt{Task: spec.TaskID{Job: "job", Index: index}, Attempt: 1}
+}
+
+// waitEnded waits until the number of ended runs is n and returns them.
+func (x Target) waitEnded(is *is.I, epoch uint64, n int) []worker.Run {
+	for deadline := time.Now().Add(waitLimit); ; time.Sleep(pollEvery) {
+		c, err := x.claim(epoch)
+		is.NoErr(err)
+		var ended []worker.Run
+		for _, r := range c.Runs {
+			if r.State != worker.StateRunning {
+				ended = append(ended, r)
+			}
+		}
+		if len(ended) == n {
+			return ended
+		}
+		if time.Now().After(deadline) {
+			is.Fail() // runs did not end in time
+			return nil
+		}
+	}
+}
+
+func claimGivesInventory(is *is.I, x Target) {
+	c, err := x.claim(1)
+	is.NoErr(err)
+	is.True(c.Info.Name != "")
+	is.Equal(len(c.Runs), 0)
+	r, err := x.order(worker.Order{Epoch: 1, Expires: c.Now + longLease, RenewMillis: longLease,
+		Starts: []worker.Start{start(0, 0), start(1, 0)}})
+	is.NoErr(err)
+	is.Equal(r.Results, []worker.StartResult{{Started: true}, {Started: true}})
+	is.Equal(r.Running, 2)
+	is.Equal(r.Usage.MilliCPU, int64(2000))
+	c, err = x.claim(2)
+	is.NoErr(err)
+	is.Equal(len(c.Runs), 2)
+	is.Equal(c.Runs[1].Task.Index, 1)
+	is.Equal(c.Runs[1].Home, 7)
+	is.Equal(c.Runs[1].State, worker.StateRunning)
+	is.True(c.Runs[1].LeaseUntil > c.Now)
+}
+
+func lowerEpochsAreFenced(is *is.I, x Target) {
+	c, err := x.claim(5)
+	is.NoErr(err)
+	_, err = x.claim(4)
+	is.True(errors.Is(err, worker.ErrFenced))
+	_, err = x.order(worker.Order{Epoch: 4, Expires: c.Now + longLease, Starts: []worker.Start{start(0, 0)}})
+	is.True(errors.Is(err, worker.ErrFenced))
+	c, err = x.claim(5)
+	is.NoErr(err)
+	is.Equal(len(c.Runs), 0)
+}
+
+func lateOrderIsRefused(is *is.I, x Target) {
+	c, err := x.claim(1)
+	is.NoErr(err)
+	_, err = x.order(worker.Order{Epoch: 1, Expires: c.Now - 1, Starts: []worker.Start{start(0, 0)}})
+	is.True(errors.Is(err, worker.ErrExpired))
+	c, err = x.claim(1)
+	is.NoErr(err)
+	is.Equal(len(c.Runs), 0)
+}
+
+func nothingWithoutClaim(is *is.I, x Target) {
+	o := worker.Order{Epoch: 1, Expires: 1 << 50, Starts: []worker.Start{start(0, 0)}}
+	_, err := x.order(o)
+	is.True(errors.Is(err, worker.ErrNotClaimed))
+	_, err = x.claim(1)
+	is.NoErr(err)
+	_, err = x.order(o)
+	is.NoErr(err)
+	x.Restart()
+	_, err = x.order(o)
+	is.True(errors.Is(err, worker.ErrNotClaimed)) // forgotten with the restart
+	c, err := x.claim(1)
+	is.NoErr(err)
+	is.Equal(len(c.Runs), 0)
+}
+
+func runEndsAndStays(is *is.I, x Target) {
+	c, err := x.claim(1)
+	is.NoErr(err)
+	o := worker.Order{Epoch: 1, Expires: c.Now + longLease, RenewMillis: longLease, Starts: []worker.Start{start(0, 10)}}
+	_, err = x.order(o)
+	is.NoErr(err)
+	ended := x.waitEnded(is, 1, 1)
+	is.Equal(ended[0].State, worker.StateFinished)
+	r, err := x.order(worker.Order{Epoch: 1, Expires: c.Now + longLease})
+	is.NoErr(err)
+	is.Equal(len(r.Ended), 1)
+	is.Equal(r.Usage.MilliCPU, int64(0))
+	r, err = x.order(worker.Order{Epoch: 1, Expires: c.Now + longLease, Acks: []worker.Attempt{attempt(0)}})
+	is.NoErr(err)
+	is.Equal(len(r.Ended), 0)
+}
+
+func lapsedLeaseStops(is *is.I, x Target) {
+	c, err := x.claim(1)
+	is.NoErr(err)
+	_, err = x.order(worker.Order{Epoch: 1, Expires: c.Now + longLease, RenewMillis: shortLease,
+		Starts: []worker.Start{start(0, 0)}})
+	is.NoErr(err)
+	ended := x.waitEnded(is, 1, 1)
+	is.Equal(ended[0].State, worker.StateStopped)
+}
+
+func stopsByMode(is *is.I, x Target) {
+	c, err := x.claim(1)
+	is.NoErr(err)
+	_, err = x.order(worker.Order{Epoch: 1, Expires: c.Now + longLease, RenewMillis: longLease,
+		Starts: []worker.Start{start(0, 0), start(1, 0), start(2, 0)}})
+	is.NoErr(err)
+	r, err := x.order(worker.Order{Epoch: 1, Expires: c.Now + longLease, Stops: []worker.Stop{
+		{Attempt: attempt(0), Mode: worker.Throttle},
+		{Attempt: attempt(1), Mode: worker.Checkpoint},
+		{Attempt: attempt(2), Mode: worker.Kill},
+	}})
+	is.NoErr(err)
+	is.Equal(r.Running, 1) // a throttled run goes on
+	is.Equal(len(r.Ended), 2)
+	is.Equal(r.Ended[0].State, worker.StateStopped)
+	is.True(r.Usage.MilliCPU < 1000)
+}
+
+func lostAnswerLeavesEffect(is *is.I, x Target) {
+	c, err := x.claim(1)
+	is.NoErr(err)
+	x.LoseAnswer()
+	_, err = x.order(worker.Order{Epoch: 1, Expires: c.Now + longLease, RenewMillis: longLease,
+		Starts: []worker.Start{start(0, 0)}})
+	is.True(errors.Is(err, worker.ErrLost))
+	c, err = x.claim(1)
+	is.NoErr(err)
+	is.Equal(len(c.Runs), 1)
+}
+
+func nobodyThere(is *is.I, x Target) {
+	x.Addr = x.NowhereAddr
+	_, err := x.claim(1)
+	is.True(errors.Is(err, worker.ErrNotReached))
+	_, err = x.order(worker.Order{Epoch: 1})
+	is.True(errors.Is(err, worker.ErrNotReached))
+}
