--- /dev/null
+++ b/internal/standin/standin.go
@@ -0,0 +1,110 @@
+package standin
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+
+	"pulleyquay/internal/daemon"
+	"pulleyquay/internal/executor/execsim"
+	"pulleyquay/internal/judge"
+	"pulleyquay/internal/platform"
+	"pulleyquay/internal/platform/memstore"
+	"pulleyquay/internal/standin/hostlist"
+	"pulleyquay/internal/standin/storehttp"
+	"pulleyquay/internal/worker"
+	"pulleyquay/internal/worker/workerhttp"
+	"pulleyquay/internal/worker/workersim"
+)
+
+// Standin is the whole stand-in in one process.
+type Standin struct {
+	config    Config
+	judge     *judge.Judge
+	list      *hostlist.List
+	store     http.Handler
+	workers   *workersim.Fleet
+	byName    map[string]*workersim.Worker
+	executors map[string]*execsim.Executor
+	servers   []*http.Server
+	addr      string
+}
+
+// Start opens all ports and serves until Close.
+func Start(c Config) (*Standin, error) {
+	j := judge.New()
+	s := &Standin{
+		config: c, judge: j, list: hostlist.New(c.HostListLag.Std()), store: storehttp.Handler(memstore.New()),
+		workers: workersim.NewFleet(j), byName: map[string]*workersim.Worker{}, executors: map[string]*execsim.Executor{},
+	}
+	if err := s.open(); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Standin) open() error {
+	ip, _, err := net.SplitHostPort(s.config.Listen)
+	if err != nil {
+		return err
+	}
+	var hosts []platform.Host
+	for _, g := range s.config.Groups {
+		for i := range g.Count {
+			host, err := s.openHost(ip, g, i)
+			if err != nil {
+				return err
+			}
+			hosts = append(hosts, host)
+		}
+	}
+	s.list.Replace(hosts)
+	l, err := daemon.Listen(s.config.Listen, "listen")
+	if err != nil {
+		return err
+	}
+	s.addr = l.Addr().String()
+	s.serve(l, &http.Server{Handler: s.handler()})
+	return nil
+}
+
+// openHost starts the i-th host of a group on a port of its own.
+func (s *Standin) openHost(ip string, g Group, i int) (platform.Host, error) {
+	l, err := daemon.Listen(net.JoinHostPort(ip, "0"), "listen")
+	if err != nil {
+		return platform.Host{}, err
+	}
+	rack := i / g.PerRack
+	host := platform.Host{
+		Name: fmt.Sprintf("%s-%02d", g.Name, i), Role: g.Role, Addr: l.Addr().String(), Service: g.Service,
+		Rack: fmt.Sprintf("%s-rack-%d", g.Name, rack), Zone: g.Zones[rack%len(g.Zones)],
+	}
+	if g.Role == platform.RoleExecutor {
+		e := execsim.NewExecutor(host.Name, g.Slots, g.Connections, s.judge)
+		s.executors[host.Name] = e
+		s.serve(l, e.Server())
+		return host, nil
+	}
+	s.byName[host.Name] = s.workers.Add(host.Addr, worker.Info{
+		Name: host.Name, Rack: host.Rack, Zone: host.Zone, Size: g.Size,
+		AcceleratorKind: g.AcceleratorKind, Generation: g.Generation, Labels: g.Labels,
+	})
+	s.serve(l, &http.Server{Handler: workerhttp.Handler(s.workers, host.Addr)})
+	return host, nil
+}
+
+func (s *Standin) serve(l net.Listener, server *http.Server) {
+	s.servers = append(s.servers, server)
+	go func() { _ = server.Serve(l) }() // ends with Close
+}
+
+// Addr is where the store, the host list, the faults and the record are served.
+func (s *Standin) Addr() string { return s.addr }
+
+// Close ends all servers and their connections.
+func (s *Standin) Close() {
+	for _, server := range s.servers {
+		_ = server.Close()
+	}
+}
