Placement engine: books, filters, scores, victims

Policy.MinReplicas and Slot.Spared are new fields of the messages: without them a holder can not know a service's minimum or the last victim. Ruled out: lowering the observed usage when a run ends; nobody knows how much of it was that run's, so it stays until the next report.

--- /dev/null
+++ b/internal/scheduler/digest.go
@@ -0,0 +1,41 @@
+package scheduler
+
+import (
+	"maps"
+
+	"pulleyquay/internal/taskmsg"
+)
+
+// Digest sums up the room of the ready workers, for heartbeats. Sizes counts
+// every worker that is known, ready or not: what is away may come back.
+func (c *Cell) Digest() taskmsg.Digest {
+	d := taskmsg.Digest{}
+	for _, b := range c.order {
+		d.Sizes = addMake(d.Sizes, makeOf(b))
+		if b.Status != StatusReady {
+			continue
+		}
+		d.Workers++
+		free := b.free().Max(zero)
+		d.Free = d.Free.Add(free)
+		d.Largest = d.Largest.Max(free)
+	}
+	return d
+}
+
+// addMake counts one worker of a make.
+func addMake(makes []taskmsg.Size, m taskmsg.Size) []taskmsg.Size {
+	for i := range makes {
+		if sameMake(&makes[i], &m) {
+			makes[i].Workers++
+			return makes
+		}
+	}
+	m.Workers = 1
+	return append(makes, m)
+}
+
+func sameMake(a, b *taskmsg.Size) bool {
+	return a.Size == b.Size && a.AcceleratorKind == b.AcceleratorKind &&
+		a.Generation == b.Generation && maps.Equal(a.Labels, b.Labels)
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -37,6 +37,27 @@
 	Shape taskmsg.Shape
 }
 
+// size is what the task counts for in the books: the larger of what it declares
+// and what its branch was observed to need.
+func (a *Ask) size() spec.Resources {
+	return a.Shape.Task.Size.Max(a.Shape.Policy.LearnedSize)
+}
+
+// NewRun makes the entry for the books of one slot of a shape.
+func NewRun(shape *taskmsg.Shape, home int, slot taskmsg.Slot) Run {
+	ask := Ask{Shape: *shape}
+	return Run{
+		Attempt:     worker.Attempt{Task: spec.TaskID{Job: shape.Job, Index: slot.Index}, Attempt: slot.Attempt},
+		Home:        home,
+		Kind:        shape.Kind,
+		Size:        ask.size(),
+		Priority:    shape.Policy.Priority,
+		Urgent:      shape.Urgent,
+		MinReplicas: shape.Policy.MinReplicas,
+		Spared:      slot.Spared,
+	}
+}
+
 // Choice is the worker chosen, with the score that won.
 type Choice struct {
 	Worker string
@@ -53,4 +74,10 @@
 	Urgent   bool
 	// Held runs are reserved for a gang and not started.
 	Held bool
+	// MinReplicas is how many replicas of a service must stay. It is checked
+	// against the replicas in this cell alone, which errs to the safe side; a
+	// service whose minimum is not known (zero) is never preempted.
+	MinReplicas int64
+	// Spared runs are not preempted: the task's previous attempt was.
+	Spared bool
 }
--- /dev/null
+++ b/internal/scheduler/scores.go
@@ -0,0 +1,124 @@
+package scheduler
+
+import (
+	"pulleyquay/internal/settings"
+	"pulleyquay/internal/spec"
+	"pulleyquay/internal/taskmsg"
+)
+
+// place is one possible place for a task, as the scores see it.
+type place struct {
+	size *taskmsg.Size
+	free spec.Resources
+	// zoneRuns and zoneSpan compare the job's runs in this zone with the zones
+	// that have fewest and most.
+	zoneRuns, zoneLeast, zoneMost int
+}
+
+// score rates a place between 0 (worst) and 1 (best).
+type score struct {
+	name   string
+	weight float64
+	rate   func(*Ask, *place) float64
+}
+
+// The weights. Spreading outweighs all else because it is about surviving a
+// loss; keeping accelerators outweighs fit because a processor task on an
+// accelerator host strands what is scarcest.
+const (
+	weightZones        = 8
+	weightAccelerators = 4
+	weightFit          = 2
+	weightBalance      = 1
+	weightGeneration   = 0.5
+)
+
+var (
+	spreadZones      = score{"spread-zones", weightZones, rateZones}
+	keepAccelerators = score{"keep-accelerators", weightAccelerators, rateAccelerators}
+	bestFit          = score{"best-fit", weightFit, rateBestFit}
+	leastUsed        = score{"least-used", weightFit, rateLeastUsed}
+	balance          = score{"balance", weightBalance, rateBalance}
+	keepNew          = score{"keep-new-processors", weightGeneration, rateGeneration}
+)
+
+// scoresOf returns the scores that a policy adds up.
+func scoresOf(p *taskmsg.Policy) []score {
+	if p.Name == settings.PolicyPacking {
+		return packingScores
+	}
+	return waitingScores
+}
+
+var (
+	packingScores = []score{keepAccelerators, bestFit, balance, keepNew, spreadZones}
+	waitingScores = []score{keepAccelerators, leastUsed, balance, keepNew, spreadZones}
+)
+
+// total adds up the weighted scores of a place.
+func total(scores []score, a *Ask, p *place) float64 {
+	var sum float64
+	for i := range scores {
+		sum += scores[i].weight * scores[i].rate(a, p)
+	}
+	return sum
+}
+
+// rateZones prefers the zones with the fewest runs of the job.
+func rateZones(a *Ask, p *place) float64 {
+	if !a.Shape.Policy.SpreadZones || p.zoneMost == p.zoneLeast {
+		return 1
+	}
+	return 1 - float64(p.zoneRuns-p.zoneLeast)/float64(p.zoneMost-p.zoneLeast)
+}
+
+// rateAccelerators keeps workers with accelerators for those who need them, and
+// among these the ones with many for those who need many.
+func rateAccelerators(a *Ask, p *place) float64 {
+	have := p.size.Size.Accelerators
+	if have == 0 {
+		return 1
+	}
+	need := a.size().Accelerators
+	if need == 0 {
+		return 0
+	}
+	return 1 - share(p.free.Accelerators-need, have)
+}
+
+// rateBestFit prefers the place with the least left over.
+func rateBestFit(a *Ask, p *place) float64 {
+	cpu, mem := leftover(a, p)
+	return 1 - (cpu+mem)/2
+}
+
+// rateLeastUsed prefers the place with most left of what is tightest there.
+func rateLeastUsed(a *Ask, p *place) float64 {
+	cpu, mem := leftover(a, p)
+	return min(cpu, mem)
+}
+
+// rateBalance prefers places where processors and memory run out together.
+func rateBalance(a *Ask, p *place) float64 {
+	cpu, mem := leftover(a, p)
+	return 1 - max(cpu-mem, mem-cpu)
+}
+
+// rateGeneration keeps newer processors for those who ask for them.
+func rateGeneration(a *Ask, p *place) float64 {
+	return 1 / float64(1+max(0, p.size.Generation-a.Shape.Task.MinGeneration))
+}
+
+// leftover is the share of processors and memory left after the task.
+func leftover(a *Ask, p *place) (cpu, mem float64) {
+	left := p.free.Sub(a.size())
+	return share(left.MilliCPU, p.size.Size.MilliCPU), share(left.MemoryMiB, p.size.Size.MemoryMiB)
+}
+
+// share is part of whole, zero when there is no whole.
+func share(part, whole int64) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
--- a/internal/taskmsg/taskmsg.go
+++ b/internal/taskmsg/taskmsg.go
@@ -25,8 +25,11 @@
 	SpreadRacks bool   `cbor:"3,keyasint,omitempty"`
 	LeaseMS     int64  `cbor:"4,keyasint"`
 	Priority    int64  `cbor:"5,keyasint,omitempty"`
-	// LearnedSize, when not zero, is the size to pack by instead of the declared one.
+	// LearnedSize is what tasks of the branch were observed to need; zero when
+	// too few were. The books count the larger of it and the declared size.
 	LearnedSize spec.Resources `cbor:"6,keyasint,omitempty"`
+	// MinReplicas is the number of a service's replicas that preemption leaves.
+	MinReplicas int64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Shape is what all tasks of one request share.
@@ -46,6 +49,9 @@
 type Slot struct {
 	Index   int `cbor:"1,keyasint"`
 	Attempt int `cbor:"2,keyasint"`
+	// Spared is true when the task's previous attempt was preempted; this one
+	// is then not chosen as a victim.
+	Spared bool `cbor:"3,keyasint,omitempty"`
 }
 
 // PlaceRequest asks a holder to start tasks on its own workers.
