--- /dev/null
+++ b/internal/dispatch/dispatcher.go
@@ -0,0 +1,174 @@
+// Package dispatch sends requests to executors. A placer counts the slots of
+// the executors in the partitions it holds, queues what finds no free one, and
+// asks other holders when they have room.
+//
+// A slot is busy from the moment a request may leave until its answer is
+// whole. Where the connection fails after that, the executor may still work:
+// the slot stays busy until the deadline that the executor was told.
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"pulleyquay/internal/dispatch/queue"
+	"pulleyquay/internal/executor"
+	"pulleyquay/internal/hold"
+	"pulleyquay/internal/peer"
+	"pulleyquay/internal/platform"
+	"pulleyquay/internal/settings"
+)
+
+// Remote is what another holder last told of its executors of one service.
+type Remote struct {
+	Name string
+	Addr string
+	Zone string
+	// Free is the number of free slots; it is a hint, never a right.
+	Free int
+}
+
+// Config is what a Dispatcher needs of the rest of the process.
+type Config struct {
+	// Hosts returns the last known host list.
+	Hosts func() []platform.Host
+	// Settings returns a service's effective values; false: no such service.
+	Settings func(service string) (settings.Values, bool)
+	// Remotes returns other holders' free slots for a service.
+	Remotes func(service string) []Remote
+	Right   hold.Right
+	Client  executor.Client
+	Peers   peer.Caller
+	// Zone is this process's availability zone.
+	Zone string
+	// Partitions is the number of partitions in the cell.
+	Partitions int
+	Log        *logrus.Entry
+	Metrics    prometheus.Registerer
+}
+
+// Dispatcher is the hold.Resident of executors.
+type Dispatcher struct {
+	cfg     Config
+	metrics *metrics
+
+	mu    sync.Mutex
+	pools map[string]*pool
+	parts map[int]*heldPartition
+}
+
+// Work is one request to send. Its Deadline is on this process's clock.
+type Work struct {
+	Service    string
+	Caller     string
+	Deadline   time.Time
+	Idempotent bool
+	Request    executor.Request
+	// Begin, when set, is called right before a byte may be sent. When it
+	// returns false the request was cancelled and must not be sent.
+	Begin func() bool
+	// Unsent, when set, is called when after Begin nothing was sent after all.
+	Unsent func()
+}
+
+// New returns a Dispatcher that holds no executors yet.
+func New(cfg Config) *Dispatcher {
+	return &Dispatcher{
+		cfg:     cfg,
+		metrics: newMetrics(cfg.Metrics),
+		pools:   map[string]*pool{},
+		parts:   map[int]*heldPartition{},
+	}
+}
+
+// refreshEvery is how often the host list is applied. With the list's own lag
+// it has to stay under the 3 s within which a leaving host gets nothing new.
+const refreshEvery = 250 * time.Millisecond
+
+// offloadEvery is how often queued requests are offered to other holders.
+const offloadEvery = 10 * time.Millisecond
+
+// Run applies the host list and offers queued requests to other holders until
+// ctx ends.
+func (d *Dispatcher) Run(ctx context.Context) {
+	refresh := time.NewTicker(refreshEvery)
+	defer refresh.Stop()
+	offload := time.NewTicker(offloadEvery)
+	defer offload.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-refresh.C:
+			d.Refresh()
+		case <-offload.C:
+			d.offload()
+		}
+	}
+}
+
+// Refresh applies the host list now.
+func (d *Dispatcher) Refresh() {
+	hosts := d.cfg.Hosts()
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.applyHosts(hosts, now)
+	for _, p := range d.pools {
+		d.pump(p, now)
+	}
+}
+
+// offload hands queued requests to other holders with free slots.
+func (d *Dispatcher) offload() {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, p := range d.pools {
+		if p.queue.Len() > 0 {
+			d.pumpRemote(p, now)
+		}
+	}
+}
+
+// pool returns the pool of a service, made on first use.
+func (d *Dispatcher) pool(service string, values settings.Values) *pool {
+	p := d.pools[service]
+	if p == nil {
+		p = newPool(service)
+		d.pools[service] = p
+	}
+	p.queue.SetLimit(int(values.Request.QueueLimit))
+	return p
+}
+
+// Free returns the free slots of the executors held here, by service, for the
+// heartbeat's capacity hint.
+func (d *Dispatcher) Free() map[string]int {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	free := make(map[string]int, len(d.pools))
+	for name, p := range d.pools {
+		n := -p.queue.Len()
+		for _, e := range p.endpoints {
+			n += e.free(now)
+		}
+		free[name] = max(n, 0)
+	}
+	return free
+}
+
+// newPool returns an empty pool with the discipline that measured best.
+func newPool(service string) *pool {
+	return &pool{
+		service:   service,
+		endpoints: map[string]*endpoint{},
+		queue:     queue.New[chan<- grant](0, queue.FIFO),
+		forwards:  map[string]int{},
+	}
+}
--- /dev/null
+++ b/internal/dispatch/pool.go
@@ -0,0 +1,221 @@
+package dispatch
+
+import (
+	"time"
+
+	"pulleyquay/internal/dispatch/queue"
+	"pulleyquay/internal/partition"
+	"pulleyquay/internal/platform"
+	"pulleyquay/internal/result"
+)
+
+// grant is leave to send one request: to an executor's slot held here, to
+// another holder, or nowhere when err says why.
+type grant struct {
+	endpoint *endpoint
+	remote   *Remote
+	err      *result.Error
+}
+
+// pool is the executors held here and the waiting requests of one service.
+type pool struct {
+	service   string
+	endpoints map[string]*endpoint
+	queue     *queue.Queue[chan<- grant]
+	// forwards counts requests under way to each other holder.
+	forwards map[string]int
+	// meanTime is the moving mean of a request's time at an executor.
+	meanTime time.Duration
+	budget   retryBudget
+}
+
+// endpoint is one executor in a held partition.
+type endpoint struct {
+	host      platform.Host
+	partition int
+	// held is the holding that usableAt was worked out for.
+	held  *heldPartition
+	slots int
+	busy  int
+	// usableAt is when a previous holder's last dispatch has surely ended.
+	usableAt time.Time
+	listed   bool
+	// signedLeaving is the executor's own word that it wants nothing new.
+	signedLeaving bool
+	// blocked is set when the right to the partition was found lapsed.
+	blocked bool
+}
+
+// usable tells whether new requests may go to the endpoint.
+func (e *endpoint) usable(now time.Time) bool {
+	return e.listed && !e.host.Leaving && !e.signedLeaving && !e.blocked && !now.Before(e.usableAt)
+}
+
+// free is the number of slots that a new request may take.
+func (e *endpoint) free(now time.Time) int {
+	if !e.usable(now) {
+		return 0
+	}
+	return max(e.slots-e.busy, 0)
+}
+
+// applyHosts brings the pools in line with the host list and the partitions
+// held. Endpoints with requests in flight stay until these have ended.
+func (d *Dispatcher) applyHosts(hosts []platform.Host, now time.Time) {
+	for _, p := range d.pools {
+		for _, e := range p.endpoints {
+			e.listed = false
+			e.blocked = false
+		}
+	}
+	for _, h := range hosts {
+		if h.Role == platform.RoleExecutor {
+			d.applyHost(h)
+		}
+	}
+	for _, p := range d.pools {
+		for name, e := range p.endpoints {
+			if !e.listed && e.busy == 0 && !now.Before(e.usableAt) {
+				delete(p.endpoints, name)
+			}
+		}
+	}
+}
+
+// applyHost adds or updates one executor when its partition is held here.
+func (d *Dispatcher) applyHost(h platform.Host) {
+	id := partition.OfExecutor(h.Name, d.cfg.Partitions)
+	part := d.parts[id]
+	if part == nil || part.releasing {
+		return
+	}
+	values, ok := d.cfg.Settings(h.Service)
+	if !ok {
+		return
+	}
+	p := d.pool(h.Service, values)
+	e := p.endpoints[h.Name]
+	if e == nil {
+		e = &endpoint{partition: id}
+		p.endpoints[h.Name] = e
+	}
+	if e.held != part {
+		e.held = part
+		e.usableAt = part.usableAt(h.Name, values)
+	}
+	if e.host.Addr != h.Addr {
+		e.signedLeaving = false // another process under the same name
+	}
+	e.host = h
+	e.listed = true
+	e.slots = int(min(values.Executor.Slots, values.Executor.Connections))
+}
+
+// pick returns the endpoint for the next request, or nil: own zone first, then
+// the least busy share of its slots.
+func (d *Dispatcher) pick(p *pool, now time.Time) *endpoint {
+	for {
+		best := d.leastLoaded(p, now)
+		if best == nil {
+			return nil
+		}
+		if _, err := d.cfg.Right.Check(best.partition); err == nil {
+			return best
+		}
+		best.blocked = true
+	}
+}
+
+func (d *Dispatcher) leastLoaded(p *pool, now time.Time) *endpoint {
+	var best *endpoint
+	for _, e := range p.endpoints {
+		if e.free(now) > 0 && (best == nil || d.before(e, best)) {
+			best = e
+		}
+	}
+	return best
+}
+
+// before orders endpoints with free slots.
+func (d *Dispatcher) before(a, b *endpoint) bool {
+	ownA, ownB := a.host.Zone == d.cfg.Zone, b.host.Zone == d.cfg.Zone
+	if ownA != ownB {
+		return ownA
+	}
+	loadA, loadB := a.busy*b.slots, b.busy*a.slots
+	if loadA != loadB {
+		return loadA < loadB
+	}
+	return a.host.Name < b.host.Name
+}
+
+// pickRemote returns another holder with free slots, or nil.
+func (d *Dispatcher) pickRemote(p *pool) *Remote {
+	var best *Remote
+	for _, r := range d.cfg.Remotes(p.service) {
+		r.Free -= p.forwards[r.Name]
+		if r.Free > 0 && (best == nil || r.Free > best.Free) {
+			best = &r
+		}
+	}
+	return best
+}
+
+// pump gives free slots to waiting requests. The caller holds the lock.
+func (d *Dispatcher) pump(p *pool, now time.Time) {
+	for p.queue.Len() > 0 {
+		e := d.pick(p, now)
+		if e == nil {
+			return
+		}
+		it := d.popItem(p, now)
+		if it == nil {
+			return
+		}
+		e.busy++
+		it.Value <- grant{endpoint: e}
+	}
+}
+
+// pumpRemote gives other holders' free slots to waiting requests.
+func (d *Dispatcher) pumpRemote(p *pool, now time.Time) {
+	for p.queue.Len() > 0 {
+		r := d.pickRemote(p)
+		if r == nil {
+			return
+		}
+		it := d.popItem(p, now)
+		if it == nil {
+			return
+		}
+		p.forwards[r.Name]++
+		it.Value <- grant{remote: r}
+	}
+}
+
+// popItem takes the next request that can still make its deadline and answers
+// those that can not.
+func (d *Dispatcher) popItem(p *pool, now time.Time) *queue.Item[chan<- grant] {
+	it, late := p.queue.Pop(now)
+	for _, l := range late {
+		l.Value <- grant{err: deadlineQueued(p)}
+	}
+	return it
+}
+
+// release frees a slot and passes it on.
+func (d *Dispatcher) release(p *pool, e *endpoint) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e.busy--
+	d.pump(p, time.Now())
+}
+
+// releaseRemote ends a forward to another holder.
+func (d *Dispatcher) releaseRemote(p *pool, r *Remote) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if p.forwards[r.Name]--; p.forwards[r.Name] <= 0 {
+		delete(p.forwards, r.Name)
+	}
+}
--- /dev/null
+++ b/internal/dispatch/queue/queue.go
@@ -0,0 +1,172 @@
+// Package queue is a bounded, deadline-aware queue that is shared fairly among
+// callers. It does no I/O and reads no clock, so that the same code runs in the
+// placer and in the comparison of disciplines.
+package queue
+
+import (
+	"container/heap"
+	"time"
+)
+
+// Item is one waiting request. Its zero Value is up to the user.
+type Item[T any] struct {
+	Caller   string
+	Arrived  time.Time
+	Deadline time.Time
+	Value    T
+
+	seq   uint64
+	index int // place in the caller's heap, or notQueued
+	owner *share[T]
+}
+
+const notQueued = -1
+
+// Queued tells whether the item waits in a queue now.
+func (it *Item[T]) Queued() bool { return it.owner != nil }
+
+// Verdict is what a push came to.
+type Verdict int
+
+// The verdicts of Push.
+const (
+	Accepted Verdict = iota
+	// Full: the queue is full and the caller's share is no smaller than others'.
+	Full
+	// OverShare: the queue is full and this caller has the largest share.
+	OverShare
+)
+
+// Queue holds the waiting requests of one service. It is not safe for
+// concurrent use.
+type Queue[T any] struct {
+	limit  int
+	order  Discipline
+	shares map[string]*share[T]
+	ring   []*share[T] // callers with waiting requests, in turn
+	next   int
+	size   int
+	seq    uint64
+}
+
+// New returns an empty queue of at most limit items.
+func New[T any](limit int, order Discipline) *Queue[T] {
+	return &Queue[T]{limit: limit, order: order, shares: map[string]*share[T]{}}
+}
+
+// Len is the number of waiting items.
+func (q *Queue[T]) Len() int { return q.size }
+
+// Callers is the number of callers with waiting items.
+func (q *Queue[T]) Callers() int { return len(q.ring) }
+
+// SetLimit changes the bound. Items already waiting stay.
+func (q *Queue[T]) SetLimit(limit int) { q.limit = limit }
+
+// Push adds an item. When the queue is full, a caller with a smaller share
+// displaces the last item of the caller with the largest; that item is
+// returned and is the user's to answer.
+func (q *Queue[T]) Push(it *Item[T]) (Verdict, *Item[T]) {
+	var displaced *Item[T]
+	if q.size >= q.limit {
+		largest := q.largest()
+		if largest == nil {
+			return Full, nil
+		}
+		own := q.shares[it.Caller]
+		if own == largest && len(q.ring) > 1 {
+			return OverShare, nil
+		}
+		if own.len()+1 >= largest.len() {
+			return Full, nil
+		}
+		displaced = largest.last()
+		q.Remove(displaced)
+	}
+	q.add(it)
+	return Accepted, displaced
+}
+
+// Restore puts back an item that was popped but could not be started. It keeps
+// its place and may exceed the limit by what was popped.
+func (q *Queue[T]) Restore(it *Item[T]) { q.insert(it) }
+
+// Pop takes the next item whose deadline is after earliest. Items that can not
+// make it are removed and returned in late.
+func (q *Queue[T]) Pop(earliest time.Time) (it *Item[T], late []*Item[T]) {
+	for q.size > 0 {
+		if q.next >= len(q.ring) {
+			q.next = 0
+		}
+		owner := q.ring[q.next]
+		it = owner.first(q.size*2 > q.limit)
+		q.Remove(it)
+		if it.Deadline.After(earliest) {
+			q.advance(owner)
+			return it, late
+		}
+		late = append(late, it)
+	}
+	return nil, late
+}
+
+// Remove takes an item out; it reports false when the item was not waiting.
+func (q *Queue[T]) Remove(it *Item[T]) bool {
+	owner := it.owner
+	if owner == nil {
+		return false
+	}
+	heap.Remove(owner, it.index)
+	it.owner = nil
+	q.size--
+	if owner.len() == 0 {
+		q.dropShare(owner)
+	}
+	return true
+}
+
+// advance gives the turn to the caller after owner, which may have left.
+func (q *Queue[T]) advance(owner *share[T]) {
+	if q.next < len(q.ring) && q.ring[q.next] == owner {
+		q.next++
+	}
+}
+
+func (q *Queue[T]) add(it *Item[T]) {
+	q.seq++
+	it.seq = q.seq
+	q.insert(it)
+}
+
+func (q *Queue[T]) insert(it *Item[T]) {
+	owner := q.shares[it.Caller]
+	if owner == nil {
+		owner = &share[T]{caller: it.Caller, order: q.order, place: len(q.ring)}
+		q.shares[it.Caller] = owner
+		q.ring = append(q.ring, owner)
+	}
+	it.owner = owner
+	heap.Push(owner, it)
+	q.size++
+}
+
+// dropShare removes an empty share from the ring; the last one takes its place.
+func (q *Queue[T]) dropShare(s *share[T]) {
+	delete(q.shares, s.caller)
+	end := len(q.ring) - 1
+	moved := q.ring[end]
+	q.ring[s.place] = moved
+	moved.place = s.place
+	q.ring[end] = nil
+	q.ring = q.ring[:end]
+}
+
+func (q *Queue[T]) largest() *share[T] {
+	var most *share[T]
+	for _, s := range q.ring {
+		if most == nil || s.len() > most.len() {
+			most = s
+		}
+	}
+	return most
+}
--- /dev/null
+++ b/internal/dispatch/resident.go
@@ -0,0 +1,162 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"pulleyquay/internal/hold"
+	"pulleyquay/internal/result"
+	"pulleyquay/internal/settings"
+)
+
+// heldPartition is a partition whose executors are used from here.
+type heldPartition struct {
+	takenAt time.Time
+	// unordered: the previous holder may still have requests in flight.
+	unordered bool
+	// busyUntil names executors with slots that a signed-off holder could not
+	// free, and how much longer they may be busy.
+	busyUntil map[string]time.Time
+	releasing bool
+}
+
+// usableAt is when an executor of the partition may get its first request.
+func (h *heldPartition) usableAt(name string, values settings.Values) time.Time {
+	if h.unordered {
+		return h.takenAt.Add(maxDeadline(values))
+	}
+	return h.busyUntil[name]
+}
+
+// handOver is the state passed to the next holder.
+type handOver struct {
+	// Busy gives, by executor, how long a slot may still be busy.
+	Busy map[string]time.Duration `cbor:"1,keyasint"`
+}
+
+// Name implements hold.Resident.
+func (d *Dispatcher) Name() string { return "executors" }
+
+// Acquire implements hold.Resident. It returns at once; executors whose
+// previous holder did not sign off are used after its longest dispatch.
+func (d *Dispatcher) Acquire(_ context.Context, t hold.Takeover) error {
+	now := time.Now()
+	part := &heldPartition{takenAt: now, unordered: !t.Fresh && !t.SignedOff}
+	if t.SignedOff {
+		var state handOver
+		if err := cbor.Unmarshal(t.State, &state); err != nil {
+			part.unordered = true
+		}
+		part.busyUntil = make(map[string]time.Time, len(state.Busy))
+		for name, left := range state.Busy {
+			part.busyUntil[name] = now.Add(left)
+		}
+	}
+	d.mu.Lock()
+	d.parts[t.Partition] = part
+	d.mu.Unlock()
+	d.Refresh()
+	return nil
+}
+
+// releasePoll is how often a release looks whether its executors are idle.
+const releasePoll = 5 * time.Millisecond
+
+// Release implements hold.Resident. It waits until the partition's executors
+// are idle; when ctx ends first, the state tells how long they may be busy.
+func (d *Dispatcher) Release(ctx context.Context, partition int) ([]byte, error) {
+	d.mu.Lock()
+	part := d.parts[partition]
+	if part == nil {
+		d.mu.Unlock()
+		return nil, result.New(result.HomeMoved, result.RanNo, "partition %d is not held here", partition)
+	}
+	part.releasing = true
+	d.setUnlisted(partition)
+	d.mu.Unlock()
+	tick := time.NewTicker(releasePoll)
+	defer tick.Stop()
+	for d.inFlight(partition) > 0 {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return d.packAndForget(partition)
+		}
+	}
+	return d.packAndForget(partition)
+}
+
+// Drop implements hold.Resident.
+func (d *Dispatcher) Drop(partition int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.setUnlisted(partition)
+	delete(d.parts, partition)
+	d.forgetIdle(partition)
+}
+
+// setUnlisted stops new requests to a partition's executors.
+func (d *Dispatcher) setUnlisted(partition int) {
+	for _, p := range d.pools {
+		for _, e := range p.endpoints {
+			if e.partition == partition {
+				e.listed = false
+			}
+		}
+	}
+}
+
+// inFlight counts the busy slots of a partition.
+func (d *Dispatcher) inFlight(partition int) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := 0
+	for _, p := range d.pools {
+		for _, e := range p.endpoints {
+			if e.partition == partition {
+				n += e.busy
+			}
+		}
+	}
+	return n
+}
+
+// packAndForget returns the state for the next holder and lets go.
+func (d *Dispatcher) packAndForget(partition int) ([]byte, error) {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	state := handOver{Busy: map[string]time.Duration{}}
+	for service, p := range d.pools {
+		values, _ := d.cfg.Settings(service)
+		for name, e := range p.endpoints {
+			if e.partition != partition {
+				continue
+			}
+			left := e.usableAt.Sub(now)
+			if e.busy > 0 {
+				left = max(left, maxDeadline(values))
+			}
+			if left > 0 {
+				state.Busy[name] = left
+			}
+		}
+	}
+	delete(d.parts, partition)
+	d.forgetIdle(partition)
+	return cbor.Marshal(state)
+}
+
+// forgetIdle removes a partition's idle endpoints; busy ones go when a refresh
+// finds them idle.
+func (d *Dispatcher) forgetIdle(partition int) {
+	for _, p := range d.pools {
+		for name, e := range p.endpoints {
+			if e.partition == partition && e.busy == 0 {
+				delete(p.endpoints, name)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/dispatch/send.go
@@ -0,0 +1,219 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"pulleyquay/internal/executor"
+	"pulleyquay/internal/peer"
+	"pulleyquay/internal/requestmsg"
+	"pulleyquay/internal/result"
+	"pulleyquay/internal/settings"
+)
+
+// TimeoutHeader carries a deadline in milliseconds from now: from callers to
+// entries, and to executors what is left of it.
+const TimeoutHeader = "Request-Timeout-Ms"
+
+// maxAttempts bounds how often one request is tried, whatever its kind.
+const maxAttempts = 3
+
+// Do sends a request to an executor and returns its answer or a *result.Error.
+// While the request waits, the end of ctx cancels it. Once it has been sent,
+// Do returns when the executor has answered or failed, or when the service's
+// longest deadline is over, whatever becomes of ctx: the answer is then known
+// for the caller's retry.
+func (d *Dispatcher) Do(ctx context.Context, w Work) (executor.Answer, error) {
+	values, ok := d.cfg.Settings(w.Service)
+	if !ok {
+		return executor.Answer{}, result.New(result.UnknownService, result.RanNo, "service %q", w.Service)
+	}
+	d.mu.Lock()
+	p := d.pool(w.Service, values)
+	p.budget.earn(values.Request.RetryBudgetPercent)
+	d.mu.Unlock()
+	return d.attempts(ctx, p, w, values)
+}
+
+// attempts repeats a request while it may be repeated.
+func (d *Dispatcher) attempts(ctx context.Context, p *pool, w Work, values settings.Values) (executor.Answer, error) {
+	ran := result.RanNo
+	for attempt := 1; ; attempt++ {
+		g, err := d.acquire(ctx, p, w)
+		if err != nil {
+			return executor.Answer{}, withRan(err, ran)
+		}
+		if w.Begin != nil && !w.Begin() {
+			d.giveBack(p, g)
+			return executor.Answer{}, withRan(callerGone(), ran)
+		}
+		answer, err := d.send(p, g, w, values)
+		if err == nil {
+			return answer, nil
+		}
+		if err.Ran != result.RanNo {
+			ran = result.RanUnknown
+		} else if ran == result.RanNo && w.Unsent != nil {
+			w.Unsent()
+		}
+		if !d.again(ctx, p, w, err, attempt) {
+			return executor.Answer{}, withRan(err, ran)
+		}
+	}
+}
+
+// withRan weakens a promise that an earlier attempt has broken.
+func withRan(err *result.Error, ran result.Ran) *result.Error {
+	if ran == result.RanNo || err.Ran == result.RanYes {
+		return err
+	}
+	weaker := *err
+	weaker.Ran = ran
+	return &weaker
+}
+
+// again decides about another attempt and waits the jitter before it.
+func (d *Dispatcher) again(ctx context.Context, p *pool, w Work, err *result.Error, attempt int) bool {
+	if err.Code == result.NoFreeSlot {
+		return ctx.Err() == nil // only the hint was wrong
+	}
+	if attempt >= maxAttempts || (err.Ran != result.RanNo && !w.Idempotent) {
+		return false
+	}
+	d.mu.Lock()
+	allowed := p.budget.spend()
+	d.mu.Unlock()
+	return allowed && sleepJitter(ctx, attempt)
+}
+
+// send uses a grant.
+func (d *Dispatcher) send(p *pool, g grant, w Work, values settings.Values) (executor.Answer, *result.Error) {
+	if g.remote != nil {
+		return d.forward(p, g.remote, w, values)
+	}
+	return d.call(p, g.endpoint, w, values)
+}
+
+// call sends the request to an executor held here and frees its slot when the
+// executor has surely ended the work.
+func (d *Dispatcher) call(p *pool, e *endpoint, w Work, values settings.Values) (executor.Answer, *result.Error) {
+	ctx, cancel := context.WithTimeout(context.Background(), maxDeadline(values))
+	defer cancel()
+	req := withTimeout(w)
+	if _, err := d.cfg.Right.Check(e.partition); err != nil {
+		d.block(p, e)
+		return executor.Answer{}, result.New(result.NoFreeSlot, result.RanNo, "%v", err)
+	}
+	start := time.Now()
+	answer, err := d.cfg.Client.Do(ctx, e.host.Addr, req, values.Request.MaxAnswerBytes)
+	d.record(p, e, answer, err, time.Since(start))
+	if err == nil {
+		d.release(p, e)
+		return answer, nil
+	}
+	var failure *executor.Failure
+	if errors.As(err, &failure) && !failure.Sent {
+		d.release(p, e)
+		return executor.Answer{}, result.New(result.ExecutorNotReached, result.RanNo, "%s: %v", e.host.Name, failure.Err)
+	}
+	time.AfterFunc(time.Until(w.Deadline), func() { d.release(p, e) })
+	if ctx.Err() != nil {
+		return executor.Answer{}, result.New(result.DeadlineRunning, result.RanUnknown, "%s did not answer", e.host.Name)
+	}
+	return executor.Answer{}, result.New(result.ExecutorLost, result.RanUnknown, "%s: %v", e.host.Name, err)
+}
+
+// block takes an endpoint out of use until the next refresh.
+func (d *Dispatcher) block(p *pool, e *endpoint) {
+	d.mu.Lock()
+	e.blocked = true
+	d.mu.Unlock()
+	d.release(p, e)
+}
+
+// meanWeight is the weight of the newest time in the moving mean, as 1/n.
+const meanWeight = 16
+
+// record learns from an executor's answer.
+func (d *Dispatcher) record(p *pool, e *endpoint, answer executor.Answer, err error, took time.Duration) {
+	d.metrics.dispatched.WithLabelValues(p.service, outcomeLabel(err)).Inc()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if answer.Leaving {
+		e.signedLeaving = true
+	}
+	if err != nil {
+		return
+	}
+	if p.meanTime == 0 {
+		p.meanTime = took
+	}
+	p.meanTime += (took - p.meanTime) / meanWeight
+}
+
+// forward asks another holder to dispatch.
+func (d *Dispatcher) forward(p *pool, r *Remote, w Work, values settings.Values) (executor.Answer, *result.Error) {
+	defer d.releaseRemote(p, r)
+	ctx, cancel := context.WithTimeout(context.Background(), maxDeadline(values))
+	defer cancel()
+	msg := requestmsg.Dispatch{Service: w.Service, Timeout: time.Until(w.Deadline), Request: w.Request}
+	var answer executor.Answer
+	err := d.cfg.Peers.Call(ctx, r.Addr, peer.KindDispatch, msg, &answer)
+	if err == nil {
+		return answer, nil
+	}
+	e := result.From(err)
+	switch e.Code {
+	case result.PeerNotReached:
+		return executor.Answer{}, result.New(result.NoFreeSlot, result.RanNo, "%s: %s", r.Name, e.Detail)
+	case result.PeerLost:
+		return executor.Answer{}, result.New(result.ExecutorLost, result.RanUnknown, "%s: %s", r.Name, e.Detail)
+	}
+	return executor.Answer{}, e
+}
+
+// ServeDispatch answers peer.KindDispatch.
+func (d *Dispatcher) ServeDispatch(_ context.Context, msg requestmsg.Dispatch) (executor.Answer, error) {
+	values, ok := d.cfg.Settings(msg.Service)
+	if !ok {
+		return executor.Answer{}, result.New(result.UnknownService, result.RanNo, "service %q", msg.Service)
+	}
+	now := time.Now()
+	d.mu.Lock()
+	p := d.pool(msg.Service, values)
+	e := (*endpoint)(nil)
+	if p.queue.Len() == 0 {
+		e = d.pick(p, now)
+	}
+	if e == nil {
+		d.mu.Unlock()
+		return executor.Answer{}, result.New(result.NoFreeSlot, result.RanNo, "no free slot for %s", msg.Service)
+	}
+	e.busy++
+	d.mu.Unlock()
+	w := Work{Service: msg.Service, Deadline: now.Add(msg.Timeout), Request: msg.Request}
+	answer, err := d.call(p, e, w, values)
+	if err != nil {
+		return executor.Answer{}, err
+	}
+	return answer, nil
+}
+
+// withTimeout returns the request with what is left of its deadline.
+func withTimeout(w Work) executor.Request {
+	req := w.Request
+	header := make(http.Header, len(req.Header)+1)
+	for name, values := range req.Header {
+		header[name] = values
+	}
+	header.Set(TimeoutHeader, strconv.FormatInt(max(time.Until(w.Deadline).Milliseconds(), 1), 10))
+	req.Header = header
+	return req
+}
+
+func maxDeadline(v settings.Values) time.Duration {
+	return time.Duration(v.Request.MaxDeadlineMS) * time.Millisecond
+}
