--- /dev/null
+++ b/internal/jobmsg/jobmsg.go
@@ -0,0 +1,131 @@
+// Package jobmsg holds the messages between the entries and the homes of jobs.
+package jobmsg
+
+import "pulleyquay/internal/spec"
+
+// State is the state of a job as callers see it.
+type State string
+
+// The states of a job. Finished, Failed and Cancelled are final.
+const (
+	StateWaiting   State = "waiting" // accepted, nothing of it runs
+	StateRunning   State = "running" // at least one task runs
+	StateStopping  State = "stopping"
+	StateFinished  State = "finished"
+	StateFailed    State = "failed"
+	StateCancelled State = "cancelled"
+)
+
+// Final reports whether nothing of the job will run any more.
+func (s State) Final() bool {
+	return s == StateFinished || s == StateFailed || s == StateCancelled
+}
+
+// SubmitRequest asks the home of the job's team to accept it.
+type SubmitRequest struct {
+	Job spec.Job `cbor:"1,keyasint"`
+}
+
+// Counts tells how many tasks of a job are in which state.
+type Counts struct {
+	Waiting  int `cbor:"1,keyasint,omitempty" json:"waiting"`
+	Starting int `cbor:"2,keyasint,omitempty" json:"starting"` // ordered, outcome not yet known
+	Running  int `cbor:"3,keyasint,omitempty" json:"running"`
+	Stopping int `cbor:"4,keyasint,omitempty" json:"stopping"`
+	Finished int `cbor:"5,keyasint,omitempty" json:"finished"`
+	// Failures counts attempts that ended with an exit code other than zero.
+	Failures int `cbor:"6,keyasint,omitempty" json:"failures"`
+}
+
+// Status is a job as callers see it.
+type Status struct {
+	Job    spec.Job `cbor:"1,keyasint" json:"job"`
+	State  State    `cbor:"2,keyasint" json:"state"`
+	Counts Counts   `cbor:"3,keyasint" json:"tasks"`
+	// Reason tells why the job ended as it did, or what it waits for.
+	Reason string `cbor:"4,keyasint,omitempty" json:"reason,omitempty"`
+	// Code is the result code that goes with Reason; zero when there is none.
+	Code int `cbor:"5,keyasint,omitempty" json:"code,omitempty"`
+	// SubmittedUnixMilli is when the home accepted the job.
+	SubmittedUnixMilli int64 `cbor:"6,keyasint" json:"submitted_unix_ms"`
+	// Recorded is true once the state shown is in the platform's store.
+	Recorded bool `cbor:"7,keyasint" json:"recorded"`
+	// Partition and Epoch name the home that answered.
+	Partition int    `cbor:"8,keyasint" json:"partition"`
+	Epoch     uint64 `cbor:"9,keyasint" json:"epoch"`
+}
+
+// GetRequest asks for one job. A process answers for all homes it holds, so the
+// team may be left out by asking every holder.
+type GetRequest struct {
+	ID      string `cbor:"1,keyasint"`
+	Explain bool   `cbor:"2,keyasint,omitempty"`
+}
+
+// GetReply is the job, with its explanation when asked for.
+type GetReply struct {
+	Status  Status       `cbor:"1,keyasint"`
+	Explain *Explanation `cbor:"2,keyasint,omitempty"`
+}
+
+// ListRequest asks a process for the jobs of its homes.
+type ListRequest struct {
+	// Team restricts the list; empty lists all teams.
+	Team string `cbor:"1,keyasint,omitempty"`
+	// After is the last identifier of the previous page.
+	After string `cbor:"2,keyasint,omitempty"`
+	// Limit is the most jobs to return; zero takes DefaultListLimit.
+	Limit int `cbor:"3,keyasint,omitempty"`
+}
+
+// The limits of a list's page.
+const (
+	DefaultListLimit = 100
+	MaxListLimit     = 1000
+)
+
+// ListReply is one page, in ascending order of identifiers.
+type ListReply struct {
+	Jobs []Status `cbor:"1,keyasint"`
+	More bool     `cbor:"2,keyasint,omitempty"`
+}
+
+// CancelRequest ends a job.
+type CancelRequest struct {
+	ID string `cbor:"1,keyasint"`
+}
+
+// Site is where tasks of a job run.
+type Site struct {
+	Worker    string `cbor:"1,keyasint" json:"worker"`
+	Zone      string `cbor:"2,keyasint" json:"zone"`
+	Partition int    `cbor:"3,keyasint" json:"partition"`
+	Tasks     []int  `cbor:"4,keyasint" json:"tasks"`
+}
+
+// Decision is one entry of the home's record of what it decided about a job.
+type Decision struct {
+	UnixMilli int64  `cbor:"1,keyasint" json:"unix_ms"`
+	What      string `cbor:"2,keyasint" json:"what"`
+	Why       string `cbor:"3,keyasint" json:"why"`
+	// Times counts how often the same decision came in a row.
+	Times int `cbor:"4,keyasint" json:"times"`
+}
+
+// Wait is one thing that a job waits for.
+type Wait struct {
+	Tasks  int    `cbor:"1,keyasint" json:"tasks"`
+	For    string `cbor:"2,keyasint" json:"for"`
+	Freed  string `cbor:"3,keyasint,omitempty" json:"freed_by,omitempty"`
+	Holder string `cbor:"4,keyasint,omitempty" json:"holder,omitempty"`
+	// ByRule counts the workers that each rule of the holder's decision refused.
+	ByRule map[string]int `cbor:"5,keyasint,omitempty" json:"refused_by_rule,omitempty"`
+}
+
+// Explanation tells why a job runs where it does, or what it waits for and what
+// would free it, from the home's own record.
+type Explanation struct {
+	Sites     []Site     `cbor:"1,keyasint" json:"sites"`
+	Waits     []Wait     `cbor:"2,keyasint" json:"waits"`
+	Decisions []Decision `cbor:"3,keyasint" json:"decisions"`
+}
