--- /dev/null
+++ b/internal/fleet/agent.go
@@ -0,0 +1,167 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"pulleyquay/internal/platform"
+	"pulleyquay/internal/scheduler"
+	"pulleyquay/internal/spec"
+	"pulleyquay/internal/taskmsg"
+	"pulleyquay/internal/worker"
+)
+
+// agent is one worker of one held partition at one epoch. A partition that
+// changes hands and comes back gets new agents.
+type agent struct {
+	name  string
+	addr  string
+	part  *part
+	claim string // state of the claim machine
+	info  worker.Info
+	// listed is true while the host list shows the worker.
+	listed  bool
+	leaving bool
+	// gone is set when the partition is dropped or the worker forgotten: the
+	// call in flight must not touch the books any more.
+	gone bool
+	// busy is true while a goroutine drives this agent; pausing while no new
+	// call may start.
+	busy    bool
+	retryAt time.Time
+	backoff backoff.ExponentialBackOff
+	clock   anchor
+	renewAt time.Time
+	// restarted is true after the worker said that it was not claimed since
+	// its start: nothing sent before can reach it any more.
+	restarted bool
+	// mayRunUntil bounds the end of every lease on the worker: past it, with
+	// the right still held, nothing ordered so far can run.
+	mayRunUntil time.Time
+	// lostUntil is the part of mayRunUntil due to orders without an answer.
+	lostUntil time.Time
+	runs      map[worker.Attempt]*run
+	starts    []*run
+	stops     map[worker.Attempt]worker.StopMode
+	acks      map[worker.Attempt]struct{}
+	usage     spec.Resources
+	running   int
+}
+
+// runState is where a run stands for its holder.
+type runState uint8
+
+const (
+	runQueued  runState = iota // booked, not in any order yet
+	runSent                    // in the order in flight
+	runUnknown                 // its order was lost
+	runRunning
+	runEnded // over; the home has not acknowledged yet
+	runAcked // acknowledged; the worker still has to forget it
+)
+
+var runStateNames = [...]string{"queued", "sent", "unknown", "running", "ended", "acked"}
+
+func (s runState) String() string { return runStateNames[s] }
+
+// run is one attempt at one task on a worker of this holder.
+type run struct {
+	id    worker.Attempt
+	agent *agent
+	home  int
+	state runState
+	// start is kept until the outcome of the start is known.
+	start *worker.Start
+	// expires is when the worker refuses the lost order that held the start.
+	expires worker.Millis
+	// waiters are the calls that wait for the outcome of the start.
+	waiters []*batch
+	// reported is true once a home was or may have been told that the run is
+	// running: if it never started, that home gets news of it.
+	reported bool
+	// preempted is true when it is being stopped to make room.
+	preempted bool
+	// news is the state that the home has still to be told; zero for none.
+	news     taskmsg.RunState
+	exitCode int
+}
+
+func (f *Fleet) newAgent(h platform.Host, p *part, now time.Time) *agent {
+	a := &agent{
+		name: h.Name, addr: h.Addr, part: p, claim: claimNone, listed: true, leaving: h.Leaving,
+		mayRunUntil: p.mayRunUntil, renewAt: now,
+		runs: map[worker.Attempt]*run{}, stops: map[worker.Attempt]worker.StopMode{},
+		acks: map[worker.Attempt]struct{}{},
+		backoff: backoff.ExponentialBackOff{
+			InitialInterval: f.times.retry, Multiplier: backoff.DefaultMultiplier,
+			RandomizationFactor: backoff.DefaultRandomizationFactor, MaxInterval: f.times.retryMax,
+		},
+	}
+	a.backoff.Reset()
+	f.agents[h.Name] = a
+	return a
+}
+
+// status is the agent's status for the scheduler.
+func (a *agent) status() scheduler.Status {
+	switch {
+	case a.claim != claimHeld:
+		return scheduler.StatusUnclaimed
+	case a.leaving || !a.listed:
+		return scheduler.StatusLeaving
+	default:
+		return scheduler.StatusReady
+	}
+}
+
+// setStatus tells the scheduler the agent's status, if it knows the worker.
+func (f *Fleet) setStatus(a *agent) {
+	// The only error is a worker that was never claimed.
+	_ = f.cell.SetStatus(a.name, a.status())
+}
+
+// kick starts a goroutine for the agent if it has something to do and none
+// runs. The caller holds the mutex.
+func (f *Fleet) kick(a *agent, now time.Time) {
+	if a.busy || !f.due(a, now) {
+		return
+	}
+	a.busy = f.spawn(func() { f.drive(a) })
+}
+
+// due reports whether the agent has something to send now.
+func (f *Fleet) due(a *agent, now time.Time) bool {
+	if a.gone || a.part.paused || a.claim == claimOver || now.Before(a.retryAt) {
+		return false
+	}
+	if a.claim != claimHeld {
+		return true
+	}
+	return len(a.starts) > 0 || len(a.stops) > 0 || !now.Before(a.renewAt)
+}
+
+// drive sends to one worker what is due, one message at a time, and ends when
+// nothing is.
+func (f *Fleet) drive(a *agent) {
+	for {
+		f.mu.Lock()
+		if !f.due(a, time.Now()) || f.ctx.Err() != nil {
+			a.busy = false
+			f.mu.Unlock()
+			return
+		}
+		claimed := a.claim == claimHeld
+		f.mu.Unlock()
+		if claimed {
+			f.order(a)
+		} else {
+			f.claimWorker(a)
+		}
+	}
+}
+
+// retryLater makes the agent wait before its next call.
+func (f *Fleet) retryLater(a *agent, now time.Time) {
+	a.retryAt = now.Add(a.backoff.NextBackOff())
+}
--- /dev/null
+++ b/internal/fleet/claim.go
@@ -0,0 +1,125 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"pulleyquay/internal/scheduler"
+	"pulleyquay/internal/taskmsg"
+	"pulleyquay/internal/worker"
+)
+
+// claimWorker fences older holders at the worker and takes in its inventory.
+func (f *Fleet) claimWorker(a *agent) {
+	select {
+	case f.claims <- struct{}{}:
+		defer func() { <-f.claims }()
+	case <-f.ctx.Done():
+		return
+	}
+	ctx, cancel := context.WithTimeout(f.ctx, f.times.call)
+	defer cancel()
+	grant, err := f.cfg.Right.Check(a.part.id)
+	if err != nil || grant.Epoch != a.part.epoch {
+		f.delay(a)
+		return
+	}
+	sent := time.Now()
+	reply, err := f.cfg.Client.Claim(ctx, a.addr, worker.ClaimRequest{
+		Partition: a.part.id, Epoch: a.part.epoch, Holder: f.cfg.Name,
+	})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if a.gone {
+		return
+	}
+	now := time.Now()
+	f.metrics.claims.WithLabelValues(outcomeLabel(err)).Inc()
+	switch {
+	case err == nil:
+		f.applyClaim(a, reply, sent, now)
+	case errors.Is(err, worker.ErrFenced):
+		f.moveClaim(a, eventFenced)
+	default:
+		f.retryLater(a, now)
+	}
+}
+
+// delay makes the agent wait when this process has no right to act.
+func (f *Fleet) delay(a *agent) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.metrics.denied.Inc()
+	f.retryLater(a, time.Now())
+}
+
+// applyClaim takes in an inventory. The worker counts as claimed once no start
+// of a lost order is open any more.
+func (f *Fleet) applyClaim(a *agent, reply worker.ClaimReply, sent, now time.Time) {
+	if a.clock.restarted(reply.Now, sent) {
+		a.restarted = true
+	}
+	a.clock = anchor{reading: reply.Now, at: now}
+	a.info, a.usage = reply.Info, reply.Usage
+	a.info.Name = a.name
+	// The leases in the inventory were renewed before now; older orders that
+	// are still under way are part of lostUntil.
+	a.mayRunUntil = later(a.lostUntil, now.Add(f.times.leaseBound()))
+	f.cell.Upsert(scheduler.Worker{Info: a.info, Addr: a.addr, Partition: a.part.id, Status: a.status()})
+	f.cell.Observe(a.name, a.usage, now)
+	open := f.reconcile(a, reply, now)
+	if open > 0 {
+		f.retryLater(a, now)
+		return
+	}
+	a.restarted = false
+	a.backoff.Reset()
+	a.retryAt, a.renewAt = time.Time{}, now
+	delete(a.part.expected, a.name)
+	f.moveClaim(a, eventClaimed)
+}
+
+// reconcile compares the books with an inventory and returns the number of
+// starts whose outcome is still open: not in the inventory, but in an order
+// that the worker would still accept.
+func (f *Fleet) reconcile(a *agent, reply worker.ClaimReply, now time.Time) int {
+	seen := make(map[worker.Attempt]struct{}, len(reply.Runs))
+	for i := range reply.Runs {
+		r := &reply.Runs[i]
+		seen[worker.Attempt{Task: r.Task, Attempt: r.Attempt}] = struct{}{}
+		f.observeRun(a, r, now)
+	}
+	open := 0
+	for id, r := range a.runs {
+		if _, ok := seen[id]; ok {
+			continue
+		}
+		switch r.state {
+		case runUnknown:
+			if !a.restarted && reply.Now <= r.expires {
+				open++
+				continue
+			}
+			f.endRun(r, taskmsg.RunNever, 0, now)
+		case runRunning:
+			f.endRun(r, taskmsg.RunLost, 0, now)
+		case runAcked:
+			f.forget(r)
+		}
+	}
+	return open
+}
+
+// restarted reports whether a reading, taken after the local time sent, can only
+// come from a worker that has started anew since the anchor.
+func (c anchor) restarted(reading worker.Millis, sent time.Time) bool {
+	return !c.at.IsZero() && reading < c.expiry(sent)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,149 @@
+// Package fleet is the holder's side of the workers: it claims the workers of
+// the partitions this process holds, places tasks on them, renews their leases
+// and tells the homes of the jobs what became of each run.
+//
+// All state is guarded by one mutex; the scheduler decides under it. Messages to
+// workers and homes are sent outside of it, at most one at a time to each, so
+// that whatever gathers meanwhile goes into the next message.
+package fleet
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	lru "github.com/hashicorp/golang-lru/v2"
+	"github.com/looplab/fsm"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"pulleyquay/internal/hold"
+	"pulleyquay/internal/peer"
+	"pulleyquay/internal/platform"
+	"pulleyquay/internal/scheduler"
+	"pulleyquay/internal/view"
+	"pulleyquay/internal/worker"
+)
+
+// Bounds of a fleet.
+const (
+	defaultLease = 15 * time.Second
+	// tombstones is how many stopped but unknown attempts are remembered.
+	tombstones = 1 << 16
+	// claimsAtOnce bounds the claims in flight, so that a takeover of many
+	// workers does not open as many connections at one moment.
+	claimsAtOnce = 64
+)
+
+// Config is what a Fleet needs. Registerer and Log may be nil.
+type Config struct {
+	// Name is this member's name, told to the workers.
+	Name string
+	// Partitions is the number of partitions of the cell.
+	Partitions int
+	// Lease is the term of the runs' leases. It must be the same in all
+	// placers of a cell; zero means 15 s.
+	Lease time.Duration
+	// Hosts returns the latest snapshot of the host list.
+	Hosts      func() []platform.Host
+	Right      hold.Right
+	Client     worker.Client
+	Peers      peer.Caller
+	View       view.Source
+	Registerer prometheus.Registerer
+	Log        *logrus.Entry
+}
+
+// Fleet is a hold.Resident for the workers of the held partitions.
+type Fleet struct {
+	cfg     Config
+	times   times
+	log     *logrus.Entry
+	metrics *metrics
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+	claims  chan struct{} // slots for claims in flight
+
+	mu      sync.Mutex
+	machine *fsm.FSM // shared by all agents; see claimstate.go
+	cell    *scheduler.Cell
+	parts   map[int]*part
+	agents  map[string]*agent
+	runs    map[worker.Attempt]*run
+	homes   map[int]*home
+	tombs   *lru.Cache[worker.Attempt, struct{}]
+}
+
+var _ hold.Resident = (*Fleet)(nil)
+
+// New returns a Fleet that holds nothing. Run has to be running for it to work.
+func New(cfg Config) *Fleet {
+	if cfg.Lease <= 0 {
+		cfg.Lease = defaultLease
+	}
+	log := cfg.Log
+	if log == nil {
+		log = logrus.NewEntry(logrus.StandardLogger())
+	}
+	tombs, err := lru.New[worker.Attempt, struct{}](tombstones)
+	if err != nil {
+		panic(err) // only for a size below one
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Fleet{
+		cfg: cfg, times: timesOf(cfg.Lease), log: log.WithField("part", "fleet"),
+		metrics: newMetrics(cfg.Registerer), ctx: ctx, cancel: cancel,
+		claims: make(chan struct{}, claimsAtOnce), machine: newClaimMachine(),
+		cell: scheduler.NewCell(xxhash.Sum64String(cfg.Name)), parts: map[int]*part{}, agents: map[string]*agent{},
+		runs: map[worker.Attempt]*run{}, homes: map[int]*home{}, tombs: tombs,
+	}
+}
+
+// Name is the resident's name.
+func (f *Fleet) Name() string { return "workers" }
+
+// Run follows the host list, renews leases and repeats what failed until ctx
+// ends; then it ends every call in flight and returns.
+func (f *Fleet) Run(ctx context.Context) {
+	ticker := time.NewTicker(f.times.tick)
+	defer ticker.Stop()
+	defer f.wg.Wait()
+	defer f.cancel()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			f.tick(time.Now())
+		}
+	}
+}
+
+// tick does what is due.
+func (f *Fleet) tick(now time.Time) {
+	f.follow(f.cfg.Hosts(), now)
+	f.declareLost(now)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, a := range f.agents {
+		f.kick(a, now)
+	}
+	for id, h := range f.homes {
+		f.kickNews(id, h, now)
+	}
+}
+
+// spawn runs fn in a goroutine that Run waits for; not after the end of Run.
+func (f *Fleet) spawn(fn func()) bool {
+	if f.ctx.Err() != nil {
+		return false
+	}
+	f.wg.Add(1)
+	go func() {
+		defer f.wg.Done()
+		fn()
+	}()
+	return true
+}
--- /dev/null
+++ b/internal/fleet/resident.go
@@ -0,0 +1,178 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"pulleyquay/internal/hold"
+	"pulleyquay/internal/result"
+	"pulleyquay/internal/taskmsg"
+)
+
+// part is one held partition.
+type part struct {
+	id    int
+	epoch uint64
+	// mayRunUntil bounds every lease that the previous holders renewed.
+	mayRunUntil time.Time
+	// expected are the workers that the previous holder named when it signed
+	// off and that have not answered a claim yet.
+	expected map[string]struct{}
+	// listKnown is true when expected names every worker that can run anything
+	// of the previous holder: the partition is complete once it is empty.
+	listKnown bool
+	// paused is set while the partition is handed over: no new calls.
+	paused bool
+}
+
+// complete reports whether every run that may be on a worker of the partition
+// is in the books.
+func (p *part) complete(now time.Time) bool {
+	return now.After(p.mayRunUntil) || p.listKnown && len(p.expected) == 0
+}
+
+// handOver is the state passed to the next holder in a planned hand-over.
+type handOver struct {
+	// Workers are those that the holder claimed at any time and that may run
+	// something.
+	Workers []string `json:"workers"`
+	// Homes are the highest home epochs seen, by partition.
+	Homes map[int]uint64 `json:"homes"`
+}
+
+// Acquire starts to claim the workers of a partition. It returns at once; the
+// claims go on by themselves until each worker has answered.
+//
+// Every order of a previous holder expired before t was granted, so what those
+// orders renewed is over one lease later, by any worker's clock.
+func (f *Fleet) Acquire(_ context.Context, t hold.Takeover) error {
+	now := time.Now()
+	p := &part{id: t.Partition, epoch: t.Epoch, mayRunUntil: now.Add(f.times.leaseBound()), expected: map[string]struct{}{}}
+	var state handOver
+	if t.SignedOff && json.Unmarshal(t.State, &state) == nil {
+		p.listKnown = true
+		for _, name := range state.Workers {
+			p.expected[name] = struct{}{}
+		}
+	}
+	if t.Fresh {
+		p.listKnown = true
+	}
+	f.mu.Lock()
+	for id, epoch := range state.Homes {
+		h := f.home(id)
+		h.epoch = max(h.epoch, epoch)
+	}
+	f.drop(t.Partition)
+	f.parts[t.Partition] = p
+	f.mu.Unlock()
+	f.follow(f.cfg.Hosts(), now)
+	return nil
+}
+
+// Release ends the work for a partition in order: it waits for the calls in
+// flight and names the workers for the next holder. What runs goes on.
+func (f *Fleet) Release(ctx context.Context, id int) ([]byte, error) {
+	f.mu.Lock()
+	p := f.parts[id]
+	if p == nil {
+		f.mu.Unlock()
+		return nil, result.New(result.NotFound, result.RanNo, "partition %d is not held", id)
+	}
+	p.paused = true
+	f.mu.Unlock()
+	err := f.idle(ctx, p)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	state := f.pack(p)
+	if f.parts[id] == p {
+		f.drop(id)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(state)
+}
+
+// idle waits until no call to a worker of the partition is in flight.
+func (f *Fleet) idle(ctx context.Context, p *part) error {
+	ticker := time.NewTicker(f.times.tick)
+	defer ticker.Stop()
+	for f.anyBusy(p) {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return result.New(result.Internal, result.RanUnknown, "calls to workers of partition %d still in flight", p.id)
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) anyBusy(p *part) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, a := range f.agents {
+		if a.part == p && a.busy {
+			return true
+		}
+	}
+	return false
+}
+
+// pack names the workers that may run something. A partition that is not
+// complete itself names nothing: the next holder then waits out the leases.
+func (f *Fleet) pack(p *part) *handOver {
+	if !p.complete(time.Now()) {
+		return nil
+	}
+	state := &handOver{Homes: map[int]uint64{}}
+	for _, a := range f.agents {
+		if a.part == p {
+			state.Workers = append(state.Workers, a.name)
+		}
+	}
+	for id, h := range f.homes {
+		if h.epoch > 0 {
+			state.Homes[id] = h.epoch
+		}
+	}
+	return state
+}
+
+// Drop forgets a partition whose right is lost.
+func (f *Fleet) Drop(id int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.drop(id)
+}
+
+// drop forgets a partition. Starts that were not sent certainly did not
+// happen; those sent have an unknown outcome, which the next holder learns.
+func (f *Fleet) drop(id int) {
+	p := f.parts[id]
+	if p == nil {
+		return
+	}
+	delete(f.parts, id)
+	for _, a := range f.agents {
+		if a.part == p {
+			f.dropAgent(a)
+		}
+	}
+}
+
+func (f *Fleet) dropAgent(a *agent) {
+	a.gone = true
+	for _, r := range a.runs {
+		if r.state == runQueued {
+			f.answer(r, taskmsg.OutcomeRefused)
+		}
+		f.answer(r, taskmsg.OutcomeUnknown)
+		f.forget(r)
+	}
+	f.cell.Remove(a.name)
+	if f.agents[a.name] == a {
+		delete(f.agents, a.name)
+	}
+}
--- /dev/null
+++ b/internal/fleet/stop.go
@@ -0,0 +1,60 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"pulleyquay/internal/taskmsg"
+	"pulleyquay/internal/worker"
+)
+
+// stopTasks answers a home's request to end runs. A run that is not known gets
+// a tombstone: should its request for a start still be under way, or should it
+// show up in the inventory of a worker claimed later, it is not started or
+// stopped there.
+func (f *Fleet) stopTasks(_ context.Context, req taskmsg.StopRequest) (taskmsg.StopReply, error) {
+	if err := f.fence(req.Home); err != nil {
+		return taskmsg.StopReply{}, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var reply taskmsg.StopReply
+	for _, id := range req.Runs {
+		r := f.runs[id]
+		if r == nil {
+			f.tombs.Add(id, struct{}{})
+			reply.Unknown = append(reply.Unknown, id)
+			continue
+		}
+		f.stopRun(r, req.Mode, req.Reason)
+	}
+	return reply, nil
+}
+
+// stopRun ends or slows one run. One that was not sent yet is taken back.
+func (f *Fleet) stopRun(r *run, mode worker.StopMode, reason string) {
+	if r.state >= runEnded {
+		return
+	}
+	a := r.agent
+	f.metrics.stops.WithLabelValues(string(mode)).Inc()
+	if r.state == runQueued && mode != worker.Throttle {
+		f.unqueue(r)
+		r.reported = true
+		f.neverStarted(r, reason, time.Now())
+		return
+	}
+	a.stops[r.id] = mode
+	f.kick(a, time.Now())
+}
+
+// unqueue takes a run out of the starts that wait for the next order.
+func (f *Fleet) unqueue(r *run) {
+	a := r.agent
+	for i, s := range a.starts {
+		if s == r {
+			a.starts = append(a.starts[:i], a.starts[i+1:]...)
+			return
+		}
+	}
+}
