--- a/internal/hold/loops.go
+++ b/internal/hold/loops.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"strconv"
 	"time"
@@ -16,6 +17,9 @@
 	"pulleyquay/internal/view"
 )
 
+// errStaleRead: the store answered with an older state than it had confirmed.
+var errStaleRead = errors.New("hold: stale read")
+
 // checkCount compares the configured number of partitions with the store's and
 // writes it when there is none. A store that does not answer is asked again by
 // the renewal loop before the first claim.
@@ -157,10 +161,14 @@
 func (k *Keeper) confirm(ctx context.Context) error {
 	var session uint64
 	k.session.Right(func(h *right.Holder) { session = h.Session() })
+	begun := k.session.Condition().ModRevision
 	records, at, err := k.store.List(ctx, PartitionPrefix)
 	if err != nil {
 		return err
 	}
+	if at < begun {
+		return fmt.Errorf("%w: read of revision %d, the session began at %d", errStaleRead, at, begun)
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if err := k.mirror.list(PartitionPrefix, records, at); err != nil {
--- a/internal/hold/mirror.go
+++ b/internal/hold/mirror.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"sort"
 	"strconv"
 	"strings"
@@ -47,6 +48,9 @@
 
 // list takes in all records under a prefix at a revision.
 func (m *mirror) list(prefix string, records []platform.Record, at platform.Revision) error {
+	if !m.listed[prefix] {
+		m.forgetAdopted(prefix)
+	}
 	present := map[string]bool{}
 	for _, rec := range records {
 		present[rec.Key] = true
@@ -143,6 +147,16 @@
 	}
 }
 
+// forgetAdopted drops what a peer's table said under a prefix, before the
+// store's own list takes its place.
+func (m *mirror) forgetAdopted(prefix string) {
+	if prefix == member.Prefix {
+		maps.DeleteFunc(m.members, func(name string, _ member.Entry) bool { return m.revisions[member.Key(name)] == 0 })
+		return
+	}
+	maps.DeleteFunc(m.partitions, func(id int, _ view.Partition) bool { return m.revisions[partitionKey(id)] == 0 })
+}
+
 func entryOf(m view.Member) member.Entry { return member.Entry{Name: m.Name, Member: &m} }
 
 // table returns a snapshot, sorted by name and by id.
