--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,64 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+
+	"pulleyquay/internal/result"
+)
+
+// rules checks effective values by the tags of Values.
+var rules = newRules()
+
+func newRules() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(jsonName)
+	return v
+}
+
+// check tells the first fault in a branch's effective values. The error's field
+// is the branch's path, a colon and the setting's name.
+func check(path string, values *Values) error {
+	err := rules.Struct(values)
+	var faults validator.ValidationErrors
+	if err == nil || !errors.As(err, &faults) {
+		return err
+	}
+	first := faults[0]
+	name := strings.TrimPrefix(first.Namespace(), reflect.TypeFor[Values]().Name()+".")
+	return faultError(first, name).At(path + ":" + name)
+}
+
+// faultError words one broken rule.
+func faultError(fault validator.FieldError, name string) *result.Error {
+	group, _, _ := strings.Cut(name, ".")
+	switch fault.Tag() {
+	case "ltefield", "gtefield":
+		bound := "at most"
+		if fault.Tag() == "gtefield" {
+			bound = "at least"
+		}
+		return result.New(result.SettingsContradiction, result.RanNo, "%v, but must be %s %s.%s of the same branch",
+			fault.Value(), bound, group, nameOfGoField(fault.Param()))
+	case "oneof":
+		return result.New(result.SettingsOutOfRange, result.RanNo, "%q, but must be one of: %s", fault.Value(), fault.Param())
+	default:
+		return result.New(result.SettingsOutOfRange, result.RanNo, "%v, but %s is %s %s",
+			fault.Value(), fault.Tag(), fault.Param(), fieldByName[name].Unit)
+	}
+}
+
+// nameOfGoField gives the JSON name of a Go field that a rule refers to.
+func nameOfGoField(goName string) string {
+	groups := reflect.TypeFor[Values]()
+	for g := range groups.NumField() {
+		if leaf, ok := groups.Field(g).Type.FieldByName(goName); ok {
+			return jsonName(leaf)
+		}
+	}
+	panic(fmt.Sprintf("settings: rule names unknown field %s", goName))
+}
--- /dev/null
+++ b/internal/settings/counters.go
@@ -0,0 +1,34 @@
+package settings
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// counters are the metrics of one Keeper.
+type counters struct {
+	reads, writes, watches, behind, learned prometheus.Counter
+	changes                                 *prometheus.CounterVec
+}
+
+func newCounters(reg prometheus.Registerer, b *book) *counters {
+	counter := func(name, help string) prometheus.Counter {
+		return prometheus.NewCounter(prometheus.CounterOpts{Name: "pulley_settings_" + name, Help: help})
+	}
+	c := &counters{
+		reads:   counter("store_reads_total", "Reads of the store for settings."),
+		writes:  counter("store_writes_total", "Transactions against the store for settings."),
+		watches: counter("watches_ended_total", "Watches of the head that ended."),
+		behind:  counter("behind_total", "Heads seen that are older than the one in force."),
+		learned: counter("learned_total", "Revisions learned from peers."),
+		changes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pulley_settings_changes_total", Help: "Operators' changes by result code; 0 is accepted.",
+		}, []string{"code"}),
+	}
+	revision := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "pulley_settings_revision", Help: "Settings revision in force; -1 before the first.",
+	}, func() float64 { return float64(b.revision()) })
+	if reg != nil {
+		reg.MustRegister(c.reads, c.writes, c.watches, c.behind, c.learned, c.changes, revision)
+	}
+	return c
+}
--- /dev/null
+++ b/internal/settings/keeper.go
@@ -0,0 +1,244 @@
+package settings
+
+import (
+	"context"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"pulleyquay/internal/peer"
+	"pulleyquay/internal/platform"
+)
+
+const (
+	// retryFirst and retryMost bound the jittered pause between two attempts at
+	// the store; the greatest keeps every member on the head within 4 s of the
+	// store's return.
+	retryFirst = 50 * time.Millisecond
+	retryMost  = time.Second
+	// callTimeout bounds one call to the store other than a watch.
+	callTimeout = 2 * time.Second
+	// bulkFetch is the number of missing branches from which on all are listed
+	// in one call instead of one call each.
+	bulkFetch = 16
+)
+
+// KeeperConfig is what a Keeper needs. All fields but Peers, Caller and Applied
+// are required.
+type KeeperConfig struct {
+	Store platform.Store
+	// Caller and Peers (addresses of other placers, hints only) let it learn
+	// a revision that the store does not give it.
+	Caller peer.Caller
+	Peers  func() []string
+	// Applied gives the revision in force at each live member, as heartbeats
+	// report it; a change with a wait uses it.
+	Applied func() map[string]int64
+	Log     logrus.FieldLogger
+	Metrics prometheus.Registerer
+	// Now is the wall clock written into the history; time.Now if nil.
+	Now func() time.Time
+}
+
+// Keeper keeps a placer on the newest settings and makes operators' changes.
+type Keeper struct {
+	cfg       KeeperConfig
+	book      *book
+	followers *followers
+	counters  *counters
+}
+
+// NewKeeper returns a Keeper that knows nothing yet; Run makes it learn.
+func NewKeeper(cfg KeeperConfig) *Keeper {
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	if cfg.Peers == nil {
+		cfg.Peers = func() []string { return nil }
+	}
+	if cfg.Applied == nil {
+		cfg.Applied = func() map[string]int64 { return nil }
+	}
+	k := &Keeper{cfg: cfg, book: newBook(), followers: newFollowers()}
+	k.counters = newCounters(cfg.Metrics, k.book)
+	return k
+}
+
+// Current returns the tree in force, or nil before the first is learned.
+func (k *Keeper) Current() *Tree { return k.book.current.Load() }
+
+// Ready tells what the process lacks to act on settings; nil when nothing.
+func (k *Keeper) Ready() error { return k.book.ready() }
+
+// OnApply registers a function that is called with each tree put in force, in
+// order. Call it before Run; fn must not block.
+func (k *Keeper) OnApply(fn func(*Tree)) { k.book.onApply = append(k.book.onApply, fn) }
+
+// Hear notes that another process has the revision in force. Call it for every
+// heartbeat: a lagging watch is then made up for from peers.
+func (k *Keeper) Hear(revision int64) { k.book.hear(revision) }
+
+// AppliedRevision is the revision in force here and at every entry that polls
+// this placer: what heartbeats report. It is -1 before the first.
+func (k *Keeper) AppliedRevision() int64 {
+	return k.followers.lowest(k.book.revision(), time.Now())
+}
+
+// Run learns and follows the head until ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		k.chase(ctx)
+	}()
+	k.follow(ctx)
+	<-done
+}
+
+// follow reads the head and watches it, again and again.
+func (k *Keeper) follow(ctx context.Context) {
+	pause := newPause()
+	for ctx.Err() == nil {
+		before := k.book.revision()
+		rev, err := k.refresh(ctx)
+		if err == nil {
+			err = k.cfg.Store.Watch(ctx, storePrefix, rev, func(b platform.Batch) { k.absorb(ctx, b) })
+			k.counters.watches.Inc()
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		k.cfg.Log.WithError(err).Debug("settings: watch ended")
+		if k.book.revision() > before {
+			pause.Reset()
+		}
+		sleep(ctx, pause.NextBackOff())
+	}
+}
+
+// refresh reads the head from the store and puts it in force. It returns the
+// store's revision to watch from.
+func (k *Keeper) refresh(ctx context.Context) (platform.Revision, error) {
+	records, rev, err := k.list(ctx, headKey)
+	if err != nil {
+		return 0, err
+	}
+	if len(records) == 0 {
+		return rev, k.applyHead(ctx, Head{Root: emptyRoot.hash}, 0)
+	}
+	return rev, k.applyRecord(ctx, records[0])
+}
+
+// list is one bounded read.
+func (k *Keeper) list(ctx context.Context, prefix string) ([]platform.Record, platform.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	k.counters.reads.Inc()
+	return k.cfg.Store.List(ctx, prefix)
+}
+
+// absorb takes in one batch of a watch. Branches come first: they are usually
+// in the same batch as the head that names them.
+func (k *Keeper) absorb(ctx context.Context, b platform.Batch) {
+	var head *platform.Record
+	for i := range b.Changes {
+		c := &b.Changes[i]
+		switch {
+		case c.Deleted:
+		case c.Key == headKey:
+			head = &c.Record
+		default:
+			k.absorbOther(c.Record)
+		}
+	}
+	if head == nil {
+		return
+	}
+	if err := k.applyRecord(ctx, *head); err != nil {
+		k.cfg.Log.WithError(err).Warn("settings: head not applied yet")
+	}
+}
+
+// absorbOther takes in a watched branch or history entry.
+func (k *Keeper) absorbOther(r platform.Record) {
+	if hash, ok := hashOfKey(r.Key); ok {
+		k.book.keep(hash, r.Value)
+		return
+	}
+	if h, ok := historyOf(r); ok {
+		k.book.recordAll([]Head{h})
+	}
+}
+
+// applyRecord puts a head record in force.
+func (k *Keeper) applyRecord(ctx context.Context, r platform.Record) error {
+	h, err := decodeHead(r.Value)
+	if err != nil {
+		return err
+	}
+	return k.applyHead(ctx, h, r.ModRevision)
+}
+
+// applyHead puts a head in force, fetching the branches it lacks.
+func (k *Keeper) applyHead(ctx context.Context, h Head, mod platform.Revision) error {
+	if h.Revision < k.book.revision() {
+		k.counters.behind.Inc()
+		return nil
+	}
+	k.book.hear(h.Revision)
+	pool := map[Hash][]byte{emptyRoot.hash: emptyRoot.encode()}
+	for {
+		missing, err := k.book.apply(h, mod, pool)
+		if err != nil || len(missing) == 0 {
+			return err
+		}
+		if err := k.fetch(ctx, missing, pool); err != nil {
+			return err
+		}
+	}
+}
+
+// fetch reads missing branches into pool.
+func (k *Keeper) fetch(ctx context.Context, missing []Hash, pool map[Hash][]byte) error {
+	if len(missing) >= bulkFetch {
+		records, _, err := k.list(ctx, branchPrefix)
+		if err != nil {
+			return err
+		}
+		for _, r := range records {
+			if hash, ok := hashOfKey(r.Key); ok {
+				pool[hash] = r.Value
+			}
+		}
+		return allFound(missing, pool)
+	}
+	for _, hash := range missing {
+		records, _, err := k.list(ctx, branchKey(hash))
+		if err != nil {
+			return err
+		}
+		if len(records) > 0 {
+			pool[hash] = records[0].Value
+		}
+	}
+	return allFound(missing, pool)
+}
+
+// newPause gives jittered pauses between attempts at the store.
+func newPause() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval, b.MaxInterval = retryFirst, retryMost
+	return b
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/settings/path.go
@@ -0,0 +1,53 @@
+package settings
+
+import (
+	"regexp"
+	"strings"
+
+	"pulleyquay/internal/result"
+)
+
+// Root is the path of the branch that all others inherit from.
+const Root = "/"
+
+// Limits of the tree's shape.
+const (
+	// MaxDepth is the greatest number of segments in a path.
+	MaxDepth = 8
+	// MaxChildren bounds the children of one branch, and so the size of the
+	// stored value that a change below it rewrites (about 90 kB).
+	MaxChildren = 1000
+	// MaxEdits bounds the branches of one change.
+	MaxEdits = 20000
+)
+
+var segmentForm = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
+
+// split returns the segments of a path; the root has none.
+func split(path string) ([]string, error) {
+	if path == Root {
+		return nil, nil
+	}
+	if !strings.HasPrefix(path, "/") {
+		return nil, result.New(result.SettingsBadPath, result.RanNo, "%q does not start with a slash", path).At(path)
+	}
+	segments := strings.Split(path[1:], "/")
+	if len(segments) > MaxDepth {
+		return nil, result.New(result.SettingsBadPath, result.RanNo, "%q has over %d segments", path, MaxDepth).At(path)
+	}
+	for _, s := range segments {
+		if !segmentForm.MatchString(s) {
+			return nil, result.New(result.SettingsBadPath, result.RanNo,
+				"segment %q of %q: lower-case letters, digits, dot, underscore and hyphen are allowed, 63 at most", s, path).At(path)
+		}
+	}
+	return segments, nil
+}
+
+// child returns the path of a branch's child.
+func child(parent, name string) string {
+	if parent == Root {
+		return Root + name
+	}
+	return parent + "/" + name
+}
--- /dev/null
+++ b/internal/settings/swap.go
@@ -0,0 +1,159 @@
+package settings
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"pulleyquay/internal/platform"
+	"pulleyquay/internal/result"
+)
+
+// Limits of one transaction. A change with more branches writes them ahead in
+// several and swaps the head last.
+const (
+	txnWrites = 64
+	txnBytes  = 512 << 10
+)
+
+// swapTxn returns the transaction that moves the head. Branches that are new go
+// into it; when they are too many, they are written ahead, and the swap is
+// conditional on no collection since, which might have taken them for
+// unreferenced ones.
+func (k *Keeper) swapTxn(ctx context.Context, s state, h Head, fresh []*node) (platform.Txn, error) {
+	writes := branchWrites(fresh)
+	txn := platform.Txn{If: []platform.Condition{{Key: headKey, ModRevision: s.mod}}}
+	chunks := chunk(writes)
+	if len(chunks) > 1 {
+		guard, err := k.writeAhead(ctx, chunks)
+		if err != nil {
+			return txn, err
+		}
+		txn.If = append(txn.If, guard)
+		writes = nil
+	}
+	encoded := h.encode()
+	txn.Then = append(writes,
+		platform.Write{Key: headKey, Value: encoded},
+		platform.Write{Key: historyKey(h.Revision), Value: encoded})
+	if old := h.Revision - HistoryKept; old > 0 {
+		txn.Then = append(txn.Then, platform.Write{Key: historyKey(old), Delete: true})
+	}
+	return txn, nil
+}
+
+// branchWrites gives the puts of the nodes, each hash once.
+func branchWrites(fresh []*node) []platform.Write {
+	out := make([]platform.Write, 0, len(fresh))
+	seen := make(map[Hash]bool, len(fresh))
+	for _, n := range fresh {
+		if !seen[n.hash] {
+			seen[n.hash] = true
+			out = append(out, platform.Write{Key: branchKey(n.hash), Value: n.encode()})
+		}
+	}
+	return out
+}
+
+// chunk cuts writes into transactions within the limits.
+func chunk(writes []platform.Write) [][]platform.Write {
+	var out [][]platform.Write
+	start, size := 0, 0
+	for i, w := range writes {
+		if i > start && (i-start == txnWrites || size+len(w.Value) > txnBytes) {
+			out = append(out, writes[start:i])
+			start, size = i, 0
+		}
+		size += len(w.Value)
+	}
+	return append(out, writes[start:])
+}
+
+// writeAhead stores branches that no head names yet and returns the condition
+// under which they are certainly still there.
+func (k *Keeper) writeAhead(ctx context.Context, chunks [][]platform.Write) (platform.Condition, error) {
+	guard := platform.Condition{Key: collectedKey}
+	records, _, err := k.list(ctx, collectedKey)
+	if err != nil {
+		return guard, &storeError{err}
+	}
+	if len(records) > 0 {
+		guard.ModRevision = records[0].ModRevision
+	}
+	for _, writes := range chunks {
+		if _, err := k.commit(ctx, platform.Txn{Then: writes}); err != nil {
+			return guard, &storeError{err}
+		}
+	}
+	return guard, nil
+}
+
+// commit is one bounded transaction.
+func (k *Keeper) commit(ctx context.Context, txn platform.Txn) (platform.TxnReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	k.counters.writes.Inc()
+	return k.cfg.Store.Commit(ctx, txn)
+}
+
+// absorbFound puts in force the head that a lost swap met.
+func (k *Keeper) absorbFound(ctx context.Context, s state, reply platform.TxnReply) error {
+	i := slices.IndexFunc(reply.Found, func(r platform.Record) bool { return r.Key == headKey })
+	if i < 0 {
+		if s.mod != 0 {
+			return storeBehind(s, 0)
+		}
+		return nil // lost to a collection
+	}
+	if err := k.applyRecord(ctx, reply.Found[i]); err != nil {
+		var coded *result.Error
+		if errors.As(err, &coded) {
+			return err
+		}
+		return &storeError{err}
+	}
+	h, err := decodeHead(reply.Found[i].Value)
+	if err == nil && h.Revision < s.tree.Revision {
+		return storeBehind(s, h.Revision)
+	}
+	return err
+}
+
+func storeBehind(s state, found int64) error {
+	return result.New(result.SettingsStoreBehind, result.RanNo,
+		"revision %d is in force, the store holds %d: was it restored from a copy?", s.tree.Revision, found)
+}
+
+// installOwn puts the revision in force that this process has just made.
+func (k *Keeper) installOwn(h Head, mod platform.Revision, root *node) {
+	b := k.book
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if h.Revision > b.revision() {
+		b.install(h, mod, root)
+	}
+}
+
+// waitStep is the pause between two looks at the members' applied revisions.
+const waitStep = 20 * time.Millisecond
+
+// await waits until every member has the revision in force, and returns those
+// that have not when the time is up.
+func (k *Keeper) await(ctx context.Context, revision int64, limit time.Duration) []string {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for {
+		var behind []string
+		for name, applied := range k.cfg.Applied() {
+			if applied < revision {
+				behind = append(behind, name)
+			}
+		}
+		if len(behind) == 0 || ctx.Err() != nil {
+			slices.Sort(behind)
+			return behind
+		}
+		sleep(ctx, waitStep)
+	}
+}
--- a/internal/settings/values.go
+++ b/internal/settings/values.go
@@ -15,31 +15,31 @@
 
 // Request governs callers' requests to a service.
 type Request struct {
-	DefaultDeadlineMS  int64 `json:"default_deadline_ms"`
-	MaxDeadlineMS      int64 `json:"max_deadline_ms"`
-	MaxBodyBytes       int64 `json:"max_body_bytes"`
-	MaxAnswerBytes     int64 `json:"max_answer_bytes"`
-	QueueLimit         int64 `json:"queue_limit"`
+	DefaultDeadlineMS  int64 `json:"default_deadline_ms" validate:"min=1,max=3600000,ltefield=MaxDeadlineMS"`
+	MaxDeadlineMS      int64 `json:"max_deadline_ms" validate:"min=1,max=3600000"`
+	MaxBodyBytes       int64 `json:"max_body_bytes" validate:"min=0,max=67108864"`
+	MaxAnswerBytes     int64 `json:"max_answer_bytes" validate:"min=1,max=268435456"`
+	QueueLimit         int64 `json:"queue_limit" validate:"min=0,max=1000000"`
 	PostIdempotent     bool  `json:"post_idempotent"`
-	KeyWindowMS        int64 `json:"key_window_ms"`
-	KeyLimit           int64 `json:"key_limit"`
-	RetryBudgetPercent int64 `json:"retry_budget_percent"`
+	KeyWindowMS        int64 `json:"key_window_ms" validate:"min=1000,max=86400000,gtefield=MaxDeadlineMS"`
+	KeyLimit           int64 `json:"key_limit" validate:"min=1,max=10000000"`
+	RetryBudgetPercent int64 `json:"retry_budget_percent" validate:"min=0,max=100"`
 }
 
 // Executor governs the use of each executor of a service.
 type Executor struct {
-	Slots       int64 `json:"slots"`
-	Connections int64 `json:"connections"`
+	Slots       int64 `json:"slots" validate:"min=1,max=1024,ltefield=Connections"`
+	Connections int64 `json:"connections" validate:"min=1,max=65536"`
 }
 
 // Placement governs where tasks of a branch go.
 type Placement struct {
-	Policy      string `json:"policy"` // PolicyPacking or PolicyWaiting
+	Policy      string `json:"policy" validate:"oneof=packing waiting"` // PolicyPacking or PolicyWaiting
 	SpreadZones bool   `json:"spread_zones"`
 	SpreadRacks bool   `json:"spread_racks"`
 	// LearnedSizePercent is how far observed sizes may shrink declared ones
 	// when packing; zero leaves declared sizes alone.
-	LearnedSizePercent int64 `json:"learned_size_percent"`
+	LearnedSizePercent int64 `json:"learned_size_percent" validate:"min=0,max=90"`
 }
 
 // The placement policies.
@@ -51,19 +51,19 @@
 // Quota bounds what a team's jobs may hold at once; zero means none allowed,
 // negative means no bound.
 type Quota struct {
-	MilliCPU     int64 `json:"milli_cpu"`
-	MemoryMiB    int64 `json:"memory_mib"`
-	Accelerators int64 `json:"accelerators"`
+	MilliCPU     int64 `json:"milli_cpu" validate:"min=-1"`
+	MemoryMiB    int64 `json:"memory_mib" validate:"min=-1"`
+	Accelerators int64 `json:"accelerators" validate:"min=-1"`
 }
 
 // Task governs the tasks of a branch's jobs.
 type Task struct {
-	MaxAttempts int64 `json:"max_attempts"`
-	LeaseMS     int64 `json:"lease_ms"`
+	MaxAttempts int64 `json:"max_attempts" validate:"min=1,max=100"`
+	LeaseMS     int64 `json:"lease_ms" validate:"min=1000,max=600000"`
 	// Priority: higher is more urgent; preemption only takes lower ones.
-	Priority    int64 `json:"priority"`
-	MinReplicas int64 `json:"min_replicas"`
-	Surge       int64 `json:"surge"`
+	Priority    int64 `json:"priority" validate:"min=-1000,max=1000"`
+	MinReplicas int64 `json:"min_replicas" validate:"min=0,max=100000"`
+	Surge       int64 `json:"surge" validate:"min=0,max=1000"`
 }
 
 // Defaults are the values of the root where it overrides nothing.
