--- /dev/null
+++ b/internal/job/explain.go
@@ -0,0 +1,68 @@
+package job
+
+import (
+	"sort"
+
+	"pulleyquay/internal/jobmsg"
+)
+
+// explain tells where a job runs and what it waits for, from the home's record.
+func (h *home) explain(j *job) *jobmsg.Explanation {
+	e := &jobmsg.Explanation{
+		Sites:     j.sites(),
+		Decisions: append([]jobmsg.Decision(nil), j.log.entries...),
+	}
+	waiting := len(j.ready) + len(j.later)
+	if waiting == 0 {
+		return e
+	}
+	values, _ := h.m.cfg.Values(j.rec.Job.Branch)
+	if h.quotaRoom(j, values.Quota) == 0 {
+		e.Waits = append(e.Waits, jobmsg.Wait{Tasks: waiting, For: "the quota of team " + j.rec.Job.Team, Freed: "the end of other work of the team, or a larger quota in branch " + j.rec.Job.Branch})
+	}
+	members := make([]string, 0, len(j.holders))
+	for name := range j.holders {
+		members = append(members, name)
+	}
+	sort.Strings(members)
+	for _, name := range members {
+		if w, ok := j.holders[name].wait(name, waiting); ok {
+			e.Waits = append(e.Waits, w)
+		}
+	}
+	return e
+}
+
+// wait describes what a holder's last answer leaves the job waiting for.
+func (m *holderMemory) wait(name string, tasks int) (jobmsg.Wait, bool) {
+	switch {
+	case m.err != nil:
+		return jobmsg.Wait{Tasks: tasks, For: "an answer of holder " + name, Freed: m.err.Error(), Holder: name}, true
+	case m.refusal != nil:
+		return jobmsg.Wait{Tasks: tasks, For: "room on the workers of holder " + name, Freed: "the end of work there", Holder: name, ByRule: m.refusal.ByRule}, true
+	}
+	return jobmsg.Wait{}, false
+}
+
+// sites lists the workers that run tasks of the job.
+func (j *job) sites() []jobmsg.Site {
+	byWorker := map[string]*jobmsg.Site{}
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		if t.at == nil {
+			continue
+		}
+		s := byWorker[t.at.worker]
+		if s == nil {
+			s = &jobmsg.Site{Worker: t.at.worker, Zone: t.at.zone, Partition: t.at.partition}
+			byWorker[t.at.worker] = s
+		}
+		s.Tasks = append(s.Tasks, i)
+	}
+	out := make([]jobmsg.Site, 0, len(byWorker))
+	for _, s := range byWorker {
+		out = append(out, *s)
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].Worker < out[b].Worker })
+	return out
+}
--- /dev/null
+++ b/internal/job/home.go
@@ -0,0 +1,262 @@
+package job
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/looplab/fsm"
+	"github.com/sirupsen/logrus"
+
+	"pulleyquay/internal/hold"
+	"pulleyquay/internal/platform"
+	"pulleyquay/internal/recorder"
+	"pulleyquay/internal/result"
+	"pulleyquay/internal/spec"
+	"pulleyquay/internal/taskmsg"
+	"pulleyquay/internal/view"
+	"pulleyquay/internal/worker"
+)
+
+// phase tells how far a home has come in its takeover.
+type phase int
+
+const (
+	phaseLoading     phase = iota // records are not read; everything is refused
+	phaseReconciling              // new jobs start, older ones wait for all inventories
+	phaseReady
+	phaseEnded
+)
+
+var phaseNames = [...]string{"loading", "reconciling", "ready", "ended"}
+
+// restInterval is the longest that a home sleeps; it bounds how late it notices
+// a change of the table.
+const restInterval = 500 * time.Millisecond
+
+// attemptShift leaves room for 2^32 starts within an epoch: an attempt's number
+// is the home's epoch and a counter, so that no number is ever used twice,
+// whoever holds the partition, without a write for each start.
+const attemptShift = 32
+
+// home is the home of one partition's teams.
+type home struct {
+	m         *Manager
+	partition int
+	epoch     uint64
+	log       *logrus.Entry
+	recorder  *recorder.Recorder
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wake   chan struct{}
+	work   sync.WaitGroup // the loop, the recorder and calls under way
+
+	mu       sync.Mutex
+	phase    phase
+	quiet    bool // true once released: nothing new is decided
+	machine  *fsm.FSM
+	jobs     map[string]*job
+	live     map[string]*job // those that are not final
+	changed  map[string]*job // those whose record is newer than the store's
+	starts   int             // counter in attempt numbers
+	teams    map[string]*team
+	sites    map[string]*site
+	doubts   map[worker.Attempt]*doubt
+	asked    map[string]*askedRoom
+	busy     map[string]int // calls under way by address of the holder
+	probeAt  time.Time
+	covered  map[int]uint64 // epoch of each worker partition's complete inventory
+	checking bool           // an inventory round is under way
+	nextAsk  time.Time      // earliest next inventory round
+	flushAt  time.Time      // earliest next write of progress
+	flushGap time.Duration
+	writing  int           // records under way to the store
+	written  chan struct{} // closed and made anew after each write
+}
+
+// team is what the home counts of one team.
+type team struct {
+	use  spec.Resources // of all tasks that run or may run
+	jobs int            // live ones
+}
+
+// DumpTeam is one team in the dump.
+type DumpTeam struct {
+	Use  spec.Resources `json:"use"`
+	Jobs int            `json:"jobs"`
+}
+
+func newHome(m *Manager, t hold.Takeover) *home {
+	ctx, cancel := context.WithCancel(context.Background())
+	h := &home{
+		m: m, partition: t.Partition, epoch: t.Epoch,
+		log: m.cfg.Log.WithFields(logrus.Fields{"partition": t.Partition, "epoch": t.Epoch}),
+		ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1),
+		machine: newMachine(),
+		jobs:    map[string]*job{}, live: map[string]*job{}, changed: map[string]*job{}, teams: map[string]*team{},
+		sites: map[string]*site{}, doubts: map[worker.Attempt]*doubt{},
+		asked: map[string]*askedRoom{}, busy: map[string]int{}, covered: map[int]uint64{},
+		written: make(chan struct{}),
+	}
+	h.recorder = recorder.New(m.cfg.Store, h.fence, m.recorder)
+	return h
+}
+
+// start runs the recorder and the loop.
+func (h *home) start() {
+	h.work.Go(func() { h.recorder.Run(h.ctx) })
+	h.work.Go(func() {
+		if h.load() {
+			h.loop()
+		}
+	})
+}
+
+// end stops the home without waiting; what is under way finds it ended.
+func (h *home) end() {
+	h.mu.Lock()
+	h.phase = phaseEnded
+	h.mu.Unlock()
+	h.cancel()
+}
+
+// quiesce makes the home decide nothing new.
+func (h *home) quiesce() {
+	h.mu.Lock()
+	h.quiet = true
+	h.mu.Unlock()
+}
+
+// rouse makes the loop look again soon.
+func (h *home) rouse() {
+	select {
+	case h.wake <- struct{}{}:
+	default:
+	}
+}
+
+// loop decides again whenever something happened or became due.
+func (h *home) loop() {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-h.ctx.Done():
+			return
+		case <-h.wake:
+		case <-timer.C:
+		}
+		timer.Reset(h.step(time.Now()))
+	}
+}
+
+// step makes all decisions that are due at now and returns when to look again.
+func (h *home) step(now time.Time) time.Duration {
+	table := h.m.cfg.Source.Table()
+	if h.checkRight() != nil {
+		return restInterval
+	}
+	h.startInventories(table, now)
+	h.startFlush(now)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.quiet || h.phase == phaseEnded {
+		return restInterval
+	}
+	h.endDueJobs(now)
+	h.planStops(table, now)
+	h.planStarts(table, now)
+	return h.nextDue(now)
+}
+
+// nextDue returns how long nothing becomes due, at most restInterval.
+func (h *home) nextDue(now time.Time) time.Duration {
+	next := now.Add(restInterval)
+	for _, j := range h.live {
+		for _, d := range j.later {
+			if d.due.Before(next) {
+				next = d.due
+			}
+		}
+		if len(j.ready) == 0 {
+			continue
+		}
+		for _, m := range j.holders {
+			if m.until.After(now) && m.until.Before(next) {
+				next = m.until
+			}
+		}
+	}
+	return max(next.Sub(now), time.Millisecond)
+}
+
+// checkRight returns nil when this process may act for the home's epoch now.
+func (h *home) checkRight() error {
+	grant, err := h.m.cfg.Right.Check(h.partition)
+	if err != nil {
+		return err
+	}
+	if grant.Epoch != h.epoch {
+		return result.New(result.JobHomeMoved, result.RanNo, "partition %d is held with epoch %d, not %d", h.partition, grant.Epoch, h.epoch).Later(time.Second)
+	}
+	return nil
+}
+
+// fence is the condition of every write: the partition's record is still the
+// one that this home's epoch made.
+func (h *home) fence() (platform.Condition, error) {
+	p, ok := partitionOf(h.m.cfg.Source.Table(), h.partition)
+	switch {
+	case !ok || p.Epoch < h.epoch:
+		return platform.Condition{}, platform.ErrUnavailable // our own claim is not in view yet
+	case p.Epoch > h.epoch:
+		return platform.Condition{}, recorder.ErrFenced
+	}
+	return platform.Condition{Key: fmt.Sprintf("partitions/%d", h.partition), ModRevision: platform.Revision(p.ModRevision)}, nil
+}
+
+func partitionOf(t *view.Table, id int) (view.Partition, bool) {
+	if t == nil {
+		return view.Partition{}, false
+	}
+	for _, p := range t.Partitions {
+		if p.ID == id {
+			return p, true
+		}
+	}
+	return view.Partition{}, false
+}
+
+// self is how the home names itself to holders.
+func (h *home) self() taskmsg.Home { return taskmsg.Home{Partition: h.partition, Epoch: h.epoch} }
+
+func (h *home) team(name string) *team {
+	t := h.teams[name]
+	if t == nil {
+		t = &team{}
+		h.teams[name] = t
+	}
+	return t
+}
+
+func (h *home) dump() DumpHome {
+	table := h.m.cfg.Source.Table()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	d := DumpHome{
+		Partition: h.partition, Epoch: h.epoch, Phase: phaseNames[h.phase],
+		Jobs: len(h.jobs), LiveJobs: len(h.live), Doubts: len(h.doubts),
+		Uncovered: h.uncovered(table), Teams: map[string]DumpTeam{},
+	}
+	for _, j := range h.jobs {
+		if j.dirty {
+			d.Unwritten++
+		}
+	}
+	for name, t := range h.teams {
+		d.Teams[name] = DumpTeam{Use: t.use, Jobs: t.jobs}
+	}
+	return d
+}
--- /dev/null
+++ b/internal/job/query.go
@@ -0,0 +1,166 @@
+package job
+
+import (
+	"context"
+	"errors"
+	"sort"
+	"time"
+
+	"pulleyquay/internal/jobmsg"
+	"pulleyquay/internal/result"
+)
+
+// cancelWait bounds how long a cancellation waits for its record. It takes
+// effect whether or not the store answers.
+const cancelWait = time.Second
+
+// find returns the job and its home, which this process must have the right to
+// speak for.
+func (m *Manager) find(id string) (*home, *job, error) {
+	for _, h := range m.all() {
+		h.mu.Lock()
+		j, phase := h.jobs[id], h.phase
+		h.mu.Unlock()
+		if j != nil && phase != phaseEnded {
+			return h, j, h.checkRight()
+		}
+	}
+	return nil, nil, result.New(result.JobNotFound, result.RanUnknown, "no home of this process knows job %q", id)
+}
+
+// Get returns one job of any home of this process.
+func (m *Manager) Get(_ context.Context, req jobmsg.GetRequest) (jobmsg.GetReply, error) {
+	h, j, err := m.find(req.ID)
+	if err != nil {
+		return jobmsg.GetReply{}, err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !j.certain {
+		return jobmsg.GetReply{}, result.New(result.JobRecordUnknown, result.RanUnknown, "the store has not said whether it took job %s", req.ID).Later(retryStore)
+	}
+	reply := jobmsg.GetReply{Status: h.status(j)}
+	if req.Explain {
+		reply.Explain = h.explain(j)
+	}
+	return reply, nil
+}
+
+// List returns a page of the jobs of this process's homes.
+func (m *Manager) List(_ context.Context, req jobmsg.ListRequest) (jobmsg.ListReply, error) {
+	limit := req.Limit
+	if limit <= 0 {
+		limit = jobmsg.DefaultListLimit
+	}
+	limit = min(limit, jobmsg.MaxListLimit)
+	var jobs []jobmsg.Status
+	for _, h := range m.all() {
+		if h.checkRight() != nil {
+			continue
+		}
+		jobs = append(jobs, h.listAfter(req.Team, req.After, limit+1)...)
+	}
+	sort.Slice(jobs, func(a, b int) bool { return jobs[a].Job.ID < jobs[b].Job.ID })
+	if len(jobs) > limit {
+		return jobmsg.ListReply{Jobs: jobs[:limit], More: true}, nil
+	}
+	return jobmsg.ListReply{Jobs: jobs}, nil
+}
+
+// listAfter returns at most n jobs of the home after an identifier, in order.
+func (h *home) listAfter(team, after string, n int) []jobmsg.Status {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var ids []string
+	for id, j := range h.jobs {
+		if id > after && j.certain && (team == "" || j.rec.Job.Team == team) {
+			ids = append(ids, id)
+		}
+	}
+	sort.Strings(ids)
+	out := make([]jobmsg.Status, 0, min(n, len(ids)))
+	for _, id := range ids[:min(n, len(ids))] {
+		out = append(out, h.status(h.jobs[id]))
+	}
+	return out
+}
+
+// Cancel ends a job. Nothing of it starts once Cancel has answered; what runs
+// is stopped. Status.Recorded tells whether the store knows of it yet.
+func (m *Manager) Cancel(ctx context.Context, req jobmsg.CancelRequest) (jobmsg.Status, error) {
+	h, j, err := m.find(req.ID)
+	if err != nil {
+		return jobmsg.Status{}, err
+	}
+	h.mu.Lock()
+	switch {
+	case j.rec.Code == result.JobCancelled:
+		// Asked again: the same answer.
+	case j.rec.State.Final():
+		h.mu.Unlock()
+		return jobmsg.Status{}, result.New(result.JobAlreadyEnded, result.RanYes, "job %s is %s", req.ID, j.rec.State)
+	default:
+		h.endJob(j, result.New(result.JobCancelled, result.RanUnknown, "cancelled by its submitter"), time.Now())
+	}
+	h.mu.Unlock()
+	h.rouse()
+	return h.awaitRecord(ctx, j), nil
+}
+
+// awaitRecord waits a while for a job's record to be written.
+func (h *home) awaitRecord(ctx context.Context, j *job) jobmsg.Status {
+	ctx, cancel := context.WithTimeout(ctx, cancelWait)
+	defer cancel()
+	for {
+		h.mu.Lock()
+		s := h.status(j)
+		written := h.written
+		h.mu.Unlock()
+		if s.Recorded {
+			return s
+		}
+		select {
+		case <-written:
+		case <-ctx.Done():
+			return s
+		case <-h.ctx.Done():
+			return s
+		}
+	}
+}
+
+// status describes a job to callers.
+func (h *home) status(j *job) jobmsg.Status {
+	s := jobmsg.Status{
+		Job: j.rec.Job, State: j.rec.State, Reason: j.rec.Reason, Code: int(j.rec.Code),
+		SubmittedUnixMilli: j.rec.Submitted, Recorded: !j.dirty && j.certain,
+		Partition: h.partition, Epoch: h.epoch,
+	}
+	for _, n := range j.rec.Failures {
+		s.Counts.Failures += n
+	}
+	s.Counts.Finished = j.rec.Done.count()
+	for i := range j.tasks {
+		switch j.tasks[i].state {
+		case taskPending:
+			s.Counts.Waiting++
+		case taskOrdered, taskDoubt:
+			s.Counts.Starting++
+		case taskRunning:
+			s.Counts.Running++
+		case taskStopping:
+			s.Counts.Stopping++
+		}
+	}
+	if n := len(j.log.entries); s.Reason == "" && !j.rec.State.Final() && s.Counts.Waiting > 0 && n > 0 {
+		s.Reason = j.log.entries[n-1].What + ": " + j.log.entries[n-1].Why
+	}
+	return s
+}
+
+// errNotFound is matched when several processes are asked.
+var errNotFound = &result.Error{Code: result.JobNotFound}
+
+// IsNotFound reports whether an error only says that a process does not know
+// the job.
+func IsNotFound(err error) bool { return errors.Is(err, errNotFound) }
--- /dev/null
+++ b/internal/job/register.go
@@ -0,0 +1,12 @@
+package job
+
+import "pulleyquay/internal/peer"
+
+// Register adds the handlers of the homes to the peer link.
+func (m *Manager) Register(mux *peer.Mux) {
+	peer.Handle(mux, peer.KindJobSubmit, m.Submit)
+	peer.Handle(mux, peer.KindJobGet, m.Get)
+	peer.Handle(mux, peer.KindJobList, m.List)
+	peer.Handle(mux, peer.KindJobCancel, m.Cancel)
+	peer.Handle(mux, peer.KindTaskNews, m.TaskNews)
+}
--- /dev/null
+++ b/internal/job/validate.go
@@ -0,0 +1,126 @@
+package job
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/google/uuid"
+
+	"pulleyquay/internal/result"
+	"pulleyquay/internal/settings"
+	"pulleyquay/internal/spec"
+)
+
+// Limits of one job.
+const (
+	maxTasks        = 100000
+	maxCommandBytes = 64 << 10
+	// retention is how long a home remembers an ended job. An unknown identifier
+	// older than half of it is refused, so that none can be used twice.
+	retention = time.Hour
+	// clockSkew is how far ahead a submitter's clock may be.
+	clockSkew = time.Minute
+)
+
+var checker = newChecker()
+
+// newChecker returns a validator that names fields as JSON does.
+func newChecker() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(func(f reflect.StructField) string {
+		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		return name
+	})
+	return v
+}
+
+// validate checks what can be told from the job alone.
+func validate(j spec.Job, now time.Time) error {
+	if err := checkID(j.ID, now); err != nil {
+		return err
+	}
+	if err := checker.Struct(j); err != nil {
+		return fieldError(err)
+	}
+	switch {
+	case j.Tasks > maxTasks:
+		return invalid("tasks", "at most %d tasks", maxTasks)
+	case len(j.Task.Command) > maxCommandBytes:
+		return invalid("task.command", "at most %d bytes", maxCommandBytes)
+	case j.Task.Size.IsZero():
+		return invalid("task.size", "a task must ask for something")
+	case j.Kind == spec.KindService && j.Task.RunMillis != 0:
+		return invalid("task.run_ms", "a service has no run time")
+	case j.Kind == spec.KindService && j.DeadlineUnixMilli != 0:
+		return invalid("deadline_unix_ms", "a service has no deadline")
+	case j.DeadlineUnixMilli != 0 && j.DeadlineUnixMilli <= now.UnixMilli()+j.Task.RunMillis:
+		return result.New(result.JobDeadlinePassed, result.RanNo, "the declared run time ends after the deadline").At("deadline_unix_ms")
+	}
+	return nil
+}
+
+func checkID(id string, now time.Time) error {
+	u, err := uuid.Parse(id)
+	if err != nil || u.Version() != 7 || u.String() != id {
+		return invalid("id", "must be a UUIDv7 in lower case")
+	}
+	sec, nsec := u.Time().UnixTime()
+	minted := time.Unix(sec, nsec)
+	if minted.Before(now.Add(-retention / 2)) {
+		return result.New(result.JobIDTooOld, result.RanNo, "minted %s ago; a new job needs a new identifier", now.Sub(minted).Round(time.Second)).At("id")
+	}
+	if minted.After(now.Add(clockSkew)) {
+		return invalid("id", "minted %s in the future", minted.Sub(now).Round(time.Second))
+	}
+	return nil
+}
+
+// fieldError names the first field that the validator refused.
+func fieldError(err error) error {
+	var failed validator.ValidationErrors
+	if !errors.As(err, &failed) || len(failed) == 0 {
+		return invalid("", "%v", err)
+	}
+	f := failed[0]
+	_, path, _ := strings.Cut(f.Namespace(), ".")
+	return invalid(path, "must meet %q, is %v", strings.TrimSpace(f.Tag()+" "+f.Param()), f.Value())
+}
+
+func invalid(field, format string, args ...any) *result.Error {
+	return result.New(result.JobInvalid, result.RanNo, format, args...).At(field)
+}
+
+// checkQuota refuses a job that its quota could never let run: one task, or for
+// a gang all of them.
+func checkQuota(j spec.Job, q settings.Quota) error {
+	need := j.Task.Size
+	if j.Kind == spec.KindGang {
+		need = need.Times(int64(j.Tasks))
+	}
+	over := exceeded(need, q)
+	if over == "" {
+		return nil
+	}
+	return result.New(result.JobOverQuota, result.RanNo, "branch %s allows team %s less than it needs at once: %s", j.Branch, j.Team, over)
+}
+
+// exceeded describes which components of a use are over the quota, "" for none.
+func exceeded(use spec.Resources, q settings.Quota) string {
+	var over []string
+	check := func(name string, used, limit int64) {
+		if limit >= 0 && used > limit {
+			over = append(over, fmt.Sprintf("%s %d of %d", name, used, limit))
+		}
+	}
+	check("milli_cpu", use.MilliCPU, q.MilliCPU)
+	check("memory_mib", use.MemoryMiB, q.MemoryMiB)
+	check("accelerators", use.Accelerators, q.Accelerators)
+	return strings.Join(over, ", ")
+}
+
+func codeLabel(c result.Code) string { return strconv.Itoa(int(c)) }
