--- a/internal/fleet/claim.go
+++ b/internal/fleet/claim.go
@@ -10,6 +10,10 @@
 	"pulleyquay/internal/worker"
 )
 
+// errOtherWorker is the outcome of a claim that another worker answered: the
+// host list's address is out of date.
+var errOtherWorker = errors.New("fleet: another worker answered at the address")
+
 // claimWorker fences older holders at the worker and takes in its inventory.
 func (f *Fleet) claimWorker(a *agent) {
 	select {
@@ -18,6 +22,9 @@
 	case <-f.ctx.Done():
 		return
 	}
+	f.mu.Lock()
+	addr := a.addr
+	f.mu.Unlock()
 	ctx, cancel := context.WithTimeout(f.ctx, f.times.call)
 	defer cancel()
 	grant, err := f.cfg.Right.Check(a.part.id)
@@ -26,7 +33,7 @@
 		return
 	}
 	sent := time.Now()
-	reply, err := f.cfg.Client.Claim(ctx, a.addr, worker.ClaimRequest{
+	reply, err := f.cfg.Client.Claim(ctx, addr, worker.ClaimRequest{
 		Partition: a.part.id, Epoch: a.part.epoch, Holder: f.cfg.Name,
 	})
 	f.mu.Lock()
@@ -35,6 +42,9 @@
 		return
 	}
 	now := time.Now()
+	if err == nil && reply.Info.Name != a.name {
+		err = errOtherWorker
+	}
 	f.metrics.claims.WithLabelValues(outcomeLabel(err)).Inc()
 	switch {
 	case err == nil:
@@ -62,7 +72,6 @@
 	}
 	a.clock = anchor{reading: reply.Now, at: now}
 	a.info, a.usage = reply.Info, reply.Usage
-	a.info.Name = a.name
 	// The leases in the inventory were renewed before now; older orders that
 	// are still under way are part of lostUntil.
 	a.mayRunUntil = later(a.lostUntil, now.Add(f.times.leaseBound()))
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -109,8 +109,7 @@
 func (f *Fleet) Run(ctx context.Context) {
 	ticker := time.NewTicker(f.times.tick)
 	defer ticker.Stop()
-	defer f.wg.Wait()
-	defer f.cancel()
+	defer f.end()
 	for {
 		select {
 		case <-ctx.Done():
@@ -121,6 +120,14 @@
 	}
 }
 
+// end ends the calls in flight. The mutex keeps spawn from adding to the wait.
+func (f *Fleet) end() {
+	f.mu.Lock()
+	f.cancel()
+	f.mu.Unlock()
+	f.wg.Wait()
+}
+
 // tick does what is due.
 func (f *Fleet) tick(now time.Time) {
 	f.follow(f.cfg.Hosts(), now)
@@ -136,6 +143,7 @@
 }
 
 // spawn runs fn in a goroutine that Run waits for; not after the end of Run.
+// The caller holds the mutex.
 func (f *Fleet) spawn(fn func()) bool {
 	if f.ctx.Err() != nil {
 		return false
--- a/internal/fleet/news.go
+++ b/internal/fleet/news.go
@@ -52,6 +52,9 @@
 	floor := f.tableEpoch(from.Partition)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if err := f.caughtUp(); err != nil {
+		return err
+	}
 	h := f.home(from.Partition)
 	h.epoch = max(h.epoch, floor)
 	if from.Epoch < h.epoch {
@@ -61,6 +64,21 @@
 	return nil
 }
 
+// caughtUp refuses requests until the table shows this process's own claims, and
+// with them every takeover of a home that came before.
+func (f *Fleet) caughtUp() error {
+	for _, p := range f.parts {
+		if p.inTable {
+			continue
+		}
+		if f.tableEpoch(p.id) < p.epoch {
+			return result.New(result.HolderBehind, result.RanNo, "partition %d: claim of epoch %d not yet in the table", p.id, p.epoch).Later(newsRetry)
+		}
+		p.inTable = true
+	}
+	return nil
+}
+
 // tableEpoch is the epoch of a partition in the present table, zero if absent.
 func (f *Fleet) tableEpoch(id int) uint64 {
 	for _, p := range f.cfg.View.Table().Partitions {
--- a/internal/fleet/order.go
+++ b/internal/fleet/order.go
@@ -16,6 +16,7 @@
 type outgoing struct {
 	order  worker.Order
 	starts []*run
+	addr   string
 	// bound is when the last lease renewed by this order is certainly over,
 	// should no answer tell more; before is what held without this order.
 	bound, before time.Time
@@ -40,7 +41,7 @@
 		until = grant.Until
 	}
 	f.commit(a, out, until)
-	reply, err := f.cfg.Client.Order(ctx, a.addr, out.order)
+	reply, err := f.cfg.Client.Order(ctx, out.addr, out.order)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if a.gone {
@@ -62,7 +63,7 @@
 func (f *Fleet) compose(a *agent) *outgoing {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	out := &outgoing{order: worker.Order{Partition: a.part.id, Epoch: a.part.epoch, RenewMillis: f.times.lease.Milliseconds()}}
+	out := &outgoing{addr: a.addr, order: worker.Order{Partition: a.part.id, Epoch: a.part.epoch, RenewMillis: f.times.lease.Milliseconds()}}
 	for id, mode := range a.stops {
 		out.order.Stops = append(out.order.Stops, worker.Stop{Attempt: id, Mode: mode})
 	}
@@ -123,6 +124,11 @@
 func (f *Fleet) applyReply(a *agent, out *outgoing, reply worker.OrderReply, now time.Time) {
 	a.clock = anchor{reading: reply.Now, at: now}
 	a.renewAt = now.Add(f.times.renew)
+	if len(out.starts) > 0 {
+		// What was started counts on top of the observed usage until a report
+		// surely contains it: ask for that report soon.
+		a.renewAt = now.Add(min(f.times.renew, f.cell.UsageLag+f.times.tick))
+	}
 	a.retryAt = time.Time{}
 	// The worker took this order before its answer came; only lost orders can
 	// still renew anything later.
--- a/internal/fleet/resident.go
+++ b/internal/fleet/resident.go
@@ -24,6 +24,8 @@
 	listKnown bool
 	// paused is set while the partition is handed over: no new calls.
 	paused bool
+	// inTable is true once the process's table shows the claim.
+	inTable bool
 }
 
 // complete reports whether every run that may be on a worker of the partition
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -165,7 +165,11 @@
 	if w.State != worker.StateRunning {
 		return r
 	}
-	f.cell.Adopt(a.name, scheduler.Run{Attempt: id, Home: w.Home, Kind: w.Kind, Size: w.Size, Urgent: w.Urgent}, now)
+	started := now.Add(-time.Duration(a.clock.reading-w.Started) * time.Millisecond)
+	booked := scheduler.Run{Attempt: id, Home: w.Home, Kind: w.Kind, Size: w.Size, Urgent: w.Urgent}
+	if err := f.cell.Adopt(a.name, booked, started); err != nil {
+		f.log.WithError(err).Error("run not booked") // only for a worker that was never claimed
+	}
 	f.tell(r, taskmsg.RunRunning)
 	if f.tombs.Contains(id) {
 		a.stops[id] = worker.Kill
@@ -183,7 +187,7 @@
 			continue
 		}
 		f.mu.Lock()
-		if !a.gone && a.claim != claimHeld && now.After(a.mayRunUntil) {
+		if !a.gone && a.silent(now) {
 			f.loseAll(a, now)
 		}
 		f.mu.Unlock()
@@ -197,13 +201,19 @@
 	defer f.mu.Unlock()
 	var out []*agent
 	for _, a := range f.agents {
-		if len(a.runs) > 0 && a.claim != claimHeld && now.After(a.mayRunUntil) {
+		if len(a.runs) > 0 && a.silent(now) {
 			out = append(out, a)
 		}
 	}
 	return out
 }
 
+// silent reports whether the worker does not answer and all leases on it are
+// over. A worker fenced by a higher epoch is not silent: its runs go on.
+func (a *agent) silent(now time.Time) bool {
+	return (a.claim == claimNone || a.claim == claimDoubt) && now.After(a.mayRunUntil)
+}
+
 func (f *Fleet) loseAll(a *agent, now time.Time) {
 	lost := 0
 	for _, r := range a.runs {
--- a/internal/result/codes_fleet.go
+++ b/internal/result/codes_fleet.go
@@ -4,8 +4,6 @@
 
 // Codes of the holder's side of the workers (4000 to 4099).
 const (
-	// NoRoom: no worker of the holder can take the task now.
-	NoRoom Code = 4000
 	// GangUnknown: the holder holds no room for the gang, or no longer.
 	GangUnknown Code = 4001
 	// HolderBehind: the holder's table does not yet show its own claim.
@@ -14,7 +12,6 @@
 
 func init() {
 	register(
-		Info{NoRoom, "no-room", http.StatusServiceUnavailable, "no worker can take the task now"},
 		Info{GangUnknown, "gang-unknown", http.StatusConflict, "no room is held for the gang"},
 		Info{HolderBehind, "holder-behind", http.StatusServiceUnavailable, "the holder does not know the present homes yet"},
 	)
