--- a/internal/job/home.go
+++ b/internal/job/home.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"time"
 
@@ -214,7 +213,7 @@
 	case p.Epoch > h.epoch:
 		return platform.Condition{}, recorder.ErrFenced
 	}
-	return platform.Condition{Key: fmt.Sprintf("partitions/%d", h.partition), ModRevision: platform.Revision(p.ModRevision)}, nil
+	return platform.Condition{Key: h.m.cfg.PartitionKey(h.partition), ModRevision: platform.Revision(p.ModRevision)}, nil
 }
 
 func partitionOf(t *view.Table, id int) (view.Partition, bool) {
--- a/internal/job/manager.go
+++ b/internal/job/manager.go
@@ -36,6 +36,8 @@
 	Right  hold.Right
 	Store  platform.Store
 	Peers  peer.Caller
+	// PartitionKey returns the key of a partition's record in the store.
+	PartitionKey func(partition int) string
 	// Values returns the effective settings of a branch; ok is false when the
 	// settings do not have it.
 	Values func(branch string) (v settings.Values, ok bool)
--- a/internal/job/query.go
+++ b/internal/job/query.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sort"
 	"time"
 
@@ -25,9 +24,29 @@
 			return h, j, h.checkRight()
 		}
 	}
+	if h := m.loading(); h != nil {
+		return nil, nil, h.errLoading()
+	}
 	return nil, nil, result.New(result.JobNotFound, result.RanUnknown, "no home of this process knows job %q", id)
 }
 
+// loading returns a home that does not know all its jobs yet, or nil.
+func (m *Manager) loading() *home {
+	for _, h := range m.all() {
+		h.mu.Lock()
+		phase := h.phase
+		h.mu.Unlock()
+		if phase == phaseLoading {
+			return h
+		}
+	}
+	return nil
+}
+
+func (h *home) errLoading() *result.Error {
+	return result.New(result.JobHomeRecovering, result.RanNo, "the home in partition %d does not know all its jobs yet", h.partition).Later(retryLoading)
+}
+
 // Get returns one job of any home of this process.
 func (m *Manager) Get(_ context.Context, req jobmsg.GetRequest) (jobmsg.GetReply, error) {
 	h, j, err := m.find(req.ID)
@@ -53,10 +72,13 @@
 		limit = jobmsg.DefaultListLimit
 	}
 	limit = min(limit, jobmsg.MaxListLimit)
+	if h := m.loading(); h != nil {
+		return jobmsg.ListReply{}, h.errLoading()
+	}
 	var jobs []jobmsg.Status
 	for _, h := range m.all() {
-		if h.checkRight() != nil {
-			continue
+		if err := h.checkRight(); err != nil {
+			return jobmsg.ListReply{}, err
 		}
 		jobs = append(jobs, h.listAfter(req.Team, req.After, limit+1)...)
 	}
@@ -157,10 +179,3 @@
 	}
 	return s
 }
-
-// errNotFound is matched when several processes are asked.
-var errNotFound = &result.Error{Code: result.JobNotFound}
-
-// IsNotFound reports whether an error only says that a process does not know
-// the job.
-func IsNotFound(err error) bool { return errors.Is(err, errNotFound) }
--- /dev/null
+++ b/internal/jobapi/homes.go
@@ -0,0 +1,214 @@
+package jobapi
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"pulleyquay/internal/jobmsg"
+	"pulleyquay/internal/partition"
+	"pulleyquay/internal/peer"
+	"pulleyquay/internal/result"
+	"pulleyquay/internal/spec"
+	"pulleyquay/internal/view"
+)
+
+const (
+	// retryPause is the wait before a home is looked up and asked again.
+	retryPause = 200 * time.Millisecond
+	// maxAsked bounds the processes asked at a time when the home is not known.
+	maxAsked = 16
+	// retryUnheld is when to come back while nobody holds a home.
+	retryUnheld = 2 * time.Second
+)
+
+// homes finds the homes of jobs and asks them.
+type homes struct {
+	source view.Source
+	peers  peer.Caller
+}
+
+// submit sends a job to its home until it has answered or ctx ends. A repeated
+// submit is harmless, but once one try may have been taken, no later refusal
+// proves that the job was not accepted.
+func (h homes) submit(ctx context.Context, job spec.Job) (jobmsg.Status, error) {
+	maybe := false
+	for {
+		var status jobmsg.Status
+		addr, err := h.homeOf(job.Team)
+		if err == nil {
+			err = h.peers.Call(ctx, addr, peer.KindJobSubmit, jobmsg.SubmitRequest{Job: job}, &status)
+		}
+		if err == nil {
+			return status, nil
+		}
+		e := result.From(err)
+		maybe = maybe || e.Ran != result.RanNo
+		if !again(e) || !pause(ctx) {
+			return status, submitError(e, maybe, job.ID)
+		}
+	}
+}
+
+// again reports whether a failure may pass once the table or the link has moved
+// on.
+func again(e *result.Error) bool {
+	switch e.Code {
+	case result.NotHolder, result.RightLapsed, result.JobHomeMoved, result.JobHomeRecovering,
+		result.PeerNotReached, result.PeerLost, result.Stopping:
+		return true
+	}
+	return false
+}
+
+// pause waits before the next try and reports whether there is time for one.
+func pause(ctx context.Context) bool {
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < 2*retryPause {
+		return false
+	}
+	t := time.NewTimer(retryPause)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+func submitError(e *result.Error, maybe bool, id string) *result.Error {
+	if !maybe || e.Ran != result.RanNo {
+		return e
+	}
+	return result.New(result.JobRecordUnknown, result.RanUnknown,
+		"an earlier try for job %s may have been accepted; now: %s", id, e.Error()).Later(retryUnheld)
+}
+
+// homeOf returns the address of a team's home.
+func (h homes) homeOf(team string) (string, error) {
+	table := h.source.Table()
+	if table == nil || len(table.Partitions) == 0 {
+		return "", result.New(result.NotReady, result.RanNo, "the partitions are not known yet").Later(retryUnheld)
+	}
+	id := partition.OfTeam(team, len(table.Partitions))
+	for _, p := range table.Partitions {
+		if p.ID == id && p.Holder != "" {
+			return p.Addr, nil
+		}
+	}
+	return "", result.New(result.JobHomeMoved, result.RanNo, "nobody holds partition %d, the home of team %s", id, team).Later(retryUnheld)
+}
+
+// holders returns the addresses of all processes that hold partitions, in a
+// fixed order, and whether every partition has a holder.
+func (h homes) holders() (addrs []string, all bool) {
+	table := h.source.Table()
+	if table == nil {
+		return nil, false
+	}
+	seen := map[string]bool{}
+	all = len(table.Partitions) > 0
+	for _, p := range table.Partitions {
+		if p.Holder == "" {
+			all = false
+			continue
+		}
+		if !seen[p.Addr] {
+			seen[p.Addr] = true
+			addrs = append(addrs, p.Addr)
+		}
+	}
+	sort.Strings(addrs)
+	return addrs, all
+}
+
+func (h homes) get(ctx context.Context, team string, req jobmsg.GetRequest) (jobmsg.GetReply, error) {
+	return askHome[jobmsg.GetReply](ctx, h, team, peer.KindJobGet, req, req.ID)
+}
+
+func (h homes) cancel(ctx context.Context, team, id string) (jobmsg.Status, error) {
+	return askHome[jobmsg.Status](ctx, h, team, peer.KindJobCancel, jobmsg.CancelRequest{ID: id}, id)
+}
+
+// askHome asks the home of the team, or every holder when the team is not given.
+// Only the home that knows the job answers.
+func askHome[Resp any](ctx context.Context, h homes, team string, kind peer.Kind, req any, id string) (Resp, error) {
+	var none Resp
+	addrs, all := h.holders()
+	if team != "" {
+		addr, err := h.homeOf(team)
+		if err != nil {
+			return none, err
+		}
+		addrs, all = []string{addr}, true
+	}
+	replies, errs := askAll[Resp](ctx, h.peers, addrs, kind, req)
+	var failure error
+	for i, err := range errs {
+		switch {
+		case err == nil:
+			return replies[i], nil
+		case result.CodeOf(err) != result.JobNotFound:
+			failure = err
+		}
+	}
+	if failure != nil {
+		return none, failure
+	}
+	if !all {
+		return none, result.New(result.JobHomeMoved, result.RanUnknown, "not every home is held at the moment, and those that are do not know job %q", id).Later(retryUnheld)
+	}
+	return none, result.New(result.JobNotFound, result.RanUnknown, "no home knows job %q", id)
+}
+
+// askAll asks several processes at once and returns their answers in order.
+func askAll[Resp any](ctx context.Context, peers peer.Caller, addrs []string, kind peer.Kind, req any) ([]Resp, []error) {
+	replies := make([]Resp, len(addrs))
+	errs := make([]error, len(addrs))
+	var g errgroup.Group
+	g.SetLimit(maxAsked)
+	for i, addr := range addrs {
+		g.Go(func() error {
+			errs[i] = peers.Call(ctx, addr, kind, req, &replies[i])
+			return nil
+		})
+	}
+	_ = g.Wait() // the calls keep their own errors
+	return replies, errs
+}
+
+// list merges the pages of all homes. A home that does not answer fails the
+// whole list, as a list with a gap would look complete.
+func (h homes) list(ctx context.Context, req jobmsg.ListRequest) (jobmsg.ListReply, error) {
+	addrs, all := h.holders()
+	if req.Team != "" {
+		addr, err := h.homeOf(req.Team)
+		if err != nil {
+			return jobmsg.ListReply{}, err
+		}
+		addrs, all = []string{addr}, true
+	}
+	if !all {
+		return jobmsg.ListReply{}, result.New(result.JobHomeMoved, result.RanNo, "not every home is held at the moment").Later(retryUnheld)
+	}
+	replies, errs := askAll[jobmsg.ListReply](ctx, h.peers, addrs, peer.KindJobList, req)
+	var merged jobmsg.ListReply
+	for i, err := range errs {
+		if err != nil {
+			return jobmsg.ListReply{}, err
+		}
+		merged.Jobs = append(merged.Jobs, replies[i].Jobs...)
+		merged.More = merged.More || replies[i].More
+	}
+	sort.Slice(merged.Jobs, func(a, b int) bool { return merged.Jobs[a].Job.ID < merged.Jobs[b].Job.ID })
+	limit := req.Limit
+	if limit == 0 {
+		limit = jobmsg.DefaultListLimit
+	}
+	if len(merged.Jobs) > limit {
+		merged.Jobs, merged.More = merged.Jobs[:limit], true
+	}
+	return merged, nil
+}
--- /dev/null
+++ b/internal/jobapi/jobapi.go
@@ -0,0 +1,210 @@
+// Package jobapi is the entry's HTTP interface for jobs. It keeps nothing: each
+// call goes over the peer link to the home of the job's team, or to all homes
+// when the team is not known.
+package jobapi
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+
+	"pulleyquay/internal/jobmsg"
+	"pulleyquay/internal/peer"
+	"pulleyquay/internal/problem"
+	"pulleyquay/internal/result"
+	"pulleyquay/internal/spec"
+	"pulleyquay/internal/view"
+)
+
+// Limits of one HTTP call.
+const (
+	maxBodyBytes = 256 << 10
+	callTimeout  = 8 * time.Second
+	// IdempotencyHeader may carry the job's identifier in place of the body.
+	IdempotencyHeader = "Idempotency-Key"
+)
+
+// API answers /v1/jobs.
+type API struct {
+	homes homes
+	log   *logrus.Entry
+}
+
+// New returns the API of an entry that reaches the homes through peers.
+func New(source view.Source, peers peer.Caller, log *logrus.Entry) *API {
+	return &API{homes: homes{source: source, peers: peers}, log: log}
+}
+
+// Register adds the routes to a mux.
+func (a *API) Register(mux *http.ServeMux) {
+	mux.Handle("POST /v1/jobs", a.route(a.submit))
+	mux.Handle("GET /v1/jobs", a.route(a.list))
+	mux.Handle("GET /v1/jobs/{id}", a.route(a.get))
+	mux.Handle("GET /v1/jobs/{id}/explain", a.route(a.explain))
+	mux.Handle("DELETE /v1/jobs/{id}", a.route(a.cancel))
+}
+
+// answer is a successful answer.
+type answer struct {
+	status   int
+	location string
+	body     any
+}
+
+type handler func(ctx context.Context, r *http.Request) (answer, error)
+
+// route bounds the time of a call and writes its answer or problem.
+func (a *API) route(fn handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
+		defer cancel()
+		ans, err := fn(ctx, r)
+		if err != nil {
+			problem.Write(w, result.From(err))
+			return
+		}
+		a.write(w, ans)
+	})
+}
+
+func (a *API) write(w http.ResponseWriter, ans answer) {
+	body, err := json.Marshal(ans.body)
+	if err != nil {
+		problem.Write(w, result.New(result.Internal, result.RanUnknown, "encode: %v", err))
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)+1))
+	if ans.location != "" {
+		w.Header().Set("Location", ans.location)
+	}
+	w.WriteHeader(ans.status)
+	if _, err := w.Write(append(body, '\n')); err != nil {
+		a.log.WithError(err).Debug("caller went away")
+	}
+}
+
+func (a *API) submit(ctx context.Context, r *http.Request) (answer, error) {
+	job, err := readJob(r)
+	if err != nil {
+		return answer{}, err
+	}
+	status, err := a.homes.submit(ctx, job)
+	if err != nil {
+		return answer{}, err
+	}
+	return answer{status: http.StatusCreated, location: "/v1/jobs/" + job.ID, body: status}, nil
+}
+
+// readJob reads a specification strictly. Its identifier comes from the body or
+// the Idempotency-Key header; a submitter who gives none gets a new one, and can
+// not repeat the call safely.
+func readJob(r *http.Request) (spec.Job, error) {
+	var job spec.Job
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes+1))
+	if err != nil {
+		return job, result.New(result.BadInput, result.RanNo, "the body was not read whole: %v", err)
+	}
+	if len(body) > maxBodyBytes {
+		return job, result.New(result.TooLarge, result.RanNo, "a job's specification has at most %d bytes", maxBodyBytes)
+	}
+	if err := decodeStrict(body, &job); err != nil {
+		return job, err
+	}
+	header := r.Header.Get(IdempotencyHeader)
+	if header != "" && job.ID != "" && header != job.ID {
+		return job, result.New(result.BadInput, result.RanNo, "the body's id and the Idempotency-Key header differ").At("id")
+	}
+	if job.ID == "" {
+		job.ID = header
+	}
+	if job.ID == "" {
+		id, err := uuid.NewV7()
+		if err != nil {
+			return job, result.New(result.Internal, result.RanNo, "no identifier: %v", err)
+		}
+		job.ID = id.String()
+	}
+	return job, nil
+}
+
+func decodeStrict(body []byte, into any) error {
+	d := json.NewDecoder(strings.NewReader(string(body)))
+	d.DisallowUnknownFields()
+	if err := d.Decode(into); err != nil {
+		return badJSON(err)
+	}
+	if _, err := d.Token(); err != io.EOF {
+		return result.New(result.BadInput, result.RanNo, "something follows the JSON object")
+	}
+	return nil
+}
+
+func badJSON(err error) error {
+	e := result.New(result.BadInput, result.RanNo, "%v", err)
+	var wrongType *json.UnmarshalTypeError
+	if errors.As(err, &wrongType) {
+		return e.At(wrongType.Field)
+	}
+	return e
+}
+
+func (a *API) get(ctx context.Context, r *http.Request) (answer, error) {
+	reply, err := a.homes.get(ctx, r.URL.Query().Get("team"), jobmsg.GetRequest{ID: r.PathValue("id")})
+	return answer{status: http.StatusOK, body: reply.Status}, err
+}
+
+// explained is a job with the reasons for where it runs or what it waits for.
+type explained struct {
+	jobmsg.Status
+	Explanation *jobmsg.Explanation `json:"explanation"`
+}
+
+func (a *API) explain(ctx context.Context, r *http.Request) (answer, error) {
+	reply, err := a.homes.get(ctx, r.URL.Query().Get("team"), jobmsg.GetRequest{ID: r.PathValue("id"), Explain: true})
+	return answer{status: http.StatusOK, body: explained{reply.Status, reply.Explain}}, err
+}
+
+func (a *API) cancel(ctx context.Context, r *http.Request) (answer, error) {
+	status, err := a.homes.cancel(ctx, r.URL.Query().Get("team"), r.PathValue("id"))
+	return answer{status: http.StatusAccepted, body: status}, err
+}
+
+// page is one page of a list; Next is the value of the after parameter for the
+// next one.
+type page struct {
+	Jobs []jobmsg.Status `json:"jobs"`
+	Next string          `json:"next,omitempty"`
+}
+
+func (a *API) list(ctx context.Context, r *http.Request) (answer, error) {
+	q := r.URL.Query()
+	req := jobmsg.ListRequest{Team: q.Get("team"), After: q.Get("after")}
+	if s := q.Get("limit"); s != "" {
+		n, err := strconv.Atoi(s)
+		if err != nil || n < 1 || n > jobmsg.MaxListLimit {
+			return answer{}, result.New(result.BadInput, result.RanNo, "limit is a number from 1 to %d", jobmsg.MaxListLimit).At("limit")
+		}
+		req.Limit = n
+	}
+	reply, err := a.homes.list(ctx, req)
+	if err != nil {
+		return answer{}, err
+	}
+	p := page{Jobs: reply.Jobs}
+	if p.Jobs == nil {
+		p.Jobs = []jobmsg.Status{}
+	}
+	if reply.More && len(p.Jobs) > 0 {
+		p.Next = p.Jobs[len(p.Jobs)-1].Job.ID
+	}
+	return answer{status: http.StatusOK, body: p}, nil
+}
