--- /dev/null
+++ b/internal/platform/budget/budget.go
@@ -0,0 +1,213 @@
+// Package budget keeps one process within its share of the calls that the
+// platform's store takes, and counts them. Reads and writes are limited apart;
+// lease renewals never wait, because a process that loses its lease loses its
+// partitions; what they use up is taken from the other writes.
+package budget
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"pulleyquay/internal/platform"
+	"pulleyquay/internal/result"
+)
+
+// DefaultTimeout bounds a call, waiting included, whose context has no end.
+const DefaultTimeout = 5 * time.Second
+
+// Options set up a Store. Zero fields take their defaults.
+type Options struct {
+	Limits  Limits
+	Timeout time.Duration
+	// Registry gets the counters.
+	Registry prometheus.Registerer
+}
+
+// Store is a platform.Store that limits and counts the calls to another one.
+type Store struct {
+	inner   platform.Store
+	timeout time.Duration
+	reads   *limiter
+	writes  *limiter
+	watches chan struct{}
+	metrics *metrics
+}
+
+var _ platform.Store = (*Store)(nil)
+
+// New wraps a store. It fails when the registry already has the counters.
+func New(inner platform.Store, o Options) (*Store, error) {
+	if o.Limits == (Limits{}) {
+		o.Limits = DefaultLimits()
+	}
+	if o.Timeout == 0 {
+		o.Timeout = DefaultTimeout
+	}
+	if o.Registry == nil {
+		o.Registry = prometheus.NewRegistry()
+	}
+	m, err := newMetrics(o.Registry)
+	if err != nil {
+		return nil, err
+	}
+	return &Store{
+		inner:   inner,
+		timeout: o.Timeout,
+		reads:   newLimiter(o.Limits.ReadsPerSecond),
+		writes:  newLimiter(o.Limits.WritesPerSecond),
+		watches: make(chan struct{}, o.Limits.Watches),
+		metrics: m,
+	}, nil
+}
+
+// Share tells among how many processes the limits are shared.
+func (s *Store) Share(processes int) {
+	s.reads.share(processes)
+	s.writes.share(processes)
+}
+
+// Dump is the state shown by /debug/state.
+type Dump struct {
+	// Calls are counts by kind and result, "commit ok".
+	Calls           map[string]int64 `json:"calls"`
+	Watches         int              `json:"watches"`
+	WritesPerSecond float64          `json:"writes_per_second"`
+	ReadsPerSecond  float64          `json:"reads_per_second"`
+	// Reached is when the store last answered.
+	Reached     time.Time `json:"reached"`
+	LastFailure string    `json:"last_failure,omitempty"`
+}
+
+// Dump returns the counts and the present limits.
+func (s *Store) Dump() any {
+	s.metrics.mu.Lock()
+	defer s.metrics.mu.Unlock()
+	calls := make(map[string]int64, len(s.metrics.totals))
+	for k, v := range s.metrics.totals {
+		calls[k] = v
+	}
+	return Dump{
+		Calls:           calls,
+		Watches:         len(s.watches),
+		WritesPerSecond: float64(s.writes.rate.Limit()),
+		ReadsPerSecond:  float64(s.reads.rate.Limit()),
+		Reached:         s.metrics.reached,
+		LastFailure:     s.metrics.lastFail,
+	}
+}
+
+// limited makes one call when it is its turn, and counts it.
+func limited[T any](ctx context.Context, s *Store, call string, c class, fn func(context.Context) (T, error)) (T, error) {
+	var none T
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	defer cancel()
+	began := time.Now()
+	if err := s.limiter(c).wait(ctx, c); err != nil {
+		s.metrics.done(call, resultBudget, -1, err)
+		return none, err
+	}
+	s.metrics.waited.WithLabelValues(string(c)).Observe(time.Since(began).Seconds())
+	return counted(ctx, s, call, fn)
+}
+
+// counted makes one call and counts it.
+func counted[T any](ctx context.Context, s *Store, call string, fn func(context.Context) (T, error)) (T, error) {
+	began := time.Now()
+	value, err := fn(ctx)
+	s.metrics.done(call, outcomeOfReply(value, err), time.Since(began), err)
+	return value, err
+}
+
+// outcomeOfReply is outcomeOf that tells a transaction in conflict apart.
+func outcomeOfReply(value any, err error) string {
+	if reply, ok := value.(platform.TxnReply); ok && err == nil && !reply.Applied {
+		return resultConflict
+	}
+	return outcomeOf(err)
+}
+
+// limiter returns the limiter of a class.
+func (s *Store) limiter(c class) *limiter {
+	if c == classRead {
+		return s.reads
+	}
+	return s.writes
+}
+
+// listing is the answer to List.
+type listing struct {
+	records  []platform.Record
+	revision platform.Revision
+}
+
+// List implements platform.Store.
+func (s *Store) List(ctx context.Context, prefix string) ([]platform.Record, platform.Revision, error) {
+	l, err := limited(ctx, s, callList, classRead, func(ctx context.Context) (listing, error) {
+		records, revision, err := s.inner.List(ctx, prefix)
+		return listing{records, revision}, err
+	})
+	return l.records, l.revision, err
+}
+
+// Commit implements platform.Store.
+func (s *Store) Commit(ctx context.Context, txn platform.Txn) (platform.TxnReply, error) {
+	return limited(ctx, s, callCommit, classWrite, func(ctx context.Context) (platform.TxnReply, error) {
+		return s.inner.Commit(ctx, txn)
+	})
+}
+
+// Grant implements platform.Store.
+func (s *Store) Grant(ctx context.Context, ttlSeconds int64) (platform.LeaseID, error) {
+	return limited(ctx, s, callGrant, classWrite, func(ctx context.Context) (platform.LeaseID, error) {
+		return s.inner.Grant(ctx, ttlSeconds)
+	})
+}
+
+// KeepAlive implements platform.Store. It does not wait for its turn.
+func (s *Store) KeepAlive(ctx context.Context, id platform.LeaseID) error {
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	defer cancel()
+	s.writes.charge()
+	_, err := counted(ctx, s, callKeepAlive, func(ctx context.Context) (struct{}, error) {
+		return struct{}{}, s.inner.KeepAlive(ctx, id)
+	})
+	return err
+}
+
+// Revoke implements platform.Store.
+func (s *Store) Revoke(ctx context.Context, id platform.LeaseID) error {
+	_, err := limited(ctx, s, callRevoke, classWrite, func(ctx context.Context) (struct{}, error) {
+		return struct{}{}, s.inner.Revoke(ctx, id)
+	})
+	return err
+}
+
+// Watch implements platform.Store. Opening it waits for its turn as a read; one
+// watch too many is refused.
+func (s *Store) Watch(ctx context.Context, prefix string, after platform.Revision, fn func(platform.Batch)) error {
+	select {
+	case s.watches <- struct{}{}:
+	default:
+		return s.tooManyWatches()
+	}
+	defer func() { <-s.watches }()
+	if err := s.reads.wait(ctx, classRead); err != nil {
+		s.metrics.done(callWatch, resultBudget, -1, err)
+		return err
+	}
+	s.metrics.watches.Inc()
+	defer s.metrics.watches.Dec()
+	err := s.inner.Watch(ctx, prefix, after, fn)
+	s.metrics.done(callWatch, watchOutcomeOf(ctx, err), -1, err)
+	return err
+}
+
+// tooManyWatches refuses a watch beyond the limit.
+func (s *Store) tooManyWatches() error {
+	refusal := result.New(result.StoreBudget, result.RanNo, "more than %d watches", cap(s.watches))
+	s.metrics.done(callWatch, resultBudget, -1, refusal)
+	return fmt.Errorf("%w: %w", platform.ErrUnavailable, refusal)
+}
--- /dev/null
+++ b/internal/platform/budget/budget_test.go
@@ -0,0 +1,145 @@
+package budget_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"pulleyquay/internal/platform"
+	"pulleyquay/internal/platform/budget"
+	"pulleyquay/internal/platform/memstore"
+	"pulleyquay/internal/platform/platformtest"
+	"pulleyquay/internal/result"
+)
+
+func newStore(t *testing.T, o budget.Options) (*memstore.Engine, *budget.Store) {
+	engine := memstore.New()
+	t.Cleanup(engine.Close)
+	s, err := budget.New(engine.Client("a"), o)
+	is.New(t).NoErr(err)
+	return engine, s
+}
+
+func TestContract(t *testing.T) {
+	platformtest.TestStore(t, func(t *testing.T) platformtest.StoreCase {
+		engine, s := newStore(t, budget.Options{})
+		return platformtest.StoreCase{Store: s, Compact: engine.Compact}
+	})
+}
+
+var put = platform.Txn{Then: []platform.Write{{Key: "k", Value: []byte("v")}}}
+
+func calls(s *budget.Store) map[string]int64 { return s.Dump().(budget.Dump).Calls }
+
+func TestWritesAndReadsAreLimitedApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		_, s := newStore(t, budget.Options{Limits: budget.Limits{WritesPerSecond: 20, ReadsPerSecond: 100, Watches: 1}})
+		s.Share(2) // 10 writes and 50 reads a second, as much again at once
+		began := time.Now()
+		for range 30 {
+			_, err := s.Commit(t.Context(), put)
+			is.NoErr(err)
+		}
+		is.Equal(time.Since(began).Round(time.Millisecond), 2*time.Second)
+		began = time.Now()
+		for range 100 {
+			_, _, err := s.List(t.Context(), "k")
+			is.NoErr(err)
+		}
+		is.Equal(time.Since(began).Round(time.Millisecond), time.Second)
+	})
+}
+
+func TestRenewalsGoBeforeEverythingElse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		_, s := newStore(t, budget.Options{
+			Limits: budget.Limits{WritesPerSecond: 10, ReadsPerSecond: 10, Watches: 1}, Timeout: time.Minute,
+		})
+		id, err := s.Grant(t.Context(), 60)
+		is.NoErr(err)
+		ended := make(chan time.Time, 100)
+		began := time.Now()
+		for range 100 {
+			go func() {
+				_, _ = s.Commit(t.Context(), put)
+				ended <- time.Now()
+			}()
+		}
+		synctest.Wait()
+		for range 10 {
+			is.NoErr(s.KeepAlive(t.Context(), id))
+		}
+		is.Equal(time.Since(began), time.Duration(0)) // no renewal has waited
+		_, err = s.Commit(t.Context(), put)           // after the others, and after what renewals used
+		is.NoErr(err)
+		is.Equal(time.Since(began).Round(100*time.Millisecond), 10200*time.Millisecond)
+		for range 100 {
+			<-ended
+		}
+	})
+}
+
+func TestCallThatCannotHaveItsTurnIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		_, s := newStore(t, budget.Options{Limits: budget.Limits{WritesPerSecond: 1, ReadsPerSecond: 1, Watches: 1}})
+		_, err := s.Commit(t.Context(), put)
+		is.NoErr(err)
+		ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+		defer cancel()
+		began := time.Now()
+		_, err = s.Commit(ctx, put)
+		is.Equal(time.Since(began), time.Duration(0))
+		is.True(errors.Is(err, platform.ErrUnavailable)) // nothing was sent
+		is.Equal(platform.Failure(err).Code, result.StoreBudget)
+		is.Equal(calls(s), map[string]int64{"commit ok": 1, "commit budget": 1})
+	})
+}
+
+func TestWatchesAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		_, s := newStore(t, budget.Options{Limits: budget.Limits{WritesPerSecond: 1, ReadsPerSecond: 10, Watches: 1}})
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = s.Watch(ctx, "k", 1, func(platform.Batch) {}) }()
+		synctest.Wait()
+		is.Equal(s.Dump().(budget.Dump).Watches, 1)
+		err := s.Watch(t.Context(), "k", 1, func(platform.Batch) {})
+		is.Equal(platform.Failure(err).Code, result.StoreBudget)
+		cancel()
+		synctest.Wait()
+		is.Equal(calls(s), map[string]int64{"watch budget": 1, "watch ended": 1})
+		is.Equal(s.Dump().(budget.Dump).Watches, 0)
+	})
+}
+
+func TestResultsAreCounted(t *testing.T) {
+	is := is.New(t)
+	engine, s := newStore(t, budget.Options{Registry: prometheus.NewRegistry(), Timeout: 20 * time.Millisecond})
+	conflict := platform.Txn{If: []platform.Condition{{Key: "k", ModRevision: 9}}}
+	_, _ = s.Commit(t.Context(), conflict)
+	_, _ = s.Commit(t.Context(), platform.Txn{Then: []platform.Write{{}}})
+	_ = s.KeepAlive(t.Context(), 9)
+	engine.SetFaults(memstore.Faults{Refuse: true})
+	_, _, _ = s.List(t.Context(), "k")
+	engine.SetFaults(memstore.Faults{Hang: true})
+	_, _ = s.Commit(t.Context(), put)
+	is.Equal(calls(s), map[string]int64{
+		"commit conflict": 1, "commit refused": 1, "keepalive lease_gone": 1, "list unavailable": 1, "commit unknown": 1,
+	})
+}
+
+func TestRegisteredTwice(t *testing.T) {
+	registry := prometheus.NewRegistry()
+	_, err := budget.New(nil, budget.Options{Registry: registry})
+	is.New(t).NoErr(err)
+	_, err = budget.New(nil, budget.Options{Registry: registry})
+	is.New(t).True(err != nil)
+}
--- /dev/null
+++ b/internal/platform/budget/metrics.go
@@ -0,0 +1,123 @@
+package budget
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"pulleyquay/internal/platform"
+	"pulleyquay/internal/result"
+)
+
+// The kinds of call.
+const (
+	callList      = "list"
+	callCommit    = "commit"
+	callWatch     = "watch"
+	callGrant     = "grant"
+	callKeepAlive = "keepalive"
+	callRevoke    = "revoke"
+)
+
+// The results of a call.
+const (
+	resultOK          = "ok"
+	resultConflict    = "conflict" // a condition of the transaction did not hold
+	resultUnavailable = "unavailable"
+	resultUnknown     = "unknown"
+	resultLeaseGone   = "lease_gone"
+	resultCompacted   = "compacted"
+	resultRefused     = "refused"
+	resultBudget      = "budget"
+	resultEnded       = "ended" // a watch that its owner ended
+)
+
+// metrics are the counters of one process's calls.
+type metrics struct {
+	calls    *prometheus.CounterVec
+	seconds  *prometheus.HistogramVec
+	waited   *prometheus.HistogramVec
+	watches  prometheus.Gauge
+	mu       sync.Mutex
+	totals   map[string]int64
+	reached  time.Time
+	lastFail string
+}
+
+// latencyBuckets reach from the service's usual milliseconds to an outage.
+var latencyBuckets = []float64{.001, .002, .005, .01, .02, .05, .1, .2, .5, 1, 2, 5, 10}
+
+// newMetrics makes the counters and registers them.
+func newMetrics(registry prometheus.Registerer) (*metrics, error) {
+	m := &metrics{
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pulleyquay_store_calls_total", Help: "Calls to the platform's store by kind and result.",
+		}, []string{"call", "result"}),
+		seconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "pulleyquay_store_call_seconds", Help: "Time from sending a call to the platform's store to its end.",
+			Buckets: latencyBuckets,
+		}, []string{"call"}),
+		waited: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "pulleyquay_store_budget_wait_seconds", Help: "Time that calls waited for this process's share.",
+			Buckets: latencyBuckets,
+		}, []string{"class"}),
+		watches: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "pulleyquay_store_watches", Help: "Watches that wait at the platform's store.",
+		}),
+		totals: map[string]int64{},
+	}
+	for _, c := range []prometheus.Collector{m.calls, m.seconds, m.waited, m.watches} {
+		if err := registry.Register(c); err != nil {
+			return nil, err
+		}
+	}
+	return m, nil
+}
+
+// done counts the end of one call. A negative duration is not recorded.
+func (m *metrics) done(call, outcome string, took time.Duration, err error) {
+	m.calls.WithLabelValues(call, outcome).Inc()
+	if took >= 0 {
+		m.seconds.WithLabelValues(call).Observe(took.Seconds())
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.totals[call+" "+outcome]++
+	switch outcome {
+	case resultOK, resultConflict, resultLeaseGone, resultCompacted, resultRefused:
+		m.reached = time.Now()
+	case resultUnavailable, resultUnknown:
+		m.lastFail = err.Error()
+	}
+}
+
+// outcomeOf names the result that an error stands for.
+func outcomeOf(err error) string {
+	switch {
+	case err == nil:
+		return resultOK
+	case errors.Is(err, result.New(result.StoreBudget, "", "")):
+		return resultBudget
+	case errors.Is(err, platform.ErrRefused):
+		return resultRefused
+	case errors.Is(err, platform.ErrUnavailable):
+		return resultUnavailable
+	case errors.Is(err, platform.ErrLeaseGone):
+		return resultLeaseGone
+	case errors.Is(err, platform.ErrCompacted):
+		return resultCompacted
+	default:
+		return resultUnknown
+	}
+}
+
+// watchOutcomeOf is outcomeOf for a watch, which always ends with an error.
+func watchOutcomeOf(ctx context.Context, err error) string {
+	if ctx.Err() != nil {
+		return resultEnded
+	}
+	return outcomeOf(err)
+}
