Placer process: every part wired

Cause: the parts stand thin and tested one by one; now they have to run as one process. Measured: vet and tests pass; no run of the processes yet.

--- /dev/null
+++ b/cmd/pulley-placer/config.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"time"
+
+	"pulleyquay/internal/config"
+	"pulleyquay/internal/hold"
+	"pulleyquay/internal/partition"
+	"pulleyquay/internal/result"
+)
+
+// Settings is the placer's own settings file.
+type Settings struct {
+	// Name is the member's name, the same after a restart on the same host.
+	Name string `json:"name" validate:"required"`
+	// Zone is the host's availability zone.
+	Zone     string `json:"zone" validate:"required"`
+	LogLevel string `json:"log_level" validate:"oneof=debug info warn error"`
+	Listen   Listen `json:"listen"`
+	Store    Store  `json:"store"`
+	HostList Hosts  `json:"host_list"`
+	Holding  Hold   `json:"holding"`
+	Stop     Stop   `json:"stop"`
+}
+
+// Listen holds the addresses to listen on, host:port.
+type Listen struct {
+	Peer  string `json:"peer" validate:"required,hostname_port"`
+	Admin string `json:"admin" validate:"required,hostname_port"`
+}
+
+// Store says where the platform's store is and how much of it this process may use.
+type Store struct {
+	Endpoints       []string `json:"endpoints" validate:"min=1,dive,hostname_port"`
+	ReadsPerSecond  float64  `json:"reads_per_second" validate:"gt=0"`
+	WritesPerSecond float64  `json:"writes_per_second" validate:"gt=0"`
+}
+
+// Hosts says where the platform's host list is and how often it is read.
+type Hosts struct {
+	Address  string          `json:"address" validate:"required,hostname_port"`
+	Interval config.Duration `json:"interval" validate:"min=100000000"`
+}
+
+// Hold holds the durations of members and partitions; every placer of a cell
+// must have the same.
+type Hold struct {
+	Partitions int             `json:"partitions" validate:"min=1,max=4096"`
+	Term       config.Duration `json:"term" validate:"min=1000000000"`
+	Heartbeat  config.Duration `json:"heartbeat" validate:"min=10000000"`
+	// OutageLimit is the longest outage of the store that a holder's right outlives.
+	OutageLimit config.Duration `json:"outage_limit" validate:"min=0"`
+	// TaskLease is the term of the leases that tasks run under.
+	TaskLease config.Duration `json:"task_lease" validate:"min=1000000000"`
+	// Seeds are peer addresses of placers to learn from when the store is down.
+	Seeds []string `json:"seeds" validate:"dive,hostname_port"`
+}
+
+// Stop bounds a planned stop.
+type Stop struct {
+	// Announce is how long work goes on after readiness went false.
+	Announce config.Duration `json:"announce" validate:"min=0"`
+	Limit    config.Duration `json:"limit" validate:"min=1000000000"`
+}
+
+// wholeSecond is the unit of the store's lease terms.
+const wholeSecond = time.Second
+
+// Check refuses contradictions between settings.
+func (s *Settings) Check() error {
+	refuse := func(field, format string, args ...any) error {
+		return result.New(result.ConfigContradiction, result.RanNo, format, args...).At(field)
+	}
+	term, beat := s.Holding.Term.Std(), s.Holding.Heartbeat.Std()
+	switch {
+	case term%wholeSecond != 0:
+		return refuse("holding.term", "%v is not a whole number of seconds", term)
+	case beat*3 > term:
+		return refuse("holding.heartbeat", "%v is over a third of the term %v", beat, term)
+	case s.Listen.Peer == s.Listen.Admin:
+		return refuse("listen.admin", "the same address as listen.peer")
+	}
+	return nil
+}
+
+func defaults() Settings {
+	h := hold.DefaultConfig()
+	return Settings{
+		LogLevel: "info",
+		Store:    Store{ReadsPerSecond: 200, WritesPerSecond: 40},
+		HostList: Hosts{Interval: config.Duration(time.Second)},
+		Holding: Hold{
+			Partitions: partition.DefaultCount,
+			Term:       config.Duration(h.Term), Heartbeat: config.Duration(h.Heartbeat),
+			OutageLimit: config.Duration(h.OutageLimit), TaskLease: config.Duration(15 * time.Second),
+		},
+		Stop: Stop{Announce: config.Duration(500 * time.Millisecond), Limit: config.Duration(20 * time.Second)},
+	}
+}
+
+// holdConfig turns the settings file's durations into the keeper's.
+func (s Settings) holdConfig() hold.Config {
+	c := hold.DefaultConfig()
+	c.Term = s.Holding.Term.Std()
+	c.Renew = c.Term / 4
+	c.Suspect = c.Term / 2
+	c.Heartbeat = s.Holding.Heartbeat.Std()
+	c.OutageLimit = s.Holding.OutageLimit.Std()
+	c.Partitions = s.Holding.Partitions
+	c.Seeds = s.Holding.Seeds
+	return c
+}
--- /dev/null
+++ b/cmd/pulley-placer/lookup.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"context"
+
+	"pulleyquay/internal/cellapi"
+	"pulleyquay/internal/dispatch"
+	"pulleyquay/internal/settings"
+	"pulleyquay/internal/taskmsg"
+	"pulleyquay/internal/view"
+)
+
+// source is the placer as a view.Source.
+type source struct{ p *placer }
+
+// Table implements view.Source.
+func (s source) Table() *view.Table { return s.p.keeper.Table() }
+
+// Settings implements view.Source.
+func (s source) Settings() *settings.Tree { return s.p.settings.Current() }
+
+// otherPlacers lists the peer addresses of the other members, or the seeds
+// while none is known.
+func (p *placer) otherPlacers() []string {
+	var addrs []string
+	for _, m := range p.keeper.Table().Members {
+		if m.Addr != p.conf.Listen.Peer {
+			addrs = append(addrs, m.Addr)
+		}
+	}
+	if len(addrs) == 0 {
+		return p.conf.Holding.Seeds
+	}
+	return addrs
+}
+
+// branchValues returns the effective settings of a branch.
+func (p *placer) branchValues(branch string) (settings.Values, bool) {
+	return settings.BranchValues(p.settings.Current(), branch)
+}
+
+// serviceValues returns the effective settings of a service.
+func (p *placer) serviceValues(service string) (settings.Values, bool) {
+	return settings.ServiceValues(p.settings.Current(), service)
+}
+
+// digests returns the room of every live member, this one's own included.
+func (p *placer) digests() map[string]taskmsg.Digest {
+	all := map[string]taskmsg.Digest{p.conf.Name: p.fleet.Digest()}
+	for _, m := range p.keeper.Table().Members {
+		var d taskmsg.Digest
+		if _, ok := p.keeper.Extra(m.Name, extraCapacity, &d); ok && m.Name != p.conf.Name {
+			all[m.Name] = d
+		}
+	}
+	return all
+}
+
+// remotes lists the other members' free slots for a service.
+func (p *placer) remotes(service string) []dispatch.Remote {
+	var out []dispatch.Remote
+	for _, m := range p.keeper.Table().Members {
+		var free map[string]int
+		if m.Name == p.conf.Name || m.Leaving {
+			continue
+		}
+		if _, ok := p.keeper.Extra(m.Name, extraSlots, &free); ok && free[service] > 0 {
+			out = append(out, dispatch.Remote{Name: m.Name, Addr: m.Addr, Zone: m.Zone, Free: free[service]})
+		}
+	}
+	return out
+}
+
+// members answers peer.KindMembers with what this process knows of the cell.
+func (p *placer) members(context.Context, cellapi.MembersRequest) (cellapi.MembersReply, error) {
+	return cellapi.MembersReply{Table: p.keeper.Table(), Applied: p.keeper.Applied()}, nil
+}
--- /dev/null
+++ b/cmd/pulley-placer/main.go
@@ -0,0 +1,28 @@
+// Command pulley-placer holds partitions: it places tasks on workers, dispatches
+// requests to executors and keeps the jobs of its teams.
+package main
+
+import (
+	"context"
+
+	"pulleyquay/internal/daemon"
+)
+
+func main() {
+	daemon.Main("pulley-placer", "Holds partitions of the cell and decides for them.", defaults(), run)
+}
+
+func run(s Settings) error {
+	d, err := daemon.New("pulley-placer", s.LogLevel)
+	if err != nil {
+		return err
+	}
+	p, err := newPlacer(s, d)
+	if err != nil {
+		return err
+	}
+	if err := p.start(context.Background()); err != nil {
+		return err
+	}
+	return d.Wait(daemon.Stopper{Announce: s.Stop.Announce.Std(), Limit: s.Stop.Limit.Std(), Drain: p.stop})
+}
--- /dev/null
+++ b/cmd/pulley-placer/placer.go
@@ -0,0 +1,188 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"github.com/sirupsen/logrus"
+
+	"pulleyquay/internal/daemon"
+	"pulleyquay/internal/dispatch"
+	"pulleyquay/internal/executor/exechttp"
+	"pulleyquay/internal/fleet"
+	"pulleyquay/internal/hold"
+	"pulleyquay/internal/httponce"
+	"pulleyquay/internal/job"
+	"pulleyquay/internal/peer"
+	"pulleyquay/internal/platform"
+	"pulleyquay/internal/platform/budget"
+	"pulleyquay/internal/platform/etcdhttp"
+	"pulleyquay/internal/platform/hostcache"
+	"pulleyquay/internal/platform/hosthttp"
+	"pulleyquay/internal/request"
+	"pulleyquay/internal/settings"
+	"pulleyquay/internal/view"
+	"pulleyquay/internal/worker/workerhttp"
+)
+
+// The names under which placers tell each other of their room.
+const (
+	extraCapacity = "capacity" // taskmsg.Digest
+	extraSlots    = "slots"    // map of service to free slots
+)
+
+// placer is the process: every part, wired.
+type placer struct {
+	conf   Settings
+	daemon *daemon.Daemon
+	log    *logrus.Entry
+
+	mux   *peer.Mux
+	node  *peer.Node
+	store platform.Store
+	hosts *hostcache.Cache
+
+	settings *settings.Keeper
+	keeper   *hold.Keeper
+	fleet    *fleet.Fleet
+	jobs     *job.Manager
+	dispatch *dispatch.Dispatcher
+	requests *request.Home
+
+	cancel context.CancelFunc
+}
+
+// newPlacer makes and connects the parts; nothing runs yet.
+func newPlacer(s Settings, d *daemon.Daemon) (*placer, error) {
+	p := &placer{conf: s, daemon: d, log: d.Log.WithField("name", s.Name), mux: peer.NewMux()}
+	p.node = peer.NewNode(peer.Hello{Name: s.Name, Addr: s.Listen.Peer}, p.mux, p.log)
+	if err := p.addStore(); err != nil {
+		return nil, err
+	}
+	list := hosthttp.New(s.HostList.Address)
+	p.hosts = hostcache.New(list, s.HostList.Interval.Std(), d.Reg, p.log)
+	p.addSettings()
+	if err := p.addKeeper(); err != nil {
+		return nil, err
+	}
+	p.addWork()
+	p.register()
+	p.observe()
+	return p, nil
+}
+
+func (p *placer) addStore() error {
+	client, err := etcdhttp.New(etcdhttp.Options{Endpoints: p.conf.Store.Endpoints, Name: p.conf.Name})
+	if err != nil {
+		return err
+	}
+	limits := budget.DefaultLimits()
+	limits.ReadsPerSecond = p.conf.Store.ReadsPerSecond
+	limits.WritesPerSecond = p.conf.Store.WritesPerSecond
+	p.store, err = budget.New(client, budget.Options{Limits: limits, Registry: p.daemon.Reg})
+	return err
+}
+
+func (p *placer) addSettings() {
+	p.settings = settings.NewKeeper(settings.KeeperConfig{
+		Store: p.store, Caller: p.node, Log: p.log, Metrics: p.daemon.Reg,
+		Peers:   p.otherPlacers,
+		Applied: func() map[string]int64 { return p.keeper.Applied() },
+	})
+}
+
+func (p *placer) addKeeper() error {
+	var err error
+	p.keeper, err = hold.New(hold.Deps{
+		Store: p.store, Peers: p.node, Mux: p.mux,
+		Self:   view.Member{Name: p.conf.Name, Addr: p.conf.Listen.Peer, Zone: p.conf.Zone},
+		Config: p.conf.holdConfig(), Registry: p.daemon.Reg, Log: p.log,
+		SettingsRevision: p.settings.AppliedRevision,
+	})
+	return err
+}
+
+// addWork makes the parts that live in partitions. They are released in the
+// order of AddResident: callers' requests first, workers last.
+func (p *placer) addWork() {
+	reg := p.daemon.Reg
+	p.dispatch = dispatch.New(dispatch.Config{
+		Hosts: p.hosts.Hosts, Settings: p.serviceValues, Remotes: p.remotes, Right: p.keeper,
+		Client: exechttp.New(httponce.Options{}), Peers: p.node,
+		Zone: p.conf.Zone, Partitions: p.conf.Holding.Partitions, Log: p.log, Metrics: reg,
+	})
+	p.requests = request.New(request.Config{
+		Right: p.keeper, Dispatcher: p.dispatch, Settings: p.serviceValues, Log: p.log, Metrics: reg,
+	})
+	p.jobs = job.New(job.Config{
+		Source: source{p}, Right: p.keeper, Store: p.store, Peers: p.node,
+		PartitionKey: hold.PartitionKey, Values: p.branchValues, Digests: p.digests,
+		Registerer: reg, Log: p.log,
+	})
+	p.fleet = fleet.New(fleet.Config{
+		Name: p.conf.Name, Partitions: p.conf.Holding.Partitions, Lease: p.conf.Holding.TaskLease.Std(),
+		Hosts: p.hosts.Hosts, Right: p.keeper, Client: workerhttp.NewClient(httponce.Options{}),
+		Peers: p.node, View: source{p}, Registerer: reg, Log: p.log,
+	})
+	for _, r := range []hold.Resident{p.requests, p.dispatch, p.jobs, p.fleet} {
+		p.keeper.AddResident(r)
+	}
+	p.keeper.Provide(extraCapacity, func() any { return p.fleet.Digest() })
+	p.keeper.Provide(extraSlots, func() any { return p.dispatch.Free() })
+}
+
+func (p *placer) register() {
+	view.Serve(p.mux, p.keeper.Table)
+	p.settings.Serve(p.mux)
+	p.fleet.Register(p.mux)
+	p.jobs.Register(p.mux)
+	peer.Handle(p.mux, peer.KindServe, p.requests.Serve)
+	peer.Handle(p.mux, peer.KindDispatch, p.dispatch.ServeDispatch)
+	peer.Handle(p.mux, peer.KindMembers, p.members)
+}
+
+// observe connects the parts to the dump and to readiness.
+func (p *placer) observe() {
+	for name, dump := range map[string]func() any{
+		"peers": p.node.Dump, "holding": p.keeper.Dump, "workers": p.fleet.Dump, "jobs": p.jobs.Dump,
+	} {
+		p.daemon.AddDump(name, dump)
+	}
+	p.daemon.AddReadiness(p.keeper.Lacks)
+	p.daemon.AddReadiness(p.hosts.Lacks)
+}
+
+// start opens the listeners and runs the parts.
+func (p *placer) start(ctx context.Context) error {
+	peers, err := daemon.Listen(p.conf.Listen.Peer, "listen.peer")
+	if err != nil {
+		return err
+	}
+	admin, err := daemon.Listen(p.conf.Listen.Admin, "listen.admin")
+	if err != nil {
+		return err
+	}
+	p.serve(peers, admin)
+	ctx, p.cancel = context.WithCancel(ctx)
+	for _, run := range []func(context.Context){p.hosts.Run, p.settings.Run, p.fleet.Run, p.dispatch.Run} {
+		go run(ctx)
+	}
+	return p.keeper.Start(ctx)
+}
+
+func (p *placer) serve(peers, admin net.Listener) {
+	mux := http.NewServeMux()
+	mux.Handle(peer.Path, p.node)
+	p.daemon.Serve(peers, mux)
+	p.daemon.Serve(admin, p.daemon.Admin())
+}
+
+// stop hands the partitions over with their work, then leaves.
+func (p *placer) stop(ctx context.Context) error {
+	err := p.keeper.Stop(ctx)
+	p.cancel()
+	p.jobs.Close()
+	p.node.Close()
+	return err
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -100,8 +100,9 @@
 	return nil, result.New(code, result.RanNo, "%v", err).At(field)
 }
 
-// Serve answers HTTP on the listener until the daemon closes it.
-func (d *Daemon) Serve(l net.Listener, h http.Handler) {
+// Serve answers HTTP on the listener until the daemon closes it. The returned
+// server lets a planned stop wait for the requests in flight.
+func (d *Daemon) Serve(l net.Listener, h http.Handler) *http.Server {
 	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
 	d.mu.Lock()
 	d.servers = append(d.servers, s)
@@ -111,6 +112,7 @@
 			d.Log.WithError(err).Error("listener failed")
 		}
 	}()
+	return s
 }
 
 // Admin returns the handler of /metrics, /healthz, /readyz and /debug/state.
--- /dev/null
+++ b/internal/hold/report.go
@@ -0,0 +1,21 @@
+package hold
+
+// PartitionKey returns the key of a partition's record in the store. A write
+// conditioned on that record's revision is refused once the partition has
+// another holder.
+func PartitionKey(id int) string { return partitionKey(id) }
+
+// Applied returns the settings revision that each live member said it has in
+// force, this process's own included. A member that was never heard counts as
+// having none.
+func (k *Keeper) Applied() map[string]int64 {
+	applied := map[string]int64{}
+	for _, m := range k.Table().Members {
+		applied[m.Name] = 0
+		if h, ok := k.beats.Heard(m.Name); ok && h.Status.Member.Incarnation == m.Incarnation {
+			applied[m.Name] = h.Status.SettingsRevision
+		}
+	}
+	applied[k.Self().Name] = k.settings()
+	return applied
+}
