Entry process and the demonstration

Cause: the thin path has to be seen end to end, as separate processes. Change: cmd/pulley-entry wires callers', operators' and jobs' HTTP; cmd/pulley-demo starts the stand-in and two entry hosts and judges by the stand-in's record.

--- /dev/null
+++ b/cmd/pulley-entry/config.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"time"
+
+	"pulleyquay/internal/config"
+	"pulleyquay/internal/partition"
+	"pulleyquay/internal/result"
+)
+
+// Settings is the entry's own settings file.
+type Settings struct {
+	Name string `json:"name" validate:"required"`
+	// Zone is the host's availability zone.
+	Zone     string `json:"zone" validate:"required"`
+	LogLevel string `json:"log_level" validate:"oneof=debug info warn error"`
+	Listen   Listen `json:"listen"`
+	// Placers are peer addresses of placers, that of the same host first.
+	Placers []string `json:"placers" validate:"min=1,dive,hostname_port"`
+	// Partitions must equal the placers' setting.
+	Partitions int  `json:"partitions" validate:"min=1,max=4096"`
+	Stop       Stop `json:"stop"`
+}
+
+// Listen holds the addresses to listen on, host:port.
+type Listen struct {
+	HTTP  string `json:"http" validate:"required,hostname_port"`
+	Admin string `json:"admin" validate:"required,hostname_port"`
+}
+
+// Stop bounds a planned stop.
+type Stop struct {
+	// Announce is how long the listener stays open after readiness went false,
+	// so that the balancer can notice.
+	Announce config.Duration `json:"announce" validate:"min=0"`
+	// Limit bounds the wait for requests in flight.
+	Limit config.Duration `json:"limit" validate:"min=1000000000"`
+}
+
+// Check refuses contradictions between settings.
+func (s *Settings) Check() error {
+	if s.Listen.HTTP == s.Listen.Admin {
+		return result.New(result.ConfigContradiction, result.RanNo, "the same address as listen.http").At("listen.admin")
+	}
+	return nil
+}
+
+func defaults() Settings {
+	return Settings{
+		LogLevel: "info", Partitions: partition.DefaultCount,
+		Stop: Stop{Announce: config.Duration(time.Second), Limit: config.Duration(35 * time.Second)},
+	}
+}
--- /dev/null
+++ b/cmd/pulley-entry/main.go
@@ -0,0 +1,25 @@
+// Command pulley-entry serves callers and operators over HTTP. It keeps nothing
+// but the requests in flight.
+package main
+
+import (
+	"context"
+
+	"pulleyquay/internal/daemon"
+)
+
+func main() {
+	daemon.Main("pulley-entry", "Serves callers and operators over HTTP.", defaults(), run)
+}
+
+func run(s Settings) error {
+	d, err := daemon.New("pulley-entry", s.LogLevel)
+	if err != nil {
+		return err
+	}
+	e := newProcess(s, d)
+	if err := e.start(context.Background()); err != nil {
+		return err
+	}
+	return d.Wait(daemon.Stopper{Announce: s.Stop.Announce.Std(), Limit: s.Stop.Limit.Std(), Drain: e.stop})
+}
--- /dev/null
+++ b/internal/demo/steps.go
@@ -0,0 +1,195 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+// How much the demonstration asks for.
+const (
+	tickets    = 20
+	reads      = 40
+	batchTasks = 40
+	gangTasks  = 8
+	taskRunMS  = 3000
+)
+
+// run is what the steps share.
+type run struct {
+	cell     *Cell
+	examples string
+	revision int64  // of the settings, as last seen
+	batch    string // the batch job's id
+	keys     []string
+}
+
+// step is one thing that is shown. It returns what was seen.
+type step struct {
+	asked string
+	do    func(ctx context.Context, r *run) (seen string, err error)
+}
+
+// steps in their order.
+var steps = []step{
+	{"operator loads both associations' trees", loadSettings},
+	{"operator changes one branch, waits until in force", changeBranch},
+	{"explain shows where a value comes from", explain},
+	{"a change with a contradiction is refused", refuseChange},
+	{fmt.Sprintf("%d tickets through both entry hosts", tickets), postTickets},
+	{"the same tickets again through the other host", repeatTickets},
+	{fmt.Sprintf("%d reads through both entry hosts", reads), readCounts},
+	{fmt.Sprintf("batch reconciliation, %d tasks", batchTasks), submitBatch},
+	{fmt.Sprintf("all-together reconciliation, %d tasks", gangTasks), runGang},
+	{"a job that can never run is refused at once", refuseJob},
+	{"placer of host-2 killed while the batch runs", killPlacer},
+	{"requests after the kill", readCounts},
+	{"the batch ends, every task once", awaitBatch},
+	{"planned stop of everything", stopAll},
+}
+
+func (r *run) entry(i int) string { return r.cell.hosts[i%len(r.cell.hosts)].http }
+
+func newID() (string, error) {
+	id, err := uuid.NewV7()
+	return id.String(), err
+}
+
+func loadSettings(ctx context.Context, r *run) (string, error) {
+	for _, name := range []string{"lakeshore.json", "regie.json"} {
+		data, err := os.ReadFile(filepath.Join(r.examples, name))
+		if err != nil {
+			return "", err
+		}
+		if err := r.change(ctx, json.RawMessage(data)); err != nil {
+			return "", err
+		}
+	}
+	return fmt.Sprintf("revision %d in force", r.revision), nil
+}
+
+// change sends branches against the revision last seen and waits until every
+// member has them in force.
+func (r *run) change(ctx context.Context, branches any) error {
+	body := object{"revision": r.revision, "branches": branches, "by": "demo", "wait_ms": 4000}
+	got, err := want(ctx, http.StatusOK, "POST", r.entry(0), "/v1/settings", nil, body)
+	if err != nil {
+		return err
+	}
+	var accepted struct {
+		Revision   int64    `json:"revision"`
+		NotApplied []string `json:"not_applied"`
+	}
+	if err := json.Unmarshal(got.body, &accepted); err != nil {
+		return err
+	}
+	if len(accepted.NotApplied) > 0 {
+		return fmt.Errorf("not in force after 4 s at %v", accepted.NotApplied)
+	}
+	r.revision = accepted.Revision
+	return nil
+}
+
+func changeBranch(ctx context.Context, r *run) (string, error) {
+	start := time.Now()
+	err := r.change(ctx, object{"/regie/count": object{"request": object{"queue_limit": 500}}})
+	return fmt.Sprintf("in force at every placer after %d ms", time.Since(start).Milliseconds()), err
+}
+
+func explain(ctx context.Context, r *run) (string, error) {
+	var got reply
+	err := await(ctx, "the entry to follow", func() bool {
+		var err error
+		got, err = call(ctx, "GET", r.entry(1), "/v1/settings/explain?path=/regie/count", nil, nil)
+		return err == nil && got.status == http.StatusOK && got.object()["revision"] == float64(r.revision)
+	})
+	if err != nil {
+		return "", err
+	}
+	var e struct {
+		Settings []struct {
+			Name   string `json:"name"`
+			Value  any    `json:"value"`
+			Branch string `json:"branch"`
+		} `json:"settings"`
+	}
+	if err := json.Unmarshal(got.body, &e); err != nil {
+		return "", err
+	}
+	origins := map[string]string{}
+	for _, s := range e.Settings {
+		origins[s.Name] = fmt.Sprintf("%v from %s", s.Value, s.Branch)
+	}
+	return fmt.Sprintf("queue_limit %s; policy %s", origins["request.queue_limit"], origins["placement.policy"]), nil
+}
+
+func refuseChange(ctx context.Context, r *run) (string, error) {
+	body := object{"revision": r.revision, "branches": object{
+		"/regie/count": object{"request": object{"default_deadline_ms": 9000, "max_deadline_ms": 1000}}}}
+	got, err := call(ctx, "POST", r.entry(0), "/v1/settings", nil, body)
+	if err == nil && got.status < http.StatusBadRequest {
+		err = errors.New("a contradiction was accepted")
+	}
+	return got.String(), err
+}
+
+func postTickets(ctx context.Context, r *run) (string, error) {
+	for i := range tickets {
+		key, err := newID()
+		if err != nil {
+			return "", err
+		}
+		r.keys = append(r.keys, key)
+		if err := r.postTicket(ctx, i, key); err != nil {
+			return "", err
+		}
+	}
+	return fmt.Sprintf("%d answered, each with its own body", tickets), nil
+}
+
+// postTicket posts ticket i and checks that the answer is its own.
+func (r *run) postTicket(ctx context.Context, i int, key string) error {
+	text := fmt.Sprintf("gully %d", i)
+	got, err := want(ctx, http.StatusOK, "POST", r.entry(i), "/v1/services/lakeshore.ledger/tickets",
+		map[string]string{"Idempotency-Key": key}, text)
+	if err != nil {
+		return err
+	}
+	if string(got.body) != fmt.Sprintf("%q", text) {
+		return fmt.Errorf("ticket %d got the answer %s", i, got.body)
+	}
+	return nil
+}
+
+func repeatTickets(ctx context.Context, r *run) (string, error) {
+	for i, key := range r.keys {
+		// i+1 is the other entry host; the body is that of ticket i.
+		text := fmt.Sprintf("gully %d", i)
+		got, err := want(ctx, http.StatusOK, "POST", r.entry(i+1), "/v1/services/lakeshore.ledger/tickets",
+			map[string]string{"Idempotency-Key": key}, text)
+		if err != nil {
+			return "", err
+		}
+		if string(got.body) != fmt.Sprintf("%q", text) {
+			return "", fmt.Errorf("ticket %d got the answer %s", i, got.body)
+		}
+	}
+	return fmt.Sprintf("%d answered as before", len(r.keys)), nil
+}
+
+func readCounts(ctx context.Context, r *run) (string, error) {
+	for i := range reads {
+		path := fmt.Sprintf("/v1/services/regie.count/wren/%d", i)
+		if _, err := want(ctx, http.StatusOK, "GET", r.entry(i), path, nil, nil); err != nil {
+			return "", err
+		}
+	}
+	return fmt.Sprintf("%d answered", reads), nil
+}
