Request path, thin: entry, home of keys, dispatcher

An entry finds the home of an Idempotency-Key and forwards the request whole. The home dispatches a key once and lets retries join. The dispatcher counts the slots of the executors held here, queues within a bound, and asks other holders when they have room.

Seen: mutual lock-up of two dispatchers whose capacity hints asked each other under their locks; hints are now taken outside the lock, every 20 ms.

--- a/internal/dispatch/acquire.go
+++ b/internal/dispatch/acquire.go
@@ -79,7 +79,7 @@
 // admit refuses what the queue can not serve before its deadline.
 func (d *Dispatcher) admit(p *pool, w Work, now time.Time) *result.Error {
 	slots, soonest := d.slotsInUse(p, now)
-	if slots == 0 && len(d.cfg.Remotes(p.service)) == 0 {
+	if slots == 0 && !d.servedElsewhere(p.service) {
 		return result.New(result.NoExecutor, result.RanNo,
 			"no executor of %s can be used now", p.service).Later(soonest)
 	}
@@ -94,6 +94,16 @@
 	return nil
 }
 
+// servedElsewhere tells whether another holder has executors of the service.
+func (d *Dispatcher) servedElsewhere(service string) bool {
+	for _, r := range d.remotes {
+		if _, ok := r.Free[service]; ok {
+			return true
+		}
+	}
+	return false
+}
+
 // slotsInUse counts the slots of usable endpoints; soonest is when to come
 // back when there are none.
 func (d *Dispatcher) slotsInUse(p *pool, now time.Time) (slots int, soonest time.Duration) {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -23,13 +24,13 @@
 	"pulleyquay/internal/settings"
 )
 
-// Remote is what another holder last told of its executors of one service.
+// Remote is what another holder last told of its executors.
 type Remote struct {
 	Name string
 	Addr string
 	Zone string
-	// Free is the number of free slots; it is a hint, never a right.
-	Free int
+	// Free is the number of free slots by service; a hint, never a right.
+	Free map[string]int
 }
 
 // Config is what a Dispatcher needs of the rest of the process.
@@ -38,8 +39,9 @@
 	Hosts func() []platform.Host
 	// Settings returns a service's effective values; false: no such service.
 	Settings func(service string) (settings.Values, bool)
-	// Remotes returns other holders' free slots for a service.
-	Remotes func(service string) []Remote
+	// Remotes returns the other holders, without this process and those that
+	// are leaving or not heard. It is asked every offloadEvery.
+	Remotes func() []Remote
 	Right   hold.Right
 	Client  executor.Client
 	Peers   peer.Caller
@@ -59,6 +61,9 @@
 	mu    sync.Mutex
 	pools map[string]*pool
 	parts map[int]*heldPartition
+	// remotes are the other holders with the free slots that they told of, by
+	// name; what is forwarded is not taken off.
+	remotes map[string]*Remote
 }
 
 // Work is one request to send. Its Deadline is on this process's clock.
@@ -90,7 +95,7 @@
 const refreshEvery = 250 * time.Millisecond
 
 // offloadEvery is how often queued requests are offered to other holders.
-const offloadEvery = 10 * time.Millisecond
+const offloadEvery = 20 * time.Millisecond
 
 // Run applies the host list and offers queued requests to other holders until
 // ctx ends.
@@ -123,11 +128,17 @@
 	}
 }
 
-// offload hands queued requests to other holders with free slots.
+// offload learns of other holders' free slots and hands them queued requests.
 func (d *Dispatcher) offload() {
+	told := d.cfg.Remotes()
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.remotes = make(map[string]*Remote, len(told))
+	for _, r := range told {
+		r.Free = maps.Clone(r.Free)
+		d.remotes[r.Name] = &r
+	}
 	for _, p := range d.pools {
 		if p.queue.Len() > 0 {
 			d.pumpRemote(p, now)
@@ -147,13 +158,16 @@
 }
 
 // Free returns the free slots of the executors held here, by service, for the
-// heartbeat's capacity hint.
+// heartbeat's capacity hint. A service without a usable executor is left out.
 func (d *Dispatcher) Free() map[string]int {
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	free := make(map[string]int, len(d.pools))
 	for name, p := range d.pools {
+		if slots, _ := d.slotsInUse(p, now); slots == 0 {
+			continue
+		}
 		n := -p.queue.Len()
 		for _, e := range p.endpoints {
 			n += e.free(now)
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -149,13 +149,13 @@
 	return a.host.Name < b.host.Name
 }
 
-// pickRemote returns another holder with free slots, or nil.
+// pickRemote returns the other holder with the most free slots, or nil.
 func (d *Dispatcher) pickRemote(p *pool) *Remote {
 	var best *Remote
-	for _, r := range d.cfg.Remotes(p.service) {
-		r.Free -= p.forwards[r.Name]
-		if r.Free > 0 && (best == nil || r.Free > best.Free) {
-			best = &r
+	most := 0
+	for _, r := range d.remotes {
+		if free := r.Free[p.service] - p.forwards[r.Name]; free > most {
+			best, most = r, free
 		}
 	}
 	return best
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -167,7 +167,10 @@
 	}
 	e := result.From(err)
 	switch e.Code {
+	case result.NoFreeSlot:
+		d.noSlotAt(p, r)
 	case result.PeerNotReached:
+		d.noSlotAt(p, r)
 		return executor.Answer{}, result.New(result.NoFreeSlot, result.RanNo, "%s: %s", r.Name, e.Detail)
 	case result.PeerLost:
 		return executor.Answer{}, result.New(result.ExecutorLost, result.RanUnknown, "%s: %s", r.Name, e.Detail)
@@ -175,6 +178,13 @@
 	return executor.Answer{}, e
 }
 
+// noSlotAt corrects the hint that was wrong, until the next one comes.
+func (d *Dispatcher) noSlotAt(p *pool, r *Remote) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r.Free[p.service] = 0
+}
+
 // ServeDispatch answers peer.KindDispatch.
 func (d *Dispatcher) ServeDispatch(_ context.Context, msg requestmsg.Dispatch) (executor.Answer, error) {
 	values, ok := d.cfg.Settings(msg.Service)
--- /dev/null
+++ b/internal/entry/handler.go
@@ -0,0 +1,126 @@
+// Package entry is the callers' HTTP side of the request path. It checks a
+// request, finds its home, forwards it whole and writes the whole answer, or a
+// problem document that tells whether the request ran. It keeps nothing but
+// the requests in flight.
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"pulleyquay/internal/dispatch"
+	"pulleyquay/internal/peer"
+	"pulleyquay/internal/problem"
+	"pulleyquay/internal/result"
+	"pulleyquay/internal/settings"
+	"pulleyquay/internal/view"
+)
+
+// Prefix is the path under which services are reached:
+// /v1/services/{service}/{path...}.
+const Prefix = "/v1/services/"
+
+// The request headers that callers may set. TimeoutHeader gives the deadline
+// in milliseconds from now.
+const (
+	KeyHeader     = "Idempotency-Key"
+	CallerHeader  = "Caller-Id"
+	TimeoutHeader = dispatch.TimeoutHeader
+)
+
+// Config is what a Handler needs of the rest of the process.
+type Config struct {
+	View  view.Source
+	Peers peer.Caller
+	// Settings returns a service's effective values; false: no such service.
+	Settings func(service string) (settings.Values, bool)
+	// Zone is this process's availability zone.
+	Zone string
+	// Placer is the peer address of the placer on the same host; requests
+	// without a key go there first. Empty: any placer.
+	Placer string
+	// MaxInFlight bounds the requests in this process; one service may have
+	// three quarters of it. Zero is DefaultMaxInFlight.
+	MaxInFlight int
+	Log         *logrus.Entry
+	Metrics     prometheus.Registerer
+}
+
+// DefaultMaxInFlight is the bound on requests in one entry process.
+const DefaultMaxInFlight = 8192
+
+// Handler serves callers' requests.
+type Handler struct {
+	cfg     Config
+	metrics *metrics
+	loads   loads
+}
+
+// NewHandler returns the handler for Prefix.
+func NewHandler(cfg Config) *Handler {
+	if cfg.MaxInFlight == 0 {
+		cfg.MaxInFlight = DefaultMaxInFlight
+	}
+	return &Handler{cfg: cfg, metrics: newMetrics(cfg.Metrics), loads: loads{limit: int64(cfg.MaxInFlight)}}
+}
+
+// ServeHTTP answers one caller.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	start := time.Now()
+	service, path, ok := splitPath(r.URL)
+	if !ok {
+		h.refuse(w, "", result.New(result.NotFound, result.RanNo, "expected %s{service}/{path}", Prefix))
+		return
+	}
+	values, ok := h.cfg.Settings(service)
+	if !ok {
+		h.refuse(w, "", result.New(result.UnknownService, result.RanNo, "service %q", service))
+		return
+	}
+	if !h.loads.enter(service) {
+		h.refuse(w, service, result.New(result.EntryFull, ranBeforeHome(r), "service %q", service).Later(time.Second))
+		return
+	}
+	defer h.loads.leave(service)
+	msg, err := parse(w, r, service, path, values.Request)
+	if err != nil {
+		h.refuse(w, service, err)
+		return
+	}
+	deadline := start.Add(msg.Timeout)
+	ctx, cancel := context.WithDeadline(r.Context(), deadline)
+	defer cancel()
+	answer, err := h.route(ctx, msg, deadline)
+	if err != nil {
+		h.refuse(w, service, err)
+		return
+	}
+	h.metrics.requests.WithLabelValues(service, "answered").Inc()
+	writeAnswer(w, r.Method, answer)
+}
+
+// refuse writes a problem document.
+func (h *Handler) refuse(w http.ResponseWriter, service string, e *result.Error) {
+	info, _ := result.Lookup(e.Code)
+	h.metrics.requests.WithLabelValues(service, info.Name).Inc()
+	problem.Write(w, e)
+}
+
+// ranBeforeHome is what can be said of a request that was not passed on: with
+// a key, an earlier attempt through another entry may have run.
+func ranBeforeHome(r *http.Request) result.Ran {
+	if r.Header.Get(KeyHeader) != "" {
+		return result.RanUnknown
+	}
+	return result.RanNo
+}
+
+// InFlight is the number of requests being served now.
+func (h *Handler) InFlight() int64 { return h.loads.total.Load() }
+
+// Dump is the handler's state for /debug/state.
+func (h *Handler) Dump() any { return h.loads.dump() }
--- /dev/null
+++ b/internal/entry/headers.go
@@ -0,0 +1,55 @@
+package entry
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+
+	"pulleyquay/internal/executor"
+)
+
+// hopByHop are the headers that belong to one connection (RFC 9110, section
+// 7.6.1), and the length, which each hop works out itself.
+var hopByHop = []string{
+	"Connection", "Content-Length", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// endToEnd returns the headers that go to the other end. The given ones are
+// not changed.
+func endToEnd(h http.Header) http.Header {
+	out := make(http.Header, len(h))
+	for name, values := range h {
+		out[name] = values
+	}
+	for _, field := range h["Connection"] {
+		for _, name := range strings.Split(field, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		delete(out, name)
+	}
+	return out
+}
+
+// writeAnswer writes an executor's answer to the caller.
+func writeAnswer(w http.ResponseWriter, method string, a executor.Answer) {
+	header := w.Header()
+	for name, values := range endToEnd(a.Header) {
+		header[name] = values
+	}
+	switch {
+	case method == http.MethodHead:
+		if length := a.Header.Get("Content-Length"); length != "" {
+			header.Set("Content-Length", length)
+		}
+	case a.Status != http.StatusNoContent && a.Status != http.StatusNotModified:
+		header.Set("Content-Length", strconv.Itoa(len(a.Body)))
+	}
+	w.WriteHeader(a.Status)
+	if method != http.MethodHead {
+		// A failed write means that the caller has gone; nobody is left to tell.
+		_, _ = w.Write(a.Body)
+	}
+}
--- /dev/null
+++ b/internal/entry/parse.go
@@ -0,0 +1,151 @@
+package entry
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"pulleyquay/internal/executor"
+	"pulleyquay/internal/requestmsg"
+	"pulleyquay/internal/result"
+	"pulleyquay/internal/settings"
+)
+
+// splitPath takes the service and the path for the executor, with the query,
+// out of a URL. The path keeps the caller's escapes.
+func splitPath(u *url.URL) (service, path string, ok bool) {
+	rest, ok := strings.CutPrefix(u.EscapedPath(), Prefix)
+	if !ok {
+		return "", "", false
+	}
+	service, path, _ = strings.Cut(rest, "/")
+	if service == "" {
+		return "", "", false
+	}
+	path = "/" + path
+	if u.RawQuery != "" {
+		path += "?" + u.RawQuery
+	}
+	return service, path, true
+}
+
+// parse makes the message for the home out of a caller's request. Whatever it
+// refuses is refused the same way at every entry and can not have run.
+func parse(w http.ResponseWriter, r *http.Request, service, path string, limits settings.Request) (requestmsg.Serve, *result.Error) {
+	msg := requestmsg.Serve{Service: service, Caller: callerOf(r), Idempotent: idempotent(r.Method, limits)}
+	var err *result.Error
+	if msg.Key, err = keyOf(r); err != nil {
+		return msg, err
+	}
+	if msg.Timeout, err = timeoutOf(r, limits); err != nil {
+		return msg, err
+	}
+	body, err := readBody(w, r, limits.MaxBodyBytes)
+	if err != nil {
+		return msg, err
+	}
+	msg.Request = executor.Request{Method: r.Method, Path: path, Header: endToEnd(r.Header), Body: body}
+	return msg, nil
+}
+
+// idempotent tells whether a method may be repeated (RFC 9110, section 9.2.2).
+func idempotent(method string, limits settings.Request) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPut, http.MethodDelete:
+		return true
+	case http.MethodPost:
+		return limits.PostIdempotent
+	}
+	return false
+}
+
+// keyOf returns the request's key, or uuid.Nil when it has none.
+func keyOf(r *http.Request) (uuid.UUID, *result.Error) {
+	values := r.Header.Values(KeyHeader)
+	if len(values) == 0 {
+		return uuid.Nil, nil
+	}
+	if len(values) > 1 {
+		return uuid.Nil, result.New(result.BadKey, result.RanNo, "%d keys", len(values)).At(KeyHeader)
+	}
+	key, err := uuid.Parse(strings.Trim(values[0], `"`))
+	if err != nil {
+		return uuid.Nil, result.New(result.BadKey, result.RanNo, "%v", err).At(KeyHeader)
+	}
+	if key.Version() != 7 {
+		return uuid.Nil, result.New(result.BadKey, result.RanNo, "UUID version %d, expected 7", key.Version()).At(KeyHeader)
+	}
+	return key, nil
+}
+
+// timeoutOf returns the caller's deadline, or the service's default, capped by
+// the service's longest.
+func timeoutOf(r *http.Request, limits settings.Request) (time.Duration, *result.Error) {
+	ms := limits.DefaultDeadlineMS
+	if text := r.Header.Get(TimeoutHeader); text != "" {
+		n, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || n <= 0 {
+			return 0, result.New(result.BadDeadline, result.RanNo, "%q", text).At(TimeoutHeader)
+		}
+		ms = n
+	}
+	return time.Duration(min(ms, limits.MaxDeadlineMS)) * time.Millisecond, nil
+}
+
+// readBody reads the whole body or refuses it.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *result.Error) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil, nil
+	}
+	if r.ContentLength > limit {
+		return nil, tooLarge(limit)
+	}
+	reader := http.MaxBytesReader(w, r.Body, limit)
+	body, err := readAll(reader, r.ContentLength)
+	if err == nil {
+		return body, nil
+	}
+	var over *http.MaxBytesError
+	if errors.As(err, &over) {
+		return nil, tooLarge(limit)
+	}
+	return nil, result.New(result.CallerGone, ranBeforeHome(r), "body: %v", err)
+}
+
+// readAll reads to the end; a known length saves copies.
+func readAll(r io.Reader, length int64) ([]byte, error) {
+	if length <= 0 {
+		return io.ReadAll(r)
+	}
+	body := make([]byte, length)
+	_, err := io.ReadFull(r, body)
+	return body, err
+}
+
+func tooLarge(limit int64) *result.Error {
+	return result.New(result.TooLarge, result.RanNo, "body over %d bytes", limit)
+}
+
+// callerOf identifies the caller for fair queues: the Caller-Id header, or the
+// address that the balancer saw, or the connection's.
+func callerOf(r *http.Request) string {
+	if id := r.Header.Get(CallerHeader); id != "" {
+		return id
+	}
+	if forwarded := r.Header.Values("X-Forwarded-For"); len(forwarded) > 0 {
+		hops := strings.Split(forwarded[len(forwarded)-1], ",")
+		return strings.TrimSpace(hops[len(hops)-1])
+	}
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return host
+}
--- /dev/null
+++ b/internal/entry/route.go
@@ -0,0 +1,205 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/google/uuid"
+
+	"pulleyquay/internal/executor"
+	"pulleyquay/internal/partition"
+	"pulleyquay/internal/peer"
+	"pulleyquay/internal/requestmsg"
+	"pulleyquay/internal/result"
+	"pulleyquay/internal/view"
+)
+
+// route sends the request to its home and follows the home when it moves.
+func (h *Handler) route(ctx context.Context, msg requestmsg.Serve, deadline time.Time) (executor.Answer, *result.Error) {
+	if msg.Key == uuid.Nil {
+		return h.routeAny(ctx, msg, deadline)
+	}
+	return h.routeKeyed(ctx, msg, deadline)
+}
+
+// The entry asks again while a home changes, in a planned hand-over for the
+// most part: after pauses of up to firstPause, doubled up to longestPause.
+const (
+	keyedAttempts = 8
+	firstPause    = 10 * time.Millisecond
+	longestPause  = 200 * time.Millisecond
+)
+
+// routeKeyed asks the key's home. Asking again is safe at any time: a home
+// dispatches a key once. What is refused here may have run by an attempt
+// through another entry, so that only the home may say that it did not.
+func (h *Handler) routeKeyed(ctx context.Context, msg requestmsg.Serve, deadline time.Time) (executor.Answer, *result.Error) {
+	pause := firstPause
+	for attempt := 1; ; attempt++ {
+		answer, err := h.askHome(ctx, &msg, deadline)
+		if err == nil || !homeChanges(err) {
+			return answer, err
+		}
+		if attempt == keyedAttempts || !sleep(ctx, pause) {
+			return executor.Answer{}, err
+		}
+		pause = min(2*pause, longestPause)
+	}
+}
+
+// askHome sends the request to the key's present home.
+func (h *Handler) askHome(ctx context.Context, msg *requestmsg.Serve, deadline time.Time) (executor.Answer, *result.Error) {
+	table := h.cfg.View.Table()
+	if table == nil || len(table.Partitions) == 0 {
+		return executor.Answer{}, result.New(result.NotReady, result.RanUnknown, "no partitions known yet").Later(homeRetry)
+	}
+	msg.Partition = partition.OfKey(msg.Key.String(), len(table.Partitions))
+	home := find(table, msg.Partition)
+	if home == nil || home.Addr == "" || home.Holder == "" {
+		return executor.Answer{}, result.New(result.HomeNotReached, result.RanUnknown,
+			"partition %d has no holder", msg.Partition).Later(homeRetry)
+	}
+	answer, err := h.ask(ctx, home.Addr, *msg, deadline)
+	if err == nil {
+		return answer, nil
+	}
+	switch err.Code {
+	case result.PeerNotReached:
+		err = result.New(result.HomeNotReached, result.RanUnknown, "%s: %s", home.Holder, err.Detail).Later(homeRetry)
+	case result.PeerLost:
+		err = lostOrEnded(ctx, home.Holder, err)
+	}
+	return executor.Answer{}, err
+}
+
+// homeRetry is when to come back to a request whose home is gone.
+const homeRetry = 2 * time.Second
+
+// homeChanges tells that asking again may find the home. The key makes it
+// safe even where the first attempt may have been dispatched.
+func homeChanges(err *result.Error) bool {
+	switch err.Code {
+	case result.HomeMoved, result.HomeNotReached, result.HomeLost:
+		return true
+	}
+	return false
+}
+
+// anyAttempts is how many placers are asked for a request without a key.
+const anyAttempts = 3
+
+// routeAny asks the own placer, then others. A request that may have been
+// dispatched is asked again only when it is idempotent.
+func (h *Handler) routeAny(ctx context.Context, msg requestmsg.Serve, deadline time.Time) (executor.Answer, *result.Error) {
+	ran := result.RanNo
+	last := result.New(result.NotReady, result.RanNo, "no placer known yet").Later(homeRetry)
+	for i, m := range h.candidates() {
+		if i == anyAttempts {
+			break
+		}
+		answer, err := h.ask(ctx, m.Addr, msg, deadline)
+		if err == nil {
+			return answer, nil
+		}
+		switch err.Code {
+		case result.PeerNotReached:
+			last = result.New(result.HomeNotReached, ran, "%s: %s", m.Name, err.Detail).Later(homeRetry)
+		case result.PeerLost:
+			ran = result.RanUnknown
+			last = lostOrEnded(ctx, m.Name, err)
+			if !msg.Idempotent || ctx.Err() != nil {
+				return executor.Answer{}, last
+			}
+		default:
+			if ran != result.RanNo && err.Ran == result.RanNo {
+				err.Ran = ran
+			}
+			return executor.Answer{}, err
+		}
+	}
+	return executor.Answer{}, last
+}
+
+// candidates are the placers to ask, the one on the own host first, then the
+// own zone's, then others; leaving ones last.
+func (h *Handler) candidates() []view.Member {
+	table := h.cfg.View.Table()
+	if table == nil {
+		return nil
+	}
+	rank := func(m view.Member) int {
+		switch {
+		case m.Leaving:
+			return 3
+		case m.Addr == h.cfg.Placer:
+			return 0
+		case m.Zone == h.cfg.Zone:
+			return 1
+		}
+		return 2
+	}
+	var groups [4][]view.Member
+	for _, m := range table.Members {
+		r := rank(m)
+		groups[r] = append(groups[r], m)
+	}
+	out := make([]view.Member, 0, len(table.Members))
+	for _, g := range groups {
+		rand.Shuffle(len(g), func(i, j int) { g[i], g[j] = g[j], g[i] })
+		out = append(out, g...)
+	}
+	return out
+}
+
+// answerMargin is kept from the deadline for the home's answer to come back:
+// the home alone knows that a request which waited to its deadline did not run.
+const answerMargin = 10 * time.Millisecond
+
+// ask sends the request to one placer.
+func (h *Handler) ask(ctx context.Context, addr string, msg requestmsg.Serve, deadline time.Time) (executor.Answer, *result.Error) {
+	left := time.Until(deadline)
+	msg.Timeout = left - min(answerMargin, left/10)
+	var answer executor.Answer
+	if err := h.cfg.Peers.Call(ctx, addr, peer.KindServe, msg, &answer); err != nil {
+		return executor.Answer{}, result.From(err)
+	}
+	return answer, nil
+}
+
+// lostOrEnded tells a lost link from the end of the caller's own wait.
+func lostOrEnded(ctx context.Context, home string, err *result.Error) *result.Error {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return result.New(result.DeadlineRunning, result.RanUnknown, "%s did not answer in time", home)
+	case ctx.Err() != nil:
+		return result.New(result.CallerGone, result.RanUnknown, "the caller went away")
+	}
+	return result.New(result.HomeLost, result.RanUnknown, "%s: %s", home, err.Detail).Later(homeRetry)
+}
+
+// find returns the record of a partition.
+func find(t *view.Table, id int) *view.Partition {
+	if id < len(t.Partitions) && t.Partitions[id].ID == id {
+		return &t.Partitions[id]
+	}
+	for i := range t.Partitions {
+		if t.Partitions[i].ID == id {
+			return &t.Partitions[i]
+		}
+	}
+	return nil
+}
+
+// sleep pauses for a random part of longest; false when ctx ended first.
+func sleep(ctx context.Context, longest time.Duration) bool {
+	timer := time.NewTimer(rand.N(longest))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/requesttest/cell_test.go
@@ -0,0 +1,282 @@
+package requesttest_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"pulleyquay/internal/dispatch"
+	"pulleyquay/internal/entry"
+	"pulleyquay/internal/hold"
+	"pulleyquay/internal/partition"
+	"pulleyquay/internal/peer"
+	"pulleyquay/internal/platform"
+	"pulleyquay/internal/request"
+	"pulleyquay/internal/requesttest"
+	"pulleyquay/internal/settings"
+	"pulleyquay/internal/view"
+)
+
+const (
+	partitions     = 8
+	heartbeatEvery = 20 * time.Millisecond
+)
+
+// cell is a few placers and one entry, in process.
+type cell struct {
+	t         *testing.T
+	executors *requesttest.Executors
+	placers   []*placer
+	entry     *entry.Handler
+	stop      context.CancelFunc
+
+	mu     sync.Mutex
+	hosts  []platform.Host
+	values settings.Values
+	table  *view.Table
+	cut    map[string]bool
+	free   map[string]int // free slots by placer, as last told
+}
+
+// placer is one process that can hold partitions.
+type placer struct {
+	name       string
+	right      *requesttest.Right
+	home       *request.Home
+	dispatcher *dispatch.Dispatcher
+}
+
+func quiet() *logrus.Entry {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return logrus.NewEntry(log)
+}
+
+// newCell starts placers that hold the partitions in turn, and the executors.
+func newCell(t *testing.T, placers, executors int) *cell {
+	c := &cell{t: t, executors: &requesttest.Executors{Time: 10 * time.Millisecond}, values: settings.Defaults(), cut: map[string]bool{}}
+	for i := range executors {
+		name := fmt.Sprintf("executor-%d", i)
+		c.hosts = append(c.hosts, platform.Host{
+			Name: name, Role: platform.RoleExecutor, Addr: name, Zone: fmt.Sprintf("zone-%d", i%3), Service: "ledger",
+		})
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	c.stop = cancel
+	local := peer.Local{}
+	for i := range placers {
+		p := c.newPlacer(fmt.Sprintf("placer-%d", i), local)
+		c.placers = append(c.placers, p)
+		go p.dispatcher.Run(ctx)
+	}
+	c.deal()
+	go c.heartbeats(ctx)
+	c.entry = entry.NewHandler(entry.Config{
+		View: c, Peers: c.caller(local), Settings: c.settingsOf, Placer: "placer-0", Log: quiet(), Metrics: prometheus.NewRegistry(),
+	})
+	return c
+}
+
+func (c *cell) newPlacer(name string, local peer.Local) *placer {
+	p := &placer{name: name, right: &requesttest.Right{}}
+	p.dispatcher = dispatch.New(dispatch.Config{
+		Hosts: c.hostList, Settings: c.settingsOf, Right: p.right, Client: c.executors, Peers: c.caller(local),
+		Remotes:    func() []dispatch.Remote { return c.remotes(name) },
+		Partitions: partitions, Log: quiet(), Metrics: prometheus.NewRegistry(),
+	})
+	p.home = request.New(request.Config{
+		Right: p.right, Dispatcher: p.dispatcher, Settings: c.settingsOf, Log: quiet(), Metrics: prometheus.NewRegistry(),
+	})
+	mux := peer.NewMux()
+	peer.Handle(mux, peer.KindServe, p.home.Serve)
+	peer.Handle(mux, peer.KindDispatch, p.dispatcher.ServeDispatch)
+	local[name] = mux
+	return p
+}
+
+// deal gives every partition to its first holder.
+func (c *cell) deal() {
+	c.table = &view.Table{}
+	for _, p := range c.placers {
+		c.table.Members = append(c.table.Members, view.Member{Name: p.name, Addr: p.name})
+	}
+	for id := range partitions {
+		p := c.placers[id%len(c.placers)]
+		c.table.Partitions = append(c.table.Partitions, view.Partition{ID: id, Holder: p.name, Addr: p.name, Epoch: 1})
+		p.acquire(c.t, hold.Takeover{Grant: hold.Grant{Partition: id, Epoch: 1}, Fresh: true, TakenAt: time.Now()})
+	}
+}
+
+func (p *placer) acquire(t *testing.T, takeover hold.Takeover) {
+	for _, r := range []hold.Resident{p.home, p.dispatcher} {
+		if err := r.Acquire(t.Context(), takeover); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// takeOver moves a partition without a hand-over: its holder is gone.
+func (c *cell) takeOver(id, to int) {
+	c.mu.Lock()
+	old := c.holder(id)
+	table := *c.table
+	table.Partitions = append([]view.Partition(nil), c.table.Partitions...)
+	table.Partitions[id] = view.Partition{ID: id, Holder: c.placers[to].name, Addr: c.placers[to].name, Epoch: table.Partitions[id].Epoch + 1}
+	c.table = &table
+	c.mu.Unlock()
+	old.right.Lapse(id, true)
+	old.home.Drop(id)
+	old.dispatcher.Drop(id)
+	c.placers[to].right.Lapse(id, false)
+	c.placers[to].acquire(c.t, hold.Takeover{Grant: hold.Grant{Partition: id, Epoch: 2}, TakenAt: time.Now()})
+}
+
+// handOver moves a partition in order.
+func (c *cell) handOver(id, to int) {
+	c.mu.Lock()
+	old := c.holder(id)
+	c.mu.Unlock()
+	states := make([][]byte, 2)
+	for i, r := range []hold.Resident{old.home, old.dispatcher} {
+		state, err := r.Release(c.t.Context(), id)
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		states[i] = state
+	}
+	old.right.Lapse(id, true)
+	next := c.placers[to]
+	next.right.Lapse(id, false)
+	for i, r := range []hold.Resident{next.home, next.dispatcher} {
+		t := hold.Takeover{Grant: hold.Grant{Partition: id, Epoch: 2}, SignedOff: true, State: states[i], TakenAt: time.Now()}
+		if err := r.Acquire(c.t.Context(), t); err != nil {
+			c.t.Fatal(err)
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	table := *c.table
+	table.Partitions = append([]view.Partition(nil), c.table.Partitions...)
+	table.Partitions[id] = view.Partition{ID: id, Holder: next.name, Addr: next.name, Epoch: table.Partitions[id].Epoch + 1}
+	c.table = &table
+}
+
+// holder returns a partition's placer. The caller holds the lock.
+func (c *cell) holder(id int) *placer {
+	for _, p := range c.placers {
+		if p.name == c.table.Partitions[id].Holder {
+			return p
+		}
+	}
+	c.t.Fatalf("partition %d has no holder", id)
+	return nil
+}
+
+// Table implements view.Source.
+func (c *cell) Table() *view.Table {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table
+}
+
+// Settings implements view.Source.
+func (c *cell) Settings() *settings.Tree { return nil }
+
+func (c *cell) hostList() []platform.Host {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]platform.Host(nil), c.hosts...)
+}
+
+func (c *cell) settingsOf(service string) (settings.Values, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.values, service == "ledger"
+}
+
+// set changes the settings of every service.
+func (c *cell) set(change func(*settings.Values)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	change(&c.values)
+}
+
+// heartbeats passes on the placers' free slots, as heartbeats do.
+func (c *cell) heartbeats(ctx context.Context) {
+	tick := time.NewTicker(heartbeatEvery)
+	defer tick.Stop()
+	for {
+		free := map[string]int{}
+		for _, p := range c.placers {
+			free[p.name] = p.dispatcher.Free()["ledger"]
+		}
+		c.mu.Lock()
+		c.free = free
+		c.mu.Unlock()
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *cell) remotes(self string) []dispatch.Remote {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []dispatch.Remote
+	for _, p := range c.placers {
+		if p.name != self {
+			out = append(out, dispatch.Remote{Name: p.name, Addr: p.name, Free: map[string]int{"ledger": c.free[p.name]}})
+		}
+	}
+	return out
+}
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+}
+
+// do sends one request through the entry.
+func (c *cell) do(ctx context.Context, method, path, body string, header ...string) reply {
+	r := httptest.NewRequestWithContext(ctx, method, entry.Prefix+"ledger"+path, strings.NewReader(body))
+	for i := 0; i < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	w := httptest.NewRecorder()
+	c.entry.ServeHTTP(w, r)
+	return reply{status: w.Code, header: w.Header(), body: w.Body.String()}
+}
+
+// newKey returns a key of the bubble's present time.
+func newKey() string {
+	id := uuid.New()
+	ms := time.Now().UnixMilli()
+	for i := range 6 {
+		id[i] = byte(ms >> (40 - 8*i))
+	}
+	id[6] = id[6]&0x0f | 0x70
+	return id.String()
+}
+
+// keyIn returns a key whose home is the given partition.
+func keyIn(id int) string {
+	for {
+		if key := newKey(); partition.OfKey(key, partitions) == id {
+			return key
+		}
+	}
+}
--- /dev/null
+++ b/internal/requesttest/faults_test.go
@@ -0,0 +1,19 @@
+package requesttest_test
+
+import (
+	"sync/atomic"
+
+	"pulleyquay/internal/executor"
+	"pulleyquay/internal/requesttest"
+)
+
+// faultOnce plants a fault on the first request only.
+func faultOnce(f requesttest.Fault) func(string, executor.Request) requesttest.Fault {
+	var used atomic.Bool
+	return func(string, executor.Request) requesttest.Fault {
+		if used.Swap(true) {
+			return requesttest.NoFault
+		}
+		return f
+	}
+}
--- a/internal/result/codes_request.go
+++ b/internal/result/codes_request.go
@@ -18,6 +18,7 @@
 	CallerOverShare    Code = 2012
 	NoExecutor         Code = 2013
 	NoFreeSlot         Code = 2014
+	EntryFull          Code = 2015
 	DeadlineQueued     Code = 2020
 	DeadlineRunning    Code = 2021
 	CallerGone         Code = 2022
@@ -49,6 +50,7 @@
 		Info{CallerOverShare, "caller-over-share", http.StatusTooManyRequests, "the caller has more than its share of a full queue"},
 		Info{NoExecutor, "no-executor", http.StatusServiceUnavailable, "no executor of the service can be used now"},
 		Info{NoFreeSlot, "no-free-slot", http.StatusServiceUnavailable, "a holder asked for a slot has none free"},
+		Info{EntryFull, "entry-full", http.StatusServiceUnavailable, "this entry host serves as many requests as it can"},
 		Info{DeadlineQueued, "deadline-queued", http.StatusGatewayTimeout, "the deadline passed before dispatch"},
 		Info{DeadlineRunning, "deadline-running", http.StatusGatewayTimeout, "the deadline passed after dispatch"},
 		Info{CallerGone, "caller-gone", statusClientGone, "the caller went away"},
