Keeper: claims, hand-over and the right to act by partition

Cause: each partition needs one holder with an epoch, which proves at every order that it may act, also through an outage of the store. Tests in synctest over memstore: forming, joining, planned stop, kill, an outage of ten terms in which every holder may act all the time, a member cut from the store only and from its peers only. Seen failing first: in the outage test three partitions moved twice when the store came back, because members whose key had not come back yet did not count as eligible; they do now while they are heard. Ruled out: the members' present list as electorate (two processes may know different lists, whose majorities need not meet); voters known by address (a replacement forgets what its forerunner promised); the older process stepping down for a later one of its name (a mistyped name would move its partitions).

--- /dev/null
+++ b/internal/hold/fault_test.go
@@ -0,0 +1,97 @@
+package hold
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pulleyquay/internal/platform/memstore"
+)
+
+// formed starts a cell of the named members and waits until it has settled.
+func formed(c *testCell, names ...string) {
+	c.t.Helper()
+	for _, name := range names {
+		c.start(name)
+	}
+	c.wait(60*time.Second, "every member has a share", func() bool {
+		for _, n := range c.nodes {
+			if len(n.Held()) == 0 {
+				return false
+			}
+		}
+		return c.settled()
+	})
+	time.Sleep(5 * time.Second)
+}
+
+// cutPeers cuts a member from all others, or heals the cut.
+func (c *testCell) cutPeers(name string, there, back bool) {
+	me := c.nodes[name].addr
+	for _, other := range c.nodes {
+		if other.addr != me {
+			c.net.cut(me, other.addr, there)
+			c.net.cut(other.addr, me, back)
+		}
+	}
+}
+
+func TestStoreOutageOfTenTermsStopsNobody(t *testing.T) {
+	inBubble(t, testConfig(), func(c *testCell) {
+		is := is.New(c.t)
+		formed(c, "a", "b", "c")
+		before := c.epochs()
+		c.engine.SetFaults(memstore.Faults{Hang: true})
+		for end := time.Now().Add(10 * c.config.Term); time.Now().Before(end); {
+			time.Sleep(10 * time.Millisecond)
+			is.True(c.settled()) // every partition's holder may act all the time
+		}
+		c.engine.SetFaults(memstore.Faults{})
+		for end := time.Now().Add(3 * c.config.Term); time.Now().Before(end); {
+			time.Sleep(10 * time.Millisecond)
+			is.True(c.settled())
+		}
+		is.Equal(c.epochs(), before) // and nothing has moved
+	})
+}
+
+// epochs returns the epoch of each held partition.
+func (c *testCell) epochs() map[int]uint64 {
+	out := map[int]uint64{}
+	for _, n := range c.nodes {
+		for _, id := range n.Held() {
+			if g, err := n.Check(id); err == nil {
+				out[id] = g.Epoch
+			}
+		}
+	}
+	return out
+}
+
+func TestMemberCutFromTheStoreAloneIsSucceeded(t *testing.T) {
+	inBubble(t, testConfig(), func(c *testCell) {
+		is := is.New(c.t)
+		formed(c, "a", "b", "c")
+		cut := c.nodes["b"]
+		cut.client.SetFaults(memstore.Faults{Hang: true})
+		c.wait(4*c.config.Term, "others hold all", func() bool {
+			return len(c.nodes["a"].Held())+len(c.nodes["c"].Held()) == c.config.Partitions
+		})
+		cut.client.SetFaults(memstore.Faults{})
+		c.wait(4*c.config.Term, "b has a share again", func() bool { return len(cut.Held()) > 0 && c.settled() })
+		is.True(cut.store.total() > 0)
+	})
+}
+
+func TestMemberCutFromPeersOnlyKeepsItsPartitions(t *testing.T) {
+	inBubble(t, testConfig(), func(c *testCell) {
+		is := is.New(c.t)
+		formed(c, "a", "b", "c")
+		before := c.epochs()
+		c.cutPeers("b", true, true)
+		time.Sleep(3 * c.config.Term)
+		is.True(c.settled())
+		is.Equal(c.epochs(), before)
+	})
+}
--- /dev/null
+++ b/internal/hold/keeper_test.go
@@ -0,0 +1,113 @@
+package hold
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pulleyquay/internal/result"
+)
+
+func TestCellFormsAndEveryPartitionHasOneHolder(t *testing.T) {
+	inBubble(t, testConfig(), func(c *testCell) {
+		for _, name := range []string{"a", "b", "c"} {
+			c.start(name)
+		}
+		c.waitSettled(20 * time.Second)
+		time.Sleep(5 * time.Second)
+		is := is.New(c.t)
+		is.True(c.settled())
+		for _, n := range c.nodes {
+			is.True(len(n.Held()) > 0) // each member has its share
+			is.Equal(n.Lacks(), nil)
+		}
+	})
+}
+
+func TestFreshPartitionsSayTheyAreFresh(t *testing.T) {
+	inBubble(t, testConfig(), func(c *testCell) {
+		is := is.New(c.t)
+		a := c.start("a")
+		c.waitSettled(10 * time.Second)
+		is.True(a.resident.takeover(3).Fresh)
+		is.Equal(a.resident.takeover(3).Epoch, uint64(1))
+	})
+}
+
+func TestJoiningMemberGetsItsShareWithState(t *testing.T) {
+	inBubble(t, testConfig(), func(c *testCell) {
+		is := is.New(c.t)
+		a := c.start("a")
+		c.waitSettled(10 * time.Second)
+		b := c.start("b")
+		c.wait(10*time.Second, "b has a share", func() bool { return len(b.Held()) > 0 && c.settled() })
+		time.Sleep(time.Second)
+		for _, id := range b.Held() {
+			got := b.resident.takeover(id)
+			is.True(got.SignedOff)
+			is.True(strings.Contains(string(got.State), a.Self().Incarnation))
+			is.Equal(got.Epoch, uint64(2))
+		}
+		is.Equal(len(a.Held())+len(b.Held()), c.config.Partitions)
+		is.Equal(a.resident.counts.drop, 0)
+	})
+}
+
+func TestPlannedStopHandsEverythingOver(t *testing.T) {
+	inBubble(t, testConfig(), func(c *testCell) {
+		is := is.New(c.t)
+		a, b := c.start("a"), c.start("b")
+		c.wait(20*time.Second, "shared", func() bool { return c.settled() && len(b.Held()) > 0 && len(a.Held()) > 0 })
+		moved := b.Held()
+		is.NoErr(b.Stop(context.Background()))
+		b.stopAct()
+		delete(c.nodes, "b")
+		c.net.set(b.addr, nil)
+		c.waitSettled(time.Second)
+		for _, id := range moved {
+			is.True(a.resident.takeover(id).SignedOff)
+		}
+	})
+}
+
+func TestKilledHolderIsSucceeded(t *testing.T) {
+	inBubble(t, testConfig(), func(c *testCell) {
+		is := is.New(c.t)
+		for _, name := range []string{"a", "b", "c"} {
+			c.start(name)
+		}
+		c.waitSettled(20 * time.Second)
+		time.Sleep(5 * time.Second)
+		c.kill(c.nodes["b"])
+		took := c.waitSettled(3 * c.config.Term)
+		is.True(took < 2*c.config.Term)
+	})
+}
+
+func TestCheckRefusesWithACode(t *testing.T) {
+	inBubble(t, testConfig(), func(c *testCell) {
+		is := is.New(c.t)
+		a := c.start("a")
+		_, err := a.Check(0)
+		is.Equal(result.CodeOf(err), result.NotHolder)
+		_, err = a.Check(-1)
+		is.Equal(result.CodeOf(err), result.NotHolder)
+		_, err = a.Check(c.config.Partitions)
+		is.Equal(result.CodeOf(err), result.NotHolder)
+	})
+}
+
+func TestPartitionCountOfTheStoreIsBinding(t *testing.T) {
+	inBubble(t, testConfig(), func(c *testCell) {
+		is := is.New(c.t)
+		c.start("a")
+		c.waitSettled(10 * time.Second)
+		c.config.Partitions++
+		b := c.build("b")
+		is.Equal(result.CodeOf(b.Start(c.t.Context())), result.PartitionCount)
+		c.config.Partitions--
+	})
+}
--- a/internal/hold/mirror.go
+++ b/internal/hold/mirror.go
@@ -179,15 +179,14 @@
 	return ok && e.Member.Incarnation == s.Incarnation
 }
 
-// eligible lists the members that partitions may go to.
-func (m *mirror) eligible() []string {
+// staying lists the members that do not leave.
+func (m *mirror) staying() []string {
 	var out []string
 	for name, e := range m.members {
 		if !e.Member.Leaving {
 			out = append(out, name)
 		}
 	}
-	sort.Strings(out)
 	return out
 }
 
--- /dev/null
+++ b/internal/hold/referee_test.go
@@ -0,0 +1,143 @@
+package hold
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+)
+
+// referee records every right to act that is used, and names each time at which
+// two processes could act for one partition.
+type referee struct {
+	mu     sync.Mutex
+	last   map[int]map[string]use // by partition and process
+	epochs map[int]uint64
+	faults []string
+}
+
+// use is the last right a process had for a partition.
+type use struct {
+	epoch uint64
+	until time.Time
+}
+
+// granted records that a process has asked for the right at now.
+func (r *referee) granted(node string, g Grant, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for other, u := range r.last[g.Partition] {
+		if other != node && now.Before(u.until) {
+			r.faults = append(r.faults, fmt.Sprintf("partition %d: %s acts at epoch %d while %s may act at epoch %d for %v",
+				g.Partition, node, g.Epoch, other, u.epoch, u.until.Sub(now)))
+		}
+	}
+	if g.Epoch < r.epochs[g.Partition] {
+		r.faults = append(r.faults, fmt.Sprintf("partition %d: epoch %d after %d", g.Partition, g.Epoch, r.epochs[g.Partition]))
+	}
+	r.epochs[g.Partition] = max(r.epochs[g.Partition], g.Epoch)
+	if r.last[g.Partition] == nil {
+		r.last[g.Partition] = map[string]use{}
+	}
+	until := r.last[g.Partition][node].until
+	if g.Until.After(until) {
+		until = g.Until
+	}
+	r.last[g.Partition][node] = use{g.Epoch, until}
+}
+
+// signedOff records that a process has ended its work for a partition in order.
+func (r *referee) signedOff(node string, partition int, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if u, ok := r.last[partition][node]; ok && u.until.After(now) {
+		u.until = now
+		r.last[partition][node] = u
+	}
+}
+
+func (r *referee) violations() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.faults
+}
+
+// actInterval is how often a process of a testCell uses its rights.
+const actInterval = 20 * time.Millisecond
+
+// act uses every right the process has, again and again, until stopAct.
+func (n *node) act(r *referee) {
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stopAct = cancel
+	n.acting.Add(1)
+	go func() {
+		defer n.acting.Done()
+		for ctx.Err() == nil {
+			for _, id := range n.Held() {
+				n.resident.use(n.Keeper, id)
+			}
+			select {
+			case <-ctx.Done():
+			case <-time.After(actInterval):
+			}
+		}
+	}()
+}
+
+// recorder is a Resident whose state is a string that travels with the
+// partition.
+type recorder struct {
+	referee *referee
+	node    string
+
+	mu     sync.Mutex
+	states map[int]string
+	got    map[int]Takeover
+	counts struct{ acquire, release, drop int }
+}
+
+func (r *recorder) Name() string { return "recorder" }
+
+// use asks for the right and records it, unless the partition is being released.
+func (r *recorder) use(k *Keeper, id int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, has := r.states[id]; !has {
+		return
+	}
+	if g, err := k.Check(id); err == nil {
+		r.referee.granted(r.node, g, time.Now())
+	}
+}
+
+func (r *recorder) Acquire(_ context.Context, t Takeover) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.counts.acquire++
+	r.got[t.Partition] = t
+	r.states[t.Partition] = string(t.State) + "/" + r.node
+	return nil
+}
+
+func (r *recorder) Release(_ context.Context, id int) ([]byte, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.counts.release++
+	state := r.states[id]
+	delete(r.states, id)
+	r.referee.signedOff(r.node, id, time.Now())
+	return []byte(state), nil
+}
+
+func (r *recorder) Drop(id int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.counts.drop++
+	delete(r.states, id)
+}
+
+func (r *recorder) takeover(id int) Takeover {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.got[id]
+}
--- a/internal/hold/steps.go
+++ b/internal/hold/steps.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
+	"slices"
+	"sort"
 	"time"
 
 	"pulleyquay/internal/member"
@@ -70,17 +72,9 @@
 
 // cell gathers what decisions are made from. The lock is held.
 func (k *Keeper) cell() cell {
-	storeUp := k.storeUp()
 	return cell{
-		self: k.subject(), leaving: k.leaving, canMove: k.canMove(), eligible: k.mirror.eligible(),
-		alive: k.mirror.alive,
-		heard: k.heard,
-		mayFence: func(s right.Subject) bool {
-			if time.Since(k.started) < 2*k.config.Suspect {
-				return false
-			}
-			return mayFence(k.heardSubject(s), storeUp, time.Since(k.mirror.gone[s]), k.config.Term)
-		},
+		self: k.subject(), leaving: k.leaving, canMove: k.canMove(), eligible: k.eligible(),
+		alive: k.mirror.alive, heard: k.heard, mayFence: k.mayFence,
 		fenced: func(s right.Subject) bool {
 			f := k.fencings[s]
 			return f != nil && f.charter == k.mirror.charters[s].Revision && f.tally.Done(time.Now())
@@ -88,6 +82,29 @@
 	}
 }
 
+// mayFence applies the rule of patience to a holder without a key. A process
+// that has just started has not heard anybody yet and waits. The lock is held.
+func (k *Keeper) mayFence(s right.Subject) bool {
+	if time.Since(k.started) < 2*k.config.Suspect {
+		return false
+	}
+	return mayFence(k.heardSubject(s), k.storeUp(), time.Since(k.mirror.gone[s]), k.config.Term)
+}
+
+// eligible lists the members that partitions may go to: those with a key that
+// do not leave, and holders that may only be slow to come back after an outage.
+// Counting the latter keeps partitions from moving twice. The lock is held.
+func (k *Keeper) eligible() []string {
+	out := k.mirror.staying()
+	for s := range k.mirror.gone {
+		if _, present := k.mirror.members[s.Name]; !present && !k.mayFence(s) {
+			out = append(out, s.Name)
+		}
+	}
+	sort.Strings(out)
+	return slices.Compact(out)
+}
+
 // canMove reports whether the store is reached and the session confirmed.
 func (k *Keeper) canMove() bool {
 	_, answers := k.session.Renewed()
