Gang holds, preemption, overload, worker health, renewals for dead holders

Cause: the holder's side only placed, renewed and reported. Change: gang holds with expiry (start is refused whole when any part of the hold is gone; a repeated start gets the outcomes; a fenced home's holds are freed); preemption (checkpoint, after 1.5 s stop; the wish gets the room before any other request, and is dropped when its home is fenced, stops it or goes away); steps against overload one report apart; workers that fail different jobs are set aside and probed with one batch task; renewals in the name of a dead holder. A loss by silence is not declared while the store is or was lately out of reach, since a deputy that does not hear this holder may be renewing in its name. In scheduler: the runs to ease on an overloaded worker are counted by their part of the observed usage, not by their declared size, which is what was untrue: before, four runs of a declared quarter each were all ended where two do.

--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -23,6 +23,11 @@
 	// listed is true while the host list shows the worker.
 	listed  bool
 	leaving bool
+	// over is true while the worker is observed above its size, suspect while
+	// it failed tasks of different jobs and has not passed a probe since.
+	over    bool
+	easeAt  time.Time // no further steps against an overload before
+	suspect bool
 	// gone is set when the partition is dropped or the worker forgotten: the
 	// call in flight must not touch the books any more.
 	gone bool
@@ -82,6 +87,8 @@
 	reported bool
 	// preempted is true when it is being stopped to make room.
 	preempted bool
+	// eased is the hardest mode used against it on a worker over its size.
+	eased worker.StopMode
 	// news is the state that the home has still to be told; zero for none.
 	news     taskmsg.RunState
 	exitCode int
@@ -110,6 +117,10 @@
 		return scheduler.StatusUnclaimed
 	case a.leaving || !a.listed:
 		return scheduler.StatusLeaving
+	case a.over:
+		return scheduler.StatusOver
+	case a.suspect:
+		return scheduler.StatusSetAside
 	default:
 		return scheduler.StatusReady
 	}
--- a/internal/fleet/claim.go
+++ b/internal/fleet/claim.go
@@ -87,6 +87,7 @@
 	a.retryAt, a.renewAt = time.Time{}, now
 	delete(a.part.expected, a.name)
 	f.moveClaim(a, eventClaimed)
+	f.grantWishes(now)
 }
 
 // reconcile compares the books with an inventory and returns the number of
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -18,6 +18,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"pulleyquay/internal/health"
 	"pulleyquay/internal/hold"
 	"pulleyquay/internal/peer"
 	"pulleyquay/internal/platform"
@@ -46,11 +47,18 @@
 	// placers of a cell; zero means 15 s.
 	Lease time.Duration
 	// Hosts returns the latest snapshot of the host list.
-	Hosts      func() []platform.Host
-	Right      hold.Right
-	Client     worker.Client
-	Peers      peer.Caller
-	View       view.Source
+	Hosts  func() []platform.Host
+	Right  hold.Right
+	Client worker.Client
+	Peers  peer.Caller
+	View   view.Source
+	// Covers is the right to renew for dead holders; nil when this process is
+	// never a deputy.
+	Covers CoverRight
+	// StoreAge returns how long ago this process last reached the store; nil
+	// when there are no deputies in the cell. While the store is away a deputy
+	// that does not hear this process may be renewing leases in its name.
+	StoreAge   func() time.Duration
 	Registerer prometheus.Registerer
 	Log        *logrus.Entry
 }
@@ -74,6 +82,18 @@
 	runs    map[worker.Attempt]*run
 	homes   map[int]*home
 	tombs   *lru.Cache[worker.Attempt, struct{}]
+	gangs   map[gangKey]*gang
+	wishes  []*wish
+	// over are the workers above their size, looked at anew at overAt.
+	over   map[string]struct{}
+	overAt time.Time
+	// suspects are the workers that health does not think well of.
+	health   *health.Workers
+	suspects map[string]struct{}
+	covers   map[int]view.Partition
+	covered  map[string]*covered
+	// storeSince is since when the store has been reached without a break.
+	storeSince time.Time
 }
 
 var _ hold.Resident = (*Fleet)(nil)
@@ -98,6 +118,8 @@
 		claims: make(chan struct{}, claimsAtOnce), machine: newClaimMachine(),
 		cell: scheduler.NewCell(xxhash.Sum64String(cfg.Name)), parts: map[int]*part{}, agents: map[string]*agent{},
 		runs: map[worker.Attempt]*run{}, homes: map[int]*home{}, tombs: tombs,
+		gangs: map[gangKey]*gang{}, over: map[string]struct{}{}, health: health.NewWorkers(health.DefaultConfig()),
+		suspects: map[string]struct{}{}, covers: map[int]view.Partition{}, covered: map[string]*covered{},
 	}
 }
 
@@ -130,10 +152,15 @@
 
 // tick does what is due.
 func (f *Fleet) tick(now time.Time) {
-	f.follow(f.cfg.Hosts(), now)
+	hosts := f.cfg.Hosts()
+	f.follow(hosts, now)
+	f.coverWorkers(hosts, now)
 	f.declareLost(now)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.lapseGangs(now)
+	f.relieve(now)
+	f.grantWishes(now)
 	for _, a := range f.agents {
 		f.kick(a, now)
 	}
--- /dev/null
+++ b/internal/fleet/gang_test.go
@@ -0,0 +1,107 @@
+package fleet
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pulleyquay/internal/result"
+	"pulleyquay/internal/spec"
+	"pulleyquay/internal/taskmsg"
+	"pulleyquay/internal/worker/workersim"
+)
+
+func gangShape(job string) taskmsg.Shape {
+	s := shapeOf(job, 1000, 0)
+	s.Kind = spec.KindGang
+	return s
+}
+
+// holdFor asks for room for n tasks of a gang.
+func (m *member) holdFor(job string, n int, epoch uint64) taskmsg.GangHeld {
+	m.b.t.Helper()
+	req := taskmsg.GangHold{Home: taskmsg.Home{Partition: homePartition, Epoch: epoch}, Shape: gangShape(job), HoldMS: 5000}
+	for i := range n {
+		req.Slots = append(req.Slots, taskmsg.Slot{Index: i, Attempt: 1})
+	}
+	held, err := m.holdGang(context.Background(), req)
+	m.b.is.NoErr(err)
+	return held
+}
+
+func (m *member) endOf(job string, start bool) (taskmsg.PlaceReply, error) {
+	home := taskmsg.Home{Partition: homePartition, Epoch: 1}
+	return m.endGang(context.Background(), taskmsg.GangEnd{Home: home, Job: job, Start: start})
+}
+
+func TestGangStartsAllThatIsHeld(t *testing.T) {
+	bubble(t, 2, func(b *bench) {
+		m := b.member("a")
+		defer m.stop()
+		m.take(1, nil)
+		synctest.Wait()
+		b.is.Equal(len(m.holdFor("gang", 20, 1).Held), 16) // two workers of eight
+		b.is.Equal(b.running(), 0)
+		b.is.Equal(len(m.holdFor("gang", 20, 1).Held), 16) // asked again: the same
+		b.is.Equal(count(m.put(shapeOf("other", 1000, 0), 1), taskmsg.OutcomeRefused), 1)
+		first, err := m.endOf("gang", true)
+		b.is.NoErr(err)
+		b.is.Equal(count(first.Results, taskmsg.OutcomeStarted), 16)
+		again, err := m.endOf("gang", true) // the answer was lost
+		b.is.NoErr(err)
+		b.is.Equal(count(again.Results, taskmsg.OutcomeStarted), 16)
+		b.is.Equal(b.running(), 16)
+	})
+}
+
+// TestGangHoldEnds: each way in which a hold ends without a start frees its
+// room, and a start afterwards starts nothing.
+func TestGangHoldEnds(t *testing.T) {
+	cases := map[string]func(b *bench, m *member){
+		"released": func(b *bench, m *member) {
+			_, err := m.endOf("gang", false)
+			b.is.NoErr(err)
+		},
+		"lapsed": func(*bench, *member) { time.Sleep(6 * time.Second) },
+		"worker restarted": func(b *bench, _ *member) {
+			b.sim.Worker("w0").Restart()
+			b.sim.Cut("a", "w0", workersim.CutBefore)
+			time.Sleep(4900 * time.Millisecond)
+		},
+	}
+	for name, end := range cases {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, 2, func(b *bench) {
+				m := b.member("a")
+				defer m.stop()
+				m.take(1, nil)
+				synctest.Wait()
+				time.Sleep(200 * time.Millisecond)
+				b.is.Equal(len(m.holdFor("gang", 16, 1).Held), 16)
+				end(b, m)
+				_, err := m.endOf("gang", true)
+				b.is.Equal(result.CodeOf(err), result.GangUnknown)
+				b.is.Equal(result.From(err).Ran, result.RanNo)
+				b.is.Equal(b.running(), 0)
+				b.is.Equal(count(m.put(shapeOf("other", 1000, 0), 8), taskmsg.OutcomeStarted), 8)
+			})
+		})
+	}
+}
+
+// TestGangHoldOfAFencedHome: the room held for a home is free once a higher
+// epoch of it asks.
+func TestGangHoldOfAFencedHome(t *testing.T) {
+	bubble(t, 1, func(b *bench) {
+		m := b.member("a")
+		defer m.stop()
+		m.take(1, nil)
+		synctest.Wait()
+		b.is.Equal(len(m.holdFor("gang", 8, 1).Held), 8)
+		b.is.Equal(len(m.holdFor("other", 8, 2).Held), 8)
+		_, err := m.endOf("gang", true)
+		b.is.Equal(result.CodeOf(err), result.HomeFenced)
+		b.is.Equal(b.running(), 0)
+	})
+}
--- a/internal/fleet/inventory.go
+++ b/internal/fleet/inventory.go
@@ -12,6 +12,8 @@
 // Register adds the handlers for job homes and operators.
 func (f *Fleet) Register(mux *peer.Mux) {
 	peer.Handle(mux, peer.KindPlace, f.place)
+	peer.Handle(mux, peer.KindGangHold, f.holdGang)
+	peer.Handle(mux, peer.KindGangEnd, f.endGang)
 	peer.Handle(mux, peer.KindStopTasks, f.stopTasks)
 	peer.Handle(mux, peer.KindInventory, f.inventory)
 	peer.Handle(mux, peer.KindWorkers, f.workers)
@@ -21,13 +23,16 @@
 // jobs. Starts that are under way count as running; if they turn out not to
 // have happened, the home gets news.
 func (f *Fleet) inventory(_ context.Context, req taskmsg.InventoryRequest) (taskmsg.InventoryReply, error) {
-	if err := f.fence(req.Home); err != nil {
-		return taskmsg.InventoryReply{}, err
-	}
 	held := f.heldNow()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := time.Now()
+	var reply taskmsg.InventoryReply
+	err := f.serve(req.Home, func(now time.Time) error {
+		reply = f.inventoryOf(req.Home.Partition, held, now)
+		return nil
+	})
+	return reply, err
+}
+
+func (f *Fleet) inventoryOf(home int, held map[int]uint64, now time.Time) taskmsg.InventoryReply {
 	var reply taskmsg.InventoryReply
 	for _, p := range f.parts {
 		if held[p.id] == p.epoch && !p.paused {
@@ -36,7 +41,7 @@
 	}
 	slices.SortFunc(reply.Partitions, func(a, b taskmsg.WorkerPartition) int { return a.ID - b.ID })
 	for _, r := range f.runs {
-		if r.home != req.Home.Partition || r.state == runAcked || held[r.agent.part.id] != r.agent.part.epoch {
+		if r.home != home || r.state == runAcked || held[r.agent.part.id] != r.agent.part.epoch {
 			continue
 		}
 		state := taskmsg.RunRunning
@@ -46,7 +51,7 @@
 		r.reported = true
 		reply.Runs = append(reply.Runs, f.newsOf(r, state))
 	}
-	return reply, nil
+	return reply
 }
 
 // heldNow gives the epochs of the partitions this process may act for now.
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -14,7 +14,11 @@
 	ends   *prometheus.CounterVec
 	stops  *prometheus.CounterVec
 	news   *prometheus.CounterVec
+	health *prometheus.CounterVec
+	covers *prometheus.CounterVec
 	denied prometheus.Counter
+	// holdsLapsed counts gang holds that were neither started nor released.
+	holdsLapsed prometheus.Counter
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
@@ -25,13 +29,14 @@
 		ends:   counter("ends_total", "Ends of runs by state.", "state"),
 		stops:  counter("stops_total", "Stops asked for by mode.", "mode"),
 		news:   counter("news_total", "Messages to job homes by outcome.", "outcome"),
-		denied: prometheus.NewCounter(prometheus.CounterOpts{
-			Namespace: "pulley", Subsystem: "fleet", Name: "denied_total",
-			Help: "Calls to workers not made for want of the right to act.",
-		}),
+		health: counter("worker_health_total", "Changes of workers' health by new state.", "state"),
+		covers: counter("cover_renewals_total", "Renewals for dead holders by outcome.", "outcome"),
+		denied: single("denied_total", "Calls to workers not made for want of the right to act."),
+
+		holdsLapsed: single("gang_holds_lapsed_total", "Gang holds that lapsed."),
 	}
 	if reg != nil {
-		reg.MustRegister(m.claims, m.orders, m.starts, m.ends, m.stops, m.news, m.denied)
+		reg.MustRegister(m.claims, m.orders, m.starts, m.ends, m.stops, m.news, m.health, m.covers, m.denied, m.holdsLapsed)
 	}
 	return m
 }
@@ -40,6 +45,10 @@
 	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "pulley", Subsystem: "fleet", Name: name, Help: help}, []string{label})
 }
 
+func single(name, help string) prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{Namespace: "pulley", Subsystem: "fleet", Name: name, Help: help})
+}
+
 // runStateLabel is the metric label of a run's state.
 func runStateLabel(s taskmsg.RunState) string {
 	switch s {
--- a/internal/fleet/news.go
+++ b/internal/fleet/news.go
@@ -9,6 +9,7 @@
 	"pulleyquay/internal/peer"
 	"pulleyquay/internal/result"
 	"pulleyquay/internal/taskmsg"
+	"pulleyquay/internal/view"
 	"pulleyquay/internal/worker"
 )
 
@@ -44,19 +45,28 @@
 	return h
 }
 
+// serve runs fn under the mutex for a home that is not fenced. The table is
+// read before, so that its source may have a lock of its own.
+func (f *Fleet) serve(from taskmsg.Home, fn func(now time.Time) error) error {
+	table := f.cfg.View.Table()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.fence(from, table); err != nil {
+		return err
+	}
+	return fn(time.Now())
+}
+
 // fence admits a home's request, or refuses it when a higher epoch of the home
 // has asked before or holds the partition by this process's table. The table
 // closes the gap of a holder that is new: it shows every home that took over
 // before this process claimed its own partitions (see Acquire).
-func (f *Fleet) fence(from taskmsg.Home) error {
-	floor := f.tableEpoch(from.Partition)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if err := f.caughtUp(); err != nil {
+func (f *Fleet) fence(from taskmsg.Home, table *view.Table) error {
+	if err := f.caughtUp(table); err != nil {
 		return err
 	}
 	h := f.home(from.Partition)
-	h.epoch = max(h.epoch, floor)
+	h.epoch = max(h.epoch, tableEpoch(table, from.Partition))
 	if from.Epoch < h.epoch {
 		return result.New(result.HomeFenced, result.RanNo, "home partition %d: epoch %d is below %d", from.Partition, from.Epoch, h.epoch)
 	}
@@ -66,12 +76,12 @@
 
 // caughtUp refuses requests until the table shows this process's own claims, and
 // with them every takeover of a home that came before.
-func (f *Fleet) caughtUp() error {
+func (f *Fleet) caughtUp(table *view.Table) error {
 	for _, p := range f.parts {
 		if p.inTable {
 			continue
 		}
-		if f.tableEpoch(p.id) < p.epoch {
+		if tableEpoch(table, p.id) < p.epoch {
 			return result.New(result.HolderBehind, result.RanNo, "partition %d: claim of epoch %d not yet in the table", p.id, p.epoch).Later(newsRetry)
 		}
 		p.inTable = true
@@ -79,9 +89,9 @@
 	return nil
 }
 
-// tableEpoch is the epoch of a partition in the present table, zero if absent.
-func (f *Fleet) tableEpoch(id int) uint64 {
-	for _, p := range f.cfg.View.Table().Partitions {
+// tableEpoch is the epoch of a partition in a table, zero if absent.
+func tableEpoch(table *view.Table, id int) uint64 {
+	for _, p := range table.Partitions {
 		if p.ID == id {
 			return p.Epoch
 		}
--- a/internal/fleet/order.go
+++ b/internal/fleet/order.go
@@ -156,6 +156,7 @@
 	for i := range reply.Ended {
 		f.observeRun(a, &reply.Ended[i], now)
 	}
+	f.grantWishes(now)
 }
 
 // applyFailure sorts out what an order without a proper answer may have done.
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -13,18 +13,15 @@
 // place answers a home's request to start tasks. It waits until the workers
 // have answered; if the caller goes away meanwhile the outcomes become news.
 func (f *Fleet) place(ctx context.Context, req taskmsg.PlaceRequest) (taskmsg.PlaceReply, error) {
-	if err := f.fence(req.Home); err != nil {
+	b := newBatch(len(req.Slots))
+	var refusal *taskmsg.Refusal
+	err := f.serve(req.Home, func(now time.Time) error {
+		refusal = f.book(&req, b, now)
+		return nil
+	})
+	if err != nil {
 		return taskmsg.PlaceReply{}, err
 	}
-	f.mu.Lock()
-	// The fence may have moved between; the booking below is the decision.
-	if req.Home.Epoch < f.home(req.Home.Partition).epoch {
-		f.mu.Unlock()
-		return taskmsg.PlaceReply{}, result.New(result.HomeFenced, result.RanNo, "home partition %d: a higher epoch asked", req.Home.Partition)
-	}
-	b := newBatch(len(req.Slots))
-	refusal := f.book(&req, b, time.Now())
-	f.mu.Unlock()
 	if err := f.await(ctx, b); err != nil {
 		return taskmsg.PlaceReply{}, err
 	}
@@ -64,24 +61,37 @@
 		runs = append(runs, r)
 		bySlot[r.Attempt] = s
 	}
-	placed, refusal := f.cell.Place(scheduler.Ask{Shape: req.Shape}, runs, now)
-	for _, p := range placed {
-		a := f.agents[p.Worker]
-		r := f.track(a, p.Attempt, req.Home.Partition, runQueued)
-		r.start = startOf(req, &p.Run)
-		b.expect(bySlot[p.Attempt], r)
+	placed := f.probe(&req.Shape, runs[0], now)
+	more, refusal := f.cell.Place(scheduler.Ask{Shape: req.Shape}, runs[len(placed):], now)
+	for _, p := range append(placed, more...) {
+		b.expect(bySlot[p.Attempt], f.queueStart(&req.Shape, &p, now))
 		delete(bySlot, p.Attempt)
-		a.starts = append(a.starts, r)
-		f.kick(a, now)
 	}
+	left := slots[:0]
 	for _, s := range slots {
-		if _, left := bySlot[attemptOf(&req.Shape, s)]; left {
-			b.add(taskmsg.SlotResult{Slot: s, Outcome: taskmsg.OutcomeRefused})
+		if _, ok := bySlot[attemptOf(&req.Shape, s)]; ok {
+			left = append(left, s)
 		}
 	}
+	if req.Preempt {
+		left = f.preempt(req, left, b, now)
+	}
+	for _, s := range left {
+		b.add(taskmsg.SlotResult{Slot: s, Outcome: taskmsg.OutcomeRefused})
+	}
 	return refusal
 }
 
+// queueStart tracks a booked run and queues its start at the worker.
+func (f *Fleet) queueStart(shape *taskmsg.Shape, p *scheduler.Placed, now time.Time) *run {
+	a := f.agents[p.Worker]
+	r := f.track(a, p.Attempt, p.Home, runQueued)
+	r.start = startOf(shape, &p.Run)
+	a.starts = append(a.starts, r)
+	f.kick(a, now)
+	return r
+}
+
 // newSlots answers the slots that are known already, so that a repeated request
 // starts nothing twice, and returns the others.
 func (f *Fleet) newSlots(req *taskmsg.PlaceRequest, b *batch) []taskmsg.Slot {
@@ -90,21 +100,29 @@
 		id := attemptOf(&req.Shape, s)
 		r := f.runs[id]
 		switch {
-		case r == nil && f.tombs.Contains(id):
+		case r != nil:
+			f.answerKnown(b, s, r)
+		case f.tombs.Contains(id):
 			b.add(taskmsg.SlotResult{Slot: s, Outcome: taskmsg.OutcomeRefused})
-		case r == nil:
-			fresh = append(fresh, s)
-		case r.state == runQueued || r.state == runSent:
-			b.expect(s, r)
-		case r.state == runUnknown:
-			b.add(f.slotResult(s, r, taskmsg.OutcomeUnknown))
 		default:
-			b.add(f.slotResult(s, r, taskmsg.OutcomeStarted))
+			fresh = append(fresh, s)
 		}
 	}
 	return fresh
 }
 
+// answerKnown adds what is known of a run that was asked for before.
+func (f *Fleet) answerKnown(b *batch, s taskmsg.Slot, r *run) {
+	switch r.state {
+	case runQueued, runSent:
+		b.expect(s, r)
+	case runUnknown:
+		b.add(f.slotResult(s, r, taskmsg.OutcomeUnknown))
+	default:
+		b.add(f.slotResult(s, r, taskmsg.OutcomeStarted))
+	}
+}
+
 func attemptOf(shape *taskmsg.Shape, s taskmsg.Slot) worker.Attempt {
 	a := worker.Attempt{Attempt: s.Attempt}
 	a.Task.Job, a.Task.Index = shape.Job, s.Index
@@ -113,9 +131,9 @@
 
 // startOf makes the worker's start. Its size is the one in the books, so that
 // the next holder, which learns it from the worker, books the same.
-func startOf(req *taskmsg.PlaceRequest, r *scheduler.Run) *worker.Start {
+func startOf(shape *taskmsg.Shape, r *scheduler.Run) *worker.Start {
 	return &worker.Start{
-		Task: r.Attempt.Task, Attempt: r.Attempt.Attempt, Home: req.Home.Partition, Kind: req.Shape.Kind,
-		Urgent: req.Shape.Urgent, Size: r.Size, RunMillis: req.Shape.Task.RunMillis, Command: req.Shape.Task.Command,
+		Task: r.Attempt.Task, Attempt: r.Attempt.Attempt, Home: r.Home, Kind: shape.Kind,
+		Urgent: shape.Urgent, Size: r.Size, RunMillis: shape.Task.RunMillis, Command: shape.Task.Command,
 	}
 }
--- a/internal/fleet/resident.go
+++ b/internal/fleet/resident.go
@@ -174,6 +174,9 @@
 		f.forget(r)
 	}
 	f.cell.Remove(a.name)
+	f.health.Forget(a.name)
+	delete(f.over, a.name)
+	delete(f.suspects, a.name)
 	if f.agents[a.name] == a {
 		delete(f.agents, a.name)
 	}
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -8,6 +8,14 @@
 	"pulleyquay/internal/worker"
 )
 
+const (
+	// storeFresh is how long the store may be out of reach without counting as
+	// an outage in which deputies could act.
+	storeFresh = 3 * time.Second
+	// coverTerm bounds how long a deputy's right outlives the store's return.
+	coverTerm = 10 * time.Second
+)
+
 // batch is one call that waits for the outcomes of its slots.
 type batch struct {
 	results []taskmsg.SlotResult
@@ -107,12 +115,15 @@
 }
 
 // endRun notes that a run is over, frees its room and tells its home.
-func (f *Fleet) endRun(r *run, state taskmsg.RunState, exitCode int, _ time.Time) {
+func (f *Fleet) endRun(r *run, state taskmsg.RunState, exitCode int, now time.Time) {
 	if r.state >= runEnded {
 		return
 	}
 	f.metrics.ends.WithLabelValues(runStateLabel(state)).Inc()
 	f.answer(r, taskmsg.OutcomeRefused) // only if it never started
+	if state == taskmsg.RunFinished {
+		f.blame(r, exitCode, now)
+	}
 	f.cell.Unreserve(r.id)
 	delete(r.agent.stops, r.id)
 	r.state, r.start, r.exitCode = runEnded, nil, exitCode
@@ -177,10 +188,28 @@
 	return r
 }
 
+// noteStore follows whether the store has been reached without a break.
+func (f *Fleet) noteStore(now time.Time) {
+	if f.storeSince.IsZero() || f.cfg.StoreAge != nil && f.cfg.StoreAge() > storeFresh {
+		f.storeSince = now
+	}
+}
+
+// mayDeclare reports whether no deputy can have renewed leases in this
+// process's name lately: the store has been there for as long as a deputy's
+// last renewal can be in force.
+func (f *Fleet) mayDeclare(now time.Time) bool {
+	return f.cfg.StoreAge == nil || now.Sub(f.storeSince) > f.times.leaseBound()+coverTerm
+}
+
 // declareLost ends the runs of workers whose leases are certainly over. The
 // right is asked for after the time has passed: while it is held no other
 // holder can have renewed them.
 func (f *Fleet) declareLost(now time.Time) {
+	f.noteStore(now)
+	if !f.mayDeclare(now) {
+		return
+	}
 	for _, a := range f.silent(now) {
 		grant, err := f.cfg.Right.Check(a.part.id)
 		if err != nil || grant.Epoch != a.part.epoch {
--- a/internal/fleet/stop.go
+++ b/internal/fleet/stop.go
@@ -13,22 +13,21 @@
 // show up in the inventory of a worker claimed later, it is not started or
 // stopped there.
 func (f *Fleet) stopTasks(_ context.Context, req taskmsg.StopRequest) (taskmsg.StopReply, error) {
-	if err := f.fence(req.Home); err != nil {
-		return taskmsg.StopReply{}, err
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	var reply taskmsg.StopReply
-	for _, id := range req.Runs {
-		r := f.runs[id]
-		if r == nil {
-			f.tombs.Add(id, struct{}{})
-			reply.Unknown = append(reply.Unknown, id)
-			continue
+	err := f.serve(req.Home, func(time.Time) error {
+		for _, id := range req.Runs {
+			r := f.runs[id]
+			if r == nil {
+				f.tombs.Add(id, struct{}{})
+				reply.Unknown = append(reply.Unknown, id)
+				continue
+			}
+			r.preempted = false // it ends because its home wants it to
+			f.stopRun(r, req.Mode, req.Reason)
 		}
-		f.stopRun(r, req.Mode, req.Reason)
-	}
-	return reply, nil
+		return nil
+	})
+	return reply, err
 }
 
 // stopRun ends or slows one run. One that was not sent yet is taken back.
--- a/internal/scheduler/over.go
+++ b/internal/scheduler/over.go
@@ -75,7 +75,12 @@
 	return worker.Throttle
 }
 
-// stepsFor picks the least urgent runs until they declare the excess.
+// throttledShare is what is expected of a throttled run: it goes on with one
+// part in throttledShare of its processors.
+const throttledShare = 2
+
+// stepsFor picks the least urgent runs until their part of the observed usage
+// covers the excess.
 func stepsFor(b *book, mode worker.StopMode) []Step {
 	runs := slices.DeleteFunc(b.copyRuns(), func(r Run) bool { return r.Held })
 	slices.SortFunc(runs, byUrgency)
@@ -85,8 +90,29 @@
 		if b.over.excess.Fits(freed) {
 			break
 		}
-		freed = freed.Add(r.Size)
+		frees := partOf(b.observed, r.Size, b.declared)
+		if mode == worker.Throttle {
+			frees.MilliCPU /= throttledShare
+		}
+		freed = freed.Add(frees)
 		steps = append(steps, Step{Run: r, Mode: mode})
 	}
 	return steps
 }
+
+// partOf is a run's part of what was observed, going by what it declares among
+// all that is declared; at least its declared size.
+func partOf(observed, size, declared spec.Resources) spec.Resources {
+	return size.Max(spec.Resources{
+		MilliCPU:     scaled(observed.MilliCPU, size.MilliCPU, declared.MilliCPU),
+		MemoryMiB:    scaled(observed.MemoryMiB, size.MemoryMiB, declared.MemoryMiB),
+		Accelerators: scaled(observed.Accelerators, size.Accelerators, declared.Accelerators),
+	})
+}
+
+func scaled(observed, size, declared int64) int64 {
+	if declared == 0 {
+		return 0
+	}
+	return observed * size / declared
+}
