--- a/internal/job/bench_test.go
+++ b/internal/job/bench_test.go
@@ -257,11 +257,12 @@
 	if mux == nil {
 		return result.New(result.PeerNotReached, result.RanNo, "no process at %s", addr)
 	}
-	err := peer.Local{addr: mux}.Call(ctx, addr, kind, req, resp)
 	if f != nil {
+		var lost any
+		_ = peer.Local{addr: mux}.Call(ctx, addr, kind, req, &lost)
 		return result.New(result.PeerLost, result.RanUnknown, "the answer was lost")
 	}
-	return err
+	return peer.Local{addr: mux}.Call(ctx, addr, kind, req, resp)
 }
 
 // placer is one process of the cell.
--- /dev/null
+++ b/internal/job/faults_test.go
@@ -0,0 +1,287 @@
+package job
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pulleyquay/internal/jobmsg"
+	"pulleyquay/internal/peer"
+	"pulleyquay/internal/platform/memstore"
+	"pulleyquay/internal/result"
+)
+
+// twoPlacers starts a cell whose homes 0 and 1 are at a, 2 and 3 at b.
+func twoPlacers(t *testing.T, workers int) (c *cell, a, b *placer) {
+	c = newCell(t, workers)
+	a, b = c.start("a"), c.start("b")
+	a.take(0, 1)
+	b.take(2, 3)
+	time.Sleep(time.Second)
+	return c, a, b
+}
+
+// TestHomeLost kills the home of a job at each point of the job's life; the next
+// home finishes it, nothing runs in two places and nothing accepted is lost.
+func TestHomeLost(t *testing.T) {
+	const tasks = 20
+	cases := []struct {
+		name string
+		// until brings the job to the point of the death.
+		until func(c *cell, a *placer)
+		// most is how many starts there may be at most.
+		most int
+	}{
+		{"right after the answer to submit", func(*cell, *placer) {}, 2 * tasks},
+		{"while starts are under way", func(c *cell, _ *placer) {
+			c.fail(&peerFault{from: "a", kind: peer.KindPlace, times: -1, after: true})
+			time.Sleep(10 * time.Millisecond)
+		}, 2 * tasks},
+		{"while tasks run", func(*cell, *placer) { time.Sleep(2 * time.Second) }, 2 * tasks},
+		{"when all have ended and nothing is recorded", func(_ *cell, a *placer) {
+			a.store.SetFaults(memstore.Faults{Refuse: true})
+			time.Sleep(8 * time.Second)
+		}, tasks},
+		{"when its end is recorded", func(_ *cell, a *placer) { time.Sleep(12 * time.Second) }, tasks},
+	}
+	for _, tt := range cases {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, a, b := twoPlacers(t, 4)
+				job := batch(0, tasks, 5*time.Second)
+				_, err := a.submit(job)
+				c.is.NoErr(err)
+				tt.until(c, a)
+				a.kill()
+				c.heal()
+				time.Sleep(3 * time.Second) // the store's lease of a's membership
+				b.take(0, 1)
+				s := b.await(job.ID, jobmsg.StateFinished, takeoverTime+30*time.Second)
+				c.is.Equal(s.Counts.Finished, tasks)
+				c.held()
+				c.is.True(c.judge.Starts() <= tt.most)
+			})
+		})
+	}
+}
+
+// TestWorkersHolderLost kills the holder of most workers; the home lives.
+func TestWorkersHolderLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, a, b := twoPlacers(t, 2)
+		job := batch(0, 32, 10*time.Second)
+		_, err := a.submit(job)
+		c.is.NoErr(err)
+		time.Sleep(2 * time.Second)
+		b.kill()
+		time.Sleep(3 * time.Second)
+		a.take(2, 3)
+		s := a.await(job.ID, jobmsg.StateFinished, takeoverTime+60*time.Second)
+		c.is.Equal(s.Counts.Finished, 32)
+		c.held()
+	})
+}
+
+// TestPausedHome lets a home stand still in the middle of its orders, be
+// succeeded, and go on: what it still sends is refused by the holders, and the
+// job is run by the new home alone.
+func TestPausedHome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, a, b := twoPlacers(t, 4)
+		for _, kind := range []peer.Kind{peer.KindPlace, peer.KindStopTasks, peer.KindInventory} {
+			c.fail(&peerFault{from: "a", kind: kind, times: -1, hold: make(chan struct{})})
+		}
+		job := batch(0, 20, 5*time.Second)
+		_, err := a.submit(job)
+		c.is.NoErr(err)
+		time.Sleep(2 * time.Second)
+		a.right.lapse()
+		b.take(0, 1)
+		b.await(job.ID, jobmsg.StateFinished, takeoverTime+30*time.Second)
+		c.heal() // a's held messages arrive now
+		time.Sleep(30 * time.Second)
+		c.held()
+		c.is.Equal(c.judge.Starts(), 20)
+	})
+}
+
+// TestLostMessages loses messages between home and holders.
+func TestLostMessages(t *testing.T) {
+	cases := []struct {
+		name string
+		f    peerFault
+	}{
+		{"starts not sent", peerFault{kind: peer.KindPlace, times: 5}},
+		{"answers to starts", peerFault{kind: peer.KindPlace, times: 5, after: true}},
+		{"all answers to starts for a while", peerFault{kind: peer.KindPlace, times: 50, after: true}},
+		{"news not sent", peerFault{kind: peer.KindTaskNews, times: 10}},
+		{"answers to news", peerFault{kind: peer.KindTaskNews, times: 10, after: true}},
+		{"inventories", peerFault{kind: peer.KindInventory, times: 10}},
+		{"answers to stops", peerFault{kind: peer.KindStopTasks, times: 5, after: true}},
+	}
+	for _, tt := range cases {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, a, _ := twoPlacers(t, 2)
+				f := tt.f
+				c.fail(&f)
+				job := batch(0, 20, 2*time.Second)
+				_, err := a.submit(job)
+				c.is.NoErr(err)
+				a.await(job.ID, jobmsg.StateFinished, 2*time.Minute)
+				c.held()
+			})
+		})
+	}
+}
+
+// TestSubmitUnderStoreFaults checks what a submitter is told, and that a job
+// told as accepted, or as unknown, runs exactly once.
+func TestSubmitUnderStoreFaults(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults memstore.Faults
+		code   result.Code // zero: accepted
+		ran    result.Ran
+		kept   bool // the job runs although the submitter was told otherwise
+	}{
+		{"answer lost", memstore.Faults{LoseAnswers: 1}, 0, "", true},
+		{"request lost", memstore.Faults{LoseRequests: 1}, 0, "", true},
+		{"three answers lost", memstore.Faults{LoseAnswers: 3}, 0, "", true},
+		{"slow", memstore.Faults{RequestDelayMS: 500, AnswerDelayMS: 500}, 0, "", true},
+		{"down", memstore.Faults{Refuse: true}, result.JobNotRecorded, result.RanNo, false},
+		{"all answers lost", memstore.Faults{LoseAnswers: memstore.All}, result.JobRecordUnknown, result.RanUnknown, true},
+		{"silent", memstore.Faults{Hang: true}, result.JobRecordUnknown, result.RanUnknown, true},
+		{"arrives after the caller gave up", memstore.Faults{RequestDelayMS: 9000}, result.JobRecordUnknown, result.RanUnknown, true},
+	}
+	for _, tt := range cases {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, a, _ := twoPlacers(t, 2)
+				a.store.SetFaults(tt.faults)
+				job := batch(0, 4, time.Second)
+				_, err := a.submit(job)
+				if tt.code == 0 {
+					c.is.NoErr(err)
+				} else {
+					c.is.Equal(result.CodeOf(err), tt.code)
+					c.is.Equal(result.From(err).Ran, tt.ran)
+					c.is.True(result.From(err).RetryAfter > 0)
+				}
+				a.store.SetFaults(memstore.Faults{})
+				time.Sleep(30 * time.Second)
+				_, err = a.get(job.ID)
+				c.is.Equal(err == nil, tt.kept)
+				_, err = a.submit(job)
+				c.is.NoErr(err) // again, with the same identifier
+				a.await(job.ID, jobmsg.StateFinished, 30*time.Second)
+				c.is.Equal(c.judge.Starts(), 4)
+				c.held()
+			})
+		})
+	}
+}
+
+// TestStoreOutage lets the store fail for long while accepted jobs go on.
+func TestStoreOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, a, _ := twoPlacers(t, 2)
+		job := batch(0, 40, 10*time.Second)
+		_, err := a.submit(job)
+		c.is.NoErr(err)
+		c.engine.SetFaults(memstore.Faults{Refuse: true})
+		a.await(job.ID, jobmsg.StateFinished, 2*time.Minute)
+		time.Sleep(10 * testLease)
+		s, err := a.get(job.ID)
+		c.is.NoErr(err)
+		c.is.True(!s.Recorded)
+		c.engine.SetFaults(memstore.Faults{})
+		time.Sleep(15 * time.Second)
+		s, err = a.get(job.ID)
+		c.is.NoErr(err)
+		c.is.True(s.Recorded)
+		c.is.Equal(c.judge.Starts(), 40)
+		c.held()
+	})
+}
+
+// TestStaleListing shows that a takeover does not trust a store that answers
+// from before its claim.
+func TestStaleListing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, a, b := twoPlacers(t, 2)
+		b.store.SetFaults(memstore.Faults{StaleReads: true})
+		job := batch(0, 4, time.Second)
+		_, err := a.submit(job)
+		c.is.NoErr(err)
+		a.kill()
+		b.take(0, 1)
+		time.Sleep(20 * time.Second)
+		_, err = b.get(job.ID)
+		c.is.Equal(result.CodeOf(err), result.JobHomeRecovering)
+		b.store.SetFaults(memstore.Faults{})
+		b.await(job.ID, jobmsg.StateFinished, takeoverTime+30*time.Second)
+		c.held()
+	})
+}
+
+// TestOldHomeCanNotRecord lets a home accept a job with a write that arrives at
+// the store after the home was succeeded: the submitter is not told that it was
+// accepted, and no home runs it.
+func TestOldHomeCanNotRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, a, b := twoPlacers(t, 2)
+		a.store.SetFaults(memstore.Faults{RequestDelayMS: 1500})
+		job := batch(0, 4, time.Second)
+		done := make(chan error, 1)
+		go func() {
+			_, err := a.submit(job)
+			done <- err
+		}()
+		time.Sleep(time.Second)
+		b.take(0, 1)
+		err := <-done
+		c.is.True(err != nil)
+		time.Sleep(takeoverTime)
+		_, err = b.get(job.ID)
+		c.is.Equal(result.CodeOf(err), result.JobNotFound)
+		c.is.Equal(c.judge.Starts(), 0)
+	})
+}
+
+// TestCancel ends a job in each state.
+func TestCancel(t *testing.T) {
+	cases := []struct {
+		name  string
+		after time.Duration
+		fault *peerFault
+	}{
+		{"before its tasks start", 0, &peerFault{kind: peer.KindPlace, times: -1}},
+		{"while starts are in doubt", 500 * time.Millisecond, &peerFault{kind: peer.KindPlace, times: -1, after: true}},
+		{"while it runs", 3 * time.Second, nil},
+		{"while stops are lost", 3 * time.Second, &peerFault{kind: peer.KindStopTasks, times: 3, after: true}},
+	}
+	for _, tt := range cases {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, a, _ := twoPlacers(t, 2)
+				if tt.fault != nil {
+					c.fail(tt.fault)
+				}
+				job := batch(0, 20, time.Hour)
+				_, err := a.submit(job)
+				c.is.NoErr(err)
+				time.Sleep(tt.after)
+				s, err := a.cancelJob(job.ID)
+				c.is.NoErr(err)
+				c.is.True(s.Recorded)
+				a.await(job.ID, jobmsg.StateCancelled, 30*time.Second)
+				starts := c.judge.Starts()
+				time.Sleep(30 * time.Second)
+				c.is.Equal(c.judge.Starts(), starts)
+				c.is.Equal(c.judge.Record(time.Now(), false).Running, 0)
+				c.held()
+			})
+		})
+	}
+}
--- a/internal/job/place.go
+++ b/internal/job/place.go
@@ -209,6 +209,9 @@
 
 // placed applies a holder's answer to the very attempts that it is about.
 func (h *home) placed(j *job, at holder, slots []taskmsg.Slot, reply taskmsg.PlaceReply, err error, now time.Time) {
+	if err != nil {
+		reply = taskmsg.PlaceReply{}
+	}
 	results := make(map[taskmsg.Slot]taskmsg.SlotResult, len(reply.Results))
 	for _, r := range reply.Results {
 		results[r.Slot] = r
