e2e: harness that runs the real binaries

Cause: the failure tests need the real processes, killed, paused and stopped by their own ids, with the stand-in's record as the judge.

Change: test/e2e/harness builds the binaries once, starts a stand-in and entry hosts on free loopback ports below the range of outgoing connections, waits on conditions, sends callers' requests (a connection each, so that the test's own client replays nothing) and compares every reply with what the executors ran.

--- /dev/null
+++ b/test/e2e/harness/cell.go
@@ -0,0 +1,196 @@
+package harness
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"pulleyquay/internal/config"
+	"pulleyquay/internal/platform"
+	"pulleyquay/internal/spec"
+	"pulleyquay/internal/standin"
+)
+
+// The cell's durations: short, so that many terms pass within a test.
+const (
+	Term      = 2 * time.Second
+	heartbeat = 200 * time.Millisecond
+	TaskLease = 6 * time.Second
+	// ReadyLimit bounds the wait for a process to become ready.
+	ReadyLimit = 20 * time.Second
+	stopLimit  = 15 * time.Second
+)
+
+// Service is the service that the cell's executors answer for.
+const Service = "ledger"
+
+// Cell is a stand-in and some entry hosts, each of an entry and a placer.
+type Cell struct {
+	Platform *Platform
+	Hosts    []*Host
+
+	t    *testing.T
+	http *http.Client
+}
+
+// Host is one entry host.
+type Host struct {
+	Name   string
+	Zone   string
+	Placer *Process
+	Entry  *Process
+
+	t            *testing.T
+	binaries     Binaries
+	placerConfig placerConfig
+	entryConfig  entryConfig
+}
+
+// placerConfig and entryConfig are the parts of the daemons' settings files
+// that differ from their defaults.
+type placerConfig struct {
+	Name     string      `json:"name"`
+	Zone     string      `json:"zone"`
+	Listen   peerListen  `json:"listen"`
+	Store    storeConfig `json:"store"`
+	HostList hostConfig  `json:"host_list"`
+	Holding  holdConfig  `json:"holding"`
+	Stop     stopConfig  `json:"stop"`
+}
+
+type peerListen struct {
+	Peer  string `json:"peer"`
+	Admin string `json:"admin"`
+}
+
+type storeConfig struct {
+	Endpoints       []string `json:"endpoints"`
+	ReadsPerSecond  float64  `json:"reads_per_second"`
+	WritesPerSecond float64  `json:"writes_per_second"`
+}
+
+type hostConfig struct {
+	Address  string          `json:"address"`
+	Interval config.Duration `json:"interval"`
+}
+
+type holdConfig struct {
+	Term      config.Duration `json:"term"`
+	Heartbeat config.Duration `json:"heartbeat"`
+	TaskLease config.Duration `json:"task_lease"`
+	Seeds     []string        `json:"seeds"`
+}
+
+type stopConfig struct {
+	Announce config.Duration `json:"announce"`
+	Limit    config.Duration `json:"limit"`
+}
+
+type entryConfig struct {
+	Name    string     `json:"name"`
+	Zone    string     `json:"zone"`
+	Listen  httpListen `json:"listen"`
+	Placers []string   `json:"placers"`
+	Stop    stopConfig `json:"stop"`
+}
+
+type httpListen struct {
+	HTTP  string `json:"http"`
+	Admin string `json:"admin"`
+}
+
+// Groups returns workers racks of two in three zones, and executors.
+func Groups(workers, executors int) []standin.Group {
+	zones := []string{"a", "b", "c"}
+	return []standin.Group{
+		{Name: "worker", Role: platform.RoleWorker, Count: workers, Zones: zones, PerRack: 2,
+			Size: spec.Resources{MilliCPU: 64_000, MemoryMiB: 131_072}},
+		{Name: "executor", Role: platform.RoleExecutor, Count: executors, Zones: zones, PerRack: 1,
+			Service: Service, Slots: 8, Connections: 64},
+	}
+}
+
+// StartCell starts a stand-in with the groups and n entry hosts, waits until
+// all are ready, and makes the service's branch.
+func (b Binaries) StartCell(t *testing.T, n int, groups []standin.Group) *Cell {
+	t.Helper()
+	c := &Cell{Platform: b.StartPlatform(t, groups), t: t, http: &http.Client{Timeout: clientTimeout}}
+	var peers []string
+	for range n {
+		peers = append(peers, FreeAddr(t))
+	}
+	for i, peer := range peers {
+		c.Hosts = append(c.Hosts, b.newHost(t, i, peer, peers, c.Platform.Addr))
+	}
+	for _, h := range c.Hosts {
+		h.StartPlacer()
+		h.StartEntry()
+	}
+	for _, h := range c.Hosts {
+		h.WaitReady()
+	}
+	c.SetBranches(map[string]any{"/services/" + Service: map[string]any{}, "/batch": map[string]any{}})
+	return c
+}
+
+func (b Binaries) newHost(t *testing.T, i int, peer string, peers []string, platformAddr string) *Host {
+	name := fmt.Sprintf("host-%d", i)
+	zone := string(rune('a' + i%3))
+	placers := append([]string{peer}, peers[:i]...)
+	placers = append(placers, peers[i+1:]...)
+	stop := stopConfig{config.Duration(300 * time.Millisecond), config.Duration(stopLimit)}
+	return &Host{
+		Name: name, Zone: zone, t: t, binaries: b,
+		placerConfig: placerConfig{
+			Name: name, Zone: zone, Listen: peerListen{peer, FreeAddr(t)},
+			Store:    storeConfig{[]string{platformAddr}, 500, 100},
+			HostList: hostConfig{platformAddr, config.Duration(200 * time.Millisecond)},
+			Holding: holdConfig{
+				Term: config.Duration(Term), Heartbeat: config.Duration(heartbeat),
+				TaskLease: config.Duration(TaskLease), Seeds: peers,
+			},
+			Stop: stop,
+		},
+		entryConfig: entryConfig{
+			Name: name, Zone: zone, Listen: httpListen{FreeAddr(t), FreeAddr(t)}, Placers: placers, Stop: stop,
+		},
+	}
+}
+
+// StartPlacer starts the host's placer, anew after its end.
+func (h *Host) StartPlacer() {
+	h.Placer = h.binaries.Run(h.t, "pulley-placer", "placer-"+h.Name, h.placerConfig)
+}
+
+// StartEntry starts the host's entry, anew after its end.
+func (h *Host) StartEntry() {
+	h.Entry = h.binaries.Run(h.t, "pulley-entry", "entry-"+h.Name, h.entryConfig)
+}
+
+// WaitReady waits until both processes say that they are ready.
+func (h *Host) WaitReady() {
+	h.t.Helper()
+	for _, addr := range []string{h.placerConfig.Listen.Admin, h.entryConfig.Listen.Admin} {
+		Eventually(h.t, ReadyLimit, h.Name+" is ready", func() error { return ready(addr) })
+	}
+}
+
+// EntryReady reports whether a balancer would send the entry new requests.
+func (h *Host) EntryReady() bool { return ready(h.entryConfig.Listen.Admin) == nil }
+
+// Addr is where the host's entry answers callers and operators.
+func (h *Host) Addr() string { return h.entryConfig.Listen.HTTP }
+
+func ready(admin string) error {
+	client := http.Client{Timeout: time.Second}
+	resp, err := client.Get("http://" + admin + "/readyz")
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("readyz: %d: %s", resp.StatusCode, text(resp))
+	}
+	return nil
+}
