Settle commits whose answer was lost

Cause: an answer can be lost after the write has taken effect, and a request can arrive after its caller gave up. Reading the key back is not enough: the late request may land after the reading, or another process may have overwritten the key.

Change: confirm wraps a store. Each commit also writes a marker key of its process under the marker's known revision; an unknown outcome is settled by a second commit on the same marker, which either fences the first or shows its token. No further call while all is well, one lease a process for an hour.

The contract test now lists under prefixes, since a wrapper may keep keys of its own, and has a case of its own for listing everything and for 0xff keys.

Ruled out: a token in the caller's value (blind to a value overwritten since).

--- /dev/null
+++ b/internal/platform/confirm/confirm_test.go
@@ -0,0 +1,170 @@
+package confirm_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pulleyquay/internal/platform"
+	"pulleyquay/internal/platform/confirm"
+	"pulleyquay/internal/platform/memstore"
+	"pulleyquay/internal/platform/platformtest"
+)
+
+func newStore(t *testing.T, o confirm.Options) (*memstore.Engine, *confirm.Store) {
+	engine := memstore.New()
+	t.Cleanup(engine.Close)
+	s, err := confirm.New(engine.Client("a"), o)
+	is.New(t).NoErr(err)
+	return engine, s
+}
+
+func TestContract(t *testing.T) {
+	platformtest.TestStore(t, func(t *testing.T) platformtest.StoreCase {
+		engine, s := newStore(t, confirm.Options{})
+		return platformtest.StoreCase{Store: s, Compact: engine.Compact}
+	})
+}
+
+func put(value string) platform.Txn {
+	return platform.Txn{Then: []platform.Write{{Key: "k", Value: []byte(value)}}}
+}
+
+// value is what is stored under k by the engine's own account.
+func value(is *is.I, e *memstore.Engine) string {
+	is.Helper()
+	records, _, err := e.Client("judge").List(context.Background(), "k")
+	is.NoErr(err)
+	if len(records) == 0 {
+		return ""
+	}
+	return string(records[0].Value)
+}
+
+// TestSettling strikes one commit with a fault that ends after a while.
+func TestSettling(t *testing.T) {
+	const lastsFor = 3 * time.Second
+	tests := map[string]struct {
+		fault    memstore.Faults
+		deadline time.Duration
+		want     error
+		value    string // in the end
+	}{
+		"healthy":                       {memstore.Faults{}, 20 * time.Second, nil, "new"},
+		"refused":                       {memstore.Faults{Refuse: true}, 20 * time.Second, platform.ErrUnavailable, "old"},
+		"answer lost":                   {memstore.Faults{LoseAnswers: 1}, 20 * time.Second, nil, "new"},
+		"answers lost":                  {memstore.Faults{LoseAnswers: 4}, 20 * time.Second, nil, "new"},
+		"request lost":                  {memstore.Faults{LoseRequests: 1}, 20 * time.Second, platform.ErrUnavailable, "old"},
+		"request and answer lost":       {memstore.Faults{LoseRequests: 1, LoseAnswers: 1}, 20 * time.Second, platform.ErrUnavailable, "old"},
+		"hangs":                         {memstore.Faults{Hang: true}, 20 * time.Second, platform.ErrUnavailable, "old"},
+		"answer late":                   {memstore.Faults{AnswerDelayMS: 2500}, 20 * time.Second, nil, "new"},
+		"request late":                  {memstore.Faults{RequestDelayMS: 2500}, 20 * time.Second, nil, "new"},
+		"hangs beyond deadline":         {memstore.Faults{Hang: true}, 2 * time.Second, platform.ErrUnknownOutcome, "old"},
+		"answers lost beyond deadline":  {memstore.Faults{LoseAnswers: memstore.All}, 2 * time.Second, platform.ErrUnknownOutcome, "new"},
+		"request late, beyond deadline": {memstore.Faults{RequestDelayMS: 2500}, 2 * time.Second, platform.ErrUnknownOutcome, "new"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				engine, s := newStore(t, confirm.Options{})
+				_, err := s.Commit(t.Context(), put("old"))
+				is.NoErr(err)
+				engine.Client("a").SetFaults(test.fault)
+				time.AfterFunc(lastsFor, func() { engine.Client("a").SetFaults(memstore.Faults{}) })
+				ctx, cancel := context.WithTimeout(t.Context(), test.deadline)
+				defer cancel()
+				reply, err := s.Commit(ctx, put("new"))
+				is.True(errors.Is(err, test.want))
+				is.Equal(reply.Applied, err == nil)
+				time.Sleep(time.Minute) // whatever is late has arrived
+				is.Equal(value(is, engine), test.value)
+				again, err := s.Commit(t.Context(), put("next"))
+				is.NoErr(err) // and the store goes on
+				is.True(again.Applied)
+			})
+		})
+	}
+}
+
+// TestOverwrittenSince loses an answer, and another process overwrites the key
+// before the outcome is settled: reading the key back would say "not applied".
+func TestOverwrittenSince(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		engine, s := newStore(t, confirm.Options{})
+		_, err := s.Commit(t.Context(), put("old"))
+		is.NoErr(err)
+		engine.Client("a").SetFaults(memstore.Faults{LoseAnswers: memstore.All})
+		time.AfterFunc(time.Second, func() {
+			_, err := engine.Client("b").Commit(context.Background(), put("other"))
+			is.NoErr(err)
+			engine.Client("a").SetFaults(memstore.Faults{})
+		})
+		reply, err := s.Commit(t.Context(), put("new"))
+		is.NoErr(err)
+		is.True(reply.Applied)
+		is.Equal(value(is, engine), "other")
+	})
+}
+
+// TestMarkersLeaseEnds rests longer than the markers' lease.
+func TestMarkersLeaseEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		engine, s := newStore(t, confirm.Options{LeaseSeconds: 3})
+		for _, v := range []string{"one", "two"} {
+			_, err := s.Commit(t.Context(), put(v))
+			is.NoErr(err)
+			time.Sleep(time.Minute)
+		}
+		is.Equal(value(is, engine), "two")
+		records, _, err := engine.Client("judge").List(t.Context(), confirm.Prefix)
+		is.NoErr(err)
+		is.Equal(len(records), 0) // nothing is left behind
+	})
+}
+
+// paused is a store whose commits take effect, after which the process stands
+// still for a while and finds its connections broken.
+type paused struct{ platform.Store }
+
+func (p paused) Commit(ctx context.Context, txn platform.Txn) (platform.TxnReply, error) {
+	reply, err := p.Store.Commit(ctx, txn)
+	if err == nil && len(txn.Then) > 1 { // more than a marker
+		time.Sleep(time.Minute)
+		return platform.TxnReply{}, platform.ErrUnknownOutcome
+	}
+	return reply, err
+}
+
+// TestPausedBeyondTheMarkersLease loses the marker along with its lease: the
+// commit took effect, and nothing shows it any more.
+func TestPausedBeyondTheMarkersLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		engine := memstore.New()
+		defer engine.Close()
+		s, err := confirm.New(paused{engine.Client("a")}, confirm.Options{LeaseSeconds: 3})
+		is.NoErr(err)
+		_, err = s.Commit(t.Context(), put("new"))
+		is.True(errors.Is(err, platform.ErrUnknownOutcome))
+		is.Equal(value(is, engine), "new")
+	})
+}
+
+// TestLeaseOfTheCaller keeps the caller's lost lease apart from the markers'.
+func TestLeaseOfTheCaller(t *testing.T) {
+	is := is.New(t)
+	engine, s := newStore(t, confirm.Options{})
+	txn := platform.Txn{Then: []platform.Write{{Key: "k", Lease: 99}}}
+	_, err := s.Commit(t.Context(), txn)
+	is.True(errors.Is(err, platform.ErrLeaseGone))
+	_, err = s.Commit(t.Context(), put("v"))
+	is.NoErr(err)
+	is.Equal(value(is, engine), "v")
+}
--- a/internal/platform/platformtest/store.go
+++ b/internal/platform/platformtest/store.go
@@ -30,6 +30,7 @@
 func TestStore(t *testing.T, setup func(t *testing.T) StoreCase) {
 	tests := map[string]func(ctx context.Context, is *is.I, c StoreCase){
 		"list is ordered and by prefix":              listByPrefix,
+		"list everything":                            listEverything,
 		"create once":                                createOnce,
 		"compare and swap":                           compareAndSwap,
 		"transaction is all or nothing":              allOrNothing,
@@ -91,11 +92,11 @@
 }
 
 func listByPrefix(ctx context.Context, is *is.I, c StoreCase) {
-	for _, k := range []string{"b/2", "a/1", "b/1", "c", "b"} {
+	for _, k := range []string{"b/2", "a/1", "b/1", "k", "b"} {
 		mustCommit(ctx, is, c.Store, put(k, "v"))
 	}
 	is.Equal(mustList(ctx, is, c.Store, "b/"), []string{"b/1=v", "b/2=v"})
-	is.Equal(mustList(ctx, is, c.Store, "c"), []string{"c=v"})
+	is.Equal(mustList(ctx, is, c.Store, "k"), []string{"k=v"})
 	is.Equal(mustList(ctx, is, c.Store, "none/"), []string{})
 	_, before, err := c.Store.List(ctx, "b/")
 	is.NoErr(err)
@@ -125,18 +126,35 @@
 }
 
 func allOrNothing(ctx context.Context, is *is.I, c StoreCase) {
-	rev := mustCommit(ctx, is, c.Store, put("a", "1"))
+	rev := mustCommit(ctx, is, c.Store, put("t/a", "1"))
 	txn := platform.Txn{
-		If:   []platform.Condition{{Key: "a", ModRevision: rev}, {Key: "b", ModRevision: 99}},
-		Then: []platform.Write{{Key: "a", Delete: true}, {Key: "b", Value: []byte("2")}},
+		If:   []platform.Condition{{Key: "t/a", ModRevision: rev}, {Key: "t/b", ModRevision: 99}},
+		Then: []platform.Write{{Key: "t/a", Delete: true}, {Key: "t/b", Value: []byte("2")}},
 	}
 	reply, err := c.Store.Commit(ctx, txn)
 	is.NoErr(err)
 	is.True(!reply.Applied)
-	is.Equal(mustList(ctx, is, c.Store, ""), []string{"a=1"})
+	is.Equal(mustList(ctx, is, c.Store, "t/"), []string{"t/a=1"})
 	txn.If[1].ModRevision = 0
 	mustCommit(ctx, is, c.Store, txn)
-	is.Equal(mustList(ctx, is, c.Store, ""), []string{"b=2"})
+	is.Equal(mustList(ctx, is, c.Store, "t/"), []string{"t/b=2"})
+}
+
+func listEverything(ctx context.Context, is *is.I, c StoreCase) {
+	keys := []string{"\x00", "a", "z", "\xff\xff"}
+	for _, k := range keys {
+		mustCommit(ctx, is, c.Store, put(k, "v"))
+	}
+	records, _, err := c.Store.List(ctx, "")
+	is.NoErr(err)
+	var got []string
+	for _, r := range records {
+		if len(r.Key) <= 2 { // a wrapper may keep keys of its own, with longer names
+			got = append(got, r.Key)
+		}
+	}
+	is.Equal(got, keys)
+	is.Equal(mustList(ctx, is, c.Store, "\xff"), []string{"\xff\xff=v"})
 }
 
 func refusedShowsFound(ctx context.Context, is *is.I, c StoreCase) {
