pulleyctl: settings, jobs, calls, codes and dumps from the command line

Cause: operators and callers had only HTTP; and the page of result codes had to be kept by hand.

Change: a cobra command line over the entries' HTTP. Another entry is asked only where nothing can have run or where running twice is harmless (a read, a key, a change or job id); its exit codes tell refused from unknown. set reads, changes single settings and sends whole branches against the lowest revision read. The settings tree names the service that a branch governs, the one setting that is not inherited, so that entries find a service's values; two branches with one service are refused together. docs/RESULT-CODES.md is written by pulleyctl codes and a test compares it (make codes writes it anew).

Ruled out: keep-alive connections, on which net/http repeats a request by itself; a setting merged at the placer (two operators' merges could be valid apart and wrong together, whole branches against a revision can not).

Conclusion: every exit code and every rule for the next entry has a test.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Two commands matter: `make demo` runs the main job, `make test` the tests.
 GO ?= go
 
-.PHONY: build test lint bench demo
+.PHONY: build test lint bench demo codes
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -19,3 +19,6 @@
 
 demo: build
 	./bin/pulley-demo
+
+codes: # writes the page of result codes anew
+	$(GO) run ./cmd/pulleyctl codes -o markdown > docs/RESULT-CODES.md
--- /dev/null
+++ b/internal/ctl/ctl_test.go
@@ -0,0 +1,296 @@
+package ctl
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"pulleyquay/internal/operatorapi"
+	"pulleyquay/internal/problem"
+	"pulleyquay/internal/result"
+	"pulleyquay/internal/settings"
+)
+
+// run runs the command line against the entries.
+func run(entries []string, args ...string) (code int, out, errs string) {
+	var stdout, stderr bytes.Buffer
+	args = append(args, "--entry", strings.Join(entries, ","))
+	code = Main(args, strings.NewReader(`{"/stdin":{}}`), &stdout, &stderr)
+	return code, stdout.String(), stderr.String()
+}
+
+// entry is a fake entry that counts the requests it got.
+type entry struct {
+	*httptest.Server
+	got atomic.Int64
+}
+
+func newEntry(t *testing.T, h http.HandlerFunc) *entry {
+	t.Helper()
+	e := &entry{}
+	e.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.got.Add(1)
+		_, _ = io.Copy(io.Discard, r.Body)
+		h(w, r)
+	}))
+	t.Cleanup(e.Close)
+	return e
+}
+
+func (e *entry) addr() string { return e.Listener.Addr().String() }
+
+func refusing(err *result.Error) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) { problem.Write(w, err) }
+}
+
+func answering(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"ok":true}`) }
+
+// cutting ends the connection without an answer.
+func cutting(w http.ResponseWriter, _ *http.Request) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err == nil {
+		_ = conn.Close()
+	}
+}
+
+// closedAddr returns an address at which nobody listens.
+func closedAddr(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// TestNextEntryOnlyWhereSafe is the table of what the first entry may do and
+// whether the second may then be asked.
+func TestNextEntryOnlyWhereSafe(t *testing.T) {
+	post := []string{"call", "ledger", "/tickets", "-X", "POST", "-d", "{}"}
+	unkeyed := append(append([]string{}, post...), "--key", "none")
+	get := []string{"call", "ledger", "/reviews"}
+	busy := result.New(result.NotReady, result.RanNo, "busy")
+	lost := result.New(result.PeerLost, result.RanUnknown, "lost")
+	bad := result.New(result.SettingsOutOfRange, result.RanNo, "bad")
+	cases := []struct {
+		name   string
+		first  http.HandlerFunc
+		args   []string
+		second int64
+		exit   int
+	}{
+		{"refused, not run, without key", refusing(busy), unkeyed, 1, ExitOK},
+		{"unknown, without key", refusing(lost), unkeyed, 0, ExitUnknown},
+		{"cut, without key", cutting, unkeyed, 0, ExitUnknown},
+		{"unknown, with key", refusing(lost), post, 1, ExitOK},
+		{"cut, with key", cutting, post, 1, ExitOK},
+		{"cut, GET", cutting, get, 1, ExitOK},
+		{"wrong in itself", refusing(bad), post, 0, ExitRefused},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			first, second := newEntry(t, c.first), newEntry(t, answering)
+			code, _, errs := run([]string{first.addr(), second.addr()}, c.args...)
+			is.Equal(second.got.Load(), c.second)
+			if code != c.exit {
+				t.Errorf("exit %d, want %d: %s", code, c.exit, errs)
+			}
+		})
+	}
+}
+
+func TestNobodyListens(t *testing.T) {
+	is := is.New(t)
+	second := newEntry(t, answering)
+	code, out, _ := run([]string{closedAddr(t), second.addr()}, "call", "ledger", "/t", "-X", "POST", "--key", "none")
+	is.Equal(code, ExitOK)
+	is.Equal(out, `{"ok":true}`)
+	code, _, errs := run([]string{closedAddr(t)}, "call", "ledger", "/t", "-X", "POST")
+	is.Equal(code, ExitRefused) // no byte was sent
+	is.True(strings.Contains(errs, "ran: no"))
+}
+
+func TestUnknownThenRefusedStaysUnknown(t *testing.T) {
+	is := is.New(t)
+	first := newEntry(t, cutting)
+	second := newEntry(t, refusing(result.New(result.NotReady, result.RanNo, "starting")))
+	code, _, _ := run([]string{first.addr(), second.addr()}, "call", "ledger", "/t", "-X", "POST")
+	is.Equal(code, ExitUnknown)
+}
+
+func TestUsage(t *testing.T) {
+	cases := [][]string{
+		{"nonsense"},
+		{"settings", "nonsense"},
+		{"settings", "get", "/a", "/b"},
+		{"settings", "get", "--no-such-flag"},
+		{"settings", "get", "-o", "xml"},
+		{"settings", "get", "-o", "markdown"},
+		{"settings", "set", "request.queue_limit=1"},
+		{"settings", "set", "/a", "queue_limit=1"},
+		{"settings", "set", "/a", "request.queue_limit"},
+		{"settings", "load", "/no/such/file.json"},
+		{"settings", "rollback", "last"},
+		{"call", "ledger", "/x", "--key", "42"},
+		{"call", "ledger", "/x", "-H", "no colon"},
+		{"job", "submit", "/no/such/file.json"},
+	}
+	for _, args := range cases {
+		t.Run(strings.Join(args, " "), func(t *testing.T) {
+			is := is.New(t)
+			e := newEntry(t, answering)
+			code, _, _ := run([]string{e.addr()}, args...)
+			is.Equal(code, ExitUsage)
+			is.Equal(e.got.Load(), int64(0)) // nothing was sent
+		})
+	}
+}
+
+// liveSettings serves the real handlers over a tree in memory.
+func liveSettings(t *testing.T, revision int64) (*entry, *[]settings.Change) {
+	t.Helper()
+	tree, err := settings.Parse([]byte(`{"/a":{"request":{"queue_limit":7},"task":{"surge":2}},"/b":{}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	tree.Revision = revision
+	fake := &changes{}
+	mux := http.NewServeMux()
+	operatorapi.API{Current: func() *settings.Tree { return tree }, Changer: fake}.Register(mux)
+	return newBodyEntry(t, mux), &fake.got
+}
+
+// newBodyEntry is newEntry for handlers that read the body themselves.
+func newBodyEntry(t *testing.T, h http.Handler) *entry {
+	t.Helper()
+	e := &entry{Server: httptest.NewServer(h)}
+	t.Cleanup(e.Close)
+	return e
+}
+
+func TestSettingsSetChangesOnlyWhatIsNamed(t *testing.T) {
+	is := is.New(t)
+	e, got := liveSettings(t, 9)
+	code, out, errs := run([]string{e.addr()}, "settings", "set", "/a", "request.queue_limit=8", "task.surge-", "/b", "placement.policy=packing", "--by", "ann")
+	if code != ExitOK {
+		t.Fatal(errs)
+	}
+	is.True(strings.Contains(out, "10"))
+	is.Equal(len(*got), 1) // both branches in one change
+	c := (*got)[0]
+	is.Equal(c.Base, int64(9))
+	is.Equal(c.By, "ann")
+	is.Equal(string(c.Branches), `{"/a":{"request":{"queue_limit":8},"task":{}},"/b":{"placement":{"policy":"packing"}}}`)
+}
+
+func TestSettingsSetRefusesBeforeSending(t *testing.T) {
+	for _, args := range [][]string{
+		{"/a", "request.queue_limt=8"}, {"/a", "request.queue_limit=many"}, {"/a", "request.queue_limit=1.5"}, {"/new", "task.surge=1"},
+	} {
+		is := is.New(t)
+		e, got := liveSettings(t, 9)
+		code, _, _ := run([]string{e.addr()}, append([]string{"settings", "set"}, args...)...)
+		is.Equal(code, ExitUsage)
+		is.Equal(len(*got), 0)
+	}
+}
+
+func TestSettingsLoadSendsAllFilesInOneChange(t *testing.T) {
+	is := is.New(t)
+	e, got := liveSettings(t, 3)
+	code, _, errs := run([]string{e.addr()}, "settings", "load", "../../examples/lakeshore.json", "../../examples/regie.json")
+	if code != ExitOK {
+		t.Fatal(errs)
+	}
+	is.Equal(len(*got), 1)
+	edits, err := settings.ParseBranches((*got)[0].Branches)
+	is.NoErr(err)
+	_, err = settings.Empty().Edited(edits, 1, "")
+	is.NoErr(err)
+
+	twice := filepath.Join(t.TempDir(), "twice.json")
+	is.NoErr(os.WriteFile(twice, []byte(`{"/a":{},"/a":{}}`), 0o600))
+	code, _, _ = run([]string{e.addr()}, "settings", "load", twice)
+	is.Equal(code, ExitUsage) // a repeated name must not be lost on the way
+}
+
+func TestWaitNamesWhoHasNotApplied(t *testing.T) {
+	is := is.New(t)
+	e := newEntry(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			fmt.Fprint(w, `{"revision":3,"path":"/","overrides":{}}`)
+			return
+		}
+		fmt.Fprint(w, `{"revision":4,"change_id":"x","not_applied":["host-3"]}`)
+	})
+	code, _, errs := run([]string{e.addr()}, "settings", "load", "-", "--wait", "1s")
+	is.Equal(code, ExitFailed)
+	is.True(strings.Contains(errs, "host-3"))
+}
+
+func TestUnknownChangeTellsHowToSettleIt(t *testing.T) {
+	is := is.New(t)
+	e := newEntry(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			fmt.Fprint(w, `{"revision":3,"path":"/","overrides":{}}`)
+			return
+		}
+		cutting(w, r)
+	})
+	const id = "01970000-0000-7000-8000-000000000001"
+	code, _, errs := run([]string{e.addr()}, "settings", "load", "-", "--change-id", id)
+	is.Equal(code, ExitUnknown)
+	is.True(strings.Contains(errs, "--change-id "+id+" --revision 3"))
+}
+
+func TestTables(t *testing.T) {
+	e, _ := liveSettings(t, 9)
+	cases := []struct {
+		args []string
+		want string
+	}{
+		{[]string{"settings", "get", "/a"}, "request.queue_limit  7"},
+		{[]string{"settings", "effective", "/b"}, "request.max_body_bytes"},
+		{[]string{"settings", "explain", "/a"}, "/a"},
+		{[]string{"settings", "tree"}, `{"request":{"queue_limit":7},"task":{"surge":2}}`},
+		{[]string{"settings", "get", "/a", "-o", "json"}, `"queue_limit": 7`},
+		{[]string{"settings", "history"}, "REVISION"},
+		{[]string{"codes"}, "settings-clash"},
+		{[]string{"codes", "-o", "json"}, `"settings-clash"`},
+		{[]string{"completion", "bash"}, "pulleyctl"},
+	}
+	for _, c := range cases {
+		t.Run(strings.Join(c.args, " "), func(t *testing.T) {
+			is := is.New(t)
+			code, out, errs := run([]string{e.addr()}, c.args...)
+			if code != ExitOK {
+				t.Fatal(errs)
+			}
+			is.True(strings.Contains(out, c.want))
+		})
+	}
+}
+
+func TestJobSubmitShowsItsIDAndRepeats(t *testing.T) {
+	is := is.New(t)
+	first := newEntry(t, cutting)
+	second := newEntry(t, func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, `{"job":{"id":"j","team":"maps","kind":"batch","tasks":3},"state":"waiting","tasks":{"waiting":3}}`)
+	})
+	code, out, errs := run([]string{first.addr(), second.addr()}, "job", "submit", "-")
+	is.Equal(code, ExitOK)
+	is.True(strings.HasPrefix(errs, "job 0"))
+	is.True(strings.Contains(out, "maps"))
+}
--- /dev/null
+++ b/internal/ctl/jobs.go
@@ -0,0 +1,180 @@
+package ctl
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+
+	"github.com/google/uuid"
+	"github.com/spf13/cobra"
+)
+
+func (a *app) membersCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "members", Short: "List the members", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			return a.list("/v1/members", "members", column{"NAME", "name"}, column{"ZONE", "zone"}, column{"ADDRESS", "addr"},
+				column{"LEAVING", "leaving"}, column{"PARTITIONS", "partitions"}, column{"SETTINGS", "settings_revision"})
+		},
+	}
+}
+
+func (a *app) workersCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "workers", Short: "List the workers", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			return a.list("/v1/workers", "workers", column{"NAME", "name"}, column{"ZONE", "zone"}, column{"RACK", "rack"},
+				column{"PARTITION", "partition"}, column{"CLAIM", "claim"}, column{"STATUS", "status"},
+				column{"FREE MILLICPU", "free.milli_cpu"}, column{"FREE MIB", "free.memory_mib"}, column{"FREE ACC", "free.accelerators"})
+		},
+	}
+}
+
+// list reads a path and shows the array in it.
+func (a *app) list(path, rows string, columns ...column) error {
+	body, err := a.client.get(path)
+	if err != nil {
+		return err
+	}
+	return a.show(body, rows, columns...)
+}
+
+var jobColumns = []column{{"ID", "job.id"}, {"TEAM", "job.team"}, {"KIND", "job.kind"}, {"STATE", "state"}, {"TASKS", "job.tasks"},
+	{"WAITING", "tasks.waiting"}, {"RUNNING", "tasks.running"}, {"FINISHED", "tasks.finished"}, {"FAILURES", "tasks.failures"}, {"REASON", "reason"}}
+
+func (a *app) jobCommand() *cobra.Command {
+	cmd := &cobra.Command{
+		Use: "job", Short: "Submit, show and cancel jobs", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
+	}
+	cmd.AddCommand(a.jobSubmit(), a.jobList(),
+		a.jobByID("get", "Show a job", http.MethodGet, "", "", jobColumns...),
+		a.jobByID("cancel", "Cancel a job; repeating it is harmless", http.MethodDelete, "", "", jobColumns...),
+		a.jobExplain())
+	return cmd
+}
+
+func (a *app) jobSubmit() *cobra.Command {
+	return &cobra.Command{
+		Use: "submit FILE", Short: "Submit a job from a JSON file; - reads standard input", Args: cobra.ExactArgs(1),
+		Long: "A job without an id gets a new one, which is shown before the job is sent: with\n" +
+			"it a submission whose outcome is unknown can be repeated without harm.",
+		Example: `  echo '{"team":"trend-maps","branch":"/regie/reconciliations/trend-maps","kind":"batch","tasks":8,
+    "task":{"size":{"milli_cpu":4000,"memory_mib":8192},"run_ms":60000}}' | pulleyctl job submit -`,
+		RunE: func(_ *cobra.Command, args []string) error {
+			data, err := a.readInput(args[0])
+			if err != nil {
+				return err
+			}
+			job, id, err := withID(data)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(a.errs, "job %s\n", id)
+			body, err := a.client.json(request{method: http.MethodPost, path: "/v1/jobs", body: job, repeatable: true})
+			if err != nil {
+				return err
+			}
+			return a.show(body, "", jobColumns...)
+		},
+	}
+}
+
+// withID returns the job with an id, a new one if it had none.
+func withID(data []byte) (job []byte, id string, err error) {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(data, &fields); err != nil {
+		return nil, "", usagef("the job is not a JSON object: %w", err)
+	}
+	if raw, ok := fields["id"]; ok {
+		if err := json.Unmarshal(raw, &id); err != nil {
+			return nil, "", usagef("id: %w", err)
+		}
+	}
+	if id != "" {
+		return data, id, nil
+	}
+	id = uuid.Must(uuid.NewV7()).String()
+	if fields["id"], err = json.Marshal(id); err != nil {
+		return nil, "", err
+	}
+	job, err = json.Marshal(fields)
+	return job, id, err
+}
+
+func (a *app) jobList() *cobra.Command {
+	var team, after string
+	cmd := &cobra.Command{
+		Use: "list", Short: "List jobs", Args: cobra.NoArgs,
+		Example: "  pulleyctl job list --team trend-maps",
+		RunE: func(*cobra.Command, []string) error {
+			query := url.Values{}
+			if team != "" {
+				query.Set("team", team)
+			}
+			if after != "" {
+				query.Set("after", after)
+			}
+			path := "/v1/jobs"
+			if len(query) > 0 {
+				path += "?" + query.Encode()
+			}
+			return a.list(path, "jobs", jobColumns...)
+		},
+	}
+	cmd.Flags().StringVar(&team, "team", "", "list this team's jobs only")
+	cmd.Flags().StringVar(&after, "after", "", "start after this job")
+	return cmd
+}
+
+// jobByID makes a command about one job. Reads and cancellations are
+// idempotent.
+func (a *app) jobByID(name, short, method, suffix, rows string, columns ...column) *cobra.Command {
+	return &cobra.Command{
+		Use: name + " ID", Short: short, Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			body, err := a.client.json(request{method: method, path: "/v1/jobs/" + url.PathEscape(args[0]) + suffix,
+				repeatable: true, read: method == http.MethodGet})
+			if err != nil {
+				return err
+			}
+			return a.show(body, rows, columns...)
+		},
+	}
+}
+
+// jobExplain shows the home's record, which has no one table: sites and waits
+// follow each other.
+func (a *app) jobExplain() *cobra.Command {
+	return &cobra.Command{
+		Use: "explain ID", Short: "Show why a job runs where it does, or what it waits for", Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			body, err := a.client.get("/v1/jobs/" + url.PathEscape(args[0]) + "/explain")
+			if err != nil || a.output != outputTable {
+				return a.orJSON(body, err)
+			}
+			return a.showExplanation(body)
+		},
+	}
+}
+
+// explanationTables are the arrays of an explanation.
+var explanationTables = []struct {
+	rows    string
+	columns []column
+}{
+	{"sites", []column{{"WORKER", "worker"}, {"ZONE", "zone"}, {"PARTITION", "partition"}, {"TASKS", "tasks"}}},
+	{"waits", []column{{"TASKS WAITING", "tasks"}, {"FOR", "for"}, {"FREED BY", "freed_by"}, {"REFUSED BY RULE", "refused_by_rule"}}},
+	{"decisions", []column{{"DECISION", "what"}, {"WHY", "why"}, {"TIMES", "times"}}},
+}
+
+func (a *app) showExplanation(body []byte) error {
+	for _, t := range explanationTables {
+		if err := a.show(body, t.rows, t.columns...); err != nil {
+			return err
+		}
+		fmt.Fprintln(a.out)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/ctl/set.go
@@ -0,0 +1,172 @@
+package ctl
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"pulleyquay/internal/operatorapi"
+	"pulleyquay/internal/settings"
+)
+
+// assignment sets one setting, or unsets it when value is nil.
+type assignment struct {
+	name  string
+	value json.RawMessage
+}
+
+// branchChange is what set does to one branch.
+type branchChange struct {
+	path        string
+	assignments []assignment
+}
+
+func (a *app) settingsSet() *cobra.Command {
+	var flags changeFlags
+	var create bool
+	cmd := &cobra.Command{
+		Use: "set PATH NAME=VALUE|NAME-... [PATH NAME=VALUE...]...", Short: "Change single settings of one or several branches in one go",
+		Long: "NAME=VALUE overrides a setting, NAME- lets it be inherited again. All branches\n" +
+			"are changed together or not at all, against the revision that was read: when\n" +
+			"somebody else changed one of them meanwhile, the change is refused.",
+		Example: "  pulleyctl settings set /lakeshore/ledger request.queue_limit=500 task.surge- --note 'storm'\n" +
+			"  pulleyctl settings set /regie placement.policy=packing /lakeshore placement.policy=waiting --wait 5s\n" +
+			"  pulleyctl settings set /regie/new --create",
+		Args: cobra.MinimumNArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			changes, err := parseSet(args)
+			if err != nil {
+				return err
+			}
+			return a.set(changes, create, &flags)
+		},
+		ValidArgsFunction: completeSetting,
+	}
+	cmd.Flags().BoolVar(&create, "create", false, "create branches that do not exist")
+	flags.add(cmd)
+	return cmd
+}
+
+// completeSetting completes the names of settings in the shell.
+func completeSetting(_ *cobra.Command, _ []string, begun string) ([]string, cobra.ShellCompDirective) {
+	var out []string
+	for _, f := range settings.Fields() {
+		if strings.HasPrefix(f.Name, begun) {
+			out = append(out, f.Name+"=")
+		}
+	}
+	return out, cobra.ShellCompDirectiveNoSpace
+}
+
+// parseSet reads the arguments of set: a path starts each branch.
+func parseSet(args []string) ([]branchChange, error) {
+	var out []branchChange
+	for _, arg := range args {
+		if strings.HasPrefix(arg, "/") {
+			out = append(out, branchChange{path: arg})
+			continue
+		}
+		if len(out) == 0 {
+			return nil, usagef("%q comes before any branch", arg)
+		}
+		assigned, err := parseAssignment(arg)
+		if err != nil {
+			return nil, err
+		}
+		last := &out[len(out)-1]
+		last.assignments = append(last.assignments, assigned)
+	}
+	return out, nil
+}
+
+// parseAssignment reads NAME=VALUE or NAME-. A value that is not a JSON number
+// or flag is a word.
+func parseAssignment(arg string) (assignment, error) {
+	name, value, ok := strings.Cut(arg, "=")
+	if !ok {
+		if bare, unset := strings.CutSuffix(arg, "-"); unset && strings.Contains(bare, ".") {
+			return assignment{name: bare}, nil
+		}
+		return assignment{}, usagef("%q is neither NAME=VALUE nor NAME-", arg)
+	}
+	if !strings.Contains(name, ".") {
+		return assignment{}, usagef("%q is no name of a setting; they have the form group.setting", name)
+	}
+	var parsed any
+	if err := json.Unmarshal([]byte(value), &parsed); err == nil {
+		switch parsed.(type) {
+		case float64, bool:
+			return assignment{name, json.RawMessage(value)}, nil
+		}
+	}
+	word, err := json.Marshal(value)
+	return assignment{name, word}, err
+}
+
+// set reads the branches, changes them and sends them back against the lowest
+// revision read, so that a change in between is told as a clash.
+func (a *app) set(changes []branchChange, create bool, flags *changeFlags) error {
+	branches := map[string]json.RawMessage{}
+	lowest := int64(anyRevision)
+	for _, change := range changes {
+		if _, twice := branches[change.path]; twice {
+			return usagef("branch %s is named twice", change.path)
+		}
+		present, found, err := a.readBranch(change.path)
+		if err != nil {
+			return err
+		}
+		if !found {
+			if !create {
+				return usagef("no branch %s; --create makes it", change.path)
+			}
+			if present.Revision, err = a.presentRevision(); err != nil {
+				return err
+			}
+		}
+		if lowest == anyRevision || present.Revision < lowest {
+			lowest = present.Revision
+		}
+		if branches[change.path], err = change.apply(present.Overrides); err != nil {
+			return err
+		}
+	}
+	data, err := json.Marshal(branches)
+	if err != nil {
+		return err
+	}
+	intent := flags.intent(lowest)
+	return a.send("/v1/settings", operatorapi.ChangeRequest{Intent: intent, Branches: data}, intent)
+}
+
+// apply returns the override object after the assignments.
+func (c branchChange) apply(present settings.Overrides) (json.RawMessage, error) {
+	data, err := json.Marshal(present)
+	if err != nil {
+		return nil, err
+	}
+	groups := map[string]map[string]json.RawMessage{}
+	if err := json.Unmarshal(data, &groups); err != nil {
+		return nil, err
+	}
+	for _, item := range c.assignments {
+		group, name, _ := strings.Cut(item.name, ".")
+		if item.value == nil {
+			delete(groups[group], name)
+			continue
+		}
+		if groups[group] == nil {
+			groups[group] = map[string]json.RawMessage{}
+		}
+		groups[group][name] = item.value
+	}
+	data, err = json.Marshal(groups)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := settings.ParseOverrides(data); err != nil {
+		return nil, usagef("%s: %w", c.path, err)
+	}
+	return data, nil
+}
--- /dev/null
+++ b/internal/ctl/settings.go
@@ -0,0 +1,354 @@
+package ctl
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"net/url"
+	"os"
+	"os/user"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/spf13/cobra"
+
+	"pulleyquay/internal/operatorapi"
+	"pulleyquay/internal/result"
+	"pulleyquay/internal/settings"
+)
+
+func (a *app) settingsCommand() *cobra.Command {
+	cmd := &cobra.Command{
+		Use: "settings", Short: "Read and change the settings tree",
+		Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
+	}
+	cmd.AddCommand(a.settingsRead("get", "Show what a branch itself overrides", "", "overrides"),
+		a.settingsRead("effective", "Show the settings in force for a branch", "/effective", "values"),
+		a.settingsExplain(), a.settingsTree(), a.settingsSet(), a.settingsRemove(), a.settingsLoad(),
+		a.settingsHistory(), a.settingsRollback())
+	return cmd
+}
+
+func pathQuery(args []string) string {
+	if len(args) == 0 {
+		return "?path=/"
+	}
+	return "?path=" + url.QueryEscape(args[0])
+}
+
+// settingsRead makes the two commands that show one branch as name and value.
+func (a *app) settingsRead(name, short, endpoint, member string) *cobra.Command {
+	return &cobra.Command{
+		Use: name + " [PATH]", Short: short, Args: cobra.MaximumNArgs(1),
+		Example: "  pulleyctl settings " + name + " /lakeshore/ledger\n  pulleyctl settings " + name + " /regie -o json",
+		RunE: func(_ *cobra.Command, args []string) error {
+			body, err := a.client.get("/v1/settings" + endpoint + pathQuery(args))
+			if err != nil || a.output != outputTable {
+				return a.orJSON(body, err)
+			}
+			return a.showGroups(body, member)
+		},
+	}
+}
+
+// orJSON shows the body unless there is an error.
+func (a *app) orJSON(body []byte, err error) error {
+	if err != nil {
+		return err
+	}
+	return a.showJSON(body)
+}
+
+// showGroups shows an object of groups of settings in the order of the fields.
+func (a *app) showGroups(body []byte, member string) error {
+	var parts map[string]json.RawMessage
+	var groups map[string]map[string]any
+	if err := json.Unmarshal(body, &parts); err != nil {
+		return err
+	}
+	if err := json.Unmarshal(parts[member], &groups); err != nil {
+		return err
+	}
+	table := newTable(a.out)
+	table.cell("SETTING")
+	table.cell("VALUE")
+	table.end()
+	for _, f := range settings.Fields() {
+		group, name, _ := strings.Cut(f.Name, ".")
+		if value, ok := groups[group][name]; ok {
+			table.cell(f.Name)
+			table.cell(number(value))
+			table.end()
+		}
+	}
+	return table.flush()
+}
+
+// number writes whole numbers without an exponent.
+func number(value any) string {
+	if f, ok := value.(float64); ok {
+		return strconv.FormatFloat(f, 'f', -1, 64)
+	}
+	return text(value)
+}
+
+func (a *app) settingsExplain() *cobra.Command {
+	return &cobra.Command{
+		Use: "explain [PATH]", Short: "Show each setting in force for a branch and the branch it comes from",
+		Args: cobra.MaximumNArgs(1), Example: "  pulleyctl settings explain /lakeshore/ledger",
+		RunE: func(_ *cobra.Command, args []string) error {
+			body, err := a.client.get("/v1/settings/explain" + pathQuery(args))
+			if err != nil {
+				return err
+			}
+			return a.show(body, "settings", column{"SETTING", "name"}, column{"VALUE", "value"}, column{"UNIT", "unit"}, column{"FROM", "from"})
+		},
+	}
+}
+
+func (a *app) settingsTree() *cobra.Command {
+	return &cobra.Command{
+		Use: "tree", Short: "Show every branch with what it overrides; -o json gives the file format of load under \"branches\"",
+		Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			body, err := a.client.get("/v1/settings/tree")
+			if err != nil || a.output != outputTable {
+				return a.orJSON(body, err)
+			}
+			var tree operatorapi.Tree
+			if err := json.Unmarshal(body, &tree); err != nil {
+				return err
+			}
+			table := newTable(a.out)
+			table.cell("BRANCH")
+			table.cell("OVERRIDES")
+			table.end()
+			for _, path := range slices.Sorted(maps.Keys(tree.Branches)) {
+				overrides, err := json.Marshal(tree.Branches[path])
+				if err != nil {
+					return err
+				}
+				table.cell(path)
+				table.cell(string(overrides))
+				table.end()
+			}
+			return table.flush()
+		},
+	}
+}
+
+func (a *app) settingsHistory() *cobra.Command {
+	return &cobra.Command{
+		Use: "history", Short: "Show the kept revisions, newest first", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			body, err := a.client.get("/v1/settings/history")
+			if err != nil {
+				return err
+			}
+			return a.show(body, "revisions", column{"REVISION", "revision"}, column{"AT", "at"}, column{"BY", "by"},
+				column{"BRANCHES", "paths"}, column{"NOTE", "note"}, column{"CHANGE", "change_id"})
+		},
+	}
+}
+
+// changeFlags are the flags of every command that changes settings.
+type changeFlags struct {
+	by, note, id string
+	revision     int64
+	wait         time.Duration
+}
+
+// anyRevision is the default of --revision: the one that the command reads.
+const anyRevision = -1
+
+func (f *changeFlags) add(cmd *cobra.Command) {
+	flags := cmd.Flags()
+	flags.StringVar(&f.by, "by", currentUser(), "name for the history")
+	flags.StringVar(&f.note, "note", "", "reason for the history")
+	flags.StringVar(&f.id, "change-id", "", "UUIDv7 of the change; to repeat one whose outcome is unknown")
+	flags.Int64Var(&f.revision, "revision", anyRevision, "revision that the change is against; by default the present one")
+	flags.DurationVar(&f.wait, "wait", 0, "wait until every member has applied the change")
+}
+
+func currentUser() string {
+	u, err := user.Current()
+	if err != nil {
+		return ""
+	}
+	return u.Username
+}
+
+// intent completes the flags with the revision read, if none was given, and a
+// new change id.
+func (f *changeFlags) intent(read int64) operatorapi.Intent {
+	if f.revision == anyRevision {
+		f.revision = read
+	}
+	if f.id == "" {
+		f.id = uuid.Must(uuid.NewV7()).String()
+	}
+	return operatorapi.Intent{Revision: &f.revision, ChangeID: f.id, By: f.by, Note: f.note, WaitMillis: f.wait.Milliseconds()}
+}
+
+// send makes the change and shows the outcome. It is repeatable: the change
+// carries its id.
+func (a *app) send(path string, body any, intent operatorapi.Intent) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	got, err := a.client.json(request{method: http.MethodPost, path: path, body: data, repeatable: true})
+	if err != nil {
+		if exitCode(err) == ExitUnknown {
+			fmt.Fprintf(a.errs, "to settle it, repeat the command with --change-id %s --revision %d\n", intent.ChangeID, *intent.Revision)
+		}
+		return err
+	}
+	if err := a.show(got, "", column{"REVISION", "revision"}, column{"CHANGE", "change_id"}, column{"NOT APPLIED BY", "not_applied"}); err != nil {
+		return err
+	}
+	var accepted settings.Accepted
+	if err := json.Unmarshal(got, &accepted); err != nil {
+		return err
+	}
+	if len(accepted.NotApplied) > 0 {
+		return fmt.Errorf("accepted as revision %d, but not applied in time by: %s", accepted.Revision, strings.Join(accepted.NotApplied, ", "))
+	}
+	return nil
+}
+
+// readBranch reads a branch's overrides; found is false for an unknown branch.
+func (a *app) readBranch(path string) (b operatorapi.Branch, found bool, err error) {
+	body, err := a.client.get("/v1/settings?path=" + url.QueryEscape(path))
+	if err != nil {
+		var coded *result.Error
+		if errors.As(err, &coded) && coded.Code == result.SettingsUnknownBranch {
+			return b, false, nil
+		}
+		return b, false, err
+	}
+	err = json.Unmarshal(body, &b)
+	return b, true, err
+}
+
+// presentRevision reads the revision in force at an entry.
+func (a *app) presentRevision() (int64, error) {
+	b, _, err := a.readBranch(settings.Root)
+	return b.Revision, err
+}
+
+func (a *app) settingsRemove() *cobra.Command {
+	var flags changeFlags
+	cmd := &cobra.Command{
+		Use: "remove PATH...", Short: "Remove branches", Args: cobra.MinimumNArgs(1),
+		Example: "  pulleyctl settings remove /regie/reconciliations/school-watches",
+		RunE: func(_ *cobra.Command, args []string) error {
+			branches := map[string]json.RawMessage{}
+			for _, path := range args {
+				branches[path] = json.RawMessage("null")
+			}
+			return a.sendBranches(branches, &flags)
+		},
+	}
+	flags.add(cmd)
+	return cmd
+}
+
+// sendBranches makes a change of whole branches against the present revision.
+func (a *app) sendBranches(branches map[string]json.RawMessage, flags *changeFlags) error {
+	data, err := json.Marshal(branches)
+	if err != nil {
+		return err
+	}
+	read, err := a.presentRevision()
+	if err != nil {
+		return err
+	}
+	intent := flags.intent(read)
+	return a.send("/v1/settings", operatorapi.ChangeRequest{Intent: intent, Branches: data}, intent)
+}
+
+func (a *app) settingsLoad() *cobra.Command {
+	var flags changeFlags
+	cmd := &cobra.Command{
+		Use: "load FILE...", Short: "Set every branch that the files name, in one change", Args: cobra.MinimumNArgs(1),
+		Long: "Each FILE is JSON: an object of branch paths, each with its override object,\n" +
+			"or null to remove the branch. Branches that no file names stay as they are.\n- reads standard input.",
+		Example: "  pulleyctl settings load examples/lakeshore.json examples/regie.json --wait 5s",
+		RunE: func(_ *cobra.Command, args []string) error {
+			branches := map[string]json.RawMessage{}
+			for _, file := range args {
+				if err := a.readFile(file, branches); err != nil {
+					return err
+				}
+			}
+			return a.sendBranches(branches, &flags)
+		},
+	}
+	flags.add(cmd)
+	return cmd
+}
+
+// readFile adds a file's branches. The file is checked here as strictly as at
+// the placer, so that a repeated name is not lost on the way.
+func (a *app) readFile(file string, into map[string]json.RawMessage) error {
+	data, err := a.readInput(file)
+	if err != nil {
+		return err
+	}
+	edits, err := settings.ParseBranches(data)
+	if err != nil {
+		return usagef("%s: %w", file, err)
+	}
+	for _, e := range edits {
+		if _, twice := into[e.Path]; twice {
+			return usagef("%s: branch %s is in an earlier file too", file, e.Path)
+		}
+		raw, err := json.Marshal(e.Overrides)
+		if err != nil {
+			return err
+		}
+		into[e.Path] = raw
+	}
+	return nil
+}
+
+// readInput reads a file, or standard input for "-".
+func (a *app) readInput(file string) ([]byte, error) {
+	if file == "-" {
+		return io.ReadAll(a.in)
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, &usageError{err}
+	}
+	return data, nil
+}
+
+func (a *app) settingsRollback() *cobra.Command {
+	var flags changeFlags
+	cmd := &cobra.Command{
+		Use: "rollback REVISION", Short: "Restore the tree of a kept revision, as a new revision", Args: cobra.ExactArgs(1),
+		Example: "  pulleyctl settings history\n  pulleyctl settings rollback 41 --note 'queue too short'",
+		RunE: func(_ *cobra.Command, args []string) error {
+			to, err := strconv.ParseInt(args[0], 10, 64)
+			if err != nil {
+				return usagef("%q is no revision", args[0])
+			}
+			read, err := a.presentRevision()
+			if err != nil {
+				return err
+			}
+			intent := flags.intent(read)
+			return a.send("/v1/settings/rollback", operatorapi.RollbackRequest{Intent: intent, To: &to}, intent)
+		},
+	}
+	flags.add(cmd)
+	return cmd
+}
--- a/internal/settings/book.go
+++ b/internal/settings/book.go
@@ -134,7 +134,7 @@
 			b.recent = slices.Delete(b.recent, 0, 1)
 		}
 	}
-	t := &Tree{Revision: h.Revision, ChangeID: h.ChangeID, root: root}
+	t := newTree(h.Revision, h.ChangeID, root)
 	b.head, b.mod = h, mod
 	b.heard = max(b.heard, h.Revision)
 	b.record(h)
@@ -206,58 +206,3 @@
 	}
 	return nil
 }
-
-// linker builds the nodes of a root from stored forms, sharing with the node
-// that was at the same place before.
-type linker struct {
-	pools   []map[Hash][]byte
-	missing []Hash
-	err     error
-}
-
-// link returns the node of the hash; nil when it or one below it is missing.
-func (l *linker) link(hash Hash, before *node, inherited *Values) *node {
-	if before != nil && before.hash == hash && (before.inherited == inherited || *before.inherited == *inherited) {
-		return before
-	}
-	c, ok := l.content(hash, before)
-	if !ok {
-		return nil
-	}
-	effective := effectiveOf(c.Overrides, inherited)
-	n := &node{hash: hash, overrides: c.Overrides, inherited: inherited, effective: effective}
-	whole := true
-	for _, name := range sortedNames(c.Children) {
-		below := l.link(c.Children[name], before.child(name), effective)
-		whole = whole && below != nil
-		n.children = append(n.children, link{name, below})
-	}
-	if !whole {
-		return nil
-	}
-	return n
-}
-
-// content finds a branch's stored form in the old tree or the pools.
-func (l *linker) content(hash Hash, before *node) (content, bool) {
-	if before != nil && before.hash == hash {
-		c := content{Overrides: before.overrides, Children: map[string]Hash{}}
-		for _, below := range before.children {
-			c.Children[below.name] = below.node.hash
-		}
-		return c, true
-	}
-	for _, pool := range l.pools {
-		data, ok := pool[hash]
-		if !ok {
-			continue
-		}
-		c, err := decodeContent(hash, data)
-		if err != nil {
-			l.err = err
-		}
-		return c, err == nil
-	}
-	l.missing = append(l.missing, hash)
-	return content{}, false
-}
--- a/internal/settings/edit.go
+++ b/internal/settings/edit.go
@@ -78,6 +78,9 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	if _, err := servicesOf(root); err != nil {
+		return nil, nil, err
+	}
 	return root, w.fresh, nil
 }
 
@@ -155,15 +158,15 @@
 	if err := checkBranch(path, inherited, effective); err != nil {
 		return nil, err
 	}
-	copied := &node{hash: n.hash, overrides: n.overrides, inherited: inherited, effective: effective}
-	for _, l := range n.children {
+	children := make([]link, len(n.children))
+	for i, l := range n.children {
 		c, err := inherit(child(path, l.name), l.node, effective)
 		if err != nil {
 			return nil, err
 		}
-		copied.children = append(copied.children, link{l.name, c})
+		children[i] = link{l.name, c}
 	}
-	return copied, nil
+	return hashedNode(n.hash, n.overrides, children, inherited, effective), nil
 }
 
 // checkBranch checks effective values unless they are the parent's own.
@@ -229,5 +232,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Tree{Revision: revision, ChangeID: changeID, root: root}, nil
+	return newTree(revision, changeID, root), nil
 }
--- /dev/null
+++ b/internal/settings/linker.go
@@ -0,0 +1,55 @@
+package settings
+
+// linker builds the nodes of a root from stored forms, sharing with the node
+// that was at the same place before.
+type linker struct {
+	pools   []map[Hash][]byte
+	missing []Hash
+	err     error
+}
+
+// link returns the node of the hash; nil when it or one below it is missing.
+func (l *linker) link(hash Hash, before *node, inherited *Values) *node {
+	if before != nil && before.hash == hash && (before.inherited == inherited || *before.inherited == *inherited) {
+		return before
+	}
+	c, ok := l.content(hash, before)
+	if !ok {
+		return nil
+	}
+	effective := effectiveOf(c.Overrides, inherited)
+	children := make([]link, 0, len(c.Children))
+	for _, name := range sortedNames(c.Children) {
+		if below := l.link(c.Children[name], before.child(name), effective); below != nil {
+			children = append(children, link{name, below})
+		}
+	}
+	if len(children) < len(c.Children) {
+		return nil
+	}
+	return hashedNode(hash, c.Overrides, children, inherited, effective)
+}
+
+// content finds a branch's stored form in the old tree or the pools.
+func (l *linker) content(hash Hash, before *node) (content, bool) {
+	if before != nil && before.hash == hash {
+		c := content{Overrides: before.overrides, Children: map[string]Hash{}}
+		for _, below := range before.children {
+			c.Children[below.name] = below.node.hash
+		}
+		return c, true
+	}
+	for _, pool := range l.pools {
+		data, ok := pool[hash]
+		if !ok {
+			continue
+		}
+		c, err := decodeContent(hash, data)
+		if err != nil {
+			l.err = err
+		}
+		return c, err == nil
+	}
+	l.missing = append(l.missing, hash)
+	return content{}, false
+}
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -58,6 +58,8 @@
 	// inherited are the parent's effective values; effective is the same
 	// pointer where the branch overrides nothing.
 	inherited, effective *Values
+	// serving is true when this branch or one below it names a service.
+	serving bool
 }
 
 // link is a named child.
@@ -68,11 +70,18 @@
 
 // newNode makes a node from checked parts and works out its hash.
 func newNode(o Overrides, children []link, inherited, effective *Values) *node {
-	n := &node{overrides: o, children: children, inherited: inherited, effective: effective}
+	n := hashedNode(Hash{}, o, children, inherited, effective)
 	n.hash = sha256.Sum256(n.encode())
 	return n
 }
 
+// hashedNode makes a node whose hash is known.
+func hashedNode(hash Hash, o Overrides, children []link, inherited, effective *Values) *node {
+	n := &node{hash: hash, overrides: o, children: children, inherited: inherited, effective: effective}
+	n.serving = effective.Service.Name != "" || slices.ContainsFunc(children, func(l link) bool { return l.node.serving })
+	return n
+}
+
 // encode gives the stored form; equal nodes give equal bytes.
 func (n *node) encode() []byte {
 	c := content{Overrides: n.overrides}
@@ -109,12 +118,15 @@
 	}
 }
 
-// effectiveOf returns the effective values of a branch with overrides o.
+// effectiveOf returns the effective values of a branch with overrides o. The
+// service's name is the branch's own and never the parent's.
 func effectiveOf(o Overrides, inherited *Values) *Values {
-	if o.Len() == 0 {
+	if o.Len() == 0 && inherited.Service.Name == "" {
 		return inherited
 	}
-	v := o.Apply(*inherited)
+	v := *inherited
+	v.Service.Name = ""
+	v = o.Apply(v)
 	return &v
 }
 
