Readiness by the settings keeper's own word

Cause: make demo waited for ever: a placer of a fresh cell counted revision 0 as lacking settings, so nothing was ready to load the first ones. Change: holding no longer judges settings; the settings keeper does, for which an empty tree that the store confirmed is ready.

--- a/cmd/pulley-placer/lookup.go
+++ b/cmd/pulley-placer/lookup.go
@@ -34,6 +34,15 @@
 	return addrs
 }
 
+// settingsLack says what keeps the settings from being ready. An empty tree is
+// ready once the store or a peer has said that there is none.
+func (p *placer) settingsLack() []string {
+	if err := p.settings.Ready(); err != nil {
+		return []string{err.Error()}
+	}
+	return nil
+}
+
 // branchValues returns the effective settings of a branch.
 func (p *placer) branchValues(branch string) (settings.Values, bool) {
 	return settings.BranchValues(p.settings.Current(), branch)
@@ -56,16 +65,16 @@
 	return all
 }
 
-// remotes lists the other members' free slots for a service.
-func (p *placer) remotes(service string) []dispatch.Remote {
+// remotes lists the other members with their free slots by service.
+func (p *placer) remotes() []dispatch.Remote {
 	var out []dispatch.Remote
 	for _, m := range p.keeper.Table().Members {
 		var free map[string]int
 		if m.Name == p.conf.Name || m.Leaving {
 			continue
 		}
-		if _, ok := p.keeper.Extra(m.Name, extraSlots, &free); ok && free[service] > 0 {
-			out = append(out, dispatch.Remote{Name: m.Name, Addr: m.Addr, Zone: m.Zone, Free: free[service]})
+		if _, ok := p.keeper.Extra(m.Name, extraSlots, &free); ok {
+			out = append(out, dispatch.Remote{Name: m.Name, Addr: m.Addr, Zone: m.Zone, Free: free})
 		}
 	}
 	return out
--- a/cmd/pulley-placer/placer.go
+++ b/cmd/pulley-placer/placer.go
@@ -151,6 +151,7 @@
 	}
 	p.daemon.AddReadiness(p.keeper.Lacks)
 	p.daemon.AddReadiness(p.hosts.Lacks)
+	p.daemon.AddReadiness(p.settingsLack)
 }
 
 // start opens the listeners and runs the parts.
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -14,7 +14,7 @@
 )
 
 // limit bounds the whole demonstration.
-const limit = 2 * time.Minute
+const limit = time.Minute
 
 // Run runs the demonstration and writes its table to w. It fails when a step
 // failed or the stand-in saw a promise broken.
--- a/internal/hold/keeper.go
+++ b/internal/hold/keeper.go
@@ -231,9 +231,6 @@
 	} else if len(k.mirror.listed) < 2 {
 		out = append(out, "the store's own list of members and partitions; those of a peer are in use")
 	}
-	if k.settings() == 0 {
-		out = append(out, "settings")
-	}
 	if state := k.session.State(); state != member.StateJoined {
 		out = append(out, "membership: "+state)
 	}
