Settings: faults of news, of the swap and of races, in tables

Change: the tests run on memstore in synctest bubbles, with placers, entries and links that can be cut. Found by them and mended: a Follower was counted as behind at each placer it had only asked in passing, so that a change with a wait took up to 3 s (now only a poll that waits counts); a history with a gap was taken for one without clashes (now read again); a silent watch was noticed only through peers (now the head is read every 3 s as well). Collection of unreferenced branches, conditional on the head; the tree's size is bounded so that a peer can give it in one message.

Ruled out: an age before deletion (clocks, and a change that waits longer).

--- a/internal/settings/book.go
+++ b/internal/settings/book.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -152,7 +153,9 @@
 		return
 	}
 	b.history[h.Revision] = h
-	delete(b.history, b.head.Revision-HistoryKept)
+	if len(b.history) > 2*HistoryKept {
+		maps.DeleteFunc(b.history, func(r int64, _ Head) bool { return r <= b.head.Revision-HistoryKept })
+	}
 }
 
 // recordAll adds entries read from the store.
--- a/internal/settings/change.go
+++ b/internal/settings/change.go
@@ -95,7 +95,7 @@
 
 // run tries until the change is accepted, refused, or its time is up.
 func (a *attempt) run(ctx context.Context) (Accepted, error) {
-	pause := newPause()
+	pause, clashPause := newPause(), newClashPause()
 	for clashes := 0; clashes < maxClashes; {
 		err := a.locate(ctx)
 		if err == nil {
@@ -107,6 +107,7 @@
 			}
 			if err == nil {
 				clashes++
+				sleep(ctx, clashPause.NextBackOff())
 				continue
 			}
 		}
@@ -170,7 +171,7 @@
 		return done, false, err
 	}
 	if err := a.admissible(s); err != nil {
-		return Accepted{}, false, err
+		return Accepted{}, errors.Is(err, errGap), unlessGap(err)
 	}
 	head, root, fresh, err := a.next(ctx, s)
 	if err != nil {
@@ -192,6 +193,14 @@
 	return Accepted{Revision: head.Revision, ChangeID: a.p.ID}, false, nil
 }
 
+// unlessGap returns err unless it only asks for another try.
+func unlessGap(err error) error {
+	if errors.Is(err, errGap) {
+		return nil
+	}
+	return err
+}
+
 // known tells whether the change has already been accepted.
 func (a *attempt) known(s state) (Accepted, bool, error) {
 	h, ok := a.k.book.byChangeID(a.p.ID)
@@ -211,11 +220,14 @@
 	base, now := a.p.Base, s.tree.Revision
 	switch {
 	case base > now:
-		return result.New(result.SettingsBaseAhead, result.RanNo, "against revision %d, the head is %d", base, now).At("revision")
+		return result.New(result.SettingsBaseAhead, result.RanNo, "against revision %d, the head is %d", base, now).At("revision").Later(time.Second)
 	case base < now-HistoryKept:
 		return result.New(result.SettingsBaseTooOld, result.RanNo, "against revision %d, the head is %d and %d are kept", base, now, HistoryKept).At("revision")
 	}
-	since, _ := a.k.book.span(base+1, now)
+	since, whole := a.k.book.span(base+1, now)
+	if !whole {
+		return errGap
+	}
 	for _, h := range since {
 		if a.p.Rollback {
 			return clash(h, Root)
@@ -229,6 +241,10 @@
 	return nil
 }
 
+// errGap tells that the head went on while the history was read, or that the
+// store's answer was stale.
+var errGap = errors.New("settings: history not read up to the head")
+
 func clash(h Head, path string) error {
 	by := h.By
 	if by == "" {
--- /dev/null
+++ b/internal/settings/collect.go
@@ -0,0 +1,162 @@
+package settings
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"pulleyquay/internal/platform"
+)
+
+// shards is the number of parts in which the stored branches are listed, by the
+// first digit of their hash, so that one answer stays small.
+const shards = 16
+
+// ErrMoved tells that the head moved during a collection, which then deleted
+// nothing more. It may be tried again later.
+var ErrMoved = errors.New("settings: the head moved during the collection")
+
+// Collect deletes stored branches that neither the head nor a kept revision
+// names, and returns how many. Only one member needs to call it, now and then;
+// several at a time do no harm.
+//
+// It can not race with a change in progress. Every deletion is conditional on
+// the head for which it was worked out: a change that was swapped meanwhile
+// makes it fail, and a change that is swapped later has its branches in the
+// swap itself. Branches that were written ahead of a large change's swap may be
+// deleted; the deletion then also writes settings/collected, on which that swap
+// is conditional, so that it fails and the branches are written again.
+func (k *Keeper) Collect(ctx context.Context) (int, error) {
+	heads, _, err := k.list(ctx, headKey)
+	if err != nil || len(heads) == 0 {
+		return 0, err
+	}
+	roots, err := k.keptRoots(ctx, heads[0])
+	if err != nil {
+		return 0, err
+	}
+	stored := map[Hash]storedBranch{}
+	for shard := range shards {
+		if err := k.listShard(ctx, shard, stored); err != nil {
+			return 0, err
+		}
+	}
+	if err := mark(stored, roots); err != nil {
+		return 0, err
+	}
+	return k.sweep(ctx, heads[0], stored)
+}
+
+// storedBranch is a branch as the collection sees it.
+type storedBranch struct {
+	children []Hash
+	mod      platform.Revision
+	reached  bool
+}
+
+// keptRoots returns the roots of the head and of all kept revisions.
+func (k *Keeper) keptRoots(ctx context.Context, head platform.Record) ([]Hash, error) {
+	last, err := decodeHead(head.Value)
+	if err != nil {
+		return nil, err
+	}
+	records, _, err := k.list(ctx, historyPrefix)
+	if err != nil {
+		return nil, err
+	}
+	roots := []Hash{last.Root}
+	listed := map[int64]bool{}
+	for _, r := range records {
+		h, ok := historyOf(r)
+		if !ok {
+			return nil, fmt.Errorf("settings: %s can not be read", r.Key)
+		}
+		listed[h.Revision] = true
+		roots = append(roots, h.Root)
+	}
+	for r := max(1, last.Revision-HistoryKept+1); r <= last.Revision; r++ {
+		if !listed[r] {
+			return nil, fmt.Errorf("settings: revision %d was not listed", r) // a stale answer
+		}
+	}
+	return roots, nil
+}
+
+// listShard adds the stored branches of one shard.
+func (k *Keeper) listShard(ctx context.Context, shard int, into map[Hash]storedBranch) error {
+	records, _, err := k.list(ctx, fmt.Sprintf("%s%x", branchPrefix, shard))
+	if err != nil {
+		return err
+	}
+	for _, r := range records {
+		hash, ok := hashOfKey(r.Key)
+		if !ok {
+			continue
+		}
+		var c struct {
+			Children map[string]Hash `json:"children"`
+		}
+		if err := json.Unmarshal(r.Value, &c); err != nil {
+			return err
+		}
+		b := storedBranch{mod: r.ModRevision}
+		for _, below := range c.Children {
+			b.children = append(b.children, below)
+		}
+		into[hash] = b
+	}
+	return nil
+}
+
+// mark reaches every branch below the roots. A branch that lacks means that the
+// listing is not to be trusted; then nothing may be deleted.
+func mark(stored map[Hash]storedBranch, hashes []Hash) error {
+	for _, hash := range hashes {
+		b, ok := stored[hash]
+		if !ok {
+			if hash == emptyRoot.hash {
+				continue // never needs to be stored
+			}
+			return fmt.Errorf("settings: branch %s is named and was not listed", hash)
+		}
+		if b.reached {
+			continue
+		}
+		b.reached = true
+		stored[hash] = b
+		if err := mark(stored, b.children); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// sweep deletes what was not reached.
+func (k *Keeper) sweep(ctx context.Context, head platform.Record, stored map[Hash]storedBranch) (int, error) {
+	var writes []platform.Write
+	for hash, b := range stored {
+		if !b.reached {
+			writes = append(writes, platform.Write{Key: branchKey(hash), Delete: true})
+		}
+	}
+	deleted := 0
+	for _, part := range chunk(writes) {
+		if len(part) == 0 {
+			break
+		}
+		txn := platform.Txn{
+			If:   []platform.Condition{{Key: headKey, ModRevision: head.ModRevision}},
+			Then: append(part[:len(part):len(part)], platform.Write{Key: collectedKey, Value: []byte("{}")}),
+		}
+		reply, err := k.commit(ctx, txn)
+		if err != nil {
+			return deleted, err
+		}
+		if !reply.Applied {
+			return deleted, ErrMoved
+		}
+		deleted += len(part)
+	}
+	return deleted, nil
+}
--- a/internal/settings/edit.go
+++ b/internal/settings/edit.go
@@ -78,6 +78,9 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	if root.bytes > MaxTreeBytes {
+		return nil, nil, result.New(result.SettingsTooLarge, result.RanNo, "the tree would have %d bytes, %d allowed", root.bytes, MaxTreeBytes)
+	}
 	if _, err := servicesOf(root); err != nil {
 		return nil, nil, err
 	}
@@ -166,7 +169,9 @@
 		}
 		children[i] = link{l.name, c}
 	}
-	return hashedNode(n.hash, n.overrides, children, inherited, effective), nil
+	copied := hashedNode(n.hash, n.overrides, children, inherited, effective)
+	copied.bytes = n.bytes
+	return copied, nil
 }
 
 // checkBranch checks effective values unless they are the parent's own.
--- a/internal/settings/keeper.go
+++ b/internal/settings/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -23,6 +24,9 @@
 	// bulkFetch is the number of missing branches from which on all are listed
 	// in one call instead of one call each.
 	bulkFetch = 16
+	// headCheck is how often the head is read besides the watch, which can fall
+	// silent without ending: one read a member in that time.
+	headCheck = 3 * time.Second
 )
 
 // KeeperConfig is what a Keeper needs. All fields but Peers, Caller and Applied
@@ -104,8 +108,7 @@
 		before := k.book.revision()
 		rev, err := k.refresh(ctx)
 		if err == nil {
-			err = k.cfg.Store.Watch(ctx, storePrefix, rev, func(b platform.Batch) { k.absorb(ctx, b) })
-			k.counters.watches.Inc()
+			err = k.watch(ctx, rev)
 		}
 		if ctx.Err() != nil {
 			return
@@ -118,6 +121,42 @@
 	}
 }
 
+// errSilent ends a watch that did not deliver a head that a read has shown.
+var errSilent = errors.New("settings: the watch is silent")
+
+// watch follows the changes after rev until the watch ends or proves silent.
+func (k *Keeper) watch(ctx context.Context, rev platform.Revision) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		k.checkHead(ctx, cancel)
+	}()
+	err := k.cfg.Store.Watch(ctx, storePrefix, rev, func(b platform.Batch) { k.absorb(ctx, b) })
+	k.counters.watches.Inc()
+	cancel(nil)
+	<-done
+	return err
+}
+
+// checkHead reads the head now and then. When that brings a revision which the
+// watch has not brought, the watch is ended, to be begun anew.
+func (k *Keeper) checkHead(ctx context.Context, end context.CancelCauseFunc) {
+	for {
+		sleep(ctx, headCheck)
+		if ctx.Err() != nil {
+			return
+		}
+		before := k.book.revision()
+		_, err := k.refresh(ctx)
+		if err == nil && k.book.revision() > before {
+			end(errSilent)
+			return
+		}
+	}
+}
+
 // refresh reads the head from the store and puts it in force. It returns the
 // store's revision to watch from.
 func (k *Keeper) refresh(ctx context.Context) (platform.Revision, error) {
@@ -233,6 +272,13 @@
 	return b
 }
 
+// newClashPause gives jittered pauses after a swap that another change won.
+func newClashPause() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval, b.MaxInterval = 2*time.Millisecond, 50*time.Millisecond
+	return b
+}
+
 // sleep waits for d or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
--- a/internal/settings/linker.go
+++ b/internal/settings/linker.go
@@ -13,7 +13,7 @@
 	if before != nil && before.hash == hash && (before.inherited == inherited || *before.inherited == *inherited) {
 		return before
 	}
-	c, ok := l.content(hash, before)
+	c, size, ok := l.content(hash, before)
 	if !ok {
 		return nil
 	}
@@ -27,17 +27,21 @@
 	if len(children) < len(c.Children) {
 		return nil
 	}
-	return hashedNode(hash, c.Overrides, children, inherited, effective)
+	n := hashedNode(hash, c.Overrides, children, inherited, effective)
+	n.bytes += size
+	return n
 }
 
-// content finds a branch's stored form in the old tree or the pools.
-func (l *linker) content(hash Hash, before *node) (content, bool) {
+// content finds a branch's content and stored size in the old tree or the pools.
+func (l *linker) content(hash Hash, before *node) (c content, size int, ok bool) {
 	if before != nil && before.hash == hash {
-		c := content{Overrides: before.overrides, Children: map[string]Hash{}}
+		c = content{Overrides: before.overrides, Children: map[string]Hash{}}
+		size = before.bytes
 		for _, below := range before.children {
 			c.Children[below.name] = below.node.hash
+			size -= below.node.bytes
 		}
-		return c, true
+		return c, size, true
 	}
 	for _, pool := range l.pools {
 		data, ok := pool[hash]
@@ -48,8 +52,8 @@
 		if err != nil {
 			l.err = err
 		}
-		return c, err == nil
+		return c, len(data), err == nil
 	}
 	l.missing = append(l.missing, hash)
-	return content{}, false
+	return content{}, 0, false
 }
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -60,6 +60,8 @@
 	inherited, effective *Values
 	// serving is true when this branch or one below it names a service.
 	serving bool
+	// bytes is the stored size of this branch and all below it.
+	bytes int
 }
 
 // link is a named child.
@@ -71,14 +73,21 @@
 // newNode makes a node from checked parts and works out its hash.
 func newNode(o Overrides, children []link, inherited, effective *Values) *node {
 	n := hashedNode(Hash{}, o, children, inherited, effective)
-	n.hash = sha256.Sum256(n.encode())
+	data := n.encode()
+	n.hash = sha256.Sum256(data)
+	n.bytes += len(data)
 	return n
 }
 
-// hashedNode makes a node whose hash is known.
+// hashedNode makes a node whose hash is known. Its own stored size is still to
+// be added to bytes.
 func hashedNode(hash Hash, o Overrides, children []link, inherited, effective *Values) *node {
 	n := &node{hash: hash, overrides: o, children: children, inherited: inherited, effective: effective}
-	n.serving = effective.Service.Name != "" || slices.ContainsFunc(children, func(l link) bool { return l.node.serving })
+	n.serving = effective.Service.Name != ""
+	for _, l := range children {
+		n.serving = n.serving || l.node.serving
+		n.bytes += l.node.bytes
+	}
 	return n
 }
 
--- /dev/null
+++ b/internal/settings/outage_test.go
@@ -0,0 +1,193 @@
+package settings
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pulleyquay/internal/platform"
+	"pulleyquay/internal/platform/memstore"
+	"pulleyquay/internal/result"
+)
+
+func TestStartInAnOutage(t *testing.T) {
+	inBubble(t, 3, 0, func(is *is.I, c *cell) {
+		_, err := c.change(0, `{"/a":{"executor":{"slots":3}}}`)
+		is.NoErr(err)
+		time.Sleep(time.Second)
+		c.engine.SetFaults(memstore.Faults{Refuse: true})
+		c.start(1)
+		time.Sleep(everywhere)
+		is.Equal(c.behind(1), nil) // learned from peers
+		is.NoErr(c.keepers[1].Ready())
+
+		_, err = c.change(1, `{"/b":{}}`)
+		is.Equal(result.CodeOf(err), result.SettingsStoreDown)
+		c.engine.SetFaults(memstore.Faults{})
+		_, err = c.change(1, `{"/b":{}}`) // it never read the head's record itself
+		is.NoErr(err)
+	})
+}
+
+// A process that starts in an outage and is told of a revision that no peer can
+// give is not ready: with the older one its settings would go back.
+func TestStartInAnOutageBehindWhatWasInForce(t *testing.T) {
+	inBubble(t, 3, 0, func(is *is.I, c *cell) {
+		c.client(1).SetFaults(memstore.Faults{Refuse: true})
+		c.client(2).SetFaults(memstore.Faults{Refuse: true})
+		_, err := c.change(0, `{"/a":{}}`)
+		is.NoErr(err)
+		c.heartbeat() // placers 1 and 2 hear of revision 1
+		c.kill(0)     // and lose the only process that has it
+		c.engine.SetFaults(memstore.Faults{Refuse: true})
+		c.start(0)
+		time.Sleep(everywhere)
+		is.Equal(result.CodeOf(c.keepers[0].Ready()), result.NotReady)
+		is.True(c.keepers[1].Ready() != nil)
+
+		c.engine.SetFaults(memstore.Faults{})
+		c.client(1).SetFaults(memstore.Faults{})
+		c.client(2).SetFaults(memstore.Faults{})
+		time.Sleep(everywhere)
+		is.Equal(c.behind(1), nil)
+		is.NoErr(c.keepers[0].Ready())
+	})
+}
+
+// An outage in the middle of a change: some heard of it, others did not. All
+// have it before the store is back.
+func TestOutageInTheMiddleOfAChange(t *testing.T) {
+	inBubble(t, 4, 2, func(is *is.I, c *cell) {
+		c.client(2).SetFaults(memstore.Faults{WatchDelayMS: 60000})
+		c.client(3).SetFaults(memstore.Faults{WatchDelayMS: 60000})
+		_, err := c.change(0, `{"/a":{}}`)
+		is.NoErr(err)
+		c.engine.SetFaults(memstore.Faults{Hang: true})
+		c.heartbeat()
+		time.Sleep(everywhere)
+		is.Equal(c.behind(1), nil)
+	})
+}
+
+// An entry learns of a revision through a placer that is behind: it asks the
+// others, and it never goes back when the one that is ahead dies.
+func TestFollowerNeverGoesBack(t *testing.T) {
+	inBubble(t, 2, 1, func(is *is.I, c *cell) {
+		c.client(0).SetFaults(memstore.Faults{Hang: true})
+		_, err := c.change(1, `{"/a":{}}`)
+		is.NoErr(err)
+		c.keepers[0].Hear(1)
+		c.links.cut(addrOf(1)) // placer 0 can not ask placer 1, the entry neither
+		time.Sleep(everywhere)
+		f := c.followers[0]
+		is.Equal(f.Current().Revision, int64(0))
+		is.True(f.Ready() != nil) // it knows that it lacks revision 1
+		mux := c.muxOf(1)
+		c.links.connect(addrOf(1), mux)
+		time.Sleep(everywhere)
+		is.Equal(f.Current().Revision, int64(1))
+		c.kill(1)
+		c.start(0) // a placer that knows nothing and reaches no store
+		time.Sleep(everywhere)
+		is.Equal(f.Current().Revision, int64(1))
+	})
+}
+
+// shuffled delivers the batches of a watch out of order and twice.
+type shuffled struct{ platform.Store }
+
+func (s shuffled) Watch(ctx context.Context, prefix string, after platform.Revision, fn func(platform.Batch)) error {
+	var held []platform.Batch
+	return s.Store.Watch(ctx, prefix, after, func(b platform.Batch) {
+		held = append(held, b)
+		if len(held) < 3 {
+			return
+		}
+		for _, i := range []int{2, 0, 1, 2, 0} {
+			fn(held[i])
+		}
+		held = nil
+	})
+}
+
+func TestWatchAnswersOutOfOrder(t *testing.T) {
+	inBubble(t, 2, 0, func(is *is.I, c *cell) {
+		c.startWith(1, shuffled{c.client(1)})
+		time.Sleep(time.Second)
+		for i := range int64(7) {
+			_, err := c.change(0, fmt.Sprintf(`{"/a%d":{}}`, i))
+			is.NoErr(err)
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(everywhere)
+		is.Equal(c.behind(7), nil)
+	})
+}
+
+func TestStoreThatWentBackIsNotFollowed(t *testing.T) {
+	inBubble(t, 1, 0, func(is *is.I, c *cell) {
+		for i := range int64(3) {
+			_, err := c.change(0, fmt.Sprintf(`{"/a%d":{}}`, i))
+			is.NoErr(err)
+		}
+		old := c.head()
+		old.Revision = 1
+		observer := c.engine.Client("observer")
+		_, err := observer.Commit(c.ctx, platform.Txn{Then: []platform.Write{{Key: headKey, Value: old.encode()}}})
+		is.NoErr(err)
+		time.Sleep(everywhere)
+		is.Equal(c.keepers[0].Current().Revision, int64(3))
+		_, err = c.change(0, `{"/b":{}}`)
+		is.Equal(result.CodeOf(err), result.SettingsStoreBehind)
+	})
+}
+
+func TestDamagedBranchIsNotApplied(t *testing.T) {
+	inBubble(t, 2, 0, func(is *is.I, c *cell) {
+		_, err := c.change(0, `{"/a":{}}`)
+		is.NoErr(err)
+		c.kill(1)
+		root := c.keepers[0].Current().RootHash()
+		_, err = c.engine.Client("observer").Commit(c.ctx, platform.Txn{Then: []platform.Write{{Key: branchKey(root), Value: []byte(`{"overrides":{}}`)}}})
+		is.NoErr(err)
+		c.start(1)
+		time.Sleep(everywhere)
+		is.Equal(c.behind(1), nil) // the store's branch is refused, a peer's is taken
+	})
+}
+
+func TestRollbackIsANewRevision(t *testing.T) {
+	inBubble(t, 2, 1, func(is *is.I, c *cell) {
+		_, err := c.change(0, `{"/a":{"executor":{"slots":3}},"/b":{}}`)
+		is.NoErr(err)
+		before := c.keepers[0].Current().RootHash()
+		_, err = c.change(0, `{"/a":{"executor":{"slots":4}},"/b":null}`)
+		is.NoErr(err)
+		time.Sleep(time.Second)
+
+		back := Change{ID: newID(), Base: 1, Rollback: true, RollbackTo: 1}
+		_, err = c.keepers[1].Change(c.ctx, back)
+		is.Equal(result.CodeOf(err), result.SettingsClash) // against an older revision
+		back.Base = 2
+		got, err := c.keepers[1].Change(c.ctx, back)
+		is.NoErr(err)
+		is.Equal(got.Revision, int64(3))
+		time.Sleep(time.Second)
+		is.Equal(c.behind(3), nil)
+		is.Equal(c.followers[0].Current().RootHash(), before)
+		is.True(c.keepers[0].Current().Has("/b"))
+
+		again, err := c.keepers[0].Change(c.ctx, back)
+		is.NoErr(err)
+		is.True(again.Repeated)
+		_, err = c.keepers[0].Change(c.ctx, Change{ID: newID(), Base: 3, Rollback: true, RollbackTo: 9})
+		is.Equal(result.CodeOf(err), result.SettingsNoSuchRevision)
+		got, err = c.keepers[0].Change(c.ctx, Change{ID: newID(), Base: 3, Rollback: true, RollbackTo: 0})
+		is.NoErr(err)
+		is.Equal(got.Revision, int64(4))
+		is.Equal(c.keepers[0].Current().Paths(), []string{Root})
+	})
+}
--- a/internal/settings/path.go
+++ b/internal/settings/path.go
@@ -17,6 +17,9 @@
 	// MaxChildren bounds the children of one branch, and so the size of the
 	// stored value that a change below it rewrites (about 90 kB).
 	MaxChildren = 1000
+	// MaxTreeBytes bounds the stored size of all branches together, so that a
+	// process can learn the tree from a peer in one message.
+	MaxTreeBytes = 8 << 20
 	// MaxEdits bounds the branches of one change.
 	MaxEdits = 20000
 )
--- a/internal/settings/serve.go
+++ b/internal/settings/serve.go
@@ -30,7 +30,7 @@
 // ask answers at once when there is something newer, else after the wait.
 func (k *Keeper) ask(ctx context.Context, ask Ask) (Answer, error) {
 	k.book.hear(ask.Have)
-	if ask.Follower != "" {
+	if ask.Follower != "" && ask.WaitMillis > 0 { // one that does not wait asks around
 		k.followers.note(ask.Follower, ask.Have, time.Now())
 	}
 	timeout := time.NewTimer(min(maxWait, time.Duration(ask.WaitMillis)*time.Millisecond))
