Tests of the fleet set its configuration before it runs

Cause: two tests changed the configuration under the running fleet; the race detector saw it (seen red with -race). Change: the test member takes edits; hold.Deputy is asserted.

--- a/internal/fleet/deputy.go
+++ b/internal/fleet/deputy.go
@@ -26,6 +26,8 @@
 	busy    bool
 }
 
+var _ hold.Deputy = (*Fleet)(nil)
+
 // Cover replaces the partitions whose leases this process renews in the name
 // of their dead holders while the store is down. It never starts, stops or
 // acknowledges anything there, and the first claim of a new holder fences it.
--- a/internal/fleet/helpers_test.go
+++ b/internal/fleet/helpers_test.go
@@ -189,14 +189,18 @@
 }
 
 // member starts a placer that holds nothing yet.
-func (b *bench) member(name string) *member {
+func (b *bench) member(name string, edits ...func(*Config)) *member {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	m := &member{b: b, right: &rights{epochs: map[int]uint64{}}, done: make(chan struct{})}
-	m.Fleet = New(Config{
+	cfg := Config{
 		Name: name, Partitions: testPartitions, Lease: testLease, Hosts: b.Hosts, Right: m.right,
 		Client: b.sim.Caller(name), Peers: b.peers, View: b, Log: logrus.NewEntry(log),
-	})
+	}
+	for _, edit := range edits {
+		edit(&cfg)
+	}
+	m.Fleet = New(cfg)
 	ctx, cancel := context.WithCancel(context.Background())
 	m.cancel = cancel
 	go func() { m.Run(ctx); close(m.done) }()
--- a/internal/fleet/policy_test.go
+++ b/internal/fleet/policy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -173,10 +174,9 @@
 		dead.put(shapeOf("service", 1000, 0), 4)
 		dead.stop()
 
-		deputy := b.member("b")
-		defer deputy.stop()
 		cover := covers{&rights{epochs: map[int]uint64{b.rackPartition(): 1}}}
-		deputy.cfg.Covers = cover
+		deputy := b.member("b", func(c *Config) { c.Covers = cover })
+		defer deputy.stop()
 		deputy.Cover([]view.Partition{{ID: b.rackPartition(), Holder: "a", Epoch: 1}})
 		time.Sleep(10 * testLease)
 		b.is.Equal(b.running(), 4)
@@ -197,19 +197,24 @@
 // not hear the holder may be renewing in its name.
 func TestNoLossIsDeclaredInAnOutage(t *testing.T) {
 	bubble(t, 1, func(b *bench) {
-		m := b.member("a")
-		defer m.stop()
 		down := time.Now()
-		m.cfg.StoreAge = func() time.Duration { return time.Since(down) }
+		var up atomic.Bool
+		m := b.member("a", func(c *Config) {
+			c.StoreAge = func() time.Duration {
+				if up.Load() {
+					return 0
+				}
+				return time.Since(down)
+			}
+		})
+		defer m.stop()
 		m.take(1, nil)
 		synctest.Wait()
 		m.put(shapeOf("service", 1000, 0), 1)
 		b.sim.Cut("a", "w0", workersim.CutBefore)
 		time.Sleep(10 * testLease)
 		b.is.Equal(b.home.state(attempt("service", 0)), taskmsg.RunState(0))
-		m.mu.Lock()
-		m.cfg.StoreAge = func() time.Duration { return 0 }
-		m.mu.Unlock()
+		up.Store(true)
 		time.Sleep(testLease)
 		b.is.Equal(b.home.state(attempt("service", 0)), taskmsg.RunState(0))
 		time.Sleep(2 * testLease)
