Runs missing at a worker lapse instead of being lost at once

Cause: a claim whose inventory lacked a run counted as proof that it was over. The process that answers may be another machine with the same name or address, while the old one runs on under its leases; the host list's new address for a worker was taken over with the same mistake. Change: such runs lapse (room free at once, declared lost only past the bound of the leases from before the claim); a changed address is used only when nothing can run at the old one; a partition taken up again under the epoch that this process had before waits until its old orders have expired; while requests are being refused, workers are asked again at the declared ends of runs and when a usage report can contain what was just started. Ruled out: asking at every declared end (it doubles the messages to a busy worker while nobody waits for the room). The test of a restarted worker now asks for the later loss and, new, for the room at once.

--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -62,11 +62,12 @@
 	runSent                    // in the order in flight
 	runUnknown                 // its order was lost
 	runRunning
-	runEnded // over; the home has not acknowledged yet
-	runAcked // acknowledged; the worker still has to forget it
+	runLapsing // missing at its worker; its lease may still run elsewhere
+	runEnded   // over; the home has not acknowledged yet
+	runAcked   // acknowledged; the worker still has to forget it
 )
 
-var runStateNames = [...]string{"queued", "sent", "unknown", "running", "ended", "acked"}
+var runStateNames = [...]string{"queued", "sent", "unknown", "running", "lapsing", "ended", "acked"}
 
 func (s runState) String() string { return runStateNames[s] }
 
@@ -82,6 +83,8 @@
 	expires worker.Millis
 	// waiters are the calls that wait for the outcome of the start.
 	waiters []*batch
+	// endsAt is when it ends by its declared run time; zero for never.
+	endsAt time.Time
 	// reported is true once a home was or may have been told that the run is
 	// running: if it never started, that home gets news of it.
 	reported bool
@@ -97,7 +100,7 @@
 func (f *Fleet) newAgent(h platform.Host, p *part, now time.Time) *agent {
 	a := &agent{
 		name: h.Name, addr: h.Addr, part: p, claim: claimNone, listed: true, leaving: h.Leaving,
-		mayRunUntil: p.mayRunUntil, renewAt: now,
+		mayRunUntil: p.mayRunUntil, renewAt: now, retryAt: p.claimAfter,
 		runs: map[worker.Attempt]*run{}, stops: map[worker.Attempt]worker.StopMode{},
 		acks: map[worker.Attempt]struct{}{},
 		backoff: backoff.ExponentialBackOff{
--- a/internal/fleet/claim.go
+++ b/internal/fleet/claim.go
@@ -70,6 +70,7 @@
 	if a.clock.restarted(reply.Now, sent) {
 		a.restarted = true
 	}
+	before := a.mayRunUntil
 	a.clock = anchor{reading: reply.Now, at: now}
 	a.info, a.usage = reply.Info, reply.Usage
 	// The leases in the inventory were renewed before now; older orders that
@@ -77,7 +78,7 @@
 	a.mayRunUntil = later(a.lostUntil, now.Add(f.times.leaseBound()))
 	f.cell.Upsert(scheduler.Worker{Info: a.info, Addr: a.addr, Partition: a.part.id, Status: a.status()})
 	f.cell.Observe(a.name, a.usage, now)
-	open := f.reconcile(a, reply, now)
+	open := f.reconcile(a, reply, before, now)
 	if open > 0 {
 		f.retryLater(a, now)
 		return
@@ -93,7 +94,12 @@
 // reconcile compares the books with an inventory and returns the number of
 // starts whose outcome is still open: not in the inventory, but in an order
 // that the worker would still accept.
-func (f *Fleet) reconcile(a *agent, reply worker.ClaimReply, now time.Time) int {
+//
+// An inventory proves that a start which was refused for its expiry did not
+// happen. It does not prove that a run is over: the process that answers may
+// have replaced the one that ran it, on another machine with the same address.
+// Such runs lapse: they are lost at the bound of the leases from before.
+func (f *Fleet) reconcile(a *agent, reply worker.ClaimReply, before, now time.Time) int {
 	seen := make(map[worker.Attempt]struct{}, len(reply.Runs))
 	for i := range reply.Runs {
 		r := &reply.Runs[i]
@@ -107,13 +113,16 @@
 		}
 		switch r.state {
 		case runUnknown:
-			if !a.restarted && reply.Now <= r.expires {
+			switch {
+			case a.restarted:
+				f.lapse(r, before)
+			case reply.Now <= r.expires:
 				open++
-				continue
+			default:
+				f.endRun(r, taskmsg.RunNever, 0, now)
 			}
-			f.endRun(r, taskmsg.RunNever, 0, now)
 		case runRunning:
-			f.endRun(r, taskmsg.RunLost, 0, now)
+			f.lapse(r, before)
 		case runAcked:
 			f.forget(r)
 		}
--- a/internal/fleet/clock.go
+++ b/internal/fleet/clock.go
@@ -13,6 +13,7 @@
 type times struct {
 	lease time.Duration
 	renew time.Duration // between two renewals of a worker
+	poll  time.Duration // the least time between two orders without content
 	// call bounds a call to a worker; an order expires with it.
 	call     time.Duration
 	tick     time.Duration
@@ -23,7 +24,7 @@
 
 func timesOf(lease time.Duration) times {
 	return times{
-		lease: lease, renew: lease / 3, call: min(lease/6, 2*time.Second),
+		lease: lease, renew: lease / 3, poll: lease / 30, call: min(lease/6, 2*time.Second),
 		tick:  min(max(lease/60, 10*time.Millisecond), 250*time.Millisecond),
 		retry: lease / 150, retryMax: lease / 6, margin: lease / 30,
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -35,6 +35,8 @@
 	// claimsAtOnce bounds the claims in flight, so that a takeover of many
 	// workers does not open as many connections at one moment.
 	claimsAtOnce = 64
+	// scarceFor is how long after a refusal room counts as scarce.
+	scarceFor = 10 * time.Second
 )
 
 // Config is what a Fleet needs. Registerer and Log may be nil.
@@ -84,14 +86,21 @@
 	tombs   *lru.Cache[worker.Attempt, struct{}]
 	gangs   map[gangKey]*gang
 	wishes  []*wish
+	// lapsing are the runs missing at their workers, with the bound of their
+	// leases.
+	lapsing map[*run]time.Time
+	// left are partitions given up, until when orders of theirs may arrive.
+	left map[int]leftPart
 	// over are the workers above their size, looked at anew at overAt.
 	over   map[string]struct{}
 	overAt time.Time
 	// suspects are the workers that health does not think well of.
 	health   *health.Workers
 	suspects map[string]struct{}
-	covers   map[int]view.Partition
-	covered  map[string]*covered
+	// scarceUntil is until when room counts as scarce: requests were refused.
+	scarceUntil time.Time
+	covers      map[int]view.Partition
+	covered     map[string]*covered
 	// storeSince is since when the store has been reached without a break.
 	storeSince time.Time
 }
@@ -120,6 +129,7 @@
 		runs: map[worker.Attempt]*run{}, homes: map[int]*home{}, tombs: tombs,
 		gangs: map[gangKey]*gang{}, over: map[string]struct{}{}, health: health.NewWorkers(health.DefaultConfig()),
 		suspects: map[string]struct{}{}, covers: map[int]view.Partition{}, covered: map[string]*covered{},
+		lapsing: map[*run]time.Time{}, left: map[int]leftPart{},
 	}
 }
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -154,8 +154,12 @@
 		time.Sleep(time.Minute)
 		b.sim.Worker("w0").Restart()
 		time.Sleep(8 * time.Second)
-		b.is.Equal(b.home.state(attempt("job", 0)), taskmsg.RunLost)
+		// Its room is free at once. Its runs are lost only when their leases are
+		// over: another machine may have taken the address.
 		b.is.Equal(count(m.put(shapeOf("job2", 8000, 0), 1), taskmsg.OutcomeStarted), 1)
+		b.is.Equal(b.home.state(attempt("job", 0)), taskmsg.RunState(0))
+		time.Sleep(testLease)
+		b.is.Equal(b.home.state(attempt("job", 0)), taskmsg.RunLost)
 	})
 }
 
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -33,6 +33,18 @@
 	}
 }
 
+// readdress sends further calls to a new address. Another machine may answer
+// there while the old one still runs tasks, so this waits until nothing can
+// run at the old address.
+func (f *Fleet) readdress(a *agent, addr string, now time.Time) {
+	if a.addr == addr || a.busy || f.liveRuns(a) > 0 && !now.After(a.mayRunUntil) {
+		return
+	}
+	a.addr, a.clock, a.retryAt = addr, anchor{}, time.Time{}
+	a.restarted = true
+	f.moveClaim(a, eventRestarted)
+}
+
 func (f *Fleet) followHost(h *platform.Host, listed map[string]struct{}, now time.Time) {
 	p := f.parts[partition.OfRack(h.Rack, f.cfg.Partitions)]
 	a := f.agents[h.Name]
@@ -47,7 +59,7 @@
 		f.kick(f.newAgent(*h, p, now), now)
 		return
 	}
-	a.addr = h.Addr
+	f.readdress(a, h.Addr, now)
 	if a.listed && a.leaving == h.Leaving {
 		return
 	}
--- a/internal/fleet/order.go
+++ b/internal/fleet/order.go
@@ -123,12 +123,7 @@
 // applyReply takes in a worker's answer.
 func (f *Fleet) applyReply(a *agent, out *outgoing, reply worker.OrderReply, now time.Time) {
 	a.clock = anchor{reading: reply.Now, at: now}
-	a.renewAt = now.Add(f.times.renew)
-	if len(out.starts) > 0 {
-		// What was started counts on top of the observed usage until a report
-		// surely contains it: ask for that report soon.
-		a.renewAt = now.Add(min(f.times.renew, f.cell.UsageLag+f.times.tick))
-	}
+	a.renewAt = f.nextRenewal(a, len(out.starts) > 0, now)
 	a.retryAt = time.Time{}
 	// The worker took this order before its answer came; only lost orders can
 	// still renew anything later.
@@ -159,6 +154,27 @@
 	f.grantWishes(now)
 }
 
+// nextRenewal is when the worker is asked next if nothing else comes up. What
+// was just started counts on top of the observed usage until a report surely
+// contains it, and a run that ends by its declared time frees its room only
+// when it is reported: while room is scarce, both ask for a report sooner than
+// the leases do.
+func (f *Fleet) nextRenewal(a *agent, started bool, now time.Time) time.Time {
+	next := now.Add(f.times.renew)
+	if now.After(f.scarceUntil) {
+		return next
+	}
+	if fresh := now.Add(f.cell.UsageLag + f.times.tick); started && fresh.Before(next) {
+		next = fresh
+	}
+	for _, r := range a.runs {
+		if r.state == runRunning && r.endsAt.After(now) && r.endsAt.Before(next) {
+			next = r.endsAt
+		}
+	}
+	return later(next, now.Add(f.times.poll))
+}
+
 // applyFailure sorts out what an order without a proper answer may have done.
 func (f *Fleet) applyFailure(a *agent, out *outgoing, err error, now time.Time) {
 	a.mayRunUntil = out.before
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -63,6 +63,9 @@
 	}
 	placed := f.probe(&req.Shape, runs[0], now)
 	more, refusal := f.cell.Place(scheduler.Ask{Shape: req.Shape}, runs[len(placed):], now)
+	if refusal != nil && !refusal.Never {
+		f.scarceUntil = now.Add(scarceFor)
+	}
 	for _, p := range append(placed, more...) {
 		b.expect(bySlot[p.Attempt], f.queueStart(&req.Shape, &p, now))
 		delete(bySlot, p.Attempt)
--- a/internal/fleet/policy_test.go
+++ b/internal/fleet/policy_test.go
@@ -124,7 +124,7 @@
 				shape := shapeOf("batch", 0, 0)
 				shape.Task.Size = c.size
 				b.is.Equal(count(m.put(shape, 4), taskmsg.OutcomeStarted), 4)
-				time.Sleep(3 * time.Second)
+				time.Sleep(testLease/3 + time.Second) // seen with the first renewal
 				b.is.Equal(m.Dump().(State).Workers[0].Status, "over")
 				b.is.Equal(count(m.put(shapeOf("more", 10, 0), 1), taskmsg.OutcomeRefused), 1)
 				time.Sleep(40 * time.Second)
--- a/internal/fleet/resident.go
+++ b/internal/fleet/resident.go
@@ -24,10 +24,19 @@
 	listKnown bool
 	// paused is set while the partition is handed over: no new calls.
 	paused bool
+	// claimAfter is when the claims may begin: orders that this process sent
+	// under the same epoch before have all expired then.
+	claimAfter time.Time
 	// inTable is true once the process's table shows the claim.
 	inTable bool
 }
 
+// leftPart is a partition given up by this process.
+type leftPart struct {
+	epoch uint64
+	until time.Time
+}
+
 // complete reports whether every run that may be on a worker of the partition
 // is in the books.
 func (p *part) complete(now time.Time) bool {
@@ -67,6 +76,9 @@
 		h.epoch = max(h.epoch, epoch)
 	}
 	f.drop(t.Partition)
+	if old := f.left[t.Partition]; old.epoch == t.Epoch {
+		p.claimAfter = old.until
+	}
 	f.parts[t.Partition] = p
 	f.mu.Unlock()
 	f.follow(f.cfg.Hosts(), now)
@@ -157,6 +169,7 @@
 		return
 	}
 	delete(f.parts, id)
+	f.left[id] = leftPart{epoch: p.epoch, until: time.Now().Add(f.times.call + f.times.margin)}
 	for _, a := range f.agents {
 		if a.part == p {
 			f.dropAgent(a)
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -8,14 +8,6 @@
 	"pulleyquay/internal/worker"
 )
 
-const (
-	// storeFresh is how long the store may be out of reach without counting as
-	// an outage in which deputies could act.
-	storeFresh = 3 * time.Second
-	// coverTerm bounds how long a deputy's right outlives the store's return.
-	coverTerm = 10 * time.Second
-)
-
 // batch is one call that waits for the outcomes of its slots.
 type batch struct {
 	results []taskmsg.SlotResult
@@ -87,6 +79,7 @@
 func (f *Fleet) forget(r *run) {
 	f.cell.Unreserve(r.id)
 	f.untell(r)
+	delete(f.lapsing, r)
 	if f.runs[r.id] == r {
 		delete(f.runs, r.id)
 	}
@@ -97,6 +90,9 @@
 
 // started notes that the worker runs the run.
 func (f *Fleet) started(r *run) {
+	if r.start != nil && r.start.RunMillis > 0 {
+		r.endsAt = time.Now().Add(time.Duration(r.start.RunMillis) * time.Millisecond)
+	}
 	r.state, r.start = runRunning, nil
 	f.metrics.starts.WithLabelValues("started").Inc()
 	f.answer(r, taskmsg.OutcomeStarted)
@@ -126,6 +122,7 @@
 	}
 	f.cell.Unreserve(r.id)
 	delete(r.agent.stops, r.id)
+	delete(f.lapsing, r)
 	r.state, r.start, r.exitCode = runEnded, nil, exitCode
 	f.tell(r, state)
 }
@@ -139,7 +136,7 @@
 	}
 	switch {
 	case w.State == worker.StateRunning:
-		f.observeRunning(r)
+		f.observeRunning(r, w, now)
 	case r.state == runAcked:
 		a.acks[id] = struct{}{} // the acknowledgement was lost
 	case w.State == worker.StateFinished:
@@ -161,12 +158,27 @@
 	}
 }
 
-func (f *Fleet) observeRunning(r *run) {
+func (f *Fleet) observeRunning(r *run, w *worker.Run, now time.Time) {
 	unknown := r.state == runUnknown
 	f.observeStart(r)
 	if unknown {
 		f.tell(r, taskmsg.RunRunning)
 	}
+	if r.state == runLapsing {
+		delete(f.lapsing, r)
+		r.state = runRunning
+		f.bookAdopted(r, w, now)
+	}
+}
+
+// lapse notes that a run is not at its worker any more. Its room there is free;
+// its home may have it started elsewhere only when its lease is over.
+func (f *Fleet) lapse(r *run, until time.Time) {
+	f.answer(r, taskmsg.OutcomeUnknown)
+	f.cell.Unreserve(r.id)
+	delete(r.agent.stops, r.id)
+	r.state, r.start = runLapsing, nil
+	f.lapsing[r] = until
 }
 
 // adopt books a run that this holder did not start. Its home is told of it and
@@ -176,11 +188,7 @@
 	if w.State != worker.StateRunning {
 		return r
 	}
-	started := now.Add(-time.Duration(a.clock.reading-w.Started) * time.Millisecond)
-	booked := scheduler.Run{Attempt: id, Home: w.Home, Kind: w.Kind, Size: w.Size, Urgent: w.Urgent}
-	if err := f.cell.Adopt(a.name, booked, started); err != nil {
-		f.log.WithError(err).Error("run not booked") // only for a worker that was never claimed
-	}
+	f.bookAdopted(r, w, now)
 	f.tell(r, taskmsg.RunRunning)
 	if f.tombs.Contains(id) {
 		a.stops[id] = worker.Kill
@@ -188,70 +196,11 @@
 	return r
 }
 
-// noteStore follows whether the store has been reached without a break.
-func (f *Fleet) noteStore(now time.Time) {
-	if f.storeSince.IsZero() || f.cfg.StoreAge != nil && f.cfg.StoreAge() > storeFresh {
-		f.storeSince = now
-	}
-}
-
-// mayDeclare reports whether no deputy can have renewed leases in this
-// process's name lately: the store has been there for as long as a deputy's
-// last renewal can be in force.
-func (f *Fleet) mayDeclare(now time.Time) bool {
-	return f.cfg.StoreAge == nil || now.Sub(f.storeSince) > f.times.leaseBound()+coverTerm
-}
-
-// declareLost ends the runs of workers whose leases are certainly over. The
-// right is asked for after the time has passed: while it is held no other
-// holder can have renewed them.
-func (f *Fleet) declareLost(now time.Time) {
-	f.noteStore(now)
-	if !f.mayDeclare(now) {
-		return
-	}
-	for _, a := range f.silent(now) {
-		grant, err := f.cfg.Right.Check(a.part.id)
-		if err != nil || grant.Epoch != a.part.epoch {
-			continue
-		}
-		f.mu.Lock()
-		if !a.gone && a.silent(now) {
-			f.loseAll(a, now)
-		}
-		f.mu.Unlock()
-	}
-}
-
-// silent lists the agents that have runs, do not answer, and are past the bound
-// of their leases.
-func (f *Fleet) silent(now time.Time) []*agent {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var out []*agent
-	for _, a := range f.agents {
-		if len(a.runs) > 0 && a.silent(now) {
-			out = append(out, a)
-		}
-	}
-	return out
-}
-
-// silent reports whether the worker does not answer and all leases on it are
-// over. A worker fenced by a higher epoch is not silent: its runs go on.
-func (a *agent) silent(now time.Time) bool {
-	return (a.claim == claimNone || a.claim == claimDoubt) && now.After(a.mayRunUntil)
-}
-
-func (f *Fleet) loseAll(a *agent, now time.Time) {
-	lost := 0
-	for _, r := range a.runs {
-		if r.state < runEnded {
-			f.endRun(r, taskmsg.RunLost, 0, now)
-			lost++
-		}
-	}
-	if lost > 0 {
-		f.log.WithFields(map[string]any{"worker": a.name, "runs": lost}).Warn("worker lost, leases over")
+// bookAdopted books a run that is known only from its worker.
+func (f *Fleet) bookAdopted(r *run, w *worker.Run, now time.Time) {
+	started := now.Add(-time.Duration(r.agent.clock.reading-w.Started) * time.Millisecond)
+	booked := scheduler.Run{Attempt: r.id, Home: w.Home, Kind: w.Kind, Size: w.Size, Urgent: w.Urgent}
+	if err := f.cell.Adopt(r.agent.name, booked, started); err != nil {
+		f.log.WithError(err).Error("run not booked") // only for a worker that was never claimed
 	}
 }
