Services named by their branch's service.name, deputies wired

Cause: two ways to find a service's branch were decided side by side; the one in the settings tree checks that no two branches name the same service, so it is the better, and the other goes. Change: entries and placers look services up in the tree; fleet renews for dead holders (deputy) and knows the store's age; the demonstration rewrites a whole branch, which is what a change replaces.

--- a/cmd/pulley-entry/process.go
+++ b/cmd/pulley-entry/process.go
@@ -42,7 +42,8 @@
 	p.callers = entry.NewHandler(entry.Config{
 		View: source{p}, Peers: p.node, Zone: s.Zone, Placer: s.Placers[0],
 		Settings: func(service string) (settings.Values, bool) {
-			return settings.ServiceValues(p.settings.Current(), service)
+			_, v, ok := p.settings.Current().Service(service)
+			return v, ok
 		},
 		Log: p.log, Metrics: d.Reg,
 	})
--- a/cmd/pulley-placer/lookup.go
+++ b/cmd/pulley-placer/lookup.go
@@ -45,12 +45,18 @@
 
 // branchValues returns the effective settings of a branch.
 func (p *placer) branchValues(branch string) (settings.Values, bool) {
-	return settings.BranchValues(p.settings.Current(), branch)
+	tree := p.settings.Current()
+	if tree == nil {
+		return settings.Values{}, false
+	}
+	v, err := tree.Effective(branch)
+	return v, err == nil
 }
 
 // serviceValues returns the effective settings of a service.
 func (p *placer) serviceValues(service string) (settings.Values, bool) {
-	return settings.ServiceValues(p.settings.Current(), service)
+	_, v, ok := p.settings.Current().Service(service)
+	return v, ok
 }
 
 // digests returns the room of every live member, this one's own included.
--- a/cmd/pulley-placer/placer.go
+++ b/cmd/pulley-placer/placer.go
@@ -123,8 +123,10 @@
 	p.fleet = fleet.New(fleet.Config{
 		Name: p.conf.Name, Partitions: p.conf.Holding.Partitions, Lease: p.conf.Holding.TaskLease.Std(),
 		Hosts: p.hosts.Hosts, Right: p.keeper, Client: workerhttp.NewClient(httponce.Options{}),
-		Peers: p.node, View: source{p}, Registerer: reg, Log: p.log,
+		Peers: p.node, View: source{p}, Covers: p.keeper, StoreAge: p.keeper.StoreAge,
+		Registerer: reg, Log: p.log,
 	})
+	p.keeper.SetDeputy(p.fleet)
 	for _, r := range []hold.Resident{p.requests, p.dispatch, p.jobs, p.fleet} {
 		p.keeper.AddResident(r)
 	}
--- a/internal/demo/steps.go
+++ b/internal/demo/steps.go
@@ -97,9 +97,22 @@
 	return nil
 }
 
+// changeBranch reads a branch, changes one value and writes the whole branch,
+// which is what a change replaces.
 func changeBranch(ctx context.Context, r *run) (string, error) {
 	start := time.Now()
-	err := r.change(ctx, object{"/regie/count": object{"request": object{"queue_limit": 500}}})
+	got, err := want(ctx, http.StatusOK, "GET", r.entry(0), "/v1/settings?path=/regie/count", nil, nil)
+	if err != nil {
+		return "", err
+	}
+	var branch struct {
+		Overrides map[string]object `json:"overrides"`
+	}
+	if err := json.Unmarshal(got.body, &branch); err != nil {
+		return "", err
+	}
+	branch.Overrides["request"]["queue_limit"] = 500
+	err = r.change(ctx, object{"/regie/count": branch.Overrides})
 	return fmt.Sprintf("in force at every placer after %d ms", time.Since(start).Milliseconds()), err
 }
 
@@ -157,7 +170,7 @@
 // postTicket posts ticket i and checks that the answer is its own.
 func (r *run) postTicket(ctx context.Context, i int, key string) error {
 	text := fmt.Sprintf("gully %d", i)
-	got, err := want(ctx, http.StatusOK, "POST", r.entry(i), "/v1/services/lakeshore.ledger/tickets",
+	got, err := want(ctx, http.StatusOK, "POST", r.entry(i), "/v1/services/ledger/tickets",
 		map[string]string{"Idempotency-Key": key}, text)
 	if err != nil {
 		return err
@@ -172,7 +185,7 @@
 	for i, key := range r.keys {
 		// i+1 is the other entry host; the body is that of ticket i.
 		text := fmt.Sprintf("gully %d", i)
-		got, err := want(ctx, http.StatusOK, "POST", r.entry(i+1), "/v1/services/lakeshore.ledger/tickets",
+		got, err := want(ctx, http.StatusOK, "POST", r.entry(i+1), "/v1/services/ledger/tickets",
 			map[string]string{"Idempotency-Key": key}, text)
 		if err != nil {
 			return "", err
@@ -186,7 +199,7 @@
 
 func readCounts(ctx context.Context, r *run) (string, error) {
 	for i := range reads {
-		path := fmt.Sprintf("/v1/services/regie.count/wren/%d", i)
+		path := fmt.Sprintf("/v1/services/count/wren/%d", i)
 		if _, err := want(ctx, http.StatusOK, "GET", r.entry(i), path, nil, nil); err != nil {
 			return "", err
 		}
--- a/internal/hold/report.go
+++ b/internal/hold/report.go
@@ -1,5 +1,7 @@
 package hold
 
+import "time"
+
 // PartitionKey returns the key of a partition's record in the store. A write
 // conditioned on that record's revision is refused once the partition has
 // another holder.
@@ -19,3 +21,14 @@
 	applied[k.Self().Name] = k.settings()
 	return applied
 }
+
+// StoreAge returns how long ago the last successful renewal was sent to the
+// store, or how long this process has run when there was none.
+func (k *Keeper) StoreAge() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if age := k.storeAge(); age >= 0 {
+		return age
+	}
+	return time.Since(k.started)
+}
