--- a/internal/job/explain.go
+++ b/internal/job/explain.go
@@ -9,15 +9,15 @@
 // explain tells where a job runs and what it waits for, from the home's record.
 func (h *home) explain(j *job) *jobmsg.Explanation {
 	e := &jobmsg.Explanation{
-		Sites:     j.sites(),
+		Sites:     j.visibleSites(),
 		Decisions: append([]jobmsg.Decision(nil), j.log.entries...),
 	}
-	waiting := len(j.ready) + len(j.later)
+	waiting := j.waiting() + j.paced
 	if waiting == 0 {
 		return e
 	}
 	values, _ := h.m.cfg.Values(j.rec.Job.Branch)
-	if h.quotaRoom(j, values.Quota) == 0 {
+	if h.ledger.Room(j.rec.Job.Team, values.Quota, j.rec.Job.Task.Size, 1) == 0 {
 		e.Waits = append(e.Waits, jobmsg.Wait{Tasks: waiting, For: "the quota of team " + j.rec.Job.Team, Freed: "the end of other work of the team, or a larger quota in branch " + j.rec.Job.Branch})
 	}
 	members := make([]string, 0, len(j.holders))
@@ -44,6 +44,14 @@
 	return jobmsg.Wait{}, false
 }
 
+// visibleSites lists the sites unless the job is a gang that does not run whole.
+func (j *job) visibleSites() []jobmsg.Site {
+	if j.isGang() && !j.gang.is(gangUp) {
+		return []jobmsg.Site{}
+	}
+	return j.sites()
+}
+
 // sites lists the workers that run tasks of the job.
 func (j *job) sites() []jobmsg.Site {
 	byWorker := map[string]*jobmsg.Site{}
--- a/internal/job/flush.go
+++ b/internal/job/flush.go
@@ -106,6 +106,7 @@
 		// Only this home writes the partition's records, so what is there is an
 		// earlier write of its own whose answer was lost: write on top of it.
 		j.revision, j.certain = conflict.Found.ModRevision, true
+		h.findUpdate(j, conflict.Found)
 	default:
 		h.backOff(now)
 	}
--- a/internal/job/home.go
+++ b/internal/job/home.go
@@ -8,6 +8,8 @@
 	"github.com/looplab/fsm"
 	"github.com/sirupsen/logrus"
 
+	"pulleyquay/internal/fairshare"
+	"pulleyquay/internal/health"
 	"pulleyquay/internal/hold"
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/recorder"
@@ -34,6 +36,14 @@
 // a change of the table.
 const restInterval = 500 * time.Millisecond
 
+// Lost tasks are replaced at this pace in each home; what an ordinary worker
+// runs for one home fits the burst.
+const (
+	replacePerSecond = 50
+	replaceBurst     = 128
+	pacerPoll        = 100 * time.Millisecond
+)
+
 // attemptShift leaves room for 2^32 starts within an epoch: an attempt's number
 // is the home's epoch and a counter, so that no number is ever used twice,
 // whoever holds the partition, without a write for each start.
@@ -52,33 +62,35 @@
 	wake   chan struct{}
 	work   sync.WaitGroup // the loop, the recorder and calls under way
 
-	mu       sync.Mutex
-	phase    phase
-	quiet    bool // true once released: nothing new is decided
-	machine  *fsm.FSM
-	jobs     map[string]*job
-	live     map[string]*job // those that are not final
-	changed  map[string]*job // those whose record is newer than the store's
-	starts   int             // counter in attempt numbers
-	teams    map[string]*team
-	sites    map[string]*site
-	doubts   map[worker.Attempt]*doubt
-	asked    map[string]*askedRoom
-	busy     map[string]int // calls under way by address of the holder
-	probeAt  time.Time
-	covered  map[int]uint64 // epoch of each worker partition's complete inventory
-	checking bool           // an inventory round is under way
-	nextAsk  time.Time      // earliest next inventory round
-	flushAt  time.Time      // earliest next write of progress
-	flushGap time.Duration
-	writing  int           // records under way to the store
-	written  chan struct{} // closed and made anew after each write
-}
-
-// team is what the home counts of one team.
-type team struct {
-	use  spec.Resources // of all tasks that run or may run
-	jobs int            // live ones
+	mu        sync.Mutex
+	phase     phase
+	quiet     bool // true once released: nothing new is decided
+	machine   *fsm.FSM
+	jobs      map[string]*job
+	live      map[string]*job // those that are not final
+	waiting   map[string]*job // those with tasks that wait for a start
+	halting   map[string]*job // those with tasks to stop
+	attention map[string]*job // services to look at
+	deadlines []deadline      // in order of time
+	changed   map[string]*job // those whose record is newer than the store's
+	starts    int             // counter in attempt numbers
+	ledger    *fairshare.Ledger
+	queue     *fairshare.Queue
+	health    *health.Jobs
+	pacer     *health.Pacer
+	gangs     *fsm.FSM // shared by all gangs
+	sites     map[string]*site
+	doubts    map[worker.Attempt]*doubt
+	asked     map[string]*askedRoom
+	busy      map[string]int // calls under way by address of the holder
+	probeAt   time.Time
+	covered   map[int]uint64 // epoch of each worker partition's complete inventory
+	checking  bool           // an inventory round is under way
+	nextAsk   time.Time      // earliest next inventory round
+	flushAt   time.Time      // earliest next write of progress
+	flushGap  time.Duration
+	writing   int           // records under way to the store
+	written   chan struct{} // closed and made anew after each write
 }
 
 // DumpTeam is one team in the dump.
@@ -94,7 +106,10 @@
 		log: m.cfg.Log.WithFields(logrus.Fields{"partition": t.Partition, "epoch": t.Epoch}),
 		ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1),
 		machine: newMachine(),
-		jobs:    map[string]*job{}, live: map[string]*job{}, changed: map[string]*job{}, teams: map[string]*team{},
+		jobs:    map[string]*job{}, live: map[string]*job{}, changed: map[string]*job{}, waiting: map[string]*job{}, halting: map[string]*job{}, attention: map[string]*job{},
+		ledger: fairshare.NewLedger(), queue: fairshare.NewQueue(fairshare.DefaultConfig()),
+		health: health.NewJobs(health.DefaultConfig()), pacer: health.NewPacer(replacePerSecond, replaceBurst),
+		gangs: newGangMachine(),
 		sites: map[string]*site{}, doubts: map[worker.Attempt]*doubt{},
 		asked: map[string]*askedRoom{}, busy: map[string]int{}, covered: map[int]uint64{},
 		written: make(chan struct{}),
@@ -165,6 +180,8 @@
 		return restInterval
 	}
 	h.endDueJobs(now)
+	h.replaceLost(now)
+	h.planServices(now)
 	h.planStops(table, now)
 	h.planStarts(table, now)
 	return h.nextDue(now)
@@ -173,7 +190,13 @@
 // nextDue returns how long nothing becomes due, at most restInterval.
 func (h *home) nextDue(now time.Time) time.Duration {
 	next := now.Add(restInterval)
-	for _, j := range h.live {
+	if h.pacer.Len() > 0 {
+		next = now.Add(pacerPoll)
+	}
+	for _, j := range h.waiting {
+		if j.gang.notBefore.After(now) && j.gang.notBefore.Before(next) {
+			next = j.gang.notBefore
+		}
 		for _, d := range j.later {
 			if d.due.Before(next) {
 				next = d.due
@@ -231,15 +254,6 @@
 // self is how the home names itself to holders.
 func (h *home) self() taskmsg.Home { return taskmsg.Home{Partition: h.partition, Epoch: h.epoch} }
 
-func (h *home) team(name string) *team {
-	t := h.teams[name]
-	if t == nil {
-		t = &team{}
-		h.teams[name] = t
-	}
-	return t
-}
-
 func (h *home) dump() DumpHome {
 	table := h.m.cfg.Source.Table()
 	h.mu.Lock()
@@ -254,8 +268,9 @@
 			d.Unwritten++
 		}
 	}
-	for name, t := range h.teams {
-		d.Teams[name] = DumpTeam{Use: t.use, Jobs: t.jobs}
+	for _, j := range h.live {
+		name := j.rec.Job.Team
+		d.Teams[name] = DumpTeam{Use: h.ledger.Used(name), Jobs: d.Teams[name].Jobs + 1}
 	}
 	return d
 }
--- a/internal/job/load.go
+++ b/internal/job/load.go
@@ -82,10 +82,3 @@
 	h.log.WithField("jobs", len(records)).Info("job records read")
 	return true
 }
-
-// add puts a live job into the table.
-func (h *home) add(j *job) {
-	h.jobs[j.id()] = j
-	h.live[j.id()] = j
-	h.team(j.rec.Job.Team).jobs++
-}
--- a/internal/job/news.go
+++ b/internal/job/news.go
@@ -54,8 +54,15 @@
 		return unknownRun(n)
 	case j.rec.State.Final():
 		return h.applyToEnded(j, n)
-	case index < 0 || index >= len(j.tasks):
+	case index < 0 || index >= maxTasks:
 		return unknownRun(n)
+	case index >= len(j.tasks):
+		if !j.isService() || !h.recovering(j) {
+			return unknownRun(n)
+		}
+		// A replica above the set number, from a change that is under way.
+		j.tasks = append(j.tasks, make([]task, index+1-len(j.tasks))...)
+		return h.apply(n, now)
 	case n.State == taskmsg.RunRunning:
 		return h.applyRunning(j, index, n)
 	default:
@@ -106,7 +113,9 @@
 // adopt takes a run over that an earlier home started.
 func (h *home) adopt(j *job, index int, n taskmsg.RunNews) {
 	j.tasks[index] = task{attempt: n.Run.Attempt, state: taskOrdered}
-	h.hold(j)
+	j.active++
+	_, size := j.rec.specOf(n.Run.Attempt)
+	h.ledger.Restore(j.rec.Job.Team, j.account(n.Run.Attempt), size, 1)
 	h.runs(j, index, h.site(n.Worker, n.Zone, n.Partition), n.Epoch)
 }
 
@@ -134,12 +143,11 @@
 	case n.State == taskmsg.RunFinished:
 		h.failed(j, index, n, now)
 	case n.State == taskmsg.RunLost:
-		h.m.metrics.lost.Inc()
-		j.log.add(now, "lost", "worker "+n.Worker+" is gone")
-		h.again(j, index, 0, now)
+		h.lost(j, index, "worker "+n.Worker+" is gone", now)
 	case n.State == taskmsg.RunPreempted:
 		h.m.metrics.preempted.Inc()
 		j.log.add(now, "preempted", "stopped on "+n.Worker+" to make room")
+		j.tasks[index].spared = true
 		h.again(j, index, failurePauseMin, now)
 	default:
 		h.again(j, index, 0, now)
--- a/internal/job/place.go
+++ b/internal/job/place.go
@@ -2,22 +2,22 @@
 
 import (
 	"context"
-	"sort"
+	"maps"
 	"time"
 
+	"pulleyquay/internal/fairshare"
 	"pulleyquay/internal/peer"
 	"pulleyquay/internal/result"
 	"pulleyquay/internal/settings"
-	"pulleyquay/internal/spec"
 	"pulleyquay/internal/taskmsg"
 	"pulleyquay/internal/view"
 )
 
 // Limits of asking holders to start tasks.
 const (
-	maxBatch       = 256 // slots in one message
-	maxCalls       = 4   // calls under way to one holder
-	placeTimeout   = 5 * time.Second
+	maxBatch       = 256             // slots in one message
+	maxCalls       = 4               // calls under way to one holder
+	placeTimeout   = 8 * time.Second // longer than a holder's preemption takes
 	refusedPause   = 200 * time.Millisecond
 	refusedLongest = 3 * time.Second
 	probeInterval  = time.Second
@@ -25,60 +25,48 @@
 
 // planStarts decides what to start where and sends it off.
 func (h *home) planStarts(table *view.Table, now time.Time) {
-	queue := h.startable(now)
-	if len(queue) == 0 || table == nil {
+	if len(h.waiting) == 0 || table == nil {
 		return
 	}
 	holders := holdersOf(table, h.m.cfg.Digests())
-	for _, j := range queue {
-		values, ok := h.m.cfg.Values(j.rec.Job.Branch)
-		if !ok {
-			j.log.add(now, "waiting", "the settings have no branch "+j.rec.Job.Branch+" any more")
+	for _, pick := range merge(h.round(holders, now)) {
+		j := h.waiting[pick.Job]
+		if j == nil {
 			continue
 		}
-		if j.rec.Job.Kind == spec.KindGang {
+		values, ok := h.m.cfg.Values(j.rec.Job.Branch)
+		switch {
+		case !ok:
+			j.log.add(now, "waiting", "the settings have no branch "+j.rec.Job.Branch+" any more")
+		case j.isGang() && j.gang.is(gangIdle):
 			h.planGang(j, values, holders, now)
-			continue
+		default:
+			h.planJob(j, values, holders, pick.Tasks, now)
 		}
-		h.planJob(j, values, holders, now)
 	}
 }
 
-// startable returns the jobs with tasks to start, most urgent first.
-func (h *home) startable(now time.Time) []*job {
-	var queue []*job
-	for _, j := range h.live {
-		if !j.certain || j.ending() || h.recovering(j) {
+// merge joins picks of the same job that follow each other, for larger messages.
+func merge(picks []fairshare.Pick) []fairshare.Pick {
+	out := picks[:0]
+	for _, p := range picks {
+		if n := len(out); n > 0 && out[n-1].Job == p.Job {
+			out[n-1].Tasks += p.Tasks
 			continue
 		}
-		j.promote(now)
-		if len(j.ready) > 0 {
-			queue = append(queue, j)
-		}
-	}
-	sort.Slice(queue, func(a, b int) bool { return before(queue[a].rec, queue[b].rec) })
-	return queue
-}
-
-// before orders jobs: urgent ones, then the earliest submitted.
-func before(a, b *record) bool {
-	if a.Job.Urgent != b.Job.Urgent {
-		return a.Job.Urgent
+		out = append(out, p)
 	}
-	if a.Submitted != b.Submitted {
-		return a.Submitted < b.Submitted
-	}
-	return a.Job.ID < b.Job.ID
+	return out
 }
 
-// planJob starts as many tasks of a job as quota and holders seem to allow.
-func (h *home) planJob(j *job, values settings.Values, holders []holder, now time.Time) {
-	n := min(len(j.ready), h.quotaRoom(j, values.Quota))
+// planJob starts up to n tasks of a job, as quota and holders seem to allow.
+func (h *home) planJob(j *job, values settings.Values, holders []holder, n int, now time.Time) {
+	n = h.ledger.Room(j.rec.Job.Team, values.Quota, j.rec.Job.Task.Size, min(n, len(j.ready)))
 	if n == 0 {
 		j.log.add(now, "waiting", "the quota of team "+j.rec.Job.Team+" is used up")
 		return
 	}
-	shares := h.shares(j, holders, now)
+	shares, preempt := h.shares(j, holders, n, now)
 	if len(shares) == 0 {
 		j.log.add(now, "waiting", "no holder has room")
 		return
@@ -86,84 +74,73 @@
 	divide(n, shares, values.Placement.Policy)
 	for _, s := range shares {
 		if s.n > 0 {
-			h.order(j, values, s, now)
-		}
-	}
-}
-
-// quotaRoom returns how many more tasks of a job its team's quota allows.
-func (h *home) quotaRoom(j *job, q settings.Quota) int {
-	use := h.team(j.rec.Job.Team).use
-	left := func(limit, used int64) int64 {
-		if limit < 0 {
-			return 1 << 50
+			h.order(j, values, s, preempt, now)
 		}
-		return limit - used
 	}
-	return int(times(j.size, spec.Resources{
-		MilliCPU:     left(q.MilliCPU, use.MilliCPU),
-		MemoryMiB:    left(q.MemoryMiB, use.MemoryMiB),
-		Accelerators: left(q.Accelerators, use.Accelerators),
-	}))
+	h.enqueue(j)
 }
 
-// shares returns the holders that may be asked now. When none seems to have
-// room, one is asked for one task now and then, as digests are only hints.
-func (h *home) shares(j *job, holders []holder, now time.Time) []share {
-	var out []share
-	var probe *share
+// shares returns the holders that may be asked now for up to n tasks. When none
+// seems to have room, urgent work makes the holders preempt; for other work one
+// holder is asked for one task now and then, as digests are only hints.
+func (h *home) shares(j *job, holders []holder, n int, now time.Time) (out []share, preempt bool) {
+	var full []share
 	for _, at := range holders {
-		if h.busy[at.addr] >= maxCalls || j.memory(at.member).until.After(now) {
+		m := j.memory(at.member)
+		if h.busy[at.addr] >= maxCalls || m.until.After(now) {
 			continue
 		}
-		n, ever := h.room(j.rec.Job.Task, at, now)
-		if n > 0 {
-			out = append(out, share{holder: at, room: min(n, maxBatch)})
-		} else if ever && probe == nil {
-			probe = &share{holder: at, room: 1}
+		room, ever := h.room(j.rec.Job.Task, at, now)
+		if room > 0 && !(j.rec.Job.Urgent && m.pause > 0) {
+			out = append(out, share{holder: at, room: min(room, maxBatch)})
+		} else if ever {
+			full = append(full, share{holder: at, room: 1})
 		}
 	}
-	if len(out) > 0 || probe == nil {
-		return out
-	}
-	if !j.rec.Job.Urgent && now.Before(h.probeAt) {
-		return nil
+	switch {
+	case len(out) > 0 || len(full) == 0:
+		return out, false
+	case j.rec.Job.Urgent:
+		for i := range full {
+			full[i].room = (n + len(full) - 1) / len(full)
+		}
+		return full, true
+	case now.Before(h.probeAt):
+		return nil, false
 	}
 	h.probeAt = now.Add(probeInterval)
-	return []share{*probe}
+	return full[:1], false
 }
 
 // order takes tasks from the ready ones and asks a holder to start them.
-func (h *home) order(j *job, values settings.Values, s share, now time.Time) {
+func (h *home) order(j *job, values settings.Values, s share, preempt bool, now time.Time) {
 	n := min(s.n, len(j.ready))
+	size := j.rec.Job.Task.Size
+	if n == 0 || h.ledger.Reserve(j.rec.Job.Team, j.accountOf(j.rec.Generation), values.Quota, size, n) != nil {
+		return
+	}
 	slots := make([]taskmsg.Slot, 0, n)
 	for _, index := range j.ready[:n] {
-		slots = append(slots, taskmsg.Slot{Index: index, Attempt: h.reserve(j, index)})
+		slots = append(slots, h.reserve(j, index))
 	}
 	j.ready = j.ready[n:]
 	a := h.askedOf(s.holder, now)
-	a.asked = a.asked.Add(j.size.Times(int64(n)))
+	a.asked = a.asked.Add(size.Times(int64(n)))
 	h.busy[s.addr]++
 	h.m.metrics.ordered.Add(float64(n))
-	req := taskmsg.PlaceRequest{
-		Home: h.self(), Shape: h.shape(j, values), Slots: slots,
-		Preempt: j.rec.Job.Urgent && j.memory(s.member).pause > 0,
-	}
+	req := taskmsg.PlaceRequest{Home: h.self(), Shape: h.shape(j, values), Slots: slots, Preempt: preempt}
 	h.work.Go(func() { h.place(j, s.holder, req) })
 }
 
 // shape describes a job's tasks to holders.
 func (h *home) shape(j *job, values settings.Values) taskmsg.Shape {
-	zones := make(map[string]int, len(j.zones))
-	for z, n := range j.zones {
-		zones[z] = n
-	}
 	return taskmsg.Shape{
 		Job: j.id(), Kind: j.rec.Job.Kind, Urgent: j.rec.Job.Urgent, Task: j.rec.Job.Task,
-		Avoid: append([]string(nil), j.avoid...), Zones: zones,
+		Avoid: h.health.Avoid(j.id()), Zones: maps.Clone(j.zones),
 		Policy: taskmsg.Policy{
 			Name: values.Placement.Policy, SpreadZones: values.Placement.SpreadZones,
-			SpreadRacks: values.Placement.SpreadRacks, LeaseMS: values.Task.LeaseMS, Priority: values.Task.Priority,
+			SpreadRacks: values.Placement.SpreadRacks, LeaseMS: values.Task.LeaseMS,
+			Priority: values.Task.Priority, MinReplicas: values.Task.MinReplicas,
 		},
 	}
 }
--- a/internal/job/query.go
+++ b/internal/job/query.go
@@ -156,26 +156,43 @@
 	s := jobmsg.Status{
 		Job: j.rec.Job, State: j.rec.State, Reason: j.rec.Reason, Code: int(j.rec.Code),
 		SubmittedUnixMilli: j.rec.Submitted, Recorded: !j.dirty && j.certain,
-		Partition: h.partition, Epoch: h.epoch,
+		Partition: h.partition, Epoch: h.epoch, Generation: j.rec.Generation,
 	}
 	for _, n := range j.rec.Failures {
 		s.Counts.Failures += n
 	}
 	s.Counts.Finished = j.rec.Done.count()
+	j.count(&s.Counts)
+	if n := len(j.log.entries); s.Reason == "" && !j.rec.State.Final() && s.Counts.Waiting > 0 && n > 0 {
+		s.Reason = j.log.entries[n-1].What + ": " + j.log.entries[n-1].Why
+	}
+	return s
+}
+
+// count counts the tasks by state. A gang shows as running only once all of it
+// runs; until then its tasks count as starting, or as stopping when it is being
+// broken up.
+func (j *job) count(c *jobmsg.Counts) {
+	running := &c.Running
+	switch {
+	case j.isGang() && j.gang.is(gangBreaking):
+		running = &c.Stopping
+	case j.isGang() && !j.gang.is(gangUp):
+		running = &c.Starting
+	}
 	for i := range j.tasks {
 		switch j.tasks[i].state {
 		case taskPending:
-			s.Counts.Waiting++
+			c.Waiting++
 		case taskOrdered, taskDoubt:
-			s.Counts.Starting++
+			c.Starting++
 		case taskRunning:
-			s.Counts.Running++
+			*running++
 		case taskStopping:
-			s.Counts.Stopping++
+			c.Stopping++
 		}
 	}
-	if n := len(j.log.entries); s.Reason == "" && !j.rec.State.Final() && s.Counts.Waiting > 0 && n > 0 {
-		s.Reason = j.log.entries[n-1].What + ": " + j.log.entries[n-1].Why
+	if j.isService() {
+		c.Waiting = len(j.ready) + len(j.later) + j.paced
 	}
-	return s
 }
--- a/internal/job/reconcile.go
+++ b/internal/job/reconcile.go
@@ -90,13 +90,22 @@
 	h.log.Info("all inventories are in, jobs resume")
 	for _, j := range h.live {
 		if j.recoverable {
-			j.enlist()
-			j.log.add(now, "resumed", "every holder has told what runs")
+			h.resume(j, now)
 		}
 		h.settle(j, now)
 	}
 }
 
+// resume lets a job that an earlier home ran go on.
+func (h *home) resume(j *job, now time.Time) {
+	j.log.add(now, "resumed", "every holder has told what runs")
+	if j.isGang() {
+		h.recoverGang(j, now)
+		return
+	}
+	h.enlist(j)
+}
+
 // inventories asks all addresses at once and waits for them.
 func (h *home) inventories(addrs map[string]bool) {
 	var wait sync.WaitGroup
@@ -167,10 +176,9 @@
 			if t.at == nil || !t.active() || t.epoch >= newer[t.at.partition] || seen[j.run(i)] {
 				continue
 			}
-			h.m.metrics.lost.Inc()
-			j.log.add(now, "lost", "worker "+t.at.worker+" does not run it any more")
+			why := "worker " + t.at.worker + " does not run it any more"
 			h.freed(j, i)
-			h.again(j, i, 0, now)
+			h.lost(j, i, why, now)
 		}
 		h.settle(j, now)
 	}
--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/bits"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
 	"pulleyquay/internal/jobmsg"
@@ -25,6 +26,12 @@
 	Failures  map[int]int  `cbor:"8,keyasint,omitempty"` // by task index
 	// Origin is the epoch of the home that accepted the job.
 	Origin uint64 `cbor:"9,keyasint"`
+	// Generation counts the changes of a service's specification; Past holds
+	// earlier ones of which tasks may still run.
+	Generation int        `cbor:"10,keyasint,omitempty"`
+	Past       []pastSpec `cbor:"11,keyasint,omitempty"`
+	// Submission identifies the specification as first submitted.
+	Submission uint64 `cbor:"12,keyasint"`
 }
 
 // keyPrefix returns the prefix of the records of a partition's jobs.
@@ -43,14 +50,29 @@
 	return r, nil
 }
 
-// sameSpec reports whether two jobs are the same apart from nothing: an
-// idempotent submit repeats every field.
-func sameSpec(a, b spec.Job) bool {
-	x, errX := cbor.Marshal(a)
-	y, errY := cbor.Marshal(b)
-	return errX == nil && errY == nil && string(x) == string(y)
+// fingerprint identifies a specification with all its fields.
+func fingerprint(j spec.Job) uint64 {
+	b, err := sorted.Marshal(j)
+	if err != nil {
+		return 0 // plain data always encodes
+	}
+	return xxhash.Sum64(b)
+}
+
+// sorted encodes maps in one order, so that equal values give equal bytes.
+var sorted = newSortedMode()
+
+func newSortedMode() cbor.EncMode {
+	mode, err := cbor.CanonicalEncOptions().EncMode()
+	if err != nil {
+		panic(err) // only for contradictory options
+	}
+	return mode
 }
 
+// sameSpec reports whether two specifications agree in every field.
+func sameSpec(a, b spec.Job) bool { return fingerprint(a) == fingerprint(b) }
+
 // bitmap is a set of small numbers.
 type bitmap []byte
 
--- a/internal/job/register.go
+++ b/internal/job/register.go
@@ -8,5 +8,6 @@
 	peer.Handle(mux, peer.KindJobGet, m.Get)
 	peer.Handle(mux, peer.KindJobList, m.List)
 	peer.Handle(mux, peer.KindJobCancel, m.Cancel)
+	peer.Handle(mux, peer.KindJobUpdate, m.Update)
 	peer.Handle(mux, peer.KindTaskNews, m.TaskNews)
 }
--- a/internal/job/stop.go
+++ b/internal/job/stop.go
@@ -27,12 +27,14 @@
 		}
 	}
 	byAddr := map[string][]worker.Attempt{}
-	for _, j := range h.live {
-		if !j.ending() || j.active == 0 || now.Before(j.stopAt) {
+	for id, j := range h.halting {
+		if now.Before(j.stopAt) {
 			continue
 		}
 		j.stopAt = now.Add(stopRepeat)
-		h.collectStops(j, addrs, byAddr)
+		if !h.collectStops(j, addrs, byAddr) && !j.ending() && !j.gang.is(gangBreaking) {
+			delete(h.halting, id)
+		}
 	}
 	for addr, runs := range byAddr {
 		for len(runs) > 0 {
@@ -44,27 +46,32 @@
 	}
 }
 
-// collectStops adds the runs of an ending job to what each holder is to stop.
-func (h *home) collectStops(j *job, addrs map[int]string, byAddr map[string][]worker.Attempt) {
+// collectStops adds the runs of a job that have to end to what each holder is to
+// stop, and reports whether there are any.
+func (h *home) collectStops(j *job, addrs map[int]string, byAddr map[string][]worker.Attempt) bool {
+	whole := j.ending() || j.gang.is(gangBreaking)
+	found := false
 	for i := range j.tasks {
 		t := &j.tasks[i]
-		if t.at == nil || !t.active() {
-			continue
-		}
-		if t.state == taskRunning {
+		if whole && t.state == taskRunning {
 			t.state = taskStopping
 			j.running--
 		}
+		if t.state != taskStopping || t.at == nil {
+			continue
+		}
+		found = true
 		if addr := addrs[t.at.partition]; addr != "" {
 			byAddr[addr] = append(byAddr[addr], j.run(i))
 		}
 	}
+	return found
 }
 
 // sendStops sends one batch. A run that its present holder does not know, in a
 // partition whose inventory is complete, does not run any more.
 func (h *home) sendStops(addr string, runs []worker.Attempt) {
-	reply, err := h.stopRuns(addr, runs, "its job ends")
+	reply, err := h.stopRuns(addr, runs, "the home of the job ends it")
 	if err != nil || len(reply.Unknown) == 0 {
 		return
 	}
@@ -86,6 +93,7 @@
 			continue
 		}
 		h.freed(j, run.Task.Index)
+		h.again(j, run.Task.Index, 0, now)
 		h.settle(j, now)
 	}
 	h.rouse()
--- a/internal/job/submit.go
+++ b/internal/job/submit.go
@@ -75,7 +75,7 @@
 		return nil, false, result.New(result.JobHomeRecovering, result.RanNo, "the home of team %s is %s", s.Team, phaseNames[h.phase]).Later(retryLoading)
 	}
 	if j := h.jobs[s.ID]; j != nil {
-		if !sameSpec(j.rec.Job, s) {
+		if j.rec.Submission != fingerprint(s) {
 			return nil, false, result.New(result.JobIDReused, result.RanNo, "job %s was submitted before with another specification", s.ID).At("id")
 		}
 		return j, false, nil
@@ -95,10 +95,10 @@
 	if len(h.live) >= maxLiveJobs {
 		return nil, false, result.New(result.JobTooMany, result.RanNo, "the home of team %s holds %d jobs", s.Team, len(h.live)).Later(retryTooMany)
 	}
-	j = newJob(&record{Job: s, Submitted: now.UnixMilli(), State: jobmsg.StateWaiting, Origin: h.epoch})
+	j = newJob(&record{Job: s, Submitted: now.UnixMilli(), State: jobmsg.StateWaiting, Origin: h.epoch, Generation: 1, Submission: fingerprint(s)})
 	j.answered = make(chan struct{})
-	j.enlist()
 	h.add(j)
+	h.enlist(j)
 	j.version++
 	return j, true, nil
 }
@@ -161,7 +161,9 @@
 	delete(h.jobs, j.id())
 	delete(h.live, j.id())
 	delete(h.changed, j.id())
-	h.team(j.rec.Job.Team).jobs--
+	delete(h.waiting, j.id())
+	delete(h.attention, j.id())
+	h.queue.Remove(j.id())
 }
 
 // answer tells a submitter what became of the job.
--- a/internal/job/task.go
+++ b/internal/job/task.go
@@ -31,12 +31,16 @@
 
 // task is the home's row for one task of one job.
 type task struct {
-	attempt int // of the present run; meaningless while pending
+	attempt int // of the present run, or of the latest while pending
 	epoch   uint64
 	at      *site // nil while it is not known
 	state   taskState
+	spared  bool // the latest attempt was preempted
 }
 
+// active reports whether the task may run, so that it holds quota.
+func (t *task) active() bool { return t.state != taskPending && t.state != taskDone }
+
 // delayed is a pending task that must not start before a moment.
 type delayed struct {
 	index int
@@ -45,8 +49,7 @@
 
 // job is one job in its home's memory. The home's lock guards it.
 type job struct {
-	rec  *record
-	size spec.Resources
+	rec *record
 	// revision is that of the job's record in the store; zero before the first.
 	revision platform.Revision
 	// dirty says that rec is newer than the store's record; version counts
@@ -67,16 +70,20 @@
 	running int // tasks in taskRunning
 	active  int // tasks that hold quota: all but pending and done
 	done    int // tasks in taskDone
+	// since is when the job began to wait for its present tasks.
+	since time.Time
 	// recorded holds the finished tasks that the store knows of.
 	recorded bitmap
 	zones    map[string]int
-	avoid    []string
 	// recoverable jobs may have runs started by an earlier home, so nothing of
 	// them starts before every holder has told what runs.
 	recoverable bool
-	holders     map[string]*holderMemory
-	stopAt      time.Time // when stops are sent again
-	log         decisionLog
+	// paced counts a service's tasks whose replacement is held back for a while.
+	paced   int
+	holders map[string]*holderMemory
+	gang    gang
+	stopAt  time.Time // when stops are sent again
+	log     decisionLog
 }
 
 // holderMemory is what a job remembers of one holder's refusals.
@@ -90,8 +97,7 @@
 func newJob(rec *record) *job {
 	j := &job{
 		rec:     rec,
-		size:    rec.Job.Task.Size,
-		tasks:   make([]task, rec.Job.Tasks),
+		since:   time.UnixMilli(rec.Submitted),
 		zones:   map[string]int{},
 		holders: map[string]*holderMemory{},
 	}
@@ -102,9 +108,9 @@
 		j.recorded = append(bitmap(nil), rec.Done...)
 	}
 	if rec.State.Final() {
-		j.tasks = nil
 		return j
 	}
+	j.tasks = make([]task, rec.Job.Tasks)
 	for i := range j.tasks {
 		if rec.Done.has(i) {
 			j.tasks[i].state = taskDone
@@ -117,6 +123,10 @@
 // id returns the job's identifier.
 func (j *job) id() string { return j.rec.Job.ID }
 
+func (j *job) isGang() bool { return j.rec.Job.Kind == spec.KindGang }
+
+func (j *job) isService() bool { return j.rec.Job.Kind == spec.KindService }
+
 // ending reports whether no further task of the job may start.
 func (j *job) ending() bool { return j.rec.Code != 0 || j.rec.State.Final() }
 
@@ -125,35 +135,11 @@
 	return worker.Attempt{Task: spec.TaskID{Job: j.id(), Index: index}, Attempt: j.tasks[index].attempt}
 }
 
-// enlist makes all pending tasks ready to start.
-func (j *job) enlist() {
-	j.ready, j.later = nil, nil
-	if j.ending() {
-		return
-	}
-	for i := range j.tasks {
-		if j.tasks[i].state == taskPending {
-			j.ready = append(j.ready, i)
-		}
-	}
-}
-
-// promote moves delayed tasks that are due to the ready ones.
-func (j *job) promote(now time.Time) {
-	rest := j.later[:0]
-	for _, d := range j.later {
-		if d.due.After(now) {
-			rest = append(rest, d)
-			continue
-		}
-		j.ready = append(j.ready, d.index)
-	}
-	j.later = rest
-}
-
 // pending makes a task wait for its next start, no earlier than due.
 func (j *job) pending(index int, due, now time.Time) {
-	j.tasks[index].state = taskPending
+	if len(j.ready)+len(j.later) == 0 {
+		j.since = now
+	}
 	if due.After(now) {
 		j.later = append(j.later, delayed{index, due})
 		return
@@ -170,3 +156,16 @@
 	}
 	return m
 }
+
+// promote moves delayed tasks that are due to the ready ones.
+func (j *job) promote(now time.Time) {
+	rest := j.later[:0]
+	for _, d := range j.later {
+		if d.due.After(now) {
+			rest = append(rest, d)
+			continue
+		}
+		j.ready = append(j.ready, d.index)
+	}
+	j.later = rest
+}
--- a/internal/job/transition.go
+++ b/internal/job/transition.go
@@ -1,8 +1,10 @@
 package job
 
 import (
+	"strconv"
 	"time"
 
+	"pulleyquay/internal/health"
 	"pulleyquay/internal/result"
 	"pulleyquay/internal/spec"
 	"pulleyquay/internal/taskmsg"
@@ -14,29 +16,17 @@
 	failurePauseMax = 30 * time.Second
 )
 
-// maxAvoid bounds how many workers a job avoids.
-const maxAvoid = 16
-
-// reserve gives a pending task its next attempt and takes its size out of the
-// team's quota. The caller has removed the task from the ready ones.
-func (h *home) reserve(j *job, index int) int {
+// reserve gives a pending task its next attempt. The caller has taken the task
+// from the ready ones and its size out of the quota.
+func (h *home) reserve(j *job, index int) taskmsg.Slot {
 	h.starts++
 	t := &j.tasks[index]
-	*t = task{attempt: int(h.epoch)<<attemptShift | h.starts, state: taskOrdered}
-	h.hold(j)
-	return t.attempt
-}
-
-// hold takes one task's size out of the team's quota.
-func (h *home) hold(j *job) {
+	spared := t.spared
+	*t = task{attempt: int(h.epoch)<<attemptShift | h.starts, state: taskOrdered, spared: spared}
 	j.active++
-	tm := h.team(j.rec.Job.Team)
-	tm.use = tm.use.Add(j.size)
+	return taskmsg.Slot{Index: index, Attempt: t.attempt, Spared: spared}
 }
 
-// active reports whether the task may run, so that it holds quota.
-func (t *task) active() bool { return t.state != taskPending && t.state != taskDone }
-
 // runs notes that the present attempt of a task runs on a worker.
 func (h *home) runs(j *job, index int, at *site, epoch uint64) {
 	t := &j.tasks[index]
@@ -48,7 +38,12 @@
 		j.running++
 	}
 	delete(h.doubts, j.run(index))
+	if j.isGang() {
+		h.gangRuns(j)
+		return
+	}
 	h.move(j, eventStarted)
+	h.attend(j)
 }
 
 // leaveSite takes a task out of the counts of running ones.
@@ -72,20 +67,77 @@
 	delete(h.doubts, j.run(index))
 	h.leaveSite(j, t)
 	j.active--
-	tm := h.team(j.rec.Job.Team)
-	tm.use = tm.use.Sub(j.size)
+	h.ledger.Release(j.rec.Job.Team, j.account(t.attempt), 1)
 	t.state = taskPending
 	if j.running == 0 {
 		h.move(j, eventIdle)
 	}
+	if j.isGang() {
+		h.gangGone(j, time.Now())
+	}
+	h.attend(j)
+}
+
+// account names what the ledger counts an attempt under: its job and the
+// generation of the specification, whose tasks are of one size.
+func (j *job) account(attempt int) string {
+	generation, _ := j.rec.specOf(attempt)
+	return j.accountOf(generation)
 }
 
+func (j *job) accountOf(generation int) string { return j.id() + "/" + strconv.Itoa(generation) }
+
 // again makes a freed task wait for its next start.
 func (h *home) again(j *job, index int, after time.Duration, now time.Time) {
-	if j.ending() || h.recovering(j) {
+	switch {
+	case j.ending() || h.recovering(j):
+	case j.isGang() && !h.replacesInGang(j):
+		h.breakGang(j, "a task does not run", now)
+	case j.isService():
+		if after > 0 {
+			j.later = append(j.later, delayed{index, now.Add(after)})
+		}
+		h.attend(j)
+	default:
+		j.pending(index, now.Add(after), now)
+	}
+	h.enqueue(j)
+}
+
+// lost makes a task whose worker is gone wait for its replacement, which is
+// paced so that the loss of a rack or zone does not push all else aside.
+func (h *home) lost(j *job, index int, why string, now time.Time) {
+	h.m.metrics.lost.Inc()
+	j.log.add(now, "lost", why)
+	if h.gangLost(j, why, now) {
 		return
 	}
-	j.pending(index, now.Add(after), now)
+	if j.ending() || h.recovering(j) || j.isGang() {
+		h.again(j, index, 0, now)
+		return
+	}
+	if j.isService() {
+		j.paced++
+	}
+	values, _ := h.m.cfg.Values(j.rec.Job.Branch)
+	h.pacer.Add(health.Lost{
+		Task: spec.TaskID{Job: j.id(), Index: index}, Kind: j.rec.Job.Kind,
+		Urgent: j.rec.Job.Urgent, Priority: values.Task.Priority, At: now,
+	})
+}
+
+// replaceLost lets the lost tasks wait for a start whose turn has come.
+func (h *home) replaceLost(now time.Time) {
+	for _, l := range h.pacer.Take(now) {
+		j := h.live[l.Task.Job]
+		if j == nil || j.ending() {
+			continue
+		}
+		if j.isService() {
+			j.paced--
+		}
+		h.again(j, l.Task.Index, 0, now)
+	}
 }
 
 // finished notes that a task of finite work is done.
@@ -93,11 +145,13 @@
 	j.tasks[index].state = taskDone
 	j.done++
 	j.rec.Done.set(index)
+	h.health.Forget(j.id())
 	h.touch(j)
 }
 
-// failed counts a run that ended by itself with a failure, and ends the job
-// when a task failed as often as the branch allows.
+// failed counts a run that ended by itself with a failure. Finite work ends when
+// a task failed as often as the branch allows, or when the job failed on
+// different workers; a service is tried for ever, ever more slowly.
 func (h *home) failed(j *job, index int, n taskmsg.RunNews, now time.Time) {
 	h.m.metrics.failures.Inc()
 	if j.rec.Failures == nil {
@@ -105,16 +159,28 @@
 	}
 	j.rec.Failures[index]++
 	h.touch(j)
-	j.avoidWorker(n.Worker)
 	tries := j.rec.Failures[index]
-	values, _ := h.m.cfg.Values(j.rec.Job.Branch)
-	if limit := values.Task.MaxAttempts; j.rec.Job.Kind != spec.KindService && limit > 0 && int64(tries) >= limit {
-		h.endJob(j, result.New(result.JobTaskFailed, result.RanYes, "task %d failed %d times, last with exit code %d on worker %s", index, tries, n.ExitCode, n.Worker), now)
+	blame := h.health.Failed(j.id(), n.Worker, now)
+	if why := h.failureEnds(j, index, n, blame); why != nil {
+		h.endJob(j, why, now)
 		return
 	}
+	j.log.add(now, "failed", "a task ended with a failure on worker "+n.Worker)
 	h.again(j, index, failurePause(tries), now)
 }
 
+// failureEnds returns why a failure ends the job, or nil.
+func (h *home) failureEnds(j *job, index int, n taskmsg.RunNews, blame *result.Error) *result.Error {
+	if j.isService() {
+		return nil
+	}
+	values, _ := h.m.cfg.Values(j.rec.Job.Branch)
+	if tries := j.rec.Failures[index]; values.Task.MaxAttempts > 0 && int64(tries) >= values.Task.MaxAttempts {
+		return result.New(result.JobTaskFailed, result.RanYes, "task %d failed %d times, last with exit code %d on worker %s", index, tries, n.ExitCode, n.Worker)
+	}
+	return blame
+}
+
 // failurePause doubles with each failure of a task.
 func failurePause(tries int) time.Duration {
 	d := failurePauseMin
@@ -124,21 +190,6 @@
 	return min(d, failurePauseMax)
 }
 
-func (j *job) avoidWorker(name string) {
-	if name == "" {
-		return
-	}
-	for _, w := range j.avoid {
-		if w == name {
-			return
-		}
-	}
-	j.avoid = append(j.avoid, name)
-	if len(j.avoid) > maxAvoid {
-		j.avoid = j.avoid[1:]
-	}
-}
-
 // endJob lets nothing of the job start any more; what runs is stopped and the
 // job becomes final once nothing runs.
 func (h *home) endJob(j *job, why *result.Error, now time.Time) {
@@ -147,8 +198,11 @@
 	}
 	j.rec.Code, j.rec.Reason = why.Code, why.Detail
 	j.ready, j.later = nil, nil
+	h.enqueue(j)
+	h.pacer.Drop(j.id())
 	h.move(j, eventEnd)
 	h.touch(j)
+	h.halting[j.id()] = j
 	j.log.add(now, "ending", why.Detail)
 	h.settle(j, now)
 }
@@ -158,7 +212,7 @@
 	if j.rec.State.Final() || j.active > 0 {
 		return
 	}
-	complete := j.rec.Job.Kind != spec.KindService && j.done == len(j.tasks)
+	complete := !j.isService() && j.done == len(j.tasks)
 	if !complete && (!j.ending() || h.recovering(j)) {
 		return
 	}
@@ -170,17 +224,21 @@
 	}
 	j.rec.Ended = now.UnixMilli()
 	h.touch(j)
+	h.health.Forget(j.id())
 	delete(h.live, j.id())
-	h.team(j.rec.Job.Team).jobs--
+	delete(h.halting, j.id())
+	delete(h.attention, j.id())
+	h.enqueue(j)
 	h.m.metrics.ended.WithLabelValues(string(j.rec.State)).Inc()
 	j.log.add(now, string(j.rec.State), j.rec.Reason)
 }
 
 // endDueJobs ends the jobs whose deadline has passed.
 func (h *home) endDueJobs(now time.Time) {
-	for _, j := range h.live {
-		d := j.rec.Job.DeadlineUnixMilli
-		if d != 0 && now.UnixMilli() >= d && !j.ending() {
+	for len(h.deadlines) > 0 && !h.deadlines[0].due.After(now) {
+		id := h.deadlines[0].job
+		h.deadlines = h.deadlines[1:]
+		if j := h.live[id]; j != nil {
 			h.endJob(j, result.New(result.JobDeadlinePassed, result.RanUnknown, "its deadline passed with %d of %d tasks finished", j.done, len(j.tasks)), now)
 		}
 	}
--- a/internal/job/validate.go
+++ b/internal/job/validate.go
@@ -44,6 +44,11 @@
 	if err := checkID(j.ID, now); err != nil {
 		return err
 	}
+	return validateSpec(j, now)
+}
+
+// validateSpec checks everything but the identifier.
+func validateSpec(j spec.Job, now time.Time) error {
 	if err := checker.Struct(j); err != nil {
 		return fieldError(err)
 	}
--- a/internal/jobmsg/jobmsg.go
+++ b/internal/jobmsg/jobmsg.go
@@ -53,6 +53,8 @@
 	// Partition and Epoch name the home that answered.
 	Partition int    `cbor:"8,keyasint" json:"partition"`
 	Epoch     uint64 `cbor:"9,keyasint" json:"epoch"`
+	// Generation counts the specifications of a service, from 1.
+	Generation int `cbor:"10,keyasint,omitempty" json:"generation"`
 }
 
 // GetRequest asks for one job. A process answers for all homes it holds, so the
@@ -95,6 +97,13 @@
 	ID string `cbor:"1,keyasint"`
 }
 
+// UpdateRequest changes the replicas or the tasks of a service.
+type UpdateRequest struct {
+	Job spec.Job `cbor:"1,keyasint"`
+	// Generation, when not zero, is the one that the job must be at.
+	Generation int `cbor:"2,keyasint,omitempty"`
+}
+
 // Site is where tasks of a job run.
 type Site struct {
 	Worker    string `cbor:"1,keyasint" json:"worker"`
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -29,6 +29,7 @@
 	KindJobGet    Kind = 31
 	KindJobList   Kind = 32
 	KindJobCancel Kind = 33
+	KindJobUpdate Kind = 34 // change a service
 
 	KindPlace     Kind = 40 // home to a holder of workers: place tasks
 	KindGangHold  Kind = 41
--- a/internal/result/codes_job.go
+++ b/internal/result/codes_job.go
@@ -20,6 +20,7 @@
 	JobTaskFailed     Code = 5013
 	JobCancelled      Code = 5014
 	JobHomeMoved      Code = 5015
+	JobChanged        Code = 5016
 )
 
 func init() {
@@ -40,5 +41,6 @@
 		Info{JobTaskFailed, "job-task-failed", http.StatusUnprocessableEntity, "a task failed as often as its branch allows"},
 		Info{JobCancelled, "job-cancelled", http.StatusOK, "the job was cancelled"},
 		Info{JobHomeMoved, "job-home-moved", http.StatusServiceUnavailable, "the home of the team's jobs has moved to another process"},
+		Info{JobChanged, "job-changed", http.StatusConflict, "the job was changed since the generation that the request names"},
 	)
 }
--- a/internal/settings/values.go
+++ b/internal/settings/values.go
@@ -64,8 +64,18 @@
 	Priority    int64 `json:"priority" validate:"min=-1000,max=1000"`
 	MinReplicas int64 `json:"min_replicas" validate:"min=0,max=100000"`
 	Surge       int64 `json:"surge" validate:"min=0,max=1000"`
+	// GangLoss says what follows when a task of a running gang is lost.
+	GangLoss string `json:"gang_loss" validate:"oneof=restart replace fail"`
 }
 
+// The rules for a lost task of a running gang: stop all and start all that is
+// left together, start only the lost one again, or end the job.
+const (
+	GangRestart = "restart"
+	GangReplace = "replace"
+	GangFail    = "fail"
+)
+
 // Defaults are the values of the root where it overrides nothing.
 func Defaults() Values {
 	return Values{
@@ -76,6 +86,6 @@
 		Executor:  Executor{Slots: 8, Connections: 64},
 		Placement: Placement{Policy: PolicyWaiting, SpreadZones: true},
 		Quota:     Quota{MilliCPU: -1, MemoryMiB: -1, Accelerators: -1},
-		Task:      Task{MaxAttempts: 5, LeaseMS: 15000, MinReplicas: 1, Surge: 1},
+		Task:      Task{MaxAttempts: 5, LeaseMS: 15000, MinReplicas: 1, Surge: 1, GangLoss: GangRestart},
 	}
 }
