Gangs across holders, held and started as one

Change: a try holds room at one holder after the other in one order, starts all parts or releases all; a partly unknown start stops all and tries again. A gang that waited a minute gathers: holders refuse less urgent starts meanwhile, for 20 s at a time, in vain only with doubling pauses (GangHold.Gather). Ruled out: keeping partial holds for ever (two gangs would block each other).

--- a/internal/fleet/gang.go
+++ b/internal/fleet/gang.go
@@ -54,14 +54,19 @@
 	}
 	g.req = req
 	g.expires = now.Add(min(time.Duration(req.HoldMS)*time.Millisecond, maxGangHold))
-	refusal := f.reserveGang(g, now)
+	var refusal *taskmsg.Refusal
+	if req.Gather || !f.gathering(key) {
+		refusal = f.reserveGang(g, now)
+	} else {
+		refusal = f.refuseForGang()
+	}
 	reply := taskmsg.GangHeld{Refusal: refusal}
 	for _, s := range req.Slots {
 		if _, ok := g.held[attemptOf(&req.Shape, s)]; ok {
 			reply.Held = append(reply.Held, s)
 		}
 	}
-	if len(g.held) == 0 {
+	if len(g.held) == 0 && !req.Gather {
 		delete(f.gangs, key)
 	}
 	return reply
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -54,6 +54,12 @@
 	if len(slots) == 0 {
 		return nil
 	}
+	if !req.Shape.Urgent && f.gathering(gangKey{req.Home.Partition, req.Shape.Job}) {
+		for _, s := range slots {
+			b.add(taskmsg.SlotResult{Slot: s, Outcome: taskmsg.OutcomeRefused})
+		}
+		return f.refuseForGang()
+	}
 	runs := make([]scheduler.Run, 0, len(slots))
 	bySlot := make(map[worker.Attempt]taskmsg.Slot, len(slots))
 	for _, s := range slots {
--- a/internal/job/bench_test.go
+++ b/internal/job/bench_test.go
@@ -284,7 +284,7 @@
 	log.SetOutput(io.Discard)
 	entry := logrus.NewEntry(log)
 	p := &placer{
-		c: c, name: name, life: uuid.Must(uuid.NewV7()).String(), right: &rights{epochs: map[int]uint64{}},
+		c: c, name: name, life: newID(), right: &rights{epochs: map[int]uint64{}},
 		store: c.engine.Client(name), done: make(chan struct{}),
 	}
 	peers := link{c, name}
@@ -412,7 +412,7 @@
 // batch makes a job of finite tasks of 1000 mCPU for the team of a partition.
 func batch(home, tasks int, run time.Duration) spec.Job {
 	return spec.Job{
-		ID: uuid.Must(uuid.NewV7()).String(), Team: teamOf(home), Branch: testBranch, Kind: spec.KindBatch, Tasks: tasks,
+		ID: newID(), Team: teamOf(home), Branch: testBranch, Kind: spec.KindBatch, Tasks: tasks,
 		Task: spec.Task{Size: spec.Resources{MilliCPU: 1000, MemoryMiB: 500}, RunMillis: run.Milliseconds()},
 	}
 }
@@ -433,3 +433,15 @@
 		synctest.Wait()
 	}
 }
+
+// newID makes a UUIDv7 of the bubble's time. uuid.NewV7 never goes back in time,
+// as each bubble does.
+func newID() string {
+	id := uuid.New()
+	ms := time.Now().UnixMilli()
+	for i := range 6 {
+		id[i] = byte(ms >> (40 - 8*i))
+	}
+	id[6] = 0x70 | id[6]&0x0f
+	return id.String()
+}
--- a/internal/job/gang.go
+++ b/internal/job/gang.go
@@ -4,13 +4,11 @@
 	"context"
 	"fmt"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/looplab/fsm"
 
 	"pulleyquay/internal/fairshare"
-	"pulleyquay/internal/peer"
 	"pulleyquay/internal/result"
 	"pulleyquay/internal/settings"
 	"pulleyquay/internal/taskmsg"
@@ -42,11 +40,14 @@
 	gangStartMargin = 3 * time.Second
 	// gangAgeAfter is the wait after which a gang keeps the room that it got
 	// while it waits for the rest, gangGatherTime at a time.
-	gangAgeAfter     = time.Minute
-	gangGatherTime   = 20 * time.Second
-	gangGatherPause  = 500 * time.Millisecond
-	gangProbeEvery   = 5 * time.Second
-	gangStartTimeout = 5 * time.Second
+	gangAgeAfter   = time.Minute
+	gangGatherTime = 20 * time.Second
+	// A gang that gathered in vain does so again after a wait that doubles.
+	gangGatherEvery = time.Minute
+	gangGatherMost  = 16 * time.Minute
+	gangGatherPause = 100 * time.Millisecond
+	gangProbeEvery  = 5 * time.Second
+	gangCallTimeout = 5 * time.Second
 )
 
 // gang is the part of a job that only gangs have.
@@ -54,6 +55,8 @@
 	state     string // "" counts as idle
 	failures  int    // of tries in a row
 	notBefore time.Time
+	gathers   int       // tries that kept room while they waited for more
+	gatherAt  time.Time // earliest next one
 }
 
 func (g *gang) is(state string) bool { return g.state == state || (g.state == "" && state == gangIdle) }
@@ -108,10 +111,7 @@
 	}
 	j.ready, j.later = nil, nil
 	h.enqueue(j)
-	try := &gangTry{
-		h: h, j: j, shape: h.shape(j, values), slots: slots, holders: gangHolders(holders), began: now,
-		gather: now.Sub(j.since) >= gangAgeAfter,
-	}
+	try := newGangTry(h, j, h.shape(j, values), slots, gangHolders(holders), now)
 	h.work.Go(try.run)
 }
 
@@ -132,6 +132,19 @@
 	return false
 }
 
+// mayGather reports whether a gang has waited so long that holders are to keep
+// room for it. As this holds other work up, it is bounded to gangGatherTime, and
+// a gang that did so in vain waits longer each time.
+func (j *job) mayGather(now time.Time) bool {
+	g := &j.gang
+	if now.Sub(j.since) < gangAgeAfter || now.Before(g.gatherAt) {
+		return false
+	}
+	g.gatherAt = now.Add(min(gangGatherEvery<<min(g.gathers, 8), gangGatherMost))
+	g.gathers++
+	return true
+}
+
 // gangHolders returns the holders in the one order in which all gangs ask.
 func gangHolders(holders []holder) []holder {
 	byName := map[string]holder{}
@@ -147,183 +160,13 @@
 	return out
 }
 
-// gangTry is one try to start a gang: hold room everywhere, then start all or
-// release all.
-type gangTry struct {
-	h       *home
-	j       *job
-	shape   taskmsg.Shape
-	slots   []taskmsg.Slot
-	holders []holder
-	began   time.Time
-	// gather keeps what is held while more room is waited for.
-	gather bool
-	// oldest is when the oldest hold that still counts was asked for.
-	oldest time.Time
-	parts  []gangPart
-}
-
-// gangPart is what one holder holds of a try.
-type gangPart struct {
-	at    holder
-	slots []taskmsg.Slot
-}
-
-func (t *gangTry) run() {
-	for !t.holdAll() {
-		if !t.gather || time.Since(t.began) > gangGatherTime || t.h.ctx.Err() != nil || t.given() {
-			t.release()
-			return
-		}
-		time.Sleep(gangGatherPause)
-	}
-	if !t.commit() {
-		t.release()
-		return
-	}
-	t.start()
-}
-
-// given reports whether the job was ended meanwhile.
-func (t *gangTry) given() bool {
-	t.h.mu.Lock()
-	defer t.h.mu.Unlock()
-	return t.j.ending() || t.h.phase == phaseEnded || t.h.quiet
-}
-
-// holdAll asks one holder after the other to hold room for what is left, and
-// extends what is held already. It reports whether every slot is held.
-func (t *gangTry) holdAll() bool {
-	left := t.slots
-	t.parts, t.oldest = nil, time.Now()
-	for _, at := range t.holders {
-		if len(left) == 0 {
-			break
-		}
-		held, refusal, err := t.hold(at, left)
-		t.note(at, refusal, err)
-		if err != nil || len(held) == 0 {
-			continue
-		}
-		t.parts = append(t.parts, gangPart{at, held})
-		left = minus(left, held)
-	}
-	return len(left) == 0
-}
-
-func (t *gangTry) hold(at holder, slots []taskmsg.Slot) ([]taskmsg.Slot, *taskmsg.Refusal, error) {
-	var reply taskmsg.GangHeld
-	req := taskmsg.GangHold{Home: t.h.self(), Shape: t.shape, Slots: slots, HoldMS: gangHoldTime.Milliseconds()}
-	err := t.h.ask(at.addr, peer.KindGangHold, gangStartTimeout, req, &reply)
-	return reply.Held, reply.Refusal, err
-}
-
-// note keeps what a holder said for the explanation.
-func (t *gangTry) note(at holder, refusal *taskmsg.Refusal, err error) {
-	t.h.mu.Lock()
-	defer t.h.mu.Unlock()
-	m := t.j.memory(at.member)
-	m.refusal, m.err = refusal, err
-}
-
-// minus returns the slots of all that are not in some.
-func minus(all, some []taskmsg.Slot) []taskmsg.Slot {
-	drop := make(map[int]bool, len(some))
-	for _, s := range some {
-		drop[s.Index] = true
-	}
-	left := make([]taskmsg.Slot, 0, len(all)-len(some))
-	for _, s := range all {
-		if !drop[s.Index] {
-			left = append(left, s)
-		}
-	}
-	return left
-}
-
-// release gives all held room back; nothing of the gang has started.
-func (t *gangTry) release() {
-	h, j := t.h, t.j
-	t.endAll(false)
-	h.m.metrics.gangs.WithLabelValues("released").Inc()
-	now := time.Now()
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.moveGang(j, gangEventRelease)
-	for _, s := range t.slots {
-		if h.awaits(j, s) {
-			h.freed(j, s.Index)
-		}
-	}
-	h.backOffGang(j, now)
-	j.log.add(now, "released", "not every part of the gang could be held at once")
-	h.settle(j, now)
-	h.rouse()
-}
-
-// backOffGang makes a gang wait before its next try.
-func (h *home) backOffGang(j *job, now time.Time) {
-	j.gang.failures++
-	j.gang.notBefore = now.Add(fairshare.GangBackoff(j.id(), j.gang.failures, now.Sub(j.since), gangAgeAfter))
-	h.enqueue(j)
-}
-
-// commit moves the gang from holding to starting, unless the holds may lapse
-// before the orders arrive or the job was ended.
-func (t *gangTry) commit() bool {
-	h := t.h
-	if h.checkRight() != nil {
-		return false
-	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if t.j.ending() || h.phase == phaseEnded || h.quiet || time.Since(t.oldest) > gangHoldTime-gangStartMargin {
-		return false
-	}
-	return h.moveGang(t.j, gangEventStart)
-}
-
-// start orders every part to start, and breaks the gang up when any task of it
-// did not.
-func (t *gangTry) start() {
-	h, j := t.h, t.j
-	replies, errs := t.endAll(true)
-	now := time.Now()
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for i, part := range t.parts {
-		h.placed(j, part.at, part.slots, replies[i], errs[i], now)
-	}
-	outcome := "started"
-	if !j.gang.is(gangUp) && !j.rec.State.Final() {
-		h.breakGang(j, "a part of it did not start", now)
-		outcome = "broken"
-	}
-	h.m.metrics.gangs.WithLabelValues(outcome).Inc()
-	h.rouse()
-}
-
-// endAll tells every holder that holds a part to start or release it.
-func (t *gangTry) endAll(start bool) ([]taskmsg.PlaceReply, []error) {
-	replies, errs := make([]taskmsg.PlaceReply, len(t.parts)), make([]error, len(t.parts))
-	req := taskmsg.GangEnd{Home: t.h.self(), Job: t.j.id(), Start: start}
-	var wait sync.WaitGroup
-	for i, part := range t.parts {
-		wait.Go(func() {
-			errs[i] = t.h.ask(part.at.addr, peer.KindGangEnd, gangStartTimeout, req, &replies[i])
-		})
-	}
-	wait.Wait()
-	return replies, errs
-}
-
 // gangRuns notes that one more task of a gang runs; with the last one it is up.
 func (h *home) gangRuns(j *job) {
 	if j.gang.is(gangUp) || j.running+j.done < len(j.tasks) || h.recovering(j) {
 		return
 	}
 	if h.moveGang(j, gangEventComplete) {
-		j.gang.failures = 0
+		j.gang.failures, j.gang.gathers = 0, 0
 		h.move(j, eventStarted)
 		j.log.add(time.Now(), "started", "all "+strconv.Itoa(j.running)+" tasks run")
 	}
@@ -382,3 +225,10 @@
 		h.breakGang(j, "the takeover found only some of its tasks", now)
 	}
 }
+
+// backOffGang makes a gang wait before its next try.
+func (h *home) backOffGang(j *job, now time.Time) {
+	j.gang.failures++
+	j.gang.notBefore = now.Add(fairshare.GangBackoff(j.id(), j.gang.failures, now.Sub(j.since), gangAgeAfter))
+	h.enqueue(j)
+}
--- a/internal/taskmsg/taskmsg.go
+++ b/internal/taskmsg/taskmsg.go
@@ -105,6 +105,10 @@
 	Shape  Shape  `cbor:"2,keyasint"`
 	Slots  []Slot `cbor:"3,keyasint"`
 	HoldMS int64  `cbor:"4,keyasint"`
+	// Gather asks the holder to keep room that comes free for this gang until
+	// all slots are held or the hold lapses: less urgent starts are refused
+	// meanwhile. For a gang that has waited long.
+	Gather bool `cbor:"5,keyasint,omitempty"`
 }
 
 // GangHeld names the slots that room is held for.
