Services with rolling changes, quotas, retention; PUT /v1/jobs/{id}

Ended jobs are deleted after the retention; an unknown identifier older than half of it is refused, so none runs twice. Seen failing first: TestIdentifiers without the deletion (accepted instead of refused, record left).

--- /dev/null
+++ b/internal/job/cell_test.go
@@ -0,0 +1,217 @@
+package job
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pulleyquay/internal/hold"
+	"pulleyquay/internal/judge"
+	"pulleyquay/internal/partition"
+	"pulleyquay/internal/peer"
+	"pulleyquay/internal/platform"
+	"pulleyquay/internal/platform/memstore"
+	"pulleyquay/internal/result"
+	"pulleyquay/internal/settings"
+	"pulleyquay/internal/spec"
+	"pulleyquay/internal/taskmsg"
+	"pulleyquay/internal/view"
+	"pulleyquay/internal/worker"
+	"pulleyquay/internal/worker/workersim"
+)
+
+const (
+	testPartitions = 4
+	testLease      = 15 * time.Second
+	testRight      = 6 * time.Second
+	testBranch     = "lakeshore"
+)
+
+// takeoverTime is how long after a death a cell is whole again: every lease
+// that a dead holder renewed is over, and every inventory is in.
+const takeoverTime = testLease + 20*time.Second
+
+var testSize = spec.Resources{MilliCPU: 8000, MemoryMiB: 8000}
+
+// rights is a hold.Right that a test moves by hand.
+type rights struct {
+	mu     sync.Mutex
+	epochs map[int]uint64
+	until  time.Time // zero: always testRight ahead
+}
+
+func (r *rights) Check(p int) (hold.Grant, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	until := r.until
+	if until.IsZero() {
+		until = time.Now().Add(testRight)
+	}
+	switch {
+	case r.epochs[p] == 0:
+		return hold.Grant{}, result.New(result.NotHolder, result.RanNo, "partition %d", p)
+	case !time.Now().Before(until):
+		return hold.Grant{}, result.New(result.RightLapsed, result.RanNo, "partition %d", p)
+	}
+	return hold.Grant{Partition: p, Epoch: r.epochs[p], Until: until}, nil
+}
+
+func (r *rights) Held() []int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []int
+	for p := range testPartitions {
+		if r.epochs[p] > 0 {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// lapse ends all rights at once, without telling the residents.
+func (r *rights) lapse() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.until = time.Now()
+}
+
+// cell is a whole cell inside a synctest bubble: a store, stand-in workers and
+// placers whose partitions a test moves by hand.
+type cell struct {
+	t      *testing.T
+	is     *is.I
+	engine *memstore.Engine
+	store  *memstore.Client
+	judge  *judge.Judge
+	sim    *workersim.Fleet
+
+	mu     sync.Mutex
+	hosts  []platform.Host
+	table  view.Table
+	values map[string]settings.Values
+	muxes  peer.Local
+	placer map[string]*placer
+	faults []*peerFault
+	calls  map[peer.Kind]int
+}
+
+// newCell makes a cell with workers in as many racks as there are partitions.
+func newCell(t *testing.T, workersPerPartition int) *cell {
+	j := judge.New()
+	c := &cell{
+		t: t, is: is.New(t), engine: memstore.New(), judge: j, sim: workersim.NewFleet(j),
+		values: map[string]settings.Values{testBranch: settings.Defaults()}, muxes: peer.Local{},
+		placer: map[string]*placer{}, calls: map[peer.Kind]int{},
+	}
+	c.store = c.engine.Client("test")
+	for p := range testPartitions {
+		c.table.Partitions = append(c.table.Partitions, view.Partition{ID: p})
+		rack := rackOf(p)
+		for i := range workersPerPartition {
+			name := fmt.Sprintf("w%d-%d", p, i)
+			zone := fmt.Sprintf("z%d", i%3)
+			c.sim.Add(name, worker.Info{Name: name, Rack: rack, Zone: zone, Size: testSize, Generation: 1})
+			c.hosts = append(c.hosts, platform.Host{Name: name, Role: platform.RoleWorker, Addr: name, Rack: rack, Zone: zone})
+		}
+	}
+	t.Cleanup(c.close)
+	return c
+}
+
+// rackOf finds a rack that belongs to the partition.
+func rackOf(p int) string {
+	for i := 0; ; i++ {
+		if name := fmt.Sprintf("r%d", i); partition.OfRack(name, testPartitions) == p {
+			return name
+		}
+	}
+}
+
+// teamOf finds a team whose home is the partition.
+func teamOf(p int) string {
+	for i := 0; ; i++ {
+		if name := fmt.Sprintf("team%d", i); partition.OfTeam(name, testPartitions) == p {
+			return name
+		}
+	}
+}
+
+func (c *cell) Hosts() []platform.Host {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]platform.Host(nil), c.hosts...)
+}
+
+func (c *cell) Table() *view.Table {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.table
+	t.Partitions = append([]view.Partition(nil), t.Partitions...)
+	t.Members = append([]view.Member(nil), t.Members...)
+	return &t
+}
+
+func (c *cell) Settings() *settings.Tree { return nil }
+
+func (c *cell) branch(name string) (settings.Values, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	v, ok := c.values[name]
+	return v, ok
+}
+
+func (c *cell) setBranch(name string, edit func(*settings.Values)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	v := settings.Defaults()
+	edit(&v)
+	c.values[name] = v
+}
+
+func (c *cell) digests() map[string]taskmsg.Digest {
+	c.mu.Lock()
+	placers := make([]*placer, 0, len(c.placer))
+	for _, p := range c.placer {
+		placers = append(placers, p)
+	}
+	c.mu.Unlock()
+	out := map[string]taskmsg.Digest{}
+	for _, p := range placers {
+		out[p.name] = p.fleet.Digest()
+	}
+	return out
+}
+
+// close ends everything, so that the bubble can end.
+func (c *cell) close() {
+	c.heal()
+	c.mu.Lock()
+	left := make([]*placer, 0, len(c.placer))
+	for _, p := range c.placer {
+		left = append(left, p)
+	}
+	c.mu.Unlock()
+	for _, p := range left {
+		p.kill()
+	}
+	c.engine.Close()
+}
+
+// held fails the test when the judge saw a breach.
+func (c *cell) held() {
+	c.t.Helper()
+	c.sim.Settle()
+	for _, v := range c.judge.Violations(time.Now()) {
+		c.t.Errorf("%s on %s: %s", v.Rule, v.On, v.Detail)
+	}
+}
+
+// restore gives lapsed rights back.
+func (r *rights) restore() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.until = time.Time{}
+}
--- a/internal/job/home.go
+++ b/internal/job/home.go
@@ -89,6 +89,7 @@
 	nextAsk   time.Time      // earliest next inventory round
 	flushAt   time.Time      // earliest next write of progress
 	flushGap  time.Duration
+	collectAt time.Time     // earliest next pass over ended jobs
 	writing   int           // records under way to the store
 	written   chan struct{} // closed and made anew after each write
 }
@@ -174,6 +175,7 @@
 	}
 	h.startInventories(table, now)
 	h.startFlush(now)
+	h.collect(now)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.quiet || h.phase == phaseEnded {
--- /dev/null
+++ b/internal/job/placer_test.go
@@ -0,0 +1,179 @@
+package job
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"pulleyquay/internal/fleet"
+	"pulleyquay/internal/hold"
+	"pulleyquay/internal/jobmsg"
+	"pulleyquay/internal/peer"
+	"pulleyquay/internal/platform"
+	"pulleyquay/internal/platform/memstore"
+	"pulleyquay/internal/spec"
+	"pulleyquay/internal/view"
+)
+
+// placer is one process of the cell.
+type placer struct {
+	c      *cell
+	name   string
+	life   string
+	right  *rights
+	store  *memstore.Client
+	fleet  *fleet.Fleet
+	jobs   *Manager
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// start starts a process that holds nothing yet.
+func (c *cell) start(name string) *placer {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	entry := logrus.NewEntry(log)
+	p := &placer{
+		c: c, name: name, life: newID(), right: &rights{epochs: map[int]uint64{}},
+		store: c.engine.Client(name), done: make(chan struct{}),
+	}
+	peers := link{c, name}
+	reg := prometheus.NewRegistry()
+	p.fleet = fleet.New(fleet.Config{
+		Name: name, Partitions: testPartitions, Lease: testLease, Hosts: c.Hosts, Right: p.right,
+		Client: c.sim.Caller(name), Peers: peers, View: c, Registerer: reg, Log: entry,
+	})
+	p.jobs = New(Config{
+		Source: c, Right: p.right, Store: p.store, Peers: peers, Values: c.branch, Digests: c.digests,
+		PartitionKey: partitionKey, Registerer: reg, Log: entry,
+	})
+	mux := peer.NewMux()
+	p.fleet.Register(mux)
+	p.jobs.Register(mux)
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	go func() { p.fleet.Run(ctx); close(p.done) }()
+	c.mu.Lock()
+	c.muxes[name], c.placer[name] = mux, p
+	c.table.Members = append(c.table.Members, view.Member{Name: name, Incarnation: p.life, Addr: name})
+	c.mu.Unlock()
+	return p
+}
+
+func partitionKey(p int) string { return fmt.Sprintf("partitions/%05d", p) }
+
+// take makes a process the holder of partitions, as a claim of the partition's
+// record does.
+func (p *placer) take(partitions ...int) {
+	for _, id := range partitions {
+		t := p.c.claim(p, id)
+		p.c.is.NoErr(p.fleet.Acquire(context.Background(), t))
+		p.c.is.NoErr(p.jobs.Acquire(context.Background(), t))
+	}
+}
+
+// claim moves a partition's record in the store and in the table.
+func (c *cell) claim(p *placer, id int) hold.Takeover {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	rec := &c.table.Partitions[id]
+	reply, err := c.store.Commit(context.Background(), platform.Txn{
+		If:   []platform.Condition{{Key: partitionKey(id), ModRevision: platform.Revision(rec.ModRevision)}},
+		Then: []platform.Write{{Key: partitionKey(id), Value: []byte(p.life)}},
+	})
+	c.is.NoErr(err)
+	c.is.True(reply.Applied)
+	fresh := rec.Epoch == 0
+	rec.Holder, rec.Incarnation, rec.Addr = p.name, p.life, p.name
+	rec.Epoch++
+	rec.ModRevision = int64(reply.Revision)
+	c.table.Revision = int64(reply.Revision)
+	p.right.mu.Lock()
+	p.right.epochs[id] = rec.Epoch
+	p.right.mu.Unlock()
+	return hold.Takeover{Grant: hold.Grant{Partition: id, Epoch: rec.Epoch}, Fresh: fresh, TakenAt: time.Now()}
+}
+
+// kill ends a process without a word to anyone; its member record goes.
+func (p *placer) kill() {
+	p.c.mu.Lock()
+	delete(p.c.muxes, p.name)
+	delete(p.c.placer, p.name)
+	members := p.c.table.Members[:0]
+	for _, m := range p.c.table.Members {
+		if m.Incarnation != p.life {
+			members = append(members, m)
+		}
+	}
+	p.c.table.Members = members
+	p.c.mu.Unlock()
+	p.right.lapse()
+	p.jobs.Close()
+	p.cancel()
+	<-p.done
+}
+
+// call asks a process as an entry does.
+func call[Resp any](p *placer, kind peer.Kind, req any) (Resp, error) {
+	var resp Resp
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	err := link{p.c, "entry"}.Call(ctx, p.name, kind, req, &resp)
+	return resp, err
+}
+
+func (p *placer) submit(j spec.Job) (jobmsg.Status, error) {
+	return call[jobmsg.Status](p, peer.KindJobSubmit, jobmsg.SubmitRequest{Job: j})
+}
+
+func (p *placer) get(id string) (jobmsg.Status, error) {
+	r, err := call[jobmsg.GetReply](p, peer.KindJobGet, jobmsg.GetRequest{ID: id})
+	return r.Status, err
+}
+
+func (p *placer) cancelJob(id string) (jobmsg.Status, error) {
+	return call[jobmsg.Status](p, peer.KindJobCancel, jobmsg.CancelRequest{ID: id})
+}
+
+// batch makes a job of finite tasks of 1000 mCPU for the team of a partition.
+func batch(home, tasks int, run time.Duration) spec.Job {
+	return spec.Job{
+		ID: newID(), Team: teamOf(home), Branch: testBranch, Kind: spec.KindBatch, Tasks: tasks,
+		Task: spec.Task{Size: spec.Resources{MilliCPU: 1000, MemoryMiB: 500}, RunMillis: run.Milliseconds()},
+	}
+}
+
+// await waits until the job is in a state, for at most a time.
+func (p *placer) await(id string, want jobmsg.State, atMost time.Duration) jobmsg.Status {
+	p.c.t.Helper()
+	deadline := time.Now().Add(atMost)
+	for {
+		s, err := p.get(id)
+		if err == nil && s.State == want {
+			return s
+		}
+		if time.Now().After(deadline) {
+			p.c.t.Fatalf("job %s not %s after %s: %+v, %v", id, want, atMost, s, err)
+		}
+		time.Sleep(100 * time.Millisecond)
+		synctest.Wait()
+	}
+}
+
+// newID makes a UUIDv7 of the bubble's time. uuid.NewV7 never goes back in time,
+// as each bubble does.
+func newID() string {
+	id := uuid.New()
+	ms := time.Now().UnixMilli()
+	for i := range 6 {
+		id[i] = byte(ms >> (40 - 8*i))
+	}
+	id[6] = 0x70 | id[6]&0x0f
+	return id.String()
+}
--- /dev/null
+++ b/internal/job/quota_test.go
@@ -0,0 +1,176 @@
+package job
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pulleyquay/internal/jobmsg"
+	"pulleyquay/internal/peer"
+	"pulleyquay/internal/result"
+	"pulleyquay/internal/settings"
+	"pulleyquay/internal/spec"
+	"pulleyquay/internal/worker/workersim"
+)
+
+// TestQuota submits more than a team may hold, in several jobs and through a
+// takeover, and checks at every moment what its tasks hold at the workers.
+func TestQuota(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, a, b := twoPlacers(t, 4)
+		c.setBranch(testBranch, func(v *settings.Values) { v.Quota.MilliCPU = 10000 })
+		var jobs []spec.Job
+		for range 3 {
+			job := batch(0, 10, 4*time.Second)
+			jobs = append(jobs, job)
+			_, err := a.submit(job)
+			c.is.NoErr(err)
+		}
+		check := func(d time.Duration) {
+			for deadline := time.Now().Add(d); time.Now().Before(deadline); time.Sleep(100 * time.Millisecond) {
+				if n := c.judge.Record(time.Now(), false).Running; n > 10 {
+					t.Fatalf("%d tasks run, the quota allows 10", n)
+				}
+			}
+		}
+		check(5 * time.Second)
+		a.kill()
+		b.take(0, 1)
+		check(takeoverTime)
+		for _, job := range jobs {
+			b.await(job.ID, jobmsg.StateFinished, time.Minute)
+		}
+		c.held()
+	})
+}
+
+// TestRefusedAtOnce lists submissions that can never be met.
+func TestRefusedAtOnce(t *testing.T) {
+	cases := []struct {
+		name  string
+		edit  func(*spec.Job)
+		code  result.Code
+		field string
+	}{
+		{"too much memory", func(j *spec.Job) { j.Task.Size.MemoryMiB = 9000 }, result.JobNeverFits, "task"},
+		{"accelerators", func(j *spec.Job) { j.Task.Size.Accelerators = 1 }, result.JobNeverFits, "task"},
+		{"newer processors", func(j *spec.Job) { j.Task.MinGeneration = 2 }, result.JobNeverFits, "task"},
+		{"a label", func(j *spec.Job) { j.Task.Labels = map[string]string{"disk": "ssd"} }, result.JobNeverFits, "task"},
+		{"a gang larger than the cell", func(j *spec.Job) { j.Kind, j.Tasks = spec.KindGang, 65 }, result.JobNeverFits, "tasks"},
+		{"no branch", func(j *spec.Job) { j.Branch = "nowhere" }, result.JobBranchUnknown, "branch"},
+		{"above the quota", func(j *spec.Job) { j.Branch, j.Task.Size.MilliCPU = "small", 3000 }, result.JobOverQuota, ""},
+		{"a gang above the quota", func(j *spec.Job) { j.Branch, j.Kind, j.Tasks = "small", spec.KindGang, 3 }, result.JobOverQuota, ""},
+		{"deadline passed", func(j *spec.Job) { j.DeadlineUnixMilli = time.Now().UnixMilli() + 500 }, result.JobDeadlinePassed, "deadline_unix_ms"},
+		{"old identifier", func(j *spec.Job) { j.ID = "01890000-0000-7000-8000-000000000000" }, result.JobInvalid, "id"},
+		{"not a UUID", func(j *spec.Job) { j.ID = "mine" }, result.JobInvalid, "id"},
+		{"no tasks", func(j *spec.Job) { j.Tasks = 0 }, result.JobInvalid, "tasks"},
+		{"too many tasks", func(j *spec.Job) { j.Tasks = maxTasks + 1 }, result.JobInvalid, "tasks"},
+		{"unknown kind", func(j *spec.Job) { j.Kind = "daemon" }, result.JobInvalid, "kind"},
+		{"negative size", func(j *spec.Job) { j.Task.Size.MemoryMiB = -1 }, result.JobInvalid, "task.size.memory_mib"},
+		{"no size", func(j *spec.Job) { j.Task.Size = spec.Resources{} }, result.JobInvalid, "task.size"},
+		{"a service with a run time", func(j *spec.Job) { j.Kind = spec.KindService }, result.JobInvalid, "task.run_ms"},
+	}
+	synctest.Test(t, func(t *testing.T) {
+		c, a, _ := twoPlacers(t, 2)
+		c.setBranch("small", func(v *settings.Values) { v.Quota.MilliCPU = 2000 })
+		for _, tt := range cases {
+			job := batch(0, 4, time.Second)
+			tt.edit(&job)
+			_, err := a.submit(job)
+			e := result.From(err)
+			if err == nil || e.Code != tt.code || e.Field != tt.field || e.Ran != result.RanNo {
+				t.Errorf("%s: %v", tt.name, err)
+			}
+		}
+		c.is.Equal(c.judge.Starts(), 0)
+	})
+}
+
+// TestIdentifiers checks what a second submission with the same identifier gets.
+func TestIdentifiers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, a, _ := twoPlacers(t, 2)
+		job := batch(0, 4, time.Second)
+		_, err := a.submit(job)
+		c.is.NoErr(err)
+		other := job
+		other.Tasks = 5
+		_, err = a.submit(other)
+		c.is.Equal(result.CodeOf(err), result.JobIDReused)
+		a.await(job.ID, jobmsg.StateFinished, 20*time.Second)
+		time.Sleep(retention - time.Minute)
+		s, err := a.submit(job)
+		c.is.NoErr(err)
+		c.is.Equal(s.State, jobmsg.StateFinished)
+		time.Sleep(5 * time.Minute)
+		_, err = a.submit(job) // forgotten by now, and too old to be new
+		c.is.Equal(result.CodeOf(err), result.JobIDTooOld)
+		c.is.Equal(c.judge.Starts(), 4)
+		records, _, err := c.store.List(t.Context(), "jobs/")
+		c.is.NoErr(err)
+		c.is.Equal(len(records), 0)
+	})
+}
+
+// TestRightLapsed lets a home lose its right while nobody takes over: it decides
+// nothing and accepts nothing until it has the right again.
+func TestRightLapsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, a, _ := twoPlacers(t, 2)
+		c.fail(&peerFault{kind: peer.KindPlace, times: -1})
+		job := batch(0, 4, time.Second)
+		_, err := a.submit(job)
+		c.is.NoErr(err)
+		a.right.lapse()
+		c.heal()
+		time.Sleep(time.Minute)
+		c.is.Equal(c.judge.Starts(), 0)
+		_, err = a.submit(batch(0, 4, time.Second))
+		c.is.Equal(result.CodeOf(err), result.RightLapsed)
+		c.is.Equal(result.From(err).Ran, result.RanNo)
+		a.right.restore()
+		a.await(job.ID, jobmsg.StateFinished, 20*time.Second)
+	})
+}
+
+// TestFailingWork checks attempts, blame and deadlines.
+func TestFailingWork(t *testing.T) {
+	fails := func(c *cell) {
+		for _, h := range c.Hosts() {
+			c.sim.Worker(h.Addr).SetFaults(workersim.Faults{FailTasks: true, FailAfter: 10 * time.Millisecond})
+		}
+	}
+	cases := []struct {
+		name  string
+		edit  func(*spec.Job)
+		fault func(*cell)
+		state jobmsg.State
+		codes []result.Code
+	}{
+		{"every attempt fails", func(*spec.Job) {}, fails, jobmsg.StateFailed, []result.Code{result.JobTaskFailed, result.JobFaulty}},
+		{"the deadline passes", func(j *spec.Job) { j.Tasks, j.DeadlineUnixMilli = 200, time.Now().UnixMilli()+5000 }, func(*cell) {}, jobmsg.StateFailed, []result.Code{result.JobDeadlinePassed}},
+	}
+	for _, tt := range cases {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, a, _ := twoPlacers(t, 2)
+				tt.fault(c)
+				job := batch(0, 4, 3*time.Second)
+				tt.edit(&job)
+				_, err := a.submit(job)
+				c.is.NoErr(err)
+				s := a.await(job.ID, tt.state, 2*time.Minute)
+				c.is.True(s.Reason != "")
+				ok := false
+				for _, code := range tt.codes {
+					ok = ok || s.Code == int(code)
+				}
+				c.is.True(ok)
+				starts := c.judge.Starts()
+				time.Sleep(time.Minute)
+				c.is.Equal(c.judge.Starts(), starts)
+				c.held()
+			})
+		})
+	}
+}
--- a/internal/jobapi/jobapi.go
+++ b/internal/jobapi/jobapi.go
@@ -49,6 +49,7 @@
 	mux.Handle("GET /v1/jobs", a.route(a.list))
 	mux.Handle("GET /v1/jobs/{id}", a.route(a.get))
 	mux.Handle("GET /v1/jobs/{id}/explain", a.route(a.explain))
+	mux.Handle("PUT /v1/jobs/{id}", a.route(a.update))
 	mux.Handle("DELETE /v1/jobs/{id}", a.route(a.cancel))
 }
 
@@ -93,10 +94,15 @@
 }
 
 func (a *API) submit(ctx context.Context, r *http.Request) (answer, error) {
-	job, err := readJob(r)
+	job, err := readJob(r, r.Header.Get(IdempotencyHeader))
 	if err != nil {
 		return answer{}, err
 	}
+	if job.ID == "" {
+		if job.ID, err = newID(); err != nil {
+			return answer{}, err
+		}
+	}
 	status, err := a.homes.submit(ctx, job)
 	if err != nil {
 		return answer{}, err
@@ -104,10 +110,19 @@
 	return answer{status: http.StatusCreated, location: "/v1/jobs/" + job.ID, body: status}, nil
 }
 
-// readJob reads a specification strictly. Its identifier comes from the body or
-// the Idempotency-Key header; a submitter who gives none gets a new one, and can
+// newID mints an identifier for a submitter who gave none, and who therefore can
 // not repeat the call safely.
-func readJob(r *http.Request) (spec.Job, error) {
+func newID() (string, error) {
+	id, err := uuid.NewV7()
+	if err != nil {
+		return "", result.New(result.Internal, result.RanNo, "no identifier: %v", err)
+	}
+	return id.String(), nil
+}
+
+// readJob reads a specification strictly. Its identifier is given in the body,
+// outside of it, or in both if they agree.
+func readJob(r *http.Request, id string) (spec.Job, error) {
 	var job spec.Job
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes+1))
 	if err != nil {
@@ -119,19 +134,11 @@
 	if err := decodeStrict(body, &job); err != nil {
 		return job, err
 	}
-	header := r.Header.Get(IdempotencyHeader)
-	if header != "" && job.ID != "" && header != job.ID {
-		return job, result.New(result.BadInput, result.RanNo, "the body's id and the Idempotency-Key header differ").At("id")
-	}
-	if job.ID == "" {
-		job.ID = header
+	if id != "" && job.ID != "" && id != job.ID {
+		return job, result.New(result.BadInput, result.RanNo, "the body's id differs from the one in the path or the Idempotency-Key header").At("id")
 	}
 	if job.ID == "" {
-		id, err := uuid.NewV7()
-		if err != nil {
-			return job, result.New(result.Internal, result.RanNo, "no identifier: %v", err)
-		}
-		job.ID = id.String()
+		job.ID = id
 	}
 	return job, nil
 }
@@ -157,6 +164,23 @@
 	return e
 }
 
+// update changes a service. The generation parameter, when given, is the one
+// that the job must be at.
+func (a *API) update(ctx context.Context, r *http.Request) (answer, error) {
+	job, err := readJob(r, r.PathValue("id"))
+	if err != nil {
+		return answer{}, err
+	}
+	req := jobmsg.UpdateRequest{Job: job}
+	if s := r.URL.Query().Get("generation"); s != "" {
+		if req.Generation, err = strconv.Atoi(s); err != nil || req.Generation < 1 {
+			return answer{}, result.New(result.BadInput, result.RanNo, "generation is a number from 1").At("generation")
+		}
+	}
+	status, err := askHome[jobmsg.Status](ctx, a.homes, job.Team, peer.KindJobUpdate, req, job.ID)
+	return answer{status: http.StatusOK, body: status}, err
+}
+
 func (a *API) get(ctx context.Context, r *http.Request) (answer, error) {
 	reply, err := a.homes.get(ctx, r.URL.Query().Get("team"), jobmsg.GetRequest{ID: r.PathValue("id")})
 	return answer{status: http.StatusOK, body: reply.Status}, err
