--- a/internal/dispatch/acquire.go
+++ b/internal/dispatch/acquire.go
@@ -66,8 +66,7 @@
 // takeNow takes a free slot here or at another holder.
 func (d *Dispatcher) takeNow(p *pool, now time.Time) (grant, bool) {
 	if e := d.pick(p, now); e != nil {
-		e.busy++
-		return grant{endpoint: e}, true
+		return e.take(), true
 	}
 	if r := d.pickRemote(p); r != nil {
 		p.forwards[r.Name]++
@@ -109,8 +108,8 @@
 func (d *Dispatcher) slotsInUse(p *pool, now time.Time) (slots int, soonest time.Duration) {
 	soonest = noExecutorRetry
 	for _, e := range p.endpoints {
-		if e.usable(now) {
-			slots += e.slots
+		if limit := p.limit(e, now); limit > 0 {
+			slots += limit
 		} else if wait := e.usableAt.Sub(now); wait > 0 && wait < soonest {
 			soonest = wait
 		}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -170,7 +170,7 @@
 		}
 		n := -p.queue.Len()
 		for _, e := range p.endpoints {
-			n += e.free(now)
+			n += p.free(e, now)
 		}
 		free[name] = max(n, 0)
 	}
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -7,6 +7,7 @@
 	dispatched *prometheus.CounterVec
 	queued     *prometheus.CounterVec
 	refused    *prometheus.CounterVec
+	ejections  *prometheus.CounterVec
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
@@ -20,8 +21,11 @@
 		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "pulleyquay_requests_refused_total", Help: "Requests refused by the queue.",
 		}, []string{"service"}),
+		ejections: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "pulleyquay_executor_ejections_total", Help: "Times an executor was set aside for failures.",
+		}, []string{"service"}),
 	}
-	reg.MustRegister(m.dispatched, m.queued, m.refused)
+	reg.MustRegister(m.dispatched, m.queued, m.refused, m.ejections)
 	return m
 }
 
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -13,6 +13,7 @@
 // another holder, or nowhere when err says why.
 type grant struct {
 	endpoint *endpoint
+	host     *platform.Host // the endpoint's, as of the grant
 	remote   *Remote
 	err      *result.Error
 }
@@ -26,12 +27,13 @@
 	forwards map[string]int
 	// meanTime is the moving mean of a request's time at an executor.
 	meanTime time.Duration
+	healthy  int // listed endpoints in the healthy state
 	budget   retryBudget
 }
 
 // endpoint is one executor in a held partition.
 type endpoint struct {
-	host      platform.Host
+	host      *platform.Host // replaced, never changed
 	partition int
 	// held is the holding that usableAt was worked out for.
 	held  *heldPartition
@@ -40,6 +42,7 @@
 	// usableAt is when a previous holder's last dispatch has surely ended.
 	usableAt time.Time
 	listed   bool
+	health   *health
 	// signedLeaving is the executor's own word that it wants nothing new.
 	signedLeaving bool
 	// blocked is set when the right to the partition was found lapsed.
@@ -51,12 +54,49 @@
 	return e.listed && !e.host.Leaving && !e.signedLeaving && !e.blocked && !now.Before(e.usableAt)
 }
 
-// free is the number of slots that a new request may take.
-func (e *endpoint) free(now time.Time) int {
+// take makes one slot busy.
+func (e *endpoint) take() grant {
+	e.busy++
+	return grant{endpoint: e, host: e.host}
+}
+
+// limit is the number of slots that may be busy now.
+func (p *pool) limit(e *endpoint, now time.Time) int {
 	if !e.usable(now) {
 		return 0
 	}
-	return max(e.slots-e.busy, 0)
+	return e.health.limit(e.slots, p.meanTime, p.healthy == 0, now)
+}
+
+// free is the number of slots that a new request may take.
+func (p *pool) free(e *endpoint, now time.Time) int {
+	return max(p.limit(e, now)-e.busy, 0)
+}
+
+// countHealthy notes whether any listed endpoint is healthy. It is called
+// after each change of a state, so that limits need not look at all.
+func (p *pool) countHealthy() {
+	p.healthy = 0
+	for _, e := range p.endpoints {
+		if e.listed && e.health.machine.Current() == stateHealthy {
+			p.healthy++
+		}
+	}
+}
+
+// othersFailing is the mean share of failures at all endpoints but one.
+func (p *pool) othersFailing(but *endpoint) float64 {
+	sum, n := 0.0, 0
+	for _, e := range p.endpoints {
+		if e != but && e.listed {
+			sum += e.health.failing
+			n++
+		}
+	}
+	if n == 0 {
+		return 1 // nothing to compare with
+	}
+	return sum / float64(n)
 }
 
 // applyHosts brings the pools in line with the host list and the partitions
@@ -79,6 +119,7 @@
 				delete(p.endpoints, name)
 			}
 		}
+		p.countHealthy()
 	}
 }
 
@@ -96,17 +137,17 @@
 	p := d.pool(h.Service, values)
 	e := p.endpoints[h.Name]
 	if e == nil {
-		e = &endpoint{partition: id}
+		e = &endpoint{partition: id, health: newHealth()}
 		p.endpoints[h.Name] = e
 	}
 	if e.held != part {
 		e.held = part
 		e.usableAt = part.usableAt(h.Name, values)
 	}
-	if e.host.Addr != h.Addr {
+	if e.host != nil && e.host.Addr != h.Addr {
 		e.signedLeaving = false // another process under the same name
 	}
-	e.host = h
+	e.host = &h
 	e.listed = true
 	e.slots = int(min(values.Executor.Slots, values.Executor.Connections))
 }
@@ -129,7 +170,7 @@
 func (d *Dispatcher) leastLoaded(p *pool, now time.Time) *endpoint {
 	var best *endpoint
 	for _, e := range p.endpoints {
-		if e.free(now) > 0 && (best == nil || d.before(e, best)) {
+		if p.free(e, now) > 0 && (best == nil || d.before(e, best)) {
 			best = e
 		}
 	}
@@ -172,8 +213,7 @@
 		if it == nil {
 			return
 		}
-		e.busy++
-		it.Value <- grant{endpoint: e}
+		it.Value <- e.take()
 	}
 }
 
@@ -218,4 +258,5 @@
 	if p.forwards[r.Name]--; p.forwards[r.Name] <= 0 {
 		delete(p.forwards, r.Name)
 	}
+	d.pumpRemote(p, time.Now())
 }
--- a/internal/dispatch/resident.go
+++ b/internal/dispatch/resident.go
@@ -105,6 +105,7 @@
 				e.listed = false
 			}
 		}
+		p.countHealthy()
 	}
 }
 
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"pulleyquay/internal/executor"
 	"pulleyquay/internal/peer"
 	"pulleyquay/internal/requestmsg"
@@ -94,12 +96,13 @@
 	if g.remote != nil {
 		return d.forward(p, g.remote, w, values)
 	}
-	return d.call(p, g.endpoint, w, values)
+	return d.call(p, g, w, values)
 }
 
 // call sends the request to an executor held here and frees its slot when the
 // executor has surely ended the work.
-func (d *Dispatcher) call(p *pool, e *endpoint, w Work, values settings.Values) (executor.Answer, *result.Error) {
+func (d *Dispatcher) call(p *pool, g grant, w Work, values settings.Values) (executor.Answer, *result.Error) {
+	e, host := g.endpoint, g.host
 	ctx, cancel := context.WithTimeout(context.Background(), maxDeadline(values))
 	defer cancel()
 	req := withTimeout(w)
@@ -108,7 +111,9 @@
 		return executor.Answer{}, result.New(result.NoFreeSlot, result.RanNo, "%v", err)
 	}
 	start := time.Now()
-	answer, err := d.cfg.Client.Do(ctx, e.host.Addr, req, values.Request.MaxAnswerBytes)
+	watch := time.AfterFunc(time.Until(w.Deadline), func() { d.overdue(p, e) })
+	answer, err := d.cfg.Client.Do(ctx, host.Addr, req, values.Request.MaxAnswerBytes)
+	watch.Stop()
 	d.record(p, e, answer, err, time.Since(start))
 	if err == nil {
 		d.release(p, e)
@@ -117,13 +122,13 @@
 	var failure *executor.Failure
 	if errors.As(err, &failure) && !failure.Sent {
 		d.release(p, e)
-		return executor.Answer{}, result.New(result.ExecutorNotReached, result.RanNo, "%s: %v", e.host.Name, failure.Err)
+		return executor.Answer{}, result.New(result.ExecutorNotReached, result.RanNo, "%s: %v", host.Name, failure.Err)
 	}
 	time.AfterFunc(time.Until(w.Deadline), func() { d.release(p, e) })
 	if ctx.Err() != nil {
-		return executor.Answer{}, result.New(result.DeadlineRunning, result.RanUnknown, "%s did not answer", e.host.Name)
+		return executor.Answer{}, result.New(result.DeadlineRunning, result.RanUnknown, "%s did not answer", host.Name)
 	}
-	return executor.Answer{}, result.New(result.ExecutorLost, result.RanUnknown, "%s: %v", e.host.Name, err)
+	return executor.Answer{}, result.New(result.ExecutorLost, result.RanUnknown, "%s: %v", host.Name, err)
 }
 
 // block takes an endpoint out of use until the next refresh.
@@ -134,24 +139,49 @@
 	d.release(p, e)
 }
 
-// meanWeight is the weight of the newest time in the moving mean, as 1/n.
-const meanWeight = 16
-
 // record learns from an executor's answer.
 func (d *Dispatcher) record(p *pool, e *endpoint, answer executor.Answer, err error, took time.Duration) {
 	d.metrics.dispatched.WithLabelValues(p.service, outcomeLabel(err)).Inc()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if answer.Leaving {
+	if answer.Leaving && !e.signedLeaving {
 		e.signedLeaving = true
+		d.cfg.Log.WithField("executor", e.host.Name).Info("executor signals that it is leaving")
 	}
-	if err != nil {
+	switch {
+	case err != nil:
+		d.failed(p, e, faultSilent)
 		return
+	case answer.Status >= http.StatusInternalServerError:
+		d.failed(p, e, faultStatus)
+		return
+	}
+	if e.health.succeeded(took) {
+		p.countHealthy()
+		d.cfg.Log.WithField("executor", e.host.Name).Info("executor back in use")
 	}
 	if p.meanTime == 0 {
 		p.meanTime = took
 	}
-	p.meanTime += (took - p.meanTime) / meanWeight
+	p.meanTime += (took - p.meanTime) / outcomeWeight
+}
+
+// failed counts a failure against an endpoint. The caller holds the lock.
+func (d *Dispatcher) failed(p *pool, e *endpoint, f fault) {
+	if e.health.failed(time.Now(), f, p.othersFailing(e)) {
+		p.countHealthy()
+		d.metrics.ejections.WithLabelValues(p.service).Inc()
+		d.cfg.Log.WithFields(logrus.Fields{"executor": e.host.Name, "until": e.health.until}).
+			Warn("executor ejected for failures")
+	}
+}
+
+// overdue counts a request that is past its deadline as a failure, while the
+// executor still has time to answer.
+func (d *Dispatcher) overdue(p *pool, e *endpoint) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.failed(p, e, faultSilent)
 }
 
 // forward asks another holder to dispatch.
@@ -194,7 +224,7 @@
 	now := time.Now()
 	d.mu.Lock()
 	p := d.pool(msg.Service, values)
-	e := (*endpoint)(nil)
+	var e *endpoint
 	if p.queue.Len() == 0 {
 		e = d.pick(p, now)
 	}
@@ -202,10 +232,10 @@
 		d.mu.Unlock()
 		return executor.Answer{}, result.New(result.NoFreeSlot, result.RanNo, "no free slot for %s", msg.Service)
 	}
-	e.busy++
+	g := e.take()
 	d.mu.Unlock()
 	w := Work{Service: msg.Service, Deadline: now.Add(msg.Timeout), Request: msg.Request}
-	answer, err := d.call(p, e, w, values)
+	answer, err := d.call(p, g, w, values)
 	if err != nil {
 		return executor.Answer{}, err
 	}
--- a/internal/requesttest/requesttest.go
+++ b/internal/requesttest/requesttest.go
@@ -76,6 +76,8 @@
 type Executors struct {
 	// Time is how long a request takes.
 	Time time.Duration
+	// TimeOf, when set, is how long a request takes at an executor.
+	TimeOf func(addr string) time.Duration
 	// FaultOf decides what happens to a request; nil means no fault.
 	FaultOf func(addr string, req executor.Request) Fault
 
@@ -110,7 +112,11 @@
 		return executor.Answer{}, &executor.Failure{Sent: true, Err: ctx.Err()}
 	}
 	x.record(Run{Addr: addr, Key: req.Header.Get(KeyHeader), Path: req.Path})
-	timer := time.NewTimer(x.Time)
+	took := x.Time
+	if x.TimeOf != nil {
+		took = x.TimeOf(addr)
+	}
+	timer := time.NewTimer(took)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
