Index for placement decisions, compared with a scan of all workers

Change: workers are grouped by make and zone and bucketed by what is left of them; a decision rates one worker of at most 128 buckets, groups in the order of the best score they could have, and looks into every doubtful bucket before it refuses. Refusals are counted per bucket where its levels settle the rule. The scan stays in the tests as the reference: same verdict, same counts. Ruled out: a tree ordered by one resource (a long walk when another is short); a cache of refusals (the buckets' upper bounds make a repeated one cheap).

--- a/internal/scheduler/books.go
+++ b/internal/scheduler/books.go
@@ -28,6 +28,11 @@
 	// fresh is the sum of the sizes of runs held or started since that report.
 	fresh spec.Resources
 	over  overload
+
+	group  *group
+	bucket *bucket // nil unless ready
+	slot   int     // index in bucket.books
+	rack   string
 }
 
 // used is what counts against the worker's size: the larger of what its runs
--- a/internal/scheduler/cell.go
+++ b/internal/scheduler/cell.go
@@ -24,6 +24,9 @@
 	order  []*book // for walking all workers in a stable order
 	runs   map[worker.Attempt]*booking
 	recent *victimMemory
+
+	index   index
+	scratch search
 }
 
 // NewCell returns an empty cell. The seed decides between equal choices.
@@ -34,18 +37,24 @@
 		books:    map[string]*book{},
 		runs:     map[worker.Attempt]*booking{},
 		recent:   newVictimMemory(),
+		index:    newIndex(),
 	}
 }
 
 // Upsert adds a worker or replaces what is known of it; its runs stay booked.
 func (c *Cell) Upsert(w Worker) {
 	if b, ok := c.books[w.Info.Name]; ok {
+		c.index.leave(b)
 		b.Worker = w
+		c.index.join(b)
+		b.reindex()
 		return
 	}
 	b := &book{Worker: w}
 	c.books[w.Info.Name] = b
 	c.order = append(c.order, b)
+	c.index.join(b)
+	b.reindex()
 }
 
 // Remove forgets a worker and every run on it. It returns the runs.
@@ -59,6 +68,7 @@
 		delete(c.runs, r.Attempt)
 	}
 	delete(c.books, name)
+	c.index.leave(b)
 	for i, o := range c.order {
 		if o == b {
 			c.order = append(c.order[:i], c.order[i+1:]...)
@@ -75,6 +85,7 @@
 		return unknownWorker(name)
 	}
 	b.Status = s
+	b.reindex()
 	return nil
 }
 
@@ -131,10 +142,16 @@
 	if free := b.free(); !r.Size.Fits(free) {
 		return result.New(result.WorkerFull, result.RanNo, "worker %s has %v left, the run needs %v", name, free, r.Size)
 	}
-	c.runs[r.Attempt] = b.add(r, now)
+	c.book(b, r, now)
 	return nil
 }
 
+// book adds a run to a worker's books.
+func (c *Cell) book(b *book, r Run, now time.Time) {
+	c.runs[r.Attempt] = b.add(r, now)
+	b.reindex()
+}
+
 // Adopt books a run that a worker's inventory shows. What runs, runs: it is
 // booked even where that takes the worker over its size. The run counts on top
 // of usage reports until one comes that is a lag later than started.
@@ -146,7 +163,7 @@
 	if _, dup := c.runs[r.Attempt]; dup {
 		return nil
 	}
-	c.runs[r.Attempt] = b.add(r, started)
+	c.book(b, r, started)
 	return nil
 }
 
@@ -158,6 +175,7 @@
 	}
 	delete(c.runs, a)
 	k.on.remove(k)
+	k.on.reindex()
 	return true
 }
 
@@ -181,6 +199,7 @@
 		return
 	}
 	b.observe(usage, now, c.UsageLag)
+	b.reindex()
 	b.over.note(usage, b.Info.Size, now)
 }
 
--- a/internal/scheduler/digest.go
+++ b/internal/scheduler/digest.go
@@ -9,9 +9,8 @@
 // Digest sums up the room of the ready workers, for heartbeats. Sizes counts
 // every worker that is known, ready or not: what is away may come back.
 func (c *Cell) Digest() taskmsg.Digest {
-	d := taskmsg.Digest{}
+	d := taskmsg.Digest{Sizes: c.index.makes()}
 	for _, b := range c.order {
-		d.Sizes = addMake(d.Sizes, makeOf(b))
 		if b.Status != StatusReady {
 			continue
 		}
@@ -23,15 +22,23 @@
 	return d
 }
 
-// addMake counts one worker of a make.
+// makes lists the distinct makes of worker with their numbers.
+func (x *index) makes() []taskmsg.Size {
+	var out []taskmsg.Size
+	for _, g := range x.order {
+		out = addMake(out, g.size)
+	}
+	return out
+}
+
+// addMake adds the workers of a make.
 func addMake(makes []taskmsg.Size, m taskmsg.Size) []taskmsg.Size {
 	for i := range makes {
 		if sameMake(&makes[i], &m) {
-			makes[i].Workers++
+			makes[i].Workers += m.Workers
 			return makes
 		}
 	}
-	m.Workers = 1
 	return append(makes, m)
 }
 
--- a/internal/scheduler/filters.go
+++ b/internal/scheduler/filters.go
@@ -86,16 +86,27 @@
 	return taskmsg.Size{Size: i.Size, AcceleratorKind: i.AcceleratorKind, Generation: i.Generation, Labels: i.Labels}
 }
 
+// hardwareAdmits tells whether every hardware filter admits the make.
+func hardwareAdmits(a *Ask, m *taskmsg.Size) bool { return refusedByHardware(a, m) == "" }
+
+// refusedByHardware returns the first hardware filter that turns the make down,
+// or "".
+func refusedByHardware(a *Ask, m *taskmsg.Size) string {
+	for _, f := range hardwareFilters {
+		if !f.admits(a, m) {
+			return f.rule
+		}
+	}
+	return ""
+}
+
 // refusedBy returns the first rule that turns the worker down, or "".
 func refusedBy(a *Ask, b *book) string {
 	if b.Status != StatusReady {
 		return RuleStatus
 	}
-	size := makeOf(b)
-	for _, f := range hardwareFilters {
-		if !f.admits(a, &size) {
-			return f.rule
-		}
+	if rule := refusedByHardware(a, &b.group.size); rule != "" {
+		return rule
 	}
 	for _, f := range roomFilters {
 		if !f.admits(a, b) {
--- /dev/null
+++ b/internal/scheduler/index_test.go
@@ -0,0 +1,139 @@
+package scheduler
+
+import (
+	"fmt"
+	"maps"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"pulleyquay/internal/settings"
+	"pulleyquay/internal/spec"
+)
+
+func TestLevelGrowsWithAmount(t *testing.T) {
+	is := is.New(t)
+	is.Equal(level(-1, 100), uint8(0))
+	last := level(0, 100)
+	for v := int64(0); v < 1<<20; v += 7 {
+		l := level(v, 100)
+		is.True(l == last || l == last+1) // no level is left out
+		last = l
+	}
+	is.True(level(1<<50, 1) < 255)
+}
+
+// randomWorker draws workers of few makes, with sizes at the edges of levels.
+func randomWorker(t *rapid.T, i int) Worker {
+	sizes := []spec.Resources{res(1000, 1024, 0), res(1000, 2048, 2), res(1600, 1088, 4)}
+	w := ready(name(i), rapid.SampledFrom([]string{"a", "b"}).Draw(t, "zone"), rapid.SampledFrom(sizes).Draw(t, "size"))
+	w.Info.Rack = fmt.Sprint("rack", i/3)
+	w.Info.Generation = rapid.IntRange(1, 2).Draw(t, "generation")
+	w.Status = rapid.SampledFrom([]Status{StatusReady, StatusReady, StatusReady, StatusLeaving}).Draw(t, "status")
+	if w.Info.Size.Accelerators > 0 {
+		w.Info.AcceleratorKind = rapid.SampledFrom([]string{"x", "y"}).Draw(t, "kind")
+	}
+	if rapid.Bool().Draw(t, "labelled") {
+		w.Info.Labels = map[string]string{"disk": "fast"}
+	}
+	return w
+}
+
+func randomAsk(t *rapid.T) Ask {
+	a := askFor(res(rapid.Int64Range(0, 1200).Draw(t, "cpu"), rapid.Int64Range(0, 1500).Draw(t, "mem"), rapid.Int64Range(0, 3).Draw(t, "acc")))
+	a.Shape.Task.AcceleratorKind = rapid.SampledFrom([]string{"", "", "x", "z"}).Draw(t, "ask-kind")
+	a.Shape.Task.MinGeneration = rapid.IntRange(0, 2).Draw(t, "ask-generation")
+	if rapid.IntRange(0, 3).Draw(t, "ask-label") == 0 {
+		a.Shape.Task.Labels = map[string]string{"disk": "fast"}
+	}
+	for range rapid.IntRange(0, 3).Draw(t, "avoids") {
+		a.Shape.Avoid = append(a.Shape.Avoid, name(rapid.IntRange(0, 20).Draw(t, "avoid")))
+	}
+	a.Shape.Policy.SpreadZones = rapid.Bool().Draw(t, "spread-zones")
+	a.Shape.Policy.SpreadRacks = rapid.Bool().Draw(t, "spread-racks")
+	a.Shape.Policy.Name = rapid.SampledFrom([]string{settings.PolicyPacking, settings.PolicyWaiting}).Draw(t, "policy")
+	a.Shape.Zones = map[string]int{"a": rapid.IntRange(0, 2).Draw(t, "in-a")}
+	return a
+}
+
+// TestIndexFindsRoomIffScanDoes compares the index with a scan of all workers
+// while workers and runs come and go: the same verdict, the same counts of
+// refusals, and a choice that has room.
+func TestIndexFindsRoomIffScanDoes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := NewCell(rapid.Uint64().Draw(t, "seed"))
+		workers := rapid.IntRange(1, 20).Draw(t, "workers")
+		for i := range workers {
+			c.Upsert(randomWorker(t, i))
+		}
+		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			changeCell(t, c, workers, i)
+			a := randomAsk(t)
+			compareWithScan(t, c, a)
+			checkIndex(t, c)
+		}
+	})
+}
+
+func changeCell(t *rapid.T, c *Cell, workers, i int) {
+	w := rapid.IntRange(0, workers-1).Draw(t, "changed")
+	size := res(rapid.Int64Range(0, 700).Draw(t, "r-cpu"), rapid.Int64Range(0, 900).Draw(t, "r-mem"), rapid.Int64Range(0, 2).Draw(t, "r-acc"))
+	switch rapid.IntRange(0, 6).Draw(t, "change") {
+	case 0:
+		c.Observe(name(w), size.Times(2), start)
+	case 1:
+		c.Remove(name(w))
+	case 2:
+		c.Upsert(randomWorker(t, w))
+	case 3:
+		c.Unreserve(run("job", rapid.IntRange(0, i).Draw(t, "ended"), size).Attempt)
+	default:
+		_ = c.Reserve(name(w), run("job", i, size), start) // full or gone is as good
+	}
+}
+
+func compareWithScan(t *rapid.T, c *Cell, a Ask) {
+	want, wantRefusal := c.selectByScan(&a)
+	got, refusal := c.Select(a)
+	if (refusal == nil) != (wantRefusal == nil) {
+		t.Fatalf("index %v %+v, scan %v %+v", got, refusal, want, wantRefusal)
+	}
+	if refusal != nil {
+		if refusal.Never != wantRefusal.Never || refusal.Workers != wantRefusal.Workers || !maps.Equal(refusal.ByRule, wantRefusal.ByRule) {
+			t.Fatalf("refused by the index %+v, by the scan %+v", refusal, wantRefusal)
+		}
+		return
+	}
+	if rule := refusedBy(&a, c.books[got.Worker]); rule != "" || got.Score > want.Score {
+		t.Fatalf("index chose %v (refused by %q), scan %v", got, rule, want)
+	}
+}
+
+// checkIndex checks that each ready worker is in exactly the bucket of its room.
+func checkIndex(t *rapid.T, c *Cell) {
+	ready, members := 0, 0
+	for _, g := range c.index.order {
+		members += g.size.Workers
+		for at, k := range g.buckets {
+			if k.at != at || g.byLevel[k.levels] != k || len(k.books) == 0 {
+				t.Fatalf("bucket %v is misplaced", k.levels)
+			}
+			for slot, b := range k.books {
+				ready++
+				if b.slot != slot || b.bucket != k || levelsOf(b.free()) != k.levels || !b.free().Fits(k.most) || b.Status != StatusReady {
+					t.Fatalf("worker %s is in the wrong bucket", b.Info.Name)
+				}
+			}
+		}
+	}
+	wantReady := 0
+	for _, b := range c.order {
+		if b.Status == StatusReady {
+			wantReady++
+		}
+	}
+	if ready != wantReady || members != len(c.order) {
+		t.Fatalf("index has %d ready of %d, the cell %d of %d", ready, members, wantReady, len(c.order))
+	}
+}
--- a/internal/scheduler/never.go
+++ b/internal/scheduler/never.go
@@ -38,16 +38,7 @@
 
 // Never applies the function Never to the workers of the cell.
 func (c *Cell) Never(task *spec.Task) *result.Error {
-	return Never(c.Digest().Sizes, task)
-}
-
-func hardwareAdmits(a *Ask, m *taskmsg.Size) bool {
-	for _, f := range hardwareFilters {
-		if !f.admits(a, m) {
-			return false
-		}
-	}
-	return true
+	return Never(c.index.makes(), task)
 }
 
 // wanted names what the hardware filters looked for.
--- a/internal/scheduler/scores.go
+++ b/internal/scheduler/scores.go
@@ -13,6 +13,8 @@
 	// zoneRuns and zoneSpan compare the job's runs in this zone with the zones
 	// that have fewest and most.
 	zoneRuns, zoneLeast, zoneMost int
+	// rackRuns is the number of the job's runs in this rack.
+	rackRuns int
 }
 
 // score rates a place between 0 (worst) and 1 (best).
@@ -20,6 +22,8 @@
 	name   string
 	weight float64
 	rate   func(*Ask, *place) float64
+	// fixed scores do not depend on what is left of the worker, nor on its rack.
+	fixed bool
 }
 
 // The weights. Spreading outweighs all else because it is about surviving a
@@ -27,6 +31,7 @@
 // accelerator host strands what is scarcest.
 const (
 	weightZones        = 8
+	weightRacks        = 4
 	weightAccelerators = 4
 	weightFit          = 2
 	weightBalance      = 1
@@ -34,12 +39,13 @@
 )
 
 var (
-	spreadZones      = score{"spread-zones", weightZones, rateZones}
-	keepAccelerators = score{"keep-accelerators", weightAccelerators, rateAccelerators}
-	bestFit          = score{"best-fit", weightFit, rateBestFit}
-	leastUsed        = score{"least-used", weightFit, rateLeastUsed}
-	balance          = score{"balance", weightBalance, rateBalance}
-	keepNew          = score{"keep-new-processors", weightGeneration, rateGeneration}
+	spreadZones      = score{"spread-zones", weightZones, rateZones, true}
+	spreadRacks      = score{"spread-racks", weightRacks, rateRacks, false}
+	keepAccelerators = score{"keep-accelerators", weightAccelerators, rateAccelerators, false}
+	bestFit          = score{"best-fit", weightFit, rateBestFit, false}
+	leastUsed        = score{"least-used", weightFit, rateLeastUsed, false}
+	balance          = score{"balance", weightBalance, rateBalance, false}
+	keepNew          = score{"keep-new-processors", weightGeneration, rateGeneration, true}
 )
 
 // scoresOf returns the scores that a policy adds up.
@@ -51,8 +57,8 @@
 }
 
 var (
-	packingScores = []score{keepAccelerators, bestFit, balance, keepNew, spreadZones}
-	waitingScores = []score{keepAccelerators, leastUsed, balance, keepNew, spreadZones}
+	packingScores = []score{keepAccelerators, bestFit, balance, keepNew, spreadZones, spreadRacks}
+	waitingScores = []score{keepAccelerators, leastUsed, balance, keepNew, spreadZones, spreadRacks}
 )
 
 // total adds up the weighted scores of a place.
@@ -64,6 +70,23 @@
 	return sum
 }
 
+// bound is the most that total can give for any worker of a group: fixed scores
+// count as they are, the others as 1.
+func bound(scores []score, a *Ask, p *place) float64 {
+	var sum float64
+	for i := range scores {
+		rate := 1.0
+		if scores[i].fixed || a.size().Accelerators == 0 && scores[i].name == keepAccelerators.name {
+			rate = scores[i].rate(a, p)
+		}
+		sum += scores[i].weight * rate
+	}
+	return sum
+}
+
+// rateRacks prefers racks with few runs of the job.
+func rateRacks(_ *Ask, p *place) float64 { return 1 / float64(1+p.rackRuns) }
+
 // rateZones prefers the zones with the fewest runs of the job.
 func rateZones(a *Ask, p *place) float64 {
 	if !a.Shape.Policy.SpreadZones || p.zoneMost == p.zoneLeast {
--- a/internal/scheduler/select.go
+++ b/internal/scheduler/select.go
@@ -1,11 +1,25 @@
 package scheduler
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
+	"pulleyquay/internal/spec"
 	"pulleyquay/internal/taskmsg"
 )
 
+// Bounds of the work of one decision.
+const (
+	// placesLooked is how many places are rated at most once one is found.
+	placesLooked = 128
+	// samplesInBucket is how many workers are tried in a bucket in which some
+	// may fit, before it is put off until all else has failed.
+	samplesInBucket = 4
+	// samplesInBest is how many more workers are rated in the best bucket.
+	samplesInBest = 4
+)
+
 // Placed is one run with the worker that it was booked on.
 type Placed struct {
 	Run
@@ -15,70 +29,221 @@
 // Select chooses the best worker for one task, or tells which rule turned down
 // how many workers. Nothing is booked.
 func (c *Cell) Select(a Ask) (Choice, *taskmsg.Refusal) {
-	return c.selectByScan(&a)
+	s := c.newSearch(&a)
+	b, score := s.best()
+	if b == nil {
+		return Choice{}, s.refusal()
+	}
+	return Choice{Worker: b.Info.Name, Score: score}, nil
 }
 
 // Place chooses a worker for each run of one shape and books it, until one
-// finds no room. The refusal is that of the first run not placed.
+// finds no room. The refusal is that of the first run not placed. A run that is
+// booked already is passed over and missing from the result.
 func (c *Cell) Place(a Ask, runs []Run, now time.Time) ([]Placed, *taskmsg.Refusal) {
 	a.Shape.Zones = copyZones(a.Shape.Zones)
 	placed := make([]Placed, 0, len(runs))
+	s := c.newSearch(&a)
 	for _, r := range runs {
-		choice, refusal := c.Select(a)
-		if refusal != nil {
-			return placed, refusal
+		if _, dup := c.runs[r.Attempt]; dup {
+			continue
+		}
+		b, score := s.best()
+		if b == nil {
+			return placed, s.refusal()
 		}
-		if err := c.Reserve(choice.Worker, r, now); err != nil {
-			continue // booked already: the caller sees it missing from placed
+		c.book(b, r, now)
+		placed = append(placed, Placed{Run: r, Choice: Choice{Worker: b.Info.Name, Score: score}})
+		a.Shape.Zones[b.Info.Zone]++
+		if a.Shape.Policy.SpreadZones {
+			s.rank()
 		}
-		a.Shape.Zones[c.books[choice.Worker].Info.Zone]++
-		placed = append(placed, Placed{Run: r, Choice: choice})
 	}
 	return placed, nil
 }
 
-// selectByScan looks at every worker. It is the reference that the index is
-// tested against.
-func (c *Cell) selectByScan(a *Ask) (Choice, *taskmsg.Refusal) {
-	scores := scoresOf(&a.Shape.Policy)
-	zones := c.zoneRange(a)
-	refusal := &taskmsg.Refusal{Workers: len(c.order), ByRule: map[string]int{}}
-	best := Choice{}
-	for _, b := range c.order {
-		if rule := refusedBy(a, b); rule != "" {
-			refusal.ByRule[rule]++
-			continue
+// search is the state of the decisions for one ask.
+type search struct {
+	cell   *Cell
+	ask    *Ask
+	size   spec.Resources
+	levels levels
+	scores []score
+	groups []rankedGroup
+	unsure []unsureBucket
+	// place is the place being rated; it stands here so that rating one does
+	// not allocate.
+	place place
+}
+
+// rankedGroup is a group that the hardware filters admit, with the best score
+// that a worker in it could have.
+type rankedGroup struct {
+	*group
+	place place // without free
+	bound float64
+}
+
+// unsureBucket is a bucket in which no worker that fits was found by sampling.
+type unsureBucket struct {
+	*bucket
+	group *rankedGroup
+}
+
+// newSearch reuses the cell's scratch memory: there is one search at a time.
+func (c *Cell) newSearch(a *Ask) *search {
+	s := &c.scratch
+	size := a.size()
+	*s = search{
+		cell: c, ask: a, size: size, levels: levelsOf(size), scores: scoresOf(&a.Shape.Policy),
+		groups: s.groups[:0], unsure: s.unsure[:0],
+	}
+	for _, g := range c.index.order {
+		if g.ready > 0 && hardwareAdmits(a, &g.size) {
+			s.groups = append(s.groups, rankedGroup{group: g})
 		}
-		size := makeOf(b)
-		p := place{size: &size, free: b.free(), zoneLeast: zones.least, zoneMost: zones.most, zoneRuns: a.Shape.Zones[b.Info.Zone]}
-		if s := total(scores, a, &p); best.Worker == "" || s > best.Score {
-			best = Choice{Worker: b.Info.Name, Score: s}
+	}
+	s.rank()
+	return s
+}
+
+// rank sorts the groups by the best score that a worker in them could have.
+func (s *search) rank() {
+	least, most := s.zoneRange()
+	for i := range s.groups {
+		g := &s.groups[i]
+		g.place = place{size: &g.size, zoneRuns: s.ask.Shape.Zones[g.zone], zoneLeast: least, zoneMost: most}
+		g.bound = bound(s.scores, s.ask, &g.place)
+	}
+	slices.SortStableFunc(s.groups, func(a, b rankedGroup) int { return cmp.Compare(b.bound, a.bound) })
+}
+
+// zoneRange is the fewest and the most runs that the job has in a zone.
+func (s *search) zoneRange() (least, most int) {
+	for i := range s.groups {
+		n := s.ask.Shape.Zones[s.groups[i].zone]
+		if i == 0 || n < least {
+			least = n
 		}
+		most = max(most, n)
 	}
-	if best.Worker != "" {
-		return best, nil
+	return least, most
+}
+
+// candidate is the best place found so far.
+type candidate struct {
+	book   *book
+	group  *rankedGroup
+	score  float64
+	looked int
+}
+
+// best finds the best worker that the sampling sees, and any worker with room
+// before it finds none. It returns nil when no worker has room.
+func (s *search) best() (*book, float64) {
+	var c candidate
+	s.unsure = s.unsure[:0]
+	for i := range s.groups {
+		g := &s.groups[i]
+		if c.book != nil && (g.bound <= c.score || c.looked >= placesLooked) {
+			break
+		}
+		s.lookAtGroup(g, &c)
+	}
+	if c.book == nil {
+		return s.fromUnsure()
+	}
+	for range samplesInBest {
+		s.rate(s.anyOf(c.book.bucket), c.group, &c)
+	}
+	return c.book, c.score
+}
+
+// lookAtGroup rates one worker of each bucket that has room, from a random
+// bucket on.
+func (s *search) lookAtGroup(g *rankedGroup, c *candidate) {
+	n := len(g.buckets)
+	if n == 0 {
+		return // its last worker was filled since the search began
+	}
+	first := s.cell.random.IntN(n)
+	for i := range n {
+		if c.looked >= placesLooked {
+			return
+		}
+		k := g.buckets[(first+i)%n]
+		switch v, _ := k.judge(s.levels, s.size); v {
+		case allFit:
+			s.rateSome(k, g, c, 1+len(s.ask.Shape.Avoid))
+		case someMayFit:
+			s.rateSome(k, g, c, samplesInBucket)
+		}
 	}
-	refusal.Never = c.Never(&a.Shape.Task) != nil
-	return Choice{}, refusal
 }
 
-// zoneRange is the fewest and most runs that the job has in a zone.
-type zoneRange struct{ least, most int }
+// rateSome rates the first worker that fits of a number of random ones. When
+// there is none the bucket is put off.
+func (s *search) rateSome(k *bucket, g *rankedGroup, c *candidate, samples int) {
+	for range samples {
+		if s.rate(s.anyOf(k), g, c) {
+			return
+		}
+	}
+	s.unsure = append(s.unsure, unsureBucket{k, g})
+}
 
-// zoneRange looks at the zones of the workers here, with the counts of the ask.
-func (c *Cell) zoneRange(a *Ask) zoneRange {
-	r := zoneRange{least: -1}
-	if !a.Shape.Policy.SpreadZones {
-		return r
+func (s *search) anyOf(k *bucket) *book {
+	if len(k.books) == 1 {
+		return k.books[0]
 	}
-	for _, b := range c.order {
-		n := a.Shape.Zones[b.Info.Zone]
-		r.most = max(r.most, n)
-		if r.least < 0 || n < r.least {
-			r.least = n
+	return k.books[s.cell.random.IntN(len(k.books))]
+}
+
+// rate compares one worker with the best so far; it reports whether the worker
+// fits.
+func (s *search) rate(b *book, g *rankedGroup, c *candidate) bool {
+	free := b.free()
+	if !s.size.Fits(free) || !admitsAvoid(s.ask, b) {
+		return false
+	}
+	c.looked++
+	s.place = g.place
+	s.place.free = free
+	if s.ask.Shape.Policy.SpreadRacks {
+		s.place.rackRuns = s.cell.rackRuns(b, s.ask.Shape.Job)
+	}
+	if score := total(s.scores, s.ask, &s.place); c.book == nil || score > c.score {
+		c.book, c.group, c.score = b, g, score
+	}
+	return true
+}
+
+// fromUnsure looks at every worker that may fit, once sampling found none.
+func (s *search) fromUnsure() (*book, float64) {
+	var c candidate
+	for _, u := range s.unsure {
+		for _, b := range u.books {
+			s.rate(b, u.group, &c)
+		}
+		if c.book != nil {
+			return c.book, c.score
+		}
+		u.tighten()
+	}
+	return nil, 0
+}
+
+// rackRuns counts the job's runs in the rack of b.
+func (c *Cell) rackRuns(b *book, job string) int {
+	n := 0
+	for _, other := range c.index.racks[b.rack] {
+		for _, k := range other.runs {
+			if k.Attempt.Task.Job == job {
+				n++
+			}
 		}
 	}
-	return r
+	return n
 }
 
 func copyZones(zones map[string]int) map[string]int {
--- a/internal/scheduler/victims.go
+++ b/internal/scheduler/victims.go
@@ -79,8 +79,7 @@
 
 // couldHold tells whether the worker, if empty, would do.
 func couldHold(a *Ask, b *book) bool {
-	m := makeOf(b)
-	return b.Status == StatusReady && admitsAvoid(a, b) && hardwareAdmits(a, &m) && a.size().Fits(b.Info.Size)
+	return b.Status == StatusReady && admitsAvoid(a, b) && hardwareAdmits(a, &b.group.size) && a.size().Fits(b.Info.Size)
 }
 
 // candidates are the runs on b that the ask may preempt, least urgent first.
