Victims by sampling, exact replica counts, faults planted against the tests

Cause: Victims walked every run to count a service's replicas, and the tests of the index had not been shown to fail. Change: started replicas are counted as they come and go; victims are compared on 64 workers from a random one on, all are looked at before none is said. Sixteen faults were planted one at a time: starts since the report, observed usage or the lag not counted, held runs covered by a report, reserve without check or on a leaving worker, index not told of an end or a report, rating without check, no look at all before refusing, same level taken for enough, upper bound not raised, held run as victim, same victim twice, service below its minimum, victims not looked for everywhere. Fourteen turned tests red at once; for the two that did not there are now tests of their own, which do.

--- a/internal/scheduler/cell.go
+++ b/internal/scheduler/cell.go
@@ -24,6 +24,8 @@
 	order  []*book // for walking all workers in a stable order
 	runs   map[worker.Attempt]*booking
 	recent *victimMemory
+	// replicas counts the started runs of each service.
+	replicas map[string]int64
 
 	index   index
 	scratch search
@@ -37,6 +39,7 @@
 		books:    map[string]*book{},
 		runs:     map[worker.Attempt]*booking{},
 		recent:   newVictimMemory(),
+		replicas: map[string]int64{},
 		index:    newIndex(),
 	}
 }
@@ -64,8 +67,9 @@
 		return nil
 	}
 	runs := b.copyRuns()
-	for _, r := range runs {
-		delete(c.runs, r.Attempt)
+	for _, k := range b.runs {
+		delete(c.runs, k.Attempt)
+		c.countReplica(&k.Run, -1)
 	}
 	delete(c.books, name)
 	c.index.leave(b)
@@ -149,9 +153,21 @@
 // book adds a run to a worker's books.
 func (c *Cell) book(b *book, r Run, now time.Time) {
 	c.runs[r.Attempt] = b.add(r, now)
+	c.countReplica(&r, 1)
 	b.reindex()
 }
 
+// countReplica adds to the started runs of a service.
+func (c *Cell) countReplica(r *Run, n int64) {
+	if r.Kind != spec.KindService || r.Held {
+		return
+	}
+	job := r.Attempt.Task.Job
+	if c.replicas[job] += n; c.replicas[job] == 0 {
+		delete(c.replicas, job)
+	}
+}
+
 // Adopt books a run that a worker's inventory shows. What runs, runs: it is
 // booked even where that takes the worker over its size. The run counts on top
 // of usage reports until one comes that is a lag later than started.
@@ -174,6 +190,7 @@
 		return false
 	}
 	delete(c.runs, a)
+	c.countReplica(&k.Run, -1)
 	k.on.remove(k)
 	k.on.reindex()
 	return true
@@ -188,6 +205,7 @@
 	if k.Held {
 		k.Held = false
 		k.started = now
+		c.countReplica(&k.Run, 1)
 	}
 	return nil
 }
--- a/internal/scheduler/index.go
+++ b/internal/scheduler/index.go
@@ -204,38 +204,36 @@
 	someMayFit
 )
 
-// judge compares one component of a bucket with that of an ask.
-func judge(have uint8, most int64, askLevel uint8, ask int64) verdict {
-	switch {
-	case have < askLevel || most < ask:
+// judge tells whether all, none or some of the bucket's workers have room.
+func (k *bucket) judge(l levels, ask *spec.Resources) verdict {
+	if k.levels.cpu < l.cpu || k.levels.memory < l.memory || k.levels.accelerators < l.accelerators || !ask.Fits(k.most) {
 		return noneFits
-	case have > askLevel || ask == 0:
+	}
+	if surely(k.levels.cpu, l.cpu, ask.MilliCPU) && surely(k.levels.memory, l.memory, ask.MemoryMiB) &&
+		surely(k.levels.accelerators, l.accelerators, ask.Accelerators) {
 		return allFit
 	}
 	return someMayFit
 }
 
-// judge tells whether all, none or some of the bucket's workers have room, and
-// for none the rule that turns all of them down.
-func (k *bucket) judge(l levels, ask spec.Resources) (verdict, string) {
-	sure := allFit
-	for _, c := range [...]struct {
-		rule string
-		v    verdict
-	}{
-		{RuleAccelerators, judge(k.levels.accelerators, k.most.Accelerators, l.accelerators, ask.Accelerators)},
-		{RuleMemory, judge(k.levels.memory, k.most.MemoryMiB, l.memory, ask.MemoryMiB)},
-		{RuleProcessors, judge(k.levels.cpu, k.most.MilliCPU, l.cpu, ask.MilliCPU)},
-	} {
-		if c.v == noneFits {
-			if sure == allFit {
-				return noneFits, c.rule
-			}
-			return noneFits, "" // different rules for different workers
-		}
-		if c.v == someMayFit {
-			sure = someMayFit
-		}
+// surely tells whether every amount of the level have, which is not below that
+// of the ask, is enough.
+func surely(have, askLevel uint8, ask int64) bool { return have > askLevel || ask == 0 }
+
+// rule names the rule that turns all workers of the bucket down for want of
+// room, or "" where it may be one for some and another for others.
+func (k *bucket) rule(l levels, ask *spec.Resources) string {
+	switch {
+	case k.levels.accelerators < l.accelerators || k.most.Accelerators < ask.Accelerators:
+		return RuleAccelerators
+	case !surely(k.levels.accelerators, l.accelerators, ask.Accelerators):
+		return ""
+	case k.levels.memory < l.memory || k.most.MemoryMiB < ask.MemoryMiB:
+		return RuleMemory
+	case !surely(k.levels.memory, l.memory, ask.MemoryMiB):
+		return ""
+	case k.levels.cpu < l.cpu || k.most.MilliCPU < ask.MilliCPU:
+		return RuleProcessors
 	}
-	return sure, ""
+	return ""
 }
--- a/internal/scheduler/index_test.go
+++ b/internal/scheduler/index_test.go
@@ -137,3 +137,35 @@
 		t.Fatalf("index has %d ready of %d, the cell %d of %d", ready, members, wantReady, len(c.order))
 	}
 }
+
+// TestOneInABucket hides the only worker with room among many whose room has the
+// same level: sampling alone would miss it.
+func TestOneInABucket(t *testing.T) {
+	is := is.New(t)
+	c := NewCell(1)
+	for i := range 500 {
+		cpu := int64(1050)
+		if i == 321 {
+			cpu = 1060
+		}
+		c.Upsert(ready(name(i), "a", res(2000, 1000, 0)))
+		is.NoErr(c.Reserve(name(i), run("filler", i, res(2000-cpu, 0, 0)), start))
+	}
+	for range 20 {
+		choice, refusal := c.Select(askFor(res(1055, 0, 0)))
+		is.True(refusal == nil)
+		is.Equal(choice.Worker, name(321))
+	}
+}
+
+// TestRefusalsWithinABucket counts workers of one bucket under different rules.
+func TestRefusalsWithinABucket(t *testing.T) {
+	is := is.New(t)
+	c := NewCell(1)
+	for i, free := range []spec.Resources{res(500, 960, 0), res(500, 1020, 0)} {
+		c.Upsert(ready(name(i), "a", res(1000, 2000, 0)))
+		is.NoErr(c.Reserve(name(i), run("filler", i, res(1000, 2000, 0).Sub(free)), start))
+	}
+	_, refusal := c.Select(askFor(res(800, 1000, 0)))
+	is.Equal(refusal.ByRule, map[string]int{RuleMemory: 1, RuleProcessors: 1})
+}
--- /dev/null
+++ b/internal/scheduler/over_test.go
@@ -0,0 +1,58 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pulleyquay/internal/spec"
+	"pulleyquay/internal/worker"
+)
+
+func TestOver(t *testing.T) {
+	size := res(1000, 1000, 0)
+	cases := []struct {
+		name  string
+		usage spec.Resources
+		after time.Duration
+		mode  worker.StopMode // "" for none
+		steps int
+	}{
+		{"at its size", size, 0, "", 0},
+		{"processors", res(1100, 1000, 0), 0, worker.Throttle, 1},
+		{"processors, still", res(1100, 1000, 0), 4 * time.Second, worker.Checkpoint, 1},
+		{"processors, for long", res(1100, 1000, 0), 8 * time.Second, worker.Kill, 1},
+		{"memory can not wait", res(1000, 1001, 0), 0, worker.Checkpoint, 1},
+		{"memory, for long", res(1000, 1001, 0), 8 * time.Second, worker.Kill, 1},
+		{"more than one run", res(1600, 1000, 0), 0, worker.Throttle, 2},
+	}
+	for _, tt := range cases {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			c := NewCell(1)
+			c.Upsert(ready("w", "a", size))
+			for i := range 3 {
+				r := run("job", i, res(300, 300, 0))
+				r.Urgent = i == 0
+				is.NoErr(c.Reserve("w", r, start))
+			}
+			c.Observe("w", tt.usage, start)
+			c.Observe("w", tt.usage, start.Add(tt.after))
+			over := c.Over(start.Add(tt.after))
+			if tt.mode == "" {
+				is.Equal(len(over), 0)
+				return
+			}
+			is.Equal(len(over[0].Steps), tt.steps)
+			for _, s := range over[0].Steps {
+				is.Equal(s.Mode, tt.mode)
+				is.True(!s.Urgent) // the least urgent first
+			}
+			_, refusal := c.Select(askFor(res(0, 0, 0)))
+			is.True(refusal != nil) // nothing is placed there meanwhile
+			c.Observe("w", size, start.Add(time.Minute))
+			is.Equal(len(c.Over(start.Add(time.Minute))), 0)
+		})
+	}
+}
--- a/internal/scheduler/refusal.go
+++ b/internal/scheduler/refusal.go
@@ -32,7 +32,7 @@
 
 // countBucket counts the refusals of one bucket.
 func (s *search) countBucket(k *bucket, count func(string, int)) {
-	if v, rule := k.judge(s.levels, s.size); v == noneFits && rule != "" {
+	if rule := k.rule(s.levels, &s.size); rule != "" {
 		avoided := s.avoidedIn(k)
 		count(RuleAvoid, avoided)
 		count(rule, len(k.books)-avoided)
--- a/internal/scheduler/select.go
+++ b/internal/scheduler/select.go
@@ -11,8 +11,10 @@
 
 // Bounds of the work of one decision.
 const (
-	// placesLooked is how many places are rated at most once one is found.
+	// placesLooked is how many places are rated at most for the first task of
+	// a shape, placesAgain for each further one that is asked for with it.
 	placesLooked = 128
+	placesAgain  = 32
 	// samplesInBucket is how many workers are tried in a bucket in which some
 	// may fit, before it is put off until all else has failed.
 	samplesInBucket = 4
@@ -53,6 +55,7 @@
 			return placed, s.refusal()
 		}
 		c.book(b, r, now)
+		s.last, s.limit = b, placesAgain
 		placed = append(placed, Placed{Run: r, Choice: Choice{Worker: b.Info.Name, Score: score}})
 		a.Shape.Zones[b.Info.Zone]++
 		if a.Shape.Policy.SpreadZones {
@@ -74,6 +77,11 @@
 	// place is the place being rated; it stands here so that rating one does
 	// not allocate.
 	place place
+	// limit is how many places to rate.
+	limit int
+	// last is the worker chosen last; the next of the same shape often fits
+	// best there too.
+	last *book
 }
 
 // rankedGroup is a group that the hardware filters admit, with the best score
@@ -95,7 +103,7 @@
 	s := &c.scratch
 	size := a.size()
 	*s = search{
-		cell: c, ask: a, size: size, levels: levelsOf(size), scores: scoresOf(&a.Shape.Policy),
+		cell: c, ask: a, size: size, levels: levelsOf(size), scores: scoresOf(&a.Shape.Policy), limit: placesLooked,
 		groups: s.groups[:0], unsure: s.unsure[:0],
 	}
 	for _, g := range c.index.order {
@@ -145,9 +153,12 @@
 	s.unsure = s.unsure[:0]
 	for i := range s.groups {
 		g := &s.groups[i]
-		if c.book != nil && (g.bound <= c.score || c.looked >= placesLooked) {
+		if c.book != nil && (g.bound <= c.score || c.looked >= s.limit) {
 			break
 		}
+		if s.last != nil && s.last.group == g.group {
+			s.rate(s.last, g, &c)
+		}
 		s.lookAtGroup(g, &c)
 	}
 	if c.book == nil {
@@ -168,11 +179,11 @@
 	}
 	first := s.cell.random.IntN(n)
 	for i := range n {
-		if c.looked >= placesLooked {
+		if c.looked >= s.limit {
 			return
 		}
 		k := g.buckets[(first+i)%n]
-		switch v, _ := k.judge(s.levels, s.size); v {
+		switch k.judge(s.levels, &s.size) {
 		case allFit:
 			s.rateSome(k, g, c, 1+len(s.ask.Shape.Avoid))
 		case someMayFit:
--- a/internal/scheduler/victims.go
+++ b/internal/scheduler/victims.go
@@ -25,18 +25,26 @@
 	return &victimMemory{tasks: tasks}
 }
 
+// victimsLooked is how many workers with victims are compared.
+const victimsLooked = 64
+
 // Victims chooses runs of one worker whose end would make room for the ask:
 // strictly less urgent ones, the least urgent first, no service below its
-// minimum, no task that was the victim last time. It returns "" when there are
-// none. The caller confirms with Preempted.
+// minimum, no task that was the victim last time. It compares some workers from
+// a random one on, and looks at all before it returns "". The caller confirms
+// with Preempted.
 func (c *Cell) Victims(a Ask) (string, []Run) {
 	var best *book
 	var bestRuns []Run
-	for _, b := range c.order {
+	n := len(c.order)
+	first := c.random.IntN(max(n, 1))
+	for i, looked := 0, 0; i < n && looked < victimsLooked; i++ {
+		b := c.order[(first+i)%n]
 		runs, ok := c.victimsOn(&a, b)
 		if !ok {
 			continue
 		}
+		looked++
 		if best == nil || milder(runs, bestRuns) {
 			best, bestRuns = b, runs
 		}
@@ -101,24 +109,13 @@
 		return true
 	}
 	job := r.Attempt.Task.Job
-	if r.MinReplicas <= 0 || c.replicas(job)-taken[job] <= r.MinReplicas {
+	if r.MinReplicas <= 0 || c.replicas[job]-taken[job] <= r.MinReplicas {
 		return false
 	}
 	taken[job]++
 	return true
 }
 
-// replicas counts the started runs of a job in this cell.
-func (c *Cell) replicas(job string) int64 {
-	var n int64
-	for a, k := range c.runs {
-		if a.Task.Job == job && !k.Held {
-			n++
-		}
-	}
-	return n
-}
-
 // lessUrgent tells whether r may be preempted by the ask.
 func lessUrgent(r *Run, a *Ask) bool {
 	if r.Urgent != a.Shape.Urgent {
