--- a/internal/platform/etcdhttp/store.go
+++ b/internal/platform/etcdhttp/store.go
@@ -15,7 +15,7 @@
 	var reply RangeReply
 	key, end := span(prefix)
 	if err := c.call(ctx, PathRange, RangeRequest{Key: key, RangeEnd: end}, &reply); err != nil {
-		return nil, 0, err
+		return nil, 0, noEffect(err)
 	}
 	return records(reply.KVs), reply.Header.Revision, nil
 }
@@ -120,7 +120,7 @@
 	create := WatchCreate{Key: key, RangeEnd: end, StartRevision: after + 1}
 	response, err := c.open(ctx, PathWatch, WatchRequest{Create: create})
 	if err != nil {
-		return ended(ctx, err)
+		return ended(ctx, noEffect(err))
 	}
 	defer response.Body.Close()
 	decoder := json.NewDecoder(response.Body)
@@ -139,6 +139,14 @@
 	}
 }
 
+// noEffect is the error of a failed read. It had no effect, sent or not.
+func noEffect(err error) error {
+	if errors.Is(err, platform.ErrUnknownOutcome) {
+		return fmt.Errorf("%w: read failed: %v", platform.ErrUnavailable, err)
+	}
+	return err
+}
+
 // ended prefers the end of ctx to the failure that it brought about.
 func ended(ctx context.Context, err error) error {
 	if ctx.Err() != nil {
@@ -159,7 +167,7 @@
 func (m WatchMessage) failure() error {
 	switch {
 	case m.Error != nil:
-		return m.Error.failure()
+		return noEffect(m.Error.failure())
 	case m.Result.Canceled && m.Result.CompactRevision > 0:
 		return platform.ErrCompacted
 	case m.Result.Canceled:
--- a/internal/platform/memstore/client.go
+++ b/internal/platform/memstore/client.go
@@ -102,7 +102,7 @@
 	case o := <-answers:
 		return o.value, o.err
 	case <-ctx.Done():
-		return none, unknown(context.Cause(ctx))
+		return none, lost(write, context.Cause(ctx))
 	}
 }
 
@@ -113,12 +113,12 @@
 	case f.Hang:
 		return
 	case f.Refuse, write && c.loseRequest():
-		answers <- outcome[T]{err: unknown(errBroken)}
+		answers <- outcome[T]{err: lost(write, errBroken)}
 		return
 	}
 	value, err := apply()
 	if write && c.loseAnswer() {
-		answers <- outcome[T]{err: unknown(errBroken)}
+		answers <- outcome[T]{err: lost(write, errBroken)}
 		return
 	}
 	after(f.AnswerDelayMS, func() { answers <- outcome[T]{value, err} })
@@ -133,9 +133,13 @@
 	time.AfterFunc(millis(delayMS), fn)
 }
 
-// unknown is the error of a call that was sent and not answered.
-func unknown(cause error) error {
-	return fmt.Errorf("%w: %w", platform.ErrUnknownOutcome, cause)
+// lost is the error of a call that was sent and not answered. A read has no
+// effect, answered or not.
+func lost(write bool, cause error) error {
+	if write {
+		return fmt.Errorf("%w: %w", platform.ErrUnknownOutcome, cause)
+	}
+	return fmt.Errorf("%w: %w", platform.ErrUnavailable, cause)
 }
 
 // Watch implements platform.Store.
--- a/internal/platform/memstore/engine.go
+++ b/internal/platform/memstore/engine.go
@@ -235,3 +235,23 @@
 	}
 	e.history = append([]platform.Change(nil), e.history[over:]...)
 }
+
+// Dump is how much the engine holds.
+type Dump struct {
+	Revision  platform.Revision `json:"revision"`
+	Compacted platform.Revision `json:"compacted"`
+	Records   int               `json:"records"`
+	History   int               `json:"history"`
+	Leases    int               `json:"leases"`
+	Watches   int               `json:"watches"`
+}
+
+// Dump returns how much the engine holds.
+func (e *Engine) Dump() Dump {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return Dump{
+		Revision: e.revision, Compacted: e.compacted, Records: e.records.Len(),
+		History: len(e.history), Leases: len(e.leases), Watches: len(e.watchers),
+	}
+}
--- /dev/null
+++ b/internal/standin/storehttp/faults_test.go
@@ -0,0 +1,190 @@
+package storehttp_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pulleyquay/internal/platform"
+	"pulleyquay/internal/platform/etcdhttp"
+	"pulleyquay/internal/platform/memstore"
+)
+
+// faultCase says what a fault does to each kind of call.
+type faultCase struct {
+	faults memstore.Faults
+	read   error
+	write  error
+	// took is true when a write takes effect, sooner or later.
+	took  bool
+	watch error
+}
+
+// refusedHere is the error of a refused call: in process nothing is sent; over
+// HTTP the stand-in can only close the connection after the request arrived.
+// A read fails without effect in any case.
+func faultCases(refusedHere error) map[string]faultCase {
+	const late = 150 // milliseconds, longer than callTime
+	unknown, unavailable := platform.ErrUnknownOutcome, platform.ErrUnavailable
+	ended := context.DeadlineExceeded
+	return map[string]faultCase{
+		"healthy":       {memstore.Faults{}, nil, nil, true, ended},
+		"refused":       {memstore.Faults{Refuse: true}, unavailable, refusedHere, false, unavailable},
+		"hanging":       {memstore.Faults{Hang: true}, unavailable, unknown, false, ended},
+		"requests late": {memstore.Faults{RequestDelayMS: late}, unavailable, unknown, true, ended},
+		"answers late":  {memstore.Faults{AnswerDelayMS: late}, unavailable, unknown, true, ended},
+		"requests lost": {memstore.Faults{LoseRequests: memstore.All}, nil, unknown, false, ended},
+		"answers lost":  {memstore.Faults{LoseAnswers: memstore.All}, nil, unknown, true, ended},
+		"stale reads":   {memstore.Faults{StaleReads: true}, nil, nil, true, ended},
+		"watches break": {memstore.Faults{BreakWatches: true}, nil, nil, true, unavailable},
+	}
+}
+
+// callTime bounds each call of the table.
+const callTime = 100 * time.Millisecond
+
+// trial is one fault against one kind of call.
+type trial struct {
+	is     *is.I
+	engine *memstore.Engine
+	store  platform.Store
+	lease  platform.LeaseID
+}
+
+// callKinds make one call each and tell whether it has taken effect.
+var callKinds = map[string]struct {
+	make func(ctx context.Context, t *trial) error
+	took func(t *trial) bool
+}{
+	"commit": {
+		func(ctx context.Context, t *trial) error {
+			_, err := t.store.Commit(ctx, platform.Txn{Then: []platform.Write{{Key: "k"}}})
+			return err
+		},
+		func(t *trial) bool { return t.engine.Dump().Records == 2 },
+	},
+	"grant": {
+		func(ctx context.Context, t *trial) error { _, err := t.store.Grant(ctx, 60); return err },
+		func(t *trial) bool { return t.engine.Dump().Leases == 2 },
+	},
+	"revoke": {
+		func(ctx context.Context, t *trial) error { return t.store.Revoke(ctx, t.lease) },
+		func(t *trial) bool { return t.engine.Dump().Records == 0 },
+	},
+	"keepalive": {
+		func(ctx context.Context, t *trial) error { return t.store.KeepAlive(ctx, t.lease) },
+		nil, // shows only after the term; see TestRenewalsUnderFaults
+	},
+}
+
+func newTrial(t *testing.T, newStore func(*memstore.Engine) platform.Store, engine *memstore.Engine) *trial {
+	tr := &trial{is: is.New(t), engine: engine, store: newStore(engine)}
+	var err error
+	tr.lease, err = tr.store.Grant(t.Context(), 60)
+	tr.is.NoErr(err)
+	_, err = tr.store.Commit(t.Context(), platform.Txn{Then: []platform.Write{{Key: "leased", Lease: tr.lease}}})
+	tr.is.NoErr(err)
+	return tr
+}
+
+// eventually waits until the condition is met.
+func eventually(is *is.I, condition func() bool) {
+	is.Helper()
+	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	is.Fail() // condition never met
+}
+
+func testFaults(t *testing.T, refused error, setup func(t *testing.T) (*memstore.Engine, platform.Store)) {
+	for name, fault := range faultCases(refused) {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for kind, call := range callKinds {
+				t.Run(kind, func(t *testing.T) {
+					engine, store := setup(t)
+					tr := newTrial(t, func(*memstore.Engine) platform.Store { return store }, engine)
+					engine.Client("a").SetFaults(fault.faults)
+					ctx, cancel := context.WithTimeout(t.Context(), callTime)
+					defer cancel()
+					tr.is.True(errors.Is(call.make(ctx, tr), fault.write))
+					if call.took == nil {
+						return
+					}
+					if fault.took {
+						eventually(tr.is, func() bool { return call.took(tr) })
+						return
+					}
+					engine.Client("a").SetFaults(memstore.Faults{})
+					_, _, err := store.List(t.Context(), "") // a later call overtakes nothing
+					tr.is.NoErr(err)
+					tr.is.True(!call.took(tr))
+				})
+			}
+			t.Run("list", func(t *testing.T) { testRead(t, fault, setup) })
+			t.Run("watch", func(t *testing.T) { testWatch(t, fault, setup) })
+		})
+	}
+}
+
+func testRead(t *testing.T, fault faultCase, setup func(t *testing.T) (*memstore.Engine, platform.Store)) {
+	is := is.New(t)
+	engine, store := setup(t)
+	engine.Client("a").SetFaults(fault.faults)
+	_, err := engine.Client("b").Commit(t.Context(), platform.Txn{Then: []platform.Write{{Key: "k"}}})
+	is.NoErr(err)
+	ctx, cancel := context.WithTimeout(t.Context(), callTime)
+	defer cancel()
+	records, _, err := store.List(ctx, "k")
+	is.True(errors.Is(err, fault.read))
+	is.Equal(len(records) == 1, err == nil && !fault.faults.StaleReads)
+}
+
+func testWatch(t *testing.T, fault faultCase, setup func(t *testing.T) (*memstore.Engine, platform.Store)) {
+	is := is.New(t)
+	engine, store := setup(t)
+	engine.Client("a").SetFaults(fault.faults)
+	_, err := engine.Client("b").Commit(t.Context(), platform.Txn{Then: []platform.Write{{Key: "k"}}})
+	is.NoErr(err)
+	ctx, cancel := context.WithTimeout(t.Context(), callTime)
+	defer cancel()
+	told := 0
+	err = store.Watch(ctx, "k", 1, func(platform.Batch) { told++ })
+	is.True(errors.Is(err, fault.watch))
+	is.Equal(told > 0, !fault.faults.Hang && !fault.faults.Refuse && !fault.faults.BreakWatches)
+}
+
+func TestFaultsInProcess(t *testing.T) {
+	testFaults(t, platform.ErrUnavailable, func(t *testing.T) (*memstore.Engine, platform.Store) {
+		engine := memstore.New()
+		t.Cleanup(engine.Close)
+		return engine, engine.Client("a")
+	})
+}
+
+func TestFaultsOverHTTP(t *testing.T) {
+	testFaults(t, platform.ErrUnknownOutcome, func(t *testing.T) (*memstore.Engine, platform.Store) {
+		engine, server := serve(t)
+		client, err := etcdhttp.New(etcdhttp.Options{Endpoints: []string{server.URL}, Name: "a"})
+		is.New(t).NoErr(err)
+		t.Cleanup(client.Close)
+		return engine, client
+	})
+}
+
+// TestOtherClientsAreSpared strikes one client and calls as another.
+func TestOtherClientsAreSpared(t *testing.T) {
+	is := is.New(t)
+	engine, server := serve(t)
+	engine.Client("a").SetFaults(memstore.Faults{Refuse: true})
+	client, err := etcdhttp.New(etcdhttp.Options{Endpoints: []string{server.URL}, Name: "b"})
+	is.NoErr(err)
+	defer client.Close()
+	_, _, err = client.List(t.Context(), "k")
+	is.NoErr(err)
+}
