--- a/internal/fleet/claim.go
+++ b/internal/fleet/claim.go
@@ -10,6 +10,10 @@
 	"pulleyquay/internal/worker"
 )
 
+// errOtherWorker is the outcome of a claim that another worker answered: the
+// host list's address is out of date.
+var errOtherWorker = errors.New("fleet: another worker answered at the address")
+
 // claimWorker fences older holders at the worker and takes in its inventory.
 func (f *Fleet) claimWorker(a *agent) {
 	select {
@@ -18,6 +22,9 @@
 	case <-f.ctx.Done():
 		return
 	}
+	f.mu.Lock()
+	addr := a.addr
+	f.mu.Unlock()
 	ctx, cancel := context.WithTimeout(f.ctx, f.times.call)
 	defer cancel()
 	grant, err := f.cfg.Right.Check(a.part.id)
@@ -26,7 +33,7 @@
 		return
 	}
 	sent := time.Now()
-	reply, err := f.cfg.Client.Claim(ctx, a.addr, worker.ClaimRequest{
+	reply, err := f.cfg.Client.Claim(ctx, addr, worker.ClaimRequest{
 		Partition: a.part.id, Epoch: a.part.epoch, Holder: f.cfg.Name,
 	})
 	f.mu.Lock()
@@ -35,6 +42,9 @@
 		return
 	}
 	now := time.Now()
+	if err == nil && reply.Info.Name != a.name {
+		err = errOtherWorker
+	}
 	f.metrics.claims.WithLabelValues(outcomeLabel(err)).Inc()
 	switch {
 	case err == nil:
@@ -60,15 +70,15 @@
 	if a.clock.restarted(reply.Now, sent) {
 		a.restarted = true
 	}
+	before := a.mayRunUntil
 	a.clock = anchor{reading: reply.Now, at: now}
 	a.info, a.usage = reply.Info, reply.Usage
-	a.info.Name = a.name
 	// The leases in the inventory were renewed before now; older orders that
 	// are still under way are part of lostUntil.
 	a.mayRunUntil = later(a.lostUntil, now.Add(f.times.leaseBound()))
 	f.cell.Upsert(scheduler.Worker{Info: a.info, Addr: a.addr, Partition: a.part.id, Status: a.status()})
 	f.cell.Observe(a.name, a.usage, now)
-	open := f.reconcile(a, reply, now)
+	open := f.reconcile(a, reply, before, now)
 	if open > 0 {
 		f.retryLater(a, now)
 		return
@@ -78,12 +88,18 @@
 	a.retryAt, a.renewAt = time.Time{}, now
 	delete(a.part.expected, a.name)
 	f.moveClaim(a, eventClaimed)
+	f.grantWishes(now)
 }
 
 // reconcile compares the books with an inventory and returns the number of
 // starts whose outcome is still open: not in the inventory, but in an order
 // that the worker would still accept.
-func (f *Fleet) reconcile(a *agent, reply worker.ClaimReply, now time.Time) int {
+//
+// An inventory proves that a start which was refused for its expiry did not
+// happen. It does not prove that a run is over: the process that answers may
+// have replaced the one that ran it, on another machine with the same address.
+// Such runs lapse: they are lost at the bound of the leases from before.
+func (f *Fleet) reconcile(a *agent, reply worker.ClaimReply, before, now time.Time) int {
 	seen := make(map[worker.Attempt]struct{}, len(reply.Runs))
 	for i := range reply.Runs {
 		r := &reply.Runs[i]
@@ -97,13 +113,16 @@
 		}
 		switch r.state {
 		case runUnknown:
-			if !a.restarted && reply.Now <= r.expires {
+			switch {
+			case a.restarted:
+				f.lapse(r, before)
+			case reply.Now <= r.expires:
 				open++
-				continue
+			default:
+				f.endRun(r, taskmsg.RunNever, 0, now)
 			}
-			f.endRun(r, taskmsg.RunNever, 0, now)
 		case runRunning:
-			f.endRun(r, taskmsg.RunLost, 0, now)
+			f.lapse(r, before)
 		case runAcked:
 			f.forget(r)
 		}
--- a/internal/fleet/order.go
+++ b/internal/fleet/order.go
@@ -16,6 +16,7 @@
 type outgoing struct {
 	order  worker.Order
 	starts []*run
+	addr   string
 	// bound is when the last lease renewed by this order is certainly over,
 	// should no answer tell more; before is what held without this order.
 	bound, before time.Time
@@ -40,7 +41,7 @@
 		until = grant.Until
 	}
 	f.commit(a, out, until)
-	reply, err := f.cfg.Client.Order(ctx, a.addr, out.order)
+	reply, err := f.cfg.Client.Order(ctx, out.addr, out.order)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if a.gone {
@@ -62,7 +63,7 @@
 func (f *Fleet) compose(a *agent) *outgoing {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	out := &outgoing{order: worker.Order{Partition: a.part.id, Epoch: a.part.epoch, RenewMillis: f.times.lease.Milliseconds()}}
+	out := &outgoing{addr: a.addr, order: worker.Order{Partition: a.part.id, Epoch: a.part.epoch, RenewMillis: f.times.lease.Milliseconds()}}
 	for id, mode := range a.stops {
 		out.order.Stops = append(out.order.Stops, worker.Stop{Attempt: id, Mode: mode})
 	}
@@ -122,7 +123,7 @@
 // applyReply takes in a worker's answer.
 func (f *Fleet) applyReply(a *agent, out *outgoing, reply worker.OrderReply, now time.Time) {
 	a.clock = anchor{reading: reply.Now, at: now}
-	a.renewAt = now.Add(f.times.renew)
+	a.renewAt = f.nextRenewal(a, len(out.starts) > 0, now)
 	a.retryAt = time.Time{}
 	// The worker took this order before its answer came; only lost orders can
 	// still renew anything later.
@@ -150,6 +151,28 @@
 	for i := range reply.Ended {
 		f.observeRun(a, &reply.Ended[i], now)
 	}
+	f.grantWishes(now)
+}
+
+// nextRenewal is when the worker is asked next if nothing else comes up. What
+// was just started counts on top of the observed usage until a report surely
+// contains it, and a run that ends by its declared time frees its room only
+// when it is reported: while room is scarce, both ask for a report sooner than
+// the leases do.
+func (f *Fleet) nextRenewal(a *agent, started bool, now time.Time) time.Time {
+	next := now.Add(f.times.renew)
+	if now.After(f.scarceUntil) {
+		return next
+	}
+	if fresh := now.Add(f.cell.UsageLag + f.times.tick); started && fresh.Before(next) {
+		next = fresh
+	}
+	for _, r := range a.runs {
+		if r.state == runRunning && r.endsAt.After(now) && r.endsAt.Before(next) {
+			next = r.endsAt
+		}
+	}
+	return later(next, now.Add(f.times.poll))
 }
 
 // applyFailure sorts out what an order without a proper answer may have done.
--- a/internal/fleet/resident.go
+++ b/internal/fleet/resident.go
@@ -24,6 +24,17 @@
 	listKnown bool
 	// paused is set while the partition is handed over: no new calls.
 	paused bool
+	// claimAfter is when the claims may begin: orders that this process sent
+	// under the same epoch before have all expired then.
+	claimAfter time.Time
+	// inTable is true once the process's table shows the claim.
+	inTable bool
+}
+
+// leftPart is a partition given up by this process.
+type leftPart struct {
+	epoch uint64
+	until time.Time
 }
 
 // complete reports whether every run that may be on a worker of the partition
@@ -65,6 +76,9 @@
 		h.epoch = max(h.epoch, epoch)
 	}
 	f.drop(t.Partition)
+	if old := f.left[t.Partition]; old.epoch == t.Epoch {
+		p.claimAfter = old.until
+	}
 	f.parts[t.Partition] = p
 	f.mu.Unlock()
 	f.follow(f.cfg.Hosts(), now)
@@ -155,6 +169,7 @@
 		return
 	}
 	delete(f.parts, id)
+	f.left[id] = leftPart{epoch: p.epoch, until: time.Now().Add(f.times.call + f.times.margin)}
 	for _, a := range f.agents {
 		if a.part == p {
 			f.dropAgent(a)
@@ -172,6 +187,9 @@
 		f.forget(r)
 	}
 	f.cell.Remove(a.name)
+	f.health.Forget(a.name)
+	delete(f.over, a.name)
+	delete(f.suspects, a.name)
 	if f.agents[a.name] == a {
 		delete(f.agents, a.name)
 	}
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -79,6 +79,7 @@
 func (f *Fleet) forget(r *run) {
 	f.cell.Unreserve(r.id)
 	f.untell(r)
+	delete(f.lapsing, r)
 	if f.runs[r.id] == r {
 		delete(f.runs, r.id)
 	}
@@ -89,6 +90,9 @@
 
 // started notes that the worker runs the run.
 func (f *Fleet) started(r *run) {
+	if r.start != nil && r.start.RunMillis > 0 {
+		r.endsAt = time.Now().Add(time.Duration(r.start.RunMillis) * time.Millisecond)
+	}
 	r.state, r.start = runRunning, nil
 	f.metrics.starts.WithLabelValues("started").Inc()
 	f.answer(r, taskmsg.OutcomeStarted)
@@ -107,14 +111,18 @@
 }
 
 // endRun notes that a run is over, frees its room and tells its home.
-func (f *Fleet) endRun(r *run, state taskmsg.RunState, exitCode int, _ time.Time) {
+func (f *Fleet) endRun(r *run, state taskmsg.RunState, exitCode int, now time.Time) {
 	if r.state >= runEnded {
 		return
 	}
 	f.metrics.ends.WithLabelValues(runStateLabel(state)).Inc()
 	f.answer(r, taskmsg.OutcomeRefused) // only if it never started
+	if state == taskmsg.RunFinished {
+		f.blame(r, exitCode, now)
+	}
 	f.cell.Unreserve(r.id)
 	delete(r.agent.stops, r.id)
+	delete(f.lapsing, r)
 	r.state, r.start, r.exitCode = runEnded, nil, exitCode
 	f.tell(r, state)
 }
@@ -128,7 +136,7 @@
 	}
 	switch {
 	case w.State == worker.StateRunning:
-		f.observeRunning(r)
+		f.observeRunning(r, w, now)
 	case r.state == runAcked:
 		a.acks[id] = struct{}{} // the acknowledgement was lost
 	case w.State == worker.StateFinished:
@@ -150,12 +158,27 @@
 	}
 }
 
-func (f *Fleet) observeRunning(r *run) {
+func (f *Fleet) observeRunning(r *run, w *worker.Run, now time.Time) {
 	unknown := r.state == runUnknown
 	f.observeStart(r)
 	if unknown {
 		f.tell(r, taskmsg.RunRunning)
 	}
+	if r.state == runLapsing {
+		delete(f.lapsing, r)
+		r.state = runRunning
+		f.bookAdopted(r, w, now)
+	}
+}
+
+// lapse notes that a run is not at its worker any more. Its room there is free;
+// its home may have it started elsewhere only when its lease is over.
+func (f *Fleet) lapse(r *run, until time.Time) {
+	f.answer(r, taskmsg.OutcomeUnknown)
+	f.cell.Unreserve(r.id)
+	delete(r.agent.stops, r.id)
+	r.state, r.start = runLapsing, nil
+	f.lapsing[r] = until
 }
 
 // adopt books a run that this holder did not start. Its home is told of it and
@@ -165,7 +188,7 @@
 	if w.State != worker.StateRunning {
 		return r
 	}
-	f.cell.Adopt(a.name, scheduler.Run{Attempt: id, Home: w.Home, Kind: w.Kind, Size: w.Size, Urgent: w.Urgent}, now)
+	f.bookAdopted(r, w, now)
 	f.tell(r, taskmsg.RunRunning)
 	if f.tombs.Contains(id) {
 		a.stops[id] = worker.Kill
@@ -173,46 +196,11 @@
 	return r
 }
 
-// declareLost ends the runs of workers whose leases are certainly over. The
-// right is asked for after the time has passed: while it is held no other
-// holder can have renewed them.
-func (f *Fleet) declareLost(now time.Time) {
-	for _, a := range f.silent(now) {
-		grant, err := f.cfg.Right.Check(a.part.id)
-		if err != nil || grant.Epoch != a.part.epoch {
-			continue
-		}
-		f.mu.Lock()
-		if !a.gone && a.claim != claimHeld && now.After(a.mayRunUntil) {
-			f.loseAll(a, now)
-		}
-		f.mu.Unlock()
-	}
-}
-
-// silent lists the agents that have runs, do not answer, and are past the bound
-// of their leases.
-func (f *Fleet) silent(now time.Time) []*agent {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var out []*agent
-	for _, a := range f.agents {
-		if len(a.runs) > 0 && a.claim != claimHeld && now.After(a.mayRunUntil) {
-			out = append(out, a)
-		}
-	}
-	return out
-}
-
-func (f *Fleet) loseAll(a *agent, now time.Time) {
-	lost := 0
-	for _, r := range a.runs {
-		if r.state < runEnded {
-			f.endRun(r, taskmsg.RunLost, 0, now)
-			lost++
-		}
-	}
-	if lost > 0 {
-		f.log.WithFields(map[string]any{"worker": a.name, "runs": lost}).Warn("worker lost, leases over")
+// bookAdopted books a run that is known only from its worker.
+func (f *Fleet) bookAdopted(r *run, w *worker.Run, now time.Time) {
+	started := now.Add(-time.Duration(r.agent.clock.reading-w.Started) * time.Millisecond)
+	booked := scheduler.Run{Attempt: r.id, Home: w.Home, Kind: w.Kind, Size: w.Size, Urgent: w.Urgent}
+	if err := f.cell.Adopt(r.agent.name, booked, started); err != nil {
+		f.log.WithError(err).Error("run not booked") // only for a worker that was never claimed
 	}
 }
