Settings: heartbeats carry the revision in force, waits count the entries

Cause: a placer reported the revision of its slowest entry, and its peers took that for the highest known, so that an outage in the middle of a change left them behind (red in TestOutageInTheMiddleOfAChange).

Change: Revision is what heartbeats carry and what peers catch up to (a Keeper reads it through Known); AppliedRevision, which counts the entries that poll the placer, is only for waits.

--- a/internal/settings/book.go
+++ b/internal/settings/book.go
@@ -135,7 +135,7 @@
 			b.recent = slices.Delete(b.recent, 0, 1)
 		}
 	}
-	t := newTree(h.Revision, h.ChangeID, root)
+	t := &Tree{Revision: h.Revision, ChangeID: h.ChangeID, root: root}
 	b.head, b.mod = h, mod
 	b.heard = max(b.heard, h.Revision)
 	b.record(h)
--- a/internal/settings/edit.go
+++ b/internal/settings/edit.go
@@ -81,9 +81,6 @@
 	if root.bytes > MaxTreeBytes {
 		return nil, nil, result.New(result.SettingsTooLarge, result.RanNo, "the tree would have %d bytes, %d allowed", root.bytes, MaxTreeBytes)
 	}
-	if _, err := servicesOf(root); err != nil {
-		return nil, nil, err
-	}
 	return root, w.fresh, nil
 }
 
@@ -237,5 +234,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return newTree(revision, changeID, root), nil
+	return &Tree{Revision: revision, ChangeID: changeID, root: root}, nil
 }
--- a/internal/settings/field.go
+++ b/internal/settings/field.go
@@ -13,8 +13,6 @@
 	Unit string
 	// Rule is the validation rule of the effective value.
 	Rule string
-	// Own settings are not inherited.
-	Own bool
 
 	kind  reflect.Kind
 	index []int
@@ -42,7 +40,7 @@
 			leaf := group.Type.Field(i)
 			name := jsonName(group) + "." + jsonName(leaf)
 			list = append(list, Field{
-				Name: name, Unit: unitOf(name, leaf.Type.Kind()), Rule: leaf.Tag.Get("validate"), Own: leaf.Tag.Get("inherit") == "no",
+				Name: name, Unit: unitOf(name, leaf.Type.Kind()), Rule: leaf.Tag.Get("validate"),
 				kind: leaf.Type.Kind(), index: []int{g, i}, id: uint16(len(list)),
 			})
 		}
--- a/internal/settings/keeper.go
+++ b/internal/settings/keeper.go
@@ -29,16 +29,19 @@
 	headCheck = 3 * time.Second
 )
 
-// KeeperConfig is what a Keeper needs. All fields but Peers, Caller and Applied
-// are required.
+// KeeperConfig is what a Keeper needs. Store and Log are required.
 type KeeperConfig struct {
 	Store platform.Store
 	// Caller and Peers (addresses of other placers, hints only) let it learn
 	// a revision that the store does not give it.
 	Caller peer.Caller
 	Peers  func() []string
-	// Applied gives the revision in force at each live member, as heartbeats
-	// report it; a change with a wait uses it.
+	// Known gives the Revision of every live member as heartbeats report it. A
+	// watch that lags behind one of them is made up for from peers. It may be
+	// nil where Hear is called for each heartbeat.
+	Known func() map[string]int64
+	// Applied gives the AppliedRevision of each live member, this one included;
+	// a change with a wait uses it.
 	Applied func() map[string]int64
 	Log     logrus.FieldLogger
 	Metrics prometheus.Registerer
@@ -62,6 +65,9 @@
 	if cfg.Peers == nil {
 		cfg.Peers = func() []string { return nil }
 	}
+	if cfg.Known == nil {
+		cfg.Known = func() map[string]int64 { return nil }
+	}
 	if cfg.Applied == nil {
 		cfg.Applied = func() map[string]int64 { return nil }
 	}
@@ -80,12 +86,17 @@
 // order. Call it before Run; fn must not block.
 func (k *Keeper) OnApply(fn func(*Tree)) { k.book.onApply = append(k.book.onApply, fn) }
 
-// Hear notes that another process has the revision in force. Call it for every
-// heartbeat: a lagging watch is then made up for from peers.
+// Hear notes that another process has the revision in force, as its heartbeat
+// reports Revision. A lagging watch is then made up for from peers.
 func (k *Keeper) Hear(revision int64) { k.book.hear(revision) }
 
+// Revision is the one in force here, -1 before the first.
+func (k *Keeper) Revision() int64 { return k.book.revision() }
+
 // AppliedRevision is the revision in force here and at every entry that polls
-// this placer: what heartbeats report. It is -1 before the first.
+// this placer: what a change with a wait has to wait for. It is not to be given
+// to Hear: an entry that lags would keep other placers from learning of a
+// revision that this one has.
 func (k *Keeper) AppliedRevision() int64 {
 	return k.followers.lowest(k.book.revision(), time.Now())
 }
--- a/internal/settings/learn.go
+++ b/internal/settings/learn.go
@@ -98,13 +98,8 @@
 		return
 	}
 	for ctx.Err() == nil {
-		changed := k.book.waiter()
-		if k.book.ready() == nil {
-			select {
-			case <-ctx.Done():
-			case <-changed:
-			}
-			continue
+		for _, revision := range k.cfg.Known() {
+			k.book.hear(revision)
 		}
 		sleep(ctx, chasePatience)
 		if k.book.ready() == nil {
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -58,8 +58,6 @@
 	// inherited are the parent's effective values; effective is the same
 	// pointer where the branch overrides nothing.
 	inherited, effective *Values
-	// serving is true when this branch or one below it names a service.
-	serving bool
 	// bytes is the stored size of this branch and all below it.
 	bytes int
 }
@@ -83,9 +81,7 @@
 // be added to bytes.
 func hashedNode(hash Hash, o Overrides, children []link, inherited, effective *Values) *node {
 	n := &node{hash: hash, overrides: o, children: children, inherited: inherited, effective: effective}
-	n.serving = effective.Service.Name != ""
 	for _, l := range children {
-		n.serving = n.serving || l.node.serving
 		n.bytes += l.node.bytes
 	}
 	return n
@@ -127,15 +123,12 @@
 	}
 }
 
-// effectiveOf returns the effective values of a branch with overrides o. The
-// service's name is the branch's own and never the parent's.
+// effectiveOf returns the effective values of a branch with overrides o.
 func effectiveOf(o Overrides, inherited *Values) *Values {
-	if o.Len() == 0 && inherited.Service.Name == "" {
+	if o.Len() == 0 {
 		return inherited
 	}
-	v := *inherited
-	v.Service.Name = ""
-	v = o.Apply(v)
+	v := o.Apply(*inherited)
 	return &v
 }
 
--- a/internal/settings/path.go
+++ b/internal/settings/path.go
@@ -24,7 +24,8 @@
 	MaxEdits = 20000
 )
 
-var segmentForm = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
+// segmentForm leaves out the dot, which joins segments in the names of services.
+var segmentForm = regexp.MustCompile(`^[a-z0-9][a-z0-9_-]{0,62}$`)
 
 // split returns the segments of a path; the root has none.
 func split(path string) ([]string, error) {
@@ -41,7 +42,7 @@
 	for _, s := range segments {
 		if !segmentForm.MatchString(s) {
 			return nil, result.New(result.SettingsBadPath, result.RanNo,
-				"segment %q of %q: lower-case letters, digits, dot, underscore and hyphen are allowed, 63 at most", s, path).At(path)
+				"segment %q of %q: lower-case letters, digits, underscore and hyphen are allowed, 63 at most", s, path).At(path)
 		}
 	}
 	return segments, nil
--- a/internal/settings/tree.go
+++ b/internal/settings/tree.go
@@ -15,56 +15,6 @@
 	ChangeID string
 
 	root *node
-	// services maps the services that branches name to the branches' paths.
-	services map[string]string
-}
-
-// newTree makes a tree of a root that was checked when it was accepted.
-func newTree(revision int64, changeID string, root *node) *Tree {
-	services, _ := servicesOf(root) // an accepted tree has no two of a name
-	return &Tree{Revision: revision, ChangeID: changeID, root: root, services: services}
-}
-
-// servicesOf finds the services that branches name. Two branches with the same
-// service are refused.
-func servicesOf(root *node) (map[string]string, error) {
-	out := map[string]string{}
-	var first error
-	root.serve(Root, func(path, service string) {
-		if other, taken := out[service]; taken && first == nil {
-			first = result.New(result.SettingsContradiction, result.RanNo,
-				"service %q is already governed by %s", service, other).At(path + ":service.name")
-		}
-		out[service] = path
-	})
-	return out, first
-}
-
-// serve calls fn for each branch that names a service, in path order.
-func (n *node) serve(path string, fn func(path, service string)) {
-	if !n.serving {
-		return
-	}
-	if name := n.effective.Service.Name; name != "" {
-		fn(path, name)
-	}
-	for _, l := range n.children {
-		l.node.serve(child(path, l.name), fn)
-	}
-}
-
-// Service returns the branch that governs a service and its effective values;
-// ok is false when no branch names the service.
-func (t *Tree) Service(name string) (path string, v Values, ok bool) {
-	if t == nil {
-		return "", v, false
-	}
-	path, ok = t.services[name]
-	if !ok {
-		return "", v, false
-	}
-	v, err := t.Effective(path)
-	return path, v, err == nil
 }
 
 var builtIn = Defaults()
@@ -73,7 +23,7 @@
 var emptyRoot = newNode(Overrides{}, nil, &builtIn, &builtIn)
 
 // Empty returns revision 0: a root that overrides nothing.
-func Empty() *Tree { return newTree(0, "", emptyRoot) }
+func Empty() *Tree { return &Tree{root: emptyRoot} }
 
 // RootHash is the address of the tree's root branch.
 func (t *Tree) RootHash() Hash { return t.top().hash }
@@ -173,9 +123,7 @@
 	at, here := t.top(), Root
 	for i := 0; ; i++ {
 		for _, item := range at.overrides.list {
-			if !fields[item.field].Own || i == len(segments) {
-				from[item.field] = here
-			}
+			from[item.field] = here
 		}
 		if i == len(segments) {
 			break
--- a/internal/settings/values.go
+++ b/internal/settings/values.go
@@ -6,7 +6,6 @@
 // its unit in its name. The JSON names are also the names in a branch's
 // overrides, grouped by the objects below.
 type Values struct {
-	Service   Service   `json:"service"`
 	Request   Request   `json:"request"`
 	Executor  Executor  `json:"executor"`
 	Placement Placement `json:"placement"`
@@ -14,13 +13,6 @@
 	Task      Task      `json:"task"`
 }
 
-// Service ties a branch to a service.
-type Service struct {
-	// Name is the service that the branch governs; empty for none. It is the one
-	// setting that children do not inherit, and no two branches may have the same.
-	Name string `json:"name" validate:"omitempty,max=63,hostname_rfc1123" inherit:"no"`
-}
-
 // Request governs callers' requests to a service.
 type Request struct {
 	DefaultDeadlineMS  int64 `json:"default_deadline_ms" validate:"min=1,max=3600000,ltefield=MaxDeadlineMS"`
