Settings: a process begins with no less than was in force before it

Cause: a process that started on a stale read, or asked one lagging placer in an outage, put an older revision in force than its predecessor had.

Change: the first head read from the store is confirmed by a transaction without writes, which is not answered from stale state. Without a store, all placers are asked for their heads at once, the highest is taken, and nothing below the highest revision heard of is begun with. The member that holds the first partition deletes unreferenced branches every ten minutes. The placer's wiring parts the revision in force from the one that its entries have, too.

Ruled out: a majority of placers before a start without the store (a member that can reach one only would stay without settings, and no majority is sure to know the revision anyway).

Figures: one more store call at each start of a placer.

--- a/cmd/pulley-placer/lookup.go
+++ b/cmd/pulley-placer/lookup.go
@@ -65,6 +65,28 @@
 	return all
 }
 
+// settingsApplied returns the settings revision that each live member and the
+// entries that follow it have in force.
+func (p *placer) settingsApplied() map[string]int64 {
+	all := map[string]int64{}
+	for _, m := range p.keeper.Table().Members {
+		revision := int64(-1)
+		if _, ok := p.keeper.Extra(m.Name, extraSettings, &revision); !ok {
+			revision = -1
+		}
+		all[m.Name] = revision
+	}
+	all[p.conf.Name] = p.settings.AppliedRevision()
+	return all
+}
+
+// collectsSettings tells whether this member deletes unreferenced settings: the
+// holder of the first partition does.
+func (p *placer) collectsSettings() bool {
+	_, err := p.keeper.Check(0)
+	return err == nil
+}
+
 // remotes lists the other members with their free slots by service.
 func (p *placer) remotes() []dispatch.Remote {
 	var out []dispatch.Remote
--- a/cmd/pulley-placer/placer.go
+++ b/cmd/pulley-placer/placer.go
@@ -29,6 +29,7 @@
 // The names under which placers tell each other of their room.
 const (
 	extraCapacity = "capacity" // taskmsg.Digest
+	extraSettings = "settings" // int64, settings.Keeper.AppliedRevision
 	extraSlots    = "slots"    // map of service to free slots
 )
 
@@ -87,8 +88,10 @@
 func (p *placer) addSettings() {
 	p.settings = settings.NewKeeper(settings.KeeperConfig{
 		Store: p.store, Caller: p.node, Log: p.log, Metrics: p.daemon.Reg,
-		Peers:   p.otherPlacers,
-		Applied: func() map[string]int64 { return p.keeper.Applied() },
+		Peers:     p.otherPlacers,
+		Known:     func() map[string]int64 { return p.keeper.Applied() },
+		Applied:   p.settingsApplied,
+		Collector: p.collectsSettings,
 	})
 }
 
@@ -98,7 +101,7 @@
 		Store: p.store, Peers: p.node, Mux: p.mux,
 		Self:   view.Member{Name: p.conf.Name, Addr: p.conf.Listen.Peer, Zone: p.conf.Zone},
 		Config: p.conf.holdConfig(), Registry: p.daemon.Reg, Log: p.log,
-		SettingsRevision: p.settings.AppliedRevision,
+		SettingsRevision: p.settings.Revision,
 	})
 	return err
 }
@@ -129,6 +132,7 @@
 		p.keeper.AddResident(r)
 	}
 	p.keeper.Provide(extraCapacity, func() any { return p.fleet.Digest() })
+	p.keeper.Provide(extraSettings, func() any { return p.settings.AppliedRevision() })
 	p.keeper.Provide(extraSlots, func() any { return p.dispatch.Free() })
 }
 
--- a/internal/settings/book.go
+++ b/internal/settings/book.go
@@ -106,7 +106,7 @@
 
 // apply puts a head in force if it is higher than the one in force. It returns
 // the branches that it lacks; then nothing has changed. A head already passed
-// is no error.
+// is no error. A process does not begin with less than it has heard of.
 func (b *book) apply(h Head, mod platform.Revision, pool map[Hash][]byte) (missing []Hash, err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -117,6 +117,9 @@
 		}
 		return nil, nil
 	}
+	if now == nil && h.Revision < b.heard {
+		return nil, result.New(result.NotReady, result.RanNo, "revision %d is not begun with, %d is known to exist", h.Revision, b.heard)
+	}
 	l := linker{pools: []map[Hash][]byte{b.pool, pool}}
 	root := l.link(h.Root, now.top(), &builtIn)
 	if l.err != nil || len(l.missing) > 0 {
--- a/internal/settings/collect.go
+++ b/internal/settings/collect.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"time"
 
 	"pulleyquay/internal/platform"
 )
@@ -17,6 +18,30 @@
 // nothing more. It may be tried again later.
 var ErrMoved = errors.New("settings: the head moved during the collection")
 
+// collectEvery is the pause between two collections; one costs some 18 reads.
+const collectEvery = 10 * time.Minute
+
+// collectRegularly collects while this member is the one to do so.
+func (k *Keeper) collectRegularly(ctx context.Context) {
+	if k.cfg.Collector == nil {
+		return
+	}
+	for {
+		sleep(ctx, collectEvery)
+		if ctx.Err() != nil {
+			return
+		}
+		if !k.cfg.Collector() {
+			continue
+		}
+		if n, err := k.Collect(ctx); err != nil {
+			k.cfg.Log.WithError(err).Info("settings: collection ended early")
+		} else if n > 0 {
+			k.cfg.Log.WithField("branches", n).Info("settings: unreferenced branches deleted")
+		}
+	}
+}
+
 // Collect deletes stored branches that neither the head nor a kept revision
 // names, and returns how many. Only one member needs to call it, now and then;
 // several at a time do no harm.
--- a/internal/settings/follower.go
+++ b/internal/settings/follower.go
@@ -55,7 +55,11 @@
 // round polls the placers in turn until one answers and nothing lacks. It
 // reports whether that was so.
 func (f *Follower) round(ctx context.Context) bool {
-	for _, addr := range f.addrs() {
+	addrs := f.addrs()
+	if f.Current() == nil {
+		addrs = f.book.survey(ctx, f.caller, addrs)
+	}
+	for _, addr := range addrs {
 		ask := Ask{Follower: f.name}
 		if f.Ready() == nil {
 			ask.WaitMillis = pollWait.Milliseconds()
--- a/internal/settings/keeper.go
+++ b/internal/settings/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -43,8 +44,11 @@
 	// Applied gives the AppliedRevision of each live member, this one included;
 	// a change with a wait uses it.
 	Applied func() map[string]int64
-	Log     logrus.FieldLogger
-	Metrics prometheus.Registerer
+	// Collector tells whether this member is the one that collects unreferenced
+	// branches, every collectEvery; nil for never.
+	Collector func() bool
+	Log       logrus.FieldLogger
+	Metrics   prometheus.Registerer
 	// Now is the wall clock written into the history; time.Now if nil.
 	Now func() time.Time
 }
@@ -103,13 +107,11 @@
 
 // Run learns and follows the head until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		k.chase(ctx)
-	}()
+	var parts sync.WaitGroup
+	parts.Go(func() { k.chase(ctx) })
+	parts.Go(func() { k.collectRegularly(ctx) })
 	k.follow(ctx)
-	<-done
+	parts.Wait()
 }
 
 // follow reads the head and watches it, again and again.
@@ -172,6 +174,9 @@
 // store's revision to watch from.
 func (k *Keeper) refresh(ctx context.Context) (platform.Revision, error) {
 	records, rev, err := k.list(ctx, headKey)
+	if err == nil && k.Current() == nil {
+		records, err = k.confirm(ctx, records)
+	}
 	if err != nil {
 		return 0, err
 	}
@@ -181,6 +186,21 @@
 	return rev, k.applyRecord(ctx, records[0])
 }
 
+// confirm proves by a transaction without writes that the head that was read is
+// not stale, and returns the present one. Only a process that starts needs it:
+// later, a stale head is lower than the one in force.
+func (k *Keeper) confirm(ctx context.Context, records []platform.Record) ([]platform.Record, error) {
+	present := platform.Condition{Key: headKey}
+	if len(records) > 0 {
+		present.ModRevision = records[0].ModRevision
+	}
+	reply, err := k.commit(ctx, platform.Txn{If: []platform.Condition{present}})
+	if err != nil || reply.Applied {
+		return records, err
+	}
+	return reply.Found, nil
+}
+
 // list is one bounded read.
 func (k *Keeper) list(ctx context.Context, prefix string) ([]platform.Record, platform.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/settings/learn.go
+++ b/internal/settings/learn.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/sha256"
+	"slices"
+	"sync"
 	"time"
 
 	"pulleyquay/internal/peer"
@@ -70,6 +73,9 @@
 		return out
 	}
 	out.Head = s.head.encode()
+	if ask.HeadOnly {
+		return out
+	}
 	var before *node
 	if t := b.recentTree(ask.Have); t != nil && len(ask.Root) > 0 {
 		if root := t.RootHash(); bytes.Equal(root[:], ask.Root) {
@@ -111,7 +117,11 @@
 
 // askPeers asks each peer in turn until nothing lacks.
 func (k *Keeper) askPeers(ctx context.Context) {
-	for _, addr := range k.cfg.Peers() {
+	addrs := k.cfg.Peers()
+	if k.Current() == nil {
+		addrs = k.book.survey(ctx, k.cfg.Caller, addrs)
+	}
+	for _, addr := range addrs {
 		before := k.book.revision()
 		if err := k.book.learn(ctx, k.cfg.Caller, addr, Ask{}); err != nil {
 			k.cfg.Log.WithError(err).WithField("peer", addr).Debug("settings: peer did not answer")
@@ -125,3 +135,39 @@
 		}
 	}
 }
+
+// survey asks all placers at once for their heads and returns the addresses of
+// those that have one, the highest first. A process that starts does this, so
+// that it does not begin with less than was in force in its predecessor.
+func (b *book) survey(ctx context.Context, caller peer.Caller, addrs []string) []string {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	revisions := make([]int64, len(addrs))
+	var calls sync.WaitGroup
+	for i, addr := range addrs {
+		calls.Go(func() {
+			revisions[i] = -1
+			var answer Answer
+			if err := caller.Call(ctx, addr, peer.KindSettings, Ask{Have: -1, HeadOnly: true}, &answer); err != nil {
+				return
+			}
+			b.hear(answer.Heard)
+			if h, err := decodeHead(answer.Head); err == nil {
+				revisions[i] = h.Revision
+			}
+		})
+	}
+	calls.Wait()
+	order := make([]int, 0, len(addrs))
+	for i := range addrs {
+		if revisions[i] >= 0 {
+			order = append(order, i)
+		}
+	}
+	slices.SortStableFunc(order, func(i, j int) int { return cmp.Compare(revisions[j], revisions[i]) })
+	best := make([]string, len(order))
+	for n, i := range order {
+		best[n] = addrs[i]
+	}
+	return best
+}
--- a/internal/settings/message.go
+++ b/internal/settings/message.go
@@ -40,6 +40,8 @@
 	// Follower is the name of an entry that follows this placer; placers that
 	// catch up leave it empty.
 	Follower string `cbor:"4,keyasint,omitempty"`
+	// HeadOnly leaves the branches out of the answer.
+	HeadOnly bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Answer is a tree, or the difference to the one the asker has.
