--- a/internal/settings/keeper.go
+++ b/internal/settings/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -29,19 +30,25 @@
 	headCheck = 3 * time.Second
 )
 
-// KeeperConfig is what a Keeper needs. All fields but Peers, Caller and Applied
-// are required.
+// KeeperConfig is what a Keeper needs. Store and Log are required.
 type KeeperConfig struct {
 	Store platform.Store
 	// Caller and Peers (addresses of other placers, hints only) let it learn
 	// a revision that the store does not give it.
 	Caller peer.Caller
 	Peers  func() []string
-	// Applied gives the revision in force at each live member, as heartbeats
-	// report it; a change with a wait uses it.
+	// Known gives the Revision of every live member as heartbeats report it. A
+	// watch that lags behind one of them is made up for from peers. It may be
+	// nil where Hear is called for each heartbeat.
+	Known func() map[string]int64
+	// Applied gives the AppliedRevision of each live member, this one included;
+	// a change with a wait uses it.
 	Applied func() map[string]int64
-	Log     logrus.FieldLogger
-	Metrics prometheus.Registerer
+	// Collector tells whether this member is the one that collects unreferenced
+	// branches, every collectEvery; nil for never.
+	Collector func() bool
+	Log       logrus.FieldLogger
+	Metrics   prometheus.Registerer
 	// Now is the wall clock written into the history; time.Now if nil.
 	Now func() time.Time
 }
@@ -62,6 +69,9 @@
 	if cfg.Peers == nil {
 		cfg.Peers = func() []string { return nil }
 	}
+	if cfg.Known == nil {
+		cfg.Known = func() map[string]int64 { return nil }
+	}
 	if cfg.Applied == nil {
 		cfg.Applied = func() map[string]int64 { return nil }
 	}
@@ -80,25 +90,28 @@
 // order. Call it before Run; fn must not block.
 func (k *Keeper) OnApply(fn func(*Tree)) { k.book.onApply = append(k.book.onApply, fn) }
 
-// Hear notes that another process has the revision in force. Call it for every
-// heartbeat: a lagging watch is then made up for from peers.
+// Hear notes that another process has the revision in force, as its heartbeat
+// reports Revision. A lagging watch is then made up for from peers.
 func (k *Keeper) Hear(revision int64) { k.book.hear(revision) }
 
+// Revision is the one in force here, -1 before the first.
+func (k *Keeper) Revision() int64 { return k.book.revision() }
+
 // AppliedRevision is the revision in force here and at every entry that polls
-// this placer: what heartbeats report. It is -1 before the first.
+// this placer: what a change with a wait has to wait for. It is not to be given
+// to Hear: an entry that lags would keep other placers from learning of a
+// revision that this one has.
 func (k *Keeper) AppliedRevision() int64 {
 	return k.followers.lowest(k.book.revision(), time.Now())
 }
 
 // Run learns and follows the head until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		k.chase(ctx)
-	}()
+	var parts sync.WaitGroup
+	parts.Go(func() { k.chase(ctx) })
+	parts.Go(func() { k.collectRegularly(ctx) })
 	k.follow(ctx)
-	<-done
+	parts.Wait()
 }
 
 // follow reads the head and watches it, again and again.
@@ -161,6 +174,9 @@
 // store's revision to watch from.
 func (k *Keeper) refresh(ctx context.Context) (platform.Revision, error) {
 	records, rev, err := k.list(ctx, headKey)
+	if err == nil && k.Current() == nil {
+		records, err = k.confirm(ctx, records)
+	}
 	if err != nil {
 		return 0, err
 	}
@@ -170,6 +186,21 @@
 	return rev, k.applyRecord(ctx, records[0])
 }
 
+// confirm proves by a transaction without writes that the head that was read is
+// not stale, and returns the present one. Only a process that starts needs it:
+// later, a stale head is lower than the one in force.
+func (k *Keeper) confirm(ctx context.Context, records []platform.Record) ([]platform.Record, error) {
+	present := platform.Condition{Key: headKey}
+	if len(records) > 0 {
+		present.ModRevision = records[0].ModRevision
+	}
+	reply, err := k.commit(ctx, platform.Txn{If: []platform.Condition{present}})
+	if err != nil || reply.Applied {
+		return records, err
+	}
+	return reply.Found, nil
+}
+
 // list is one bounded read.
 func (k *Keeper) list(ctx context.Context, prefix string) ([]platform.Record, platform.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
