--- /dev/null
+++ b/internal/capacity/path_bench_test.go
@@ -0,0 +1,163 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"pulleyquay/internal/fleet"
+	"pulleyquay/internal/hold"
+	"pulleyquay/internal/job"
+	"pulleyquay/internal/jobmsg"
+	"pulleyquay/internal/partition"
+	"pulleyquay/internal/peer"
+	"pulleyquay/internal/platform"
+	"pulleyquay/internal/platform/memstore"
+	"pulleyquay/internal/settings"
+	"pulleyquay/internal/spec"
+	"pulleyquay/internal/taskmsg"
+	"pulleyquay/internal/view"
+)
+
+// teams share the jobs, so that many homes take part.
+const teams = 100
+
+// countedStore counts the calls that write.
+type countedStore struct {
+	platform.Store
+	commits atomic.Int64
+}
+
+func (s *countedStore) Commit(ctx context.Context, txn platform.Txn) (platform.TxnReply, error) {
+	s.commits.Add(1)
+	return s.Store.Commit(ctx, txn)
+}
+
+// cell is one process that is the home of all jobs and holds all workers.
+type cell struct {
+	jobs    *job.Manager
+	workers *instantWorkers
+	store   *countedStore
+	next    int
+}
+
+func newCell(b *testing.B, n int) *cell {
+	engine := memstore.New()
+	c := &cell{workers: newInstantWorkers(false), store: &countedStore{Store: engine.Client("placer")}}
+	mux := peer.NewMux()
+	peers := peer.Local{holderAddr: mux}
+	hosts := c.workers.add(n)
+	view := c.table(b)
+	f := fleet.New(fleet.Config{
+		Name: "holder", Partitions: partition.DefaultCount, Hosts: func() []platform.Host { return hosts },
+		Right: always{}, Client: c.workers, Peers: peers, View: view, Registerer: prometheus.NewRegistry(), Log: quiet(),
+	})
+	c.jobs = job.New(job.Config{
+		Source: view, Right: always{}, Store: c.store, Peers: peers, PartitionKey: hold.PartitionKey,
+		Values:     func(string) (settings.Values, bool) { return settings.Defaults(), true },
+		Digests:    func() map[string]taskmsg.Digest { return map[string]taskmsg.Digest{"holder": f.Digest()} },
+		Registerer: prometheus.NewRegistry(), Log: quiet(),
+	})
+	f.Register(mux)
+	c.jobs.Register(mux)
+	for p := range partition.DefaultCount {
+		t := hold.Takeover{Grant: hold.Grant{Partition: p, Epoch: 1}, Fresh: true}
+		if err := f.Acquire(context.Background(), t); err != nil {
+			b.Fatal(err)
+		}
+		if err := c.jobs.Acquire(context.Background(), t); err != nil {
+			b.Fatal(err)
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { f.Run(ctx); close(done) }()
+	b.Cleanup(func() {
+		c.jobs.Close()
+		cancel()
+		<-done
+		engine.Close()
+	})
+	for f.Digest().Workers < n {
+		time.Sleep(time.Millisecond)
+	}
+	return c
+}
+
+// table writes the partitions' records to the store and shows them.
+func (c *cell) table(b *testing.B) *oneHolder {
+	o := &oneHolder{}
+	o.table.Members = []view.Member{{Name: "holder", Incarnation: jobID, Addr: holderAddr}}
+	for p := range partition.DefaultCount {
+		reply, err := c.store.Commit(context.Background(), platform.Txn{Then: []platform.Write{{Key: hold.PartitionKey(p), Value: []byte("1")}}})
+		if err != nil {
+			b.Fatal(err)
+		}
+		o.table.Revision = int64(reply.Revision)
+		o.table.Partitions = append(o.table.Partitions, view.Partition{
+			ID: p, Holder: "holder", Incarnation: jobID, Addr: holderAddr, Epoch: 1, ModRevision: int64(reply.Revision),
+		})
+	}
+	return o
+}
+
+func (c *cell) submit(b *testing.B, tasks int) string {
+	c.next++
+	j := spec.Job{
+		ID: uuid.Must(uuid.NewV7()).String(), Team: fmt.Sprint("team-", c.next%teams), Branch: "/", Kind: spec.KindBatch, Tasks: tasks,
+		Task: spec.Task{Size: spec.Resources{MilliCPU: 500, MemoryMiB: 500}, RunMillis: 1, Command: "reconcile --shard"},
+	}
+	for {
+		_, err := c.jobs.Submit(context.Background(), jobmsg.SubmitRequest{Job: j})
+		if err == nil {
+			return j.ID
+		}
+		if b.Elapsed() > time.Minute {
+			b.Fatal(err)
+		}
+		time.Sleep(10 * time.Millisecond) // the home is still reading its records
+	}
+}
+
+func (c *cell) finished(b *testing.B, id string) bool {
+	reply, err := c.jobs.Get(context.Background(), jobmsg.GetRequest{ID: id})
+	if err != nil {
+		b.Fatal(err)
+	}
+	return reply.Status.State.Final()
+}
+
+// BenchmarkTaskWholePath measures jobs from their submission to the record of
+// their end: home, holder and the record in a store in memory, through the codec
+// of peer links but without sockets. One iteration is a wave of jobs; the last
+// ends are told with the renewals, so starts/s is bounded by these waits.
+func BenchmarkTaskWholePath(b *testing.B) {
+	for _, wave := range []struct{ jobs, tasks int }{{500, 1}, {500, 10}, {50, 100}, {20, 1000}} {
+		jobs, tasks := wave.jobs, wave.tasks
+		b.Run(fmt.Sprintf("%d-jobs/%d-tasks", jobs, tasks), func(b *testing.B) {
+			c := newCell(b, 200)
+			commits, used := c.store.commits.Load(), cpu(b)
+			starts := 0
+			for b.Loop() {
+				var ids []string
+				for range jobs {
+					ids = append(ids, c.submit(b, tasks))
+				}
+				for _, id := range ids {
+					for !c.finished(b, id) {
+						time.Sleep(20 * time.Millisecond)
+					}
+				}
+				starts += jobs * tasks
+			}
+			reportCPU(b, used, starts, "start")
+			b.ReportMetric(float64(starts)/b.Elapsed().Seconds(), "starts/s")
+			b.ReportMetric(float64(c.store.commits.Load()-commits)/float64(b.N*jobs), "commits/job")
+		})
+	}
+}
