--- a/cmd/pulley-entry/process.go
+++ b/cmd/pulley-entry/process.go
@@ -42,8 +42,7 @@
 	p.callers = entry.NewHandler(entry.Config{
 		View: source{p}, Peers: p.node, Zone: s.Zone, Placer: s.Placers[0],
 		Settings: func(service string) (settings.Values, bool) {
-			_, v, ok := p.settings.Current().Service(service)
-			return v, ok
+			return settings.ServiceValues(p.settings.Current(), service)
 		},
 		Log: p.log, Metrics: d.Reg,
 	})
--- a/cmd/pulley-placer/lookup.go
+++ b/cmd/pulley-placer/lookup.go
@@ -45,18 +45,12 @@
 
 // branchValues returns the effective settings of a branch.
 func (p *placer) branchValues(branch string) (settings.Values, bool) {
-	tree := p.settings.Current()
-	if tree == nil {
-		return settings.Values{}, false
-	}
-	v, err := tree.Effective(branch)
-	return v, err == nil
+	return settings.BranchValues(p.settings.Current(), branch)
 }
 
 // serviceValues returns the effective settings of a service.
 func (p *placer) serviceValues(service string) (settings.Values, bool) {
-	_, v, ok := p.settings.Current().Service(service)
-	return v, ok
+	return settings.ServiceValues(p.settings.Current(), service)
 }
 
 // digests returns the room of every live member, this one's own included.
@@ -110,5 +104,5 @@
 
 // members answers peer.KindMembers with what this process knows of the cell.
 func (p *placer) members(context.Context, cellapi.MembersRequest) (cellapi.MembersReply, error) {
-	return cellapi.MembersReply{Table: p.keeper.Table(), Applied: p.keeper.Applied()}, nil
+	return cellapi.MembersReply{Table: p.keeper.Table(), Applied: p.settingsApplied()}, nil
 }
--- a/internal/demo/settings.go
+++ b/internal/demo/settings.go
@@ -25,9 +25,9 @@
 				"size":             object{"milli_cpu": 64000, "memory_mib": 262144, "accelerators": 4},
 				"accelerator_kind": "a1", "generation": 2},
 			{"name": "ledger", "role": "executor", "count": 12, "zones": lake, "per_rack": 4,
-				"service": "ledger", "slots": 8, "connections": 64},
+				"service": "lakeshore.ledger", "slots": 8, "connections": 64},
 			{"name": "count", "role": "executor", "count": 12, "zones": regie, "per_rack": 3,
-				"service": "count", "slots": 8, "connections": 64},
+				"service": "regie.count", "slots": 8, "connections": 64},
 		},
 	}
 }
--- a/internal/demo/steps.go
+++ b/internal/demo/steps.go
@@ -128,9 +128,9 @@
 	}
 	var e struct {
 		Settings []struct {
-			Name   string `json:"name"`
-			Value  any    `json:"value"`
-			Branch string `json:"branch"`
+			Name  string `json:"name"`
+			Value any    `json:"value"`
+			From  string `json:"from"`
 		} `json:"settings"`
 	}
 	if err := json.Unmarshal(got.body, &e); err != nil {
@@ -138,7 +138,7 @@
 	}
 	origins := map[string]string{}
 	for _, s := range e.Settings {
-		origins[s.Name] = fmt.Sprintf("%v from %s", s.Value, s.Branch)
+		origins[s.Name] = fmt.Sprintf("%v from %s", s.Value, s.From)
 	}
 	return fmt.Sprintf("queue_limit %s; policy %s", origins["request.queue_limit"], origins["placement.policy"]), nil
 }
@@ -170,7 +170,7 @@
 // postTicket posts ticket i and checks that the answer is its own.
 func (r *run) postTicket(ctx context.Context, i int, key string) error {
 	text := fmt.Sprintf("gully %d", i)
-	got, err := want(ctx, http.StatusOK, "POST", r.entry(i), "/v1/services/ledger/tickets",
+	got, err := want(ctx, http.StatusOK, "POST", r.entry(i), "/v1/services/lakeshore.ledger/tickets",
 		map[string]string{"Idempotency-Key": key}, text)
 	if err != nil {
 		return err
@@ -185,7 +185,7 @@
 	for i, key := range r.keys {
 		// i+1 is the other entry host; the body is that of ticket i.
 		text := fmt.Sprintf("gully %d", i)
-		got, err := want(ctx, http.StatusOK, "POST", r.entry(i+1), "/v1/services/ledger/tickets",
+		got, err := want(ctx, http.StatusOK, "POST", r.entry(i+1), "/v1/services/lakeshore.ledger/tickets",
 			map[string]string{"Idempotency-Key": key}, text)
 		if err != nil {
 			return "", err
@@ -199,7 +199,7 @@
 
 func readCounts(ctx context.Context, r *run) (string, error) {
 	for i := range reads {
-		path := fmt.Sprintf("/v1/services/count/wren/%d", i)
+		path := fmt.Sprintf("/v1/services/regie.count/wren/%d", i)
 		if _, err := want(ctx, http.StatusOK, "GET", r.entry(i), path, nil, nil); err != nil {
 			return "", err
 		}
