A pair's survivor succeeds the other; the thin path runs whole

Cause: make demo stopped at the kill: with two members the survivor asked for the fence of a majority of the dead member's two voters, which needs the dead one itself. Change: a fence takes n - majority + 1 voters, the smallest set that shares one with every majority: the same for odd numbers, one of two, two of four. Ruled out: a smaller majority for promises, which would let two sets of voters not meet. Test: TestSurvivorOfTwoFences and TestBlockingMeetsEveryMajority, both seen failing with the old quorum.

--- a/internal/demo/steps.go
+++ b/internal/demo/steps.go
@@ -17,7 +17,7 @@
 const (
 	tickets    = 20
 	reads      = 40
-	batchTasks = 40
+	batchTasks = 300
 	gangTasks  = 8
 	taskRunMS  = 3000
 )
--- /dev/null
+++ b/internal/right/blocking_test.go
@@ -0,0 +1,29 @@
+package right
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestBlockingMeetsEveryMajority(t *testing.T) {
+	is := is.New(t)
+	for n := 1; n <= 16; n++ {
+		is.True(blocking(n)+majority(n) > n)    // they share a voter
+		is.True(blocking(n)+majority(n)-1 <= n) // one fewer would not
+	}
+}
+
+// TestSurvivorOfTwoFences failed while a fence took a majority: of two voters
+// that is both, and one is the dead member itself.
+func TestSurvivorOfTwoFences(t *testing.T) {
+	is := is.New(t)
+	start := time.Now()
+	times := Times{Term: 3 * time.Second, Margin: 10, OutageLimit: time.Hour}
+	dead, survivor := Voter{Incarnation: "1"}, Voter{Incarnation: "2"}
+	f := NewFencing(times, Electorate{Session: 1, Voters: []Voter{dead, survivor}}, start)
+	is.True(!f.Done(start))
+	f.Answered(survivor, FenceAnswer{Incarnation: "2"})
+	is.True(f.Done(start))
+}
--- a/internal/right/fence.go
+++ b/internal/right/fence.go
@@ -58,12 +58,12 @@
 	}
 }
 
-// Done reports whether the session's right has certainly run out: a majority
-// of the voters has fenced it, or every voter has fenced it or been replaced at
+// Done reports whether the session's right has certainly run out: voters
+// that share one with every majority have fenced it, or every voter has fenced it or been replaced at
 // its address, or the limit of an outage has passed.
 func (f *Fencing) Done(now time.Time) bool {
 	n := len(f.electorate.Voters)
-	if n == 0 || len(f.fenced) >= majority(n) || len(f.replied) == n {
+	if n == 0 || len(f.fenced) >= blocking(n) || len(f.replied) == n {
 		return true
 	}
 	return now.Sub(f.since) >= f.times.long(f.times.OutageLimit)
--- a/internal/right/right.go
+++ b/internal/right/right.go
@@ -6,8 +6,8 @@
 // its electorate has promised, for a bounded time, not to let anybody take its
 // partitions. A claimant first asks the same electorate to fence the dead
 // member; a voter answers only when its promise has run out, and never
-// promises to that session again. Any two majorities of one electorate share a
-// voter, so a fence is complete only after the right it ends has run out.
+// promises to that session again. A fence takes as many voters as share one with
+// every majority, so it is complete only after the right it ends has run out.
 // docs/HOLDING.md has the proof.
 package right
 
@@ -61,3 +61,8 @@
 }
 
 func majority(n int) int { return n/2 + 1 }
+
+// blocking is the smallest number of voters that shares one with every
+// majority: fencing needs no more. Of two voters it is one, so that the
+// survivor of a pair can succeed the other.
+func blocking(n int) int { return n - majority(n) + 1 }
