An electorate of one gives no right beyond the store lease

Cause: a placer that died right after joining, or alone in its cell, had an electorate of only itself; its fence could never complete and its partitions stayed without a holder until the outage limit of an hour (found by the end-to-end tests: 43 of 64 partitions dead). Change: promises count only from electorates of two or more; the fence of a smaller one is complete at once, since its right ended with the store lease that the claimant has already seen run out. Ruled out: a shorter outage limit, which would also end the rights of whole cells in long outages. Price: a single placer takes no new decisions while the store is down.

--- a/internal/right/fence.go
+++ b/internal/right/fence.go
@@ -63,7 +63,7 @@
 // its address, or the limit of an outage has passed.
 func (f *Fencing) Done(now time.Time) bool {
 	n := len(f.electorate.Voters)
-	if n == 0 || len(f.fenced) >= blocking(n) || len(f.replied) == n {
+	if n < minVoters || len(f.fenced) >= blocking(n) || len(f.replied) == n {
 		return true
 	}
 	return now.Sub(f.since) >= f.times.long(f.times.OutageLimit)
--- a/internal/right/holder.go
+++ b/internal/right/holder.go
@@ -141,8 +141,11 @@
 	return end
 }
 
+// majorityEnd returns until when a majority of the electorate has promised. A
+// lone voter's promise to itself is worth nothing: if it died, nobody could
+// tell a claimant that the promise is over.
 func (h *Holder) majorityEnd(e Electorate) time.Time {
-	if len(e.Voters) == 0 {
+	if len(e.Voters) < minVoters {
 		return time.Time{}
 	}
 	ends := make([]time.Time, len(e.Voters))
--- a/internal/right/right.go
+++ b/internal/right/right.go
@@ -60,6 +60,10 @@
 	return d + d*time.Duration(t.Margin)/1000
 }
 
+// minVoters is the smallest electorate whose promises count. A smaller one gives
+// no right beyond the store lease, and its fence is complete at once.
+const minVoters = 2
+
 func majority(n int) int { return n/2 + 1 }
 
 // blocking is the smallest number of voters that shares one with every
