Random model of the right to act

Cause: the rule needs a proof that does not rest on the tests' few paths. Planted faults must be found: expiry not checked, term counted from the answer, no fence, one vote, records not confirmed, clock rates left out. Ruled out: faults switched on in the rule itself; the switch is in the model.

--- /dev/null
+++ b/internal/right/model_test.go
@@ -0,0 +1,297 @@
+package right
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+)
+
+// The model is a cell of processes, a store and messages that may be lost or
+// come arbitrarily late, driven one random step at a time. It uses the rule of
+// this package as the Keeper does and notes every use of a right in true time.
+
+// variant plants a fault into the model's use of the rule; the zero value is
+// the rule as it stands.
+type variant struct {
+	skipExpiry      bool // act without looking at the end of the right
+	countFromAnswer bool // count the lease from the answer, not from the send
+	skipFence       bool // claim as soon as the member key is gone
+	oneVote         bool // a fence by one voter suffices
+	skipConfirm     bool // take records for current without a read in the session
+	noMargin        bool // leave the clocks' rates out
+}
+
+const (
+	modelProcs      = 4
+	modelPartitions = 2
+	modelTerm       = 3 * time.Second
+	modelMargin     = 10 // parts of a thousand
+)
+
+// chooser draws a number below n.
+type chooser func(label string, n int) int
+
+type modelRecord struct {
+	holder Subject
+	epoch  uint64
+	mod    int
+}
+
+type modelMember struct {
+	incarnation string
+	mod         int
+	lease       int
+	expires     time.Duration // true time
+}
+
+type modelCharter struct {
+	Electorate
+	lease int
+	mod   int
+}
+
+// modelStore is the store's state; a copy of it is what a read returns.
+type modelStore struct {
+	revision   int
+	members    map[string]modelMember
+	charters   map[Subject]modelCharter
+	partitions [modelPartitions]modelRecord
+}
+
+func (s *modelStore) copy() modelStore {
+	c := *s
+	c.members, c.charters = maps.Clone(s.members), maps.Clone(s.charters)
+	return c
+}
+
+func (s *modelStore) next() int {
+	s.revision++
+	return s.revision
+}
+
+// modelUse is a stretch of true time in which a process may act.
+type modelUse struct {
+	by    Subject
+	epoch uint64
+	until time.Duration
+}
+
+type model struct {
+	choose    chooser
+	variant   variant
+	times     Times
+	now       time.Duration // true time
+	up        bool
+	lastLease int
+	store     modelStore
+	procs     []*modelProc
+	born      int
+	flying    []func()
+	uses      [modelPartitions]map[Subject]modelUse
+	epochs    [modelPartitions]uint64
+	faults    []string
+	trace     []string
+	granted   int // uses seen, so that an idle model does not count as proof
+	promised  int // of them by promises
+	succeeded int // claims over a dead holder
+}
+
+func newModel(choose chooser, v variant) *model {
+	m := &model{
+		choose: choose, variant: v, up: true,
+		times: Times{Term: modelTerm, Margin: modelMargin, OutageLimit: time.Minute},
+		store: modelStore{members: map[string]modelMember{}, charters: map[Subject]modelCharter{}},
+	}
+	if v.noMargin {
+		m.times.Margin = 0
+	}
+	for i := range m.uses {
+		m.uses[i] = map[Subject]modelUse{}
+	}
+	for i := range modelProcs {
+		m.procs = append(m.procs, m.newProc(fmt.Sprintf("p%d", i)))
+	}
+	return m
+}
+
+// modelRates are clock rates in parts of a thousand, at most half the margin
+// away from true time.
+var modelRates = []int64{995, 1000, 1005}
+
+func (m *model) newProc(name string) *modelProc {
+	m.born++
+	return &modelProc{
+		m: m, id: Subject{Name: name, Incarnation: fmt.Sprintf("%04d", m.born)},
+		rate: modelRates[m.choose("rate", len(modelRates))], born: m.now,
+		holder: NewHolder(m.times), promises: NewPromises(), sent: map[int]time.Time{},
+		owned: map[int]modelOwned{}, fencings: map[Subject]*modelFencing{},
+		view: modelStore{members: map[string]modelMember{}, charters: map[Subject]modelCharter{}},
+	}
+}
+
+// step draws and carries out one step. Steps that do not apply do nothing.
+func (m *model) step() {
+	p := m.procs[m.choose("process", len(m.procs))]
+	switch a := m.choose("step", 100); {
+	case a < 10:
+		m.advance()
+	case a < 12:
+		m.advanceToEnd(p)
+	case a < 30:
+		m.deliver()
+	case a < 32:
+		m.lose()
+	case a < 33:
+		m.up = m.choose("up", 4) > 0
+	case a < 34:
+		if m.choose("replace", 4) == 0 {
+			m.replace(p)
+		}
+	case a < 37:
+		m.expire()
+	case a < 43:
+		p.tryJoin()
+	case a < 52:
+		p.renew()
+	case a < 54:
+		p.setVoters()
+	case a < 62:
+		p.read()
+	case a < 72:
+		p.ask(m.procs[m.choose("voter", len(m.procs))])
+	case a < 79:
+		p.fence(m.choose("partition", modelPartitions))
+	case a < 82:
+		p.claim(m.choose("partition", modelPartitions))
+	case a < 84:
+		p.takeOver(m.choose("partition", modelPartitions))
+	case a < 86:
+		p.askAll()
+	case a < 87:
+		p.askUseAndChange()
+	default:
+		p.use(m.choose("partition", modelPartitions))
+	}
+}
+
+var modelSteps = []time.Duration{
+	time.Millisecond, 10 * time.Millisecond, 100 * time.Millisecond, 300 * time.Millisecond, 900 * time.Millisecond,
+	3 * time.Second, 61 * time.Second,
+}
+
+func (m *model) advance() {
+	n := len(modelSteps)
+	// A whole term passes seldom, the outage limit more seldom.
+	switch long := m.choose("long", 50); {
+	case long > 4:
+		n -= 2
+	case long > 0:
+		n--
+	}
+	m.now += modelSteps[m.choose("advance", n)]
+}
+
+// advanceToEnd goes to the moment at which a lease or a promise ends, where a
+// right that is counted too long shows.
+func (m *model) advanceToEnd(p *modelProc) {
+	var ends []time.Duration
+	for _, name := range slices.Sorted(maps.Keys(m.store.members)) {
+		ends = append(ends, m.store.members[name].expires)
+	}
+	for _, q := range m.procs {
+		entry := p.promises.of[q.id]
+		ends = append(ends, m.now+entry.until.Sub(p.clock())*1000/time.Duration(p.rate)+1)
+	}
+	if end := ends[m.choose("end", len(ends))]; end > m.now && end < m.now+2*modelTerm {
+		m.now = end
+	}
+}
+
+// send puts a message under way. Most arrive at once, the rest at any later
+// step or never.
+func (m *model) send(arrive func()) {
+	if m.choose("at once", 4) > 0 {
+		arrive()
+		return
+	}
+	m.flying = append(m.flying, arrive)
+}
+
+// toStore puts a call to the store under way; it is lost when the store is down
+// on arrival.
+func (m *model) toStore(arrive func()) {
+	m.send(func() {
+		if m.up {
+			arrive()
+		}
+	})
+}
+
+func (m *model) deliver() {
+	if len(m.flying) == 0 {
+		return
+	}
+	i := m.choose("message", len(m.flying))
+	arrive := m.flying[i]
+	m.flying = slices.Delete(m.flying, i, i+1)
+	arrive()
+}
+
+func (m *model) lose() {
+	if len(m.flying) > 0 {
+		i := m.choose("lost", len(m.flying))
+		m.flying = slices.Delete(m.flying, i, i+1)
+	}
+}
+
+// replace kills a process; another of the same name and address starts.
+func (m *model) replace(p *modelProc) {
+	p.dead = true
+	for i := range m.procs {
+		if m.procs[i] == p {
+			m.procs[i] = m.newProc(p.id.Name)
+		}
+	}
+	m.logf("replaced %v", p.id)
+}
+
+// expire ends the leases whose term has run out; the store may be late with it,
+// and it may do so while nobody reaches it.
+func (m *model) expire() {
+	for name, member := range m.store.members {
+		if m.now >= member.expires {
+			delete(m.store.members, name)
+			m.store.next()
+			m.logf("expired %s %s", name, member.incarnation)
+		}
+	}
+}
+
+// lease returns when a lease that starts now ends by the store's own clock.
+func (m *model) lease() time.Duration {
+	rate := modelRates[m.choose("store rate", len(modelRates))]
+	return m.now + modelTerm*1000/time.Duration(rate)
+}
+
+// used notes that a process may act until then, and finds overlaps.
+func (m *model) used(p *modelProc, id int, epoch uint64, until time.Time) {
+	m.granted++
+	end := m.now + time.Duration(int64(until.Sub(p.clock()))*1000/p.rate)
+	for other, u := range m.uses[id] {
+		if other != p.id && m.now < u.until {
+			m.faults = append(m.faults, fmt.Sprintf("partition %d: %v acts at epoch %d while %v may act at %d for %v",
+				id, p.id, epoch, other, u.epoch, u.until-m.now))
+		}
+	}
+	if epoch < m.epochs[id] {
+		m.faults = append(m.faults, fmt.Sprintf("partition %d: epoch %d after %d", id, epoch, m.epochs[id]))
+	}
+	m.epochs[id] = epoch
+	m.uses[id][p.id] = modelUse{by: p.id, epoch: epoch, until: max(end, m.uses[id][p.id].until)}
+	m.logf("%v uses %d at epoch %d until %v", p.id, id, epoch, end)
+}
+
+func (m *model) logf(format string, args ...any) {
+	m.trace = append(m.trace, fmt.Sprintf("%v ", m.now)+fmt.Sprintf(format, args...))
+}
