--- /dev/null
+++ b/cmd/pulley-placer/lookup.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"context"
+
+	"pulleyquay/internal/cellapi"
+	"pulleyquay/internal/dispatch"
+	"pulleyquay/internal/settings"
+	"pulleyquay/internal/taskmsg"
+	"pulleyquay/internal/view"
+)
+
+// source is the placer as a view.Source.
+type source struct{ p *placer }
+
+// Table implements view.Source.
+func (s source) Table() *view.Table { return s.p.keeper.Table() }
+
+// Settings implements view.Source.
+func (s source) Settings() *settings.Tree { return s.p.settings.Current() }
+
+// otherPlacers lists the peer addresses of the other members, or the seeds
+// while none is known.
+func (p *placer) otherPlacers() []string {
+	var addrs []string
+	for _, m := range p.keeper.Table().Members {
+		if m.Addr != p.conf.Listen.Peer {
+			addrs = append(addrs, m.Addr)
+		}
+	}
+	if len(addrs) == 0 {
+		return p.conf.Holding.Seeds
+	}
+	return addrs
+}
+
+// settingsLack says what keeps the settings from being ready. An empty tree is
+// ready once the store or a peer has said that there is none.
+func (p *placer) settingsLack() []string {
+	if err := p.settings.Ready(); err != nil {
+		return []string{err.Error()}
+	}
+	return nil
+}
+
+// branchValues returns the effective settings of a branch.
+func (p *placer) branchValues(branch string) (settings.Values, bool) {
+	tree := p.settings.Current()
+	if tree == nil {
+		return settings.Values{}, false
+	}
+	v, err := tree.Effective(branch)
+	return v, err == nil
+}
+
+// serviceValues returns the effective settings of a service.
+func (p *placer) serviceValues(service string) (settings.Values, bool) {
+	_, v, ok := p.settings.Current().Service(service)
+	return v, ok
+}
+
+// digests returns the room of every live member, this one's own included.
+func (p *placer) digests() map[string]taskmsg.Digest {
+	all := map[string]taskmsg.Digest{p.conf.Name: p.fleet.Digest()}
+	for _, m := range p.keeper.Table().Members {
+		var d taskmsg.Digest
+		if _, ok := p.keeper.Extra(m.Name, extraCapacity, &d); ok && m.Name != p.conf.Name {
+			all[m.Name] = d
+		}
+	}
+	return all
+}
+
+// settingsApplied returns the settings revision that each live member and the
+// entries that follow it have in force.
+func (p *placer) settingsApplied() map[string]int64 {
+	all := map[string]int64{}
+	for _, m := range p.keeper.Table().Members {
+		revision := int64(-1)
+		if _, ok := p.keeper.Extra(m.Name, extraSettings, &revision); !ok {
+			revision = -1
+		}
+		all[m.Name] = revision
+	}
+	all[p.conf.Name] = p.settings.AppliedRevision()
+	return all
+}
+
+// collectsSettings tells whether this member deletes unreferenced settings: the
+// holder of the first partition does.
+func (p *placer) collectsSettings() bool {
+	_, err := p.keeper.Check(0)
+	return err == nil
+}
+
+// remotes lists the other members with their free slots by service.
+func (p *placer) remotes() []dispatch.Remote {
+	var out []dispatch.Remote
+	for _, m := range p.keeper.Table().Members {
+		var free map[string]int
+		if m.Name == p.conf.Name || m.Leaving {
+			continue
+		}
+		if _, ok := p.keeper.Extra(m.Name, extraSlots, &free); ok {
+			out = append(out, dispatch.Remote{Name: m.Name, Addr: m.Addr, Zone: m.Zone, Free: free})
+		}
+	}
+	return out
+}
+
+// members answers peer.KindMembers with what this process knows of the cell.
+func (p *placer) members(context.Context, cellapi.MembersRequest) (cellapi.MembersReply, error) {
+	return cellapi.MembersReply{Table: p.keeper.Table(), Applied: p.keeper.Applied()}, nil
+}
--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -23,6 +23,11 @@
 	// listed is true while the host list shows the worker.
 	listed  bool
 	leaving bool
+	// over is true while the worker is observed above its size, suspect while
+	// it failed tasks of different jobs and has not passed a probe since.
+	over    bool
+	easeAt  time.Time // no further steps against an overload before
+	suspect bool
 	// gone is set when the partition is dropped or the worker forgotten: the
 	// call in flight must not touch the books any more.
 	gone bool
@@ -57,11 +62,12 @@
 	runSent                    // in the order in flight
 	runUnknown                 // its order was lost
 	runRunning
-	runEnded // over; the home has not acknowledged yet
-	runAcked // acknowledged; the worker still has to forget it
+	runLapsing // missing at its worker; its lease may still run elsewhere
+	runEnded   // over; the home has not acknowledged yet
+	runAcked   // acknowledged; the worker still has to forget it
 )
 
-var runStateNames = [...]string{"queued", "sent", "unknown", "running", "ended", "acked"}
+var runStateNames = [...]string{"queued", "sent", "unknown", "running", "lapsing", "ended", "acked"}
 
 func (s runState) String() string { return runStateNames[s] }
 
@@ -77,11 +83,15 @@
 	expires worker.Millis
 	// waiters are the calls that wait for the outcome of the start.
 	waiters []*batch
+	// endsAt is when it ends by its declared run time; zero for never.
+	endsAt time.Time
 	// reported is true once a home was or may have been told that the run is
 	// running: if it never started, that home gets news of it.
 	reported bool
 	// preempted is true when it is being stopped to make room.
 	preempted bool
+	// eased is the hardest mode used against it on a worker over its size.
+	eased worker.StopMode
 	// news is the state that the home has still to be told; zero for none.
 	news     taskmsg.RunState
 	exitCode int
@@ -90,7 +100,7 @@
 func (f *Fleet) newAgent(h platform.Host, p *part, now time.Time) *agent {
 	a := &agent{
 		name: h.Name, addr: h.Addr, part: p, claim: claimNone, listed: true, leaving: h.Leaving,
-		mayRunUntil: p.mayRunUntil, renewAt: now,
+		mayRunUntil: p.mayRunUntil, renewAt: now, retryAt: p.claimAfter,
 		runs: map[worker.Attempt]*run{}, stops: map[worker.Attempt]worker.StopMode{},
 		acks: map[worker.Attempt]struct{}{},
 		backoff: backoff.ExponentialBackOff{
@@ -110,6 +120,10 @@
 		return scheduler.StatusUnclaimed
 	case a.leaving || !a.listed:
 		return scheduler.StatusLeaving
+	case a.over:
+		return scheduler.StatusOver
+	case a.suspect:
+		return scheduler.StatusSetAside
 	default:
 		return scheduler.StatusReady
 	}
--- a/internal/settings/keeper.go
+++ b/internal/settings/keeper.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -23,21 +25,30 @@
 	// bulkFetch is the number of missing branches from which on all are listed
 	// in one call instead of one call each.
 	bulkFetch = 16
+	// headCheck is how often the head is read besides the watch, which can fall
+	// silent without ending: one read a member in that time.
+	headCheck = 3 * time.Second
 )
 
-// KeeperConfig is what a Keeper needs. All fields but Peers, Caller and Applied
-// are required.
+// KeeperConfig is what a Keeper needs. Store and Log are required.
 type KeeperConfig struct {
 	Store platform.Store
 	// Caller and Peers (addresses of other placers, hints only) let it learn
 	// a revision that the store does not give it.
 	Caller peer.Caller
 	Peers  func() []string
-	// Applied gives the revision in force at each live member, as heartbeats
-	// report it; a change with a wait uses it.
+	// Known gives the Revision of every live member as heartbeats report it. A
+	// watch that lags behind one of them is made up for from peers. It may be
+	// nil where Hear is called for each heartbeat.
+	Known func() map[string]int64
+	// Applied gives the AppliedRevision of each live member, this one included;
+	// a change with a wait uses it.
 	Applied func() map[string]int64
-	Log     logrus.FieldLogger
-	Metrics prometheus.Registerer
+	// Collector tells whether this member is the one that collects unreferenced
+	// branches, every collectEvery; nil for never.
+	Collector func() bool
+	Log       logrus.FieldLogger
+	Metrics   prometheus.Registerer
 	// Now is the wall clock written into the history; time.Now if nil.
 	Now func() time.Time
 }
@@ -58,6 +69,9 @@
 	if cfg.Peers == nil {
 		cfg.Peers = func() []string { return nil }
 	}
+	if cfg.Known == nil {
+		cfg.Known = func() map[string]int64 { return nil }
+	}
 	if cfg.Applied == nil {
 		cfg.Applied = func() map[string]int64 { return nil }
 	}
@@ -76,25 +90,28 @@
 // order. Call it before Run; fn must not block.
 func (k *Keeper) OnApply(fn func(*Tree)) { k.book.onApply = append(k.book.onApply, fn) }
 
-// Hear notes that another process has the revision in force. Call it for every
-// heartbeat: a lagging watch is then made up for from peers.
+// Hear notes that another process has the revision in force, as its heartbeat
+// reports Revision. A lagging watch is then made up for from peers.
 func (k *Keeper) Hear(revision int64) { k.book.hear(revision) }
 
+// Revision is the one in force here, -1 before the first.
+func (k *Keeper) Revision() int64 { return k.book.revision() }
+
 // AppliedRevision is the revision in force here and at every entry that polls
-// this placer: what heartbeats report. It is -1 before the first.
+// this placer: what a change with a wait has to wait for. It is not to be given
+// to Hear: an entry that lags would keep other placers from learning of a
+// revision that this one has.
 func (k *Keeper) AppliedRevision() int64 {
 	return k.followers.lowest(k.book.revision(), time.Now())
 }
 
 // Run learns and follows the head until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		k.chase(ctx)
-	}()
+	var parts sync.WaitGroup
+	parts.Go(func() { k.chase(ctx) })
+	parts.Go(func() { k.collectRegularly(ctx) })
 	k.follow(ctx)
-	<-done
+	parts.Wait()
 }
 
 // follow reads the head and watches it, again and again.
@@ -104,8 +121,7 @@
 		before := k.book.revision()
 		rev, err := k.refresh(ctx)
 		if err == nil {
-			err = k.cfg.Store.Watch(ctx, storePrefix, rev, func(b platform.Batch) { k.absorb(ctx, b) })
-			k.counters.watches.Inc()
+			err = k.watch(ctx, rev)
 		}
 		if ctx.Err() != nil {
 			return
@@ -118,10 +134,49 @@
 	}
 }
 
+// errSilent ends a watch that did not deliver a head that a read has shown.
+var errSilent = errors.New("settings: the watch is silent")
+
+// watch follows the changes after rev until the watch ends or proves silent.
+func (k *Keeper) watch(ctx context.Context, rev platform.Revision) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		k.checkHead(ctx, cancel)
+	}()
+	err := k.cfg.Store.Watch(ctx, storePrefix, rev, func(b platform.Batch) { k.absorb(ctx, b) })
+	k.counters.watches.Inc()
+	cancel(nil)
+	<-done
+	return err
+}
+
+// checkHead reads the head now and then. When that brings a revision which the
+// watch has not brought, the watch is ended, to be begun anew.
+func (k *Keeper) checkHead(ctx context.Context, end context.CancelCauseFunc) {
+	for {
+		sleep(ctx, headCheck)
+		if ctx.Err() != nil {
+			return
+		}
+		before := k.book.revision()
+		_, err := k.refresh(ctx)
+		if err == nil && k.book.revision() > before {
+			end(errSilent)
+			return
+		}
+	}
+}
+
 // refresh reads the head from the store and puts it in force. It returns the
 // store's revision to watch from.
 func (k *Keeper) refresh(ctx context.Context) (platform.Revision, error) {
 	records, rev, err := k.list(ctx, headKey)
+	if err == nil && k.Current() == nil {
+		records, err = k.confirm(ctx, records)
+	}
 	if err != nil {
 		return 0, err
 	}
@@ -131,6 +186,21 @@
 	return rev, k.applyRecord(ctx, records[0])
 }
 
+// confirm proves by a transaction without writes that the head that was read is
+// not stale, and returns the present one. Only a process that starts needs it:
+// later, a stale head is lower than the one in force.
+func (k *Keeper) confirm(ctx context.Context, records []platform.Record) ([]platform.Record, error) {
+	present := platform.Condition{Key: headKey}
+	if len(records) > 0 {
+		present.ModRevision = records[0].ModRevision
+	}
+	reply, err := k.commit(ctx, platform.Txn{If: []platform.Condition{present}})
+	if err != nil || reply.Applied {
+		return records, err
+	}
+	return reply.Found, nil
+}
+
 // list is one bounded read.
 func (k *Keeper) list(ctx context.Context, prefix string) ([]platform.Record, platform.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -233,6 +303,13 @@
 	return b
 }
 
+// newClashPause gives jittered pauses after a swap that another change won.
+func newClashPause() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval, b.MaxInterval = 2*time.Millisecond, 50*time.Millisecond
+	return b
+}
+
 // sleep waits for d or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
--- a/internal/settings/tree_test.go
+++ b/internal/settings/tree_test.go
@@ -42,6 +42,7 @@
 		{"keys forgotten too soon", `{"/a":{"request":{"key_window_ms":2000}}}`, result.SettingsContradiction, "/a:request.key_window_ms"},
 		{"below an inherited bound", `{"/a":{"request":{"max_deadline_ms":3000}},"/a/b":{"request":{"default_deadline_ms":4000}}}`,
 			result.SettingsContradiction, "/a/b:request.default_deadline_ms"},
+		{"dot", `{"/a.b":{}}`, result.SettingsBadPath, "/a.b"},
 		{"missing parent", `{"/a/b":{}}`, result.SettingsUnknownBranch, "/a"},
 		{"no slash", `{"a":{}}`, result.SettingsBadPath, "a"},
 		{"empty segment", `{"/a//b":{}}`, result.SettingsBadPath, "/a//b"},
