--- a/internal/requesttest/cell_test.go
+++ b/internal/requesttest/cell_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -44,8 +46,10 @@
 	hosts  []platform.Host
 	values settings.Values
 	table  *view.Table
-	cut    map[string]bool
-	free   map[string]int // free slots by placer, as last told
+	cut    map[string]chan struct{} // closed while the placer is unreachable
+	// lieFresh plants a fault: takeovers claim that nobody held the partition.
+	lieFresh bool
+	free     map[string]int // free slots by placer, as last told
 }
 
 // placer is one process that can hold partitions.
@@ -62,9 +66,13 @@
 	return logrus.NewEntry(log)
 }
 
-// newCell starts placers that hold the partitions in turn, and the executors.
-func newCell(t *testing.T, placers, executors int) *cell {
-	c := &cell{t: t, executors: &requesttest.Executors{Time: 10 * time.Millisecond}, values: settings.Defaults(), cut: map[string]bool{}}
+// newCell starts placers that hold the partitions in turn, and the executors,
+// with settings changed by change.
+func newCell(t *testing.T, placers, executors int, change ...func(*settings.Values)) *cell {
+	c := &cell{t: t, executors: &requesttest.Executors{Time: 10 * time.Millisecond}, values: settings.Defaults(), cut: map[string]chan struct{}{}}
+	for _, fn := range change {
+		fn(&c.values)
+	}
 	for i := range executors {
 		name := fmt.Sprintf("executor-%d", i)
 		c.hosts = append(c.hosts, platform.Host{
@@ -138,7 +146,9 @@
 	old.home.Drop(id)
 	old.dispatcher.Drop(id)
 	c.placers[to].right.Lapse(id, false)
-	c.placers[to].acquire(c.t, hold.Takeover{Grant: hold.Grant{Partition: id, Epoch: 2}, TakenAt: time.Now()})
+	c.placers[to].acquire(c.t, hold.Takeover{
+		Grant: hold.Grant{Partition: id, Epoch: 2}, TakenAt: time.Now(), Fresh: c.lieFresh,
+	})
 }
 
 // handOver moves a partition in order.
@@ -204,13 +214,6 @@
 	return c.values, service == "ledger"
 }
 
-// set changes the settings of every service.
-func (c *cell) set(change func(*settings.Values)) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	change(&c.values)
-}
-
 // heartbeats passes on the placers' free slots, as heartbeats do.
 func (c *cell) heartbeats(ctx context.Context) {
 	tick := time.NewTicker(heartbeatEvery)
@@ -262,20 +265,20 @@
 }
 
 // newKey returns a key of the bubble's present time.
-func newKey() string {
-	id := uuid.New()
-	ms := time.Now().UnixMilli()
-	for i := range 6 {
-		id[i] = byte(ms >> (40 - 8*i))
-	}
-	id[6] = id[6]&0x0f | 0x70
+func newKey() string { return keyOf(rand.Uint64()) }
+
+// keyOf returns the key of the present time that ends in n.
+func keyOf(n uint64) string {
+	var id uuid.UUID
+	binary.BigEndian.PutUint64(id[:], uint64(time.Now().UnixMilli())<<16|0x7000)
+	binary.BigEndian.PutUint64(id[8:], n&^(3<<62)|1<<63)
 	return id.String()
 }
 
 // keyIn returns a key whose home is the given partition.
 func keyIn(id int) string {
-	for {
-		if key := newKey(); partition.OfKey(key, partitions) == id {
+	for n := uint64(0); ; n++ {
+		if key := keyOf(n); partition.OfKey(key, partitions) == id {
 			return key
 		}
 	}
--- a/internal/requesttest/requesttest.go
+++ b/internal/requesttest/requesttest.go
@@ -66,6 +66,7 @@
 
 // Run is one request that an executor has run.
 type Run struct {
+	At   time.Time // when it began
 	Addr string
 	Key  string
 	Path string
@@ -111,7 +112,7 @@
 		<-ctx.Done()
 		return executor.Answer{}, &executor.Failure{Sent: true, Err: ctx.Err()}
 	}
-	x.record(Run{Addr: addr, Key: req.Header.Get(KeyHeader), Path: req.Path})
+	x.record(Run{At: time.Now(), Addr: addr, Key: req.Header.Get(KeyHeader), Path: req.Path})
 	took := x.Time
 	if x.TimeOf != nil {
 		took = x.TimeOf(addr)
