--- a/cmd/pulley-placer/placer.go
+++ b/cmd/pulley-placer/placer.go
@@ -17,7 +17,9 @@
 	"pulleyquay/internal/peer"
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/platform/budget"
+	"pulleyquay/internal/platform/confirm"
 	"pulleyquay/internal/platform/etcdhttp"
+	"pulleyquay/internal/platform/groupcommit"
 	"pulleyquay/internal/platform/hostcache"
 	"pulleyquay/internal/platform/hosthttp"
 	"pulleyquay/internal/request"
@@ -80,7 +82,15 @@
 	limits := budget.DefaultLimits()
 	limits.ReadsPerSecond = p.conf.Store.ReadsPerSecond
 	limits.WritesPerSecond = p.conf.Store.WritesPerSecond
-	p.store, err = budget.New(client, budget.Options{Limits: limits, Registry: p.daemon.Reg})
+	limited, err := budget.New(client, budget.Options{Limits: limits, Registry: p.daemon.Reg})
+	if err != nil {
+		return err
+	}
+	confirmed, err := confirm.New(limited, confirm.Options{Registry: p.daemon.Reg})
+	if err != nil {
+		return err
+	}
+	p.store, err = groupcommit.New(confirmed, groupcommit.Options{Registry: p.daemon.Reg})
 	return err
 }
 
--- a/internal/platform/groupcommit/groupcommit.go
+++ b/internal/platform/groupcommit/groupcommit.go
@@ -71,8 +71,9 @@
 
 // waiter is one transaction whose caller waits.
 type waiter struct {
-	txn  platform.Txn
-	done chan outcome // has room for the one answer
+	txn   platform.Txn
+	until time.Time    // when the caller gives up
+	done  chan outcome // has room for the one answer
 }
 
 // outcome is the answer to one transaction.
@@ -113,16 +114,26 @@
 		return platform.TxnReply{}, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
 	}
 	s.commits.Inc()
-	w := &waiter{txn: txn, done: make(chan outcome, 1)}
+	w := &waiter{txn: txn, until: s.until(ctx), done: make(chan outcome, 1)}
 	s.enqueue(w)
 	select {
 	case o := <-w.done:
 		return o.reply, o.err
 	case <-ctx.Done():
-		return platform.TxnReply{}, s.giveUp(ctx, w)
+		return s.giveUp(ctx, w)
 	}
 }
 
+// until is when the caller of ctx gives up; one without a deadline waits for a
+// group to be sent and for its commit.
+func (s *Store) until(ctx context.Context) time.Time {
+	if deadline, ok := ctx.Deadline(); ok {
+		return deadline
+	}
+	const ample = time.Hour // cut to the time for a commit when the group is sent
+	return time.Now().Add(ample)
+}
+
 // enqueue adds a transaction and sees to it that a group forms.
 func (s *Store) enqueue(w *waiter) {
 	s.mu.Lock()
@@ -155,7 +166,7 @@
 	s.schedule()
 	s.mu.Unlock()
 
-	ctx, cancel := context.WithTimeout(context.Background(), s.options.CommitTime)
+	ctx, cancel := context.WithDeadline(context.Background(), s.deadline(group))
 	defer cancel()
 	s.commitGroup(ctx, group)
 
@@ -165,17 +176,37 @@
 	s.schedule()
 }
 
+// deadline is when the last of the group's callers gives up, at most the time
+// for a commit from now.
+func (s *Store) deadline(group []*waiter) time.Time {
+	var latest time.Time
+	for _, w := range group {
+		if w.until.After(latest) {
+			latest = w.until
+		}
+	}
+	if most := time.Now().Add(s.options.CommitTime); latest.After(most) {
+		return most
+	}
+	return latest
+}
+
 // giveUp takes back a transaction that was not sent.
-func (s *Store) giveUp(ctx context.Context, w *waiter) error {
+func (s *Store) giveUp(ctx context.Context, w *waiter) (platform.TxnReply, error) {
+	select {
+	case o := <-w.done: // answered at the same moment
+		return o.reply, o.err
+	default:
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for i, queued := range s.queue {
 		if queued == w {
 			s.queue = append(s.queue[:i], s.queue[i+1:]...)
-			return fmt.Errorf("%w: %w", platform.ErrUnavailable, ctx.Err())
+			return platform.TxnReply{}, fmt.Errorf("%w: %w", platform.ErrUnavailable, ctx.Err())
 		}
 	}
-	return fmt.Errorf("%w: %w", platform.ErrUnknownOutcome, ctx.Err())
+	return platform.TxnReply{}, fmt.Errorf("%w: %w", platform.ErrUnknownOutcome, ctx.Err())
 }
 
 // commitGroup commits a group until each of its transactions is answered.
