Fault table, random trials and planted faults for the holder of workers

Cause: the parts were tested one by one; what must hold under two faults at once was not. Found by the random trials, each a row now and seen red without its fix: - a hand-over soon after a takeover passed "complete" on although the old leases were not over (the state was null and was read as an empty list); - the inventory called a partition complete by time while a deputy could be renewing in the holder's name; completeness by time now waits as losses do, and once reached it stays; - a worker that restarted and was claimed by the holder's own deputy never answered "not claimed": its runs stayed running in the books for ever. A reply whose clock went back or whose count of running runs differs from the books is now followed by a claim.

--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -129,6 +129,17 @@
 	}
 }
 
+// count returns how many runs of the agent are in a state.
+func (a *agent) count(s runState) int {
+	n := 0
+	for _, r := range a.runs {
+		if r.state == s {
+			n++
+		}
+	}
+	return n
+}
+
 // setStatus tells the scheduler the agent's status, if it knows the worker.
 func (f *Fleet) setStatus(a *agent) {
 	// The only error is a worker that was never claimed.
--- /dev/null
+++ b/internal/fleet/driver_test.go
@@ -0,0 +1,556 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"pulleyquay/internal/hold"
+	"pulleyquay/internal/peer"
+	"pulleyquay/internal/platform"
+	"pulleyquay/internal/result"
+	"pulleyquay/internal/taskmsg"
+	"pulleyquay/internal/view"
+	"pulleyquay/internal/worker"
+)
+
+// gate is a worker.Client that can hold a member's calls back at the very point
+// where the order is complete and its right checked, as a pause of the process
+// there would. What is held back is sent at the resumption, however late.
+type gate struct {
+	worker.Client
+	mu     sync.Mutex
+	paused chan struct{} // nil while open
+	// spoil, when set, spoils each order: a planted fault.
+	spoil func(*worker.Order)
+}
+
+func (g *gate) pause() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.paused == nil {
+		g.paused = make(chan struct{})
+	}
+}
+
+func (g *gate) resume() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.paused != nil {
+		close(g.paused)
+		g.paused = nil
+	}
+}
+
+// pass waits while the gate is closed. It returns a context that the wait has
+// not ended.
+func (g *gate) pass(ctx context.Context) context.Context {
+	g.mu.Lock()
+	paused := g.paused
+	g.mu.Unlock()
+	if paused == nil {
+		return ctx
+	}
+	<-paused
+	return context.WithoutCancel(ctx)
+}
+
+func (g *gate) Claim(ctx context.Context, addr string, req worker.ClaimRequest) (worker.ClaimReply, error) {
+	return g.Client.Claim(g.pass(ctx), addr, req)
+}
+
+func (g *gate) Order(ctx context.Context, addr string, o worker.Order) (worker.OrderReply, error) {
+	ctx = g.pass(ctx)
+	if g.spoil != nil {
+		g.spoil(&o)
+	}
+	return g.Client.Order(ctx, addr, o)
+}
+
+// wanted is a task that the driver keeps running.
+type wanted struct {
+	attempt int
+	state   wantedState
+	epoch   uint64 // of the workers' partition when it was asked for
+}
+
+type wantedState int
+
+const (
+	idle wantedState = iota
+	asked
+	doubt // the call's outcome is unknown
+	runs
+)
+
+// driver is a home with one job whose tasks it keeps running: it starts a task
+// again as soon as it is told that the last attempt is over, which is when a
+// wrong report shows as a task in two places.
+type driver struct {
+	b     *bench
+	mu    sync.Mutex
+	epoch uint64
+	tasks []wanted
+	deaf  bool
+	// covered is the epoch up to which the workers' partition was reconciled.
+	covered uint64
+	holder  *member
+	done    chan struct{}
+}
+
+const driverJob = "job"
+
+func newDriver(b *bench, tasks int) *driver {
+	d := &driver{b: b, epoch: 1, tasks: make([]wanted, tasks), done: make(chan struct{})}
+	for i := range d.tasks {
+		d.tasks[i].attempt = 1
+	}
+	mux := peer.NewMux()
+	peer.Handle(mux, peer.KindTaskNews, d.take)
+	b.peers[homeAddr] = mux
+	return d
+}
+
+// run asks for what is missing until ctx ends.
+func (d *driver) run(ctx context.Context) {
+	defer close(d.done)
+	for ctx.Err() == nil {
+		d.step()
+		time.Sleep(150 * time.Millisecond)
+	}
+}
+
+func (d *driver) step() {
+	d.mu.Lock()
+	m, home := d.holder, taskmsg.Home{Partition: homePartition, Epoch: d.epoch}
+	d.mu.Unlock()
+	if m == nil {
+		return
+	}
+	if !d.reconcile(m, home) {
+		return
+	}
+	d.settleDoubts(m, home)
+	d.place(m, home)
+}
+
+func (d *driver) attemptID(i int) worker.Attempt {
+	id := attempt(driverJob, i)
+	id.Attempt = d.tasks[i].attempt
+	return id
+}
+
+// over makes a task's next attempt due.
+func (t *wanted) over() { t.attempt, t.state = t.attempt+1, idle }
+
+func (d *driver) take(_ context.Context, n taskmsg.News) (taskmsg.NewsReply, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var reply taskmsg.NewsReply
+	if d.deaf {
+		return reply, result.New(result.NotReady, result.RanNo, "loading")
+	}
+	for _, r := range n.Runs {
+		d.note(r)
+		if r.State != taskmsg.RunRunning {
+			reply.Acked = append(reply.Acked, r.Run)
+		}
+	}
+	return reply, nil
+}
+
+func (d *driver) note(r taskmsg.RunNews) {
+	t := &d.tasks[r.Run.Task.Index]
+	switch {
+	case r.Run.Attempt != t.attempt || t.state == idle:
+	case r.State == taskmsg.RunRunning:
+		t.state, t.epoch = runs, r.Epoch
+	default:
+		t.over()
+	}
+}
+
+// reconcile asks a new holder what runs, until its inventory is complete.
+func (d *driver) reconcile(m *member, home taskmsg.Home) bool {
+	d.mu.Lock()
+	epoch := m.epoch
+	covered := d.covered >= epoch
+	d.mu.Unlock()
+	if covered {
+		return true
+	}
+	reply, err := m.inventory(context.Background(), taskmsg.InventoryRequest{Home: home})
+	if err != nil {
+		return false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	seen := map[worker.Attempt]bool{}
+	for _, r := range reply.Runs {
+		seen[r.Run] = true
+		d.note(r)
+	}
+	for _, p := range reply.Partitions {
+		if p.ID != d.b.rackPartition() || p.Epoch != epoch || !p.Complete {
+			continue
+		}
+		for i := range d.tasks {
+			if t := &d.tasks[i]; t.state != idle && t.epoch < epoch && !seen[d.attemptID(i)] {
+				t.over()
+			}
+		}
+		d.covered = epoch
+	}
+	return d.covered >= epoch
+}
+
+// settleDoubts has attempts of unknown outcome stopped.
+func (d *driver) settleDoubts(m *member, home taskmsg.Home) {
+	req := taskmsg.StopRequest{Home: home, Mode: worker.Kill}
+	d.mu.Lock()
+	for i := range d.tasks {
+		if d.tasks[i].state == doubt {
+			req.Runs = append(req.Runs, d.attemptID(i))
+		}
+	}
+	d.mu.Unlock()
+	if len(req.Runs) == 0 {
+		return
+	}
+	reply, err := m.stopTasks(context.Background(), req)
+	if err != nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, id := range reply.Unknown {
+		if t := &d.tasks[id.Task.Index]; t.attempt == id.Attempt && t.state == doubt && t.epoch == m.epoch {
+			t.over()
+		}
+	}
+}
+
+// place asks for the idle tasks in the background.
+func (d *driver) place(m *member, home taskmsg.Home) {
+	req := taskmsg.PlaceRequest{Home: home, Shape: shapeOf(driverJob, 2000, 0)}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for i := range d.tasks {
+		if t := &d.tasks[i]; t.state == idle {
+			req.Slots = append(req.Slots, taskmsg.Slot{Index: i, Attempt: t.attempt})
+			t.state, t.epoch = asked, m.epoch
+		}
+	}
+	if len(req.Slots) == 0 {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		reply, err := m.place(ctx, req)
+		d.placed(req, reply, err)
+	}()
+}
+
+func (d *driver) placed(req taskmsg.PlaceRequest, reply taskmsg.PlaceReply, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	outcomes := map[taskmsg.Slot]taskmsg.Outcome{}
+	for _, r := range reply.Results {
+		outcomes[r.Slot] = r.Outcome
+	}
+	var e *result.Error
+	certain := errors.As(err, &e) && e.Ran == result.RanNo
+	for _, s := range req.Slots {
+		t := &d.tasks[s.Index]
+		if t.attempt != s.Attempt || t.state != asked {
+			continue
+		}
+		switch {
+		case certain || outcomes[s] == taskmsg.OutcomeRefused:
+			t.over()
+		case outcomes[s] == taskmsg.OutcomeStarted:
+			t.state = runs
+		default:
+			t.state = doubt
+		}
+	}
+}
+
+// op is one thing that happens to a cell under test.
+type op int
+
+const (
+	opNothing op = iota
+	opTakeover
+	opHandOver
+	opKill
+	opPause
+	opResume
+	opCut
+	opCutAnswers
+	opSlow
+	opHeal
+	opRestartWorker
+	opUnlist
+	opRelist
+	opHomeTakeover
+	opStaleHome
+	opDeaf
+	opHearing
+	opDropOld
+	opCutNext
+	opCutNextAnswers
+	opDeputy
+	opDeputyOfLive
+	opCount
+)
+
+var opNames = [...]string{
+	"nothing", "takeover", "hand-over", "kill", "pause", "resume", "cut", "cut-answers", "slow", "heal",
+	"restart-worker", "unlist", "relist", "home-takeover", "stale-home", "deaf", "hearing", "drop-old",
+	"cut-next", "cut-next-answers", "deputy", "deputy-of-live",
+}
+
+// action is an op with the worker it is about, and the time that passes after it.
+type action struct {
+	Op     op
+	Worker int
+	Wait   time.Duration
+}
+
+func (a action) String() string {
+	return fmt.Sprintf("%s w%d, %v", opNames[a.Op], a.Worker, a.Wait)
+}
+
+// fault is a mistake planted into every member, to see that it is caught.
+type fault struct {
+	config func(*Config)
+	fleet  func(*Fleet)
+	spoil  func(*worker.Order)
+	// eternal leaves the check of the right out.
+	eternal bool
+}
+
+// trial runs actions on a cell of three workers.
+type trial struct {
+	b        *bench
+	d        *driver
+	fault    fault
+	members  int
+	epoch    uint64
+	holder   *member
+	old      []*member
+	downAt   atomic.Int64 // since when the store is down, zero when it is up
+	breaches []string
+}
+
+const (
+	trialWorkers = 3
+	trialTasks   = 8 // of twelve that fit
+)
+
+func newTrial(b *bench, f fault) *trial {
+	tr := &trial{b: b, fault: f, d: newDriver(b, trialTasks)}
+	return tr
+}
+
+// join makes a member that is the holder from now on.
+func (tr *trial) join(edit func(*hold.Takeover)) {
+	tr.members++
+	tr.epoch++
+	g := &gate{spoil: tr.fault.spoil}
+	name := fmt.Sprintf("m%d", tr.members)
+	m := tr.b.member(name, func(c *Config) {
+		g.Client, c.Client, c.StoreAge = c.Client, g, tr.storeAge
+		if tr.fault.config != nil {
+			tr.fault.config(c)
+		}
+	})
+	if tr.fault.fleet != nil {
+		tr.fault.fleet(m.Fleet)
+	}
+	m.gate, m.epoch = g, tr.epoch
+	m.right.eternal = tr.fault.eternal
+	m.take(tr.epoch, edit)
+	tr.holder = m
+	tr.d.mu.Lock()
+	tr.d.holder = m
+	tr.d.mu.Unlock()
+}
+
+// takeover lets another member claim, after the old right has run out.
+func (tr *trial) takeover() {
+	old := tr.holder
+	until := old.right.revoke()
+	if wait := time.Until(until); wait > 0 {
+		time.Sleep(wait + time.Millisecond)
+	}
+	tr.old = append(tr.old, old)
+	tr.join(nil)
+}
+
+func (tr *trial) handOver() {
+	old := tr.holder
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	state, err := old.Release(ctx, tr.b.rackPartition())
+	if err != nil {
+		tr.takeover()
+		return
+	}
+	old.right.revoke()
+	tr.old = append(tr.old, old)
+	tr.join(func(t *hold.Takeover) { t.SignedOff, t.State = true, state })
+}
+
+// kill ends the holder without a word, and lets another claim in time. Calls
+// that it had begun are cut short, though what was sent stays sent. If outage
+// is not zero a deputy renews for that long before anyone can claim.
+func (tr *trial) kill(outage time.Duration) {
+	old := tr.holder
+	until := old.right.revoke()
+	tr.d.mu.Lock()
+	tr.d.holder = nil // the dead do not answer
+	tr.d.mu.Unlock()
+	old.gate.resume()
+	old.stop()
+	if outage > 0 {
+		tr.storeDown(true)
+		until = tr.deputy(old, outage).revoke()
+		tr.storeDown(false)
+	}
+	if wait := time.Until(until); wait > 0 {
+		time.Sleep(wait + time.Millisecond)
+	}
+	tr.join(nil)
+}
+
+// storeDown begins or ends an outage of the store.
+func (tr *trial) storeDown(down bool) {
+	if down {
+		tr.downAt.CompareAndSwap(0, time.Now().UnixNano())
+	} else {
+		tr.downAt.Store(0)
+	}
+}
+
+func (tr *trial) storeAge() time.Duration {
+	at := tr.downAt.Load()
+	if at == 0 {
+		return 0
+	}
+	return time.Duration(time.Now().UnixNano() - at)
+}
+
+// deputyOfLive lets a deputy renew in an outage for a holder that lives and
+// holds its right, but is not heard by the deputy.
+func (tr *trial) deputyOfLive() {
+	tr.storeDown(true)
+	time.Sleep(2 * storeFresh)
+	cover := tr.deputy(tr.holder, 20*time.Second)
+	tr.storeDown(false)
+	time.Sleep(coverTerm / 4)
+	cover.revoke()
+}
+
+// deputy renews for a holder for a while. The caller ends its right, which it
+// is not told.
+func (tr *trial) deputy(dead *member, outage time.Duration) covers {
+	tr.members++
+	g := &gate{spoil: tr.fault.spoil}
+	p := tr.b.rackPartition()
+	cover := covers{&rights{epochs: map[int]uint64{p: dead.epoch}, eternal: tr.fault.eternal}}
+	d := tr.b.member(fmt.Sprintf("m%d", tr.members), func(c *Config) {
+		g.Client, c.Client, c.Covers = c.Client, g, cover
+	})
+	d.gate = g
+	d.Cover([]view.Partition{{ID: p, Holder: dead.cfg.Name, Epoch: dead.epoch}})
+	tr.old = append(tr.old, d)
+	time.Sleep(outage)
+	return cover
+}
+
+func (tr *trial) do(a action) {
+	w := fmt.Sprintf("w%d", a.Worker)
+	switch a.Op {
+	case opTakeover:
+		tr.takeover()
+	case opHandOver:
+		tr.handOver()
+	case opKill:
+		tr.kill(0)
+	case opDeputy:
+		tr.kill(20 * time.Second)
+	case opDeputyOfLive:
+		tr.deputyOfLive()
+	case opPause:
+		tr.holder.gate.pause()
+	case opResume:
+		tr.resumeAll()
+	case opRestartWorker:
+		tr.b.sim.Worker(w).Restart()
+	case opHomeTakeover:
+		tr.homeTakeover()
+	case opStaleHome:
+		tr.staleHome(a.Worker)
+	case opDeaf, opHearing:
+		tr.d.mu.Lock()
+		tr.d.deaf = a.Op == opDeaf
+		tr.d.mu.Unlock()
+	case opDropOld:
+		for _, m := range tr.old {
+			m.Drop(tr.b.rackPartition())
+		}
+	default:
+		tr.network(a.Op, w)
+	}
+	time.Sleep(a.Wait)
+}
+
+func (tr *trial) resumeAll() {
+	tr.holder.gate.resume()
+	for _, m := range tr.old {
+		m.gate.resume()
+	}
+}
+
+// homeTakeover makes a new home that asks what runs before it starts anything.
+func (tr *trial) homeTakeover() {
+	tr.d.mu.Lock()
+	defer tr.d.mu.Unlock()
+	tr.d.epoch++
+	tr.d.covered = 0
+	tr.b.setEpoch(homePartition, tr.d.epoch)
+}
+
+// staleHome lets a home that was replaced ask for a second copy of a task.
+func (tr *trial) staleHome(task int) {
+	tr.d.mu.Lock()
+	epoch := tr.d.epoch - 1
+	tr.d.mu.Unlock()
+	if epoch == 0 {
+		return
+	}
+	_, err := tr.holder.place(context.Background(), taskmsg.PlaceRequest{
+		Home: taskmsg.Home{Partition: homePartition, Epoch: epoch}, Shape: shapeOf(driverJob, 2000, 0),
+		Slots: []taskmsg.Slot{{Index: task, Attempt: 1000}},
+	})
+	if result.CodeOf(err) != result.HomeFenced {
+		tr.breaches = append(tr.breaches, fmt.Sprintf("a replaced home was served: %v", err))
+	}
+}
+
+// unlisted returns the host list without the named worker.
+func unlisted(hosts []platform.Host, name string) []platform.Host {
+	var out []platform.Host
+	for _, h := range hosts {
+		if h.Name != name {
+			out = append(out, h)
+		}
+	}
+	return out
+}
--- a/internal/fleet/dump.go
+++ b/internal/fleet/dump.go
@@ -41,9 +41,10 @@
 func (f *Fleet) Dump() any {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.noteComplete(time.Now())
 	s := State{Workers: f.workerStates(), Runs: map[string]int{}, News: map[int]int{}, HomeEpochs: map[int]uint64{}}
 	for _, p := range f.parts {
-		ps := PartitionState{ID: p.id, Epoch: p.epoch, Complete: p.complete(time.Now())}
+		ps := PartitionState{ID: p.id, Epoch: p.epoch, Complete: p.complete}
 		for name := range p.expected {
 			ps.Awaited = append(ps.Awaited, name)
 		}
--- a/internal/fleet/helpers_test.go
+++ b/internal/fleet/helpers_test.go
@@ -37,24 +37,35 @@
 type rights struct {
 	mu     sync.Mutex
 	epochs map[int]uint64
-	// until is when the right ends; a zero one is always rightTerm ahead.
-	until time.Time
+	// revoked is set when no further right is granted; granted is the end of
+	// the last one.
+	revoked bool
+	granted time.Time
+	// eternal grants whatever happens: a planted fault.
+	eternal bool
+}
+
+// revoke ends the granting and returns the end of the last right granted.
+func (r *rights) revoke() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.revoked = true
+	return r.granted
 }
 
 func (r *rights) Check(p int) (hold.Grant, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	until := r.until
-	if until.IsZero() {
-		until = time.Now().Add(rightTerm)
-	}
 	if r.epochs[p] == 0 {
 		return hold.Grant{}, result.New(result.NotHolder, result.RanNo, "partition %d", p)
 	}
-	if !time.Now().Before(until) {
+	if !r.revoked || r.eternal {
+		r.granted = time.Now().Add(rightTerm)
+	}
+	if !time.Now().Before(r.granted) {
 		return hold.Grant{}, result.New(result.RightLapsed, result.RanNo, "partition %d", p)
 	}
-	return hold.Grant{Partition: p, Epoch: r.epochs[p], Until: until}, nil
+	return hold.Grant{Partition: p, Epoch: r.epochs[p], Until: r.granted}, nil
 }
 
 func (r *rights) Held() []int {
@@ -124,6 +135,7 @@
 
 	mu    sync.Mutex
 	hosts []platform.Host
+	all   map[string]platform.Host // also those not listed now
 	table view.Table
 }
 
@@ -133,7 +145,7 @@
 func newBench(t *testing.T, n int) *bench {
 	j := judge.New()
 	b := &bench{
-		t: t, is: is.New(t), judge: j, sim: workersim.NewFleet(j), peers: peer.Local{},
+		t: t, is: is.New(t), judge: j, sim: workersim.NewFleet(j), peers: peer.Local{}, all: map[string]platform.Host{},
 		home: &homeStub{news: map[worker.Attempt]taskmsg.RunState{}, orphans: map[string]bool{}},
 	}
 	mux := peer.NewMux()
@@ -145,6 +157,9 @@
 		b.sim.Add(name, worker.Info{Name: name, Rack: "r0", Zone: "z0", Size: testSize})
 		b.hosts = append(b.hosts, platform.Host{Name: name, Role: platform.RoleWorker, Addr: name, Rack: "r0", Zone: "z0"})
 	}
+	for _, h := range b.hosts {
+		b.all[h.Name] = h
+	}
 	return b
 }
 
@@ -184,6 +199,8 @@
 	*Fleet
 	b      *bench
 	right  *rights
+	gate   *gate  // in trials
+	epoch  uint64 // in trials
 	cancel context.CancelFunc
 	done   chan struct{}
 }
--- a/internal/fleet/inventory.go
+++ b/internal/fleet/inventory.go
@@ -33,10 +33,11 @@
 }
 
 func (f *Fleet) inventoryOf(home int, held map[int]uint64, now time.Time) taskmsg.InventoryReply {
+	f.noteComplete(now)
 	var reply taskmsg.InventoryReply
 	for _, p := range f.parts {
 		if held[p.id] == p.epoch && !p.paused {
-			reply.Partitions = append(reply.Partitions, taskmsg.WorkerPartition{ID: p.id, Epoch: p.epoch, Complete: p.complete(now)})
+			reply.Partitions = append(reply.Partitions, taskmsg.WorkerPartition{ID: p.id, Epoch: p.epoch, Complete: p.complete})
 		}
 	}
 	slices.SortFunc(reply.Partitions, func(a, b taskmsg.WorkerPartition) int { return a.ID - b.ID })
--- a/internal/fleet/loss.go
+++ b/internal/fleet/loss.go
@@ -35,10 +35,6 @@
 // is asked for after the time has passed: while it is held no other holder can
 // have renewed them.
 func (f *Fleet) declareLost(now time.Time) {
-	f.noteStore(now)
-	if !f.mayDeclare(now) {
-		return
-	}
 	for _, p := range f.lossDue(now) {
 		grant, err := f.cfg.Right.Check(p.id)
 		if err != nil || grant.Epoch != p.epoch {
@@ -52,6 +48,10 @@
 func (f *Fleet) lossDue(now time.Time) []*part {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.noteStore(now)
+	if !f.mayDeclare(now) {
+		return nil
+	}
 	due := map[*part]struct{}{}
 	for _, a := range f.agents {
 		if len(a.runs) > 0 && a.silent(now) {
--- a/internal/fleet/order.go
+++ b/internal/fleet/order.go
@@ -56,7 +56,13 @@
 		f.applyFailure(a, out, err, now)
 		return
 	}
+	a.restarted = a.restarted || a.clock.restarted(reply.Now, sent)
 	f.applyReply(a, out, reply, now)
+	if a.restarted || reply.Running != a.count(runRunning) {
+		// A worker that started anew and was claimed since by this holder's
+		// deputy, or lost runs otherwise: its inventory tells.
+		f.moveClaim(a, eventLost)
+	}
 }
 
 // compose takes what waits into an order.
--- a/internal/fleet/resident.go
+++ b/internal/fleet/resident.go
@@ -22,6 +22,9 @@
 	// listKnown is true when expected names every worker that can run anything
 	// of the previous holder: the partition is complete once it is empty.
 	listKnown bool
+	// complete is true once every run that may be on a worker of the partition
+	// is in the books. It stays true: what runs later was started from here.
+	complete bool
 	// paused is set while the partition is handed over: no new calls.
 	paused bool
 	// claimAfter is when the claims may begin: orders that this process sent
@@ -37,17 +40,22 @@
 	until time.Time
 }
 
-// complete reports whether every run that may be on a worker of the partition
-// is in the books.
-func (p *part) complete(now time.Time) bool {
-	return now.After(p.mayRunUntil) || p.listKnown && len(p.expected) == 0
+// noteComplete marks the partitions that have become complete: each worker named
+// at the sign-off has answered a claim, or every lease from before is over. The
+// latter can not be said while a deputy may be renewing in this holder's name.
+func (f *Fleet) noteComplete(now time.Time) {
+	for _, p := range f.parts {
+		named := p.listKnown && len(p.expected) == 0
+		p.complete = p.complete || named || now.After(p.mayRunUntil) && f.mayDeclare(now)
+	}
 }
 
 // handOver is the state passed to the next holder in a planned hand-over.
 type handOver struct {
-	// Workers are those that the holder claimed at any time and that may run
-	// something.
-	Workers []string `json:"workers"`
+	// Complete is true when Workers names every worker that may run something.
+	// A holder that was not complete itself can not say so.
+	Complete bool     `json:"complete"`
+	Workers  []string `json:"workers"`
 	// Homes are the highest home epochs seen, by partition.
 	Homes map[int]uint64 `json:"homes"`
 }
@@ -62,7 +70,7 @@
 	p := &part{id: t.Partition, epoch: t.Epoch, mayRunUntil: now.Add(f.times.leaseBound()), expected: map[string]struct{}{}}
 	var state handOver
 	if t.SignedOff && json.Unmarshal(t.State, &state) == nil {
-		p.listKnown = true
+		p.listKnown = state.Complete
 		for _, name := range state.Workers {
 			p.expected[name] = struct{}{}
 		}
@@ -134,13 +142,11 @@
 	return false
 }
 
-// pack names the workers that may run something. A partition that is not
-// complete itself names nothing: the next holder then waits out the leases.
-func (f *Fleet) pack(p *part) *handOver {
-	if !p.complete(time.Now()) {
-		return nil
-	}
-	state := &handOver{Homes: map[int]uint64{}}
+// pack names the workers that may run something. If the partition was not
+// complete, the next holder has to wait out the leases.
+func (f *Fleet) pack(p *part) handOver {
+	f.noteComplete(time.Now())
+	state := handOver{Complete: p.complete, Homes: map[int]uint64{}}
 	for _, a := range f.agents {
 		if a.part == p {
 			state.Workers = append(state.Workers, a.name)
