--- a/cmd/pulley-placer/lookup.go
+++ b/cmd/pulley-placer/lookup.go
@@ -34,6 +34,15 @@
 	return addrs
 }
 
+// settingsLack says what keeps the settings from being ready. An empty tree is
+// ready once the store or a peer has said that there is none.
+func (p *placer) settingsLack() []string {
+	if err := p.settings.Ready(); err != nil {
+		return []string{err.Error()}
+	}
+	return nil
+}
+
 // branchValues returns the effective settings of a branch.
 func (p *placer) branchValues(branch string) (settings.Values, bool) {
 	return settings.BranchValues(p.settings.Current(), branch)
@@ -56,16 +65,38 @@
 	return all
 }
 
-// remotes lists the other members' free slots for a service.
-func (p *placer) remotes(service string) []dispatch.Remote {
+// settingsApplied returns the settings revision that each live member and the
+// entries that follow it have in force.
+func (p *placer) settingsApplied() map[string]int64 {
+	all := map[string]int64{}
+	for _, m := range p.keeper.Table().Members {
+		revision := int64(-1)
+		if _, ok := p.keeper.Extra(m.Name, extraSettings, &revision); !ok {
+			revision = -1
+		}
+		all[m.Name] = revision
+	}
+	all[p.conf.Name] = p.settings.AppliedRevision()
+	return all
+}
+
+// collectsSettings tells whether this member deletes unreferenced settings: the
+// holder of the first partition does.
+func (p *placer) collectsSettings() bool {
+	_, err := p.keeper.Check(0)
+	return err == nil
+}
+
+// remotes lists the other members with their free slots by service.
+func (p *placer) remotes() []dispatch.Remote {
 	var out []dispatch.Remote
 	for _, m := range p.keeper.Table().Members {
 		var free map[string]int
 		if m.Name == p.conf.Name || m.Leaving {
 			continue
 		}
-		if _, ok := p.keeper.Extra(m.Name, extraSlots, &free); ok && free[service] > 0 {
-			out = append(out, dispatch.Remote{Name: m.Name, Addr: m.Addr, Zone: m.Zone, Free: free[service]})
+		if _, ok := p.keeper.Extra(m.Name, extraSlots, &free); ok {
+			out = append(out, dispatch.Remote{Name: m.Name, Addr: m.Addr, Zone: m.Zone, Free: free})
 		}
 	}
 	return out
@@ -73,5 +104,5 @@
 
 // members answers peer.KindMembers with what this process knows of the cell.
 func (p *placer) members(context.Context, cellapi.MembersRequest) (cellapi.MembersReply, error) {
-	return cellapi.MembersReply{Table: p.keeper.Table(), Applied: p.keeper.Applied()}, nil
+	return cellapi.MembersReply{Table: p.keeper.Table(), Applied: p.settingsApplied()}, nil
 }
--- a/cmd/pulley-placer/placer.go
+++ b/cmd/pulley-placer/placer.go
@@ -29,6 +29,7 @@
 // The names under which placers tell each other of their room.
 const (
 	extraCapacity = "capacity" // taskmsg.Digest
+	extraSettings = "settings" // int64, settings.Keeper.AppliedRevision
 	extraSlots    = "slots"    // map of service to free slots
 )
 
@@ -87,8 +88,10 @@
 func (p *placer) addSettings() {
 	p.settings = settings.NewKeeper(settings.KeeperConfig{
 		Store: p.store, Caller: p.node, Log: p.log, Metrics: p.daemon.Reg,
-		Peers:   p.otherPlacers,
-		Applied: func() map[string]int64 { return p.keeper.Applied() },
+		Peers:     p.otherPlacers,
+		Known:     func() map[string]int64 { return p.keeper.Applied() },
+		Applied:   p.settingsApplied,
+		Collector: p.collectsSettings,
 	})
 }
 
@@ -98,7 +101,7 @@
 		Store: p.store, Peers: p.node, Mux: p.mux,
 		Self:   view.Member{Name: p.conf.Name, Addr: p.conf.Listen.Peer, Zone: p.conf.Zone},
 		Config: p.conf.holdConfig(), Registry: p.daemon.Reg, Log: p.log,
-		SettingsRevision: p.settings.AppliedRevision,
+		SettingsRevision: p.settings.Revision,
 	})
 	return err
 }
@@ -123,12 +126,15 @@
 	p.fleet = fleet.New(fleet.Config{
 		Name: p.conf.Name, Partitions: p.conf.Holding.Partitions, Lease: p.conf.Holding.TaskLease.Std(),
 		Hosts: p.hosts.Hosts, Right: p.keeper, Client: workerhttp.NewClient(httponce.Options{}),
-		Peers: p.node, View: source{p}, Registerer: reg, Log: p.log,
+		Peers: p.node, View: source{p}, Covers: p.keeper, StoreAge: p.keeper.StoreAge,
+		Registerer: reg, Log: p.log,
 	})
+	p.keeper.SetDeputy(p.fleet)
 	for _, r := range []hold.Resident{p.requests, p.dispatch, p.jobs, p.fleet} {
 		p.keeper.AddResident(r)
 	}
 	p.keeper.Provide(extraCapacity, func() any { return p.fleet.Digest() })
+	p.keeper.Provide(extraSettings, func() any { return p.settings.AppliedRevision() })
 	p.keeper.Provide(extraSlots, func() any { return p.dispatch.Free() })
 }
 
@@ -151,6 +157,7 @@
 	}
 	p.daemon.AddReadiness(p.keeper.Lacks)
 	p.daemon.AddReadiness(p.hosts.Lacks)
+	p.daemon.AddReadiness(p.settingsLack)
 }
 
 // start opens the listeners and runs the parts.
--- a/internal/settings/book.go
+++ b/internal/settings/book.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -105,7 +106,7 @@
 
 // apply puts a head in force if it is higher than the one in force. It returns
 // the branches that it lacks; then nothing has changed. A head already passed
-// is no error.
+// is no error. A process does not begin with less than it has heard of.
 func (b *book) apply(h Head, mod platform.Revision, pool map[Hash][]byte) (missing []Hash, err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -116,6 +117,9 @@
 		}
 		return nil, nil
 	}
+	if now == nil && h.Revision < b.heard {
+		return nil, result.New(result.NotReady, result.RanNo, "revision %d is not begun with, %d is known to exist", h.Revision, b.heard)
+	}
 	l := linker{pools: []map[Hash][]byte{b.pool, pool}}
 	root := l.link(h.Root, now.top(), &builtIn)
 	if l.err != nil || len(l.missing) > 0 {
@@ -152,7 +156,9 @@
 		return
 	}
 	b.history[h.Revision] = h
-	delete(b.history, b.head.Revision-HistoryKept)
+	if len(b.history) > 2*HistoryKept {
+		maps.DeleteFunc(b.history, func(r int64, _ Head) bool { return r <= b.head.Revision-HistoryKept })
+	}
 }
 
 // recordAll adds entries read from the store.
@@ -206,58 +212,3 @@
 	}
 	return nil
 }
-
-// linker builds the nodes of a root from stored forms, sharing with the node
-// that was at the same place before.
-type linker struct {
-	pools   []map[Hash][]byte
-	missing []Hash
-	err     error
-}
-
-// link returns the node of the hash; nil when it or one below it is missing.
-func (l *linker) link(hash Hash, before *node, inherited *Values) *node {
-	if before != nil && before.hash == hash && (before.inherited == inherited || *before.inherited == *inherited) {
-		return before
-	}
-	c, ok := l.content(hash, before)
-	if !ok {
-		return nil
-	}
-	effective := effectiveOf(c.Overrides, inherited)
-	n := &node{hash: hash, overrides: c.Overrides, inherited: inherited, effective: effective}
-	whole := true
-	for _, name := range sortedNames(c.Children) {
-		below := l.link(c.Children[name], before.child(name), effective)
-		whole = whole && below != nil
-		n.children = append(n.children, link{name, below})
-	}
-	if !whole {
-		return nil
-	}
-	return n
-}
-
-// content finds a branch's stored form in the old tree or the pools.
-func (l *linker) content(hash Hash, before *node) (content, bool) {
-	if before != nil && before.hash == hash {
-		c := content{Overrides: before.overrides, Children: map[string]Hash{}}
-		for _, below := range before.children {
-			c.Children[below.name] = below.node.hash
-		}
-		return c, true
-	}
-	for _, pool := range l.pools {
-		data, ok := pool[hash]
-		if !ok {
-			continue
-		}
-		c, err := decodeContent(hash, data)
-		if err != nil {
-			l.err = err
-		}
-		return c, err == nil
-	}
-	l.missing = append(l.missing, hash)
-	return content{}, false
-}
--- a/internal/settings/edit.go
+++ b/internal/settings/edit.go
@@ -78,6 +78,9 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	if root.bytes > MaxTreeBytes {
+		return nil, nil, result.New(result.SettingsTooLarge, result.RanNo, "the tree would have %d bytes, %d allowed", root.bytes, MaxTreeBytes)
+	}
 	return root, w.fresh, nil
 }
 
@@ -155,14 +158,16 @@
 	if err := checkBranch(path, inherited, effective); err != nil {
 		return nil, err
 	}
-	copied := &node{hash: n.hash, overrides: n.overrides, inherited: inherited, effective: effective}
-	for _, l := range n.children {
+	children := make([]link, len(n.children))
+	for i, l := range n.children {
 		c, err := inherit(child(path, l.name), l.node, effective)
 		if err != nil {
 			return nil, err
 		}
-		copied.children = append(copied.children, link{l.name, c})
+		children[i] = link{l.name, c}
 	}
+	copied := hashedNode(n.hash, n.overrides, children, inherited, effective)
+	copied.bytes = n.bytes
 	return copied, nil
 }
 
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -58,6 +58,8 @@
 	// inherited are the parent's effective values; effective is the same
 	// pointer where the branch overrides nothing.
 	inherited, effective *Values
+	// bytes is the stored size of this branch and all below it.
+	bytes int
 }
 
 // link is a named child.
@@ -68,8 +70,20 @@
 
 // newNode makes a node from checked parts and works out its hash.
 func newNode(o Overrides, children []link, inherited, effective *Values) *node {
-	n := &node{overrides: o, children: children, inherited: inherited, effective: effective}
-	n.hash = sha256.Sum256(n.encode())
+	n := hashedNode(Hash{}, o, children, inherited, effective)
+	data := n.encode()
+	n.hash = sha256.Sum256(data)
+	n.bytes += len(data)
+	return n
+}
+
+// hashedNode makes a node whose hash is known. Its own stored size is still to
+// be added to bytes.
+func hashedNode(hash Hash, o Overrides, children []link, inherited, effective *Values) *node {
+	n := &node{hash: hash, overrides: o, children: children, inherited: inherited, effective: effective}
+	for _, l := range children {
+		n.bytes += l.node.bytes
+	}
 	return n
 }
 
