--- a/internal/job/place.go
+++ b/internal/job/place.go
@@ -139,8 +139,8 @@
 		Avoid: h.health.Avoid(j.id()), Zones: maps.Clone(j.zones),
 		Policy: taskmsg.Policy{
 			Name: values.Placement.Policy, SpreadZones: values.Placement.SpreadZones,
-			SpreadRacks: values.Placement.SpreadRacks, LeaseMS: values.Task.LeaseMS,
-			Priority: values.Task.Priority, MinReplicas: values.Task.MinReplicas,
+			SpreadRacks: values.Placement.SpreadRacks,
+			Priority:    values.Task.Priority, MinReplicas: values.Task.MinReplicas,
 		},
 	}
 }
--- a/internal/taskmsg/taskmsg.go
+++ b/internal/taskmsg/taskmsg.go
@@ -23,8 +23,8 @@
 	Name        string `cbor:"1,keyasint"`
 	SpreadZones bool   `cbor:"2,keyasint,omitempty"`
 	SpreadRacks bool   `cbor:"3,keyasint,omitempty"`
-	LeaseMS     int64  `cbor:"4,keyasint"`
-	Priority    int64  `cbor:"5,keyasint,omitempty"`
+	// Number 4 was a lease per branch; a worker renews all its runs alike.
+	Priority int64 `cbor:"5,keyasint,omitempty"`
 	// LearnedSize is what tasks of the branch were observed to need; zero when
 	// too few were. The books count the larger of it and the declared size.
 	LearnedSize spec.Resources `cbor:"6,keyasint,omitempty"`
