--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -33,11 +33,12 @@
 	Log  *logrus.Entry
 	Reg  *prometheus.Registry
 
-	stopping atomic.Bool
-	mu       sync.Mutex
-	dumps    map[string]func() any
-	lacks    []func() []string
-	servers  []*http.Server
+	stopping  atomic.Bool
+	listening atomic.Bool // signals are being caught
+	mu        sync.Mutex
+	dumps     map[string]func() any
+	lacks     []func() []string
+	servers   []*http.Server
 }
 
 // New returns a daemon that logs JSON lines to stderr.
@@ -182,6 +183,7 @@
 func (d *Daemon) Wait(s Stopper) error {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	d.listening.Store(true)
 	<-signals
 	d.stopping.Store(true)
 	d.Log.Info("planned stop began")
--- a/internal/demo/steps.go
+++ b/internal/demo/steps.go
@@ -47,10 +47,10 @@
 	{"the same tickets again through the other host", repeatTickets},
 	{fmt.Sprintf("%d reads through both entry hosts", reads), readCounts},
 	{fmt.Sprintf("batch reconciliation, %d tasks", batchTasks), submitBatch},
-	{fmt.Sprintf("all-together reconciliation, %d tasks", gangTasks), runGang},
 	{"a job that can never run is refused at once", refuseJob},
 	{"placer of host-2 killed while the batch runs", killPlacer},
 	{"requests after the kill", readCounts},
+	{fmt.Sprintf("all-together reconciliation, %d tasks", gangTasks), runGang},
 	{"the batch ends, every task once", awaitBatch},
 	{"planned stop of everything", stopAll},
 }
