--- a/internal/job/gang_test.go
+++ b/internal/job/gang_test.go
@@ -5,6 +5,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus/testutil"
+
 	"pulleyquay/internal/jobmsg"
 	"pulleyquay/internal/peer"
 	"pulleyquay/internal/settings"
@@ -123,27 +125,28 @@
 // TestGangFaults breaks each step of a gang's start and of its life; the gang
 // ends whole in the end, and is never seen in part.
 func TestGangFaults(t *testing.T) {
-	const tasks = 24
+	const tasks = 40 // more than one of the two holders has room for
 	cases := []struct {
 		name    string
 		fault   *peerFault
 		disturb func(c *cell, a, b *placer)
+		broken  float64 // tries that were broken up after a start
 	}{
-		{"a hold is not sent", &peerFault{to: "b", kind: peer.KindGangHold, times: 1}, nil},
-		{"the answer to a hold is lost", &peerFault{to: "b", kind: peer.KindGangHold, times: 2, after: true}, nil},
-		{"a start is not sent", &peerFault{to: "b", kind: peer.KindGangEnd, times: 1}, nil},
-		{"the answer to a start is lost", &peerFault{to: "b", kind: peer.KindGangEnd, times: 1, after: true}, nil},
-		{"both answers to starts are lost", &peerFault{kind: peer.KindGangEnd, times: 2, after: true}, nil},
+		{"a hold is not sent", &peerFault{to: "b", kind: peer.KindGangHold, times: 1}, nil, 0},
+		{"the answer to a hold is lost", &peerFault{to: "b", kind: peer.KindGangHold, times: 2, after: true}, nil, 0},
+		{"a start is not sent", &peerFault{to: "b", kind: peer.KindGangEnd, times: 1}, nil, 1},
+		{"the answer to a start is lost", &peerFault{to: "b", kind: peer.KindGangEnd, times: 1, after: true}, nil, 1},
+		{"both answers to starts are lost", &peerFault{kind: peer.KindGangEnd, times: 2, after: true}, nil, 1},
 		{"a worker is lost while it runs", nil, func(c *cell, _, _ *placer) {
 			time.Sleep(2 * time.Second)
 			c.sim.Worker("w2-0").SetFaults(workersim.Faults{Unreachable: true})
-		}},
+		}, 0},
 		{"the holder of a part is lost", nil, func(c *cell, a, b *placer) {
 			time.Sleep(2 * time.Second)
 			b.kill()
 			time.Sleep(3 * time.Second)
 			a.take(2, 3)
-		}},
+		}, 0},
 	}
 	for _, tt := range cases {
 		t.Run(tt.name, func(t *testing.T) {
@@ -162,6 +165,7 @@
 				neverPartly(c, a, job.ID, tasks, 2*time.Minute)
 				s := a.await(job.ID, jobmsg.StateFinished, 2*time.Minute)
 				c.is.Equal(s.Counts.Finished, tasks)
+				c.is.Equal(testutil.ToFloat64(a.jobs.metrics.gangs.WithLabelValues("broken")), tt.broken)
 				c.held()
 			})
 		})
@@ -170,7 +174,7 @@
 
 // TestGangHomeLost kills the home of a gang at each step of its start.
 func TestGangHomeLost(t *testing.T) {
-	const tasks = 24
+	const tasks = 40 // more than one of the two holders has room for
 	cases := []struct {
 		name  string
 		fault *peerFault
--- a/internal/job/service_test.go
+++ b/internal/job/service_test.go
@@ -116,6 +116,9 @@
 				_, err := a.submit(job)
 				c.is.NoErr(err)
 				a.awaitReplicas(job.ID, 6, 5*time.Second)
+				for _, h := range c.Hosts() { // so that the steps of the rollout can be told apart
+					c.sim.Worker(h.Addr).SetFaults(workersim.Faults{Slow: 150 * time.Millisecond})
+				}
 				starts := c.judge.Starts()
 				next := job
 				tt.edit(&next)
