--- a/internal/ctl/settings.go
+++ b/internal/ctl/settings.go
@@ -190,10 +190,11 @@
 	if f.revision == anyRevision {
 		f.revision = read
 	}
-	if f.id == "" {
+	first := f.id == ""
+	if first {
 		f.id = uuid.Must(uuid.NewV7()).String()
 	}
-	return operatorapi.Intent{Revision: &f.revision, ChangeID: f.id, By: f.by, Note: f.note, WaitMillis: f.wait.Milliseconds()}
+	return operatorapi.Intent{Revision: &f.revision, ChangeID: f.id, First: first, By: f.by, Note: f.note, WaitMillis: f.wait.Milliseconds()}
 }
 
 // send makes the change and shows the outcome. It is repeatable: the change
--- a/internal/operatorapi/operatorapi.go
+++ b/internal/operatorapi/operatorapi.go
@@ -159,8 +159,11 @@
 	Revision *int64 `json:"revision"`
 	// ChangeID is a UUIDv7; the entry makes one when it is empty.
 	ChangeID string `json:"change_id,omitempty"`
-	By       string `json:"by,omitempty"`
-	Note     string `json:"note,omitempty"`
+	// First says that no change with this id was ever sent before. Without it,
+	// a refusal for the store's sake can not promise ran: no.
+	First bool   `json:"first,omitempty"`
+	By    string `json:"by,omitempty"`
+	Note  string `json:"note,omitempty"`
 	// WaitMillis waits for every member to apply the change.
 	WaitMillis int64 `json:"wait_ms,omitempty"`
 }
@@ -214,9 +217,10 @@
 		if err != nil {
 			return nil, err
 		}
-		intent.ChangeID = id.String()
+		intent.ChangeID, intent.First = id.String(), true
 	}
-	c.ID, c.Base, c.By, c.Note, c.WaitMillis = intent.ChangeID, *intent.Revision, intent.By, intent.Note, intent.WaitMillis
+	c.ID, c.First, c.Base = intent.ChangeID, intent.First, *intent.Revision
+	c.By, c.Note, c.WaitMillis = intent.By, intent.Note, intent.WaitMillis
 	return a.Changer.Change(r.Context(), c)
 }
 
--- a/internal/settings/cell_test.go
+++ b/internal/settings/cell_test.go
@@ -221,7 +221,7 @@
 func newID() string { return uuid.Must(uuid.NewV7()).String() }
 
 func edit(base int64, branches string) Change {
-	return Change{ID: newID(), Base: base, By: "test", Branches: []byte(branches)}
+	return Change{ID: newID(), First: true, Base: base, By: "test", Branches: []byte(branches)}
 }
 
 // change makes a change through placer i against its present revision.
--- a/internal/settings/change.go
+++ b/internal/settings/change.go
@@ -112,10 +112,10 @@
 			}
 		}
 		if !isStoreError(err) {
-			return Accepted{}, err // refused against a head that was read: certain
+			return Accepted{}, err
 		}
 		if !a.uncertain {
-			return Accepted{}, storeDown(err)
+			return Accepted{}, a.undecided(result.New(result.SettingsStoreDown, result.RanNo, "%v", err).Later(storeDownRetry))
 		}
 		sleep(ctx, pause.NextBackOff())
 		if ctx.Err() != nil {
@@ -123,7 +123,18 @@
 				"sent to the store, which then gave no answer (%v); repeat the change with id %s", err, a.p.ID).Later(storeDownRetry)
 		}
 	}
-	return Accepted{}, result.New(result.SettingsContention, result.RanNo, "%d other changes came first", maxClashes).Later(storeDownRetry)
+	return Accepted{}, a.undecided(result.New(result.SettingsContention, result.RanNo, "%d other changes came first", maxClashes).Later(storeDownRetry))
+}
+
+// undecided returns a refusal that says nothing of earlier sendings of the same
+// change: unless this is the first, the change may be in force already.
+func (a *attempt) undecided(e *result.Error) error {
+	if a.p.First && !a.uncertain {
+		return e
+	}
+	unknown := *e
+	unknown.Ran = result.RanUnknown
+	return &unknown
 }
 
 // storeError marks a failed call to the store, as against a refusal.
@@ -137,10 +148,6 @@
 	return errors.As(err, &s)
 }
 
-func storeDown(err error) error {
-	return result.New(result.SettingsStoreDown, result.RanNo, "%v", err).Later(storeDownRetry)
-}
-
 // locate makes sure that the head's record and the history since the change's
 // base are known.
 func (a *attempt) locate(ctx context.Context) error {
@@ -170,12 +177,13 @@
 	if done, ok, err := a.known(s); ok || err != nil {
 		return done, false, err
 	}
-	if err := a.admissible(s); err != nil {
-		return Accepted{}, errors.Is(err, errGap), unlessGap(err)
+	head, root, fresh, err := a.decide(ctx, s)
+	if errors.Is(err, errGap) {
+		return Accepted{}, true, nil
 	}
-	head, root, fresh, err := a.next(ctx, s)
 	if err != nil {
-		return Accepted{}, false, err
+		moved, err = a.refuse(ctx, s, err)
+		return Accepted{}, moved, err
 	}
 	swap, err := k.swapTxn(ctx, s, head, fresh)
 	if err != nil {
@@ -193,12 +201,30 @@
 	return Accepted{Revision: head.Revision, ChangeID: a.p.ID}, false, nil
 }
 
-// unlessGap returns err unless it only asks for another try.
-func unlessGap(err error) error {
-	if errors.Is(err, errGap) {
-		return nil
+// decide works out the head that the change makes of s, or why it is refused.
+func (a *attempt) decide(ctx context.Context, s state) (Head, *node, []*node, error) {
+	if err := a.admissible(s); err != nil {
+		return Head{}, nil, nil, err
+	}
+	return a.next(ctx, s)
+}
+
+// refuse returns the refusal once the store has confirmed that s is the present
+// head: against an older one a change can be refused that has been accepted
+// since. Another placer's swap of the same change that is still on its way can
+// then not take effect either: it was decided as here, or its head is gone.
+func (a *attempt) refuse(ctx context.Context, s state, refusal error) (moved bool, err error) {
+	if isStoreError(refusal) {
+		return false, refusal
+	}
+	reply, err := a.k.commit(ctx, platform.Txn{If: []platform.Condition{{Key: headKey, ModRevision: s.mod}}})
+	if err != nil {
+		return false, &storeError{err}
+	}
+	if reply.Applied {
+		return false, refusal
 	}
-	return err
+	return true, a.k.absorbFound(ctx, s, reply)
 }
 
 // known tells whether the change has already been accepted.
@@ -220,9 +246,9 @@
 	base, now := a.p.Base, s.tree.Revision
 	switch {
 	case base > now:
-		return result.New(result.SettingsBaseAhead, result.RanNo, "against revision %d, the head is %d", base, now).At("revision").Later(time.Second)
+		return result.New(result.SettingsBaseAhead, result.RanNo, "against revision %d, the head is %d", base, now).At("revision")
 	case base < now-HistoryKept:
-		return result.New(result.SettingsBaseTooOld, result.RanNo, "against revision %d, the head is %d and %d are kept", base, now, HistoryKept).At("revision")
+		return a.undecided(result.New(result.SettingsBaseTooOld, result.RanNo, "against revision %d, the head is %d and %d are kept", base, now, HistoryKept).At("revision"))
 	}
 	since, whole := a.k.book.span(base+1, now)
 	if !whole {
--- a/internal/settings/history.go
+++ b/internal/settings/history.go
@@ -34,7 +34,7 @@
 	heads, whole := k.book.span(from, s.tree.Revision)
 	if !whole {
 		if err := k.loadHistory(ctx); err != nil {
-			return nil, storeDown(err)
+			return nil, result.New(result.SettingsStoreDown, result.RanNo, "%v", err).Later(storeDownRetry)
 		}
 		heads = k.book.kept(from, s.tree.Revision)
 	}
--- a/internal/settings/message.go
+++ b/internal/settings/message.go
@@ -17,6 +17,10 @@
 	Rollback bool `cbor:"7,keyasint,omitempty"`
 	// WaitMillis is how long to wait for every member to apply the change.
 	WaitMillis int64 `cbor:"8,keyasint,omitempty"`
+	// First is true when the sender is certain that nobody has sent the change
+	// before. A refusal that was not decided against the present head can then
+	// still promise that the change is not in force.
+	First bool `cbor:"9,keyasint,omitempty"`
 }
 
 // Accepted is the answer to a change in force.
--- a/internal/settings/remote.go
+++ b/internal/settings/remote.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"slices"
 
 	"pulleyquay/internal/peer"
@@ -21,18 +20,32 @@
 // does, the error says whether the change can have been made.
 func (r Remote) Change(ctx context.Context, c Change) (Accepted, error) {
 	var accepted Accepted
-	err := r.each(ctx, peer.KindSettingsChange, c, &accepted)
-	return accepted, err
+	unknown := false
+	err := r.each(ctx, func(addr string) error {
+		err := r.Caller.Call(ctx, addr, peer.KindSettingsChange, c, &accepted)
+		if err != nil && result.From(err).Ran != result.RanNo {
+			unknown, c.First = true, false
+		}
+		return err
+	})
+	e := result.From(err)
+	if err == nil || !unknown || e.Ran != result.RanNo || !slices.Contains(undecided, e.Code) {
+		return accepted, err
+	}
+	return accepted, result.New(result.SettingsOutcomeUnknown, result.RanUnknown, "a placer got the change and gave no answer; then: %v", e)
 }
 
 // History returns the kept revisions, newest first.
 func (r Remote) History(ctx context.Context) ([]Head, error) {
 	var answer HistoryAnswer
-	if err := r.each(ctx, peer.KindSettingsHistory, AskHistory{}, &answer); err != nil {
+	err := r.each(ctx, func(addr string) error {
+		return r.Caller.Call(ctx, addr, peer.KindSettingsHistory, AskHistory{}, &answer)
+	})
+	if err != nil {
 		return nil, err
 	}
 	var heads []Head
-	err := json.Unmarshal(answer.Heads, &heads)
+	err = json.Unmarshal(answer.Heads, &heads)
 	return heads, err
 }
 
@@ -41,31 +54,13 @@
 	result.SettingsStoreDown, result.SettingsOutcomeUnknown}
 
 // each calls the placers in turn until one decides.
-func (r Remote) each(ctx context.Context, kind peer.Kind, req, resp any) error {
-	ran := result.RanNo
-	last := result.New(result.NotReady, result.RanNo, "no placer is known")
+func (r Remote) each(ctx context.Context, call func(addr string) error) error {
+	var last error = result.New(result.NotReady, result.RanNo, "no placer is known")
 	for _, addr := range r.Addrs() {
-		err := r.Caller.Call(ctx, addr, kind, req, resp)
-		if err == nil {
-			return nil
-		}
-		var coded *result.Error
-		if !errors.As(err, &coded) {
-			coded = result.From(err)
-		}
-		if coded.Ran != result.RanNo {
-			ran = result.RanUnknown
+		last = call(addr)
+		if last == nil || ctx.Err() != nil || !slices.Contains(undecided, result.CodeOf(last)) {
+			return last
 		}
-		last = coded
-		if !slices.Contains(undecided, coded.Code) || ctx.Err() != nil {
-			break
-		}
-	}
-	if ran == result.RanNo || last.Ran == ran {
-		return last
-	}
-	if kind != peer.KindSettingsChange {
-		return last
 	}
-	return result.New(result.SettingsOutcomeUnknown, result.RanUnknown, "a placer got the change and gave no answer; then: %v", last)
+	return last
 }
--- a/internal/settings/swap.go
+++ b/internal/settings/swap.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"time"
 
@@ -23,6 +22,11 @@
 // unreferenced ones.
 func (k *Keeper) swapTxn(ctx context.Context, s state, h Head, fresh []*node) (platform.Txn, error) {
 	writes := branchWrites(fresh)
+	for _, w := range writes[:min(len(writes), txnWrites)] {
+		if hash, ok := hashOfKey(w.Key); ok {
+			k.book.keep(hash, w.Value) // in case the answer is lost
+		}
+	}
 	txn := platform.Txn{If: []platform.Condition{{Key: headKey, ModRevision: s.mod}}}
 	chunks := chunk(writes)
 	if len(chunks) > 1 {
@@ -106,18 +110,18 @@
 		}
 		return nil // lost to a collection
 	}
-	if err := k.applyRecord(ctx, reply.Found[i]); err != nil {
-		var coded *result.Error
-		if errors.As(err, &coded) {
-			return err
-		}
-		return &storeError{err}
-	}
 	h, err := decodeHead(reply.Found[i].Value)
-	if err == nil && h.Revision < s.tree.Revision {
+	if err != nil {
+		return err
+	}
+	if h.Revision < s.tree.Revision {
 		return storeBehind(s, h.Revision)
 	}
-	return err
+	k.book.recordAll([]Head{h}) // tells a change of our own even without its branches
+	if err := k.applyRecord(ctx, reply.Found[i]); err != nil {
+		return &storeError{err}
+	}
+	return nil
 }
 
 func storeBehind(s state, found int64) error {
