--- a/internal/requesttest/requesttest.go
+++ b/internal/requesttest/requesttest.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -54,7 +55,7 @@
 	Refuse
 	// CutBefore loses the request after a byte was sent; it does not run.
 	CutBefore
-	// CutAfter runs the request and loses the answer.
+	// CutAfter runs the request and breaks the connection at once.
 	CutAfter
 	// Hang never answers.
 	Hang
@@ -88,8 +89,12 @@
 	peak map[string]int
 }
 
-// KeyHeader names the header by which runs are recorded.
-const KeyHeader = "Idempotency-Key"
+// The headers that executors see: the key by which runs are recorded, and what
+// is left of the deadline in milliseconds.
+const (
+	KeyHeader     = "Idempotency-Key"
+	TimeoutHeader = "Request-Timeout-Ms"
+)
 
 // errFake is the cause in every Failure of the fakes.
 var errFake = errors.New("planted fault")
@@ -104,32 +109,45 @@
 		return executor.Answer{}, &executor.Failure{Err: errFake}
 	}
 	x.enter(addr)
-	defer x.leave(addr)
-	if fault == CutBefore {
+	switch fault {
+	case CutBefore:
+		x.leave(addr)
 		return executor.Answer{}, &executor.Failure{Sent: true, Err: errFake}
-	}
-	if fault == Hang {
+	case Hang:
 		<-ctx.Done()
+		x.leave(addr)
 		return executor.Answer{}, &executor.Failure{Sent: true, Err: ctx.Err()}
 	}
 	x.record(Run{At: time.Now(), Addr: addr, Key: req.Header.Get(KeyHeader), Path: req.Path})
-	took := x.Time
-	if x.TimeOf != nil {
-		took = x.TimeOf(addr)
+	ended := make(chan struct{})
+	time.AfterFunc(x.takes(addr, req), func() {
+		x.leave(addr)
+		close(ended)
+	})
+	if fault == CutAfter {
+		return executor.Answer{}, &executor.Failure{Sent: true, Err: errFake}
 	}
-	timer := time.NewTimer(took)
-	defer timer.Stop()
 	select {
-	case <-timer.C:
+	case <-ended:
 	case <-ctx.Done():
 		return executor.Answer{}, &executor.Failure{Sent: true, Err: ctx.Err()}
 	}
-	if fault == CutAfter {
-		return executor.Answer{}, &executor.Failure{Sent: true, Err: errFake}
-	}
 	return answerTo(req, fault), nil
 }
 
+// takes is how long an executor works on a request: it gives up at the
+// deadline that it was told.
+func (x *Executors) takes(addr string, req executor.Request) time.Duration {
+	took := x.Time
+	if x.TimeOf != nil {
+		took = x.TimeOf(addr)
+	}
+	if ms, err := strconv.ParseInt(req.Header.Get(TimeoutHeader), 10, 64); err == nil {
+		took = min(took, time.Duration(ms)*time.Millisecond)
+	}
+	return took
+}
+
 // answerTo echoes the path, so that a test sees whose answer it got.
 func answerTo(req executor.Request, fault Fault) executor.Answer {
 	status := http.StatusOK
