--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -33,11 +33,12 @@
 	Log  *logrus.Entry
 	Reg  *prometheus.Registry
 
-	stopping atomic.Bool
-	mu       sync.Mutex
-	dumps    map[string]func() any
-	lacks    []func() []string
-	servers  []*http.Server
+	stopping  atomic.Bool
+	listening atomic.Bool // signals are being caught
+	mu        sync.Mutex
+	dumps     map[string]func() any
+	lacks     []func() []string
+	servers   []*http.Server
 }
 
 // New returns a daemon that logs JSON lines to stderr.
@@ -100,8 +101,9 @@
 	return nil, result.New(code, result.RanNo, "%v", err).At(field)
 }
 
-// Serve answers HTTP on the listener until the daemon closes it.
-func (d *Daemon) Serve(l net.Listener, h http.Handler) {
+// Serve answers HTTP on the listener until the daemon closes it. The returned
+// server lets a planned stop wait for the requests in flight.
+func (d *Daemon) Serve(l net.Listener, h http.Handler) *http.Server {
 	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
 	d.mu.Lock()
 	d.servers = append(d.servers, s)
@@ -111,6 +113,7 @@
 			d.Log.WithError(err).Error("listener failed")
 		}
 	}()
+	return s
 }
 
 // Admin returns the handler of /metrics, /healthz, /readyz and /debug/state.
@@ -180,6 +183,7 @@
 func (d *Daemon) Wait(s Stopper) error {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	d.listening.Store(true)
 	<-signals
 	d.stopping.Store(true)
 	d.Log.Info("planned stop began")
--- /dev/null
+++ b/internal/job/record.go
@@ -0,0 +1,91 @@
+package job
+
+import (
+	"fmt"
+	"math/bits"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+
+	"pulleyquay/internal/jobmsg"
+	"pulleyquay/internal/result"
+	"pulleyquay/internal/spec"
+)
+
+// record is what the store keeps of one job under jobs/<partition>/<id>. It
+// holds what can not be learned again from the workers: the specification,
+// which tasks are finished, how often tasks failed, and how the job ended.
+type record struct {
+	Job       spec.Job     `cbor:"1,keyasint"`
+	Submitted int64        `cbor:"2,keyasint"` // wall clock, Unix milliseconds
+	State     jobmsg.State `cbor:"3,keyasint"`
+	Code      result.Code  `cbor:"4,keyasint,omitempty"`
+	Reason    string       `cbor:"5,keyasint,omitempty"`
+	Ended     int64        `cbor:"6,keyasint,omitempty"` // wall clock, Unix milliseconds
+	Done      bitmap       `cbor:"7,keyasint,omitempty"`
+	Failures  map[int]int  `cbor:"8,keyasint,omitempty"` // by task index
+	// Origin is the epoch of the home that accepted the job.
+	Origin uint64 `cbor:"9,keyasint"`
+	// Generation counts the changes of a service's specification; Past holds
+	// earlier ones of which tasks may still run.
+	Generation int        `cbor:"10,keyasint,omitempty"`
+	Past       []pastSpec `cbor:"11,keyasint,omitempty"`
+	// Submission identifies the specification as first submitted.
+	Submission uint64 `cbor:"12,keyasint"`
+}
+
+// keyPrefix returns the prefix of the records of a partition's jobs.
+func keyPrefix(partition int) string { return fmt.Sprintf("jobs/%d/", partition) }
+
+// key returns the key of a job's record.
+func key(partition int, id string) string { return keyPrefix(partition) + id }
+
+func encodeRecord(r *record) ([]byte, error) { return cbor.Marshal(r) }
+
+func decodeRecord(b []byte) (*record, error) {
+	r := &record{}
+	if err := cbor.Unmarshal(b, r); err != nil {
+		return nil, fmt.Errorf("job record: %w", err)
+	}
+	return r, nil
+}
+
+// fingerprint identifies a specification with all its fields.
+func fingerprint(j spec.Job) uint64 {
+	b, err := sorted.Marshal(j)
+	if err != nil {
+		return 0 // plain data always encodes
+	}
+	return xxhash.Sum64(b)
+}
+
+// sorted encodes maps in one order, so that equal values give equal bytes.
+var sorted = newSortedMode()
+
+func newSortedMode() cbor.EncMode {
+	mode, err := cbor.CanonicalEncOptions().EncMode()
+	if err != nil {
+		panic(err) // only for contradictory options
+	}
+	return mode
+}
+
+// sameSpec reports whether two specifications agree in every field.
+func sameSpec(a, b spec.Job) bool { return fingerprint(a) == fingerprint(b) }
+
+// bitmap is a set of small numbers.
+type bitmap []byte
+
+func newBitmap(n int) bitmap { return make(bitmap, (n+7)/8) }
+
+func (b bitmap) has(i int) bool { return i/8 < len(b) && b[i/8]&(1<<(i%8)) != 0 }
+
+func (b bitmap) set(i int) { b[i/8] |= 1 << (i % 8) }
+
+func (b bitmap) count() int {
+	n := 0
+	for _, x := range b {
+		n += bits.OnesCount8(x)
+	}
+	return n
+}
--- /dev/null
+++ b/internal/job/room.go
@@ -0,0 +1,81 @@
+package job
+
+import (
+	"sort"
+	"time"
+
+	"pulleyquay/internal/settings"
+	"pulleyquay/internal/taskmsg"
+	"pulleyquay/internal/view"
+)
+
+const (
+	// leastShare is how many tasks are asked of one holder before the next is
+	// asked too, as a message costs more than a task in it.
+	leastShare = 16
+	// guessedRoom is how many slots a holder without a digest is asked for.
+	guessedRoom = 16
+	// askedLifetime is how long what was asked of a holder is taken off its
+	// digest when no newer digest comes.
+	askedLifetime = 3 * time.Second
+)
+
+// holder is a member that may be asked to start tasks.
+type holder struct {
+	member      string
+	incarnation string
+	addr        string
+	digest      taskmsg.Digest
+	known       bool // digest holds
+}
+
+// holdersOf returns the members that hold partitions and take work, in a fixed
+// order.
+func holdersOf(t *view.Table, digests map[string]taskmsg.Digest) []holder {
+	holds := map[string]bool{}
+	for _, p := range t.Partitions {
+		holds[p.Incarnation] = true
+	}
+	var out []holder
+	for _, m := range t.Members {
+		d, known := digests[m.Name]
+		if m.Leaving || !holds[m.Incarnation] || (known && d.Workers == 0) {
+			continue
+		}
+		out = append(out, holder{m.Name, m.Incarnation, m.Addr, d, known})
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].member < out[b].member })
+	return out
+}
+
+// share is how many tasks to ask of one holder.
+type share struct {
+	holder
+	room int
+	n    int
+}
+
+// divide spreads n tasks over holders with room: by the packing policy the
+// fullest holder first, else in proportion to room so that all start at once.
+func divide(n int, shares []share, policy string) {
+	total := 0
+	for _, s := range shares {
+		total += s.room
+	}
+	n = min(n, total)
+	if policy == settings.PolicyPacking {
+		sort.SliceStable(shares, func(a, b int) bool { return shares[a].room < shares[b].room })
+		for i := range shares {
+			shares[i].n = min(n, shares[i].room)
+			n -= shares[i].n
+		}
+		return
+	}
+	sort.SliceStable(shares, func(a, b int) bool { return shares[a].room > shares[b].room })
+	left := n
+	for i := range shares {
+		part := max((n*shares[i].room+total-1)/max(total, 1), leastShare)
+		shares[i].n = min(part, left, shares[i].room)
+		left -= shares[i].n
+	}
+}
--- /dev/null
+++ b/internal/job/stop.go
@@ -0,0 +1,100 @@
+package job
+
+import (
+	"time"
+
+	"pulleyquay/internal/view"
+	"pulleyquay/internal/worker"
+)
+
+const (
+	// stopRepeat is how long a stop may stay unconfirmed before it is repeated.
+	stopRepeat = 2 * time.Second
+	// maxStops bounds the runs in one message.
+	maxStops = 1024
+)
+
+// planStops sends stops for what runs of ending jobs, grouped by holder. A stop
+// is repeated until news tells that the run has ended.
+func (h *home) planStops(table *view.Table, now time.Time) {
+	if table == nil {
+		return
+	}
+	addrs := make(map[int]string, len(table.Partitions))
+	for _, p := range table.Partitions {
+		if p.Holder != "" {
+			addrs[p.ID] = p.Addr
+		}
+	}
+	byAddr := map[string][]worker.Attempt{}
+	for id, j := range h.halting {
+		if now.Before(j.stopAt) {
+			continue
+		}
+		j.stopAt = now.Add(stopRepeat)
+		if !h.collectStops(j, addrs, byAddr) && !j.ending() && !j.gang.is(gangBreaking) {
+			delete(h.halting, id)
+		}
+	}
+	for addr, runs := range byAddr {
+		for len(runs) > 0 {
+			n := min(len(runs), maxStops)
+			batch := runs[:n]
+			runs = runs[n:]
+			h.work.Go(func() { h.sendStops(addr, batch) })
+		}
+	}
+}
+
+// collectStops adds the runs of a job that have to end to what each holder is to
+// stop, and reports whether there are any.
+func (h *home) collectStops(j *job, addrs map[int]string, byAddr map[string][]worker.Attempt) bool {
+	whole := j.ending() || j.gang.is(gangBreaking)
+	found := false
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		if whole && t.state == taskRunning {
+			t.state = taskStopping
+			j.running--
+		}
+		if t.state != taskStopping || t.at == nil {
+			continue
+		}
+		found = true
+		if addr := addrs[t.at.partition]; addr != "" {
+			byAddr[addr] = append(byAddr[addr], j.run(i))
+		}
+	}
+	return found
+}
+
+// sendStops sends one batch. A run that its present holder does not know, in a
+// partition whose inventory is complete, does not run any more.
+func (h *home) sendStops(addr string, runs []worker.Attempt) {
+	reply, err := h.stopRuns(addr, runs, "the home of the job ends it")
+	if err != nil || len(reply.Unknown) == 0 {
+		return
+	}
+	table := h.m.cfg.Source.Table()
+	now := time.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, run := range reply.Unknown {
+		j := h.jobs[run.Task.Job]
+		if j == nil || j.rec.State.Final() || run.Task.Index >= len(j.tasks) {
+			continue
+		}
+		t := &j.tasks[run.Task.Index]
+		if t.attempt != run.Attempt || !t.active() || t.at == nil {
+			continue
+		}
+		p, ok := partitionOf(table, t.at.partition)
+		if !ok || p.Addr != addr || h.covered[p.ID] < p.Epoch {
+			continue
+		}
+		h.freed(j, run.Task.Index)
+		h.again(j, run.Task.Index, 0, now)
+		h.settle(j, now)
+	}
+	h.rouse()
+}
--- /dev/null
+++ b/internal/job/task.go
@@ -0,0 +1,171 @@
+package job
+
+import (
+	"time"
+
+	"pulleyquay/internal/platform"
+	"pulleyquay/internal/result"
+	"pulleyquay/internal/spec"
+	"pulleyquay/internal/taskmsg"
+	"pulleyquay/internal/worker"
+)
+
+// taskState is the state of one task in the home's table.
+type taskState uint8
+
+const (
+	taskPending  taskState = iota // nothing of it runs
+	taskOrdered                   // a holder was asked, no answer yet
+	taskDoubt                     // it may run; nobody has said yet
+	taskRunning                   // a holder said that it runs
+	taskStopping                  // told to stop, the end is not confirmed
+	taskDone                      // finished with exit code zero
+)
+
+// site is a worker that runs tasks of the home's jobs. Tasks share it.
+type site struct {
+	worker    string
+	zone      string
+	partition int
+}
+
+// task is the home's row for one task of one job.
+type task struct {
+	attempt int // of the present run, or of the latest while pending
+	epoch   uint64
+	at      *site // nil while it is not known
+	state   taskState
+	spared  bool // the latest attempt was preempted
+}
+
+// active reports whether the task may run, so that it holds quota.
+func (t *task) active() bool { return t.state != taskPending && t.state != taskDone }
+
+// delayed is a pending task that must not start before a moment.
+type delayed struct {
+	index int
+	due   time.Time
+}
+
+// job is one job in its home's memory. The home's lock guards it.
+type job struct {
+	rec *record
+	// revision is that of the job's record in the store; zero before the first.
+	revision platform.Revision
+	// dirty says that rec is newer than the store's record; version counts
+	// changes so that a flush can tell whether one came in the meantime.
+	dirty    bool
+	version  uint64
+	flushing bool
+	// answered is closed once the first write's outcome was told; refusal is
+	// then set when the job was not accepted. Nil for jobs read from the store.
+	answered chan struct{}
+	refusal  *result.Error
+	// certain is false while nobody knows whether the store took the record.
+	certain bool
+
+	tasks   []task
+	ready   []int // pending tasks that may start, in the order to try
+	later   []delayed
+	running int // tasks in taskRunning
+	active  int // tasks that hold quota: all but pending and done
+	done    int // tasks in taskDone
+	// since is when the job began to wait for its present tasks.
+	since time.Time
+	// recorded holds the finished tasks that the store knows of.
+	recorded bitmap
+	zones    map[string]int
+	// recoverable jobs may have runs started by an earlier home, so nothing of
+	// them starts before every holder has told what runs.
+	recoverable bool
+	// paced counts a service's tasks whose replacement is held back for a while.
+	paced   int
+	holders map[string]*holderMemory
+	gang    gang
+	stopAt  time.Time // when stops are sent again
+	log     decisionLog
+}
+
+// holderMemory is what a job remembers of one holder's refusals.
+type holderMemory struct {
+	until   time.Time
+	pause   time.Duration
+	refusal *taskmsg.Refusal
+	err     error
+}
+
+func newJob(rec *record) *job {
+	j := &job{
+		rec:     rec,
+		since:   time.UnixMilli(rec.Submitted),
+		zones:   map[string]int{},
+		holders: map[string]*holderMemory{},
+	}
+	if rec.Job.Kind != spec.KindService {
+		if rec.Done == nil {
+			rec.Done = newBitmap(rec.Job.Tasks)
+		}
+		j.recorded = append(bitmap(nil), rec.Done...)
+	}
+	if rec.State.Final() {
+		return j
+	}
+	j.tasks = make([]task, rec.Job.Tasks)
+	for i := range j.tasks {
+		if rec.Done.has(i) {
+			j.tasks[i].state = taskDone
+			j.done++
+		}
+	}
+	return j
+}
+
+// id returns the job's identifier.
+func (j *job) id() string { return j.rec.Job.ID }
+
+func (j *job) isGang() bool { return j.rec.Job.Kind == spec.KindGang }
+
+func (j *job) isService() bool { return j.rec.Job.Kind == spec.KindService }
+
+// ending reports whether no further task of the job may start.
+func (j *job) ending() bool { return j.rec.Code != 0 || j.rec.State.Final() }
+
+// run names the present attempt of a task.
+func (j *job) run(index int) worker.Attempt {
+	return worker.Attempt{Task: spec.TaskID{Job: j.id(), Index: index}, Attempt: j.tasks[index].attempt}
+}
+
+// pending makes a task wait for its next start, no earlier than due.
+func (j *job) pending(index int, due, now time.Time) {
+	if len(j.ready)+len(j.later) == 0 {
+		j.since = now
+	}
+	if due.After(now) {
+		j.later = append(j.later, delayed{index, due})
+		return
+	}
+	j.ready = append(j.ready, index)
+}
+
+// memory returns what the job remembers of a holder.
+func (j *job) memory(member string) *holderMemory {
+	m := j.holders[member]
+	if m == nil {
+		m = &holderMemory{}
+		j.holders[member] = m
+	}
+	return m
+}
+
+// promote moves delayed tasks that are due to the ready ones.
+func (j *job) promote(now time.Time) {
+	rest := j.later[:0]
+	for _, d := range j.later {
+		if d.due.After(now) {
+			rest = append(rest, d)
+			continue
+		}
+		j.ready = append(j.ready, d.index)
+	}
+	j.later = rest
+}
--- a/internal/taskmsg/taskmsg.go
+++ b/internal/taskmsg/taskmsg.go
@@ -23,10 +23,13 @@
 	Name        string `cbor:"1,keyasint"`
 	SpreadZones bool   `cbor:"2,keyasint,omitempty"`
 	SpreadRacks bool   `cbor:"3,keyasint,omitempty"`
-	LeaseMS     int64  `cbor:"4,keyasint"`
-	Priority    int64  `cbor:"5,keyasint,omitempty"`
-	// LearnedSize, when not zero, is the size to pack by instead of the declared one.
+	// Number 4 was a lease per branch; a worker renews all its runs alike.
+	Priority int64 `cbor:"5,keyasint,omitempty"`
+	// LearnedSize is what tasks of the branch were observed to need; zero when
+	// too few were. The books count the larger of it and the declared size.
 	LearnedSize spec.Resources `cbor:"6,keyasint,omitempty"`
+	// MinReplicas is the number of a service's replicas that preemption leaves.
+	MinReplicas int64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Shape is what all tasks of one request share.
@@ -46,6 +49,9 @@
 type Slot struct {
 	Index   int `cbor:"1,keyasint"`
 	Attempt int `cbor:"2,keyasint"`
+	// Spared is true when the task's previous attempt was preempted; this one
+	// is then not chosen as a victim.
+	Spared bool `cbor:"3,keyasint,omitempty"`
 }
 
 // PlaceRequest asks a holder to start tasks on its own workers.
@@ -99,6 +105,10 @@
 	Shape  Shape  `cbor:"2,keyasint"`
 	Slots  []Slot `cbor:"3,keyasint"`
 	HoldMS int64  `cbor:"4,keyasint"`
+	// Gather asks the holder to keep room that comes free for this gang until
+	// all slots are held or the hold lapses: less urgent starts are refused
+	// meanwhile. For a gang that has waited long.
+	Gather bool `cbor:"5,keyasint,omitempty"`
 }
 
 // GangHeld names the slots that room is held for.
