--- a/test/e2e/harness/cell.go
+++ b/test/e2e/harness/cell.go
@@ -1,15 +1,18 @@
 package harness
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"testing"
 	"time"
 
 	"pulleyquay/internal/config"
+	"pulleyquay/internal/partition"
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/spec"
 	"pulleyquay/internal/standin"
+	"pulleyquay/internal/view"
 )
 
 // The cell's durations: short, so that many terms pass within a test.
@@ -23,7 +26,7 @@
 )
 
 // Service is the service that the cell's executors answer for.
-const Service = "ledger"
+const Service = "lakeshore.ledger"
 
 // Cell is a stand-in and some entry hosts, each of an entry and a placer.
 type Cell struct {
@@ -130,7 +133,9 @@
 	for _, h := range c.Hosts {
 		h.WaitReady()
 	}
-	c.SetBranches(map[string]any{"/services/" + Service: map[string]any{}, "/batch": map[string]any{}})
+	c.SetBranches(map[string]any{
+		"/lakeshore": map[string]any{}, "/lakeshore/ledger": map[string]any{}, "/batch": map[string]any{},
+	})
 	return c
 }
 
@@ -194,3 +199,51 @@
 	}
 	return nil
 }
+
+// placerState is the part of a placer's state dump that tells whether the cell
+// is at rest.
+type placerState struct {
+	Holding struct {
+		Table      view.Table `json:"table"`
+		Electorate struct {
+			Voters []view.Member `json:"voters"`
+		} `json:"electorate"`
+	} `json:"holding"`
+}
+
+// WaitSettled waits until every partition is held where it belongs and every
+// placer counts on all others.
+func (c *Cell) WaitSettled() {
+	c.t.Helper()
+	var names []string
+	for _, h := range c.Hosts {
+		names = append(names, h.Name)
+	}
+	for _, h := range c.Hosts {
+		Eventually(c.t, ReadyLimit, h.Name+" is settled", func() error { return h.settled(names) })
+	}
+}
+
+func (h *Host) settled(names []string) error {
+	resp, err := http.Get("http://" + h.placerConfig.Listen.Admin + "/debug/state")
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	var s placerState
+	if err := json.NewDecoder(resp.Body).Decode(&s); err != nil {
+		return err
+	}
+	if n := len(s.Holding.Electorate.Voters); n != len(names) {
+		return fmt.Errorf("%d of %d voters", n, len(names))
+	}
+	if n := len(s.Holding.Table.Partitions); n != partition.DefaultCount {
+		return fmt.Errorf("%d partitions", n)
+	}
+	for _, p := range s.Holding.Table.Partitions {
+		if owner := partition.Owner(p.ID, names); p.Holder != owner {
+			return fmt.Errorf("partition %d is held by %q, not %s", p.ID, p.Holder, owner)
+		}
+	}
+	return nil
+}
