--- a/internal/capacity/links_bench_test.go
+++ b/internal/capacity/links_bench_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"pulleyquay/internal/httponce"
@@ -78,7 +79,8 @@
 				reply.Results = append(reply.Results, worker.StartResult{Started: true})
 				reply.Ended = append(reply.Ended, ended(i))
 			}
-			addr := cannedWorker(b, reply)
+			var bytes atomic.Int64
+			addr := cannedWorker(b, reply, &bytes)
 			client := workerhttp.NewClient(httponce.Options{})
 			b.Cleanup(client.Close)
 			before := cpu(b)
@@ -88,12 +90,14 @@
 				}
 			}
 			reportCPU(b, before, b.N, "order")
+			b.ReportMetric(float64(bytes.Load())/float64(b.N), "B/order")
 		})
 	}
 }
 
-// cannedWorker answers every request with the same bytes.
-func cannedWorker(b *testing.B, reply worker.OrderReply) string {
+// cannedWorker answers every request with the same bytes. It adds up the bytes
+// of requests and answers with their headers.
+func cannedWorker(b *testing.B, reply worker.OrderReply, bytes *atomic.Int64) string {
 	body, err := json.Marshal(reply)
 	if err != nil {
 		b.Fatal(err)
@@ -110,13 +114,13 @@
 			if err != nil {
 				return
 			}
-			go answerAll(conn, answer)
+			go answerAll(conn, answer, bytes)
 		}
 	}()
 	return l.Addr().String()
 }
 
-func answerAll(conn net.Conn, answer []byte) {
+func answerAll(conn net.Conn, answer []byte, bytes *atomic.Int64) {
 	defer conn.Close()
 	r := bufio.NewReader(conn)
 	for {
@@ -126,6 +130,7 @@
 			if line, err = r.ReadString('\n'); err != nil {
 				return
 			}
+			bytes.Add(int64(len(line)))
 			if value, ok := strings.CutPrefix(line, "Content-Length: "); ok {
 				_, _ = fmt.Sscan(value, &length)
 			}
@@ -133,6 +138,7 @@
 		if _, err := r.Discard(length); err != nil {
 			return
 		}
+		bytes.Add(int64(length + len(answer)))
 		if _, err := conn.Write(answer); err != nil {
 			return
 		}
--- a/internal/capacity/path_bench_test.go
+++ b/internal/capacity/path_bench_test.go
@@ -44,11 +44,12 @@
 	workers *instantWorkers
 	store   *countedStore
 	next    int
+	size    spec.Resources // of each task submitted
 }
 
 func newCell(b *testing.B, n int) *cell {
 	engine := memstore.New()
-	c := &cell{workers: newInstantWorkers(false), store: &countedStore{Store: engine.Client("placer")}}
+	c := &cell{workers: newInstantWorkers(false), size: spec.Resources{MilliCPU: 500, MemoryMiB: 500}, store: &countedStore{Store: engine.Client("placer")}}
 	mux := peer.NewMux()
 	peers := peer.Local{holderAddr: mux}
 	hosts := c.workers.add(n)
@@ -110,7 +111,7 @@
 	c.next++
 	j := spec.Job{
 		ID: uuid.Must(uuid.NewV7()).String(), Team: fmt.Sprint("team-", c.next%teams), Branch: "/", Kind: spec.KindBatch, Tasks: tasks,
-		Task: spec.Task{Size: spec.Resources{MilliCPU: 500, MemoryMiB: 500}, RunMillis: 1, Command: "reconcile --shard"},
+		Task: spec.Task{Size: c.size, RunMillis: 1, Command: "reconcile --shard"},
 	}
 	for {
 		_, err := c.jobs.Submit(context.Background(), jobmsg.SubmitRequest{Job: j})
@@ -161,3 +162,28 @@
 		})
 	}
 }
+
+// BenchmarkHomeBytes measures the memory of a home for each waiting task, and
+// the bytes of a job's record in the store.
+func BenchmarkHomeBytes(b *testing.B) {
+	for _, c := range []struct{ jobs, tasks int }{{1000, 1}, {1000, 100}, {20, 10000}} {
+		jobs, tasks := c.jobs, c.tasks
+		b.Run(fmt.Sprint(tasks, "-tasks"), func(b *testing.B) {
+			for b.Loop() {
+				c := newCell(b, 1)
+				c.size = spec.Resources{MilliCPU: 64000, MemoryMiB: 1}
+				before := heap()
+				for range jobs {
+					c.submit(b, tasks)
+				}
+				b.ReportMetric(float64(heap()-before)/float64(jobs), "B/job")
+				b.ReportMetric(float64(heap()-before)/float64(jobs*tasks), "B/task")
+				records, _, err := c.store.List(context.Background(), "jobs/")
+				if err != nil || len(records) == 0 {
+					b.Fatal(len(records), err)
+				}
+				b.ReportMetric(float64(len(records[0].Value)), "B/record")
+			}
+		})
+	}
+}
