Quality of placement measured; balance outweighs fit

Change: internal/experiment drives seeded arrivals of services, batch, gangs, accelerator and urgent work with untrue sizes through a Cell, against random feasible and first fit. Balance weighs 16 instead of 1, guests go where free accelerators keep their share, spreading weighs more than both. Ruled out: a heavier weight for keeping accelerators (worse packing, no gain).

--- /dev/null
+++ b/internal/experiment/arrivals_test.go
@@ -0,0 +1,139 @@
+package experiment
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"pulleyquay/internal/scheduler"
+	"pulleyquay/internal/spec"
+	"pulleyquay/internal/worker"
+)
+
+// class is a kind of work as the figures tell it apart.
+type class int
+
+const (
+	service class = iota
+	batch
+	gang
+	accelerated
+	urgent
+	classes
+)
+
+var classNames = [classes]string{"service", "batch", "gang", "accelerated", "urgent"}
+
+// arrival is one job.
+type arrival struct {
+	id    string
+	class class
+	at    time.Duration
+	tasks int
+	size  spec.Resources // declared, of each task
+	run   time.Duration  // zero for ever
+	// truth is the share of the declared size that the tasks use.
+	truth float64
+}
+
+func (a *arrival) kind() spec.Kind {
+	switch a.class {
+	case service:
+		return spec.KindService
+	case gang:
+		return spec.KindGang
+	}
+	return spec.KindBatch
+}
+
+// horizon is how long jobs arrive.
+const horizon = 15 * time.Minute
+
+// arrivals makes the jobs for so many workers. load is the share of the
+// processors that they would hold if nothing waited.
+func arrivals(seed uint64, workers int, load float64) []arrival {
+	r := rand.New(rand.NewPCG(seed, 1))
+	var out []arrival
+	add := func(c class, at time.Duration, tasks int, size spec.Resources, run time.Duration) {
+		out = append(out, arrival{
+			id: fmt.Sprintf("%s-%d", classNames[c], len(out)), class: c, at: at, tasks: tasks, size: size, run: run, truth: truth(r),
+		})
+	}
+	capacity := float64(workers) * 64
+	for used := 0.0; used < 0.2*load*capacity; {
+		cores := int64(1 << r.IntN(3))
+		tasks := 3 + r.IntN(10)
+		add(service, time.Duration(r.IntN(60))*time.Second, tasks, cpuMem(cores*1000, cores*(2+r.Int64N(4))*1024), 0)
+		used += float64(cores * int64(tasks))
+	}
+	// The shares of work per second of the finite kinds, in core-seconds.
+	for at := time.Duration(0); at < horizon; {
+		var cost float64
+		run := time.Duration(math.Exp(r.NormFloat64()*0.8+3.6) * float64(time.Second))
+		switch p := r.Float64(); {
+		case p < 0.78:
+			size, tasks := batchSize(r), 1+int(math.Exp(r.Float64()*4))
+			c := batch
+			if r.Float64() < 0.04 {
+				c = urgent
+			}
+			add(c, at, tasks, size, run)
+			cost = float64(size.MilliCPU) / 1000 * float64(tasks) * run.Seconds()
+		case p < 0.88:
+			tasks, cores := 4<<r.IntN(4), int64(4<<r.IntN(3))
+			add(gang, at, tasks, cpuMem(cores*1000, cores*2048), 2*run)
+			cost = float64(cores*int64(tasks)) * 2 * run.Seconds()
+		default:
+			n := int64(1 << r.IntN(4))
+			size := cpuMem(n*5000, n*20*1024)
+			size.Accelerators = n
+			tasks := 1 + r.IntN(4)
+			add(accelerated, at, tasks, size, 3*run)
+			cost = float64(n*5*int64(tasks)) * 3 * run.Seconds()
+		}
+		at += time.Duration(cost / (0.8 * load * capacity) * float64(time.Second))
+	}
+	return out
+}
+
+func cpuMem(cpu, mem int64) spec.Resources { return spec.Resources{MilliCPU: cpu, MemoryMiB: mem} }
+
+// batchSize draws from a quarter of a core to 16 cores, with memory in any
+// relation to them.
+func batchSize(r *rand.Rand) spec.Resources {
+	cores := math.Exp(r.Float64()*4.1 - 1.4)
+	perCore := math.Exp(r.NormFloat64()*0.6) * 2048
+	return cpuMem(int64(cores*1000), min(int64(cores*perCore)+64, 100*1024))
+}
+
+// truth draws how much of its declared size a job uses: most use less, one in
+// ten uses more.
+func truth(r *rand.Rand) float64 {
+	if r.Float64() < 0.1 {
+		return 1 + 0.4*r.Float64()
+	}
+	return 0.3 + 0.7*r.Float64()
+}
+
+// cluster makes a mixed cell: every fifth rack with accelerators, every fifth
+// with large memories, four zones, eight workers to a rack.
+func cluster(n int) []scheduler.Worker {
+	var out []scheduler.Worker
+	for i := range n {
+		rack := i / 8
+		w := scheduler.Worker{Status: scheduler.StatusReady, Info: worker.Info{
+			Name: fmt.Sprintf("w%05d", i), Rack: fmt.Sprint("rack", rack), Zone: fmt.Sprint("zone", rack%4),
+			Size: cpuMem(64000, 128*1024), Generation: 1 + rack%2,
+		}}
+		switch rack % 5 {
+		case 3:
+			w.Info.Size.MemoryMiB *= 2
+		case 4:
+			w.Info.Size.MemoryMiB *= 2
+			w.Info.Size.Accelerators = 8
+		}
+		out = append(out, w)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/experiment/quality_bench_test.go
@@ -0,0 +1,128 @@
+package experiment
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"pulleyquay/internal/scheduler"
+	"pulleyquay/internal/spec"
+)
+
+// BenchmarkWaiting runs the same arrivals by each policy in a cell of 160
+// workers, at a load that just fits and at one that does not.
+func BenchmarkWaiting(b *testing.B) {
+	const workers = 160
+	for _, load := range []float64{0.7, 0.85, 1.0} {
+		jobs := sorted(arrivals(1, workers, load))
+		for _, p := range policies() {
+			b.Run(fmt.Sprintf("load-%.2f/%s", load, p.name), func(b *testing.B) {
+				for b.Loop() {
+					reportFigures(b, newDriver(p, cluster(workers)).drive(jobs))
+				}
+			})
+		}
+	}
+}
+
+func reportFigures(b *testing.B, f *figures) {
+	for c, h := range f.waits {
+		b.ReportMetric(float64(h.ValueAtQuantile(50))/1000, classNames[c]+"-p50-s")
+		b.ReportMetric(float64(h.ValueAtQuantile(99))/1000, classNames[c]+"-p99-s")
+	}
+	b.ReportMetric(100*f.strandedSeconds/max(f.freeSeconds, 1), "stranded-%")
+	b.ReportMetric(100*float64(f.started[gang])/float64(max(f.jobs[gang], 1)), "gangs-%")
+	b.ReportMetric(float64(f.preemptions), "preempted")
+	b.ReportMetric(100*f.usedShare/float64(f.steps), "booked-%")
+	b.ReportMetric(f.overSeconds, "over-s")
+}
+
+func sorted(jobs []arrival) []arrival {
+	return slices.SortedStableFunc(slices.Values(jobs), func(a, b arrival) int { return cmp.Compare(a.at, b.at) })
+}
+
+// BenchmarkHostsNeeded finds for each policy the smallest cell that takes a set
+// of tasks at once, in the order of arrival, against the bound that no cell can
+// beat: as many hosts as the sums of processors, memory and accelerators need.
+func BenchmarkHostsNeeded(b *testing.B) {
+	for _, seed := range []uint64{1, 2, 3} {
+		jobs := snapshot(seed)
+		least := bound(jobs)
+		for _, p := range policies() {
+			b.Run(fmt.Sprintf("seed-%d/%s", seed, p.name), func(b *testing.B) {
+				for b.Loop() {
+					n := smallest(p, jobs, least)
+					b.ReportMetric(float64(n), "hosts")
+					b.ReportMetric(float64(least), "bound")
+					b.ReportMetric(100*(float64(n)/float64(least)-1), "above-%")
+				}
+			})
+		}
+	}
+}
+
+// snapshot is work of all kinds in random order that would hold the processors
+// of some 150 workers.
+func snapshot(seed uint64) []arrival {
+	var out []arrival
+	var cores int64
+	jobs := arrivals(seed, 160, 1)
+	rand.New(rand.NewPCG(seed, 2)).Shuffle(len(jobs), func(i, j int) { jobs[i], jobs[j] = jobs[j], jobs[i] })
+	for _, a := range jobs {
+		if cores += a.size.MilliCPU * int64(a.tasks); cores > 150*64000 {
+			break
+		}
+		out = append(out, a)
+	}
+	return out
+}
+
+// bound is the smallest number of hosts of the cluster's mix whose sums suffice.
+func bound(jobs []arrival) int {
+	var need spec.Resources
+	for _, a := range jobs {
+		need = need.Add(a.size.Times(int64(a.tasks)))
+	}
+	for n := 1; ; n++ {
+		var have spec.Resources
+		for _, w := range cluster(n) {
+			have = have.Add(w.Info.Size)
+		}
+		if need.Fits(have) {
+			return n
+		}
+	}
+}
+
+// smallest tries cells from the bound on, whole racks at a time first.
+func smallest(p policy, jobs []arrival, least int) int {
+	n := least
+	for !fits(p, jobs, n) {
+		n += 8
+	}
+	for n > least && fits(p, jobs, n-1) {
+		n--
+	}
+	return n
+}
+
+func fits(p policy, jobs []arrival, n int) bool {
+	d := newDriver(p, cluster(n))
+	for i := range jobs {
+		d.enqueue(&jobs[i])
+		q := d.queue[len(d.queue)-1]
+		if jobs[i].class == urgent {
+			q = d.queue[0]
+		}
+		var runs []scheduler.Run
+		for index := range q.tasks {
+			runs = append(runs, d.runOf(q, index))
+		}
+		if len(p.place(d.cell, d.names, d.ask(q), runs, epoch)) < len(runs) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/scheduler/scores.go
+++ b/internal/scheduler/scores.go
@@ -27,17 +27,20 @@
 }
 
 // The weights. Spreading outweighs all else because it is about surviving a
-// loss; keeping accelerators outweighs fit because a processor task on an
-// accelerator host strands what is scarcest.
+// loss. Balance outweighs fit: what strands processors or memory is mostly that
+// the other has run out there; docs/PLACEMENT.md has the figures that chose it.
 const (
-	weightZones        = 8
-	weightRacks        = 4
+	weightZones        = 64
+	weightRacks        = 32
 	weightAccelerators = 4
 	weightFit          = 2
-	weightBalance      = 1
+	weightBalance      = 16
 	weightGeneration   = 0.5
 )
 
+// guestRate is the best rate of a worker with accelerators for a task without.
+const guestRate = 0.5
+
 var (
 	spreadZones      = score{"spread-zones", weightZones, rateZones, true}
 	spreadRacks      = score{"spread-racks", weightRacks, rateRacks, false}
@@ -76,8 +79,11 @@
 	var sum float64
 	for i := range scores {
 		rate := 1.0
-		if scores[i].fixed || a.size().Accelerators == 0 && scores[i].name == keepAccelerators.name {
+		switch {
+		case scores[i].fixed:
 			rate = scores[i].rate(a, p)
+		case scores[i].name == keepAccelerators.name && a.size().Accelerators == 0 && p.size.Size.Accelerators > 0:
+			rate = guestRate
 		}
 		sum += scores[i].weight * rate
 	}
@@ -96,17 +102,24 @@
 }
 
 // rateAccelerators keeps workers with accelerators for those who need them, and
-// among these the ones with many for those who need many.
+// among these the ones with many for those who need many. Other tasks that go
+// there after all go where the free accelerators keep their share of processors
+// and memory.
 func rateAccelerators(a *Ask, p *place) float64 {
 	have := p.size.Size.Accelerators
 	if have == 0 {
 		return 1
 	}
 	need := a.size().Accelerators
-	if need == 0 {
-		return 0
+	if need > 0 {
+		return 1 - share(p.free.Accelerators-need, have)
+	}
+	cpu, mem := leftover(a, p)
+	accelerators := share(p.free.Accelerators, have)
+	if accelerators == 0 {
+		return guestRate
 	}
-	return 1 - share(p.free.Accelerators-need, have)
+	return guestRate * min(1, cpu/accelerators, mem/accelerators)
 }
 
 // rateBestFit prefers the place with the least left over.
