Learned sizes, with what they gain and risk

The experiment's jobs now belong to branches that are alike, and compares four ways of using the sizes.

--- a/internal/experiment/arrivals_test.go
+++ b/internal/experiment/arrivals_test.go
@@ -33,6 +33,8 @@
 	tasks int
 	size  spec.Resources // declared, of each task
 	run   time.Duration  // zero for ever
+	// branch of the settings; jobs of one branch are alike in their truth.
+	branch int
 	// truth is the share of the declared size that the tasks use.
 	truth float64
 }
@@ -55,9 +57,15 @@
 func arrivals(seed uint64, workers int, load float64) []arrival {
 	r := rand.New(rand.NewPCG(seed, 1))
 	var out []arrival
+	var truths [branches]float64
+	for i := range truths {
+		truths[i] = truth(r)
+	}
 	add := func(c class, at time.Duration, tasks int, size spec.Resources, run time.Duration) {
+		branch := r.IntN(branches)
 		out = append(out, arrival{
-			id: fmt.Sprintf("%s-%d", classNames[c], len(out)), class: c, at: at, tasks: tasks, size: size, run: run, truth: truth(r),
+			id: fmt.Sprintf("%s-%d", classNames[c], len(out)), class: c, at: at, tasks: tasks, size: size, run: run,
+			branch: branch, truth: truths[branch] * (0.85 + 0.3*r.Float64()),
 		})
 	}
 	capacity := float64(workers) * 64
@@ -107,8 +115,11 @@
 	return cpuMem(int64(cores*1000), min(int64(cores*perCore)+64, 100*1024))
 }
 
-// truth draws how much of its declared size a job uses: most use less, one in
-// ten uses more.
+// branches is the number of branches of the settings.
+const branches = 20
+
+// truth draws how much of their declared size the jobs of a branch use: most
+// use less, one in ten uses more.
 func truth(r *rand.Rand) float64 {
 	if r.Float64() < 0.1 {
 		return 1 + 0.4*r.Float64()
--- a/internal/experiment/driver_test.go
+++ b/internal/experiment/driver_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"container/heap"
+	"strconv"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"pulleyquay/internal/learned"
 	"pulleyquay/internal/scheduler"
 	"pulleyquay/internal/spec"
 	"pulleyquay/internal/taskmsg"
@@ -32,9 +34,11 @@
 	ends   endHeap
 	// load is what truly runs on each worker, past what it was a report's age ago.
 	load, past map[string]spec.Resources
-	truths     map[string]float64 // by job
-	// bookedSize gives the size that a task counts for; nil takes the declared.
-	bookedSize func(a *arrival) spec.Resources
+	claims     map[string]spec.Resources // the declared sizes of what runs
+	learned    *learned.Sizes
+	// bookedSize gives the size that a task counts for from what was learned of
+	// its branch; nil takes the declared one.
+	bookedSize func(a *arrival, learned spec.Resources) spec.Resources
 
 	figures figures
 }
@@ -58,6 +62,9 @@
 	strandedSeconds, freeSeconds float64
 	// overSeconds counts worker-seconds with more than the worker's size in use.
 	overSeconds float64
+	// overClaimed is the largest sum of declared sizes on a worker, as a share of
+	// its size.
+	overClaimed float64
 	usedShare   float64 // of processors, by the books, mean
 	steps       int
 }
@@ -86,7 +93,7 @@
 func newDriver(p policy, workers []scheduler.Worker) *driver {
 	d := &driver{
 		policy: p, cell: scheduler.NewCell(1), sizes: map[string]spec.Resources{},
-		load: map[string]spec.Resources{}, past: map[string]spec.Resources{}, truths: map[string]float64{},
+		load: map[string]spec.Resources{}, past: map[string]spec.Resources{}, claims: map[string]spec.Resources{}, learned: learned.New(),
 	}
 	for i := range d.figures.waits {
 		d.figures.waits[i] = hdrhistogram.New(1, int64(2*time.Hour/time.Millisecond), 3)
@@ -127,7 +134,6 @@
 		q.waiting = append(q.waiting, i)
 	}
 	d.figures.jobs[a.class]++
-	d.truths[a.id] = a.truth
 	if a.class == urgent {
 		d.queue = append([]*queued{q}, d.queue...)
 		return
@@ -184,7 +190,7 @@
 	if d.bookedSize == nil {
 		return a.size
 	}
-	return d.bookedSize(a)
+	return d.bookedSize(a, d.learned.Size(branchName(a), a.size))
 }
 
 func (d *driver) runOf(q *queued, index int) scheduler.Run {
@@ -197,6 +203,7 @@
 func (d *driver) start(q *queued, p scheduler.Placed) {
 	d.noteWait(q)
 	d.load[p.Worker] = d.load[p.Worker].Add(used(q.arrival))
+	d.claims[p.Worker] = d.claims[p.Worker].Add(q.size)
 	if w, ok := d.cell.Worker(p.Worker); ok {
 		q.zones[w.Info.Zone]++
 	}
@@ -249,6 +256,8 @@
 func (d *driver) finish(e end) {
 	d.cell.Unreserve(e.run.Attempt)
 	d.load[e.on] = d.load[e.on].Sub(used(e.job.arrival))
+	d.claims[e.on] = d.claims[e.on].Sub(e.job.size)
+	d.learned.Note(branchName(e.job.arrival), e.job.size, used(e.job.arrival))
 }
 
 // report tells the cell what each worker used a report's age ago.
@@ -272,6 +281,8 @@
 	}
 }
 
+func branchName(a *arrival) string { return strconv.Itoa(a.branch) }
+
 // measure looks at the cell once a step.
 func (d *driver) measure() {
 	smallest := spec.Resources{MilliCPU: 5000, MemoryMiB: 20 * 1024, Accelerators: 1}
@@ -287,7 +298,9 @@
 				f.strandedSeconds += float64(left.Accelerators) * step.Seconds()
 			}
 		}
-		if !d.load[n].Fits(d.sizes[n]) {
+		claimed, size := d.claims[n], d.sizes[n]
+		f.overClaimed = max(f.overClaimed, float64(claimed.MilliCPU)/float64(size.MilliCPU), float64(claimed.MemoryMiB)/float64(size.MemoryMiB))
+		if !d.load[n].Fits(size) {
 			f.overSeconds += step.Seconds()
 		}
 	}
--- a/internal/experiment/quality_bench_test.go
+++ b/internal/experiment/quality_bench_test.go
@@ -37,6 +37,7 @@
 	b.ReportMetric(float64(f.preemptions), "preempted")
 	b.ReportMetric(100*f.usedShare/float64(f.steps), "booked-%")
 	b.ReportMetric(f.overSeconds, "over-s")
+	b.ReportMetric(100*f.overClaimed, "claimed-%")
 }
 
 func sorted(jobs []arrival) []arrival {
@@ -126,3 +127,40 @@
 	}
 	return true
 }
+
+// BenchmarkLearnedSizes runs the packing policy with sizes in the books that
+// differ in what they make of what was learned of each branch. Only the first
+// two are in the product.
+func BenchmarkLearnedSizes(b *testing.B) {
+	const workers = 160
+	jobs := sorted(arrivals(1, workers, 1.0))
+	for _, way := range []struct {
+		name string
+		size func(a *arrival, learned spec.Resources) spec.Resources
+	}{
+		{"declared", nil},
+		{"raised", func(a *arrival, learned spec.Resources) spec.Resources { return a.size.Max(learned) }},
+		{"processors-lowered", func(a *arrival, learned spec.Resources) spec.Resources {
+			size := a.size.Max(learned)
+			if learned.MilliCPU > 0 {
+				size.MilliCPU = learned.MilliCPU
+			}
+			return size
+		}},
+		{"lowered", func(a *arrival, learned spec.Resources) spec.Resources {
+			if learned.IsZero() {
+				return a.size
+			}
+			learned.Accelerators = a.size.Accelerators
+			return learned
+		}},
+	} {
+		b.Run(way.name, func(b *testing.B) {
+			for b.Loop() {
+				d := newDriver(policies()[0], cluster(workers))
+				d.bookedSize = way.size
+				reportFigures(b, d.drive(jobs))
+			}
+		})
+	}
+}
