A job submitted in an outage is refused at once, with the truth

Cause: while the store is away a new job's first write was sent all the same. Where the store takes the request and does not answer, nobody can tell what became of it: the submitter waited 1.9 s (measured, e2e) for "unknown", in an outage of any length, though the placer knew that the store was away.

Change: the home asks how long ago the process last reached the store, and from 2 s on refuses a new job unwritten: ran: no, with Retry-After. A job in doubt from before stays in doubt. Renewals reach the store every 0.5 to 0.75 s, so 2 s is no false alarm, and after its return the next renewal opens the way again.

Ruled out: settling the doubt within the call (nothing answers); refusing on the first failure (one lost answer is no outage).

--- a/cmd/pulley-placer/placer.go
+++ b/cmd/pulley-placer/placer.go
@@ -131,7 +131,7 @@
 	p.jobs = job.New(job.Config{
 		Source: source{p}, Right: p.keeper, Store: p.store, Peers: p.node,
 		PartitionKey: hold.PartitionKey, Values: p.branchValues, Digests: p.digests,
-		Registerer: reg, Log: p.log,
+		StoreAge: p.keeper.StoreAge, Registerer: reg, Log: p.log,
 	})
 	p.fleet = fleet.New(fleet.Config{
 		Name: p.conf.Name, Partitions: p.conf.Holding.Partitions, Lease: p.conf.Holding.TaskLease.Std(),
--- a/internal/job/manager.go
+++ b/internal/job/manager.go
@@ -42,7 +42,10 @@
 	// settings do not have it.
 	Values func(branch string) (v settings.Values, ok bool)
 	// Digests returns the latest digest of each live member, by member name.
-	Digests    func() map[string]taskmsg.Digest
+	Digests func() map[string]taskmsg.Digest
+	// StoreAge returns how long ago this process last reached the store; nil
+	// counts as just now.
+	StoreAge   func() time.Duration
 	Registerer prometheus.Registerer
 	Log        *logrus.Entry
 }
--- /dev/null
+++ b/internal/job/outage_test.go
@@ -0,0 +1,44 @@
+package job
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pulleyquay/internal/platform/memstore"
+	"pulleyquay/internal/result"
+)
+
+// TestSubmitWhileStoreIsAway: once the store is known to be away a new job is
+// refused at once and never recorded, whatever way the store fails; a job that
+// was in doubt before stays in doubt.
+func TestSubmitWhileStoreIsAway(t *testing.T) {
+	for name, faults := range map[string]memstore.Faults{
+		"refuses": {Refuse: true}, "hangs": {Hang: true}, "loses answers": {LoseAnswers: memstore.All},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, a, _ := twoPlacers(t, 2)
+				c.engine.SetFaults(faults)
+				doubt := batch(0, 2, time.Second)
+				_, before := a.submit(doubt)
+				a.storeAge.Store(int64(storeAwayAfter + 1))
+				start := time.Now()
+				_, err := a.submit(batch(0, 2, time.Second))
+				c.is.Equal(time.Since(start), time.Duration(0)) // at once
+				e := result.From(err)
+				c.is.Equal(e.Code, result.JobNotRecorded)
+				c.is.Equal(e.Ran, result.RanNo)
+				c.is.True(e.RetryAfter > 0)
+				_, again := a.submit(doubt)
+				if result.CodeOf(before) == result.JobRecordUnknown {
+					c.is.Equal(result.CodeOf(again), result.JobRecordUnknown)
+				}
+				a.storeAge.Store(0)
+				c.engine.SetFaults(memstore.Faults{})
+				_, err = a.submit(batch(0, 2, time.Second))
+				c.is.NoErr(err)
+			})
+		})
+	}
+}
--- a/internal/job/placer_test.go
+++ b/internal/job/placer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync/atomic"
 	"testing/synctest"
 	"time"
 
@@ -32,6 +33,8 @@
 	jobs   *Manager
 	cancel context.CancelFunc
 	done   chan struct{}
+	// storeAge is what the process believes of its last contact with the store.
+	storeAge atomic.Int64
 }
 
 // start starts a process that holds nothing yet.
@@ -52,6 +55,7 @@
 	p.jobs = New(Config{
 		Source: c, Right: p.right, Store: p.store, Peers: peers, Values: c.branch, Digests: c.digests,
 		PartitionKey: partitionKey, Registerer: reg, Log: entry,
+		StoreAge: func() time.Duration { return time.Duration(p.storeAge.Load()) },
 	})
 	mux := peer.NewMux()
 	p.fleet.Register(mux)
--- a/internal/job/submit.go
+++ b/internal/job/submit.go
@@ -21,6 +21,10 @@
 	submitTimeout = 5 * time.Second
 )
 
+// storeAwayAfter is the age of the last contact with the store from which a new
+// job is refused unwritten: renewals come several times as often.
+const storeAwayAfter = 2 * time.Second
+
 // maxLiveJobs bounds the live jobs of one home.
 const maxLiveJobs = 20000
 
@@ -80,6 +84,9 @@
 		}
 		return j, false, nil
 	}
+	if err := h.m.storeAway(); err != nil {
+		return nil, false, err
+	}
 	if err := validate(s, now); err != nil {
 		return nil, false, err
 	}
@@ -103,6 +110,15 @@
 	return j, true, nil
 }
 
+// storeAway refuses what needs the store while it is known to be away. A write
+// sent all the same would leave its outcome open.
+func (m *Manager) storeAway() error {
+	if m.cfg.StoreAge == nil || m.cfg.StoreAge() <= storeAwayAfter {
+		return nil
+	}
+	return result.New(result.JobNotRecorded, result.RanNo, "the platform's store has not answered for %s", m.cfg.StoreAge().Round(time.Second)).Later(retryStore)
+}
+
 // firstWrite records a new job and lets its submitters know.
 func (h *home) firstWrite(j *job) {
 	h.mu.Lock()
