--- a/cmd/pulley-placer/placer.go
+++ b/cmd/pulley-placer/placer.go
@@ -44,6 +44,7 @@
 	mux   *peer.Mux
 	node  *peer.Node
 	store platform.Store
+	calls *budget.Store // what store's calls go through, for the dump
 	hosts *hostcache.Cache
 
 	settings *settings.Keeper
@@ -83,11 +84,11 @@
 	limits := budget.DefaultLimits()
 	limits.ReadsPerSecond = p.conf.Store.ReadsPerSecond
 	limits.WritesPerSecond = p.conf.Store.WritesPerSecond
-	limited, err := budget.New(client, budget.Options{Limits: limits, Registry: p.daemon.Reg})
+	p.calls, err = budget.New(client, budget.Options{Limits: limits, Registry: p.daemon.Reg})
 	if err != nil {
 		return err
 	}
-	confirmed, err := confirm.New(limited, confirm.Options{Registry: p.daemon.Reg})
+	confirmed, err := confirm.New(p.calls, confirm.Options{Registry: p.daemon.Reg})
 	if err != nil {
 		return err
 	}
@@ -161,7 +162,7 @@
 // observe connects the parts to the dump and to readiness.
 func (p *placer) observe() {
 	for name, dump := range map[string]func() any{
-		"peers": p.node.Dump, "holding": p.keeper.Dump, "workers": p.fleet.Dump, "jobs": p.jobs.Dump,
+		"peers": p.node.Dump, "store": p.calls.Dump, "holding": p.keeper.Dump, "workers": p.fleet.Dump, "jobs": p.jobs.Dump,
 	} {
 		p.daemon.AddDump(name, dump)
 	}
