--- a/internal/platform/budget/budget.go
+++ b/internal/platform/budget/budget.go
@@ -106,7 +106,7 @@
 	defer cancel()
 	began := time.Now()
 	if err := s.limiter(c).wait(ctx, c); err != nil {
-		s.metrics.done(call, resultBudget, -1, err)
+		s.metrics.done(call, outcomeOf(err), -1, err)
 		return none, err
 	}
 	s.metrics.waited.WithLabelValues(string(c)).Observe(time.Since(began).Seconds())
@@ -195,13 +195,17 @@
 	}
 	defer func() { <-s.watches }()
 	if err := s.reads.wait(ctx, classRead); err != nil {
-		s.metrics.done(callWatch, resultBudget, -1, err)
+		s.metrics.done(callWatch, outcomeOf(err), -1, err)
 		return err
 	}
 	s.metrics.watches.Inc()
 	defer s.metrics.watches.Dec()
 	err := s.inner.Watch(ctx, prefix, after, fn)
-	s.metrics.done(callWatch, watchOutcomeOf(ctx, err), -1, err)
+	outcome := outcomeOf(err)
+	if ctx.Err() != nil {
+		outcome = resultEnded
+	}
+	s.metrics.done(callWatch, outcome, -1, err)
 	return err
 }
 
--- a/internal/platform/budget/budget_test.go
+++ b/internal/platform/budget/budget_test.go
@@ -136,6 +136,25 @@
 	})
 }
 
+// TestGivenUpCalls tells calls that their caller cancelled from those that the
+// store or the budget failed.
+func TestGivenUpCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		engine, s := newStore(t, budget.Options{Limits: budget.Limits{WritesPerSecond: 1, ReadsPerSecond: 1, Watches: 1}})
+		engine.SetFaults(memstore.Faults{Hang: true})
+		ctx, cancel := context.WithCancel(t.Context())
+		for range 2 { // one under way, one that waits for its turn
+			go func() { _, _ = s.Commit(ctx, put) }()
+			synctest.Wait()
+		}
+		cancel()
+		synctest.Wait()
+		is.Equal(calls(s), map[string]int64{"commit ended": 2})
+		is.Equal(s.Dump().(budget.Dump).LastFailure, "")
+	})
+}
+
 func TestRegisteredTwice(t *testing.T) {
 	registry := prometheus.NewRegistry()
 	_, err := budget.New(nil, budget.Options{Registry: registry})
--- a/internal/platform/budget/limits.go
+++ b/internal/platform/budget/limits.go
@@ -58,6 +58,9 @@
 // before its turn.
 func (l *limiter) wait(ctx context.Context, c class) error {
 	if err := l.rate.Wait(ctx); err != nil {
+		if ctx.Err() != nil {
+			return fmt.Errorf("%w: %w", platform.ErrUnavailable, ctx.Err())
+		}
 		refusal := result.New(result.StoreBudget, result.RanNo, "%s calls: %v", c, err).Later(time.Second)
 		return fmt.Errorf("%w: %w", platform.ErrUnavailable, refusal)
 	}
--- a/internal/platform/budget/metrics.go
+++ b/internal/platform/budget/metrics.go
@@ -32,7 +32,7 @@
 	resultCompacted   = "compacted"
 	resultRefused     = "refused"
 	resultBudget      = "budget"
-	resultEnded       = "ended" // a watch that its owner ended
+	resultEnded       = "ended" // given up by its caller
 )
 
 // metrics are the counters of one process's calls.
@@ -94,9 +94,12 @@
 	}
 }
 
-// outcomeOf names the result that an error stands for.
+// outcomeOf names the result that an error stands for. What its caller gave up
+// says nothing about the store, unless the caller's time was up.
 func outcomeOf(err error) string {
 	switch {
+	case errors.Is(err, context.Canceled):
+		return resultEnded
 	case err == nil:
 		return resultOK
 	case errors.Is(err, result.New(result.StoreBudget, "", "")):
@@ -113,11 +116,3 @@
 		return resultUnknown
 	}
 }
-
-// watchOutcomeOf is outcomeOf for a watch, which always ends with an error.
-func watchOutcomeOf(ctx context.Context, err error) string {
-	if ctx.Err() != nil {
-		return resultEnded
-	}
-	return outcomeOf(err)
-}
--- a/internal/platform/etcdhttp/store.go
+++ b/internal/platform/etcdhttp/store.go
@@ -139,8 +139,14 @@
 	}
 }
 
-// noEffect is the error of a failed read. It had no effect, sent or not.
+// noEffect is the error of a failed read. It had no effect, sent or not. The
+// call's own time limit counts as the caller's.
 func noEffect(err error) error {
+	for _, ended := range []error{context.Canceled, context.DeadlineExceeded} {
+		if errors.Is(err, ended) {
+			return fmt.Errorf("%w: %w", platform.ErrUnavailable, ended)
+		}
+	}
 	if errors.Is(err, platform.ErrUnknownOutcome) {
 		return fmt.Errorf("%w: read failed: %v", platform.ErrUnavailable, err)
 	}
--- a/internal/standin/storehttp/faults_test.go
+++ b/internal/standin/storehttp/faults_test.go
@@ -80,8 +80,9 @@
 	},
 }
 
-func newTrial(t *testing.T, newStore func(*memstore.Engine) platform.Store, engine *memstore.Engine) *trial {
-	tr := &trial{is: is.New(t), engine: engine, store: newStore(engine)}
+func newTrial(t *testing.T, setup setupFunc) *trial {
+	engine, store := setup(t)
+	tr := &trial{is: is.New(t), engine: engine, store: store}
 	var err error
 	tr.lease, err = tr.store.Grant(t.Context(), 60)
 	tr.is.NoErr(err)
@@ -101,15 +102,17 @@
 	is.Fail() // condition never met
 }
 
-func testFaults(t *testing.T, refused error, setup func(t *testing.T) (*memstore.Engine, platform.Store)) {
+// setupFunc makes a store whose client in the engine is "a".
+type setupFunc func(t *testing.T) (*memstore.Engine, platform.Store)
+
+func testFaults(t *testing.T, refused error, setup setupFunc) {
 	for name, fault := range faultCases(refused) {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			for kind, call := range callKinds {
 				t.Run(kind, func(t *testing.T) {
-					engine, store := setup(t)
-					tr := newTrial(t, func(*memstore.Engine) platform.Store { return store }, engine)
-					engine.Client("a").SetFaults(fault.faults)
+					tr := newTrial(t, setup)
+					tr.engine.Client("a").SetFaults(fault.faults)
 					ctx, cancel := context.WithTimeout(t.Context(), callTime)
 					defer cancel()
 					tr.is.True(errors.Is(call.make(ctx, tr), fault.write))
@@ -120,8 +123,8 @@
 						eventually(tr.is, func() bool { return call.took(tr) })
 						return
 					}
-					engine.Client("a").SetFaults(memstore.Faults{})
-					_, _, err := store.List(t.Context(), "") // a later call overtakes nothing
+					tr.engine.Client("a").SetFaults(memstore.Faults{})
+					_, _, err := tr.store.List(t.Context(), "") // a later call overtakes nothing
 					tr.is.NoErr(err)
 					tr.is.True(!call.took(tr))
 				})
@@ -132,29 +135,32 @@
 	}
 }
 
-func testRead(t *testing.T, fault faultCase, setup func(t *testing.T) (*memstore.Engine, platform.Store)) {
+// struck sets up a store whose client is struck by the fault, and has another
+// client write a key.
+func struck(t *testing.T, fault faultCase, setup setupFunc) (*is.I, platform.Store, context.Context) {
 	is := is.New(t)
 	engine, store := setup(t)
 	engine.Client("a").SetFaults(fault.faults)
 	_, err := engine.Client("b").Commit(t.Context(), platform.Txn{Then: []platform.Write{{Key: "k"}}})
 	is.NoErr(err)
 	ctx, cancel := context.WithTimeout(t.Context(), callTime)
-	defer cancel()
+	t.Cleanup(cancel)
+	return is, store, ctx
+}
+
+func testRead(t *testing.T, fault faultCase, setup setupFunc) {
+	is, store, ctx := struck(t, fault, setup)
 	records, _, err := store.List(ctx, "k")
 	is.True(errors.Is(err, fault.read))
+	timeIsUp := fault.faults.Hang || fault.faults.RequestDelayMS > 0 || fault.faults.AnswerDelayMS > 0
+	is.Equal(errors.Is(err, context.DeadlineExceeded), timeIsUp)
 	is.Equal(len(records) == 1, err == nil && !fault.faults.StaleReads)
 }
 
-func testWatch(t *testing.T, fault faultCase, setup func(t *testing.T) (*memstore.Engine, platform.Store)) {
-	is := is.New(t)
-	engine, store := setup(t)
-	engine.Client("a").SetFaults(fault.faults)
-	_, err := engine.Client("b").Commit(t.Context(), platform.Txn{Then: []platform.Write{{Key: "k"}}})
-	is.NoErr(err)
-	ctx, cancel := context.WithTimeout(t.Context(), callTime)
-	defer cancel()
+func testWatch(t *testing.T, fault faultCase, setup setupFunc) {
+	is, store, ctx := struck(t, fault, setup)
 	told := 0
-	err = store.Watch(ctx, "k", 1, func(platform.Batch) { told++ })
+	err := store.Watch(ctx, "k", 1, func(platform.Batch) { told++ })
 	is.True(errors.Is(err, fault.watch))
 	is.Equal(told > 0, !fault.faults.Hang && !fault.faults.Refuse && !fault.faults.BreakWatches)
 }
