Fault table and random faults on the real Keeper; deputy; start in an outage

Cause: the model proves the rule, not the Keeper that uses it. Change: a table of 18 faults (kill, stop, cuts of every direction, outages, lost answers, stale reads, slow store, replacement at the address) and scripts of twelve random faults run the real Keepers in synctest; a referee compares every right used, and the cell must settle again within five terms. A planted holder that skips its expiry is noticed. Tests of the deputy's cover, of a start in an outage from a seed, and of two processes with one name. Seen failing first, then mended: a wrong number of partitions was not noticed when the store was down at the start (the watch had set the count before it was compared); Lacks kept the reason of a finished wait; a cell of two could not succeed a dead member before the outage limit, since the fence asked for a majority where the voters left over only must not be one. Ruled out: counting a replaced voter like a fencing one (a host that is cut but alive would lose its partitions while it acts).

--- a/internal/hold/cell_test.go
+++ b/internal/hold/cell_test.go
@@ -30,6 +30,7 @@
 	net     *network
 	referee *referee
 	nodes   map[string]*node
+	prepare func(*node) // called for each process before its start
 }
 
 // node is one placer process of a testCell.
@@ -40,14 +41,53 @@
 	client   *memstore.Client
 	store    *countingStore
 	resident *recorder
+	gate     *gate
 	stopAct  context.CancelFunc
 	acting   sync.WaitGroup
 }
 
+// gate stops a process: while it is shut nothing goes in or out. What is on its
+// way in either direction waits and goes on late.
+type gate struct {
+	mu   sync.Mutex
+	shut chan struct{} // nil while open
+}
+
+func (g *gate) close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.shut == nil {
+		g.shut = make(chan struct{})
+	}
+}
+
+func (g *gate) open() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.shut != nil {
+		close(g.shut)
+		g.shut = nil
+	}
+}
+
+// pass waits until the gate is open or ctx ends.
+func (g *gate) pass(ctx context.Context) {
+	g.mu.Lock()
+	shut := g.shut
+	g.mu.Unlock()
+	if shut == nil {
+		return
+	}
+	select {
+	case <-shut:
+	case <-ctx.Done():
+	}
+}
+
 func newTestCell(t *testing.T, config Config) *testCell {
 	return &testCell{
 		t: t, engine: memstore.New(), config: config, nodes: map[string]*node{},
-		net:     &network{muxes: map[string]*peer.Mux{}, cuts: map[[2]string]bool{}},
+		net:     &network{muxes: map[string]*peer.Mux{}, gates: map[string]*gate{}, cuts: map[[2]string]bool{}},
 		referee: &referee{last: map[int]map[string]use{}, epochs: map[int]uint64{}},
 	}
 }
@@ -56,7 +96,10 @@
 // address.
 func (c *testCell) start(name string) *node {
 	c.t.Helper()
-	n := c.build(name)
+	n := c.build(name, name+":1")
+	if c.prepare != nil {
+		c.prepare(n)
+	}
 	if err := n.Start(c.t.Context()); err != nil {
 		c.t.Fatalf("start %s: %v", name, err)
 	}
@@ -65,15 +108,15 @@
 	return n
 }
 
-func (c *testCell) build(name string) *node {
+func (c *testCell) build(name, addr string) *node {
 	c.t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	n := &node{name: name, addr: name + ":1", client: c.engine.Client(name)}
-	n.store = &countingStore{Store: n.client, calls: map[string]int{}}
+	n := &node{name: name, addr: addr, client: c.engine.Client(name), gate: &gate{}}
+	n.store = &countingStore{Store: n.client, calls: map[string]int{}, gate: n.gate}
 	mux := peer.NewMux()
 	k, err := New(Deps{
-		Store: n.store, Peers: c.net.caller(n.addr), Mux: mux, Self: view.Member{Name: name, Addr: n.addr, Zone: "z"},
+		Store: n.store, Peers: c.net.caller(n.addr, n.gate), Mux: mux, Self: view.Member{Name: name, Addr: n.addr, Zone: "z"},
 		Config: c.config, Registry: prometheus.NewRegistry(), Log: logrus.NewEntry(log),
 		SettingsRevision: func() int64 { return 1 },
 	})
@@ -83,13 +126,14 @@
 	n.Keeper = k
 	n.resident = &recorder{referee: c.referee, node: k.Self().Incarnation, states: map[int]string{}, got: map[int]Takeover{}}
 	k.AddResident(n.resident)
-	c.net.set(n.addr, mux)
+	c.net.set(n.addr, mux, n.gate)
 	return n
 }
 
 // kill ends a process without any leave-taking.
 func (c *testCell) kill(n *node) {
-	c.net.set(n.addr, nil)
+	c.net.set(n.addr, nil, nil)
+	n.gate.open()
 	n.stopAct()
 	n.cancel()
 	n.acting.Wait()
@@ -130,15 +174,21 @@
 func (c *testCell) wait(limit time.Duration, what string, cond func() bool) time.Duration {
 	c.t.Helper()
 	begun := time.Now()
-	for !cond() {
-		if time.Since(begun) > limit {
-			c.t.Fatalf("not within %v: %s\n%s", limit, what, c.describe())
-		}
-		time.Sleep(5 * time.Millisecond)
+	if !poll(limit, cond) {
+		c.t.Fatalf("not within %v: %s\n%s", limit, what, c.describe())
 	}
 	return time.Since(begun)
 }
 
+func poll(limit time.Duration, cond func() bool) bool {
+	for end := time.Now().Add(limit); !cond(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			return false
+		}
+	}
+	return true
+}
+
 func (c *testCell) describe() string {
 	out := ""
 	for name, n := range c.nodes {
@@ -177,13 +227,14 @@
 type network struct {
 	mu    sync.Mutex
 	muxes map[string]*peer.Mux
+	gates map[string]*gate
 	cuts  map[[2]string]bool
 }
 
-func (n *network) set(addr string, mux *peer.Mux) {
+func (n *network) set(addr string, mux *peer.Mux, g *gate) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.muxes[addr] = mux
+	n.muxes[addr], n.gates[addr] = mux, g
 }
 
 // cut stops messages from one address to another, or lets them pass again.
@@ -193,18 +244,29 @@
 	n.cuts[[2]string{from, to}] = off
 }
 
-func (n *network) caller(from string) peer.Caller { return &netCaller{net: n, from: from} }
+// heal ends all cuts.
+func (n *network) heal() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	clear(n.cuts)
+}
+
+func (n *network) caller(from string, g *gate) peer.Caller {
+	return &netCaller{net: n, from: from, gate: g}
+}
 
 type netCaller struct {
 	net  *network
 	from string
+	gate *gate
 }
 
 // Call passes a message on unless its way or the way back is cut. A cut loses
 // messages silently: the caller waits until its ctx ends.
 func (c *netCaller) Call(ctx context.Context, addr string, kind peer.Kind, req, resp any) error {
+	c.gate.pass(ctx)
 	c.net.mu.Lock()
-	mux := c.net.muxes[addr]
+	mux, to := c.net.muxes[addr], c.net.gates[addr]
 	there, back := c.net.cuts[[2]string{c.from, addr}], c.net.cuts[[2]string{addr, c.from}]
 	c.net.mu.Unlock()
 	if there || mux == nil {
@@ -212,8 +274,15 @@
 		return result.New(result.PeerLost, result.RanUnknown, "cut")
 	}
 	time.Sleep(time.Millisecond)
+	to.pass(ctx)
+	if ctx.Err() != nil {
+		return result.New(result.PeerLost, result.RanUnknown, "stopped")
+	}
 	var answer cbor.RawMessage
-	if err := (peer.Local{addr: mux}).Call(ctx, addr, kind, req, &answer); err != nil {
+	err := peer.Local{addr: mux}.Call(ctx, addr, kind, req, &answer)
+	to.pass(ctx)
+	c.gate.pass(ctx)
+	if err != nil {
 		return err
 	}
 	if back {
@@ -223,17 +292,21 @@
 	return cbor.Unmarshal(answer, resp)
 }
 
-// countingStore counts calls by kind.
+// countingStore counts calls by kind and passes them through a gate.
 type countingStore struct {
 	platform.Store
+	gate  *gate
 	mu    sync.Mutex
 	calls map[string]int
 }
 
-func (s *countingStore) count(kind string) {
+// begin counts a call and returns what is to be done after it.
+func (s *countingStore) begin(ctx context.Context, kind string) func() {
+	s.gate.pass(ctx)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls[kind]++
+	return func() { s.gate.pass(ctx) }
 }
 
 func (s *countingStore) total() int {
@@ -247,26 +320,29 @@
 }
 
 func (s *countingStore) List(ctx context.Context, prefix string) ([]platform.Record, platform.Revision, error) {
-	s.count("list")
+	defer s.begin(ctx, "list")()
 	return s.Store.List(ctx, prefix)
 }
 
 func (s *countingStore) Commit(ctx context.Context, txn platform.Txn) (platform.TxnReply, error) {
-	s.count("commit")
+	defer s.begin(ctx, "commit")()
 	return s.Store.Commit(ctx, txn)
 }
 
 func (s *countingStore) Watch(ctx context.Context, prefix string, after platform.Revision, fn func(platform.Batch)) error {
-	s.count("watch")
-	return s.Store.Watch(ctx, prefix, after, fn)
+	defer s.begin(ctx, "watch")()
+	return s.Store.Watch(ctx, prefix, after, func(b platform.Batch) {
+		s.gate.pass(ctx)
+		fn(b)
+	})
 }
 
 func (s *countingStore) Grant(ctx context.Context, ttl int64) (platform.LeaseID, error) {
-	s.count("grant")
+	defer s.begin(ctx, "grant")()
 	return s.Store.Grant(ctx, ttl)
 }
 
 func (s *countingStore) KeepAlive(ctx context.Context, id platform.LeaseID) error {
-	s.count("keepalive")
+	defer s.begin(ctx, "keepalive")()
 	return s.Store.KeepAlive(ctx, id)
 }
--- a/internal/hold/keeper_test.go
+++ b/internal/hold/keeper_test.go
@@ -65,7 +65,7 @@
 		is.NoErr(b.Stop(context.Background()))
 		b.stopAct()
 		delete(c.nodes, "b")
-		c.net.set(b.addr, nil)
+		c.net.set(b.addr, nil, nil)
 		c.waitSettled(time.Second)
 		for _, id := range moved {
 			is.True(a.resident.takeover(id).SignedOff)
@@ -106,7 +106,7 @@
 		c.start("a")
 		c.waitSettled(10 * time.Second)
 		c.config.Partitions++
-		b := c.build("b")
+		b := c.build("b", "b:1")
 		is.Equal(result.CodeOf(b.Start(c.t.Context())), result.PartitionCount)
 		c.config.Partitions--
 	})
--- a/internal/hold/loops.go
+++ b/internal/hold/loops.go
@@ -119,7 +119,7 @@
 
 // join creates the member key and confirms the partitions that are still ours.
 func (k *Keeper) join(ctx context.Context) error {
-	if k.mirrorCount() == 0 {
+	if k.mirrorCount() != k.config.Partitions {
 		if err := k.checkCount(ctx); err != nil {
 			k.setLacks(err.Error())
 			return err
@@ -136,6 +136,7 @@
 		}
 		return err
 	}
+	k.setLacks()
 	k.log.WithField("incarnation", self.Incarnation).Info("joined")
 	return k.confirm(ctx)
 }
--- /dev/null
+++ b/internal/hold/outage_test.go
@@ -0,0 +1,133 @@
+package hold
+
+import (
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pulleyquay/internal/platform/memstore"
+	"pulleyquay/internal/result"
+	"pulleyquay/internal/view"
+)
+
+// coverRecorder is a Deputy that remembers what it was told.
+type coverRecorder struct {
+	mu   sync.Mutex
+	list []view.Partition
+}
+
+func (d *coverRecorder) Cover(partitions []view.Partition) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.list = partitions
+}
+
+func (d *coverRecorder) covered() []view.Partition {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.list
+}
+
+func TestDeputyCoversADeadHolderInAnOutage(t *testing.T) {
+	inBubble(t, testConfig(), func(c *testCell) {
+		is := is.New(c.t)
+		deputies := map[string]*coverRecorder{}
+		c.prepare = func(n *node) {
+			deputies[n.name] = &coverRecorder{}
+			n.SetDeputy(deputies[n.name])
+		}
+		formed(c, "a", "b", "c")
+		dead := c.nodes["b"].Held()
+		c.engine.SetFaults(memstore.Faults{Hang: true})
+		time.Sleep(2 * c.config.Term)
+		c.kill(c.nodes["b"])
+
+		var deputy *node
+		c.wait(2*c.config.Term, "somebody covers", func() bool {
+			for name, n := range c.nodes {
+				if len(deputies[name].covered()) == len(dead) {
+					deputy = n
+				}
+			}
+			return deputy != nil
+		})
+		c.wait(c.config.Term, "the cover is promised", func() bool {
+			_, err := deputy.CheckCover(dead[0])
+			return err == nil
+		})
+		grant, err := deputy.CheckCover(dead[0])
+		is.NoErr(err)
+		is.Equal(grant.Epoch, deputy.Table().Partitions[dead[0]].Epoch)        // the dead holder's own
+		is.Equal(len(deputies["a"].covered())*len(deputies["c"].covered()), 0) // one deputy
+		_, err = deputy.Check(dead[0])
+		is.Equal(result.CodeOf(err), result.NotHolder) // renewing is not holding
+
+		c.engine.SetFaults(memstore.Faults{})
+		c.waitSettled(healLimit * c.config.Term)
+		is.True(time.Now().After(grant.Until)) // the claim waited for the cover's end
+		is.Equal(len(deputies[deputy.name].covered()), 0)
+	})
+}
+
+func TestStartInAnOutageLearnsMembersFromASeed(t *testing.T) {
+	config := testConfig()
+	config.Seeds = []string{"a:1"}
+	inBubble(t, config, func(c *testCell) {
+		is := is.New(c.t)
+		formed(c, "a", "b")
+		c.engine.SetFaults(memstore.Faults{Refuse: true})
+		time.Sleep(2 * c.config.Term)
+		d := c.start("d")
+		is.True(strings.Contains(strings.Join(d.Lacks(), ";"), "members"))
+		c.wait(c.config.Term, "the table comes from the seed", func() bool {
+			return len(d.Table().Members) == 2 && len(d.Table().Partitions) == c.config.Partitions
+		})
+		lacks := strings.Join(d.Lacks(), ";")
+		is.True(strings.Contains(lacks, "membership"))
+		is.True(strings.Contains(lacks, "those of a peer are in use"))
+		is.True(strings.Contains(lacks, "number of partitions"))
+		c.engine.SetFaults(memstore.Faults{})
+		c.wait(4*time.Second, "d has joined and lacks nothing", func() bool { return len(d.Lacks()) == 0 })
+		c.wait(2*c.config.Term, "d has a share", func() bool { return len(d.Held()) > 0 && c.settled() })
+	})
+}
+
+func TestWrongPartitionCountFoundAfterAnOutageHoldsNothing(t *testing.T) {
+	inBubble(t, testConfig(), func(c *testCell) {
+		is := is.New(c.t)
+		formed(c, "a")
+		c.engine.SetFaults(memstore.Faults{Refuse: true})
+		c.config.Partitions *= 2
+		d := c.start("d")
+		c.config.Partitions /= 2
+		c.engine.SetFaults(memstore.Faults{})
+		time.Sleep(2 * c.config.Term)
+		is.Equal(d.Held(), nil)
+		is.True(strings.Contains(strings.Join(d.Lacks(), ";"), "configured 32, the store holds 16"))
+		is.Equal(len(c.nodes["a"].Held()), c.config.Partitions)
+	})
+}
+
+func TestLaterProcessOfANameWaitsForTheOlder(t *testing.T) {
+	inBubble(t, testConfig(), func(c *testCell) {
+		is := is.New(c.t)
+		formed(c, "a", "b")
+		older := c.nodes["b"]
+		held := older.Held()
+		later := c.build("b", "b:2")
+		is.NoErr(later.Start(c.t.Context()))
+		later.act(c.referee)
+		time.Sleep(3 * c.config.Term)
+		is.Equal(later.Held(), nil)
+		is.True(strings.Contains(strings.Join(later.Lacks(), ";"), "lives as"))
+		is.Equal(older.Held(), held)
+		c.kill(older)
+		c.nodes["b"] = later
+		c.wait(healLimit*c.config.Term, "the later one has joined and a share", func() bool {
+			return len(later.Held()) > 0 && c.settled()
+		})
+	})
+}
--- a/internal/hold/referee_test.go
+++ b/internal/hold/referee_test.go
@@ -74,6 +74,7 @@
 		defer n.acting.Done()
 		for ctx.Err() == nil {
 			for _, id := range n.Held() {
+				n.gate.pass(ctx)
 				n.resident.use(n.Keeper, id)
 			}
 			select {
@@ -89,6 +90,8 @@
 type recorder struct {
 	referee *referee
 	node    string
+	// skipExpiry plants a fault: act for what is held without asking the right.
+	skipExpiry bool
 
 	mu     sync.Mutex
 	states map[int]string
@@ -105,7 +108,11 @@
 	if _, has := r.states[id]; !has {
 		return
 	}
-	if g, err := k.Check(id); err == nil {
+	g, err := k.Check(id)
+	if r.skipExpiry && err != nil {
+		g, err = Grant{Partition: id, Epoch: r.got[id].Epoch, Until: time.Now().Add(actInterval)}, nil
+	}
+	if err == nil {
 		r.referee.granted(r.node, g, time.Now())
 	}
 }
--- /dev/null
+++ b/internal/hold/table_test.go
@@ -0,0 +1,276 @@
+package hold
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"pulleyquay/internal/platform/memstore"
+)
+
+// fault is something that goes wrong in a cell of a, b and c. The cell is
+// healed afterwards.
+type fault struct {
+	name string
+	do   func(c *testCell, term time.Duration)
+}
+
+var (
+	down    = memstore.Faults{Hang: true}
+	refuse  = memstore.Faults{Refuse: true}
+	healthy = memstore.Faults{}
+)
+
+var faultTable = []fault{
+	{"holder killed", func(c *testCell, _ time.Duration) { c.kill(c.nodes["b"]) }},
+	{"holder killed and replaced at its address", func(c *testCell, _ time.Duration) { c.replace("b") }},
+	{"holder stopped for four terms and resumed", func(c *testCell, term time.Duration) {
+		c.nodes["b"].gate.close()
+		time.Sleep(4 * term)
+		c.nodes["b"].gate.open()
+	}},
+	{"holder stopped while the store is down, resumed after", func(c *testCell, term time.Duration) {
+		c.engine.SetFaults(down)
+		time.Sleep(term)
+		c.nodes["b"].gate.close()
+		time.Sleep(term)
+		c.engine.SetFaults(healthy)
+		time.Sleep(4 * term)
+		c.nodes["b"].gate.open()
+	}},
+	{"cut from the store", func(c *testCell, term time.Duration) {
+		c.nodes["b"].client.SetFaults(down)
+		time.Sleep(4 * term)
+	}},
+	{"cut from its peers", func(c *testCell, term time.Duration) {
+		c.cutPeers("b", true, true)
+		time.Sleep(4 * term)
+	}},
+	{"cut from both", func(c *testCell, term time.Duration) {
+		c.cutPeers("b", true, true)
+		c.nodes["b"].client.SetFaults(down)
+		time.Sleep(4 * term)
+	}},
+	{"cut from its peers one way, out", func(c *testCell, term time.Duration) {
+		c.cutPeers("b", true, false)
+		c.nodes["b"].client.SetFaults(down)
+		time.Sleep(4 * term)
+	}},
+	{"cut from its peers one way, in", func(c *testCell, term time.Duration) {
+		c.cutPeers("b", false, true)
+		c.nodes["b"].client.SetFaults(down)
+		time.Sleep(4 * term)
+	}},
+	{"cut from both in an outage", func(c *testCell, term time.Duration) {
+		c.engine.SetFaults(down)
+		time.Sleep(term)
+		c.cutPeers("b", true, true)
+		time.Sleep(2 * term)
+		c.engine.SetFaults(healthy)
+		c.nodes["b"].client.SetFaults(refuse)
+		time.Sleep(4 * term)
+	}},
+	{"outage of ten terms with a kill and a pause", func(c *testCell, term time.Duration) {
+		c.engine.SetFaults(down)
+		time.Sleep(2 * term)
+		c.kill(c.nodes["b"])
+		time.Sleep(2 * term)
+		c.nodes["c"].gate.close()
+		time.Sleep(2 * term)
+		c.nodes["c"].gate.open()
+		time.Sleep(4 * term)
+	}},
+	{"store back for one member first", func(c *testCell, term time.Duration) {
+		c.engine.SetFaults(down)
+		time.Sleep(3 * term)
+		c.nodes["b"].client.SetFaults(down)
+		c.nodes["c"].client.SetFaults(down)
+		c.engine.SetFaults(healthy)
+		time.Sleep(2 * term)
+	}},
+	{"two outages in a row", func(c *testCell, term time.Duration) {
+		for range 2 {
+			c.engine.SetFaults(refuse)
+			time.Sleep(2 * term)
+			c.engine.SetFaults(healthy)
+			time.Sleep(term / 4)
+		}
+	}},
+	{"answers of claims lost", func(c *testCell, term time.Duration) {
+		c.nodes["a"].client.SetFaults(memstore.Faults{LoseAnswers: 5})
+		c.nodes["c"].client.SetFaults(memstore.Faults{LoseAnswers: 5})
+		c.kill(c.nodes["b"])
+		time.Sleep(2 * term)
+	}},
+	{"stale reads and broken watches", func(c *testCell, term time.Duration) {
+		c.engine.SetFaults(memstore.Faults{StaleReads: true, BreakWatches: true})
+		c.replace("b")
+		time.Sleep(2 * term)
+	}},
+	{"slow store", func(c *testCell, term time.Duration) {
+		c.engine.SetFaults(memstore.Faults{RequestDelayMS: 1000, AnswerDelayMS: 1000})
+		time.Sleep(2 * term)
+		c.replace("b")
+		time.Sleep(2 * term)
+	}},
+	{"all killed and replaced", func(c *testCell, _ time.Duration) {
+		for _, name := range []string{"a", "b", "c"} {
+			c.replace(name)
+		}
+	}},
+	{"all killed and replaced in an outage", func(c *testCell, term time.Duration) {
+		c.engine.SetFaults(down)
+		time.Sleep(term)
+		for _, name := range []string{"a", "b", "c"} {
+			c.replace(name)
+		}
+		time.Sleep(2 * term)
+	}},
+}
+
+// replace kills a process and starts another at its name and address.
+func (c *testCell) replace(name string) {
+	if n := c.nodes[name]; n != nil {
+		c.kill(n)
+	}
+	c.start(name)
+}
+
+// heal ends every fault.
+func (c *testCell) heal() {
+	c.engine.SetFaults(healthy)
+	c.net.heal()
+	for _, name := range []string{"a", "b", "c"} {
+		c.engine.Client(name).SetFaults(healthy)
+		if n := c.nodes[name]; n != nil {
+			n.gate.open()
+		}
+	}
+}
+
+// healLimit is how many terms a healed cell may take until every partition has
+// a holder that may act: the death of a member is known after one, a
+// replacement's vote counts after another.
+const healLimit = 5
+
+func TestFaultsNeverMakeTwoHoldersAndHeal(t *testing.T) {
+	for _, f := range faultTable {
+		t.Run(f.name, func(t *testing.T) {
+			inBubble(t, testConfig(), func(c *testCell) {
+				formed(c, "a", "b", "c")
+				f.do(c, c.config.Term)
+				c.heal()
+				took := c.waitSettled(healLimit * c.config.Term)
+				time.Sleep(2 * c.config.Term)
+				if !c.settled() {
+					c.t.Errorf("does not stay settled\n%s", c.describe())
+				}
+				c.t.Logf("all partitions held %v after the fault's end", took)
+			})
+		})
+	}
+}
+
+// scriptSteps is the length of a random script.
+const scriptSteps = 12
+
+// TestRandomFaultsNeverMakeTwoHoldersAndHeal strings faults of the table
+// together, each begun before the one before has healed.
+func TestRandomFaultsNeverMakeTwoHoldersAndHeal(t *testing.T) {
+	config := testConfig()
+	config.Partitions = 8
+	rapid.Check(t, func(rt *rapid.T) {
+		var script []scriptStep
+		for range scriptSteps {
+			script = append(script, scriptStep{
+				kind:  rapid.IntRange(0, scriptKinds-1).Draw(rt, "kind"),
+				name:  rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "member"),
+				pause: time.Duration(rapid.IntRange(0, 4000).Draw(rt, "pause")) * time.Millisecond,
+			})
+		}
+		var violations []string
+		inBubble(t, config, func(c *testCell) {
+			formed(c, "a", "b", "c")
+			for _, s := range script {
+				s.run(c)
+			}
+			c.heal()
+			for _, name := range []string{"a", "b", "c"} {
+				if c.nodes[name] == nil {
+					c.start(name)
+				}
+			}
+			violations = c.referee.violations()
+			if !poll(2*healLimit*c.config.Term, c.settled) {
+				violations = append(violations, "does not heal:\n"+c.describe())
+			}
+		})
+		if len(violations) > 0 {
+			rt.Fatalf("%v\n%s", script, strings.Join(violations, "\n"))
+		}
+	})
+}
+
+// scriptStep is one fault, or the end of one, and how long to wait after it.
+type scriptStep struct {
+	kind  int
+	name  string
+	pause time.Duration
+}
+
+const scriptKinds = 12
+
+func (s scriptStep) String() string { return fmt.Sprintf("%d %s %v", s.kind, s.name, s.pause) }
+
+func (s scriptStep) run(c *testCell) {
+	n := c.nodes[s.name]
+	switch {
+	case s.kind == 0:
+		c.engine.SetFaults(down)
+	case s.kind == 1:
+		c.engine.SetFaults(refuse)
+	case s.kind == 2:
+		c.engine.SetFaults(healthy)
+	case s.kind == 3:
+		c.replace(s.name)
+	case n == nil:
+	case s.kind == 4:
+		c.kill(n)
+	case s.kind == 5:
+		n.gate.close()
+	case s.kind == 6:
+		n.gate.open()
+	case s.kind == 7:
+		n.client.SetFaults(down)
+	case s.kind == 8:
+		n.client.SetFaults(memstore.Faults{LoseAnswers: 2})
+	case s.kind == 9:
+		c.cutPeers(s.name, true, false)
+	case s.kind == 10:
+		c.cutPeers(s.name, true, true)
+	case s.kind == 11:
+		n.client.SetFaults(healthy)
+		c.cutPeers(s.name, false, false)
+	}
+	time.Sleep(s.pause)
+}
+
+// TestRefereeCatchesSkippedExpiry plants the fault that the referee is for.
+func TestRefereeCatchesSkippedExpiry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestCell(t, testConfig())
+		defer c.close()
+		formed(c, "a", "b", "c")
+		c.nodes["b"].resident.skipExpiry = true
+		c.cutPeers("b", true, true)
+		c.nodes["b"].client.SetFaults(down)
+		time.Sleep(4 * c.config.Term)
+		if len(c.referee.violations()) == 0 {
+			t.Fatal("a holder that acts without a right was not noticed")
+		}
+	})
+}
--- a/internal/right/fence.go
+++ b/internal/right/fence.go
@@ -58,12 +58,13 @@
 	}
 }
 
-// Done reports whether the session's right has certainly run out: a majority
-// of the voters has fenced it, or every voter has fenced it or been replaced at
-// its address, or the limit of an outage has passed.
+// Done reports whether the session's right has certainly run out: so many
+// voters have fenced it that the others are no majority, or every voter has
+// fenced it or been replaced at its address, or the limit of an outage has
+// passed.
 func (f *Fencing) Done(now time.Time) bool {
 	n := len(f.electorate.Voters)
-	if n == 0 || len(f.fenced) >= majority(n) || len(f.replied) == n {
+	if n-len(f.fenced) < majority(n) || len(f.replied) == n {
 		return true
 	}
 	return now.Sub(f.since) >= f.times.long(f.times.OutageLimit)
--- a/internal/right/right.go
+++ b/internal/right/right.go
@@ -5,9 +5,9 @@
 // sent. When the store is not reached it acts under promises: a majority of
 // its electorate has promised, for a bounded time, not to let anybody take its
 // partitions. A claimant first asks the same electorate to fence the dead
-// member; a voter answers only when its promise has run out, and never
-// promises to that session again. Any two majorities of one electorate share a
-// voter, so a fence is complete only after the right it ends has run out.
+// member; a voter's answer counts only when its promise has run out, and it
+// never promises to that session again. The fence is complete when the voters
+// that are left are no majority, so only after the right it ends has run out.
 // docs/HOLDING.md has the proof.
 package right
 
--- a/internal/right/right_test.go
+++ b/internal/right/right_test.go
@@ -146,6 +146,20 @@
 	is.True(!p.Fenced(subjectA, 2))
 }
 
+func TestFenceNeedsWhatBreaksAMajority(t *testing.T) {
+	is := is.New(t)
+	needed := map[int]int{0: 0, 1: 1, 2: 1, 3: 2, 4: 2, 5: 3, 6: 3, 7: 4}
+	for n, want := range needed {
+		e := electorateOf(1, []string{"a", "b", "c", "d", "e", "f", "g"}[:n]...)
+		f := NewFencing(testTimes, e, at(0))
+		got := 0
+		for ; !f.Done(at(0)); got++ {
+			f.Answered(e.Voters[got], FenceAnswer{Incarnation: e.Voters[got].Incarnation})
+		}
+		is.Equal(got, want)
+	}
+}
+
 func TestFencingIsDone(t *testing.T) {
 	old := testTimes.long(testTimes.Term)
 	tests := []struct {
