--- a/internal/hold/referee_test.go
+++ b/internal/hold/referee_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -91,7 +92,7 @@
 	referee *referee
 	node    string
 	// skipExpiry plants a fault: act for what is held without asking the right.
-	skipExpiry bool
+	skipExpiry atomic.Bool
 
 	mu     sync.Mutex
 	states map[int]string
@@ -109,7 +110,7 @@
 		return
 	}
 	g, err := k.Check(id)
-	if r.skipExpiry && err != nil {
+	if r.skipExpiry.Load() && err != nil {
 		g, err = Grant{Partition: id, Epoch: r.got[id].Epoch, Until: time.Now().Add(actInterval)}, nil
 	}
 	if err == nil {
--- a/internal/hold/table_test.go
+++ b/internal/hold/table_test.go
@@ -265,7 +265,7 @@
 		c := newTestCell(t, testConfig())
 		defer c.close()
 		formed(c, "a", "b", "c")
-		c.nodes["b"].resident.skipExpiry = true
+		c.nodes["b"].resident.skipExpiry.Store(true)
 		c.cutPeers("b", true, true)
 		c.nodes["b"].client.SetFaults(down)
 		time.Sleep(4 * c.config.Term)
--- a/internal/right/fence.go
+++ b/internal/right/fence.go
@@ -64,7 +64,7 @@
 // passed.
 func (f *Fencing) Done(now time.Time) bool {
 	n := len(f.electorate.Voters)
-	if n-len(f.fenced) < majority(n) || len(f.replied) == n {
+	if n < minVoters || len(f.fenced) >= blocking(n) || len(f.replied) == n {
 		return true
 	}
 	return now.Sub(f.since) >= f.times.long(f.times.OutageLimit)
