--- a/internal/right/fence.go
+++ b/internal/right/fence.go
@@ -58,9 +58,10 @@
 	}
 }
 
-// Done reports whether the session's right has certainly run out: voters
-// that share one with every majority have fenced it, or every voter has fenced it or been replaced at
-// its address, or the limit of an outage has passed.
+// Done reports whether the session's right has certainly run out: so many
+// voters have fenced it that the others are no majority, or every voter has
+// fenced it or been replaced at its address, or the limit of an outage has
+// passed.
 func (f *Fencing) Done(now time.Time) bool {
 	n := len(f.electorate.Voters)
 	if n < minVoters || len(f.fenced) >= blocking(n) || len(f.replied) == n {
