--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -125,6 +125,9 @@
 		return executor.Answer{}, result.New(result.ExecutorNotReached, result.RanNo, "%s: %v", host.Name, failure.Err)
 	}
 	time.AfterFunc(time.Until(w.Deadline), func() { d.release(p, e) })
+	if errors.Is(err, executor.ErrAnswerTooLarge) {
+		return executor.Answer{}, result.New(result.AnswerTooLarge, result.RanYes, "over %d bytes", values.Request.MaxAnswerBytes)
+	}
 	if ctx.Err() != nil {
 		return executor.Answer{}, result.New(result.DeadlineRunning, result.RanUnknown, "%s did not answer", host.Name)
 	}
@@ -149,6 +152,8 @@
 		d.cfg.Log.WithField("executor", e.host.Name).Info("executor signals that it is leaving")
 	}
 	switch {
+	case errors.Is(err, executor.ErrAnswerTooLarge):
+		return // the request's doing
 	case err != nil:
 		d.failed(p, e, faultSilent)
 		return
--- a/internal/executor/exechttp/exechttp.go
+++ b/internal/executor/exechttp/exechttp.go
@@ -59,6 +59,9 @@
 	if err != nil {
 		var f *httponce.Failure
 		sent := !errors.As(err, &f) || f.Sent
+		if errors.Is(err, httponce.ErrTooLarge) {
+			err = executor.ErrAnswerTooLarge
+		}
 		return executor.Answer{}, &executor.Failure{Sent: sent, Err: err}
 	}
 	header := endToEnd(got.Header)
--- a/internal/executor/execsim/execsim.go
+++ b/internal/executor/execsim/execsim.go
@@ -32,7 +32,7 @@
 var (
 	ErrUnreachable = errors.New("execsim: unreachable")
 	ErrTruncated   = errors.New("execsim: answer truncated")
-	ErrTooLarge    = errors.New("execsim: answer larger than allowed")
+	ErrTooLarge    = executor.ErrAnswerTooLarge
 )
 
 // Faults are what is wrong with one executor. The zero value is a sound one.
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 )
@@ -43,6 +44,10 @@
 // Unwrap returns the cause.
 func (f *Failure) Unwrap() error { return f.Err }
 
+// ErrAnswerTooLarge is the cause of a Failure when the executor answered more
+// than the caller of Client.Do allows; the request has run.
+var ErrAnswerTooLarge = errors.New("executor: answer larger than allowed")
+
 // Client sends one request to one executor, exactly once: it never repeats a
 // request by itself, whatever the method and headers. maxAnswer bounds the
 // answer's body in bytes.
--- a/internal/requesttest/cell_test.go
+++ b/internal/requesttest/cell_test.go
@@ -49,7 +49,7 @@
 	cut    map[string]chan struct{} // closed while the placer is unreachable
 	// lieFresh plants a fault: takeovers claim that nobody held the partition.
 	lieFresh bool
-	free     map[string]int // free slots by placer, as last told
+	free     map[string]map[string]int // free slots by placer and service, as last told
 }
 
 // placer is one process that can hold partitions.
@@ -224,9 +224,9 @@
 	tick := time.NewTicker(heartbeatEvery)
 	defer tick.Stop()
 	for {
-		free := map[string]int{}
+		free := map[string]map[string]int{}
 		for _, p := range c.placers {
-			free[p.name] = p.dispatcher.Free()["ledger"]
+			free[p.name] = p.dispatcher.Free()
 		}
 		c.mu.Lock()
 		c.free = free
@@ -245,7 +245,7 @@
 	var out []dispatch.Remote
 	for _, p := range c.placers {
 		if p.name != self {
-			out = append(out, dispatch.Remote{Name: p.name, Addr: p.name, Free: map[string]int{"ledger": c.free[p.name]}})
+			out = append(out, dispatch.Remote{Name: p.name, Addr: p.name, Free: c.free[p.name]})
 		}
 	}
 	return out
--- a/internal/requesttest/faults_test.go
+++ b/internal/requesttest/faults_test.go
@@ -17,3 +17,13 @@
 		return f
 	}
 }
+
+// faultFor plants a fault on every request with the key.
+func faultFor(key string, f requesttest.Fault) func(string, executor.Request) requesttest.Fault {
+	return func(_ string, req executor.Request) requesttest.Fault {
+		if req.Header.Get(requesttest.KeyHeader) == key {
+			return f
+		}
+		return requesttest.NoFault
+	}
+}
--- a/internal/requesttest/property_test.go
+++ b/internal/requesttest/property_test.go
@@ -33,12 +33,13 @@
 }
 
 // The kinds of steps. A send repeated with the same key is a retry.
-var stepKinds = []string{"send", "send", "send", "send", "send", "gone", "take over", "hand over", "cut", "heal", "fault"}
+var stepKinds = []string{"send", "send", "send", "send", "burst", "burst", "gone", "take over", "hand over", "cut", "heal", "fault"}
 
 const (
 	planKeys    = 4
 	planPlacers = 3
 	planSlots   = 2
+	burstSize   = 6
 )
 
 func drawPlan(rt *rapid.T) []step {
@@ -57,8 +58,8 @@
 
 // outcome is one reply and when it came.
 type outcome struct {
-	key string
-	at  time.Time
+	path string
+	at   time.Time
 	reply
 }
 
@@ -99,6 +100,8 @@
 	// moving marks the partitions that are being handed over.
 	moving [partitions]atomic.Bool
 
+	sent int // requests of bursts
+
 	mu       sync.Mutex
 	next     []requesttest.Fault
 	outcomes []outcome
@@ -118,11 +121,16 @@
 func (p *player) apply(s step) {
 	switch s.Kind {
 	case "send":
-		p.send(context.Background(), s)
+		p.send(context.Background(), "/"+p.keys[s.Key], s.Timeout, entry.KeyHeader, p.keys[s.Key])
+	case "burst":
+		for range burstSize {
+			p.sent++
+			p.send(context.Background(), fmt.Sprintf("/burst-%d", p.sent), s.Timeout)
+		}
 	case "gone":
 		ctx, cancel := context.WithTimeout(context.Background(), s.Timeout/2)
 		p.wg.Go(func() { <-ctx.Done(); cancel() })
-		p.send(ctx, s)
+		p.send(ctx, "/"+p.keys[s.Key], s.Timeout, entry.KeyHeader, p.keys[s.Key])
 	case "take over":
 		if !p.moving[s.Part].Load() {
 			p.cell.takeOver(s.Part, s.Placer)
@@ -152,14 +160,14 @@
 	synctest.Wait()
 }
 
-func (p *player) send(ctx context.Context, s step) {
-	key := p.keys[s.Key]
+// send makes one request, whose path tells it from all others.
+func (p *player) send(ctx context.Context, path string, timeout time.Duration, header ...string) {
+	header = append(header, entry.TimeoutHeader, strconv.FormatInt(timeout.Milliseconds(), 10))
 	p.wg.Go(func() {
-		got := p.cell.do(ctx, http.MethodPost, "/"+key, "{}",
-			entry.KeyHeader, key, entry.TimeoutHeader, strconv.FormatInt(s.Timeout.Milliseconds(), 10))
+		got := p.cell.do(ctx, http.MethodPost, path, "{}", header...)
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		p.outcomes = append(p.outcomes, outcome{key: key, at: time.Now(), reply: got})
+		p.outcomes = append(p.outcomes, outcome{path: path, at: time.Now(), reply: got})
 	})
 }
 
@@ -167,24 +175,24 @@
 func (p *player) check() string {
 	ran := map[string]time.Time{}
 	for _, r := range p.cell.executors.Runs() {
-		if _, twice := ran[r.Key]; twice {
-			return fmt.Sprintf("key %s ran twice", r.Key)
+		if _, twice := ran[r.Path]; twice {
+			return fmt.Sprintf("%s ran twice", r.Path)
 		}
-		ran[r.Key] = r.At
+		ran[r.Path] = r.At
 	}
 	for _, o := range p.outcomes {
-		at, did := ran[o.key]
+		at, did := ran[o.path]
 		if o.header.Get("Content-Type") != "application/problem+json" {
 			if !did {
-				return fmt.Sprintf("key %s was answered and did not run", o.key)
+				return fmt.Sprintf("%s was answered and did not run", o.path)
 			}
-			if o.body != "/"+o.key {
-				return fmt.Sprintf("key %s got the answer %q", o.key, o.body)
+			if o.body != o.path {
+				return fmt.Sprintf("%s got the answer %q", o.path, o.body)
 			}
 			continue
 		}
 		if f := o.failure(); f.Ran == result.RanNo && did && at.Before(o.at) {
-			return fmt.Sprintf("key %s ran at %s and was answered at %s: %v, ran: no", o.key, at, o.at, f)
+			return fmt.Sprintf("%s ran at %s and was answered at %s: %v, ran: no", o.path, at, o.at, f)
 		}
 	}
 	for name, peak := range p.peaks() {
--- a/internal/requesttest/requesttest.go
+++ b/internal/requesttest/requesttest.go
@@ -61,6 +61,10 @@
 	Hang
 	// Fail runs the request and answers with status 500.
 	Fail
+	// Truncate runs the request and breaks the connection in the answer.
+	Truncate
+	// Oversize runs the request and answers more than allowed.
+	Oversize
 	// Leave runs the request and signals that the executor is leaving.
 	Leave
 )
@@ -132,6 +136,12 @@
 	case <-ctx.Done():
 		return executor.Answer{}, &executor.Failure{Sent: true, Err: ctx.Err()}
 	}
+	switch fault {
+	case Truncate:
+		return executor.Answer{}, &executor.Failure{Sent: true, Err: errFake}
+	case Oversize:
+		return executor.Answer{}, &executor.Failure{Sent: true, Err: executor.ErrAnswerTooLarge}
+	}
 	return answerTo(req, fault), nil
 }
 
--- a/internal/result/codes_request.go
+++ b/internal/result/codes_request.go
@@ -36,7 +36,7 @@
 
 func init() {
 	register(
-		Info{UnknownService, "unknown-service", http.StatusNotFound, "no branch services/<name> in the settings"},
+		Info{UnknownService, "unknown-service", http.StatusNotFound, "no service of this name in the settings"},
 		Info{BadKey, "bad-key", http.StatusBadRequest, "the Idempotency-Key is not a UUIDv7"},
 		Info{KeyFromFuture, "key-from-future", http.StatusBadRequest, "the Idempotency-Key's time is ahead of ours"},
 		Info{KeyExpired, "key-expired", http.StatusConflict, "the Idempotency-Key is older than the key window"},
