--- a/internal/job/faults_test.go
+++ b/internal/job/faults_test.go
@@ -9,6 +9,7 @@
 	"pulleyquay/internal/peer"
 	"pulleyquay/internal/platform/memstore"
 	"pulleyquay/internal/result"
+	"pulleyquay/internal/spec"
 )
 
 // twoPlacers starts a cell whose homes 0 and 1 are at a, 2 and 3 at b.
@@ -249,6 +250,31 @@
 	})
 }
 
+// TestCancelSurvivesTakeover kills the home after a cancellation was recorded
+// and before any stop was sent.
+func TestCancelSurvivesTakeover(t *testing.T) {
+	for _, make := range []func(int, int, time.Duration) spec.Job{
+		batch, func(home, tasks int, _ time.Duration) spec.Job { return service(home, tasks) },
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			c, a, b := twoPlacers(t, 2)
+			job := make(0, 4, time.Hour)
+			_, err := a.submit(job)
+			c.is.NoErr(err)
+			time.Sleep(3 * time.Second)
+			c.fail(&peerFault{kind: peer.KindStopTasks, times: -1})
+			s, err := a.cancelJob(job.ID)
+			c.is.NoErr(err)
+			c.is.True(s.Recorded)
+			a.kill()
+			c.heal()
+			b.take(0, 1)
+			b.await(job.ID, jobmsg.StateCancelled, takeoverTime+10*time.Second)
+			c.is.Equal(c.judge.Record(time.Now(), false).Running, 0)
+		})
+	}
+}
+
 // TestCancel ends a job in each state.
 func TestCancel(t *testing.T) {
 	cases := []struct {
--- a/internal/job/queue.go
+++ b/internal/job/queue.go
@@ -27,6 +27,9 @@
 		at, _ := slices.BinarySearchFunc(h.deadlines, d, func(a, b deadline) int { return a.due.Compare(b.due) })
 		h.deadlines = slices.Insert(h.deadlines, at, d)
 	}
+	if j.ending() {
+		h.halting[j.id()] = j
+	}
 	h.attend(j)
 }
 
