Quotas hold through a takeover and a change of replicas

And a change of replicas alone moved the ledger's account, so that its use leaked. Change: all tasks that may run count from the reading of the records on, until every holder has told; tasks keep their own generation. Ruled out: starting nothing new during a takeover (urgent work would wait 16 s).

--- a/internal/job/apply_test.go
+++ b/internal/job/apply_test.go
@@ -11,14 +11,14 @@
 )
 
 // still makes a home that does nothing by itself, with one job in it.
-func still(t *testing.T, phase phase, recoverable bool, kind spec.Kind, tasks int) (*home, *job) {
+func still(t testing.TB, phase phase, recoverable bool, kind spec.Kind, tasks int) (*home, *job) {
 	c := newCell(t, 1)
 	p := c.start("a")
 	h := newHome(p.jobs, c.claim(p, 0))
 	h.phase = phase
 	s := batch(0, tasks, time.Minute)
 	s.Kind = kind
-	j := newJob(&record{Job: s, State: jobmsg.StateWaiting, Generation: 1})
+	j := newJob(&record{Job: s, State: jobmsg.StateWaiting, Generation: 1, TaskGeneration: 1})
 	j.certain, j.recoverable = true, recoverable
 	h.add(j)
 	if !h.recovering(j) {
--- /dev/null
+++ b/internal/job/bench_test.go
@@ -0,0 +1,283 @@
+package job
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+
+	"pulleyquay/internal/jobmsg"
+	"pulleyquay/internal/peer"
+	"pulleyquay/internal/result"
+	"pulleyquay/internal/spec"
+	"pulleyquay/internal/taskmsg"
+	"pulleyquay/internal/view"
+)
+
+// instant is a Caller whose holders start and stop everything at once.
+type instant struct {
+	messages, bytes atomic.Int64
+}
+
+func (s *instant) Call(_ context.Context, addr string, _ peer.Kind, req, resp any) error {
+	s.messages.Add(1)
+	s.count(req)
+	switch m := req.(type) {
+	case taskmsg.PlaceRequest:
+		reply := resp.(*taskmsg.PlaceReply)
+		for _, slot := range m.Slots {
+			reply.Results = append(reply.Results, taskmsg.SlotResult{
+				Slot: slot, Outcome: taskmsg.OutcomeStarted, Worker: addr + strconv.Itoa(slot.Index%100), Zone: "z", Partition: 1, Epoch: 1,
+			})
+		}
+	case taskmsg.StopRequest:
+		return nil
+	}
+	s.count(resp)
+	return nil
+}
+
+func (s *instant) count(m any) {
+	b, _ := cbor.Marshal(m)
+	s.bytes.Add(int64(len(b)))
+}
+
+// busyHome makes a home with n holders of much room.
+func busyHome(b *testing.B, holders int) (*home, *instant) {
+	h, j := still(b, phaseReady, false, spec.KindBatch, 1)
+	h.remove(j)
+	c := h.m.cfg.Source.(*cell)
+	table := c.Table()
+	digests := map[string]taskmsg.Digest{}
+	size := spec.Resources{MilliCPU: 64000, MemoryMiB: 128000}
+	table.Members = nil
+	for i := range holders {
+		name := fmt.Sprint("holder", i)
+		table.Members = append(table.Members, view.Member{Name: name, Incarnation: name, Addr: name})
+		table.Partitions[i%testPartitions].Incarnation = name
+		table.Partitions = append(table.Partitions, view.Partition{ID: 100 + i, Holder: name, Incarnation: name, Addr: name, Epoch: 1})
+		digests[name] = taskmsg.Digest{
+			Workers: 1000, Free: size.Times(1 << 20), Largest: size,
+			Sizes: []taskmsg.Size{{Size: size, Workers: 1000, Generation: 2}, {Size: size, Workers: 1000, Generation: 1, AcceleratorKind: "a"}},
+		}
+	}
+	s := &instant{}
+	h.m.cfg.Peers = s
+	h.m.cfg.Source = fixed{c, table}
+	h.m.cfg.Digests = func() map[string]taskmsg.Digest { return digests }
+	return h, s
+}
+
+// fixed is a cell with a table that does not change.
+type fixed struct {
+	*cell
+	table *view.Table
+}
+
+func (f fixed) Table() *view.Table { return f.table }
+
+func (h *home) addJob(kind spec.Kind, tasks int) *job {
+	s := batch(0, tasks, time.Minute)
+	s.Kind = kind
+	j := newJob(&record{Job: s, State: jobmsg.StateWaiting, Generation: 1, TaskGeneration: 1, Submitted: time.Now().UnixMilli()})
+	j.certain = true
+	h.add(j)
+	h.enlist(j)
+	return j
+}
+
+// placeAll decides until nothing waits, as the loop does.
+func (h *home) placeAll(table *view.Table) {
+	for {
+		h.mu.Lock()
+		h.planStarts(table, time.Now())
+		left := len(h.waiting)
+		h.mu.Unlock()
+		h.work.Wait()
+		if left == 0 {
+			return
+		}
+	}
+}
+
+// BenchmarkStart measures the home's part in one start: decision, message and
+// the answer, for one large job and for many small ones.
+func BenchmarkStart(b *testing.B) {
+	for _, tasks := range []int{1, 10, 100, 10000} {
+		b.Run(fmt.Sprintf("tasks=%d", tasks), func(b *testing.B) {
+			h, s := busyHome(b, 13)
+			table := h.m.cfg.Source.Table()
+			b.ReportAllocs()
+			b.ResetTimer()
+			for done := 0; done < b.N; {
+				var jobs []*job
+				for n := 0; n < 10000 && done < b.N; n += tasks {
+					jobs = append(jobs, h.addJob(spec.KindBatch, tasks))
+					done += tasks
+				}
+				h.placeAll(table)
+				b.StopTimer()
+				for _, j := range jobs {
+					h.drop(j)
+				}
+				b.StartTimer()
+			}
+			b.ReportMetric(float64(s.messages.Load())/float64(b.N), "messages/start")
+			b.ReportMetric(float64(s.bytes.Load())/float64(b.N), "B-sent/start")
+		})
+	}
+}
+
+// drop forgets a job whatever it is doing.
+func (h *home) drop(j *job) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ledger.Release(j.rec.Job.Team, j.accountOf(1), j.active)
+	h.remove(j)
+}
+
+// BenchmarkNews measures the end of one run: the news, the table and the group
+// of finished tasks.
+func BenchmarkNews(b *testing.B) {
+	h, _ := busyHome(b, 13)
+	table := h.m.cfg.Source.Table()
+	const tasks = 10000
+	b.ReportAllocs()
+	for done := 0; done < b.N; done += tasks {
+		b.StopTimer()
+		j := h.addJob(spec.KindBatch, tasks)
+		h.placeAll(table)
+		b.StartTimer()
+		now := time.Now()
+		h.mu.Lock()
+		for i := range min(tasks, b.N-done) {
+			n := runOf(j, j.tasks[i].attempt, taskmsg.RunFinished, 0)
+			n.Run.Task.Index = i
+			h.apply(n, now)
+		}
+		h.mu.Unlock()
+		b.StopTimer()
+		h.drop(j)
+		b.StartTimer()
+	}
+}
+
+// BenchmarkCancelWave cancels 10,000 running tasks, in jobs of different sizes.
+func BenchmarkCancelWave(b *testing.B) {
+	const wave = 10000
+	for _, tasks := range []int{10, 1000} {
+		b.Run(fmt.Sprintf("tasks=%d", tasks), func(b *testing.B) {
+			h, s := busyHome(b, 13)
+			table := h.m.cfg.Source.Table()
+			b.ReportAllocs()
+			for range b.N {
+				b.StopTimer()
+				var jobs []*job
+				for n := 0; n < wave; n += tasks {
+					jobs = append(jobs, h.addJob(spec.KindBatch, tasks))
+				}
+				h.placeAll(table)
+				s.messages.Store(0)
+				b.StartTimer()
+				now := time.Now()
+				h.mu.Lock()
+				for _, j := range jobs {
+					h.endJob(j, result.New(result.JobCancelled, result.RanUnknown, "cancelled"), now)
+				}
+				h.planStops(table, now)
+				h.mu.Unlock()
+				h.work.Wait()
+				b.StopTimer()
+				b.ReportMetric(float64(s.messages.Load()), "messages/wave")
+				for _, j := range jobs {
+					h.drop(j)
+				}
+				b.StartTimer()
+			}
+		})
+	}
+}
+
+// BenchmarkRound measures a decision that can start nothing, with many jobs
+// waiting: what a full cell costs.
+func BenchmarkRound(b *testing.B) {
+	for _, jobs := range []int{10, 100, 1000, 10000} {
+		b.Run(fmt.Sprintf("jobs=%d", jobs), func(b *testing.B) {
+			h, _ := busyHome(b, 13)
+			table := h.m.cfg.Source.Table()
+			full := h.m.cfg.Digests()
+			for name, d := range full {
+				d.Free, d.Largest = spec.Resources{}, spec.Resources{}
+				full[name] = d
+			}
+			for range jobs {
+				h.addJob(spec.KindBatch, 4)
+			}
+			h.probeAt = time.Now().Add(time.Hour)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				h.planStarts(table, time.Now())
+			}
+		})
+	}
+}
+
+// BenchmarkMemory measures what a home keeps of a job and of a task.
+func BenchmarkMemory(b *testing.B) {
+	measure := func(jobs, tasks int) float64 {
+		h, _ := busyHome(b, 13)
+		table := h.m.cfg.Source.Table()
+		before := heap()
+		for range jobs {
+			h.addJob(spec.KindBatch, tasks)
+		}
+		h.placeAll(table)
+		after := heap()
+		runtime.KeepAlive(h)
+		return float64(after) - float64(before)
+	}
+	for range b.N {
+		small, large := measure(2000, 1), measure(20, 10000)
+		perTask := (large - small*20/2000) / (20 * 9999)
+		b.ReportMetric(perTask, "B/task")
+		b.ReportMetric(small/2000-perTask, "B/job")
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkSubmit submits jobs side by side to a store that answers in 2 ms.
+func BenchmarkSubmit(b *testing.B) {
+	c := newCell(b, 1)
+	p := c.start("a")
+	p.take(0, 1, 2, 3)
+	time.Sleep(500 * time.Millisecond)
+	p.store.SetFaults(storeTime(2))
+	b.SetParallelism(16)
+	b.ReportAllocs()
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			j := batch(0, 1, time.Hour)
+			j.Task.Size.MilliCPU = 8000
+			if _, err := p.jobs.Submit(context.Background(), jobmsg.SubmitRequest{Job: j}); err != nil && result.CodeOf(err) != result.JobTooMany {
+				b.Error(err)
+			}
+		}
+	})
+	b.StopTimer()
+	b.ReportMetric(testutil.ToFloat64(p.jobs.recorder.Commits())/float64(b.N), "commits/job")
+}
--- a/internal/job/cell_test.go
+++ b/internal/job/cell_test.go
@@ -81,7 +81,7 @@
 // cell is a whole cell inside a synctest bubble: a store, stand-in workers and
 // placers whose partitions a test moves by hand.
 type cell struct {
-	t      *testing.T
+	t      testing.TB
 	is     *is.I
 	engine *memstore.Engine
 	store  *memstore.Client
@@ -99,7 +99,7 @@
 }
 
 // newCell makes a cell with workers in as many racks as there are partitions.
-func newCell(t *testing.T, workersPerPartition int) *cell {
+func newCell(t testing.TB, workersPerPartition int) *cell {
 	j := judge.New()
 	c := &cell{
 		t: t, is: is.New(t), engine: memstore.New(), judge: j, sim: workersim.NewFleet(j),
@@ -215,3 +215,6 @@
 	defer r.mu.Unlock()
 	r.until = time.Time{}
 }
+
+// storeTime is a healthy store that takes so many milliseconds.
+func storeTime(ms int64) memstore.Faults { return memstore.Faults{AnswerDelayMS: ms} }
--- a/internal/job/gang.go
+++ b/internal/job/gang.go
@@ -97,7 +97,7 @@
 	if !h.gangMayFit(j, n, holders, now) {
 		return
 	}
-	if err := h.ledger.Reserve(j.rec.Job.Team, j.accountOf(j.rec.Generation), values.Quota, j.rec.Job.Task.Size, n); err != nil {
+	if err := h.ledger.Reserve(j.rec.Job.Team, j.accountOf(j.rec.TaskGeneration), values.Quota, j.rec.Job.Task.Size, n); err != nil {
 		j.log.add(now, "waiting", err.Detail)
 		j.gang.notBefore = now.Add(restInterval)
 		return
--- a/internal/job/load.go
+++ b/internal/job/load.go
@@ -76,9 +76,28 @@
 			continue
 		}
 		h.add(j)
+		h.expect(j)
 		j.log.add(time.Now(), "taken over", "the home of the team's jobs moved here")
 	}
 	h.phase = phaseReconciling
 	h.log.WithField("jobs", len(records)).Info("job records read")
 	return true
 }
+
+// expect counts against the team's quota every task that an earlier home may
+// have started, so that new work can not use what turns out to be taken.
+func (h *home) expect(j *job) {
+	values, _ := h.m.cfg.Values(j.rec.Job.Branch)
+	n, size := j.rec.mostActive(int(values.Task.Surge))
+	j.unseen = n
+	h.ledger.Restore(j.rec.Job.Team, j.unseenAccount(), size, n)
+}
+
+// unexpect gives back what was counted for tasks that are told of now.
+func (h *home) unexpect(j *job, n int) {
+	n = min(n, j.unseen)
+	j.unseen -= n
+	h.ledger.Release(j.rec.Job.Team, j.unseenAccount(), n)
+}
+
+func (j *job) unseenAccount() string { return j.id() + "/unseen" }
--- a/internal/job/news.go
+++ b/internal/job/news.go
@@ -114,6 +114,7 @@
 func (h *home) adopt(j *job, index int, n taskmsg.RunNews) {
 	j.tasks[index] = task{attempt: n.Run.Attempt, state: taskOrdered}
 	j.active++
+	h.unexpect(j, 1)
 	_, size := j.rec.specOf(n.Run.Attempt)
 	h.ledger.Restore(j.rec.Job.Team, j.account(n.Run.Attempt), size, 1)
 	h.runs(j, index, h.site(n.Worker, n.Zone, n.Partition), n.Epoch)
--- a/internal/job/place.go
+++ b/internal/job/place.go
@@ -116,7 +116,7 @@
 func (h *home) order(j *job, values settings.Values, s share, preempt bool, now time.Time) {
 	n := min(s.n, len(j.ready))
 	size := j.rec.Job.Task.Size
-	if n == 0 || h.ledger.Reserve(j.rec.Job.Team, j.accountOf(j.rec.Generation), values.Quota, size, n) != nil {
+	if n == 0 || h.ledger.Reserve(j.rec.Job.Team, j.accountOf(j.rec.TaskGeneration), values.Quota, size, n) != nil {
 		return
 	}
 	slots := make([]taskmsg.Slot, 0, n)
--- a/internal/job/quota_test.go
+++ b/internal/job/quota_test.go
@@ -174,3 +174,60 @@
 		})
 	}
 }
+
+// TestQuotaInTakeover submits a job to a home that does not know yet what runs
+// of the team's earlier jobs.
+func TestQuotaInTakeover(t *testing.T) {
+	cases := []struct {
+		name  string
+		first spec.Job
+		edit  func(*spec.Job) // a change just before the takeover
+	}{
+		{"batch", batch(0, 10, time.Hour), nil},
+		{"service that shrinks", service(0, 10), func(j *spec.Job) { j.Tasks = 2 }},
+		{"service that gets smaller tasks", service(0, 10), func(j *spec.Job) { j.Task.Size.MilliCPU = 200 }},
+	}
+	for _, tt := range cases {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, a, b := twoPlacers(t, 4)
+				c.setBranch(testBranch, func(v *settings.Values) { v.Quota.MilliCPU = 12000 })
+				first := tt.first
+				first.ID = newID()
+				_, err := a.submit(first)
+				c.is.NoErr(err)
+				time.Sleep(3 * time.Second)
+				c.fail(&peerFault{kind: peer.KindStopTasks, times: -1})
+				if tt.edit != nil {
+					tt.edit(&first)
+					_, err = a.update(first, 0)
+					c.is.NoErr(err)
+					time.Sleep(time.Second)
+				}
+				a.kill()
+				for _, kind := range []peer.Kind{peer.KindInventory, peer.KindTaskNews} {
+					c.fail(&peerFault{kind: kind, times: -1})
+				}
+				time.AfterFunc(5*time.Second, c.heal)
+				b.take(0, 1)
+				time.Sleep(time.Second)
+				_, err = b.submit(batch(0, 10, time.Hour))
+				c.is.NoErr(err)
+				for range 100 {
+					used := int64(0)
+					for _, places := range c.judge.Record(time.Now(), true).Tasks {
+						for _, p := range places {
+							if !p.Ended {
+								used += p.Size.MilliCPU
+							}
+						}
+					}
+					if used > 12000 {
+						t.Fatalf("the team uses %d of 12000", used)
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
+			})
+		})
+	}
+}
--- a/internal/job/reconcile.go
+++ b/internal/job/reconcile.go
@@ -98,6 +98,7 @@
 
 // resume lets a job that an earlier home ran go on.
 func (h *home) resume(j *job, now time.Time) {
+	h.unexpect(j, j.unseen)
 	j.log.add(now, "resumed", "every holder has told what runs")
 	if j.isGang() {
 		h.recoverGang(j, now)
--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -26,10 +26,14 @@
 	Failures  map[int]int  `cbor:"8,keyasint,omitempty"` // by task index
 	// Origin is the epoch of the home that accepted the job.
 	Origin uint64 `cbor:"9,keyasint"`
-	// Generation counts the changes of a service's specification; Past holds
-	// earlier ones of which tasks may still run.
-	Generation int        `cbor:"10,keyasint,omitempty"`
-	Past       []pastSpec `cbor:"11,keyasint,omitempty"`
+	// Generation counts the changes of a service's specification; TaskGeneration
+	// is the one that its present tasks came with.
+	Generation     int `cbor:"10,keyasint,omitempty"`
+	TaskGeneration int `cbor:"13,keyasint,omitempty"`
+	// Past holds earlier tasks that may still run, Peak the largest number of
+	// replicas that may.
+	Past []pastSpec `cbor:"11,keyasint,omitempty"`
+	Peak int        `cbor:"14,keyasint,omitempty"`
 	// Submission identifies the specification as first submitted.
 	Submission uint64 `cbor:"12,keyasint"`
 }
--- a/internal/job/service.go
+++ b/internal/job/service.go
@@ -16,6 +16,19 @@
 	Size  spec.Resources `cbor:"3,keyasint"`
 }
 
+// mostActive returns how many tasks of a job may run that an earlier home
+// started, and the largest size of any.
+func (r *record) mostActive(surge int) (int, spec.Resources) {
+	n, size := max(r.Job.Tasks, r.Peak)-r.Done.count(), r.Job.Task.Size
+	if r.Job.Kind == spec.KindService {
+		n += surge
+	}
+	for _, p := range r.Past {
+		size = size.Max(p.Size)
+	}
+	return n, size
+}
+
 // specOf returns the generation of the specification that an attempt was
 // started by, and the size of its tasks.
 func (r *record) specOf(attempt int) (generation int, size spec.Resources) {
@@ -24,7 +37,7 @@
 			return p.Generation, p.Size
 		}
 	}
-	return r.Generation, r.Job.Task.Size
+	return r.TaskGeneration, r.Job.Task.Size
 }
 
 // attend notes that a service has to be looked at again.
@@ -61,7 +74,7 @@
 			continue
 		}
 		generation, _ := j.rec.specOf(t.attempt)
-		isOld := generation != j.rec.Generation
+		isOld := generation != j.rec.TaskGeneration
 		if isOld {
 			r.old++
 		}
@@ -91,8 +104,8 @@
 		j.stopAt = time.Time{}
 		h.halting[j.id()] = j
 	}
-	if r.old == 0 {
-		j.rec.Past = nil
+	if r.old == 0 && j.active <= want {
+		j.rec.Past, j.rec.Peak = nil, 0
 		j.trim(want)
 	}
 	j.fill(target, now)
--- a/internal/job/service_test.go
+++ b/internal/job/service_test.go
@@ -136,6 +136,7 @@
 				if tt.replaced {
 					c.is.Equal(c.judge.Starts()-starts, tt.replicas)
 				}
+				c.is.Equal(a.jobs.home(0).ledger.Used(job.Team), next.Task.Size.Times(int64(tt.replicas)))
 				again, err := a.submit(job) // the first submission, repeated
 				c.is.NoErr(err)
 				c.is.Equal(again.Generation, 2)
--- a/internal/job/submit.go
+++ b/internal/job/submit.go
@@ -95,7 +95,7 @@
 	if len(h.live) >= maxLiveJobs {
 		return nil, false, result.New(result.JobTooMany, result.RanNo, "the home of team %s holds %d jobs", s.Team, len(h.live)).Later(retryTooMany)
 	}
-	j = newJob(&record{Job: s, Submitted: now.UnixMilli(), State: jobmsg.StateWaiting, Origin: h.epoch, Generation: 1, Submission: fingerprint(s)})
+	j = newJob(&record{Job: s, Submitted: now.UnixMilli(), State: jobmsg.StateWaiting, Origin: h.epoch, Generation: 1, TaskGeneration: 1, Submission: fingerprint(s)})
 	j.answered = make(chan struct{})
 	h.add(j)
 	h.enlist(j)
--- a/internal/job/task.go
+++ b/internal/job/task.go
@@ -78,6 +78,9 @@
 	// recoverable jobs may have runs started by an earlier home, so nothing of
 	// them starts before every holder has told what runs.
 	recoverable bool
+	// unseen counts tasks that may run and that no holder has told of yet since
+	// the takeover. The quota counts them all the same.
+	unseen int
 	// paced counts a service's tasks whose replacement is held back for a while.
 	paced   int
 	holders map[string]*holderMemory
--- a/internal/job/transition.go
+++ b/internal/job/transition.go
@@ -223,6 +223,7 @@
 		return
 	}
 	j.rec.Ended = now.UnixMilli()
+	h.unexpect(j, j.unseen)
 	h.touch(j)
 	h.health.Forget(j.id())
 	delete(h.live, j.id())
--- a/internal/job/update.go
+++ b/internal/job/update.go
@@ -103,10 +103,12 @@
 	next := *j.rec
 	next.Job = s
 	if !sameTask(j.rec.Job, s) {
-		past := pastSpec{Generation: j.rec.Generation, Until: h.latestAttempt(), Size: j.rec.Job.Task.Size}
+		past := pastSpec{Generation: j.rec.TaskGeneration, Until: h.latestAttempt(), Size: j.rec.Job.Task.Size}
 		next.Past = append(append([]pastSpec(nil), j.rec.Past...), past)
+		next.TaskGeneration++
 	}
 	next.Generation++
+	next.Peak = max(j.rec.Peak, j.rec.Job.Tasks)
 	return &next
 }
 
@@ -162,7 +164,8 @@
 // the record became meanwhile stays.
 func (h *home) putInForce(j *job, next *record) {
 	generation := j.rec.Generation
-	j.rec.Job, j.rec.Generation, j.rec.Past = next.Job, next.Generation, next.Past
+	j.rec.Job, j.rec.Generation, j.rec.TaskGeneration = next.Job, next.Generation, next.TaskGeneration
+	j.rec.Past, j.rec.Peak = next.Past, next.Peak
 	j.holders = map[string]*holderMemory{}
 	h.attend(j)
 	j.log.add(time.Now(), "changed", "a new specification is in force")
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -298,3 +298,6 @@
 	}
 	return m
 }
+
+// Commits is the counter of transactions sent.
+func (m *Metrics) Commits() prometheus.Counter { return m.commits }
