Store client on httponce; dead connections cost one call, not many

Cause: counting connections stood twice, here and in httponce. And when a host or middlebox vanishes, each pooled connection cost a caller its timeout: with eight of them a renewal could fail until the lease was gone.

Change: calls go through httponce; after a failure in which bytes were sent all idle connections are closed. Watches keep net/http, as a repeated watch changes nothing. Endpoints other than host:port over http are refused at the start.

Seen failing: TestDeadConnections without the closing; TestCommitIsNeverRepeated with every failure taken as not sent, with status 503 taken as certain, and with a malformed reply tried at the next endpoint.

--- a/internal/platform/etcdhttp/client.go
+++ b/internal/platform/etcdhttp/client.go
@@ -6,37 +6,34 @@
 package etcdhttp
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
+	"net/url"
 	"strings"
 	"sync/atomic"
 	"time"
 
+	"pulleyquay/internal/httponce"
 	"pulleyquay/internal/platform"
 )
 
 // Defaults of Options.
 const (
-	DefaultTimeout      = 5 * time.Second
-	DefaultDialTimeout  = time.Second
-	DefaultIdleTimeout  = 30 * time.Second
-	DefaultMaxIdleConns = 16
+	DefaultTimeout     = 5 * time.Second
+	DefaultDialTimeout = time.Second
+	DefaultIdleTimeout = 30 * time.Second
 )
 
 // maxReply bounds the body of a reply that is read whole, in bytes.
 const maxReply = 64 << 20
 
-// Options tell how to reach the service. Zero durations and counts take the
-// defaults above.
+// Options tell how to reach the service. Zero durations take the defaults.
 type Options struct {
-	// Endpoints are the service's addresses, host:port or with http://.
+	// Endpoints are the service's addresses, host:port or http://host:port.
 	Endpoints []string
 	// Name is sent as the user agent, so that operators of the service can
 	// tell the callers apart.
@@ -47,8 +44,6 @@
 	DialTimeout time.Duration
 	// IdleTimeout closes connections that were not used for so long.
 	IdleTimeout time.Duration
-	// MaxIdleConns is how many idle connections are kept an endpoint.
-	MaxIdleConns int
 }
 
 // withDefaults fills in what is zero.
@@ -62,23 +57,22 @@
 	if o.IdleTimeout == 0 {
 		o.IdleTimeout = DefaultIdleTimeout
 	}
-	if o.MaxIdleConns == 0 {
-		o.MaxIdleConns = DefaultMaxIdleConns
-	}
 	return o
 }
 
 // Client implements platform.Store.
 type Client struct {
 	options   Options
-	endpoints []string
-	current   atomic.Int64 // the endpoint to try first
-	http      *http.Client
+	endpoints []string     // host:port
+	current   atomic.Int64 // index of the endpoint to try first
+	calls     *httponce.Client
+	streams   *http.Client // of watches, which change nothing
 }
 
 var _ platform.Store = (*Client)(nil)
 
-// New returns a client; it makes no call yet. It fails without endpoints.
+// New returns a client; it makes no call yet. It fails without endpoints, and
+// for endpoints that are not of the form in Options.
 func New(o Options) (*Client, error) {
 	if len(o.Endpoints) == 0 {
 		return nil, errors.New("etcdhttp: no endpoints")
@@ -86,30 +80,34 @@
 	o = o.withDefaults()
 	c := &Client{options: o}
 	for _, e := range o.Endpoints {
-		if !strings.Contains(e, "://") {
-			e = "http://" + e
+		addr := strings.TrimSuffix(strings.TrimPrefix(e, "http://"), "/")
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			return nil, fmt.Errorf("etcdhttp: endpoint %q: %w", e, err)
 		}
-		c.endpoints = append(c.endpoints, strings.TrimSuffix(e, "/"))
-	}
-	c.http = &http.Client{
-		Transport: newTransport(o),
-		// A redirect would send a write again.
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
+		c.endpoints = append(c.endpoints, addr)
+	}
+	c.calls = httponce.New(httponce.Options{IdleTimeout: o.IdleTimeout, DialTimeout: o.DialTimeout})
+	dialer := &net.Dialer{Timeout: o.DialTimeout}
+	c.streams = &http.Client{Transport: &http.Transport{
+		DialContext:        dialer.DialContext,
+		IdleConnTimeout:    o.IdleTimeout,
+		DisableCompression: true,
+	}}
 	return c, nil
 }
 
 // Close closes the idle connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
+func (c *Client) Close() {
+	c.calls.Close()
+	c.streams.CloseIdleConnections()
+}
 
-// dialCounted dials connections that count their writes.
-func dialCounted(d *net.Dialer) func(ctx context.Context, network, addr string) (net.Conn, error) {
-	return func(ctx context.Context, network, addr string) (net.Conn, error) {
-		conn, err := d.DialContext(ctx, network, addr)
-		if err != nil {
-			return nil, err
-		}
-		return &countedConn{Conn: conn}, nil
+// request returns the request of a call at an endpoint, without its body.
+func (c *Client) request(addr, path string) *http.Request {
+	return &http.Request{
+		Method: http.MethodPost,
+		URL:    &url.URL{Scheme: "http", Host: addr, Path: path},
+		Header: http.Header{"Content-Type": {"application/json"}, "User-Agent": {c.options.Name}},
 	}
 }
 
@@ -117,93 +115,74 @@
 func (c *Client) call(ctx context.Context, path string, request, reply any) error {
 	ctx, cancel := context.WithTimeout(ctx, c.options.Timeout)
 	defer cancel()
-	response, err := c.open(ctx, path, request)
-	if err != nil {
-		return err
-	}
-	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxReply))
+	body, err := json.Marshal(request)
 	if err != nil {
-		c.moveOn(response.Request)
-		return unknown(err)
+		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
 	}
-	if err := json.Unmarshal(body, reply); err != nil {
-		return unknown(fmt.Errorf("malformed reply: %w", err))
-	}
-	return nil
+	return c.tryEach(func(addr string) error {
+		answer, err := c.calls.Do(ctx, addr, c.request(addr, path), body, maxReply)
+		if err != nil {
+			return c.failed(err)
+		}
+		return decode(answer, reply)
+	})
 }
 
-// open sends the request to the first endpoint that can be reached and returns
-// its response of status 200. Only an endpoint that certainly got no byte is
-// followed by the next one.
-func (c *Client) open(ctx context.Context, path string, request any) (*http.Response, error) {
-	body, err := json.Marshal(request)
-	if err != nil {
-		return nil, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
-	}
+// tryEach calls fn with one endpoint after the other while no byte was sent. It
+// begins with the endpoint that served last.
+func (c *Client) tryEach(fn func(addr string) error) error {
 	first := c.current.Load()
+	var err error
 	for i := range len(c.endpoints) {
 		at := (int(first) + i) % len(c.endpoints)
-		var response *http.Response
-		if response, err = c.post(ctx, c.endpoints[at]+path, body); err == nil {
-			c.current.CompareAndSwap(first, int64(at))
-			return accepted(response)
+		err = fn(c.endpoints[at])
+		if errors.Is(err, errNotSent) {
+			continue
 		}
-		if !errors.Is(err, platform.ErrUnavailable) {
-			c.current.CompareAndSwap(first, int64((at+1)%len(c.endpoints)))
-			return nil, err
+		if errors.Is(err, errSent) {
+			at = (at + 1) % len(c.endpoints) // the next call tries another one
 		}
+		c.current.CompareAndSwap(first, int64(at))
+		return err
 	}
-	return nil, err
+	return err
 }
 
-// post sends the body exactly once.
-func (c *Client) post(ctx context.Context, url string, body []byte) (*http.Response, error) {
-	a := &attempt{}
-	ctx = httptrace.WithClientTrace(ctx, a.trace())
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
-	if err != nil {
-		return nil, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
-	}
-	// Without GetBody the transport can not send the body a second time.
-	request.GetBody = nil
-	request.Header.Set("Content-Type", "application/json")
-	request.Header.Set("User-Agent", c.options.Name)
-	response, err := c.http.Do(request)
-	switch {
-	case err == nil:
-		return response, nil
-	case a.nothingSent():
-		return nil, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
-	default:
-		return nil, unknown(err)
+// The two ways in which a call gets no reply.
+var (
+	errNotSent = fmt.Errorf("%w: nothing sent", platform.ErrUnavailable)
+	errSent    = fmt.Errorf("%w: sent and not answered", platform.ErrUnknownOutcome)
+)
+
+// failed turns a failure of the connection into an error of the store. Idle
+// connections may be as dead as the one that failed, so they are closed.
+func (c *Client) failed(err error) error {
+	var failure *httponce.Failure
+	if errors.As(err, &failure) && !failure.Sent {
+		return fmt.Errorf("%w: %w", errNotSent, err)
 	}
+	c.calls.Close()
+	return fmt.Errorf("%w: %w", errSent, err)
 }
 
-// moveOn makes the next call start at another endpoint than this request's.
-func (c *Client) moveOn(request *http.Request) {
-	current := c.current.Load()
-	at := int(current) % len(c.endpoints)
-	if strings.HasPrefix(request.URL.String(), c.endpoints[at]) {
-		c.current.CompareAndSwap(current, int64((at+1)%len(c.endpoints)))
+// decode reads a whole reply.
+func decode(answer httponce.Answer, reply any) error {
+	if answer.Status != http.StatusOK {
+		return refusal(answer.Status, answer.Body)
 	}
+	if err := json.Unmarshal(answer.Body, reply); err != nil {
+		return fmt.Errorf("%w: malformed reply: %w", errSent, err)
+	}
+	return nil
 }
 
-// accepted passes a response of status 200 and turns any other into an error.
-func accepted(response *http.Response) (*http.Response, error) {
-	if response.StatusCode == http.StatusOK {
-		return response, nil
-	}
-	defer response.Body.Close()
+// refusal is the error that a response with another status than 200 stands for.
+func refusal(status int, body []byte) error {
 	var reply ErrorReply
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxReply))
-	if err == nil {
-		err = json.Unmarshal(body, &reply)
+	if err := json.Unmarshal(body, &reply); err != nil {
+		return fmt.Errorf("%w: status %d: %w", errSent, status, err)
 	}
-	if err != nil {
-		return nil, unknown(fmt.Errorf("status %d: %w", response.StatusCode, err))
-	}
-	return nil, reply.failure()
+	return reply.failure()
 }
 
 // leaseNotFound is how the service names a lease that has ended.
@@ -218,11 +197,6 @@
 	case r.Code == CodeInvalidArgument:
 		return fmt.Errorf("%w: %s", platform.ErrRefused, r.Message)
 	default:
-		return unknown(fmt.Errorf("code %d: %s", r.Code, r.Message))
+		return fmt.Errorf("%w: code %d: %s", errSent, r.Code, r.Message)
 	}
 }
-
-// unknown is the error of a call that was sent and not answered properly.
-func unknown(cause error) error {
-	return fmt.Errorf("%w: %w", platform.ErrUnknownOutcome, cause)
-}
--- a/internal/platform/etcdhttp/client_test.go
+++ b/internal/platform/etcdhttp/client_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -184,3 +185,46 @@
 	_, err := etcdhttp.New(etcdhttp.Options{})
 	is.New(t).True(err != nil)
 }
+
+func TestEndpointsThatAreNone(t *testing.T) {
+	for _, endpoint := range []string{"", "host", "https://host:1", "http://host:1/path:2"} {
+		_, err := etcdhttp.New(etcdhttp.Options{Endpoints: []string{endpoint}})
+		is.New(t).True(err != nil)
+	}
+}
+
+// TestDeadConnections has several connections die unnoticed, as when a host or
+// a middlebox vanishes. One call may be lost to that, and no further one.
+func TestDeadConnections(t *testing.T) {
+	is := is.New(t)
+	const conns = 8
+	var open sync.WaitGroup
+	open.Add(conns)
+	var dead atomic.Bool
+	var old sync.Map // addresses of the connections that die
+	s := serve(t, func(n int64, w http.ResponseWriter, r *http.Request) {
+		if n <= conns {
+			old.Store(r.RemoteAddr, true)
+			open.Done()
+			open.Wait() // all at once, each on a connection of its own
+		}
+		if _, isOld := old.Load(r.RemoteAddr); isOld && dead.Load() {
+			<-r.Context().Done()
+			return
+		}
+		ok(w)
+	})
+	c := newClient(t, s.URL)
+	var calls sync.WaitGroup
+	for range conns {
+		calls.Go(func() { _, _ = c.Commit(t.Context(), platform.Txn{}) })
+	}
+	calls.Wait()
+	dead.Store(true)
+	for i := range 3 {
+		ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+		_, err := c.Commit(ctx, platform.Txn{})
+		cancel()
+		is.Equal(err == nil, i > 0)
+	}
+}
--- a/internal/platform/etcdhttp/store.go
+++ b/internal/platform/etcdhttp/store.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
 
 	"pulleyquay/internal/platform"
 )
@@ -89,7 +86,7 @@
 		return 0, err
 	}
 	if reply.ID == 0 {
-		return 0, unknown(errors.New("grant without an ID"))
+		return 0, fmt.Errorf("%w: grant without an ID", errSent)
 	}
 	return reply.ID, nil
 }
@@ -113,94 +110,3 @@
 func (c *Client) Revoke(ctx context.Context, id platform.LeaseID) error {
 	return c.call(ctx, PathRevoke, LeaseRequest{ID: id}, &LeaseReply{})
 }
-
-// Watch implements platform.Store.
-func (c *Client) Watch(ctx context.Context, prefix string, after platform.Revision, fn func(platform.Batch)) error {
-	key, end := span(prefix)
-	create := WatchCreate{Key: key, RangeEnd: end, StartRevision: after + 1}
-	response, err := c.open(ctx, PathWatch, WatchRequest{Create: create})
-	if err != nil {
-		return ended(ctx, noEffect(err))
-	}
-	defer response.Body.Close()
-	decoder := json.NewDecoder(response.Body)
-	for {
-		var m WatchMessage
-		if err := decoder.Decode(&m); err != nil {
-			c.moveOn(response.Request)
-			return ended(ctx, broken(err))
-		}
-		if err := m.failure(); err != nil {
-			return err
-		}
-		if batch, ok := m.batch(); ok {
-			fn(batch)
-		}
-	}
-}
-
-// noEffect is the error of a failed read. It had no effect, sent or not. The
-// call's own time limit counts as the caller's.
-func noEffect(err error) error {
-	for _, ended := range []error{context.Canceled, context.DeadlineExceeded} {
-		if errors.Is(err, ended) {
-			return fmt.Errorf("%w: %w", platform.ErrUnavailable, ended)
-		}
-	}
-	if errors.Is(err, platform.ErrUnknownOutcome) {
-		return fmt.Errorf("%w: read failed: %v", platform.ErrUnavailable, err)
-	}
-	return err
-}
-
-// ended prefers the end of ctx to the failure that it brought about.
-func ended(ctx context.Context, err error) error {
-	if ctx.Err() != nil {
-		return ctx.Err()
-	}
-	return err
-}
-
-// broken is the error of a watch whose stream ended.
-func broken(err error) error {
-	if errors.Is(err, io.EOF) {
-		err = io.ErrUnexpectedEOF
-	}
-	return fmt.Errorf("%w: watch broke: %w", platform.ErrUnavailable, err)
-}
-
-// failure is the error for which a message ends the watch, or nil.
-func (m WatchMessage) failure() error {
-	switch {
-	case m.Error != nil:
-		return noEffect(m.Error.failure())
-	case m.Result.Canceled && m.Result.CompactRevision > 0:
-		return platform.ErrCompacted
-	case m.Result.Canceled:
-		return fmt.Errorf("%w: watch cancelled: %s", platform.ErrUnavailable, m.Result.CancelReason)
-	default:
-		return nil
-	}
-}
-
-// batch returns the changes that a message carries. The header's revision may
-// be ahead of what has been sent, so the last event's counts.
-func (m WatchMessage) batch() (platform.Batch, bool) {
-	events := m.Result.Events
-	if len(events) == 0 {
-		return platform.Batch{}, false
-	}
-	batch := platform.Batch{
-		Changes:  make([]platform.Change, 0, len(events)),
-		Revision: events[len(events)-1].KV.ModRevision,
-	}
-	for _, e := range events {
-		change := platform.Change{Record: e.KV.record()}
-		if e.Type == EventDelete {
-			change.Deleted = true
-			change.Value = nil
-		}
-		batch.Changes = append(batch.Changes, change)
-	}
-	return batch, true
-}
