--- /dev/null
+++ b/internal/dispatch/cancel_bench_test.go
@@ -0,0 +1,41 @@
+package dispatch_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"pulleyquay/internal/hold"
+)
+
+// BenchmarkCancelledWave queues 5,000 requests behind busy executors and
+// cancels them all; the figure is the time from the cancellation to the end of
+// the last, for each request.
+func BenchmarkCancelledWave(b *testing.B) {
+	const wave = 5000
+	h := newBench(b, 1, hold.Takeover{Fresh: true})
+	defer h.stop()
+	h.values.Request.QueueLimit = 2 * wave
+	h.values.Request.MaxDeadlineMS = 600000
+	h.executors.Time = 10 * time.Minute
+	for range 8 {
+		go h.send(context.Background(), "crew", false, 10*time.Minute)
+	}
+	var cancelling time.Duration
+	for b.Loop() {
+		ctx, cancel := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		for range wave {
+			wg.Go(func() { h.send(ctx, "crew", false, 10*time.Minute) })
+		}
+		for h.Queued("ledger") < wave {
+			time.Sleep(time.Millisecond)
+		}
+		start := time.Now()
+		cancel()
+		wg.Wait()
+		cancelling += time.Since(start)
+	}
+	b.ReportMetric(float64(cancelling.Nanoseconds())/float64(b.N)/wave, "ns/cancelled")
+}
