--- a/internal/requesttest/cell_test.go
+++ b/internal/requesttest/cell_test.go
@@ -49,7 +49,7 @@
 	cut    map[string]chan struct{} // closed while the placer is unreachable
 	// lieFresh plants a fault: takeovers claim that nobody held the partition.
 	lieFresh bool
-	free     map[string]int // free slots by placer, as last told
+	free     map[string]map[string]int // free slots by placer and service, as last told
 }
 
 // placer is one process that can hold partitions.
@@ -151,14 +151,19 @@
 	})
 }
 
+// handOverLimit is how long a partition's requests in flight are waited for.
+const handOverLimit = 20 * time.Millisecond
+
 // handOver moves a partition in order.
 func (c *cell) handOver(id, to int) {
+	ctx, cancel := context.WithTimeout(c.t.Context(), handOverLimit)
+	defer cancel()
 	c.mu.Lock()
 	old := c.holder(id)
 	c.mu.Unlock()
 	states := make([][]byte, 2)
 	for i, r := range []hold.Resident{old.home, old.dispatcher} {
-		state, err := r.Release(c.t.Context(), id)
+		state, err := r.Release(ctx, id)
 		if err != nil {
 			c.t.Fatal(err)
 		}
@@ -219,9 +224,9 @@
 	tick := time.NewTicker(heartbeatEvery)
 	defer tick.Stop()
 	for {
-		free := map[string]int{}
+		free := map[string]map[string]int{}
 		for _, p := range c.placers {
-			free[p.name] = p.dispatcher.Free()["ledger"]
+			free[p.name] = p.dispatcher.Free()
 		}
 		c.mu.Lock()
 		c.free = free
@@ -240,7 +245,7 @@
 	var out []dispatch.Remote
 	for _, p := range c.placers {
 		if p.name != self {
-			out = append(out, dispatch.Remote{Name: p.name, Addr: p.name, Free: map[string]int{"ledger": c.free[p.name]}})
+			out = append(out, dispatch.Remote{Name: p.name, Addr: p.name, Free: c.free[p.name]})
 		}
 	}
 	return out
