Tests of urgent work, shares, paced replacements, rest and explanations

Change: table tests in a bubble with the real fleet; the pace is tested on the home alone, since leases of lost workers end at different moments anyway. Each order is in the job's own record with its policy and whether it may preempt. Seen failing first: TestUrgentWorkStartsInTime with the preemption left out.

--- a/internal/job/gang_test.go
+++ b/internal/job/gang_test.go
@@ -243,7 +243,7 @@
 
 // worker names a worker that runs tasks of a job.
 func (p *placer) worker(id string) string {
-	r, err := call[jobmsg.GetReply](p, peer.KindJobGet, jobmsg.GetRequest{ID: id, Explain: true})
+	r, err := p.explain(id)
 	p.c.is.NoErr(err)
 	p.c.is.True(len(r.Explain.Sites) > 0)
 	return r.Explain.Sites[0].Worker
--- a/internal/job/place.go
+++ b/internal/job/place.go
@@ -36,11 +36,20 @@
 	a := h.askedOf(s.holder, now)
 	a.asked = a.asked.Add(size.Times(int64(n)))
 	h.busy[s.addr]++
+	j.log.add(now, "asked", "holder "+s.member+", policy "+values.Placement.Policy+why(preempt))
 	h.m.metrics.ordered.Add(float64(n))
 	req := taskmsg.PlaceRequest{Home: h.self(), Shape: h.shape(j, values), Slots: slots, Preempt: preempt}
 	h.work.Go(func() { h.place(j, s.holder, req) })
 }
 
+// why adds to the record that an order may stop less urgent work.
+func why(preempt bool) string {
+	if preempt {
+		return ", to make room by preemption as no holder has any"
+	}
+	return ""
+}
+
 // shape describes a job's tasks to holders.
 func (h *home) shape(j *job, values settings.Values) taskmsg.Shape {
 	return taskmsg.Shape{
--- a/internal/job/placer_test.go
+++ b/internal/job/placer_test.go
@@ -141,6 +141,10 @@
 	return r.Status, err
 }
 
+func (p *placer) explain(id string) (jobmsg.GetReply, error) {
+	return call[jobmsg.GetReply](p, peer.KindJobGet, jobmsg.GetRequest{ID: id, Explain: true})
+}
+
 func (p *placer) cancelJob(id string) (jobmsg.Status, error) {
 	return call[jobmsg.Status](p, peer.KindJobCancel, jobmsg.CancelRequest{ID: id})
 }
--- /dev/null
+++ b/internal/job/policy_test.go
@@ -0,0 +1,200 @@
+package job
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pulleyquay/internal/jobmsg"
+	"pulleyquay/internal/partition"
+	"pulleyquay/internal/settings"
+	"pulleyquay/internal/spec"
+	"pulleyquay/internal/taskmsg"
+)
+
+// urgentWithin is how soon urgent work has to start in a full cell.
+const urgentWithin = 5100 * time.Millisecond
+
+// TestUrgentWorkStartsInTime fills the cell with less urgent work and submits
+// urgent work.
+func TestUrgentWorkStartsInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, a, b := twoPlacers(t, 2)
+		filler := batch(2, 64, time.Hour)
+		_, err := b.submit(filler)
+		c.is.NoErr(err)
+		time.Sleep(20 * time.Second)
+		c.is.Equal(c.judge.Record(time.Now(), false).Running, 64)
+		job := batch(0, 6, 10*time.Second)
+		job.Urgent = true
+		c.setBranch("storm", func(v *settings.Values) { v.Task.Priority = 100 })
+		job.Branch = "storm"
+		began := time.Now()
+		_, err = a.submit(job)
+		c.is.NoErr(err)
+		for {
+			s, err := a.get(job.ID)
+			c.is.NoErr(err)
+			if s.Counts.Running == 6 {
+				break
+			}
+			if time.Since(began) > urgentWithin {
+				t.Fatalf("after %s: %+v", time.Since(began), s)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		a.await(job.ID, jobmsg.StateFinished, 30*time.Second)
+		s, err := b.get(filler.ID)
+		c.is.NoErr(err)
+		c.is.Equal(s.Counts.Failures, 0) // to be preempted is no failure
+		c.held()
+	})
+}
+
+// twoTeamsOf finds two teams with the same home.
+func twoTeamsOf(p int) (one, two string) {
+	for i := 0; two == ""; i++ {
+		name := fmt.Sprintf("team%d", i)
+		switch {
+		case partition.OfTeam(name, testPartitions) != p:
+		case one == "":
+			one = name
+		default:
+			two = name
+		}
+	}
+	return one, two
+}
+
+// TestTeamsShare lets two teams with backlog, one of which came first with far
+// more work, compete for a cell.
+func TestTeamsShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, a, _ := twoPlacers(t, 2)
+		one, two := twoTeamsOf(0)
+		for range 10 {
+			j := batch(0, 60, 4*time.Second)
+			j.Team = one
+			_, err := a.submit(j)
+			c.is.NoErr(err)
+		}
+		time.Sleep(time.Second)
+		late := batch(0, 400, 4*time.Second)
+		late.Team = two
+		_, err := a.submit(late)
+		c.is.NoErr(err)
+		time.Sleep(30 * time.Second)
+		running := map[bool]int{}
+		for task, places := range c.judge.Record(time.Now(), true).Tasks {
+			for _, p := range places {
+				if !p.Ended {
+					running[len(task) >= len(late.ID) && task[:len(late.ID)] == late.ID]++
+				}
+			}
+		}
+		if running[true] < 20 || running[false] < 20 {
+			t.Errorf("the late team runs %d tasks, the early one %d", running[true], running[false])
+		}
+		c.held()
+	})
+}
+
+// TestReplacementsArePaced loses more tasks at one moment than the burst.
+func TestReplacementsArePaced(t *testing.T) {
+	const tasks = replaceBurst + 3*replacePerSecond
+	h, j := still(t, phaseReady, false, spec.KindBatch, tasks)
+	is := h.m.cfg.Source.(*cell).is
+	now := time.Now()
+	j.ready = nil
+	for i := range tasks {
+		n := runOf(j, h.reserve(j, i).Attempt, taskmsg.RunLost, 0)
+		n.Run.Task.Index = i
+		is.Equal(h.apply(n, now), verdictAcked)
+	}
+	is.Equal(len(j.ready), 0)
+	for second, want := range []int{replaceBurst, replaceBurst + replacePerSecond, replaceBurst + 2*replacePerSecond, tasks} {
+		h.replaceLost(now.Add(time.Duration(second) * time.Second))
+		is.Equal(len(j.ready), want)
+	}
+}
+
+// TestUrgentReplacementsGoFirst loses urgent and other tasks at one moment.
+func TestUrgentReplacementsGoFirst(t *testing.T) {
+	h, j := still(t, phaseReady, false, spec.KindBatch, 2*replaceBurst)
+	is := h.m.cfg.Source.(*cell).is
+	urgent := h.addJob(spec.KindBatch, 2*replaceBurst)
+	urgent.rec.Job.Urgent = true
+	now := time.Now()
+	for _, each := range []*job{j, urgent} {
+		each.ready = nil
+		for i := range each.tasks {
+			n := runOf(each, h.reserve(each, i).Attempt, taskmsg.RunLost, 0)
+			n.Run.Task.Index = i
+			h.apply(n, now)
+		}
+	}
+	h.replaceLost(now)
+	is.Equal(len(urgent.ready), 2*replaceBurst) // all at once
+	is.Equal(len(j.ready), 0)
+}
+
+// TestRestCostsNothing counts messages and writes of homes whose jobs run
+// without a change.
+func TestRestCostsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, a, _ := twoPlacers(t, 4)
+		for range 5 {
+			_, err := a.submit(service(0, 4))
+			c.is.NoErr(err)
+		}
+		time.Sleep(30 * time.Second)
+		count := func() (n int) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			for _, k := range c.calls {
+				n += k
+			}
+			return n
+		}
+		before := count()
+		time.Sleep(10 * time.Minute)
+		c.is.Equal(count(), before)
+	})
+}
+
+// TestExplain checks that an explanation names what a job waits for.
+func TestExplain(t *testing.T) {
+	cases := []struct {
+		name string
+		edit func(*spec.Job)
+		want string
+	}{
+		{"quota", func(j *spec.Job) { j.Branch = "small" }, "the quota of team " + teamOf(0)},
+		{"room", func(*spec.Job) {}, "room on the workers of holder a"},
+	}
+	for _, tt := range cases {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, a, _ := twoPlacers(t, 1)
+				c.setBranch("small", func(v *settings.Values) { v.Quota.MilliCPU = 2000 })
+				job := batch(0, 64, time.Minute)
+				tt.edit(&job)
+				_, err := a.submit(job)
+				c.is.NoErr(err)
+				time.Sleep(20 * time.Second)
+				r, err := a.explain(job.ID)
+				c.is.NoErr(err)
+				c.is.True(len(r.Explain.Sites) > 0)
+				c.is.True(len(r.Explain.Decisions) > 0)
+				found := false
+				for _, w := range r.Explain.Waits {
+					found = found || w.For == tt.want && w.Freed != ""
+				}
+				if !found {
+					t.Errorf("%+v", r.Explain)
+				}
+			})
+		})
+	}
+}
