--- a/internal/demo/cell.go
+++ b/internal/demo/cell.go
@@ -55,20 +55,32 @@
 // NewCell prepares a cell with one entry host in each of the zones. Settings
 // and logs go to dir, the programs come from bin.
 func NewCell(bin, dir string, zones []string) (*Cell, error) {
-	addrs, err := freePorts(1 + 4*len(zones))
+	addrs, err := freePorts(1)
 	if err != nil {
 		return nil, err
 	}
 	c := &Cell{bin: bin, dir: dir, standin: addrs[0], running: map[string]*exec.Cmd{}, memory: map[string]int64{}}
 	for i, zone := range zones {
-		p := addrs[1+4*i:]
-		c.hosts = append(c.hosts, host{
-			name: fmt.Sprintf("host-%d", i+1), zone: zone, peer: p[0], placerAdmin: p[1], http: p[2], admin: p[3],
-		})
+		c.hosts = append(c.hosts, host{name: fmt.Sprintf("host-%d", i+1), zone: zone})
 	}
 	return c, nil
 }
 
+// assignPorts gives the entry hosts their addresses. It comes after the start
+// of the stand-in, whose hosts take free ports of their own.
+func (c *Cell) assignPorts() error {
+	const each = 4
+	addrs, err := freePorts(each * len(c.hosts))
+	if err != nil {
+		return err
+	}
+	for i := range c.hosts {
+		p, h := addrs[each*i:], &c.hosts[i]
+		h.peer, h.placerAdmin, h.http, h.admin = p[0], p[1], p[2], p[3]
+	}
+	return nil
+}
+
 // Start starts every process and waits until the entries are ready.
 func (c *Cell) Start(ctx context.Context) error {
 	if err := c.launch("pulley-standin", "standin", c.standinSettings()); err != nil {
@@ -77,6 +89,9 @@
 	if err := await(ctx, "the stand-in", func() bool { return answers("http://" + c.standin + "/v1/hosts") }); err != nil {
 		return err
 	}
+	if err := c.assignPorts(); err != nil {
+		return err
+	}
 	for _, h := range c.hosts {
 		if err := c.launch("pulley-placer", "placer-"+h.name, c.placerSettings(h)); err != nil {
 			return err
