Planned stops that fail safely, faster asks, charters swept

Cause: a stop cut short revoked the lease while orders given under it could still be on their way; a Release that failed counted as a sign-off; every start of a process left a charter in the store for good. Change: only a stop that handed everything over leaves at once, any other lets the lease run out; without the store a stop finishes what is in flight and goes after a term; after a failed Release the next holder gets no states and the record moves when the last right has run out. Beats follow five times faster while promises are missing. Ruled out: pruning a voter's promises and fences by its copy of the store: the copy may lag, and a forgotten fence lets a session live on.

--- a/internal/heartbeat/service.go
+++ b/internal/heartbeat/service.go
@@ -19,6 +19,9 @@
 	Status() Status
 	// Asks returns the promises to ask for with the next beats.
 	Asks() []Ask
+	// Urgent is true while a promise that is asked for is about to run out or
+	// missing; beats then follow each other faster.
+	Urgent() bool
 	// OnAsk decides whether to promise.
 	OnAsk(ask Ask) bool
 	// OnReply takes in an answer to a beat that was sent at sent.
@@ -33,6 +36,9 @@
 	WantTable() bool
 }
 
+// urgentRate is how many times faster beats follow while promises are missing.
+const urgentRate = 5
+
 // Service sends and answers heartbeats.
 type Service struct {
 	peers    peer.Caller
@@ -136,6 +142,9 @@
 	for {
 		s.round(ctx, &beats)
 		pause := s.interval - s.interval/10 + rand.N(s.interval/5+1)
+		if s.host.Urgent() {
+			pause /= urgentRate
+		}
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/hold/beats.go
+++ b/internal/hold/beats.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"pulleyquay/internal/heartbeat"
+	"pulleyquay/internal/member"
 	"pulleyquay/internal/partition"
 	"pulleyquay/internal/right"
 	"pulleyquay/internal/view"
@@ -39,9 +40,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var asks []heartbeat.Ask
-	var session uint64
-	b.session.Right(func(h *right.Holder) { session = h.Session() })
-	if _, answers := b.session.Renewed(); session > 0 && (!answers || b.storeAge() > b.config.fresh()) {
+	if b.needsPromises() {
+		var session uint64
+		b.session.Right(func(h *right.Holder) { session = h.Session() })
 		asks = append(asks, heartbeat.Ask{Subject: b.subject(), Session: session, For: b.config.Term})
 	}
 	for s, c := range b.covers {
@@ -57,6 +58,26 @@
 	return asks
 }
 
+// needsPromises reports whether this process has joined and does not reach the
+// store as usual. The lock is held.
+func (k *Keeper) needsPromises() bool {
+	_, answers := k.session.Renewed()
+	return k.session.State() != member.StateOutside && (!answers || k.storeAge() > k.config.fresh())
+}
+
+// Urgent implements heartbeat.Host: within two beats the right may lapse.
+func (b *beatHost) Urgent() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.needsPromises() {
+		return false
+	}
+	now := time.Now()
+	var until time.Time
+	b.session.Right(func(h *right.Holder) { until = h.Until(now, h.Session()) })
+	return until.Sub(now) < 2*b.config.Heartbeat
+}
+
 // OnAsk implements heartbeat.Host.
 func (b *beatHost) OnAsk(ask heartbeat.Ask) bool {
 	b.mu.Lock()
--- a/internal/hold/handover.go
+++ b/internal/hold/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -9,6 +10,7 @@
 	"pulleyquay/internal/peer"
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/result"
+	"pulleyquay/internal/right"
 	"pulleyquay/internal/view"
 )
 
@@ -42,11 +44,13 @@
 	s.event(eventRelease)
 	old := s.record
 	k.mu.Unlock()
-	states := k.releaseAll(ctx, s.id)
+	states, inOrder := k.releaseAll(ctx, s.id)
 	k.mu.Lock()
 	s.event(eventReleased)
 	k.mu.Unlock()
-
+	if !inOrder && !k.sleepOut(ctx) {
+		return
+	}
 	moved := old
 	moved.Holder, moved.Incarnation, moved.Addr = next.Name, next.Incarnation, next.Addr
 	moved.Epoch++
@@ -55,6 +59,8 @@
 	}
 	if next.Name != "" {
 		conditions = append(conditions, platform.Condition{Key: member.Key(next.Name), ModRevision: nextMod})
+	}
+	if next.Name != "" && inOrder {
 		if err := k.sendStates(ctx, next, moved, states); err != nil {
 			k.log.WithError(err).WithFields(logFields(old)).Warn("next holder did not take the state")
 			k.resume(ctx, s, states)
@@ -125,18 +131,28 @@
 	k.takeUp(ctx, s, states, true, false)
 }
 
-// releaseAll ends the residents' work in order and collects their states.
-func (k *Keeper) releaseAll(ctx context.Context, id int) map[string][]byte {
-	states := map[string][]byte{}
+// sleepOut waits until no right given before can be in use.
+func (k *Keeper) sleepOut(ctx context.Context) bool {
+	var until time.Time
+	k.session.Right(func(h *right.Holder) { until = h.Outstanding() })
+	return sleep(ctx, time.Until(until))
+}
+
+// releaseAll ends the residents' work in order and collects their states. It
+// reports false when one of them could not finish: then the next holder gets no
+// states and counts as taking over from a dead one.
+func (k *Keeper) releaseAll(ctx context.Context, id int) (states map[string][]byte, inOrder bool) {
+	states, inOrder = map[string][]byte{}, true
 	for _, r := range k.residents {
 		state, err := r.Release(ctx, id)
 		if err != nil {
-			k.log.WithError(err).WithField("resident", r.Name()).WithField("partition", id).Warn("released without state")
+			k.log.WithError(err).WithField("resident", r.Name()).WithField("partition", id).Warn("not released in order")
+			inOrder = false
 			continue
 		}
 		states[r.Name()] = state
 	}
-	return states
+	return states, inOrder
 }
 
 func (k *Keeper) sendStates(ctx context.Context, next view.Member, moved view.Partition, states map[string][]byte) error {
--- a/internal/hold/keeper.go
+++ b/internal/hold/keeper.go
@@ -50,6 +50,7 @@
 	slots    []*slot
 	promises *right.Promises
 	fencings map[right.Subject]*fencing
+	unused   map[right.Subject]time.Time // charters without use, since when
 	covers   map[right.Subject]*cover
 	leaving  bool
 	// confirmed is the store session in which the mirror's partitions were read.
@@ -74,7 +75,7 @@
 		metrics: newMetrics(d.Registry), session: member.NewSession(d.Store, d.Self, d.Config.times()),
 		kick: make(chan struct{}, 1), renew: make(chan struct{}, 1),
 		moves: make(chan struct{}, maxMoves), mirror: newMirror(), promises: right.NewPromises(),
-		fencings: map[right.Subject]*fencing{}, covers: map[right.Subject]*cover{},
+		fencings: map[right.Subject]*fencing{}, unused: map[right.Subject]time.Time{}, covers: map[right.Subject]*cover{},
 	}
 	for id := range d.Config.Partitions {
 		k.slots = append(k.slots, newSlot(id))
@@ -131,8 +132,8 @@
 }
 
 // Stop hands every partition over, leaves the cell and ends all loops. When ctx
-// ends first, what is left is dropped and other members take it over as from a
-// dead holder.
+// ends first, or the store is not reached, what is left is finished or dropped
+// and other members take it over as from a dead holder.
 func (k *Keeper) Stop(ctx context.Context) error {
 	k.mu.Lock()
 	k.leaving = true
@@ -146,23 +147,34 @@
 	k.done.Wait()
 	k.steps.Wait()
 	if err != nil {
+		// The member key stays until its lease ends: orders that were given
+		// may still be on their way under it.
 		k.dropAll()
+		return err
 	}
 	leaveCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), k.config.Term)
 	defer cancel()
 	if leaveErr := k.session.Leave(leaveCtx); leaveErr != nil {
 		k.log.WithError(leaveErr).Warn("left without telling the store")
 	}
-	return err
+	return nil
 }
 
 func (k *Keeper) waitHandedOver(ctx context.Context) error {
 	tick := time.NewTicker(k.config.Heartbeat / 10)
 	defer tick.Stop()
+	reached := time.Now()
 	for {
-		if len(k.Held()) == 0 && k.idle() {
+		if k.idle() {
 			return nil
 		}
+		if k.storeReached() {
+			reached = time.Now()
+		}
+		if time.Since(reached) > k.config.Term {
+			k.finishInPlace(ctx)
+			return result.New(result.HandOverFailed, result.RanNo, "the store is not reached; finished without hand-over")
+		}
 		k.wake()
 		select {
 		case <-ctx.Done():
@@ -172,6 +184,37 @@
 	}
 }
 
+func (k *Keeper) storeReached() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.canMove()
+}
+
+// finishInPlace lets the residents finish what is in flight when there is no
+// way to hand over.
+func (k *Keeper) finishInPlace(ctx context.Context) {
+	var finished sync.WaitGroup
+	k.mu.Lock()
+	for _, s := range k.slots {
+		if s.busy || s.machine.Current() != stateHeld {
+			continue
+		}
+		s.busy = true
+		s.event(eventRelease)
+		finished.Add(1)
+		go func() {
+			defer finished.Done()
+			k.releaseAll(ctx, s.id)
+			k.mu.Lock()
+			s.event(eventReleased)
+			s.busy = false
+			k.mu.Unlock()
+		}()
+	}
+	k.mu.Unlock()
+	finished.Wait()
+}
+
 // idle reports whether no partition is owned and no step is on its way.
 func (k *Keeper) idle() bool {
 	k.mu.Lock()
--- a/internal/hold/loops.go
+++ b/internal/hold/loops.go
@@ -54,8 +54,11 @@
 func (k *Keeper) renewLoop(ctx context.Context) {
 	retry := k.newBackOff()
 	for ctx.Err() == nil {
-		pause := k.config.Renew
-		if err := k.renewOnce(ctx); err != nil {
+		begun := time.Now()
+		err := k.renewOnce(ctx)
+		// A slow answer has used up part of the term: renew the sooner.
+		pause := max(k.config.Renew-time.Since(begun), k.config.Renew/8)
+		if err != nil {
 			k.metrics.storeErrors.Inc()
 			pause = min(retry.NextBackOff(), k.config.BackoffMax)
 		} else {
@@ -114,7 +117,10 @@
 	if len(voters) == 0 {
 		return nil
 	}
-	return k.session.SetVoters(ctx, voters)
+	if err := k.session.SetVoters(ctx, voters); err != nil {
+		return err
+	}
+	return k.sweep(ctx)
 }
 
 // join creates the member key and confirms the partitions that are still ours.
--- a/internal/hold/outage_test.go
+++ b/internal/hold/outage_test.go
@@ -1,6 +1,7 @@
 package hold
 
 import (
+	"context"
 	"strings"
 	"sync"
 	"testing"
@@ -95,6 +96,73 @@
 	})
 }
 
+func TestPlannedStopInAnOutageFinishesItsWork(t *testing.T) {
+	inBubble(t, testConfig(), func(c *testCell) {
+		is := is.New(c.t)
+		formed(c, "a", "b", "c")
+		held, released := len(c.nodes["b"].Held()), c.nodes["b"].resident.counts.release
+		c.engine.SetFaults(memstore.Faults{Hang: true})
+		time.Sleep(c.config.Term)
+		ctx, cancel := context.WithTimeout(context.Background(), 10*c.config.Term)
+		defer cancel()
+		b := c.nodes["b"]
+		err := b.Stop(ctx)
+		is.Equal(result.CodeOf(err), result.HandOverFailed)
+		is.Equal(b.resident.counts.release-released, held)
+		is.NoErr(ctx.Err()) // it did not wait for the store
+		c.kill(b)
+		c.engine.SetFaults(memstore.Faults{})
+		c.waitSettled(healLimit * c.config.Term)
+	})
+}
+
+func TestStopThatIsCutShortLeavesNoOverlap(t *testing.T) {
+	inBubble(t, testConfig(), func(c *testCell) {
+		formed(c, "a", "b", "c")
+		b := c.nodes["b"]
+		b.resident.releaseTime.Store(int64(time.Minute))
+		ctx, cancel := context.WithTimeout(context.Background(), c.config.Term/2)
+		defer cancel()
+		if err := b.Stop(ctx); result.CodeOf(err) != result.HandOverFailed {
+			c.t.Errorf("stop: %v", err)
+		}
+		c.kill(b)
+		c.waitSettled(healLimit * c.config.Term)
+	})
+}
+
+func TestReleaseThatFailsIsNoSignOff(t *testing.T) {
+	inBubble(t, testConfig(), func(c *testCell) {
+		is := is.New(c.t)
+		formed(c, "a", "b")
+		b := c.nodes["b"]
+		held := b.Held()
+		b.resident.failRelease.Store(true)
+		is.NoErr(b.Stop(context.Background()))
+		for _, id := range held {
+			is.True(!c.nodes["a"].resident.takeover(id).SignedOff)
+		}
+		c.kill(b)
+		c.waitSettled(c.config.Term)
+	})
+}
+
+func TestChartersOfEndedProcessesAreDeleted(t *testing.T) {
+	inBubble(t, testConfig(), func(c *testCell) {
+		formed(c, "a", "b")
+		for range 5 {
+			c.replace("b")
+			c.waitSettled(healLimit * c.config.Term)
+		}
+		c.wait(2*sweepTerms*c.config.Term, "only the living have charters", func() bool {
+			a := c.nodes["a"]
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			return len(a.mirror.charters) == 2
+		})
+	})
+}
+
 func TestWrongPartitionCountFoundAfterAnOutageHoldsNothing(t *testing.T) {
 	inBubble(t, testConfig(), func(c *testCell) {
 		is := is.New(c.t)
--- a/internal/hold/referee_test.go
+++ b/internal/hold/referee_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -93,6 +94,10 @@
 	node    string
 	// skipExpiry plants a fault: act for what is held without asking the right.
 	skipExpiry atomic.Bool
+	// failRelease makes every Release fail, its work not finished.
+	failRelease atomic.Bool
+	// releaseTime is how long the work in flight takes, in nanoseconds.
+	releaseTime atomic.Int64
 
 	mu     sync.Mutex
 	states map[int]string
@@ -127,7 +132,10 @@
 	return nil
 }
 
-func (r *recorder) Release(_ context.Context, id int) ([]byte, error) {
+func (r *recorder) Release(ctx context.Context, id int) ([]byte, error) {
+	if !sleep(ctx, time.Duration(r.releaseTime.Load())) || r.failRelease.Load() {
+		return nil, errors.New("work not finished")
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.counts.release++
--- a/internal/member/session.go
+++ b/internal/member/session.go
@@ -133,11 +133,12 @@
 			charter = entry
 		}
 	}
+	s.mu.Lock()
+	s.charterMod = charter.Revision
 	if charter.Charter != nil {
-		s.mu.Lock()
-		s.charterMod, s.session = charter.Revision, charter.Charter.Session
-		s.mu.Unlock()
+		s.session = charter.Charter.Session
 	}
+	s.mu.Unlock()
 	if member.Member == nil {
 		return false, nil
 	}
--- a/internal/right/voter.go
+++ b/internal/right/voter.go
@@ -3,8 +3,10 @@
 import "time"
 
 // Promises is what one process has promised and fenced. It is lost with the
-// process; a replacement has another incarnation and another vote. It is not
-// safe for concurrent use.
+// process; a replacement has another incarnation and another vote. Entries stay
+// for the life of the process: whether a subject is over can not be told from a
+// copy of the store that may lag, and a forgotten fence would let a session
+// live on. It is not safe for concurrent use.
 type Promises struct {
 	of map[Subject]promise
 }
@@ -43,6 +45,3 @@
 func (p *Promises) Fenced(s Subject, session uint64) bool {
 	return session <= p.of[s].fenced
 }
-
-// Forget drops what is known of a subject whose incarnation is certainly over.
-func (p *Promises) Forget(s Subject) { delete(p.of, s) }
