--- a/internal/job/placer_test.go
+++ b/internal/job/placer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync/atomic"
 	"testing/synctest"
 	"time"
 
@@ -32,6 +33,8 @@
 	jobs   *Manager
 	cancel context.CancelFunc
 	done   chan struct{}
+	// storeAge is what the process believes of its last contact with the store.
+	storeAge atomic.Int64
 }
 
 // start starts a process that holds nothing yet.
@@ -52,6 +55,7 @@
 	p.jobs = New(Config{
 		Source: c, Right: p.right, Store: p.store, Peers: peers, Values: c.branch, Digests: c.digests,
 		PartitionKey: partitionKey, Registerer: reg, Log: entry,
+		StoreAge: func() time.Duration { return time.Duration(p.storeAge.Load()) },
 	})
 	mux := peer.NewMux()
 	p.fleet.Register(mux)
@@ -137,6 +141,10 @@
 	return r.Status, err
 }
 
+func (p *placer) explain(id string) (jobmsg.GetReply, error) {
+	return call[jobmsg.GetReply](p, peer.KindJobGet, jobmsg.GetRequest{ID: id, Explain: true})
+}
+
 func (p *placer) cancelJob(id string) (jobmsg.Status, error) {
 	return call[jobmsg.Status](p, peer.KindJobCancel, jobmsg.CancelRequest{ID: id})
 }
