--- a/internal/settings/keeper_test.go
+++ b/internal/settings/keeper_test.go
@@ -256,6 +256,32 @@
 	})
 }
 
+// A placer that lags must not refuse a change for what has changed since.
+func TestRefusalIsDecidedAgainstThePresentHead(t *testing.T) {
+	inBubble(t, 2, 0, func(is *is.I, c *cell) {
+		c.client(1).SetFaults(memstore.Faults{WatchDelayMS: 60000})
+		_, err := c.change(0, `{"/a":{}}`)
+		is.NoErr(err)
+		got, err := c.keepers[1].Change(c.ctx, edit(0, `{"/a/x":{}}`)) // knows no /a yet
+		is.NoErr(err)
+		is.Equal(got.Revision, int64(2))
+	})
+}
+
+// A head learned from a peer can jump over revisions whose entries the process
+// has not seen; they could have touched the same branches.
+func TestGapInTheHistoryIsNotTakenForPeace(t *testing.T) {
+	inBubble(t, 1, 0, func(is *is.I, c *cell) {
+		k := c.keepers[0]
+		_, err := k.book.apply(Head{Revision: 3, Root: emptyRoot.hash}, 0, nil)
+		is.NoErr(err)
+		p, err := prepare(edit(1, `{"/":{}}`))
+		is.NoErr(err)
+		a := attempt{k: k, p: p}
+		is.Equal(a.admissible(k.book.state()), errGap)
+	})
+}
+
 func TestBaseAndIDAreChecked(t *testing.T) {
 	inBubble(t, 1, 0, func(is *is.I, c *cell) {
 		change := edit(0, `{"/a":{}}`)
--- a/internal/settings/outage_test.go
+++ b/internal/settings/outage_test.go
@@ -46,6 +46,7 @@
 		c.start(0)
 		time.Sleep(everywhere)
 		is.Equal(result.CodeOf(c.keepers[0].Ready()), result.NotReady)
+		is.True(c.keepers[0].Current() == nil) // it does not begin with revision 0
 		is.True(c.keepers[1].Ready() != nil)
 
 		c.engine.SetFaults(memstore.Faults{})
@@ -156,6 +157,7 @@
 		c.start(1)
 		time.Sleep(everywhere)
 		is.Equal(c.behind(1), nil) // the store's branch is refused, a peer's is taken
+		is.True(c.keepers[1].Current().Has("/a"))
 	})
 }
 
