--- a/cmd/pulley-placer/lookup.go
+++ b/cmd/pulley-placer/lookup.go
@@ -104,5 +104,5 @@
 
 // members answers peer.KindMembers with what this process knows of the cell.
 func (p *placer) members(context.Context, cellapi.MembersRequest) (cellapi.MembersReply, error) {
-	return cellapi.MembersReply{Table: p.keeper.Table(), Applied: p.keeper.Applied()}, nil
+	return cellapi.MembersReply{Table: p.keeper.Table(), Applied: p.settingsApplied()}, nil
 }
--- a/internal/demo/steps.go
+++ b/internal/demo/steps.go
@@ -17,7 +17,7 @@
 const (
 	tickets    = 20
 	reads      = 40
-	batchTasks = 40
+	batchTasks = 300
 	gangTasks  = 8
 	taskRunMS  = 3000
 )
@@ -47,10 +47,10 @@
 	{"the same tickets again through the other host", repeatTickets},
 	{fmt.Sprintf("%d reads through both entry hosts", reads), readCounts},
 	{fmt.Sprintf("batch reconciliation, %d tasks", batchTasks), submitBatch},
-	{fmt.Sprintf("all-together reconciliation, %d tasks", gangTasks), runGang},
 	{"a job that can never run is refused at once", refuseJob},
 	{"placer of host-2 killed while the batch runs", killPlacer},
 	{"requests after the kill", readCounts},
+	{fmt.Sprintf("all-together reconciliation, %d tasks", gangTasks), runGang},
 	{"the batch ends, every task once", awaitBatch},
 	{"planned stop of everything", stopAll},
 }
@@ -97,9 +97,22 @@
 	return nil
 }
 
+// changeBranch reads a branch, changes one value and writes the whole branch,
+// which is what a change replaces.
 func changeBranch(ctx context.Context, r *run) (string, error) {
 	start := time.Now()
-	err := r.change(ctx, object{"/regie/count": object{"request": object{"queue_limit": 500}}})
+	got, err := want(ctx, http.StatusOK, "GET", r.entry(0), "/v1/settings?path=/regie/count", nil, nil)
+	if err != nil {
+		return "", err
+	}
+	var branch struct {
+		Overrides map[string]object `json:"overrides"`
+	}
+	if err := json.Unmarshal(got.body, &branch); err != nil {
+		return "", err
+	}
+	branch.Overrides["request"]["queue_limit"] = 500
+	err = r.change(ctx, object{"/regie/count": branch.Overrides})
 	return fmt.Sprintf("in force at every placer after %d ms", time.Since(start).Milliseconds()), err
 }
 
@@ -115,9 +128,9 @@
 	}
 	var e struct {
 		Settings []struct {
-			Name   string `json:"name"`
-			Value  any    `json:"value"`
-			Branch string `json:"branch"`
+			Name  string `json:"name"`
+			Value any    `json:"value"`
+			From  string `json:"from"`
 		} `json:"settings"`
 	}
 	if err := json.Unmarshal(got.body, &e); err != nil {
@@ -125,7 +138,7 @@
 	}
 	origins := map[string]string{}
 	for _, s := range e.Settings {
-		origins[s.Name] = fmt.Sprintf("%v from %s", s.Value, s.Branch)
+		origins[s.Name] = fmt.Sprintf("%v from %s", s.Value, s.From)
 	}
 	return fmt.Sprintf("queue_limit %s; policy %s", origins["request.queue_limit"], origins["placement.policy"]), nil
 }
--- a/internal/dispatch/acquire.go
+++ b/internal/dispatch/acquire.go
@@ -66,8 +66,7 @@
 // takeNow takes a free slot here or at another holder.
 func (d *Dispatcher) takeNow(p *pool, now time.Time) (grant, bool) {
 	if e := d.pick(p, now); e != nil {
-		e.busy++
-		return grant{endpoint: e}, true
+		return e.take(), true
 	}
 	if r := d.pickRemote(p); r != nil {
 		p.forwards[r.Name]++
@@ -86,7 +85,7 @@
 	if !now.Before(w.Deadline) {
 		return deadlineQueued(p)
 	}
-	wait := d.expectedWait(p, slots)
+	wait := p.expectedWait(p.queue.Ahead(w.Caller), slots) * waitMargin / 100
 	if now.Add(wait + p.meanTime).After(w.Deadline) {
 		return result.New(result.DeadlineTooShort, result.RanNo,
 			"%d requests wait for %s", p.queue.Len(), p.service).Later(d.drainTime(p, now))
@@ -109,8 +108,8 @@
 func (d *Dispatcher) slotsInUse(p *pool, now time.Time) (slots int, soonest time.Duration) {
 	soonest = noExecutorRetry
 	for _, e := range p.endpoints {
-		if e.usable(now) {
-			slots += e.slots
+		if limit := p.limit(e, now); limit > 0 {
+			slots += limit
 		} else if wait := e.usableAt.Sub(now); wait > 0 && wait < soonest {
 			soonest = wait
 		}
@@ -121,22 +120,26 @@
 // noExecutorRetry is when to come back to a service without executors.
 const noExecutorRetry = 5 * time.Second
 
+// waitMargin is the part of the expected wait that has to fit, in per cent.
+// Without a margin one request in twenty is refused only after it has waited.
+const waitMargin = 150
+
 // minRetryAfter keeps refused callers from coming back in the same instant.
 const minRetryAfter = 100 * time.Millisecond
 
-// expectedWait is how long a request queued last would wait.
-func (d *Dispatcher) expectedWait(p *pool, slots int) time.Duration {
+// expectedWait is how long a request waits that has others ahead of it.
+func (p *pool) expectedWait(ahead, slots int) time.Duration {
 	if slots == 0 {
 		return 0
 	}
-	return p.meanTime * time.Duration(p.queue.Len()+1) / time.Duration(slots)
+	return p.meanTime * time.Duration(ahead+1) / time.Duration(slots)
 }
 
 // drainTime is when a refused caller should come back: when what waits now
 // has been served.
 func (d *Dispatcher) drainTime(p *pool, now time.Time) time.Duration {
 	slots, _ := d.slotsInUse(p, now)
-	return max(d.expectedWait(p, slots), minRetryAfter)
+	return max(p.expectedWait(p.queue.Len(), slots), minRetryAfter)
 }
 
 func (d *Dispatcher) overShare(p *pool) *result.Error {
--- a/internal/fleet/gang.go
+++ b/internal/fleet/gang.go
@@ -48,20 +48,32 @@
 	f.lapseGangs(now)
 	key := gangKey{req.Home.Partition, req.Shape.Job}
 	g := f.gangs[key]
+	if g != nil && req.Try < g.req.Try {
+		return taskmsg.GangHeld{} // came late
+	}
+	if g != nil && req.Try > g.req.Try {
+		f.releaseGang(key)
+		g = nil
+	}
 	if g == nil {
 		g = &gang{held: map[worker.Attempt]*heldSlot{}}
 		f.gangs[key] = g
 	}
 	g.req = req
 	g.expires = now.Add(min(time.Duration(req.HoldMS)*time.Millisecond, maxGangHold))
-	refusal := f.reserveGang(g, now)
+	var refusal *taskmsg.Refusal
+	if req.Gather || !f.gathering(key) {
+		refusal = f.reserveGang(g, now)
+	} else {
+		refusal = f.refuseForGang()
+	}
 	reply := taskmsg.GangHeld{Refusal: refusal}
 	for _, s := range req.Slots {
 		if _, ok := g.held[attemptOf(&req.Shape, s)]; ok {
 			reply.Held = append(reply.Held, s)
 		}
 	}
-	if len(g.held) == 0 {
+	if len(g.held) == 0 && !req.Gather {
 		delete(f.gangs, key)
 	}
 	return reply
@@ -113,6 +125,9 @@
 	f.lapseGangs(now)
 	key := gangKey{req.Home.Partition, req.Job}
 	g := f.gangs[key]
+	if g != nil && g.req.Try != req.Try {
+		return nil, result.New(result.GangUnknown, result.RanNo, "job %s: room is held for try %d, not %d", req.Job, g.req.Try, req.Try)
+	}
 	if !req.Start {
 		f.releaseGang(key)
 		return newBatch(0), nil
@@ -121,6 +136,10 @@
 		return f.startedGang(key)
 	}
 	delete(f.gangs, key)
+	if f.anyTombstone(g) {
+		f.unreserveGang(g)
+		return nil, result.New(result.GangUnknown, result.RanNo, "job %s: a task of it was stopped before its start", req.Job)
+	}
 	if name := g.broken(f); name != "" {
 		f.unreserveGang(g)
 		return nil, result.New(result.GangUnknown, result.RanNo, "job %s: worker %s is not ready any more", req.Job, name)
--- a/internal/job/place.go
+++ b/internal/job/place.go
@@ -2,168 +2,63 @@
 
 import (
 	"context"
-	"sort"
+	"maps"
 	"time"
 
 	"pulleyquay/internal/peer"
 	"pulleyquay/internal/result"
 	"pulleyquay/internal/settings"
-	"pulleyquay/internal/spec"
 	"pulleyquay/internal/taskmsg"
-	"pulleyquay/internal/view"
 )
 
 // Limits of asking holders to start tasks.
 const (
-	maxBatch       = 256 // slots in one message
-	maxCalls       = 4   // calls under way to one holder
-	placeTimeout   = 5 * time.Second
+	maxBatch       = 256             // slots in one message
+	maxCalls       = 4               // calls under way to one holder
+	placeTimeout   = 8 * time.Second // longer than a holder's preemption takes
 	refusedPause   = 200 * time.Millisecond
 	refusedLongest = 3 * time.Second
 	probeInterval  = time.Second
 )
 
-// planStarts decides what to start where and sends it off.
-func (h *home) planStarts(table *view.Table, now time.Time) {
-	queue := h.startable(now)
-	if len(queue) == 0 || table == nil {
-		return
-	}
-	holders := holdersOf(table, h.m.cfg.Digests())
-	for _, j := range queue {
-		values, ok := h.m.cfg.Values(j.rec.Job.Branch)
-		if !ok {
-			j.log.add(now, "waiting", "the settings have no branch "+j.rec.Job.Branch+" any more")
-			continue
-		}
-		if j.rec.Job.Kind == spec.KindGang {
-			h.planGang(j, values, holders, now)
-			continue
-		}
-		h.planJob(j, values, holders, now)
-	}
-}
-
-// startable returns the jobs with tasks to start, most urgent first.
-func (h *home) startable(now time.Time) []*job {
-	var queue []*job
-	for _, j := range h.live {
-		if !j.certain || j.ending() || h.recovering(j) {
-			continue
-		}
-		j.promote(now)
-		if len(j.ready) > 0 {
-			queue = append(queue, j)
-		}
-	}
-	sort.Slice(queue, func(a, b int) bool { return before(queue[a].rec, queue[b].rec) })
-	return queue
-}
-
-// before orders jobs: urgent ones, then the earliest submitted.
-func before(a, b *record) bool {
-	if a.Job.Urgent != b.Job.Urgent {
-		return a.Job.Urgent
-	}
-	if a.Submitted != b.Submitted {
-		return a.Submitted < b.Submitted
-	}
-	return a.Job.ID < b.Job.ID
-}
-
-// planJob starts as many tasks of a job as quota and holders seem to allow.
-func (h *home) planJob(j *job, values settings.Values, holders []holder, now time.Time) {
-	n := min(len(j.ready), h.quotaRoom(j, values.Quota))
-	if n == 0 {
-		j.log.add(now, "waiting", "the quota of team "+j.rec.Job.Team+" is used up")
-		return
-	}
-	shares := h.shares(j, holders, now)
-	if len(shares) == 0 {
-		j.log.add(now, "waiting", "no holder has room")
-		return
-	}
-	divide(n, shares, values.Placement.Policy)
-	for _, s := range shares {
-		if s.n > 0 {
-			h.order(j, values, s, now)
-		}
-	}
-}
-
-// quotaRoom returns how many more tasks of a job its team's quota allows.
-func (h *home) quotaRoom(j *job, q settings.Quota) int {
-	use := h.team(j.rec.Job.Team).use
-	left := func(limit, used int64) int64 {
-		if limit < 0 {
-			return 1 << 50
-		}
-		return limit - used
-	}
-	return int(times(j.size, spec.Resources{
-		MilliCPU:     left(q.MilliCPU, use.MilliCPU),
-		MemoryMiB:    left(q.MemoryMiB, use.MemoryMiB),
-		Accelerators: left(q.Accelerators, use.Accelerators),
-	}))
-}
-
-// shares returns the holders that may be asked now. When none seems to have
-// room, one is asked for one task now and then, as digests are only hints.
-func (h *home) shares(j *job, holders []holder, now time.Time) []share {
-	var out []share
-	var probe *share
-	for _, at := range holders {
-		if h.busy[at.addr] >= maxCalls || j.memory(at.member).until.After(now) {
-			continue
-		}
-		n, ever := h.room(j.rec.Job.Task, at, now)
-		if n > 0 {
-			out = append(out, share{holder: at, room: min(n, maxBatch)})
-		} else if ever && probe == nil {
-			probe = &share{holder: at, room: 1}
-		}
-	}
-	if len(out) > 0 || probe == nil {
-		return out
-	}
-	if !j.rec.Job.Urgent && now.Before(h.probeAt) {
-		return nil
-	}
-	h.probeAt = now.Add(probeInterval)
-	return []share{*probe}
-}
-
 // order takes tasks from the ready ones and asks a holder to start them.
-func (h *home) order(j *job, values settings.Values, s share, now time.Time) {
+func (h *home) order(j *job, values settings.Values, s share, preempt bool, now time.Time) {
 	n := min(s.n, len(j.ready))
+	size := j.rec.Job.Task.Size
+	if n == 0 || h.ledger.Reserve(j.rec.Job.Team, j.accountOf(j.rec.TaskGeneration), values.Quota, size, n) != nil {
+		return
+	}
 	slots := make([]taskmsg.Slot, 0, n)
 	for _, index := range j.ready[:n] {
-		slots = append(slots, taskmsg.Slot{Index: index, Attempt: h.reserve(j, index)})
+		slots = append(slots, h.reserve(j, index))
 	}
 	j.ready = j.ready[n:]
 	a := h.askedOf(s.holder, now)
-	a.asked = a.asked.Add(j.size.Times(int64(n)))
+	a.asked = a.asked.Add(size.Times(int64(n)))
 	h.busy[s.addr]++
+	j.log.add(now, "asked", "holder "+s.member+", policy "+values.Placement.Policy+why(preempt))
 	h.m.metrics.ordered.Add(float64(n))
-	req := taskmsg.PlaceRequest{
-		Home: h.self(), Shape: h.shape(j, values), Slots: slots,
-		Preempt: j.rec.Job.Urgent && j.memory(s.member).pause > 0,
-	}
+	req := taskmsg.PlaceRequest{Home: h.self(), Shape: h.shape(j, values), Slots: slots, Preempt: preempt}
 	h.work.Go(func() { h.place(j, s.holder, req) })
 }
 
+// why adds to the record that an order may stop less urgent work.
+func why(preempt bool) string {
+	if preempt {
+		return ", to make room by preemption as no holder has any"
+	}
+	return ""
+}
+
 // shape describes a job's tasks to holders.
 func (h *home) shape(j *job, values settings.Values) taskmsg.Shape {
-	zones := make(map[string]int, len(j.zones))
-	for z, n := range j.zones {
-		zones[z] = n
-	}
 	return taskmsg.Shape{
 		Job: j.id(), Kind: j.rec.Job.Kind, Urgent: j.rec.Job.Urgent, Task: j.rec.Job.Task,
-		Avoid: append([]string(nil), j.avoid...), Zones: zones,
+		Avoid: h.health.Avoid(j.id()), Zones: maps.Clone(j.zones),
 		Policy: taskmsg.Policy{
 			Name: values.Placement.Policy, SpreadZones: values.Placement.SpreadZones,
-			SpreadRacks: values.Placement.SpreadRacks, LeaseMS: values.Task.LeaseMS, Priority: values.Task.Priority,
+			SpreadRacks: values.Placement.SpreadRacks,
+			Priority:    values.Task.Priority, MinReplicas: values.Task.MinReplicas,
 		},
 	}
 }
--- a/internal/job/submit.go
+++ b/internal/job/submit.go
@@ -21,6 +21,10 @@
 	submitTimeout = 5 * time.Second
 )
 
+// storeAwayAfter is the age of the last contact with the store from which a new
+// job is refused unwritten: renewals come several times as often.
+const storeAwayAfter = 2 * time.Second
+
 // maxLiveJobs bounds the live jobs of one home.
 const maxLiveJobs = 20000
 
@@ -75,11 +79,14 @@
 		return nil, false, result.New(result.JobHomeRecovering, result.RanNo, "the home of team %s is %s", s.Team, phaseNames[h.phase]).Later(retryLoading)
 	}
 	if j := h.jobs[s.ID]; j != nil {
-		if !sameSpec(j.rec.Job, s) {
+		if j.rec.Submission != fingerprint(s) {
 			return nil, false, result.New(result.JobIDReused, result.RanNo, "job %s was submitted before with another specification", s.ID).At("id")
 		}
 		return j, false, nil
 	}
+	if err := h.m.storeAway(); err != nil {
+		return nil, false, err
+	}
 	if err := validate(s, now); err != nil {
 		return nil, false, err
 	}
@@ -95,14 +102,23 @@
 	if len(h.live) >= maxLiveJobs {
 		return nil, false, result.New(result.JobTooMany, result.RanNo, "the home of team %s holds %d jobs", s.Team, len(h.live)).Later(retryTooMany)
 	}
-	j = newJob(&record{Job: s, Submitted: now.UnixMilli(), State: jobmsg.StateWaiting, Origin: h.epoch})
+	j = newJob(&record{Job: s, Submitted: now.UnixMilli(), State: jobmsg.StateWaiting, Origin: h.epoch, Generation: 1, TaskGeneration: 1, Submission: fingerprint(s)})
 	j.answered = make(chan struct{})
-	j.enlist()
 	h.add(j)
+	h.enlist(j)
 	j.version++
 	return j, true, nil
 }
 
+// storeAway refuses what needs the store while it is known to be away. A write
+// sent all the same would leave its outcome open.
+func (m *Manager) storeAway() error {
+	if m.cfg.StoreAge == nil || m.cfg.StoreAge() <= storeAwayAfter {
+		return nil
+	}
+	return result.New(result.JobNotRecorded, result.RanNo, "the platform's store has not answered for %s", m.cfg.StoreAge().Round(time.Second)).Later(retryStore)
+}
+
 // firstWrite records a new job and lets its submitters know.
 func (h *home) firstWrite(j *job) {
 	h.mu.Lock()
@@ -161,7 +177,9 @@
 	delete(h.jobs, j.id())
 	delete(h.live, j.id())
 	delete(h.changed, j.id())
-	h.team(j.rec.Job.Team).jobs--
+	delete(h.waiting, j.id())
+	delete(h.attention, j.id())
+	h.queue.Remove(j.id())
 }
 
 // answer tells a submitter what became of the job.
