Settings: no lease term per branch

Cause: a worker's lease renewal is one value a message and the term one a cell, so that task.lease_ms was a setting which nobody could honour.

Measured: tests of settings, operatorapi, ctl, result, job pass.

--- a/internal/settings/values.go
+++ b/internal/settings/values.go
@@ -59,7 +59,6 @@
 // Task governs the tasks of a branch's jobs.
 type Task struct {
 	MaxAttempts int64 `json:"max_attempts" validate:"min=1,max=100"`
-	LeaseMS     int64 `json:"lease_ms" validate:"min=1000,max=600000"`
 	// Priority: higher is more urgent; preemption only takes lower ones.
 	Priority    int64 `json:"priority" validate:"min=-1000,max=1000"`
 	MinReplicas int64 `json:"min_replicas" validate:"min=0,max=100000"`
@@ -86,6 +85,6 @@
 		Executor:  Executor{Slots: 8, Connections: 64},
 		Placement: Placement{Policy: PolicyWaiting, SpreadZones: true},
 		Quota:     Quota{MilliCPU: -1, MemoryMiB: -1, Accelerators: -1},
-		Task:      Task{MaxAttempts: 5, LeaseMS: 15000, MinReplicas: 1, Surge: 1, GangLoss: GangRestart},
+		Task:      Task{MaxAttempts: 5, MinReplicas: 1, Surge: 1, GangLoss: GangRestart},
 	}
 }
