--- a/internal/job/plan.go
+++ b/internal/job/plan.go
@@ -11,7 +11,7 @@
 
 // roundShare bounds the part of the time that ordering the waiting jobs may
 // take: after a round, the next one waits so many times as long as it took.
-const roundShare = 20
+const roundShare = 50
 
 // roundPauseMost bounds the wait between two rounds.
 const roundPauseMost = 2 * time.Second
