pulleyctl job change; a repeated change gets the same answer

Cause: services could be changed over HTTP only, and a repeated change with the generation that it started from was refused as already changed. Change: the specification in force is compared before the generation.

--- a/internal/ctl/jobs.go
+++ b/internal/ctl/jobs.go
@@ -45,13 +45,13 @@
 
 func (a *app) jobCommand() *cobra.Command {
 	cmd := &cobra.Command{
-		Use: "job", Short: "Submit, show and cancel jobs", Args: cobra.NoArgs,
+		Use: "job", Short: "Submit, show, change and cancel jobs", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 	}
 	cmd.AddCommand(a.jobSubmit(), a.jobList(),
 		a.jobByID("get", "Show a job", http.MethodGet, "", "", jobColumns...),
 		a.jobByID("cancel", "Cancel a job; repeating it is harmless", http.MethodDelete, "", "", jobColumns...),
-		a.jobExplain())
+		a.jobChange(), a.jobExplain())
 	return cmd
 }
 
--- a/internal/job/service_test.go
+++ b/internal/job/service_test.go
@@ -125,6 +125,9 @@
 				s, err := a.update(next, 1)
 				c.is.NoErr(err)
 				c.is.Equal(s.Generation, 2)
+				s, err = a.update(next, 1) // repeated
+				c.is.NoErr(err)
+				c.is.Equal(s.Generation, 2)
 				for range 400 {
 					n := c.judge.Record(time.Now(), false).Running
 					if n > tt.most || n < tt.least {
--- a/internal/job/update.go
+++ b/internal/job/update.go
@@ -57,7 +57,10 @@
 		return nil, nil, err
 	}
 	if sameSpec(j.rec.Job, req.Job) {
-		return nil, nil, nil
+		return nil, nil, nil // also the answer to a repeated change
+	}
+	if req.Generation != 0 && req.Generation != j.rec.Generation {
+		return nil, nil, result.New(result.JobChanged, result.RanNo, "the job is at generation %d, not %d", j.rec.Generation, req.Generation).At("generation")
 	}
 	if !known {
 		return nil, nil, result.New(result.JobBranchUnknown, result.RanNo, "no branch %q in the settings", req.Job.Branch).At("branch")
@@ -94,8 +97,6 @@
 		return invalid("kind", "only a service can be changed")
 	case s.Kind != old.Kind || s.Team != old.Team:
 		return invalid("team", "kind and team stay as they are")
-	case req.Generation != 0 && req.Generation != j.rec.Generation:
-		return result.New(result.JobChanged, result.RanNo, "the job is at generation %d, not %d", j.rec.Generation, req.Generation).At("generation")
 	}
 	return validateSpec(s, now)
 }
