--- a/internal/fleet/loss.go
+++ b/internal/fleet/loss.go
@@ -18,7 +18,13 @@
 
 // noteStore follows whether the store has been reached without a break.
 func (f *Fleet) noteStore(now time.Time) {
-	if f.storeSince.IsZero() || f.cfg.StoreAge != nil && f.cfg.StoreAge() > storeFresh {
+	var age time.Duration
+	if f.cfg.StoreAge != nil {
+		age = f.cfg.StoreAge() // before the mutex: it may have one of its own
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.storeSince.IsZero() || age > storeFresh {
 		f.storeSince = now
 	}
 }
@@ -35,6 +41,7 @@
 // is asked for after the time has passed: while it is held no other holder can
 // have renewed them.
 func (f *Fleet) declareLost(now time.Time) {
+	f.noteStore(now)
 	for _, p := range f.lossDue(now) {
 		grant, err := f.cfg.Right.Check(p.id)
 		if err != nil || grant.Epoch != p.epoch {
@@ -48,7 +55,6 @@
 func (f *Fleet) lossDue(now time.Time) []*part {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.noteStore(now)
 	if !f.mayDeclare(now) {
 		return nil
 	}
