--- a/cmd/pulley-placer/placer.go
+++ b/cmd/pulley-placer/placer.go
@@ -17,7 +17,9 @@
 	"pulleyquay/internal/peer"
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/platform/budget"
+	"pulleyquay/internal/platform/confirm"
 	"pulleyquay/internal/platform/etcdhttp"
+	"pulleyquay/internal/platform/groupcommit"
 	"pulleyquay/internal/platform/hostcache"
 	"pulleyquay/internal/platform/hosthttp"
 	"pulleyquay/internal/request"
@@ -42,6 +44,7 @@
 	mux   *peer.Mux
 	node  *peer.Node
 	store platform.Store
+	calls *budget.Store // what store's calls go through, for the dump
 	hosts *hostcache.Cache
 
 	settings *settings.Keeper
@@ -81,7 +84,15 @@
 	limits := budget.DefaultLimits()
 	limits.ReadsPerSecond = p.conf.Store.ReadsPerSecond
 	limits.WritesPerSecond = p.conf.Store.WritesPerSecond
-	p.store, err = budget.New(client, budget.Options{Limits: limits, Registry: p.daemon.Reg})
+	p.calls, err = budget.New(client, budget.Options{Limits: limits, Registry: p.daemon.Reg})
+	if err != nil {
+		return err
+	}
+	confirmed, err := confirm.New(p.calls, confirm.Options{Registry: p.daemon.Reg})
+	if err != nil {
+		return err
+	}
+	p.store, err = groupcommit.New(confirmed, groupcommit.Options{Registry: p.daemon.Reg})
 	return err
 }
 
@@ -121,7 +132,7 @@
 	p.jobs = job.New(job.Config{
 		Source: source{p}, Right: p.keeper, Store: p.store, Peers: p.node,
 		PartitionKey: hold.PartitionKey, Values: p.branchValues, Digests: p.digests,
-		Registerer: reg, Log: p.log,
+		StoreAge: p.keeper.StoreAge, Registerer: reg, Log: p.log,
 	})
 	p.fleet = fleet.New(fleet.Config{
 		Name: p.conf.Name, Partitions: p.conf.Holding.Partitions, Lease: p.conf.Holding.TaskLease.Std(),
@@ -151,7 +162,7 @@
 // observe connects the parts to the dump and to readiness.
 func (p *placer) observe() {
 	for name, dump := range map[string]func() any{
-		"peers": p.node.Dump, "holding": p.keeper.Dump, "workers": p.fleet.Dump, "jobs": p.jobs.Dump,
+		"peers": p.node.Dump, "store": p.calls.Dump, "holding": p.keeper.Dump, "workers": p.fleet.Dump, "jobs": p.jobs.Dump,
 	} {
 		p.daemon.AddDump(name, dump)
 	}
--- a/internal/right/right.go
+++ b/internal/right/right.go
@@ -5,9 +5,9 @@
 // sent. When the store is not reached it acts under promises: a majority of
 // its electorate has promised, for a bounded time, not to let anybody take its
 // partitions. A claimant first asks the same electorate to fence the dead
-// member; a voter answers only when its promise has run out, and never
-// promises to that session again. A fence takes as many voters as share one with
-// every majority, so it is complete only after the right it ends has run out.
+// member; a voter's answer counts only when its promise has run out, and it
+// never promises to that session again. The fence is complete when the voters
+// that are left are no majority, so only after the right it ends has run out.
 // docs/HOLDING.md has the proof.
 package right
 
@@ -60,6 +60,10 @@
 	return d + d*time.Duration(t.Margin)/1000
 }
 
+// minVoters is the smallest electorate whose promises count. A smaller one gives
+// no right beyond the store lease, and its fence is complete at once.
+const minVoters = 2
+
 func majority(n int) int { return n/2 + 1 }
 
 // blocking is the smallest number of voters that shares one with every
