--- a/cmd/pulley-placer/placer.go
+++ b/cmd/pulley-placer/placer.go
@@ -137,7 +137,7 @@
 	p.fleet = fleet.New(fleet.Config{
 		Name: p.conf.Name, Partitions: p.conf.Holding.Partitions, Lease: p.conf.Holding.TaskLease.Std(),
 		Hosts: p.hosts.Hosts, Right: p.keeper, Client: workerhttp.NewClient(httponce.Options{}),
-		Peers: p.node, View: source{p}, Covers: p.keeper, StoreAge: p.keeper.StoreAge,
+		Peers: p.node, View: source{p}, Covers: p.keeper, StoreUp: p.keeper.StoreUp,
 		Registerer: reg, Log: p.log,
 	})
 	p.keeper.SetDeputy(p.fleet)
--- a/internal/fleet/driver_test.go
+++ b/internal/fleet/driver_test.go
@@ -344,7 +344,7 @@
 	epoch    uint64
 	holder   *member
 	old      []*member
-	downAt   atomic.Int64 // since when the store is down, zero when it is up
+	down     atomic.Bool // the store
 	breaches []string
 }
 
@@ -365,7 +365,7 @@
 	g := &gate{spoil: tr.fault.spoil}
 	name := fmt.Sprintf("m%d", tr.members)
 	m := tr.b.member(name, func(c *Config) {
-		g.Client, c.Client, c.StoreAge = c.Client, g, tr.storeAge
+		g.Client, c.Client, c.StoreUp = c.Client, g, func() bool { return !tr.down.Load() }
 		if tr.fault.config != nil {
 			tr.fault.config(c)
 		}
@@ -419,9 +419,9 @@
 	old.gate.resume()
 	old.stop()
 	if outage > 0 {
-		tr.storeDown(true)
+		tr.down.Store(true)
 		until = tr.deputy(old, outage).revoke()
-		tr.storeDown(false)
+		tr.down.Store(false)
 	}
 	if wait := time.Until(until); wait > 0 {
 		time.Sleep(wait + time.Millisecond)
@@ -429,30 +429,13 @@
 	tr.join(nil)
 }
 
-// storeDown begins or ends an outage of the store.
-func (tr *trial) storeDown(down bool) {
-	if down {
-		tr.downAt.CompareAndSwap(0, time.Now().UnixNano())
-	} else {
-		tr.downAt.Store(0)
-	}
-}
-
-func (tr *trial) storeAge() time.Duration {
-	at := tr.downAt.Load()
-	if at == 0 {
-		return 0
-	}
-	return time.Duration(time.Now().UnixNano() - at)
-}
-
 // deputyOfLive lets a deputy renew in an outage for a holder that lives and
 // holds its right, but is not heard by the deputy.
 func (tr *trial) deputyOfLive() {
-	tr.storeDown(true)
-	time.Sleep(2 * storeFresh)
+	tr.down.Store(true)
+	time.Sleep(2 * outageMin)
 	cover := tr.deputy(tr.holder, 20*time.Second)
-	tr.storeDown(false)
+	tr.down.Store(false)
 	time.Sleep(coverTerm / 4)
 	cover.revoke()
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -57,10 +57,11 @@
 	// Covers is the right to renew for dead holders; nil when this process is
 	// never a deputy.
 	Covers CoverRight
-	// StoreAge returns how long ago this process last reached the store; nil
-	// when there are no deputies in the cell. While the store is away a deputy
-	// that does not hear this process may be renewing leases in its name.
-	StoreAge   func() time.Duration
+	// StoreUp reports whether a majority of the members reaches the store, as
+	// far as this process has heard; nil when there are no deputies in the
+	// cell. While it does not, a deputy that does not hear this process may be
+	// renewing leases in its name.
+	StoreUp    func() bool
 	Registerer prometheus.Registerer
 	Log        *logrus.Entry
 }
@@ -101,8 +102,9 @@
 	scarceUntil time.Time
 	covers      map[int]view.Partition
 	covered     map[string]*covered
-	// storeSince is since when the store has been reached without a break.
-	storeSince time.Time
+	// storeSince is since when the store has been reached without a break of
+	// outageMin; storeDown since when it has not been, zero while it is.
+	storeSince, storeDown time.Time
 }
 
 var _ hold.Resident = (*Fleet)(nil)
--- a/internal/fleet/loss.go
+++ b/internal/fleet/loss.go
@@ -9,22 +9,25 @@
 )
 
 const (
-	// storeFresh is how long the store may be out of reach without counting as
-	// an outage in which deputies could act.
-	storeFresh = 3 * time.Second
+	// outageMin is how long the store is out of reach before it counts as an
+	// outage in which deputies act.
+	outageMin = 2 * time.Second
 	// coverTerm bounds how long a deputy's right outlives the store's return.
 	coverTerm = 10 * time.Second
 )
 
 // noteStore follows whether the store has been reached without a break.
 func (f *Fleet) noteStore(now time.Time) {
-	var age time.Duration
-	if f.cfg.StoreAge != nil {
-		age = f.cfg.StoreAge() // before the mutex: it may have one of its own
-	}
+	up := f.cfg.StoreUp == nil || f.cfg.StoreUp() // before the mutex: it may have its own
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.storeSince.IsZero() || age > storeFresh {
+	switch {
+	case up:
+		f.storeDown = time.Time{}
+	case f.storeDown.IsZero():
+		f.storeDown = now
+	}
+	if f.storeSince.IsZero() || !up && now.Sub(f.storeDown) >= outageMin {
 		f.storeSince = now
 	}
 }
@@ -33,7 +36,7 @@
 // process's name lately: the store has been there for as long as a deputy's
 // last renewal can be in force.
 func (f *Fleet) mayDeclare(now time.Time) bool {
-	return f.cfg.StoreAge == nil || now.Sub(f.storeSince) > f.times.leaseBound()+coverTerm
+	return f.cfg.StoreUp == nil || now.Sub(f.storeSince) > f.times.leaseBound()+coverTerm
 }
 
 // declareLost ends the runs whose leases are certainly over: all those of
--- a/internal/fleet/machine_test.go
+++ b/internal/fleet/machine_test.go
@@ -208,7 +208,7 @@
 	"orders without a real expiry": {spoil: func(o *worker.Order) { o.Expires += 3_600_000 }},
 	"leases not waited out":        {fleet: func(f *Fleet) { f.times.margin = -f.times.lease }},
 	"right not checked":            {eternal: true},
-	"losses declared in an outage": {config: func(c *Config) { c.StoreAge = nil }},
+	"losses declared in an outage": {config: func(c *Config) { c.StoreUp = nil }},
 }
 
 // TestPlantedFaultsAreCaught: each mistake shows in the fault table or in a
--- a/internal/fleet/policy_test.go
+++ b/internal/fleet/policy_test.go
@@ -197,16 +197,8 @@
 // not hear the holder may be renewing in its name.
 func TestNoLossIsDeclaredInAnOutage(t *testing.T) {
 	bubble(t, 1, func(b *bench) {
-		down := time.Now()
 		var up atomic.Bool
-		m := b.member("a", func(c *Config) {
-			c.StoreAge = func() time.Duration {
-				if up.Load() {
-					return 0
-				}
-				return time.Since(down)
-			}
-		})
+		m := b.member("a", func(c *Config) { c.StoreUp = up.Load })
 		defer m.stop()
 		m.take(1, nil)
 		synctest.Wait()
--- a/internal/hold/report.go
+++ b/internal/hold/report.go
@@ -22,6 +22,14 @@
 	return applied
 }
 
+// StoreUp reports whether a majority of the members reaches the store, as far
+// as this process has heard.
+func (k *Keeper) StoreUp() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.storeUp()
+}
+
 // StoreAge returns how long ago the last successful renewal was sent to the
 // store, or how long this process has run when there was none.
 func (k *Keeper) StoreAge() time.Duration {
