--- /dev/null
+++ b/internal/dispatch/queue/queue_test.go
@@ -0,0 +1,134 @@
+package queue
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Unix(0, 0)
+
+// fill pushes items named after their caller, with deadlines in seconds.
+func fill(q *Queue[string], callers ...string) {
+	for i, c := range callers {
+		q.Push(&Item[string]{Caller: c, Value: c, Deadline: epoch.Add(time.Duration(100-i) * time.Second)})
+	}
+}
+
+// drain pops everything and returns the values.
+func drain(q *Queue[string]) []string {
+	var out []string
+	for {
+		it, _ := q.Pop(epoch)
+		if it == nil {
+			return out
+		}
+		out = append(out, it.Value)
+	}
+}
+
+func TestOrder(t *testing.T) {
+	cases := []struct {
+		name  string
+		order Discipline
+		limit int
+		want  []string
+	}{
+		{"FIFO", FIFO, 10, []string{"0", "1", "2", "3"}},
+		{"EDF", EDF, 10, []string{"3", "2", "1", "0"}}, // later ones have earlier deadlines
+		{"adaptive LIFO, calm", AdaptiveLIFO, 10, []string{"0", "1", "2", "3"}},
+		{"adaptive LIFO, overload", AdaptiveLIFO, 4, []string{"3", "2", "0", "1"}}, // until half full
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			q := New[string](tc.limit, tc.order)
+			for i := range 4 {
+				q.Push(&Item[string]{Caller: "crew", Value: string(rune('0' + i)), Deadline: epoch.Add(time.Duration(9-i) * time.Second)})
+			}
+			is.New(t).Equal(drain(q), tc.want)
+		})
+	}
+}
+
+func TestCallersTakeTurns(t *testing.T) {
+	q := New[string](10, FIFO)
+	fill(q, "a", "a", "a", "b", "c")
+	is.New(t).Equal(drain(q), []string{"a", "b", "c", "a", "a"})
+}
+
+func TestFullQueueIsShared(t *testing.T) {
+	is := is.New(t)
+	q := New[string](4, FIFO)
+	fill(q, "a", "a", "a", "a")
+	verdict, displaced := q.Push(&Item[string]{Caller: "a"})
+	is.Equal(verdict, Full)
+	is.Equal(displaced, nil)
+	verdict, displaced = q.Push(&Item[string]{Caller: "b", Value: "b", Deadline: epoch.Add(time.Second)})
+	is.Equal(verdict, Accepted)
+	is.Equal(displaced.Value, "a")
+	is.True(!displaced.Queued())
+	verdict, _ = q.Push(&Item[string]{Caller: "a"})
+	is.Equal(verdict, OverShare)
+	is.Equal(q.Len(), 4)
+}
+
+func TestLateItemsAreGivenBack(t *testing.T) {
+	is := is.New(t)
+	q := New[string](10, FIFO)
+	q.Push(&Item[string]{Caller: "a", Value: "late", Deadline: epoch})
+	q.Push(&Item[string]{Caller: "a", Value: "in time", Deadline: epoch.Add(time.Second)})
+	it, late := q.Pop(epoch)
+	is.Equal(it.Value, "in time")
+	is.Equal(len(late), 1)
+}
+
+// Whatever is pushed, popped and removed, each item leaves once, and the
+// expected number ahead is what FIFO then serves first.
+func TestQueueKeepsCount(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := New[string](rapid.IntRange(1, 20).Draw(t, "limit"), Discipline(rapid.IntRange(0, 2).Draw(t, "order")))
+		in := map[*Item[string]]bool{}
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			caller := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "caller")
+			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0:
+				it := &Item[string]{Caller: caller, Deadline: epoch.Add(time.Duration(rapid.IntRange(-1, 3).Draw(t, "deadline")) * time.Second)}
+				verdict, displaced := q.Push(it)
+				delete(in, displaced)
+				if verdict == Accepted {
+					in[it] = true
+				}
+			case 1:
+				it, late := q.Pop(epoch)
+				for _, gone := range append(late, it) {
+					if gone != nil && !in[gone] {
+						t.Fatal("popped twice")
+					}
+					delete(in, gone)
+				}
+			case 2:
+				for it := range in {
+					if !q.Remove(it) || q.Remove(it) {
+						t.Fatal("removed not once")
+					}
+					delete(in, it)
+					break
+				}
+			}
+			if q.Len() != len(in) {
+				t.Fatalf("length %d, expected %d", q.Len(), len(in))
+			}
+		}
+	})
+}
+
+func TestAheadCountsTurns(t *testing.T) {
+	is := is.New(t)
+	q := New[string](20, FIFO)
+	fill(q, "a", "a", "a", "a", "b", "b", "c")
+	is.Equal(q.Ahead("new"), 3) // one of each
+	is.Equal(q.Ahead("c"), 5)   // its one, two of a and b
+	is.Equal(q.Ahead("a"), 7)
+}
--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,197 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"strings"
+	"testing"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"pulleyquay/internal/executor"
+	"pulleyquay/internal/peer"
+	"pulleyquay/internal/problem"
+	"pulleyquay/internal/requestmsg"
+	"pulleyquay/internal/result"
+	"pulleyquay/internal/settings"
+	"pulleyquay/internal/view"
+)
+
+func TestSplitPath(t *testing.T) {
+	cases := []struct {
+		url, service, path string
+		ok                 bool
+	}{
+		{"/v1/services/ledger/a/b?c=d", "ledger", "/a/b?c=d", true},
+		{"/v1/services/lakeshore.ledger", "lakeshore.ledger", "/", true},
+		{"/v1/services/ledger/a%2Fb%20c", "ledger", "/a%2Fb%20c", true},
+		{"/v1/services/", "", "", false},
+		{"/v1/other/ledger", "", "", false},
+	}
+	for _, tc := range cases {
+		u, err := url.Parse(tc.url)
+		if err != nil {
+			t.Fatal(err)
+		}
+		service, path, ok := splitPath(u)
+		is.New(t).Equal([]any{service, path, ok}, []any{tc.service, tc.path, tc.ok})
+	}
+}
+
+func TestCallerOf(t *testing.T) {
+	cases := []struct {
+		name   string
+		header http.Header
+		want   string
+	}{
+		{"own word", http.Header{"Caller-Id": {"crew-7"}, "X-Forwarded-For": {"9.9.9.9"}}, "crew-7"},
+		{"as the balancer saw it", http.Header{"X-Forwarded-For": {"1.1.1.1, 2.2.2.2"}}, "2.2.2.2"},
+		{"connection", nil, "192.0.2.1"},
+	}
+	for _, tc := range cases {
+		r := httptest.NewRequest(http.MethodGet, "/", nil)
+		r.Header = tc.header
+		is.New(t).Equal(callerOf(r), tc.want)
+	}
+}
+
+func TestEndToEndHeaders(t *testing.T) {
+	is := is.New(t)
+	in := http.Header{"Connection": {"close, X-Hop"}, "X-Hop": {"1"}, "Te": {"trailers"}, "X-Many": {"a", "b"}, "Etag": {`"e"`}}
+	is.Equal(endToEnd(in), http.Header{"X-Many": {"a", "b"}, "Etag": {`"e"`}})
+	is.Equal(len(in), 5) // not changed
+}
+
+// fixed is a cell of placers that each answer in a set way.
+type fixed struct {
+	fail  map[string]*result.Error
+	asked []string
+	last  requestmsg.Serve
+	hold  chan struct{} // when set, answers wait for it
+}
+
+// Call implements peer.Caller.
+func (f *fixed) Call(_ context.Context, addr string, _ peer.Kind, req, resp any) error {
+	if f.hold != nil {
+		<-f.hold
+		return nil
+	}
+	f.asked = append(f.asked, addr)
+	f.last = req.(requestmsg.Serve)
+	if err := f.fail[addr]; err != nil {
+		return err
+	}
+	*resp.(*executor.Answer) = executor.Answer{Status: http.StatusOK, Header: http.Header{"Content-Length": {"7"}, "X-A": {"1"}}, Body: []byte("answer\n")}
+	return nil
+}
+
+// Table implements view.Source.
+func (f *fixed) Table() *view.Table {
+	return &view.Table{
+		Members:    []view.Member{{Name: "b", Addr: "b", Zone: "other"}, {Name: "own", Addr: "own", Zone: "zone"}, {Name: "old", Addr: "old", Zone: "zone", Leaving: true}},
+		Partitions: []view.Partition{{ID: 0, Holder: "own", Addr: "own"}},
+	}
+}
+
+// Settings implements view.Source.
+func (f *fixed) Settings() *settings.Tree { return nil }
+
+func newTestHandler(f *fixed, limit int) *Handler {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return NewHandler(Config{
+		View: f, Peers: f, Placer: "own", Zone: "zone", MaxInFlight: limit,
+		Settings: func(string) (settings.Values, bool) { return settings.Defaults(), true },
+		Log:      logrus.NewEntry(log), Metrics: prometheus.NewRegistry(),
+	})
+}
+
+func ask(h *Handler, method string, header ...string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(method, Prefix+"ledger/tickets", strings.NewReader("{}"))
+	for i := 0; i < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	return w
+}
+
+func TestWhoIsAskedAndWhatIsSaid(t *testing.T) {
+	unreached := result.New(result.PeerNotReached, result.RanNo, "refused")
+	lost := result.New(result.PeerLost, result.RanUnknown, "cut")
+	moved := result.New(result.HomeMoved, result.RanUnknown, "").Later(homeRetry)
+	key := uuid.Must(uuid.NewV7()).String()
+	cases := []struct {
+		name, method string
+		key          string
+		fail         map[string]*result.Error
+		asked        []string
+		code         result.Code
+		ran          result.Ran
+	}{
+		{"own placer first", "POST", "", nil, []string{"own"}, 0, ""},
+		{"next when not reached", "POST", "", map[string]*result.Error{"own": unreached}, []string{"own", "b"}, 0, ""},
+		{"none reached", "POST", "", map[string]*result.Error{"own": unreached, "b": unreached, "old": unreached}, []string{"own", "b", "old"}, result.HomeNotReached, result.RanNo},
+		{"lost, not idempotent", "POST", "", map[string]*result.Error{"own": lost}, []string{"own"}, result.HomeLost, result.RanUnknown},
+		{"lost, idempotent", "PUT", "", map[string]*result.Error{"own": lost}, []string{"own", "b"}, 0, ""},
+		{"lost, then not reached", "PUT", "", map[string]*result.Error{"own": lost, "b": unreached, "old": unreached}, []string{"own", "b", "old"}, result.HomeNotReached, result.RanUnknown},
+		{"key: not reached may have run before", "POST", key, map[string]*result.Error{"own": unreached}, nil, result.HomeNotReached, result.RanUnknown},
+		{"key: moved", "POST", key, map[string]*result.Error{"own": moved}, nil, result.HomeMoved, result.RanUnknown},
+		{"key: lost", "POST", key, map[string]*result.Error{"own": lost}, nil, result.HomeLost, result.RanUnknown},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			f := &fixed{fail: tc.fail}
+			header := []string{}
+			if tc.key != "" {
+				header = []string{KeyHeader, tc.key}
+			}
+			got := ask(newTestHandler(f, 0), tc.method, header...)
+			if tc.asked != nil {
+				is.Equal(f.asked, tc.asked)
+			}
+			if tc.code == 0 {
+				is.Equal(got.Body.String(), "answer\n")
+				is.Equal(got.Header().Get("X-A"), "1")
+				return
+			}
+			failure := problem.Read(got.Code, got.Body.Bytes())
+			is.Equal(failure.Code, tc.code)
+			is.Equal(failure.Ran, tc.ran)
+			is.True(got.Header().Get("Retry-After") != "")
+		})
+	}
+}
+
+func TestHeadHasLengthAndNoBody(t *testing.T) {
+	is := is.New(t)
+	f := &fixed{}
+	got := ask(newTestHandler(f, 0), http.MethodHead)
+	is.Equal(got.Body.Len(), 0)
+	is.Equal(got.Header().Get("Content-Length"), "7")
+	is.Equal(f.last.Request.Header.Get("Host"), "example.com")
+}
+
+func TestOneServiceLeavesRoomForOthers(t *testing.T) {
+	is := is.New(t)
+	h := newTestHandler(&fixed{}, 8)
+	for range 6 {
+		is.True(h.loads.enter("storm"))
+	}
+	is.True(!h.loads.enter("storm"))
+	is.True(h.loads.enter("ledger"))
+	got := ask(h, http.MethodGet)
+	is.Equal(got.Code, http.StatusOK)
+	is.Equal(h.InFlight(), int64(7))
+	is.True(h.loads.enter("ledger"))
+	failure := problem.Read(ask(h, http.MethodPost).Code, ask(h, http.MethodPost).Body.Bytes())
+	is.Equal(failure.Code, result.EntryFull)
+	is.Equal(failure.Ran, result.RanNo)
+}
--- a/internal/entry/parse.go
+++ b/internal/entry/parse.go
@@ -52,6 +52,7 @@
 		return msg, err
 	}
 	msg.Request = executor.Request{Method: r.Method, Path: path, Header: endToEnd(r.Header), Body: body}
+	msg.Request.Header["Host"] = []string{r.Host} // net/http keeps it apart
 	return msg, nil
 }
 
--- a/internal/request/home.go
+++ b/internal/request/home.go
@@ -171,7 +171,8 @@
 		return
 	}
 	h.kept += size
-	rec.answer = &f.answer
+	answer := f.answer // not a part of the flight, which can then be freed
+	rec.answer = &answer
 }
 
 // keptAnswersLimit bounds the answers kept for retries, in bytes a process.
--- /dev/null
+++ b/internal/request/home_test.go
@@ -0,0 +1,182 @@
+package request
+
+import (
+	"context"
+	"encoding/binary"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"pulleyquay/internal/dispatch"
+	"pulleyquay/internal/executor"
+	"pulleyquay/internal/hold"
+	"pulleyquay/internal/requestmsg"
+	"pulleyquay/internal/requesttest"
+	"pulleyquay/internal/result"
+	"pulleyquay/internal/settings"
+)
+
+// echo answers each request with its body and counts them.
+type echo struct{ count int }
+
+// Do implements Dispatcher.
+func (e *echo) Do(_ context.Context, w dispatch.Work) (executor.Answer, error) {
+	if !w.Begin() {
+		return executor.Answer{}, result.New(result.CallerGone, result.RanNo, "cancelled")
+	}
+	e.count++
+	return executor.Answer{Status: http.StatusOK, Body: w.Request.Body}, nil
+}
+
+// bench is a home with one fresh partition.
+type bench struct {
+	*Home
+	echo   echo
+	values settings.Values
+}
+
+func newBench(t *testing.T, takeover hold.Takeover) *bench {
+	b := &bench{values: settings.Defaults()}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	b.Home = New(Config{
+		Right: &requesttest.Right{}, Dispatcher: &b.echo,
+		Settings: func(string) (settings.Values, bool) { return b.values, true },
+		Log:      logrus.NewEntry(log), Metrics: prometheus.NewRegistry(),
+	})
+	takeover.TakenAt = time.Now()
+	if err := b.Acquire(t.Context(), takeover); err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+// keyAt returns the n-th key minted at a time.
+func keyAt(at time.Time, n byte) uuid.UUID {
+	var id uuid.UUID
+	binary.BigEndian.PutUint64(id[:], uint64(at.UnixMilli())<<16|0x7000)
+	id[8], id[15] = 0x80, n
+	return id
+}
+
+func (b *bench) serve(key uuid.UUID, body string) (string, *result.Error) {
+	answer, err := b.Serve(context.Background(), requestmsg.Serve{
+		Service: "ledger", Key: key, Timeout: time.Second, Request: executor.Request{Method: "POST", Body: []byte(body)},
+	})
+	if err != nil {
+		return "", result.From(err)
+	}
+	return string(answer.Body), nil
+}
+
+func TestKeysAreKeptForTheWindowAndNeverRunAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(t, hold.Takeover{Fresh: true})
+		key := keyAt(time.Now(), 1)
+		_, err := b.serve(key, "x")
+		is.Equal(err, nil)
+		time.Sleep(10*time.Minute - time.Second)
+		body, err := b.serve(key, "x")
+		is.Equal(err, nil)
+		is.Equal(body, "x")
+		for range 100 { // forgotten or not, it is never dispatched again
+			time.Sleep(100 * time.Millisecond)
+			_, err = b.serve(key, "x")
+		}
+		is.Equal(err.Code, result.KeyExpired)
+		is.Equal(err.Ran, result.RanUnknown)
+		is.Equal(b.echo.count, 1)
+	})
+}
+
+func TestLongerWindowDoesNotReviveForgottenKeys(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(t, hold.Takeover{Fresh: true})
+		b.values.Request.KeyWindowMS = 10000
+		key := keyAt(time.Now(), 1)
+		_, err := b.serve(key, "x")
+		is.Equal(err, nil)
+		time.Sleep(20 * time.Second)
+		_, err = b.serve(keyAt(time.Now(), 2), "x") // forgets the first
+		is.Equal(err, nil)
+		b.values.Request.KeyWindowMS = 600000
+		_, err = b.serve(key, "x")
+		is.Equal(err.Code, result.KeyExpired)
+		is.Equal(b.echo.count, 2)
+	})
+}
+
+func TestFullTableRefusesNewKeysAndKeepsOld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(t, hold.Takeover{Fresh: true})
+		b.values.Request.KeyLimit = 3
+		for n := range byte(3) {
+			_, err := b.serve(keyAt(time.Now(), n), "x")
+			is.Equal(err, nil)
+		}
+		_, err := b.serve(keyAt(time.Now(), 3), "x")
+		is.Equal(err.Code, result.KeyTableFull)
+		is.Equal(err.Ran, result.RanNo)
+		is.True(err.RetryAfter > 9*time.Minute) // when the oldest is forgotten
+		body, err := b.serve(keyAt(time.Now(), 0), "x")
+		is.Equal(err, nil)
+		is.Equal(body, "x")
+	})
+}
+
+func TestLargeAnswersAreNotKeptForEver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(t, hold.Takeover{Fresh: true})
+		large := string(make([]byte, 1<<20))
+		for n := range byte(keptAnswersLimit>>20 + 1) {
+			body, err := b.serve(keyAt(time.Now(), n), large)
+			is.Equal(err, nil)
+			is.Equal(len(body), 1<<20)
+		}
+		_, err := b.serve(keyAt(time.Now(), keptAnswersLimit>>20), large)
+		is.Equal(err.Code, result.AnswerNotKept)
+		is.Equal(err.Ran, result.RanYes)
+		time.Sleep(11 * time.Minute)
+		_, err = b.serve(keyAt(time.Now(), 0), "x")
+		is.Equal(err, nil)
+		is.True(b.kept < 1<<20) // the window frees the memory
+	})
+}
+
+func TestUnknownOutcomeOutlivesHandOvers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		old := keyAt(time.Now(), 1)
+		time.Sleep(time.Second)
+		first := newBench(t, hold.Takeover{}) // its holder had died
+		time.Sleep(10 * time.Second)
+		state, err := first.Release(t.Context(), 0)
+		is.NoErr(err)
+		second := newBench(t, hold.Takeover{SignedOff: true, State: state})
+		_, refusal := second.serve(old, "x")
+		is.Equal(refusal.Code, result.KeyOutcomeUnknown)
+		is.Equal(second.echo.count, 0)
+	})
+}
+
+func TestCancelledFlightSendsNothing(t *testing.T) {
+	is := is.New(t)
+	f := &flight{cancel: func() {}, done: make(chan struct{}), waiters: 1}
+	is.True(f.leave())  // the proof that nothing was sent
+	is.True(!f.begin()) // holds
+	is.True(!f.join())
+	f = &flight{cancel: func() {}, done: make(chan struct{}), waiters: 1}
+	is.True(f.begin())
+	is.True(!f.leave()) // too late for a proof
+}
--- a/internal/request/table.go
+++ b/internal/request/table.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -184,15 +183,14 @@
 	return h.Sum64()
 }
 
+// headerOverhead is the memory of one header beside its text, in bytes.
+const headerOverhead = 64
+
 // answerSize is the memory of a kept answer in bytes, roughly.
 func answerSize(a executor.Answer) int64 {
-	return int64(len(a.Body)) + headerSize(a.Header)
-}
-
-func headerSize(header http.Header) int64 {
-	n := 0
-	for name, values := range header {
-		n += len(name)
+	n := len(a.Body)
+	for name, values := range a.Header {
+		n += len(name) + headerOverhead
 		for _, v := range values {
 			n += len(v)
 		}
