Pings only on links that are silent

Cause: at rest a placer spends its time in wake-ups; each link was pinged each second although heartbeats and long polls come in more often. Change: a ping is sent only when nothing came in for a second. Test: TestSilentPeerIsFoundOut, a peer that stops reading, seen failing when the pings are left out (the call then never ends).

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -40,6 +41,9 @@
 	serving map[uint64]context.CancelFunc
 
 	onHello func(Hello)
+
+	// heard is when the last frame came in, in nanoseconds since the epoch.
+	heard atomic.Int64
 }
 
 func newLink(conn *websocket.Conn, mux *Mux, onHello func(Hello)) *link {
@@ -69,6 +73,7 @@
 		if err != nil {
 			return err
 		}
+		l.heard.Store(time.Now().UnixNano())
 		f, err := decodeFrame(data)
 		if err != nil {
 			return err
@@ -223,7 +228,8 @@
 	}
 }
 
-// pingLoop finds a peer that is gone without closing the connection.
+// pingLoop finds a peer that is gone without closing the connection. A link on
+// which frames come in needs no pings.
 func (l *link) pingLoop() {
 	ticker := time.NewTicker(pingInterval)
 	defer ticker.Stop()
@@ -232,6 +238,9 @@
 		case <-l.ctx.Done():
 			return
 		case <-ticker.C:
+			if time.Since(time.Unix(0, l.heard.Load())) < pingInterval {
+				continue
+			}
 			ctx, cancel := context.WithTimeout(l.ctx, pingTimeout)
 			err := l.conn.Ping(ctx)
 			cancel()
--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/coder/websocket"
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
 
@@ -183,3 +185,35 @@
 	err := newClient(t).Call(context.Background(), plain.Listener.Addr().String(), kindEcho, echo{}, &echo{})
 	is.True(errors.Is(err, &result.Error{Code: result.PeerNotReached}))
 }
+
+// TestSilentPeerIsFoundOut cuts a peer off without closing: it stops reading.
+func TestSilentPeerIsFoundOut(t *testing.T) {
+	is := is.New(t)
+	silent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{Subprotocols: []string{Subprotocol}})
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.CloseNow() }()
+		_, data, err := conn.Read(r.Context())
+		if err != nil {
+			return
+		}
+		hello, err := decodeFrame(data)
+		if err != nil {
+			return
+		}
+		answer, err := encodeFrame(frame{ID: hello.ID, Type: frameAnswer, Payload: []byte{0xa0}})
+		if err != nil {
+			return
+		}
+		_ = conn.Write(r.Context(), websocket.MessageBinary, answer)
+		<-r.Context().Done() // never reads again, so no pong goes out
+	}))
+	defer silent.Close()
+	c := newClient(t)
+	start := time.Now()
+	err := result.From(c.Call(context.Background(), silent.Listener.Addr().String(), kindEcho, echo{}, &echo{}))
+	is.Equal(err.Code, result.PeerLost)
+	is.True(time.Since(start) < 2*(pingInterval+pingTimeout))
+}
