--- a/internal/capacity/messages_bench_test.go
+++ b/internal/capacity/messages_bench_test.go
@@ -156,7 +156,7 @@
 			o.Starts = append(o.Starts, start(i))
 			o.Acks = append(o.Acks, attempt(i))
 			r.Results = append(r.Results, worker.StartResult{Started: true})
-			r.Ended = append(r.Ended, ended(i))
+			r.Ended = append(r.Ended, ended(i).Ending())
 		}
 		measure(b, fmt.Sprint("start-and-ack/", n), workerCodec, o)
 		measure(b, fmt.Sprint("start-and-ended-reply/", n), workerCodec, r)
--- a/internal/fleet/bench_test.go
+++ b/internal/fleet/bench_test.go
@@ -64,6 +64,8 @@
 	*member
 	meter *meter
 	next  int
+	// runTime is the declared and real run time of the tasks.
+	runTime time.Duration
 }
 
 // newLoad claims n workers, each large enough for any number of small tasks.
@@ -84,7 +86,7 @@
 		bn.hosts = append(bn.hosts, h)
 	}
 	m := &meter{Client: bn.sim.Caller("a"), weigh: weigh}
-	l := &load{meter: m, member: bn.member("a", func(c *Config) { c.Client = m; c.Log = quiet() })}
+	l := &load{meter: m, runTime: time.Hour, member: bn.member("a", func(c *Config) { c.Client = m; c.Log = quiet() })}
 	b.Cleanup(l.stop)
 	l.take(1, nil)
 	waitFor(b, func() bool { return l.claimed() == n })
@@ -123,7 +125,7 @@
 func (l *load) request(n int) taskmsg.PlaceRequest {
 	l.next++
 	req := taskmsg.PlaceRequest{
-		Home: taskmsg.Home{Partition: homePartition, Epoch: 1}, Shape: shapeOf(fmt.Sprintf("job-%08d", l.next), 10, time.Hour),
+		Home: taskmsg.Home{Partition: homePartition, Epoch: 1}, Shape: shapeOf(fmt.Sprintf("0190f3c2-7a9b-7cde-8f01-%012d", l.next), 10, l.runTime),
 	}
 	for i := range n {
 		req.Slots = append(req.Slots, taskmsg.Slot{Index: i, Attempt: 1})
@@ -163,6 +165,23 @@
 	return len(body)
 }
 
+// finishAll waits until the tasks, which end by themselves, are acknowledged.
+func (l *load) finishAll(b *testing.B) {
+	b.Helper()
+	waitFor(b, func() bool {
+		l.mu.Lock()
+		for _, a := range l.agents {
+			if len(a.runs) > len(a.acks) {
+				a.renewAt = time.Time{}
+				l.kick(a, time.Now())
+			}
+		}
+		l.mu.Unlock()
+		time.Sleep(time.Millisecond)
+		return l.live() == 0
+	})
+}
+
 // stopAll ends the tasks and waits until the home knows.
 func (l *load) stopAll(b *testing.B, jobs []taskmsg.PlaceRequest) {
 	b.Helper()
@@ -215,17 +234,19 @@
 	}
 }
 
-// BenchmarkStartBytes: the bytes of one start: to and from the worker as JSON
-// bodies, and of the home's request and its answer as CBOR.
+// BenchmarkStartBytes: the bytes of a run that ends by itself: start, end and
+// acknowledgement to and from the worker as JSON bodies, and the home's request
+// and its answer as CBOR.
 func BenchmarkStartBytes(b *testing.B) {
 	for _, size := range []int{1, 16, 256} {
 		b.Run(fmt.Sprintf("request=%d", size), func(b *testing.B) {
 			l := newLoad(b, 48, true)
+			l.runTime = 20 * time.Millisecond
 			before, messages, toHome, n := l.meter.bytes.Load(), l.meter.messages.Load(), 0, 0
 			for b.Loop() {
-				jobs, bytes := l.start(b, startsPerRound, size)
+				_, bytes := l.start(b, startsPerRound, size)
 				toHome, n = toHome+bytes, n+startsPerRound
-				l.stopAll(b, jobs)
+				l.finishAll(b)
 			}
 			b.ReportMetric(float64(l.meter.bytes.Load()-before)/float64(n), "worker-B/start")
 			b.ReportMetric(float64(l.meter.messages.Load()-messages)/float64(n), "messages/start")
--- a/internal/fleet/driver_test.go
+++ b/internal/fleet/driver_test.go
@@ -12,6 +12,7 @@
 	"pulleyquay/internal/peer"
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/result"
+	"pulleyquay/internal/spec"
 	"pulleyquay/internal/taskmsg"
 	"pulleyquay/internal/view"
 	"pulleyquay/internal/worker"
@@ -163,6 +164,9 @@
 }
 
 func (d *driver) note(r taskmsg.RunNews) {
+	if r.Run.Task.Job != driverJob {
+		return
+	}
 	t := &d.tasks[r.Run.Task.Index]
 	switch {
 	case r.Run.Attempt != t.attempt || t.state == idle:
@@ -306,13 +310,15 @@
 	opCutNextAnswers
 	opDeputy
 	opDeputyOfLive
+	opUrgent
+	opGang
 	opCount
 )
 
 var opNames = [...]string{
 	"nothing", "takeover", "hand-over", "kill", "pause", "resume", "cut", "cut-answers", "slow", "heal",
 	"restart-worker", "unlist", "relist", "home-takeover", "stale-home", "deaf", "hearing", "drop-old",
-	"cut-next", "cut-next-answers", "deputy", "deputy-of-live",
+	"cut-next", "cut-next-answers", "deputy", "deputy-of-live", "urgent", "gang",
 }
 
 // action is an op with the worker it is about, and the time that passes after it.
@@ -345,6 +351,7 @@
 	holder   *member
 	old      []*member
 	down     atomic.Bool // the store
+	jobs     int         // besides the driver's
 	breaches []string
 }
 
@@ -468,6 +475,10 @@
 		tr.kill(0)
 	case opDeputy:
 		tr.kill(20 * time.Second)
+	case opUrgent:
+		tr.urgent()
+	case opGang:
+		tr.gang()
 	case opDeputyOfLive:
 		tr.deputyOfLive()
 	case opPause:
@@ -527,6 +538,47 @@
 	}
 }
 
+// urgent asks for short urgent tasks that need more than the room left, in the
+// background. Whether they start is up to the faults.
+func (tr *trial) urgent() {
+	tr.jobs++
+	m, req := tr.holder, urgentRequest(fmt.Sprintf("urgent-%d", tr.jobs), 3)
+	req.Home.Epoch = tr.homeEpoch()
+	req.Shape.Task.Size, req.Shape.Task.RunMillis = testSize, 3000
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		_, _ = m.place(ctx, req)
+	}()
+}
+
+// gang holds room for four short tasks and starts them a second later.
+func (tr *trial) gang() {
+	tr.jobs++
+	m, home := tr.holder, taskmsg.Home{Partition: homePartition, Epoch: tr.homeEpoch()}
+	req := taskmsg.GangHold{Home: home, Shape: gangShape(fmt.Sprintf("gang-%d", tr.jobs)), HoldMS: 3000}
+	req.Shape.Kind = spec.KindBatch // one holder's part, which the judge can not see whole
+	req.Shape.Task.RunMillis = 3000
+	for i := range 4 {
+		req.Slots = append(req.Slots, taskmsg.Slot{Index: i, Attempt: 1})
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		if _, err := m.holdGang(ctx, req); err != nil {
+			return
+		}
+		time.Sleep(time.Second)
+		_, _ = m.endGang(ctx, taskmsg.GangEnd{Home: home, Job: req.Shape.Job, Start: true})
+	}()
+}
+
+func (tr *trial) homeEpoch() uint64 {
+	tr.d.mu.Lock()
+	defer tr.d.mu.Unlock()
+	return tr.d.epoch
+}
+
 // unlisted returns the host list without the named worker.
 func unlisted(hosts []platform.Host, name string) []platform.Host {
 	var out []platform.Host
--- a/internal/fleet/machine_test.go
+++ b/internal/fleet/machine_test.go
@@ -108,7 +108,7 @@
 	running := map[int]int{}
 	for i := range trialWorkers {
 		for _, r := range tr.b.sim.Worker(fmt.Sprintf("w%d", i)).Runs() {
-			if r.State == worker.StateRunning {
+			if r.State == worker.StateRunning && r.Task.Job == driverJob {
 				running[r.Task.Index]++
 			}
 		}
@@ -168,6 +168,10 @@
 	{"home taken over", []action{{opHomeTakeover, 0, second}, {opStaleHome, 0, second}}},
 	{"home and holder taken over", []action{{opHomeTakeover, 0, 0}, {opKill, 0, 0}, {opStaleHome, 1, second}}},
 	{"home deaf while a worker restarts", []action{{opDeaf, 0, 0}, {opRestartWorker, 0, 30 * second}, {opHearing, 0, 0}}},
+	{"urgent work and a gang", []action{{opUrgent, 0, second}, {opGang, 0, second}, {opUrgent, 0, 0}}},
+	{"urgent work over a takeover", []action{{opUrgent, 0, second / 2}, {opTakeover, 0, 0}, {opUrgent, 0, second}, {opKill, 0, 0}}},
+	{"gang over a takeover", []action{{opGang, 0, 0}, {opTakeover, 0, 0}, {opGang, 0, second / 2}, {opHandOver, 0, 0}}},
+	{"urgent work, answers lost", []action{{opCutAnswers, 0, 0}, {opUrgent, 0, 4 * second}, {opHeal, 0, 0}}},
 	{"right lost late", []action{{opTakeover, 0, second}, {opDropOld, 0, second}, {opTakeover, 0, 0}, {opDropOld, 0, 0}}},
 }
 
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -46,17 +46,23 @@
 	Attempt int         `json:"attempt"`
 	// Home is the job's partition, kept so that an inventory can be routed.
 	Home  int            `json:"home"`
-	Size  spec.Resources `json:"size"`
-	Kind  spec.Kind      `json:"kind"`
+	Size  spec.Resources `json:"size,omitzero"`
+	Kind  spec.Kind      `json:"kind,omitempty"`
 	State State          `json:"state"`
 	// Urgent is kept for choosing what to preempt.
 	Urgent   bool   `json:"urgent,omitempty"`
 	ExitCode int    `json:"exit_code,omitempty"`
-	Started  Millis `json:"started"`
+	Started  Millis `json:"started,omitempty"`
 	// LeaseUntil is when the worker will stop the run unless renewed.
 	LeaseUntil Millis `json:"lease_until,omitempty"`
 }
 
+// Ending returns only what names the run and how it ended, as it stands in an
+// OrderReply: whoever gets that has the rest from the start or the inventory.
+func (r Run) Ending() Run {
+	return Run{Task: r.Task, Attempt: r.Attempt, Home: r.Home, State: r.State, ExitCode: r.ExitCode}
+}
+
 // ClaimRequest takes over a worker for a partition's new holder.
 type ClaimRequest struct {
 	Partition int    `json:"partition"`
@@ -128,7 +134,7 @@
 	Reason  string `json:"reason,omitempty"`
 }
 
-// OrderReply is the worker's answer. Ended holds the runs that have ended and
+// OrderReply is the worker's answer. Ended holds the endings of the runs that
 // are not yet acknowledged; running ones are not repeated, only counted, so
 // that the message stays small.
 type OrderReply struct {
--- a/internal/worker/workersim/worker.go
+++ b/internal/worker/workersim/worker.go
@@ -130,7 +130,7 @@
 		if r := w.runs[id]; r.State == worker.StateRunning {
 			reply.Running++
 		} else {
-			reply.Ended = append(reply.Ended, r.Run)
+			reply.Ended = append(reply.Ended, r.Run.Ending())
 		}
 	}
 }
