Truth table: same verdict every run

Cause of the flaky rows: the fake executor answered at the very instant of the deadline it was told, and a home stopped waiting for another holder at the instant at which that holder gave up.

--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -189,10 +189,14 @@
 	d.failed(p, e, faultSilent)
 }
 
+// forwardMargin is how much longer a home waits for another holder than that
+// holder waits for its executor, so that the holder's word comes first.
+const forwardMargin = 500 * time.Millisecond
+
 // forward asks another holder to dispatch.
 func (d *Dispatcher) forward(p *pool, r *Remote, w Work, values settings.Values) (executor.Answer, *result.Error) {
 	defer d.releaseRemote(p, r)
-	ctx, cancel := context.WithTimeout(context.Background(), maxDeadline(values))
+	ctx, cancel := context.WithTimeout(context.Background(), maxDeadline(values)+forwardMargin)
 	defer cancel()
 	msg := requestmsg.Dispatch{Service: w.Service, Timeout: time.Until(w.Deadline), Request: w.Request}
 	var answer executor.Answer
--- a/internal/requesttest/requesttest.go
+++ b/internal/requesttest/requesttest.go
@@ -124,7 +124,7 @@
 	}
 	x.record(Run{At: time.Now(), Addr: addr, Key: req.Header.Get(KeyHeader), Path: req.Path})
 	ended := make(chan struct{})
-	time.AfterFunc(x.takes(addr, req), func() {
+	time.AfterFunc(x.takes(addr, req, fault), func() {
 		x.leave(addr)
 		close(ended)
 	})
@@ -145,14 +145,14 @@
 	return answerTo(req, fault), nil
 }
 
-// takes is how long an executor works on a request: it gives up at the
-// deadline that it was told.
-func (x *Executors) takes(addr string, req executor.Request) time.Duration {
+// takes is how long an executor works on a request. Cut off, it gives up at
+// the deadline that it was told.
+func (x *Executors) takes(addr string, req executor.Request, fault Fault) time.Duration {
 	took := x.Time
 	if x.TimeOf != nil {
 		took = x.TimeOf(addr)
 	}
-	if ms, err := strconv.ParseInt(req.Header.Get(TimeoutHeader), 10, 64); err == nil {
+	if ms, err := strconv.ParseInt(req.Header.Get(TimeoutHeader), 10, 64); err == nil && fault == CutAfter {
 		took = min(took, time.Duration(ms)*time.Millisecond)
 	}
 	return took
--- a/internal/requesttest/truth_test.go
+++ b/internal/requesttest/truth_test.go
@@ -76,7 +76,10 @@
 	retryRuns    int
 }
 
-const soon = 50 * time.Millisecond
+const (
+	soon        = 50 * time.Millisecond
+	longTimeout = "2000"
+)
 
 var truths = []truth{
 	{point: "before queueing", fault: "home killed", before: (*scene).killHome,
@@ -150,7 +153,7 @@
 func checkTruth(t *testing.T, s *scene, row truth) {
 	is := is.New(t)
 	if row.timeout == "" {
-		row.timeout = "2000"
+		row.timeout = longTimeout
 	}
 	if row.fill {
 		s.fill()
@@ -161,11 +164,11 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	s.gone = cancel
-	send := func(ctx context.Context) reply {
-		return s.do(ctx, http.MethodPost, "/tickets", "{}", entry.KeyHeader, s.key, entry.TimeoutHeader, row.timeout)
+	send := func(ctx context.Context, timeout string) reply {
+		return s.do(ctx, http.MethodPost, "/tickets", "{}", entry.KeyHeader, s.key, entry.TimeoutHeader, timeout)
 	}
 	first := make(chan reply, 1)
-	go func() { first <- send(ctx) }()
+	go func() { first <- send(ctx, row.timeout) }()
 	time.Sleep(row.after)
 	if row.then != nil {
 		row.then(s)
@@ -178,7 +181,7 @@
 	if row.code != 0 {
 		is.Equal(got.failure().Ran, row.ran)
 	}
-	again := send(t.Context())
+	again := send(t.Context(), longTimeout)
 	is.Equal(codeOf(again), row.retry)
 	is.Equal(s.runsOf(s.key), row.retryRuns)
 }
