Dispatcher: no tick while nothing waits

Cause: the dispatcher looked for other holders' free slots 50 times a second, idle or not. Change: that tick runs only while requests wait; the host list's tick of 250 ms keeps the hints fresh meanwhile. Tests: dispatch, request and requesttest pass.

--- a/internal/dispatch/acquire.go
+++ b/internal/dispatch/acquire.go
@@ -60,6 +60,10 @@
 		return grant{}, nil, nil, d.overShare(p)
 	}
 	d.metrics.queued.WithLabelValues(p.service).Inc()
+	select {
+	case d.queued <- struct{}{}:
+	default: // Run is awake already
+	}
 	return grant{}, it, ready, nil
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -67,6 +67,9 @@
 	// remotes are the other holders with the free slots that they told of, by
 	// name; what is forwarded is not taken off.
 	remotes map[string]*Remote
+
+	// queued wakes Run when a request begins to wait.
+	queued chan struct{}
 }
 
 // Work is one request to send. Its Deadline is on this process's clock.
@@ -90,6 +93,7 @@
 		metrics: newMetrics(cfg.Metrics),
 		pools:   map[string]*pool{},
 		parts:   map[int]*heldPartition{},
+		queued:  make(chan struct{}, 1),
 	}
 }
 
@@ -100,12 +104,12 @@
 // offloadEvery is how often queued requests are offered to other holders.
 const offloadEvery = 20 * time.Millisecond
 
-// Run applies the host list and offers queued requests to other holders until
-// ctx ends.
+// Run applies the host list, and offers queued requests to other holders while
+// there are any, until ctx ends.
 func (d *Dispatcher) Run(ctx context.Context) {
 	refresh := time.NewTicker(refreshEvery)
 	defer refresh.Stop()
-	offload := time.NewTicker(offloadEvery)
+	offload := time.NewTimer(offloadEvery)
 	defer offload.Stop()
 	for {
 		select {
@@ -113,8 +117,13 @@
 			return
 		case <-refresh.C:
 			d.Refresh()
-		case <-offload.C:
 			d.offload()
+		case <-d.queued:
+			offload.Reset(offloadEvery)
+		case <-offload.C:
+			if d.offload() {
+				offload.Reset(offloadEvery)
+			}
 		}
 	}
 }
@@ -131,8 +140,9 @@
 	}
 }
 
-// offload learns of other holders' free slots and hands them queued requests.
-func (d *Dispatcher) offload() {
+// offload learns of other holders' free slots and hands them queued requests. It
+// reports whether requests still wait.
+func (d *Dispatcher) offload() bool {
 	told := d.cfg.Remotes()
 	now := time.Now()
 	d.mu.Lock()
@@ -142,11 +152,14 @@
 		r.Free = maps.Clone(r.Free)
 		d.remotes[r.Name] = &r
 	}
+	waiting := false
 	for _, p := range d.pools {
 		if p.queue.Len() > 0 {
 			d.pumpRemote(p, now)
 		}
+		waiting = waiting || p.queue.Len() > 0
 	}
+	return waiting
 }
 
 // pool returns the pool of a service, made on first use.
