Placers share the store's rates by the number of members

Cause: each placer was allowed 40 writes and 200 reads a second of its own. The 14 placers of both associations could together ask for 560 and 2,800, more than the service takes (several hundred, two thousand), and more with each host.

Change: the settings name what all placers may use together, 300 and 1,500 as the default; a placer takes an equal share by the members it knows, looked at each second, and a sixteenth until it knows any.

Ruled out: a share by partitions held (a takeover needs most when it holds few).

--- a/cmd/pulley-placer/config.go
+++ b/cmd/pulley-placer/config.go
@@ -6,6 +6,7 @@
 	"pulleyquay/internal/config"
 	"pulleyquay/internal/hold"
 	"pulleyquay/internal/partition"
+	"pulleyquay/internal/platform/budget"
 	"pulleyquay/internal/result"
 )
 
@@ -29,7 +30,8 @@
 	Admin string `json:"admin" validate:"required,hostname_port"`
 }
 
-// Store says where the platform's store is and how much of it this process may use.
+// Store says where the platform's store is and how many calls it takes from all
+// placers together; each takes an equal share.
 type Store struct {
 	Endpoints       []string `json:"endpoints" validate:"min=1,dive,hostname_port"`
 	ReadsPerSecond  float64  `json:"reads_per_second" validate:"gt=0"`
@@ -85,9 +87,10 @@
 
 func defaults() Settings {
 	h := hold.DefaultConfig()
+	limits := budget.DefaultLimits()
 	return Settings{
 		LogLevel: "info",
-		Store:    Store{ReadsPerSecond: 200, WritesPerSecond: 40},
+		Store:    Store{ReadsPerSecond: limits.ReadsPerSecond, WritesPerSecond: limits.WritesPerSecond},
 		HostList: Hosts{Interval: config.Duration(time.Second)},
 		Holding: Hold{
 			Partitions: partition.DefaultCount,
--- a/cmd/pulley-placer/placer.go
+++ b/cmd/pulley-placer/placer.go
@@ -76,6 +76,10 @@
 	return p, nil
 }
 
+// expectedMembers is among how many placers the store's rates are shared until
+// the members are known.
+const expectedMembers = 16
+
 func (p *placer) addStore() error {
 	client, err := etcdhttp.New(etcdhttp.Options{Endpoints: p.conf.Store.Endpoints, Name: p.conf.Name})
 	if err != nil {
@@ -88,6 +92,7 @@
 	if err != nil {
 		return err
 	}
+	p.calls.Share(expectedMembers)
 	confirmed, err := confirm.New(p.calls, confirm.Options{Registry: p.daemon.Reg})
 	if err != nil {
 		return err
@@ -186,6 +191,7 @@
 	for _, run := range []func(context.Context){p.hosts.Run, p.settings.Run, p.fleet.Run, p.dispatch.Run} {
 		go run(ctx)
 	}
+	go p.calls.Follow(ctx, func() int { return len(p.keeper.Table().Members) })
 	return p.keeper.Start(ctx)
 }
 
--- a/internal/platform/budget/budget.go
+++ b/internal/platform/budget/budget.go
@@ -69,6 +69,25 @@
 	s.writes.share(processes)
 }
 
+// shareEvery is how often Follow looks at the number of processes.
+const shareEvery = time.Second
+
+// Follow keeps the share up to date until ctx ends. The share stays as it is
+// while processes returns zero, which stands for unknown.
+func (s *Store) Follow(ctx context.Context, processes func() int) {
+	ticker := time.NewTicker(shareEvery)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		if n := processes(); n > 0 {
+			s.Share(n)
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+		}
+	}
+}
+
 // Dump is the state shown by /debug/state.
 type Dump struct {
 	// Calls are counts by kind and result, "commit ok".
--- a/internal/platform/budget/budget_test.go
+++ b/internal/platform/budget/budget_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -155,6 +156,25 @@
 	})
 }
 
+func TestShareFollowsTheMembers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		_, s := newStore(t, budget.Options{Limits: budget.Limits{WritesPerSecond: 120, ReadsPerSecond: 60, Watches: 1}})
+		ctx, cancel := context.WithCancel(t.Context())
+		var members atomic.Int64
+		s.Share(6)
+		go s.Follow(ctx, func() int { return int(members.Load()) })
+		for _, step := range []struct{ members, writes float64 }{{0, 20}, {3, 40}, {0, 40}, {12, 10}, {500, 0.24}} {
+			members.Store(int64(step.members))
+			time.Sleep(1500 * time.Millisecond)
+			is.Equal(s.Dump().(budget.Dump).WritesPerSecond, step.writes)
+			is.Equal(s.Dump().(budget.Dump).ReadsPerSecond, step.writes/2)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
 func TestRegisteredTwice(t *testing.T) {
 	registry := prometheus.NewRegistry()
 	_, err := budget.New(nil, budget.Options{Registry: registry})
