A value without its unit is refused with the path of its field

Cause: encoding/json does not say where an Unmarshaler failed, so "holding": {"term": 3} ended the start with code 7002 and an empty field. The table of the package had that as expected; the issue asks for the path.

Change: the walk that refuses unknown names also reads the values of types with a form of their own.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -97,11 +97,19 @@
 	return result.New(result.ConfigValue, result.RanNo, "%v", err)
 }
 
-// checkNames walks the file beside the type and refuses names the type lacks.
+// unmarshaler is implemented by types that read their own form, such as Duration.
+var unmarshaler = reflect.TypeFor[json.Unmarshaler]()
+
+// checkNames walks the file beside the type and refuses names the type lacks,
+// and values that a type with a form of its own does not read: the decoder
+// would not say where they stand.
 func checkNames(raw any, t reflect.Type, path string) error {
 	for t.Kind() == reflect.Pointer {
 		t = t.Elem()
 	}
+	if reflect.PointerTo(t).Implements(unmarshaler) {
+		return checkForm(raw, t, path)
+	}
 	switch v := raw.(type) {
 	case map[string]any:
 		return checkObject(v, t, path)
@@ -118,6 +126,17 @@
 	return nil
 }
 
+func checkForm(raw any, t reflect.Type, path string) error {
+	data, err := json.Marshal(raw)
+	if err == nil {
+		err = json.Unmarshal(data, reflect.New(t).Interface())
+	}
+	if err != nil {
+		return result.New(result.ConfigValue, result.RanNo, "%v", err).At(path)
+	}
+	return nil
+}
+
 func checkObject(object map[string]any, t reflect.Type, path string) error {
 	if t.Kind() != reflect.Struct {
 		return nil
