--- a/test/e2e/e2e_test.go
+++ b/test/e2e/e2e_test.go
@@ -3,6 +3,7 @@
 package e2e
 
 import (
+	"errors"
 	"flag"
 	"fmt"
 	"os"
@@ -21,6 +22,8 @@
 
 var binaries harness.Binaries
 
+var errNotYet = errors.New("not yet")
+
 // maxCells bounds the cells that run at once, each of seven processes.
 const maxCells = 6
 
--- a/test/e2e/harness/platform.go
+++ b/test/e2e/harness/platform.go
@@ -104,6 +104,12 @@
 	p.mustCall(http.MethodPut, "/faults/workers/"+name, f)
 }
 
+// RestartWorker restarts one worker: it forgets everything.
+func (p *Platform) RestartWorker(name string) {
+	p.t.Helper()
+	p.mustCall(http.MethodPost, "/restart/"+name, nil)
+}
+
 // ExecutorFaults replaces the faults of one executor.
 func (p *Platform) ExecutorFaults(name string, f execsim.Faults) {
 	p.t.Helper()
--- a/test/e2e/harness/process.go
+++ b/test/e2e/harness/process.go
@@ -116,6 +116,9 @@
 	return 0
 }
 
+// Log returns what the process has logged so far.
+func (p *Process) Log() string { return string(p.log.Bytes()) }
+
 func (p *Process) signal(s os.Signal) {
 	if p.Alive() {
 		_ = p.cmd.Process.Signal(s) // it may have ended meanwhile
--- a/test/e2e/placer_test.go
+++ b/test/e2e/placer_test.go
@@ -154,7 +154,7 @@
 		if err == nil && have >= revision {
 			return nil
 		}
-		return errors.Join(err, errors.New("not yet"))
+		return errors.Join(err, errNotYet)
 	})
 }
 
