--- a/test/e2e/e2e_test.go
+++ b/test/e2e/e2e_test.go
@@ -3,6 +3,7 @@
 package e2e
 
 import (
+	"errors"
 	"flag"
 	"fmt"
 	"os"
@@ -21,8 +22,10 @@
 
 var binaries harness.Binaries
 
+var errNotYet = errors.New("not yet")
+
 // maxCells bounds the cells that run at once, each of seven processes.
-const maxCells = 6
+const maxCells = 8
 
 func TestMain(m *testing.M) {
 	flag.Parse()
