--- /dev/null
+++ b/internal/requesttest/overload_test.go
@@ -0,0 +1,62 @@
+package requesttest_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pulleyquay/internal/entry"
+)
+
+const (
+	overloadPlacers   = 3
+	overloadExecutors = 12
+	overloadLength    = 3 * time.Second
+)
+
+// cellGoodput sends keyed requests at a multiple of the cell's capacity and
+// returns how many were answered in a second. The executors are spread over
+// the placers as their names' hashes have it, and so unevenly.
+func cellGoodput(t *testing.T, load float64) (perSecond float64) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, overloadPlacers, overloadExecutors)
+		defer c.stop()
+		rng := rand.New(rand.NewPCG(7, 7))
+		gap := float64(c.executors.Time) / (overloadExecutors * 8 * load)
+		var mu sync.Mutex
+		answered := 0
+		var wg sync.WaitGroup
+		start := time.Now()
+		for at := time.Duration(0); at < overloadLength; at += time.Duration(rng.ExpFloat64() * gap) {
+			time.Sleep(time.Until(start.Add(at)))
+			key, caller := keyOf(rng.Uint64()), fmt.Sprintf("caller-%d", rng.IntN(20))
+			wg.Go(func() {
+				got := c.do(context.Background(), http.MethodPost, "/tickets", "{}",
+					entry.KeyHeader, key, entry.CallerHeader, caller, entry.TimeoutHeader, "500")
+				if got.status == http.StatusOK {
+					mu.Lock()
+					defer mu.Unlock()
+					answered++
+				}
+			})
+		}
+		wg.Wait()
+		perSecond = float64(answered) / overloadLength.Seconds()
+		t.Logf("load %.1f: %.0f answered a second", load, perSecond)
+	})
+	return perSecond
+}
+
+func TestCellGoodputHoldsUnderOverload(t *testing.T) {
+	is := is.New(t)
+	capacity := cellGoodput(t, 1)
+	is.True(capacity >= 0.9*overloadExecutors*8*100)
+	is.True(cellGoodput(t, 3) >= 0.95*capacity)
+}
