Other holders' free slots are learnt from their answers

Cause: executors are spread unevenly over holders, and a home that holds few knew of others' room by heartbeats alone, up to half a second old. Change: each answer carries the holder's free slots; what was sent since is taken off; a holder that was full is tried with one request every 50 ms while requests wait. Ruled out: waiting for the next heartbeat after a refusal (loses half a second), and taking the old number again (bounces).

--- a/internal/dispatch/acquire.go
+++ b/internal/dispatch/acquire.go
@@ -69,8 +69,7 @@
 		return e.take(), true
 	}
 	if r := d.pickRemote(p); r != nil {
-		p.forwards[r.Name]++
-		return grant{remote: r}, true
+		return r.take(p.service), true
 	}
 	return grant{}, false
 }
@@ -96,7 +95,7 @@
 // servedElsewhere tells whether another holder has executors of the service.
 func (d *Dispatcher) servedElsewhere(service string) bool {
 	for _, r := range d.remotes {
-		if _, ok := r.Free[service]; ok {
+		if _, ok := r.told.Free[service]; ok {
 			return true
 		}
 	}
@@ -174,6 +173,6 @@
 	case g.endpoint != nil:
 		d.release(p, g.endpoint)
 	case g.remote != nil:
-		d.releaseRemote(p, g.remote)
+		d.learnFree(p, g.remote, g.remote.free[p.service]+1)
 	}
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"maps"
 	"sync"
 	"time"
 
@@ -64,9 +63,8 @@
 	mu    sync.Mutex
 	pools map[string]*pool
 	parts map[int]*heldPartition
-	// remotes are the other holders with the free slots that they told of, by
-	// name; what is forwarded is not taken off.
-	remotes map[string]*Remote
+	// remotes are the other holders by name.
+	remotes map[string]*remote
 }
 
 // Work is one request to send. Its Deadline is on this process's clock.
@@ -137,11 +135,7 @@
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.remotes = make(map[string]*Remote, len(told))
-	for _, r := range told {
-		r.Free = maps.Clone(r.Free)
-		d.remotes[r.Name] = &r
-	}
+	d.hear(told, now)
 	for _, p := range d.pools {
 		if p.queue.Len() > 0 {
 			d.pumpRemote(p, now)
@@ -168,23 +162,25 @@
 	defer d.mu.Unlock()
 	free := make(map[string]int, len(d.pools))
 	for name, p := range d.pools {
-		if slots, _ := d.slotsInUse(p, now); slots == 0 {
-			continue
-		}
-		n := -p.queue.Len()
-		for _, e := range p.endpoints {
-			n += p.free(e, now)
+		if slots, _ := d.slotsInUse(p, now); slots > 0 {
+			free[name] = p.freeSlots(now)
 		}
-		free[name] = max(n, 0)
 	}
 	return free
 }
 
+// freeNow is the number of free slots of one service.
+func (d *Dispatcher) freeNow(p *pool) int {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return p.freeSlots(now)
+}
+
 func newPool(service string, order queue.Discipline) *pool {
 	return &pool{
 		service:   service,
 		endpoints: map[string]*endpoint{},
 		queue:     queue.New[chan<- grant](0, order),
-		forwards:  map[string]int{},
 	}
 }
--- a/internal/dispatch/dump.go
+++ b/internal/dispatch/dump.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"sort"
 	"time"
 )
@@ -16,7 +17,6 @@
 	Queued     int            `json:"queued"`
 	Callers    int            `json:"callers_queued"`
 	MeanTimeMS float64        `json:"mean_time_ms"`
-	Forwards   map[string]int `json:"forwards"`
 	Executors  []EndpointDump `json:"executors"`
 }
 
@@ -48,7 +48,9 @@
 		out.Services[name] = p.dump(now)
 	}
 	for _, r := range d.remotes {
-		out.Remotes = append(out.Remotes, *r)
+		known := r.told
+		known.Free = maps.Clone(r.free)
+		out.Remotes = append(out.Remotes, known)
 	}
 	sort.Slice(out.Remotes, func(i, j int) bool { return out.Remotes[i].Name < out.Remotes[j].Name })
 	return out
@@ -56,10 +58,7 @@
 
 func (p *pool) dump(now time.Time) PoolDump {
 	out := PoolDump{
-		Queued: p.queue.Len(), Callers: p.queue.Callers(), MeanTimeMS: millis(p.meanTime), Forwards: map[string]int{},
-	}
-	for name, n := range p.forwards {
-		out.Forwards[name] = n
+		Queued: p.queue.Len(), Callers: p.queue.Callers(), MeanTimeMS: millis(p.meanTime),
 	}
 	for _, e := range p.endpoints {
 		out.Executors = append(out.Executors, EndpointDump{
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -14,7 +14,7 @@
 type grant struct {
 	endpoint *endpoint
 	host     *platform.Host // the endpoint's, as of the grant
-	remote   *Remote
+	remote   *remote
 	err      *result.Error
 }
 
@@ -23,8 +23,6 @@
 	service   string
 	endpoints map[string]*endpoint
 	queue     *queue.Queue[chan<- grant]
-	// forwards counts requests under way to each other holder.
-	forwards map[string]int
 	// meanTime is the moving mean of a request's time at an executor.
 	meanTime time.Duration
 	healthy  int // listed endpoints in the healthy state
@@ -73,6 +71,15 @@
 	return max(p.limit(e, now)-e.busy, 0)
 }
 
+// freeSlots is the number of free slots, less the requests that wait for one.
+func (p *pool) freeSlots(now time.Time) int {
+	n := -p.queue.Len()
+	for _, e := range p.endpoints {
+		n += p.free(e, now)
+	}
+	return max(n, 0)
+}
+
 // countHealthy notes whether any listed endpoint is healthy. It is called
 // after each change of a state, so that limits need not look at all.
 func (p *pool) countHealthy() {
@@ -167,18 +174,6 @@
 	}
 }
 
-// pickRemote returns the other holder with the most free slots, or nil.
-func (d *Dispatcher) pickRemote(p *pool) *Remote {
-	var best *Remote
-	most := 0
-	for _, r := range d.remotes {
-		if free := r.Free[p.service] - p.forwards[r.Name]; free > most {
-			best, most = r, free
-		}
-	}
-	return best
-}
-
 // pump gives free slots to waiting requests. The caller holds the lock.
 func (d *Dispatcher) pump(p *pool, now time.Time) {
 	for p.queue.Len() > 0 {
@@ -205,8 +200,7 @@
 		if it == nil {
 			return
 		}
-		p.forwards[r.Name]++
-		it.Value <- grant{remote: r}
+		it.Value <- r.take(p.service)
 	}
 }
 
@@ -227,13 +221,3 @@
 	e.busy--
 	d.pump(p, time.Now())
 }
-
-// releaseRemote ends a forward to another holder.
-func (d *Dispatcher) releaseRemote(p *pool, r *Remote) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if p.forwards[r.Name]--; p.forwards[r.Name] <= 0 {
-		delete(p.forwards, r.Name)
-	}
-	d.pumpRemote(p, time.Now())
-}
--- /dev/null
+++ b/internal/dispatch/remote.go
@@ -0,0 +1,73 @@
+package dispatch
+
+import (
+	"maps"
+	"time"
+)
+
+// remote is another holder as this process knows it.
+type remote struct {
+	told Remote // its last heartbeat
+	// free is the number of free slots by service: from its last heartbeat or
+	// answer, less what was sent since.
+	free map[string]int
+	// probedAt is when free was last set to one to try the holder again.
+	probedAt map[string]time.Time
+}
+
+// probeEvery is how often a holder that was last known to be full is tried
+// with one request, while requests wait here.
+const probeEvery = 50 * time.Millisecond
+
+// take makes a grant for one request to the holder.
+func (r *remote) take(service string) grant {
+	r.free[service]--
+	return grant{remote: r}
+}
+
+// hear applies what the other holders last told. What is older than their
+// answers to this process changes nothing.
+func (d *Dispatcher) hear(told []Remote, now time.Time) {
+	present := make(map[string]*remote, len(told))
+	for _, t := range told {
+		r := d.remotes[t.Name]
+		if r == nil || r.told.Addr != t.Addr || !maps.Equal(r.told.Free, t.Free) {
+			r = &remote{told: t, free: maps.Clone(t.Free), probedAt: map[string]time.Time{}}
+		}
+		for service := range t.Free {
+			r.probe(service, now)
+		}
+		present[t.Name] = r
+	}
+	d.remotes = present
+}
+
+// probe lets one request try a holder that was full.
+func (r *remote) probe(service string, now time.Time) {
+	if r.free[service] > 0 || now.Sub(r.probedAt[service]) < probeEvery {
+		return
+	}
+	r.free[service] = 1
+	r.probedAt[service] = now
+}
+
+// pickRemote returns the other holder with the most free slots, or nil.
+func (d *Dispatcher) pickRemote(p *pool) *remote {
+	var best *remote
+	most := 0
+	for _, r := range d.remotes {
+		if free := r.free[p.service]; free > most {
+			best, most = r, free
+		}
+	}
+	return best
+}
+
+// learnFree notes a holder's free slots from its answer and uses them.
+func (d *Dispatcher) learnFree(p *pool, r *remote, free int) {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r.free[p.service] = free
+	d.pumpRemote(p, now)
+}
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -194,61 +194,58 @@
 const forwardMargin = 500 * time.Millisecond
 
 // forward asks another holder to dispatch.
-func (d *Dispatcher) forward(p *pool, r *Remote, w Work, values settings.Values) (executor.Answer, *result.Error) {
-	defer d.releaseRemote(p, r)
+func (d *Dispatcher) forward(p *pool, r *remote, w Work, values settings.Values) (executor.Answer, *result.Error) {
 	ctx, cancel := context.WithTimeout(context.Background(), maxDeadline(values)+forwardMargin)
 	defer cancel()
 	msg := requestmsg.Dispatch{Service: w.Service, Timeout: time.Until(w.Deadline), Request: w.Request}
-	var answer executor.Answer
-	err := d.cfg.Peers.Call(ctx, r.Addr, peer.KindDispatch, msg, &answer)
+	var reply requestmsg.DispatchReply
+	err := d.cfg.Peers.Call(ctx, r.told.Addr, peer.KindDispatch, msg, &reply)
+	d.learnFree(p, r, reply.Free)
 	if err == nil {
-		return answer, nil
+		return reply.Answer, nil
 	}
 	e := result.From(err)
 	switch e.Code {
-	case result.NoFreeSlot:
-		d.noSlotAt(p, r)
 	case result.PeerNotReached:
-		d.noSlotAt(p, r)
-		return executor.Answer{}, result.New(result.NoFreeSlot, result.RanNo, "%s: %s", r.Name, e.Detail)
+		return executor.Answer{}, result.New(result.NoFreeSlot, result.RanNo, "%s: %s", r.told.Name, e.Detail)
 	case result.PeerLost:
-		return executor.Answer{}, result.New(result.ExecutorLost, result.RanUnknown, "%s: %s", r.Name, e.Detail)
+		return executor.Answer{}, result.New(result.ExecutorLost, result.RanUnknown, "%s: %s", r.told.Name, e.Detail)
 	}
 	return executor.Answer{}, e
 }
 
-// noSlotAt corrects the hint that was wrong, until the next one comes.
-func (d *Dispatcher) noSlotAt(p *pool, r *Remote) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	r.Free[p.service] = 0
-}
-
 // ServeDispatch answers peer.KindDispatch.
-func (d *Dispatcher) ServeDispatch(_ context.Context, msg requestmsg.Dispatch) (executor.Answer, error) {
+func (d *Dispatcher) ServeDispatch(_ context.Context, msg requestmsg.Dispatch) (requestmsg.DispatchReply, error) {
 	values, ok := d.cfg.Settings(msg.Service)
 	if !ok {
-		return executor.Answer{}, result.New(result.UnknownService, result.RanNo, "service %q", msg.Service)
+		return requestmsg.DispatchReply{}, result.New(result.UnknownService, result.RanNo, "service %q", msg.Service)
 	}
 	now := time.Now()
-	d.mu.Lock()
-	p := d.pool(msg.Service, values)
-	var e *endpoint
-	if p.queue.Len() == 0 {
-		e = d.pick(p, now)
-	}
-	if e == nil {
-		d.mu.Unlock()
-		return executor.Answer{}, result.New(result.NoFreeSlot, result.RanNo, "no free slot for %s", msg.Service)
+	p, g, ok := d.takeHere(msg.Service, values, now)
+	if !ok {
+		return requestmsg.DispatchReply{}, result.New(result.NoFreeSlot, result.RanNo, "no free slot for %s", msg.Service)
 	}
-	g := e.take()
-	d.mu.Unlock()
 	w := Work{Service: msg.Service, Deadline: now.Add(msg.Timeout), Request: msg.Request}
 	answer, err := d.call(p, g, w, values)
 	if err != nil {
-		return executor.Answer{}, err
+		return requestmsg.DispatchReply{}, err
+	}
+	return requestmsg.DispatchReply{Answer: answer, Free: d.freeNow(p)}, nil
+}
+
+// takeHere takes a free slot of an executor held here, when nobody waits.
+func (d *Dispatcher) takeHere(service string, values settings.Values, now time.Time) (*pool, grant, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := d.pool(service, values)
+	if p.queue.Len() > 0 {
+		return p, grant{}, false
+	}
+	e := d.pick(p, now)
+	if e == nil {
+		return p, grant{}, false
 	}
-	return answer, nil
+	return p, e.take(), true
 }
 
 // withTimeout returns the request with what is left of its deadline.
--- a/internal/requestmsg/requestmsg.go
+++ b/internal/requestmsg/requestmsg.go
@@ -29,11 +29,17 @@
 }
 
 // Dispatch asks a holder to send a request to one of its executors if one has
-// a free slot at this moment; it never queues. The answer is an
-// executor.Answer, or a *result.Error whose Ran tells whether the request may
-// be sent elsewhere.
+// a free slot at this moment; it never queues. The answer is a DispatchReply,
+// or a *result.Error whose Ran tells whether the request may be sent elsewhere.
 type Dispatch struct {
 	Service string           `cbor:"1,keyasint"`
 	Timeout time.Duration    `cbor:"2,keyasint"`
 	Request executor.Request `cbor:"3,keyasint"`
 }
+
+// DispatchReply is an executor's answer by way of the holder.
+type DispatchReply struct {
+	Answer executor.Answer `cbor:"1,keyasint"`
+	// Free is the number of the holder's free slots for the service now.
+	Free int `cbor:"2,keyasint"`
+}
--- a/internal/requesttest/cell_test.go
+++ b/internal/requesttest/cell_test.go
@@ -31,7 +31,7 @@
 
 const (
 	partitions     = 8
-	heartbeatEvery = 20 * time.Millisecond
+	heartbeatEvery = 500 * time.Millisecond
 )
 
 // cell is a few placers and one entry, in process.
--- a/internal/requesttest/peer_test.go
+++ b/internal/requesttest/peer_test.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
+	"reflect"
 
-	"pulleyquay/internal/executor"
 	"pulleyquay/internal/peer"
 	"pulleyquay/internal/result"
 )
@@ -56,11 +56,11 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	done := make(chan error, 1)
-	var answer executor.Answer
-	go func() { done <- f.local.Call(ctx, addr, kind, req, &answer) }()
+	fresh := reflect.New(reflect.TypeOf(resp).Elem()) // a late answer must not touch resp
+	go func() { done <- f.local.Call(ctx, addr, kind, req, fresh.Interface()) }()
 	select {
 	case err := <-done:
-		*resp.(*executor.Answer) = answer
+		reflect.ValueOf(resp).Elem().Set(fresh.Elem())
 		return err
 	case <-broken:
 		return result.New(result.PeerLost, result.RanUnknown, "cut")
