Teams keep their shares under old backlog; makes of task back off together

Jobs that had waited a minute went before all shares, so that a backlog older than that was served first come, first served; and each job backed off from a full holder by itself, so that a team with more jobs asked more often. Change: age orders jobs within their team, and only one pick in eight over all teams; a refusal counts for every job with the same make of task, until the holder's room changes. Holders and digests are listed once in 100 ms for all homes of a process.

--- a/internal/fairshare/fairshare_test.go
+++ b/internal/fairshare/fairshare_test.go
@@ -116,6 +116,26 @@
 	is.Equal(q.Round(start, 10, total, used)[0].Job, "also") // a holds much already
 }
 
+// TestOldBacklogKeepsShares: when everything has waited long, a team with much
+// more and older work does not get more than its share.
+func TestOldBacklogKeepsShares(t *testing.T) {
+	is := is.New(t)
+	q := NewQueue(DefaultConfig())
+	for i := range 10 {
+		e := entry(fmt.Sprint("old", i), "a", 1000)
+		e.Since = start.Add(-time.Hour)
+		q.Put(e)
+	}
+	e := entry("late", "b", 10000)
+	e.Since = start.Add(-2 * time.Minute)
+	q.Put(e)
+	tasks := map[bool]int{}
+	for _, p := range q.Round(start, 6400, total, nothing) {
+		tasks[p.Job == "late"] += p.Tasks
+	}
+	is.True(tasks[true] >= 6400*2/5)
+}
+
 func TestRoundOrder(t *testing.T) {
 	cases := []struct {
 		name   string
--- a/internal/fairshare/queue.go
+++ b/internal/fairshare/queue.go
@@ -10,7 +10,7 @@
 
 // Config bounds how long order may keep work waiting.
 type Config struct {
-	// AgeAfter is the wait after which a job goes before the order of shares.
+	// AgeAfter is the wait after which a job goes before others of its team.
 	AgeAfter time.Duration
 	// AgedEvery sets one of so many picks aside for the job that has waited
 	// longest, so that a flood of urgent work can not starve the rest.
@@ -78,8 +78,9 @@
 func (q *Queue) Len() int { return len(q.entries) }
 
 // Round gives the order in which to ask for tasks, up to budget of them:
-// urgent jobs, then aged ones, then the team with the smallest dominant share
-// of total; within a team by priority, then by wait. Shares grow by each pick,
+// urgent jobs, then the team with the smallest dominant share of total; within a
+// team aged jobs, then by priority, then by wait. One of AgedEvery picks goes to
+// the job that has waited longest, whatever its team. Shares grow by each pick,
 // so teams with backlog take turns. Gangs are picked whole even above budget.
 // used returns what a team holds already.
 func (q *Queue) Round(now time.Time, budget int, total spec.Resources, used func(team string) spec.Resources) []Pick {
@@ -138,7 +139,7 @@
 		if e.Urgent {
 			r.urgent = append(r.urgent, e)
 		}
-		if now.Sub(e.Since) >= q.config.AgeAfter {
+		if r.isAged(e) {
 			r.aged = append(r.aged, e)
 		}
 	}
@@ -150,13 +151,28 @@
 	slices.SortFunc(r.teams, func(a, b *teamRound) int { return cmp.Compare(a.name, b.name) })
 	for _, t := range r.teams {
 		slices.SortFunc(t.entries, func(a, b *Entry) int {
-			return cmp.Or(cmp.Compare(b.Priority, a.Priority), byWait(a, b))
+			return cmp.Or(r.agedFirst(a, b), cmp.Compare(b.Priority, a.Priority), byWait(a, b))
 		})
 	}
 	slices.SortFunc(r.urgent, byWait)
 	slices.SortFunc(r.aged, byWait)
 }
 
+// isAged reports whether a job has waited long.
+func (r *round) isAged(e *Entry) bool { return r.now.Sub(e.Since) >= r.config.AgeAfter }
+
+// agedFirst puts jobs that have waited long before others of their team. Between
+// teams the shares decide, else a team with much old work would get everything.
+func (r *round) agedFirst(a, b *Entry) int {
+	switch {
+	case r.isAged(a) == r.isAged(b):
+		return 0
+	case r.isAged(a):
+		return -1
+	}
+	return 1
+}
+
 // byWait puts the job that has waited longest first.
 func byWait(a, b *Entry) int {
 	return cmp.Or(a.Since.Compare(b.Since), cmp.Compare(a.Job, b.Job))
@@ -172,10 +188,8 @@
 	if len(r.urgent) > 0 {
 		return r.urgent[0], false
 	}
-	if len(r.aged) > 0 {
-		return r.aged[0], true
-	}
-	return r.fairest(), false
+	e = r.fairest()
+	return e, e != nil && r.isAged(e)
 }
 
 // fairest returns the first job of the team with the smallest dominant share.
--- a/internal/job/home.go
+++ b/internal/job/home.go
@@ -85,6 +85,7 @@
 	gangs     *fsm.FSM // shared by all gangs
 	sites     map[string]*site
 	doubts    map[worker.Attempt]*doubt
+	refusals  map[refusalKey]*refusal
 	asked     map[string]*askedRoom
 	busy      map[string]int // calls under way by address of the holder
 	probeAt   time.Time
@@ -116,7 +117,7 @@
 		health: health.NewJobs(health.DefaultConfig()), pacer: health.NewPacer(replacePerSecond, replaceBurst),
 		gangs: newGangMachine(),
 		sites: map[string]*site{}, doubts: map[worker.Attempt]*doubt{},
-		asked: map[string]*askedRoom{}, busy: map[string]int{}, covered: map[int]uint64{},
+		refusals: map[refusalKey]*refusal{}, asked: map[string]*askedRoom{}, busy: map[string]int{}, covered: map[int]uint64{},
 		written: make(chan struct{}),
 	}
 	h.recorder = recorder.New(m.cfg.Store, h.fence, m.recorder)
--- a/internal/job/manager.go
+++ b/internal/job/manager.go
@@ -61,6 +61,8 @@
 
 	cancel context.CancelFunc // ends watch
 
+	holderList holderList
+
 	mu    sync.Mutex
 	homes map[int]*home
 }
--- a/internal/job/place.go
+++ b/internal/job/place.go
@@ -153,11 +153,10 @@
 	m := j.memory(at.member)
 	m.refusal, m.err = why, err
 	if refused == 0 && err == nil {
-		m.pause, m.until = 0, time.Time{}
+		h.admits(j, at)
 		return
 	}
-	m.pause = min(max(2*m.pause, refusedPause), refusedLongest)
-	m.until = now.Add(m.pause)
+	h.refuse(j, at, now)
 	if err != nil {
 		j.log.add(now, "not placed", "holder "+at.member+": "+err.Error())
 		return
--- a/internal/job/plan.go
+++ b/internal/job/plan.go
@@ -5,7 +5,6 @@
 
 	"pulleyquay/internal/fairshare"
 	"pulleyquay/internal/settings"
-	"pulleyquay/internal/spec"
 	"pulleyquay/internal/view"
 )
 
@@ -100,15 +99,8 @@
 	full    map[taskMake]bool
 }
 
-// taskMake is what the room for a task depends on, without labels.
-type taskMake struct {
-	size       spec.Resources
-	kind       string
-	generation int
-}
-
 func (h *home) moment(table *view.Table, now time.Time) *moment {
-	return &moment{h: h, now: now, holders: holdersOf(table, h.m.cfg.Digests()), full: map[taskMake]bool{}}
+	return &moment{h: h, now: now, holders: h.m.holders(table, now), full: map[taskMake]bool{}}
 }
 
 // lanes reports whether any holder may be sent another call.
@@ -121,15 +113,10 @@
 	return false
 }
 
-// makeOf returns the make of a task; ok is false when labels make it its own.
-func makeOf(t spec.Task) (k taskMake, ok bool) {
-	return taskMake{t.Size, t.AcceleratorKind, t.MinGeneration}, len(t.Labels) == 0
-}
-
 // planJob starts up to n tasks of a job, as quota and holders seem to allow.
 func (h *home) planJob(j *job, values settings.Values, m *moment, n int) {
-	kind, common := makeOf(j.rec.Job.Task)
-	if common && m.full[kind] && !j.rec.Job.Urgent {
+	kind := makeOf(j)
+	if m.full[kind] && !j.rec.Job.Urgent {
 		j.log.add(m.now, "waiting", whyNoRoom)
 		return
 	}
@@ -142,7 +129,7 @@
 	}
 	shares, preempt, full := h.shares(j, m, n)
 	if full {
-		m.full[kind] = common
+		m.full[kind] = true
 	}
 	if len(shares) == 0 {
 		j.log.add(m.now, "waiting", whyNoRoom)
@@ -173,11 +160,11 @@
 	for _, at := range m.holders {
 		room, ever := h.room(j.rec.Job.Task, at, m.now)
 		full = full && room == 0
-		refused := j.refusedBy(at.member, m.now)
-		if h.busy[at.addr] >= maxCalls || refused == backingOff {
+		asked := h.standing(j, at, m.now)
+		if h.busy[at.addr] >= maxCalls || asked == backingOff {
 			continue
 		}
-		if room > 0 && !(j.rec.Job.Urgent && refused == refusedBefore) {
+		if room > 0 && !(j.rec.Job.Urgent && asked == refusedBefore) {
 			out = append(out, share{holder: at, room: min(room, maxBatch)})
 		} else if ever {
 			crowded = append(crowded, share{holder: at, room: 1})
@@ -197,23 +184,3 @@
 	h.probeAt = m.now.Add(probeInterval)
 	return crowded[:1], false, full
 }
-
-// refusal is what a holder's last answer means for asking it again.
-type refusal int
-
-const (
-	notRefused refusal = iota
-	refusedBefore
-	backingOff
-)
-
-func (j *job) refusedBy(member string, now time.Time) refusal {
-	m := j.holders[member]
-	switch {
-	case m == nil || m.pause == 0:
-		return notRefused
-	case m.until.After(now):
-		return backingOff
-	}
-	return refusedBefore
-}
--- a/internal/job/queue.go
+++ b/internal/job/queue.go
@@ -71,7 +71,7 @@
 // round returns the jobs to start tasks of, and how many, in the order of
 // urgency, age and fair shares.
 func (h *home) round(holders []holder, now time.Time) []fairshare.Pick {
-	h.plan.due = now.Add(restInterval)
+	h.plan.due = h.forgetRefusals(now)
 	for _, j := range h.waiting {
 		j.promote(now)
 		if due := j.nextDue(now); due.Before(h.plan.due) {
@@ -95,9 +95,6 @@
 	for _, d := range j.later {
 		sooner(d.due)
 	}
-	for _, m := range j.holders {
-		sooner(m.until)
-	}
 	sooner(j.gang.notBefore)
 	return next
 }
--- a/internal/job/room.go
+++ b/internal/job/room.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"sync"
 	"time"
 
 	"pulleyquay/internal/settings"
@@ -29,6 +30,30 @@
 	known       bool // digest holds
 }
 
+// holderInterval is for how long the list of holders with their digests is used
+// before it is made anew. Digests come with heartbeats, several times as seldom.
+const holderInterval = 100 * time.Millisecond
+
+// holderList is the latest list of holders; the homes of a process share it.
+type holderList struct {
+	mu    sync.Mutex
+	table int64 // revision
+	until time.Time
+	list  []holder
+}
+
+// holders returns the holders with their digests as of a moment ago.
+func (m *Manager) holders(t *view.Table, now time.Time) []holder {
+	l := &m.holderList
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if t.Revision != l.table || !now.Before(l.until) {
+		l.list = holdersOf(t, m.cfg.Digests())
+		l.table, l.until = t.Revision, now.Add(holderInterval)
+	}
+	return l.list
+}
+
 // holdersOf returns the members that hold partitions and take work, in a fixed
 // order.
 func holdersOf(t *view.Table, digests map[string]taskmsg.Digest) []holder {
--- a/internal/job/task.go
+++ b/internal/job/task.go
@@ -89,10 +89,8 @@
 	log     decisionLog
 }
 
-// holderMemory is what a job remembers of one holder's refusals.
+// holderMemory is a holder's last answer about a job, for the explanation.
 type holderMemory struct {
-	until   time.Time
-	pause   time.Duration
 	refusal *taskmsg.Refusal
 	err     error
 }
