Priority of a run outlives its holder

Cause: after a takeover the books knew only what the workers told, and they did not know the priority: all adopted runs counted as the least urgent. Change: worker.Start and worker.Run carry the priority, as they do 'urgent'. Seen failing first: TestPriorityOutlivesTheHolder without the adopted priority (the first version of the test passed without it, by the order of the job names).

--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -143,6 +143,6 @@
 func startOf(shape *taskmsg.Shape, r *scheduler.Run) *worker.Start {
 	return &worker.Start{
 		Task: r.Attempt.Task, Attempt: r.Attempt.Attempt, Home: r.Home, Kind: shape.Kind,
-		Urgent: shape.Urgent, Size: r.Size, RunMillis: shape.Task.RunMillis, Command: shape.Task.Command,
+		Urgent: shape.Urgent, Priority: shape.Policy.Priority, Size: r.Size, RunMillis: shape.Task.RunMillis, Command: shape.Task.Command,
 	}
 }
--- a/internal/fleet/policy_test.go
+++ b/internal/fleet/policy_test.go
@@ -286,3 +286,31 @@
 		})
 	}
 }
+
+// TestPriorityOutlivesTheHolder: the next holder preempts the least urgent runs,
+// which it knows from the workers alone.
+func TestPriorityOutlivesTheHolder(t *testing.T) {
+	bubble(t, 1, func(b *bench) {
+		old := b.member("a")
+		old.take(1, nil)
+		synctest.Wait()
+		valued := shapeOf("any-valued", 1000, 0)
+		valued.Policy.Priority = 5
+		old.put(shapeOf("plain", 1000, 0), 4)
+		time.Sleep(testLease) // until the usage reports contain what was started
+		b.is.Equal(count(old.put(valued, 4), taskmsg.OutcomeStarted), 4)
+		time.Sleep(testLease)
+		old.stop()
+		next := b.member("b")
+		defer next.stop()
+		next.take(2, nil)
+		time.Sleep(testLease)
+		reply, err := next.place(context.Background(), urgentRequest("urgent", 4))
+		b.is.NoErr(err)
+		b.is.Equal(count(reply.Results, taskmsg.OutcomeStarted), 4)
+		time.Sleep(time.Second)
+		for i := range 4 {
+			b.is.Equal(b.home.state(attempt("plain", i)), taskmsg.RunPreempted)
+		}
+	})
+}
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -199,7 +199,7 @@
 // bookAdopted books a run that is known only from its worker.
 func (f *Fleet) bookAdopted(r *run, w *worker.Run, now time.Time) {
 	started := now.Add(-time.Duration(r.agent.clock.reading-w.Started) * time.Millisecond)
-	booked := scheduler.Run{Attempt: r.id, Home: w.Home, Kind: w.Kind, Size: w.Size, Urgent: w.Urgent}
+	booked := scheduler.Run{Attempt: r.id, Home: w.Home, Kind: w.Kind, Size: w.Size, Urgent: w.Urgent, Priority: w.Priority}
 	if err := f.cell.Adopt(r.agent.name, booked, started); err != nil {
 		f.log.WithError(err).Error("run not booked") // only for a worker that was never claimed
 	}
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -49,8 +49,9 @@
 	Size  spec.Resources `json:"size,omitzero"`
 	Kind  spec.Kind      `json:"kind,omitempty"`
 	State State          `json:"state"`
-	// Urgent is kept for choosing what to preempt.
+	// Urgent and Priority are kept for choosing what to preempt.
 	Urgent   bool   `json:"urgent,omitempty"`
+	Priority int64  `json:"priority,omitempty"`
 	ExitCode int    `json:"exit_code,omitempty"`
 	Started  Millis `json:"started,omitempty"`
 	// LeaseUntil is when the worker will stop the run unless renewed.
@@ -86,6 +87,7 @@
 	Home      int            `json:"home"`
 	Kind      spec.Kind      `json:"kind"`
 	Urgent    bool           `json:"urgent,omitempty"`
+	Priority  int64          `json:"priority,omitempty"`
 	Size      spec.Resources `json:"size"`
 	RunMillis int64          `json:"run_ms,omitempty"`
 	Command   string         `json:"command,omitempty"`
--- a/internal/worker/workersim/worker.go
+++ b/internal/worker/workersim/worker.go
@@ -144,7 +144,7 @@
 	}
 	r := &run{
 		Run: worker.Run{
-			Task: s.Task, Attempt: s.Attempt, Home: s.Home, Size: s.Size, Kind: s.Kind, Urgent: s.Urgent,
+			Task: s.Task, Attempt: s.Attempt, Home: s.Home, Size: s.Size, Kind: s.Kind, Urgent: s.Urgent, Priority: s.Priority,
 			State: worker.StateRunning, Started: w.clock(now),
 		},
 		until: now.Add(lease),
