A dropped partition's order is not sent

Cause: between the look whether an agent has something to send and the making of the order the partition can be dropped and taken up again under its epoch (as after a hand-over that failed). The starts, already called refused, were still sent, and the new agents' claims waited only for orders sent before the drop: a task could be started twice. Change: making and committing an order ask under the mutex whether the agent is gone. Tombstones are bounded at 16,384 (a late start comes within seconds). Seen failing first: TestDroppedInTheMiddleOfAnOrder, both cases (found by reading; the random trials do not drop and retake under one epoch). Measured: the package's tests under -race pass.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -31,7 +31,7 @@
 const (
 	defaultLease = 15 * time.Second
 	// tombstones is how many stopped but unknown attempts are remembered.
-	tombstones = 1 << 16
+	tombstones = 1 << 14
 	// claimsAtOnce bounds the claims in flight, so that a takeover of many
 	// workers does not open as many connections at one moment.
 	claimsAtOnce = 64
--- a/internal/fleet/helpers_test.go
+++ b/internal/fleet/helpers_test.go
@@ -41,6 +41,8 @@
 	// the last one.
 	revoked bool
 	granted time.Time
+	// onCheck is called before the next check, once.
+	onCheck func()
 	// eternal grants whatever happens: a planted fault.
 	eternal bool
 }
@@ -54,6 +56,13 @@
 }
 
 func (r *rights) Check(p int) (hold.Grant, error) {
+	r.mu.Lock()
+	hook := r.onCheck
+	r.onCheck = nil
+	r.mu.Unlock()
+	if hook != nil {
+		hook()
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.epochs[p] == 0 {
--- a/internal/fleet/order.go
+++ b/internal/fleet/order.go
@@ -26,6 +26,9 @@
 // all its leases with it.
 func (f *Fleet) order(a *agent) {
 	out := f.compose(a)
+	if out == nil {
+		return
+	}
 	ctx, cancel := context.WithTimeout(f.ctx, f.times.call)
 	defer cancel()
 	// The right is asked for after the order is complete, so that nothing but
@@ -40,7 +43,9 @@
 	if grant.Until.Before(until) {
 		until = grant.Until
 	}
-	f.commit(a, out, until)
+	if !f.commit(a, out, until) {
+		return
+	}
 	reply, err := f.cfg.Client.Order(ctx, out.addr, out.order)
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -65,10 +70,14 @@
 	}
 }
 
-// compose takes what waits into an order.
+// compose takes what waits into an order. It returns nil when the agent has
+// been dropped since it was found due: its queued starts were called refused.
 func (f *Fleet) compose(a *agent) *outgoing {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if a.gone {
+		return nil
+	}
 	out := &outgoing{addr: a.addr, order: worker.Order{Partition: a.part.id, Epoch: a.part.epoch, RenewMillis: f.times.lease.Milliseconds()}}
 	for id, mode := range a.stops {
 		out.order.Stops = append(out.order.Stops, worker.Stop{Attempt: id, Mode: mode})
@@ -87,13 +96,19 @@
 }
 
 // commit fixes the order's expiry and notes, before it is sent, until when its
-// renewal may be in force if no answer comes.
-func (f *Fleet) commit(a *agent, out *outgoing, until time.Time) {
+// renewal may be in force if no answer comes. It reports false when the agent
+// has been dropped: who takes the partition up again under the same epoch waits
+// only for orders that were sent before.
+func (f *Fleet) commit(a *agent, out *outgoing, until time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if a.gone {
+		return false
+	}
 	out.order.Expires = a.clock.expiry(until)
 	out.bound, out.before = until.Add(f.times.leaseBound()), a.mayRunUntil
 	a.mayRunUntil = later(a.mayRunUntil, out.bound)
+	return true
 }
 
 // withdraw undoes an order that was not sent for want of the right. Its starts
--- a/internal/fleet/policy_test.go
+++ b/internal/fleet/policy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -314,3 +315,41 @@
 		}
 	})
 }
+
+// TestDroppedInTheMiddleOfAnOrder: a partition that is dropped and taken up
+// again under its epoch while an order is being made has that order not sent.
+func TestDroppedInTheMiddleOfAnOrder(t *testing.T) {
+	for _, composed := range []bool{false, true} {
+		t.Run(fmt.Sprintf("composed=%v", composed), func(t *testing.T) {
+			bubble(t, 1, func(b *bench) {
+				m := b.member("a")
+				defer m.stop()
+				m.take(1, nil)
+				synctest.Wait()
+				retake := func() {
+					m.Drop(b.rackPartition())
+					m.take(1, nil)
+				}
+				m.mu.Lock()
+				a := m.agents["w0"]
+				a.busy = true // this test drives it
+				m.mu.Unlock()
+				outcome := make(chan taskmsg.Outcome, 1)
+				go func() { outcome <- m.put(shapeOf("job", 1000, 0), 1)[0].Outcome }()
+				synctest.Wait()
+				want := taskmsg.OutcomeRefused
+				if composed {
+					want = taskmsg.OutcomeUnknown
+					m.right.onCheck = retake
+				} else {
+					retake()
+				}
+				m.order(a)
+				b.is.Equal(<-outcome, want)
+				b.is.Equal(b.running(), 0)
+				time.Sleep(testLease)
+				b.is.Equal(b.running(), 0)
+			})
+		})
+	}
+}
