--- a/cmd/pulley-placer/placer.go
+++ b/cmd/pulley-placer/placer.go
@@ -44,6 +44,7 @@
 	mux   *peer.Mux
 	node  *peer.Node
 	store platform.Store
+	calls *budget.Store // what store's calls go through, for the dump
 	hosts *hostcache.Cache
 
 	settings *settings.Keeper
@@ -75,6 +76,10 @@
 	return p, nil
 }
 
+// expectedMembers is among how many placers the store's rates are shared until
+// the members are known.
+const expectedMembers = 16
+
 func (p *placer) addStore() error {
 	client, err := etcdhttp.New(etcdhttp.Options{Endpoints: p.conf.Store.Endpoints, Name: p.conf.Name})
 	if err != nil {
@@ -83,11 +88,12 @@
 	limits := budget.DefaultLimits()
 	limits.ReadsPerSecond = p.conf.Store.ReadsPerSecond
 	limits.WritesPerSecond = p.conf.Store.WritesPerSecond
-	limited, err := budget.New(client, budget.Options{Limits: limits, Registry: p.daemon.Reg})
+	p.calls, err = budget.New(client, budget.Options{Limits: limits, Registry: p.daemon.Reg})
 	if err != nil {
 		return err
 	}
-	confirmed, err := confirm.New(limited, confirm.Options{Registry: p.daemon.Reg})
+	p.calls.Share(expectedMembers)
+	confirmed, err := confirm.New(p.calls, confirm.Options{Registry: p.daemon.Reg})
 	if err != nil {
 		return err
 	}
@@ -131,12 +137,12 @@
 	p.jobs = job.New(job.Config{
 		Source: source{p}, Right: p.keeper, Store: p.store, Peers: p.node,
 		PartitionKey: hold.PartitionKey, Values: p.branchValues, Digests: p.digests,
-		Registerer: reg, Log: p.log,
+		StoreAge: p.keeper.StoreAge, Registerer: reg, Log: p.log,
 	})
 	p.fleet = fleet.New(fleet.Config{
 		Name: p.conf.Name, Partitions: p.conf.Holding.Partitions, Lease: p.conf.Holding.TaskLease.Std(),
 		Hosts: p.hosts.Hosts, Right: p.keeper, Client: workerhttp.NewClient(httponce.Options{}),
-		Peers: p.node, View: source{p}, Covers: p.keeper, StoreAge: p.keeper.StoreAge,
+		Peers: p.node, View: source{p}, Covers: p.keeper, StoreUp: p.keeper.StoreUp,
 		Registerer: reg, Log: p.log,
 	})
 	p.keeper.SetDeputy(p.fleet)
@@ -149,7 +155,7 @@
 }
 
 func (p *placer) register() {
-	view.Serve(p.mux, p.keeper.Table)
+	view.Serve(p.mux, p.keeper.Table, p.keeper.Changed)
 	p.settings.Serve(p.mux)
 	p.fleet.Register(p.mux)
 	p.jobs.Register(p.mux)
@@ -161,7 +167,7 @@
 // observe connects the parts to the dump and to readiness.
 func (p *placer) observe() {
 	for name, dump := range map[string]func() any{
-		"peers": p.node.Dump, "holding": p.keeper.Dump, "workers": p.fleet.Dump, "jobs": p.jobs.Dump,
+		"peers": p.node.Dump, "store": p.calls.Dump, "holding": p.keeper.Dump, "workers": p.fleet.Dump, "jobs": p.jobs.Dump,
 	} {
 		p.daemon.AddDump(name, dump)
 	}
@@ -185,6 +191,7 @@
 	for _, run := range []func(context.Context){p.hosts.Run, p.settings.Run, p.fleet.Run, p.dispatch.Run} {
 		go run(ctx)
 	}
+	go p.calls.Follow(ctx, func() int { return len(p.keeper.Table().Members) })
 	return p.keeper.Start(ctx)
 }
 
--- a/internal/hold/referee_test.go
+++ b/internal/hold/referee_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -74,6 +76,7 @@
 		defer n.acting.Done()
 		for ctx.Err() == nil {
 			for _, id := range n.Held() {
+				n.gate.pass(ctx)
 				n.resident.use(n.Keeper, id)
 			}
 			select {
@@ -89,6 +92,12 @@
 type recorder struct {
 	referee *referee
 	node    string
+	// skipExpiry plants a fault: act for what is held without asking the right.
+	skipExpiry atomic.Bool
+	// failRelease makes every Release fail, its work not finished.
+	failRelease atomic.Bool
+	// releaseTime is how long the work in flight takes, in nanoseconds.
+	releaseTime atomic.Int64
 
 	mu     sync.Mutex
 	states map[int]string
@@ -105,7 +114,11 @@
 	if _, has := r.states[id]; !has {
 		return
 	}
-	if g, err := k.Check(id); err == nil {
+	g, err := k.Check(id)
+	if r.skipExpiry.Load() && err != nil {
+		g, err = Grant{Partition: id, Epoch: r.got[id].Epoch, Until: time.Now().Add(actInterval)}, nil
+	}
+	if err == nil {
 		r.referee.granted(r.node, g, time.Now())
 	}
 }
@@ -119,7 +132,10 @@
 	return nil
 }
 
-func (r *recorder) Release(_ context.Context, id int) ([]byte, error) {
+func (r *recorder) Release(ctx context.Context, id int) ([]byte, error) {
+	if !sleep(ctx, time.Duration(r.releaseTime.Load())) || r.failRelease.Load() {
+		return nil, errors.New("work not finished")
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.counts.release++
--- a/internal/job/service_test.go
+++ b/internal/job/service_test.go
@@ -125,6 +125,9 @@
 				s, err := a.update(next, 1)
 				c.is.NoErr(err)
 				c.is.Equal(s.Generation, 2)
+				s, err = a.update(next, 1) // repeated
+				c.is.NoErr(err)
+				c.is.Equal(s.Generation, 2)
 				for range 400 {
 					n := c.judge.Record(time.Now(), false).Running
 					if n > tt.most || n < tt.least {
@@ -136,6 +139,7 @@
 				if tt.replaced {
 					c.is.Equal(c.judge.Starts()-starts, tt.replicas)
 				}
+				c.is.Equal(a.jobs.home(0).ledger.Used(job.Team), next.Task.Size.Times(int64(tt.replicas)))
 				again, err := a.submit(job) // the first submission, repeated
 				c.is.NoErr(err)
 				c.is.Equal(again.Generation, 2)
--- a/internal/job/update.go
+++ b/internal/job/update.go
@@ -57,7 +57,10 @@
 		return nil, nil, err
 	}
 	if sameSpec(j.rec.Job, req.Job) {
-		return nil, nil, nil
+		return nil, nil, nil // also the answer to a repeated change
+	}
+	if req.Generation != 0 && req.Generation != j.rec.Generation {
+		return nil, nil, result.New(result.JobChanged, result.RanNo, "the job is at generation %d, not %d", j.rec.Generation, req.Generation).At("generation")
 	}
 	if !known {
 		return nil, nil, result.New(result.JobBranchUnknown, result.RanNo, "no branch %q in the settings", req.Job.Branch).At("branch")
@@ -68,6 +71,9 @@
 	if err := checkFits(req.Job, sizes, complete); err != nil {
 		return nil, nil, err
 	}
+	if err := h.m.storeAway(); err != nil {
+		return nil, nil, err
+	}
 	if j.flushing || j.dirty || !j.certain || h.flushGap > 0 {
 		return nil, nil, result.New(result.JobNotRecorded, result.RanNo, "an earlier change of the job is not in the store yet").Later(updateRetry)
 	}
@@ -91,8 +97,6 @@
 		return invalid("kind", "only a service can be changed")
 	case s.Kind != old.Kind || s.Team != old.Team:
 		return invalid("team", "kind and team stay as they are")
-	case req.Generation != 0 && req.Generation != j.rec.Generation:
-		return result.New(result.JobChanged, result.RanNo, "the job is at generation %d, not %d", j.rec.Generation, req.Generation).At("generation")
 	}
 	return validateSpec(s, now)
 }
@@ -103,10 +107,12 @@
 	next := *j.rec
 	next.Job = s
 	if !sameTask(j.rec.Job, s) {
-		past := pastSpec{Generation: j.rec.Generation, Until: h.latestAttempt(), Size: j.rec.Job.Task.Size}
+		past := pastSpec{Generation: j.rec.TaskGeneration, Until: h.latestAttempt(), Size: j.rec.Job.Task.Size}
 		next.Past = append(append([]pastSpec(nil), j.rec.Past...), past)
+		next.TaskGeneration++
 	}
 	next.Generation++
+	next.Peak = max(j.rec.Peak, j.rec.Job.Tasks)
 	return &next
 }
 
@@ -162,7 +168,8 @@
 // the record became meanwhile stays.
 func (h *home) putInForce(j *job, next *record) {
 	generation := j.rec.Generation
-	j.rec.Job, j.rec.Generation, j.rec.Past = next.Job, next.Generation, next.Past
+	j.rec.Job, j.rec.Generation, j.rec.TaskGeneration = next.Job, next.Generation, next.TaskGeneration
+	j.rec.Past, j.rec.Peak = next.Past, next.Peak
 	j.holders = map[string]*holderMemory{}
 	h.attend(j)
 	j.log.add(time.Now(), "changed", "a new specification is in force")
--- a/internal/platform/budget/budget.go
+++ b/internal/platform/budget/budget.go
@@ -69,6 +69,25 @@
 	s.writes.share(processes)
 }
 
+// shareEvery is how often Follow looks at the number of processes.
+const shareEvery = time.Second
+
+// Follow keeps the share up to date until ctx ends. The share stays as it is
+// while processes returns zero, which stands for unknown.
+func (s *Store) Follow(ctx context.Context, processes func() int) {
+	ticker := time.NewTicker(shareEvery)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		if n := processes(); n > 0 {
+			s.Share(n)
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+		}
+	}
+}
+
 // Dump is the state shown by /debug/state.
 type Dump struct {
 	// Calls are counts by kind and result, "commit ok".
@@ -106,7 +125,7 @@
 	defer cancel()
 	began := time.Now()
 	if err := s.limiter(c).wait(ctx, c); err != nil {
-		s.metrics.done(call, resultBudget, -1, err)
+		s.metrics.done(call, outcomeOf(err), -1, err)
 		return none, err
 	}
 	s.metrics.waited.WithLabelValues(string(c)).Observe(time.Since(began).Seconds())
@@ -195,13 +214,17 @@
 	}
 	defer func() { <-s.watches }()
 	if err := s.reads.wait(ctx, classRead); err != nil {
-		s.metrics.done(callWatch, resultBudget, -1, err)
+		s.metrics.done(callWatch, outcomeOf(err), -1, err)
 		return err
 	}
 	s.metrics.watches.Inc()
 	defer s.metrics.watches.Dec()
 	err := s.inner.Watch(ctx, prefix, after, fn)
-	s.metrics.done(callWatch, watchOutcomeOf(ctx, err), -1, err)
+	outcome := outcomeOf(err)
+	if ctx.Err() != nil {
+		outcome = resultEnded
+	}
+	s.metrics.done(callWatch, outcome, -1, err)
 	return err
 }
 
--- a/test/e2e/harness/process.go
+++ b/test/e2e/harness/process.go
@@ -40,7 +40,7 @@
 }
 
 // logTail is how many bytes of a process's log a failed test shows.
-const logTail = 40000
+const logTail = 4000
 
 // Run starts a binary with the settings as its --config file. It ends with the
 // test at the latest; its log is shown when the test failed.
@@ -116,6 +116,9 @@
 	return 0
 }
 
+// Log returns what the process has logged so far.
+func (p *Process) Log() string { return string(p.log.Bytes()) }
+
 func (p *Process) signal(s os.Signal) {
 	if p.Alive() {
 		_ = p.cmd.Process.Signal(s) // it may have ended meanwhile
