Benchmark of starts through real processes

Cause: the sum of the parts says what a start should cost; the whole had not been measured. Change: BenchmarkDaemonStarts: an entry, three placers and the stand-in as processes, batch jobs from submission to recorded end.

--- a/internal/capacity/daemon_bench_test.go
+++ b/internal/capacity/daemon_bench_test.go
@@ -1,8 +1,10 @@
 package capacity
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -11,12 +13,15 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/google/uuid"
 )
 
 // daemons are a stand-in for the platform and some placers, as processes.
 type daemons struct {
 	dir     string
 	placers []*exec.Cmd
+	peers   []string
 }
 
 type object = map[string]any
@@ -25,11 +30,7 @@
 // many workers in all, nothing running: processor time, resident memory, and
 // bytes through their sockets. One iteration is a second.
 func BenchmarkDaemonIdle(b *testing.B) {
-	bin := b.TempDir()
-	build := exec.Command("go", "build", "-o", bin, "pulleyquay/cmd/pulley-placer", "pulleyquay/cmd/pulley-standin")
-	if out, err := build.CombinedOutput(); err != nil {
-		b.Fatalf("%v: %s", err, out)
-	}
+	bin := buildDaemons(b)
 	for _, c := range []struct{ placers, workers int }{{1, 8}, {3, 48}, {7, 48}, {7, 350}, {14, 48}} {
 		b.Run(fmt.Sprintf("%d-placers/%d-workers", c.placers, c.workers), func(b *testing.B) {
 			d := startDaemons(b, bin, c.placers, c.workers)
@@ -47,6 +48,97 @@
 	}
 }
 
+func buildDaemons(b *testing.B) string {
+	bin := b.TempDir()
+	build := exec.Command("go", "build", "-o", bin,
+		"pulleyquay/cmd/pulley-placer", "pulleyquay/cmd/pulley-entry", "pulleyquay/cmd/pulley-standin")
+	if out, err := build.CombinedOutput(); err != nil {
+		b.Fatalf("%v: %s", err, out)
+	}
+	return bin
+}
+
+// BenchmarkDaemonStarts measures batch jobs of 100 tasks that run for 2 s, from
+// their submission at an entry to their recorded end, by three placers as
+// processes: what the placers spend on each start above what they spend idle.
+// One iteration is a wave of 40 jobs of as many teams.
+func BenchmarkDaemonStarts(b *testing.B) {
+	const jobs, tasks = 40, 100
+	bin := buildDaemons(b)
+	d := startDaemons(b, bin, 3, 96)
+	entry := d.startEntry(b, bin)
+	time.Sleep(8 * time.Second) // claims and first renewals
+	const idle = 5.0
+	cpu0, io0 := d.use(b)
+	time.Sleep(idle * time.Second)
+	cpu1, io1 := d.use(b)
+	for b.Loop() {
+		var ids []string
+		for i := range jobs {
+			ids = append(ids, submitJob(b, entry, fmt.Sprint("team-", i), tasks))
+		}
+		for _, id := range ids {
+			for !jobEnded(b, entry, id) {
+				time.Sleep(100 * time.Millisecond)
+			}
+		}
+	}
+	cpu2, io2 := d.use(b)
+	starts, seconds := float64(b.N*jobs*tasks), b.Elapsed().Seconds()
+	b.ReportMetric((cpu2-cpu1-(cpu1-cpu0)/idle*seconds)*1e6/starts, "cpu-us/start")
+	b.ReportMetric((io2-io1-(io1-io0)/idle*seconds)/starts, "B/start")
+	b.ReportMetric(starts/seconds, "starts/s")
+	b.ReportMetric(d.resident(b)/3, "MB-resident")
+}
+
+func (d *daemons) startEntry(b *testing.B, bin string) string {
+	addr, admin := freeAddr(b), freeAddr(b)
+	d.start(b, filepath.Join(bin, "pulley-entry"), object{
+		"name": "entry", "zone": "a", "listen": object{"http": addr, "admin": admin}, "placers": d.peers,
+	})
+	awaitOK(b, "http://"+admin+"/readyz")
+	return "http://" + addr + "/v1/jobs"
+}
+
+func submitJob(b *testing.B, url, team string, tasks int) string {
+	id := uuid.Must(uuid.NewV7()).String()
+	data, err := json.Marshal(object{
+		"id": id, "team": team, "branch": "/", "kind": "batch", "tasks": tasks,
+		"task": object{"size": object{"milli_cpu": 1000, "memory_mib": 1024}, "run_ms": 2000, "command": "reconcile --shard"},
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	for {
+		resp, err := http.Post(url, "application/json", bytes.NewReader(data))
+		if err != nil {
+			b.Fatal(err)
+		}
+		body, _ := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if resp.StatusCode < 300 {
+			return id
+		}
+		if resp.StatusCode != http.StatusServiceUnavailable {
+			b.Fatalf("submit: %d %s", resp.StatusCode, body)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+func jobEnded(b *testing.B, url, id string) bool {
+	resp, err := http.Get(url + "/" + id)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var status struct{ State string }
+	if err := json.NewDecoder(resp.Body).Decode(&status); err != nil {
+		b.Fatal(err)
+	}
+	return status.State == "finished"
+}
+
 func startDaemons(b *testing.B, bin string, placers, workers int) *daemons {
 	d := &daemons{dir: b.TempDir()}
 	addr := freeAddr(b)
@@ -62,9 +154,11 @@
 	for i := range placers {
 		admin := freeAddr(b)
 		admins = append(admins, admin)
+		peer := freeAddr(b)
+		d.peers = append(d.peers, peer)
 		d.placers = append(d.placers, d.start(b, filepath.Join(bin, "pulley-placer"), object{
 			"name": fmt.Sprint("placer-", i), "zone": string(rune('a' + i%3)),
-			"listen": object{"peer": freeAddr(b), "admin": admin}, "store": object{"endpoints": []string{addr}},
+			"listen": object{"peer": peer, "admin": admin}, "store": object{"endpoints": []string{addr}},
 			"host_list": object{"address": addr},
 		}))
 	}
