--- a/internal/job/place.go
+++ b/internal/job/place.go
@@ -5,6 +5,7 @@
 	"maps"
 	"time"
 
+	"pulleyquay/internal/fairshare"
 	"pulleyquay/internal/peer"
 	"pulleyquay/internal/result"
 	"pulleyquay/internal/settings"
@@ -39,6 +40,7 @@
 	j.log.add(now, "asked", "holder "+s.member+", policy "+values.Placement.Policy+why(preempt))
 	h.m.metrics.ordered.Add(float64(n))
 	req := taskmsg.PlaceRequest{Home: h.self(), Shape: h.shape(j, values), Slots: slots, Preempt: preempt}
+	req.Shape.Aged = !j.since.IsZero() && now.Sub(j.since) >= fairshare.DefaultConfig().AgeAfter
 	h.work.Go(func() { h.place(j, s.holder, req) })
 }
 
--- a/internal/scheduler/books.go
+++ b/internal/scheduler/books.go
@@ -33,6 +33,8 @@
 	bucket *bucket // nil unless ready
 	slot   int     // index in bucket.books
 	rack   string
+	// keptFor is the job that the worker is kept for, or "".
+	keptFor string
 }
 
 // used is what counts against the worker's size: the larger of what its runs
--- a/internal/scheduler/cell.go
+++ b/internal/scheduler/cell.go
@@ -26,6 +26,7 @@
 	recent *victimMemory
 	// replicas counts the started runs of each service.
 	replicas map[string]int64
+	kept     map[string]kept // by job
 
 	index   index
 	scratch search
@@ -40,6 +41,7 @@
 		runs:     map[worker.Attempt]*booking{},
 		recent:   newVictimMemory(),
 		replicas: map[string]int64{},
+		kept:     map[string]kept{},
 		index:    newIndex(),
 	}
 }
@@ -73,6 +75,7 @@
 	}
 	delete(c.books, name)
 	c.index.leave(b)
+	c.release(b.keptFor)
 	for i, o := range c.order {
 		if o == b {
 			c.order = append(c.order[:i], c.order[i+1:]...)
@@ -216,6 +219,7 @@
 	if !ok {
 		return
 	}
+	c.lapse(now)
 	b.observe(usage, now, c.UsageLag)
 	b.reindex()
 	b.over.note(usage, b.Info.Size, now)
--- a/internal/scheduler/filters.go
+++ b/internal/scheduler/filters.go
@@ -9,6 +9,7 @@
 // Names of the rules that turn workers down, as they stand in a Refusal.
 const (
 	RuleStatus          = "status"
+	RuleKept            = "kept" // for aged work of another job
 	RuleAvoid           = "avoid"
 	RuleAcceleratorKind = "accelerator-kind"
 	RuleGeneration      = "generation"
@@ -105,6 +106,9 @@
 	if b.Status != StatusReady {
 		return RuleStatus
 	}
+	if b.keptFor != "" && b.keptFor != a.Shape.Job {
+		return RuleKept
+	}
 	if rule := refusedByHardware(a, &b.group.size); rule != "" {
 		return rule
 	}
--- a/internal/scheduler/index.go
+++ b/internal/scheduler/index.go
@@ -50,13 +50,13 @@
 	labels, zone    string
 }
 
-// group is the workers of one make in one zone. Those that are not ready count
-// as members but are in no bucket.
+// group is the workers of one make in one zone. Those that are not ready or
+// kept for a job count as members but are in no bucket.
 type group struct {
 	key     groupKey
 	size    taskmsg.Size // Workers is the number of members
 	zone    string
-	ready   int
+	ready   int // those in buckets
 	byLevel map[levels]*bucket
 	buckets []*bucket // the occupied ones
 }
@@ -134,7 +134,7 @@
 // reindex puts b into the bucket of what is left of it. It has to be called
 // after each change of a worker's books or status.
 func (b *book) reindex() {
-	if b.Status != StatusReady {
+	if b.Status != StatusReady || b.keptFor != "" {
 		b.unplace()
 		return
 	}
--- a/internal/scheduler/index_test.go
+++ b/internal/scheduler/index_test.go
@@ -50,6 +50,7 @@
 	for range rapid.IntRange(0, 3).Draw(t, "avoids") {
 		a.Shape.Avoid = append(a.Shape.Avoid, name(rapid.IntRange(0, 20).Draw(t, "avoid")))
 	}
+	a.Shape.Job = rapid.SampledFrom([]string{"job", "aged"}).Draw(t, "job")
 	a.Shape.Policy.SpreadZones = rapid.Bool().Draw(t, "spread-zones")
 	a.Shape.Policy.SpreadRacks = rapid.Bool().Draw(t, "spread-racks")
 	a.Shape.Policy.Name = rapid.SampledFrom([]string{settings.PolicyPacking, settings.PolicyWaiting}).Draw(t, "policy")
@@ -79,7 +80,11 @@
 func changeCell(t *rapid.T, c *Cell, workers, i int) {
 	w := rapid.IntRange(0, workers-1).Draw(t, "changed")
 	size := res(rapid.Int64Range(0, 700).Draw(t, "r-cpu"), rapid.Int64Range(0, 900).Draw(t, "r-mem"), rapid.Int64Range(0, 2).Draw(t, "r-acc"))
-	switch rapid.IntRange(0, 6).Draw(t, "change") {
+	switch rapid.IntRange(0, 7).Draw(t, "change") {
+	case 7:
+		a := askFor(res(900, 900, 1))
+		a.Shape.Job, a.Shape.Aged = "aged", true
+		_, _ = c.Place(a, []Run{run("aged", i, a.size())}, start) // keeps a worker when there is no room
 	case 0:
 		c.Observe(name(w), size.Times(2), start)
 	case 1:
@@ -129,7 +134,7 @@
 	}
 	wantReady := 0
 	for _, b := range c.order {
-		if b.Status == StatusReady {
+		if b.Status == StatusReady && b.keptFor == "" {
 			wantReady++
 		}
 	}
--- a/internal/scheduler/refusal.go
+++ b/internal/scheduler/refusal.go
@@ -16,8 +16,15 @@
 			r.ByRule[rule] += n
 		}
 	}
+	closed := 0
+	for _, k := range s.cell.kept {
+		if k.book.Status == StatusReady {
+			count(refusedBy(s.ask, k.book), 1)
+			closed-- // in no bucket, but not for its status
+		}
+	}
 	for _, g := range s.cell.index.order {
-		count(RuleStatus, g.size.Workers-g.ready)
+		closed += g.size.Workers - g.ready
 		if rule := refusedByHardware(s.ask, &g.size); rule != "" {
 			count(rule, g.ready)
 			continue
@@ -26,6 +33,7 @@
 			s.countBucket(k, count)
 		}
 	}
+	count(RuleStatus, closed)
 	r.Never = s.cell.Never(&s.ask.Shape.Task) != nil
 	return r
 }
--- a/internal/scheduler/scan_test.go
+++ b/internal/scheduler/scan_test.go
@@ -11,7 +11,7 @@
 			s.groups = append(s.groups, rankedGroup{group: g})
 		}
 	}
-	least, most := s.zoneRange()
+	s.least, s.most = s.zoneRange()
 	refusal := &taskmsg.Refusal{Workers: len(c.order), ByRule: map[string]int{}}
 	var best candidate
 	for _, b := range c.order {
@@ -19,8 +19,7 @@
 			refusal.ByRule[rule]++
 			continue
 		}
-		p := place{size: &b.group.size, zoneRuns: a.Shape.Zones[b.Info.Zone], zoneLeast: least, zoneMost: most}
-		s.rate(b, &rankedGroup{group: b.group, place: p}, &best)
+		s.rate(b, &rankedGroup{group: b.group, place: s.placeIn(b.group)}, &best)
 	}
 	if best.book != nil {
 		return Choice{Worker: best.book.Info.Name, Score: best.score}, nil
--- a/internal/scheduler/select.go
+++ b/internal/scheduler/select.go
@@ -41,7 +41,8 @@
 
 // Place chooses a worker for each run of one shape and books it, until one
 // finds no room. The refusal is that of the first run not placed. A run that is
-// booked already is passed over and missing from the result.
+// booked already is passed over and missing from the result. Where aged work
+// finds no room a worker is kept for it; see keep.
 func (c *Cell) Place(a Ask, runs []Run, now time.Time) ([]Placed, *taskmsg.Refusal) {
 	a.Shape.Zones = copyZones(a.Shape.Zones)
 	placed := make([]Placed, 0, len(runs))
@@ -52,9 +53,16 @@
 		}
 		b, score := s.best()
 		if b == nil {
-			return placed, s.refusal()
+			refusal := s.refusal()
+			if a.Shape.Aged && !refusal.Never {
+				c.keep(&a, now)
+			}
+			return placed, refusal
 		}
 		c.book(b, r, now)
+		if b.keptFor != "" {
+			c.release(b.keptFor)
+		}
 		s.last, s.limit = b, placesAgain
 		placed = append(placed, Placed{Run: r, Choice: Choice{Worker: b.Info.Name, Score: score}})
 		a.Shape.Zones[b.Info.Zone]++
@@ -77,6 +85,8 @@
 	// place is the place being rated; it stands here so that rating one does
 	// not allocate.
 	place place
+	// least and most are the fewest and most runs of the job in a zone.
+	least, most int
 	// limit is how many places to rate.
 	limit int
 	// last is the worker chosen last; the next of the same shape often fits
@@ -117,15 +127,20 @@
 
 // rank sorts the groups by the best score that a worker in them could have.
 func (s *search) rank() {
-	least, most := s.zoneRange()
+	s.least, s.most = s.zoneRange()
 	for i := range s.groups {
 		g := &s.groups[i]
-		g.place = place{size: &g.size, zoneRuns: s.ask.Shape.Zones[g.zone], zoneLeast: least, zoneMost: most}
+		g.place = s.placeIn(g.group)
 		g.bound = bound(s.scores, s.ask, &g.place)
 	}
 	slices.SortStableFunc(s.groups, func(a, b rankedGroup) int { return cmp.Compare(b.bound, a.bound) })
 }
 
+// placeIn is what all places in a group have in common.
+func (s *search) placeIn(g *group) place {
+	return place{size: &g.size, zoneRuns: s.ask.Shape.Zones[g.zone], zoneLeast: s.least, zoneMost: s.most}
+}
+
 // zoneRange is the fewest and the most runs that the job has in a zone.
 func (s *search) zoneRange() (least, most int) {
 	for i := range s.groups {
@@ -151,6 +166,12 @@
 func (s *search) best() (*book, float64) {
 	var c candidate
 	s.unsure = s.unsure[:0]
+	if k, ok := s.cell.kept[s.ask.Shape.Job]; ok && refusedBy(s.ask, k.book) == "" {
+		g := rankedGroup{group: k.book.group}
+		g.place = s.placeIn(k.book.group)
+		s.rate(k.book, &g, &c)
+		return c.book, c.score
+	}
 	for i := range s.groups {
 		g := &s.groups[i]
 		if c.book != nil && (g.bound <= c.score || c.looked >= s.limit) {
--- a/internal/scheduler/victims.go
+++ b/internal/scheduler/victims.go
@@ -87,7 +87,8 @@
 
 // couldHold tells whether the worker, if empty, would do.
 func couldHold(a *Ask, b *book) bool {
-	return b.Status == StatusReady && admitsAvoid(a, b) && hardwareAdmits(a, &b.group.size) && a.size().Fits(b.Info.Size)
+	open := b.Status == StatusReady && (b.keptFor == "" || b.keptFor == a.Shape.Job)
+	return open && admitsAvoid(a, b) && hardwareAdmits(a, &b.group.size) && a.size().Fits(b.Info.Size)
 }
 
 // candidates are the runs on b that the ask may preempt, least urgent first.
--- a/internal/taskmsg/taskmsg.go
+++ b/internal/taskmsg/taskmsg.go
@@ -43,6 +43,9 @@
 	Avoid []string `cbor:"6,keyasint,omitempty"`
 	// Zones counts the job's running tasks by availability zone, for spreading.
 	Zones map[string]int `cbor:"7,keyasint,omitempty"`
+	// Aged is true once the job has waited so long that a holder without room
+	// is to keep a worker for it.
+	Aged bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Slot names one attempt at one task of a shape's job.
