A table names all partitions of the cell, or none

Cause: entries and job homes work out the home of a key or a team from the number of partitions in the table they have. While a new cell was being claimed the table held only the records there were so far, 1 to 63 of 64: the same key could go to two homes within a moment, and run twice. Found by reading, after TestRollingStop (e2e) had 26 answers not-ready, outcome unknown, from an entry whose placer was just started and had no partitions in its table: the entry called itself ready with that.

Change: the mirror's table names as many partitions as the store says the cell has; unclaimed ones have no holder and epoch zero, and are not taken for records by a process that learns the table from a peer. An entry is not ready until its table has partitions.

Ruled out: the count in the entry's settings file (it exists, and nothing compares it with the store's).

Seen failing first: TestTableNamesAllPartitions (1 partition, not 4) and TestFollowerOfNewPlacer (ready).

--- a/internal/hold/mirror.go
+++ b/internal/hold/mirror.go
@@ -142,8 +142,11 @@
 	for _, member := range t.Members {
 		m.members[member.Name] = entryOf(member)
 	}
+	m.count = len(t.Partitions)
 	for _, p := range t.Partitions {
-		m.partitions[p.ID] = p
+		if p.Epoch > 0 {
+			m.partitions[p.ID] = p
+		}
 	}
 }
 
@@ -159,17 +162,22 @@
 
 func entryOf(m view.Member) member.Entry { return member.Entry{Name: m.Name, Member: &m} }
 
-// table returns a snapshot, sorted by name and by id.
+// table returns a snapshot, sorted by name and by id. It names all partitions
+// of the cell or none: those that nobody has claimed yet have no holder and epoch
+// zero. Readers work out homes from their number.
 func (m *mirror) table() *view.Table {
 	t := &view.Table{Revision: int64(m.revision)}
 	for _, e := range m.members {
 		t.Members = append(t.Members, *e.Member)
 	}
-	for _, p := range m.partitions {
+	for id := range m.count {
+		p, known := m.partitions[id]
+		if !known {
+			p = view.Partition{ID: id}
+		}
 		t.Partitions = append(t.Partitions, p)
 	}
 	sort.Slice(t.Members, func(a, b int) bool { return t.Members[a].Name < t.Members[b].Name })
-	sort.Slice(t.Partitions, func(a, b int) bool { return t.Partitions[a].ID < t.Partitions[b].ID })
 	return t
 }
 
--- /dev/null
+++ b/internal/hold/mirror_test.go
@@ -0,0 +1,36 @@
+package hold
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"pulleyquay/internal/platform"
+	"pulleyquay/internal/view"
+)
+
+func partitionRecord(id, revision string) platform.Record {
+	return platform.Record{
+		Key: PartitionPrefix + "0000" + id, ModRevision: platform.Revision(revision[0] - '0'),
+		Value: []byte(`{"id":` + id + `,"holder":"a","incarnation":"i","addr":"x","epoch":7}`),
+	}
+}
+
+// TestTableNamesAllPartitions: the number of partitions in a table decides
+// where keys and teams belong, so it must not change while a cell is claimed.
+func TestTableNamesAllPartitions(t *testing.T) {
+	is := is.New(t)
+	m := newMirror()
+	is.NoErr(m.apply(platform.Change{Record: partitionRecord("2", "2")}))
+	is.Equal(len(m.table().Partitions), 0) // the number is not known yet
+	is.NoErr(m.apply(platform.Change{Record: platform.Record{Key: countKey, ModRevision: 3, Value: []byte("4")}}))
+	want := []view.Partition{
+		{ID: 0}, {ID: 1}, {ID: 2, Holder: "a", Incarnation: "i", Addr: "x", Epoch: 7, ModRevision: 2}, {ID: 3},
+	}
+	is.Equal(m.table().Partitions, want)
+
+	started := newMirror() // learns from a peer while the store is away
+	started.adopt(m.table())
+	is.Equal(started.table().Partitions, want)
+	is.Equal(len(started.partitions), 1) // unclaimed ones are not taken for records
+}
--- a/internal/view/follower.go
+++ b/internal/view/follower.go
@@ -82,8 +82,11 @@
 
 // Lacks lists what the follower has not learnt yet.
 func (f *Follower) Lacks() []string {
-	if f.table.Load() == nil {
+	switch t := f.table.Load(); {
+	case t == nil:
 		return []string{"members and partitions: no placer has answered"}
+	case len(t.Partitions) == 0:
+		return []string{"partitions: the placers asked do not know them yet"}
 	}
 	return nil
 }
--- a/internal/view/follower_test.go
+++ b/internal/view/follower_test.go
@@ -28,10 +28,35 @@
 }
 
 func (p *placer) set(revision int64) {
-	p.table.Store(&Table{Revision: revision, Members: []Member{{Name: "a", Addr: "a"}, {Name: "b", Addr: "b"}}})
+	p.table.Store(&Table{
+		Revision: revision, Members: []Member{{Name: "a", Addr: "a"}, {Name: "b", Addr: "b"}},
+		Partitions: []Partition{{ID: 0}},
+	})
 	p.changes.Tell()
 }
 
+// TestFollowerOfNewPlacer: a placer that was started just now answers with a
+// table that lacks the partitions; the follower is not ready by it.
+func TestFollowerOfNewPlacer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := newPlacer(1)
+		a.table.Store(&Table{Revision: 1, Members: []Member{{Name: "a", Addr: "a"}}})
+		f := NewFollower(peer.Local{"a": a.mux}, []string{"a"}, logrus.NewEntry(logrus.New()))
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go f.Run(ctx)
+		time.Sleep(10 * time.Millisecond)
+		is.Equal(f.Table().Revision, int64(1))
+		is.Equal(len(f.Lacks()), 1)
+		a.set(2)
+		synctest.Wait()
+		is.Equal(len(f.Lacks()), 0)
+		cancel()
+		time.Sleep(pollTimeout)
+	})
+}
+
 func TestFollowerNeverGoesBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
