A planned stop leaves no call of unknown outcome

Change: a stopping process accepts no more links and says goodbye on each; the other side answers after its last request and calls elsewhere from then on; the link closes once every request that came is answered. Ruled out: waiting a fixed time before closing, which only makes the window small; refusing new requests without the goodbye, whose answers race with the close in the same way. Tests: TestDrainLosesNoRequest, seen failing without the drain, and, 1 time in 100, while a link that was being made during the drain still slipped in; TestDrainWaitsForAnswers.

--- a/cmd/pulley-placer/placer.go
+++ b/cmd/pulley-placer/placer.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -202,9 +203,20 @@
 	p.daemon.Serve(admin, p.daemon.Admin())
 }
 
+// peerDrain bounds the farewell to the peers, who answer in milliseconds.
+const peerDrain = 2 * time.Second
+
+// drainPeers makes sure that no peer's request is lost in the closing links.
+func (p *placer) drainPeers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, peerDrain)
+	defer cancel()
+	p.node.Drain(ctx)
+}
+
 // stop hands the partitions over with their work, then leaves.
 func (p *placer) stop(ctx context.Context) error {
 	err := p.keeper.Stop(ctx)
+	p.drainPeers(ctx)
 	p.cancel()
 	p.jobs.Close()
 	p.node.Close()
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -20,6 +20,10 @@
 	frameAnswer  frameType = 2
 	frameError   frameType = 3
 	frameCancel  frameType = 4 // the caller gave up; no answer is wanted
+	// frameGoodbye asks the other side to send no more requests on the link;
+	// frameGoodbyeAnswer follows the last one.
+	frameGoodbye       frameType = 5
+	frameGoodbyeAnswer frameType = 6
 )
 
 // frame is one message on a link. Length is the payload's length in bytes: a
--- /dev/null
+++ b/internal/peer/goodbye_test.go
@@ -0,0 +1,68 @@
+package peer
+
+import (
+	"context"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pulleyquay/internal/result"
+)
+
+// TestDrainLosesNoRequest closes servers in the middle of streams of calls: each
+// call is answered or was certainly not sent.
+func TestDrainLosesNoRequest(t *testing.T) {
+	is := is.New(t)
+	for range 20 {
+		s, c := newServer(t), newClient(t)
+		var lost, answered atomic.Int64
+		var callers sync.WaitGroup
+		for range 8 {
+			callers.Go(func() {
+				for {
+					err := c.Call(context.Background(), s.addr(), kindEcho, echo{"x"}, &echo{})
+					if err == nil {
+						answered.Add(1)
+						continue
+					}
+					if result.From(err).Ran != result.RanNo {
+						lost.Add(1)
+					}
+					return
+				}
+			})
+		}
+		for answered.Load() < 100 {
+			runtime.Gosched()
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		s.node.Drain(ctx)
+		is.NoErr(ctx.Err()) // the peers answered the goodbye
+		cancel()
+		s.node.Close()
+		callers.Wait()
+		is.Equal(lost.Load(), int64(0))
+	}
+}
+
+func TestDrainWaitsForAnswers(t *testing.T) {
+	s, c := newServer(t), newClient(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	called := make(chan error, 1)
+	go func() { called <- c.Call(ctx, s.addr(), kindBlock, echo{}, &echo{}) }()
+	<-s.entered
+	drained := make(chan struct{})
+	go func() { s.node.Drain(context.Background()); close(drained) }()
+	select {
+	case <-drained:
+		t.Fatal("drained while a request was being handled")
+	case <-time.After(50 * time.Millisecond):
+	}
+	cancel() // ends the handler
+	<-called
+	<-drained
+}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -41,9 +41,18 @@
 	serving map[uint64]context.CancelFunc
 
 	onHello func(Hello)
+	// onGoodbye is called when the other side wants no more requests.
+	onGoodbye func()
+	// departing is set, under the writing lock, once the other side has said
+	// goodbye: no request is written after the answer to it.
+	departing bool
+	// goodbye is closed when the other side has answered ours.
+	goodbye chan struct{}
 
 	// heard is when the last frame came in, in nanoseconds since the epoch.
 	heard atomic.Int64
+	// saidGoodbye is true while an answer to our goodbye is expected.
+	saidGoodbye atomic.Bool
 }
 
 func newLink(conn *websocket.Conn, mux *Mux, onHello func(Hello)) *link {
@@ -56,6 +65,7 @@
 		waiting: map[uint64]chan frame{},
 		serving: map[uint64]context.CancelFunc{},
 		onHello: onHello,
+		goodbye: make(chan struct{}),
 	}
 }
 
@@ -99,6 +109,12 @@
 		}
 	case frameRequest:
 		l.accept(f)
+	case frameGoodbye:
+		go l.depart()
+	case frameGoodbyeAnswer:
+		if l.saidGoodbye.CompareAndSwap(true, false) {
+			close(l.goodbye)
+		}
 	}
 }
 
@@ -181,6 +197,12 @@
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
+	switch {
+	case f.Type == frameRequest && l.departing:
+		return errLinkClosed
+	case f.Type == frameGoodbyeAnswer:
+		l.departing = true
+	}
 	// The link's own deadline, not the caller's: a write given up half way
 	// would break the link for everybody on it.
 	wctx, cancel := context.WithTimeout(l.ctx, writeTimeout)
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -31,6 +31,8 @@
 	extra  map[*link]bool   // links from peers without an address, or doubled
 	dials  map[string]*dialing
 	closed bool
+	// draining is true from the start of Drain.
+	draining bool
 }
 
 // dialing is one attempt that several callers wait for.
@@ -118,7 +120,8 @@
 		return nil, result.New(result.PeerVersion, result.RanNo, "%s does not speak %s", addr, Subprotocol)
 	}
 	l := newLink(conn, n.mux, nil)
-	go n.keep(addr, l)
+	l.onGoodbye = func() { n.retire(l) }
+	go n.keep(l)
 	hello, err := cbor.Marshal(n.self)
 	if err != nil {
 		l.close(err)
@@ -133,7 +136,7 @@
 }
 
 // keep runs a link to its end and forgets it.
-func (n *Node) keep(addr string, l *link) {
+func (n *Node) keep(l *link) {
 	err := l.run()
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -150,7 +153,7 @@
 func (n *Node) add(addr string, l *link) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.closed || l.ctx.Err() != nil {
+	if n.closed || n.draining || l.ctx.Err() != nil {
 		l.close(errLinkClosed)
 		return
 	}
@@ -162,8 +165,28 @@
 	n.log.WithField("peer", addr).Info("peer link open")
 }
 
-// ServeHTTP accepts a link from another process and serves it to its end.
+// retire takes a link out of use for new calls; those under way end on it.
+func (n *Node) retire(l *link) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for addr, have := range n.links {
+		if have == l {
+			delete(n.links, addr)
+			n.extra[l] = true
+		}
+	}
+}
+
+// ServeHTTP accepts a link from another process and serves it to its end. While
+// the node drains it accepts none.
 func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	n.mu.Lock()
+	refuse := n.draining || n.closed
+	n.mu.Unlock()
+	if refuse {
+		http.Error(w, "planned stop", http.StatusServiceUnavailable)
+		return
+	}
 	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{Subprotocols: []string{Subprotocol}})
 	if err != nil {
 		return // Accept has answered
@@ -174,13 +197,38 @@
 	}
 	var l *link
 	l = newLink(conn, n.mux, func(h Hello) { n.add(h.Addr, l) })
-	n.keep("", l)
+	l.onGoodbye = func() { n.retire(l) }
+	n.keep(l)
+}
+
+// Drain accepts no more links, asks every peer to send no more requests, and
+// waits until those that came are answered or ctx ends. A request sent by a peer
+// is then either answered or was certainly not sent.
+func (n *Node) Drain(ctx context.Context) {
+	n.mu.Lock()
+	n.draining = true
+	n.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, l := range n.all() {
+		wg.Go(func() { l.drain(ctx) })
+	}
+	wg.Wait()
 }
 
 // Close ends all links.
 func (n *Node) Close() {
 	n.mu.Lock()
 	n.closed = true
+	n.mu.Unlock()
+	for _, l := range n.all() {
+		l.close(errLinkClosed)
+	}
+}
+
+// all returns every live link.
+func (n *Node) all() []*link {
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	var all []*link
 	for _, l := range n.links {
 		all = append(all, l)
@@ -188,10 +236,7 @@
 	for l := range n.extra {
 		all = append(all, l)
 	}
-	n.mu.Unlock()
-	for _, l := range all {
-		l.close(errLinkClosed)
-	}
+	return all
 }
 
 // Dump lists the addresses with a live link.
