Slow stores are waited for before their answers are given up

Cause: settling began after one second. With a store that answers after two, each commit cost two calls and could be fenced by its own settling.

Change: an answer may take half of the time that is left to the caller, at least a second. A commit without a deadline ends after 30 s. Lost answers and requests are also settled in a test over HTTP, through the whole client.

Seen failing: with the fixed second, TestSlowStoreIsWaitedFor.

--- a/internal/platform/confirm/confirm.go
+++ b/internal/platform/confirm/confirm.go
@@ -26,8 +26,10 @@
 const (
 	// Prefix is that of all markers.
 	Prefix = "commits/"
-	// DefaultCallTime bounds the first try of a commit.
+	// DefaultCallTime is the least time for an answer.
 	DefaultCallTime = time.Second
+	// DefaultCommitTime bounds a commit whose context has no end.
+	DefaultCommitTime = 30 * time.Second
 	// DefaultLeaseSeconds is the term of the lease that markers hang on.
 	DefaultLeaseSeconds = 3600
 	// MaxOps is how many conditions or writes a transaction may have beside
@@ -37,7 +39,9 @@
 
 // Options set up a Store. Zero fields take their defaults.
 type Options struct {
-	// CallTime is how long an answer is waited for before settling begins.
+	// CallTime is the least time that an answer is waited for before settling
+	// begins. It is half of what is left to the caller when that is more, so
+	// that a slow store's answers are not given up for lost.
 	CallTime     time.Duration
 	LeaseSeconds int64
 	// Registry gets the counter of settled commits.
@@ -45,7 +49,7 @@
 }
 
 // Store is a platform.Store whose Commit settles unknown outcomes within its
-// context. Everything else goes to the wrapped store as it is.
+// context, and within DefaultCommitTime. Everything else goes to the wrapped store as it is.
 //
 // Commit's errors are those of platform.Store, more certain: ErrUnavailable
 // means that the commit had no effect and never will; ErrUnknownOutcome that it
@@ -92,6 +96,8 @@
 	if len(txn.If) > MaxOps || len(txn.Then) > MaxOps {
 		return platform.TxnReply{}, fmt.Errorf("%w: more than %d conditions or writes", platform.ErrRefused, MaxOps)
 	}
+	ctx, cancel := context.WithTimeout(ctx, DefaultCommitTime)
+	defer cancel()
 	for {
 		reply, err := s.try(ctx, txn)
 		if !errors.Is(err, errMarkerLost) {
@@ -107,9 +113,7 @@
 		return platform.TxnReply{}, notSent(err)
 	}
 	token := uuid.NewString()
-	callCtx, cancel := context.WithTimeout(ctx, s.callTime)
-	reply, err := s.Store.Commit(callCtx, m.mark(txn, token))
-	cancel()
+	reply, err := s.call(ctx, m.mark(txn, token))
 	switch {
 	case err == nil:
 		return s.answered(m, reply)
@@ -123,6 +127,17 @@
 	}
 }
 
+// call makes one commit, in half of the time that is left to the caller.
+func (s *Store) call(ctx context.Context, txn platform.Txn) (platform.TxnReply, error) {
+	patience := s.callTime
+	if deadline, ok := ctx.Deadline(); ok {
+		patience = max(patience, time.Until(deadline)/2)
+	}
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	return s.Store.Commit(ctx, txn)
+}
+
 // notSent is the error of a commit that was never sent because its marker could
 // not be prepared.
 func notSent(err error) error {
@@ -170,12 +185,8 @@
 // is not used again.
 func (s *Store) settle(ctx context.Context, m *marker, token string, cause error) (platform.TxnReply, error) {
 	fence := uuid.NewString()
-	patience := s.callTime
 	for pauses := retry.Pauses(); ; {
-		patience *= 2 // a slow store gets more and more time
-		callCtx, cancel := context.WithTimeout(ctx, patience)
-		reply, err := s.Store.Commit(callCtx, m.mark(platform.Txn{}, fence))
-		cancel()
+		reply, err := s.call(ctx, m.mark(platform.Txn{}, fence))
 		switch {
 		case err == nil:
 			return s.verdict(m, token, fence, reply)
--- a/internal/platform/confirm/confirm_test.go
+++ b/internal/platform/confirm/confirm_test.go
@@ -91,6 +91,38 @@
 	}
 }
 
+// counting counts the commits that are sent.
+type counting struct {
+	platform.Store
+	commits int
+}
+
+func (c *counting) Commit(ctx context.Context, txn platform.Txn) (platform.TxnReply, error) {
+	c.commits++
+	return c.Store.Commit(ctx, txn)
+}
+
+// TestSlowStoreIsWaitedFor has every answer take longer than the least time for
+// it: one call has to do.
+func TestSlowStoreIsWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		engine := memstore.New()
+		defer engine.Close()
+		inner := &counting{Store: engine.Client("a")}
+		s, err := confirm.New(inner, confirm.Options{})
+		is.NoErr(err)
+		_, err = s.Commit(t.Context(), put("old"))
+		is.NoErr(err)
+		engine.SetFaults(memstore.Faults{RequestDelayMS: 1000, AnswerDelayMS: 1000})
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		_, err = s.Commit(ctx, put("new"))
+		is.NoErr(err)
+		is.Equal(inner.commits, 2)
+	})
+}
+
 // TestOverwrittenSince loses an answer, and another process overwrites the key
 // before the outcome is settled: reading the key back would say "not applied".
 func TestOverwrittenSince(t *testing.T) {
--- a/internal/standin/storehttp/faults_test.go
+++ b/internal/standin/storehttp/faults_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"pulleyquay/internal/platform"
+	"pulleyquay/internal/platform/confirm"
 	"pulleyquay/internal/platform/etcdhttp"
 	"pulleyquay/internal/platform/memstore"
 )
@@ -174,13 +175,50 @@
 }
 
 func TestFaultsOverHTTP(t *testing.T) {
-	testFaults(t, platform.ErrUnknownOutcome, func(t *testing.T) (*memstore.Engine, platform.Store) {
-		engine, server := serve(t)
-		client, err := etcdhttp.New(etcdhttp.Options{Endpoints: []string{server.URL}, Name: "a"})
-		is.New(t).NoErr(err)
-		t.Cleanup(client.Close)
-		return engine, client
-	})
+	testFaults(t, platform.ErrUnknownOutcome, overHTTP)
+}
+
+// overHTTP is a client of the stand-in.
+func overHTTP(t *testing.T) (*memstore.Engine, platform.Store) {
+	engine, server := serve(t)
+	client, err := etcdhttp.New(etcdhttp.Options{Endpoints: []string{server.URL}, Name: "a"})
+	is.New(t).NoErr(err)
+	t.Cleanup(client.Close)
+	return engine, client
+}
+
+// TestLostAnswersAreSettledOverHTTP sends commits through the whole client and
+// has answers and requests lost on the way.
+func TestLostAnswersAreSettledOverHTTP(t *testing.T) {
+	tests := map[string]struct {
+		faults memstore.Faults
+		want   error
+	}{
+		"answers": {memstore.Faults{LoseAnswers: 3}, nil},
+		"request": {memstore.Faults{LoseRequests: 1}, platform.ErrUnavailable},
+		"both":    {memstore.Faults{LoseRequests: 1, LoseAnswers: 2}, platform.ErrUnavailable},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			engine, store := overHTTP(t)
+			confirmed, err := confirm.New(store, confirm.Options{})
+			is.NoErr(err)
+			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+			defer cancel()
+			write := func(key string) error {
+				_, err := confirmed.Commit(ctx, platform.Txn{Then: []platform.Write{{Key: key}}})
+				return err
+			}
+			is.NoErr(write("first"))
+			engine.Client("a").SetFaults(test.faults)
+			is.True(errors.Is(write("second"), test.want))
+			records, _, err := store.List(ctx, "second")
+			is.NoErr(err)
+			is.Equal(len(records) == 1, test.want == nil)
+			is.NoErr(write("third"))
+		})
+	}
 }
 
 // TestOtherClientsAreSpared strikes one client and calls as another.
--- a/internal/standin/storehttp/storehttp_test.go
+++ b/internal/standin/storehttp/storehttp_test.go
@@ -8,7 +8,6 @@
 
 	"github.com/matryer/is"
 
-	"pulleyquay/internal/platform/etcdhttp"
 	"pulleyquay/internal/platform/memstore"
 	"pulleyquay/internal/platform/platformtest"
 	"pulleyquay/internal/standin/storehttp"
@@ -28,10 +27,7 @@
 
 func TestContract(t *testing.T) {
 	platformtest.TestStore(t, func(t *testing.T) platformtest.StoreCase {
-		engine, server := serve(t)
-		client, err := etcdhttp.New(etcdhttp.Options{Endpoints: []string{server.URL}, Name: "a"})
-		is.New(t).NoErr(err)
-		t.Cleanup(client.Close)
+		engine, client := overHTTP(t)
 		return platformtest.StoreCase{Store: client, Compact: engine.Compact}
 	})
 }
