Host list: an unchanged list is not sent again

Cause: every placer reads the whole list each second, and it grows with workers and executors.

Change: the client sends the list's ETag, and the stand-in answers 304.

Seen failing: without If-None-Match, and with the kept list handed out itself.

--- a/internal/platform/hosthttp/client.go
+++ b/internal/platform/hosthttp/client.go
@@ -6,7 +6,9 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"pulleyquay/internal/platform"
@@ -27,10 +29,20 @@
 	Hosts []platform.Host `json:"hosts"`
 }
 
-// Client implements platform.HostList.
+// Client implements platform.HostList. It asks for the list only if it has
+// changed, where the platform tells that by an ETag.
 type Client struct {
 	url  string
 	http *http.Client
+
+	mu   sync.Mutex
+	last version
+}
+
+// version is a list with the ETag that the platform gave it, or without one.
+type version struct {
+	etag  string
+	hosts []platform.Host
 }
 
 var _ platform.HostList = (*Client)(nil)
@@ -54,19 +66,45 @@
 	if err != nil {
 		return nil, unavailable(err)
 	}
+	known := c.known()
+	if known.etag != "" {
+		request.Header.Set("If-None-Match", known.etag)
+	}
 	response, err := c.http.Do(request)
 	if err != nil {
 		return nil, unavailable(err)
 	}
 	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
+	switch {
+	case response.StatusCode == http.StatusNotModified && known.etag != "":
+		return slices.Clone(known.hosts), nil
+	case response.StatusCode != http.StatusOK:
 		return nil, result.New(result.HostListUnavailable, result.RanNo, "status %d", response.StatusCode)
 	}
+	return c.read(response)
+}
+
+// read takes in a new list.
+func (c *Client) read(response *http.Response) ([]platform.Host, error) {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxReply))
 	if err != nil {
 		return nil, unavailable(err)
 	}
-	return decode(body)
+	hosts, err := decode(body)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.last = version{etag: response.Header.Get("ETag"), hosts: slices.Clone(hosts)}
+	return hosts, nil
+}
+
+// known returns the last list that was read.
+func (c *Client) known() version {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.last
 }
 
 // decode reads and checks the list. Names that are not known here are left to
--- a/internal/standin/hostlist/handler.go
+++ b/internal/standin/hostlist/handler.go
@@ -2,9 +2,13 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/platform/hosthttp"
 )
@@ -65,9 +69,20 @@
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
+	body, err := json.Marshal(hosthttp.Reply{Hosts: hosts})
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	etag := fmt.Sprintf("%q", strconv.FormatUint(xxhash.Sum64(body), 16))
+	w.Header().Set("ETag", etag)
+	if r.Header.Get("If-None-Match") == etag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
 	// An error means that the caller has gone.
-	_ = json.NewEncoder(w).Encode(hosthttp.Reply{Hosts: hosts})
+	_, _ = w.Write(body)
 }
 
 // read decodes a body of known names only and answers for a bad one.
--- a/internal/standin/hostlist/hostlist_test.go
+++ b/internal/standin/hostlist/hostlist_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -77,6 +78,37 @@
 	is.Equal(result.CodeOf(err), result.HostListUnavailable)
 }
 
+// TestUnchangedListIsNotSentAgain reads a list that changes now and then, and
+// changes what was returned, which must not show.
+func TestUnchangedListIsNotSentAgain(t *testing.T) {
+	is := is.New(t)
+	l := hostlist.New(0)
+	sent := 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		answer := httptest.NewRecorder()
+		hostlist.Handler(l).ServeHTTP(answer, r)
+		if answer.Code == http.StatusOK {
+			sent++
+		}
+		maps.Copy(w.Header(), answer.Header())
+		w.WriteHeader(answer.Code)
+		_, _ = w.Write(answer.Body.Bytes())
+	}))
+	defer server.Close()
+	client := hosthttp.New(server.URL)
+	for _, name := range []string{"a", "b"} {
+		l.Put(platform.Host{Name: name, Role: platform.RoleWorker, Addr: "h:1"})
+		want := names(is, l)
+		for range 3 {
+			is.Equal(names(is, client), want)
+			hosts, err := client.Hosts(t.Context())
+			is.NoErr(err)
+			hosts[0].Name = "spoilt"
+		}
+	}
+	is.Equal(sent, 2)
+}
+
 func TestMalformedListIsRefusedWhole(t *testing.T) {
 	for name, body := range map[string]string{
 		"cut short":    `{"hosts":[{"name":"w1","role":"worker","addr":"h:1"}`,
