--- a/internal/worker/workersim/worker.go
+++ b/internal/worker/workersim/worker.go
@@ -130,7 +130,7 @@
 		if r := w.runs[id]; r.State == worker.StateRunning {
 			reply.Running++
 		} else {
-			reply.Ended = append(reply.Ended, r.Run)
+			reply.Ended = append(reply.Ended, r.Run.Ending())
 		}
 	}
 }
@@ -144,7 +144,7 @@
 	}
 	r := &run{
 		Run: worker.Run{
-			Task: s.Task, Attempt: s.Attempt, Home: s.Home, Size: s.Size, Kind: s.Kind, Urgent: s.Urgent,
+			Task: s.Task, Attempt: s.Attempt, Home: s.Home, Size: s.Size, Kind: s.Kind, Urgent: s.Urgent, Priority: s.Priority,
 			State: worker.StateRunning, Started: w.clock(now),
 		},
 		until: now.Add(lease),
