Store client takes only the same store's replies for answers

Cause: any JSON of status 200 was taken for an answer. `{}`, as a proxy or a misled endpoint may send it, read as "refused" for a commit, as an empty list (no members, no settings) and as "lease gone" for a renewal. A store that was set up anew would have answered with revisions that mean something else.

Change: replies need the header's revision; the first cluster ID is kept and others are refused (unknown outcome for writes, unavailable for reads); a renewal must name its lease; watched events must be in order and after the revision asked for. A watch whose header does not come in time is given up.

Ruled out: taking up a new cluster by itself (settings would go back).

--- a/internal/platform/etcdhttp/client.go
+++ b/internal/platform/etcdhttp/client.go
@@ -63,8 +63,9 @@
 // Client implements platform.Store.
 type Client struct {
 	options   Options
-	endpoints []string     // host:port
-	current   atomic.Int64 // index of the endpoint to try first
+	endpoints []string      // host:port
+	current   atomic.Int64  // index of the endpoint to try first
+	cluster   atomic.Uint64 // of the first reply; zero before
 	calls     *httponce.Client
 	streams   *http.Client // of watches, which change nothing
 }
@@ -89,9 +90,10 @@
 	c.calls = httponce.New(httponce.Options{IdleTimeout: o.IdleTimeout, DialTimeout: o.DialTimeout})
 	dialer := &net.Dialer{Timeout: o.DialTimeout}
 	c.streams = &http.Client{Transport: &http.Transport{
-		DialContext:        dialer.DialContext,
-		IdleConnTimeout:    o.IdleTimeout,
-		DisableCompression: true,
+		DialContext:           dialer.DialContext,
+		IdleConnTimeout:       o.IdleTimeout,
+		ResponseHeaderTimeout: o.Timeout,
+		DisableCompression:    true,
 	}}
 	return c, nil
 }
@@ -112,7 +114,7 @@
 }
 
 // call makes one call within the timeout and decodes the reply.
-func (c *Client) call(ctx context.Context, path string, request, reply any) error {
+func (c *Client) call(ctx context.Context, path string, request any, reply headed) error {
 	ctx, cancel := context.WithTimeout(ctx, c.options.Timeout)
 	defer cancel()
 	body, err := json.Marshal(request)
@@ -124,7 +126,7 @@
 		if err != nil {
 			return c.failed(err)
 		}
-		return decode(answer, reply)
+		return c.decode(answer, reply)
 	})
 }
 
@@ -165,14 +167,32 @@
 	return fmt.Errorf("%w: %w", errSent, err)
 }
 
-// decode reads a whole reply.
-func decode(answer httponce.Answer, reply any) error {
+// decode reads a whole reply. One without a header is none of the service's,
+// even when it is JSON with status 200.
+func (c *Client) decode(answer httponce.Answer, reply headed) error {
 	if answer.Status != http.StatusOK {
 		return refusal(answer.Status, answer.Body)
 	}
 	if err := json.Unmarshal(answer.Body, reply); err != nil {
 		return fmt.Errorf("%w: malformed reply: %w", errSent, err)
 	}
+	if m, ok := reply.(*KeepAliveMessage); ok && m.Error != nil {
+		return m.Error.failure()
+	}
+	return c.checkHeader(reply.header())
+}
+
+// checkHeader refuses the reply of another store than the one that answered
+// first: revisions of the two can not be compared, and what was accepted by the
+// first may be unknown to the other.
+func (c *Client) checkHeader(h Header) error {
+	if h.Revision <= 0 {
+		return fmt.Errorf("%w: reply without a revision", errSent)
+	}
+	c.cluster.CompareAndSwap(0, h.ClusterID)
+	if known := c.cluster.Load(); known != h.ClusterID {
+		return fmt.Errorf("%w: reply of cluster %x, it was %x before", errSent, h.ClusterID, known)
+	}
 	return nil
 }
 
--- a/internal/platform/etcdhttp/client_test.go
+++ b/internal/platform/etcdhttp/client_test.go
@@ -228,3 +228,76 @@
 		is.Equal(err == nil, i > 0)
 	}
 }
+
+// TestForeignReplies answers every call with JSON that is none of the service's,
+// or not that of the same store. None of it may be taken for an answer.
+func TestForeignReplies(t *testing.T) {
+	const lease = platform.LeaseID(5)
+	replies := map[string]string{
+		"empty object":     `{}`,
+		"null":             `null`,
+		"another lease":    `{"header":{"cluster_id":"1","revision":"9"},"result":{"header":{"cluster_id":"1","revision":"9"},"ID":"6","TTL":"9"}}`,
+		"another cluster":  `{"header":{"cluster_id":"2","revision":"9"},"succeeded":true,"ID":"5","TTL":"9","result":{"header":{"cluster_id":"2","revision":"9"},"ID":"5"}}`,
+		"cluster missing":  `{"header":{"revision":"9"},"succeeded":true,"ID":"5","TTL":"9","result":{"header":{"revision":"9"},"ID":"5"}}`,
+		"revision missing": `{"header":{"cluster_id":"1"},"succeeded":true,"ID":"5","TTL":"9","result":{"header":{"cluster_id":"1"},"ID":"5"}}`,
+	}
+	calls := map[string]struct {
+		make func(c *etcdhttp.Client) error
+		want error
+	}{
+		"list":      {func(c *etcdhttp.Client) error { _, _, err := c.List(t.Context(), "k"); return err }, platform.ErrUnavailable},
+		"commit":    {func(c *etcdhttp.Client) error { _, err := c.Commit(t.Context(), platform.Txn{}); return err }, platform.ErrUnknownOutcome},
+		"grant":     {func(c *etcdhttp.Client) error { _, err := c.Grant(t.Context(), 9); return err }, platform.ErrUnknownOutcome},
+		"keepalive": {func(c *etcdhttp.Client) error { return c.KeepAlive(t.Context(), lease) }, platform.ErrUnknownOutcome},
+		"revoke":    {func(c *etcdhttp.Client) error { return c.Revoke(t.Context(), lease) }, platform.ErrUnknownOutcome},
+		"watch": {func(c *etcdhttp.Client) error {
+			return c.Watch(t.Context(), "k", 1, func(platform.Batch) { t.Error("delivered") })
+		}, platform.ErrUnavailable},
+	}
+	for name, reply := range replies {
+		for kind, call := range calls {
+			if name == "another lease" && kind != "keepalive" {
+				continue // a good reply to the others
+			}
+			t.Run(name+"/"+kind, func(t *testing.T) {
+				is := is.New(t)
+				s := serve(t, func(n int64, w http.ResponseWriter, _ *http.Request) {
+					if n == 1 {
+						_, _ = io.WriteString(w, `{"header":{"cluster_id":"1","revision":"7"}}`)
+						return
+					}
+					_, _ = io.WriteString(w, reply)
+				})
+				c := newClient(t, s.URL)
+				_, _, err := c.List(t.Context(), "k")
+				is.NoErr(err)
+				is.True(errors.Is(call.make(c), call.want))
+			})
+		}
+	}
+}
+
+// TestForeignEvents sends events that no watch of revision 5 may deliver.
+func TestForeignEvents(t *testing.T) {
+	good := `{"kv":{"key":"aw==","mod_revision":"6"}}`
+	for name, events := range map[string]string{
+		"before the start": `{"kv":{"key":"aw==","mod_revision":"5"}}`,
+		"without revision": `{"kv":{"key":"aw=="}}`,
+		"without key":      `{"kv":{"mod_revision":"6"}}`,
+		"out of order":     `{"kv":{"key":"aw==","mod_revision":"7"}},` + good,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := serve(t, func(_ int64, w http.ResponseWriter, _ *http.Request) {
+				for _, e := range []string{good, events} {
+					_, _ = io.WriteString(w, `{"result":{"header":{"cluster_id":"1","revision":"9"},"events":[`+e+`]}}`)
+				}
+			})
+			var got []platform.Batch
+			err := newClient(t, s.URL).Watch(t.Context(), "k", 5, func(b platform.Batch) { got = append(got, b) })
+			is.True(errors.Is(err, platform.ErrUnavailable))
+			is.Equal(len(got), 1) // the good one
+			is.Equal(got[0].Revision, platform.Revision(6))
+		})
+	}
+}
--- a/internal/platform/etcdhttp/store.go
+++ b/internal/platform/etcdhttp/store.go
@@ -97,13 +97,14 @@
 	if err := c.call(ctx, PathKeepAlive, LeaseRequest{ID: id}, &reply); err != nil {
 		return err
 	}
-	if reply.Error != nil {
-		return reply.Error.failure()
-	}
-	if reply.Result.TTL <= 0 {
+	switch {
+	case reply.Result.ID != id:
+		return fmt.Errorf("%w: renewal of lease %d answered for %d", errSent, id, reply.Result.ID)
+	case reply.Result.TTL <= 0:
 		return platform.ErrLeaseGone
+	default:
+		return nil
 	}
-	return nil
 }
 
 // Revoke implements platform.Store.
--- a/internal/platform/etcdhttp/watch.go
+++ b/internal/platform/etcdhttp/watch.go
@@ -29,7 +29,7 @@
 			return err
 		}
 		defer stream.Close()
-		return follow(stream, fn)
+		return c.follow(stream, after, fn)
 	})
 	return ended(ctx, noEffect(err))
 }
@@ -54,7 +54,7 @@
 }
 
 // follow hands over the changes of a stream until it ends.
-func follow(stream io.Reader, fn func(platform.Batch)) error {
+func (c *Client) follow(stream io.Reader, after platform.Revision, fn func(platform.Batch)) error {
 	decoder := json.NewDecoder(stream)
 	for {
 		var m WatchMessage
@@ -64,7 +64,15 @@
 		if err := m.failure(); err != nil {
 			return err
 		}
-		if batch, ok := m.batch(); ok {
+		if err := c.checkHeader(m.Result.Header); err != nil {
+			return err
+		}
+		batch, err := m.batch(after)
+		if err != nil {
+			return err
+		}
+		if len(batch.Changes) > 0 {
+			after = batch.Revision
 			fn(batch)
 		}
 	}
@@ -114,24 +122,23 @@
 	}
 }
 
-// batch returns the changes that a message carries. The header's revision may
-// be ahead of what has been sent, so the last event's counts.
-func (m WatchMessage) batch() (platform.Batch, bool) {
-	events := m.Result.Events
-	if len(events) == 0 {
-		return platform.Batch{}, false
-	}
-	batch := platform.Batch{
-		Changes:  make([]platform.Change, 0, len(events)),
-		Revision: events[len(events)-1].KV.ModRevision,
-	}
-	for _, e := range events {
+// batch returns the changes that a message carries, all of them after the given
+// revision and in order. The header's revision may be ahead of what has been
+// sent, so the last event's counts.
+func (m WatchMessage) batch(after platform.Revision) (platform.Batch, error) {
+	batch := platform.Batch{Revision: after}
+	for _, e := range m.Result.Events {
+		at := e.KV.ModRevision
+		if len(e.KV.Key) == 0 || at <= after || at < batch.Revision {
+			return batch, fmt.Errorf("%w: event of key %q at revision %d after %d", errSent, e.KV.Key, at, batch.Revision)
+		}
 		change := platform.Change{Record: e.KV.record()}
 		if e.Type == EventDelete {
 			change.Deleted = true
 			change.Value = nil
 		}
 		batch.Changes = append(batch.Changes, change)
+		batch.Revision = at
 	}
-	return batch, true
+	return batch, nil
 }
--- a/internal/platform/etcdhttp/wire.go
+++ b/internal/platform/etcdhttp/wire.go
@@ -26,9 +26,20 @@
 
 // Header is part of every reply.
 type Header struct {
-	Revision platform.Revision `json:"revision,string,omitempty"`
+	// ClusterID tells one store from another, also from the same one after it
+	// was set up anew.
+	ClusterID uint64            `json:"cluster_id,string,omitempty"`
+	Revision  platform.Revision `json:"revision,string,omitempty"`
 }
 
+// headed is a reply with its header.
+type headed interface{ header() Header }
+
+func (r *RangeReply) header() Header       { return r.Header }
+func (r *TxnReply) header() Header         { return r.Header }
+func (r *LeaseReply) header() Header       { return r.Header }
+func (m *KeepAliveMessage) header() Header { return m.Result.Header }
+
 // KeyValue is one stored record.
 type KeyValue struct {
 	Key         []byte            `json:"key"`
--- a/internal/standin/storehttp/calls.go
+++ b/internal/standin/storehttp/calls.go
@@ -19,7 +19,7 @@
 		return etcdhttp.RangeReply{}, err
 	}
 	records, revision, err := c.List(r.Context(), prefix)
-	reply := etcdhttp.RangeReply{Header: etcdhttp.Header{Revision: revision}}
+	reply := etcdhttp.RangeReply{Header: s.header(revision)}
 	for _, record := range records {
 		if len(req.RangeEnd) == 0 && record.Key != prefix {
 			continue
@@ -56,7 +56,7 @@
 		return etcdhttp.TxnReply{}, err
 	}
 	reply, err := c.Commit(r.Context(), txn)
-	out := etcdhttp.TxnReply{Header: etcdhttp.Header{Revision: reply.Revision}, Succeeded: reply.Applied}
+	out := etcdhttp.TxnReply{Header: s.header(reply.Revision), Succeeded: reply.Applied}
 	for _, record := range reply.Found {
 		kvs := []etcdhttp.KeyValue{keyValue(record)}
 		out.Responses = append(out.Responses, etcdhttp.ResponseOp{Range: &etcdhttp.RangeReply{KVs: kvs}})
@@ -92,7 +92,7 @@
 		return etcdhttp.LeaseReply{}, fmt.Errorf("%w: TTL of %d seconds", platform.ErrRefused, req.TTL)
 	}
 	id, err := c.Grant(r.Context(), req.TTL)
-	return etcdhttp.LeaseReply{ID: id, TTL: req.TTL}, err
+	return etcdhttp.LeaseReply{Header: s.header(0), ID: id, TTL: req.TTL}, err
 }
 
 // keepAlive renews a lease. As in the service, a lease that is gone is told by
@@ -100,14 +100,15 @@
 func (s *server) keepAlive(r *http.Request, c *memstore.Client, req etcdhttp.LeaseRequest) (etcdhttp.KeepAliveMessage, error) {
 	err := c.KeepAlive(r.Context(), req.ID)
 	if errors.Is(err, platform.ErrLeaseGone) {
-		return etcdhttp.KeepAliveMessage{Result: etcdhttp.LeaseReply{ID: req.ID}}, nil
+		return etcdhttp.KeepAliveMessage{Result: etcdhttp.LeaseReply{Header: s.header(0), ID: req.ID}}, nil
 	}
-	return etcdhttp.KeepAliveMessage{Result: etcdhttp.LeaseReply{ID: req.ID, TTL: 1}}, err
+	return etcdhttp.KeepAliveMessage{Result: etcdhttp.LeaseReply{Header: s.header(0), ID: req.ID, TTL: 1}}, err
 }
 
 // revoke ends a lease.
 func (s *server) revoke(r *http.Request, c *memstore.Client, req etcdhttp.LeaseRequest) (etcdhttp.LeaseReply, error) {
-	return etcdhttp.LeaseReply{}, c.Revoke(r.Context(), req.ID)
+	err := c.Revoke(r.Context(), req.ID)
+	return etcdhttp.LeaseReply{Header: s.header(0)}, err
 }
 
 // watch streams changes, a line a message, until the caller goes away.
@@ -121,20 +122,21 @@
 		refuse(w, err)
 		return
 	}
-	stream := &watchStream{writer: w, exact: len(req.Create.RangeEnd) == 0, prefix: prefix}
+	stream := &watchStream{server: s, writer: w, exact: len(req.Create.RangeEnd) == 0, prefix: prefix}
 	client := s.client(r)
 	if f := client.Faults(); !f.Refuse && !f.BreakWatches {
-		stream.send(etcdhttp.WatchReply{Created: true})
+		stream.send(etcdhttp.WatchReply{Header: s.header(0), Created: true})
 	}
 	err = client.Watch(r.Context(), prefix, req.Create.StartRevision-1, stream.batch)
 	if !errors.Is(err, platform.ErrCompacted) {
 		panic(http.ErrAbortHandler)
 	}
-	stream.send(etcdhttp.WatchReply{Canceled: true, CompactRevision: req.Create.StartRevision, CancelReason: err.Error()})
+	stream.send(etcdhttp.WatchReply{Header: s.header(0), Canceled: true, CompactRevision: req.Create.StartRevision, CancelReason: err.Error()})
 }
 
 // watchStream writes one watch's messages.
 type watchStream struct {
+	server *server
 	writer http.ResponseWriter
 	prefix string
 	exact  bool // one key, not a prefix
@@ -142,7 +144,7 @@
 
 // batch sends the changes of a batch.
 func (s *watchStream) batch(b platform.Batch) {
-	reply := etcdhttp.WatchReply{Header: etcdhttp.Header{Revision: b.Revision}}
+	reply := etcdhttp.WatchReply{Header: s.server.header(b.Revision)}
 	for _, c := range b.Changes {
 		if s.exact && c.Key != s.prefix {
 			continue
--- a/internal/standin/storehttp/handler.go
+++ b/internal/standin/storehttp/handler.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 
 	"pulleyquay/internal/platform"
@@ -23,7 +24,7 @@
 // outcome the engine calls unknown, or refuses by fault, gets no answer: its
 // connection is closed.
 func Handler(engine *memstore.Engine) http.Handler {
-	s := &server{engine: engine}
+	s := &server{engine: engine, clusterID: rand.Uint64() | 1}
 	mux := http.NewServeMux()
 	handle(mux, s, etcdhttp.PathRange, s.rangeKeys)
 	handle(mux, s, etcdhttp.PathTxn, s.txn)
@@ -37,7 +38,17 @@
 
 // server holds the engine for the handlers.
 type server struct {
-	engine *memstore.Engine
+	engine    *memstore.Engine
+	clusterID uint64
+}
+
+// header is that of a reply at a revision; of the present one when that is
+// zero.
+func (s *server) header(at platform.Revision) etcdhttp.Header {
+	if at == 0 {
+		at = s.engine.Dump().Revision
+	}
+	return etcdhttp.Header{ClusterID: s.clusterID, Revision: at}
 }
 
 // client returns the engine's client of the caller.
