--- a/internal/fleet/driver_test.go
+++ b/internal/fleet/driver_test.go
@@ -12,6 +12,7 @@
 	"pulleyquay/internal/peer"
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/result"
+	"pulleyquay/internal/spec"
 	"pulleyquay/internal/taskmsg"
 	"pulleyquay/internal/view"
 	"pulleyquay/internal/worker"
@@ -163,6 +164,9 @@
 }
 
 func (d *driver) note(r taskmsg.RunNews) {
+	if r.Run.Task.Job != driverJob {
+		return
+	}
 	t := &d.tasks[r.Run.Task.Index]
 	switch {
 	case r.Run.Attempt != t.attempt || t.state == idle:
@@ -306,13 +310,15 @@
 	opCutNextAnswers
 	opDeputy
 	opDeputyOfLive
+	opUrgent
+	opGang
 	opCount
 )
 
 var opNames = [...]string{
 	"nothing", "takeover", "hand-over", "kill", "pause", "resume", "cut", "cut-answers", "slow", "heal",
 	"restart-worker", "unlist", "relist", "home-takeover", "stale-home", "deaf", "hearing", "drop-old",
-	"cut-next", "cut-next-answers", "deputy", "deputy-of-live",
+	"cut-next", "cut-next-answers", "deputy", "deputy-of-live", "urgent", "gang",
 }
 
 // action is an op with the worker it is about, and the time that passes after it.
@@ -344,7 +350,8 @@
 	epoch    uint64
 	holder   *member
 	old      []*member
-	downAt   atomic.Int64 // since when the store is down, zero when it is up
+	down     atomic.Bool // the store
+	jobs     int         // besides the driver's
 	breaches []string
 }
 
@@ -365,7 +372,7 @@
 	g := &gate{spoil: tr.fault.spoil}
 	name := fmt.Sprintf("m%d", tr.members)
 	m := tr.b.member(name, func(c *Config) {
-		g.Client, c.Client, c.StoreAge = c.Client, g, tr.storeAge
+		g.Client, c.Client, c.StoreUp = c.Client, g, func() bool { return !tr.down.Load() }
 		if tr.fault.config != nil {
 			tr.fault.config(c)
 		}
@@ -419,9 +426,9 @@
 	old.gate.resume()
 	old.stop()
 	if outage > 0 {
-		tr.storeDown(true)
+		tr.down.Store(true)
 		until = tr.deputy(old, outage).revoke()
-		tr.storeDown(false)
+		tr.down.Store(false)
 	}
 	if wait := time.Until(until); wait > 0 {
 		time.Sleep(wait + time.Millisecond)
@@ -429,30 +436,13 @@
 	tr.join(nil)
 }
 
-// storeDown begins or ends an outage of the store.
-func (tr *trial) storeDown(down bool) {
-	if down {
-		tr.downAt.CompareAndSwap(0, time.Now().UnixNano())
-	} else {
-		tr.downAt.Store(0)
-	}
-}
-
-func (tr *trial) storeAge() time.Duration {
-	at := tr.downAt.Load()
-	if at == 0 {
-		return 0
-	}
-	return time.Duration(time.Now().UnixNano() - at)
-}
-
 // deputyOfLive lets a deputy renew in an outage for a holder that lives and
 // holds its right, but is not heard by the deputy.
 func (tr *trial) deputyOfLive() {
-	tr.storeDown(true)
-	time.Sleep(2 * storeFresh)
+	tr.down.Store(true)
+	time.Sleep(2 * outageMin)
 	cover := tr.deputy(tr.holder, 20*time.Second)
-	tr.storeDown(false)
+	tr.down.Store(false)
 	time.Sleep(coverTerm / 4)
 	cover.revoke()
 }
@@ -485,6 +475,10 @@
 		tr.kill(0)
 	case opDeputy:
 		tr.kill(20 * time.Second)
+	case opUrgent:
+		tr.urgent()
+	case opGang:
+		tr.gang()
 	case opDeputyOfLive:
 		tr.deputyOfLive()
 	case opPause:
@@ -544,6 +538,47 @@
 	}
 }
 
+// urgent asks for short urgent tasks that need more than the room left, in the
+// background. Whether they start is up to the faults.
+func (tr *trial) urgent() {
+	tr.jobs++
+	m, req := tr.holder, urgentRequest(fmt.Sprintf("urgent-%d", tr.jobs), 3)
+	req.Home.Epoch = tr.homeEpoch()
+	req.Shape.Task.Size, req.Shape.Task.RunMillis = testSize, 3000
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		_, _ = m.place(ctx, req)
+	}()
+}
+
+// gang holds room for four short tasks and starts them a second later.
+func (tr *trial) gang() {
+	tr.jobs++
+	m, home := tr.holder, taskmsg.Home{Partition: homePartition, Epoch: tr.homeEpoch()}
+	req := taskmsg.GangHold{Home: home, Shape: gangShape(fmt.Sprintf("gang-%d", tr.jobs)), HoldMS: 3000}
+	req.Shape.Kind = spec.KindBatch // one holder's part, which the judge can not see whole
+	req.Shape.Task.RunMillis = 3000
+	for i := range 4 {
+		req.Slots = append(req.Slots, taskmsg.Slot{Index: i, Attempt: 1})
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		if _, err := m.holdGang(ctx, req); err != nil {
+			return
+		}
+		time.Sleep(time.Second)
+		_, _ = m.endGang(ctx, taskmsg.GangEnd{Home: home, Job: req.Shape.Job, Start: true})
+	}()
+}
+
+func (tr *trial) homeEpoch() uint64 {
+	tr.d.mu.Lock()
+	defer tr.d.mu.Unlock()
+	return tr.d.epoch
+}
+
 // unlisted returns the host list without the named worker.
 func unlisted(hosts []platform.Host, name string) []platform.Host {
 	var out []platform.Host
