--- a/internal/heartbeat/service.go
+++ b/internal/heartbeat/service.go
@@ -26,8 +26,6 @@
 	OnAsk(ask Ask) bool
 	// OnReply takes in an answer to a beat that was sent at sent.
 	OnReply(sent time.Time, reply Reply)
-	// OnBeat tells that a beat came in.
-	OnBeat(from Status)
 	// Targets lists the addresses to beat to.
 	Targets() []string
 	// Table returns the table for a process that has none, or nil.
@@ -195,7 +193,6 @@
 		reply.Table = s.host.Table()
 	}
 	reply.Status = s.host.Status()
-	s.host.OnBeat(beat.Status)
 	return reply, nil
 }
 
--- a/internal/hold/beats.go
+++ b/internal/hold/beats.go
@@ -123,9 +123,6 @@
 	}
 }
 
-// OnBeat implements heartbeat.Host.
-func (b *beatHost) OnBeat(heartbeat.Status) {}
-
 // Targets implements heartbeat.Host: all members, the own electorate, and the
 // seeds while no member is known.
 func (b *beatHost) Targets() []string {
--- a/internal/hold/cell_test.go
+++ b/internal/hold/cell_test.go
@@ -24,13 +24,14 @@
 // testCell is a set of Keepers over one store inside a synctest bubble, with
 // cuts between them and a referee of who acts.
 type testCell struct {
-	t       *testing.T
+	t       testing.TB
 	engine  *memstore.Engine
 	config  Config
 	net     *network
 	referee *referee
 	nodes   map[string]*node
 	prepare func(*node) // called for each process before its start
+	acting  time.Duration
 }
 
 // node is one placer process of a testCell.
@@ -84,9 +85,9 @@
 	}
 }
 
-func newTestCell(t *testing.T, config Config) *testCell {
+func newTestCell(t testing.TB, config Config) *testCell {
 	return &testCell{
-		t: t, engine: memstore.New(), config: config, nodes: map[string]*node{},
+		t: t, engine: memstore.New(), config: config, acting: actInterval, nodes: map[string]*node{},
 		net:     &network{muxes: map[string]*peer.Mux{}, gates: map[string]*gate{}, cuts: map[[2]string]bool{}},
 		referee: &referee{last: map[int]map[string]use{}, epochs: map[int]uint64{}},
 	}
@@ -104,12 +105,11 @@
 		c.t.Fatalf("start %s: %v", name, err)
 	}
 	c.nodes[name] = n
-	n.act(c.referee)
+	n.act(c.acting)
 	return n
 }
 
 func (c *testCell) build(name, addr string) *node {
-	c.t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	n := &node{name: name, addr: addr, client: c.engine.Client(name), gate: &gate{}}
@@ -124,7 +124,7 @@
 		c.t.Fatal(err)
 	}
 	n.Keeper = k
-	n.resident = &recorder{referee: c.referee, node: k.Self().Incarnation, states: map[int]string{}, got: map[int]Takeover{}}
+	n.resident = &recorder{referee: c.referee, node: k.Self().Incarnation, states: map[int]string{}, got: map[int]Takeover{}, ended: map[int]time.Time{}}
 	k.AddResident(n.resident)
 	c.net.set(n.addr, mux, n.gate)
 	return n
--- a/internal/hold/outage_test.go
+++ b/internal/hold/outage_test.go
@@ -187,7 +187,7 @@
 		held := older.Held()
 		later := c.build("b", "b:2")
 		is.NoErr(later.Start(c.t.Context()))
-		later.act(c.referee)
+		later.act(c.acting)
 		time.Sleep(3 * c.config.Term)
 		is.Equal(later.Held(), nil)
 		is.True(strings.Contains(strings.Join(later.Lacks(), ";"), "lives as"))
--- a/internal/hold/referee_test.go
+++ b/internal/hold/referee_test.go
@@ -64,11 +64,11 @@
 	return r.faults
 }
 
-// actInterval is how often a process of a testCell uses its rights.
+// actInterval is how often a process of a testCell uses its rights by default.
 const actInterval = 20 * time.Millisecond
 
 // act uses every right the process has, again and again, until stopAct.
-func (n *node) act(r *referee) {
+func (n *node) act(every time.Duration) {
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stopAct = cancel
 	n.acting.Add(1)
@@ -81,7 +81,7 @@
 			}
 			select {
 			case <-ctx.Done():
-			case <-time.After(actInterval):
+			case <-time.After(every):
 			}
 		}
 	}()
@@ -103,6 +103,7 @@
 	states map[int]string
 	got    map[int]Takeover
 	counts struct{ acquire, release, drop int }
+	ended  map[int]time.Time // when a partition was last released
 }
 
 func (r *recorder) Name() string { return "recorder" }
@@ -141,6 +142,7 @@
 	r.counts.release++
 	state := r.states[id]
 	delete(r.states, id)
+	r.ended[id] = time.Now()
 	r.referee.signedOff(r.node, id, time.Now())
 	return []byte(state), nil
 }
@@ -157,3 +159,9 @@
 	defer r.mu.Unlock()
 	return r.got[id]
 }
+
+func (r *recorder) releasedAt(id int) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ended[id]
+}
--- /dev/null
+++ b/internal/member/session_test.go
@@ -0,0 +1,179 @@
+package member
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pulleyquay/internal/platform"
+	"pulleyquay/internal/platform/memstore"
+	"pulleyquay/internal/result"
+	"pulleyquay/internal/right"
+	"pulleyquay/internal/view"
+)
+
+var testTimes = right.Times{Term: 3 * time.Second, Margin: 10, OutageLimit: time.Minute}
+
+// fixture is a session on a store of its own.
+type fixture struct {
+	engine  *memstore.Engine
+	client  *memstore.Client
+	commits *commitLoser
+	self    view.Member
+	*Session
+}
+
+// commitLoser loses the answers of the next commits.
+type commitLoser struct {
+	*memstore.Client
+	lose int
+}
+
+func (c *commitLoser) Commit(ctx context.Context, txn platform.Txn) (platform.TxnReply, error) {
+	if c.lose > 0 {
+		c.lose--
+		c.SetFaults(memstore.Faults{LoseAnswers: 1})
+	}
+	return c.Client.Commit(ctx, txn)
+}
+
+func newFixture(engine *memstore.Engine, name, incarnation string) *fixture {
+	f := &fixture{engine: engine, client: engine.Client(incarnation), self: view.Member{Name: name, Incarnation: incarnation, Addr: name}}
+	f.commits = &commitLoser{Client: f.client}
+	f.Session = NewSession(f.commits, f.self, testTimes)
+	return f
+}
+
+func (f *fixture) voter() right.Voter {
+	return right.Voter{Name: f.self.Name, Incarnation: f.self.Incarnation, Addr: f.self.Addr}
+}
+
+// until is the right of the present session.
+func (f *fixture) until() (until time.Time, session uint64) {
+	f.Right(func(h *right.Holder) { until, session = h.Until(time.Now(), h.Session()), h.Session() })
+	return until, session
+}
+
+// again calls fn until it succeeds, as the renewal loop does.
+func again(ctx context.Context, is *is.I, fn func(context.Context) error) {
+	is.Helper()
+	for range 10 {
+		callCtx, cancel := context.WithTimeout(ctx, testTimes.Term/2)
+		err := fn(callCtx)
+		cancel()
+		if err == nil {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	is.Fail() // never succeeded
+}
+
+func TestSessionUnderFaults(t *testing.T) {
+	other := right.Voter{Name: "b", Incarnation: "1", Addr: "b"}
+	tests := []struct {
+		name    string
+		faults  memstore.Faults // while joining
+		commits int             // answers to commits lost while joining
+		change  memstore.Faults // while changing the electorate
+		expire  bool            // the lease ends in between
+		session uint64
+	}{
+		{"healthy", memstore.Faults{}, 0, memstore.Faults{}, false, 1},
+		{"answer to the grant lost", memstore.Faults{LoseAnswers: 1}, 0, memstore.Faults{}, false, 1},
+		{"answer to the join lost", memstore.Faults{}, 1, memstore.Faults{}, false, 1},
+		{"requests lost", memstore.Faults{LoseRequests: 3}, 0, memstore.Faults{}, false, 1},
+		{"answer to the change lost", memstore.Faults{}, 0, memstore.Faults{LoseAnswers: 1}, false, 1},
+		{"answers to change and settling lost", memstore.Faults{}, 0, memstore.Faults{LoseAnswers: 2}, false, 1},
+		{"change never arrives", memstore.Faults{}, 0, memstore.Faults{LoseRequests: 1}, false, 1},
+		{"lease ended", memstore.Faults{}, 0, memstore.Faults{LoseAnswers: 1}, true, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				engine := memstore.New()
+				defer engine.Close()
+				f := newFixture(engine, "a", "1")
+				f.client.SetFaults(tt.faults)
+				f.commits.lose = tt.commits
+				voters := []right.Voter{f.voter()}
+				again(t.Context(), is, func(ctx context.Context) error { return f.Join(ctx, voters) })
+				f.client.SetFaults(memstore.Faults{})
+				if tt.expire {
+					time.Sleep(2 * testTimes.Term)
+					is.True(f.Renew(t.Context()) != nil)
+					is.Equal(f.State(), StateLost)
+					again(t.Context(), is, func(ctx context.Context) error { return f.Join(ctx, voters) })
+				}
+				is.NoErr(f.Renew(t.Context()))
+				until, session := f.until()
+				is.Equal(session, tt.session)
+				is.True(until.After(time.Now()))
+
+				f.client.SetFaults(tt.change)
+				voters = append(voters, other)
+				again(t.Context(), is, func(ctx context.Context) error {
+					if err := f.SettleVoters(ctx); err != nil {
+						return err
+					}
+					return f.SetVoters(ctx, voters)
+				})
+				again(t.Context(), is, func(ctx context.Context) error { return f.SettleVoters(ctx) })
+				f.client.SetFaults(memstore.Faults{})
+				again(t.Context(), is, func(ctx context.Context) error { return f.SetVoters(ctx, voters) })
+				is.Equal(f.charter(t, is).Voters, voters)
+				f.Right(func(h *right.Holder) { is.Equal(h.Electorate(), f.charter(t, is).Electorate) })
+			})
+		})
+	}
+}
+
+// charter reads the session's charter from the store.
+func (f *fixture) charter(t *testing.T, is *is.I) Charter {
+	records, _, err := f.engine.Client("reader").List(t.Context(), CharterKey(f.self.Name, f.self.Incarnation))
+	is.NoErr(err)
+	is.Equal(len(records), 1)
+	entry, err := Decode(records[0])
+	is.NoErr(err)
+	return *entry.Charter
+}
+
+func TestNameBelongsToTheLivingProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		engine := memstore.New()
+		defer engine.Close()
+		older, later := newFixture(engine, "a", "1"), newFixture(engine, "a", "2")
+		is.NoErr(older.Join(t.Context(), []right.Voter{older.voter()}))
+		err := later.Join(t.Context(), []right.Voter{later.voter()})
+		is.Equal(result.CodeOf(err), result.NameTaken)
+		is.NoErr(older.Leave(t.Context()))
+		is.NoErr(later.Join(t.Context(), []right.Voter{later.voter()}))
+		is.Equal(result.CodeOf(older.Join(t.Context(), nil)), result.NameTaken)
+	})
+}
+
+func TestLeavingIsShownAndLeaveTakesTheKeysAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		engine := memstore.New()
+		defer engine.Close()
+		f := newFixture(engine, "a", "1")
+		is.NoErr(f.Join(t.Context(), []right.Voter{f.voter()}))
+		is.NoErr(f.SetLeaving(t.Context()))
+		records, _, err := f.client.List(t.Context(), Prefix)
+		is.NoErr(err)
+		entry, err := Decode(records[0])
+		is.NoErr(err)
+		is.True(entry.Member.Leaving)
+		is.NoErr(f.Leave(t.Context()))
+		records, _, err = f.client.List(t.Context(), Prefix)
+		is.NoErr(err)
+		is.Equal(len(records), 0)
+		is.Equal(f.State(), StateLeft)
+	})
+}
