--- a/cmd/pulley-placer/placer.go
+++ b/cmd/pulley-placer/placer.go
@@ -76,6 +76,10 @@
 	return p, nil
 }
 
+// expectedMembers is among how many placers the store's rates are shared until
+// the members are known.
+const expectedMembers = 16
+
 func (p *placer) addStore() error {
 	client, err := etcdhttp.New(etcdhttp.Options{Endpoints: p.conf.Store.Endpoints, Name: p.conf.Name})
 	if err != nil {
@@ -88,6 +92,7 @@
 	if err != nil {
 		return err
 	}
+	p.calls.Share(expectedMembers)
 	confirmed, err := confirm.New(p.calls, confirm.Options{Registry: p.daemon.Reg})
 	if err != nil {
 		return err
@@ -137,7 +142,7 @@
 	p.fleet = fleet.New(fleet.Config{
 		Name: p.conf.Name, Partitions: p.conf.Holding.Partitions, Lease: p.conf.Holding.TaskLease.Std(),
 		Hosts: p.hosts.Hosts, Right: p.keeper, Client: workerhttp.NewClient(httponce.Options{}),
-		Peers: p.node, View: source{p}, Covers: p.keeper, StoreAge: p.keeper.StoreAge,
+		Peers: p.node, View: source{p}, Covers: p.keeper, StoreUp: p.keeper.StoreUp,
 		Registerer: reg, Log: p.log,
 	})
 	p.keeper.SetDeputy(p.fleet)
@@ -150,7 +155,7 @@
 }
 
 func (p *placer) register() {
-	view.Serve(p.mux, p.keeper.Table)
+	view.Serve(p.mux, p.keeper.Table, p.keeper.Changed)
 	p.settings.Serve(p.mux)
 	p.fleet.Register(p.mux)
 	p.jobs.Register(p.mux)
@@ -186,6 +191,7 @@
 	for _, run := range []func(context.Context){p.hosts.Run, p.settings.Run, p.fleet.Run, p.dispatch.Run} {
 		go run(ctx)
 	}
+	go p.calls.Follow(ctx, func() int { return len(p.keeper.Table().Members) })
 	return p.keeper.Start(ctx)
 }
 
