A gang's start is refused on a released partition

Cause: the hold counted as whole while its partition was being handed over; the starts were queued for workers that nobody calls any more, and the home's call hung until its deadline. Change: a hold with a part on a released partition is broken. Seen failing first: TestGangHoldEnds/partition_released hangs without it. Measured: the package's tests under -race pass.

--- a/internal/fleet/gang.go
+++ b/internal/fleet/gang.go
@@ -172,7 +172,7 @@
 func (g *gang) broken(f *Fleet) string {
 	for id, h := range g.held {
 		_, on, booked := f.cell.Find(id)
-		if h.agent.gone || h.agent.claim != claimHeld || !booked || on != h.agent.name {
+		if h.agent.gone || h.agent.part.paused || h.agent.claim != claimHeld || !booked || on != h.agent.name {
 			return h.agent.name
 		}
 	}
--- a/internal/fleet/gang_test.go
+++ b/internal/fleet/gang_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"pulleyquay/internal/hold"
 	"pulleyquay/internal/result"
 	"pulleyquay/internal/spec"
 	"pulleyquay/internal/taskmsg"
@@ -64,6 +65,10 @@
 			b.is.NoErr(err)
 		},
 		"lapsed": func(*bench, *member) { time.Sleep(6 * time.Second) },
+		"partition released": func(b *bench, m *member) {
+			_, err := m.Release(context.Background(), b.rackPartition())
+			b.is.NoErr(err)
+		},
 		"worker restarted": func(b *bench, _ *member) {
 			b.sim.Worker("w0").Restart()
 			b.sim.Cut("a", "w0", workersim.CutBefore)
@@ -84,6 +89,9 @@
 				b.is.Equal(result.CodeOf(err), result.GangUnknown)
 				b.is.Equal(result.From(err).Ran, result.RanNo)
 				b.is.Equal(b.running(), 0)
+				if name == "partition released" { // and given back
+					b.is.NoErr(m.Acquire(context.Background(), hold.Takeover{Grant: hold.Grant{Partition: b.rackPartition(), Epoch: 1}}))
+				}
 				b.is.Equal(count(m.put(shapeOf("other", 1000, 0), 8), taskmsg.OutcomeStarted), 8)
 			})
 		})
