--- /dev/null
+++ b/internal/settings/bench_test.go
@@ -0,0 +1,161 @@
+package settings
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"strings"
+	"testing"
+
+	"pulleyquay/internal/platform/memstore"
+)
+
+// sizes are the numbers of branches whose slope is measured.
+var sizes = []int{100, 1000, 10000}
+
+// fileOf makes a tree of n branches, 100 to a parent, each with two overrides.
+func fileOf(n int) []byte {
+	var b strings.Builder
+	b.WriteString(`{"/":{}`)
+	for i := range n {
+		if i%100 == 0 {
+			fmt.Fprintf(&b, `,"/g%d":{}`, i/100)
+		}
+		fmt.Fprintf(&b, `,"/g%d/t%d":{"quota":{"milli_cpu":%d},"task":{"priority":%d}}`, i/100, i, 1000+i, i%10)
+	}
+	b.WriteString("}")
+	return []byte(b.String())
+}
+
+func treeOf(b *testing.B, n int) *Tree {
+	b.Helper()
+	tree, err := Parse(fileOf(n))
+	if err != nil {
+		b.Fatal(err)
+	}
+	return tree
+}
+
+func perSize(b *testing.B, fn func(b *testing.B, n int)) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("branches=%d", n), func(b *testing.B) { fn(b, n) })
+	}
+}
+
+func BenchmarkEffective(b *testing.B) {
+	perSize(b, func(b *testing.B, n int) {
+		tree := treeOf(b, n)
+		path := fmt.Sprintf("/g%d/t%d", (n-1)/100, n-1)
+		b.ReportAllocs()
+		for b.Loop() {
+			if _, err := tree.Effective(path); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
+
+// BenchmarkMemory reports the bytes that a tree in force keeps for a branch,
+// and the bytes that the store keeps.
+func BenchmarkMemory(b *testing.B) {
+	perSize(b, func(b *testing.B, n int) {
+		file := fileOf(n)
+		var kept, stored float64
+		for b.Loop() {
+			before := heap()
+			tree, err := Parse(file)
+			if err != nil {
+				b.Fatal(err)
+			}
+			kept = float64(heap()-before) / float64(n)
+			stored = float64(tree.top().bytes) / float64(n)
+			runtime.KeepAlive(tree)
+		}
+		b.ReportMetric(kept, "heapB/branch")
+		b.ReportMetric(stored, "storedB/branch")
+	})
+}
+
+func heap() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// BenchmarkApply is what one accepted change of one branch costs a process that
+// gets it from its watch.
+func BenchmarkApply(b *testing.B) {
+	perSize(b, func(b *testing.B, n int) {
+		tree := treeOf(b, n)
+		book := newBook()
+		book.install(Head{Revision: 1, Root: tree.RootHash()}, 0, tree.top())
+		path := fmt.Sprintf("/g%d/t%d", (n-1)/100, n-1)
+		b.ReportAllocs()
+		for b.Loop() {
+			b.StopTimer()
+			s := book.state()
+			o, err := ParseOverrides(fmt.Appendf(nil, `{"task":{"priority":%d}}`, s.tree.Revision%1000))
+			if err != nil {
+				b.Fatal(err)
+			}
+			root, fresh, err := s.tree.edited([]Edit{{Path: path, Overrides: &o}})
+			if err != nil {
+				b.Fatal(err)
+			}
+			for _, node := range fresh {
+				book.keep(node.hash, node.encode())
+			}
+			b.StartTimer()
+			if missing, err := book.apply(Head{Revision: s.tree.Revision + 1, Root: root.hash}, 0, nil); err != nil || len(missing) > 0 {
+				b.Fatal(err, missing)
+			}
+		}
+	})
+}
+
+// BenchmarkChange is a whole change of one branch at a placer, with a store in
+// memory: checks, hashes, one transaction. It reports store calls and bytes.
+func BenchmarkChange(b *testing.B) {
+	perSize(b, func(b *testing.B, n int) {
+		engine := memstore.New()
+		store := &countingStore{Client: engine.Client("bench")}
+		k := NewKeeper(KeeperConfig{Store: store, Log: quiet()})
+		ctx := context.Background()
+		if _, err := k.refresh(ctx); err != nil {
+			b.Fatal(err)
+		}
+		if _, err := k.Change(ctx, edit(0, string(fileOf(n)))); err != nil {
+			b.Fatal(err)
+		}
+		path := fmt.Sprintf("/g%d/t%d", (n-1)/100, n-1)
+		store.calls, store.bytes = 0, 0
+		b.ReportAllocs()
+		for b.Loop() {
+			change := edit(k.Revision(), fmt.Sprintf(`{%q:{"task":{"priority":%d}}}`, path, k.Revision()%1000))
+			if _, err := k.Change(ctx, change); err != nil {
+				b.Fatal(err)
+			}
+		}
+		b.ReportMetric(float64(store.calls)/float64(b.N), "storecalls/op")
+		b.ReportMetric(float64(store.bytes)/float64(b.N), "storeB/op")
+	})
+}
+
+// BenchmarkLoad is a first change that makes all branches.
+func BenchmarkLoad(b *testing.B) {
+	perSize(b, func(b *testing.B, n int) {
+		file := string(fileOf(n))
+		var calls int
+		for b.Loop() {
+			store := &countingStore{Client: memstore.New().Client("bench")}
+			k := NewKeeper(KeeperConfig{Store: store, Log: quiet()})
+			if _, err := k.Change(context.Background(), edit(0, file)); err != nil {
+				b.Fatal(err)
+			}
+			calls = store.calls
+		}
+		b.ReportMetric(float64(calls), "storecalls/op")
+		b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(n), "ns/branch")
+	})
+}
--- a/internal/settings/cell_test.go
+++ b/internal/settings/cell_test.go
@@ -252,3 +252,22 @@
 	c.keepers[i].Serve(mux)
 	return mux
 }
+
+// countingStore counts calls and written bytes.
+type countingStore struct {
+	*memstore.Client
+	calls, bytes int
+}
+
+func (s *countingStore) List(ctx context.Context, prefix string) ([]platform.Record, platform.Revision, error) {
+	s.calls++
+	return s.Client.List(ctx, prefix)
+}
+
+func (s *countingStore) Commit(ctx context.Context, txn platform.Txn) (platform.TxnReply, error) {
+	s.calls++
+	for _, w := range txn.Then {
+		s.bytes += len(w.Key) + len(w.Value)
+	}
+	return s.Client.Commit(ctx, txn)
+}
