--- a/internal/dispatch/cancel_bench_test.go
+++ b/internal/dispatch/cancel_bench_test.go
@@ -22,6 +22,9 @@
 	for range 8 {
 		go h.send(context.Background(), "crew", false, 10*time.Minute)
 	}
+	for h.executors.Peak("executor-0") < 8 {
+		time.Sleep(time.Millisecond)
+	}
 	var cancelling time.Duration
 	for b.Loop() {
 		ctx, cancel := context.WithCancel(context.Background())
