Hasty callers, dropped partitions, a fresh process's retries

Found by reading: - A request with a deadline of a millisecond counted as the executor's failure at that deadline; five of them ejected a sound executor. Now no sooner than the service's usual deadline. - The answer of a request that outlived its partition was counted in the memory of kept answers for ever. - A fresh process had an empty retry budget and so failed the first request that met a refusing executor.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -182,5 +182,6 @@
 		service:   service,
 		endpoints: map[string]*endpoint{},
 		queue:     queue.New[chan<- grant](0, order),
+		budget:    retryBudget{hundredths: maxBudget},
 	}
 }
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -111,7 +111,7 @@
 		return executor.Answer{}, result.New(result.NoFreeSlot, result.RanNo, "%v", err)
 	}
 	start := time.Now()
-	watch := time.AfterFunc(time.Until(w.Deadline), func() { d.overdue(p, e) })
+	watch := time.AfterFunc(patience(w, values), func() { d.overdue(p, e) })
 	answer, err := d.cfg.Client.Do(ctx, host.Addr, req, values.Request.MaxAnswerBytes)
 	watch.Stop()
 	d.record(p, e, answer, err, time.Since(start))
@@ -181,8 +181,16 @@
 	}
 }
 
-// overdue counts a request that is past its deadline as a failure, while the
-// executor still has time to answer.
+// patience is how long an executor may take before it counts as failing: to the
+// request's deadline, but no less than the service's usual one, or callers in a
+// hurry would make sound executors look bad.
+func patience(w Work, values settings.Values) time.Duration {
+	usual := time.Duration(values.Request.DefaultDeadlineMS) * time.Millisecond
+	return max(time.Until(w.Deadline), usual)
+}
+
+// overdue counts a request without an answer as a failure, while the executor
+// may still answer.
 func (d *Dispatcher) overdue(p *pool, e *endpoint) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/request/home.go
+++ b/internal/request/home.go
@@ -51,6 +51,7 @@
 	// unknownUntil: the outcome of unknown keys minted before is unknown.
 	unknownUntil time.Time
 	releasing    bool
+	gone         bool // handed over or dropped: nothing more is kept
 	services     map[string]*keyTable
 	flights      map[*flight]struct{}
 }
@@ -162,7 +163,7 @@
 		return
 	}
 	rec.failure = f.err
-	if f.err != nil {
+	if f.err != nil || p.gone {
 		return
 	}
 	size := answerSize(f.answer)
--- a/internal/request/resident.go
+++ b/internal/request/resident.go
@@ -112,6 +112,7 @@
 		return
 	}
 	h.kept -= p.keptBytes()
+	p.gone = true
 	delete(h.parts, partition)
 }
 
--- a/internal/requesttest/path_bench_test.go
+++ b/internal/requesttest/path_bench_test.go
@@ -10,6 +10,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -163,6 +164,7 @@
 	latencies := hdrhistogram.New(1, time.Minute.Nanoseconds(), 3)
 	var mu sync.Mutex
 	var wg sync.WaitGroup
+	used := processorTime()
 	b.ResetTimer()
 	for c := range concurrency {
 		wg.Go(func() {
@@ -180,6 +182,16 @@
 		b.ReportMetric(float64(latencies.ValueAtPercentile(q))/1000, name)
 	}
 	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "req/s")
+	b.ReportMetric(float64((processorTime()-used).Microseconds())/float64(b.N), "cpu-us/req")
+}
+
+// processorTime is what this process has used, caller, executor and all.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		panic(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
 func roundTrip(b *testing.B, client *http.Client, r *http.Request) time.Duration {
