--- a/cmd/pulley-placer/placer.go
+++ b/cmd/pulley-placer/placer.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -76,6 +77,10 @@
 	return p, nil
 }
 
+// expectedMembers is among how many placers the store's rates are shared until
+// the members are known.
+const expectedMembers = 16
+
 func (p *placer) addStore() error {
 	client, err := etcdhttp.New(etcdhttp.Options{Endpoints: p.conf.Store.Endpoints, Name: p.conf.Name})
 	if err != nil {
@@ -88,6 +93,7 @@
 	if err != nil {
 		return err
 	}
+	p.calls.Share(expectedMembers)
 	confirmed, err := confirm.New(p.calls, confirm.Options{Registry: p.daemon.Reg})
 	if err != nil {
 		return err
@@ -137,7 +143,7 @@
 	p.fleet = fleet.New(fleet.Config{
 		Name: p.conf.Name, Partitions: p.conf.Holding.Partitions, Lease: p.conf.Holding.TaskLease.Std(),
 		Hosts: p.hosts.Hosts, Right: p.keeper, Client: workerhttp.NewClient(httponce.Options{}),
-		Peers: p.node, View: source{p}, Covers: p.keeper, StoreAge: p.keeper.StoreAge,
+		Peers: p.node, View: source{p}, Covers: p.keeper, StoreUp: p.keeper.StoreUp,
 		Registerer: reg, Log: p.log,
 	})
 	p.keeper.SetDeputy(p.fleet)
@@ -150,7 +156,7 @@
 }
 
 func (p *placer) register() {
-	view.Serve(p.mux, p.keeper.Table)
+	view.Serve(p.mux, p.keeper.Table, p.keeper.Changed)
 	p.settings.Serve(p.mux)
 	p.fleet.Register(p.mux)
 	p.jobs.Register(p.mux)
@@ -186,6 +192,7 @@
 	for _, run := range []func(context.Context){p.hosts.Run, p.settings.Run, p.fleet.Run, p.dispatch.Run} {
 		go run(ctx)
 	}
+	go p.calls.Follow(ctx, func() int { return len(p.keeper.Table().Members) })
 	return p.keeper.Start(ctx)
 }
 
@@ -196,9 +203,20 @@
 	p.daemon.Serve(admin, p.daemon.Admin())
 }
 
+// peerDrain bounds the farewell to the peers, who answer in milliseconds.
+const peerDrain = 2 * time.Second
+
+// drainPeers makes sure that no peer's request is lost in the closing links.
+func (p *placer) drainPeers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, peerDrain)
+	defer cancel()
+	p.node.Drain(ctx)
+}
+
 // stop hands the partitions over with their work, then leaves.
 func (p *placer) stop(ctx context.Context) error {
 	err := p.keeper.Stop(ctx)
+	p.drainPeers(ctx)
 	p.cancel()
 	p.jobs.Close()
 	p.node.Close()
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -39,7 +39,8 @@
 	// Settings returns a service's effective values; false: no such service.
 	Settings func(service string) (settings.Values, bool)
 	// Remotes returns the other holders, without this process and those that
-	// are leaving or not heard. It is asked every offloadEvery.
+	// are leaving or not heard. It is asked with each refresh, and every
+	// offloadEvery while requests wait.
 	Remotes func() []Remote
 	Right   hold.Right
 	Client  executor.Client
@@ -65,6 +66,9 @@
 	parts map[int]*heldPartition
 	// remotes are the other holders by name.
 	remotes map[string]*remote
+
+	// queued wakes Run when a request begins to wait.
+	queued chan struct{}
 }
 
 // Work is one request to send. Its Deadline is on this process's clock.
@@ -88,6 +92,7 @@
 		metrics: newMetrics(cfg.Metrics),
 		pools:   map[string]*pool{},
 		parts:   map[int]*heldPartition{},
+		queued:  make(chan struct{}, 1),
 	}
 }
 
@@ -98,12 +103,12 @@
 // offloadEvery is how often queued requests are offered to other holders.
 const offloadEvery = 20 * time.Millisecond
 
-// Run applies the host list and offers queued requests to other holders until
-// ctx ends.
+// Run applies the host list, and offers queued requests to other holders while
+// there are any, until ctx ends.
 func (d *Dispatcher) Run(ctx context.Context) {
 	refresh := time.NewTicker(refreshEvery)
 	defer refresh.Stop()
-	offload := time.NewTicker(offloadEvery)
+	offload := time.NewTimer(offloadEvery)
 	defer offload.Stop()
 	for {
 		select {
@@ -111,8 +116,13 @@
 			return
 		case <-refresh.C:
 			d.Refresh()
-		case <-offload.C:
 			d.offload()
+		case <-d.queued:
+			offload.Reset(offloadEvery)
+		case <-offload.C:
+			if d.offload() {
+				offload.Reset(offloadEvery)
+			}
 		}
 	}
 }
@@ -129,18 +139,22 @@
 	}
 }
 
-// offload learns of other holders' free slots and hands them queued requests.
-func (d *Dispatcher) offload() {
+// offload learns of other holders' free slots and hands them queued requests. It
+// reports whether requests still wait.
+func (d *Dispatcher) offload() bool {
 	told := d.cfg.Remotes()
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.hear(told, now)
+	waiting := false
 	for _, p := range d.pools {
 		if p.queue.Len() > 0 {
 			d.pumpRemote(p, now)
 		}
+		waiting = waiting || p.queue.Len() > 0
 	}
+	return waiting
 }
 
 // pool returns the pool of a service, made on first use.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -31,7 +31,7 @@
 const (
 	defaultLease = 15 * time.Second
 	// tombstones is how many stopped but unknown attempts are remembered.
-	tombstones = 1 << 16
+	tombstones = 1 << 14
 	// claimsAtOnce bounds the claims in flight, so that a takeover of many
 	// workers does not open as many connections at one moment.
 	claimsAtOnce = 64
@@ -57,10 +57,11 @@
 	// Covers is the right to renew for dead holders; nil when this process is
 	// never a deputy.
 	Covers CoverRight
-	// StoreAge returns how long ago this process last reached the store; nil
-	// when there are no deputies in the cell. While the store is away a deputy
-	// that does not hear this process may be renewing leases in its name.
-	StoreAge   func() time.Duration
+	// StoreUp reports whether a majority of the members reaches the store, as
+	// far as this process has heard; nil when there are no deputies in the
+	// cell. While it does not, a deputy that does not hear this process may be
+	// renewing leases in its name.
+	StoreUp    func() bool
 	Registerer prometheus.Registerer
 	Log        *logrus.Entry
 }
@@ -101,8 +102,10 @@
 	scarceUntil time.Time
 	covers      map[int]view.Partition
 	covered     map[string]*covered
-	// storeSince is since when the store has been reached without a break.
-	storeSince time.Time
+	// storeSince is when the last outage of at least outageMin ended, zero when
+	// there was none in this process's life; storeDown is since when the store
+	// has been out of reach, zero while it is not.
+	storeSince, storeDown time.Time
 }
 
 var _ hold.Resident = (*Fleet)(nil)
@@ -166,8 +169,10 @@
 	f.follow(hosts, now)
 	f.coverWorkers(hosts, now)
 	f.declareLost(now)
+	table := f.cfg.View.Table()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.dropMoved(table)
 	f.lapseGangs(now)
 	f.relieve(now)
 	f.grantWishes(now)
--- a/internal/fleet/policy_test.go
+++ b/internal/fleet/policy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -197,16 +198,8 @@
 // not hear the holder may be renewing in its name.
 func TestNoLossIsDeclaredInAnOutage(t *testing.T) {
 	bubble(t, 1, func(b *bench) {
-		down := time.Now()
 		var up atomic.Bool
-		m := b.member("a", func(c *Config) {
-			c.StoreAge = func() time.Duration {
-				if up.Load() {
-					return 0
-				}
-				return time.Since(down)
-			}
-		})
+		m := b.member("a", func(c *Config) { c.StoreUp = up.Load })
 		defer m.stop()
 		m.take(1, nil)
 		synctest.Wait()
@@ -294,3 +287,69 @@
 		})
 	}
 }
+
+// TestPriorityOutlivesTheHolder: the next holder preempts the least urgent runs,
+// which it knows from the workers alone.
+func TestPriorityOutlivesTheHolder(t *testing.T) {
+	bubble(t, 1, func(b *bench) {
+		old := b.member("a")
+		old.take(1, nil)
+		synctest.Wait()
+		valued := shapeOf("any-valued", 1000, 0)
+		valued.Policy.Priority = 5
+		old.put(shapeOf("plain", 1000, 0), 4)
+		time.Sleep(testLease) // until the usage reports contain what was started
+		b.is.Equal(count(old.put(valued, 4), taskmsg.OutcomeStarted), 4)
+		time.Sleep(testLease)
+		old.stop()
+		next := b.member("b")
+		defer next.stop()
+		next.take(2, nil)
+		time.Sleep(testLease)
+		reply, err := next.place(context.Background(), urgentRequest("urgent", 4))
+		b.is.NoErr(err)
+		b.is.Equal(count(reply.Results, taskmsg.OutcomeStarted), 4)
+		time.Sleep(time.Second)
+		for i := range 4 {
+			b.is.Equal(b.home.state(attempt("plain", i)), taskmsg.RunPreempted)
+		}
+	})
+}
+
+// TestDroppedInTheMiddleOfAnOrder: a partition that is dropped and taken up
+// again under its epoch while an order is being made has that order not sent.
+func TestDroppedInTheMiddleOfAnOrder(t *testing.T) {
+	for _, composed := range []bool{false, true} {
+		t.Run(fmt.Sprintf("composed=%v", composed), func(t *testing.T) {
+			bubble(t, 1, func(b *bench) {
+				m := b.member("a")
+				defer m.stop()
+				m.take(1, nil)
+				synctest.Wait()
+				retake := func() {
+					m.Drop(b.rackPartition())
+					m.take(1, nil)
+				}
+				m.mu.Lock()
+				a := m.agents["w0"]
+				a.busy = true // this test drives it
+				m.mu.Unlock()
+				outcome := make(chan taskmsg.Outcome, 1)
+				go func() { outcome <- m.put(shapeOf("job", 1000, 0), 1)[0].Outcome }()
+				synctest.Wait()
+				want := taskmsg.OutcomeRefused
+				if composed {
+					want = taskmsg.OutcomeUnknown
+					m.right.onCheck = retake
+				} else {
+					retake()
+				}
+				m.order(a)
+				b.is.Equal(<-outcome, want)
+				b.is.Equal(b.running(), 0)
+				time.Sleep(testLease)
+				b.is.Equal(b.running(), 0)
+			})
+		})
+	}
+}
--- a/internal/hold/referee_test.go
+++ b/internal/hold/referee_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -63,11 +64,11 @@
 	return r.faults
 }
 
-// actInterval is how often a process of a testCell uses its rights.
+// actInterval is how often a process of a testCell uses its rights by default.
 const actInterval = 20 * time.Millisecond
 
 // act uses every right the process has, again and again, until stopAct.
-func (n *node) act(r *referee) {
+func (n *node) act(every time.Duration) {
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stopAct = cancel
 	n.acting.Add(1)
@@ -80,7 +81,7 @@
 			}
 			select {
 			case <-ctx.Done():
-			case <-time.After(actInterval):
+			case <-time.After(every):
 			}
 		}
 	}()
@@ -93,11 +94,16 @@
 	node    string
 	// skipExpiry plants a fault: act for what is held without asking the right.
 	skipExpiry atomic.Bool
+	// failRelease makes every Release fail, its work not finished.
+	failRelease atomic.Bool
+	// releaseTime is how long the work in flight takes, in nanoseconds.
+	releaseTime atomic.Int64
 
 	mu     sync.Mutex
 	states map[int]string
 	got    map[int]Takeover
 	counts struct{ acquire, release, drop int }
+	ended  map[int]time.Time // when a partition was last released
 }
 
 func (r *recorder) Name() string { return "recorder" }
@@ -127,12 +133,16 @@
 	return nil
 }
 
-func (r *recorder) Release(_ context.Context, id int) ([]byte, error) {
+func (r *recorder) Release(ctx context.Context, id int) ([]byte, error) {
+	if !sleep(ctx, time.Duration(r.releaseTime.Load())) || r.failRelease.Load() {
+		return nil, errors.New("work not finished")
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.counts.release++
 	state := r.states[id]
 	delete(r.states, id)
+	r.ended[id] = time.Now()
 	r.referee.signedOff(r.node, id, time.Now())
 	return []byte(state), nil
 }
@@ -149,3 +159,9 @@
 	defer r.mu.Unlock()
 	return r.got[id]
 }
+
+func (r *recorder) releasedAt(id int) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ended[id]
+}
--- a/test/e2e/harness/platform.go
+++ b/test/e2e/harness/platform.go
@@ -92,12 +92,24 @@
 	p.mustCall(http.MethodPut, "/faults", f)
 }
 
+// StoreFaultsFor replaces the faults of the store for one placer.
+func (p *Platform) StoreFaultsFor(placer string, f memstore.Faults) {
+	p.t.Helper()
+	p.mustCall(http.MethodPut, "/faults/clients/"+placer, f)
+}
+
 // WorkerFaults replaces the faults of one worker.
 func (p *Platform) WorkerFaults(name string, f workersim.Faults) {
 	p.t.Helper()
 	p.mustCall(http.MethodPut, "/faults/workers/"+name, f)
 }
 
+// RestartWorker restarts one worker: it forgets everything.
+func (p *Platform) RestartWorker(name string) {
+	p.t.Helper()
+	p.mustCall(http.MethodPost, "/restart/"+name, nil)
+}
+
 // ExecutorFaults replaces the faults of one executor.
 func (p *Platform) ExecutorFaults(name string, f execsim.Faults) {
 	p.t.Helper()
