The judge counts a leaving executor's grace from what it has said

Cause: the rule counted from the moment at which a test switched the signal on. An executor without traffic has told nobody; its first request later than 3 s would have counted as a breach that no caller could have avoided.

Change: the grace runs from the first answer that carries the signal. The case "leaving, after the grace" now has that answer first, and a case without it is added; the rule itself (nothing new after 3 s) is as strict as before.

--- a/internal/executor/execsim/execsim.go
+++ b/internal/executor/execsim/execsim.go
@@ -72,7 +72,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.faults = f
-	e.judge.Leaving(e.name, f.Leaving, time.Now())
+	e.judge.Leaving(e.name, f.Leaving)
 }
 
 // Faults returns the executor's present faults.
@@ -110,14 +110,14 @@
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
-			time.AfterFunc(d, func() { e.judge.Executed(x) })
+			time.AfterFunc(d, func() { e.judge.Executed(x, time.Now()) })
 			return ctx.Err()
 		}
 	}
 	if faults.Hang {
 		<-ctx.Done()
 	}
-	e.judge.Executed(x)
+	e.judge.Executed(x, time.Now())
 	if faults.Hang {
 		return ctx.Err()
 	}
--- a/internal/executor/execsim/execsim_test.go
+++ b/internal/executor/execsim/execsim_test.go
@@ -38,6 +38,7 @@
 	}
 	leave := func(f *execsim.Fleet, after time.Duration) {
 		f.Executor("a").SetFaults(execsim.Faults{Leaving: true})
+		send(f, "GET", "") // its answer tells
 		time.Sleep(after)
 		send(f, "GET", "")
 	}
@@ -52,6 +53,11 @@
 		{"one key twice", func(f *execsim.Fleet) { send(f, "POST", "a"); send(f, "POST", "a") }, judge.RuleRanTwice},
 		{"idempotent twice", func(f *execsim.Fleet) { send(f, "PUT", "a"); send(f, "PUT", "a") }, ""},
 		{"leaving, in the grace", func(f *execsim.Fleet) { leave(f, 3*time.Second) }, ""},
+		{"leaving, nobody told", func(f *execsim.Fleet) {
+			f.Executor("a").SetFaults(execsim.Faults{Leaving: true})
+			time.Sleep(time.Minute)
+			send(f, "GET", "")
+		}, ""},
 		{"leaving, after the grace", func(f *execsim.Fleet) { leave(f, 3*time.Second+1) }, judge.RuleLeaving},
 	}
 	for _, c := range cases {
--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -28,7 +28,8 @@
 	RuleSlots Rule = "slots"
 	// RuleConnections: an executor had more connections than it allows.
 	RuleConnections Rule = "connections"
-	// RuleLeaving: a leaving executor got a request after the grace.
+	// RuleLeaving: an executor that has said that it leaves got a request after
+	// the grace.
 	RuleLeaving Rule = "leaving"
 )
 
