Waiting jobs look for room ten times a second; metrics share one prefix

Cause: a digest that shows room comes without notice, and a home with waiting jobs looked every 500 ms; counters of jobs had another prefix than the others. Not measured: the gain in waiting time, as the machine is busy.

--- a/internal/job/home.go
+++ b/internal/job/home.go
@@ -32,10 +32,12 @@
 var phaseNames = [...]string{"loading", "reconciling", "ready", "ended"}
 
 // restInterval is the longest that a home with something to do sleeps,
-// idleInterval that of one without; changes of the table rouse it.
+// idleInterval that of one without; changes of the table rouse it. With jobs
+// waiting it looks for room every roomInterval, as digests come unannounced.
 const (
 	restInterval = 500 * time.Millisecond
 	idleInterval = 5 * time.Second
+	roomInterval = 100 * time.Millisecond
 )
 
 // Lost tasks are replaced at this pace in each home; what an ordinary worker
@@ -203,6 +205,7 @@
 		next = now.Add(pacerPoll)
 	}
 	if len(h.waiting) > 0 {
+		next = earliest(next, now.Add(roomInterval), now)
 		next = earliest(next, h.plan.due, now)
 		next = earliest(next, h.plan.next, now)
 	}
--- a/internal/job/metrics.go
+++ b/internal/job/metrics.go
@@ -23,12 +23,12 @@
 
 func newMetrics(reg prometheus.Registerer) *metrics {
 	counter := func(name, help string) prometheus.Counter {
-		c := prometheus.NewCounter(prometheus.CounterOpts{Name: "pulley_job_" + name + "_total", Help: help})
+		c := prometheus.NewCounter(prometheus.CounterOpts{Name: "pulleyquay_job_" + name + "_total", Help: help})
 		reg.MustRegister(c)
 		return c
 	}
 	vector := func(name, label, help string) *prometheus.CounterVec {
-		c := prometheus.NewCounterVec(prometheus.CounterOpts{Name: "pulley_job_" + name + "_total", Help: help}, []string{label})
+		c := prometheus.NewCounterVec(prometheus.CounterOpts{Name: "pulleyquay_job_" + name + "_total", Help: help}, []string{label})
 		reg.MustRegister(c)
 		return c
 	}
