--- a/internal/hold/config.go
+++ b/internal/hold/config.go
@@ -1,6 +1,7 @@
 package hold
 
 import (
+	"strings"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -9,6 +10,7 @@
 	"pulleyquay/internal/partition"
 	"pulleyquay/internal/peer"
 	"pulleyquay/internal/platform"
+	"pulleyquay/internal/result"
 	"pulleyquay/internal/right"
 	"pulleyquay/internal/view"
 )
@@ -51,6 +53,49 @@
 	}
 }
 
+// maxClockMargin is beyond any clock that is in order.
+const maxClockMargin = 100
+
+// Check returns BadInput with the name of the first field that does not fit.
+func (c Config) Check() error {
+	switch {
+	case c.Term < time.Second || c.Term%time.Second != 0:
+		return refuse("Term", "must be whole seconds, at least one")
+	case c.ClockMargin <= 0 || c.ClockMargin > maxClockMargin:
+		return refuse("ClockMargin", "must be from 1 to %d parts of a thousand", maxClockMargin)
+	case c.OutageLimit < c.Term:
+		return refuse("OutageLimit", "must be at least the term")
+	case c.Renew <= 0 || c.Renew > c.Term/3:
+		return refuse("Renew", "must be positive and at most a third of the term")
+	case c.Heartbeat <= 0 || c.Heartbeat > c.Term/3:
+		return refuse("Heartbeat", "must be positive and at most a third of the term")
+	case c.Suspect <= c.Heartbeat:
+		return refuse("Suspect", "must be longer than the heartbeat interval")
+	case c.BackoffMax <= 0:
+		return refuse("BackoffMax", "must be positive")
+	case c.Spread < 0:
+		return refuse("Spread", "must not be negative")
+	case c.Partitions <= 0:
+		return refuse("Partitions", "must be positive")
+	}
+	return nil
+}
+
+func refuse(field, format string, args ...any) error {
+	return result.New(result.BadInput, result.RanNo, format, args...).At(field)
+}
+
+// checkSelf refuses names that would not be one part of a key in the store.
+func checkSelf(m view.Member) error {
+	if m.Name == "" || strings.Contains(m.Name, "/") {
+		return refuse("Name", "must not be empty nor contain a slash: %q", m.Name)
+	}
+	if m.Addr == "" {
+		return refuse("Addr", "must not be empty")
+	}
+	return nil
+}
+
 func (c Config) times() right.Times {
 	return right.Times{Term: c.Term, Margin: c.ClockMargin, OutageLimit: c.OutageLimit}
 }
--- a/internal/hold/handover.go
+++ b/internal/hold/handover.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
 	"pulleyquay/internal/member"
@@ -24,6 +26,9 @@
 	Incarnation string            `cbor:"3,keyasint"`
 	States      map[string][]byte `cbor:"4,keyasint,omitempty"`
 	Record      *view.Partition   `cbor:"5,keyasint,omitempty"`
+	// ID names the attempt. The moved record carries it, so that the states of
+	// an attempt that was abandoned are never used.
+	ID string `cbor:"6,keyasint"`
 }
 
 // HandOverReply tells that the next holder has kept the states.
@@ -60,24 +65,30 @@
 	if next.Name != "" {
 		conditions = append(conditions, platform.Condition{Key: member.Key(next.Name), ModRevision: nextMod})
 	}
+	attempt := ""
 	if next.Name != "" && inOrder {
-		if err := k.sendStates(ctx, next, moved, states); err != nil {
+		attempt = uuid.NewString()
+		msg := HandOver{Partition: moved.ID, Epoch: moved.Epoch, Incarnation: next.Incarnation, ID: attempt, States: states}
+		if err := k.sendStates(ctx, next, msg); err != nil {
 			k.log.WithError(err).WithFields(logFields(old)).Warn("next holder did not take the state")
 			k.resume(ctx, s, states)
 			return
 		}
 	}
-	rec, ok := k.writeRecord(ctx, moved, conditions)
-	if !ok {
+	rec, err := k.writeRecord(ctx, record{Partition: moved, HandOver: attempt}, conditions)
+	switch {
+	case err == nil:
+		k.handedOver(ctx, s, next, rec, attempt)
+	case errors.Is(err, platform.ErrUnavailable):
+		k.resume(ctx, s, states)
+	default:
 		k.settleMove(ctx, s, old, states)
-		return
 	}
-	k.handedOver(ctx, s, next, rec)
 }
 
 // handedOver ends a successful hand-over and tells the next holder, which would
 // otherwise see the record a watch's delay later.
-func (k *Keeper) handedOver(ctx context.Context, s *slot, next view.Member, rec view.Partition) {
+func (k *Keeper) handedOver(ctx context.Context, s *slot, next view.Member, rec view.Partition, attempt string) {
 	k.mu.Lock()
 	s.event(eventDrop)
 	k.mu.Unlock()
@@ -86,7 +97,7 @@
 	if next.Name == "" {
 		return
 	}
-	msg := HandOver{Partition: rec.ID, Epoch: rec.Epoch, Incarnation: next.Incarnation, Record: &rec}
+	msg := HandOver{Partition: rec.ID, Epoch: rec.Epoch, Incarnation: next.Incarnation, ID: attempt, Record: &rec}
 	var reply HandOverReply
 	if err := k.peers.Call(ctx, next.Addr, peer.KindHandOver, msg, &reply); err != nil {
 		k.log.WithError(err).Debug("next holder will see the record by its watch")
@@ -110,7 +121,7 @@
 		conditions := []platform.Condition{
 			k.session.Condition(), {Key: partitionKey(s.id), ModRevision: platform.Revision(known.ModRevision)},
 		}
-		if rec, ok := k.writeRecord(ctx, old, conditions); ok {
+		if rec, err := k.writeRecord(ctx, record{Partition: old}, conditions); err == nil {
 			k.mu.Lock()
 			s.record = rec
 			k.mu.Unlock()
@@ -155,10 +166,9 @@
 	return states, inOrder
 }
 
-func (k *Keeper) sendStates(ctx context.Context, next view.Member, moved view.Partition, states map[string][]byte) error {
+func (k *Keeper) sendStates(ctx context.Context, next view.Member, msg HandOver) error {
 	ctx, cancel := context.WithTimeout(ctx, k.config.Term)
 	defer cancel()
-	msg := HandOver{Partition: moved.ID, Epoch: moved.Epoch, Incarnation: next.Incarnation, States: states}
 	var reply HandOverReply
 	if err := k.peers.Call(ctx, next.Addr, peer.KindHandOver, msg, &reply); err != nil {
 		return err
@@ -183,13 +193,11 @@
 		return HandOverReply{}, result.New(result.Stopping, result.RanNo, "leaving")
 	}
 	if msg.Record != nil {
-		_ = k.mirror.apply(recordChange(*msg.Record))
+		_ = k.mirror.apply(record{Partition: *msg.Record, HandOver: msg.ID}.change())
 		k.publish()
 		return HandOverReply{Kept: true}, nil
 	}
-	if s := k.slots[msg.Partition]; s.inbox == nil || s.inbox.Epoch < msg.Epoch {
-		s.inbox = &msg
-	}
+	k.slots[msg.Partition].inbox = &msg
 	return HandOverReply{Kept: true}, nil
 }
 
--- a/internal/hold/keeper.go
+++ b/internal/hold/keeper.go
@@ -62,6 +62,12 @@
 
 // New returns a Keeper and registers its message kinds in the mux.
 func New(d Deps) (*Keeper, error) {
+	if err := d.Config.Check(); err != nil {
+		return nil, err
+	}
+	if err := checkSelf(d.Self); err != nil {
+		return nil, err
+	}
 	if d.Self.Incarnation == "" {
 		id, err := uuid.NewV7()
 		if err != nil {
--- a/internal/hold/mirror.go
+++ b/internal/hold/mirror.go
@@ -31,6 +31,7 @@
 	members    map[string]member.Entry
 	charters   map[right.Subject]member.Entry
 	partitions map[int]view.Partition
+	handOvers  map[int]string               // the attempt that moved each record
 	revisions  map[string]platform.Revision // of each key, also of deleted ones
 	gone       map[right.Subject]time.Time  // holders first seen without a key
 	count      int                          // as the store says, zero when not read
@@ -41,7 +42,7 @@
 func newMirror() *mirror {
 	return &mirror{
 		members: map[string]member.Entry{}, charters: map[right.Subject]member.Entry{},
-		partitions: map[int]view.Partition{}, revisions: map[string]platform.Revision{},
+		partitions: map[int]view.Partition{}, handOvers: map[int]string{}, revisions: map[string]platform.Revision{},
 		gone: map[right.Subject]time.Time{}, listed: map[string]bool{},
 	}
 }
@@ -124,12 +125,12 @@
 		delete(m.partitions, id)
 		return nil
 	}
-	var p view.Partition
-	if err := json.Unmarshal(c.Value, &p); err != nil {
+	var rec record
+	if err := json.Unmarshal(c.Value, &rec); err != nil {
 		return fmt.Errorf("record %s: %w", c.Key, err)
 	}
-	p.ModRevision = int64(c.ModRevision)
-	m.partitions[id] = p
+	rec.ModRevision = int64(c.ModRevision)
+	m.partitions[id], m.handOvers[id] = rec.Partition, rec.HandOver
 	return nil
 }
 
@@ -225,13 +226,21 @@
 	return right.Subject{Name: p.Holder, Incarnation: p.Incarnation}
 }
 
-// recordChange is a partition's record as the store shows it.
-func recordChange(p view.Partition) platform.Change {
-	value, err := json.Marshal(p)
+// record is what stands in the store under a partition's key.
+type record struct {
+	view.Partition
+	// HandOver names the attempt by which the previous holder moved the record;
+	// it is empty after a claim.
+	HandOver string `json:"hand_over,omitempty"`
+}
+
+// change is the record as the store shows it.
+func (r record) change() platform.Change {
+	value, err := json.Marshal(r)
 	if err != nil {
-		panic(fmt.Sprintf("hold: encode %+v: %v", p, err))
+		panic(fmt.Sprintf("hold: encode %+v: %v", r, err))
 	}
 	return platform.Change{Record: platform.Record{
-		Key: partitionKey(p.ID), Value: value, ModRevision: platform.Revision(p.ModRevision),
+		Key: partitionKey(r.ID), Value: value, ModRevision: platform.Revision(r.ModRevision),
 	}}
 }
--- a/internal/hold/outage_test.go
+++ b/internal/hold/outage_test.go
@@ -147,6 +147,61 @@
 	})
 }
 
+// TestStateOfAnAbandonedHandOverIsNotUsed: the states were sent, the record did
+// not move, the old holder went on and died; the claim has the same epoch that
+// the hand-over would have had.
+func TestStateOfAnAbandonedHandOverIsNotUsed(t *testing.T) {
+	inBubble(t, testConfig(), func(c *testCell) {
+		is := is.New(c.t)
+		formed(c, "a", "b")
+		a, b := c.nodes["a"], c.nodes["b"]
+		id := b.Held()[0]
+		_, err := a.onHandOver(c.t.Context(), HandOver{
+			Partition: id, Epoch: b.epoch(id) + 1, Incarnation: a.Self().Incarnation,
+			ID: "abandoned", States: map[string][]byte{"recorder": []byte("stale")},
+		})
+		is.NoErr(err)
+		c.kill(b)
+		c.waitSettled(healLimit * c.config.Term)
+		is.True(!a.resident.takeover(id).SignedOff)
+		is.Equal(a.resident.takeover(id).State, nil)
+	})
+}
+
+func TestHandOverThatCanNotReachTheStoreIsTakenBack(t *testing.T) {
+	inBubble(t, testConfig(), func(c *testCell) {
+		is := is.New(c.t)
+		formed(c, "a", "b", "c")
+		b := c.nodes["b"]
+		id := b.Held()[0]
+		b.resident.releaseTime.Store(int64(100 * time.Millisecond))
+		b.mu.Lock()
+		next := c.nodes["a"].Self()
+		s, mod := b.slots[id], b.mirror.members["a"].Revision
+		s.busy = true
+		b.mu.Unlock()
+		c.engine.SetFaults(memstore.Faults{Refuse: true})
+		ctx, cancel := context.WithTimeout(c.t.Context(), 2*c.config.Term)
+		defer cancel()
+		b.handOver(ctx, s, next, mod)
+		is.NoErr(ctx.Err())
+		b.mu.Lock()
+		s.busy = false
+		b.mu.Unlock()
+		_, err := b.Check(id)
+		is.NoErr(err) // nothing was sent: it goes on at once
+		c.engine.SetFaults(memstore.Faults{})
+	})
+}
+
+func (n *node) epoch(id int) uint64 {
+	g, err := n.Check(id)
+	if err != nil {
+		return 0
+	}
+	return g.Epoch
+}
+
 func TestChartersOfEndedProcessesAreDeleted(t *testing.T) {
 	inBubble(t, testConfig(), func(c *testCell) {
 		formed(c, "a", "b")
--- a/internal/hold/steps.go
+++ b/internal/hold/steps.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"math/rand/v2"
 	"slices"
@@ -145,27 +144,28 @@
 			platform.Condition{Key: member.CharterKey(old.Holder, old.Incarnation), ModRevision: charter})
 	}
 	k.metrics.claims.Inc()
-	rec, ok := k.writeRecord(ctx, next, conditions)
-	if !ok {
+	rec, err := k.writeRecord(ctx, record{Partition: next}, conditions)
+	if err != nil {
 		return
 	}
 	k.log.WithFields(logFields(rec)).WithField("from", old.Holder).Info("partition claimed")
 	k.acquire(ctx, s, rec, old.Epoch == 0)
 }
 
+// errMoved: the record or one of the members was not as expected.
+var errMoved = errors.New("hold: conditions of the record's move failed")
+
 // writeRecord moves a partition's record when the conditions hold. A lost
 // answer is settled by the watch or by the next attempt, which fails on the
-// revision when this one took effect.
-func (k *Keeper) writeRecord(ctx context.Context, next view.Partition, conditions []platform.Condition) (view.Partition, bool) {
-	value, err := json.Marshal(next)
-	if err != nil {
-		return next, false
-	}
+// revision when this one took effect. After platform.ErrUnavailable and
+// errMoved it certainly did not.
+func (k *Keeper) writeRecord(ctx context.Context, next record, conditions []platform.Condition) (view.Partition, error) {
+	change := next.change()
 	callCtx, cancel := context.WithTimeout(ctx, k.config.Term)
 	defer cancel()
 	reply, err := k.store.Commit(callCtx, platform.Txn{
 		If:   conditions,
-		Then: []platform.Write{{Key: partitionKey(next.ID), Value: value}},
+		Then: []platform.Write{{Key: change.Key, Value: change.Value}},
 	})
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -174,16 +174,16 @@
 		if !errors.Is(err, platform.ErrUnavailable) {
 			k.metrics.unknown.Inc()
 		}
-		return next, false
+		return next.Partition, err
 	}
 	if !reply.Applied {
 		k.takeFound(conditions, reply)
-		return next, false
+		return next.Partition, errMoved
 	}
 	next.ModRevision = int64(reply.Revision)
-	_ = k.mirror.apply(recordChange(next))
+	_ = k.mirror.apply(next.change())
 	k.publish()
-	return next, true
+	return next.Partition, nil
 }
 
 // takeFound brings the mirror up to date with what a refused transaction found.
@@ -209,10 +209,13 @@
 	k.mu.Lock()
 	s.event(eventAcquire)
 	s.record = rec
-	inbox := s.inbox
+	inbox, attempt := s.inbox, k.mirror.handOvers[s.id]
+	if k.mirror.partitions[s.id] != rec {
+		attempt = ""
+	}
 	s.inbox = nil
 	k.mu.Unlock()
-	if inbox != nil && inbox.Epoch == rec.Epoch && inbox.Incarnation == rec.Incarnation {
+	if inbox != nil && attempt != "" && inbox.ID == attempt {
 		k.takeUp(ctx, s, inbox.States, true, false)
 		return
 	}
--- a/internal/hold/table_test.go
+++ b/internal/hold/table_test.go
@@ -1,6 +1,7 @@
 package hold
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"testing"
@@ -20,9 +21,9 @@
 }
 
 var (
-	down    = memstore.Faults{Hang: true}
-	refuse  = memstore.Faults{Refuse: true}
-	healthy = memstore.Faults{}
+	down     = memstore.Faults{Hang: true}
+	refusing = memstore.Faults{Refuse: true}
+	healthy  = memstore.Faults{}
 )
 
 var faultTable = []fault{
@@ -71,7 +72,7 @@
 		c.cutPeers("b", true, true)
 		time.Sleep(2 * term)
 		c.engine.SetFaults(healthy)
-		c.nodes["b"].client.SetFaults(refuse)
+		c.nodes["b"].client.SetFaults(refusing)
 		time.Sleep(4 * term)
 	}},
 	{"outage of ten terms with a kill and a pause", func(c *testCell, term time.Duration) {
@@ -94,7 +95,7 @@
 	}},
 	{"two outages in a row", func(c *testCell, term time.Duration) {
 		for range 2 {
-			c.engine.SetFaults(refuse)
+			c.engine.SetFaults(refusing)
 			time.Sleep(2 * term)
 			c.engine.SetFaults(healthy)
 			time.Sleep(term / 4)
@@ -222,7 +223,7 @@
 	pause time.Duration
 }
 
-const scriptKinds = 12
+const scriptKinds = 14
 
 func (s scriptStep) String() string { return fmt.Sprintf("%d %s %v", s.kind, s.name, s.pause) }
 
@@ -232,7 +233,7 @@
 	case s.kind == 0:
 		c.engine.SetFaults(down)
 	case s.kind == 1:
-		c.engine.SetFaults(refuse)
+		c.engine.SetFaults(refusing)
 	case s.kind == 2:
 		c.engine.SetFaults(healthy)
 	case s.kind == 3:
@@ -252,6 +253,13 @@
 		c.cutPeers(s.name, true, false)
 	case s.kind == 10:
 		c.cutPeers(s.name, true, true)
+	case s.kind == 12:
+		ctx, cancel := context.WithTimeout(context.Background(), s.pause)
+		_ = n.Stop(ctx) // cut short more often than not
+		cancel()
+		c.kill(n)
+	case s.kind == 13:
+		n.client.SetFaults(memstore.Faults{RequestDelayMS: 700, WatchDelayMS: 900})
 	case s.kind == 11:
 		n.client.SetFaults(healthy)
 		c.cutPeers(s.name, false, false)
