Dump shows open fences; two outages in a row in steps

Cause: an operator could not see why a partition waits for a fence; the issue asks for two outages in a row at any distance. Change: the dump lists each fence with the voters that have not answered. A test runs a second outage 0.5 to 6 s after the first with five members: every partition can be acted for at every look. Ruled out, by trial: keeping voters without a key in the electorate while they are heard.

--- a/internal/hold/dump.go
+++ b/internal/hold/dump.go
@@ -21,6 +21,16 @@
 	Slots      []SlotState      `json:"slots"`
 	Heard      []HeardState     `json:"heard"`
 	Covered    []int            `json:"covered"`
+	// Fencing lists the dead holders whose partitions this process wants.
+	Fencing []FencingState `json:"fencing"`
+}
+
+// FencingState is how far the fence of a dead holder has come.
+type FencingState struct {
+	Subject right.Subject `json:"subject"`
+	// Open are the voters that have not answered so that it counts.
+	Open []right.Voter `json:"open"`
+	Done bool          `json:"done"`
 }
 
 // SlotState is one partition that this process owns or works on.
@@ -60,6 +70,9 @@
 			})
 		}
 	}
+	for s, f := range k.fencings {
+		out.Fencing = append(out.Fencing, FencingState{Subject: s, Open: f.tally.Open(), Done: f.tally.Done(now)})
+	}
 	for _, h := range k.beats.All() {
 		out.Heard = append(out.Heard, HeardState{Status: h.Status, AgeMS: now.Sub(h.At).Milliseconds()})
 	}
--- a/internal/hold/fault_test.go
+++ b/internal/hold/fault_test.go
@@ -56,6 +56,31 @@
 	})
 }
 
+func TestSecondOutageRightAfterTheFirstStopsNobody(t *testing.T) {
+	for gap := time.Second / 2; gap <= 6*time.Second; gap += time.Second / 2 {
+		t.Run(gap.String(), func(t *testing.T) {
+			inBubble(t, testConfig(), func(c *testCell) {
+				formed(c, "a", "b", "c", "d", "e")
+				lapsed := 0
+				for _, phase := range []struct {
+					faults memstore.Faults
+					length time.Duration
+				}{{down, 4 * c.config.Term}, {healthy, gap}, {down, 4 * c.config.Term}} {
+					c.engine.SetFaults(phase.faults)
+					for end := time.Now().Add(phase.length); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+						if !c.settled() {
+							lapsed++
+						}
+					}
+				}
+				if lapsed > 0 {
+					c.t.Errorf("not every partition could be acted for at %d looks", lapsed)
+				}
+			})
+		})
+	}
+}
+
 // epochs returns the epoch of each held partition.
 func (c *testCell) epochs() map[int]uint64 {
 	out := map[int]uint64{}
