--- a/internal/settings/counters.go
+++ b/internal/settings/counters.go
@@ -12,7 +12,7 @@
 
 func newCounters(reg prometheus.Registerer, b *book) *counters {
 	counter := func(name, help string) prometheus.Counter {
-		return prometheus.NewCounter(prometheus.CounterOpts{Name: "pulley_settings_" + name, Help: help})
+		return prometheus.NewCounter(prometheus.CounterOpts{Name: "pulleyquay_settings_" + name, Help: help})
 	}
 	c := &counters{
 		reads:   counter("store_reads_total", "Reads of the store for settings."),
@@ -21,11 +21,11 @@
 		behind:  counter("behind_total", "Heads seen that are older than the one in force."),
 		learned: counter("learned_total", "Revisions learned from peers."),
 		changes: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "pulley_settings_changes_total", Help: "Operators' changes by result code; 0 is accepted.",
+			Name: "pulleyquay_settings_changes_total", Help: "Operators' changes by result code; 0 is accepted.",
 		}, []string{"code"}),
 	}
 	revision := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Name: "pulley_settings_revision", Help: "Settings revision in force; -1 before the first.",
+		Name: "pulleyquay_settings_revision", Help: "Settings revision in force; -1 before the first.",
 	}, func() float64 { return float64(b.revision()) })
 	if reg != nil {
 		reg.MustRegister(c.reads, c.writes, c.watches, c.behind, c.learned, c.changes, revision)
--- a/internal/settings/keeper_test.go
+++ b/internal/settings/keeper_test.go
@@ -327,3 +327,21 @@
 		is.Equal(got.NotApplied, []string{"placer-2"})
 	})
 }
+
+func TestDumpTellsWhatLacks(t *testing.T) {
+	inBubble(t, 1, 1, func(is *is.I, c *cell) {
+		_, err := c.change(0, `{"/a":{}}`)
+		is.NoErr(err)
+		time.Sleep(time.Second)
+		d, ok := c.keepers[0].Dump().(Dump)
+		is.True(ok)
+		is.Equal(d.Revision, int64(1))
+		is.Equal(d.Branches, 2)
+		is.Equal(d.Followers, map[string]int64{"entry-0": 1})
+		is.Equal(d.Lacks, "")
+		c.keepers[0].Hear(5)
+		d, ok = c.keepers[0].Dump().(Dump)
+		is.True(ok)
+		is.True(d.Lacks != "")
+	})
+}
--- a/internal/settings/learn.go
+++ b/internal/settings/learn.go
@@ -17,6 +17,8 @@
 	// chasePatience is how long a watch may lag behind what peers have before
 	// they are asked.
 	chasePatience = 200 * time.Millisecond
+	// knownEvery is how often the revisions in heartbeats are looked at.
+	knownEvery = 500 * time.Millisecond
 	// askTimeout bounds one question to a peer, besides its wait.
 	askTimeout = 2 * time.Second
 )
@@ -107,11 +109,14 @@
 		for _, revision := range k.cfg.Known() {
 			k.book.hear(revision)
 		}
-		sleep(ctx, chasePatience)
 		if k.book.ready() == nil {
+			sleep(ctx, knownEvery)
 			continue
 		}
-		k.askPeers(ctx)
+		sleep(ctx, chasePatience)
+		if k.book.ready() != nil {
+			k.askPeers(ctx)
+		}
 	}
 }
 
