--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -111,7 +111,7 @@
 		return executor.Answer{}, result.New(result.NoFreeSlot, result.RanNo, "%v", err)
 	}
 	start := time.Now()
-	watch := time.AfterFunc(time.Until(w.Deadline), func() { d.overdue(p, e) })
+	watch := time.AfterFunc(patience(w, values), func() { d.overdue(p, e) })
 	answer, err := d.cfg.Client.Do(ctx, host.Addr, req, values.Request.MaxAnswerBytes)
 	watch.Stop()
 	d.record(p, e, answer, err, time.Since(start))
@@ -181,70 +181,79 @@
 	}
 }
 
-// overdue counts a request that is past its deadline as a failure, while the
-// executor still has time to answer.
+// patience is how long an executor may take before it counts as failing: to the
+// request's deadline, but no less than the service's usual one, or callers in a
+// hurry would make sound executors look bad.
+func patience(w Work, values settings.Values) time.Duration {
+	usual := time.Duration(values.Request.DefaultDeadlineMS) * time.Millisecond
+	return max(time.Until(w.Deadline), usual)
+}
+
+// overdue counts a request without an answer as a failure, while the executor
+// may still answer.
 func (d *Dispatcher) overdue(p *pool, e *endpoint) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.failed(p, e, faultSilent)
 }
 
+// forwardMargin is how much longer a home waits for another holder than that
+// holder waits for its executor, so that the holder's word comes first.
+const forwardMargin = 500 * time.Millisecond
+
 // forward asks another holder to dispatch.
-func (d *Dispatcher) forward(p *pool, r *Remote, w Work, values settings.Values) (executor.Answer, *result.Error) {
-	defer d.releaseRemote(p, r)
-	ctx, cancel := context.WithTimeout(context.Background(), maxDeadline(values))
+func (d *Dispatcher) forward(p *pool, r *remote, w Work, values settings.Values) (executor.Answer, *result.Error) {
+	ctx, cancel := context.WithTimeout(context.Background(), maxDeadline(values)+forwardMargin)
 	defer cancel()
 	msg := requestmsg.Dispatch{Service: w.Service, Timeout: time.Until(w.Deadline), Request: w.Request}
-	var answer executor.Answer
-	err := d.cfg.Peers.Call(ctx, r.Addr, peer.KindDispatch, msg, &answer)
+	var reply requestmsg.DispatchReply
+	err := d.cfg.Peers.Call(ctx, r.told.Addr, peer.KindDispatch, msg, &reply)
+	d.learnFree(p, r, reply.Free)
 	if err == nil {
-		return answer, nil
+		return reply.Answer, nil
 	}
 	e := result.From(err)
 	switch e.Code {
-	case result.NoFreeSlot:
-		d.noSlotAt(p, r)
 	case result.PeerNotReached:
-		d.noSlotAt(p, r)
-		return executor.Answer{}, result.New(result.NoFreeSlot, result.RanNo, "%s: %s", r.Name, e.Detail)
+		return executor.Answer{}, result.New(result.NoFreeSlot, result.RanNo, "%s: %s", r.told.Name, e.Detail)
 	case result.PeerLost:
-		return executor.Answer{}, result.New(result.ExecutorLost, result.RanUnknown, "%s: %s", r.Name, e.Detail)
+		return executor.Answer{}, result.New(result.ExecutorLost, result.RanUnknown, "%s: %s", r.told.Name, e.Detail)
 	}
 	return executor.Answer{}, e
 }
 
-// noSlotAt corrects the hint that was wrong, until the next one comes.
-func (d *Dispatcher) noSlotAt(p *pool, r *Remote) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	r.Free[p.service] = 0
-}
-
 // ServeDispatch answers peer.KindDispatch.
-func (d *Dispatcher) ServeDispatch(_ context.Context, msg requestmsg.Dispatch) (executor.Answer, error) {
+func (d *Dispatcher) ServeDispatch(_ context.Context, msg requestmsg.Dispatch) (requestmsg.DispatchReply, error) {
 	values, ok := d.cfg.Settings(msg.Service)
 	if !ok {
-		return executor.Answer{}, result.New(result.UnknownService, result.RanNo, "service %q", msg.Service)
+		return requestmsg.DispatchReply{}, result.New(result.UnknownService, result.RanNo, "service %q", msg.Service)
 	}
 	now := time.Now()
-	d.mu.Lock()
-	p := d.pool(msg.Service, values)
-	var e *endpoint
-	if p.queue.Len() == 0 {
-		e = d.pick(p, now)
-	}
-	if e == nil {
-		d.mu.Unlock()
-		return executor.Answer{}, result.New(result.NoFreeSlot, result.RanNo, "no free slot for %s", msg.Service)
+	p, g, ok := d.takeHere(msg.Service, values, now)
+	if !ok {
+		return requestmsg.DispatchReply{}, result.New(result.NoFreeSlot, result.RanNo, "no free slot for %s", msg.Service)
 	}
-	g := e.take()
-	d.mu.Unlock()
 	w := Work{Service: msg.Service, Deadline: now.Add(msg.Timeout), Request: msg.Request}
 	answer, err := d.call(p, g, w, values)
 	if err != nil {
-		return executor.Answer{}, err
+		return requestmsg.DispatchReply{}, err
+	}
+	return requestmsg.DispatchReply{Answer: answer, Free: d.freeNow(p)}, nil
+}
+
+// takeHere takes a free slot of an executor held here, when nobody waits.
+func (d *Dispatcher) takeHere(service string, values settings.Values, now time.Time) (*pool, grant, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := d.pool(service, values)
+	if p.queue.Len() > 0 {
+		return p, grant{}, false
+	}
+	e := d.pick(p, now)
+	if e == nil {
+		return p, grant{}, false
 	}
-	return answer, nil
+	return p, e.take(), true
 }
 
 // withTimeout returns the request with what is left of its deadline.
--- a/internal/job/manager.go
+++ b/internal/job/manager.go
@@ -20,7 +20,6 @@
 	"pulleyquay/internal/hold"
 	"pulleyquay/internal/peer"
 	"pulleyquay/internal/platform"
-	"pulleyquay/internal/recorder"
 	"pulleyquay/internal/result"
 	"pulleyquay/internal/settings"
 	"pulleyquay/internal/taskmsg"
@@ -30,12 +29,17 @@
 // residentName is the name of the jobs among the residents of a partition.
 const residentName = "jobs"
 
+// tableInterval is how often the table is looked at for changes.
+const tableInterval = 250 * time.Millisecond
+
 // Config is what a Manager works with. All fields are required.
 type Config struct {
 	Source view.Source
 	Right  hold.Right
-	Store  platform.Store
-	Peers  peer.Caller
+	// Store must settle lost answers and group commits: package confirm below
+	// groupcommit.
+	Store platform.Store
+	Peers peer.Caller
 	// PartitionKey returns the key of a partition's record in the store.
 	PartitionKey func(partition int) string
 	// Values returns the effective settings of a branch; ok is false when the
@@ -52,9 +56,12 @@
 
 // Manager holds the homes of this process. It is a hold.Resident.
 type Manager struct {
-	cfg      Config
-	metrics  *metrics
-	recorder *recorder.Metrics
+	cfg     Config
+	metrics *metrics
+
+	cancel context.CancelFunc // ends watch
+
+	holderList holderList
 
 	mu    sync.Mutex
 	homes map[int]*home
@@ -62,13 +69,39 @@
 
 var _ hold.Resident = (*Manager)(nil)
 
-// New returns a Manager without homes.
+// New returns a Manager without homes. Close ends it.
 func New(cfg Config) *Manager {
-	return &Manager{
-		cfg:      cfg,
-		metrics:  newMetrics(cfg.Registerer),
-		recorder: recorder.NewMetrics(cfg.Registerer),
-		homes:    map[int]*home{},
+	ctx, cancel := context.WithCancel(context.Background())
+	m := &Manager{
+		cfg:     cfg,
+		metrics: newMetrics(cfg.Registerer),
+		cancel:  cancel,
+		homes:   map[int]*home{},
+	}
+	go m.watch(ctx)
+	return m
+}
+
+// watch rouses all homes whenever the table has changed, so that a home with
+// nothing to do need not look by itself.
+func (m *Manager) watch(ctx context.Context) {
+	ticker := time.NewTicker(tableInterval)
+	defer ticker.Stop()
+	seen := int64(-1)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		table := m.cfg.Source.Table()
+		if table == nil || table.Revision == seen {
+			continue
+		}
+		seen = table.Revision
+		for _, h := range m.all() {
+			h.rouse()
+		}
 	}
 }
 
@@ -119,6 +152,7 @@
 
 // Close ends all homes without writing anything.
 func (m *Manager) Close() {
+	m.cancel()
 	for _, h := range m.all() {
 		m.Drop(h.partition)
 	}
--- a/internal/job/submit.go
+++ b/internal/job/submit.go
@@ -8,7 +8,6 @@
 	"pulleyquay/internal/jobmsg"
 	"pulleyquay/internal/partition"
 	"pulleyquay/internal/platform"
-	"pulleyquay/internal/recorder"
 	"pulleyquay/internal/result"
 	"pulleyquay/internal/spec"
 )
@@ -75,8 +74,8 @@
 	sizes, complete := h.m.sizes()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.phase == phaseLoading || h.phase == phaseEnded || h.quiet {
-		return nil, false, result.New(result.JobHomeRecovering, result.RanNo, "the home of team %s is %s", s.Team, phaseNames[h.phase]).Later(retryLoading)
+	if err := h.open(); err != nil {
+		return nil, false, err
 	}
 	if j := h.jobs[s.ID]; j != nil {
 		if j.rec.Submission != fingerprint(s) {
@@ -119,6 +118,17 @@
 	return result.New(result.JobNotRecorded, result.RanNo, "the platform's store has not answered for %s", m.cfg.StoreAge().Round(time.Second)).Later(retryStore)
 }
 
+// open returns nil when the home takes jobs.
+func (h *home) open() error {
+	switch {
+	case h.quiet:
+		return result.New(result.JobHomeMoved, result.RanNo, "the home is being handed over").Later(retryLoading)
+	case h.phase == phaseLoading || h.phase == phaseEnded:
+		return result.New(result.JobHomeRecovering, result.RanNo, "the home is %s", phaseNames[h.phase]).Later(retryLoading)
+	}
+	return nil
+}
+
 // firstWrite records a new job and lets its submitters know.
 func (h *home) firstWrite(j *job) {
 	h.mu.Lock()
@@ -131,7 +141,7 @@
 	if err == nil {
 		ctx, cancel := context.WithTimeout(h.ctx, submitTimeout)
 		defer cancel()
-		revision, err = h.recorder.Put(ctx, key(h.partition, j.id()), 0, value)
+		revision, err = h.put(ctx, j.id(), 0, value)
 	}
 	h.mu.Lock()
 	h.settleSubmit(w, revision, err)
@@ -164,7 +174,7 @@
 // happen, or nil.
 func submitRefusal(err error) *result.Error {
 	switch {
-	case errors.Is(err, recorder.ErrFenced):
+	case errors.Is(err, errFenced):
 		return result.New(result.JobHomeMoved, result.RanNo, "another process has taken the home over").Later(retryLoading)
 	case errors.Is(err, platform.ErrUnavailable):
 		return result.New(result.JobNotRecorded, result.RanNo, "the platform's store is not reached; the job was not accepted").Later(retryStore)
--- a/internal/view/follower_test.go
+++ b/internal/view/follower_test.go
@@ -15,19 +15,46 @@
 
 // placer is a fake placer whose table a test moves.
 type placer struct {
-	table atomic.Pointer[Table]
-	mux   *peer.Mux
+	table   atomic.Pointer[Table]
+	changes Broadcast
+	mux     *peer.Mux
 }
 
 func newPlacer(revision int64) *placer {
 	p := &placer{mux: peer.NewMux()}
 	p.set(revision)
-	Serve(p.mux, func() *Table { return p.table.Load() })
+	Serve(p.mux, func() *Table { return p.table.Load() }, p.changes.Next)
 	return p
 }
 
 func (p *placer) set(revision int64) {
-	p.table.Store(&Table{Revision: revision, Members: []Member{{Name: "a", Addr: "a"}, {Name: "b", Addr: "b"}}})
+	p.table.Store(&Table{
+		Revision: revision, Members: []Member{{Name: "a", Addr: "a"}, {Name: "b", Addr: "b"}},
+		Partitions: []Partition{{ID: 0}},
+	})
+	p.changes.Tell()
+}
+
+// TestFollowerOfNewPlacer: a placer that was started just now answers with a
+// table that lacks the partitions; the follower is not ready by it.
+func TestFollowerOfNewPlacer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := newPlacer(1)
+		a.table.Store(&Table{Revision: 1, Members: []Member{{Name: "a", Addr: "a"}}})
+		f := NewFollower(peer.Local{"a": a.mux}, []string{"a"}, logrus.NewEntry(logrus.New()))
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go f.Run(ctx)
+		time.Sleep(10 * time.Millisecond)
+		is.Equal(f.Table().Revision, int64(1))
+		is.Equal(len(f.Lacks()), 1)
+		a.set(2)
+		synctest.Wait()
+		is.Equal(len(f.Lacks()), 0)
+		cancel()
+		time.Sleep(pollTimeout)
+	})
 }
 
 func TestFollowerNeverGoesBack(t *testing.T) {
@@ -48,8 +75,8 @@
 		is.Equal(f.Table().Revision, int64(5))
 
 		b.set(9) // the own host's placer stays behind
-		time.Sleep(2 * pollWait)
-		is.Equal(f.Table().Revision, int64(9))
+		synctest.Wait()
+		is.Equal(f.Table().Revision, int64(9)) // told at once, not at the next poll
 		a.set(7)
 		time.Sleep(2 * pollWait)
 		is.Equal(f.Table().Revision, int64(9))
