Settings stand in the dumps of placer and entry

Cause: an operator could not see which revision a process has heard of and which entries follow a placer. Change: two lines of wiring.

--- a/cmd/pulley-entry/process.go
+++ b/cmd/pulley-entry/process.go
@@ -49,6 +49,7 @@
 	d.AddDump("peers", p.node.Dump)
 	d.AddDump("table", func() any { return p.table.Table() })
 	d.AddDump("requests", p.callers.Dump)
+	d.AddDump("settings", p.settings.Dump)
 	d.AddReadiness(p.table.Lacks)
 	d.AddReadiness(p.settingsLack)
 	return p
--- a/cmd/pulley-placer/placer.go
+++ b/cmd/pulley-placer/placer.go
@@ -169,6 +169,7 @@
 func (p *placer) observe() {
 	for name, dump := range map[string]func() any{
 		"peers": p.node.Dump, "store": p.calls.Dump, "holding": p.keeper.Dump, "workers": p.fleet.Dump, "jobs": p.jobs.Dump,
+		"settings": p.settings.Dump,
 	} {
 		p.daemon.AddDump(name, dump)
 	}
