--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -24,7 +24,7 @@
 // run runs the command line against the entries.
 func run(entries []string, args ...string) (code int, out, errs string) {
 	var stdout, stderr bytes.Buffer
-	args = append(args, "--entry", strings.Join(entries, ","))
+	args = append([]string{"--entry", strings.Join(entries, ",")}, args...)
 	code = Main(args, strings.NewReader(`{"/stdin":{}}`), &stdout, &stderr)
 	return code, stdout.String(), stderr.String()
 }
@@ -270,6 +270,8 @@
 		{[]string{"codes"}, "settings-clash"},
 		{[]string{"codes", "-o", "json"}, `"settings-clash"`},
 		{[]string{"completion", "bash"}, "pulleyctl"},
+		{[]string{"__complete", "settings", "get", "/"}, "/a\n/b\n"},
+		{[]string{"__complete", "settings", "set", "/a", "task.s"}, "task.surge="},
 	}
 	for _, c := range cases {
 		t.Run(strings.Join(c.args, " "), func(t *testing.T) {
--- a/internal/ctl/set.go
+++ b/internal/ctl/set.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"strings"
 
 	"github.com/spf13/cobra"
@@ -41,15 +43,41 @@
 			}
 			return a.set(changes, create, &flags)
 		},
-		ValidArgsFunction: completeSetting,
+		ValidArgsFunction: a.completeSet,
 	}
 	cmd.Flags().BoolVar(&create, "create", false, "create branches that do not exist")
 	flags.add(cmd)
 	return cmd
 }
 
-// completeSetting completes the names of settings in the shell.
-func completeSetting(_ *cobra.Command, _ []string, begun string) ([]string, cobra.ShellCompDirective) {
+// completePath completes the paths of branches in the shell, as an entry has
+// them.
+func (a *app) completePath(_ *cobra.Command, _ []string, begun string) ([]string, cobra.ShellCompDirective) {
+	if err := a.prepare(""); err != nil {
+		return nil, cobra.ShellCompDirectiveError
+	}
+	body, err := a.client.get("/v1/settings/tree")
+	if err != nil {
+		return nil, cobra.ShellCompDirectiveError
+	}
+	var tree operatorapi.Tree
+	if err := json.Unmarshal(body, &tree); err != nil {
+		return nil, cobra.ShellCompDirectiveError
+	}
+	var out []string
+	for _, path := range slices.Sorted(maps.Keys(tree.Branches)) {
+		if strings.HasPrefix(path, begun) {
+			out = append(out, path)
+		}
+	}
+	return out, cobra.ShellCompDirectiveNoFileComp
+}
+
+// completeSet completes paths and the names of settings in the shell.
+func (a *app) completeSet(cmd *cobra.Command, args []string, begun string) ([]string, cobra.ShellCompDirective) {
+	if len(args) == 0 || strings.HasPrefix(begun, "/") {
+		return a.completePath(cmd, args, begun)
+	}
 	var out []string
 	for _, f := range settings.Fields() {
 		if strings.HasPrefix(f.Name, begun) {
--- a/internal/ctl/settings.go
+++ b/internal/ctl/settings.go
@@ -45,7 +45,7 @@
 // settingsRead makes the two commands that show one branch as name and value.
 func (a *app) settingsRead(name, short, endpoint, member string) *cobra.Command {
 	return &cobra.Command{
-		Use: name + " [PATH]", Short: short, Args: cobra.MaximumNArgs(1),
+		Use: name + " [PATH]", Short: short, Args: cobra.MaximumNArgs(1), ValidArgsFunction: a.completePath,
 		Example: "  pulleyctl settings " + name + " /lakeshore/ledger\n  pulleyctl settings " + name + " /regie -o json",
 		RunE: func(_ *cobra.Command, args []string) error {
 			body, err := a.client.get("/v1/settings" + endpoint + pathQuery(args))
@@ -101,7 +101,7 @@
 func (a *app) settingsExplain() *cobra.Command {
 	return &cobra.Command{
 		Use: "explain [PATH]", Short: "Show each setting in force for a branch and the branch it comes from",
-		Args: cobra.MaximumNArgs(1), Example: "  pulleyctl settings explain /lakeshore/ledger",
+		Args: cobra.MaximumNArgs(1), Example: "  pulleyctl settings explain /lakeshore/ledger", ValidArgsFunction: a.completePath,
 		RunE: func(_ *cobra.Command, args []string) error {
 			body, err := a.client.get("/v1/settings/explain" + pathQuery(args))
 			if err != nil {
@@ -247,7 +247,7 @@
 func (a *app) settingsRemove() *cobra.Command {
 	var flags changeFlags
 	cmd := &cobra.Command{
-		Use: "remove PATH...", Short: "Remove branches", Args: cobra.MinimumNArgs(1),
+		Use: "remove PATH...", Short: "Remove branches", Args: cobra.MinimumNArgs(1), ValidArgsFunction: a.completePath,
 		Example: "  pulleyctl settings remove /regie/reconciliations/school-watches",
 		RunE: func(_ *cobra.Command, args []string) error {
 			branches := map[string]json.RawMessage{}
--- a/internal/settings/tree_test.go
+++ b/internal/settings/tree_test.go
@@ -9,7 +9,13 @@
 	"pulleyquay/internal/result"
 )
 
-func mustParse(t testing.TB, text string) *Tree {
+// fataler is a *testing.T or a *rapid.T.
+type fataler interface {
+	Helper()
+	Fatal(args ...any)
+}
+
+func mustParse(t fataler, text string) *Tree {
 	t.Helper()
 	tree, err := Parse([]byte(text))
 	if err != nil {
