--- a/internal/settings/cell_test.go
+++ b/internal/settings/cell_test.go
@@ -110,7 +110,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.processes++
-	name = fmt.Sprintf("%s (process %d)", name, c.processes)
+	name = processName(name, c.processes)
 	onApply(func(t *Tree) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -118,6 +118,15 @@
 	})
 }
 
+func processName(name string, number int) string { return fmt.Sprintf("%s (process %d)", name, number) }
+
+// lastProcess returns what placer 1 has put in force, if it was started last.
+func (c *cell) lastProcess() []int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.applied[processName(addrOf(1), c.processes)]
+}
+
 // follow adds entry i, nearest to placer i.
 func (c *cell) follow(i int) {
 	name := fmt.Sprintf("entry-%d", i)
--- a/internal/settings/outage_test.go
+++ b/internal/settings/outage_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -32,6 +33,25 @@
 	})
 }
 
+// A process that starts on a stale read must not put the old head in force.
+func TestStartOnAStaleRead(t *testing.T) {
+	inBubble(t, 2, 0, func(is *is.I, c *cell) {
+		_, err := c.change(0, `{"/a":{}}`)
+		is.NoErr(err)
+		time.Sleep(time.Second)
+		c.client(1).SetFaults(memstore.Faults{StaleReads: true}) // as of revision 1
+		_, err = c.change(0, `{"/b":{}}`)
+		is.NoErr(err)
+		time.Sleep(time.Second)
+		is.Equal(c.behind(2), nil)
+		c.start(1)
+		synctest.Wait()
+		time.Sleep(everywhere)
+		is.Equal(c.behind(2), nil)
+		is.Equal(c.lastProcess(), []int64{2}) // never revision 1 in between
+	})
+}
+
 // A process that starts in an outage and is told of a revision that no peer can
 // give is not ready: with the older one its settings would go back.
 func TestStartInAnOutageBehindWhatWasInForce(t *testing.T) {
