pulleyctl: tables fit the answers, lists that are not whole say so

Cause: the tables were written against assumed answers: job explain showed headings without rows, since the served explanation stands one level deeper; and a list of workers with members missing looked whole.

--- a/internal/ctl/jobs.go
+++ b/internal/ctl/jobs.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"strings"
 
 	"github.com/google/uuid"
 	"github.com/spf13/cobra"
@@ -14,8 +15,11 @@
 	return &cobra.Command{
 		Use: "members", Short: "List the members", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
-			return a.list("/v1/members", "members", column{"NAME", "name"}, column{"ZONE", "zone"}, column{"ADDRESS", "addr"},
-				column{"LEAVING", "leaving"}, column{"PARTITIONS", "partitions"}, column{"SETTINGS", "settings_revision"})
+			unheld, err := a.list("/v1/members", "members", "unheld", memberColumns...)
+			if err == nil && unheld != "" {
+				err = fmt.Errorf("partitions that no live member holds: %s", unheld)
+			}
+			return err
 		},
 	}
 }
@@ -24,33 +28,59 @@
 	return &cobra.Command{
 		Use: "workers", Short: "List the workers", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
-			return a.list("/v1/workers", "workers", column{"NAME", "name"}, column{"ZONE", "zone"}, column{"RACK", "rack"},
-				column{"PARTITION", "partition"}, column{"CLAIM", "claim"}, column{"STATUS", "status"},
-				column{"FREE MILLICPU", "free.milli_cpu"}, column{"FREE MIB", "free.memory_mib"}, column{"FREE ACC", "free.accelerators"})
+			missing, err := a.list("/v1/workers", "workers", "missing", workerColumns...)
+			if err == nil && missing != "" {
+				err = fmt.Errorf("members that did not answer, whose workers are not listed: %s", missing)
+			}
+			return err
 		},
 	}
 }
 
-// list reads a path and shows the array in it.
-func (a *app) list(path, rows string, columns ...column) error {
+// The columns of the tables.
+var (
+	memberColumns = []column{{"NAME", "name"}, {"ZONE", "zone"}, {"ADDRESS", "addr"}, {"LEAVING", "leaving"},
+		{"PARTITIONS", "partitions"}, {"SETTINGS", "settings_revision"}}
+	workerColumns = []column{{"NAME", "name"}, {"ZONE", "zone"}, {"RACK", "rack"}, {"PARTITION", "partition"},
+		{"CLAIM", "claim"}, {"STATUS", "status"}, {"FREE MILLICPU", "free.milli_cpu"}, {"FREE MIB", "free.memory_mib"},
+		{"FREE ACC", "free.accelerators"}}
+	jobColumns = []column{{"ID", "job.id"}, {"TEAM", "job.team"}, {"KIND", "job.kind"}, {"STATE", "state"}, {"TASKS", "job.tasks"},
+		{"WAITING", "tasks.waiting"}, {"RUNNING", "tasks.running"}, {"FINISHED", "tasks.finished"}, {"FAILURES", "tasks.failures"},
+		{"REASON", "reason"}}
+)
+
+// list reads a path and shows the array under rows. It returns what the answer
+// says under rest, which is empty when the list is whole.
+func (a *app) list(path, rows, rest string, columns ...column) (string, error) {
 	body, err := a.client.get(path)
 	if err != nil {
-		return err
+		return "", err
+	}
+	if err := a.show(body, rows, columns...); err != nil {
+		return "", err
+	}
+	var answer map[string]any
+	if err := json.Unmarshal(body, &answer); err != nil {
+		return "", err
+	}
+	switch left := answer[rest].(type) {
+	case string:
+		return left, nil
+	case []any:
+		return strings.TrimPrefix(text(left), "-"), nil
+	default:
+		return "", nil
 	}
-	return a.show(body, rows, columns...)
 }
 
-var jobColumns = []column{{"ID", "job.id"}, {"TEAM", "job.team"}, {"KIND", "job.kind"}, {"STATE", "state"}, {"TASKS", "job.tasks"},
-	{"WAITING", "tasks.waiting"}, {"RUNNING", "tasks.running"}, {"FINISHED", "tasks.finished"}, {"FAILURES", "tasks.failures"}, {"REASON", "reason"}}
-
 func (a *app) jobCommand() *cobra.Command {
 	cmd := &cobra.Command{
 		Use: "job", Short: "Submit, show, change and cancel jobs", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 	}
 	cmd.AddCommand(a.jobSubmit(), a.jobList(),
-		a.jobByID("get", "Show a job", http.MethodGet, "", "", jobColumns...),
-		a.jobByID("cancel", "Cancel a job; repeating it is harmless", http.MethodDelete, "", "", jobColumns...),
+		a.jobByID("get", "Show a job", http.MethodGet),
+		a.jobByID("cancel", "Cancel a job; repeating it is harmless", http.MethodDelete),
 		a.jobChange(), a.jobExplain())
 	return cmd
 }
@@ -120,7 +150,11 @@
 			if len(query) > 0 {
 				path += "?" + query.Encode()
 			}
-			return a.list(path, "jobs", jobColumns...)
+			next, err := a.list(path, "jobs", "next", jobColumns...)
+			if err == nil && next != "" {
+				fmt.Fprintf(a.errs, "more with --after %s\n", next)
+			}
+			return err
 		},
 	}
 	cmd.Flags().StringVar(&team, "team", "", "list this team's jobs only")
@@ -130,22 +164,22 @@
 
 // jobByID makes a command about one job. Reads and cancellations are
 // idempotent.
-func (a *app) jobByID(name, short, method, suffix, rows string, columns ...column) *cobra.Command {
+func (a *app) jobByID(name, short, method string) *cobra.Command {
 	return &cobra.Command{
 		Use: name + " ID", Short: short, Args: cobra.ExactArgs(1),
 		RunE: func(_ *cobra.Command, args []string) error {
-			body, err := a.client.json(request{method: method, path: "/v1/jobs/" + url.PathEscape(args[0]) + suffix,
+			body, err := a.client.json(request{method: method, path: "/v1/jobs/" + url.PathEscape(args[0]),
 				repeatable: true, read: method == http.MethodGet})
 			if err != nil {
 				return err
 			}
-			return a.show(body, rows, columns...)
+			return a.show(body, "", jobColumns...)
 		},
 	}
 }
 
-// jobExplain shows the home's record, which has no one table: sites and waits
-// follow each other.
+// jobExplain shows the home's record, which has no one table: the job, its
+// sites, its waits and the decisions follow each other.
 func (a *app) jobExplain() *cobra.Command {
 	return &cobra.Command{
 		Use: "explain ID", Short: "Show why a job runs where it does, or what it waits for", Args: cobra.ExactArgs(1),
@@ -154,6 +188,9 @@
 			if err != nil || a.output != outputTable {
 				return a.orJSON(body, err)
 			}
+			if err := a.show(body, "", jobColumns...); err != nil {
+				return err
+			}
 			return a.showExplanation(body)
 		},
 	}
@@ -164,17 +201,17 @@
 	rows    string
 	columns []column
 }{
-	{"sites", []column{{"WORKER", "worker"}, {"ZONE", "zone"}, {"PARTITION", "partition"}, {"TASKS", "tasks"}}},
-	{"waits", []column{{"TASKS WAITING", "tasks"}, {"FOR", "for"}, {"FREED BY", "freed_by"}, {"REFUSED BY RULE", "refused_by_rule"}}},
-	{"decisions", []column{{"DECISION", "what"}, {"WHY", "why"}, {"TIMES", "times"}}},
+	{"explanation.sites", []column{{"WORKER", "worker"}, {"ZONE", "zone"}, {"PARTITION", "partition"}, {"TASKS", "tasks"}}},
+	{"explanation.waits", []column{{"TASKS WAITING", "tasks"}, {"FOR", "for"}, {"FREED BY", "freed_by"}, {"REFUSED BY RULE", "refused_by_rule"}}},
+	{"explanation.decisions", []column{{"DECISION", "what"}, {"WHY", "why"}, {"TIMES", "times"}}},
 }
 
 func (a *app) showExplanation(body []byte) error {
 	for _, t := range explanationTables {
+		fmt.Fprintln(a.out)
 		if err := a.show(body, t.rows, t.columns...); err != nil {
 			return err
 		}
-		fmt.Fprintln(a.out)
 	}
 	return nil
 }
