Bodies in an entry's memory are bounded

Cause: 8,192 requests of a megabyte each were within all limits, and more than an entry host has. Room is taken before a body is read (golang.org/x/sync semaphore): its length, or the service's limit when it comes in chunks.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -195,3 +195,15 @@
 	is.Equal(failure.Code, result.EntryFull)
 	is.Equal(failure.Ran, result.RanNo)
 }
+
+func TestBodiesInMemoryAreBounded(t *testing.T) {
+	is := is.New(t)
+	h := newTestHandler(&fixed{}, 0)
+	is.True(h.bodies.TryAcquire(DefaultMaxBodyMemory - 1)) // others' bodies
+	failure := problem.Read(http.StatusServiceUnavailable, ask(h, http.MethodPost).Body.Bytes())
+	is.Equal(failure.Code, result.EntryFull)
+	is.Equal(failure.Ran, result.RanNo)
+	h.bodies.Release(1)
+	is.Equal(ask(h, http.MethodPost).Code, http.StatusOK) // two bytes fit, and are given back
+	is.Equal(ask(h, http.MethodPost).Code, http.StatusOK)
+}
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -11,6 +11,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/semaphore"
 
 	"pulleyquay/internal/dispatch"
 	"pulleyquay/internal/peer"
@@ -46,6 +47,9 @@
 	// MaxInFlight bounds the requests in this process; one service may have
 	// three quarters of it. Zero is DefaultMaxInFlight.
 	MaxInFlight int
+	// MaxBodyMemory bounds the bytes of request bodies held at a time. Zero is
+	// DefaultMaxBodyMemory.
+	MaxBodyMemory int64
 	Log         *logrus.Entry
 	Metrics     prometheus.Registerer
 }
@@ -53,11 +57,15 @@
 // DefaultMaxInFlight is the bound on requests in one entry process.
 const DefaultMaxInFlight = 8192
 
+// DefaultMaxBodyMemory is the bound on request bodies in one entry process.
+const DefaultMaxBodyMemory = 128 << 20
+
 // Handler serves callers' requests.
 type Handler struct {
 	cfg     Config
 	metrics *metrics
 	loads   loads
+	bodies  *semaphore.Weighted // bytes of request bodies
 }
 
 // NewHandler returns the handler for Prefix.
@@ -65,7 +73,13 @@
 	if cfg.MaxInFlight == 0 {
 		cfg.MaxInFlight = DefaultMaxInFlight
 	}
-	return &Handler{cfg: cfg, metrics: newMetrics(cfg.Metrics), loads: loads{limit: int64(cfg.MaxInFlight)}}
+	if cfg.MaxBodyMemory == 0 {
+		cfg.MaxBodyMemory = DefaultMaxBodyMemory
+	}
+	return &Handler{
+		cfg: cfg, metrics: newMetrics(cfg.Metrics),
+		loads: loads{limit: int64(cfg.MaxInFlight)}, bodies: semaphore.NewWeighted(cfg.MaxBodyMemory),
+	}
 }
 
 // ServeHTTP answers one caller.
@@ -86,6 +100,12 @@
 		return
 	}
 	defer h.loads.leave(service)
+	room := bodyRoom(r, values.Request.MaxBodyBytes)
+	if !h.bodies.TryAcquire(room) {
+		h.refuse(w, service, result.New(result.EntryFull, ranBeforeHome(r), "%d bytes of body", room).Later(time.Second))
+		return
+	}
+	defer h.bodies.Release(room)
 	msg, err := parse(w, r, service, path, values.Request)
 	if err != nil {
 		h.refuse(w, service, err)
--- a/internal/entry/parse.go
+++ b/internal/entry/parse.go
@@ -100,6 +100,18 @@
 	return time.Duration(min(ms, limits.MaxDeadlineMS)) * time.Millisecond, nil
 }
 
+// bodyRoom is the memory that a request's body may take: its length, or the
+// limit while the length is not known. One over the limit is not read.
+func bodyRoom(r *http.Request, limit int64) int64 {
+	switch {
+	case r.ContentLength > limit:
+		return 0
+	case r.ContentLength >= 0:
+		return r.ContentLength
+	}
+	return limit
+}
+
 // readBody reads the whole body or refuses it.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *result.Error) {
 	if r.Body == nil || r.Body == http.NoBody {
