--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -50,8 +50,8 @@
 	// MaxBodyMemory bounds the bytes of request bodies held at a time. Zero is
 	// DefaultMaxBodyMemory.
 	MaxBodyMemory int64
-	Log         *logrus.Entry
-	Metrics     prometheus.Registerer
+	Log           *logrus.Entry
+	Metrics       prometheus.Registerer
 }
 
 // DefaultMaxInFlight is the bound on requests in one entry process.
