--- /dev/null
+++ b/internal/dispatch/health_test.go
@@ -0,0 +1,110 @@
+package dispatch_test
+
+import (
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pulleyquay/internal/dispatch"
+	"pulleyquay/internal/executor"
+	"pulleyquay/internal/hold"
+	"pulleyquay/internal/requesttest"
+)
+
+func TestFailingExecutorIsSetAsideAndProbed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(t, 3, hold.Takeover{Fresh: true})
+		defer b.stop()
+		b.executors.FaultOf = faultAt("executor-0", requesttest.Fail)
+		b.steady(10*time.Second, 5*time.Millisecond)
+		before := len(b.executors.Runs())
+		b.steady(10*time.Second, 5*time.Millisecond)
+		is.True(b.ranAt(before)["executor-0"] < 20) // probes alone, of 2000 requests
+		b.executors.FaultOf = nil
+		b.steady(20*time.Second, 5*time.Millisecond)
+		before = len(b.executors.Runs())
+		b.steady(time.Second, 5*time.Millisecond)
+		is.True(b.ranAt(before)["executor-0"] > 100) // own zone, back in full use
+	})
+}
+
+func TestHastyCallersDoNotEjectSoundExecutors(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(t, 2, hold.Takeover{Fresh: true})
+		defer b.stop()
+		for range 50 {
+			b.send(t.Context(), "hasty", false, time.Millisecond)
+		}
+		before := len(b.executors.Runs())
+		is.Equal(len(b.wave(16, "crew", time.Second)), 0)
+		is.Equal(b.ranAt(before), map[string]int{"executor-0": 8, "executor-1": 8})
+	})
+}
+
+func TestHangingExecutorIsEjected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(t, 2, hold.Takeover{Fresh: true})
+		defer b.stop()
+		b.executors.FaultOf = faultAt("executor-0", requesttest.Hang)
+		var wg sync.WaitGroup
+		defer wg.Wait()
+		wg.Go(func() { b.wave(8, "crew", time.Second) })
+		time.Sleep(3 * time.Second) // past the usual deadline
+		is.True(b.Dump().(dispatch.Dump).Services["ledger"].Executors[0].Health != "healthy")
+	})
+}
+
+func TestSlowExecutorIsGivenLess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(t, 3, hold.Takeover{Fresh: true})
+		defer b.stop()
+		b.executors.TimeOf = func(addr string) time.Duration {
+			if addr == "executor-0" {
+				return 500 * time.Millisecond
+			}
+			return 10 * time.Millisecond
+		}
+		b.steady(10*time.Second, time.Millisecond)
+		before := len(b.executors.Runs())
+		b.steady(10*time.Second, time.Millisecond)
+		is.True(b.ranAt(before)["executor-0"] <= 21) // one slot of eight
+	})
+}
+
+func TestFailingZoneDoesNotEjectEverything(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(t, 6, hold.Takeover{Fresh: true})
+		defer b.stop()
+		var cut sync.Map
+		b.executors.FaultOf = func(addr string, _ executor.Request) requesttest.Fault {
+			if _, ok := cut.Load(addr); ok {
+				return requesttest.Refuse
+			}
+			return requesttest.NoFault
+		}
+		for _, h := range b.list() {
+			if h.Zone != "zone-2" {
+				cut.Store(h.Addr, true)
+			}
+		}
+		b.steady(5*time.Second, 5*time.Millisecond)
+		before := len(b.executors.Runs())
+		failed := b.steady(10*time.Second, 5*time.Millisecond)
+		is.Equal(len(b.executors.Runs())-before+failed, 2000)
+		is.True(failed < 100)
+		for _, h := range b.list() {
+			cut.Store(h.Addr, true)
+		}
+		b.steady(10*time.Second, 5*time.Millisecond)
+		cut.Clear()
+		is.Equal(b.steady(time.Second, 100*time.Millisecond), 0) // half are still in use
+	})
+}
