An entry's second attempts keep to the retry budget, too

Cause, found by reading: an entry asked up to two more placers for an idempotent request whose link broke, whatever the rate, so that a dead placer could treble its load. The budget moves to its own package and is used by both.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -20,6 +20,7 @@
 	"pulleyquay/internal/hold"
 	"pulleyquay/internal/peer"
 	"pulleyquay/internal/platform"
+	"pulleyquay/internal/retrybudget"
 	"pulleyquay/internal/settings"
 )
 
@@ -196,6 +197,6 @@
 		service:   service,
 		endpoints: map[string]*endpoint{},
 		queue:     queue.New[chan<- grant](0, order),
-		budget:    retryBudget{hundredths: maxBudget},
+		budget:    retrybudget.New(),
 	}
 }
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -7,6 +7,7 @@
 	"pulleyquay/internal/partition"
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/result"
+	"pulleyquay/internal/retrybudget"
 )
 
 // grant is leave to send one request: to an executor's slot held here, to
@@ -26,7 +27,7 @@
 	// meanTime is the moving mean of a request's time at an executor.
 	meanTime time.Duration
 	healthy  int // listed endpoints in the healthy state
-	budget   retryBudget
+	budget   *retrybudget.Budget
 }
 
 // endpoint is one executor in a held partition.
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -35,8 +35,8 @@
 	}
 	d.mu.Lock()
 	p := d.pool(w.Service, values)
-	p.budget.earn(values.Request.RetryBudgetPercent)
 	d.mu.Unlock()
+	p.budget.Earn(values.Request.RetryBudgetPercent)
 	return d.attempts(ctx, p, w, values)
 }
 
@@ -85,10 +85,7 @@
 	if attempt >= maxAttempts || (err.Ran != result.RanNo && !w.Idempotent) {
 		return false
 	}
-	d.mu.Lock()
-	allowed := p.budget.spend()
-	d.mu.Unlock()
-	return allowed && sleepJitter(ctx, attempt)
+	return p.budget.Spend() && sleepJitter(ctx, attempt)
 }
 
 // send uses a grant.
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -126,6 +126,7 @@
 	unreached := result.New(result.PeerNotReached, result.RanNo, "refused")
 	lost := result.New(result.PeerLost, result.RanUnknown, "cut")
 	moved := result.New(result.HomeMoved, result.RanUnknown, "").Later(homeRetry)
+	none := result.New(result.NoExecutor, result.RanNo, "").Later(homeRetry)
 	key := uuid.Must(uuid.NewV7()).String()
 	cases := []struct {
 		name, method string
@@ -140,6 +141,8 @@
 		{"none reached", "POST", "", map[string]*result.Error{"own": unreached, "b": unreached, "old": unreached}, []string{"own", "b", "old"}, result.HomeNotReached, result.RanNo},
 		{"lost, not idempotent", "POST", "", map[string]*result.Error{"own": lost}, []string{"own"}, result.HomeLost, result.RanUnknown},
 		{"lost, idempotent", "PUT", "", map[string]*result.Error{"own": lost}, []string{"own", "b"}, 0, ""},
+		{"no executor there", "POST", "", map[string]*result.Error{"own": none}, []string{"own", "b"}, 0, ""},
+		{"no executor anywhere", "POST", "", map[string]*result.Error{"own": none, "b": none, "old": none}, []string{"own", "b", "old"}, result.NoExecutor, result.RanNo},
 		{"lost, then not reached", "PUT", "", map[string]*result.Error{"own": lost, "b": unreached, "old": unreached}, []string{"own", "b", "old"}, result.HomeNotReached, result.RanUnknown},
 		{"key: not reached may have run before", "POST", key, map[string]*result.Error{"own": unreached}, nil, result.HomeNotReached, result.RanUnknown},
 		{"key: moved", "POST", key, map[string]*result.Error{"own": moved}, nil, result.HomeMoved, result.RanUnknown},
@@ -207,3 +210,16 @@
 	is.Equal(ask(h, http.MethodPost).Code, http.StatusOK) // two bytes fit, and are given back
 	is.Equal(ask(h, http.MethodPost).Code, http.StatusOK)
 }
+
+func TestLostRequestsAreAskedAgainWithinTheBudget(t *testing.T) {
+	is := is.New(t)
+	f := &fixed{fail: map[string]*result.Error{"own": result.New(result.PeerLost, result.RanUnknown, "cut")}}
+	h := newTestHandler(f, 0)
+	const requests, burst = 500, 10
+	for range requests {
+		ask(h, http.MethodPut)
+	}
+	again := len(f.asked) - requests
+	is.True(again >= burst)
+	is.True(again <= burst+requests*int(settings.Defaults().Request.RetryBudgetPercent)/100)
+}
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -111,6 +111,7 @@
 		h.refuse(w, service, err)
 		return
 	}
+	h.loads.of(service).budget.Earn(values.Request.RetryBudgetPercent)
 	deadline := start.Add(msg.Timeout)
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
 	defer cancel()
--- a/internal/entry/loads.go
+++ b/internal/entry/loads.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"sync/atomic"
+
+	"pulleyquay/internal/retrybudget"
 )
 
 // loads counts the requests in flight, in all and by service, so that one
@@ -10,7 +12,13 @@
 type loads struct {
 	limit    int64
 	total    atomic.Int64
-	services sync.Map // service name to *atomic.Int64
+	services sync.Map // service name to *serviceLoad
+}
+
+// serviceLoad is one service's share of an entry.
+type serviceLoad struct {
+	inFlight atomic.Int64
+	budget   *retrybudget.Budget
 }
 
 // The share of the limit that one service may take.
@@ -21,7 +29,7 @@
 
 // enter counts a request in; false means that there is no room.
 func (l *loads) enter(service string) bool {
-	total, own := l.total.Add(1), l.count(service).Add(1)
+	total, own := l.total.Add(1), l.of(service).inFlight.Add(1)
 	if total <= l.limit && own <= l.limit*serviceShare/shareOf {
 		return true
 	}
@@ -32,15 +40,15 @@
 // leave counts a request out.
 func (l *loads) leave(service string) {
 	l.total.Add(-1)
-	l.count(service).Add(-1)
+	l.of(service).inFlight.Add(-1)
 }
 
-func (l *loads) count(service string) *atomic.Int64 {
-	if c, ok := l.services.Load(service); ok {
-		return c.(*atomic.Int64)
+func (l *loads) of(service string) *serviceLoad {
+	if s, ok := l.services.Load(service); ok {
+		return s.(*serviceLoad)
 	}
-	c, _ := l.services.LoadOrStore(service, new(atomic.Int64))
-	return c.(*atomic.Int64)
+	s, _ := l.services.LoadOrStore(service, &serviceLoad{budget: retrybudget.New()})
+	return s.(*serviceLoad)
 }
 
 // loadsDump is the JSON form of loads.
@@ -52,8 +60,8 @@
 
 func (l *loads) dump() loadsDump {
 	d := loadsDump{Limit: l.limit, InFlight: l.total.Load(), Services: map[string]int64{}}
-	l.services.Range(func(name, count any) bool {
-		d.Services[name.(string)] = count.(*atomic.Int64).Load()
+	l.services.Range(func(name, s any) bool {
+		d.Services[name.(string)] = s.(*serviceLoad).inFlight.Load()
 		return true
 	})
 	return d
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -102,7 +102,7 @@
 const anyAttempts = 3
 
 // routeAny asks the own placer, then others. A request that may have been
-// dispatched is asked again only when it is idempotent.
+// dispatched is asked again only when it is idempotent, within the budget.
 func (h *Handler) routeAny(ctx context.Context, msg requestmsg.Serve, deadline time.Time) (executor.Answer, *result.Error) {
 	ran := result.RanNo
 	last := result.New(result.NotReady, result.RanNo, "no placer known yet").Later(homeRetry)
@@ -120,11 +120,14 @@
 		case result.PeerLost:
 			ran = result.RanUnknown
 			last = lostOrEnded(ctx, m.Name, err)
-			if !msg.Idempotent || ctx.Err() != nil {
+			if !msg.Idempotent || ctx.Err() != nil || !h.loads.of(msg.Service).budget.Spend() {
 				return executor.Answer{}, last
 			}
+		case result.NoExecutor: // this placer holds none and has not heard of others' yet
+			err.Ran = ran
+			last = err
 		default:
-			if ran != result.RanNo && err.Ran == result.RanNo {
+			if err.Ran == result.RanNo {
 				err.Ran = ran
 			}
 			return executor.Answer{}, err
--- /dev/null
+++ b/internal/retrybudget/retrybudget_test.go
@@ -0,0 +1,22 @@
+package retrybudget
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestRetriesAreAShareOfRequests(t *testing.T) {
+	is := is.New(t)
+	b := New()
+	const requests, percent = 1000, 10
+	retries := 0
+	for range requests {
+		b.Earn(percent)
+		if b.Spend() {
+			retries++
+		}
+	}
+	is.Equal(retries, 10+requests*percent/100-1) // the burst, and the share still being earned
+	is.True(!b.Spend())
+}
