A hand-over tells who is leaving; a grant of another holder's slot is given back under the lock

An executor that had signalled leaving to one holder got new requests from the next until its first answer: seen failing with the line in applyHost taken out. The free slots of another holder were read without the lock when a request was cancelled at the moment of its grant.

--- a/internal/dispatch/acquire.go
+++ b/internal/dispatch/acquire.go
@@ -177,6 +177,6 @@
 	case g.endpoint != nil:
 		d.release(p, g.endpoint)
 	case g.remote != nil:
-		d.learnFree(p, g.remote, g.remote.free[p.service]+1)
+		d.returnRemote(p, g.remote)
 	}
 }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -113,6 +113,22 @@
 	})
 }
 
+func TestHandOverTellsWhoIsLeaving(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(t, 2, hold.Takeover{Fresh: true})
+		defer b.stop()
+		b.executors.FaultOf = faultAt("executor-0", requesttest.Leave)
+		is.Equal(len(b.wave(1, "crew", time.Second)), 0)
+		state, err := b.Release(t.Context(), 0)
+		is.NoErr(err)
+		next := newBench(t, 2, hold.Takeover{SignedOff: true, State: state})
+		defer next.stop()
+		is.Equal(len(next.wave(8, "crew", time.Second)), 0)
+		is.Equal(next.ranAt(0), map[string]int{"executor-1": 8})
+	})
+}
+
 func TestRetries(t *testing.T) {
 	cases := []struct {
 		name       string
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -151,6 +151,7 @@
 	if e.held != part {
 		e.held = part
 		e.usableAt = part.usableAt(h.Name, values)
+		e.signedLeaving = e.signedLeaving || part.leaving[h.Name] == h.Addr
 	}
 	if e.host != nil && e.host.Addr != h.Addr {
 		e.signedLeaving = false // another process under the same name
--- a/internal/dispatch/remote.go
+++ b/internal/dispatch/remote.go
@@ -71,3 +71,12 @@
 	r.free[p.service] = free
 	d.pumpRemote(p, now)
 }
+
+// returnRemote gives back an unused grant of another holder's slot.
+func (d *Dispatcher) returnRemote(p *pool, r *remote) {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r.free[p.service]++
+	d.pumpRemote(p, now)
+}
--- a/internal/dispatch/resident.go
+++ b/internal/dispatch/resident.go
@@ -19,6 +19,9 @@
 	// busyUntil names executors with slots that a signed-off holder could not
 	// free, and how much longer they may be busy.
 	busyUntil map[string]time.Time
+	// leaving gives the addresses of executors that have signalled to the
+	// previous holder that they are leaving.
+	leaving   map[string]string
 	releasing bool
 }
 
@@ -34,6 +37,8 @@
 type handOver struct {
 	// Busy gives, by executor, how long a slot may still be busy.
 	Busy map[string]time.Duration `cbor:"1,keyasint"`
+	// Leaving gives the address of each executor that signalled leaving.
+	Leaving map[string]string `cbor:"2,keyasint,omitempty"`
 }
 
 // Name implements hold.Resident.
@@ -49,6 +54,7 @@
 		if err := cbor.Unmarshal(t.State, &state); err != nil {
 			part.unordered = true
 		}
+		part.leaving = state.Leaving
 		part.busyUntil = make(map[string]time.Time, len(state.Busy))
 		for name, left := range state.Busy {
 			part.busyUntil[name] = now.Add(left)
@@ -129,13 +135,16 @@
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	state := handOver{Busy: map[string]time.Duration{}}
+	state := handOver{Busy: map[string]time.Duration{}, Leaving: map[string]string{}}
 	for service, p := range d.pools {
 		values, _ := d.cfg.Settings(service)
 		for name, e := range p.endpoints {
 			if e.partition != partition {
 				continue
 			}
+			if e.signedLeaving {
+				state.Leaving[name] = e.host.Addr
+			}
 			left := e.usableAt.Sub(now)
 			if e.busy > 0 {
 				left = max(left, maxDeadline(values))
