Aged work finds room on the whole path

Change: aged work has one ask a second of its own; digests leave kept workers out; a job is aged only if it had no start for a minute.

--- a/internal/fairshare/fairshare_test.go
+++ b/internal/fairshare/fairshare_test.go
@@ -241,3 +241,24 @@
 		}
 	})
 }
+
+// BenchmarkRound measures the order of 1,024 tasks among so many waiting jobs of
+// 35 teams, as many as a placer of 16 would be home to.
+func BenchmarkRound(b *testing.B) {
+	for _, jobs := range []int{10, 100, 1000, 10000} {
+		b.Run(fmt.Sprint(jobs, "-jobs"), func(b *testing.B) {
+			q := NewQueue(DefaultConfig())
+			for i := range jobs {
+				e := entry(fmt.Sprint("job", i), fmt.Sprint("team", i%35), 1+i%200)
+				e.Since = start.Add(time.Duration(i) * time.Second)
+				q.Put(e)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				if len(q.Round(start, 1024, total, nothing)) == 0 {
+					b.Fatal("nothing picked")
+				}
+			}
+		})
+	}
+}
--- a/internal/job/home.go
+++ b/internal/job/home.go
@@ -89,6 +89,7 @@
 	asked     map[string]*askedRoom
 	busy      map[string]int // calls under way by address of the holder
 	probeAt   time.Time
+	agedProbe time.Time      // when aged work may ask a holder without room
 	covered   map[int]uint64 // epoch of each worker partition's complete inventory
 	checking  bool           // an inventory round is under way
 	nextAsk   time.Time      // earliest next inventory round
--- a/internal/job/place.go
+++ b/internal/job/place.go
@@ -40,10 +40,20 @@
 	j.log.add(now, "asked", "holder "+s.member+", policy "+values.Placement.Policy+why(preempt))
 	h.m.metrics.ordered.Add(float64(n))
 	req := taskmsg.PlaceRequest{Home: h.self(), Shape: h.shape(j, values), Slots: slots, Preempt: preempt}
-	req.Shape.Aged = !j.since.IsZero() && now.Sub(j.since) >= fairshare.DefaultConfig().AgeAfter
+	req.Shape.Aged = j.aged(now)
 	h.work.Go(func() { h.place(j, s.holder, req) })
 }
 
+// aged reports whether the job has waited so long without a start that a holder
+// without room is to keep a worker for it.
+func (j *job) aged(now time.Time) bool {
+	from := j.since
+	if j.lastStart.After(from) {
+		from = j.lastStart
+	}
+	return !j.since.IsZero() && now.Sub(from) >= fairshare.DefaultConfig().AgeAfter
+}
+
 // why adds to the record that an order may stop less urgent work.
 func why(preempt bool) string {
 	if preempt {
@@ -123,6 +133,7 @@
 		switch {
 		case ok && r.Outcome == taskmsg.OutcomeStarted:
 			h.m.metrics.started.Inc()
+			j.lastStart = now
 			h.runs(j, slot.Index, h.site(r.Worker, r.Zone, r.Partition), r.Epoch)
 		case certain || (ok && r.Outcome == taskmsg.OutcomeRefused):
 			refused++
--- a/internal/job/plan.go
+++ b/internal/job/plan.go
@@ -152,7 +152,8 @@
 
 // shares returns the holders that may be asked now for up to n tasks. When none
 // seems to have room, urgent work makes the holders preempt; for other work one
-// holder is asked for one task now and then, as digests are only hints. full is
+// holder is asked for one task now and then, as digests are only hints. Aged work
+// has such asks of its own, which make the holder keep a worker for it. full is
 // true when no holder's digest shows any room.
 func (h *home) shares(j *job, m *moment, n int) (out []share, preempt, full bool) {
 	var crowded []share
@@ -178,6 +179,12 @@
 			crowded[i].room = (n + len(crowded) - 1) / len(crowded)
 		}
 		return crowded, true, full
+	case j.aged(m.now):
+		if m.now.Before(h.agedProbe) {
+			return nil, false, full
+		}
+		h.agedProbe = m.now.Add(probeInterval)
+		return crowded[:1], false, full
 	case m.now.Before(h.probeAt):
 		return nil, false, full
 	}
--- a/internal/job/policy_test.go
+++ b/internal/job/policy_test.go
@@ -206,3 +206,32 @@
 		})
 	}
 }
+
+// TestAgedWorkFindsRoom submits a task that needs a whole worker to a cell that
+// smaller work keeps full: each piece of room is taken as it comes free.
+func TestAgedWorkFindsRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, a, _ := twoPlacers(t, 2)
+		var fillers []spec.Job
+		for _, run := range []time.Duration{5 * time.Second, 7 * time.Second, 11 * time.Second} {
+			filler := batch(0, 1500, run)
+			_, err := a.submit(filler)
+			c.is.NoErr(err)
+			fillers = append(fillers, filler)
+		}
+		time.Sleep(20 * time.Second)
+		large := batch(0, 1, 5*time.Second)
+		large.Task.Size = testSize
+		_, err := a.submit(large)
+		c.is.NoErr(err)
+		a.await(large.ID, jobmsg.StateFinished, 4*time.Minute)
+		waiting := 0
+		for _, filler := range fillers {
+			s, err := a.get(filler.ID)
+			c.is.NoErr(err)
+			waiting += s.Counts.Waiting
+		}
+		c.is.True(waiting > 0) // else the room came by itself
+		c.held()
+	})
+}
--- a/internal/job/task.go
+++ b/internal/job/task.go
@@ -64,12 +64,14 @@
 	// certain is false while nobody knows whether the store took the record.
 	certain bool
 
-	tasks   []task
-	ready   []int // pending tasks that may start, in the order to try
-	later   []delayed
-	running int // tasks in taskRunning
-	active  int // tasks that hold quota: all but pending and done
-	done    int // tasks in taskDone
+	tasks []task
+	// lastStart is when a holder last said that a task started.
+	lastStart time.Time
+	ready     []int // pending tasks that may start, in the order to try
+	later     []delayed
+	running   int // tasks in taskRunning
+	active    int // tasks that hold quota: all but pending and done
+	done      int // tasks in taskDone
 	// since is when the job began to wait for its present tasks.
 	since time.Time
 	// recorded holds the finished tasks that the store knows of.
--- a/internal/scheduler/digest.go
+++ b/internal/scheduler/digest.go
@@ -11,8 +11,8 @@
 func (c *Cell) Digest() taskmsg.Digest {
 	d := taskmsg.Digest{Sizes: c.index.makes()}
 	for _, b := range c.order {
-		if b.Status != StatusReady {
-			continue
+		if b.Status != StatusReady || b.keptFor != "" {
+			continue // nobody else may have the room of a kept worker
 		}
 		d.Workers++
 		free := b.free().Max(zero)
