A commit's lost marker lease is not blamed on its caller

Cause: when the store said "lease gone" and it could not be asked which lease, the caller was told that its own had ended, even one without a lease. A member would have given up its partitions for it.

Change: in doubt the markers' lease is replaced; a commit without leases is begun anew (three times at most), one with a lease of its own fails without effect.

Seen failing: TestLeaseInDoubt, before the change.

--- a/internal/platform/confirm/confirm.go
+++ b/internal/platform/confirm/confirm.go
@@ -14,6 +14,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -32,6 +33,9 @@
 	DefaultCommitTime = 30 * time.Second
 	// DefaultLeaseSeconds is the term of the lease that markers hang on.
 	DefaultLeaseSeconds = 3600
+	// maxTries bounds how often a commit is begun anew because its marker was
+	// lost before it took effect.
+	maxTries = 3
 	// MaxOps is how many conditions or writes a transaction may have beside
 	// the marker's.
 	MaxOps = platform.MaxTxnOps - 1
@@ -98,12 +102,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, DefaultCommitTime)
 	defer cancel()
-	for {
+	for range maxTries {
 		reply, err := s.try(ctx, txn)
 		if !errors.Is(err, errMarkerLost) {
 			return reply, err
 		}
 	}
+	return platform.TxnReply{}, notSent(errMarkerLost)
 }
 
 // try makes one commit with a marker.
@@ -121,7 +126,7 @@
 		s.markers.put(m)
 		return reply, err
 	case errors.Is(err, platform.ErrLeaseGone):
-		return reply, s.leaseGone(ctx, m, err)
+		return reply, s.leaseGone(ctx, m, txn, err)
 	default:
 		return s.settle(ctx, m, token, err)
 	}
@@ -138,8 +143,8 @@
 	return s.Store.Commit(ctx, txn)
 }
 
-// notSent is the error of a commit that was never sent because its marker could
-// not be prepared.
+// notSent is the error of a commit that has no effect because its marker could
+// not be had.
 func notSent(err error) error {
 	return fmt.Errorf("%w: no marker: %v", platform.ErrUnavailable, err)
 }
@@ -169,16 +174,23 @@
 }
 
 // leaseGone tells whether a commit failed for the markers' lease or for one of
-// its own.
-func (s *Store) leaseGone(ctx context.Context, m *marker, err error) error {
-	switch kept := s.Store.KeepAlive(ctx, m.lease); {
-	case errors.Is(kept, platform.ErrLeaseGone):
-		s.markers.forget(m.lease)
-		return errMarkerLost
-	default:
+// its own. In doubt it does not blame the caller's.
+func (s *Store) leaseGone(ctx context.Context, m *marker, txn platform.Txn, err error) error {
+	kept := s.Store.KeepAlive(ctx, m.lease)
+	if kept == nil {
 		s.markers.put(m)
 		return err
 	}
+	s.markers.forget(m.lease)
+	if errors.Is(kept, platform.ErrLeaseGone) || !leased(txn) {
+		return errMarkerLost
+	}
+	return notSent(kept)
+}
+
+// leased reports whether any write of a transaction hangs on a lease.
+func leased(txn platform.Txn) bool {
+	return slices.ContainsFunc(txn.Then, func(w platform.Write) bool { return w.Lease != 0 })
 }
 
 // settle finds out what became of a commit, until ctx ends. An unsettled marker
--- a/internal/platform/confirm/confirm_test.go
+++ b/internal/platform/confirm/confirm_test.go
@@ -200,3 +200,38 @@
 	is.NoErr(err)
 	is.Equal(value(is, engine), "v")
 }
+
+// renewalsLost is a store whose renewals are never answered.
+type renewalsLost struct{ platform.Store }
+
+func (renewalsLost) KeepAlive(context.Context, platform.LeaseID) error {
+	return platform.ErrUnknownOutcome
+}
+
+// TestLeaseInDoubt loses the markers' lease, and the answer to the question
+// which lease it was. A caller whose own lease may live is not told that it is
+// gone: a member would give up its partitions.
+func TestLeaseInDoubt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		engine := memstore.New()
+		defer engine.Close()
+		s, err := confirm.New(renewalsLost{engine.Client("a")}, confirm.Options{LeaseSeconds: 3600})
+		is.NoErr(err)
+		_, err = s.Commit(t.Context(), put("old"))
+		is.NoErr(err)
+		is.NoErr(engine.Client("judge").Revoke(t.Context(), 1)) // the markers'
+		own, err := s.Grant(t.Context(), 3600)
+		is.NoErr(err)
+		txn := put("leased")
+		txn.Then[0].Lease = own
+		_, err = s.Commit(t.Context(), txn)
+		is.True(errors.Is(err, platform.ErrUnavailable)) // no effect; the next try has another lease
+		_, err = s.Commit(t.Context(), txn)
+		is.NoErr(err)
+		is.NoErr(engine.Client("judge").Revoke(t.Context(), 3))
+		_, err = s.Commit(t.Context(), put("not leased"))
+		is.NoErr(err) // it can only have been the markers' lease
+		is.Equal(value(is, engine), "not leased")
+	})
+}
