--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -61,6 +61,10 @@
 		if err == nil {
 			return got, nil
 		}
+		var usage *usageError
+		if errors.As(err, &usage) {
+			return answer{}, err
+		}
 		last = err
 		e := result.From(err)
 		unknown = unknown || e.Ran != result.RanNo
@@ -68,7 +72,11 @@
 			break
 		}
 	}
-	if e := result.From(last); unknown && e.Ran == result.RanNo && !r.read {
+	e := result.From(last)
+	if r.read && e.Ran != result.RanNo {
+		return answer{}, &readError{e}
+	}
+	if unknown && e.Ran == result.RanNo && !r.read {
 		last = result.New(e.Code, result.RanUnknown, "an entry got the request and gave no answer; then: %s", e.Detail)
 	}
 	return answer{}, last
@@ -117,16 +125,14 @@
 	if errors.As(err, &op) && op.Op == "dial" {
 		return result.New(result.PeerNotReached, result.RanNo, "entry %s: %v", entry, op)
 	}
-	if r.read {
-		return &readError{result.New(result.PeerLost, result.RanUnknown, "entry %s: %v", entry, err)}
-	}
 	return result.New(result.PeerLost, result.RanUnknown, "entry %s gave no whole answer: %v", entry, err)
 }
 
-// readError is a failed read; it leaves nothing unknown but the answer.
+// readError is a failed read. It changed nothing, so that it is a failure and
+// not an unknown outcome, whatever may have run to answer it.
 type readError struct{ cause *result.Error }
 
-func (e *readError) Error() string { return e.cause.Detail }
+func (e *readError) Error() string { return describe(e.cause) }
 
 // json sends a request whose answer must be JSON with a status of the 200s.
 func (c *client) json(r request) ([]byte, error) {
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -122,6 +122,17 @@
 	is.True(strings.Contains(errs, "ran: no"))
 }
 
+// A failed read changed nothing: it is a failure, not an unknown outcome.
+func TestFailedReadIsNotUnknown(t *testing.T) {
+	is := is.New(t)
+	lost := newEntry(t, refusing(result.New(result.PeerLost, result.RanUnknown, "lost")))
+	for _, args := range [][]string{{"settings", "get", "/a"}, {"job", "get", "j"}, {"call", "ledger", "/reviews"}} {
+		code, _, errs := run([]string{lost.addr()}, args...)
+		is.Equal(code, ExitFailed)
+		is.True(strings.Contains(errs, "ran: unknown")) // as the answer had it
+	}
+}
+
 func TestUnknownThenRefusedStaysUnknown(t *testing.T) {
 	is := is.New(t)
 	first := newEntry(t, cutting)
@@ -145,6 +156,7 @@
 		{"settings", "rollback", "last"},
 		{"call", "ledger", "/x", "--key", "42"},
 		{"call", "ledger", "/x", "-H", "no colon"},
+		{"call", "ledger", "/x", "-X", "NO METHOD"},
 		{"job", "submit", "/no/such/file.json"},
 	}
 	for _, args := range cases {
