Settings: the test's counting store counts atomically

Cause: TestCallsToTheStore, landed without a run under -race, had a data race in its own counter (the head check and the watch's batches call from two goroutines). The product was not concerned.

Change: atomic counters, the same checks.

--- a/internal/settings/bench_test.go
+++ b/internal/settings/bench_test.go
@@ -129,7 +129,8 @@
 			b.Fatal(err)
 		}
 		path := fmt.Sprintf("/g%d/t%d", (n-1)/100, n-1)
-		store.calls, store.bytes = 0, 0
+		store.calls.Store(0)
+		store.bytes.Store(0)
 		b.ReportAllocs()
 		for b.Loop() {
 			change := edit(k.Revision(), fmt.Sprintf(`{%q:{"task":{"priority":%d}}}`, path, k.Revision()%1000))
@@ -137,8 +138,8 @@
 				b.Fatal(err)
 			}
 		}
-		b.ReportMetric(float64(store.calls)/float64(b.N), "storecalls/op")
-		b.ReportMetric(float64(store.bytes)/float64(b.N), "storeB/op")
+		b.ReportMetric(float64(store.calls.Load())/float64(b.N), "storecalls/op")
+		b.ReportMetric(float64(store.bytes.Load())/float64(b.N), "storeB/op")
 	})
 }
 
@@ -146,14 +147,14 @@
 func BenchmarkLoad(b *testing.B) {
 	perSize(b, func(b *testing.B, n int) {
 		file := string(fileOf(n))
-		var calls int
+		var calls int64
 		for b.Loop() {
 			store := &countingStore{Client: memstore.New().Client("bench")}
 			k := NewKeeper(KeeperConfig{Store: store, Log: quiet()})
 			if _, err := k.Change(context.Background(), edit(0, file)); err != nil {
 				b.Fatal(err)
 			}
-			calls = store.calls
+			calls = store.calls.Load()
 		}
 		b.ReportMetric(float64(calls), "storecalls/op")
 		b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(n), "ns/branch")
--- a/internal/settings/calls_test.go
+++ b/internal/settings/calls_test.go
@@ -17,13 +17,13 @@
 		c.startWith(1, store)
 		time.Sleep(settle)
 		synctest.Wait()
-		store.calls = 0
+		store.calls.Store(0)
 		time.Sleep(time.Minute)
 		synctest.Wait()
-		atRest := store.calls
-		is.Equal(atRest, int(time.Minute/headCheck))
+		atRest := store.calls.Load()
+		is.Equal(atRest, int64(time.Minute/headCheck))
 
-		store.calls = 0
+		store.calls.Store(0)
 		for i := range 20 {
 			_, err := c.change(0, fmt.Sprintf(`{"/a%d":{}}`, i))
 			is.NoErr(err)
@@ -31,6 +31,6 @@
 		}
 		synctest.Wait()
 		is.Equal(c.behind(20), nil)
-		is.Equal(store.calls, atRest) // the watch brings branches and head
+		is.Equal(store.calls.Load(), atRest) // the watch brings branches and head
 	})
 }
--- a/internal/settings/cell_test.go
+++ b/internal/settings/cell_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -265,18 +266,18 @@
 // countingStore counts calls and written bytes.
 type countingStore struct {
 	*memstore.Client
-	calls, bytes int
+	calls, bytes atomic.Int64
 }
 
 func (s *countingStore) List(ctx context.Context, prefix string) ([]platform.Record, platform.Revision, error) {
-	s.calls++
+	s.calls.Add(1)
 	return s.Client.List(ctx, prefix)
 }
 
 func (s *countingStore) Commit(ctx context.Context, txn platform.Txn) (platform.TxnReply, error) {
-	s.calls++
+	s.calls.Add(1)
 	for _, w := range txn.Then {
-		s.bytes += len(w.Key) + len(w.Value)
+		s.bytes.Add(int64(len(w.Key) + len(w.Value)))
 	}
 	return s.Client.Commit(ctx, txn)
 }
