Clocks of keys: half a second, so that takeovers cost less

Ruled out: no allowance (any caller a millisecond ahead is refused), and trusting the caller's word that an attempt is the first. A caller further ahead is told when to send the same key again, which the new test does.

--- a/internal/request/home_test.go
+++ b/internal/request/home_test.go
@@ -121,6 +121,47 @@
 	})
 }
 
+func TestKeysAheadOfTheClock(t *testing.T) {
+	cases := []struct {
+		ahead time.Duration
+		ran   result.Ran // empty: dispatched
+	}{
+		{maxKeyAhead, ""},
+		{maxKeyAhead + clockMargin, result.RanUnknown}, // another host's clock may have let it in
+		{maxKeyAhead + clockMargin + time.Millisecond, result.RanNo},
+	}
+	for _, tc := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t, hold.Takeover{Fresh: true})
+			key := keyAt(time.Now().Add(tc.ahead), 1)
+			_, err := b.serve(key, "x")
+			if tc.ran == "" {
+				is.Equal(err, nil)
+				return
+			}
+			is.Equal(err.Code, result.KeyFromFuture)
+			is.Equal(err.Ran, tc.ran)
+			time.Sleep(err.RetryAfter)
+			_, err = b.serve(key, "x") // the same key, when told to come back
+			is.Equal(err, nil)
+			is.Equal(b.echo.count, 1)
+		})
+	}
+}
+
+func TestNewKeysAfterATakeover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(t, hold.Takeover{})
+		_, err := b.serve(keyAt(time.Now().Add(maxKeyAhead), 1), "x")
+		is.Equal(err.Code, result.KeyOutcomeUnknown) // may have been let in by the old home
+		time.Sleep(maxKeyAhead + clockMargin + time.Millisecond)
+		_, err = b.serve(keyAt(time.Now(), 2), "x")
+		is.Equal(err, nil)
+	})
+}
+
 func TestFullTableRefusesNewKeysAndKeepsOld(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/request/table.go
+++ b/internal/request/table.go
@@ -12,11 +12,13 @@
 	"pulleyquay/internal/settings"
 )
 
-// maxKeyAhead is how far a key's time may be ahead of ours.
-const maxKeyAhead = 2 * time.Second
+// maxKeyAhead is how far a key's time may be ahead of ours. After a takeover
+// no new key is dispatched for so long, which is why it is short; a caller
+// whose clock is further ahead is told when to send the same key again.
+const maxKeyAhead = 500 * time.Millisecond
 
 // clockMargin is how much the clocks of two entry hosts may differ.
-const clockMargin = 500 * time.Millisecond
+const clockMargin = 250 * time.Millisecond
 
 // record is what a home knows of one key. It is in flight, or done with an
 // answer, with a failure, or with neither when the answer was not kept.
