Only a key's home says that it did not run

Found by reading, after the integrator saw five not-ready refusals in a rolling stop: an entry that had just started answered keyed requests with 404 unknown-service, ran: no, while it had no settings; a limit that had just been lowered refused the retry of what had run with ran: no; a link's own refusals passed as the home's; key-reused said no while the key's first request had run. All of these say unknown for a key now, and an entry without a table or settings yet asks again before it gives up. Errors are copied before they are weakened: callers that joined one request share its error (seen with the race detector). The assertion on key-reused changes from no to unknown, the stricter promise.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -145,6 +145,8 @@
 		{"no executor anywhere", "POST", "", map[string]*result.Error{"own": none, "b": none, "old": none}, []string{"own", "b", "old"}, result.NoExecutor, result.RanNo},
 		{"lost, then not reached", "PUT", "", map[string]*result.Error{"own": lost, "b": unreached, "old": unreached}, []string{"own", "b", "old"}, result.HomeNotReached, result.RanUnknown},
 		{"key: not reached may have run before", "POST", key, map[string]*result.Error{"own": unreached}, nil, result.HomeNotReached, result.RanUnknown},
+		{"key: refused by the link", "POST", key, map[string]*result.Error{"own": result.New(result.PeerVersion, result.RanNo, "").Later(homeRetry)}, []string{"own"}, result.PeerVersion, result.RanUnknown},
+		{"key: refused by the home", "POST", key, map[string]*result.Error{"own": result.New(result.QueueFull, result.RanNo, "").Later(homeRetry)}, []string{"own"}, result.QueueFull, result.RanNo},
 		{"key: moved", "POST", key, map[string]*result.Error{"own": moved}, nil, result.HomeMoved, result.RanUnknown},
 		{"key: lost", "POST", key, map[string]*result.Error{"own": lost}, nil, result.HomeLost, result.RanUnknown},
 	}
@@ -223,3 +225,37 @@
 	is.True(again >= burst)
 	is.True(again <= burst+requests*int(settings.Defaults().Request.RetryBudgetPercent)/100)
 }
+
+// A retry of what ran may meet an entry that refuses it before its home is
+// asked: that must not say that the key did not run.
+func TestRefusalsBeforeTheHomeSayNothingOfAKey(t *testing.T) {
+	key := uuid.Must(uuid.NewV7()).String()
+	cases := []struct {
+		name, path, body, timeout string
+		code                      result.Code
+	}{
+		{"path", "/v1/other", "", "100", result.NotFound},
+		{"service", Prefix + "none/", "", "100", result.NotReady}, // no settings yet
+		{"deadline", Prefix + "ledger/", "", "soon", result.BadDeadline},
+		{"body", Prefix + "ledger/", strings.Repeat("x", 1<<20+1), "100", result.TooLarge},
+	}
+	for _, tc := range cases {
+		for _, keyed := range []bool{false, true} {
+			is := is.New(t)
+			h := newTestHandler(&fixed{}, 0)
+			h.cfg.Settings = func(service string) (settings.Values, bool) { return settings.Defaults(), service == "ledger" }
+			r := httptest.NewRequest(http.MethodPost, tc.path, strings.NewReader(tc.body))
+			r.Header.Set(TimeoutHeader, tc.timeout)
+			want := result.RanNo
+			if keyed {
+				r.Header.Set(KeyHeader, key)
+				want = result.RanUnknown
+			}
+			w := httptest.NewRecorder()
+			h.ServeHTTP(w, r)
+			failure := problem.Read(w.Code, w.Body.Bytes())
+			is.Equal(failure.Code, tc.code)
+			is.Equal(failure.Ran, want)
+		}
+	}
+}
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -87,12 +87,12 @@
 	start := time.Now()
 	service, path, ok := splitPath(r.URL)
 	if !ok {
-		h.refuse(w, "", result.New(result.NotFound, result.RanNo, "expected %s{service}/{path}", Prefix))
+		h.refuse(w, "", result.New(result.NotFound, ranBeforeHome(r), "expected %s{service}/{path}", Prefix))
 		return
 	}
 	values, ok := h.cfg.Settings(service)
 	if !ok {
-		h.refuse(w, "", result.New(result.UnknownService, result.RanNo, "service %q", service))
+		h.refuse(w, "", h.unknownService(r, service))
 		return
 	}
 	if !h.loads.enter(service) {
@@ -108,6 +108,9 @@
 	defer h.bodies.Release(room)
 	msg, err := parse(w, r, service, path, values.Request)
 	if err != nil {
+		if err.Code != result.BadKey { // no entry passes a bad key on
+			err.Ran = ranBeforeHome(r)
+		}
 		h.refuse(w, service, err)
 		return
 	}
@@ -124,6 +127,15 @@
 	writeAnswer(w, r.Method, answer)
 }
 
+// unknownService is the refusal of a service that the settings do not name, or
+// of any service while the settings are not known yet.
+func (h *Handler) unknownService(r *http.Request, service string) *result.Error {
+	if h.cfg.View.Settings() == nil {
+		return result.New(result.NotReady, ranBeforeHome(r), "no settings known yet").Later(homeRetry)
+	}
+	return result.New(result.UnknownService, ranBeforeHome(r), "service %q", service)
+}
+
 // refuse writes a problem document.
 func (h *Handler) refuse(w http.ResponseWriter, service string, e *result.Error) {
 	info, _ := result.Lookup(e.Code)
@@ -132,7 +144,8 @@
 }
 
 // ranBeforeHome is what can be said of a request that was not passed on: with
-// a key, an earlier attempt through another entry may have run.
+// a key, an earlier attempt through another entry, or under other settings, may
+// have run.
 func ranBeforeHome(r *http.Request) result.Ran {
 	if r.Header.Get(KeyHeader) != "" {
 		return result.RanUnknown
--- a/internal/entry/parse.go
+++ b/internal/entry/parse.go
@@ -36,8 +36,8 @@
 	return service, path, true
 }
 
-// parse makes the message for the home out of a caller's request. Whatever it
-// refuses is refused the same way at every entry and can not have run.
+// parse makes the message for the home out of a caller's request. What it
+// refuses was not passed on.
 func parse(w http.ResponseWriter, r *http.Request, service, path string, limits settings.Request) (requestmsg.Serve, *result.Error) {
 	msg := requestmsg.Serve{Service: service, Caller: callerOf(r), Idempotent: idempotent(r.Method, limits)}
 	var err *result.Error
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -81,10 +81,31 @@
 		err = result.New(result.HomeNotReached, result.RanUnknown, "%s: %s", home.Holder, err.Detail).Later(homeRetry)
 	case result.PeerLost:
 		err = lostOrEnded(ctx, home.Holder, err)
+	default:
+		err = withRan(err, ranByHome(err))
 	}
 	return executor.Answer{}, err
 }
 
+// withRan returns a copy: callers that joined one request share its error.
+func withRan(err *result.Error, ran result.Ran) *result.Error {
+	c := *err
+	c.Ran = ran
+	return &c
+}
+
+// ranByHome is what a home's refusal says of a key. A refusal by the link or
+// the process, which do not know the key, says nothing of earlier attempts.
+func ranByHome(err *result.Error) result.Ran {
+	if err.Ran == result.RanNo && (err.Code < result.UnknownService || err.Code > lastRequestCode) {
+		return result.RanUnknown
+	}
+	return err.Ran
+}
+
+// lastRequestCode ends the range of the codes that a home itself gives.
+const lastRequestCode result.Code = 2999
+
 // homeRetry is when to come back to a request whose home is gone.
 const homeRetry = 2 * time.Second
 
@@ -92,7 +113,7 @@
 // safe even where the first attempt may have been dispatched.
 func homeChanges(err *result.Error) bool {
 	switch err.Code {
-	case result.HomeMoved, result.HomeNotReached, result.HomeLost:
+	case result.HomeMoved, result.HomeNotReached, result.HomeLost, result.NotReady:
 		return true
 	}
 	return false
@@ -124,11 +145,10 @@
 				return executor.Answer{}, last
 			}
 		case result.NoExecutor: // this placer holds none and has not heard of others' yet
-			err.Ran = ran
-			last = err
+			last = withRan(err, ran)
 		default:
 			if err.Ran == result.RanNo {
-				err.Ran = ran
+				err = withRan(err, ran)
 			}
 			return executor.Answer{}, err
 		}
--- a/internal/request/home.go
+++ b/internal/request/home.go
@@ -65,7 +65,7 @@
 func (h *Home) Serve(ctx context.Context, msg requestmsg.Serve) (executor.Answer, error) {
 	values, ok := h.cfg.Settings(msg.Service)
 	if !ok {
-		return executor.Answer{}, result.New(result.UnknownService, result.RanNo, "service %q", msg.Service)
+		return executor.Answer{}, result.New(result.UnknownService, ranUnchecked(msg.Key), "service %q", msg.Service)
 	}
 	deadline := time.Now().Add(msg.Timeout)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
@@ -82,6 +82,14 @@
 	return h.serveKeyed(ctx, msg, work, values)
 }
 
+// ranUnchecked is what can be said of a request whose key was not looked for.
+func ranUnchecked(key uuid.UUID) result.Ran {
+	if key == uuid.Nil {
+		return result.RanNo
+	}
+	return result.RanUnknown
+}
+
 // serveKeyed joins or starts the key's flight. A flight that ended because all
 // its earlier callers went away is no outcome for this one, who starts anew.
 func (h *Home) serveKeyed(ctx context.Context, msg requestmsg.Serve, work dispatch.Work, values settings.Values) (executor.Answer, error) {
--- a/internal/request/table.go
+++ b/internal/request/table.go
@@ -40,7 +40,7 @@
 	case r.flight != nil && r.flight.isCancelled():
 		return nil, nil
 	case r.print != print:
-		return nil, result.New(result.KeyReused, result.RanNo, "this request did not run; the key came before with another one")
+		return nil, result.New(result.KeyReused, result.RanUnknown, "this request did not run; the one that the key came with before may have")
 	case r.flight != nil:
 		if !r.flight.join() {
 			return nil, nil
--- a/internal/requesttest/serve_test.go
+++ b/internal/requesttest/serve_test.go
@@ -52,7 +52,7 @@
 		is.Equal(len(c.executors.Runs()), 1)
 		got = c.do(t.Context(), http.MethodPost, "/tickets", "other", entry.KeyHeader, key)
 		is.Equal(got.failure().Code, result.KeyReused)
-		is.Equal(got.failure().Ran, result.RanNo)
+		is.Equal(got.failure().Ran, result.RanUnknown) // the key's first request did run
 	})
 }
 
