Others are asked for news before a request is refused for want of executors

Cause: in a rolling stop with processes 4 of 2,225 requests were refused with no-executor, ran: no: a home that had just handed over its executors, or just started, looked at others' free slots every 250 ms only. It looks once more before it refuses. Seen failing with the look taken out.

--- a/internal/dispatch/acquire.go
+++ b/internal/dispatch/acquire.go
@@ -16,8 +16,16 @@
 // back because another holder had no slot after all keeps its place.
 func (d *Dispatcher) acquire(ctx context.Context, p *pool, w Work, back *waiting) (grant, *waiting, *result.Error) {
 	g, it, ready, err := d.takeOrQueue(p, w, back)
-	if err != nil || ready == nil {
-		return g, it, err
+	if err != nil && err.Code == result.NoExecutor {
+		d.offload() // others may have told of theirs since the last look
+		g, it, ready, err = d.takeOrQueue(p, w, back)
+	}
+	if err != nil {
+		d.metrics.refused.WithLabelValues(p.service).Inc()
+		return grant{}, nil, err
+	}
+	if ready == nil {
+		return g, it, nil
 	}
 	timer := time.NewTimer(time.Until(w.Deadline))
 	defer timer.Stop()
@@ -53,7 +61,6 @@
 	}
 	it := &waiting{Caller: w.Caller, Arrived: now, Deadline: w.Deadline, Value: ready}
 	if err := d.enqueue(p, w, it, now); err != nil {
-		d.metrics.refused.WithLabelValues(p.service).Inc()
 		return grant{}, nil, nil, err
 	}
 	d.metrics.queued.WithLabelValues(p.service).Inc()
--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -28,6 +28,8 @@
 	right     requesttest.Right
 	values    settings.Values
 	stop      context.CancelFunc
+	remotes   []dispatch.Remote
+	forwarded []string // addresses of other holders that were sent requests
 
 	mu    sync.Mutex
 	hosts []platform.Host
@@ -47,8 +49,8 @@
 	b.Dispatcher = dispatch.New(dispatch.Config{
 		Hosts:    b.list,
 		Settings: func(string) (settings.Values, bool) { return b.values, true },
-		Remotes:  func() []dispatch.Remote { return nil },
-		Right:    &b.right, Client: &b.executors, Zone: "zone-0", Partitions: 1,
+		Remotes:  func() []dispatch.Remote { return b.remotes },
+		Peers:    b, Right: &b.right, Client: &b.executors, Zone: "zone-0", Partitions: 1,
 		Log: logrus.NewEntry(log), Metrics: prometheus.NewRegistry(),
 	})
 	takeover.TakenAt = time.Now()
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -9,8 +10,11 @@
 
 	"github.com/matryer/is"
 
+	"pulleyquay/internal/dispatch"
 	"pulleyquay/internal/executor"
 	"pulleyquay/internal/hold"
+	"pulleyquay/internal/peer"
+	"pulleyquay/internal/requestmsg"
 	"pulleyquay/internal/requesttest"
 	"pulleyquay/internal/result"
 )
@@ -221,3 +225,22 @@
 		is.Equal(b.send(t.Context(), "crew", false, 20*time.Millisecond), nil)
 	})
 }
+
+// Call implements peer.Caller: the other holder's executor answers at once.
+func (b *bench) Call(_ context.Context, addr string, _ peer.Kind, _, resp any) error {
+	*resp.(*requestmsg.DispatchReply) = requestmsg.DispatchReply{Answer: executor.Answer{Status: http.StatusOK}, Free: 1}
+	b.forwarded = append(b.forwarded, addr)
+	return nil
+}
+
+func TestOthersAreAskedForNewsBeforeARefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(t, 0, hold.Takeover{Fresh: true})
+		defer b.stop()
+		synctest.Wait()
+		b.remotes = []dispatch.Remote{{Name: "other", Addr: "other:1", Free: map[string]int{"ledger": 1}}}
+		is.Equal(b.send(t.Context(), "crew", false, time.Second), nil) // between two looks
+		is.Equal(b.forwarded, []string{"other:1"})
+	})
+}
