A process without settings does not say that a ticket did not run

Cause: a placer that was started in a store outage had not learned the settings yet and answered a ticket with unknown-service, ran: no. The ticket had run: its first attempt was lost with the placer's predecessor, and the entry asked the same home again. An entry without settings said the same of a retry that came through it.

Change: for a request with a key both say ran: unknown. An entry that knows the service asks again a home that does not, as it does while a home moves.

Ruled out: calling every refusal after a lost attempt unknown in the entry; the home's own word is right wherever it knows the key, and it checks the service before the key only here.

--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -78,7 +78,7 @@
 	}
 	values, ok := h.cfg.Settings(service)
 	if !ok {
-		h.refuse(w, "", result.New(result.UnknownService, result.RanNo, "service %q", service))
+		h.refuse(w, "", result.New(result.UnknownService, ranBeforeHome(r), "service %q", service))
 		return
 	}
 	if !h.loads.enter(service) {
--- a/internal/entry/moved_test.go
+++ b/internal/entry/moved_test.go
@@ -12,6 +12,7 @@
 	"pulleyquay/internal/peer"
 	"pulleyquay/internal/problem"
 	"pulleyquay/internal/result"
+	"pulleyquay/internal/settings"
 )
 
 // slowHandOver is a home that says for a while that it is moving.
@@ -58,3 +59,47 @@
 		})
 	}
 }
+
+// TestUnknownServiceSaysNothingOfAKey: an entry without settings can not say
+// that a key did not run; an earlier attempt may have come by another one.
+func TestUnknownServiceSaysNothingOfAKey(t *testing.T) {
+	for _, tc := range []struct {
+		key string
+		ran result.Ran
+	}{{"", result.RanNo}, {uuid.Must(uuid.NewV7()).String(), result.RanUnknown}} {
+		t.Run("key "+tc.key, func(t *testing.T) {
+			is := is.New(t)
+			h := newTestHandler(&fixed{}, 0)
+			h.cfg.Settings = func(string) (settings.Values, bool) { return settings.Values{}, false }
+			got := ask(h, "POST", KeyHeader, tc.key)
+			failure := problem.Read(got.Code, got.Body.Bytes())
+			is.Equal(failure.Code, result.UnknownService)
+			is.Equal(failure.Ran, tc.ran)
+		})
+	}
+}
+
+// newHome is a home that has no settings at its first two answers.
+type newHome struct {
+	fixed
+	answers int
+}
+
+// Call implements peer.Caller.
+func (n *newHome) Call(ctx context.Context, addr string, kind peer.Kind, req, resp any) error {
+	if n.answers++; n.answers <= 2 {
+		return result.New(result.UnknownService, result.RanUnknown, "no settings yet")
+	}
+	return n.fixed.Call(ctx, addr, kind, req, resp)
+}
+
+func TestHomeWithoutSettingsIsAskedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		home := &newHome{}
+		h := newTestHandler(&home.fixed, 0)
+		h.cfg.Peers = home
+		got := ask(h, "POST", KeyHeader, uuid.Must(uuid.NewV7()).String())
+		is.Equal(got.Body.String(), "answer\n")
+	})
+}
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -94,6 +94,8 @@
 	switch err.Code {
 	case result.HomeMoved, result.HomeNotReached, result.HomeLost:
 		return true
+	case result.UnknownService: // known here: the home lacks settings yet
+		return true
 	}
 	return false
 }
--- a/internal/request/home.go
+++ b/internal/request/home.go
@@ -65,7 +65,7 @@
 func (h *Home) Serve(ctx context.Context, msg requestmsg.Serve) (executor.Answer, error) {
 	values, ok := h.cfg.Settings(msg.Service)
 	if !ok {
-		return executor.Answer{}, result.New(result.UnknownService, result.RanNo, "service %q", msg.Service)
+		return executor.Answer{}, unknownService(msg)
 	}
 	deadline := time.Now().Add(msg.Timeout)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
@@ -82,6 +82,17 @@
 	return h.serveKeyed(ctx, msg, work, values)
 }
 
+// unknownService refuses a service that the settings here do not have. A process
+// that has just started may lack them, and an earlier attempt with the same key
+// may have run.
+func unknownService(msg requestmsg.Serve) *result.Error {
+	ran := result.RanNo
+	if msg.Key != uuid.Nil {
+		ran = result.RanUnknown
+	}
+	return result.New(result.UnknownService, ran, "service %q", msg.Service)
+}
+
 // serveKeyed joins or starts the key's flight. A flight that ended because all
 // its earlier callers went away is no outcome for this one, who starts anew.
 func (h *Home) serveKeyed(ctx context.Context, msg requestmsg.Serve, work dispatch.Work, values settings.Values) (executor.Answer, error) {
--- a/internal/request/home_test.go
+++ b/internal/request/home_test.go
@@ -204,3 +204,22 @@
 	is.True(f.begin())
 	is.True(!f.leave()) // too late for a proof
 }
+
+// TestHomeWithoutSettings: a home that has just started and lacks the settings
+// can not say that a key did not run.
+func TestHomeWithoutSettings(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		key  uuid.UUID
+		ran  result.Ran
+	}{{"no key", uuid.Nil, result.RanNo}, {"key", uuid.Must(uuid.NewV7()), result.RanUnknown}} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t, hold.Takeover{})
+			b.cfg.Settings = func(string) (settings.Values, bool) { return settings.Values{}, false }
+			_, err := b.Serve(context.Background(), requestmsg.Serve{Service: "ledger", Key: tc.key, Timeout: time.Second})
+			is.Equal(result.From(err).Code, result.UnknownService)
+			is.Equal(result.From(err).Ran, tc.ran)
+		})
+	}
+}
