A service on the move is still believed to be served

Cause: while a partition is handed over, neither its old holder nor the last heartbeat (up to half a second old) of its new one shows its executors, so that a home refused with no-executor. For a second after a service was last seen served its requests queue, and holders that told of no executors are tried, too.

--- a/internal/dispatch/acquire.go
+++ b/internal/dispatch/acquire.go
@@ -112,7 +112,8 @@
 // admit refuses what the queue can not serve before its deadline.
 func (d *Dispatcher) admit(p *pool, w Work, now time.Time) *result.Error {
 	slots, soonest := d.slotsInUse(p, now)
-	if slots == 0 && !d.servedElsewhere(p.service) {
+	d.noteServed(p, slots, now)
+	if now.Sub(p.servedAt) > servedMemory {
 		return result.New(result.NoExecutor, result.RanNo,
 			"no executor of %s can be used now", p.service).Later(soonest)
 	}
@@ -127,6 +128,18 @@
 	return nil
 }
 
+// servedMemory is how long a service that had executors is believed to have
+// them: while a partition is handed over, neither its old holder nor the last
+// heartbeat of its new one shows its executors.
+const servedMemory = time.Second
+
+// noteServed notes that the service has executors in use, here or elsewhere.
+func (d *Dispatcher) noteServed(p *pool, slots int, now time.Time) {
+	if slots > 0 || d.servedElsewhere(p.service) {
+		p.servedAt = now
+	}
+}
+
 // servedElsewhere tells whether another holder has executors of the service.
 func (d *Dispatcher) servedElsewhere(service string) bool {
 	for _, r := range d.remotes {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -154,6 +154,8 @@
 	d.hear(told, now)
 	waiting := false
 	for _, p := range d.pools {
+		slots, _ := d.slotsInUse(p, now)
+		d.noteServed(p, slots, now)
 		if p.queue.Len() > 0 {
 			d.pumpRemote(p, now)
 		}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -30,8 +30,10 @@
 	// holders while requests waited here; lastGap is when the last one came.
 	meanGap time.Duration
 	lastGap time.Time
-	healthy int // listed endpoints in the healthy state
-	budget  *retrybudget.Budget
+	// servedAt is when the service was last seen to have executors in use.
+	servedAt time.Time
+	healthy  int // listed endpoints in the healthy state
+	budget   *retrybudget.Budget
 }
 
 // endpoint is one executor in a held partition.
--- a/internal/dispatch/remote.go
+++ b/internal/dispatch/remote.go
@@ -32,9 +32,15 @@
 	for _, t := range told {
 		r := d.remotes[t.Name]
 		if r == nil || r.told.Addr != t.Addr || !maps.Equal(r.told.Free, t.Free) {
-			r = &remote{told: t, free: maps.Clone(t.Free), probedAt: map[string]time.Time{}}
+			r = &remote{told: t, free: map[string]int{}, probedAt: map[string]time.Time{}}
+			maps.Copy(r.free, t.Free)
 		}
 		for service := range t.Free {
+			if values, ok := d.cfg.Settings(service); ok {
+				d.pool(service, values) // so that it is known to be served
+			}
+		}
+		for service := range d.pools {
 			r.probe(service, now)
 		}
 		present[t.Name] = r
@@ -42,7 +48,7 @@
 	d.remotes = present
 }
 
-// probe lets one request try a holder that was full.
+// probe lets one request try a holder that was full, or had no executors.
 func (r *remote) probe(service string, now time.Time) {
 	if r.free[service] > 0 || now.Sub(r.probedAt[service]) < probeEvery {
 		return
