A placer that has just started does not refuse for want of executors

Cause, found by a log of each refusal in a trial copy: the refusals of the rolling stop came from a placer that had taken over 14 partitions, keys among them, before it had read the host list or heard a heartbeat: no endpoints, no other holders. Ruled out: executors still waited for after a hand-over, ejected or blocked ones. Change: the two seconds' belief holds from the start of the process, too.

--- a/internal/dispatch/acquire.go
+++ b/internal/dispatch/acquire.go
@@ -113,7 +113,7 @@
 func (d *Dispatcher) admit(p *pool, w Work, now time.Time) *result.Error {
 	slots, soonest := d.slotsInUse(p, now)
 	d.noteServed(p, slots, now)
-	if now.Sub(p.servedAt) > servedMemory {
+	if now.Sub(later(p.servedAt, d.started)) > servedMemory {
 		return result.New(result.NoExecutor, result.RanNo,
 			"no executor of %s can be used now", p.service).Later(soonest)
 	}
@@ -130,8 +130,17 @@
 
 // servedMemory is how long a service that had executors is believed to have
 // them: while a partition is handed over, neither its old holder nor the last
-// heartbeat of its new one shows its executors.
-const servedMemory = time.Second
+// heartbeat of its new one shows its executors. A process that has just started
+// believes it of every service, until it has read the host list and heard of
+// the others.
+const servedMemory = 2 * time.Second
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
 
 // noteServed notes that the service has executors in use, here or elsewhere.
 func (d *Dispatcher) noteServed(p *pool, slots int, now time.Time) {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -14,6 +14,7 @@
 	"pulleyquay/internal/executor"
 	"pulleyquay/internal/hold"
 	"pulleyquay/internal/peer"
+	"pulleyquay/internal/platform"
 	"pulleyquay/internal/requestmsg"
 	"pulleyquay/internal/requesttest"
 	"pulleyquay/internal/result"
@@ -244,3 +245,18 @@
 		is.Equal(b.forwarded, []string{"other:1"})
 	})
 }
+
+func TestProcessThatHasJustStartedDoesNotRefuse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(t, 0, hold.Takeover{Fresh: true})
+		defer b.stop()
+		go func() {
+			time.Sleep(time.Second)
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			b.hosts = []platform.Host{{Name: "executor-0", Addr: "executor-0", Role: platform.RoleExecutor, Service: "ledger"}}
+		}()
+		is.Equal(b.send(t.Context(), "crew", false, 2*time.Second), nil) // waits for the host list
+	})
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -65,6 +65,8 @@
 	mu    sync.Mutex
 	pools map[string]*pool
 	parts map[int]*heldPartition
+	// started is when this process began to learn of executors.
+	started time.Time
 	// remotes are the other holders by name.
 	remotes map[string]*remote
 
@@ -93,6 +95,7 @@
 		metrics: newMetrics(cfg.Metrics),
 		pools:   map[string]*pool{},
 		parts:   map[int]*heldPartition{},
+		started: time.Now(),
 		queued:  make(chan struct{}, 1),
 	}
 }
