Learned sizes: a trial, no setting

Change: the setting and the unfed message field go; the quantiles stay beside the benchmark that measured them. Ruled out for now: asking workers for usage by run, which is their protocol's to give.

--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -37,11 +37,8 @@
 	Shape taskmsg.Shape
 }
 
-// size is what the task counts for in the books: the larger of what it declares
-// and what its branch was observed to need.
-func (a *Ask) size() spec.Resources {
-	return a.Shape.Task.Size.Max(a.Shape.Policy.LearnedSize)
-}
+// size is what the task counts for in the books: what it declares.
+func (a *Ask) size() spec.Resources { return a.Shape.Task.Size }
 
 // NewRun makes the entry for the books of one slot of a shape.
 func NewRun(shape *taskmsg.Shape, home int, slot taskmsg.Slot) Run {
--- a/internal/settings/values.go
+++ b/internal/settings/values.go
@@ -37,9 +37,6 @@
 	Policy      string `json:"policy" validate:"oneof=packing waiting"` // PolicyPacking or PolicyWaiting
 	SpreadZones bool   `json:"spread_zones"`
 	SpreadRacks bool   `json:"spread_racks"`
-	// LearnedSizePercent is how far observed sizes may shrink declared ones
-	// when packing; zero leaves declared sizes alone.
-	LearnedSizePercent int64 `json:"learned_size_percent" validate:"min=0,max=90"`
 }
 
 // The placement policies.
--- a/internal/taskmsg/taskmsg.go
+++ b/internal/taskmsg/taskmsg.go
@@ -25,9 +25,7 @@
 	SpreadRacks bool   `cbor:"3,keyasint,omitempty"`
 	// Number 4 was a lease per branch; a worker renews all its runs alike.
 	Priority int64 `cbor:"5,keyasint,omitempty"`
-	// LearnedSize is what tasks of the branch were observed to need; zero when
-	// too few were. The books count the larger of it and the declared size.
-	LearnedSize spec.Resources `cbor:"6,keyasint,omitempty"`
+	// Number 6 was a learned size; see docs/PLACEMENT.md.
 	// MinReplicas is the number of a service's replicas that preemption leaves.
 	MinReplicas int64 `cbor:"7,keyasint,omitempty"`
 }
