--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -14,6 +14,7 @@
 	"pulleyquay/internal/requestmsg"
 	"pulleyquay/internal/result"
 	"pulleyquay/internal/view"
+	"pulleyquay/internal/wait"
 )
 
 // route sends the request to its home and follows the home when it moves.
@@ -45,7 +46,7 @@
 		if err == nil || !homeChanges(err) {
 			return answer, err
 		}
-		if attempt >= attemptsFor(err) || !sleep(ctx, pause) {
+		if attempt >= attemptsFor(err) || !wait.Jittered(ctx, pause) {
 			return executor.Answer{}, err
 		}
 		pause = min(2*pause, longestPause)
@@ -227,15 +228,3 @@
 	}
 	return nil
 }
-
-// sleep pauses for a random part of longest; false when ctx ended first.
-func sleep(ctx context.Context, longest time.Duration) bool {
-	timer := time.NewTimer(rand.N(longest))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/fairshare/fairshare_test.go
+++ b/internal/fairshare/fairshare_test.go
@@ -88,7 +88,7 @@
 				held[job] -= min(n, held[job])
 			},
 			"": func(t *rapid.T) {
-				if l.Used("team") != sum() || exceeds(sum(), quota) != "" {
+				if l.Used("team") != sum() || Exceeds(sum(), quota) != "" {
 					t.Fatalf("ledger %v, held %v", l.Used("team"), sum())
 				}
 			},
--- a/internal/fairshare/ledger.go
+++ b/internal/fairshare/ledger.go
@@ -39,10 +39,10 @@
 // with QuotaUnset when the whole quota would not do.
 func (l *Ledger) Reserve(team, job string, quota settings.Quota, size spec.Resources, tasks int) *result.Error {
 	need := size.Times(int64(tasks))
-	if over := exceeds(need, quota); over != "" {
+	if over := Exceeds(need, quota); over != "" {
 		return result.New(result.QuotaUnset, result.RanNo, "team %s: %s", team, over)
 	}
-	if over := exceeds(l.Used(team).Add(need), quota); over != "" {
+	if over := Exceeds(l.Used(team).Add(need), quota); over != "" {
 		return result.New(result.QuotaExceeded, result.RanNo, "team %s: %s", team, over)
 	}
 	l.Restore(team, job, size, tasks)
@@ -111,9 +111,9 @@
 	return spec.Resources{}
 }
 
-// exceeds names the resources of need that are above the quota; "" when none
+// Exceeds names the resources of need that are above the quota; "" when none
 // is. A negative quota is no bound.
-func exceeds(need spec.Resources, quota settings.Quota) string {
+func Exceeds(need spec.Resources, quota settings.Quota) string {
 	var parts []string
 	check := func(name string, need, quota int64) {
 		if quota >= 0 && need > quota {
--- a/internal/hold/fence.go
+++ b/internal/hold/fence.go
@@ -9,6 +9,7 @@
 	"pulleyquay/internal/peer"
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/right"
+	"pulleyquay/internal/wait"
 )
 
 // FenceRequest asks a voter to promise a member's session no more time.
@@ -85,7 +86,7 @@
 	done := f.tally.Done(time.Now())
 	k.mu.Unlock()
 	if !done {
-		sleep(ctx, k.config.Heartbeat/4+rand.N(k.config.Heartbeat/4+1))
+		wait.For(ctx, k.config.Heartbeat/4+rand.N(k.config.Heartbeat/4+1))
 	}
 }
 
--- a/internal/hold/handover.go
+++ b/internal/hold/handover.go
@@ -14,6 +14,7 @@
 	"pulleyquay/internal/result"
 	"pulleyquay/internal/right"
 	"pulleyquay/internal/view"
+	"pulleyquay/internal/wait"
 )
 
 // HandOver is sent to a partition's next holder twice: with the residents'
@@ -128,7 +129,7 @@
 			k.resume(ctx, s, states)
 			return
 		}
-		if !sleep(ctx, min(retry.NextBackOff(), k.config.BackoffMax)) {
+		if !wait.For(ctx, min(retry.NextBackOff(), k.config.BackoffMax)) {
 			return
 		}
 	}
@@ -146,7 +147,7 @@
 func (k *Keeper) sleepOut(ctx context.Context) bool {
 	var until time.Time
 	k.session.Right(func(h *right.Holder) { until = h.Outstanding() })
-	return sleep(ctx, time.Until(until))
+	return wait.For(ctx, time.Until(until))
 }
 
 // releaseAll ends the residents' work in order and collects their states. It
--- a/internal/hold/referee_test.go
+++ b/internal/hold/referee_test.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"pulleyquay/internal/wait"
 )
 
 // referee records every right to act that is used, and names each time at which
@@ -134,7 +136,7 @@
 }
 
 func (r *recorder) Release(ctx context.Context, id int) ([]byte, error) {
-	if !sleep(ctx, time.Duration(r.releaseTime.Load())) || r.failRelease.Load() {
+	if !wait.For(ctx, time.Duration(r.releaseTime.Load())) || r.failRelease.Load() {
 		return nil, errors.New("work not finished")
 	}
 	r.mu.Lock()
--- a/internal/hold/steps.go
+++ b/internal/hold/steps.go
@@ -12,6 +12,7 @@
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/right"
 	"pulleyquay/internal/view"
+	"pulleyquay/internal/wait"
 )
 
 // decideAll starts the next step of every partition that has none on its way.
@@ -124,7 +125,7 @@
 // claim writes this process into the record of a partition that nobody may act
 // for: never held, signed off, or held by a fenced member.
 func (k *Keeper) claim(ctx context.Context, s *slot, old view.Partition, charter platform.Revision) {
-	if !sleep(ctx, rand.N(k.config.Spread+1)) {
+	if !wait.For(ctx, rand.N(k.config.Spread+1)) {
 		return
 	}
 	self := k.session.Self()
@@ -288,13 +289,3 @@
 		k.drop(s)
 	}
 }
-
-// sleep waits for d and reports whether ctx is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
--- a/internal/job/validate.go
+++ b/internal/job/validate.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"reflect"
 	"strconv"
 	"strings"
@@ -11,6 +10,7 @@
 	"github.com/go-playground/validator/v10"
 	"github.com/google/uuid"
 
+	"pulleyquay/internal/fairshare"
 	"pulleyquay/internal/result"
 	"pulleyquay/internal/settings"
 	"pulleyquay/internal/spec"
@@ -107,25 +107,11 @@
 	if j.Kind == spec.KindGang {
 		need = need.Times(int64(j.Tasks))
 	}
-	over := exceeded(need, q)
+	over := fairshare.Exceeds(need, q)
 	if over == "" {
 		return nil
 	}
 	return result.New(result.JobOverQuota, result.RanNo, "branch %s allows team %s less than it needs at once: %s", j.Branch, j.Team, over)
 }
 
-// exceeded describes which components of a use are over the quota, "" for none.
-func exceeded(use spec.Resources, q settings.Quota) string {
-	var over []string
-	check := func(name string, used, limit int64) {
-		if limit >= 0 && used > limit {
-			over = append(over, fmt.Sprintf("%s %d of %d", name, used, limit))
-		}
-	}
-	check("milli_cpu", use.MilliCPU, q.MilliCPU)
-	check("memory_mib", use.MemoryMiB, q.MemoryMiB)
-	check("accelerators", use.Accelerators, q.Accelerators)
-	return strings.Join(over, ", ")
-}
-
 func codeLabel(c result.Code) string { return strconv.Itoa(int(c)) }
--- a/internal/jobapi/homes.go
+++ b/internal/jobapi/homes.go
@@ -13,6 +13,7 @@
 	"pulleyquay/internal/result"
 	"pulleyquay/internal/spec"
 	"pulleyquay/internal/view"
+	"pulleyquay/internal/wait"
 )
 
 const (
@@ -68,14 +69,7 @@
 	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < 2*retryPause {
 		return false
 	}
-	t := time.NewTimer(retryPause)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
+	return wait.For(ctx, retryPause)
 }
 
 func submitError(e *result.Error, maybe bool, id string) *result.Error {
--- a/internal/platform/retry/retry.go
+++ b/internal/platform/retry/retry.go
@@ -10,6 +10,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"pulleyquay/internal/platform"
+	"pulleyquay/internal/wait"
 )
 
 // The pauses between tries. Each is drawn from half to one and a half times its
@@ -58,12 +59,8 @@
 
 // Wait pauses as the backoff says; it returns ctx's error when ctx ends first.
 func Wait(ctx context.Context, pauses backoff.BackOff) error {
-	timer := time.NewTimer(pauses.NextBackOff())
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !wait.For(ctx, pauses.NextBackOff()) {
 		return ctx.Err()
 	}
+	return nil
 }
--- a/internal/settings/change.go
+++ b/internal/settings/change.go
@@ -14,6 +14,7 @@
 
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/result"
+	"pulleyquay/internal/wait"
 )
 
 const (
@@ -107,7 +108,7 @@
 			}
 			if err == nil {
 				clashes++
-				sleep(ctx, clashPause.NextBackOff())
+				wait.For(ctx, clashPause.NextBackOff())
 				continue
 			}
 		}
@@ -117,7 +118,7 @@
 		if !a.uncertain {
 			return Accepted{}, a.undecided(result.New(result.SettingsStoreDown, result.RanNo, "%v", err).Later(storeDownRetry))
 		}
-		sleep(ctx, pause.NextBackOff())
+		wait.For(ctx, pause.NextBackOff())
 		if ctx.Err() != nil {
 			return Accepted{}, result.New(result.SettingsOutcomeUnknown, result.RanUnknown,
 				"sent to the store, which then gave no answer (%v); repeat the change with id %s", err, a.p.ID).Later(storeDownRetry)
--- a/internal/settings/collect.go
+++ b/internal/settings/collect.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"pulleyquay/internal/platform"
+	"pulleyquay/internal/wait"
 )
 
 // shards is the number of parts in which the stored branches are listed, by the
@@ -27,7 +28,7 @@
 		return
 	}
 	for {
-		sleep(ctx, collectEvery)
+		wait.For(ctx, collectEvery)
 		if ctx.Err() != nil {
 			return
 		}
--- a/internal/settings/follower.go
+++ b/internal/settings/follower.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"pulleyquay/internal/peer"
+	"pulleyquay/internal/wait"
 )
 
 // pollWait is how long a placer may hold back the answer to a poll.
@@ -48,7 +49,7 @@
 			pause.Reset()
 			continue
 		}
-		sleep(ctx, pause.NextBackOff())
+		wait.For(ctx, pause.NextBackOff())
 	}
 }
 
--- a/internal/settings/keeper.go
+++ b/internal/settings/keeper.go
@@ -12,6 +12,7 @@
 
 	"pulleyquay/internal/peer"
 	"pulleyquay/internal/platform"
+	"pulleyquay/internal/wait"
 )
 
 const (
@@ -130,7 +131,7 @@
 		if k.book.revision() > before {
 			pause.Reset()
 		}
-		sleep(ctx, pause.NextBackOff())
+		wait.For(ctx, pause.NextBackOff())
 	}
 }
 
@@ -157,7 +158,7 @@
 // watch has not brought, the watch is ended, to be begun anew.
 func (k *Keeper) checkHead(ctx context.Context, end context.CancelCauseFunc) {
 	for {
-		sleep(ctx, headCheck)
+		wait.For(ctx, headCheck)
 		if ctx.Err() != nil {
 			return
 		}
@@ -309,13 +310,3 @@
 	b.InitialInterval, b.MaxInterval = 2*time.Millisecond, 50*time.Millisecond
 	return b
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/settings/learn.go
+++ b/internal/settings/learn.go
@@ -11,6 +11,7 @@
 
 	"pulleyquay/internal/peer"
 	"pulleyquay/internal/result"
+	"pulleyquay/internal/wait"
 )
 
 const (
@@ -110,10 +111,10 @@
 			k.book.hear(revision)
 		}
 		if k.book.ready() == nil {
-			sleep(ctx, knownEvery)
+			wait.For(ctx, knownEvery)
 			continue
 		}
-		sleep(ctx, chasePatience)
+		wait.For(ctx, chasePatience)
 		if k.book.ready() != nil {
 			k.askPeers(ctx)
 		}
--- a/internal/settings/swap.go
+++ b/internal/settings/swap.go
@@ -7,6 +7,7 @@
 
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/result"
+	"pulleyquay/internal/wait"
 )
 
 // Limits of one transaction. A change with more branches writes them ahead in
@@ -158,6 +159,6 @@
 			slices.Sort(behind)
 			return behind
 		}
-		sleep(ctx, waitStep)
+		wait.For(ctx, waitStep)
 	}
 }
