Processes of another cell are refused; the demo sees a process end

Cause: two end-to-end runs side by side once heard each other's settings revision over mixed-up addresses, and nothing told the cells apart; the demonstration waited a minute for a process that had ended at its start (both reported by the store's author). Change: the hello names the cell (setting cell, default "default"), another one is refused with 1013; the demonstration names a process that ended. Test: TestOtherCellIsRefused.

--- a/cmd/pulley-entry/config.go
+++ b/cmd/pulley-entry/config.go
@@ -11,6 +11,8 @@
 // Settings is the entry's own settings file.
 type Settings struct {
 	Name string `json:"name" validate:"required"`
+	// Cell is the same in all processes of a cell; others are refused.
+	Cell string `json:"cell" validate:"required"`
 	// Zone is the host's availability zone.
 	Zone     string `json:"zone" validate:"required"`
 	LogLevel string `json:"log_level" validate:"oneof=debug info warn error"`
@@ -45,9 +47,12 @@
 	return nil
 }
 
+// defaultCell is the name of a cell that is given none.
+const defaultCell = "default"
+
 func defaults() Settings {
 	return Settings{
-		LogLevel: "info", Partitions: partition.DefaultCount,
+		Cell: defaultCell, LogLevel: "info", Partitions: partition.DefaultCount,
 		Stop: Stop{Announce: config.Duration(time.Second), Limit: config.Duration(35 * time.Second)},
 	}
 }
--- a/cmd/pulley-entry/process.go
+++ b/cmd/pulley-entry/process.go
@@ -36,7 +36,7 @@
 // newProcess makes and connects the parts; nothing runs yet.
 func newProcess(s Settings, d *daemon.Daemon) *process {
 	p := &process{conf: s, daemon: d, log: d.Log.WithField("name", s.Name)}
-	p.node = peer.NewNode(peer.Hello{Name: s.Name}, peer.NewMux(), p.log)
+	p.node = peer.NewNode(peer.Hello{Name: s.Name, Cell: s.Cell}, peer.NewMux(), p.log)
 	p.table = view.NewFollower(p.node, s.Placers, p.log)
 	p.settings = settings.NewFollower(s.Name, p.node, p.placers, p.log)
 	p.callers = entry.NewHandler(entry.Config{
--- a/cmd/pulley-placer/config.go
+++ b/cmd/pulley-placer/config.go
@@ -14,6 +14,8 @@
 type Settings struct {
 	// Name is the member's name, the same after a restart on the same host.
 	Name string `json:"name" validate:"required"`
+	// Cell is the same in all processes of a cell; others are refused.
+	Cell string `json:"cell" validate:"required"`
 	// Zone is the host's availability zone.
 	Zone     string `json:"zone" validate:"required"`
 	LogLevel string `json:"log_level" validate:"oneof=debug info warn error"`
@@ -85,11 +87,14 @@
 	return nil
 }
 
+// defaultCell is the name of a cell that is given none.
+const defaultCell = "default"
+
 func defaults() Settings {
 	h := hold.DefaultConfig()
 	limits := budget.DefaultLimits()
 	return Settings{
-		LogLevel: "info",
+		Cell: defaultCell, LogLevel: "info",
 		Store:    Store{ReadsPerSecond: limits.ReadsPerSecond, WritesPerSecond: limits.WritesPerSecond},
 		HostList: Hosts{Interval: config.Duration(time.Second)},
 		Holding: Hold{
--- a/cmd/pulley-placer/placer.go
+++ b/cmd/pulley-placer/placer.go
@@ -61,7 +61,7 @@
 // newPlacer makes and connects the parts; nothing runs yet.
 func newPlacer(s Settings, d *daemon.Daemon) (*placer, error) {
 	p := &placer{conf: s, daemon: d, log: d.Log.WithField("name", s.Name), mux: peer.NewMux()}
-	p.node = peer.NewNode(peer.Hello{Name: s.Name, Addr: s.Listen.Peer}, p.mux, p.log)
+	p.node = peer.NewNode(peer.Hello{Name: s.Name, Addr: s.Listen.Peer, Cell: s.Cell}, p.mux, p.log)
 	if err := p.addStore(); err != nil {
 		return nil, err
 	}
--- a/internal/demo/cell.go
+++ b/internal/demo/cell.go
@@ -28,6 +28,7 @@
 	standin  string // address of the stand-in
 	hosts    []host
 	running  map[string]*exec.Cmd
+	ended    map[string]chan struct{}
 	memory   map[string]int64 // resident KiB, read before each process ends
 }
 
@@ -59,7 +60,10 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Cell{bin: bin, dir: dir, standin: addrs[0], running: map[string]*exec.Cmd{}, memory: map[string]int64{}}
+	c := &Cell{
+		bin: bin, dir: dir, standin: addrs[0],
+		running: map[string]*exec.Cmd{}, ended: map[string]chan struct{}{}, memory: map[string]int64{},
+	}
 	for i, zone := range zones {
 		c.hosts = append(c.hosts, host{name: fmt.Sprintf("host-%d", i+1), zone: zone})
 	}
@@ -102,9 +106,13 @@
 	}
 	for _, h := range c.hosts {
 		for _, admin := range []string{h.placerAdmin, h.admin} {
-			if err := await(ctx, h.name, func() bool { return answers("http://" + admin + "/readyz") }); err != nil {
+			ready := func() bool { return c.lost() != "" || answers("http://"+admin+"/readyz") }
+			if err := await(ctx, h.name, ready); err != nil {
 				return err
 			}
+			if name := c.lost(); name != "" {
+				return fmt.Errorf("%s ended at its start", name)
+			}
 		}
 	}
 	return nil
@@ -130,9 +138,26 @@
 		return err
 	}
 	c.running[name] = cmd
+	c.ended[name] = make(chan struct{})
+	go func(ended chan struct{}) {
+		_ = cmd.Wait() // its status is read from cmd
+		close(ended)
+	}(c.ended[name])
 	return nil
 }
 
+// lost names a process that has ended by itself, or "".
+func (c *Cell) lost() string {
+	for name := range c.running {
+		select {
+		case <-c.ended[name]:
+			return name
+		default:
+		}
+	}
+	return ""
+}
+
 // Kill ends a process without warning.
 func (c *Cell) Kill(name string) error {
 	cmd := c.running[name]
@@ -141,7 +166,7 @@
 	if err := cmd.Process.Kill(); err != nil {
 		return err
 	}
-	_ = cmd.Wait() // its status is the kill
+	<-c.ended[name]
 	return nil
 }
 
@@ -153,7 +178,11 @@
 	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		return err
 	}
-	return cmd.Wait()
+	<-c.ended[name]
+	if status := cmd.ProcessState; !status.Success() {
+		return fmt.Errorf("%s ended with %s", name, status)
+	}
+	return nil
 }
 
 // Close kills whatever still runs.
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -42,6 +42,9 @@
 	Incarnation string `cbor:"2,keyasint"`
 	// Addr is where the sender can be dialled; empty when it serves no peers.
 	Addr string `cbor:"3,keyasint,omitempty"`
+	// Cell names the cell that the sender belongs to; links join processes of
+	// one cell only.
+	Cell string `cbor:"4,keyasint,omitempty"`
 }
 
 func encodeFrame(f frame) ([]byte, error) {
--- a/internal/peer/goodbye_test.go
+++ b/internal/peer/goodbye_test.go
@@ -49,6 +49,21 @@
 	}
 }
 
+// TestOtherCellIsRefused: two cells whose addresses were mixed up must not hear
+// each other's settings or members.
+func TestOtherCellIsRefused(t *testing.T) {
+	is := is.New(t)
+	s := newServer(t)
+	c := NewNode(Hello{Name: "c", Cell: "other"}, NewMux(), quiet())
+	t.Cleanup(c.Close)
+	err := result.From(c.Call(context.Background(), s.addr(), kindEcho, echo{}, &echo{}))
+	is.Equal(err.Code, result.PeerNotReached)
+	is.Equal(err.Ran, result.RanNo)
+	s.node.mu.Lock()
+	defer s.node.mu.Unlock()
+	is.Equal(len(s.node.links)+len(s.node.extra), 0)
+}
+
 func TestDrainWaitsForAnswers(t *testing.T) {
 	s, c := newServer(t), newClient(t)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -40,7 +40,7 @@
 	waiting map[uint64]chan frame
 	serving map[uint64]context.CancelFunc
 
-	onHello func(Hello)
+	onHello func(Hello) error
 	// onGoodbye is called when the other side wants no more requests.
 	onGoodbye func()
 	// departing is set, under the writing lock, once the other side has said
@@ -55,7 +55,7 @@
 	saidGoodbye atomic.Bool
 }
 
-func newLink(conn *websocket.Conn, mux *Mux, onHello func(Hello)) *link {
+func newLink(conn *websocket.Conn, mux *Mux, onHello func(Hello) error) *link {
 	conn.SetReadLimit(maxFrameBytes)
 	ctx, cancel := context.WithCancelCause(context.Background())
 	return &link{
@@ -166,7 +166,9 @@
 		return nil, result.New(result.PeerVersion, result.RanNo, "hello: %v", err)
 	}
 	if l.onHello != nil {
-		l.onHello(hello)
+		if err := l.onHello(hello); err != nil {
+			return nil, err
+		}
 	}
 	return cbor.Marshal(struct{}{})
 }
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -165,6 +165,16 @@
 	n.log.WithField("peer", addr).Info("peer link open")
 }
 
+// greet takes a link into use once its other side has named itself.
+func (n *Node) greet(h Hello, l *link) error {
+	if h.Cell != n.self.Cell {
+		n.log.WithFields(logrus.Fields{"peer": h.Name, "cell": h.Cell}).Warn("a process of another cell was refused")
+		return result.New(result.PeerOtherCell, result.RanNo, "this is cell %q, not %q", n.self.Cell, h.Cell)
+	}
+	n.add(h.Addr, l)
+	return nil
+}
+
 // retire takes a link out of use for new calls; those under way end on it.
 func (n *Node) retire(l *link) {
 	n.mu.Lock()
@@ -196,7 +206,7 @@
 		return
 	}
 	var l *link
-	l = newLink(conn, n.mux, func(h Hello) { n.add(h.Addr, l) })
+	l = newLink(conn, n.mux, func(h Hello) error { return n.greet(h, l) })
 	l.onGoodbye = func() { n.retire(l) }
 	n.keep(l)
 }
--- a/internal/result/codes_general.go
+++ b/internal/result/codes_general.go
@@ -13,6 +13,7 @@
 	PeerNotReached Code = 1010
 	PeerLost       Code = 1011
 	PeerVersion    Code = 1012
+	PeerOtherCell  Code = 1013
 )
 
 func init() {
@@ -26,5 +27,6 @@
 		Info{PeerNotReached, "peer-not-reached", http.StatusBadGateway, "no byte was sent to the peer"},
 		Info{PeerLost, "peer-lost", http.StatusBadGateway, "sent to the peer, no answer came back"},
 		Info{PeerVersion, "peer-version", http.StatusBadGateway, "the peer speaks another protocol version"},
+		Info{PeerOtherCell, "peer-other-cell", http.StatusBadGateway, "the peer belongs to another cell"},
 	)
 }
