The unwired shared watch goes

Cause: internal/platform/mirror, a shared watch that never goes back, was built and tested, but holding and settings each keep the few keys they need by rules of their own (fences, the head's chain), so nothing used it. Change: the package and its part of a benchmark are removed. Ruled out for now: moving holding and settings onto it; their loops decide on each record, and the saving is one watch of three a placer.

--- a/internal/standin/storehttp/bench_test.go
+++ b/internal/standin/storehttp/bench_test.go
@@ -19,7 +19,6 @@
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/platform/etcdhttp"
 	"pulleyquay/internal/platform/memstore"
-	"pulleyquay/internal/platform/mirror"
 	"pulleyquay/internal/standin/storehttp"
 )
 
@@ -260,15 +259,6 @@
 		fatal(b, err)
 	}
 	stored := heap()
-	m := mirror.New(engine.Client("a"), "jobs/", mirror.Options{})
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go m.Run(ctx)
-	loaded := make(chan struct{}, 1)
-	go func() { _ = m.Subscribe(ctx, func(platform.Batch) { loaded <- struct{}{} }) }()
-	<-loaded
 	b.ReportMetric(float64(stored-before)/keys, "store-B/key")
-	// The values are shared with the store here: what is counted is the rest.
-	b.ReportMetric(float64(heap()-stored)/keys, "mirror-B/key")
 	runtime.KeepAlive(engine)
 }
