A hand-over of unknown outcome is covered by its own holder

Cause: an outage that begins while a hand-over is written leaves the partition released and not moved until the store is back; nobody renewed its task leases, so services stopped after 15 s (found by reading, by the author of fleet). Change: the old holder renews meanwhile under a deputy's rules: no decision, and only while a majority does not reach the store, so that no holder declares runs lost at the same time. Ruled out: taking the partition up again at once, since the move may still take effect; giving its deputy the work, which does not count the live holder as dead. Test: TestHandOverOfUnknownOutcomeIsCovered, seen failing first (nobody covers).

--- a/internal/hold/cover.go
+++ b/internal/hold/cover.go
@@ -71,10 +71,22 @@
 	for _, c := range k.covers {
 		out = append(out, c.partitions...)
 	}
+	for _, s := range k.slots {
+		if k.coversItself(s) {
+			out = append(out, s.record)
+		}
+	}
 	slices.SortFunc(out, func(a, b view.Partition) int { return a.ID - b.ID })
 	return out
 }
 
+// coversItself reports whether this process renews the task leases of a
+// partition that it has released and can not move, since the store went away
+// while the hand-over was written. The rules are those of a deputy: only while
+// a majority does not reach the store, so that nobody declares runs lost
+// meanwhile. The lock is held.
+func (k *Keeper) coversItself(s *slot) bool { return s.settling && !k.storeUp() }
+
 // tellDeputy passes the list on when it has changed.
 func (k *Keeper) tellDeputy(last []view.Partition) []view.Partition {
 	now := k.covered()
@@ -90,17 +102,25 @@
 	now := time.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if id >= 0 && id < len(k.slots) && k.coversItself(k.slots[id]) {
+		return liveCover(k.grant(now, k.slots[id]), now)
+	}
 	for _, c := range k.covers {
 		for _, p := range c.partitions {
 			if p.ID != id {
 				continue
 			}
 			until := c.right.Until(now, c.right.Session())
-			if !until.After(now) {
-				return Grant{}, result.New(result.RightLapsed, result.RanNo, "cover of partition %d", id)
-			}
-			return Grant{Partition: id, Epoch: p.Epoch, Until: until}, nil
+			return liveCover(Grant{Partition: id, Epoch: p.Epoch, Until: until}, now)
 		}
 	}
 	return Grant{}, result.New(result.NotHolder, result.RanNo, "partition %d is not covered here", id)
 }
+
+// liveCover refuses a grant that has lapsed.
+func liveCover(g Grant, now time.Time) (Grant, error) {
+	if !g.Until.After(now) {
+		return Grant{}, result.New(result.RightLapsed, result.RanNo, "cover of partition %d", g.Partition)
+	}
+	return g, nil
+}
--- a/internal/hold/handover.go
+++ b/internal/hold/handover.go
@@ -108,6 +108,8 @@
 // settleMove finds out whether the record has moved. Writing it anew with the
 // old holder makes a delayed move fail; only then does this process go on.
 func (k *Keeper) settleMove(ctx context.Context, s *slot, old view.Partition, states map[string][]byte) {
+	k.setSettling(s, true)
+	defer k.setSettling(s, false)
 	retry := k.newBackOff()
 	for {
 		k.mu.Lock()
@@ -135,6 +137,14 @@
 	}
 }
 
+// setSettling notes whether the outcome of a partition's move is being found out.
+func (k *Keeper) setSettling(s *slot, settling bool) {
+	k.mu.Lock()
+	s.settling = settling
+	k.mu.Unlock()
+	k.wake()
+}
+
 // resume takes a released partition up again with its own states.
 func (k *Keeper) resume(ctx context.Context, s *slot, states map[string][]byte) {
 	k.mu.Lock()
--- a/internal/hold/outage_test.go
+++ b/internal/hold/outage_test.go
@@ -194,6 +194,53 @@
 	})
 }
 
+// TestHandOverOfUnknownOutcomeIsCovered: the store goes away in the moment in
+// which a hand-over is written. Until its outcome is known nobody may decide for
+// the partition, but its task leases have to be renewed.
+func TestHandOverOfUnknownOutcomeIsCovered(t *testing.T) {
+	inBubble(t, testConfig(), func(c *testCell) {
+		is := is.New(c.t)
+		deputies := map[string]*coverRecorder{}
+		c.prepare = func(n *node) {
+			deputies[n.name] = &coverRecorder{}
+			n.SetDeputy(deputies[n.name])
+		}
+		formed(c, "a", "b", "c")
+		b := c.nodes["b"]
+		id := b.Held()[0]
+		epoch := b.epoch(id)
+		b.mu.Lock()
+		next := c.nodes["a"].Self()
+		s, mod := b.slots[id], b.mirror.members["a"].Revision
+		s.busy = true
+		b.mu.Unlock()
+		c.engine.SetFaults(memstore.Faults{Hang: true})
+		done := make(chan struct{})
+		go func() {
+			b.handOver(c.t.Context(), s, next, mod)
+			b.mu.Lock()
+			s.busy = false
+			b.mu.Unlock()
+			close(done)
+		}()
+		c.wait(4*c.config.Term, "the partition is covered by its own holder", func() bool {
+			return len(deputies["b"].covered()) == 1
+		})
+		for range 10 { // the outage goes on
+			time.Sleep(c.config.Term)
+			grant, err := b.CheckCover(id)
+			is.NoErr(err)
+			is.Equal(grant.Epoch, epoch)
+			_, err = b.Check(id)
+			is.Equal(result.CodeOf(err), result.NotHolder) // it decides nothing
+		}
+		c.engine.SetFaults(memstore.Faults{})
+		<-done
+		c.waitSettled(healLimit * c.config.Term)
+		c.wait(c.config.Term, "the cover ends", func() bool { return len(deputies["b"].covered()) == 0 })
+	})
+}
+
 func (n *node) epoch(id int) uint64 {
 	g, err := n.Check(id)
 	if err != nil {
--- a/internal/hold/slot.go
+++ b/internal/hold/slot.go
@@ -40,6 +40,8 @@
 	cancel context.CancelFunc
 	// inbox is a state that the previous holder has sent ahead.
 	inbox *HandOver
+	// settling is true while the outcome of a hand-over is being found out.
+	settling bool
 }
 
 func newSlot(id int) *slot {
