--- a/internal/request/home.go
+++ b/internal/request/home.go
@@ -65,7 +65,7 @@
 func (h *Home) Serve(ctx context.Context, msg requestmsg.Serve) (executor.Answer, error) {
 	values, ok := h.cfg.Settings(msg.Service)
 	if !ok {
-		return executor.Answer{}, unknownService(msg)
+		return executor.Answer{}, result.New(result.UnknownService, ranUnchecked(msg.Key), "service %q", msg.Service)
 	}
 	deadline := time.Now().Add(msg.Timeout)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
@@ -82,15 +82,12 @@
 	return h.serveKeyed(ctx, msg, work, values)
 }
 
-// unknownService refuses a service that the settings here do not have. A process
-// that has just started may lack them, and an earlier attempt with the same key
-// may have run.
-func unknownService(msg requestmsg.Serve) *result.Error {
-	ran := result.RanNo
-	if msg.Key != uuid.Nil {
-		ran = result.RanUnknown
+// ranUnchecked is what can be said of a request whose key was not looked for.
+func ranUnchecked(key uuid.UUID) result.Ran {
+	if key == uuid.Nil {
+		return result.RanNo
 	}
-	return result.New(result.UnknownService, ran, "service %q", msg.Service)
+	return result.RanUnknown
 }
 
 // serveKeyed joins or starts the key's flight. A flight that ended because all
