--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -65,6 +65,8 @@
 	mu    sync.Mutex
 	pools map[string]*pool
 	parts map[int]*heldPartition
+	// started is when this process began to learn of executors.
+	started time.Time
 	// remotes are the other holders by name.
 	remotes map[string]*remote
 
@@ -93,6 +95,7 @@
 		metrics: newMetrics(cfg.Metrics),
 		pools:   map[string]*pool{},
 		parts:   map[int]*heldPartition{},
+		started: time.Now(),
 		queued:  make(chan struct{}, 1),
 	}
 }
@@ -154,6 +157,8 @@
 	d.hear(told, now)
 	waiting := false
 	for _, p := range d.pools {
+		slots, _ := d.slotsInUse(p, now)
+		d.noteServed(p, slots, now)
 		if p.queue.Len() > 0 {
 			d.pumpRemote(p, now)
 		}
--- a/internal/entry/moved_test.go
+++ b/internal/entry/moved_test.go
@@ -60,9 +60,9 @@
 	}
 }
 
-// TestNoSettingsSaysNothingOfAKey: an entry without settings can not say
+// TestNoSettingsSayNothingOfAKey: an entry without settings can not say
 // that a key did not run; an earlier attempt may have come by another one.
-func TestNoSettingsSaysNothingOfAKey(t *testing.T) {
+func TestNoSettingsSayNothingOfAKey(t *testing.T) {
 	for _, tc := range []struct {
 		key string
 		ran result.Ran
@@ -73,7 +73,7 @@
 			h.cfg.Settings = func(string) (settings.Values, bool) { return settings.Values{}, false }
 			got := ask(h, "POST", KeyHeader, tc.key)
 			failure := problem.Read(got.Code, got.Body.Bytes())
-			is.Equal(failure.Code, result.NotReady)
+			is.Equal(failure.Code, result.NotReady) // not 404: the settings are missing, not the service
 			is.Equal(failure.Ran, tc.ran)
 		})
 	}
