Metrics of heartbeats carry the product's prefix

Cause: three metrics began with pulley_ where all others begin with pulleyquay_. Change: renamed; a comment says what rapid's Skip does. Measured: the touched packages' tests pass.

--- a/internal/heartbeat/service.go
+++ b/internal/heartbeat/service.go
@@ -67,9 +67,9 @@
 	s := &Service{
 		peers: peers, host: host, interval: interval,
 		provided: map[string]func() any{}, heard: map[string]*Heard{}, pending: map[string]bool{},
-		sent:   prometheus.NewCounter(prometheus.CounterOpts{Name: "pulley_heartbeats_sent_total", Help: "Heartbeats sent to other placers."}),
-		failed: prometheus.NewCounter(prometheus.CounterOpts{Name: "pulley_heartbeats_failed_total", Help: "Heartbeats without an answer."}),
-		bytes:  prometheus.NewCounter(prometheus.CounterOpts{Name: "pulley_heartbeat_extra_bytes_total", Help: "Bytes of extra values in the heartbeats built."}),
+		sent:   prometheus.NewCounter(prometheus.CounterOpts{Name: "pulleyquay_heartbeats_sent_total", Help: "Heartbeats sent to other placers."}),
+		failed: prometheus.NewCounter(prometheus.CounterOpts{Name: "pulleyquay_heartbeats_failed_total", Help: "Heartbeats without an answer."}),
+		bytes:  prometheus.NewCounter(prometheus.CounterOpts{Name: "pulleyquay_heartbeat_extra_bytes_total", Help: "Bytes of extra values in the heartbeats built."}),
 	}
 	reg.MustRegister(s.sent, s.failed, s.bytes)
 	peer.Handle(mux, peer.KindHeartbeat, s.answer)
--- a/internal/scheduler/cell_property_test.go
+++ b/internal/scheduler/cell_property_test.go
@@ -110,7 +110,7 @@
 
 func (m *model) anyRun(t *rapid.T) *modelRun {
 	if len(m.runs) == 0 {
-		t.Skip("no runs")
+		t.Skip("no runs") // rapid draws another action; the test goes on
 	}
 	n := rapid.IntRange(0, m.next).Draw(t, "run")
 	for i := range m.next + 1 {
