Connections to workers outlive the time between renewals

Change: the placer keeps its connections to workers for a lease's term. To executors the short time stays, since 7 processes share 64 connections there. Ruled out: more frequent renewals, which cost more than they save.

--- a/cmd/pulley-placer/placer.go
+++ b/cmd/pulley-placer/placer.go
@@ -142,7 +142,7 @@
 	})
 	p.fleet = fleet.New(fleet.Config{
 		Name: p.conf.Name, Partitions: p.conf.Holding.Partitions, Lease: p.conf.Holding.TaskLease.Std(),
-		Hosts: p.hosts.Hosts, Right: p.keeper, Client: workerhttp.NewClient(httponce.Options{}),
+		Hosts: p.hosts.Hosts, Right: p.keeper, Client: workerhttp.NewClient(httponce.Options{IdleTimeout: p.conf.Holding.TaskLease.Std()}),
 		Peers: p.node, View: source{p}, Covers: p.keeper, StoreUp: p.keeper.StoreUp,
 		Registerer: reg, Log: p.log,
 	})
