make bench measures one package at a time and fails when a benchmark does

Cause: make bench ran twelve packages' benchmarks beside each other, so that none was measured alone; BenchmarkDaemonIdle with 14 placers then failed (one process not ready in time), and the pipe into tee hid the failure. Change: -p 1, a longer limit, and the status of go test. The whole of make bench was not run to its end.

--- a/Makefile
+++ b/Makefile
@@ -14,8 +14,9 @@
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 
+# One package at a time, so that none is measured beside another.
 bench:
-	$(GO) test -run '^$$' -bench . -benchmem ./... | tee bench.txt
+	$(GO) test -p 1 -timeout 60m -run '^$$' -bench . -benchmem ./... > bench.txt; status=$$?; cat bench.txt; exit $$status
 
 demo: build
 	./bin/pulley-demo
