--- /dev/null
+++ b/cmd/pulley-node/main.go
@@ -0,0 +1,28 @@
+// Command pulley-node is the one process on an entry host of the users'
+// platform: it answers callers, and takes its turn in holding partitions.
+package main
+
+import (
+	"context"
+	"os"
+
+	"pulleyquay/internal/daemon"
+	"pulleyquay/platform"
+)
+
+func main() {
+	daemon.MainAt("pulley-node", "Answers callers and holds partitions of the cell.", platform.SettingsPath(), defaults(), run)
+}
+
+func run(s Settings) error {
+	d, err := daemon.New("pulley-node", s.LogLevel)
+	if err != nil {
+		return err
+	}
+	d.Log.Logger.SetOutput(os.Stdout)
+	n := newNode(s, d)
+	if err := n.start(context.Background()); err != nil {
+		return err
+	}
+	return d.Wait(daemon.Stopper{Limit: s.Bounds.StopLimit.Std(), Drain: n.stop})
+}
--- /dev/null
+++ b/cmd/pulley-node/node.go
@@ -0,0 +1,200 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/justinas/alice"
+	"github.com/sirupsen/logrus"
+
+	"pulleyquay/internal/catalog"
+	"pulleyquay/internal/cell"
+	"pulleyquay/internal/daemon"
+	"pulleyquay/internal/engine"
+	"pulleyquay/internal/front"
+	"pulleyquay/internal/holder"
+	"pulleyquay/internal/peer"
+	"pulleyquay/internal/platform/follow"
+	"pulleyquay/internal/result"
+	"pulleyquay/platform"
+)
+
+// partitions is the number of partitions of the cell.
+const partitions = 1
+
+// hostIdle is how long a connection to a host is kept without use.
+const hostIdle = 8 * time.Second
+
+// node is the process: every part, wired.
+type node struct {
+	conf   Settings
+	daemon *daemon.Daemon
+	log    *logrus.Entry
+
+	store   *platform.Store
+	health  *follow.Health
+	mux     *peer.Mux
+	peers   *peer.Node
+	self    cell.Member
+	view    *cell.View
+	entries *cell.Service
+	claimer *cell.Claimer
+	catalog *catalog.Keeper
+	table   *holder.Table
+	front   *front.Front
+	server  *http.Server
+
+	cancel context.CancelFunc
+}
+
+// newNode makes and connects the parts; nothing runs yet.
+func newNode(s Settings, d *daemon.Daemon) *node {
+	n := &node{conf: s, daemon: d, log: d.Log.WithField("name", s.Name), mux: peer.NewMux(), view: cell.NewView()}
+	n.self = cell.Member{
+		Name: s.Name, Incarnation: uuid.NewString(), Addr: s.Listen.Peer, Zone: s.Zone,
+		Cores: s.Processors, StartedUnixMilli: time.Now().UnixMilli(),
+	}
+	n.health = follow.NewHealth(func(up bool, away time.Duration) {
+		if up {
+			n.log.WithField("away_ms", away.Milliseconds()).Info("store regained")
+			return
+		}
+		n.log.Warn("store lost")
+	})
+	n.store = platform.NewStore(s.Store.Address)
+	n.peers = peer.NewNode(peer.Hello{Name: s.Name, Incarnation: n.self.Incarnation, Addr: s.Listen.Peer}, n.mux, n.log)
+	n.entries = &cell.Service{Store: n.store, Health: n.health, Self: n.self, View: n.view, Log: n.log}
+	n.catalog = &catalog.Keeper{
+		Store: n.store, Health: n.health, Peers: n.peers, Log: n.log,
+		Key: platform.CatalogKey, Decode: platform.DecodeCatalog,
+	}
+	n.addHolder()
+	n.addFront()
+	d.AddReadiness(n.catalog.Lacks)
+	d.AddReadiness(n.lacks)
+	return n
+}
+
+func (n *node) addHolder() {
+	n.table = holder.NewTable(holder.Config{
+		Store: n.store, Health: n.health, Hosts: platform.NewOrders(hostIdle), Peers: n.peers, Log: n.log,
+		Bounds: n.conf.Bounds.engine(), Tuning: engine.DefaultTuning(),
+		HostPrefix: platform.HostPrefix, DecodeHost: platform.DecodeHost, HostOf: platform.HostOf,
+		Catalog: n.catalog.Current, Lanes: n.lanes, Metrics: holder.NewMetrics(n.daemon.Reg), Event: n.event,
+	}, n.mux)
+	if n.conf.Policy.Address != "" {
+		holder.ServeAdvice(n.mux, platform.NewPolicy(n.conf.Policy.Address))
+	}
+	n.claimer = &cell.Claimer{
+		Self: n.self, View: n.view, Store: n.store, Health: n.health, Peers: n.peers, Log: n.log,
+		Hold: n.table.Hold, CatalogVersion: n.catalog.Version, Behind: n.catalog.Behind,
+	}
+}
+
+func (n *node) addFront() {
+	n.front = &front.Front{
+		Store: n.store, Get: n.store.Get, Health: n.health, Peers: n.peers, View: n.view,
+		Partitions: partitions, Log: n.log, Metrics: front.NewMetrics(n.daemon.Reg),
+	}
+}
+
+// lanes maps the members that can ask the policy service to their addresses.
+func (n *node) lanes() map[string]string {
+	out := map[string]string{}
+	for _, m := range n.view.Members() {
+		out[m.Name] = m.Addr
+	}
+	return out
+}
+
+// event logs a decision.
+func (n *node) event(e engine.Event) {
+	n.log.WithFields(logrus.Fields{
+		"job": e.Job, "step": e.Step, "host": e.Host, "why": e.Why, "age_ms": e.Age.Milliseconds(), "epoch": e.Version,
+	}).Info(e.What)
+}
+
+// unready is for how long neither store nor holder may have answered before the
+// process tells the balancer that it is not ready.
+const unready = time.Second
+
+// lacks says what keeps callers from being served here.
+func (n *node) lacks() []string {
+	if failing := n.health.Failing(time.Now()); failing > unready {
+		return []string{"store: no answer for " + failing.Round(time.Millisecond).String()}
+	}
+	return nil
+}
+
+// start opens the listeners and runs the parts.
+func (n *node) start(ctx context.Context) error {
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
+	for field, addr := range map[string]string{
+		"listen.callers": n.conf.Listen.Callers, "listen.ready": n.conf.Listen.Ready,
+		"listen.peer": n.conf.Listen.Peer, "listen.admin": n.conf.Listen.Admin,
+	} {
+		l, err := daemon.Listen(addr, field)
+		if err != nil {
+			return err
+		}
+		n.serve(l, field)
+	}
+	ctx, n.cancel = context.WithCancel(ctx)
+	n.front.Start()
+	n.catalog.Start(ctx, n.mux)
+	n.claimer.Start(ctx, n.mux, partitions)
+	go n.entries.Run(ctx)
+	n.log.Info("started")
+	return nil
+}
+
+// serve answers what belongs to a listener.
+func (n *node) serve(l net.Listener, field string) {
+	mux := http.NewServeMux()
+	switch field {
+	case "listen.callers":
+		n.server = n.daemon.Serve(l, alice.New(n.closeWhileStopping).Then(platform.Callers{
+			Catalog: n.catalog.Current, Jobs: n.front, Margin: front.AnswerMargin, Patience: front.DefaultPatience,
+		}))
+		return
+	case "listen.ready":
+		mux.HandleFunc("GET "+platform.ReadyPath, n.daemon.ServeReady)
+	case "listen.peer":
+		mux.Handle(peer.Path, n.peers)
+	case "listen.admin":
+		mux.Handle("/", n.daemon.Admin())
+	}
+	n.daemon.Serve(l, mux)
+}
+
+// closeWhileStopping asks callers for a new connection once a planned stop has
+// begun, so that their next request goes through the balancer again.
+func (n *node) closeWhileStopping(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.daemon.Stopping() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// stop hands the partitions over and lets the requests in flight end.
+func (n *node) stop(ctx context.Context) error {
+	n.claimer.Leave(ctx)
+	err := n.server.Shutdown(ctx)
+	if leaveErr := n.entries.Leave(ctx); leaveErr != nil {
+		n.log.WithError(leaveErr).Warn("left without telling the store")
+	}
+	n.cancel()
+	n.peers.Close()
+	if err != nil {
+		return result.New(result.StopTimeout, result.RanUnknown, "%v", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/advice/lanes.go
@@ -0,0 +1,111 @@
+package advice
+
+import (
+	"sort"
+	"time"
+)
+
+// Lanes spreads questions over the members that can ask. Each member is a lane:
+// its questions are answered one after the other, each in a time that is known
+// beforehand. Long questions keep off some lanes, so that short ones never wait
+// behind them.
+type Lanes struct {
+	lanes []*lane // by name
+}
+
+// lane is one member's queue at the service.
+type lane struct {
+	name string
+	// busyUntil is when the questions asked so far are answered.
+	busyUntil time.Time
+	asked     int
+}
+
+// Limits of what is asked through one lane.
+const (
+	// mostWaiting bounds the questions of one lane that are not answered; the
+	// service itself refuses at 32.
+	mostWaiting = 8
+	// short and long divide questions by the time of their answer.
+	short = 20 * time.Millisecond
+	long  = 200 * time.Millisecond
+	// shortBacklog and longBacklog are how far ahead a lane may be booked.
+	shortBacklog  = 100 * time.Millisecond
+	mediumBacklog = 400 * time.Millisecond
+	longBacklog   = 900 * time.Millisecond
+)
+
+// NewLanes returns no lanes.
+func NewLanes() *Lanes { return &Lanes{} }
+
+// SetMembers names the members; what is known of those that stay is kept.
+func (l *Lanes) SetMembers(names []string) {
+	old := map[string]*lane{}
+	for _, x := range l.lanes {
+		old[x.name] = x
+	}
+	l.lanes = l.lanes[:0]
+	sorted := append([]string(nil), names...)
+	sort.Strings(sorted)
+	for _, name := range sorted {
+		x := old[name]
+		if x == nil {
+			x = &lane{name: name}
+		}
+		l.lanes = append(l.lanes, x)
+	}
+}
+
+// Book takes the lane that will answer a question of that length first. It
+// reports false when all lanes it may use are booked too far ahead.
+func (l *Lanes) Book(took time.Duration, now time.Time) (name string, answered time.Time, ok bool) {
+	lanes, backlog := l.open(took)
+	var best *lane
+	for _, x := range lanes {
+		if x.asked >= mostWaiting {
+			continue
+		}
+		if best == nil || x.busyUntil.Before(best.busyUntil) {
+			best = x
+		}
+	}
+	if best == nil || best.busyUntil.Sub(now) > backlog {
+		return "", time.Time{}, false
+	}
+	start := best.busyUntil
+	if start.Before(now) {
+		start = now
+	}
+	best.busyUntil = start.Add(took)
+	best.asked++
+	return best.name, best.busyUntil, true
+}
+
+// open returns the lanes for questions of a length and how far ahead they may be
+// booked. Short questions may use every lane, but those first that long ones
+// never use; with few lanes all are shared.
+func (l *Lanes) open(took time.Duration) ([]*lane, time.Duration) {
+	n := len(l.lanes)
+	forShort := n / 4
+	forMedium := n / 2
+	switch {
+	case took <= short:
+		return l.lanes[:max(forMedium, min(n, 1))], shortBacklog
+	case took < long:
+		return l.lanes[forShort:max(forMedium+1, min(n, 1))], mediumBacklog
+	}
+	return l.lanes[min(forMedium, max(n-1, 0)):], longBacklog
+}
+
+// Answered frees a lane's place after an answer or a failure at now.
+func (l *Lanes) Answered(name string, now time.Time) {
+	for _, x := range l.lanes {
+		if x.name != name {
+			continue
+		}
+		x.asked = max(x.asked-1, 0)
+		if x.asked == 0 && x.busyUntil.After(now) {
+			x.busyUntil = now
+		}
+	}
+}
--- /dev/null
+++ b/internal/cell/succession.go
@@ -0,0 +1,94 @@
+package cell
+
+import (
+	"sort"
+	"time"
+
+	"pulleyquay/internal/ledger"
+)
+
+// Times of the succession.
+const (
+	// silentAfter is how long a holder may be silent before others doubt it; it is
+	// several heartbeats, and more than a process is held up for want of processor
+	// time.
+	silentAfter = 700 * time.Millisecond
+	// rankPause is how long each candidate waits for the one before it.
+	rankPause = 150 * time.Millisecond
+	// aloneAfter is how long the holder's writes have to stand still before a
+	// member claims that can ask nobody.
+	aloneAfter = 2 * time.Second
+	// cutAfter is how long a holder may have been without the store before one
+	// that reaches it takes over.
+	cutAfter = 900 * time.Millisecond
+)
+
+// Evidence is what a member knows of a partition's holder.
+type Evidence struct {
+	Holder ledger.Holder
+	// Silence is how long ago the holder was last heard.
+	Silence time.Duration
+	// Replaced is true when another incarnation answers at the holder's address.
+	Replaced bool
+	// Refused is true when nothing listens at the holder's address, as it seems
+	// from here.
+	Refused bool
+	// HolderCut is for how long the holder has been without the store, as it says.
+	HolderCut time.Duration
+	// Others is how many other members there are, the holder left out; Agreeing
+	// how many of them do not hear the holder either; Hearing how many do.
+	Others, Agreeing, Hearing int
+	// StoodStill is how long the holder's writes in the store have stood still;
+	// zero when it is not known.
+	StoodStill time.Duration
+}
+
+// Dead reports whether the evidence is enough to take the partition over. A wrong
+// yes moves the partition needlessly; it makes nothing unsafe.
+func (v Evidence) Dead() bool {
+	switch {
+	case v.Holder.Epoch == 0, v.Replaced, v.HolderCut >= cutAfter:
+		return true
+	case v.Hearing > 0:
+		return false
+	case v.Refused && (v.Agreeing > 0 || v.Others == 0):
+		return true
+	case v.Silence >= silentAfter && v.Agreeing > 0 && 2*v.Agreeing >= v.Others:
+		return true
+	}
+	return v.Silence >= silentAfter && v.StoodStill >= aloneAfter
+}
+
+// Candidates orders the members that may succeed the holder: those with the most
+// processor time first, then those that started last, as they are the least
+// likely to be restarted next.
+func Candidates(members []Member, holder string) []Member {
+	var out []Member
+	for _, m := range members {
+		if m.Name != holder && !m.Leaving {
+			out = append(out, m)
+		}
+	}
+	sort.SliceStable(out, func(a, b int) bool {
+		x, y := out[a], out[b]
+		if x.Cores != y.Cores {
+			return x.Cores > y.Cores
+		}
+		if x.StartedUnixMilli != y.StartedUnixMilli {
+			return x.StartedUnixMilli > y.StartedUnixMilli
+		}
+		return x.Name < y.Name
+	})
+	return out
+}
+
+// Patience is how long a member waits before it claims, so that the candidates
+// do not race.
+func Patience(members []Member, holder, self string) time.Duration {
+	for i, m := range Candidates(members, holder) {
+		if m.Name == self {
+			return time.Duration(i) * rankPause
+		}
+	}
+	return time.Duration(len(members)) * rankPause
+}
--- /dev/null
+++ b/internal/cell/view.go
@@ -0,0 +1,205 @@
+// Package cell knows the members of the cell and who holds which partition, and
+// decides who succeeds a holder that is silent.
+//
+// What it knows comes from the store, which every member watches, and from
+// heartbeats, which carry it to members that the store does not answer. Nothing
+// rests on it: a claim is a compare-and-swap in the store, a holder's writes are
+// conditional on its claim, and hosts refuse the orders of earlier epochs.
+package cell
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"pulleyquay/internal/ledger"
+	"pulleyquay/internal/platform"
+)
+
+// Prefix is what every member watches: the members and the holders.
+const Prefix = "cell/"
+
+const memberPrefix = Prefix + "members/"
+
+// Member is one process of the cell.
+type Member struct {
+	Name        string `cbor:"1,keyasint"`
+	Incarnation string `cbor:"2,keyasint"`
+	// Addr is where peers reach it.
+	Addr string `cbor:"3,keyasint"`
+	Zone string `cbor:"4,keyasint"` // availability zone
+	// Cores is the processor time that it has, in cores.
+	Cores float64 `cbor:"5,keyasint"`
+	// StartedUnixMilli is when it started, by its own clock.
+	StartedUnixMilli int64 `cbor:"6,keyasint"`
+	// Leaving members take up nothing new.
+	Leaving bool `cbor:"7,keyasint,omitempty"`
+}
+
+func memberKey(name string) string { return memberPrefix + name }
+
+// View is what is known of the cell. It is safe for concurrent use.
+type View struct {
+	mu      sync.Mutex
+	members map[string]Member
+	holders map[int]ledger.Holder
+	// storeAt is when the store last answered this process.
+	storeAt time.Time
+	changed chan struct{}
+}
+
+// NewView returns a view of nothing.
+func NewView() *View {
+	return &View{members: map[string]Member{}, holders: map[int]ledger.Holder{}, changed: make(chan struct{})}
+}
+
+// Changed returns a channel that is closed at the next change.
+func (v *View) Changed() <-chan struct{} {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.changed
+}
+
+// tell wakes those who wait for a change. The lock is held.
+func (v *View) tell() {
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
+
+// Members returns the members by name.
+func (v *View) Members() []Member {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	out := make([]Member, 0, len(v.members))
+	for _, m := range v.members {
+		out = append(out, m)
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].Name < out[b].Name })
+	return out
+}
+
+// Holder returns the holder of a partition with the highest epoch known; ok is
+// false when none is.
+func (v *View) Holder(partition int) (h ledger.Holder, ok bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	h, ok = v.holders[partition]
+	return h, ok
+}
+
+// Learn takes in a holder that somebody has told of, if it is later than the one
+// known.
+func (v *View) Learn(h ledger.Holder) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	known := v.holders[h.Partition]
+	if h.Epoch < known.Epoch || h.Epoch == known.Epoch && known.Revision != 0 {
+		return
+	}
+	v.holders[h.Partition] = h
+	if h.Epoch > known.Epoch {
+		v.tell()
+	}
+}
+
+// Reached notes that the store has answered at now.
+func (v *View) Reached(now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if now.After(v.storeAt) {
+		v.storeAt = now
+	}
+}
+
+// StoreAge is how long ago the store last answered this process.
+func (v *View) StoreAge(now time.Time) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return now.Sub(v.storeAt)
+}
+
+// list takes in everything under Prefix.
+func (v *View) list(records []platform.Record) error {
+	members := map[string]Member{}
+	var failed error
+	v.mu.Lock()
+	for _, rec := range records {
+		if name, ok := strings.CutPrefix(rec.Key, memberPrefix); ok {
+			var m Member
+			if err := cbor.Unmarshal(rec.Value, &m); err != nil {
+				failed = fmt.Errorf("record %s: %w", rec.Key, err)
+				continue
+			}
+			members[name] = m
+		}
+	}
+	v.members = members
+	v.tell()
+	v.mu.Unlock()
+	for _, rec := range records {
+		if strings.HasPrefix(rec.Key, ledger.HolderPrefix) {
+			if err := v.learnRecord(rec); err != nil {
+				failed = err
+			}
+		}
+	}
+	return failed
+}
+
+// apply takes in one change under Prefix. A holder's record is never deleted.
+func (v *View) apply(c platform.Change) error {
+	if strings.HasPrefix(c.Key, ledger.HolderPrefix) {
+		if c.Deleted {
+			return nil
+		}
+		return v.learnRecord(c.Record)
+	}
+	name, ok := strings.CutPrefix(c.Key, memberPrefix)
+	if !ok {
+		return nil
+	}
+	var m Member
+	if !c.Deleted {
+		if err := cbor.Unmarshal(c.Value, &m); err != nil {
+			return fmt.Errorf("record %s: %w", c.Key, err)
+		}
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if c.Deleted {
+		delete(v.members, name)
+	} else {
+		v.members[name] = m
+	}
+	v.tell()
+	return nil
+}
+
+func (v *View) learnRecord(rec platform.Record) error {
+	h, err := ledger.DecodeHolder(rec)
+	if err != nil {
+		return err
+	}
+	v.Learn(h)
+	return nil
+}
+
+// learnMembers adds members that a peer knows and this process does not.
+func (v *View) learnMembers(members []Member) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	added := false
+	for _, m := range members {
+		if _, known := v.members[m.Name]; !known {
+			v.members[m.Name] = m
+			added = true
+		}
+	}
+	if added {
+		v.tell()
+	}
+}
--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -11,7 +11,12 @@
 // Main runs a daemon's command line: one flag, --config, whose file is read
 // into a settings value that starts as defaults. It does not return.
 func Main[C any](name, short string, defaults C, run func(C) error) {
-	var path string
+	MainAt(name, short, "", defaults, run)
+}
+
+// MainAt is Main with a path that is used when the flag is not given; when it is
+// empty the flag must be.
+func MainAt[C any](name, short, path string, defaults C, run func(C) error) {
 	cmd := &cobra.Command{
 		Use: name + " --config FILE", Short: short, Args: cobra.NoArgs,
 		SilenceErrors: true, SilenceUsage: true,
@@ -23,9 +28,11 @@
 			return run(settings)
 		},
 	}
-	cmd.Flags().StringVar(&path, "config", "", "settings file (JSON)")
-	if err := cmd.MarkFlagRequired("config"); err != nil {
-		os.Exit(Fail(name, err))
+	cmd.Flags().StringVar(&path, "config", path, "settings file (JSON)")
+	if path == "" {
+		if err := cmd.MarkFlagRequired("config"); err != nil {
+			os.Exit(Fail(name, err))
+		}
 	}
 	if err := cmd.Execute(); err != nil {
 		os.Exit(Fail(name, err))
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -121,7 +121,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(d.Reg, promhttp.HandlerOpts{}))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, "ok") })
-	mux.HandleFunc("GET /readyz", d.serveReady)
+	mux.HandleFunc("GET /readyz", d.ServeReady)
 	mux.HandleFunc("GET /debug/state", d.serveDump)
 	return alice.New(noStore).Then(mux)
 }
@@ -133,7 +133,8 @@
 	})
 }
 
-func (d *Daemon) serveReady(w http.ResponseWriter, _ *http.Request) {
+// ServeReady answers 200 while the process is ready and 503 while it is not.
+func (d *Daemon) ServeReady(w http.ResponseWriter, _ *http.Request) {
 	lacks := d.Lacks()
 	status := http.StatusOK
 	if len(lacks) > 0 {
--- /dev/null
+++ b/internal/engine/commit.go
@@ -0,0 +1,146 @@
+package engine
+
+import (
+	"time"
+
+	"pulleyquay/internal/host"
+	"pulleyquay/internal/platform"
+	"pulleyquay/internal/record"
+)
+
+// Batch is what has to be written to the store next.
+type Batch struct {
+	Seq    uint64
+	Writes []platform.Write
+	// marks are the ends, by host, that may be forgotten once it is stored.
+	marks map[host.ID]int64
+	// rostered are the hosts that the batch enters in the roster.
+	rostered []*hostState
+}
+
+// forgetMost bounds the records deleted with one batch.
+const forgetMost = 16
+
+// planCommit asks for a batch when there is something to store. Ends that need
+// no record may be forgotten at once.
+func (e *Engine) planCommit() {
+	for _, j := range e.dirty {
+		e.out.Commit = true
+		if j.state.Final() {
+			e.out.CommitNow = true
+		}
+	}
+	if len(e.forget) >= forgetMost {
+		e.out.Commit = true
+	}
+	if e.rosterBehind {
+		e.out.CommitNow = true
+	}
+	if len(e.dirty) == 0 && e.commits == e.durable && e.marks > 0 {
+		for _, h := range e.hosts {
+			h.seen = h.handled
+		}
+		e.marks = 0
+	}
+}
+
+// TakeBatch returns what has changed since the last batch, or nil. The batches
+// have to be stored in their order, and Stored called after each.
+func (e *Engine) TakeBatch(now time.Time) *Batch {
+	if len(e.dirty) == 0 && len(e.forget) < forgetMost && !e.rosterBehind {
+		return nil
+	}
+	e.commits++
+	b := &Batch{Seq: e.commits, marks: map[host.ID]int64{}}
+	if e.rosterBehind {
+		e.rosterBehind = false
+		b.Writes = append(b.Writes, encoded(record.RosterKey(e.cfg.Partition), e.roster()))
+		for _, h := range e.hosts {
+			b.rostered = append(b.rostered, h)
+		}
+	}
+	for id, j := range e.dirty {
+		b.Writes = append(b.Writes, e.writesOf(j, now)...)
+		j.told = b.Seq
+		delete(e.dirty, id)
+	}
+	n := min(len(e.forget), forgetMost)
+	for _, id := range e.forget[:n] {
+		b.Writes = append(b.Writes, platform.Write{Key: record.JobKey(e.cfg.Partition, id), Delete: true})
+	}
+	e.forget = e.forget[n:]
+	for id, h := range e.hosts {
+		if h.handled > h.seen {
+			b.marks[id] = h.handled
+		}
+	}
+	e.marks = 0
+	return b
+}
+
+// writesOf gives the writes that bring a job's stored record up to date.
+func (e *Engine) writesOf(j *job, now time.Time) []platform.Write {
+	if !j.state.Final() {
+		j.storedProgress = true
+		return []platform.Write{encoded(record.ProgressKey(e.cfg.Partition, j.id()), progressOf(j))}
+	}
+	short := record.Job{ID: j.id(), Ended: j.state, EndedUnixMilli: now.UnixMilli()}
+	writes := []platform.Write{encoded(record.JobKey(e.cfg.Partition, j.id()), short)}
+	if j.storedProgress {
+		writes = append(writes, platform.Write{Key: record.ProgressKey(e.cfg.Partition, j.id()), Delete: true})
+	}
+	j.rec = &short
+	return writes
+}
+
+func encoded(key string, v any) platform.Write {
+	value, err := record.Encode(v)
+	if err != nil {
+		panic("engine: plain data that does not encode: " + err.Error())
+	}
+	return platform.Write{Key: key, Value: value}
+}
+
+func progressOf(j *job) record.Progress {
+	var p record.Progress
+	for _, g := range j.groups {
+		s := record.StepProgress{Occurrence: g.id.Occurrence, Step: g.id.Step}
+		for i := range g.tasks {
+			t := &g.tasks[i]
+			if t.state == taskDone {
+				if s.Done == nil {
+					s.Done = record.NewBitmap(len(g.tasks))
+				}
+				s.Done.Set(i)
+			}
+			if t.failures > 0 {
+				s.Fail(i, t.failures)
+			}
+		}
+		if g.gangFails > 0 {
+			s.Fail(0, g.gangFails)
+		}
+		if s.Done != nil || s.Failures != nil {
+			p.Steps = append(p.Steps, s)
+		}
+	}
+	return p
+}
+
+// Stored notes that a batch, and all before it, are in the store.
+func (e *Engine) Stored(b *Batch, now time.Time) {
+	e.durable = b.Seq
+	for _, h := range b.rostered {
+		h.rostered = true
+	}
+	for id, n := range b.marks {
+		h := e.hosts[id]
+		if h == nil {
+			continue
+		}
+		h.seen = max(h.seen, n)
+		if !h.looking && h.seen == h.handled && len(h.runs) > 0 {
+			h.lookAt = now
+		}
+	}
+}
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,203 @@
+// Package engine decides for one partition: which task starts on which host and
+// when, what is stopped, whom the policy service is asked about, and what has to
+// be written to the store before anybody may be told.
+//
+// An Engine is pure: it does no I/O, starts no goroutines and reads no clock.
+// Whoever drives it tells it what happened, at what time, and carries out the
+// Orders that it then asks for. Calls must not overlap.
+package engine
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"pulleyquay/internal/advice"
+	"pulleyquay/internal/catalog"
+	"pulleyquay/internal/host"
+	"pulleyquay/internal/spec"
+)
+
+// Config is what an Engine works with.
+type Config struct {
+	Partition int
+	// Epoch is that of the claim under which all orders are given.
+	Epoch  uint64
+	Bounds Bounds
+	Tuning Tuning
+	// Seed decides between equal choices.
+	Seed uint64
+	// Log is told of decisions; nil tells nobody.
+	Log func(Event)
+}
+
+// Bounds are the platform's own times; they come with the process's settings.
+type Bounds struct {
+	// LeaseLimit is the longest lease that a host grants.
+	LeaseLimit time.Duration
+	// StopTakes is how long a stop takes at most.
+	StopTakes time.Duration
+	// GangWait is how long a member of a gang waits for the others.
+	GangWait time.Duration
+	// RememberEnded is how long the end of a job can be asked for.
+	RememberEnded time.Duration
+	// FarFactor is how many times as long a task takes away from its data's rack.
+	FarFactor float64
+	// RestoreTakes is how long a task needs to go on from a checkpoint.
+	RestoreTakes time.Duration
+	// CheckpointEvery is how much work lies between two checkpoints.
+	CheckpointEvery time.Duration
+}
+
+// Engine is the state of one partition's holder.
+type Engine struct {
+	cfg Config
+	rnd *rand.Rand
+
+	catalog *catalog.Catalog
+	jobs    map[string]*job
+	live    map[string]*job
+	// ready holds the steps with tasks to start, in no order.
+	ready map[spec.StepID]*group
+	hosts map[host.ID]*hostState
+	// unsettled is true after a takeover until it is known what every host runs.
+	unsettled bool
+	// settleBy is when hosts that were not heard of can run nothing any more.
+	settleBy time.Time
+	// proved is until when this process may give orders.
+	proved time.Time
+
+	lanes *advice.Lanes
+	asks  map[uint64]*question
+	askID uint64
+
+	dirty   map[string]*job // jobs whose stored record is behind
+	ended   []endedJob      // in the order of ending, to be forgotten
+	forget  []string        // jobs whose records are to be deleted
+	commits uint64          // batches taken
+	durable uint64          // batches known to be stored
+	marks   int             // ends not yet covered by a batch
+	// rosterBehind is true when the stored roster lacks a host.
+	rosterBehind bool
+
+	slot spec.Resources // learned size of a gang's task, to keep such room whole
+	out  Orders
+}
+
+// endedJob is a job that is final, until it is forgotten.
+type endedJob struct {
+	id string
+	at time.Time
+}
+
+// New returns an engine that knows nothing yet. Unless it is the first holder
+// ever, it starts nothing of older jobs before Settle or until settleBy.
+func New(cfg Config) *Engine {
+	return &Engine{
+		cfg:   cfg,
+		rnd:   rand.New(rand.NewPCG(cfg.Seed, cfg.Epoch)),
+		jobs:  map[string]*job{},
+		live:  map[string]*job{},
+		ready: map[spec.StepID]*group{},
+		hosts: map[host.ID]*hostState{},
+		asks:  map[uint64]*question{},
+		dirty: map[string]*job{},
+		lanes: advice.NewLanes(),
+	}
+}
+
+// Orders is what is to be done next. Every order is carried out once; its
+// outcome is reported with the method named beside it.
+type Orders struct {
+	Starts []StartOrder // Started
+	Stops  []StopOrder  // Stopped
+	Looks  []LookOrder  // Viewed
+	Asks   []AskOrder   // Advised
+	Paces  []PaceOrder  // Paced
+	// Commit asks for TakeBatch soon; CommitNow for TakeBatch at once.
+	Commit, CommitNow bool
+}
+
+// StartOrder starts a run on a host.
+type StartOrder struct {
+	To    host.Info
+	Start host.Start
+}
+
+// StopOrder stops a run on a host.
+type StopOrder struct {
+	To  host.Info
+	Run host.Run
+}
+
+// PaceOrder lets a run work at a share of its speed.
+type PaceOrder struct {
+	To      host.Info
+	Run     host.Run
+	Percent int
+}
+
+// LookOrder asks a host what it runs.
+type LookOrder struct {
+	To   host.Info
+	Look host.Look
+	// Probe looks are made beside the one that waits.
+	Probe bool
+}
+
+// AskOrder asks the policy service through a member.
+type AskOrder struct {
+	ID    uint64
+	Lane  string // the member that asks
+	Step  spec.StepID
+	Hosts []host.ID
+	// Patience is when an answer is not to be expected any more.
+	Patience time.Duration
+}
+
+// SetCatalog takes in the configuration in force.
+func (e *Engine) SetCatalog(c *catalog.Catalog) { e.catalog = c }
+
+// SetProved says until when this process may give orders.
+func (e *Engine) SetProved(until time.Time) { e.proved = until }
+
+// SetMembers names the members through which the policy service can be asked.
+func (e *Engine) SetMembers(names []string) { e.lanes.SetMembers(names) }
+
+// Next decides what is due at now. The second value is when to call again if
+// nothing happens before.
+func (e *Engine) Next(now time.Time) (Orders, time.Time) {
+	e.out = Orders{}
+	e.settle(now)
+	e.begin(now)
+	e.expireHosts(now)
+	e.watchRuns(now)
+	if now.Before(e.proved) {
+		e.plan(now)
+	}
+	e.planStops(now)
+	e.planLooks(now)
+	e.forgetEnded(now)
+	e.planCommit()
+	return e.out, e.nextDue(now)
+}
+
+// restInterval is the longest time between two calls of Next.
+const restInterval = 100 * time.Millisecond
+
+// nextDue returns when something becomes due by the passing of time alone.
+func (e *Engine) nextDue(now time.Time) time.Time {
+	next := now.Add(restInterval)
+	for _, h := range e.hosts {
+		if !h.looking && !h.lookAt.IsZero() && h.lookAt.Before(next) {
+			next = h.lookAt
+		}
+	}
+	return later(next, now.Add(time.Millisecond))
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/engine/filters.go
@@ -0,0 +1,29 @@
+package engine
+
+// filter is one rule that says whether a step may run on a host at all, however
+// much room there is.
+type filter struct {
+	name   string
+	admits func(*group, *hostState) bool
+}
+
+// filters in the order of asking; a host counts for the first that refuses it.
+var filters = []filter{
+	{"service", func(g *group, h *hostState) bool { return h.info.Service == g.job.rec.Service }},
+	{"label", func(g *group, h *hostState) bool { return g.step.Label == "" || h.info.HasLabel(g.step.Label) }},
+	{"size", func(g *group, h *hostState) bool { return g.step.Booked().Fits(h.info.Size) }},
+	{"policy", func(g *group, h *hostState) bool {
+		good, known := g.advice.known[h.info.ID]
+		return good || !known
+	}},
+}
+
+// refusedBy returns the first rule that refuses a host, or "".
+func refusedBy(g *group, h *hostState) string {
+	for _, f := range filters {
+		if !f.admits(g, h) {
+			return f.name
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/engine/gang.go
@@ -0,0 +1,60 @@
+package engine
+
+import "time"
+
+// A gang is started whole: all members of one run are ordered in one round. If
+// any of them does not run, or ends before its work is done, the others are
+// stopped, and the gang waits for its next run until nothing is left of this one.
+
+// gangIdle reports whether nothing of the gang runs.
+func (g *group) gangIdle() bool { return g.waiting == g.left && g.left > 0 }
+
+// gangReleased notes that a member's run is over before the gang was done.
+func (e *Engine) gangReleased(g *group, r *run, now time.Time) {
+	g.run = max(g.run, r.No)
+	if r.checkpoint != "" && r.percent >= g.checked {
+		g.checkpoint, g.checked = r.checkpoint, r.percent
+	}
+	g.setState(r.Task.Index, taskWaiting)
+	for i := range g.tasks {
+		if cur := g.tasks[i].cur; cur != nil {
+			cur.unwanted = true
+		}
+	}
+	if g.gangIdle() {
+		if g.readySince.IsZero() {
+			g.readySince = now
+		}
+		e.refresh(g)
+	}
+}
+
+// startGang starts every member on the hosts chosen for them.
+func (e *Engine) startGang(g *group, seats []seat, now time.Time) {
+	g.run = e.nextRun(g.run)
+	i := 0
+	for _, s := range seats {
+		for range s.n {
+			e.start(g, i, g.run, s.host, g.checkpoint, now)
+			i++
+		}
+	}
+	g.unreserve()
+	e.refresh(g)
+}
+
+// seat is a number of places for tasks on one host.
+type seat struct {
+	host *hostState
+	n    int
+}
+
+// unreserve gives the hosts back that room was kept on.
+func (g *group) unreserve() {
+	for _, h := range g.reserved {
+		if h.reserved == g {
+			h.reserved = nil
+		}
+	}
+	g.reserved = nil
+}
--- /dev/null
+++ b/internal/engine/host.go
@@ -0,0 +1,251 @@
+package engine
+
+import (
+	"sort"
+	"time"
+
+	"pulleyquay/internal/host"
+	"pulleyquay/internal/record"
+	"pulleyquay/internal/spec"
+)
+
+// runState is what is known of a run on a host.
+type runState uint8
+
+const (
+	runOrdered runState = iota // the start was sent, no answer yet
+	runDoubt                   // the start was sent and not answered
+	runRunning
+	runStopping // a stop was answered
+)
+
+// run is one entry in a host's books. It counts against the host's size until
+// the host has listed its end or can not run it any more.
+type run struct {
+	host.Run
+	group *group // nil for a run that belongs to no live job
+	on    *hostState
+	size  spec.Resources
+	state runState
+	// unwanted runs are to be stopped; stopSent is when that was last ordered.
+	unwanted bool
+	stopSent time.Time
+	stopping bool // a stop is under way
+	// deadline is the start's deadline by the host's clock.
+	deadline host.Millis
+	// sent is when the start was ordered, known since when the host answered it.
+	sent, known time.Time
+
+	percent    float64
+	progressAt time.Time // when percent last moved
+	gauge      float64
+	checkpoint string
+	pace       int // percent of its speed that it was given
+}
+
+// hostState is one host with its books.
+type hostState struct {
+	info host.Info
+	// listed is true while the host stands in the platform's list.
+	listed bool
+	// claimed is true once the host has shown what it runs under our epoch.
+	claimed bool
+	// gone hosts have ended for certain.
+	gone bool
+
+	// clock is the host's clock at its last answer, which came in at clockAt.
+	clock   host.Millis
+	clockAt time.Time
+	// leased is the latest deadline that this process has sent to the host.
+	leased host.Millis
+
+	handled int64 // highest end that was handled
+	seen    int64 // highest end that is stored, to be forgotten by the host
+
+	looking bool // a look is under way
+	probe   bool // another look is wanted beside it
+	lookAt  time.Time
+	heard   time.Time // last answer of any kind
+	viewed  time.Time // when the last look that was answered was sent
+	// rostered hosts stand in the stored roster, so that a next holder knows of
+	// them; nothing is started elsewhere.
+	rostered bool
+	silent   time.Time // since when calls have gone unanswered; zero while they are
+
+	runs map[host.Run]*run
+	used spec.Resources
+
+	fails    int // failures in a row
+	failJob  string
+	setAside time.Time // not chosen before
+	asides   int
+
+	reserved *group // a gang that room is kept for
+}
+
+func (e *Engine) newHost(info host.Info) *hostState {
+	h := &hostState{info: info, runs: map[host.Run]*run{}}
+	e.hosts[info.ID] = h
+	e.rosterBehind = true
+	return h
+}
+
+// free is what is left of the host's size.
+func (h *hostState) free() spec.Resources { return h.info.Size.Sub(h.used) }
+
+// now estimates the host's clock.
+func (h *hostState) now(now time.Time) host.Millis {
+	return h.clock + host.Millis(now.Sub(h.clockAt).Milliseconds())
+}
+
+// heardClock takes in a reading of the host's clock.
+func (h *hostState) heardClock(c host.Millis, now time.Time) {
+	h.heard, h.silent = now, time.Time{}
+	if c > 0 {
+		h.clock, h.clockAt = c, now
+	}
+}
+
+// unanswered notes a call that got no answer.
+func (h *hostState) unanswered(now time.Time) {
+	if h.silent.IsZero() {
+		h.silent = now
+	}
+}
+
+// add books a run.
+func (h *hostState) add(r *run) {
+	r.on = h
+	h.runs[r.Run] = r
+	h.used = h.used.Add(r.size)
+	if r.group != nil {
+		r.group.perHost[h.info.ID]++
+	}
+}
+
+// remove takes a run out of the books.
+func (h *hostState) remove(r *run) {
+	if h.runs[r.Run] != r {
+		return
+	}
+	delete(h.runs, r.Run)
+	h.used = h.used.Sub(r.size)
+	if g := r.group; g != nil {
+		if g.perHost[h.info.ID]--; g.perHost[h.info.ID] <= 0 {
+			delete(g.perHost, h.info.ID)
+		}
+	}
+}
+
+// SetHosts takes in the platform's list of hosts, whole.
+func (e *Engine) SetHosts(list []host.Info, now time.Time) {
+	listed := make(map[host.ID]bool, len(list))
+	for _, info := range list {
+		listed[info.ID] = true
+		e.setHost(info, now)
+	}
+	for id, h := range e.hosts {
+		if h.listed && !listed[id] {
+			e.unlist(h, now)
+		}
+	}
+}
+
+// SetHost takes in one host's entry.
+func (e *Engine) SetHost(info host.Info, now time.Time) { e.setHost(info, now) }
+
+// DropHost notes that a host's entry has gone from the list.
+func (e *Engine) DropHost(id host.ID, now time.Time) {
+	if h := e.hosts[id]; h != nil && h.listed {
+		e.unlist(h, now)
+	}
+}
+
+func (e *Engine) setHost(info host.Info, now time.Time) {
+	h := e.hosts[info.ID]
+	if h == nil {
+		h = e.newHost(info)
+		h.lookAt = now
+		e.log(Event{What: "host listed", Host: string(info.ID), Why: info.Zone + " " + info.Rack})
+	}
+	if info.Draining && !h.info.Draining {
+		e.log(Event{What: "host draining", Host: string(info.ID)})
+		e.drain(h, now)
+	}
+	if !h.listed && h.claimed {
+		h.lookAt = now
+	}
+	h.listed = true
+	h.info = info
+}
+
+// unlist keeps a host that has gone from the list for as long as anything may
+// run on it; nothing new goes there.
+func (e *Engine) unlist(h *hostState, now time.Time) {
+	h.listed = false
+	e.log(Event{What: "host not listed", Host: string(h.info.ID)})
+	if len(h.runs) == 0 && h.claimed {
+		delete(e.hosts, h.info.ID)
+		return
+	}
+	if !h.looking {
+		h.lookAt = now
+	}
+}
+
+// roster names all hosts that this process may have given orders to, in order.
+func (e *Engine) roster() record.Roster {
+	var out record.Roster
+	for id, h := range e.hosts {
+		out.Hosts = append(out.Hosts, record.RosterHost{ID: string(id), Addr: h.info.Addr})
+	}
+	sort.Slice(out.Hosts, func(a, b int) bool { return out.Hosts[a].ID < out.Hosts[b].ID })
+	return out
+}
+
+// placeable reports whether new work may go to the host.
+func (e *Engine) placeable(h *hostState, now time.Time) bool {
+	return h.listed && h.claimed && h.rostered && !h.gone && !h.info.Draining && !now.Before(h.setAside) &&
+		(h.silent.IsZero() || now.Sub(h.silent) < e.cfg.Tuning.SilentAfter)
+}
+
+// deadline is the host's clock in d.
+func (h *hostState) deadline(now time.Time, d time.Duration) host.Millis {
+	return h.now(now) + host.Millis(d.Milliseconds())
+}
+
+// leaseOver is when everything that this process has ever leased on the host is
+// over, by the slowest clock that the host may have.
+func (e *Engine) leaseOver(h *hostState) time.Time {
+	if h.leased <= h.clock {
+		return h.clockAt
+	}
+	left := time.Duration(h.leased-h.clock) * time.Millisecond
+	return h.clockAt.Add(time.Duration(float64(left) / (1 - e.cfg.Tuning.ClockDrift)))
+}
+
+// blame counts a failure against a host. Failures of one job alone may be the
+// job's own fault.
+func (e *Engine) blame(h *hostState, job string, now time.Time) {
+	if h.fails == 0 || h.failJob != job {
+		h.fails++
+		h.failJob = job
+	}
+	if h.fails < e.cfg.Tuning.SetAsideAfter {
+		return
+	}
+	e.setAside(h, now, "failures in a row")
+}
+
+// maxAsides bounds the doubling of the time for which a host is set aside.
+const maxAsides = 3
+
+func (e *Engine) setAside(h *hostState, now time.Time, why string) {
+	h.setAside = now.Add(e.cfg.Tuning.SetAsideFor << min(h.asides, maxAsides))
+	h.asides++
+	h.fails = 0
+	e.log(Event{What: "host set aside", Host: string(h.info.ID), Why: why})
+}
+
+// praise notes that a host has done a task.
+func (h *hostState) praise() { h.fails, h.asides, h.failJob = 0, 0, "" }
--- /dev/null
+++ b/internal/engine/job.go
@@ -0,0 +1,241 @@
+package engine
+
+import (
+	"time"
+
+	"pulleyquay/internal/host"
+	"pulleyquay/internal/record"
+	"pulleyquay/internal/spec"
+)
+
+// job is one accepted job.
+type job struct {
+	rec    *record.Job
+	state  record.State
+	groups []*group // by occurrence, then step
+	steps  int      // steps of one occurrence
+	open   int      // groups that are not done
+	// started is true once any task of it has run.
+	started bool
+	// told is until which batch the state was not yet stored: callers are told of
+	// a final state only once that batch is durable.
+	told uint64
+	// storedProgress is true while the store holds a progress record.
+	storedProgress bool
+	// progressed is true when there is progress to store.
+	progressed bool
+	accepted   time.Time
+}
+
+func (j *job) id() string { return j.rec.ID }
+
+// taskState is the state of one task.
+type taskState uint8
+
+const (
+	taskWaiting taskState = iota // nothing of it runs
+	taskUnsure                   // it may run on a host not heard of since the takeover
+	taskActive                   // it is ordered, runs, or is being stopped
+	taskDone
+)
+
+// task is one task of a step.
+type task struct {
+	state    taskState
+	run      int // number of the present or last run
+	cur      *run
+	failures int
+	// checkpoint is where the next run goes on; empty begins anew.
+	checkpoint string
+	// avoid is the host where it failed last.
+	avoid host.ID
+	// notBefore delays the next start.
+	notBefore time.Time
+}
+
+// group is one step of one occurrence of a job.
+type group struct {
+	job   *job
+	id    spec.StepID
+	step  *spec.Step
+	due   time.Time // not before; zero for no such time
+	needs int       // steps before this one that are not done
+	tasks []task
+	left  int // tasks that are not done
+	// waiting counts tasks in taskWaiting.
+	waiting int
+	// readySince is when the step's turn came.
+	readySince time.Time
+
+	// perHost counts active tasks by host.
+	perHost map[host.ID]int
+	advice  opinion
+
+	// gang steps run as a whole.
+	run        int // number of the present or last run of a gang
+	gangFails  int
+	failedRun  int // run whose failure was counted
+	checkpoint string
+	checked    float64 // percent of work behind checkpoint
+	reserved   []*hostState
+	notBefore  time.Time
+}
+
+// opinion is what the policy service has said about a step.
+type opinion struct {
+	known   map[host.ID]bool // false: the host may never run the step
+	tickets map[host.ID]ticket
+	asking  int
+	// askAfter delays the next question.
+	askAfter time.Time
+}
+
+type ticket struct {
+	text  string
+	until time.Time
+}
+
+// newJob makes the table of a live job.
+func newJob(rec *record.Job, now time.Time) *job {
+	j := &job{rec: rec, state: record.StateQueued, accepted: now}
+	if rec.Ended != "" {
+		j.state = rec.Ended
+		return j
+	}
+	j.steps = len(rec.Graph.Steps)
+	for occurrence := range rec.Graph.Occurrences() {
+		for i := range j.steps {
+			j.groups = append(j.groups, newGroup(j, occurrence, i))
+		}
+	}
+	j.open = len(j.groups)
+	return j
+}
+
+func newGroup(j *job, occurrence, step int) *group {
+	s := &j.rec.Graph.Steps[step]
+	return &group{
+		job: j, step: s, id: spec.StepID{Job: j.id(), Occurrence: occurrence, Step: step},
+		due: j.rec.Graph.Due(occurrence), needs: len(s.After),
+		tasks: make([]task, s.Count), left: s.Count, waiting: s.Count,
+		perHost: map[host.ID]int{},
+	}
+}
+
+// group returns a step of an occurrence, or nil.
+func (j *job) group(occurrence, step int) *group {
+	i := occurrence*j.steps + step
+	if step < 0 || step >= j.steps || occurrence < 0 || i >= len(j.groups) {
+		return nil
+	}
+	return j.groups[i]
+}
+
+// groupOf returns the step that a task belongs to while its job is live.
+func (e *Engine) groupOf(t spec.StepTask) *group {
+	j := e.live[t.Job]
+	if j == nil {
+		return nil
+	}
+	g := j.group(t.Occurrence, t.Step)
+	if g == nil || t.Index < 0 || t.Index >= len(g.tasks) {
+		return nil
+	}
+	return g
+}
+
+// setState moves a task between states and keeps the counts.
+func (g *group) setState(i int, s taskState) {
+	t := &g.tasks[i]
+	if t.state == taskWaiting {
+		g.waiting--
+	}
+	t.state = s
+	if s == taskWaiting {
+		g.waiting++
+	}
+}
+
+// task names one task of the group.
+func (g *group) task(i int) spec.StepTask { return spec.StepTask{StepID: g.id, Index: i} }
+
+// refresh keeps the group among those with tasks to start, or takes it out.
+func (e *Engine) refresh(g *group) {
+	if g.needs == 0 && g.waiting > 0 && !g.job.state.Final() {
+		e.ready[g.id] = g
+		return
+	}
+	delete(e.ready, g.id)
+	g.unreserve()
+}
+
+// touch notes that the job's stored record is behind.
+func (e *Engine) touch(j *job) { e.dirty[j.id()] = j }
+
+// stepDone opens the steps that waited for a step, and ends the job after the
+// last one.
+func (e *Engine) stepDone(g *group, now time.Time) {
+	j := g.job
+	j.open--
+	delete(e.ready, g.id)
+	g.unreserve()
+	for _, other := range j.groups {
+		if other.id.Occurrence != g.id.Occurrence {
+			continue
+		}
+		for _, before := range other.step.After {
+			if before == g.id.Step {
+				other.needs--
+			}
+		}
+		if other.needs == 0 && other.left > 0 && other.readySince.IsZero() {
+			other.readySince = now
+			e.refresh(other)
+		}
+	}
+	if j.open == 0 {
+		e.finish(j, record.StateCompleted, now)
+	}
+}
+
+// finish makes a job final; what still runs of it is stopped.
+func (e *Engine) finish(j *job, s record.State, now time.Time) {
+	if j.state.Final() {
+		return
+	}
+	j.state = s
+	e.touch(j)
+	delete(e.live, j.id())
+	e.ended = append(e.ended, endedJob{j.id(), now})
+	for _, g := range j.groups {
+		delete(e.ready, g.id)
+		g.unreserve()
+		for i := range g.tasks {
+			if r := g.tasks[i].cur; r != nil {
+				r.unwanted = true
+			}
+		}
+	}
+	e.log(Event{What: "job ended", Job: j.id(), Why: string(s), Age: now.Sub(j.accepted)})
+}
+
+// forgetEnded lets go of jobs whose end need not be remembered any more.
+func (e *Engine) forgetEnded(now time.Time) {
+	n := 0
+	for n < len(e.ended) && now.Sub(e.ended[n].at) > e.cfg.Bounds.RememberEnded {
+		id := e.ended[n].id
+		delete(e.jobs, id)
+		e.forget = append(e.forget, id)
+		n++
+	}
+	e.ended = e.ended[n:]
+}
+
+// begin makes occurrences ready whose time has come.
+func (e *Engine) begin(now time.Time) {
+	for _, g := range e.ready {
+		if g.readySince.IsZero() && !now.Before(g.due) {
+			g.readySince = now
+		}
+	}
+}
--- /dev/null
+++ b/internal/engine/orders.go
@@ -0,0 +1,152 @@
+package engine
+
+import (
+	"errors"
+	"time"
+
+	"pulleyquay/internal/host"
+)
+
+// runsPerEpoch is how many starts of one task fit into an epoch: a holder numbers
+// its runs above all those that earlier holders can have given.
+const runsPerEpoch = 1000
+
+// nextRun returns the number of the run after last.
+func (e *Engine) nextRun(last int) int {
+	return max(last, int(e.cfg.Epoch-1)*runsPerEpoch) + 1
+}
+
+// start books a run of a task and orders it.
+func (e *Engine) start(g *group, i, no int, h *hostState, checkpoint string, now time.Time) {
+	t := &g.tasks[i]
+	r := &run{
+		Run: host.Run{Task: g.task(i), No: no}, group: g, size: g.step.Booked(), state: runOrdered,
+		sent: now, progressAt: now, pace: 100, deadline: h.deadline(now, e.cfg.Tuning.OrderLife),
+	}
+	h.leased = max(h.leased, r.deadline)
+	h.add(r)
+	t.cur, t.run = r, no
+	g.setState(i, taskActive)
+	e.out.Starts = append(e.out.Starts, StartOrder{To: h.info, Start: host.Start{
+		Run: r.Run, Command: g.job.rec.Graph.Command, Deadline: r.deadline,
+		Checkpoint: checkpoint, Ticket: g.advice.tickets[h.info.ID].text,
+	}})
+	if !h.looking {
+		h.lookAt = now // the lease of what was started has to be renewed
+	}
+}
+
+// Started takes in the outcome of a start.
+func (e *Engine) Started(o StartOrder, reply host.Reply, err error, now time.Time) {
+	h := e.hosts[o.To.ID]
+	if h == nil {
+		return
+	}
+	r := h.runs[o.Start.Run]
+	switch {
+	case errors.Is(err, host.ErrOtherLife):
+		e.hostGone(h, now, "another life answered")
+		return
+	case errors.Is(err, host.ErrNotSent):
+		h.unanswered(now)
+		e.notStarted(h, r, now)
+		return
+	case err != nil:
+		h.unanswered(now)
+		e.doubt(h, r, now)
+		return
+	}
+	h.heardClock(reply.Clock, now)
+	if reply.Refused == "" {
+		if r != nil && (r.state == runOrdered || r.state == runDoubt) {
+			e.runs(r, now)
+		}
+		return
+	}
+	e.refused(h, r, reply.Refused, now)
+}
+
+// doubt notes a start without an answer. The host is asked at once what it runs.
+func (e *Engine) doubt(h *hostState, r *run, now time.Time) {
+	if r == nil || r.state != runOrdered {
+		return
+	}
+	r.state, r.known = runDoubt, now
+	e.log(Event{What: "start unanswered", Job: r.Task.Job, Step: r.Task.StepID.String(), Host: string(h.info.ID)})
+	e.probe(h)
+}
+
+// probe asks a host what it runs beside the look that may be waiting there.
+func (e *Engine) probe(h *hostState) { h.probe = true }
+
+// notStarted takes a run that certainly never starts out of the books.
+func (e *Engine) notStarted(h *hostState, r *run, now time.Time) {
+	if r == nil || r.state == runRunning {
+		return
+	}
+	h.remove(r)
+	e.released(r, now)
+}
+
+// refused handles a start that the host did not carry out.
+func (e *Engine) refused(h *hostState, r *run, why host.Refusal, now time.Time) {
+	switch why {
+	case host.RefusedFenced:
+		e.proved = time.Time{}
+	case host.RefusedTicket:
+		if r != nil && r.group != nil {
+			delete(r.group.advice.tickets, h.info.ID)
+		}
+	case host.RefusedUnhealthy:
+		e.setAside(h, now, "said that it is not well")
+	case host.RefusedFull:
+		e.probe(h) // its books are not ours
+	}
+	if r != nil {
+		e.log(Event{What: "start refused", Job: r.Task.Job, Step: r.Task.StepID.String(), Host: string(h.info.ID), Why: string(why)})
+	}
+	e.notStarted(h, r, now)
+}
+
+// planStops orders the end of runs that are not wanted.
+func (e *Engine) planStops(now time.Time) {
+	for _, h := range e.hosts {
+		if h.gone || !h.claimed {
+			continue
+		}
+		for _, r := range h.runs {
+			if r.unwanted && !r.stopping && (r.stopSent.IsZero() || now.Sub(r.stopSent) > e.cfg.Tuning.StopRetry) {
+				r.stopSent, r.stopping = now, true
+				e.out.Stops = append(e.out.Stops, StopOrder{To: h.info, Run: r.Run})
+			}
+		}
+	}
+}
+
+// Stopped takes in the outcome of a stop.
+func (e *Engine) Stopped(o StopOrder, reply host.Reply, err error, now time.Time) {
+	h := e.hosts[o.To.ID]
+	if h == nil {
+		return
+	}
+	r := h.runs[o.Run]
+	if r != nil {
+		r.stopping = false
+	}
+	switch {
+	case errors.Is(err, host.ErrOtherLife):
+		e.hostGone(h, now, "another life answered")
+	case err != nil:
+		h.unanswered(now)
+	case reply.Refused == host.RefusedFenced:
+		e.proved = time.Time{}
+	default:
+		h.heardClock(reply.Clock, now)
+		if r != nil && reply.Refused == "" {
+			r.state, r.known = runStopping, now
+			if !h.looking {
+				h.lookAt = now
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/engine/plan.go
@@ -0,0 +1,155 @@
+package engine
+
+import (
+	"sort"
+	"time"
+
+	"pulleyquay/internal/spec"
+)
+
+// plan starts what can be started, the most urgent step first, and asks the
+// policy service about the steps that lack its leave.
+func (e *Engine) plan(now time.Time) {
+	queue := e.order(now)
+	if len(queue) == 0 {
+		return
+	}
+	hosts := e.choices(now)
+	for _, g := range queue {
+		if g.step.Gang {
+			e.planGang(g, hosts, now)
+		} else {
+			e.planTasks(g, hosts, now)
+		}
+	}
+}
+
+// order lists the steps whose turn it is: by the priority of their queue, and
+// within it by the time since when they wait.
+func (e *Engine) order(now time.Time) []*group {
+	queue := make([]*group, 0, len(e.ready))
+	for _, g := range e.ready {
+		if !g.readySince.IsZero() && !now.Before(g.notBefore) {
+			queue = append(queue, g)
+		}
+	}
+	sort.Slice(queue, func(a, b int) bool {
+		x, y := queue[a], queue[b]
+		if p, q := x.job.rec.Rules.Priority, y.job.rec.Rules.Priority; p != q {
+			return p < q
+		}
+		if !x.readySince.Equal(y.readySince) {
+			return x.readySince.Before(y.readySince)
+		}
+		return x.id.Job < y.id.Job
+	})
+	return queue
+}
+
+// choices lists the hosts that new work may go to.
+func (e *Engine) choices(now time.Time) []*hostState {
+	out := make([]*hostState, 0, len(e.hosts))
+	for _, h := range e.hosts {
+		if e.placeable(h, now) {
+			out = append(out, h)
+		}
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].info.ID < out[b].info.ID })
+	return out
+}
+
+// planTasks starts as many waiting tasks of a step as there is room for.
+func (e *Engine) planTasks(g *group, hosts []*hostState, now time.Time) {
+	c := e.candidates(g, hosts)
+	for i := range g.tasks {
+		t := &g.tasks[i]
+		if t.state != taskWaiting || now.Before(t.notBefore) {
+			continue
+		}
+		h := e.best(g, t, c, now)
+		if h == nil {
+			break
+		}
+		e.start(g, i, e.nextRun(t.run), h, t.checkpoint, now)
+	}
+	e.refresh(g)
+	if g.waiting > 0 && g.job.rec.Rules.Advice != nil {
+		e.askForTasks(g, c, now)
+	}
+}
+
+// candidates are the hosts that a step may run on at all.
+func (e *Engine) candidates(g *group, hosts []*hostState) []*hostState {
+	out := make([]*hostState, 0, len(hosts))
+	for _, h := range hosts {
+		if refusedBy(g, h) == "" {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// best returns the host for the next task of a step, or nil.
+func (e *Engine) best(g *group, t *task, c []*hostState, now time.Time) *hostState {
+	var best *hostState
+	var least float64
+	size := g.step.Booked()
+	for _, h := range c {
+		if !size.Fits(h.free()) || !g.spread(h) || !e.allowed(g, h, now) || !mayUse(g, h) {
+			continue
+		}
+		cost := e.cost(g, h)
+		if t.avoid == h.info.ID {
+			cost += costAvoided
+		}
+		if best == nil || cost < least {
+			best, least = h, cost
+		}
+	}
+	return best
+}
+
+// spread reports whether the step's bound on tasks of one host leaves room.
+func (g *group) spread(h *hostState) bool {
+	return g.step.MostPerHost == 0 || g.perHost[h.info.ID] < g.step.MostPerHost
+}
+
+// allowed reports whether the policy of the queue lets the step start on the host
+// now.
+func (e *Engine) allowed(g *group, h *hostState, now time.Time) bool {
+	if g.job.rec.Rules.Advice == nil {
+		return true
+	}
+	return now.Add(e.cfg.Tuning.TicketMargin).Before(g.advice.tickets[h.info.ID].until)
+}
+
+// mayUse reports whether a step may use a host that room is kept on: only the
+// gang that it is kept for may, and more urgent steps.
+func mayUse(g *group, h *hostState) bool {
+	return h.reserved == nil || h.reserved == g || g.job.rec.Rules.Priority < h.reserved.job.rec.Rules.Priority
+}
+
+// fits is how many tasks of a step a host has room for.
+func (g *group) fits(h *hostState, free spec.Resources) int {
+	n := times(g.step.Booked(), free)
+	if g.step.MostPerHost > 0 {
+		n = min(n, g.step.MostPerHost-g.perHost[h.info.ID])
+	}
+	return max(n, 0)
+}
+
+// unbounded stands for "as many as wanted" where nothing bounds a number.
+const unbounded = 1 << 20
+
+// times is how often a size fits into room.
+func times(size, room spec.Resources) int {
+	n := int64(unbounded)
+	for _, d := range [][2]int64{
+		{size.MilliCPU, room.MilliCPU}, {size.MemoryMiB, room.MemoryMiB}, {size.Accelerators, room.Accelerators},
+	} {
+		if d[0] > 0 {
+			n = min(n, d[1]/d[0])
+		}
+	}
+	return int(max(n, 0))
+}
--- /dev/null
+++ b/internal/engine/takeover.go
@@ -0,0 +1,173 @@
+package engine
+
+import (
+	"time"
+
+	"pulleyquay/internal/host"
+	"pulleyquay/internal/record"
+)
+
+// Load takes in what the store keeps of the partition's jobs when this process
+// has claimed it. The tasks of live jobs may run on any host in the roster of the
+// former holder, so none is started before every such host has shown what it
+// runs, or until settleBy, when nothing that the former holder has ordered can
+// run any more. A first holder has no former one: its settleBy is zero.
+func (e *Engine) Load(jobs []*record.Job, progress map[string]*record.Progress, roster []host.Info, settleBy, now time.Time, age func(*record.Job) time.Duration) {
+	e.unsettled = !settleBy.IsZero()
+	e.settleBy = settleBy
+	for _, info := range roster {
+		if e.hosts[info.ID] == nil {
+			h := e.newHost(info)
+			h.lookAt = now
+		}
+	}
+	for _, rec := range jobs {
+		j := e.addJob(rec, e.unsettled, now.Add(-age(rec)), now)
+		if p := progress[rec.ID]; p != nil && !j.state.Final() {
+			e.applyProgress(j, p, now)
+		}
+	}
+}
+
+// Accept takes in a job that was accepted. Fresh jobs have certainly not been
+// told to another holder.
+func (e *Engine) Accept(rec *record.Job, fresh bool, accepted, now time.Time) {
+	if e.jobs[rec.ID] != nil {
+		return
+	}
+	e.addJob(rec, e.unsettled && !fresh, accepted, now)
+}
+
+// addJob makes the table of a job. The tasks of an unsure one may run on a host
+// that was not heard of yet.
+func (e *Engine) addJob(rec *record.Job, unsure bool, accepted, now time.Time) *job {
+	j := newJob(rec, accepted)
+	e.jobs[rec.ID] = j
+	if j.state.Final() {
+		e.ended = append(e.ended, endedJob{rec.ID, accepted})
+		return j
+	}
+	e.live[rec.ID] = j
+	for _, g := range j.groups {
+		if unsure {
+			for i := range g.tasks {
+				g.setState(i, taskUnsure)
+			}
+		}
+		if g.needs == 0 && !now.Before(g.due) {
+			g.readySince = now
+		}
+		e.refresh(g)
+	}
+	e.log(Event{What: "job known", Job: rec.ID, Why: rec.Queue, Age: now.Sub(accepted)})
+	return j
+}
+
+func (e *Engine) applyProgress(j *job, p *record.Progress, now time.Time) {
+	j.storedProgress, j.started = true, true
+	for _, s := range p.Steps {
+		g := j.group(s.Occurrence, s.Step)
+		if g == nil {
+			continue
+		}
+		for i := range g.tasks {
+			if n := s.Failures[i]; n > 0 {
+				g.tasks[i].failures = n
+			}
+			if s.Done.Has(i) {
+				e.markDone(g, i)
+			}
+		}
+		if g.step.Gang {
+			g.gangFails = s.Failures[0]
+		}
+		if g.left == 0 {
+			e.stepDone(g, now)
+		}
+	}
+}
+
+// settle lets the tasks wait for their start that nobody has shown, once it is
+// known that none of them runs.
+func (e *Engine) settle(now time.Time) {
+	if !e.unsettled {
+		return
+	}
+	if now.Before(e.settleBy) {
+		for _, h := range e.hosts {
+			if !h.claimed && !h.gone {
+				return
+			}
+		}
+	}
+	e.unsettled = false
+	e.log(Event{What: "takeover settled", Age: now.Sub(e.settleBy)})
+	for _, j := range e.live {
+		for _, g := range j.groups {
+			e.settleGroup(g, now)
+		}
+	}
+}
+
+func (e *Engine) settleGroup(g *group, now time.Time) {
+	missing := 0
+	for i := range g.tasks {
+		if g.tasks[i].state == taskUnsure {
+			g.setState(i, taskWaiting)
+			missing++
+		}
+	}
+	if g.step.Gang && missing > 0 && missing < g.left {
+		for i := range g.tasks {
+			if cur := g.tasks[i].cur; cur != nil {
+				cur.unwanted = true // a gang in part works at nothing
+			}
+		}
+	}
+	if g.needs == 0 && g.readySince.IsZero() && !now.Before(g.due) {
+		g.readySince = now
+	}
+	e.refresh(g)
+}
+
+// Cancel ends a job at its caller's wish. The second value is false when the job
+// is not known.
+func (e *Engine) Cancel(id string, now time.Time) (record.State, bool) {
+	j := e.jobs[id]
+	if j == nil {
+		return "", false
+	}
+	if !j.state.Final() {
+		e.finish(j, record.StateCancelled, now)
+	}
+	return j.state, true
+}
+
+// State is the state of a job as far as it is stored. The second value is false
+// when the job is not known.
+func (e *Engine) State(id string) (record.State, bool) {
+	j := e.jobs[id]
+	switch {
+	case j == nil:
+		return "", false
+	case j.state.Final() && (e.dirty[id] == nil && j.told <= e.durable):
+		return j.state, true
+	case j.started:
+		return record.StateRunning, true
+	}
+	return record.StateQueued, true
+}
+
+// Pending counts the jobs of a queue of which nothing has started.
+func (e *Engine) Pending(queue string) int {
+	n := 0
+	for _, j := range e.live {
+		if j.rec.Queue == queue && !j.started {
+			n++
+		}
+	}
+	return n
+}
+
+// Knows reports whether a job is in the table.
+func (e *Engine) Knows(id string) bool { return e.jobs[id] != nil }
--- /dev/null
+++ b/internal/engine/view.go
@@ -0,0 +1,381 @@
+package engine
+
+import (
+	"errors"
+	"time"
+
+	"pulleyquay/internal/host"
+	"pulleyquay/internal/record"
+)
+
+// planLooks asks hosts what they run: all of them once after a claim, those in
+// use all the time, the others now and then.
+func (e *Engine) planLooks(now time.Time) {
+	for _, h := range e.hosts {
+		if h.probe {
+			h.probe = false
+			e.out.Looks = append(e.out.Looks, LookOrder{To: h.info, Look: host.Look{Seen: h.seen}, Probe: true})
+		}
+		if h.looking || h.gone || h.lookAt.IsZero() || now.Before(h.lookAt) {
+			continue
+		}
+		if !h.claimed && !h.listed && h.info.Addr == "" {
+			continue // known by name only, from the former holder
+		}
+		e.look(h, now)
+	}
+}
+
+// look sends a look. While this process can prove that it is the holder the look
+// renews the host's lease.
+func (e *Engine) look(h *hostState, now time.Time) {
+	l := host.Look{Seen: h.seen}
+	if now.Before(e.proved) {
+		if h.clock > 0 {
+			l.Lease = h.deadline(now, e.cfg.Bounds.LeaseLimit)
+			h.leased = max(h.leased, l.Lease)
+		}
+		if h.claimed && len(h.runs) > 0 && h.silent.IsZero() && h.handled == h.seen {
+			l.Wait = e.cfg.Tuning.LookWait
+		}
+	}
+	h.looking = true
+	e.out.Looks = append(e.out.Looks, LookOrder{To: h.info, Look: l})
+}
+
+// Viewed takes in the outcome of a look that was sent at sent.
+func (e *Engine) Viewed(o LookOrder, sent time.Time, v host.View, err error, now time.Time) {
+	id := o.To.ID
+	h := e.hosts[id]
+	if h == nil {
+		return
+	}
+	if !o.Probe {
+		h.looking = false
+	}
+	switch {
+	case errors.Is(err, host.ErrOtherLife):
+		e.hostGone(h, now, "another life answered")
+		return
+	case err != nil:
+		h.unanswered(now)
+		if !o.Probe {
+			h.lookAt = now.Add(e.cfg.Tuning.LookRetry)
+		}
+		return
+	case v.Fenced:
+		e.log(Event{What: "fenced by a host", Host: string(id)})
+		e.proved = time.Time{}
+		h.lookAt = now.Add(restInterval)
+		return
+	}
+	h.heardClock(v.Clock, now)
+	h.viewed = later(h.viewed, sent)
+	first := !h.claimed
+	if first {
+		h.claimed = true
+		// What the former holder leased may last this long.
+		h.leased = max(h.leased, v.Clock+host.Millis(e.cfg.Bounds.LeaseLimit.Milliseconds()))
+	}
+	ended := e.takeEnds(h, v.Ended, now)
+	e.takeRunning(h, v.Running, sent, now)
+	e.dropVanished(h, v, sent, now)
+	if first {
+		e.log(Event{What: "host claimed", Host: string(id)})
+	}
+	if !o.Probe {
+		h.lookAt = e.nextLook(h, first, ended, now)
+	}
+	if !h.listed && len(h.runs) == 0 {
+		delete(e.hosts, id)
+	}
+}
+
+// nextLook says when a host that has just answered is looked at again. While
+// ends wait to be stored the host would answer at once, so the next look waits
+// for the store; Stored moves it up.
+func (e *Engine) nextLook(h *hostState, first, ended bool, now time.Time) time.Time {
+	switch {
+	case first && len(h.runs) > 0:
+		return now // the first look could not renew, as the clock was not known
+	case ended || h.handled > h.seen:
+		return now.Add(e.cfg.Tuning.LookRetry)
+	case len(h.runs) > 0:
+		return now
+	}
+	return now.Add(e.cfg.Tuning.LookRest)
+}
+
+// takeEnds handles the ends that are new.
+func (e *Engine) takeEnds(h *hostState, ends []host.End, now time.Time) bool {
+	before := h.handled
+	for _, end := range ends {
+		if end.Number <= h.handled {
+			continue
+		}
+		h.handled = end.Number
+		e.endOf(h, end, now)
+	}
+	if h.handled > before {
+		e.marks++
+	}
+	return h.handled > before
+}
+
+// takeRunning brings the books up to date with what runs.
+func (e *Engine) takeRunning(h *hostState, rows []host.Running, sent, now time.Time) {
+	for _, row := range rows {
+		r := h.runs[row.Run]
+		if r == nil {
+			r = e.adopt(h, row, now)
+		}
+		if r.state == runOrdered || r.state == runDoubt {
+			e.runs(r, now)
+		}
+		e.progress(r, row, now)
+	}
+}
+
+// adopt books a run that is not in the books: one of the former holder's, or one
+// of ours whose start arrived after all. It is kept if its task lacks a run.
+func (e *Engine) adopt(h *hostState, row host.Running, now time.Time) *run {
+	r := &run{Run: row.Run, state: runRunning, known: now, sent: now, progressAt: now, pace: 100}
+	g := e.groupOf(row.Task)
+	if g == nil {
+		r.unwanted = true
+		if j := e.jobs[row.Task.Job]; j != nil {
+			if ended := j.group(row.Task.Occurrence, row.Task.Step); ended != nil {
+				r.group, r.size = ended, ended.step.Booked()
+			}
+		}
+		if r.group == nil {
+			r.size = h.info.Size // nobody knows what it takes
+		}
+		h.add(r)
+		return r
+	}
+	r.group, r.size = g, g.step.Booked()
+	h.add(r)
+	t := &g.tasks[row.Task.Index]
+	if t.cur == nil && (t.state == taskUnsure || t.state == taskWaiting && !g.step.Gang) && row.No >= t.run {
+		t.cur, t.run = r, row.No
+		g.run = max(g.run, row.No)
+		g.setState(row.Task.Index, taskActive)
+		g.job.started = true
+		e.refresh(g)
+		return r
+	}
+	r.unwanted = true
+	return r
+}
+
+// progress takes in a row of a view.
+func (e *Engine) progress(r *run, row host.Running, now time.Time) {
+	if row.Percent > r.percent || r.progressAt.IsZero() {
+		r.percent, r.progressAt = row.Percent, now
+	}
+	r.gauge = row.Gauge
+	if row.Checkpoint != "" {
+		r.checkpoint = row.Checkpoint
+	}
+}
+
+// dropVanished takes runs out of the books that the host does not show: starts
+// that have never taken effect and can not any more, and runs that the host has
+// forgotten.
+func (e *Engine) dropVanished(h *hostState, v host.View, sent, now time.Time) {
+	if len(h.runs) == 0 {
+		return
+	}
+	shown := make(map[host.Run]bool, len(v.Running)+len(v.Ended))
+	for _, row := range v.Running {
+		shown[row.Run] = true
+	}
+	for _, end := range v.Ended {
+		shown[end.Run] = true
+	}
+	for key, r := range h.runs {
+		if shown[key] || !vanished(r, v.Clock, sent) {
+			if r.state == runDoubt && !shown[key] && r.known.Before(sent) {
+				r.unwanted = true // a stop settles it, whether or not it still arrives
+			}
+			continue
+		}
+		h.remove(r)
+		e.released(r, now)
+	}
+}
+
+// clockGrain is how far a deadline must lie back before a start that was not
+// seen can be said to come to nothing.
+const clockGrain = 20 // milliseconds
+
+// vanished reports whether a run that a look of sent does not show is surely
+// not on the host, now or later.
+func vanished(r *run, clock host.Millis, sent time.Time) bool {
+	switch r.state {
+	case runRunning, runStopping:
+		return r.known.Before(sent)
+	case runDoubt:
+		return clock > r.deadline+clockGrain
+	}
+	return false
+}
+
+// endOf handles the end of one run.
+func (e *Engine) endOf(h *hostState, end host.End, now time.Time) {
+	r := h.runs[end.Run]
+	if r != nil {
+		h.remove(r)
+		if end.Checkpoint != "" {
+			r.checkpoint = end.Checkpoint
+		}
+	}
+	g := e.groupOf(end.Task)
+	if g == nil {
+		return
+	}
+	if r == nil {
+		r = &run{Run: end.Run, group: g, on: h, checkpoint: end.Checkpoint}
+	}
+	g.job.started = true
+	i := end.Task.Index
+	switch end.How {
+	case host.EndDone:
+		h.praise()
+		e.taskDone(g, i, now)
+	case host.EndFailed:
+		e.blame(h, g.job.id(), now)
+		e.taskFailed(g, i, r, now)
+	}
+	e.released(r, now)
+}
+
+// taskDone notes that a task is done. One member's end stands for its whole gang.
+func (e *Engine) taskDone(g *group, i int, now time.Time) {
+	if g.step.LongRunning || g.tasks[i].state == taskDone {
+		return
+	}
+	if g.step.Gang {
+		for k := range g.tasks {
+			e.markDone(g, k)
+		}
+	} else {
+		e.markDone(g, i)
+	}
+	g.job.progressed = true
+	e.touch(g.job)
+	if g.left == 0 {
+		e.stepDone(g, now)
+	}
+}
+
+func (e *Engine) markDone(g *group, i int) {
+	t := &g.tasks[i]
+	if t.state == taskDone {
+		return
+	}
+	if t.cur != nil && !g.step.Gang {
+		t.cur.unwanted = true // another run of it, which is needed no more
+	}
+	g.setState(i, taskDone)
+	g.left--
+	e.refresh(g)
+}
+
+// taskFailed counts a failed run; a gang's run fails once, whoever's fault.
+func (e *Engine) taskFailed(g *group, i int, r *run, now time.Time) {
+	t := &g.tasks[i]
+	if t.state == taskDone {
+		return
+	}
+	t.avoid = r.on.info.ID
+	if g.step.LongRunning {
+		return
+	}
+	fails := &t.failures
+	if g.step.Gang {
+		if g.failedRun >= r.No {
+			return
+		}
+		g.failedRun = r.No
+		fails = &g.gangFails
+	}
+	*fails++
+	g.job.progressed = true
+	e.touch(g.job)
+	e.log(Event{What: "task failed", Job: g.job.id(), Step: g.id.String(), Host: string(r.on.info.ID)})
+	if *fails >= g.job.rec.Rules.Attempts {
+		e.finish(g.job, record.StateFailed, now)
+	}
+}
+
+// released notes that a run is over, however it ended.
+func (e *Engine) released(r *run, now time.Time) {
+	g := r.group
+	if g == nil || g.job.state.Final() {
+		return
+	}
+	i := r.Task.Index
+	t := &g.tasks[i]
+	t.run = max(t.run, r.No)
+	if t.cur != r {
+		return // a later run of the task may be on a host not heard of yet
+	}
+	t.cur = nil
+	if t.state == taskDone {
+		return
+	}
+	if g.step.Gang {
+		e.gangReleased(g, r, now)
+		return
+	}
+	if r.checkpoint != "" {
+		t.checkpoint = r.checkpoint
+	}
+	g.setState(i, taskWaiting)
+	if g.readySince.IsZero() {
+		g.readySince = now
+	}
+	e.refresh(g)
+}
+
+// runs notes that a run is on its host.
+func (e *Engine) runs(r *run, now time.Time) {
+	r.state, r.known, r.progressAt = runRunning, now, now
+	if r.group != nil {
+		r.group.job.started = true
+	}
+}
+
+// hostGone drops a host that has ended for certain, with all that ran there.
+func (e *Engine) hostGone(h *hostState, now time.Time, why string) {
+	h.gone = true
+	e.log(Event{What: "host gone", Host: string(h.info.ID), Why: why})
+	e.dropRuns(h, now)
+	delete(e.hosts, h.info.ID)
+}
+
+func (e *Engine) dropRuns(h *hostState, now time.Time) {
+	for _, r := range h.runs {
+		h.remove(r)
+		e.released(r, now)
+	}
+}
+
+// expireHosts gives up what ran on hosts that have been silent until every lease
+// there was over.
+func (e *Engine) expireHosts(now time.Time) {
+	for id, h := range e.hosts {
+		if h.silent.IsZero() || !h.claimed || now.Before(e.leaseOver(h)) {
+			continue
+		}
+		if len(h.runs) > 0 {
+			e.log(Event{What: "host lost", Host: string(id), Why: "silent until its lease was over", Age: now.Sub(h.heard)})
+			e.dropRuns(h, now)
+		}
+		if !h.listed {
+			delete(e.hosts, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/front/front.go
@@ -0,0 +1,249 @@
+// Package front answers callers: it stores the jobs that they hand in, tells the
+// holder of them, and asks the holder for their states.
+//
+// A job is accepted when the store has its record, which is made only where none
+// is, so that a job handed in again through any process stays one job. The store
+// needs no holder for that, and neither does the caller's answer.
+package front
+
+import (
+	"context"
+	"errors"
+	"hash/fnv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"pulleyquay/internal/catalog"
+	"pulleyquay/internal/cell"
+	"pulleyquay/internal/holder"
+	"pulleyquay/internal/peer"
+	"pulleyquay/internal/platform"
+	"pulleyquay/internal/platform/follow"
+	"pulleyquay/internal/record"
+	"pulleyquay/internal/result"
+	"pulleyquay/internal/spec"
+	"pulleyquay/internal/wait"
+)
+
+// Times of the front.
+const (
+	// storePatience bounds the wait for the answer to one copy of a write.
+	storePatience = 500 * time.Millisecond
+	// storePause is the pause after a copy that certainly was not done.
+	storePause = 30 * time.Millisecond
+	// awayAfter is for how long the store has to be unanswering before jobs are
+	// refused at once.
+	awayAfter = 300 * time.Millisecond
+	// holderPatience bounds one question to the holder.
+	holderPatience = 700 * time.Millisecond
+	// holderPause is the pause before the holder is asked again.
+	holderPause = 50 * time.Millisecond
+	// AnswerMargin is left of the caller's time for the answer to travel.
+	AnswerMargin = 60 * time.Millisecond
+	// comeBackSoon and comeBackLater are when callers are told to come back: after
+	// a moment's trouble, or an outage of the store.
+	comeBackSoon  = 500 * time.Millisecond
+	comeBackLater = time.Second
+	// DefaultPatience is how long a caller that does not say waits.
+	DefaultPatience = 3 * time.Second
+)
+
+// Front answers callers.
+type Front struct {
+	Store      platform.Store
+	Get        func(ctx context.Context, key string) (platform.Record, bool, error)
+	Health     *follow.Health
+	Peers      peer.Caller
+	View       *cell.View
+	Partitions int
+	Log        *logrus.Entry
+	Metrics    *Metrics
+
+	teller teller
+}
+
+// partition is the one that a job belongs to.
+func (f *Front) partition(id string) int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id)) // a hash takes everything
+	return int(h.Sum32() % uint32(f.Partitions))
+}
+
+// Submit accepts a job. It returns nil once the job is stored; handing in the
+// same job again returns nil as well. An error with RanNo promises that the job
+// was not accepted.
+func (f *Front) Submit(ctx context.Context, q *catalog.Queue, id string, g spec.Graph) error {
+	if err := check(&g); err != nil {
+		return err
+	}
+	rec := record.Job{
+		ID: id, Queue: q.Name, Service: q.Service, Rules: q.Rules, Graph: g, AcceptedUnixMilli: time.Now().UnixMilli(),
+	}
+	begun := time.Now()
+	made, err := f.store(ctx, rec)
+	f.Metrics.submit(begun, err)
+	if err != nil {
+		return err
+	}
+	if made != stoodThere {
+		f.teller.add(&rec, f.partition(id), made == madeHere, begun)
+	}
+	return nil
+}
+
+// made tells who made a job's record.
+type made int
+
+const (
+	stoodThere made = iota // it was there before this call
+	madeHere
+	mayBeHere // it is there, and an earlier copy of this call may have made it
+)
+
+// store writes a job's record where none is.
+func (f *Front) store(ctx context.Context, rec record.Job) (made, error) {
+	if f.Health.Failing(time.Now()) > awayAfter {
+		return 0, result.New(result.JobNotStored, result.RanNo, "the store has not answered for %v", f.Health.Failing(time.Now()).Round(time.Millisecond)).Later(comeBackLater)
+	}
+	value, err := record.Encode(rec)
+	if err != nil {
+		return 0, result.New(result.Internal, result.RanNo, "%v", err)
+	}
+	key := record.JobKey(f.partition(rec.ID), rec.ID)
+	txn := platform.Txn{If: []platform.Condition{{Key: key}}, Then: []platform.Write{{Key: key, Value: value}}}
+	doubt := false
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, storePatience)
+		reply, err := f.Store.Commit(callCtx, txn)
+		cancel()
+		if err == nil {
+			f.Health.Note(true, time.Now())
+			switch {
+			case reply.Applied:
+				return madeHere, nil
+			case doubt:
+				return mayBeHere, nil
+			}
+			return stoodThere, nil
+		}
+		if errors.Is(err, platform.ErrRefused) {
+			return 0, result.New(result.JobNotStored, result.RanNo, "%v", err)
+		}
+		f.Health.Note(false, time.Now())
+		if !errors.Is(err, platform.ErrUnavailable) {
+			doubt = true
+		} else if !doubt && (ctx.Err() != nil || f.Health.Failing(time.Now()) > awayAfter) {
+			return 0, result.New(result.JobNotStored, result.RanNo, "%v", err).Later(comeBackSoon)
+		}
+		if !wait.For(ctx, storePause) {
+			return 0, f.unsettled(doubt)
+		}
+	}
+}
+
+// unsettled is the error of a job for which the caller's time has run out.
+func (f *Front) unsettled(doubt bool) error {
+	if doubt {
+		return result.New(result.JobStoreUnknown, result.RanUnknown, "the store has not answered in the caller's time").Later(comeBackSoon)
+	}
+	return result.New(result.JobNotStored, result.RanNo, "the store does not answer").Later(comeBackSoon)
+}
+
+// State returns the state of a job: from its holder, or from the store when the
+// holder does not know the job or is not reached.
+func (f *Front) State(ctx context.Context, q *catalog.Queue, id string) (record.State, error) {
+	reply, err := f.askHolder(ctx, id, peer.KindState)
+	if err == nil && reply.Known {
+		return reply.State, nil
+	}
+	rec, err := f.stored(ctx, id)
+	if err != nil {
+		return "", err
+	}
+	if rec.Ended != "" {
+		return rec.Ended, nil
+	}
+	if !reply.Known {
+		f.teller.add(rec, f.partition(id), false, time.Now())
+	}
+	return record.StateQueued, nil
+}
+
+// stored reads a job's record, or returns JobUnknown when there is none.
+func (f *Front) stored(ctx context.Context, id string) (*record.Job, error) {
+	ctx, cancel := context.WithTimeout(ctx, holderPatience)
+	defer cancel()
+	rec, ok, err := f.Get(ctx, record.JobKey(f.partition(id), id))
+	f.Health.Note(err == nil, time.Now())
+	if err != nil {
+		return nil, result.New(result.HolderAway, result.RanNo, "neither the holder nor the store answers: %v", err).Later(comeBackSoon)
+	}
+	if !ok {
+		return nil, result.New(result.JobUnknown, result.RanNo, "job %s", id)
+	}
+	j, err := record.DecodeJob(rec.Value)
+	if err != nil {
+		return nil, result.New(result.Internal, result.RanUnknown, "%v", err)
+	}
+	j.ID = id
+	return j, nil
+}
+
+// Cancel ends a job. It returns nil once that is stored, also when the job had
+// ended before.
+func (f *Front) Cancel(ctx context.Context, _ *catalog.Queue, id string) error {
+	for {
+		reply, err := f.askHolder(ctx, id, peer.KindCancelJob)
+		if err == nil && reply.Known {
+			return nil
+		}
+		if err == nil {
+			rec, err := f.stored(ctx, id)
+			if err != nil {
+				return err
+			}
+			if rec.Ended != "" {
+				return nil
+			}
+			if err := f.teller.tell(ctx, rec, f.partition(id), false, 0); err != nil {
+				f.Log.WithError(err).WithField("job", id).Debug("holder not told of a job to cancel")
+			}
+		}
+		if !wait.For(ctx, holderPause) {
+			return result.New(result.HolderAway, result.RanUnknown, "the cancellation is not stored").Later(comeBackSoon)
+		}
+	}
+}
+
+// Pending counts the accepted jobs of a queue that have not begun.
+func (f *Front) Pending(ctx context.Context, q *catalog.Queue) (int, error) {
+	total := 0
+	for p := range f.Partitions {
+		var reply holder.PendingReply
+		if err := f.call(ctx, p, peer.KindPending, holder.PendingRequest{Partition: p, Queue: q.Name}, &reply); err != nil {
+			return 0, err
+		}
+		total += reply.Pending
+	}
+	return total, nil
+}
+
+// askHolder asks the holder of a job's partition about the job.
+func (f *Front) askHolder(ctx context.Context, id string, kind peer.Kind) (holder.JobReply, error) {
+	var reply holder.JobReply
+	p := f.partition(id)
+	err := f.call(ctx, p, kind, holder.JobRequest{Partition: p, Job: id}, &reply)
+	return reply, err
+}
+
+// call asks the holder of a partition, once.
+func (f *Front) call(ctx context.Context, partition int, kind peer.Kind, req, reply any) error {
+	h, ok := f.View.Holder(partition)
+	if !ok {
+		return result.New(result.HolderAway, result.RanNo, "partition %d has no holder yet", partition).Later(comeBackSoon)
+	}
+	ctx, cancel := context.WithTimeout(ctx, holderPatience)
+	defer cancel()
+	return f.Peers.Call(ctx, h.Addr, kind, req, reply)
+}
--- /dev/null
+++ b/internal/holder/commit.go
@@ -0,0 +1,85 @@
+package holder
+
+import (
+	"errors"
+	"time"
+
+	"pulleyquay/internal/engine"
+	"pulleyquay/internal/ledger"
+	"pulleyquay/internal/platform"
+)
+
+// commitLoop stores what the engine wants stored, one transaction after the
+// other, and renews the right to give orders.
+func (h *Holder) commitLoop() {
+	idle := time.NewTimer(commitIdle)
+	defer idle.Stop()
+	for {
+		select {
+		case <-h.ctx.Done():
+			h.flush()
+			return
+		case <-h.commit:
+		case <-idle.C:
+		}
+		begun := time.Now()
+		if !h.storeNext() {
+			return
+		}
+		idle.Reset(commitIdle)
+		if rest := commitEvery - time.Since(begun); rest > 0 {
+			time.Sleep(rest)
+		}
+	}
+}
+
+// storeNext stores one batch, which may be empty. It reports false when the
+// partition is lost.
+func (h *Holder) storeNext() bool {
+	h.mu.Lock()
+	b := h.engine.TakeBatch(time.Now())
+	h.mu.Unlock()
+	var writes []platform.Write
+	if b != nil {
+		writes = b.Writes
+	}
+	for first := true; first || len(writes) > 0; first = false {
+		n := min(len(writes), ledger.MaxWrites)
+		if err := h.write(writes[:n]); err != nil {
+			return false
+		}
+		writes = writes[n:]
+	}
+	if b != nil {
+		h.confirmed(b)
+	}
+	return true
+}
+
+func (h *Holder) write(writes []platform.Write) error {
+	begun := time.Now()
+	err := h.ledger.Commit(h.ctx, writes)
+	h.cfg.Metrics.commit(begun, len(writes), err)
+	switch {
+	case err == nil:
+		h.cfg.Health.Note(true, time.Now())
+	case errors.Is(err, ledger.ErrDeposed):
+		h.cancel(err)
+	case h.ctx.Err() == nil:
+		h.log.WithError(err).Error("the store refuses a transaction; giving the partition up")
+		h.cancel(err)
+	}
+	return err
+}
+
+// confirmed tells the engine, and those who wait, that a batch is stored.
+func (h *Holder) confirmed(b *engine.Batch) {
+	h.do(func(e *engine.Engine, now time.Time) { e.Stored(b, now) })
+	h.mu.Lock()
+	close(h.stored)
+	h.stored = make(chan struct{})
+	h.mu.Unlock()
+}
+
+// flush stores what is left when this process gives the partition up itself.
+func (h *Holder) flush() {}
--- /dev/null
+++ b/internal/holder/table.go
@@ -0,0 +1,128 @@
+package holder
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"pulleyquay/internal/engine"
+	"pulleyquay/internal/ledger"
+	"pulleyquay/internal/peer"
+	"pulleyquay/internal/result"
+)
+
+// comeBack is when a caller is told to come back after a refusal that a new
+// holder ends.
+const comeBack = 500 * time.Millisecond
+
+// Table holds the partitions of this process and answers members' messages about
+// their jobs.
+type Table struct {
+	cfg Config
+
+	mu      sync.Mutex
+	holders map[int]*Holder
+}
+
+// NewTable returns a table of nothing and registers its message kinds.
+func NewTable(cfg Config, mux *peer.Mux) *Table {
+	t := &Table{cfg: cfg, holders: map[int]*Holder{}}
+	peer.Handle(mux, peer.KindAccepted, t.onAccepted)
+	peer.Handle(mux, peer.KindState, t.onState)
+	peer.Handle(mux, peer.KindCancelJob, t.onCancel)
+	peer.Handle(mux, peer.KindPending, t.onPending)
+	return t
+}
+
+// Hold runs a claimed partition until it is lost or ctx ends.
+func (t *Table) Hold(ctx context.Context, l *ledger.Ledger, former ledger.Holder) error {
+	h := New(t.cfg, l)
+	p := l.Holder().Partition
+	return h.Run(ctx, former, func() {
+		t.mu.Lock()
+		t.holders[p] = h
+		t.mu.Unlock()
+	}, func() {
+		t.mu.Lock()
+		delete(t.holders, p)
+		t.mu.Unlock()
+	})
+}
+
+// holder returns the holder of a partition, or an error that promises that
+// nothing was done.
+func (t *Table) holder(partition int) (*Holder, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if h := t.holders[partition]; h != nil {
+		return h, nil
+	}
+	return nil, result.New(result.HolderAway, result.RanNo, "partition %d is not held here", partition).Later(comeBack)
+}
+
+func (t *Table) onAccepted(_ context.Context, a Accepted) (Empty, error) {
+	h, err := t.holder(a.Partition)
+	if err != nil {
+		return Empty{}, err
+	}
+	h.do(func(e *engine.Engine, now time.Time) { e.Accept(&a.Job, a.Fresh, now.Add(-a.Age), now) })
+	return Empty{}, nil
+}
+
+func (t *Table) onState(_ context.Context, q JobRequest) (JobReply, error) {
+	h, err := t.holder(q.Partition)
+	if err != nil {
+		return JobReply{}, err
+	}
+	return h.state(q.Job), nil
+}
+
+func (h *Holder) state(id string) JobReply {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s, known := h.engine.State(id)
+	return JobReply{Known: known, State: s}
+}
+
+func (t *Table) onCancel(ctx context.Context, q JobRequest) (JobReply, error) {
+	h, err := t.holder(q.Partition)
+	if err != nil {
+		return JobReply{}, err
+	}
+	return h.cancelJob(ctx, q.Job)
+}
+
+// cancelJob ends a job and waits until that is stored.
+func (h *Holder) cancelJob(ctx context.Context, id string) (JobReply, error) {
+	known := false
+	h.do(func(e *engine.Engine, now time.Time) { _, known = e.Cancel(id, now) })
+	if !known {
+		return JobReply{}, nil
+	}
+	for {
+		h.mu.Lock()
+		s, _ := h.engine.State(id)
+		stored := h.stored
+		h.mu.Unlock()
+		if s.Final() {
+			return JobReply{Known: true, State: s}, nil
+		}
+		select {
+		case <-stored:
+		case <-ctx.Done():
+			return JobReply{}, result.New(result.JobStoreUnknown, result.RanUnknown, "the cancellation is not stored yet").Later(comeBack)
+		case <-h.ctx.Done():
+			return JobReply{}, result.New(result.HolderAway, result.RanUnknown, "the partition was lost while the cancellation was stored").Later(comeBack)
+		}
+	}
+}
+
+func (t *Table) onPending(_ context.Context, q PendingRequest) (PendingReply, error) {
+	h, err := t.holder(q.Partition)
+	if err != nil {
+		return PendingReply{}, err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return PendingReply{Pending: h.engine.Pending(q.Queue)}, nil
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -37,6 +37,16 @@
 	KindStopTasks Kind = 43
 	KindTaskNews  Kind = 44 // holder of workers to home: runs ended or lost
 	KindInventory Kind = 45 // home to a holder: what runs of my partition
+
+	KindBeat      Kind = 50 // member to holder: are you there
+	KindOpinion   Kind = 51 // member to member: when did you hear the holder
+	KindSucceed   Kind = 52 // leaving holder to its successor: claim now
+	KindCatalog   Kind = 53 // the configuration newer than a version
+	KindAccepted  Kind = 54 // accepting member to holder: a stored job
+	KindState     Kind = 55 // a job's state
+	KindCancelJob Kind = 56 // end a job
+	KindPending   Kind = 57 // jobs of a queue that have not begun
+	KindAdvise    Kind = 58 // holder to member: ask the policy service
 )
 
 // Caller makes calls to other processes. Errors are *result.Error: a failure
--- /dev/null
+++ b/internal/platform/follow/health.go
@@ -0,0 +1,77 @@
+// Package follow keeps up with a part of the platform's store, and tells how
+// well the store answers this process.
+package follow
+
+import (
+	"sync"
+	"time"
+)
+
+// Health is what this process's calls say of the store. It is safe for
+// concurrent use.
+type Health struct {
+	mu       sync.Mutex
+	answered time.Time // last answer
+	failing  bool      // the last call that ended went unanswered
+	since    time.Time // when failing began
+	restored chan struct{}
+	// onChange is told when the store is lost or regained.
+	onChange func(up bool, away time.Duration)
+}
+
+// NewHealth returns the health of a store that was not asked yet. The function
+// is told each time that the store stops or starts answering; it may be nil.
+func NewHealth(onChange func(up bool, away time.Duration)) *Health {
+	if onChange == nil {
+		onChange = func(bool, time.Duration) {}
+	}
+	return &Health{restored: make(chan struct{}), onChange: onChange}
+}
+
+// Note takes in the outcome of a call that ended at now.
+func (h *Health) Note(answered bool, now time.Time) {
+	h.mu.Lock()
+	var changed, up bool
+	var away time.Duration
+	switch {
+	case answered && h.failing:
+		changed, up, away = true, true, now.Sub(h.since)
+		h.failing = false
+		close(h.restored)
+		h.restored = make(chan struct{})
+	case !answered && !h.failing:
+		changed, h.failing, h.since = true, true, now
+	}
+	if answered {
+		h.answered = now
+	}
+	h.mu.Unlock()
+	if changed {
+		h.onChange(up, away)
+	}
+}
+
+// Age is how long ago the store last answered.
+func (h *Health) Age(now time.Time) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return now.Sub(h.answered)
+}
+
+// Failing is for how long calls have gone unanswered; zero while they do not.
+func (h *Health) Failing(now time.Time) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.failing {
+		return 0
+	}
+	return max(now.Sub(h.since), 1)
+}
+
+// Restored returns a channel that is closed when the store answers again after
+// it did not.
+func (h *Health) Restored() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.restored
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 )
 
 // Revision orders changes in the store. Every accepted write makes it grow.
@@ -128,3 +129,17 @@
 	// Hosts returns the whole list as last known to the platform.
 	Hosts(ctx context.Context) ([]Host, error)
 }
+
+// Poller is a Store whose changes can also be asked for call by call. Every
+// method is one call.
+type Poller interface {
+	Store
+	// Get returns the record of one key; ok is false when there is none.
+	Get(ctx context.Context, key string) (rec Record, ok bool, err error)
+	// ListStale is List at a fraction of the price; the answer may be seconds old.
+	ListStale(ctx context.Context, prefix string) ([]Record, Revision, error)
+	// Changes returns the changes under the prefix after a revision as soon as
+	// there is one, or an empty batch after the wait. It fails with ErrCompacted
+	// when the store no longer holds them.
+	Changes(ctx context.Context, prefix string, after Revision, wait time.Duration) (Batch, error)
+}
--- /dev/null
+++ b/internal/record/record.go
@@ -0,0 +1,145 @@
+// Package record holds what the platform's store keeps of jobs.
+//
+// A job has one record under jobs/, made once by the process that accepted it.
+// When the job has ended its holder replaces it by a short one that tells how.
+// In between, the holder keeps under progress/ what the hosts can not tell
+// again: which tasks are done and which have failed how often.
+package record
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"pulleyquay/internal/catalog"
+	"pulleyquay/internal/spec"
+)
+
+// State is the state of a job as callers see it.
+type State string
+
+// The states of a job. The last three are final.
+const (
+	StateQueued    State = "queued" // nothing of it has started
+	StateRunning   State = "running"
+	StateCompleted State = "completed" // every task is done
+	StateFailed    State = "failed"    // a task failed as often as it may
+	StateCancelled State = "cancelled"
+)
+
+// Final reports whether the state never changes again.
+func (s State) Final() bool {
+	return s == StateCompleted || s == StateFailed || s == StateCancelled
+}
+
+// Job is an accepted job.
+type Job struct {
+	ID      string `cbor:"1,keyasint"`
+	Queue   string `cbor:"2,keyasint,omitempty"`
+	Service string `cbor:"3,keyasint,omitempty"`
+	// Rules are those of the queue when the job was accepted.
+	Rules catalog.Rules `cbor:"4,keyasint,omitzero"`
+	Graph spec.Graph    `cbor:"5,keyasint,omitzero"`
+	// AcceptedUnixMilli is by the clock of the process that accepted it.
+	AcceptedUnixMilli int64 `cbor:"6,keyasint,omitempty"`
+	// Ended is set, and the rest but the id left out, once the job is final.
+	Ended State `cbor:"7,keyasint,omitempty"`
+	// EndedUnixMilli is by the clock of the holder that recorded the end.
+	EndedUnixMilli int64 `cbor:"8,keyasint,omitempty"`
+}
+
+// Progress is what is known of a live job's steps.
+type Progress struct {
+	Steps []StepProgress `cbor:"1,keyasint"`
+}
+
+// StepProgress is what is known of the tasks of one step of one occurrence.
+type StepProgress struct {
+	Occurrence int    `cbor:"1,keyasint,omitempty"`
+	Step       int    `cbor:"2,keyasint,omitempty"`
+	Done       Bitmap `cbor:"3,keyasint,omitempty"`
+	// Failures counts failed runs by task; a gang counts them under task 0.
+	Failures map[int]int `cbor:"4,keyasint,omitempty"`
+}
+
+// JobPrefix returns the prefix of the records of a partition's jobs.
+func JobPrefix(partition int) string { return "jobs/" + strconv.Itoa(partition) + "/" }
+
+// JobKey returns the key of a job's record.
+func JobKey(partition int, id string) string { return JobPrefix(partition) + id }
+
+// ProgressPrefix returns the prefix of the progress of a partition's jobs.
+func ProgressPrefix(partition int) string { return "progress/" + strconv.Itoa(partition) + "/" }
+
+// ProgressKey returns the key of a job's progress.
+func ProgressKey(partition int, id string) string { return ProgressPrefix(partition) + id }
+
+// IDOf returns the job's id, the last part of either key.
+func IDOf(key string) string { return key[strings.LastIndexByte(key, '/')+1:] }
+
+// Encode gives the stored form of a record.
+func Encode(v any) ([]byte, error) { return cbor.Marshal(v) }
+
+// DecodeJob reads a job's record.
+func DecodeJob(value []byte) (*Job, error) {
+	j := &Job{}
+	if err := cbor.Unmarshal(value, j); err != nil {
+		return nil, fmt.Errorf("job record: %w", err)
+	}
+	return j, nil
+}
+
+// DecodeProgress reads a job's progress.
+func DecodeProgress(value []byte) (*Progress, error) {
+	p := &Progress{}
+	if err := cbor.Unmarshal(value, p); err != nil {
+		return nil, fmt.Errorf("progress record: %w", err)
+	}
+	return p, nil
+}
+
+// Bitmap is a set of small numbers.
+type Bitmap []byte
+
+// NewBitmap returns an empty set of numbers below n.
+func NewBitmap(n int) Bitmap { return make(Bitmap, (n+7)/8) }
+
+// Has reports whether i is in the set.
+func (b Bitmap) Has(i int) bool { return i/8 < len(b) && b[i/8]&(1<<(i%8)) != 0 }
+
+// Set adds i.
+func (b Bitmap) Set(i int) { b[i/8] |= 1 << (i % 8) }
+
+// Fail notes how often a task's runs have failed.
+func (s *StepProgress) Fail(task, times int) {
+	if s.Failures == nil {
+		s.Failures = map[int]int{}
+	}
+	s.Failures[task] = times
+}
+
+// Roster names the hosts to which the holder of a partition may have given
+// orders. A next holder has to hear of each of them, or wait out its lease.
+type Roster struct {
+	Hosts []RosterHost `cbor:"1,keyasint"`
+}
+
+// RosterHost is one host of a roster.
+type RosterHost struct {
+	ID   string `cbor:"1,keyasint"`
+	Addr string `cbor:"2,keyasint"`
+}
+
+// RosterKey returns the key of a partition's roster.
+func RosterKey(partition int) string { return "roster/" + strconv.Itoa(partition) }
+
+// DecodeRoster reads a roster.
+func DecodeRoster(value []byte) (Roster, error) {
+	var r Roster
+	if err := cbor.Unmarshal(value, &r); err != nil {
+		return Roster{}, fmt.Errorf("roster: %w", err)
+	}
+	return r, nil
+}
--- /dev/null
+++ b/internal/result/codes_cell.go
@@ -0,0 +1,36 @@
+package result
+
+import "net/http"
+
+// Codes of callers' jobs on queues, and of the cell that runs them (5200 to 5299).
+const (
+	QueueUnknown      Code = 5200
+	JobUnknown        Code = 5201
+	JobNotStored      Code = 5202
+	JobStoreUnknown   Code = 5203
+	HolderAway        Code = 5204
+	JobBodyInvalid    Code = 5205
+	JobNameInvalid    Code = 5206
+	CatalogMissing    Code = 5207
+	MethodUnknown     Code = 5208
+	AdviceBusy        Code = 5209
+	AdviceFailed      Code = 5210
+	JobCannotBePlaced Code = 5211
+)
+
+func init() {
+	register(
+		Info{QueueUnknown, "queue-unknown", http.StatusNotFound, "no queue has this host and path"},
+		Info{JobUnknown, "job-unknown", http.StatusGone, "there is no such job"},
+		Info{JobNotStored, "job-not-stored", http.StatusServiceUnavailable, "the store did not take the job; it was not accepted and never runs"},
+		Info{JobStoreUnknown, "job-store-unknown", http.StatusGatewayTimeout, "the store may have taken the job; send it again with the same id to learn it"},
+		Info{HolderAway, "holder-away", http.StatusServiceUnavailable, "the process that knows the job is not reached"},
+		Info{JobBodyInvalid, "job-body-invalid", http.StatusBadRequest, "the job can not be understood"},
+		Info{JobNameInvalid, "job-name-invalid", http.StatusBadRequest, "the job's id is not 16 hexadecimal digits"},
+		Info{CatalogMissing, "catalog-missing", http.StatusServiceUnavailable, "this process has no configuration yet"},
+		Info{MethodUnknown, "method-unknown", http.StatusMethodNotAllowed, "a job is handed in with POST, asked for with GET and cancelled with DELETE"},
+		Info{AdviceBusy, "advice-busy", http.StatusTooManyRequests, "too many questions wait at the policy service"},
+		Info{AdviceFailed, "advice-failed", http.StatusBadGateway, "the policy service gave no usable answer"},
+		Info{JobCannotBePlaced, "job-cannot-be-placed", http.StatusUnprocessableEntity, "the job's steps contradict each other or no host could hold them"},
+	)
+}
