A member that is gone is not asked for ever

Change: members known from peers alone count for two seconds; a lane that fails rests, longer each time, and is tried with one question.

--- a/cmd/pulley-node/node.go
+++ b/cmd/pulley-node/node.go
@@ -107,7 +107,7 @@
 // lanes maps the members that can ask the policy service to their addresses.
 func (n *node) lanes() map[string]string {
 	out := map[string]string{}
-	for _, m := range n.view.Members() {
+	for _, m := range n.view.Members(time.Now()) {
 		out[m.Name] = m.Addr
 	}
 	return out
--- a/internal/advice/lanes.go
+++ b/internal/advice/lanes.go
@@ -19,6 +19,10 @@
 	// busyUntil is when the questions asked so far are answered.
 	busyUntil time.Time
 	asked     int
+	// fails counts failures in a row; after one the lane is left alone until
+	// restsUntil.
+	fails      int
+	restsUntil time.Time
 }
 
 // Limits of what is asked through one lane.
@@ -33,6 +37,10 @@
 	shortBacklog  = 100 * time.Millisecond
 	mediumBacklog = 400 * time.Millisecond
 	longBacklog   = 900 * time.Millisecond
+	// firstRest is how long a lane is left alone after a failure; it doubles with
+	// each in a row, up to doublings times.
+	firstRest = 300 * time.Millisecond
+	doublings = 5
 )
 
 // NewLanes returns no lanes.
@@ -62,8 +70,8 @@
 	lanes, backlog := l.open(took)
 	var best *lane
 	for _, x := range lanes {
-		if x.asked >= mostWaiting {
-			continue
+		if x.asked >= mostWaiting || now.Before(x.restsUntil) || x.fails > 0 && x.asked > 0 {
+			continue // a lane that has failed is tried with one question
 		}
 		if best == nil || x.busyUntil.Before(best.busyUntil) {
 			best = x
@@ -97,8 +105,8 @@
 	return l.lanes[min(forMedium, max(n-1, 0)):], longBacklog
 }
 
-// Answered frees a lane's place after an answer or a failure at now.
-func (l *Lanes) Answered(name string, now time.Time) {
+// Answered frees a lane's place after an answer, or after a failure, at now.
+func (l *Lanes) Answered(name string, failed bool, now time.Time) {
 	for _, x := range l.lanes {
 		if x.name != name {
 			continue
@@ -107,5 +115,11 @@
 		if x.asked == 0 && x.busyUntil.After(now) {
 			x.busyUntil = now
 		}
+		if !failed {
+			x.fails = 0
+			continue
+		}
+		x.restsUntil = now.Add(firstRest << min(x.fails, doublings))
+		x.fails++
 	}
 }
--- a/internal/cell/beat.go
+++ b/internal/cell/beat.go
@@ -76,7 +76,7 @@
 	return BeatReply{
 		Incarnation: c.Self.Incarnation, Holds: c.watches[b.Partition].holding(),
 		Cut: c.Health.Failing(time.Now()), Holder: h, Revision: h.Revision,
-		Catalog: c.CatalogVersion(), Members: c.View.Members(),
+		Catalog: c.CatalogVersion(), Members: c.View.Entered(),
 	}, nil
 }
 
--- a/internal/cell/claimer.go
+++ b/internal/cell/claimer.go
@@ -195,7 +195,7 @@
 func (c *Claimer) learn(reply BeatReply) {
 	c.View.Learn(known(reply.Holder, reply.Revision))
 	if c.Health.Failing(time.Now()) > 0 {
-		c.View.learnMembers(reply.Members)
+		c.View.learnMembers(reply.Members, time.Now())
 	}
 	if reply.Catalog > c.CatalogVersion() {
 		c.Behind(reply.Holder.Addr)
@@ -230,7 +230,7 @@
 	defer cancel()
 	var mu sync.Mutex
 	var asking sync.WaitGroup
-	for _, m := range c.View.Members() {
+	for _, m := range c.View.Members(time.Now()) {
 		if m.Name == c.Self.Name || m.Name == e.Holder.Name {
 			continue
 		}
@@ -302,7 +302,7 @@
 // waitTurn waits for the members that should claim first. It reports false when
 // one of them has.
 func (c *Claimer) waitTurn(ctx context.Context, w *holderWatch, former ledger.Holder) bool {
-	ctx, cancel := context.WithTimeout(ctx, Patience(c.View.Members(), former.Name, c.Self.Name))
+	ctx, cancel := context.WithTimeout(ctx, Patience(c.View.Members(time.Now()), former.Name, c.Self.Name))
 	defer cancel()
 	for {
 		changed := c.View.Changed()
@@ -362,7 +362,7 @@
 	if !ok || h.Incarnation != c.Self.Incarnation {
 		return
 	}
-	for _, m := range Candidates(c.View.Members(), c.Self.Name) {
+	for _, m := range Candidates(c.View.Members(time.Now()), c.Self.Name) {
 		if c.ask(ctx, m, h) {
 			return
 		}
--- a/internal/cell/service.go
+++ b/internal/cell/service.go
@@ -112,7 +112,7 @@
 // entered reports whether the entry stands as far as this process has seen. A
 // lease may go on although its keys were taken away.
 func (s *Service) entered() bool {
-	for _, m := range s.View.Members() {
+	for _, m := range s.View.Entered() {
 		if m.Name == s.Self.Name {
 			return m.Incarnation == s.Self.Incarnation
 		}
--- a/internal/cell/view.go
+++ b/internal/cell/view.go
@@ -46,15 +46,28 @@
 type View struct {
 	mu      sync.Mutex
 	members map[string]Member
+	// hearsay are members that peers have told of while the store did not answer,
+	// with the time until which that counts.
+	hearsay map[string]hearsay
 	holders map[int]ledger.Holder
-	// storeAt is when the store last answered this process.
-	storeAt time.Time
 	changed chan struct{}
 }
 
+type hearsay struct {
+	member Member
+	until  time.Time
+}
+
+// hearsayFor is how long a member counts that only a peer has told of. Heartbeats
+// tell again several times a second, but a peer's own list may be as old.
+const hearsayFor = 2 * time.Second
+
 // NewView returns a view of nothing.
 func NewView() *View {
-	return &View{members: map[string]Member{}, holders: map[int]ledger.Holder{}, changed: make(chan struct{})}
+	return &View{
+		members: map[string]Member{}, hearsay: map[string]hearsay{}, holders: map[int]ledger.Holder{},
+		changed: make(chan struct{}),
+	}
 }
 
 // Changed returns a channel that is closed at the next change.
@@ -70,18 +83,35 @@
 	v.changed = make(chan struct{})
 }
 
-// Members returns the members by name.
-func (v *View) Members() []Member {
+// Members returns the members by name: those in the store as last seen, and those
+// that peers have told of lately.
+func (v *View) Members(now time.Time) []Member {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	out := make([]Member, 0, len(v.members))
 	for _, m := range v.members {
 		out = append(out, m)
 	}
+	for name, h := range v.hearsay {
+		if _, known := v.members[name]; !known && now.Before(h.until) {
+			out = append(out, h.member)
+		}
+	}
 	sort.Slice(out, func(a, b int) bool { return out[a].Name < out[b].Name })
 	return out
 }
 
+// Entered returns the members that stand in the store, as last seen.
+func (v *View) Entered() []Member {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	out := make([]Member, 0, len(v.members))
+	for _, m := range v.members {
+		out = append(out, m)
+	}
+	return out
+}
+
 // Holder returns the holder of a partition with the highest epoch known; ok is
 // false when none is.
 func (v *View) Holder(partition int) (h ledger.Holder, ok bool) {
@@ -106,22 +136,6 @@
 	}
 }
 
-// Reached notes that the store has answered at now.
-func (v *View) Reached(now time.Time) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if now.After(v.storeAt) {
-		v.storeAt = now
-	}
-}
-
-// StoreAge is how long ago the store last answered this process.
-func (v *View) StoreAge(now time.Time) time.Duration {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return now.Sub(v.storeAt)
-}
-
 // list takes in everything under Prefix.
 func (v *View) list(records []platform.Record) error {
 	members := map[string]Member{}
@@ -188,18 +202,16 @@
 	return nil
 }
 
-// learnMembers adds members that a peer knows and this process does not.
-func (v *View) learnMembers(members []Member) {
+// learnMembers takes in the members that a peer has entered in its view.
+func (v *View) learnMembers(members []Member, now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	added := false
 	for _, m := range members {
-		if _, known := v.members[m.Name]; !known {
-			v.members[m.Name] = m
-			added = true
-		}
+		v.hearsay[m.Name] = hearsay{m, now.Add(hearsayFor)}
 	}
-	if added {
-		v.tell()
+	for name, h := range v.hearsay {
+		if now.After(h.until) {
+			delete(v.hearsay, name)
+		}
 	}
 }
--- /dev/null
+++ b/internal/cell/view_test.go
@@ -0,0 +1,96 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/matryer/is"
+
+	"pulleyquay/internal/ledger"
+	"pulleyquay/internal/platform"
+)
+
+func entry(is *is.I, name string) platform.Record {
+	value, err := cbor.Marshal(Member{Name: name, Addr: name + ":1"})
+	is.NoErr(err)
+	return platform.Record{Key: memberKey(name), Value: value}
+}
+
+func names(members []Member) []string {
+	out := []string{}
+	for _, m := range members {
+		out = append(out, m.Name)
+	}
+	return out
+}
+
+// TestHearsayEnds: a member whose entry had gone was told of by a peer that had
+// not seen that yet, and then stayed for ever (seen on the users' platform).
+func TestHearsayEnds(t *testing.T) {
+	is := is.New(t)
+	v := NewView()
+	is.NoErr(v.list([]platform.Record{entry(is, "a"), entry(is, "b")}))
+	is.NoErr(v.apply(platform.Change{Record: platform.Record{Key: memberKey("b")}, Deleted: true}))
+	now := time.Unix(1_800_000_000, 0)
+	v.learnMembers([]Member{{Name: "b"}, {Name: "c"}}, now)
+	is.Equal(names(v.Members(now)), []string{"a", "b", "c"})
+	is.Equal(names(v.Members(now.Add(hearsayFor))), []string{"a"})
+	is.Equal(names(v.Entered()), []string{"a"})
+}
+
+func TestLaterHolderStays(t *testing.T) {
+	is := is.New(t)
+	v := NewView()
+	changed := v.Changed()
+	v.Learn(ledger.Holder{Epoch: 3, Name: "a", Revision: 30})
+	<-changed
+	v.Learn(ledger.Holder{Epoch: 2, Name: "b", Revision: 20})
+	h, ok := v.Holder(0)
+	is.True(ok)
+	is.Equal(h.Name, "a")
+	v.Learn(ledger.Holder{Epoch: 4, Name: "c", Revision: 40})
+	h, _ = v.Holder(0)
+	is.Equal(h.Name, "c")
+	is.NoErr(v.apply(platform.Change{Record: platform.Record{Key: ledger.HolderKey(0)}, Deleted: true}))
+	h, _ = v.Holder(0)
+	is.Equal(h.Name, "c") // the record of a holder is never taken away
+}
+
+func TestEvidence(t *testing.T) {
+	held := ledger.Holder{Epoch: 4}
+	tests := map[string]struct {
+		evidence Evidence
+		dead     bool
+	}{
+		"nobody holds it":                     {Evidence{}, true},
+		"heard":                               {Evidence{Holder: held, Silence: 100 * time.Millisecond}, false},
+		"another process at its address":      {Evidence{Holder: held, Replaced: true}, true},
+		"refused, another agrees":             {Evidence{Holder: held, Refused: true, Others: 5, Agreeing: 1}, true},
+		"refused, nobody can be asked":        {Evidence{Holder: held, Refused: true, Others: 5, Silence: time.Second}, false},
+		"refused, alone":                      {Evidence{Holder: held, Refused: true}, true},
+		"refused here, heard elsewhere":       {Evidence{Holder: held, Refused: true, Others: 5, Agreeing: 4, Hearing: 1}, false},
+		"silent to all":                       {Evidence{Holder: held, Silence: time.Second, Others: 5, Agreeing: 5}, true},
+		"silent to half":                      {Evidence{Holder: held, Silence: time.Second, Others: 4, Agreeing: 2}, true},
+		"silent to few, the others not asked": {Evidence{Holder: held, Silence: time.Second, Others: 5, Agreeing: 2}, false},
+		"silent here, heard elsewhere":        {Evidence{Holder: held, Silence: 9 * time.Second, Others: 5, Agreeing: 4, Hearing: 1, StoodStill: 9 * time.Second}, false},
+		"silent, alone, still writing":        {Evidence{Holder: held, Silence: time.Second, Others: 5}, false},
+		"silent, alone, writes no more":       {Evidence{Holder: held, Silence: 3 * time.Second, Others: 5, StoodStill: aloneAfter}, true},
+		"cut from the store":                  {Evidence{Holder: held, HolderCut: cutAfter}, true},
+		"cut from the store for a moment":     {Evidence{Holder: held, HolderCut: cutAfter / 2}, false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) { is.New(t).Equal(tc.evidence.Dead(), tc.dead) })
+	}
+}
+
+func TestCandidates(t *testing.T) {
+	is := is.New(t)
+	members := []Member{
+		{Name: "a", Cores: 0.2, StartedUnixMilli: 9}, {Name: "b", Cores: 0.8, StartedUnixMilli: 5},
+		{Name: "c", Cores: 0.8, StartedUnixMilli: 7}, {Name: "d", Cores: 0.8, Leaving: true}, {Name: "e", Cores: 0.8},
+	}
+	is.Equal(names(Candidates(members, "e")), []string{"c", "b", "a"})
+	is.Equal(Patience(members, "e", "c"), time.Duration(0))
+	is.Equal(Patience(members, "e", "a"), 2*rankPause)
+}
--- a/internal/engine/ask.go
+++ b/internal/engine/ask.go
@@ -128,7 +128,7 @@
 		return
 	}
 	delete(e.asks, o.ID)
-	e.lanes.Answered(q.lane, now)
+	e.lanes.Answered(q.lane, err != nil, now)
 	g := q.group
 	g.advice.asking--
 	if err != nil {
