The engine decides again only what can have changed; the strongest member holds

Change: hosts in a sorted slice, runs to stop in a set, stalled runs looked for four times a second, a step tried again only after room came free or an answer came. A first claim waits until the others have entered; a holder hands its partition to a member with half as much time again.

--- a/internal/cell/claimer.go
+++ b/internal/cell/claimer.go
@@ -26,6 +26,12 @@
 	opinionPatience = 150 * time.Millisecond
 	// claimPatience bounds a claim.
 	claimPatience = 3 * time.Second
+	// firstClaimAfter is how long after its start a member claims a partition that
+	// nobody has ever held: until then the others have entered themselves.
+	firstClaimAfter = 600 * time.Millisecond
+	// yieldEvery is how often a holder looks for a member with much more processor
+	// time to hand the partition to.
+	yieldEvery = time.Second
 	// succeedPatience bounds the wait for a successor's claim in a planned stop.
 	succeedPatience = 1500 * time.Millisecond
 )
@@ -49,6 +55,7 @@
 	CatalogVersion func() int64
 	Behind         func(addr string)
 
+	started time.Time
 	watches []*holderWatch
 	leaving chan struct{}
 	once    sync.Once
@@ -72,7 +79,7 @@
 
 // Start registers the message kinds and watches the partitions.
 func (c *Claimer) Start(ctx context.Context, mux *peer.Mux, partitions int) {
-	c.leaving = make(chan struct{})
+	c.started, c.leaving = time.Now(), make(chan struct{})
 	for p := range partitions {
 		c.watches = append(c.watches, &holderWatch{partition: p})
 	}
@@ -277,6 +284,9 @@
 // takeOver claims a partition, after those who go before this member, and holds
 // it.
 func (c *Claimer) takeOver(ctx context.Context, w *holderWatch, former ledger.Holder) {
+	if former.Epoch == 0 {
+		wait.For(ctx, firstClaimAfter-time.Since(c.started))
+	}
 	if !w.isInvited(former.Epoch) && !c.waitTurn(ctx, w, former) {
 		return
 	}
@@ -324,10 +334,14 @@
 	w.mu.Lock()
 	w.held, w.stop = true, cancel
 	w.mu.Unlock()
+	go c.yieldLoop(ctx, cancel)
 	err := c.Hold(ctx, l, former)
 	w.mu.Lock()
 	w.held, w.stop = false, nil
 	w.mu.Unlock()
+	if ctx.Err() != nil {
+		c.handOver(context.WithoutCancel(ctx), w)
+	}
 	c.Log.WithError(err).WithFields(logrus.Fields{"partition": w.partition, "epoch": l.Holder().Epoch}).Warn("partition not held any more")
 }
 
@@ -351,7 +365,52 @@
 			continue
 		}
 		stop()
-		c.handOver(ctx, w)
+	}
+	released := make(chan struct{})
+	go func() {
+		for _, w := range c.watches {
+			for w.holding() {
+				wait.For(ctx, BeatEvery/20)
+			}
+			c.awaitSuccessor(ctx, w)
+		}
+		close(released)
+	}()
+	select {
+	case <-released:
+	case <-ctx.Done():
+	}
+}
+
+// awaitSuccessor waits until a partition that this process held has another
+// holder.
+func (c *Claimer) awaitSuccessor(ctx context.Context, w *holderWatch) {
+	for ctx.Err() == nil {
+		changed := c.View.Changed()
+		if h, ok := c.View.Holder(w.partition); !ok || h.Incarnation != c.Self.Incarnation {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// yieldLoop ends the holding of a partition when a much stronger member is there.
+func (c *Claimer) yieldLoop(ctx context.Context, stop context.CancelFunc) {
+	seen := map[string]bool{}
+	for wait.For(ctx, yieldEvery) {
+		stronger := Stronger(c.View.Members(time.Now()), c.Self)
+		if stronger == "" {
+			continue
+		}
+		if !seen[stronger] { // it has to stand for a while
+			seen[stronger] = true
+			continue
+		}
+		c.Log.WithField("to", stronger).Info("partition handed to a stronger member")
+		stop()
 	}
 }
 
--- a/internal/cell/succession.go
+++ b/internal/cell/succession.go
@@ -82,6 +82,20 @@
 	return out
 }
 
+// strongerBy is by how much more processor time a member has to have for a holder
+// to hand its partition over; a hand-over costs a pause of some 100 ms.
+const strongerBy = 1.5
+
+// Stronger returns a member with much more processor time than self, or "".
+func Stronger(members []Member, self Member) string {
+	for _, m := range Candidates(members, self.Name) {
+		if m.Cores > strongerBy*self.Cores {
+			return m.Name
+		}
+	}
+	return ""
+}
+
 // Patience is how long a member waits before it claims, so that the candidates
 // do not race.
 func Patience(members []Member, holder, self string) time.Duration {
--- a/internal/cell/view_test.go
+++ b/internal/cell/view_test.go
@@ -94,3 +94,11 @@
 	is.Equal(Patience(members, "e", "c"), time.Duration(0))
 	is.Equal(Patience(members, "e", "a"), 2*rankPause)
 }
+
+func TestStronger(t *testing.T) {
+	is := is.New(t)
+	members := []Member{{Name: "a", Cores: 0.2}, {Name: "b", Cores: 0.8}, {Name: "c", Cores: 0.9, Leaving: true}}
+	is.Equal(Stronger(members, Member{Name: "a", Cores: 0.2}), "b")
+	is.Equal(Stronger(members, Member{Name: "b", Cores: 0.8}), "")
+	is.Equal(Stronger(members, Member{Name: "d", Cores: 0.6}), "") // not by enough
+}
--- a/internal/engine/ask.go
+++ b/internal/engine/ask.go
@@ -34,7 +34,7 @@
 	}
 	var open []*hostState
 	for _, h := range c {
-		if mayUse(g, h) && !e.allowed(g, h, now) && g.fits(h, h.free()) > 0 {
+		if refusedBy(g, h) == "" && mayUse(g, h) && !e.allowed(g, h, now) && g.fits(h, h.free()) > 0 {
 			open = append(open, h)
 		}
 	}
@@ -61,7 +61,7 @@
 	want := n * spareAsked
 	for i, h := range open {
 		p := guessGood
-		if g.advice.known[h.info.ID] {
+		if g.advice.known[h] {
 			p = 1
 		}
 		want -= p * float64(g.fits(h, h.free()))
@@ -80,7 +80,7 @@
 	}
 	var unknown []*hostState
 	for _, h := range c {
-		if _, known := g.advice.known[h.info.ID]; !known {
+		if _, known := g.advice.known[h]; !known {
 			unknown = append(unknown, h)
 		}
 	}
@@ -91,7 +91,7 @@
 		e.ask(g, unknown[:min(len(unknown), e.cfg.Tuning.AskMost)], now)
 		return
 	}
-	seats := e.seats(g, c, g.left, func(*hostState) bool { return true })
+	seats := e.seats(g, c, g.left)
 	hosts := make([]*hostState, 0, len(seats))
 	for _, s := range seats {
 		hosts = append(hosts, s.host)
@@ -137,15 +137,20 @@
 		return
 	}
 	g.advice.askAfter = now.Add(askPause)
+	g.advice.answers++
 	if g.advice.known == nil {
-		g.advice.known = map[host.ID]bool{}
-		g.advice.tickets = map[host.ID]ticket{}
+		g.advice.known = map[*hostState]bool{}
+		g.advice.tickets = map[*hostState]ticket{}
 	}
 	for _, id := range q.hosts {
-		g.advice.known[id] = false
+		if h := e.hosts[id]; h != nil {
+			g.advice.known[h] = false
+		}
 	}
 	for _, t := range a.Good {
-		g.advice.known[t.Host] = true
-		g.advice.tickets[t.Host] = ticket{text: t.Ticket, until: now.Add(a.Valid)}
+		if h := e.hosts[t.Host]; h != nil {
+			g.advice.known[h] = true
+			g.advice.tickets[h] = ticket{text: t.Ticket, until: now.Add(a.Valid)}
+		}
 	}
 }
--- /dev/null
+++ b/internal/engine/bench_test.go
@@ -0,0 +1,77 @@
+package engine
+
+import (
+	"fmt"
+	"hash/fnv"
+	"testing"
+	"time"
+
+	"pulleyquay/internal/catalog"
+	"pulleyquay/internal/host"
+	"pulleyquay/internal/record"
+	"pulleyquay/internal/spec"
+)
+
+// cellLoad is the work that arrives at a cell of the sizes of the users' sheets.
+type cellLoad struct {
+	hosts                     int
+	reviews, surveys, tickets float64 // a second
+	reviewWidth, surveyWidth  int
+	ticketWidth               int
+}
+
+var (
+	smallCell = cellLoad{48, 1.16, 6.83, 48.3, 8, 10, 2}
+	grownCell = cellLoad{350, 3.46, 11.2, 125, 20, 25, 3}
+)
+
+// arrive submits the load's jobs at even distances for a while.
+func (l cellLoad) arrive(w *world, d time.Duration) {
+	reviewAdvice := &catalog.Advice{DecideMillis: 560, PerHostMillis: 8.1, ValidMillis: 1500}
+	surveyAdvice := &catalog.Advice{DecideMillis: 46, PerHostMillis: 0.66, ValidMillis: 1500}
+	ticketAdvice := &catalog.Advice{DecideMillis: 6.5, PerHostMillis: 0.093, ValidMillis: 1500}
+	each := func(name string, perSecond float64, rules catalog.Rules, s spec.Step) {
+		n := int(d.Seconds() * perSecond)
+		for i := range n {
+			w.after(time.Duration(float64(i)/perSecond*float64(time.Second)), func() {
+				w.submit(fmt.Sprint(name, i), rules, s)
+			})
+		}
+	}
+	review := spec.Step{Count: l.reviewWidth, Size: size(18, 26), EstimateMillis: 6200, Gang: true}
+	survey := spec.Step{Count: l.surveyWidth, Size: spec.Resources{MilliCPU: 3900, MemoryMiB: 7200}, EstimateMillis: 2200, Checkpointing: true}
+	ticket := spec.Step{Count: l.ticketWidth, Size: spec.Resources{MilliCPU: 5600, MemoryMiB: 10000}, EstimateMillis: 640}
+	each("review", l.reviews, catalog.Rules{Priority: 1, Stretch: 2.2, TargetMillis: 1000, Advice: reviewAdvice}, review)
+	each("survey", l.surveys, catalog.Rules{Priority: 2, Stretch: 4, TargetMillis: 3000, Advice: surveyAdvice}, survey)
+	each("ticket", l.tickets, catalog.Rules{Stretch: 1.5, TargetMillis: 250, Advice: ticketAdvice}, ticket)
+	share := map[byte]uint32{'r': 25, 's': 45, 't': 70}
+	w.good = func(step spec.StepID, h host.ID) bool {
+		f := fnv.New32a()
+		fmt.Fprint(f, step, h)
+		return f.Sum32()%100 < share[step.Job[0]]
+	}
+}
+
+// BenchmarkCell plays ten seconds of a cell's load; the fake hosts' cost is part
+// of the time.
+func BenchmarkCell(b *testing.B) {
+	for name, load := range map[string]cellLoad{"48 hosts": smallCell, "350 hosts": grownCell} {
+		b.Run(name, func(b *testing.B) {
+			starts := 0
+			for range b.N {
+				w := newWorld(b, 1)
+				w.addHosts(load.hosts, size(64, 128))
+				w.takeOver()
+				load.arrive(w, 10*time.Second)
+				w.run(10 * time.Second)
+				starts += w.starts
+				w.check()
+				if w.inState(record.StateCompleted) == 0 {
+					b.Fatal("nothing completed")
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(starts), "us/start")
+			b.ReportMetric(float64(starts)/float64(b.N), "starts")
+		})
+	}
+}
--- a/internal/engine/commit.go
+++ b/internal/engine/commit.go
@@ -37,7 +37,7 @@
 		e.out.CommitNow = true
 	}
 	if len(e.dirty) == 0 && e.commits == e.durable && e.marks > 0 {
-		for _, h := range e.hosts {
+		for _, h := range e.sorted {
 			h.seen = h.handled
 		}
 		e.marks = 0
@@ -55,9 +55,7 @@
 	if e.rosterBehind {
 		e.rosterBehind = false
 		b.Writes = append(b.Writes, encoded(record.RosterKey(e.cfg.Partition), e.roster()))
-		for _, h := range e.hosts {
-			b.rostered = append(b.rostered, h)
-		}
+		b.rostered = append(b.rostered, e.sorted...)
 	}
 	for id, j := range e.dirty {
 		b.Writes = append(b.Writes, e.writesOf(j, now)...)
@@ -69,9 +67,9 @@
 		b.Writes = append(b.Writes, platform.Write{Key: record.JobKey(e.cfg.Partition, id), Delete: true})
 	}
 	e.forget = e.forget[n:]
-	for id, h := range e.hosts {
+	for _, h := range e.sorted {
 		if h.handled > h.seen {
-			b.marks[id] = h.handled
+			b.marks[h.info.ID] = h.handled
 		}
 	}
 	e.marks = 0
@@ -129,6 +127,9 @@
 	for _, h := range b.rostered {
 		h.rostered = true
 	}
+	if len(b.rostered) > 0 {
+		e.room++
+	}
 	for id, n := range b.marks {
 		h := e.hosts[id]
 		if h == nil {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -59,6 +59,14 @@
 	// ready holds the steps with tasks to start, in no order.
 	ready map[spec.StepID]*group
 	hosts map[host.ID]*hostState
+	// sorted are the hosts in the order of their ids.
+	sorted []*hostState
+	// unwanted are the runs to be stopped.
+	unwanted map[*run]struct{}
+	// room counts the moments at which room came free or hosts became usable, so
+	// that a step that found none is tried again only after the next.
+	room      uint64
+	watchedAt time.Time // when the runs were last looked through
 	// unsettled is true after a takeover until it is known what every host runs.
 	unsettled bool
 	// settleBy is when hosts that were not heard of can run nothing any more.
@@ -81,6 +89,8 @@
 
 	slot spec.Resources // learned size of a gang's task, to keep such room whole
 	out  Orders
+	// scratch is reused for the hosts of one plan.
+	scratch []*hostState
 }
 
 // endedJob is a job that is final, until it is forgotten.
@@ -93,15 +103,16 @@
 // ever, it starts nothing of older jobs before Settle or until settleBy.
 func New(cfg Config) *Engine {
 	return &Engine{
-		cfg:   cfg,
-		rnd:   rand.New(rand.NewPCG(cfg.Seed, cfg.Epoch)),
-		jobs:  map[string]*job{},
-		live:  map[string]*job{},
-		ready: map[spec.StepID]*group{},
-		hosts: map[host.ID]*hostState{},
-		asks:  map[uint64]*question{},
-		dirty: map[string]*job{},
-		lanes: advice.NewLanes(),
+		cfg:      cfg,
+		rnd:      rand.New(rand.NewPCG(cfg.Seed, cfg.Epoch)),
+		jobs:     map[string]*job{},
+		live:     map[string]*job{},
+		ready:    map[spec.StepID]*group{},
+		hosts:    map[host.ID]*hostState{},
+		asks:     map[uint64]*question{},
+		unwanted: map[*run]struct{}{},
+		dirty:    map[string]*job{},
+		lanes:    advice.NewLanes(),
 	}
 }
 
@@ -187,7 +198,7 @@
 // nextDue returns when something becomes due by the passing of time alone.
 func (e *Engine) nextDue(now time.Time) time.Time {
 	next := now.Add(restInterval)
-	for _, h := range e.hosts {
+	for _, h := range e.sorted {
 		if !h.looking && !h.lookAt.IsZero() && h.lookAt.Before(next) {
 			next = h.lookAt
 		}
--- a/internal/engine/filters.go
+++ b/internal/engine/filters.go
@@ -13,7 +13,7 @@
 	{"label", func(g *group, h *hostState) bool { return g.step.Label == "" || h.info.HasLabel(g.step.Label) }},
 	{"size", func(g *group, h *hostState) bool { return g.step.Booked().Fits(h.info.Size) }},
 	{"policy", func(g *group, h *hostState) bool {
-		good, known := g.advice.known[h.info.ID]
+		good, known := g.advice.known[h]
 		return good || !known
 	}},
 }
--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -1,7 +1,8 @@
 package engine
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 
 	"pulleyquay/internal/host"
@@ -86,10 +87,28 @@
 func (e *Engine) newHost(info host.Info) *hostState {
 	h := &hostState{info: info, runs: map[host.Run]*run{}}
 	e.hosts[info.ID] = h
+	at, _ := e.position(info.ID)
+	e.sorted = slices.Insert(e.sorted, at, h)
 	e.rosterBehind = true
 	return h
 }
 
+// position is where a host stands, or would stand, among the sorted ones.
+func (e *Engine) position(id host.ID) (int, bool) {
+	return slices.BinarySearchFunc(e.sorted, id, func(h *hostState, id host.ID) int {
+		return cmp.Compare(h.info.ID, id)
+	})
+}
+
+// forgetHost takes a host out of the books.
+func (e *Engine) forgetHost(h *hostState) {
+	delete(e.hosts, h.info.ID)
+	if at, found := e.position(h.info.ID); found {
+		e.sorted = slices.Delete(e.sorted, at, at+1)
+	}
+	h.unreserveHost()
+}
+
 // free is what is left of the host's size.
 func (h *hostState) free() spec.Resources { return h.info.Size.Sub(h.used) }
 
@@ -119,24 +138,35 @@
 	h.runs[r.Run] = r
 	h.used = h.used.Add(r.size)
 	if r.group != nil {
-		r.group.perHost[h.info.ID]++
+		r.group.perHost[h]++
 	}
 }
 
-// remove takes a run out of the books.
-func (h *hostState) remove(r *run) {
+// remove takes a run out of its host's books.
+func (e *Engine) remove(r *run) {
+	h := r.on
 	if h.runs[r.Run] != r {
 		return
 	}
 	delete(h.runs, r.Run)
+	delete(e.unwanted, r)
 	h.used = h.used.Sub(r.size)
+	e.room++
 	if g := r.group; g != nil {
-		if g.perHost[h.info.ID]--; g.perHost[h.info.ID] <= 0 {
-			delete(g.perHost, h.info.ID)
+		if g.perHost[h]--; g.perHost[h] <= 0 {
+			delete(g.perHost, h)
 		}
 	}
 }
 
+// unwant has a run stopped.
+func (e *Engine) unwant(r *run) {
+	if r.on.runs[r.Run] == r {
+		r.unwanted = true
+		e.unwanted[r] = struct{}{}
+	}
+}
+
 // SetHosts takes in the platform's list of hosts, whole.
 func (e *Engine) SetHosts(list []host.Info, now time.Time) {
 	listed := make(map[host.ID]bool, len(list))
@@ -144,8 +174,8 @@
 		listed[info.ID] = true
 		e.setHost(info, now)
 	}
-	for id, h := range e.hosts {
-		if h.listed && !listed[id] {
+	for _, h := range slices.Clone(e.sorted) {
+		if h.listed && !listed[h.info.ID] {
 			e.unlist(h, now)
 		}
 	}
@@ -175,6 +205,9 @@
 	if !h.listed && h.claimed {
 		h.lookAt = now
 	}
+	if !h.listed || h.info.Draining != info.Draining {
+		e.room++
+	}
 	h.listed = true
 	h.info = info
 }
@@ -185,7 +218,7 @@
 	h.listed = false
 	e.log(Event{What: "host not listed", Host: string(h.info.ID)})
 	if len(h.runs) == 0 && h.claimed {
-		delete(e.hosts, h.info.ID)
+		e.forgetHost(h)
 		return
 	}
 	if !h.looking {
@@ -196,10 +229,9 @@
 // roster names all hosts that this process may have given orders to, in order.
 func (e *Engine) roster() record.Roster {
 	var out record.Roster
-	for id, h := range e.hosts {
-		out.Hosts = append(out.Hosts, record.RosterHost{ID: string(id), Addr: h.info.Addr})
+	for _, h := range e.sorted {
+		out.Hosts = append(out.Hosts, record.RosterHost{ID: string(h.info.ID), Addr: h.info.Addr})
 	}
-	sort.Slice(out.Hosts, func(a, b int) bool { return out.Hosts[a].ID < out.Hosts[b].ID })
 	return out
 }
 
--- a/internal/engine/job.go
+++ b/internal/engine/job.go
@@ -66,8 +66,9 @@
 	readySince time.Time
 
 	// perHost counts active tasks by host.
-	perHost map[host.ID]int
+	perHost map[*hostState]int
 	advice  opinion
+	tried   attempt
 
 	// gang steps run as a whole.
 	run        int   // number of the present or last run of a gang
@@ -80,13 +81,21 @@
 
 // opinion is what the policy service has said about a step.
 type opinion struct {
-	known   map[host.ID]bool // false: the host may never run the step
-	tickets map[host.ID]ticket
+	known   map[*hostState]bool // false: the host may never run the step
+	tickets map[*hostState]ticket
 	asking  int
+	answers int // to questions, so far
 	// askAfter delays the next question.
 	askAfter time.Time
 }
 
+// attempt is when a step was last tried, and what was known then.
+type attempt struct {
+	at      time.Time
+	room    uint64
+	answers int
+}
+
 type ticket struct {
 	text  string
 	until time.Time
@@ -115,7 +124,7 @@
 		job: j, step: s, id: spec.StepID{Job: j.id(), Occurrence: occurrence, Step: step},
 		due: j.rec.Graph.Due(occurrence), needs: len(s.After),
 		tasks: make([]task, s.Count), left: s.Count, waiting: s.Count,
-		perHost: map[host.ID]int{},
+		perHost: map[*hostState]int{},
 	}
 }
 
@@ -209,7 +218,7 @@
 		g.unreserve()
 		for i := range g.tasks {
 			if r := g.tasks[i].cur; r != nil {
-				r.unwanted = true
+				e.unwant(r)
 			}
 		}
 	}
--- a/internal/engine/orders.go
+++ b/internal/engine/orders.go
@@ -29,7 +29,7 @@
 	g.setState(i, taskActive)
 	e.out.Starts = append(e.out.Starts, StartOrder{To: h.info, Start: host.Start{
 		Run: r.Run, Command: g.job.rec.Graph.Command, Deadline: r.deadline,
-		Checkpoint: checkpoint, Ticket: g.advice.tickets[h.info.ID].text,
+		Checkpoint: checkpoint, Ticket: g.advice.tickets[h].text,
 	}})
 	if !h.looking {
 		h.lookAt = now // the lease of what was started has to be renewed
@@ -84,7 +84,7 @@
 	if r == nil || r.state == runRunning {
 		return
 	}
-	h.remove(r)
+	e.remove(r)
 	e.released(r, now)
 }
 
@@ -95,7 +95,7 @@
 		e.proved = time.Time{}
 	case host.RefusedTicket:
 		if r != nil && r.group != nil {
-			delete(r.group.advice.tickets, h.info.ID)
+			delete(r.group.advice.tickets, h)
 		}
 	case host.RefusedUnhealthy:
 		e.setAside(h, now, "said that it is not well")
@@ -110,16 +110,12 @@
 
 // planStops orders the end of runs that are not wanted.
 func (e *Engine) planStops(now time.Time) {
-	for _, h := range e.hosts {
-		if h.gone || !h.claimed {
+	for r := range e.unwanted {
+		if r.on.gone || !r.on.claimed || r.stopping || !r.stopSent.IsZero() && now.Sub(r.stopSent) <= e.cfg.Tuning.StopRetry {
 			continue
 		}
-		for _, r := range h.runs {
-			if r.unwanted && !r.stopping && (r.stopSent.IsZero() || now.Sub(r.stopSent) > e.cfg.Tuning.StopRetry) {
-				r.stopSent, r.stopping = now, true
-				e.out.Stops = append(e.out.Stops, StopOrder{To: h.info, Run: r.Run})
-			}
-		}
+		r.stopSent, r.stopping = now, true
+		e.out.Stops = append(e.out.Stops, StopOrder{To: r.on.info, Run: r.Run})
 	}
 }
 
--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -1,6 +1,8 @@
 package engine
 
 import (
+	"cmp"
+	"slices"
 	"sort"
 	"time"
 
@@ -16,6 +18,10 @@
 	}
 	hosts := e.choices(now)
 	for _, g := range queue {
+		if e.hopeless(g, now) {
+			continue
+		}
+		g.tried = attempt{at: now, room: e.room, answers: g.advice.answers}
 		if g.step.Gang {
 			e.planGang(g, hosts, now)
 		} else {
@@ -24,6 +30,30 @@
 	}
 }
 
+// Times between two tries of a step.
+const (
+	// retryUrgent and retryOther are the least time between two tries, when room
+	// came free in between.
+	retryUrgent = 2 * time.Millisecond
+	retryOther  = 10 * time.Millisecond
+	// retryAlways is when a step is tried again anyway, as tickets and pauses end
+	// by themselves.
+	retryAlways = 40 * time.Millisecond
+)
+
+// hopeless reports whether a try of the step would end as the last one did.
+func (e *Engine) hopeless(g *group, now time.Time) bool {
+	since := now.Sub(g.tried.at)
+	if g.tried.at.IsZero() || since >= retryAlways || g.advice.answers != g.tried.answers {
+		return false
+	}
+	least := retryOther
+	if g.job.rec.Rules.Priority == 0 {
+		least = retryUrgent
+	}
+	return since < least || g.tried.room == e.room
+}
+
 // order lists the steps whose turn it is: by the priority of their queue, and
 // within it by the time since when they wait.
 func (e *Engine) order(now time.Time) []*group {
@@ -48,25 +78,25 @@
 
 // choices lists the hosts that new work may go to.
 func (e *Engine) choices(now time.Time) []*hostState {
-	out := make([]*hostState, 0, len(e.hosts))
-	for _, h := range e.hosts {
+	out := e.scratch[:0]
+	for _, h := range e.sorted {
 		if e.placeable(h, now) {
 			out = append(out, h)
 		}
 	}
-	sort.Slice(out, func(a, b int) bool { return out[a].info.ID < out[b].info.ID })
+	e.scratch = out
 	return out
 }
 
 // planTasks starts as many waiting tasks of a step as there is room for.
 func (e *Engine) planTasks(g *group, hosts []*hostState, now time.Time) {
-	c := e.candidates(g, hosts)
+	c := e.permitted(g, hosts, now)
 	for i := range g.tasks {
 		t := &g.tasks[i]
 		if t.state != taskWaiting || now.Before(t.notBefore) {
 			continue
 		}
-		h := e.best(g, t, c, now)
+		h := e.best(g, t, c)
 		if h == nil {
 			break
 		}
@@ -74,10 +104,29 @@
 	}
 	e.refresh(g)
 	if g.waiting > 0 && g.job.rec.Rules.Advice != nil {
-		e.askForTasks(g, c, now)
+		e.askForTasks(g, hosts, now)
 	}
 }
 
+// permitted are the hosts that a step may start on now, as far as rules and
+// policy go.
+func (e *Engine) permitted(g *group, hosts []*hostState, now time.Time) []*hostState {
+	if g.job.rec.Rules.Advice == nil {
+		return e.candidates(g, hosts)
+	}
+	if len(g.advice.tickets) == 0 {
+		return nil
+	}
+	out := make([]*hostState, 0, len(g.advice.tickets))
+	for h := range g.advice.tickets {
+		if e.allowed(g, h, now) && e.placeable(h, now) && refusedBy(g, h) == "" {
+			out = append(out, h)
+		}
+	}
+	slices.SortFunc(out, func(a, b *hostState) int { return cmp.Compare(a.info.ID, b.info.ID) })
+	return out
+}
+
 // candidates are the hosts that a step may run on at all.
 func (e *Engine) candidates(g *group, hosts []*hostState) []*hostState {
 	out := make([]*hostState, 0, len(hosts))
@@ -90,12 +139,12 @@
 }
 
 // best returns the host for the next task of a step, or nil.
-func (e *Engine) best(g *group, t *task, c []*hostState, now time.Time) *hostState {
+func (e *Engine) best(g *group, t *task, c []*hostState) *hostState {
 	var best *hostState
 	var least float64
 	size := g.step.Booked()
 	for _, h := range c {
-		if !size.Fits(h.free()) || !g.spread(h) || !e.allowed(g, h, now) || !mayUse(g, h) {
+		if !size.Fits(h.free()) || !g.spread(h) || !mayUse(g, h) {
 			continue
 		}
 		cost := e.cost(g, h)
@@ -111,7 +160,7 @@
 
 // spread reports whether the step's bound on tasks of one host leaves room.
 func (g *group) spread(h *hostState) bool {
-	return g.step.MostPerHost == 0 || g.perHost[h.info.ID] < g.step.MostPerHost
+	return g.step.MostPerHost == 0 || g.perHost[h] < g.step.MostPerHost
 }
 
 // allowed reports whether the policy of the queue lets the step start on the host
@@ -120,7 +169,7 @@
 	if g.job.rec.Rules.Advice == nil {
 		return true
 	}
-	return now.Add(e.cfg.Tuning.TicketMargin).Before(g.advice.tickets[h.info.ID].until)
+	return now.Add(e.cfg.Tuning.TicketMargin).Before(g.advice.tickets[h].until)
 }
 
 // mayUse reports whether a step may use a host that room is kept on: only the
@@ -133,7 +182,7 @@
 func (g *group) fits(h *hostState, free spec.Resources) int {
 	n := times(g.step.Booked(), free)
 	if g.step.MostPerHost > 0 {
-		n = min(n, g.step.MostPerHost-g.perHost[h.info.ID])
+		n = min(n, g.step.MostPerHost-g.perHost[h])
 	}
 	return max(n, 0)
 }
--- a/internal/engine/plan_gang.go
+++ b/internal/engine/plan_gang.go
@@ -14,11 +14,11 @@
 	if g.advice.known == nil && g.left > 1 {
 		e.learnSlot(g.step.Booked())
 	}
-	c := e.candidates(g, hosts)
-	if seats := e.seats(g, c, g.left, func(h *hostState) bool { return e.allowed(g, h, now) }); seats != nil {
+	if seats := e.seats(g, e.permitted(g, hosts, now), g.left); seats != nil {
 		e.startGang(g, seats, now)
 		return
 	}
+	c := e.candidates(g, hosts)
 	if g.job.rec.Rules.Advice != nil {
 		e.askForGang(g, c, now)
 	}
@@ -29,10 +29,10 @@
 
 // seats chooses places for n tasks of a gang on the hosts that may be used, or
 // returns nil when there are not enough.
-func (e *Engine) seats(g *group, c []*hostState, n int, may func(*hostState) bool) []seat {
+func (e *Engine) seats(g *group, c []*hostState, n int) []seat {
 	var all []seat
 	for _, h := range c {
-		if !may(h) || !mayUse(g, h) {
+		if !mayUse(g, h) {
 			continue
 		}
 		if k := g.fits(h, h.free()); k > 0 {
@@ -103,7 +103,7 @@
 		return true
 	}
 	for _, h := range c {
-		if _, known := g.advice.known[h.info.ID]; !known {
+		if _, known := g.advice.known[h]; !known {
 			return false
 		}
 	}
@@ -121,7 +121,7 @@
 	}
 	g.unreserve()
 	kept := 0
-	for _, h := range e.hosts {
+	for _, h := range e.sorted {
 		if h.reserved != nil {
 			kept++
 		}
--- a/internal/engine/takeover.go
+++ b/internal/engine/takeover.go
@@ -94,14 +94,14 @@
 		return
 	}
 	why := "every host has shown what it runs"
-	for id, h := range e.hosts {
+	for _, h := range e.sorted {
 		if h.claimed || h.gone {
 			continue
 		}
 		if now.Before(e.settleBy) {
 			return
 		}
-		why = "leases are over on hosts not heard of, " + string(id) + " among them"
+		why = "leases are over on hosts not heard of, " + string(h.info.ID) + " among them"
 	}
 	e.unsettled = false
 	e.log(Event{What: "takeover settled", Why: why})
@@ -123,7 +123,7 @@
 	if g.step.Gang && missing > 0 && missing < g.left {
 		for i := range g.tasks {
 			if cur := g.tasks[i].cur; cur != nil {
-				cur.unwanted = true // a gang in part works at nothing
+				e.unwant(cur) // a gang in part works at nothing
 			}
 		}
 	}
--- a/internal/engine/view.go
+++ b/internal/engine/view.go
@@ -12,7 +12,7 @@
 // planLooks asks hosts what they run: all of them once after a claim, those in
 // use all the time, the others now and then.
 func (e *Engine) planLooks(now time.Time) {
-	for _, h := range e.hosts {
+	for _, h := range e.sorted {
 		if h.probe {
 			h.probe = false
 			e.out.Looks = append(e.out.Looks, LookOrder{To: h.info, Look: host.Look{Seen: h.seen}, Probe: true})
@@ -77,6 +77,7 @@
 	first := !h.claimed
 	if first {
 		h.claimed = true
+		e.room++
 		// What the former holder leased may last this long.
 		h.leased = max(h.leased, v.Clock+host.Millis(e.cfg.Bounds.LeaseLimit.Milliseconds()))
 	}
@@ -90,7 +91,7 @@
 		h.lookAt = e.nextLook(h, first, ended, now)
 	}
 	if !h.listed && len(h.runs) == 0 {
-		delete(e.hosts, id)
+		e.forgetHost(h)
 	}
 }
 
@@ -145,7 +146,6 @@
 	r := &run{Run: row.Run, state: runRunning, known: now, sent: now, progressAt: now, pace: 100}
 	g := e.groupOf(row.Task)
 	if g == nil {
-		r.unwanted = true
 		if j := e.jobs[row.Task.Job]; j != nil {
 			if ended := j.group(row.Task.Occurrence, row.Task.Step); ended != nil {
 				r.group, r.size = ended, ended.step.Booked()
@@ -155,6 +155,7 @@
 			r.size = h.info.Size // nobody knows what it takes
 		}
 		h.add(r)
+		e.unwant(r)
 		return r
 	}
 	r.group, r.size = g, g.step.Booked()
@@ -168,7 +169,7 @@
 		e.refresh(g)
 		return r
 	}
-	r.unwanted = true
+	e.unwant(r)
 	return r
 }
 
@@ -200,11 +201,11 @@
 	for key, r := range h.runs {
 		if shown[key] || !vanished(r, v.Clock, sent) {
 			if r.state == runDoubt && !shown[key] && r.known.Before(sent) {
-				r.unwanted = true // a stop settles it, whether or not it still arrives
+				e.unwant(r) // a stop settles it, whether or not it still arrives
 			}
 			continue
 		}
-		h.remove(r)
+		e.remove(r)
 		e.released(r, now)
 	}
 }
@@ -229,7 +230,7 @@
 func (e *Engine) endOf(h *hostState, end host.End, now time.Time) {
 	r := h.runs[end.Run]
 	if r != nil {
-		h.remove(r)
+		e.remove(r)
 		if end.Checkpoint != "" {
 			r.checkpoint = end.Checkpoint
 		}
@@ -278,7 +279,7 @@
 		return
 	}
 	if t.cur != nil && !g.step.Gang {
-		t.cur.unwanted = true // another run of it, which is needed no more
+		e.unwant(t.cur) // another run of it, which is needed no more
 	}
 	g.setState(i, taskDone)
 	g.left--
@@ -354,12 +355,12 @@
 	h.gone = true
 	e.log(Event{What: "host gone", Host: string(h.info.ID), Why: why})
 	e.dropRuns(h, now)
-	delete(e.hosts, h.info.ID)
+	e.forgetHost(h)
 }
 
 func (e *Engine) dropRuns(h *hostState, now time.Time) {
 	for _, r := range h.runs {
-		h.remove(r)
+		e.remove(r)
 		e.released(r, now)
 	}
 }
@@ -367,16 +368,16 @@
 // expireHosts gives up what ran on hosts that have been silent until every lease
 // there was over.
 func (e *Engine) expireHosts(now time.Time) {
-	for id, h := range e.hosts {
+	for _, h := range slices.Clone(e.sorted) {
 		if h.silent.IsZero() || !h.claimed || now.Before(e.leaseOver(h)) {
 			continue
 		}
 		if len(h.runs) > 0 {
-			e.log(Event{What: "host lost", Host: string(id), Why: "silent until its lease was over", Age: now.Sub(h.heard)})
+			e.log(Event{What: "host lost", Host: string(h.info.ID), Why: "silent until its lease was over", Age: now.Sub(h.heard)})
 			e.dropRuns(h, now)
 		}
 		if !h.listed {
-			delete(e.hosts, id)
+			e.forgetHost(h)
 		}
 	}
 }
--- a/internal/engine/watch.go
+++ b/internal/engine/watch.go
@@ -2,16 +2,22 @@
 
 import "time"
 
-// watchRuns finds runs that make no progress: their host stands still, or is so
-// slow that they are better started elsewhere.
+// watchEvery is how often the runs are looked through for some that stand still.
+const watchEvery = 250 * time.Millisecond
+
+// watchRuns finds runs that make no progress: their host stands still.
 func (e *Engine) watchRuns(now time.Time) {
-	for _, h := range e.hosts {
+	if now.Sub(e.watchedAt) < watchEvery {
+		return
+	}
+	e.watchedAt = now
+	for _, h := range e.sorted {
 		if !h.claimed || !h.silent.IsZero() {
 			continue
 		}
 		for _, r := range h.runs {
-			if e.hangs(r, now) {
-				r.unwanted = true
+			if e.hangs(r) {
+				e.unwant(r)
 				e.log(Event{What: "run stands still", Job: r.Task.Job, Step: r.Task.StepID.String(), Host: string(h.info.ID), Age: now.Sub(r.progressAt)})
 				e.setAside(h, now, "a task stands still there")
 			}
@@ -21,7 +27,7 @@
 
 // hangs reports whether a run has made no progress for too long, as its host,
 // which has answered since, shows it.
-func (e *Engine) hangs(r *run, now time.Time) bool {
+func (e *Engine) hangs(r *run) bool {
 	if r.unwanted || r.state != runRunning || r.group == nil || r.group.step.LongRunning || r.pace < 100 {
 		return false
 	}
--- a/internal/engine/world_test.go
+++ b/internal/engine/world_test.go
@@ -39,6 +39,7 @@
 	good func(step spec.StepID, h host.ID) bool
 
 	jobs    map[string]*record.Job
+	watched time.Time
 	shown   map[string]record.State // the last state shown to a caller
 	running map[spec.StepTask]map[host.ID]int
 	// noted are tasks whose end as done was acknowledged.
@@ -374,14 +375,21 @@
 	}
 }
 
-// watch checks what callers are shown.
+// watch checks, every few milliseconds, what callers are shown.
 func (w *world) watch() {
+	if w.now.Sub(w.watched) < 5*time.Millisecond {
+		return
+	}
+	w.watched = w.now
 	for id, rec := range w.jobs {
 		s, known := w.engine.State(id)
 		if !known {
 			continue
 		}
 		before := w.shown[id]
+		if s == before {
+			continue
+		}
 		if before.Final() && s != before {
 			w.wrongf("job %s was shown as %s and is shown as %s", id, before, s)
 		}
