--- a/internal/engine/ask.go
+++ b/internal/engine/ask.go
@@ -123,6 +123,7 @@
 
 // Advised takes in the outcome of a question.
 func (e *Engine) Advised(o AskOrder, a advice.Answer, err error, now time.Time) {
+	e.now = now
 	q := e.asks[o.ID]
 	if q == nil {
 		return
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -73,6 +73,8 @@
 	settleBy time.Time
 	// proved is until when this process may give orders.
 	proved time.Time
+	// now is the time of the present call, for the log.
+	now time.Time
 
 	lanes *advice.Lanes
 	asks  map[uint64]*question
@@ -177,6 +179,7 @@
 // Next decides what is due at now. The second value is when to call again if
 // nothing happens before.
 func (e *Engine) Next(now time.Time) (Orders, time.Time) {
+	e.now = now
 	e.out = Orders{}
 	e.settle(now)
 	e.begin(now)
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -93,6 +93,22 @@
 	}
 }
 
+// TestGangMembersWaitForTheSlowest: members that had done their work were taken
+// for standing still while they waited for the others, and the gang was stopped
+// (seen on the users' platform as half of all work thrown away).
+func TestGangMembersWaitForTheSlowest(t *testing.T) {
+	w := quietWorld(t, 4)
+	w.spreadOfWork = 0.5
+	gang := step(6, 18, 26, 2000)
+	gang.Gang = true
+	w.submit("a", catalog.Rules{}, gang)
+	w.run(9 * time.Second)
+	w.check()
+	is := is.New(t)
+	is.Equal(w.shown["a"], record.StateCompleted)
+	is.Equal(w.starts, 6)
+}
+
 func TestFailedAsOftenAsAllowed(t *testing.T) {
 	w := quietWorld(t, 8)
 	w.submit("hopeless", catalog.Rules{Attempts: 3}, step(2, 8, 8, 200))
--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -160,11 +160,13 @@
 }
 
 // unwant has a run stopped.
-func (e *Engine) unwant(r *run) {
-	if r.on.runs[r.Run] == r {
-		r.unwanted = true
-		e.unwanted[r] = struct{}{}
+func (e *Engine) unwant(r *run, why string) {
+	if r.on.runs[r.Run] != r || r.unwanted {
+		return
 	}
+	r.unwanted = true
+	e.unwanted[r] = struct{}{}
+	e.log(Event{What: "run stopped", Job: r.Task.Job, Step: r.Task.StepID.String(), Host: string(r.on.info.ID), Why: why, Age: e.now.Sub(r.sent)})
 }
 
 // SetHosts takes in the platform's list of hosts, whole.
--- a/internal/engine/job.go
+++ b/internal/engine/job.go
@@ -62,6 +62,8 @@
 	left  int // tasks that are not done
 	// waiting counts tasks in taskWaiting.
 	waiting int
+	// doneAt is when its last task was done.
+	doneAt time.Time
 	// readySince is when the step's turn came.
 	readySince time.Time
 
@@ -183,6 +185,7 @@
 func (e *Engine) stepDone(g *group, now time.Time) {
 	j := g.job
 	j.open--
+	g.doneAt = now
 	delete(e.ready, g.id)
 	g.unreserve()
 	for _, other := range j.groups {
@@ -217,8 +220,8 @@
 		delete(e.ready, g.id)
 		g.unreserve()
 		for i := range g.tasks {
-			if r := g.tasks[i].cur; r != nil {
-				e.unwant(r)
+			if r := g.tasks[i].cur; r != nil && s != record.StateCompleted {
+				e.unwant(r, "its job is over: "+string(s))
 			}
 		}
 	}
--- a/internal/engine/orders.go
+++ b/internal/engine/orders.go
@@ -38,6 +38,7 @@
 
 // Started takes in the outcome of a start.
 func (e *Engine) Started(o StartOrder, reply host.Reply, err error, now time.Time) {
+	e.now = now
 	h := e.hosts[o.To.ID]
 	if h == nil {
 		return
@@ -121,6 +122,7 @@
 
 // Stopped takes in the outcome of a stop.
 func (e *Engine) Stopped(o StopOrder, reply host.Reply, err error, now time.Time) {
+	e.now = now
 	h := e.hosts[o.To.ID]
 	if h == nil {
 		return
--- a/internal/engine/takeover.go
+++ b/internal/engine/takeover.go
@@ -13,6 +13,7 @@
 // runs, or until settleBy, when nothing that the former holder has ordered can
 // run any more. A first holder has no former one: its settleBy is zero.
 func (e *Engine) Load(jobs []*record.Job, progress map[string]*record.Progress, roster []host.Info, settleBy, now time.Time, age func(*record.Job) time.Duration) {
+	e.now = now
 	e.unsettled = !settleBy.IsZero()
 	e.settleBy = settleBy
 	for _, info := range roster {
@@ -123,7 +124,7 @@
 	if g.step.Gang && missing > 0 && missing < g.left {
 		for i := range g.tasks {
 			if cur := g.tasks[i].cur; cur != nil {
-				e.unwant(cur) // a gang in part works at nothing
+				e.unwant(cur, "its gang is not whole after the takeover") // a gang in part works at nothing
 			}
 		}
 	}
@@ -136,6 +137,7 @@
 // Cancel ends a job at its caller's wish. The second value is false when the job
 // is not known.
 func (e *Engine) Cancel(id string, now time.Time) (record.State, bool) {
+	e.now = now
 	j := e.jobs[id]
 	if j == nil {
 		return "", false
--- a/internal/engine/view.go
+++ b/internal/engine/view.go
@@ -48,6 +48,7 @@
 
 // Viewed takes in the outcome of a look that was sent at sent.
 func (e *Engine) Viewed(o LookOrder, sent time.Time, v host.View, err error, now time.Time) {
+	e.now = now
 	id := o.To.ID
 	h := e.hosts[id]
 	if h == nil {
@@ -155,7 +156,7 @@
 			r.size = h.info.Size // nobody knows what it takes
 		}
 		h.add(r)
-		e.unwant(r)
+		e.unwant(r, "no job that is live has it")
 		return r
 	}
 	r.group, r.size = g, g.step.Booked()
@@ -169,7 +170,7 @@
 		e.refresh(g)
 		return r
 	}
-	e.unwant(r)
+	e.unwant(r, "its task is cared for elsewhere")
 	return r
 }
 
@@ -201,7 +202,7 @@
 	for key, r := range h.runs {
 		if shown[key] || !vanished(r, v.Clock, sent) {
 			if r.state == runDoubt && !shown[key] && r.known.Before(sent) {
-				e.unwant(r) // a stop settles it, whether or not it still arrives
+				e.unwant(r, "its start was not answered and it is not shown") // the stop settles it
 			}
 			continue
 		}
@@ -279,7 +280,7 @@
 		return
 	}
 	if t.cur != nil && !g.step.Gang {
-		e.unwant(t.cur) // another run of it, which is needed no more
+		e.unwant(t.cur, "its task is done elsewhere")
 	}
 	g.setState(i, taskDone)
 	g.left--
--- a/internal/engine/world_test.go
+++ b/internal/engine/world_test.go
@@ -33,6 +33,8 @@
 	proved     time.Time
 
 	faults faults
+	// spreadOfWork is by how much more the last member of a gang works than the first.
+	spreadOfWork float64
 	// failNext runs of first tasks fail.
 	failNext int
 	// good tells whether the policy service lets a step run on a host.
@@ -438,6 +440,9 @@
 	}
 }
 
+// uneven is the share of its step's estimate that a member of a gang works.
+func (w *world) uneven(index int) float64 { return 1 + w.spreadOfWork*float64(index) }
+
 // describe tells what the engine holds of a job, for a failed test.
 func (w *world) describe(id string) string {
 	out := ""
