Calls go out in the caller's goroutine

Cause: a call to a host cost the holder two goroutines' hand-overs, since each connection had an http.Transport of its own to keep it from replaying.

Change: net/http writes the request and reads the answer on the connection itself (Request.Write, ReadResponse); a context that ends fails its reads and writes; an idle connection is looked at without waiting before it is used again. The contract tests of httponce are unchanged.

Ruled out: another HTTP client library, whose retries would have to be switched off and which does not tell whether a byte was sent.

--- a/internal/httponce/httponce.go
+++ b/internal/httponce/httponce.go
@@ -2,9 +2,9 @@
 //
 // net/http's Transport replays a request on a new connection when a reused one
 // turns out to be closed and the request looks replayable: any GET, and
-// anything with an Idempotency-Key header. Here every connection has a
-// Transport of its own that can dial once only, so that there is nothing to
-// replay a request on.
+// anything with an Idempotency-Key header. Here net/http only writes the request
+// and reads the answer, in the caller's goroutine and on the connection that it
+// was given, so that there is nothing to replay a request on.
 package httponce
 
 import (
@@ -155,7 +155,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newLine(conn, c.opt.IdleTimeout), nil
+	return newLine(conn), nil
 }
 
 func (c *Client) takeIdle(p *pool) *line {
@@ -205,9 +205,10 @@
 	}
 }
 
-// readAll reads a whole body of a known length or in chunks.
+// readAll reads a whole body of a known length or in chunks. The body is not
+// closed: that would wait for the rest of one that is refused, and the connection
+// is closed then anyway.
 func readAll(resp *http.Response, method string, maxBody int64) ([]byte, error) {
-	defer resp.Body.Close()
 	if resp.StatusCode == http.StatusSwitchingProtocols {
 		return nil, errSwitched
 	}
--- a/internal/httponce/line.go
+++ b/internal/httponce/line.go
@@ -1,30 +1,36 @@
 package httponce
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
-// errRedial is what a replay meets.
-var errRedial = errors.New("connection lost, requests are never replayed")
-
 // errSealed is what a write meets after its request has failed.
 var errSealed = errors.New("request given up before this write")
 
+// errHeader is the cause of a failure whose answer's header was over the limit.
+var errHeader = errors.New("answer's header larger than allowed")
+
 // maxHeaderBytes bounds an answer's header.
 const maxHeaderBytes = 1 << 20
 
-// line is one connection with the Transport that drives it. One request at a
-// time uses it.
+// line is one connection. One request at a time uses it, in the goroutine of its
+// caller: net/http writes the request and reads the answer, and nothing else is
+// there to replay it.
 type line struct {
-	transport *http.Transport
 	conn      *countingConn
+	in        *bufio.Reader
+	out       *bufio.Writer
+	limit     *io.LimitedReader // below in
 	idleSince time.Time
 	reused    bool
 }
@@ -35,23 +41,13 @@
 	close bool
 }
 
-func newLine(conn net.Conn, idleTimeout time.Duration) *line {
-	l := &line{conn: &countingConn{Conn: conn}}
-	var once sync.Once
-	l.transport = &http.Transport{
-		DialContext: func(context.Context, string, string) (net.Conn, error) {
-			var c net.Conn
-			once.Do(func() { c = l.conn })
-			if c == nil {
-				return nil, errRedial
-			}
-			return c, nil
-		},
-		DisableCompression:     true,
-		IdleConnTimeout:        idleTimeout,
-		MaxResponseHeaderBytes: maxHeaderBytes,
+func newLine(conn net.Conn) *line {
+	counting := &countingConn{Conn: conn}
+	limit := &io.LimitedReader{R: counting}
+	return &line{
+		conn: counting, limit: limit,
+		in: bufio.NewReader(limit), out: bufio.NewWriter(counting),
 	}
-	return l
 }
 
 // roundTrip sends the request and reads the whole answer.
@@ -62,29 +58,59 @@
 		req.Body = io.NopCloser(bytes.NewReader(body))
 	}
 	l.conn.begin()
-	resp, err := l.transport.RoundTrip(req)
-	if err != nil {
+	// The connection ends with the context: its reads and writes then fail.
+	stop := context.AfterFunc(ctx, l.conn.abort)
+	answer, err := l.exchange(req, maxBody)
+	if !stop() && err == nil {
+		err = ctx.Err() // the connection may be closed already
+	}
+	if err != nil && ctx.Err() != nil {
+		err = fmt.Errorf("%w: %w", ctx.Err(), err)
+	}
+	return answer, err
+}
+
+// exchange writes the request and reads its answer, whatever informational ones
+// come before.
+func (l *line) exchange(req *http.Request, maxBody int64) (reply, error) {
+	if err := req.Write(l.out); err != nil {
 		return reply{}, err
 	}
-	whole, err := readAll(resp, req.Method, maxBody)
-	if err != nil {
+	if err := l.out.Flush(); err != nil {
 		return reply{}, err
 	}
-	return reply{Answer{resp.StatusCode, resp.Header, whole}, resp.Close}, nil
+	for {
+		l.limit.N = maxHeaderBytes
+		resp, err := http.ReadResponse(l.in, req)
+		if err != nil {
+			if l.limit.N <= 0 {
+				err = errHeader
+			}
+			return reply{}, err
+		}
+		if resp.StatusCode >= 100 && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
+			continue
+		}
+		l.limit.N = maxBody + maxHeaderBytes // chunks have headers of their own
+		whole, err := readAll(resp, req.Method, maxBody)
+		if err != nil {
+			return reply{}, err
+		}
+		return reply{Answer{resp.StatusCode, resp.Header, whole}, resp.Close}, nil
+	}
 }
 
-// usable reports whether the connection stands, as far as is known, and was
-// used lately.
+// usable reports whether the connection stands, as far as can be told without
+// writing, and was used lately.
 func (l *line) usable(idleTimeout time.Duration) bool {
-	return !l.conn.isClosed() && time.Since(l.idleSince) < idleTimeout
+	return time.Since(l.idleSince) < idleTimeout && l.in.Buffered() == 0 && l.conn.stands()
 }
 
 // close ends the connection and reports whether a byte of the last request may
 // have been written.
 func (l *line) close() (sent bool) {
 	sent = l.conn.seal()
-	l.conn.Close()
-	l.transport.CloseIdleConnections()
+	_ = l.conn.Close() // nothing is left to be lost on it
 	return sent
 }
 
@@ -95,7 +121,6 @@
 	mu     sync.Mutex
 	wrote  bool
 	sealed bool
-	closed bool
 }
 
 // begin starts the count anew for the next request.
@@ -105,6 +130,11 @@
 	c.wrote = false
 }
 
+// abort fails every read and write, also those under way.
+func (c *countingConn) abort() {
+	_ = c.Conn.SetDeadline(time.Unix(1, 0)) // fails only on a closed connection
+}
+
 // seal lets every later write fail and reports whether there was one. A write
 // under way counts as written.
 func (c *countingConn) seal() bool {
@@ -133,16 +163,23 @@
 	return n, err
 }
 
-// Close closes the connection; the Transport calls it when the server did.
-func (c *countingConn) Close() error {
-	c.mu.Lock()
-	c.closed = true
-	c.mu.Unlock()
-	return c.Conn.Close()
-}
-
-func (c *countingConn) isClosed() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.closed
+// stands reports whether an idle connection is still open and silent: a read that
+// does not wait finds neither its end nor a byte.
+func (c *countingConn) stands() bool {
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	conn, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	stands := false
+	err = conn.Read(func(fd uintptr) bool {
+		var one [1]byte
+		n, readErr := syscall.Read(int(fd), one[:])
+		stands = n < 0 && (errors.Is(readErr, syscall.EAGAIN) || errors.Is(readErr, syscall.EWOULDBLOCK))
+		return true // whatever it found, without waiting
+	})
+	return err == nil && stands
 }
