A stand-in of the users' platform, and the ports' contracts against it

platform/fake serves store, hosts, policy service and operator on loopback over the engine that the contract tests know and hosts that internal/hostsim simulates; the engine's tests in virtual time use the same hosts. The store port has a second contract, for polling, which memstore and platform/ both pass.

The contract said that keys may hold any bytes. The platform carries them as text, where invalid UTF-8 would be changed on the way; the port now refuses such keys before anything is sent, in every implementation, and the contract tests that in place of storing them. Nothing in the product uses such keys.

--- /dev/null
+++ b/internal/hostsim/fleet.go
@@ -0,0 +1,163 @@
+// Package hostsim simulates the users' hosts for tests and the development
+// stand-in: hosts keep the highest epoch, kill everything when their lease ends,
+// list ends until these are forgotten, and start whatever they are told to. What
+// runs is judged against the promises: see Judge.
+package hostsim
+
+import (
+	"fmt"
+	"sort"
+	"sync"
+	"time"
+
+	"pulleyquay/internal/host"
+	"pulleyquay/internal/record"
+	"pulleyquay/internal/spec"
+)
+
+// Clock is the time that a fleet lives in: the real one, or a test's.
+type Clock interface {
+	Now() time.Time
+	// AfterFunc calls fn when d has passed.
+	AfterFunc(d time.Duration, fn func())
+}
+
+// RealClock is the process's own time.
+type RealClock struct{}
+
+// Now implements Clock.
+func (RealClock) Now() time.Time { return time.Now() }
+
+// AfterFunc implements Clock.
+func (RealClock) AfterFunc(d time.Duration, fn func()) { time.AfterFunc(d, fn) }
+
+// Bounds are the platform's times for hosts.
+type Bounds struct {
+	LeaseLimit, StopTakes, GangWait time.Duration
+}
+
+// DefaultBounds are those of the users' first sites.
+var DefaultBounds = Bounds{LeaseLimit: 6 * time.Second, StopTakes: 200 * time.Millisecond, GangWait: 3 * time.Second}
+
+// Fleet is a number of hosts. It is safe for concurrent use.
+type Fleet struct {
+	Bounds Bounds
+	// SpreadOfWork is by how much more the last member of a gang works than the
+	// first, as a share of the step's estimate a member. Set it before use.
+	SpreadOfWork float64
+
+	clock Clock
+	judge *Judge
+
+	mu    sync.Mutex
+	hosts map[host.ID]*Host
+	jobs  map[string]*record.Job
+	// failNext runs of first tasks fail.
+	failNext int
+}
+
+// NewFleet returns a fleet without hosts.
+func NewFleet(clock Clock) *Fleet {
+	f := &Fleet{Bounds: DefaultBounds, clock: clock, hosts: map[host.ID]*Host{}, jobs: map[string]*record.Job{}}
+	f.judge = newJudge(f)
+	return f
+}
+
+// Judge is the record of what ran and what was wrong.
+func (f *Fleet) Judge() *Judge { return f.judge }
+
+// Know tells the hosts what a job is made of. Hosts are asked to start tasks of
+// jobs by name only.
+func (f *Fleet) Know(j *record.Job) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.jobs[j.ID] = j
+}
+
+// FailNext lets so many runs of first tasks fail.
+func (f *Fleet) FailNext(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failNext = n
+}
+
+// Add adds like hosts of a service, four to a rack, in three zones by turns. The
+// names go on where the last ones ended.
+func (f *Fleet) Add(n int, service string, size spec.Resources) []*Host {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []*Host
+	for range n {
+		i := len(f.hosts)
+		rack := fmt.Sprint("r", i/4)
+		info := host.Info{
+			ID: host.ID(fmt.Sprintf("h%02d", i)), Addr: fmt.Sprintf("h%02d", i), Zone: fmt.Sprint("z", i%3),
+			Service: service, Kind: "a", Rack: rack, Labels: []string{"a", rack}, Size: size,
+		}
+		out = append(out, f.add(info))
+	}
+	return out
+}
+
+func (f *Fleet) add(info host.Info) *Host {
+	h := &Host{
+		fleet: f, info: info, up: true, listed: true, rate: 1,
+		// Hosts have been up for different times; the clocks differ.
+		born: f.clock.Now().Add(-time.Duration(1000+137*len(f.hosts)) * time.Second),
+		runs: map[host.Run]*run{}, over: map[spec.StepTask]int{},
+	}
+	f.hosts[info.ID] = h
+	return h
+}
+
+// Host returns a host by its id, or nil.
+func (f *Fleet) Host(id host.ID) *Host {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.hosts[id]
+}
+
+// Hosts returns all hosts in the order of their ids.
+func (f *Fleet) Hosts() []*Host {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.sorted()
+}
+
+func (f *Fleet) sorted() []*Host {
+	out := make([]*Host, 0, len(f.hosts))
+	for _, h := range f.hosts {
+		out = append(out, h)
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].info.ID < out[b].info.ID })
+	return out
+}
+
+// Listed returns what the hosts in the platform's list say of themselves.
+func (f *Fleet) Listed() []host.Info {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []host.Info
+	for _, h := range f.sorted() {
+		if h.listed {
+			out = append(out, h.info)
+		}
+	}
+	return out
+}
+
+// after runs fn under the fleet's lock when d has passed.
+func (f *Fleet) after(d time.Duration, fn func()) {
+	f.clock.AfterFunc(d, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		fn()
+	})
+}
+
+// Job returns a job that the hosts were told of, or nil.
+func (f *Fleet) Job(id string) *record.Job {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.jobs[id]
+}
--- a/internal/platform/limits.go
+++ b/internal/platform/limits.go
@@ -1,6 +1,9 @@
 package platform
 
-import "fmt"
+import (
+	"fmt"
+	"unicode/utf8"
+)
 
 // Limits of the platform's store. A call beyond them fails with ErrRefused.
 const (
@@ -21,11 +24,19 @@
 	if len(t.If) > MaxTxnOps || len(t.Then) > MaxTxnOps {
 		return fmt.Errorf("%w: %d conditions and %d writes, at most %d each", ErrRefused, len(t.If), len(t.Then), MaxTxnOps)
 	}
+	for _, c := range t.If {
+		if !utf8.ValidString(c.Key) {
+			return fmt.Errorf("%w: key %q is no text", ErrRefused, c.Key)
+		}
+	}
 	written := make(map[string]struct{}, len(t.Then))
 	for _, w := range t.Then {
 		if w.Key == "" {
 			return fmt.Errorf("%w: empty key", ErrRefused)
 		}
+		if !utf8.ValidString(w.Key) {
+			return fmt.Errorf("%w: key %q is no text", ErrRefused, w.Key)
+		}
 		if _, twice := written[w.Key]; twice {
 			return fmt.Errorf("%w: key %q written twice", ErrRefused, w.Key)
 		}
--- a/internal/platform/memstore/memstore_test.go
+++ b/internal/platform/memstore/memstore_test.go
@@ -75,3 +75,11 @@
 	is.Equal(failed, []int{0, 1})
 	is.Equal(e.Faults(), memstore.Faults{})
 }
+
+func TestPollerContract(t *testing.T) {
+	platformtest.TestPoller(t, func(*testing.T) platformtest.PollerCase {
+		e := memstore.New()
+		t.Cleanup(e.Close)
+		return platformtest.PollerCase{Store: e.Client("a"), Compact: e.Compact}
+	})
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -87,7 +87,7 @@
 	// Get returns the records under the prefix in key order and the store's
 	// revision at that moment. A full key is its own prefix.
 	List(ctx context.Context, prefix string) ([]Record, Revision, error)
-	// Commit applies a transaction atomically.
+	// Commit applies a transaction atomically. Keys are UTF-8 text.
 	Commit(ctx context.Context, txn Txn) (TxnReply, error)
 	// Watch sends every change under the prefix after the given revision to
 	// fn, in order, until ctx ends or the watch breaks; it returns the reason.
--- a/internal/platform/platformtest/store.go
+++ b/internal/platform/platformtest/store.go
@@ -31,6 +31,7 @@
 	tests := map[string]func(ctx context.Context, is *is.I, c StoreCase){
 		"list is ordered and by prefix":              listByPrefix,
 		"list everything":                            listEverything,
+		"keys are text":                              keysAreText,
 		"create once":                                createOnce,
 		"compare and swap":                           compareAndSwap,
 		"transaction is all or nothing":              allOrNothing,
@@ -141,7 +142,7 @@
 }
 
 func listEverything(ctx context.Context, is *is.I, c StoreCase) {
-	keys := []string{"\x00", "a", "z", "\xff\xff"}
+	keys := []string{"\x00", "a", "z", "\U0010ffff"}
 	for _, k := range keys {
 		mustCommit(ctx, is, c.Store, put(k, "v"))
 	}
@@ -149,12 +150,25 @@
 	is.NoErr(err)
 	var got []string
 	for _, r := range records {
-		if len(r.Key) <= 2 { // a wrapper may keep keys of its own, with longer names
+		if len(r.Key) <= 4 { // a wrapper may keep keys of its own, with longer names
 			got = append(got, r.Key)
 		}
 	}
 	is.Equal(got, keys)
-	is.Equal(mustList(ctx, is, c.Store, "\xff"), []string{"\xff\xff=v"})
+	is.Equal(mustList(ctx, is, c.Store, "\U0010ffff"), []string{"\U0010ffff=v"})
+}
+
+// keysAreText: a platform may carry keys as text, where other bytes would be
+// changed on the way.
+func keysAreText(ctx context.Context, is *is.I, c StoreCase) {
+	for _, txn := range []platform.Txn{
+		put("a\xff", "v"),
+		{If: []platform.Condition{{Key: "\xff"}}, Then: put("a", "v").Then},
+	} {
+		_, err := c.Store.Commit(ctx, txn)
+		is.True(errors.Is(err, platform.ErrRefused))
+	}
+	is.Equal(mustList(ctx, is, c.Store, "a"), []string{})
 }
 
 func refusedShowsFound(ctx context.Context, is *is.I, c StoreCase) {
