Gangs ask about as many hosts as it takes, and reserve places from a moment on

Change: a gang asks about as many hosts as it can be expected to need, from the share of good hosts that was learned for its queue, in parts through several members at once; it reserves a number of places on hosts from the first moment on at which, by the progress of what runs, enough are free together. Others use that room meanwhile if they end before, or leave as much.

--- a/internal/advice/lanes.go
+++ b/internal/advice/lanes.go
@@ -67,6 +67,23 @@
 // Book takes the lane that will answer a question of that length first. It
 // reports false when all lanes it may use are booked too far ahead.
 func (l *Lanes) Book(took time.Duration, now time.Time) (name string, answered time.Time, ok bool) {
+	best := l.best(took, now)
+	if best == nil {
+		return "", time.Time{}, false
+	}
+	if best.busyUntil.Before(now) {
+		best.busyUntil = now
+	}
+	best.busyUntil = best.busyUntil.Add(took)
+	best.asked++
+	return best.name, best.busyUntil, true
+}
+
+// Open reports whether Book would find a lane.
+func (l *Lanes) Open(took time.Duration, now time.Time) bool { return l.best(took, now) != nil }
+
+// best is the least booked lane for a question of that length, or nil.
+func (l *Lanes) best(took time.Duration, now time.Time) *lane {
 	lanes, backlog := l.open(took)
 	var best *lane
 	for _, x := range lanes {
@@ -78,15 +95,9 @@
 		}
 	}
 	if best == nil || best.busyUntil.Sub(now) > backlog {
-		return "", time.Time{}, false
+		return nil
 	}
-	start := best.busyUntil
-	if start.Before(now) {
-		start = now
-	}
-	best.busyUntil = start.Add(took)
-	best.asked++
-	return best.name, best.busyUntil, true
+	return best
 }
 
 // open returns the lanes for questions of a length and how far ahead they may be
--- a/internal/engine/ask.go
+++ b/internal/engine/ask.go
@@ -29,12 +29,12 @@
 
 // askForTasks asks about hosts that have room for tasks that wait.
 func (e *Engine) askForTasks(g *group, c []*hostState, now time.Time) {
-	if g.advice.asking > 0 || now.Before(g.advice.askAfter) {
+	if !e.mayAsk(g, now) {
 		return
 	}
 	var open []*hostState
 	for _, h := range c {
-		if refusedBy(g, h) == "" && mayUse(g, h) && !e.allowed(g, h, now) && g.fits(h, h.free()) > 0 {
+		if refusedBy(g, h) == "" && !e.allowed(g, h, now) && g.fits(h, e.roomFor(g, h, now)) > 0 {
 			open = append(open, h)
 		}
 	}
@@ -60,7 +60,7 @@
 func (e *Engine) enough(g *group, open []*hostState, n float64) []*hostState {
 	want := n * spareAsked
 	for i, h := range open {
-		p := guessGood
+		p := e.goodShare(g)
 		if g.advice.known[h] {
 			p = 1
 		}
@@ -72,42 +72,132 @@
 	return open
 }
 
-// askForGang asks about every host that is not known yet, and, once there is
-// room on good hosts, for tickets of those.
+// askForGang asks for tickets of good hosts when these have room for the gang, and
+// else about as many more hosts as it takes, as things go, to find that room.
 func (e *Engine) askForGang(g *group, c []*hostState, now time.Time) {
-	if g.advice.asking > 0 || now.Before(g.advice.askAfter) {
+	if !e.mayAsk(g, now) {
 		return
 	}
-	var unknown []*hostState
+	good, unknown := g.split(c)
+	room, could := 0, 0
+	for _, h := range good {
+		could += g.fits(h, h.info.Size)
+		room += g.fits(h, e.roomFor(g, h, now))
+	}
+	if room >= g.left {
+		e.ask(g, e.spared(g, good, now), now)
+		return
+	}
+	e.askInParts(g, e.worthAsking(g, unknown, room, could, now), now)
+}
+
+// split parts the candidates of a step into those that are known to be good and
+// those that were never asked about.
+func (g *group) split(c []*hostState) (good, unknown []*hostState) {
 	for _, h := range c {
-		if _, known := g.advice.known[h]; !known {
+		if _, known := g.advice.known[h]; known {
+			good = append(good, h) // a candidate that is known is good
+		} else {
 			unknown = append(unknown, h)
 		}
 	}
-	if len(unknown) > 0 {
-		sort.SliceStable(unknown, func(a, b int) bool {
-			return g.fits(unknown[a], unknown[a].free()) > g.fits(unknown[b], unknown[b].free())
-		})
-		e.ask(g, unknown[:min(len(unknown), e.cfg.Tuning.AskMost)], now)
-		return
+	return good, unknown
+}
+
+// spareTickets is how many more places than the gang needs are asked for when
+// its tickets are renewed, as some may be taken meanwhile.
+const spareTickets = 1.3
+
+// spared are the hosts to ask tickets for: those that the gang would go to, and
+// some more.
+func (e *Engine) spared(g *group, good []*hostState, now time.Time) []*hostState {
+	n := int(spareTickets * float64(g.left))
+	seats := e.seats(g, good, n, now)
+	if seats == nil {
+		seats = e.seats(g, good, g.left, now)
 	}
-	seats := e.seats(g, c, g.left)
 	hosts := make([]*hostState, 0, len(seats))
 	for _, s := range seats {
 		hosts = append(hosts, s.host)
 	}
-	e.ask(g, hosts, now)
+	return hosts
 }
 
-// ask books a lane and sends the question.
-func (e *Engine) ask(g *group, hosts []*hostState, now time.Time) {
-	if len(hosts) == 0 {
+// worthAsking chooses hosts to ask about: first those with room now, until the
+// gang can be expected to find its room; then, where even empty hosts that are
+// known to be good could not hold it, those that could hold most.
+func (e *Engine) worthAsking(g *group, unknown []*hostState, room, could int, now time.Time) []*hostState {
+	p := e.goodShare(g)
+	take := func(fits func(*hostState) int, want float64) (out, rest []*hostState) {
+		all := make([]seat, 0, len(unknown))
+		for _, h := range unknown {
+			all = append(all, seat{h, fits(h)})
+		}
+		sort.SliceStable(all, func(a, b int) bool { return all[a].n > all[b].n })
+		for _, s := range all {
+			if s.n > 0 && want > 0 {
+				out = append(out, s.host)
+				want -= p * float64(s.n)
+			} else {
+				rest = append(rest, s.host)
+			}
+		}
+		return out, rest
+	}
+	first, rest := take(func(h *hostState) int { return g.fits(h, e.roomFor(g, h, now)) }, spareAsked*float64(g.left-room))
+	for _, h := range first {
+		could += int(p * float64(g.fits(h, h.info.Size)))
+	}
+	unknown = rest
+	more, _ := take(func(h *hostState) int { return g.fits(h, h.info.Size) }, spareAsked*float64(g.left)-float64(could))
+	return append(first, more...)
+}
+
+// askInParts asks about hosts through several members at the same time.
+func (e *Engine) askInParts(g *group, hosts []*hostState, now time.Time) {
+	for len(hosts) > 0 {
+		n := min(len(hosts), e.cfg.Tuning.AskMost)
+		if !e.ask(g, hosts[:n], now) {
+			return
+		}
+		hosts = hosts[n:]
+	}
+}
+
+// goodShare is the share of hosts that steps of the queue may run on, as learned.
+func (e *Engine) goodShare(g *group) float64 {
+	if p, ok := e.good[g.job.rec.Queue]; ok {
+		return p
+	}
+	return guessGood
+}
+
+// goodMemory is over about how many answers the share of good hosts is taken.
+const goodMemory = 8
+
+// learnGood takes in how many hosts of a question were good.
+func (e *Engine) learnGood(g *group, good, asked int) {
+	if asked == 0 {
 		return
 	}
+	share := max(float64(good)/float64(asked), 1/float64(2*asked))
+	e.good[g.job.rec.Queue] = e.goodShare(g) + (share-e.goodShare(g))/goodMemory
+}
+
+// mayAsk reports whether a question about a step may be asked now.
+func (e *Engine) mayAsk(g *group, now time.Time) bool {
+	return g.advice.asking == 0 && !now.Before(g.advice.askAfter) && e.lanes.Open(g.job.rec.Rules.Advice.Took(1), now)
+}
+
+// ask books a lane and sends the question, or reports that no lane is open.
+func (e *Engine) ask(g *group, hosts []*hostState, now time.Time) bool {
+	if len(hosts) == 0 {
+		return false
+	}
 	took := g.job.rec.Rules.Advice.Took(len(hosts))
 	lane, answered, ok := e.lanes.Book(took, now)
 	if !ok {
-		return
+		return false
 	}
 	q := &question{group: g, lane: lane}
 	for _, h := range hosts {
@@ -119,6 +209,7 @@
 	e.out.Asks = append(e.out.Asks, AskOrder{
 		ID: e.askID, Lane: lane, Step: g.id, Hosts: q.hosts, Patience: answered.Sub(now) + askSlack,
 	})
+	return true
 }
 
 // Advised takes in the outcome of a question.
@@ -143,8 +234,12 @@
 		g.advice.known = map[*hostState]bool{}
 		g.advice.tickets = map[*hostState]ticket{}
 	}
+	fresh, good := 0, 0
 	for _, id := range q.hosts {
 		if h := e.hosts[id]; h != nil {
+			if _, known := g.advice.known[h]; !known {
+				fresh++
+			}
 			g.advice.known[h] = false
 		}
 	}
@@ -152,6 +247,10 @@
 		if h := e.hosts[t.Host]; h != nil {
 			g.advice.known[h] = true
 			g.advice.tickets[h] = ticket{text: t.Ticket, until: now.Add(a.Valid)}
+			good++
 		}
 	}
+	if fresh == len(q.hosts) {
+		e.learnGood(g, good, fresh)
+	}
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -77,6 +77,8 @@
 	now time.Time
 
 	lanes *advice.Lanes
+	// good is the share of hosts that a queue's steps may run on, by queue.
+	good  map[string]float64
 	asks  map[uint64]*question
 	askID uint64
 
@@ -91,6 +93,8 @@
 
 	slot spec.Resources // learned size of a gang's task, to keep such room whole
 	out  Orders
+	// reserving counts the gangs of this plan that have places reserved.
+	reserving int
 	// scratch is reused for the hosts of one plan.
 	scratch []*hostState
 }
@@ -114,6 +118,7 @@
 		asks:     map[uint64]*question{},
 		unwanted: map[*run]struct{}{},
 		dirty:    map[string]*job{},
+		good:     map[string]float64{},
 		lanes:    advice.NewLanes(),
 	}
 }
--- /dev/null
+++ b/internal/engine/explain.go
@@ -0,0 +1,56 @@
+package engine
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+)
+
+// tellAfter is for how long a step waits before the log says why, and how often
+// it says so again.
+const tellAfter = 4 * time.Second
+
+// tellWaiting logs why a step waits that has waited for long.
+func (e *Engine) tellWaiting(g *group, now time.Time) {
+	if now.Sub(g.readySince) < tellAfter || now.Sub(g.toldAt) < tellAfter {
+		return
+	}
+	g.toldAt = now
+	e.log(Event{What: "step waits", Job: g.job.id(), Step: g.id.String(), Why: e.whyWaiting(g, now), Age: now.Sub(g.readySince)})
+}
+
+// whyWaiting tells what a step lacks: which rule refuses how many hosts, and how
+// much room there is on the others.
+func (e *Engine) whyWaiting(g *group, now time.Time) string {
+	refused := map[string]int{}
+	good, ticketed, room, kept, could := 0, 0, 0, 0, 0
+	for _, h := range e.sorted {
+		rule := refusedBy(g, h)
+		if !e.placeable(h, now) {
+			rule = "not placeable"
+		}
+		if rule != "" {
+			refused[rule]++
+			continue
+		}
+		if g.advice.known[h] {
+			good++
+		}
+		if e.allowed(g, h, now) {
+			ticketed++
+		}
+		could += g.fits(h, h.info.Size)
+		room += g.fits(h, e.roomFor(g, h, now))
+		if len(h.reserved) > 0 {
+			kept++
+		}
+	}
+	rules := make([]string, 0, len(refused))
+	for rule, n := range refused {
+		rules = append(rules, fmt.Sprintf("%s %d", rule, n))
+	}
+	sort.Strings(rules)
+	return fmt.Sprintf("wants %d places (%d cores, %d MiB each); has room for %d, %d if empty; %d hosts good, %d ticketed, places reserved on %d, for it on %d, %d questions asked; refused by rule: %s",
+		g.waiting, g.step.Size.MilliCPU/1000, g.step.Size.MemoryMiB, room, could, good, ticketed, kept, len(g.reserved), g.advice.asking, strings.Join(rules, ", "))
+}
--- a/internal/engine/gang.go
+++ b/internal/engine/gang.go
@@ -48,13 +48,3 @@
 	host *hostState
 	n    int
 }
-
-// unreserve gives the hosts back that room was kept on.
-func (g *group) unreserve() {
-	for _, h := range g.reserved {
-		if h.reserved == g {
-			h.reserved = nil
-		}
-	}
-	g.reserved = nil
-}
--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -37,11 +37,13 @@
 	// sent is when the start was ordered, known since when the host answered it.
 	sent, known time.Time
 
-	percent    float64
-	progressAt time.Time // when percent last moved
-	gauge      float64
-	checkpoint string
-	pace       int // percent of its speed that it was given
+	// percent is how much of its work was done at progressAt, when that last
+	// moved; the first that was seen is kept to tell its rate.
+	percent, firstPercent float64
+	progressAt, firstAt   time.Time
+	gauge                 float64
+	checkpoint            string
+	pace                  int // percent of its speed that it was given
 }
 
 // hostState is one host with its books.
@@ -81,7 +83,7 @@
 	setAside time.Time // not chosen before
 	asides   int
 
-	reserved *group // a gang that room is kept for
+	reserved []reservation // places that are kept for gangs
 }
 
 func (e *Engine) newHost(info host.Info) *hostState {
@@ -202,7 +204,7 @@
 	}
 	if info.Draining && !h.info.Draining {
 		e.log(Event{What: "host draining", Host: string(info.ID)})
-		e.drain(h, now)
+		h.unreserveHost()
 	}
 	if !h.listed && h.claimed {
 		h.lookAt = now
--- a/internal/engine/job.go
+++ b/internal/engine/job.go
@@ -64,6 +64,7 @@
 	waiting int
 	// doneAt is when its last task was done.
 	doneAt time.Time
+	toldAt time.Time // when the log last said why it waits
 	// readySince is when the step's turn came.
 	readySince time.Time
 
@@ -78,6 +79,9 @@
 	checkpoint string
 	checked    float64 // percent of work behind checkpoint
 	reserved   []*hostState
+	reservedAt time.Time
+	ends       time.Time // when its run is expected to end, as of endsAsOf
+	endsAsOf   time.Time
 	notBefore  time.Time
 }
 
--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -17,10 +17,15 @@
 		return
 	}
 	hosts := e.choices(now)
+	e.reserving = 0
 	for _, g := range queue {
 		if e.hopeless(g, now) {
+			if len(g.reserved) > 0 {
+				e.reserving++
+			}
 			continue
 		}
+		e.tellWaiting(g, now)
 		g.tried = attempt{at: now, room: e.room, answers: g.advice.answers}
 		if g.step.Gang {
 			e.planGang(g, hosts, now)
@@ -96,7 +101,7 @@
 		if t.state != taskWaiting || now.Before(t.notBefore) {
 			continue
 		}
-		h := e.best(g, t, c)
+		h := e.best(g, t, c, now)
 		if h == nil {
 			break
 		}
@@ -139,12 +144,12 @@
 }
 
 // best returns the host for the next task of a step, or nil.
-func (e *Engine) best(g *group, t *task, c []*hostState) *hostState {
+func (e *Engine) best(g *group, t *task, c []*hostState, now time.Time) *hostState {
 	var best *hostState
 	var least float64
 	size := g.step.Booked()
 	for _, h := range c {
-		if !size.Fits(h.free()) || !g.spread(h) || !mayUse(g, h) {
+		if !g.spread(h) || !size.Fits(e.roomFor(g, h, now)) {
 			continue
 		}
 		cost := e.cost(g, h)
@@ -172,12 +177,6 @@
 	return now.Add(e.cfg.Tuning.TicketMargin).Before(g.advice.tickets[h].until)
 }
 
-// mayUse reports whether a step may use a host that room is kept on: only the
-// gang that it is kept for may, and more urgent steps.
-func mayUse(g *group, h *hostState) bool {
-	return h.reserved == nil || h.reserved == g || g.job.rec.Rules.Priority < h.reserved.job.rec.Rules.Priority
-}
-
 // fits is how many tasks of a step a host has room for.
 func (g *group) fits(h *hostState, free spec.Resources) int {
 	n := times(g.step.Booked(), free)
--- /dev/null
+++ b/internal/engine/reserve.go
@@ -0,0 +1,158 @@
+package engine
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"pulleyquay/internal/spec"
+)
+
+// A gang that finds no room gets places from a moment in the future on: the first
+// at which, by the estimates of what runs, enough places on good hosts are free
+// together. Until then others may use that room as long as they end before, or
+// leave as much as the gang needs.
+
+// reservation is a number of places for a gang on one host from a moment on.
+type reservation struct {
+	group *group
+	n     int
+	at    time.Time
+}
+
+// Limits of reservations.
+const (
+	// hostsPerReserving is for how many hosts one gang may have places reserved.
+	hostsPerReserving = 8
+	// leastReserving is how many gangs may have places reserved in a small cell.
+	leastReserving = 5
+	// reserveEvery is how often a gang's reservation is worked out again.
+	reserveEvery = 250 * time.Millisecond
+)
+
+// horizons are the moments at which a gang's room is looked for.
+var horizons = []time.Duration{
+	0, 300 * time.Millisecond, 700 * time.Millisecond, 1200 * time.Millisecond, 2 * time.Second, 3 * time.Second,
+	4500 * time.Millisecond, 6500 * time.Millisecond, 9 * time.Second, 13 * time.Second, 20 * time.Second,
+}
+
+// mayReserve reports whether one more gang may have places reserved.
+func (e *Engine) mayReserve() bool {
+	return e.reserving < max(leastReserving, len(e.sorted)/hostsPerReserving)
+}
+
+// reserve works out from when a gang will have its room on the hosts, which the
+// policy allows, and keeps it.
+func (e *Engine) reserve(g *group, hosts []*hostState, now time.Time) {
+	if !e.mayReserve() {
+		g.unreserve()
+		return
+	}
+	e.reserving++
+	if len(g.reserved) > 0 && now.Sub(g.reservedAt) < reserveEvery && e.stillServes(g) {
+		return
+	}
+	g.unreserve()
+	g.reservedAt = now
+	for _, d := range horizons {
+		seats := e.seatsAt(g, hosts, now.Add(d), now)
+		if seats == nil {
+			continue
+		}
+		for _, s := range seats {
+			s.host.reserved = append(s.host.reserved, reservation{group: g, n: s.n, at: now.Add(d)})
+			g.reserved = append(g.reserved, s.host)
+		}
+		return
+	}
+}
+
+// seatsAt chooses places that a gang will have at a moment, fewest hosts first,
+// or returns nil when there are not enough.
+func (e *Engine) seatsAt(g *group, hosts []*hostState, at, now time.Time) []seat {
+	var all []seat
+	for _, h := range hosts {
+		room := h.freeAt(at, now).Sub(h.reservedFor(g))
+		if n := g.fits(h, room); n > 0 {
+			all = append(all, seat{h, n})
+		}
+	}
+	sort.SliceStable(all, func(a, b int) bool { return all[a].n > all[b].n })
+	n := g.left
+	for i := range all {
+		all[i].n = min(all[i].n, n)
+		if n -= all[i].n; n == 0 {
+			return all[:i+1]
+		}
+	}
+	return nil
+}
+
+// reservedFor is what is kept on a host for gangs other than g.
+func (h *hostState) reservedFor(g *group) spec.Resources {
+	var sum spec.Resources
+	for _, r := range h.reserved {
+		if r.group != g {
+			sum = sum.Add(r.size())
+		}
+	}
+	return sum
+}
+
+func (r reservation) size() spec.Resources { return r.group.step.Booked().Times(int64(r.n)) }
+
+// freeAt is what will be left of a host's size at a moment, if runs end as
+// estimated and nothing new comes.
+func (h *hostState) freeAt(at, now time.Time) spec.Resources {
+	free := h.free()
+	for _, r := range h.runs {
+		if !r.endsBy(now).After(at) {
+			free = free.Add(r.size)
+		}
+	}
+	return free
+}
+
+// roomFor is what a step may use of a host now: what is free, less what it would
+// take from reservations. Steps that end before a reservation begins take nothing
+// from it, and more urgent steps go before it.
+func (e *Engine) roomFor(g *group, h *hostState, now time.Time) spec.Resources {
+	free := h.free()
+	if len(h.reserved) == 0 {
+		return free
+	}
+	ends := now.Add(g.takes())
+	for _, r := range h.reserved {
+		if r.group == g || g.job.rec.Rules.Priority < r.group.job.rec.Rules.Priority || !ends.After(r.at) {
+			continue
+		}
+		free = free.Min(h.freeAt(r.at, now).Sub(r.size()))
+	}
+	return free
+}
+
+// stillServes reports whether the hosts that places are reserved on are all still
+// there.
+func (e *Engine) stillServes(g *group) bool {
+	for _, h := range g.reserved {
+		if h.gone || !h.listed || h.info.Draining || e.hosts[h.info.ID] != h {
+			return false
+		}
+	}
+	return true
+}
+
+// unreserve gives back the places that were kept.
+func (g *group) unreserve() {
+	for _, h := range g.reserved {
+		h.reserved = slices.DeleteFunc(h.reserved, func(r reservation) bool { return r.group == g })
+	}
+	g.reserved = nil
+}
+
+// unreserveHost lets gangs choose other hosts.
+func (h *hostState) unreserveHost() {
+	for len(h.reserved) > 0 {
+		h.reserved[0].group.unreserve()
+	}
+}
--- a/internal/engine/scores.go
+++ b/internal/engine/scores.go
@@ -23,8 +23,11 @@
 	if g.step.DataRack != "" && g.step.DataRack != h.info.Rack {
 		cost += costFar
 	}
-	if h.reserved != nil && h.reserved != g {
-		cost += costReserved
+	for _, r := range h.reserved {
+		if r.group != g {
+			cost += costReserved
+			break
+		}
 	}
 	if h.fails > 0 {
 		cost += costFails
--- a/internal/engine/tuning.go
+++ b/internal/engine/tuning.go
@@ -47,7 +47,7 @@
 		HangAfter:     2500 * time.Millisecond,
 		SetAsideAfter: 2,
 		SetAsideFor:   4 * time.Second,
-		AskMost:       48,
+		AskMost:       32,
 		TicketMargin:  60 * time.Millisecond,
 	}
 }
--- a/internal/engine/view.go
+++ b/internal/engine/view.go
@@ -176,9 +176,7 @@
 
 // progress takes in a row of a view.
 func (e *Engine) progress(r *run, row host.Running, now time.Time) {
-	if row.Percent > r.percent || r.progressAt.IsZero() {
-		r.percent, r.progressAt = row.Percent, now
-	}
+	r.seen(row.Percent, now)
 	r.gauge = row.Gauge
 	if row.Checkpoint != "" {
 		r.checkpoint = row.Checkpoint
--- a/internal/engine/watch.go
+++ b/internal/engine/watch.go
@@ -48,13 +48,3 @@
 	}
 	return r.on.viewed.Sub(r.progressAt) > e.cfg.Tuning.HangAfter
 }
-
-// drain takes what can go on elsewhere from a host that leaves before it can end.
-func (e *Engine) drain(h *hostState, now time.Time) { h.unreserveHost() }
-
-// unreserveHost lets a gang choose another host.
-func (h *hostState) unreserveHost() {
-	if h.reserved != nil {
-		h.reserved.unreserve()
-	}
-}
--- a/internal/spec/spec.go
+++ b/internal/spec/spec.go
@@ -31,6 +31,11 @@
 	return Resources{max(r.MilliCPU, o.MilliCPU), max(r.MemoryMiB, o.MemoryMiB), max(r.Accelerators, o.Accelerators)}
 }
 
+// Min returns the smaller of r and o in each component.
+func (r Resources) Min(o Resources) Resources {
+	return Resources{min(r.MilliCPU, o.MilliCPU), min(r.MemoryMiB, o.MemoryMiB), min(r.Accelerators, o.Accelerators)}
+}
+
 // Fits reports whether r is at most room in every component.
 func (r Resources) Fits(room Resources) bool {
 	return r.MilliCPU <= room.MilliCPU && r.MemoryMiB <= room.MemoryMiB && r.Accelerators <= room.Accelerators
