Planning keeps its cost when much waits; a fenced holder stops

Beside it a deposed holder, cut from the store, asked 350 hosts ten times a second after each had told it of the later holder; 40 members asked each other for opinions over 1,600 new links; a member of 0.19 cores took over 0.4 s after the strong one died.

A cut watch does not count as a store lost.

--- a/internal/cell/claimer.go
+++ b/internal/cell/claimer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -237,10 +238,7 @@
 	defer cancel()
 	var mu sync.Mutex
 	var asking sync.WaitGroup
-	for _, m := range c.View.Members(time.Now()) {
-		if m.Name == c.Self.Name || m.Name == e.Holder.Name {
-			continue
-		}
+	for _, m := range c.sample(e.Holder.Name) {
 		e.Others++
 		asking.Go(func() {
 			var o Opinion
@@ -261,6 +259,22 @@
 	asking.Wait()
 }
 
+// mostAsked is how many members one asks for their opinion: with all asking all,
+// a cell of many members would be busy with that alone.
+const mostAsked = 6
+
+// sample draws members to ask, this one and the holder left out.
+func (c *Claimer) sample(holder string) []Member {
+	var out []Member
+	for _, m := range c.View.Members(time.Now()) {
+		if m.Name != c.Self.Name && m.Name != holder {
+			out = append(out, m)
+		}
+	}
+	rand.Shuffle(len(out), func(a, b int) { out[a], out[b] = out[b], out[a] })
+	return out[:min(len(out), mostAsked)]
+}
+
 // standsStill reads whether the holder still writes, for a member that can ask
 // nobody.
 func (c *Claimer) standsStill(ctx context.Context, w *holderWatch, e *Evidence) {
@@ -312,7 +326,7 @@
 // waitTurn waits for the members that should claim first. It reports false when
 // one of them has.
 func (c *Claimer) waitTurn(ctx context.Context, w *holderWatch, former ledger.Holder) bool {
-	ctx, cancel := context.WithTimeout(ctx, Patience(c.View.Members(time.Now()), former.Name, c.Self.Name))
+	ctx, cancel := context.WithTimeout(ctx, Patience(c.View.Members(time.Now()), former.Name, c.Self))
 	defer cancel()
 	for {
 		changed := c.View.Changed()
--- a/internal/cell/succession.go
+++ b/internal/cell/succession.go
@@ -98,11 +98,36 @@
 
 // Patience is how long a member waits before it claims, so that the candidates
 // do not race.
-func Patience(members []Member, holder, self string) time.Duration {
-	for i, m := range Candidates(members, holder) {
-		if m.Name == self {
-			return time.Duration(i) * rankPause
+func Patience(members []Member, holder string, self Member) time.Duration {
+	candidates := Candidates(members, holder)
+	rank := len(candidates)
+	for i, m := range candidates {
+		if m.Name == self.Name {
+			rank = i
 		}
 	}
-	return time.Duration(len(members)) * rankPause
+	wait := time.Duration(min(rank, mostRanks)) * rankPause
+	if self.weak(members) {
+		wait += weakPause
+	}
+	return wait
+}
+
+// mostRanks bounds how many members are waited for.
+const mostRanks = 8
+
+// weakPause is how much longer a member waits that has much less processor time
+// than the strongest one: those are often back within a second, and a weak holder
+// serves badly.
+const weakPause = 1200 * time.Millisecond
+
+// weak reports whether another member, the late holder included, has much more
+// processor time.
+func (m Member) weak(members []Member) bool {
+	for _, other := range members {
+		if other.Cores > strongerBy*m.Cores {
+			return true
+		}
+	}
+	return false
 }
--- a/internal/cell/view_test.go
+++ b/internal/cell/view_test.go
@@ -91,8 +91,9 @@
 		{Name: "c", Cores: 0.8, StartedUnixMilli: 7}, {Name: "d", Cores: 0.8, Leaving: true}, {Name: "e", Cores: 0.8},
 	}
 	is.Equal(names(Candidates(members, "e")), []string{"c", "b", "a"})
-	is.Equal(Patience(members, "e", "c"), time.Duration(0))
-	is.Equal(Patience(members, "e", "a"), 2*rankPause)
+	is.Equal(Patience(members, "e", members[2]), time.Duration(0))
+	is.Equal(Patience(members, "e", members[1]), rankPause)
+	is.Equal(Patience(members, "e", members[0]), 2*rankPause+weakPause) // the strong may be back soon
 }
 
 func TestStronger(t *testing.T) {
--- a/internal/engine/bench_test.go
+++ b/internal/engine/bench_test.go
@@ -17,11 +17,18 @@
 	reviews, surveys, tickets float64 // a second
 	reviewWidth, surveyWidth  int
 	ticketWidth               int
+	name                      string
+}
+
+// named gives the load's jobs names of their own.
+func (l cellLoad) named(name string) cellLoad {
+	l.name = name
+	return l
 }
 
 var (
-	smallCell = cellLoad{48, 1.16, 6.83, 48.3, 8, 10, 2}
-	grownCell = cellLoad{350, 3.46, 11.2, 125, 20, 25, 3}
+	smallCell = cellLoad{hosts: 48, reviews: 1.16, surveys: 6.83, tickets: 48.3, reviewWidth: 8, surveyWidth: 10, ticketWidth: 2}
+	grownCell = cellLoad{hosts: 350, reviews: 3.46, surveys: 11.2, tickets: 125, reviewWidth: 20, surveyWidth: 25, ticketWidth: 3}
 )
 
 // arrive submits the load's jobs at even distances for a while.
@@ -33,7 +40,7 @@
 		n := int(d.Seconds() * perSecond)
 		for i := range n {
 			w.after(time.Duration(float64(i)/perSecond*float64(time.Second)), func() {
-				w.submit(fmt.Sprint(name, i), rules, s)
+				w.submit(fmt.Sprint(name, l.name, i), rules, s)
 			})
 		}
 	}
@@ -74,3 +81,25 @@
 		})
 	}
 }
+
+// BenchmarkBacklog plays five seconds of the grown cell's load that meets what
+// has gathered in another five, as after a takeover.
+func BenchmarkBacklog(b *testing.B) {
+	starts := 0
+	for range b.N {
+		w := newWorld(b, 1)
+		w.fleet.Add(grownCell.hosts, "s", size(64, 128))
+		w.takeOver()
+		w.run(100 * time.Millisecond)
+		w.held = true
+		grownCell.arrive(w, 5*time.Second)
+		w.run(5 * time.Second)
+		w.held = false
+		grownCell.named("later").arrive(w, 5*time.Second)
+		w.run(5 * time.Second)
+		starts += w.fleet.Judge().Starts()
+		w.check()
+	}
+	b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(starts), "us/start")
+	b.ReportMetric(float64(starts)/float64(b.N), "starts")
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -58,6 +58,8 @@
 	live    map[string]*job
 	// ready holds the steps with tasks to start, in no order.
 	ready map[spec.StepID]*group
+	// queue holds those of them whose turn it is, the first to serve first.
+	queue []*group
 	hosts map[host.ID]*hostState
 	// sorted are the hosts in the order of their ids.
 	sorted []*hostState
@@ -73,6 +75,8 @@
 	settleBy time.Time
 	// proved is until when this process may give orders.
 	proved time.Time
+	// deposed is true once a host has shown that there is a later holder.
+	deposed bool
 	// now is the time of the present call, for the log.
 	now time.Time
 
@@ -131,6 +135,8 @@
 	Looks  []LookOrder  // Viewed
 	Asks   []AskOrder   // Advised
 	Paces  []PaceOrder  // Paced
+	// Deposed is true when another process has claimed the partition.
+	Deposed bool
 	// Commit asks for TakeBatch soon; CommitNow for TakeBatch at once.
 	Commit, CommitNow bool
 }
@@ -185,7 +191,10 @@
 // nothing happens before.
 func (e *Engine) Next(now time.Time) (Orders, time.Time) {
 	e.now = now
-	e.out = Orders{}
+	e.out = Orders{Deposed: e.deposed}
+	if e.deposed {
+		return e.out, now.Add(restInterval)
+	}
 	e.settle(now)
 	e.begin(now)
 	e.expireHosts(now)
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -290,3 +290,21 @@
 	w.check()
 	is.New(t).Equal(w.completed(), 2)
 }
+
+// TestFencedHolderStops: a holder that was cut from the store went on asking every
+// host ten times a second after these had told it of a later holder (seen on the
+// users' platform).
+func TestFencedHolderStops(t *testing.T) {
+	w := quietWorld(t, 4)
+	w.submit("a", catalog.Rules{}, step(4, 8, 8, 5000))
+	w.run(time.Second)
+	old := w.engine
+	w.takeOver()
+	w.run(100 * time.Millisecond)
+	is := is.New(t)
+	old.Viewed(LookOrder{To: w.host("h00").Info()}, w.now(), host.View{Fenced: true}, nil, w.now())
+	old.SetProved(w.now().Add(time.Second))
+	o, _ := old.Next(w.now())
+	is.True(o.Deposed)
+	is.Equal(len(o.Looks)+len(o.Starts)+len(o.Stops), 0)
+}
--- a/internal/engine/job.go
+++ b/internal/engine/job.go
@@ -72,6 +72,7 @@
 	perHost map[*hostState]int
 	advice  opinion
 	tried   attempt
+	queued  bool // among the engine's queue
 
 	// gang steps run as a whole.
 	run        int   // number of the present or last run of a gang
@@ -98,6 +99,7 @@
 // attempt is when a step was last tried, and what was known then.
 type attempt struct {
 	at      time.Time
+	gap     time.Duration // until the next
 	room    uint64
 	answers int
 }
--- a/internal/engine/orders.go
+++ b/internal/engine/orders.go
@@ -93,7 +93,7 @@
 func (e *Engine) refused(h *hostState, r *run, why host.Refusal, now time.Time) {
 	switch why {
 	case host.RefusedFenced:
-		e.proved = time.Time{}
+		e.fencedBy(h)
 	case host.RefusedTicket:
 		if r != nil && r.group != nil {
 			delete(r.group.advice.tickets, h)
@@ -137,7 +137,7 @@
 	case err != nil:
 		h.unanswered(now)
 	case reply.Refused == host.RefusedFenced:
-		e.proved = time.Time{}
+		e.fencedBy(h)
 	default:
 		h.heardClock(reply.Clock, now)
 		if r != nil && reply.Refused == "" && r.state != runStopping {
--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"sort"
 	"time"
 
 	"pulleyquay/internal/spec"
@@ -19,6 +18,9 @@
 	hosts := e.choices(now)
 	e.reserving = 0
 	for _, g := range queue {
+		if now.Before(g.notBefore) || e.ready[g.id] != g {
+			continue
+		}
 		if e.hopeless(g, now) {
 			if len(g.reserved) > 0 {
 				e.reserving++
@@ -26,7 +28,7 @@
 			continue
 		}
 		e.tellWaiting(g, now)
-		g.tried = attempt{at: now, room: e.room, answers: g.advice.answers}
+		e.noteTry(g, now)
 		if g.step.Gang {
 			e.planGang(g, hosts, now)
 		} else {
@@ -35,50 +37,86 @@
 	}
 }
 
-// Times between two tries of a step.
+// Times between two tries of a step. They double with each try in vain, since a
+// try costs the more the more wait.
 const (
-	// retryUrgent and retryOther are the least time between two tries, when room
-	// came free in between.
-	retryUrgent = 2 * time.Millisecond
-	retryOther  = 10 * time.Millisecond
-	// retryAlways is when a step is tried again anyway, as tickets and pauses end
-	// by themselves.
+	firstRetry = 4 * time.Millisecond
+	// retryAlways is when a step is tried again though no room came free, as
+	// tickets and pauses end by themselves.
 	retryAlways = 40 * time.Millisecond
+	// The longest times: for the most urgent steps, for steps whose tasks may start
+	// one by one, for gangs that have places reserved, and for those that have not.
+	longestUrgent   = 16 * time.Millisecond
+	longestTasks    = 100 * time.Millisecond
+	longestReserved = 40 * time.Millisecond
+	longestGang     = 300 * time.Millisecond
 )
 
-// hopeless reports whether a try of the step would end as the last one did.
+// hopeless reports whether a try of the step would end as the last one did, or is
+// not due yet.
 func (e *Engine) hopeless(g *group, now time.Time) bool {
-	since := now.Sub(g.tried.at)
-	if g.tried.at.IsZero() || since >= retryAlways || g.advice.answers != g.tried.answers {
+	t := &g.tried
+	if t.at.IsZero() || g.advice.answers != t.answers {
 		return false
 	}
-	least := retryOther
-	if g.job.rec.Rules.Priority == 0 {
-		least = retryUrgent
+	since := now.Sub(t.at)
+	if since < t.gap {
+		return true
 	}
-	return since < least || g.tried.room == e.room
+	return t.room == e.room && since < retryAlways
+}
+
+// noteTry remembers that a step is tried now, and how long to wait if in vain.
+func (e *Engine) noteTry(g *group, now time.Time) {
+	longest := longestTasks
+	switch {
+	case g.job.rec.Rules.Priority == 0:
+		longest = longestUrgent
+	case g.step.Gang && len(g.reserved) > 0:
+		longest = longestReserved
+	case g.step.Gang:
+		longest = longestGang
+	}
+	gap := min(max(2*g.tried.gap, firstRetry), longest)
+	if g.advice.answers != g.tried.answers {
+		gap = firstRetry
+	}
+	g.tried = attempt{at: now, gap: gap, room: e.room, answers: g.advice.answers}
 }
 
 // order lists the steps whose turn it is: by the priority of their queue, and
 // within it by the time since when they wait.
 func (e *Engine) order(now time.Time) []*group {
-	queue := make([]*group, 0, len(e.ready))
-	for _, g := range e.ready {
-		if !g.readySince.IsZero() && !now.Before(g.notBefore) {
+	queue := e.queue[:0]
+	for _, g := range e.queue {
+		if e.ready[g.id] == g {
 			queue = append(queue, g)
+		} else {
+			g.queued = false
 		}
 	}
-	sort.Slice(queue, func(a, b int) bool {
-		x, y := queue[a], queue[b]
-		if p, q := x.job.rec.Rules.Priority, y.job.rec.Rules.Priority; p != q {
-			return p < q
-		}
-		if !x.readySince.Equal(y.readySince) {
-			return x.readySince.Before(y.readySince)
+	clear(e.queue[len(queue):])
+	e.queue = queue
+	for _, g := range e.ready {
+		if g.queued || g.readySince.IsZero() {
+			continue
 		}
-		return x.id.Job < y.id.Job
-	})
-	return queue
+		g.queued = true
+		at, _ := slices.BinarySearchFunc(e.queue, g, before)
+		e.queue = slices.Insert(e.queue, at, g)
+	}
+	return e.queue
+}
+
+// before compares two steps by whose turn comes first.
+func before(x, y *group) int {
+	return cmp.Or(
+		cmp.Compare(x.job.rec.Rules.Priority, y.job.rec.Rules.Priority),
+		x.readySince.Compare(y.readySince),
+		cmp.Compare(x.id.Job, y.id.Job),
+		cmp.Compare(x.id.Occurrence, y.id.Occurrence),
+		cmp.Compare(x.id.Step, y.id.Step),
+	)
 }
 
 // choices lists the hosts that new work may go to.
--- a/internal/engine/view.go
+++ b/internal/engine/view.go
@@ -68,8 +68,7 @@
 		}
 		return
 	case v.Fenced:
-		e.log(Event{What: "fenced by a host", Host: string(id)})
-		e.proved = time.Time{}
+		e.fencedBy(h)
 		h.lookAt = now.Add(restInterval)
 		return
 	}
@@ -96,6 +95,16 @@
 	}
 }
 
+// fencedBy notes that a host was spoken to with a higher epoch: another process
+// has claimed the partition, and this one gives no order any more.
+func (e *Engine) fencedBy(h *hostState) {
+	e.proved = time.Time{}
+	if !e.deposed {
+		e.deposed = true
+		e.log(Event{What: "fenced by a host", Host: string(h.info.ID)})
+	}
+}
+
 // nextLook says when a host that has just answered is looked at again. While
 // ends wait to be stored the host would answer at once, so the next look waits
 // for the store; Stored moves it up.
--- a/internal/engine/world_test.go
+++ b/internal/engine/world_test.go
@@ -29,6 +29,8 @@
 	engine *Engine
 	epoch  uint64
 	due    time.Time
+	// held lets the engine give no orders.
+	held bool
 	// committing is true while a batch is on its way to the store.
 	committing bool
 
@@ -166,6 +168,9 @@
 func (w *world) decide() {
 	e := w.engine
 	e.SetProved(w.now().Add(rightTerm))
+	if w.held {
+		e.SetProved(w.now())
+	}
 	o, due := e.Next(w.now())
 	w.due = due
 	for _, s := range o.Starts {
@@ -189,14 +194,19 @@
 	}
 }
 
-// tell runs something for the present engine and has it decide; a deposed engine
-// hears nothing.
+// gatherFor is how long events are gathered before the engine decides.
+const gatherFor = time.Millisecond
+
+// tell runs something for the present engine and has it decide a moment later; a
+// deposed engine hears nothing.
 func (w *world) tell(e *Engine, do func()) {
 	if e != w.engine {
 		return
 	}
 	do()
-	w.decide()
+	if next := w.now().Add(gatherFor); next.Before(w.due) {
+		w.due = next
+	}
 }
 
 // Times of calls.
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -147,6 +147,10 @@
 		case <-timer.C:
 		}
 		orders, due := h.decide()
+		if orders.Deposed {
+			h.cancel(ledger.ErrDeposed)
+			return
+		}
 		h.carryOut(orders)
 		timer.Reset(time.Until(due))
 	}
--- a/internal/platform/follow/follow.go
+++ b/internal/platform/follow/follow.go
@@ -103,8 +103,10 @@
 		}
 	}()
 	batch, err := f.Store.Changes(ctx, f.Prefix, after, f.Wait)
-	if err == nil || !errors.Is(err, platform.ErrCompacted) && ctx.Err() == nil {
-		f.note(ctx, err)
+	if err == nil || errors.Is(err, platform.ErrCompacted) {
+		// A question that was cut says nothing: the store cuts those that wait. The
+		// list that follows tells whether it answers.
+		f.Health.Note(true, time.Now())
 	}
 	return batch, err
 }
