Tickets are asked for when reserved places come free; heartbeats do not wait

Change: a gang asks for tickets on the hosts where it has places reserved, so early that the answer comes with the places; more lanes for long questions; each beat counts when it is answered.

--- a/internal/advice/lanes.go
+++ b/internal/advice/lanes.go
@@ -100,20 +100,29 @@
 	return best
 }
 
+// Shares of the lanes: the first seventh is for short questions alone, those up to
+// a third for medium ones as well, the others for long ones.
+const (
+	shortShare  = 7
+	mediumShare = 3
+)
+
 // open returns the lanes for questions of a length and how far ahead they may be
-// booked. Short questions may use every lane, but those first that long ones
-// never use; with few lanes all are shared.
+// booked. With few lanes all are shared.
 func (l *Lanes) open(took time.Duration) ([]*lane, time.Duration) {
 	n := len(l.lanes)
-	forShort := n / 4
-	forMedium := n / 2
+	if n < mediumShare {
+		return l.lanes, longBacklog
+	}
+	forShort := max(n/shortShare, 1)
+	forMedium := max(n/mediumShare, forShort)
 	switch {
 	case took <= short:
-		return l.lanes[:max(forMedium, min(n, 1))], shortBacklog
+		return l.lanes[:forMedium], shortBacklog
 	case took < long:
-		return l.lanes[forShort:max(forMedium+1, min(n, 1))], mediumBacklog
+		return l.lanes[forShort : forMedium+1], mediumBacklog
 	}
-	return l.lanes[min(forMedium, max(n-1, 0)):], longBacklog
+	return l.lanes[forMedium:], longBacklog
 }
 
 // Answered frees a lane's place after an answer, or after a failure, at now.
--- a/internal/cell/claimer.go
+++ b/internal/cell/claimer.go
@@ -67,15 +67,20 @@
 type holderWatch struct {
 	partition int
 
-	mu      sync.Mutex
-	epoch   uint64    // of the holder that the rest is about
-	heard   time.Time // when it last answered as the holder
-	invited uint64    // epoch of a holder that asked this process to succeed
-	held    bool
-	stop    context.CancelFunc // ends holding
-	chain   platform.Revision  // of the holder's last write as last read
-	moved   time.Time          // since when that has stood still
-	asked   time.Time          // when it was read
+	mu    sync.Mutex
+	epoch uint64    // of the holder that the rest is about
+	heard time.Time // when it last answered as the holder
+	// refused is true while nothing listens at its address, replaced once another
+	// incarnation has answered there; cut is for how long it lacked the store when
+	// it last answered.
+	refused, replaced bool
+	cut               time.Duration
+	invited           uint64 // epoch of a holder that asked this process to succeed
+	held              bool
+	stop              context.CancelFunc // ends holding
+	chain             platform.Revision  // of the holder's last write as last read
+	moved             time.Time          // since when that has stood still
+	asked             time.Time          // when it was read
 }
 
 // Start registers the message kinds and watches the partitions.
@@ -116,6 +121,7 @@
 	defer w.mu.Unlock()
 	if w.epoch != epoch {
 		w.epoch, w.heard, w.moved, w.chain = epoch, now, time.Time{}, 0
+		w.refused, w.replaced, w.cut = false, false, 0
 	}
 }
 
@@ -128,8 +134,10 @@
 			wait.For(ctx, BeatEvery/4) // nothing is known before the store has answered once
 			continue
 		}
-		evidence := c.beat(ctx, w, h)
-		if c.isLeaving() || !c.dead(ctx, w, evidence) {
+		if h.Epoch > 0 && h.Incarnation != c.Self.Incarnation {
+			go c.beat(ctx, w, h)
+		}
+		if c.isLeaving() || !c.dead(ctx, w, c.evidence(w, h)) {
 			c.rest(ctx, w, h.Epoch)
 			continue
 		}
@@ -137,6 +145,21 @@
 	}
 }
 
+// evidence is what the heartbeats so far say of a holder.
+func (c *Claimer) evidence(w *holderWatch, h ledger.Holder) Evidence {
+	now := time.Now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	e := Evidence{Holder: h, Silence: now.Sub(w.heard), Refused: w.refused, Replaced: w.replaced, HolderCut: w.cut}
+	if h.Epoch > 0 && h.Incarnation == c.Self.Incarnation {
+		e.Replaced = true // a claim of ours that arrived after we gave it up
+	}
+	if c.Health.Failing(now) > 0 {
+		e.HolderCut = 0 // this process could not take over either
+	}
+	return e
+}
+
 // rest waits for the next beat, or until something has changed.
 func (c *Claimer) rest(ctx context.Context, w *holderWatch, epoch uint64) {
 	timer := time.NewTimer(BeatEvery)
@@ -162,42 +185,34 @@
 	return w.invited == epoch && epoch != 0
 }
 
-// beat asks the holder whether it is there.
-func (c *Claimer) beat(ctx context.Context, w *holderWatch, h ledger.Holder) Evidence {
-	e := Evidence{Holder: h}
-	if h.Epoch == 0 {
-		return e
-	}
-	if h.Incarnation == c.Self.Incarnation {
-		e.Replaced = true // a claim of ours that arrived after we gave it up
-		return e
-	}
+// beat asks the holder whether it is there. Beats do not wait for each other: each
+// answer counts when it comes.
+func (c *Claimer) beat(ctx context.Context, w *holderWatch, h ledger.Holder) {
 	ctx, cancel := context.WithTimeout(ctx, beatPatience)
 	defer cancel()
 	var reply BeatReply
 	err := c.Peers.Call(ctx, h.Addr, peer.KindBeat, Beat{
 		Partition: w.partition, From: c.Self.Name, FromAddr: c.Self.Addr, Catalog: c.CatalogVersion(),
 	}, &reply)
-	now := time.Now()
+	if err == nil && reply.Incarnation == h.Incarnation {
+		c.learn(reply)
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.epoch != h.Epoch {
+		return
+	}
 	switch {
 	case err != nil:
-		e.Refused = result.CodeOf(err) == result.PeerNotReached && ctx.Err() == nil
+		w.refused = result.CodeOf(err) == result.PeerNotReached && ctx.Err() == nil
 	case reply.Incarnation != h.Incarnation:
-		e.Replaced = true
+		w.replaced = true
 	default:
-		c.learn(reply)
+		w.refused, w.cut = false, reply.Cut
 		if reply.Holds {
-			w.heard = now
+			w.heard = time.Now()
 		}
-		e.HolderCut = reply.Cut
-	}
-	e.Silence = now.Sub(w.heard)
-	if c.Health.Failing(now) > 0 {
-		e.HolderCut = 0 // this process could not take over either
 	}
-	return e
 }
 
 func (c *Claimer) learn(reply BeatReply) {
--- a/internal/engine/ask.go
+++ b/internal/engine/ask.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -72,22 +73,39 @@
 	return open
 }
 
-// askForGang asks for tickets of good hosts when these have room for the gang, and
-// else about as many more hosts as it takes, as things go, to find that room.
-func (e *Engine) askForGang(g *group, c []*hostState, now time.Time) {
-	if !e.mayAsk(g, now) {
+// askAhead is how long before a gang's places are expected to be free its tickets
+// are asked for, beyond the time that the answer takes.
+const askAhead = 100 * time.Millisecond
+
+// askForTickets asks for tickets on the hosts that a gang has places reserved on,
+// so that they come when the places do.
+func (e *Engine) askForTickets(g *group, good []*hostState, now time.Time) {
+	took := g.job.rec.Rules.Advice.Took(len(g.reserved))
+	if g.reservedFrom.Sub(now) > took+askAhead {
 		return
 	}
-	good, unknown := g.split(c)
+	hosts := append([]*hostState(nil), g.reserved...)
+	spare := int(spareTickets*float64(g.left)) - g.left
+	for _, h := range good {
+		if spare <= 0 {
+			break
+		}
+		if n := g.fits(h, e.roomFor(g, h, now)); n > 0 && !slices.Contains(g.reserved, h) {
+			hosts = append(hosts, h)
+			spare -= n
+		}
+	}
+	e.ask(g, hosts, now)
+}
+
+// askForPlaces asks about more hosts: as many as it takes, as things go, until the
+// gang has room on good ones.
+func (e *Engine) askForPlaces(g *group, good, unknown []*hostState, now time.Time) {
 	room, could := 0, 0
 	for _, h := range good {
 		could += g.fits(h, h.info.Size)
 		room += g.fits(h, e.roomFor(g, h, now))
 	}
-	if room >= g.left {
-		e.ask(g, e.spared(g, good, now), now)
-		return
-	}
 	e.askInParts(g, e.worthAsking(g, unknown, room, could, now), now)
 }
 
@@ -108,21 +126,6 @@
 // its tickets are renewed, as some may be taken meanwhile.
 const spareTickets = 1.3
 
-// spared are the hosts to ask tickets for: those that the gang would go to, and
-// some more.
-func (e *Engine) spared(g *group, good []*hostState, now time.Time) []*hostState {
-	n := int(spareTickets * float64(g.left))
-	seats := e.seats(g, good, n, now)
-	if seats == nil {
-		seats = e.seats(g, good, g.left, now)
-	}
-	hosts := make([]*hostState, 0, len(seats))
-	for _, s := range seats {
-		hosts = append(hosts, s.host)
-	}
-	return hosts
-}
-
 // worthAsking chooses hosts to ask about: first those with room now, until the
 // gang can be expected to find its room; then, where even empty hosts that are
 // known to be good could not hold it, those that could hold most.
--- a/internal/engine/job.go
+++ b/internal/engine/job.go
@@ -75,15 +75,16 @@
 	queued  bool // among the engine's queue
 
 	// gang steps run as a whole.
-	run        int   // number of the present or last run of a gang
-	failed     []int // numbers of the gang's runs that failed
-	checkpoint string
-	checked    float64 // percent of work behind checkpoint
-	reserved   []*hostState
-	reservedAt time.Time
-	ends       time.Time // when its run is expected to end, as of endsAsOf
-	endsAsOf   time.Time
-	notBefore  time.Time
+	run          int   // number of the present or last run of a gang
+	failed       []int // numbers of the gang's runs that failed
+	checkpoint   string
+	checked      float64 // percent of work behind checkpoint
+	reserved     []*hostState
+	reservedAt   time.Time // when that was worked out
+	reservedFrom time.Time // from when on they are expected to be free
+	ends         time.Time // when its run is expected to end, as of endsAsOf
+	endsAsOf     time.Time
+	notBefore    time.Time
 }
 
 // opinion is what the policy service has said about a step.
--- a/internal/engine/plan_gang.go
+++ b/internal/engine/plan_gang.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// planGang starts a gang whole where it has room and leave. Otherwise it keeps
-// room for it and asks for the leave that it lacks.
+// planGang starts a gang whole where it has room and leave. Otherwise it finds out
+// where it may run, reserves places there, and asks for leave in time.
 func (e *Engine) planGang(g *group, hosts []*hostState, now time.Time) {
 	if !g.gangIdle() {
 		return
@@ -19,13 +19,20 @@
 		return
 	}
 	c := e.candidates(g, hosts)
-	if g.job.rec.Rules.Advice != nil {
-		e.askForGang(g, c, now)
+	if g.job.rec.Rules.Advice == nil {
+		e.reserve(g, c, now)
+		return
+	}
+	good, unknown := g.split(c)
+	e.reserve(g, good, now)
+	if !e.mayAsk(g, now) {
+		return
 	}
-	if g.job.rec.Rules.Advice != nil {
-		c, _ = g.split(c)
+	if len(g.reserved) > 0 {
+		e.askForTickets(g, good, now)
+		return
 	}
-	e.reserve(g, c, now)
+	e.askForPlaces(g, good, unknown, now)
 }
 
 // seats chooses places for n tasks of a gang on the hosts that may be used, or
--- a/internal/engine/reserve.go
+++ b/internal/engine/reserve.go
@@ -59,6 +59,7 @@
 		if seats == nil {
 			continue
 		}
+		g.reservedFrom = now.Add(d)
 		for _, s := range seats {
 			s.host.reserved = append(s.host.reserved, reservation{group: g, n: s.n, at: now.Add(d)})
 			g.reserved = append(g.reserved, s.host)
