--- a/internal/advice/lanes.go
+++ b/internal/advice/lanes.go
@@ -82,6 +82,19 @@
 // Open reports whether Book would find a lane.
 func (l *Lanes) Open(took time.Duration, now time.Time) bool { return l.best(took, now) != nil }
 
+// Idle reports whether half of the lanes for a question of that length have
+// nothing to answer.
+func (l *Lanes) Idle(took time.Duration, now time.Time) bool {
+	lanes, _ := l.open(took)
+	idle := 0
+	for _, x := range lanes {
+		if x.asked == 0 && !now.Before(x.restsUntil) {
+			idle++
+		}
+	}
+	return 2*idle >= len(lanes) && idle > 0
+}
+
 // best is the least booked lane for a question of that length, or nil.
 func (l *Lanes) best(took time.Duration, now time.Time) *lane {
 	lanes, backlog := l.open(took)
--- a/internal/engine/ask.go
+++ b/internal/engine/ask.go
@@ -77,13 +77,16 @@
 // are asked for, beyond the time that the answer takes.
 const askAhead = 100 * time.Millisecond
 
+// placesComeSoon reports whether a gang's places will be free when an answer of the
+// policy service comes. While they will not, other hosts are worth asking about.
+func (e *Engine) placesComeSoon(g *group, now time.Time) bool {
+	took := g.job.rec.Rules.Advice.Took(len(g.reserved))
+	return g.reservedFrom.Sub(now) <= took+askAhead
+}
+
 // askForTickets asks for tickets on the hosts that a gang has places reserved on,
 // so that they come when the places do.
 func (e *Engine) askForTickets(g *group, good []*hostState, now time.Time) {
-	took := g.job.rec.Rules.Advice.Took(len(g.reserved))
-	if g.reservedFrom.Sub(now) > took+askAhead {
-		return
-	}
 	hosts := append([]*hostState(nil), g.reserved...)
 	spare := int(spareTickets*float64(g.left)) - g.left
 	for _, h := range good {
--- a/internal/engine/explain.go
+++ b/internal/engine/explain.go
@@ -20,6 +20,14 @@
 	e.log(Event{What: "step waits", Job: g.job.id(), Step: g.id.String(), Why: e.whyWaiting(g, now), Age: now.Sub(g.readySince)})
 }
 
+// logStart logs that tasks of a step were ordered to start.
+func (e *Engine) logStart(g *group, tasks, hosts int, now time.Time) {
+	e.log(Event{
+		What: "step started", Job: g.job.id(), Step: g.id.String(), Age: now.Sub(g.readySince),
+		Why: fmt.Sprintf("%d tasks, on %d hosts, after %d answers of the policy service; %d wait", tasks, hosts, g.advice.answers, g.waiting),
+	})
+}
+
 // whyWaiting tells what a step lacks: which rule refuses how many hosts, and how
 // much room there is on the others.
 func (e *Engine) whyWaiting(g *group, now time.Time) string {
--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -134,6 +134,7 @@
 // planTasks starts as many waiting tasks of a step as there is room for.
 func (e *Engine) planTasks(g *group, hosts []*hostState, now time.Time) {
 	c := e.permitted(g, hosts, now)
+	begun := 0
 	for i := range g.tasks {
 		t := &g.tasks[i]
 		if t.state != taskWaiting || now.Before(t.notBefore) {
@@ -144,6 +145,10 @@
 			break
 		}
 		e.start(g, i, e.nextRun(t.run), h, t.checkpoint, now)
+		begun++
+	}
+	if begun > 0 {
+		e.logStart(g, begun, len(g.perHost), now)
 	}
 	e.refresh(g)
 	if g.waiting > 0 && g.job.rec.Rules.Advice != nil {
--- a/internal/engine/plan_gang.go
+++ b/internal/engine/plan_gang.go
@@ -28,11 +28,16 @@
 	if !e.mayAsk(g, now) {
 		return
 	}
-	if len(g.reserved) > 0 {
+	switch {
+	case len(g.reserved) == 0:
+		e.askForPlaces(g, good, unknown, now)
+	case e.placesComeSoon(g, now):
 		e.askForTickets(g, good, now)
-		return
+	case e.lanes.Idle(g.job.rec.Rules.Advice.Took(1), now):
+		// Its places are far off, and nobody else needs to ask: there may be room on
+		// hosts that it does not know of.
+		e.askForPlaces(g, good, unknown, now)
 	}
-	e.askForPlaces(g, good, unknown, now)
 }
 
 // seats chooses places for n tasks of a gang on the hosts that may be used, or
