--- a/internal/engine/tuning.go
+++ b/internal/engine/tuning.go
@@ -38,7 +38,7 @@
 func DefaultTuning() Tuning {
 	return Tuning{
 		OrderLife:     1200 * time.Millisecond,
-		LookWait:      time.Second,
+		LookWait:      2 * time.Second,
 		LookRest:      4 * time.Second,
 		LookRetry:     250 * time.Millisecond,
 		SilentAfter:   400 * time.Millisecond,
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -28,7 +28,7 @@
 	rightTerm = 3 * time.Second
 	// commitEvery is the least time between two transactions; what gathers
 	// meanwhile goes together.
-	commitEvery = 18 * time.Millisecond
+	commitEvery = 40 * time.Millisecond
 	// commitIdle is how soon a transaction follows the last when there is nothing
 	// to write: it renews the right to give orders.
 	commitIdle = 600 * time.Millisecond
