--- a/internal/hostsim/host.go
+++ b/internal/hostsim/host.go
@@ -35,7 +35,6 @@
 type run struct {
 	host.Run
 	step    spec.Step
-	ticket  string
 	worked  time.Time // when its work began
 	gen     int       // outdates scheduled ends
 	stops   bool
--- a/test/soak/load_test.go
+++ b/test/soak/load_test.go
@@ -19,7 +19,6 @@
 type work struct {
 	id, queue string
 	body      []byte
-	hopeless  bool
 
 	mu       sync.Mutex
 	accepted bool // some answer said so
