--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"pulleyquay/internal/host"
@@ -200,7 +201,7 @@
 	if h == nil {
 		h = e.newHost(info)
 		h.lookAt = now
-		e.log(Event{What: "host listed", Host: string(info.ID), Why: info.Zone + " " + info.Rack})
+		e.log(Event{What: "host listed", Host: string(info.ID), Why: info.Zone + " " + strings.Join(info.Labels, " ")})
 	}
 	if info.Draining && !h.info.Draining {
 		e.log(Event{What: "host draining", Host: string(info.ID)})
