Tasks that last are moved and watched; fillers are paced beside serving tasks

Change: internal/pacing, a pure governor for each host: cut at once by a factor, give back in steps, slowly from the share on that was last too much; the engine samples hosts where both kinds are, hands the share out to one filler after the other so that some end, remembers per image where it was too much, and orders paces. Hosts that drain: long-running tasks move when there is room elsewhere, checkpointing ones when they would not end in time. A long-running task that is not at work for 6 s is started elsewhere.

--- /dev/null
+++ b/internal/engine/drain.go
@@ -0,0 +1,53 @@
+package engine
+
+import (
+	"time"
+
+	"pulleyquay/internal/spec"
+)
+
+// moveOff brings work away from a host that leaves, where it is worth it: tasks
+// that last as soon as there is room elsewhere, and tasks that have saved their
+// progress and will not end in time. Others run on; the host may stay longer than
+// it says.
+func (e *Engine) moveOff(h *hostState, now time.Time) {
+	for _, r := range h.runs {
+		g := r.group
+		if g == nil || r.unwanted || r.state != runRunning || g.job.state.Final() {
+			continue
+		}
+		switch {
+		case g.step.LongRunning:
+			if e.roomElsewhere(g, h, now) {
+				e.unwant(r, "its host leaves")
+			}
+		case g.step.Checkpointing && r.endsBy(now).After(h.leavesAt):
+			e.unwant(r, "its host leaves before it would end")
+		}
+	}
+}
+
+// roomElsewhere reports whether another host has room for one task of a step, as
+// far as is known without asking the policy service.
+func (e *Engine) roomElsewhere(g *group, not *hostState, now time.Time) bool {
+	size := g.step.Booked()
+	for _, h := range e.sorted {
+		if h == not || !e.placeable(h, now) || refusedBy(g, h) != "" || !g.spread(h) {
+			continue
+		}
+		if size.Fits(e.roomFor(g, h, now)) {
+			return true
+		}
+	}
+	return false
+}
+
+// filling is what the fillers on a host want of its processors.
+func (h *hostState) filling() (sum spec.Resources) {
+	for _, r := range h.runs {
+		if r.fills() {
+			sum = sum.Add(r.group.step.Size)
+		}
+	}
+	return sum
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -97,6 +97,11 @@
 
 	slot spec.Resources // learned size of a gang's task, to keep such room whole
 	out  Orders
+	// unpaced are the hosts whose fillers may not have the pace that they should.
+	unpaced map[*hostState]struct{}
+	// fillShare is the share at which fillers of an image were last too much for the
+	// serving tasks beside them, by image.
+	fillShare map[string]int
 	// reserving counts the gangs of this plan that have places reserved.
 	reserving int
 	// scratch is reused for the hosts of one plan.
@@ -113,17 +118,19 @@
 // ever, it starts nothing of older jobs before Settle or until settleBy.
 func New(cfg Config) *Engine {
 	return &Engine{
-		cfg:      cfg,
-		rnd:      rand.New(rand.NewPCG(cfg.Seed, cfg.Epoch)),
-		jobs:     map[string]*job{},
-		live:     map[string]*job{},
-		ready:    map[spec.StepID]*group{},
-		hosts:    map[host.ID]*hostState{},
-		asks:     map[uint64]*question{},
-		unwanted: map[*run]struct{}{},
-		dirty:    map[string]*job{},
-		good:     map[string]float64{},
-		lanes:    advice.NewLanes(),
+		cfg:       cfg,
+		rnd:       rand.New(rand.NewPCG(cfg.Seed, cfg.Epoch)),
+		jobs:      map[string]*job{},
+		live:      map[string]*job{},
+		ready:     map[spec.StepID]*group{},
+		hosts:     map[host.ID]*hostState{},
+		asks:      map[uint64]*question{},
+		unwanted:  map[*run]struct{}{},
+		dirty:     map[string]*job{},
+		good:      map[string]float64{},
+		unpaced:   map[*hostState]struct{}{},
+		fillShare: map[string]int{},
+		lanes:     advice.NewLanes(),
 	}
 }
 
@@ -203,6 +210,7 @@
 		e.plan(now)
 	}
 	e.planStops(now)
+	e.planPaces(now)
 	e.planLooks(now)
 	e.forgetEnded(now)
 	e.planCommit()
--- a/internal/engine/estimate.go
+++ b/internal/engine/estimate.go
@@ -70,3 +70,11 @@
 		r.percent, r.progressAt = percent, now
 	}
 }
+
+// atWork takes in whether a long-running task is at work.
+func (r *run) atWork(percent float64, now time.Time) {
+	r.percent = percent
+	if percent >= atWork {
+		r.progressAt = now
+	}
+}
--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pulleyquay/internal/host"
+	"pulleyquay/internal/pacing"
 	"pulleyquay/internal/record"
 	"pulleyquay/internal/spec"
 )
@@ -44,7 +45,8 @@
 	progressAt, firstAt   time.Time
 	gauge                 float64
 	checkpoint            string
-	pace                  int // percent of its speed that it was given
+	pace                  int  // percent of its speed that it was given
+	pacing                bool // an order to change that is under way
 }
 
 // hostState is one host with its books.
@@ -85,6 +87,9 @@
 	asides   int
 
 	reserved []reservation // places that are kept for gangs
+
+	governor *pacing.Governor // nil until serving tasks and fillers have met here
+	leavesAt time.Time        // when a draining host leaves, at the earliest
 }
 
 func (e *Engine) newHost(info host.Info) *hostState {
@@ -110,6 +115,7 @@
 		e.sorted = slices.Delete(e.sorted, at, at+1)
 	}
 	h.unreserveHost()
+	delete(e.unpaced, h)
 }
 
 // free is what is left of the host's size.
@@ -215,6 +221,9 @@
 	}
 	h.listed = true
 	h.info = info
+	if info.Draining {
+		h.leavesAt = now.Add(info.Remaining)
+	}
 }
 
 // unlist keeps a host that has gone from the list for as long as anything may
--- a/internal/engine/scores.go
+++ b/internal/engine/scores.go
@@ -11,6 +11,7 @@
 	costAvoided  = 50.0  // failed there before
 	costReserved = 30.0  // room is kept there for a gang
 	costFails    = 5.0   // the last task there failed
+	costCrowded  = 20.0  // for a filler: no processor time is left over there
 )
 
 // cost rates a host for one task of a step.
@@ -32,6 +33,10 @@
 	if h.fails > 0 {
 		cost += costFails
 	}
+	if g.step.Filler {
+		idle := free.MilliCPU - h.filling().MilliCPU
+		cost += costCrowded * (1 - share(idle, h.info.Size.MilliCPU))
+	}
 	return cost
 }
 
--- /dev/null
+++ b/internal/engine/services_test.go
@@ -0,0 +1,235 @@
+package engine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pulleyquay/internal/catalog"
+	"pulleyquay/internal/host"
+	"pulleyquay/internal/spec"
+)
+
+// watchTails follows for how long serving tasks are over their targets.
+func (w *world) watchTails() {
+	if w.fleet.Harm == nil {
+		return
+	}
+	now, over := w.now(), map[host.Run]time.Time{}
+	for _, h := range w.fleet.Hosts() {
+		for run, ratio := range h.Tails() {
+			if ratio <= 1 {
+				continue
+			}
+			since, before := w.over[run]
+			if !before {
+				since = now
+			}
+			over[run] = since
+			w.longestOver = max(w.longestOver, now.Sub(since))
+		}
+	}
+	w.over = over
+}
+
+// lasting is a step of long-running tasks.
+func lasting(count int, cores, gib int64) spec.Step {
+	s := step(count, cores, gib, 0)
+	s.LongRunning, s.MostPerHost = true, 3
+	return s
+}
+
+// serving is a step of long-running tasks with users of their own.
+func serving(count int, cores, gib int64) spec.Step {
+	s := lasting(count, cores, gib)
+	s.Image, s.TailTargetMillis, s.MostPerHost = "web", 40, 2
+	return s
+}
+
+// filler is a step of tasks that take what the others leave.
+func filler(image string, count int, cores, gib, ms int64) spec.Step {
+	s := step(count, cores, gib, ms)
+	s.Filler, s.Image = true, image
+	return s
+}
+
+// running counts the tasks of a job that run.
+func (w *world) running(job string) int {
+	n := 0
+	for _, h := range w.fleet.Hosts() {
+		for _, r := range h.Running() {
+			if h.Reachable() && r.Task.Job == job {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// atWork counts the tasks of a job that the engine has seen at work.
+func (w *world) atWork(job string) int {
+	n := 0
+	for _, h := range w.engine.hosts {
+		for _, r := range h.runs {
+			if r.Task.Job == job && r.percent >= atWork && h.silent.IsZero() {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func TestLastingTasksAreStartedAgain(t *testing.T) {
+	tests := map[string]func(w *world){
+		"nothing happens": func(*world) {},
+		"a host crashes": func(w *world) {
+			w.host("h01").Crash()
+			w.host("h01").List(false)
+			w.engine.DropHost("h01", w.now())
+		},
+		"a host drains and leaves": func(w *world) {
+			h := w.host("h01")
+			h.Drain(2 * time.Second)
+			w.engine.SetHost(h.Info(), w.now())
+			w.after(2500*time.Millisecond, func() {
+				if n := len(h.Running()); n > 0 {
+					w.fleet.Judge().Breach("%d tasks still on the host that leaves", n)
+				}
+				h.Crash()
+				h.List(false)
+				w.engine.DropHost("h01", w.now())
+			})
+		},
+		"tasks stand still on a host": func(w *world) { w.host("h01").Stall(true) },
+		"takeover":                    func(w *world) { w.takeOver() },
+		"takeover, a host crashes":    func(w *world) { w.host("h01").Crash(); w.takeOver() },
+	}
+	for name, strike := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := quietWorld(t, 4)
+			w.submit("web", catalog.Rules{}, lasting(8, 6, 4))
+			w.run(4 * time.Second)
+			is := is.New(t)
+			is.Equal(w.running("web"), 8)
+			is.True(len(w.host("h01").Running()) > 0)
+			strike(w)
+			w.run(16 * time.Second)
+			w.check()
+			is.Equal(w.atWork("web"), 8)
+			is.Equal(w.shown["web"].Final(), false)
+		})
+	}
+}
+
+func TestCancelledLastingJobEnds(t *testing.T) {
+	w := quietWorld(t, 4)
+	w.submit("web", catalog.Rules{}, lasting(8, 6, 4))
+	w.run(2 * time.Second)
+	w.engine.Cancel("web", w.now())
+	w.decide()
+	w.run(2 * time.Second)
+	w.check()
+	is.New(t).Equal(w.running("web"), 0)
+}
+
+// TestSavedWorkLeavesWithItsHost: tasks that checkpoint and would not end in time
+// go on elsewhere before their host leaves; those that will end stay.
+func TestSavedWorkLeavesWithItsHost(t *testing.T) {
+	is := is.New(t)
+	w := quietWorld(t, 2)
+	long := step(6, 8, 8, 20000)
+	long.Checkpointing = true
+	w.submit("long", catalog.Rules{}, long)
+	w.submit("short", catalog.Rules{}, step(4, 4, 4, 2500))
+	w.run(time.Second)
+	short := 0
+	for _, r := range w.host("h00").Running() {
+		if r.Task.Job == "short" {
+			short++
+		}
+	}
+	w.host("h00").Drain(3 * time.Second)
+	w.engine.SetHost(w.host("h00").Info(), w.now())
+	w.run(time.Second)
+	for _, r := range w.host("h00").Running() {
+		is.Equal(r.Task.Job, "short")
+		short--
+	}
+	is.Equal(short, 0) // all of them stayed
+	w.run(30 * time.Second)
+	w.check()
+	is.Equal(w.completed(), 2)
+}
+
+// harmful is for how long on end the platform lets a target be missed because of
+// fillers.
+const harmful = 4 * time.Second
+
+func TestFillersKeepTargets(t *testing.T) {
+	tests := map[string]struct {
+		harm   float64
+		faults faults
+		strike func(w *world)
+		// slack is how much longer targets may be missed, as the fault excuses it.
+		slack time.Duration
+	}{
+		"harmless":              {harm: 0.05},
+		"harmful":               {harm: 0.4},
+		"very harmful":          {harm: 3},
+		"answers lost":          {harm: 0.4, faults: faults{lostAnswer: 0.1, lostRequest: 0.05}, slack: time.Second},
+		"takeover":              {harm: 0.4, strike: func(w *world) { w.takeOver() }, slack: time.Second},
+		"very harmful takeover": {harm: 3, strike: func(w *world) { w.takeOver() }, slack: time.Second},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := quietWorld(t, 3)
+			w.fleet.Harm = map[string]float64{"mill": tc.harm}
+			w.submit("web", catalog.Rules{}, serving(6, 8, 8))
+			w.run(time.Second)
+			w.faults = tc.faults
+			for i := range 6 {
+				w.after(time.Duration(i)*4*time.Second, func() {
+					w.submit(fmt.Sprint("mill", i), catalog.Rules{}, filler("mill", 6, 10, 4, 6000))
+				})
+			}
+			w.after(7*time.Second, func() {
+				if tc.strike != nil {
+					tc.strike(w)
+				}
+			})
+			w.run(150 * time.Second)
+			w.check()
+			is := is.New(t)
+			is.True(w.longestOver < harmful+tc.slack)
+			is.Equal(w.running("web"), 6)
+			if tc.harm < 1 {
+				is.Equal(w.completed(), 6) // the fillers are served as well
+			}
+		})
+	}
+}
+
+// TestFillersSpread: fillers go where processor time is left over.
+func TestFillersSpread(t *testing.T) {
+	w := quietWorld(t, 4)
+	w.submit("busy", catalog.Rules{}, step(2, 60, 8, 8000))
+	w.run(200 * time.Millisecond)
+	w.submit("mill", catalog.Rules{}, filler("mill", 8, 10, 4, 3000))
+	w.run(200 * time.Millisecond)
+	w.check()
+	is := is.New(t)
+	for _, h := range w.fleet.Hosts() {
+		busy, fills := 0, 0
+		for _, r := range h.Running() {
+			if r.Task.Job == "busy" {
+				busy++
+			} else {
+				fills++
+			}
+		}
+		is.True(busy == 0 || fills == 0)
+		is.True(fills <= 4)
+	}
+}
--- a/internal/engine/tuning.go
+++ b/internal/engine/tuning.go
@@ -1,6 +1,10 @@
 package engine
 
-import "time"
+import (
+	"time"
+
+	"pulleyquay/internal/pacing"
+)
 
 // Tuning holds the engine's own times and weights.
 type Tuning struct {
@@ -31,6 +35,10 @@
 	AskMost int
 	// TicketMargin is how long before its end a ticket is no longer used.
 	TicketMargin time.Duration
+	// StartupAtMost is how long a long-running task may need to be at work.
+	StartupAtMost time.Duration
+	// Pacing is how fillers are held back beside serving tasks.
+	Pacing pacing.Policy
 }
 
 // DefaultTuning returns the values in use; docs/PLATFORM.md tells where they
@@ -49,5 +57,7 @@
 		SetAsideFor:   4 * time.Second,
 		AskMost:       32,
 		TicketMargin:  60 * time.Millisecond,
+		StartupAtMost: 6 * time.Second,
+		Pacing:        pacing.DefaultPolicy(),
 	}
 }
--- a/internal/engine/view.go
+++ b/internal/engine/view.go
@@ -40,6 +40,9 @@
 		}
 		if h.claimed && len(h.runs) > 0 && h.silent.IsZero() && h.handled == h.seen {
 			l.Wait = e.cfg.Tuning.LookWait
+			if h.mixed() {
+				l.Wait = sampleEvery
+			}
 		}
 	}
 	h.looking = true
@@ -84,6 +87,7 @@
 	ended := e.takeEnds(h, v.Ended, now)
 	e.takeRunning(h, v.Running, sent, now)
 	e.dropVanished(h, v, sent, now)
+	e.govern(h, now)
 	if first {
 		e.log(Event{What: "host claimed", Host: string(id)})
 	}
@@ -153,7 +157,7 @@
 // adopt books a run that is not in the books: one of the former holder's, or one
 // of ours whose start arrived after all. It is kept if its task lacks a run.
 func (e *Engine) adopt(h *hostState, row host.Running, now time.Time) *run {
-	r := &run{Run: row.Run, state: runRunning, known: now, sent: now, progressAt: now, pace: 100}
+	r := &run{Run: row.Run, state: runRunning, known: now, sent: now, progressAt: now, pace: paceUnknown}
 	g := e.groupOf(row.Task)
 	if g == nil {
 		if j := e.jobs[row.Task.Job]; j != nil {
@@ -185,7 +189,11 @@
 
 // progress takes in a row of a view.
 func (e *Engine) progress(r *run, row host.Running, now time.Time) {
-	r.seen(row.Percent, now)
+	if r.group != nil && r.group.step.LongRunning {
+		r.atWork(row.Percent, now)
+	} else {
+		r.seen(row.Percent, now)
+	}
 	r.gauge = row.Gauge
 	if row.Checkpoint != "" {
 		r.checkpoint = row.Checkpoint
@@ -353,6 +361,9 @@
 // runs notes that a run is on its host.
 func (e *Engine) runs(r *run, now time.Time) {
 	r.state, r.known, r.progressAt = runRunning, now, now
+	if r.fills() {
+		e.repace(r.on)
+	}
 	if r.group != nil {
 		r.group.job.started = true
 	}
--- a/internal/engine/watch.go
+++ b/internal/engine/watch.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"pulleyquay/internal/pacing"
 )
 
 // watchEvery is how often the runs are looked through for some that stand still.
@@ -23,6 +25,9 @@
 		if !h.claimed || !h.silent.IsZero() {
 			continue
 		}
+		if h.info.Draining {
+			e.moveOff(h, now)
+		}
 		for _, r := range h.runs {
 			if g := r.group; g != nil && !g.doneAt.IsZero() && now.Sub(g.doneAt) > leftOver {
 				e.unwant(r, "its step is done")
@@ -40,11 +45,15 @@
 // hangs reports whether a run has made no progress for too long, as its host,
 // which has answered since, shows it.
 func (e *Engine) hangs(r *run) bool {
-	if r.unwanted || r.state != runRunning || r.group == nil || r.group.step.LongRunning || r.pace < 100 {
-		return false
+	if r.unwanted || r.state != runRunning || r.group == nil || r.percent >= workDone {
+		return false // at 100% a gang's member waits for the others, and a long-running task is at work
 	}
-	if r.percent >= workDone {
-		return false // a gang's member that waits for the others
+	stood := r.on.viewed.Sub(r.progressAt)
+	switch {
+	case r.group.step.LongRunning:
+		return stood > e.cfg.Tuning.StartupAtMost
+	case r.fills() && (r.pace != pacing.Full || r.group.step.Size.MilliCPU > r.on.free().MilliCPU):
+		return false // held back, or without processors to use
 	}
-	return r.on.viewed.Sub(r.progressAt) > e.cfg.Tuning.HangAfter
+	return stood > e.cfg.Tuning.HangAfter
 }
--- a/internal/engine/world_test.go
+++ b/internal/engine/world_test.go
@@ -41,6 +41,11 @@
 	jobs    map[string]*record.Job
 	watched time.Time
 	shown   map[string]record.State // the last state shown to a caller
+
+	// over is since when a serving task is over its target, longestOver for how long
+	// one has been on end.
+	over        map[host.Run]time.Time
+	longestOver time.Duration
 }
 
 // faults of calls to hosts; shares between 0 and 1.
@@ -183,6 +188,11 @@
 			e.Stopped(s, r, err, w.now())
 		})
 	}
+	for _, p := range o.Paces {
+		w.call(p.To, func(h *hostsim.Host) host.Reply { return h.Pace(e.cfg.Epoch, p.Run, p.Percent) }, func(r host.Reply, err error) {
+			e.Paced(p, r, err, w.now())
+		})
+	}
 	for _, l := range o.Looks {
 		w.look(e, l)
 	}
@@ -374,6 +384,7 @@
 		return
 	}
 	w.watched = w.now()
+	w.watchTails()
 	for id := range w.jobs {
 		s, known := w.engine.State(id)
 		before := w.shown[id]
--- a/internal/hostsim/fleet.go
+++ b/internal/hostsim/fleet.go
@@ -45,6 +45,9 @@
 	// SpreadOfWork is by how much more the last member of a gang works than the
 	// first, as a share of the step's estimate a member. Set it before use.
 	SpreadOfWork float64
+	// Harm is by how much fillers of an image lengthen the tail of serving tasks on
+	// their host at full pace, as a share of the target. Set it before use.
+	Harm map[string]float64
 
 	clock Clock
 	judge *Judge
--- a/internal/hostsim/host.go
+++ b/internal/hostsim/host.go
@@ -35,8 +35,12 @@
 type run struct {
 	host.Run
 	step    spec.Step
-	worked  time.Time // when its work began
-	gen     int       // outdates scheduled ends
+	worked  time.Time     // when its work began
+	pace    int           // percent of its speed that it may work at
+	accrued time.Duration // work done before pacedAt
+	pacedAt time.Time
+	how     host.How // how it ends by itself
+	gen     int      // outdates scheduled ends
 	stops   bool
 	through bool // its work is done; a gang's member waits for the others
 }
@@ -204,7 +208,7 @@
 		return reply
 	}
 	h.grant(s.Deadline)
-	r := &run{Run: s.Run, step: rec.Graph.Steps[s.Task.Step]}
+	r := &run{Run: s.Run, step: rec.Graph.Steps[s.Task.Step], pace: fullPace}
 	h.runs[s.Run] = r
 	h.fleet.judge.started(h, r)
 	if r.step.Gang {
@@ -274,29 +278,95 @@
 	return h.fails || len(r.Task.Job) >= len(Hopeless) && r.Task.Job[:len(Hopeless)] == Hopeless
 }
 
-// work schedules the end of a run.
+// work begins the work of a run.
 func (h *Host) work(r *run) {
 	r.worked = h.fleet.clock.Now()
-	r.gen++
-	gen := r.gen
+	r.pacedAt, r.pace, r.how = r.worked, fullPace, host.EndDone
 	if h.stuck || r.step.LongRunning {
+		r.gen++
 		return
 	}
-	took, how := h.takes(r), host.EndDone
 	if h.failsNow(r) {
-		took, how = took/2, host.EndFailed
+		r.how = host.EndFailed
+	}
+	h.scheduleEnd(r)
+}
+
+// fullPace is the pace of a run that nobody holds back.
+const fullPace = 100
+
+// scheduleEnd ends a run when its work will be done at its present pace.
+func (h *Host) scheduleEnd(r *run) {
+	r.gen++
+	gen := r.gen
+	if r.pace == 0 {
+		return
 	}
-	h.fleet.after(took, func() {
+	took := h.takes(r)
+	if r.how == host.EndFailed {
+		took /= 2
+	}
+	h.fleet.after((took-r.accrued)*fullPace/time.Duration(r.pace), func() {
 		if h.runs[r.Run] != r || r.gen != gen || !h.up || h.stuck {
 			return
 		}
 		r.through = true
-		if how == host.EndFailed || !r.step.Gang || h.gangThrough(r) {
-			h.finish(r, how)
+		if r.how == host.EndFailed || !r.step.Gang || h.gangThrough(r) {
+			h.finish(r, r.how)
 		}
 	})
 }
 
+// Pace carries out a pace that has arrived; it acts at once.
+func (h *Host) Pace(epoch uint64, which host.Run, percent int) (reply host.Reply) {
+	h.change(func() { reply = h.setPace(epoch, which, percent) })
+	return reply
+}
+
+func (h *Host) setPace(epoch uint64, which host.Run, percent int) host.Reply {
+	reply := host.Reply{Clock: h.clock()}
+	if epoch < h.epoch {
+		reply.Refused = host.RefusedFenced
+		return reply
+	}
+	h.epoch = epoch
+	r := h.runs[which]
+	if r == nil {
+		reply.Refused = host.RefusedOld
+		return reply
+	}
+	r.accrued, r.pacedAt = r.workDone(h.fleet.clock.Now()), h.fleet.clock.Now()
+	r.pace = percent
+	if !r.worked.IsZero() && !h.stuck && !r.step.LongRunning {
+		h.scheduleEnd(r)
+	}
+	return reply
+}
+
+// workDone is how much a run has worked.
+func (r *run) workDone(now time.Time) time.Duration {
+	if r.worked.IsZero() {
+		return 0
+	}
+	return r.accrued + now.Sub(r.pacedAt)*time.Duration(r.pace)/fullPace
+}
+
+// tail is the tail of a serving task's response times, in milliseconds: half of
+// its target alone, and more the more the fillers beside it work.
+func (h *Host) tail(r *run) float64 {
+	ratio := tailAlone
+	for _, other := range h.runs {
+		if other.step.Filler {
+			ratio += h.fleet.Harm[other.step.Image] * float64(other.pace) / fullPace
+		}
+	}
+	return ratio * float64(r.step.TailTargetMillis)
+}
+
+// tailAlone is the tail of a serving task without fillers, as a share of its
+// target.
+const tailAlone = 0.5
+
 // gangThrough reports whether all members of a run have done their work.
 func (h *Host) gangThrough(r *run) bool {
 	all := h.members(r)
@@ -422,7 +492,11 @@
 func (h *Host) view() host.View {
 	v := host.View{Clock: h.clock(), Ended: append([]host.End(nil), h.ends[:min(len(h.ends), mostEnds)]...)}
 	for _, r := range h.sorted() {
-		v.Running = append(v.Running, host.Running{Run: r.Run, Percent: h.percent(r)})
+		row := host.Running{Run: r.Run, Percent: h.percent(r), Gauge: float64(r.step.Size.MilliCPU)}
+		if r.step.TailTargetMillis > 0 {
+			row.Gauge = h.tail(r)
+		}
+		v.Running = append(v.Running, row)
 	}
 	return v
 }
@@ -438,5 +512,19 @@
 	if took <= 0 {
 		return 100
 	}
-	return min(100, 100*float64(h.fleet.clock.Now().Sub(r.worked))/float64(took))
+	return min(100, 100*float64(r.workDone(h.fleet.clock.Now()))/float64(took))
+}
+
+// Tails gives, for each serving task on the host, its tail as a share of its
+// target.
+func (h *Host) Tails() map[host.Run]float64 {
+	out := map[host.Run]float64{}
+	h.change(func() {
+		for key, r := range h.runs {
+			if r.step.TailTargetMillis > 0 {
+				out[key] = h.tail(r) / float64(r.step.TailTargetMillis)
+			}
+		}
+	})
+	return out
 }
