Upkeep in waves: machines are emptied and go down one after the other

Cause: operators ask for waves of upkeep through the store; nothing read them.

Change: internal/upkeep plans a wave (pure): no more of its machines at once than allowed, hosts emptied first, orders repeated until answered, completed when every machine that stays has begun and is up again. The engine empties hosts without stopping more tasks of a bounded step than it may miss; progress is stored with the engine's batches; a next holder orders nothing before the former one's term and the platform's lease for machines are over, and lists the machines first. platform/ has the service.

--- a/cmd/pulley-node/node.go
+++ b/cmd/pulley-node/node.go
@@ -82,12 +82,18 @@
 }
 
 func (n *node) addHolder() {
-	n.table = holder.NewTable(holder.Config{
+	conf := holder.Config{
 		Store: n.store, Health: n.health, Hosts: platform.NewOrders(hostIdle), Peers: n.peers, Log: n.log,
 		Bounds: n.conf.Bounds.engine(), Tuning: engine.DefaultTuning(),
 		HostPrefix: platform.HostPrefix, DecodeHost: platform.DecodeHost, HostOf: platform.HostOf,
 		Catalog: n.catalog.Current, Lanes: n.lanes, Metrics: holder.NewMetrics(n.daemon.Reg), Event: n.event,
-	}, n.mux)
+		WavePrefix: platform.WavePrefix, DecodeWave: platform.DecodeWave, WaveState: platform.WaveState,
+		DutyLease: n.conf.Bounds.DutyLease.Std(),
+	}
+	if n.conf.Machines.Address != "" {
+		conf.Machines = platform.NewMachines(n.conf.Machines.Address)
+	}
+	n.table = holder.NewTable(conf, n.mux)
 	if n.conf.Policy.Address != "" {
 		holder.ServeAdvice(n.mux, platform.NewPolicy(n.conf.Policy.Address))
 	}
--- a/cmd/pulley-node/settings.go
+++ b/cmd/pulley-node/settings.go
@@ -20,6 +20,9 @@
 	// Policy is the service that decides which hosts may run a step; an empty
 	// address stands for none.
 	Policy Optional `json:"policy"`
+	// Machines is the service that takes machines down for their upkeep; an empty
+	// address stands for none.
+	Machines Optional `json:"machines"`
 	// Processors is the processor time that the process has, in cores.
 	Processors float64 `json:"processors" validate:"gt=0"`
 	Bounds     Bounds  `json:"bounds"`
@@ -55,6 +58,9 @@
 	FarFactor       float64         `json:"far_factor" validate:"min=1"`
 	RestoreTakes    config.Duration `json:"restore_takes" validate:"min=0"`
 	CheckpointEvery config.Duration `json:"checkpoint_every" validate:"min=0"`
+	// DutyLease is for how long after one process's order to a machine no other may
+	// give one.
+	DutyLease config.Duration `json:"duty_lease" validate:"min=0"`
 	// StopLimit is how long a planned stop may take.
 	StopLimit config.Duration `json:"stop_limit" validate:"min=1000000000"`
 }
--- a/internal/engine/commit.go
+++ b/internal/engine/commit.go
@@ -47,7 +47,8 @@
 // TakeBatch returns what has changed since the last batch, or nil. The batches
 // have to be stored in their order, and Stored called after each.
 func (e *Engine) TakeBatch(now time.Time) *Batch {
-	if len(e.dirty) == 0 && len(e.forget) < forgetMost && !e.rosterBehind {
+	waves := e.waveWrites()
+	if len(e.dirty) == 0 && len(e.forget) < forgetMost && !e.rosterBehind && len(waves) == 0 {
 		return nil
 	}
 	e.commits++
@@ -57,6 +58,9 @@
 		b.Writes = append(b.Writes, encoded(record.RosterKey(e.cfg.Partition), e.roster()))
 		b.rostered = append(b.rostered, e.sorted...)
 	}
+	for _, w := range waves {
+		b.Writes = append(b.Writes, encoded(record.WaveKey(e.cfg.Partition, w.Wave), w), e.cfg.WaveState(w))
+	}
 	for id, j := range e.dirty {
 		b.Writes = append(b.Writes, e.writesOf(j, now)...)
 		j.told = b.Seq
--- a/internal/engine/drain.go
+++ b/internal/engine/drain.go
@@ -6,10 +6,13 @@
 	"pulleyquay/internal/spec"
 )
 
-// moveOff brings work away from a host that leaves, where it is worth it: tasks
-// that last as soon as there is room elsewhere, and tasks that have saved their
-// progress and will not end in time. Others run on; the host may stay longer than
-// it says.
+// moveOff brings work away from a host that leaves or is to be emptied, where it
+// is worth it: tasks that last as soon as there is room elsewhere, and tasks that
+// have saved their progress and will not end in time. Others run on; a host that
+// leaves may stay longer than it says, and one that is emptied waits for them.
+//
+// A task that is at work on a host that only we want empty may be stopped only
+// while enough of its step are at work.
 func (e *Engine) moveOff(h *hostState, now time.Time) {
 	for _, r := range h.runs {
 		g := r.group
@@ -18,11 +21,13 @@
 		}
 		switch {
 		case g.step.LongRunning:
-			if e.roomElsewhere(g, h, now) {
+			if e.roomElsewhere(g, h, now) && (h.info.Draining || r.percent < atWork || g.mayMiss(r)) {
 				e.unwant(r, "its host leaves")
 			}
-		case g.step.Checkpointing && r.endsBy(now).After(h.leavesAt):
+		case g.step.Checkpointing && (h.closed || r.endsBy(now).After(h.leavesAt)):
 			e.unwant(r, "its host leaves before it would end")
+		case g.step.Filler && h.closed && r.pace == 0:
+			e.unwant(r, "held back on a host that is to be emptied")
 		}
 	}
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -14,7 +14,9 @@
 	"pulleyquay/internal/advice"
 	"pulleyquay/internal/catalog"
 	"pulleyquay/internal/host"
+	"pulleyquay/internal/platform"
 	"pulleyquay/internal/spec"
+	"pulleyquay/internal/upkeep"
 )
 
 // Config is what an Engine works with.
@@ -26,6 +28,8 @@
 	Tuning Tuning
 	// Seed decides between equal choices.
 	Seed uint64
+	// WaveState gives the write that tells operators the state of a wave.
+	WaveState func(upkeep.Progress) platform.Write
 	// Log is told of decisions; nil tells nobody.
 	Log func(Event)
 }
@@ -102,6 +106,9 @@
 	// fillShare is the share at which fillers of an image were last too much for the
 	// serving tasks beside them, by image.
 	fillShare map[string]int
+	// upkeep plans waves; nil where no machines can be ordered.
+	upkeep   *upkeep.Planner
+	upkeepAt time.Time // when waves were last moved on
 	// reserving counts the gangs of this plan that have places reserved.
 	reserving int
 	// scratch is reused for the hosts of one plan.
@@ -142,6 +149,10 @@
 	Looks  []LookOrder  // Viewed
 	Asks   []AskOrder   // Advised
 	Paces  []PaceOrder  // Paced
+	// Upkeeps take machines down; see Upkept.
+	Upkeeps []UpkeepOrder
+	// ListMachines asks for the platform's machines; see SetMachines.
+	ListMachines bool
 	// Deposed is true when another process has claimed the partition.
 	Deposed bool
 	// Commit asks for TakeBatch soon; CommitNow for TakeBatch at once.
@@ -211,6 +222,7 @@
 	}
 	e.planStops(now)
 	e.planPaces(now)
+	e.planUpkeep(now)
 	e.planLooks(now)
 	e.forgetEnded(now)
 	e.planCommit()
--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -90,6 +90,7 @@
 
 	governor *pacing.Governor // nil until serving tasks and fillers have met here
 	leavesAt time.Time        // when a draining host leaves, at the earliest
+	closed   bool             // to be emptied for its machine's upkeep
 }
 
 func (e *Engine) newHost(info host.Info) *hostState {
@@ -251,7 +252,7 @@
 
 // placeable reports whether new work may go to the host.
 func (e *Engine) placeable(h *hostState, now time.Time) bool {
-	return h.listed && h.claimed && h.rostered && !h.gone && !h.info.Draining && !now.Before(h.setAside) &&
+	return h.listed && h.claimed && h.rostered && !h.gone && !h.info.Draining && !h.closed && !now.Before(h.setAside) &&
 		(h.silent.IsZero() || now.Sub(h.silent) < e.cfg.Tuning.SilentAfter)
 }
 
--- /dev/null
+++ b/internal/engine/upkeep_test.go
@@ -0,0 +1,168 @@
+package engine
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/matryer/is"
+
+	"pulleyquay/internal/catalog"
+	"pulleyquay/internal/upkeep"
+)
+
+// upkeepTakes is how long a machine is down for its upkeep.
+const upkeepTakes = 2 * time.Second
+
+// addMachines makes each host run on a machine of its own.
+func (w *world) addMachines() {
+	w.begun = map[upkeep.MachineID]bool{}
+	for _, h := range w.fleet.Hosts() {
+		id := h.Info().ID
+		w.machines = append(w.machines, upkeep.Machine{ID: upkeep.MachineID("m" + id), Up: true, Host: id})
+	}
+}
+
+// askWave is an operator's wave over all machines.
+func (w *world) askWave(atOnce int) upkeep.Wave {
+	wave := upkeep.Wave{ID: 1, AtOnce: atOnce}
+	for _, m := range w.machines {
+		wave.Machines = append(wave.Machines, m.ID)
+	}
+	w.engine.SetWave(wave)
+	return wave
+}
+
+// service carries out the engine's orders to the service for machines.
+func (w *world) service(e *Engine, o Orders) {
+	for _, u := range o.Upkeeps {
+		w.after(oneWay, func() {
+			out := w.takeDown(u)
+			if w.rnd.Float64() < w.faults.lostAnswer {
+				w.after(patience, func() { w.tell(e, func() { e.Upkept(u, 0, upkeep.ErrUnsure, w.now()) }) })
+				return
+			}
+			w.after(oneWay, func() { w.tell(e, func() { e.Upkept(u, out, nil, w.now()) }) })
+		})
+	}
+	if o.ListMachines {
+		asked := w.now()
+		w.after(oneWay, func() {
+			list := append([]upkeep.Machine(nil), w.machines...)
+			w.after(oneWay, func() { w.tell(e, func() { e.SetMachines(list, nil, asked, w.now()) }) })
+		})
+	}
+}
+
+func (w *world) takeDown(o UpkeepOrder) upkeep.Outcome {
+	for i := range w.machines {
+		m := &w.machines[i]
+		switch {
+		case m.ID != o.Machine:
+			continue
+		case w.begun[m.ID]:
+			return upkeep.Begun
+		case !m.Up:
+			return upkeep.Busy
+		}
+		w.begun[m.ID] = true
+		old := w.host(m.Host)
+		old.TakeDown()
+		gone := m.Host
+		w.tell(w.engine, func() { w.engine.DropHost(gone, w.now()) })
+		m.Up, m.InUpkeep = false, true
+		w.after(upkeepTakes, func() {
+			fresh := w.fleet.Add(1, "s", old.Info().Size)[0]
+			m.Up, m.InUpkeep, m.Host = true, false, fresh.Info().ID
+			w.tell(w.engine, func() { w.engine.SetHost(fresh.Info(), w.now()) })
+		})
+		return upkeep.Begun
+	}
+	return upkeep.NotInWave
+}
+
+// waves reads the stored progress of waves.
+func (w *world) waves() (out []upkeep.Progress) {
+	for key, value := range w.store {
+		if !strings.HasPrefix(key, "waves/") {
+			continue
+		}
+		var p upkeep.Progress
+		if err := cbor.Unmarshal(value, &p); err != nil {
+			w.t.Fatal(err)
+		}
+		out = append(out, p)
+	}
+	return out
+}
+
+// TestUpkeepKeepsServicesUp: a wave over all machines takes no more of a service's
+// tasks away than it may miss, throws no batch work away, and is said to be
+// completed when it is.
+func TestUpkeepKeepsServicesUp(t *testing.T) {
+	tests := map[string]struct {
+		faults faults
+		strike func(w *world, wave upkeep.Wave)
+	}{
+		"calm":         {},
+		"answers lost": {faults: faults{lostAnswer: 0.1}},
+		"takeover": {strike: func(w *world, wave upkeep.Wave) {
+			w.takeOver()
+			w.engine.SetWave(wave)
+		}},
+		"two takeovers, answers lost": {faults: faults{lostAnswer: 0.1}, strike: func(w *world, wave upkeep.Wave) {
+			w.takeOver()
+			w.after(8*time.Second, func() { w.takeOver(); w.engine.SetWave(wave) })
+		}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := quietWorld(t, 6)
+			w.addMachines()
+			web := lasting(10, 6, 4)
+			web.MayMiss = 1
+			w.submit("web", catalog.Rules{}, web)
+			w.run(2 * time.Second)
+			for i := range 10 {
+				w.after(time.Duration(i)*900*time.Millisecond, func() {
+					w.submit(fmt.Sprint("batch", i), catalog.Rules{}, step(4, 4, 4, 2500))
+				})
+			}
+			wave := w.askWave(2)
+			w.faults = tc.faults
+			w.run(3 * time.Second)
+			if tc.strike != nil {
+				tc.strike(w, wave)
+			}
+			w.run(150 * time.Second)
+			w.check()
+			is.Equal(len(w.begun), 6)
+			is.Equal(string(w.store["state"]), "true")
+			is.Equal(w.atWork("web"), 10)
+			is.Equal(w.completed(), 10)
+		})
+	}
+}
+
+// TestBudgetStopsTheWave: while a service already misses as many tasks as it may,
+// no machine is taken down under it.
+func TestBudgetStopsTheWave(t *testing.T) {
+	is := is.New(t)
+	w := quietWorld(t, 4)
+	w.addMachines()
+	web := lasting(8, 6, 4)
+	web.MayMiss, web.MostPerHost = 1, 2
+	w.submit("web", catalog.Rules{}, web)
+	w.run(2 * time.Second)
+	w.host("h03").Crash() // its two tasks have no other host, as two a host are the most
+	w.askWave(1)
+	w.run(20 * time.Second)
+	w.check()
+	is.Equal(w.running("web"), 6)
+	for id := range w.begun {
+		is.Equal(id, upkeep.MachineID("mh03")) // it runs nothing
+	}
+}
--- a/internal/engine/world_test.go
+++ b/internal/engine/world_test.go
@@ -15,6 +15,7 @@
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/record"
 	"pulleyquay/internal/spec"
+	"pulleyquay/internal/upkeep"
 )
 
 // world drives an engine in virtual time against simulated hosts, a policy
@@ -44,7 +45,12 @@
 
 	// over is since when a serving task is over its target, longestOver for how long
 	// one has been on end.
-	over        map[host.Run]time.Time
+	over map[host.Run]time.Time
+	// machines are those that can be taken down for their upkeep, begun those whose
+	// upkeep has begun.
+	machines []upkeep.Machine
+	begun    map[upkeep.MachineID]bool
+
 	longestOver time.Duration
 }
 
@@ -126,7 +132,12 @@
 // nothing any more.
 func (w *world) takeOver() {
 	w.epoch++
-	w.engine = New(Config{Epoch: w.epoch, Bounds: testBounds, Tuning: DefaultTuning(), Seed: w.epoch})
+	w.engine = New(Config{
+		Epoch: w.epoch, Bounds: testBounds, Tuning: DefaultTuning(), Seed: w.epoch,
+		WaveState: func(p upkeep.Progress) platform.Write {
+			return platform.Write{Key: "state", Value: []byte(fmt.Sprint(p.Completed))}
+		},
+	})
 	w.engine.SetMembers([]string{"m1", "m2", "m3", "m4", "m5"})
 	w.engine.SetCatalog(&catalog.Catalog{})
 	w.committing = false
@@ -135,6 +146,7 @@
 		settleBy = w.now().Add(testSettle)
 	}
 	jobs, progress, roster := w.stored()
+	w.engine.SetUpkeep(settleBy, w.waves())
 	w.engine.Load(jobs, progress, roster, settleBy, w.now(), func(*record.Job) time.Duration { return 0 })
 	w.engine.SetHosts(w.fleet.Listed(), w.now())
 	w.decide()
@@ -193,6 +205,7 @@
 			e.Paced(p, r, err, w.now())
 		})
 	}
+	w.service(e, o)
 	for _, l := range o.Looks {
 		w.look(e, l)
 	}
--- a/internal/holder/follow.go
+++ b/internal/holder/follow.go
@@ -5,12 +5,15 @@
 	"sync"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"pulleyquay/internal/engine"
 	"pulleyquay/internal/host"
 	"pulleyquay/internal/ledger"
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/platform/follow"
 	"pulleyquay/internal/record"
+	"pulleyquay/internal/upkeep"
 	"pulleyquay/internal/wait"
 )
 
@@ -37,6 +40,7 @@
 	progress map[string]*record.Progress
 	roster   []host.Info
 	hosts    []host.Info
+	waves    []upkeep.Progress
 	// jobsAt and hostsAt are the revisions from which on to follow.
 	jobsAt, hostsAt platform.Revision
 }
@@ -86,6 +90,19 @@
 			return err
 		})
 	})
+	reads.Go(func() {
+		if h.cfg.Machines == nil {
+			return
+		}
+		h.list(record.WavePrefix(p), func(rec platform.Record) error {
+			var w upkeep.Progress
+			if err := cbor.Unmarshal(rec.Value, &w); err != nil {
+				return err
+			}
+			t.waves = append(t.waves, w)
+			return nil
+		})
+	})
 	reads.Wait()
 	if h.ctx.Err() != nil {
 		return context.Cause(h.ctx)
@@ -113,6 +130,13 @@
 		return time.Duration(max(wall-at, 0)) * time.Millisecond
 	})
 	h.engine.SetHosts(t.hosts, now)
+	if h.cfg.Machines != nil {
+		from := now
+		if former.Epoch > 0 {
+			from = now.Add(rightTerm + h.cfg.DutyLease)
+		}
+		h.engine.SetUpkeep(from, t.waves)
+	}
 	h.jobsAt, h.hostsAt = t.jobsAt, t.hostsAt
 	h.log.WithField("jobs", len(t.jobs)).WithField("hosts", len(t.hosts)).WithField("took_ms", now.Sub(begun).Milliseconds()).Info("records read")
 }
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -18,6 +18,7 @@
 	"pulleyquay/internal/peer"
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/platform/follow"
+	"pulleyquay/internal/upkeep"
 )
 
 // Times of the holder.
@@ -37,6 +38,8 @@
 	// lookSlack is how much longer than it may be held back an answer to a look
 	// is waited for.
 	lookSlack = 500 * time.Millisecond
+	// machinePatience bounds a call to the service for machines.
+	machinePatience = 1500 * time.Millisecond
 	// gatherFor is how long events are gathered before decisions are made.
 	gatherFor = time.Millisecond
 )
@@ -54,7 +57,16 @@
 	HostPrefix string
 	DecodeHost func(platform.Record) (host.Info, error)
 	HostOf     func(key string) host.ID
-	Catalog    func() *catalog.Catalog
+	// Machines takes machines down for their upkeep; nil where none can be ordered.
+	// WavePrefix is where operators ask for it, WaveState the write that tells them.
+	Machines   upkeep.Service
+	WavePrefix string
+	DecodeWave func(platform.Record) (upkeep.Wave, error)
+	WaveState  func(upkeep.Progress) platform.Write
+	// DutyLease is how long after a former holder's last order to a machine the next
+	// holder may give one.
+	DutyLease time.Duration
+	Catalog   func() *catalog.Catalog
 	// Lanes maps the members that can ask the policy service to their addresses.
 	Lanes   func() map[string]string
 	Metrics *Metrics
@@ -94,7 +106,7 @@
 		wake: make(chan struct{}, 1), commit: make(chan struct{}, 1), stored: make(chan struct{}),
 		engine: engine.New(engine.Config{
 			Partition: self.Partition, Epoch: self.Epoch, Bounds: cfg.Bounds, Tuning: cfg.Tuning,
-			Seed: self.Epoch, Log: cfg.Event,
+			Seed: self.Epoch, Log: cfg.Event, WaveState: cfg.WaveState,
 		}),
 	}
 }
@@ -111,7 +123,11 @@
 	taken()
 	defer lost()
 	var loops sync.WaitGroup
-	for _, loop := range []func(){h.decideLoop, h.commitLoop, h.followHosts, h.followJobs} {
+	work := []func(){h.decideLoop, h.commitLoop, h.followHosts, h.followJobs}
+	if h.cfg.Machines != nil {
+		work = append(work, h.followWaves)
+	}
+	for _, loop := range work {
 		loops.Go(loop)
 	}
 	loops.Wait()
@@ -189,6 +205,12 @@
 	for _, p := range o.Paces {
 		h.calls.Go(func() { h.pace(p) })
 	}
+	for _, u := range o.Upkeeps {
+		h.calls.Go(func() { h.beginUpkeep(u) })
+	}
+	if o.ListMachines {
+		h.calls.Go(h.listMachines)
+	}
 	if o.Commit || o.CommitNow {
 		select {
 		case h.commit <- struct{}{}:
--- a/internal/hostsim/host.go
+++ b/internal/hostsim/host.go
@@ -112,6 +112,17 @@
 // Stall lets no task make progress, or again those started from now on.
 func (h *Host) Stall(stuck bool) { h.change(func() { h.stuck = stuck }) }
 
+// TakeDown ends the host for good by an order of the scheduler's.
+func (h *Host) TakeDown() {
+	h.change(func() {
+		for _, r := range h.sorted() {
+			h.fleet.judge.takenAway(h, r)
+		}
+		h.listed = false
+	})
+	h.Crash()
+}
+
 // Crash ends the host for good, with all that runs on it.
 func (h *Host) Crash() {
 	h.change(func() {
@@ -437,6 +448,9 @@
 	if r == nil || r.stops {
 		return reply
 	}
+	if !h.info.Draining {
+		h.fleet.judge.takenAway(h, r)
+	}
 	r.stops = true
 	r.gen++
 	h.fleet.after(h.fleet.Bounds.StopTakes/2, func() {
--- a/internal/hostsim/judge.go
+++ b/internal/hostsim/judge.go
@@ -119,6 +119,24 @@
 	j.running[r.Task][h]++
 }
 
+// takenAway judges an order that ends a task of a step whose absences are bounded.
+func (j *Judge) takenAway(h *Host, r *run) {
+	if r.step.MayMiss == 0 || r.stops {
+		return
+	}
+	away := r.step.Count - 1
+	for _, other := range j.fleet.hosts {
+		for _, o := range other.runs {
+			if other.up && o != r && o.Task.StepID == r.Task.StepID && !o.stops {
+				away--
+			}
+		}
+	}
+	if away >= r.step.MayMiss {
+		j.wrongf("AVAIL %v is taken from %s while %d others are away", r.Run, h.info.ID, away)
+	}
+}
+
 func (j *Judge) ended(h *Host, r *run) { j.running[r.Task][h]-- }
 
 func (j *Judge) done(t spec.StepTask) { j.isDone[t] = true }
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -78,6 +78,14 @@
 // ProgressKey returns the key of a job's progress.
 func ProgressKey(partition int, id string) string { return ProgressPrefix(partition) + id }
 
+// WavePrefix returns the prefix of the progress of waves of upkeep.
+func WavePrefix(partition int) string { return "waves/" + strconv.Itoa(partition) + "/" }
+
+// WaveKey returns the key of a wave's progress.
+func WaveKey(partition int, wave int64) string {
+	return WavePrefix(partition) + strconv.FormatInt(wave, 10)
+}
+
 // IDOf returns the job's id, the last part of either key.
 func IDOf(key string) string { return key[strings.LastIndexByte(key, '/')+1:] }
 
