--- a/internal/engine/takeover_test.go
+++ b/internal/engine/takeover_test.go
@@ -59,9 +59,14 @@
 			s.Checkpointing, s.Gang = true, gang
 			w.submit("a", catalog.Rules{}, s)
 			w.run(3 * time.Second)
-			w.held = true
+			for _, h := range w.fleet.Hosts() {
+				h.Cut(true)
+			}
 			w.run(9 * time.Second)
-			w.held = false
+			for _, h := range w.fleet.Hosts() {
+				is.Equal(len(h.Running()), 0)
+				h.Cut(false)
+			}
 			w.takeOver()
 			w.run(time.Second)
 			g := w.engine.jobs["a"].groups[0]
