--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -71,8 +71,9 @@
 	unwanted map[*run]struct{}
 	// room counts the moments at which room came free or hosts became usable, so
 	// that a step that found none is tried again only after the next.
-	room      uint64
-	watchedAt time.Time // when the runs were last looked through
+	room       uint64
+	loadToldAt time.Time // when the log last told the load of the cell
+	watchedAt  time.Time // when the runs were last looked through
 	// unsettled is true after a takeover until it is known what every host runs.
 	unsettled bool
 	// settleBy is when hosts that were not heard of can run nothing any more.
@@ -226,6 +227,7 @@
 	e.planStops(now)
 	e.planPaces(now)
 	e.planUpkeep(now)
+	e.tellLoad(now)
 	e.planLooks(now)
 	e.forgetEnded(now)
 	e.planCommit()
--- a/internal/engine/explain.go
+++ b/internal/engine/explain.go
@@ -62,3 +62,46 @@
 	return fmt.Sprintf("wants %d places (%d cores, %d MiB each, label %q); has room for %d, %d if empty; %d hosts good, %d ticketed, places reserved on %d, for it on %d, %d questions asked; refused by rule: %s",
 		g.waiting, g.step.Size.MilliCPU/1000, g.step.Size.MemoryMiB, g.step.Label, room, could, good, ticketed, kept, len(g.reserved), g.advice.asking, strings.Join(rules, ", "))
 }
+
+// tellLoadEvery is how often the log has a line on the load of the whole cell.
+const tellLoadEvery = 2 * time.Second
+
+// tellLoad logs how much of the cell is used, by whom, and who waits.
+func (e *Engine) tellLoad(now time.Time) {
+	if now.Sub(e.loadToldAt) < tellLoadEvery {
+		return
+	}
+	e.loadToldAt = now
+	size, used, placeable := int64(0), map[string]int64{}, 0
+	for _, h := range e.sorted {
+		if !e.placeable(h, now) {
+			continue
+		}
+		placeable++
+		size += h.info.Size.MilliCPU
+		for _, r := range h.runs {
+			if r.group != nil {
+				used[r.group.job.rec.Queue] += r.size.MilliCPU
+			}
+		}
+	}
+	waiting, reserving := map[string]int{}, 0
+	for _, g := range e.ready {
+		if !g.readySince.IsZero() {
+			waiting[g.job.rec.Queue]++
+		}
+		if len(g.reserved) > 0 {
+			reserving++
+		}
+	}
+	var parts []string
+	for queue, cpu := range used {
+		parts = append(parts, fmt.Sprintf("%s uses %.0f%%", queue, 100*share(cpu, size)))
+	}
+	for queue, n := range waiting {
+		parts = append(parts, fmt.Sprintf("%s has %d steps waiting", queue, n))
+	}
+	sort.Strings(parts)
+	e.log(Event{What: "cell load", Why: fmt.Sprintf("%d of %d hosts take work; %s; %d gangs have places reserved; %d questions asked",
+		placeable, len(e.sorted), strings.Join(parts, ", "), reserving, len(e.asks))})
+}
