--- a/internal/engine/plan_gang.go
+++ b/internal/engine/plan_gang.go
@@ -24,22 +24,36 @@
 		return
 	}
 	good, unknown := g.split(c)
-	e.reserve(g, good, now)
+	admitted := e.reserve(g, good, now)
 	if !e.mayAsk(g, now) {
 		return
 	}
+	idle := e.lanes.Idle(g.job.rec.Rules.Advice.Took(1), now)
 	switch {
-	case len(g.reserved) == 0:
-		e.askForPlaces(g, good, unknown, now)
-	case e.placesComeSoon(g, now):
+	case len(g.reserved) > 0 && e.placesComeSoon(g, now):
 		e.askForTickets(g, good, now)
-	case e.lanes.Idle(g.job.rec.Rules.Advice.Took(1), now):
-		// Its places are far off, and nobody else needs to ask: there may be room on
-		// hosts that it does not know of.
+	case admitted && !g.knowsEnough(good) || idle:
+		// It can not be held by the hosts that it knows of; or nobody else needs to
+		// ask, and there may be room on others.
 		e.askForPlaces(g, good, unknown, now)
 	}
 }
 
+// spareKnown is how many times over the hosts that a gang knows to be good should
+// hold it if they were empty, before it waits for room on them and asks about no
+// others.
+const spareKnown = 3.0
+
+// knowsEnough reports whether the hosts known to be good make it likely that the
+// gang finds its room on them.
+func (g *group) knowsEnough(good []*hostState) bool {
+	could := 0
+	for _, h := range good {
+		could += g.fits(h, h.info.Size)
+	}
+	return float64(could) >= spareKnown*float64(g.left)
+}
+
 // seats chooses places for n tasks of a gang on the hosts that may be used, or
 // returns nil when there are not enough.
 func (e *Engine) seats(g *group, c []*hostState, n int, now time.Time) []seat {
--- a/internal/engine/reserve.go
+++ b/internal/engine/reserve.go
@@ -42,15 +42,16 @@
 }
 
 // reserve works out from when a gang will have its room on the hosts, which the
-// policy allows, and keeps it.
-func (e *Engine) reserve(g *group, hosts []*hostState, now time.Time) {
+// policy allows, and keeps it. It reports whether the gang is among the first, for
+// which places may be kept.
+func (e *Engine) reserve(g *group, hosts []*hostState, now time.Time) bool {
 	if !e.mayReserve() {
 		g.unreserve()
-		return
+		return false
 	}
 	e.reserving++
 	if len(g.reserved) > 0 && now.Sub(g.reservedAt) < reserveEvery && e.stillServes(g) {
-		return
+		return true
 	}
 	g.unreserve()
 	g.reservedAt = now
@@ -64,8 +65,9 @@
 			s.host.reserved = append(s.host.reserved, reservation{group: g, n: s.n, at: now.Add(d)})
 			g.reserved = append(g.reserved, s.host)
 		}
-		return
+		return true
 	}
+	return true
 }
 
 // seatsAt chooses places that a gang will have at a moment, fewest hosts first,
