Gangs learn first, reserve places to spare, and take what nobody else waits for

Change: a fifth more places than needed are reserved, hosts kept from plan to plan, urgent tasks steered away from them; the first question of a gang is always asked; a gang that is not among the first takes places that are free now.

--- a/internal/engine/plan_gang.go
+++ b/internal/engine/plan_gang.go
@@ -32,7 +32,7 @@
 	switch {
 	case len(g.reserved) > 0 && e.placesComeSoon(g, now):
 		e.askForTickets(g, good, now)
-	case admitted && !g.knowsEnough(good) || idle:
+	case admitted && !g.knowsEnough(good) || idle || g.advice.answers == 0:
 		// It can not be held by the hosts that it knows of; or nobody else needs to
 		// ask, and there may be room on others.
 		e.askForPlaces(g, good, unknown, now)
--- a/internal/engine/reserve.go
+++ b/internal/engine/reserve.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"math"
 	"slices"
 	"sort"
 	"time"
@@ -45,18 +46,22 @@
 // policy allows, and keeps it. It reports whether the gang is among the first, for
 // which places may be kept.
 func (e *Engine) reserve(g *group, hosts []*hostState, now time.Time) bool {
-	if !e.mayReserve() {
-		g.unreserve()
-		return false
+	first := e.mayReserve()
+	if first {
+		e.reserving++
 	}
-	e.reserving++
 	if len(g.reserved) > 0 && now.Sub(g.reservedAt) < reserveEvery && e.stillServes(g) {
-		return true
+		return first
 	}
+	kept := g.reserved
 	g.unreserve()
 	g.reservedAt = now
-	for _, d := range horizons {
-		seats := e.seatsAt(g, hosts, now.Add(d), now)
+	look := horizons
+	if !first {
+		look = horizons[:1] // it may have what nobody else wants now
+	}
+	for _, d := range look {
+		seats := e.seatsAt(g, hosts, kept, now.Add(d), now)
 		if seats == nil {
 			continue
 		}
@@ -65,14 +70,19 @@
 			s.host.reserved = append(s.host.reserved, reservation{group: g, n: s.n, at: now.Add(d)})
 			g.reserved = append(g.reserved, s.host)
 		}
-		return true
+		return first
 	}
-	return true
+	return first
 }
 
-// seatsAt chooses places that a gang will have at a moment, fewest hosts first,
-// or returns nil when there are not enough.
-func (e *Engine) seatsAt(g *group, hosts []*hostState, at, now time.Time) []seat {
+// spareReserved is how many more places are reserved than the gang needs, as a
+// share: urgent tasks and runs that end late take some.
+const spareReserved = 0.2
+
+// seatsAt chooses places that a gang will have at a moment, those on the hosts that
+// it has had before first, then fewest hosts. It returns nil when there are not
+// enough; where there are more, it takes some to spare.
+func (e *Engine) seatsAt(g *group, hosts, kept []*hostState, at, now time.Time) []seat {
 	var all []seat
 	for _, h := range hosts {
 		room := h.freeAt(at, now).Sub(h.reservedFor(g))
@@ -80,15 +90,23 @@
 			all = append(all, seat{h, n})
 		}
 	}
-	sort.SliceStable(all, func(a, b int) bool { return all[a].n > all[b].n })
-	n := g.left
+	sort.SliceStable(all, func(a, b int) bool {
+		x, y := slices.Contains(kept, all[a].host), slices.Contains(kept, all[b].host)
+		return x && !y || x == y && all[a].n > all[b].n
+	})
+	n := g.left + int(math.Ceil(spareReserved*float64(g.left)))
+	need := g.left
 	for i := range all {
 		all[i].n = min(all[i].n, n)
+		need -= all[i].n
 		if n -= all[i].n; n == 0 {
 			return all[:i+1]
 		}
 	}
-	return nil
+	if need > 0 {
+		return nil
+	}
+	return all
 }
 
 // reservedFor is what is kept on a host for gangs other than g.
--- a/internal/engine/scores.go
+++ b/internal/engine/scores.go
@@ -9,7 +9,7 @@
 	costLeftover = 1.0
 	costFar      = 100.0 // away from its data
 	costAvoided  = 50.0  // failed there before
-	costReserved = 30.0  // room is kept there for a gang
+	costReserved = 300.0 // room is kept there for a gang
 	costFails    = 5.0   // the last task there failed
 	costCrowded  = 20.0  // for a filler: no processor time is left over there
 )
