--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -15,6 +15,7 @@
 	"pulleyquay/internal/catalog"
 	"pulleyquay/internal/host"
 	"pulleyquay/internal/platform"
+	"pulleyquay/internal/runtimes"
 	"pulleyquay/internal/spec"
 	"pulleyquay/internal/upkeep"
 )
@@ -72,6 +73,7 @@
 	// room counts the moments at which room came free or hosts became usable, so
 	// that a step that found none is tried again only after the next.
 	room       uint64
+	orderedAt  time.Time // when the queue was last sorted anew
 	loadToldAt time.Time // when the log last told the load of the cell
 	watchedAt  time.Time // when the runs were last looked through
 	// unsettled is true after a takeover until it is known what every host runs.
@@ -86,6 +88,8 @@
 	now time.Time
 
 	lanes *advice.Lanes
+	// runtimes is what tasks' run times have been, by queue.
+	runtimes *runtimes.Learner
 	// good is the share of hosts that a queue's steps may run on, by queue.
 	good  map[string]float64
 	asks  map[uint64]*question
@@ -141,6 +145,7 @@
 		unpaced:   map[*hostState]struct{}{},
 		fillShare: map[string]int{},
 		lanes:     advice.NewLanes(),
+		runtimes:  runtimes.NewLearner(),
 		held:      map[spec.StepTask]int{},
 	}
 }
--- a/internal/engine/estimate.go
+++ b/internal/engine/estimate.go
@@ -1,6 +1,10 @@
 package engine
 
-import "time"
+import (
+	"time"
+
+	"pulleyquay/internal/pacing"
+)
 
 // Estimates of run times. What callers declare may be wrong by a factor of
 // several; what a run has done in the time that it has had is better, once it has
@@ -9,7 +13,7 @@
 	// rateAfter is for how long a run's progress has to be seen before its rate
 	// counts.
 	rateAfter = 400 * time.Millisecond
-	// doubtFactor stretches what a caller declares for a run without a rate.
+	// doubtFactor stretches what is expected of a run without a rate.
 	doubtFactor = 1.3
 	// leastLeft is the least time that a run is expected to go on for.
 	leastLeft = 30 * time.Millisecond
@@ -20,7 +24,7 @@
 	if g.step.LongRunning {
 		return forever
 	}
-	return time.Duration(doubtFactor * float64(g.step.Estimate()))
+	return time.Duration(doubtFactor * float64(g.expected))
 }
 
 // forever is longer than anything that is planned.
@@ -78,3 +82,17 @@
 		r.progressAt = now
 	}
 }
+
+// expect works out how long a task of the step is likely to run.
+func (e *Engine) expect(g *group) {
+	g.expected = e.runtimes.Expect(g.job.rec.Queue, g.step.Estimate())
+}
+
+// learnRuntime takes in how long a run took that is done, if it ran from its
+// beginning and at full speed.
+func (e *Engine) learnRuntime(r *run, now time.Time) {
+	if r.group == nil || r.known.IsZero() || r.resumed || r.pace != pacing.Full {
+		return
+	}
+	e.runtimes.Ended(r.group.job.rec.Queue, r.group.step.Estimate(), now.Sub(r.known))
+}
--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -33,6 +33,7 @@
 	unwanted bool
 	stopSent time.Time
 	stopping bool // a stop is under way
+	resumed  bool // it went on from a checkpoint
 	// deadline is the start's deadline by the host's clock.
 	deadline host.Millis
 	// sent is when the start was ordered, known since when the host answered it.
--- a/internal/engine/job.go
+++ b/internal/engine/job.go
@@ -23,6 +23,8 @@
 	// storedProgress is true while the store holds a progress record.
 	storedProgress bool
 	accepted       time.Time
+	urgency        urgency
+	judgedAt       time.Time // when urgency was worked out
 }
 
 func (j *job) id() string { return j.rec.ID }
@@ -62,6 +64,8 @@
 	left  int // tasks that are not done
 	// waiting counts tasks in taskWaiting.
 	waiting int
+	// expected is how long one of its tasks is likely to run.
+	expected time.Duration
 	// doneAt is when its last task was done.
 	doneAt time.Time
 	toldAt time.Time // when the log last said why it waits
--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -81,11 +81,12 @@
 	if g.advice.answers != g.tried.answers {
 		gap = firstRetry
 	}
+	e.expect(g)
 	g.tried = attempt{at: now, gap: gap, room: e.room, answers: g.advice.answers}
 }
 
-// order lists the steps whose turn it is: by the priority of their queue, and
-// within it by the time since when they wait.
+// order lists the steps whose turn it is: by the priority of their queue, then by
+// what their jobs can still reach, then the oldest jobs first.
 func (e *Engine) order(now time.Time) []*group {
 	queue := e.queue[:0]
 	for _, g := range e.queue {
@@ -97,11 +98,19 @@
 	}
 	clear(e.queue[len(queue):])
 	e.queue = queue
+	if now.Sub(e.orderedAt) >= urgencyEvery {
+		e.orderedAt = now
+		for _, g := range queue {
+			e.judgeUrgency(g.job, now)
+		}
+		slices.SortFunc(queue, before)
+	}
 	for _, g := range e.ready {
 		if g.queued || g.readySince.IsZero() {
 			continue
 		}
 		g.queued = true
+		e.judgeUrgency(g.job, now)
 		at, _ := slices.BinarySearchFunc(e.queue, g, before)
 		e.queue = slices.Insert(e.queue, at, g)
 	}
@@ -112,7 +121,8 @@
 func before(x, y *group) int {
 	return cmp.Or(
 		cmp.Compare(x.job.rec.Rules.Priority, y.job.rec.Rules.Priority),
-		x.readySince.Compare(y.readySince),
+		cmp.Compare(x.job.urgency, y.job.urgency),
+		x.job.accepted.Compare(y.job.accepted),
 		cmp.Compare(x.id.Job, y.id.Job),
 		cmp.Compare(x.id.Occurrence, y.id.Occurrence),
 		cmp.Compare(x.id.Step, y.id.Step),
--- a/internal/engine/takeover.go
+++ b/internal/engine/takeover.go
@@ -44,6 +44,7 @@
 	}
 	e.live[rec.ID] = j
 	for _, g := range j.groups {
+		e.expect(g)
 		for i := range g.tasks {
 			if unsure || e.held[g.task(i)] > 0 {
 				g.setState(i, taskUnsure)
--- a/internal/engine/view.go
+++ b/internal/engine/view.go
@@ -265,6 +265,7 @@
 	switch end.How {
 	case host.EndDone:
 		h.praise()
+		e.learnRuntime(r, now)
 		e.taskDone(g, i, now)
 	case host.EndFailed:
 		e.blame(h, g.job.id(), now)
