--- a/internal/engine/reserve.go
+++ b/internal/engine/reserve.go
@@ -24,7 +24,7 @@
 // Limits of reservations.
 const (
 	// hostsPerReserving is for how many hosts one gang may have places reserved.
-	hostsPerReserving = 24
+	hostsPerReserving = 34
 	// leastReserving is how many gangs may have places reserved in a small cell.
 	leastReserving = 5
 	// reserveEvery is how often a gang's reservation is worked out again.
