A job's way through the logs: decisions at the front, bounded lines, pulleyctl trace; settings reload

Cause: what became of a request was logged by the holder only; every line was written at once by whoever logged it, without a bound; a changed settings file was ignored without a word. Change: the front logs each job accepted or not and each cancellation with the code, the time taken and for how long the store has been silent. Lines are gathered and written every 20 ms; over 1,000 a second, or 512 KiB behind a slow output, they are left out and counted. pulleyctl trace ID FILE... puts the lines of a job in order, with changes of holder, store and configuration in between. The node follows its settings file: the log level is taken over, other changes are named as needing a restart, a bad file is refused.

--- a/cmd/pulley-node/main.go
+++ b/cmd/pulley-node/main.go
@@ -14,15 +14,16 @@
 	daemon.MainAt("pulley-node", "Answers callers and holds partitions of the cell.", platform.SettingsPath(), defaults(), run)
 }
 
-func run(s Settings) error {
+func run(path string, s Settings) error {
 	d, err := daemon.New("pulley-node", s.LogLevel)
 	if err != nil {
 		return err
 	}
-	d.Log.Logger.SetOutput(os.Stdout)
+	d.LogTo(os.Stdout)
 	n := newNode(s, d)
 	if err := n.start(context.Background()); err != nil {
 		return err
 	}
+	go (&reloader{path: path, log: n.log, current: s}).run(context.Background())
 	return d.Wait(daemon.Stopper{Limit: s.Bounds.StopLimit.Std(), Drain: n.stop})
 }
--- a/cmd/pulley-node/node.go
+++ b/cmd/pulley-node/node.go
@@ -4,9 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/google/uuid"
@@ -140,7 +137,6 @@
 
 // start opens the listeners and runs the parts.
 func (n *node) start(ctx context.Context) error {
-	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 	for field, addr := range map[string]string{
 		"listen.callers": n.conf.Listen.Callers, "listen.ready": n.conf.Listen.Ready,
 		"listen.peer": n.conf.Listen.Peer, "listen.admin": n.conf.Listen.Admin,
--- /dev/null
+++ b/internal/ctl/trace.go
@@ -0,0 +1,142 @@
+package ctl
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"pulleyquay/internal/result"
+)
+
+// logLine is one line of a process's log, as far as a trace needs it.
+type logLine struct {
+	Time  time.Time `json:"time"`
+	Name  string    `json:"name"`
+	Msg   string    `json:"msg"`
+	Level string    `json:"level"`
+	Job   string    `json:"job"`
+	Step  string    `json:"step"`
+	Host  string    `json:"host"`
+	Why   string    `json:"why"`
+	Error string    `json:"error"`
+	Code  int       `json:"code"`
+	AgeMS int64     `json:"age_ms"`
+	Epoch uint64    `json:"epoch"`
+}
+
+// turningPoints are lines that tell of the whole cell; those within a job's time
+// stand in its trace.
+var turningPoints = map[string]bool{
+	"store lost": true, "store regained": true, "partition claimed": true, "takeover settled": true,
+	"holder taken for dead": true, "partition not held any more": true, "configuration in force": true, "log lines left out": true,
+}
+
+// maxLogLine bounds a line of a log.
+const maxLogLine = 1 << 20
+
+func (a *app) traceCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "trace JOB FILE...", Short: "Tell from saved logs what happened to a job (- reads standard input)",
+		Args: cobra.MinimumNArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			var lines []logLine
+			for _, name := range args[1:] {
+				more, err := readLog(cmd.InOrStdin(), name)
+				if err != nil {
+					return err
+				}
+				lines = append(lines, more...)
+			}
+			trace := traceOf(args[0], lines)
+			if len(trace) == 0 {
+				return fmt.Errorf("no line of these logs names job %s", args[0])
+			}
+			return printTrace(cmd.OutOrStdout(), trace)
+		},
+	}
+}
+
+// readLog reads the lines of one file that are logs; what stands before the object,
+// as a collector may put it there, is passed over.
+func readLog(stdin io.Reader, name string) ([]logLine, error) {
+	in := stdin
+	if name != "-" {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, result.New(result.BadInput, result.RanNo, "%v", err).At(name)
+		}
+		defer f.Close()
+		in = f
+	}
+	var out []logLine
+	scan := bufio.NewScanner(in)
+	scan.Buffer(nil, maxLogLine)
+	for scan.Scan() {
+		_, object, found := strings.Cut(scan.Text(), "{")
+		var l logLine
+		if found && json.Unmarshal([]byte("{"+object), &l) == nil && l.Msg != "" {
+			out = append(out, l)
+		}
+	}
+	if err := scan.Err(); err != nil {
+		return nil, result.New(result.BadInput, result.RanNo, "%v", err).At(name)
+	}
+	return out, nil
+}
+
+// traceOf picks the lines about a job, and the turning points of the cell between
+// the first and the last of them, in the order of time.
+func traceOf(job string, lines []logLine) []logLine {
+	var out []logLine
+	for _, l := range lines {
+		if l.Job == job || strings.HasPrefix(l.Step, job+"/") {
+			out = append(out, l)
+		}
+	}
+	if len(out) == 0 {
+		return nil
+	}
+	byTime := func(a, b int) bool { return out[a].Time.Before(out[b].Time) }
+	sort.SliceStable(out, byTime)
+	first, last := out[0].Time, out[len(out)-1].Time
+	for _, l := range lines {
+		if turningPoints[l.Msg] && l.Job == "" && !l.Time.Before(first) && !l.Time.After(last) {
+			out = append(out, l)
+		}
+	}
+	sort.SliceStable(out, byTime)
+	return out
+}
+
+func printTrace(w io.Writer, trace []logLine) error {
+	first := trace[0].Time
+	for _, l := range trace {
+		var parts []string
+		for _, p := range []struct{ name, value string }{{"step", l.Step}, {"host", l.Host}, {"", l.Why}, {"error", l.Error}} {
+			switch {
+			case p.value == "":
+			case p.name == "":
+				parts = append(parts, p.value)
+			default:
+				parts = append(parts, p.name+" "+p.value)
+			}
+		}
+		if l.Code != 0 {
+			parts = append(parts, fmt.Sprintf("code %d", l.Code))
+		}
+		if l.AgeMS != 0 {
+			parts = append(parts, fmt.Sprintf("age %d ms", l.AgeMS))
+		}
+		if _, err := fmt.Fprintf(w, "%9.3f s  %-22s %-24s %s\n", l.Time.Sub(first).Seconds(), l.Name, l.Msg, strings.Join(parts, "; ")); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -11,12 +11,12 @@
 // Main runs a daemon's command line: one flag, --config, whose file is read
 // into a settings value that starts as defaults. It does not return.
 func Main[C any](name, short string, defaults C, run func(C) error) {
-	MainAt(name, short, "", defaults, run)
+	MainAt(name, short, "", defaults, func(_ string, settings C) error { return run(settings) })
 }
 
 // MainAt is Main with a path that is used when the flag is not given; when it is
-// empty the flag must be.
-func MainAt[C any](name, short, path string, defaults C, run func(C) error) {
+// empty the flag must be. It passes the path in use to run.
+func MainAt[C any](name, short, path string, defaults C, run func(string, C) error) {
 	cmd := &cobra.Command{
 		Use: name + " --config FILE", Short: short, Args: cobra.NoArgs,
 		SilenceErrors: true, SilenceUsage: true,
@@ -25,7 +25,7 @@
 			if err := config.Load(path, &settings); err != nil {
 				return err
 			}
-			return run(settings)
+			return run(path, settings)
 		},
 	}
 	cmd.Flags().StringVar(&path, "config", path, "settings file (JSON)")
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/pprof"
@@ -40,12 +41,19 @@
 	dumps     map[string]func() any
 	lacks     []func() []string
 	servers   []*http.Server
+	lines     *Lines // nil while lines are written one by one
+}
+
+// LogTo has log lines gathered and written to out in the background.
+func (d *Daemon) LogTo(out io.Writer) {
+	d.lines = NewLines(out)
+	d.Log.Logger.SetOutput(d.lines)
 }
 
 // New returns a daemon that logs JSON lines to stderr.
 func New(name, level string) (*Daemon, error) {
 	logger := logrus.New()
-	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	logger.SetFormatter(&budget{Formatter: &logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano}})
 	lv, err := logrus.ParseLevel(level)
 	if err != nil {
 		return nil, result.New(result.ConfigValue, result.RanNo, "%v", err).At("log_level")
@@ -203,6 +211,9 @@
 	err := d.drain(ctx, s)
 	d.closeServers()
 	d.Log.WithError(err).Info("stopped")
+	if d.lines != nil {
+		d.lines.Flush()
+	}
 	return err
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -74,22 +74,44 @@
 // same job again returns nil as well. An error with RanNo promises that the job
 // was not accepted.
 func (f *Front) Submit(ctx context.Context, q *catalog.Queue, id string, g spec.Graph) error {
+	begun := time.Now()
+	made, err := f.submit(ctx, q, id, g)
+	f.Metrics.submit(begun, err)
+	f.logSubmit(q, id, made, err, begun)
+	return err
+}
+
+// logSubmit tells what became of a job that was handed in.
+func (f *Front) logSubmit(q *catalog.Queue, id string, made made, err error, begun time.Time) {
+	log := f.Log.WithFields(logrus.Fields{
+		"job": id, "queue": q.Name, "took_ms": time.Since(begun).Milliseconds(),
+		"store_silent_ms": f.Health.Failing(time.Now()).Milliseconds(),
+	})
+	if err == nil {
+		log.WithField("why", made.String()).Info("job accepted")
+		return
+	}
+	e := result.From(err)
+	log.WithFields(logrus.Fields{"code": e.Code, "ran": e.Ran, "why": e.Error()}).Info("job not accepted")
+}
+
+// submit checks a job, stores it and has its holder told.
+func (f *Front) submit(ctx context.Context, q *catalog.Queue, id string, g spec.Graph) (made, error) {
 	if err := check(&g); err != nil {
-		return err
+		return 0, err
 	}
 	rec := record.Job{
 		ID: id, Queue: q.Name, Service: q.Service, Rules: q.Rules, Graph: g, AcceptedUnixMilli: time.Now().UnixMilli(),
 	}
 	begun := time.Now()
 	made, err := f.store(ctx, rec)
-	f.Metrics.submit(begun, err)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	if made != stoodThere {
 		f.teller.add(&rec, f.partition(id), made == madeHere, begun)
 	}
-	return nil
+	return made, nil
 }
 
 // made tells who made a job's record.
@@ -101,6 +123,17 @@
 	mayBeHere // it is there, and an earlier copy of this call may have made it
 )
 
+// String tells it for the log.
+func (m made) String() string {
+	switch m {
+	case madeHere:
+		return "stored"
+	case mayBeHere:
+		return "stored, after an answer of the store was lost"
+	}
+	return "it was there before"
+}
+
 // store writes a job's record where none is.
 func (f *Front) store(ctx context.Context, rec record.Job) (made, error) {
 	if f.Health.Failing(time.Now()) > awayAfter {
@@ -192,7 +225,19 @@
 
 // Cancel ends a job. It returns nil once that is stored, also when the job had
 // ended before.
-func (f *Front) Cancel(ctx context.Context, _ *catalog.Queue, id string) error {
+func (f *Front) Cancel(ctx context.Context, q *catalog.Queue, id string) error {
+	begun := time.Now()
+	err := f.cancel(ctx, id)
+	log := f.Log.WithFields(logrus.Fields{"job": id, "queue": q.Name, "took_ms": time.Since(begun).Milliseconds()})
+	if err != nil {
+		log.WithError(err).Info("cancellation not stored")
+		return err
+	}
+	log.Info("cancellation stored")
+	return nil
+}
+
+func (f *Front) cancel(ctx context.Context, id string) error {
 	for {
 		reply, err := f.askHolder(ctx, id, peer.KindCancelJob)
 		if err == nil && reply.Known {
