--- /dev/null
+++ b/internal/catalog/catalog_test.go
@@ -0,0 +1,133 @@
+package catalog
+
+import (
+	"context"
+	"io"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"pulleyquay/internal/peer"
+	"pulleyquay/internal/platform"
+	"pulleyquay/internal/platform/follow"
+	"pulleyquay/internal/platform/memstore"
+	"pulleyquay/internal/result"
+)
+
+func TestRoutes(t *testing.T) {
+	c := &Catalog{Queues: []Queue{
+		{Name: "all", Host: "h", Prefix: "/"}, {Name: "a", Host: "h", Prefix: "/a/"}, {Name: "ab", Host: "h", Prefix: "/a/b/"},
+		{Name: "other", Host: "g", Prefix: "/a/"},
+	}}
+	c.Index()
+	tests := map[string]struct{ host, path, queue, rest string }{
+		"longest prefix":    {"h", "/a/b/1", "ab", "1"},
+		"shorter one":       {"h", "/a/1", "a", "1"},
+		"whole host":        {"h", "/x", "all", "x"},
+		"another host":      {"g", "/a/1", "other", "1"},
+		"no prefix matches": {"g", "/x", "", ""},
+		"unknown host":      {"x", "/a/1", "", ""},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			q, rest := c.Route(tc.host, tc.path)
+			if tc.queue == "" {
+				is.True(q == nil)
+				return
+			}
+			is.Equal(q.Name, tc.queue)
+			is.Equal(rest, tc.rest)
+		})
+	}
+	var none *Catalog
+	q, _ := none.Route("h", "/a/1")
+	is.New(t).True(q == nil) // nothing is known yet
+}
+
+// peers answers with the catalog of another member.
+type peers struct{ newest *Catalog }
+
+func (p *peers) Call(_ context.Context, _ string, _ peer.Kind, req, resp any) error {
+	if p.newest == nil {
+		return result.New(result.PeerNotReached, result.RanNo, "away")
+	}
+	if p.newest.Version > req.(Request).Newer {
+		resp.(*Reply).Catalog = p.newest
+	}
+	return nil
+}
+
+const key = "op/test"
+
+func decodeVersion(rec platform.Record) (*Catalog, error) {
+	v, err := strconv.ParseInt(strings.TrimSpace(string(rec.Value)), 10, 64)
+	if err != nil {
+		return nil, err
+	}
+	c := &Catalog{Version: v}
+	c.Index()
+	return c, nil
+}
+
+func start(t *testing.T, store *memstore.Engine, p *peers) *Keeper {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	k := &Keeper{
+		Store: store.Client("a"), Health: follow.NewHealth(nil), Peers: p, Log: log.WithField("test", t.Name()),
+		Key: key, Decode: decodeVersion,
+	}
+	k.Start(t.Context(), peer.NewMux())
+	return k
+}
+
+func put(store *memstore.Engine, value string) {
+	store.Put(platform.Write{Key: key, Value: []byte(value)})
+}
+
+// TestVersionsOnlyRise: through outages, lost history, unreadable versions and
+// peers that are ahead or behind, what is in force never goes back.
+func TestVersionsOnlyRise(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := memstore.New()
+		defer store.Close()
+		p := &peers{}
+		k := start(t, store, p)
+		is.Equal(len(k.Lacks()), 1)
+		put(store, "3")
+		time.Sleep(time.Second)
+		is.Equal(k.Version(), int64(3))
+		is.Equal(len(k.Lacks()), 0)
+
+		put(store, "nonsense") // it can not be read: the one before stays
+		time.Sleep(time.Second)
+		is.Equal(k.Version(), int64(3))
+
+		store.Client("a").SetFaults(memstore.Faults{Refuse: true})
+		put(store, "7")
+		time.Sleep(time.Second)
+		is.Equal(k.Version(), int64(3))
+		p.newest = &Catalog{Version: 7}
+		k.Behind("b:1") // a heartbeat has told of a newer one
+		time.Sleep(time.Second)
+		is.Equal(k.Version(), int64(7))
+
+		p.newest = &Catalog{Version: 5}
+		k.Behind("b:1")
+		time.Sleep(time.Second)
+		is.Equal(k.Version(), int64(7))
+
+		store.Compact()
+		store.Client("a").SetFaults(memstore.Faults{})
+		put(store, "9")
+		time.Sleep(5 * time.Second)
+		is.Equal(k.Version(), int64(9))
+	})
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -75,8 +75,10 @@
 	// the next is sent; answers take milliseconds, and up to some 250 ms while the
 	// store is slow.
 	firstWait = 400 * time.Millisecond
-	// longestWait bounds the wait for later copies.
-	longestWait = 1200 * time.Millisecond
+	// longestWait bounds the wait for later copies, which doubles. A store that took
+	// longer than that would never be heard: each copy would be given up before its
+	// answer.
+	longestWait = 6400 * time.Millisecond
 	// refusedPause is the pause after a copy that certainly was not done.
 	refusedPause = 40 * time.Millisecond
 	// longestPause bounds the pauses, which double.
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,142 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pulleyquay/internal/platform"
+	"pulleyquay/internal/platform/memstore"
+)
+
+func self(name string) Holder { return Holder{Name: name, Incarnation: name + "-1", Addr: name + ":1"} }
+
+func write(key, value string) []platform.Write {
+	return []platform.Write{{Key: key, Value: []byte(value)}}
+}
+
+// value reads a key past every fault.
+func value(t *testing.T, e *memstore.Engine, key string) string {
+	t.Helper()
+	rec, ok, err := e.Client("judge").Get(t.Context(), key)
+	is.New(t).NoErr(err)
+	if !ok {
+		return ""
+	}
+	return string(rec.Value)
+}
+
+// TestCommitsUnderFaults: whatever becomes of the copies of a transaction, it takes
+// effect once, and what comes after it sees it.
+func TestCommitsUnderFaults(t *testing.T) {
+	tests := map[string]memstore.Faults{
+		"calm":                    {},
+		"answers lost":            {LoseAnswers: 3},
+		"requests lost":           {LoseRequests: 3},
+		"answers come late":       {AnswerDelayMS: 900},
+		"requests come late":      {RequestDelayMS: 900},
+		"refused for a while":     {Refuse: true},
+		"silent for a while":      {Hang: true},
+		"late, and answers lost":  {RequestDelayMS: 700, LoseAnswers: 2},
+		"late, and requests lost": {RequestDelayMS: 700, LoseRequests: 2},
+	}
+	for name, faults := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				e := memstore.New()
+				defer e.Close()
+				c := e.Client("a")
+				l, _, err := Claim(t.Context(), c, Holder{}, self("a"))
+				is.NoErr(err)
+				for i := range 6 {
+					if i == 2 {
+						c.SetFaults(faults)
+						time.AfterFunc(5*time.Second, func() { c.SetFaults(memstore.Faults{}) })
+					}
+					before := time.Now()
+					is.NoErr(l.Commit(t.Context(), write("k", fmt.Sprint(i))))
+					is.Equal(value(t, e, "k"), fmt.Sprint(i))
+					is.True(!l.Proved().Before(before)) // each commit proves the claim anew
+				}
+				time.Sleep(20 * time.Second) // late copies arrive
+				is.Equal(value(t, e, "k"), "5")
+			})
+		})
+	}
+}
+
+// TestDeposedHolderWritesNothing: after another claim nothing of the former holder
+// takes effect any more, a copy that was under way included.
+func TestDeposedHolderWritesNothing(t *testing.T) {
+	for _, delay := range []int64{0, 300, 2500} {
+		t.Run(fmt.Sprint(delay, " ms late"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				e := memstore.New()
+				defer e.Close()
+				old, present, err := Claim(t.Context(), e.Client("a"), Holder{}, self("a"))
+				is.NoErr(err)
+				is.NoErr(old.Commit(t.Context(), write("k", "old")))
+				e.Client("a").SetFaults(memstore.Faults{RequestDelayMS: delay})
+				ended := make(chan error, 1)
+				go func() { ended <- old.Commit(t.Context(), write("k", "late")) }()
+				if delay > 0 {
+					time.Sleep(10 * time.Millisecond) // it is under way
+					next, _, err := Claim(t.Context(), e.Client("b"), present, self("b"))
+					is.NoErr(err)
+					is.NoErr(next.Commit(t.Context(), write("k", "new")))
+					is.True(errors.Is(<-ended, ErrDeposed))
+					time.Sleep(10 * time.Second)
+					is.Equal(value(t, e, "k"), "new")
+					return
+				}
+				is.NoErr(<-ended)
+				is.Equal(value(t, e, "k"), "late")
+			})
+		})
+	}
+}
+
+// TestClaims: of two claims from the same holder one wins; a claim whose answer was
+// lost is found to be its own.
+func TestClaims(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := memstore.New()
+		defer e.Close()
+		e.Client("a").SetFaults(memstore.Faults{LoseAnswers: 1})
+		l, first, err := Claim(t.Context(), e.Client("a"), Holder{}, self("a"))
+		is.NoErr(err)
+		is.Equal(first.Epoch, uint64(1))
+		is.NoErr(l.Commit(t.Context(), nil))
+
+		_, seen, err := Claim(t.Context(), e.Client("b"), Holder{}, self("b"))
+		is.True(errors.Is(err, ErrRaced))
+		is.Equal(seen.Name, "a") // told who it is, the next try can succeed
+		_, second, err := Claim(t.Context(), e.Client("b"), seen, self("b"))
+		is.NoErr(err)
+		is.Equal(second.Epoch, uint64(2))
+		is.True(errors.Is(l.Commit(t.Context(), nil), ErrDeposed))
+	})
+}
+
+func TestCommitEndsWithItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := memstore.New()
+		defer e.Close()
+		l, _, err := Claim(t.Context(), e.Client("a"), Holder{}, self("a"))
+		is.NoErr(err)
+		e.Client("a").SetFaults(memstore.Faults{Refuse: true})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		is.True(errors.Is(l.Commit(ctx, write("k", "v")), context.DeadlineExceeded))
+		is.Equal(value(t, e, "k"), "")
+	})
+}
