A process that the store turns away has its jobs stored by a peer

Change: after 0.6 s without an answer, and at once while the store is known not to answer, the record is made by a peer, the holder first, then another; records are made only where none is, so two makers do no harm. What the caller is told stays true: TestRelay, with answers of peers lost. Ruled out: staying ready for the balancer while relaying (a hop more for each request, and a cut process serves worse than its neighbours).

--- a/cmd/pulley-node/node.go
+++ b/cmd/pulley-node/node.go
@@ -102,7 +102,7 @@
 
 func (n *node) addFront() {
 	n.front = &front.Front{
-		Store: n.store, Get: n.store.Get, Health: n.health, Peers: n.peers, View: n.view,
+		Store: n.store, Get: n.store.Get, Health: n.health, Peers: n.peers, View: n.view, Self: n.self.Addr,
 		Partitions: partitions, Log: n.log, Metrics: front.NewMetrics(n.daemon.Reg),
 	}
 }
@@ -149,6 +149,7 @@
 	}
 	ctx, n.cancel = context.WithCancel(ctx)
 	n.front.Start()
+	n.front.Serve(n.mux)
 	n.catalog.Start(ctx, n.mux)
 	n.claimer.Start(ctx, n.mux, partitions)
 	go n.entries.Run(ctx)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -32,6 +32,9 @@
 	storePatience = 500 * time.Millisecond
 	// storePause is the pause after a copy that certainly was not done.
 	storePause = 30 * time.Millisecond
+	// relayAfter is after how long without an answer of the store a job is given to
+	// a peer to store: longer than a slow store takes.
+	relayAfter = 600 * time.Millisecond
 	// awayAfter is for how long the store has to be unanswering before jobs are
 	// refused at once.
 	awayAfter = 300 * time.Millisecond
@@ -51,11 +54,13 @@
 
 // Front answers callers.
 type Front struct {
-	Store      platform.Store
-	Get        func(ctx context.Context, key string) (platform.Record, bool, error)
-	Health     *follow.Health
-	Peers      peer.Caller
-	View       *cell.View
+	Store  platform.Store
+	Get    func(ctx context.Context, key string) (platform.Record, bool, error)
+	Health *follow.Health
+	Peers  peer.Caller
+	View   *cell.View
+	// Self is the address of this process among its peers.
+	Self       string
 	Partitions int
 	Log        *logrus.Entry
 	Metrics    *Metrics
@@ -104,7 +109,7 @@
 		ID: id, Queue: q.Name, Service: q.Service, Rules: q.Rules, Graph: g, AcceptedUnixMilli: time.Now().UnixMilli(),
 	}
 	begun := time.Now()
-	made, err := f.store(ctx, rec)
+	made, err := f.storeSomewhere(ctx, rec)
 	if err != nil {
 		return 0, err
 	}
@@ -134,11 +139,53 @@
 	return "it was there before"
 }
 
+// storeSomewhere stores a job: with calls of this process's own, or by a peer while
+// the store does not answer this process.
+func (f *Front) storeSomewhere(ctx context.Context, rec record.Job) (made, error) {
+	if f.Health.Failing(time.Now()) > awayAfter {
+		return f.relay(ctx, rec)
+	}
+	firstCtx, cancel := context.WithTimeout(ctx, relayAfter)
+	made, err := f.storeHere(firstCtx, rec)
+	cancel()
+	if err == nil || ctx.Err() != nil || firstCtx.Err() == nil {
+		return made, err
+	}
+	if made, relayErr := f.relay(ctx, rec); relayErr == nil {
+		if made == madeHere {
+			return mayBeHere, nil // the copies sent from here may still arrive
+		}
+		return made, nil
+	}
+	if result.From(err).Ran == result.RanNo {
+		return 0, err
+	}
+	return f.storeAgain(ctx, rec)
+}
+
+// storeAgain goes on with calls of this process's own for a job that may be stored
+// already.
+func (f *Front) storeAgain(ctx context.Context, rec record.Job) (made, error) {
+	made, err := f.storeHere(ctx, rec)
+	switch {
+	case err != nil:
+		return 0, f.unsettled(true)
+	case made == stoodThere:
+		return mayBeHere, nil
+	}
+	return made, nil
+}
+
 // store writes a job's record where none is.
 func (f *Front) store(ctx context.Context, rec record.Job) (made, error) {
 	if f.Health.Failing(time.Now()) > awayAfter {
 		return 0, result.New(result.JobNotStored, result.RanNo, "the store has not answered for %v", f.Health.Failing(time.Now()).Round(time.Millisecond)).Later(comeBackLater)
 	}
+	return f.storeHere(ctx, rec)
+}
+
+// storeHere writes a job's record with calls of this process's own.
+func (f *Front) storeHere(ctx context.Context, rec record.Job) (made, error) {
 	value, err := record.Encode(rec)
 	if err != nil {
 		return 0, result.New(result.Internal, result.RanNo, "%v", err)
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -30,6 +30,9 @@
 	away  bool
 	told  map[string]int
 	state record.State // of every job that it was told of
+	// front stores jobs for peers; nil where no peer is there.
+	front *Front
+	loses int // answers to calls to store that are lost
 }
 
 func (h *fakeHolder) Call(ctx context.Context, _ string, kind peer.Kind, req, resp any) error {
@@ -44,6 +47,17 @@
 	case peer.KindState, peer.KindCancelJob:
 		known := h.told[req.(holder.JobRequest).Job] > 0
 		*resp.(*holder.JobReply) = holder.JobReply{Known: known, State: h.state}
+	case peer.KindStoreJob:
+		if h.front == nil {
+			return result.New(result.PeerNotReached, result.RanNo, "away")
+		}
+		m, err := h.front.store(ctx, req.(StoreRequest).Job)
+		if h.loses > 0 {
+			h.loses--
+			return result.New(result.PeerLost, result.RanUnknown, "lost")
+		}
+		*resp.(*StoreReply) = StoreReply{There: m == stoodThere, Unsure: m == mayBeHere}
+		return err
 	case peer.KindPending:
 		*resp.(*holder.PendingReply) = holder.PendingReply{Pending: len(h.told)}
 	}
@@ -255,3 +269,60 @@
 		time.Sleep(2 * tellFor)
 	})
 }
+
+// TestRelay: a process that the store turns away has its jobs stored by a peer, and
+// tells the truth when that fails as well.
+func TestRelay(t *testing.T) {
+	tests := map[string]struct {
+		peer  func(b *bench) // what the peer is like
+		want  result.Code    // zero for accepted
+		ran   result.Ran
+		again bool // the job is stored already
+	}{
+		"the peer has the store":            {peer: func(*bench) {}},
+		"it was there":                      {peer: func(*bench) {}, again: true},
+		"one answer of the peer is lost":    {peer: func(b *bench) { b.holder.loses = 1 }},
+		"all answers of the peers are lost": {peer: func(b *bench) { b.holder.loses = 9 }, want: result.JobStoreUnknown, ran: result.RanUnknown},
+		"no peer is there":                  {peer: func(b *bench) { b.holder.front = nil }, want: result.JobNotStored, ran: result.RanNo},
+		"the peer has not the store either": {peer: func(b *bench) {
+			b.holder.front.Health.Note(true, time.Now().Add(-time.Minute))
+			b.holder.front.Health.Note(false, time.Now().Add(-time.Second))
+		}, want: result.JobNotStored, ran: result.RanNo},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				b, other := newBench(t), newBench(t)
+				other.Front.Store, other.Front.Get = b.store.Client("b"), b.store.Client("b").Get
+				b.holder.front = other.Front
+				b.View.Learn(ledger.Holder{Epoch: 2, Name: "c", Addr: "c:1"})
+				if tc.again {
+					is.NoErr(b.Submit(t.Context(), queue, "00000000000000aa", graph))
+					time.Sleep(time.Second)
+				}
+				b.Health.Note(true, time.Now().Add(-time.Minute))
+				b.Health.Note(false, time.Now().Add(-time.Second))
+				b.store.Client("a").SetFaults(memstore.Faults{Hang: true})
+				tc.peer(b)
+				ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+				defer cancel()
+				err := b.Submit(ctx, queue, "00000000000000aa", graph)
+				time.Sleep(2 * tellFor)
+				if tc.want == 0 {
+					is.NoErr(err)
+					is.True(b.stored(t, "00000000000000aa"))
+					is.True(b.holder.told["00000000000000aa"] > 0)
+					return
+				}
+				e := result.From(err)
+				is.Equal(e.Code, tc.want)
+				is.Equal(e.Ran, tc.ran)
+				is.True(e.RetryAfter > 0)
+				if tc.ran == result.RanNo {
+					is.True(!b.stored(t, "00000000000000aa"))
+				}
+			})
+		})
+	}
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -47,6 +47,7 @@
 	KindCancelJob Kind = 56 // end a job
 	KindPending   Kind = 57 // jobs of a queue that have not begun
 	KindAdvise    Kind = 58 // holder to member: ask the policy service
+	KindStoreJob  Kind = 59 // member without the store to another: store this job
 )
 
 // Caller makes calls to other processes. Errors are *result.Error: a failure
