--- /dev/null
+++ b/internal/engine/ends.go
@@ -0,0 +1,141 @@
+package engine
+
+import (
+	"slices"
+	"time"
+
+	"pulleyquay/internal/host"
+	"pulleyquay/internal/record"
+)
+
+// endOf handles the end of one run.
+func (e *Engine) endOf(h *hostState, end host.End, now time.Time) {
+	r := h.runs[end.Run]
+	if r != nil {
+		e.remove(r)
+		if end.Checkpoint != "" {
+			r.checkpoint = end.Checkpoint
+		}
+	}
+	g := e.groupOf(end.Task)
+	if g == nil {
+		return
+	}
+	if r == nil {
+		r = &run{Run: end.Run, group: g, on: h, checkpoint: end.Checkpoint}
+	}
+	g.job.started = true
+	i := end.Task.Index
+	switch end.How {
+	case host.EndDone:
+		h.praise()
+		e.learnRuntime(r, now)
+		e.taskDone(g, i, now)
+	case host.EndFailed:
+		e.blame(h, g.job.id(), now)
+		e.taskFailed(g, i, r, now)
+	}
+	e.released(r, now)
+}
+
+// taskDone notes that a task is done. One member's end stands for its whole gang.
+func (e *Engine) taskDone(g *group, i int, now time.Time) {
+	if g.step.LongRunning || g.tasks[i].state == taskDone {
+		return
+	}
+	if g.step.Gang {
+		for k := range g.tasks {
+			e.markDone(g, k)
+		}
+	} else {
+		e.markDone(g, i)
+	}
+	e.touch(g.job)
+	if g.left == 0 {
+		e.stepDone(g, now)
+	}
+}
+
+func (e *Engine) markDone(g *group, i int) {
+	t := &g.tasks[i]
+	if t.state == taskDone {
+		return
+	}
+	if t.cur != nil && !g.step.Gang {
+		e.unwant(t.cur, "its task is done elsewhere")
+	}
+	g.setState(i, taskDone)
+	g.left--
+	e.refresh(g)
+}
+
+// taskFailed counts a failed run; a gang's run fails once, whoever's fault.
+func (e *Engine) taskFailed(g *group, i int, r *run, now time.Time) {
+	t := &g.tasks[i]
+	if t.state == taskDone {
+		return
+	}
+	t.avoid = r.on.info.ID
+	if g.step.LongRunning {
+		return
+	}
+	failed := &t.failed
+	if g.step.Gang {
+		failed = &g.failed
+	}
+	if slices.Contains(*failed, r.No) {
+		return // shown to a former holder, or by another member of the gang
+	}
+	*failed = append(*failed, r.No)
+
+	e.touch(g.job)
+	e.log(Event{What: "task failed", Job: g.job.id(), Step: g.id.String(), Host: string(r.on.info.ID)})
+	if len(*failed) >= g.job.rec.Rules.Attempts {
+		e.finish(g.job, record.StateFailed, now)
+	}
+}
+
+// released notes that a run is over, however it ended.
+func (e *Engine) released(r *run, now time.Time) {
+	g := r.group
+	if g == nil || g.job.state.Final() {
+		return
+	}
+	i := r.Task.Index
+	t := &g.tasks[i]
+	t.run = max(t.run, r.No)
+	if t.cur != r {
+		g.inheritCheckpoint(r)
+		return // a later run of the task may be on a host not heard of yet
+	}
+	t.cur = nil
+	if t.state == taskDone {
+		return
+	}
+	if g.step.Gang {
+		e.gangReleased(g, r, now)
+		return
+	}
+	if r.checkpoint != "" {
+		t.checkpoint = r.checkpoint
+	}
+	g.setState(i, taskWaiting)
+	if g.readySince.IsZero() {
+		g.readySince = now
+	}
+	e.refresh(g)
+}
+
+// inheritCheckpoint keeps the checkpoint of a run that a former holder started and
+// that ended before this one saw it running.
+func (g *group) inheritCheckpoint(r *run) {
+	t := &g.tasks[r.Task.Index]
+	if r.checkpoint == "" || t.cur != nil || t.state == taskDone || r.No < t.run {
+		return
+	}
+	if g.step.Gang {
+		g.checkpoint = r.checkpoint // any member's value serves the whole gang
+		return
+	}
+	t.checkpoint = r.checkpoint
+}
--- /dev/null
+++ b/internal/engine/lost.go
@@ -0,0 +1,84 @@
+package engine
+
+import (
+	"slices"
+	"time"
+
+	"pulleyquay/internal/host"
+)
+
+// dropVanished takes runs out of the books that the host does not show: starts
+// that have never taken effect and can not any more, and runs that the host has
+// forgotten.
+func (e *Engine) dropVanished(h *hostState, v host.View, sent, now time.Time) {
+	if len(h.runs) == 0 {
+		return
+	}
+	shown := make(map[host.Run]bool, len(v.Running)+len(v.Ended))
+	for _, row := range v.Running {
+		shown[row.Run] = true
+	}
+	for _, end := range v.Ended {
+		shown[end.Run] = true
+	}
+	for key, r := range h.runs {
+		if shown[key] || !vanished(r, v.Clock, sent) {
+			if r.state == runDoubt && !shown[key] && r.known.Before(sent) {
+				e.unwant(r, "its start was not answered and it is not shown") // the stop settles it
+			}
+			continue
+		}
+		e.remove(r)
+		e.released(r, now)
+	}
+}
+
+// clockGrain is how far a deadline must lie back before a start that was not
+// seen can be said to come to nothing.
+const clockGrain = 20 // milliseconds
+
+// vanished reports whether a run that a look of sent does not show is surely
+// not on the host, now or later.
+func vanished(r *run, clock host.Millis, sent time.Time) bool {
+	switch r.state {
+	case runRunning, runStopping:
+		return r.known.Before(sent)
+	case runDoubt:
+		return clock > r.deadline+clockGrain
+	}
+	return false
+}
+
+// hostGone drops a host that has ended for certain, with all that ran there.
+func (e *Engine) hostGone(h *hostState, now time.Time, why string) {
+	h.gone = true
+	e.log(Event{What: "host gone", Host: string(h.info.ID), Why: why})
+	e.dropRuns(h, now)
+	e.forgetHost(h)
+}
+
+func (e *Engine) dropRuns(h *hostState, now time.Time) {
+	for _, r := range h.runs {
+		e.remove(r)
+		e.released(r, now)
+	}
+}
+
+// expireHosts gives up what ran on hosts that have been silent until every lease
+// there was over.
+func (e *Engine) expireHosts(now time.Time) {
+	for _, h := range slices.Clone(e.sorted) {
+		e.shutSilent(h, now)
+		e.dropUnheard(h, now)
+		if h.silent.IsZero() || !h.claimed || now.Before(e.leaseOver(h)) {
+			continue
+		}
+		if len(h.runs) > 0 {
+			e.log(Event{What: "host lost", Host: string(h.info.ID), Why: "silent until its lease was over", Age: now.Sub(h.heard)})
+			e.dropRuns(h, now)
+		}
+		if !h.listed {
+			e.forgetHost(h)
+		}
+	}
+}
