Gangs take room from less urgent tasks that save their progress

Change: room that such tasks hold counts for a gang's places from a stop's time on, and they may use what is kept until then; when the gang asks for its tickets, they are stopped so that the room is there when these come.

--- a/internal/engine/ask.go
+++ b/internal/engine/ask.go
@@ -98,7 +98,9 @@
 			spare -= n
 		}
 	}
-	e.ask(g, hosts, now)
+	if e.ask(g, hosts, now) {
+		e.clearAhead(g, g.job.rec.Rules.Advice.Took(len(hosts)), now)
+	}
 }
 
 // askForPlaces asks about more hosts: as many as it takes, as things go, until the
--- a/internal/engine/job.go
+++ b/internal/engine/job.go
@@ -51,6 +51,8 @@
 	avoid host.ID
 	// notBefore delays the next start.
 	notBefore time.Time
+	// preempted is how often it was stopped for others.
+	preempted int
 }
 
 // group is one step of one occurrence of a job.
@@ -86,6 +88,8 @@
 	reserved     []*hostState
 	reservedAt   time.Time // when that was worked out
 	reservedFrom time.Time // from when on they are expected to be free
+	roomAt       time.Time // when the room that is being made for it is there
+	clearAt      time.Time // when to stop others for it
 	ends         time.Time // when its run is expected to end, as of endsAsOf
 	endsAsOf     time.Time
 	notBefore    time.Time
--- a/internal/engine/plan_gang.go
+++ b/internal/engine/plan_gang.go
@@ -14,10 +14,14 @@
 	if g.advice.known == nil && g.left > 1 {
 		e.learnSlot(g.step.Booked())
 	}
-	if seats := e.seats(g, e.permitted(g, hosts, now), g.left, now); seats != nil {
+	permitted := e.permitted(g, hosts, now)
+	if seats := e.seats(g, permitted, g.left, now); seats != nil {
 		e.startGang(g, seats, now)
 		return
 	}
+	if e.makeRoom(g, permitted, now) {
+		return
+	}
 	c := e.candidates(g, hosts)
 	if g.job.rec.Rules.Advice == nil {
 		e.reserve(g, c, now)
--- /dev/null
+++ b/internal/engine/preempt_test.go
@@ -0,0 +1,83 @@
+package engine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pulleyquay/internal/catalog"
+	"pulleyquay/internal/record"
+	"pulleyquay/internal/spec"
+)
+
+// busyWorld has four hosts filled with tasks of a less urgent queue.
+func busyWorld(t *testing.T, change func(*spec.Step, *catalog.Rules)) *world {
+	w := quietWorld(t, 4)
+	s, rules := step(32, 8, 8, 9000), catalog.Rules{Priority: 2}
+	s.Checkpointing = true
+	change(&s, &rules)
+	w.submit("busy", rules, s)
+	w.run(2 * time.Second)
+	return w
+}
+
+// TestGangsTakeRoomFromSavedWork: gangs waited for room while tasks ran that lose
+// nothing when they are stopped (seen on the users' platform: a quarter of the
+// processors kept empty for gangs until they had all their places).
+func TestGangsTakeRoomFromSavedWork(t *testing.T) {
+	tests := map[string]struct {
+		change func(*spec.Step, *catalog.Rules)
+		yields bool
+	}{
+		"less urgent, saved":           {func(*spec.Step, *catalog.Rules) {}, true},
+		"its progress is lost":         {func(s *spec.Step, _ *catalog.Rules) { s.Checkpointing = false }, false},
+		"as urgent":                    {func(_ *spec.Step, r *catalog.Rules) { r.Priority = 1 }, false},
+		"it lasts":                     {func(s *spec.Step, _ *catalog.Rules) { s.LongRunning = true }, false},
+		"a gang itself":                {func(s *spec.Step, _ *catalog.Rules) { s.Gang = true }, false},
+		"less urgent, with a deadline": {func(_ *spec.Step, r *catalog.Rules) { r.Stretch = 3 }, true},
+	}
+	for name, tc := range tests {
+		for _, advised := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, ", advice ", advised), func(t *testing.T) {
+				is := is.New(t)
+				w := busyWorld(t, tc.change)
+				before := w.fleet.Judge().Starts()
+				is.Equal(before, 32)
+				gang := step(6, 18, 26, 1000)
+				gang.Gang = true
+				rules := catalog.Rules{Priority: 1}
+				if advised {
+					rules.Advice = testAdvice
+				}
+				w.submit("gang", rules, gang)
+				w.run(time.Second)
+				is.Equal(w.running("gang") == 6, tc.yields)
+				w.run(60 * time.Second)
+				w.check()
+				if tc.yields {
+					is.Equal(w.shown["busy"], record.StateCompleted)
+				}
+			})
+		}
+	}
+}
+
+// TestTasksAreNotStoppedForEver: a task makes room a few times and then keeps its.
+func TestTasksAreNotStoppedForEver(t *testing.T) {
+	is := is.New(t)
+	w := busyWorld(t, func(*spec.Step, *catalog.Rules) {})
+	for i := range 40 {
+		w.after(time.Duration(i)*700*time.Millisecond, func() {
+			gang := step(6, 18, 26, 600)
+			gang.Gang = true
+			w.submit(fmt.Sprint("gang", i), catalog.Rules{Priority: 1}, gang)
+		})
+	}
+	w.run(60 * time.Second)
+	w.check()
+	is.Equal(w.shown["busy"], record.StateCompleted)
+	is.Equal(w.completed(), 41)
+	is.True(w.fleet.Judge().Starts() <= 40*6+32*(1+mostPreempted))
+}
--- a/internal/engine/reserve.go
+++ b/internal/engine/reserve.go
@@ -86,6 +86,9 @@
 	var all []seat
 	for _, h := range hosts {
 		room := h.freeAt(at, now).Sub(h.reservedFor(g))
+		if at.Sub(now) >= e.cfg.Bounds.StopTakes {
+			room = room.Add(h.yielding(g))
+		}
 		if n := g.fits(h, room); n > 0 {
 			all = append(all, seat{h, n})
 		}
@@ -136,7 +139,8 @@
 
 // roomFor is what a step may use of a host now: what is free, less what it would
 // take from reservations. Steps that end before a reservation begins take nothing
-// from it, and more urgent steps go before it.
+// from it, nor do those whose tasks can still be stopped for it, and more urgent
+// steps go before it.
 func (e *Engine) roomFor(g *group, h *hostState, now time.Time) spec.Resources {
 	free := h.free()
 	if len(h.reserved) == 0 {
@@ -147,6 +151,9 @@
 		if r.group == g || g.job.rec.Rules.Priority < r.group.job.rec.Rules.Priority || !ends.After(r.at) {
 			continue
 		}
+		if g.yieldsTo(r.group) && r.at.Sub(now) > e.cfg.Bounds.StopTakes {
+			continue
+		}
 		free = free.Min(h.freeAt(r.at, now).Sub(r.size()))
 	}
 	return free
