--- a/test/soak/load_test.go
+++ b/test/soak/load_test.go
@@ -13,6 +13,7 @@
 
 	"pulleyquay/internal/record"
 	"pulleyquay/internal/spec"
+	"pulleyquay/platform"
 )
 
 // work is one job and what its caller knows of it.
@@ -133,7 +134,7 @@
 		panic(err) // the address is well formed
 	}
 	req.Host = "cell.example"
-	req.Header.Set("Pulleyquay-Deadline-Ms", fmt.Sprint(patience.Milliseconds()))
+	req.Header.Set(platform.DeadlineHeader, fmt.Sprint(patience.Milliseconds()))
 	resp, err := l.http.Do(req)
 	if err != nil {
 		return 0, nil
