--- a/internal/cell/beat.go
+++ b/internal/cell/beat.go
@@ -17,6 +17,9 @@
 	Catalog int64 `cbor:"3,keyasint"`
 	// FromAddr is where the sender can be asked for a newer configuration.
 	FromAddr string `cbor:"4,keyasint"`
+	// Members asks for those that the other knows, as the sender lacks the store. They
+	// are many bytes in a large cell.
+	Members bool `cbor:"5,keyasint,omitempty"`
 }
 
 // BeatReply is the answer of whoever is asked.
@@ -30,8 +33,8 @@
 	Holder   ledger.Holder     `cbor:"4,keyasint"`
 	Revision platform.Revision `cbor:"5,keyasint"`
 	Catalog  int64             `cbor:"6,keyasint"`
-	// Members are those that it knows.
-	Members []Member `cbor:"7,keyasint"`
+	// Members are those that it knows, if they were asked for.
+	Members []Member `cbor:"7,keyasint,omitempty"`
 }
 
 // OpinionRequest asks whether a member has heard a holder.
@@ -73,11 +76,14 @@
 		c.Behind(b.FromAddr)
 	}
 	h, _ := c.View.Holder(b.Partition)
-	return BeatReply{
+	reply := BeatReply{
 		Incarnation: c.Self.Incarnation, Holds: c.watches[b.Partition].holding(),
-		Cut: c.Health.Failing(time.Now()), Holder: h, Revision: h.Revision,
-		Catalog: c.CatalogVersion(), Members: c.View.Entered(),
-	}, nil
+		Cut: c.Health.Failing(time.Now()), Holder: h, Revision: h.Revision, Catalog: c.CatalogVersion(),
+	}
+	if b.Members {
+		reply.Members = c.View.Entered()
+	}
+	return reply, nil
 }
 
 // onOpinion tells another member whether this one hears the holder.
--- a/internal/cell/claimer.go
+++ b/internal/cell/claimer.go
@@ -193,6 +193,7 @@
 	var reply BeatReply
 	err := c.Peers.Call(ctx, h.Addr, peer.KindBeat, Beat{
 		Partition: w.partition, From: c.Self.Name, FromAddr: c.Self.Addr, Catalog: c.CatalogVersion(),
+		Members: c.Health.Failing(time.Now()) > 0,
 	}, &reply)
 	if err == nil && reply.Incarnation == h.Incarnation {
 		c.learn(reply)
