--- a/internal/engine/ask.go
+++ b/internal/engine/ask.go
@@ -28,13 +28,25 @@
 // known yet.
 const guessGood = 0.5
 
+// mostWeighed is how many hosts with room are weighed against each other before a
+// question; in a cell of thousands all of them would cost more than they gain.
+const mostWeighed = 128
+
 // askForTasks asks about hosts that have room for tasks that wait.
 func (e *Engine) askForTasks(g *group, c []*hostState, now time.Time) {
 	if !e.mayAsk(g, now) {
 		return
 	}
 	var open []*hostState
-	for _, h := range c {
+	first := 0
+	if len(c) > mostWeighed {
+		first = e.rnd.IntN(len(c))
+	}
+	for i := range c {
+		h := c[(first+i)%len(c)]
+		if len(open) == mostWeighed {
+			break
+		}
 		if refusedBy(g, h) == "" && !e.allowed(g, h, now) && g.fits(h, e.roomFor(g, h, now)) > 0 {
 			open = append(open, h)
 		}
