--- a/internal/engine/gang.go
+++ b/internal/engine/gang.go
@@ -31,7 +31,7 @@
 
 // startGang starts every member on the hosts chosen for them.
 func (e *Engine) startGang(g *group, seats []seat, now time.Time) {
-	g.run = e.nextRun(g.run)
+	g.run, g.startedHere = e.nextRun(g.run), true
 	e.logStart(g, len(g.tasks), len(seats), now)
 	i := 0
 	for _, s := range seats {
--- a/internal/engine/job.go
+++ b/internal/engine/job.go
@@ -81,6 +81,7 @@
 	queued  bool // among the engine's queue
 
 	// gang steps run as a whole.
+	startedHere  bool  // by this holder
 	run          int   // number of the present or last run of a gang
 	failed       []int // numbers of the gang's runs that failed
 	checkpoint   string
--- a/internal/engine/takeover.go
+++ b/internal/engine/takeover.go
@@ -55,6 +55,7 @@
 		}
 		e.refresh(g)
 	}
+	e.claimStrangers(j, now)
 	e.log(Event{What: "job known", Job: rec.ID, Why: rec.Queue, Age: now.Sub(accepted)})
 	return j
 }
--- a/internal/engine/takeover_test.go
+++ b/internal/engine/takeover_test.go
@@ -9,6 +9,7 @@
 
 	"pulleyquay/internal/catalog"
 	"pulleyquay/internal/record"
+	"pulleyquay/internal/spec"
 )
 
 // TestSilentHostsDoNotHoldATakeoverUp: after all power was lost on the users'
@@ -84,3 +85,43 @@
 		})
 	}
 }
+
+// TestJobFoundAfterItsRuns: a job was handed in while the partition changed hands;
+// the former holder had started it, and the next one, which had read the records
+// just before, saw its runs first, had them stopped, and started it again when it
+// found the record, beside what was being stopped (hunt-84b9-11 and trouble-2
+// --seed 8065353120 on roc-comptage).
+func TestJobFoundAfterItsRuns(t *testing.T) {
+	for _, after := range []time.Duration{20 * time.Millisecond, 300 * time.Millisecond, 1200 * time.Millisecond, 4 * time.Second} {
+		for _, gang := range []bool{false, true} {
+			t.Run(fmt.Sprint(after, ", gang ", gang), func(t *testing.T) {
+				is := is.New(t)
+				w := quietWorld(t, 4)
+				w.fleet.Bounds.StopTakes = 1800 * time.Millisecond // stops take half of it
+				w.run(time.Second)
+				s := step(4, 8, 8, 3000)
+				s.Gang = gang
+				rec := &record.Job{ID: "a", Service: "s", Queue: "q", Rules: catalog.Rules{Attempts: 3}, Graph: spec.Graph{Steps: []spec.Step{s}}}
+				w.fleet.Know(rec)
+				w.jobs["a"] = rec
+				w.engine.Accept(rec, true, w.now(), w.now())
+				w.decide()
+				w.run(10 * time.Millisecond)
+				is.Equal(w.running("a"), 4)
+				w.takeOver() // the record is not in the store yet
+				w.run(after)
+				value, err := record.Encode(rec)
+				is.NoErr(err)
+				w.store[record.JobKey(0, "a")] = value
+				e := w.engine
+				w.tell(e, func() { e.Accept(rec, false, w.now(), w.now()) })
+				w.run(20 * time.Second)
+				w.check()
+				is.Equal(w.shown["a"], record.StateCompleted)
+				if after < strangerFor {
+					is.Equal(w.fleet.Judge().Starts(), 4) // nothing was thrown away
+				}
+			})
+		}
+	}
+}
--- a/internal/engine/view.go
+++ b/internal/engine/view.go
@@ -167,23 +167,16 @@
 		}
 		if r.group == nil {
 			r.size = h.info.Size // nobody knows what it takes
+			h.add(r)
+			return r // see strangers.go
 		}
 		h.add(r)
-		e.unwant(r, "no job that is live has it")
+		e.unwant(r, "its job is over")
 		return r
 	}
 	r.group, r.size = g, g.step.Booked()
 	h.add(r)
-	t := &g.tasks[row.Task.Index]
-	if t.cur == nil && (t.state == taskUnsure || t.state == taskWaiting && !g.step.Gang) && row.No >= t.run {
-		t.cur, t.run = r, row.No
-		g.run = max(g.run, row.No)
-		g.setState(row.Task.Index, taskActive)
-		g.job.started = true
-		e.refresh(g)
-		return r
-	}
-	e.unwant(r, "its task is cared for elsewhere")
+	e.take(g, r)
 	return r
 }
 
--- a/internal/engine/watch.go
+++ b/internal/engine/watch.go
@@ -28,6 +28,7 @@
 		if h.info.Draining {
 			e.moveOff(h, now)
 		}
+		e.stopStrangers(h, now)
 		for _, r := range h.runs {
 			if g := r.group; g != nil && !g.doneAt.IsZero() && now.Sub(g.doneAt) > leftOver {
 				e.unwant(r, "its step is done")
--- a/internal/platform/follow/follow.go
+++ b/internal/platform/follow/follow.go
@@ -15,6 +15,9 @@
 	longestPause = 800 * time.Millisecond
 	// listPatience bounds the wait for a whole list.
 	listPatience = 2 * time.Second
+	// fullBatch is from how many changes on an answer is taken to be one of several:
+	// the platform's hold some 500.
+	fullBatch = 250
 	// changesSlack is how much longer than the wait that was asked for an answer
 	// may take.
 	changesSlack = time.Second
@@ -72,6 +75,9 @@
 			f.Change(c)
 		}
 		at = batch.Revision
+		if len(batch.Changes) >= fullBatch {
+			continue // there is more: a rest would let it pile up
+		}
 		if !wait.For(ctx, f.Rest) {
 			return true
 		}
