Large cells: heartbeats 250 a second at the most, hosts claimed 128 at a time

Change: members of a cell of over 50 ask the holder less often, so that it answers 250 heartbeats a second whatever the size, and doubt it that much later; hosts are claimed 128 at a time. Not yet measured at 300 members; cells of up to 50 members keep their times.

--- a/internal/cell/beat.go
+++ b/internal/cell/beat.go
@@ -93,7 +93,7 @@
 	}
 	w := c.watches[q.Partition]
 	h, _ := c.View.Holder(q.Partition)
-	return Opinion{Hears: w.hears(q.Epoch, time.Now()), Holder: h, Revision: h.Revision}, nil
+	return Opinion{Hears: w.hears(q.Epoch, doubtAfter(c.View.Size()), time.Now()), Holder: h, Revision: h.Revision}, nil
 }
 
 // onSucceed claims a partition at its holder's wish.
--- a/internal/cell/claimer.go
+++ b/internal/cell/claimer.go
@@ -103,10 +103,10 @@
 	return w.held
 }
 
-func (w *holderWatch) hears(epoch uint64, now time.Time) bool {
+func (w *holderWatch) hears(epoch uint64, limit time.Duration, now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.held || w.epoch == epoch && now.Sub(w.heard) < silentAfter
+	return w.held || w.epoch == epoch && now.Sub(w.heard) < limit
 }
 
 func (w *holderWatch) invite(epoch uint64) {
@@ -150,7 +150,7 @@
 	now := time.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	e := Evidence{Holder: h, Silence: now.Sub(w.heard), Refused: w.refused, Replaced: w.replaced, HolderCut: w.cut}
+	e := Evidence{Holder: h, Silence: now.Sub(w.heard), Limit: doubtAfter(c.View.Size()), Refused: w.refused, Replaced: w.replaced, HolderCut: w.cut}
 	if h.Epoch > 0 && h.Incarnation == c.Self.Incarnation {
 		e.Replaced = true // a claim of ours that arrived after we gave it up
 	}
@@ -162,7 +162,7 @@
 
 // rest waits for the next beat, or until something has changed.
 func (c *Claimer) rest(ctx context.Context, w *holderWatch, epoch uint64) {
-	timer := time.NewTimer(BeatEvery)
+	timer := time.NewTimer(beatEvery(c.View.Size()))
 	defer timer.Stop()
 	for {
 		changed := c.View.Changed()
@@ -231,7 +231,7 @@
 	if w.isInvited(e.Holder.Epoch) || e.Dead() {
 		return true
 	}
-	if e.Silence < silentAfter && !e.Refused {
+	if e.Silence < e.Limit && !e.Refused {
 		return false
 	}
 	c.gather(ctx, w, &e)
--- a/internal/cell/succession.go
+++ b/internal/cell/succession.go
@@ -23,11 +23,24 @@
 	cutAfter = 900 * time.Millisecond
 )
 
+// beatShare is how much time each member of a large cell adds to the pause between
+// heartbeats: it bounds those that a holder answers to 250 a second.
+const beatShare = 4 * time.Millisecond
+
+// beatEvery is how often a member of a cell of that size asks the holder.
+func beatEvery(members int) time.Duration {
+	return max(BeatEvery, time.Duration(members)*beatShare)
+}
+
+// doubtAfter is how long a holder may be silent in a cell of that size.
+func doubtAfter(members int) time.Duration { return silentAfter + beatEvery(members) - BeatEvery }
+
 // Evidence is what a member knows of a partition's holder.
 type Evidence struct {
 	Holder ledger.Holder
-	// Silence is how long ago the holder was last heard.
-	Silence time.Duration
+	// Silence is how long ago the holder was last heard, Limit for how long it may be
+	// silent.
+	Silence, Limit time.Duration
 	// Replaced is true when another incarnation answers at the holder's address.
 	Replaced bool
 	// Refused is true when nothing listens at the holder's address, as it seems
@@ -53,10 +66,10 @@
 		return false
 	case v.Refused && (v.Agreeing > 0 || v.Others == 0):
 		return true
-	case v.Silence >= silentAfter && v.Agreeing > 0 && 2*v.Agreeing >= v.Others:
+	case v.Silence >= v.Limit && v.Agreeing > 0 && 2*v.Agreeing >= v.Others:
 		return true
 	}
-	return v.Silence >= silentAfter && v.StoodStill >= aloneAfter
+	return v.Silence >= v.Limit && v.StoodStill >= aloneAfter
 }
 
 // Candidates orders the members that may succeed the holder: those with the most
--- a/internal/cell/view.go
+++ b/internal/cell/view.go
@@ -112,6 +112,13 @@
 	return out
 }
 
+// Size is how many members stand in the store, as last seen.
+func (v *View) Size() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return len(v.members)
+}
+
 // Holder returns the holder of a partition with the highest epoch known; ok is
 // false when none is.
 func (v *View) Holder(partition int) (h ledger.Holder, ok bool) {
--- a/internal/cell/view_test.go
+++ b/internal/cell/view_test.go
@@ -80,7 +80,10 @@
 		"cut from the store for a moment":     {Evidence{Holder: held, HolderCut: cutAfter / 2}, false},
 	}
 	for name, tc := range tests {
-		t.Run(name, func(t *testing.T) { is.New(t).Equal(tc.evidence.Dead(), tc.dead) })
+		t.Run(name, func(t *testing.T) {
+			tc.evidence.Limit = silentAfter
+			is.New(t).Equal(tc.evidence.Dead(), tc.dead)
+		})
 	}
 }
 
@@ -103,3 +106,14 @@
 	is.Equal(Stronger(members, Member{Name: "b", Cores: 0.8}), "")
 	is.Equal(Stronger(members, Member{Name: "d", Cores: 0.6}), "") // not by enough
 }
+
+// TestLargeCellsBeatLess: a holder answers no more heartbeats a second than it can,
+// and is given as much more time as they are apart.
+func TestLargeCellsBeatLess(t *testing.T) {
+	is := is.New(t)
+	for members, want := range map[int]time.Duration{1: BeatEvery, 7: BeatEvery, 43: BeatEvery, 100: 400 * time.Millisecond, 300: 1200 * time.Millisecond} {
+		is.Equal(beatEvery(members), want)
+		is.Equal(doubtAfter(members)-silentAfter, want-BeatEvery)
+		is.True(float64(members)/beatEvery(members).Seconds() <= 251)
+	}
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -103,6 +103,8 @@
 	marks   int             // ends not yet covered by a batch
 	// rosterBehind is true when the stored roster is not as it should be.
 	rosterBehind bool
+	// claiming are the hosts whose first looks are under way.
+	claiming map[host.ID]struct{}
 	// held counts, for each task, the hosts not heard of on which it may run.
 	held map[spec.StepTask]int
 
@@ -146,6 +148,7 @@
 		fillShare: map[string]int{},
 		lanes:     advice.NewLanes(),
 		runtimes:  runtimes.NewLearner(),
+		claiming:  map[host.ID]struct{}{},
 		held:      map[spec.StepTask]int{},
 	}
 }
--- a/internal/engine/takeover_test.go
+++ b/internal/engine/takeover_test.go
@@ -125,3 +125,38 @@
 		}
 	}
 }
+
+// TestClaimsComeInTurns: a holder of thousands of hosts claims them some at a time,
+// all of them within a moment, also when many do not answer.
+func TestClaimsComeInTurns(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1)
+	w.fleet.Add(700, "s", size(64, 128))
+	w.takeOver()
+	w.run(200 * time.Millisecond)
+	w.submit("a", catalog.Rules{}, step(20, 60, 8, 2000))
+	w.run(time.Second)
+	for i, h := range w.fleet.Hosts() {
+		if i%5 == 0 && len(h.Running()) == 0 {
+			h.Crash()
+		}
+	}
+	w.takeOver()
+	most := 0
+	for range 300 {
+		w.run(5 * time.Millisecond)
+		most = max(most, len(w.engine.claiming))
+	}
+	is.True(most > 0 && most <= mostClaiming)
+	claimed := 0
+	for _, h := range w.engine.hosts {
+		if h.claimed {
+			claimed++
+		}
+	}
+	is.True(claimed >= 560)
+	w.run(30 * time.Second)
+	w.check()
+	is.Equal(w.shown["a"], record.StateCompleted)
+	is.Equal(len(w.engine.claiming) <= 140, true)
+}
--- a/internal/engine/view.go
+++ b/internal/engine/view.go
@@ -18,13 +18,20 @@
 		if h.looking || h.gone || h.lookAt.IsZero() || now.Before(h.lookAt) {
 			continue
 		}
-		if !h.claimed && !h.listed && h.info.Addr == "" {
-			continue // known by name only, from the former holder
+		if !h.claimed {
+			if !h.listed && h.info.Addr == "" || len(e.claiming) >= mostClaiming {
+				continue // known by name only, from the former holder; or its turn comes
+			}
+			e.claiming[h.info.ID] = struct{}{}
 		}
 		e.look(h, now)
 	}
 }
 
+// mostClaiming is how many hosts are claimed at the same time. Thousands at once
+// would keep a holder from answering heartbeats, and cost it the partition.
+const mostClaiming = 128
+
 // look sends a look. While this process can prove that it is the holder the look
 // renews the host's lease.
 func (e *Engine) look(h *hostState, now time.Time) {
@@ -51,6 +58,9 @@
 func (e *Engine) Viewed(o LookOrder, sent time.Time, v host.View, err error, now time.Time) {
 	e.now = now
 	id := o.To.ID
+	if !o.Probe {
+		delete(e.claiming, id)
+	}
 	h := e.hosts[id]
 	if h == nil {
 		return
