--- a/internal/engine/commit.go
+++ b/internal/engine/commit.go
@@ -38,7 +38,7 @@
 	}
 	if len(e.dirty) == 0 && e.commits == e.durable && e.marks > 0 {
 		for _, h := range e.sorted {
-			h.seen = h.handled
+			h.seen = h.markable()
 		}
 		e.marks = 0
 	}
@@ -76,8 +76,8 @@
 	}
 	e.forget = e.forget[n:]
 	for _, h := range e.sorted {
-		if h.handled > h.seen {
-			b.marks[h.info.ID] = h.handled
+		if n := h.markable(); n > h.seen {
+			b.marks[h.info.ID] = n
 		}
 	}
 	e.marks = 0
--- a/internal/engine/ends.go
+++ b/internal/engine/ends.go
@@ -19,6 +19,9 @@
 	}
 	g := e.groupOf(end.Task)
 	if g == nil {
+		if e.jobs[end.Task.Job] == nil {
+			e.keepEnd(h, end, now)
+		}
 		return
 	}
 	if r == nil {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -103,6 +103,8 @@
 	marks   int             // ends not yet covered by a batch
 	// rosterBehind is true when the stored roster is not as it should be.
 	rosterBehind bool
+	// strangerEnds are ends of runs whose jobs are not known, by job.
+	strangerEnds map[string][]strangerEnd
 	// claiming are the hosts whose first looks are under way.
 	claiming map[host.ID]struct{}
 	// held counts, for each task, the hosts not heard of on which it may run.
@@ -134,22 +136,23 @@
 // ever, it starts nothing of older jobs before Settle or until settleBy.
 func New(cfg Config) *Engine {
 	return &Engine{
-		cfg:       cfg,
-		rnd:       rand.New(rand.NewPCG(cfg.Seed, cfg.Epoch)),
-		jobs:      map[string]*job{},
-		live:      map[string]*job{},
-		ready:     map[spec.StepID]*group{},
-		hosts:     map[host.ID]*hostState{},
-		asks:      map[uint64]*question{},
-		unwanted:  map[*run]struct{}{},
-		dirty:     map[string]*job{},
-		good:      map[string]float64{},
-		unpaced:   map[*hostState]struct{}{},
-		fillShare: map[string]int{},
-		lanes:     advice.NewLanes(),
-		runtimes:  runtimes.NewLearner(),
-		claiming:  map[host.ID]struct{}{},
-		held:      map[spec.StepTask]int{},
+		cfg:          cfg,
+		rnd:          rand.New(rand.NewPCG(cfg.Seed, cfg.Epoch)),
+		jobs:         map[string]*job{},
+		live:         map[string]*job{},
+		ready:        map[spec.StepID]*group{},
+		hosts:        map[host.ID]*hostState{},
+		asks:         map[uint64]*question{},
+		unwanted:     map[*run]struct{}{},
+		dirty:        map[string]*job{},
+		good:         map[string]float64{},
+		unpaced:      map[*hostState]struct{}{},
+		fillShare:    map[string]int{},
+		lanes:        advice.NewLanes(),
+		runtimes:     runtimes.NewLearner(),
+		strangerEnds: map[string][]strangerEnd{},
+		claiming:     map[host.ID]struct{}{},
+		held:         map[spec.StepTask]int{},
 	}
 }
 
--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -68,6 +68,8 @@
 	handled int64 // highest end that was handled
 	seen    int64 // highest end that is stored, to be forgotten by the host
 
+	strange []int64 // numbers of ends of unknown jobs, which the host has to keep
+
 	looking bool // a look is under way
 	probe   bool // another look is wanted beside it
 	lookAt  time.Time
--- a/internal/engine/strangers.go
+++ b/internal/engine/strangers.go
@@ -1,12 +1,86 @@
 package engine
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"pulleyquay/internal/host"
+)
 
 // A stranger is a run on a host whose job this holder does not know. Most belong to
 // jobs that were accepted, and started by the former holder, while the partition
 // changed hands: their records come a moment later. Others are left over from jobs
 // that were forgotten long ago.
 
+// Their ends are kept in the same way: a host must not be told to forget one before
+// it is known to need no record, and none may be passed over.
+
+// strangerEnd is the end of a run whose job is not known.
+type strangerEnd struct {
+	host *hostState
+	end  host.End
+	at   time.Time
+}
+
+// Times of strangers' ends.
+const (
+	// endsHeld is how long a host keeps the end of a stranger, with those after it,
+	// before it is told to forget it.
+	endsHeld = 5 * time.Second
+	// endsRemembered is how long this holder itself remembers one: the store may be
+	// away for long before it tells of the job.
+	endsRemembered = 2 * time.Minute
+)
+
+// keepEnd keeps the end of a run whose job is not known.
+func (e *Engine) keepEnd(h *hostState, end host.End, now time.Time) {
+	job := end.Task.Job
+	e.strangerEnds[job] = append(e.strangerEnds[job], strangerEnd{h, end, now})
+	h.strange = append(h.strange, end.Number)
+}
+
+// markable is up to which end a host may be told to forget once the present batch
+// is stored.
+func (h *hostState) markable() int64 {
+	most := h.handled
+	for _, n := range h.strange {
+		most = min(most, n-1)
+	}
+	return max(most, h.seen)
+}
+
+// replayEnds takes in the ends of a job that has just become known.
+func (e *Engine) replayEnds(id string, now time.Time) {
+	ends := e.strangerEnds[id]
+	delete(e.strangerEnds, id)
+	for _, s := range ends {
+		s.host.unstrange(s.end.Number)
+		e.endOf(s.host, s.end, now)
+	}
+	if len(ends) > 0 {
+		e.marks++
+	}
+}
+
+func (h *hostState) unstrange(number int64) {
+	h.strange = slices.DeleteFunc(h.strange, func(n int64) bool { return n == number })
+}
+
+// forgetStrangers lets hosts forget strangers' ends, and forgets them at last.
+func (e *Engine) forgetStrangers(now time.Time) {
+	for job, ends := range e.strangerEnds {
+		for _, s := range ends {
+			if now.Sub(s.at) > endsHeld && slices.Contains(s.host.strange, s.end.Number) {
+				s.host.unstrange(s.end.Number)
+				e.marks++
+			}
+		}
+		if now.Sub(ends[len(ends)-1].at) > endsRemembered {
+			delete(e.strangerEnds, job)
+		}
+	}
+}
+
 // strangerFor is how long a stranger may run before it is stopped: longer than the
 // holder takes to find a record in the store, and well within the three seconds in
 // which the work of a cancelled job has to end.
@@ -36,6 +110,7 @@
 			e.claimStranger(g, r)
 		}
 	}
+	e.replayEnds(j.id(), now)
 	if e.unsettled {
 		return
 	}
--- a/internal/engine/watch.go
+++ b/internal/engine/watch.go
@@ -21,6 +21,7 @@
 		return
 	}
 	e.watchedAt = now
+	e.forgetStrangers(now)
 	for _, h := range e.sorted {
 		if !h.claimed || !h.silent.IsZero() {
 			continue
