--- a/internal/daemon/lines_test.go
+++ b/internal/daemon/lines_test.go
@@ -13,23 +13,26 @@
 
 // stuck is an output that blocks until it is let go.
 type stuck struct {
-	free chan struct{}
-	got  bytes.Buffer
+	entered chan struct{} // takes one for each write that begins
+	free    chan struct{}
+	got     bytes.Buffer
 }
 
 func (s *stuck) Write(p []byte) (int, error) {
+	s.entered <- struct{}{}
 	<-s.free
 	return s.got.Write(p)
 }
 
 func TestLoggingNeverWaitsForTheOutput(t *testing.T) {
 	is := is.New(t)
-	out := &stuck{free: make(chan struct{})}
+	out := &stuck{entered: make(chan struct{}, 2), free: make(chan struct{})}
 	l := &Lines{out: out}
 	flushed := make(chan struct{})
 	line := []byte(strings.Repeat("x", 1023) + "\n")
 	_, _ = l.Write(line)
 	go func() { l.Flush(); close(flushed) }()
+	<-out.entered // it has the first line and hangs
 	for range 2 * mostGathered / len(line) { // returns though nothing is taken
 		n, err := l.Write(line)
 		is.NoErr(err)
