--- a/internal/daemon/lines_test.go
+++ b/internal/daemon/lines_test.go
@@ -32,7 +32,7 @@
 	line := []byte(strings.Repeat("x", 1023) + "\n")
 	_, _ = l.Write(line)
 	go func() { l.Flush(); close(flushed) }()
-	<-out.entered // it has the first line and hangs
+	<-out.entered                            // it has the first line and hangs
 	for range 2 * mostGathered / len(line) { // returns though nothing is taken
 		n, err := l.Write(line)
 		is.NoErr(err)
