Tasks held for a silent host are let go when another life answers there

Cause: a takeover holds the tasks that the roster lists for a host that was silent (closed) until that host has shown what it runs, or its leases are over. hostGone, which handles an answer of another life at the address, took the host out of the books without letting these tasks go: they were held for ever.

Change: hostGone resolves what was held, as a first look does.

--- a/internal/engine/lost.go
+++ b/internal/engine/lost.go
@@ -54,6 +54,7 @@
 	h.gone = true
 	e.log(Event{What: "host gone", Host: string(h.info.ID), Why: why})
 	e.dropRuns(h, now)
+	e.resolve(h, now)
 	e.forgetHost(h)
 }
 
--- a/internal/engine/takeover_test.go
+++ b/internal/engine/takeover_test.go
@@ -49,6 +49,38 @@
 	}
 }
 
+// TestTasksOfAReplacedHostStartAgain: a host was cut off, closed in the roster with
+// what may run there, and answered the next holder with another life. Its tasks were
+// held for ever, as only hosts that were heard let theirs go (LOST at the end of
+// roc-comptage with node_cut "servers reborn" during herd_kill, seed 2020).
+func TestTasksOfAReplacedHostStartAgain(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		for _, tc := range []struct{ cut, after time.Duration }{
+			{1500 * time.Millisecond, 0},
+			{1500 * time.Millisecond, 2 * time.Second},
+			{3 * time.Second, 0},
+			{3 * time.Second, 2 * time.Second},
+		} {
+			t.Run(fmt.Sprint("gang ", gang, ", cut for ", tc.cut, ", reborn after ", tc.after), func(t *testing.T) {
+				is := is.New(t)
+				w := quietWorld(t, 5) // a gang needs four of them
+				s := step(4, 40, 8, 5000)
+				s.Gang = gang
+				w.submit("a", catalog.Rules{}, s)
+				w.run(time.Second)
+				w.host("h02").Cut(true)
+				w.run(tc.cut)
+				w.takeOver()
+				w.run(tc.after)
+				w.host("h02").Reborn()
+				w.run(20 * time.Second)
+				w.check()
+				is.Equal(w.shown["a"], record.StateCompleted)
+			})
+		}
+	}
+}
+
 // TestCheckpointsOutliveAHolder: what runs when all power is lost lapses; the next
 // holder goes on from the checkpoints that the hosts list.
 func TestCheckpointsOutliveAHolder(t *testing.T) {
--- a/internal/engine/world_test.go
+++ b/internal/engine/world_test.go
@@ -260,6 +260,10 @@
 	}
 	answerLost := w.rnd.Float64() < w.faults.lostAnswer
 	w.after(oneWay, func() {
+		if h.OtherLife() {
+			w.after(oneWay, func() { finish(host.Reply{}, host.ErrOtherLife) })
+			return
+		}
 		if !h.Reachable() {
 			w.after(patience, lost)
 			return
@@ -292,6 +296,10 @@
 	}
 	w.after(o.Look.Wait+patience, fail)
 	w.after(oneWay, func() {
+		if h.OtherLife() {
+			w.after(oneWay, func() { finish(host.View{}, host.ErrOtherLife) })
+			return
+		}
 		if !h.Reachable() {
 			return
 		}
--- a/internal/hostsim/host.go
+++ b/internal/hostsim/host.go
@@ -15,6 +15,7 @@
 	listed bool
 	up     bool
 	cut    bool // not reached, but running on
+	reborn bool // another life answers at the address
 	born   time.Time
 	rate   float64 // of its clock
 	slow   float64 // factor on run times; zero is one
@@ -137,6 +138,18 @@
 	})
 }
 
+// Reborn ends the host for good; from now on another life answers at its address.
+func (h *Host) Reborn() {
+	h.Crash()
+	h.change(func() { h.reborn, h.cut = true, false })
+}
+
+// OtherLife reports whether another life answers at the host's address.
+func (h *Host) OtherLife() (other bool) {
+	h.change(func() { other = h.reborn })
+	return other
+}
+
 // breakGang ends the members of a run on other hosts, as one of them is gone.
 func (h *Host) breakGang(r *run) {
 	r.stops = true
