Transactions are sent again after what the store usually takes

Cause: each copy of a write was waited for for 0.4 s (ledger) or 0.5 s (front) and then given up. A lost answer cost half a second, and a store that took longer than that was never heard: nothing was accepted while answers took 0.8 s.

Change: internal/platform/resend sends copies of a conditional transaction; the wait for an answer is learned as TCP does it, earlier copies stay under way, and the first answer counts. Ledger and front share it (each had a loop of its own). A copy beyond the first goes over a new connection (httponce.Reconnect), as the one before may hang on a dead one. Jobs go to a peer beside this process's own attempt, not after it (internal/front/store.go). Connections are probed by TCP after a second without traffic.

Ruled out: doubling the first wait only (slow stores heard, lost answers as dear as before); giving up a silent store sooner (jobs accepted late were lost).

Tests: resend (outcomes, lost answers, slow stores), front "very slow", which the code before fails.

--- a/cmd/pulley-node/node.go
+++ b/cmd/pulley-node/node.go
@@ -18,6 +18,7 @@
 	"pulleyquay/internal/holder"
 	"pulleyquay/internal/peer"
 	"pulleyquay/internal/platform/follow"
+	"pulleyquay/internal/platform/resend"
 	"pulleyquay/internal/result"
 	"pulleyquay/platform"
 )
@@ -35,6 +36,7 @@
 	log    *logrus.Entry
 
 	store   *platform.Store
+	writes  *resend.Sender
 	health  *follow.Health
 	mux     *peer.Mux
 	peers   *peer.Node
@@ -65,6 +67,7 @@
 		n.log.Warn("store lost")
 	})
 	n.store = platform.NewStore(s.Store.Address)
+	n.writes = resend.New(n.store, n.health)
 	n.peers = peer.NewNode(peer.Hello{Name: s.Name, Incarnation: n.self.Incarnation, Addr: n.self.Addr}, n.mux, n.log)
 	n.entries = &cell.Service{Store: n.store, Health: n.health, Self: n.self, View: n.view, Log: n.log}
 	n.catalog = &catalog.Keeper{
@@ -95,14 +98,14 @@
 		holder.ServeAdvice(n.mux, platform.NewPolicy(n.conf.Policy.Address))
 	}
 	n.claimer = &cell.Claimer{
-		Self: n.self, View: n.view, Store: n.store, Health: n.health, Peers: n.peers, Log: n.log,
+		Self: n.self, View: n.view, Store: n.store, Writes: n.writes, Health: n.health, Peers: n.peers, Log: n.log,
 		Hold: n.table.Hold, CatalogVersion: n.catalog.Version, Behind: n.catalog.Behind,
 	}
 }
 
 func (n *node) addFront() {
 	n.front = &front.Front{
-		Store: n.store, Get: n.store.Get, Health: n.health, Peers: n.peers, View: n.view, Self: n.self.Addr,
+		Store: n.writes, Get: n.store.Get, Health: n.health, Peers: n.peers, View: n.view, Self: n.self.Addr,
 		Partitions: partitions, Log: n.log, Metrics: front.NewMetrics(n.daemon.Reg),
 	}
 }
--- a/internal/cell/claimer.go
+++ b/internal/cell/claimer.go
@@ -13,6 +13,7 @@
 	"pulleyquay/internal/peer"
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/platform/follow"
+	"pulleyquay/internal/platform/resend"
 	"pulleyquay/internal/result"
 	"pulleyquay/internal/wait"
 )
@@ -47,6 +48,7 @@
 	Self   Member
 	View   *View
 	Store  platform.Poller
+	Writes *resend.Sender // to Store
 	Health *follow.Health
 	Peers  peer.Caller
 	Log    *logrus.Entry
@@ -321,7 +323,7 @@
 		return
 	}
 	claimCtx, cancel := context.WithTimeout(ctx, claimPatience)
-	l, present, err := ledger.Claim(claimCtx, c.Store, former, ledger.Holder{
+	l, present, err := ledger.Claim(claimCtx, c.Writes, former, ledger.Holder{
 		Partition: w.partition, Name: c.Self.Name, Incarnation: c.Self.Incarnation, Addr: c.Self.Addr,
 	})
 	cancel()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"errors"
 	"hash/fnv"
 	"time"
 
@@ -20,6 +19,7 @@
 	"pulleyquay/internal/peer"
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/platform/follow"
+	"pulleyquay/internal/platform/resend"
 	"pulleyquay/internal/record"
 	"pulleyquay/internal/result"
 	"pulleyquay/internal/spec"
@@ -28,16 +28,6 @@
 
 // Times of the front.
 const (
-	// storePatience bounds the wait for the answer to one copy of a write.
-	storePatience = 500 * time.Millisecond
-	// storePause is the pause after a copy that certainly was not done.
-	storePause = 30 * time.Millisecond
-	// relayAfter is after how long without an answer of the store a job is given to
-	// a peer to store: longer than a slow store takes.
-	relayAfter = 600 * time.Millisecond
-	// awayAfter is for how long the store has to be unanswering before jobs are
-	// refused at once.
-	awayAfter = 300 * time.Millisecond
 	// holderPatience bounds one question to the holder.
 	holderPatience = 700 * time.Millisecond
 	// holderPause is the pause before the holder is asked again.
@@ -54,7 +44,7 @@
 
 // Front answers callers.
 type Front struct {
-	Store  platform.Store
+	Store  *resend.Sender
 	Get    func(ctx context.Context, key string) (platform.Record, bool, error)
 	Health *follow.Health
 	Peers  peer.Caller
@@ -119,117 +109,6 @@
 	return made, nil
 }
 
-// made tells who made a job's record.
-type made int
-
-const (
-	stoodThere made = iota // it was there before this call
-	madeHere
-	mayBeHere // it is there, and an earlier copy of this call may have made it
-)
-
-// String tells it for the log.
-func (m made) String() string {
-	switch m {
-	case madeHere:
-		return "stored"
-	case mayBeHere:
-		return "stored, after an answer of the store was lost"
-	}
-	return "it was there before"
-}
-
-// storeSomewhere stores a job: with calls of this process's own, or by a peer while
-// the store does not answer this process.
-func (f *Front) storeSomewhere(ctx context.Context, rec record.Job) (made, error) {
-	if f.Health.Failing(time.Now()) > awayAfter {
-		return f.relay(ctx, rec)
-	}
-	firstCtx, cancel := context.WithTimeout(ctx, relayAfter)
-	made, err := f.storeHere(firstCtx, rec)
-	cancel()
-	if err == nil || ctx.Err() != nil || firstCtx.Err() == nil {
-		return made, err
-	}
-	if made, relayErr := f.relay(ctx, rec); relayErr == nil {
-		if made == madeHere {
-			return mayBeHere, nil // the copies sent from here may still arrive
-		}
-		return made, nil
-	}
-	if result.From(err).Ran == result.RanNo {
-		return 0, err
-	}
-	return f.storeAgain(ctx, rec)
-}
-
-// storeAgain goes on with calls of this process's own for a job that may be stored
-// already.
-func (f *Front) storeAgain(ctx context.Context, rec record.Job) (made, error) {
-	made, err := f.storeHere(ctx, rec)
-	switch {
-	case err != nil:
-		return 0, f.unsettled(true)
-	case made == stoodThere:
-		return mayBeHere, nil
-	}
-	return made, nil
-}
-
-// store writes a job's record where none is.
-func (f *Front) store(ctx context.Context, rec record.Job) (made, error) {
-	if f.Health.Failing(time.Now()) > awayAfter {
-		return 0, result.New(result.JobNotStored, result.RanNo, "the store has not answered for %v", f.Health.Failing(time.Now()).Round(time.Millisecond)).Later(comeBackLater)
-	}
-	return f.storeHere(ctx, rec)
-}
-
-// storeHere writes a job's record with calls of this process's own.
-func (f *Front) storeHere(ctx context.Context, rec record.Job) (made, error) {
-	value, err := record.Encode(rec)
-	if err != nil {
-		return 0, result.New(result.Internal, result.RanNo, "%v", err)
-	}
-	key := record.JobKey(f.partition(rec.ID), rec.ID)
-	txn := platform.Txn{If: []platform.Condition{{Key: key}}, Then: []platform.Write{{Key: key, Value: value}}}
-	doubt := false
-	for {
-		callCtx, cancel := context.WithTimeout(ctx, storePatience)
-		reply, err := f.Store.Commit(callCtx, txn)
-		cancel()
-		if err == nil {
-			f.Health.Note(true, time.Now())
-			switch {
-			case reply.Applied:
-				return madeHere, nil
-			case doubt:
-				return mayBeHere, nil
-			}
-			return stoodThere, nil
-		}
-		if errors.Is(err, platform.ErrRefused) {
-			return 0, result.New(result.JobNotStored, result.RanNo, "%v", err)
-		}
-		f.Health.Note(false, time.Now())
-		if !errors.Is(err, platform.ErrUnavailable) {
-			doubt = true
-		} else if !doubt && (ctx.Err() != nil || f.Health.Failing(time.Now()) > awayAfter) {
-			return 0, result.New(result.JobNotStored, result.RanNo, "%v", err).Later(comeBackSoon)
-		}
-		if !wait.For(ctx, storePause) {
-			return 0, f.unsettled(doubt)
-		}
-	}
-}
-
-// unsettled is the error of a job for which the caller's time has run out.
-func (f *Front) unsettled(doubt bool) error {
-	if doubt {
-		return result.New(result.JobStoreUnknown, result.RanUnknown, "the store has not answered in the caller's time").Later(comeBackSoon)
-	}
-	return result.New(result.JobNotStored, result.RanNo, "the store does not answer").Later(comeBackSoon)
-}
-
 // State returns the state of a job: from its holder, or from the store when the
 // holder does not know the job or is not reached.
 func (f *Front) State(ctx context.Context, q *catalog.Queue, id string) (record.State, error) {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -19,6 +19,7 @@
 	"pulleyquay/internal/peer"
 	"pulleyquay/internal/platform/follow"
 	"pulleyquay/internal/platform/memstore"
+	"pulleyquay/internal/platform/resend"
 	"pulleyquay/internal/record"
 	"pulleyquay/internal/result"
 	"pulleyquay/internal/spec"
@@ -81,8 +82,9 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	h := &fakeHolder{told: map[string]int{}, state: record.StateRunning}
+	health := follow.NewHealth(nil)
 	f := &Front{
-		Store: c, Get: c.Get, Health: follow.NewHealth(nil), Peers: h, View: view, Partitions: 1,
+		Store: resend.New(c, health), Get: c.Get, Health: health, Peers: h, View: view, Partitions: 1,
 		Log: log.WithField("test", t.Name()), Metrics: NewMetrics(prometheus.NewRegistry()),
 	}
 	f.Start()
@@ -116,6 +118,7 @@
 		"first answer lost":             {faults: memstore.Faults{LoseAnswers: 1}, want: 0, within: time.Second},
 		"first request lost":            {faults: memstore.Faults{LoseRequests: 1}, want: 0, within: time.Second},
 		"slow":                          {faults: memstore.Faults{AnswerDelayMS: 240}, want: 0, within: time.Second},
+		"very slow":                     {faults: memstore.Faults{AnswerDelayMS: 800}, want: 0, within: 1200 * time.Millisecond},
 		"refuses for a moment":          {faults: memstore.Faults{Refuse: true}, heals: 200 * time.Millisecond, want: 0, within: time.Second},
 		"refuses":                       {faults: memstore.Faults{Refuse: true}, want: result.JobNotStored, ran: result.RanNo, within: 500 * time.Millisecond},
 		"silent":                        {faults: memstore.Faults{Hang: true}, want: result.JobStoreUnknown, ran: result.RanUnknown, within: 3 * time.Second},
@@ -294,7 +297,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				b, other := newBench(t), newBench(t)
-				other.Front.Store, other.Front.Get = b.store.Client("b"), b.store.Client("b").Get
+				other.Front.Store, other.Front.Get = resend.New(b.store.Client("b"), other.Health), b.store.Client("b").Get
 				b.holder.front = other.Front
 				b.View.Learn(ledger.Holder{Epoch: 2, Name: "c", Addr: "c:1"})
 				if tc.again {
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -68,7 +68,7 @@
 		}
 	}
 	if doubt {
-		return 0, f.unsettled(true)
+		return 0, f.unsettled()
 	}
 	return 0, away
 }
--- a/internal/httponce/httponce.go
+++ b/internal/httponce/httponce.go
@@ -30,6 +30,10 @@
 	DefaultDialTimeout = 2 * time.Second
 )
 
+// DefaultProbes finds a connection on which nothing comes through any more after
+// three seconds: TCP counts them whole.
+var DefaultProbes = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
+
 // ErrTooLarge is the cause of a failure whose answer's body was over the limit.
 var ErrTooLarge = errors.New("answer larger than allowed")
 
@@ -48,6 +52,8 @@
 	IdleTimeout time.Duration
 	// DialTimeout bounds the opening of a connection.
 	DialTimeout time.Duration
+	// Probes finds connections that have fallen silent while an answer is awaited.
+	Probes net.KeepAliveConfig
 }
 
 // Answer is a whole answer.
@@ -76,6 +82,8 @@
 
 	mu    sync.Mutex
 	pools map[string]*pool
+	// renewed is when Reconnect was last called.
+	renewed time.Time
 }
 
 // pool holds the connections to one address, the last used at the end.
@@ -95,6 +103,9 @@
 	if opt.DialTimeout <= 0 {
 		opt.DialTimeout = DefaultDialTimeout
 	}
+	if !opt.Probes.Enable {
+		opt.Probes = DefaultProbes
+	}
 	return &Client{opt: opt, pools: map[string]*pool{}}
 }
 
@@ -150,7 +161,7 @@
 		}
 		l.close()
 	}
-	dialer := net.Dialer{Timeout: c.opt.DialTimeout}
+	dialer := net.Dialer{Timeout: c.opt.DialTimeout, KeepAliveConfig: c.opt.Probes}
 	conn, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
@@ -178,6 +189,11 @@
 	}
 	l.idleSince, l.reused = time.Now(), true
 	c.mu.Lock()
+	if l.opened.Before(c.renewed) {
+		c.mu.Unlock()
+		l.close()
+		return
+	}
 	p.idle = append(p.idle, l)
 	old := 0
 	for old < len(p.idle) && !p.idle[old].usable(c.opt.IdleTimeout) {
@@ -191,6 +207,15 @@
 	}
 }
 
+// Reconnect lets calls to come open connections of their own: those that stand now
+// may have fallen silent for good. Calls under way go on.
+func (c *Client) Reconnect() {
+	c.mu.Lock()
+	c.renewed = time.Now()
+	c.mu.Unlock()
+	c.Close()
+}
+
 // Close closes the idle connections; the client can still be used.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/internal/httponce/line.go
+++ b/internal/httponce/line.go
@@ -31,6 +31,7 @@
 	in        *bufio.Reader
 	out       *bufio.Writer
 	limit     *io.LimitedReader // below in
+	opened    time.Time
 	idleSince time.Time
 	reused    bool
 }
@@ -45,7 +46,7 @@
 	counting := &countingConn{Conn: conn}
 	limit := &io.LimitedReader{R: counting}
 	return &line{
-		conn: counting, limit: limit,
+		conn: counting, limit: limit, opened: time.Now(),
 		in: bufio.NewReader(limit), out: bufio.NewWriter(counting),
 	}
 }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -18,7 +18,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"pulleyquay/internal/platform"
-	"pulleyquay/internal/wait"
+	"pulleyquay/internal/platform/resend"
 )
 
 // HolderPrefix is where the holders of the partitions stand in the store.
@@ -69,22 +69,6 @@
 	Sequence uint64 `cbor:"2,keyasint"`
 }
 
-// Times of the waits for answers.
-const (
-	// firstWait is how long the first copy of a transaction is waited for before
-	// the next is sent; answers take milliseconds, and up to some 250 ms while the
-	// store is slow.
-	firstWait = 400 * time.Millisecond
-	// longestWait bounds the wait for later copies, which doubles. A store that took
-	// longer than that would never be heard: each copy would be given up before its
-	// answer.
-	longestWait = 6400 * time.Millisecond
-	// refusedPause is the pause after a copy that certainly was not done.
-	refusedPause = 40 * time.Millisecond
-	// longestPause bounds the pauses, which double.
-	longestPause = 500 * time.Millisecond
-)
-
 // MaxWrites is how many writes one Commit may have: the platform takes 32
 // entries, of which the claim's and the chain's conditions and the chain's write
 // are three.
@@ -92,7 +76,7 @@
 
 // Ledger writes for one holder. Commit is for one goroutine at a time.
 type Ledger struct {
-	store platform.Store
+	store *resend.Sender
 	self  Holder
 
 	chain    platform.Revision
@@ -106,7 +90,7 @@
 // Claim makes self the holder after seen, which is the zero Holder when there
 // was none. It returns ErrRaced with the present holder when seen is no longer
 // the record, and platform.ErrUnavailable when nothing is known to have happened.
-func Claim(ctx context.Context, store platform.Store, seen, self Holder) (*Ledger, Holder, error) {
+func Claim(ctx context.Context, store *resend.Sender, seen, self Holder) (*Ledger, Holder, error) {
 	self.Epoch = seen.Epoch + 1
 	value, err := cbor.Marshal(self)
 	if err != nil {
@@ -218,27 +202,13 @@
 	return at, nil
 }
 
-// settle sends copies of a transaction until one is answered.
+// settle sends a transaction until it is answered or ctx ends.
 func (l *Ledger) settle(ctx context.Context, txn platform.Txn) (platform.TxnReply, error) {
-	patience, pause := firstWait, refusedPause
-	for {
-		callCtx, cancel := context.WithTimeout(ctx, patience)
-		reply, err := l.store.Commit(callCtx, txn)
-		cancel()
-		if err == nil || errors.Is(err, platform.ErrRefused) {
-			return reply, err
-		}
-		if errors.Is(err, platform.ErrUnavailable) {
-			if !wait.For(ctx, pause) {
-				return platform.TxnReply{}, ctx.Err()
-			}
-			pause = min(2*pause, longestPause)
-		}
-		if ctx.Err() != nil {
-			return platform.TxnReply{}, ctx.Err()
-		}
-		patience = min(2*patience, longestWait)
+	reply, err := l.store.Commit(ctx, txn, nil)
+	if err != nil && !errors.Is(err, platform.ErrRefused) && ctx.Err() != nil {
+		err = ctx.Err()
 	}
+	return reply.TxnReply, err
 }
 
 func (l *Ledger) chainKey() string { return ChainKey(l.self.Partition) }
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -11,11 +11,15 @@
 	"github.com/matryer/is"
 
 	"pulleyquay/internal/platform"
+	"pulleyquay/internal/platform/follow"
 	"pulleyquay/internal/platform/memstore"
+	"pulleyquay/internal/platform/resend"
 )
 
 func self(name string) Holder { return Holder{Name: name, Incarnation: name + "-1", Addr: name + ":1"} }
 
+func sender(c *memstore.Client) *resend.Sender { return resend.New(c, follow.NewHealth(nil)) }
+
 func write(key, value string) []platform.Write {
 	return []platform.Write{{Key: key, Value: []byte(value)}}
 }
@@ -52,7 +56,7 @@
 				e := memstore.New()
 				defer e.Close()
 				c := e.Client("a")
-				l, _, err := Claim(t.Context(), c, Holder{}, self("a"))
+				l, _, err := Claim(t.Context(), sender(c), Holder{}, self("a"))
 				is.NoErr(err)
 				for i := range 6 {
 					if i == 2 {
@@ -80,7 +84,7 @@
 				is := is.New(t)
 				e := memstore.New()
 				defer e.Close()
-				old, present, err := Claim(t.Context(), e.Client("a"), Holder{}, self("a"))
+				old, present, err := Claim(t.Context(), sender(e.Client("a")), Holder{}, self("a"))
 				is.NoErr(err)
 				is.NoErr(old.Commit(t.Context(), write("k", "old")))
 				e.Client("a").SetFaults(memstore.Faults{RequestDelayMS: delay})
@@ -88,7 +92,7 @@
 				go func() { ended <- old.Commit(t.Context(), write("k", "late")) }()
 				if delay > 0 {
 					time.Sleep(10 * time.Millisecond) // it is under way
-					next, _, err := Claim(t.Context(), e.Client("b"), present, self("b"))
+					next, _, err := Claim(t.Context(), sender(e.Client("b")), present, self("b"))
 					is.NoErr(err)
 					is.NoErr(next.Commit(t.Context(), write("k", "new")))
 					is.True(errors.Is(<-ended, ErrDeposed))
@@ -111,15 +115,15 @@
 		e := memstore.New()
 		defer e.Close()
 		e.Client("a").SetFaults(memstore.Faults{LoseAnswers: 1})
-		l, first, err := Claim(t.Context(), e.Client("a"), Holder{}, self("a"))
+		l, first, err := Claim(t.Context(), sender(e.Client("a")), Holder{}, self("a"))
 		is.NoErr(err)
 		is.Equal(first.Epoch, uint64(1))
 		is.NoErr(l.Commit(t.Context(), nil))
 
-		_, seen, err := Claim(t.Context(), e.Client("b"), Holder{}, self("b"))
+		_, seen, err := Claim(t.Context(), sender(e.Client("b")), Holder{}, self("b"))
 		is.True(errors.Is(err, ErrRaced))
 		is.Equal(seen.Name, "a") // told who it is, the next try can succeed
-		_, second, err := Claim(t.Context(), e.Client("b"), seen, self("b"))
+		_, second, err := Claim(t.Context(), sender(e.Client("b")), seen, self("b"))
 		is.NoErr(err)
 		is.Equal(second.Epoch, uint64(2))
 		is.True(errors.Is(l.Commit(t.Context(), nil), ErrDeposed))
@@ -131,7 +135,7 @@
 		is := is.New(t)
 		e := memstore.New()
 		defer e.Close()
-		l, _, err := Claim(t.Context(), e.Client("a"), Holder{}, self("a"))
+		l, _, err := Claim(t.Context(), sender(e.Client("a")), Holder{}, self("a"))
 		is.NoErr(err)
 		e.Client("a").SetFaults(memstore.Faults{Refuse: true})
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
