Open connections that fall silent are found out and opened anew

Change: - a write whose second copy, over a new connection, is answered before the first says that connections have fallen silent; all pools open new ones, and watches and looks that wait are asked again (cmd/pulley-node/connections.go, follow.Health.Renew); - a peer link on which a call has waited 250 ms while nothing came in is tried with a ping and a new link side by side, and replaced if only that one works (internal/peer); - failures of questions that were asked before a lane failed count once; lanes that work stand in for those that are left alone (internal/advice); - the soak's proxy became internal/proxytest, with Mute.

Tests seen failing: peer TestSilentLinkIsReplaced, advice TestFailuresOfOneEventCountOnce, TestFailedLanesAreStoodInFor, follow TestFollowerAsksAgainWhenRenewed, holder TestLooksAreRenewed, httponce TestReconnectLeavesSilentConnections (the last three by the calls they need).

--- a/cmd/pulley-node/node.go
+++ b/cmd/pulley-node/node.go
@@ -43,6 +43,7 @@
 	self    cell.Member
 	view    *cell.View
 	entries *cell.Service
+	conns   *connections
 	claimer *cell.Claimer
 	catalog *catalog.Keeper
 	table   *holder.Table
@@ -67,8 +68,11 @@
 		n.log.Warn("store lost")
 	})
 	n.store = platform.NewStore(s.Store.Address)
+	n.conns = &connections{health: n.health, log: n.log}
 	n.writes = resend.New(n.store, n.health)
+	n.writes.Overtaken = n.conns.suspect
 	n.peers = peer.NewNode(peer.Hello{Name: s.Name, Incarnation: n.self.Incarnation, Addr: n.self.Addr}, n.mux, n.log)
+	n.conns.peers, n.peers.Silent = n.peers, n.conns.suspect
 	n.entries = &cell.Service{Store: n.store, Health: n.health, Self: n.self, View: n.view, Log: n.log}
 	n.catalog = &catalog.Keeper{
 		Store: n.store, Health: n.health, Peers: n.peers, Log: n.log,
@@ -82,8 +86,10 @@
 }
 
 func (n *node) addHolder() {
+	orders := platform.NewOrders(hostIdle)
+	n.conns.parts = append(n.conns.parts, n.store, orders)
 	conf := holder.Config{
-		Store: n.store, Health: n.health, Hosts: platform.NewOrders(hostIdle), Peers: n.peers, Log: n.log,
+		Store: n.store, Health: n.health, Hosts: orders, Peers: n.peers, Log: n.log,
 		Bounds: n.conf.Bounds.engine(), Tuning: engine.DefaultTuning(),
 		HostPrefix: platform.HostPrefix, DecodeHost: platform.DecodeHost, HostOf: platform.HostOf,
 		Catalog: n.catalog.Current, Lanes: n.lanes, Metrics: holder.NewMetrics(n.daemon.Reg), Event: n.event,
@@ -91,11 +97,15 @@
 		DutyLease: n.conf.Bounds.DutyLease.Std(),
 	}
 	if n.conf.Machines.Address != "" {
-		conf.Machines = platform.NewMachines(n.conf.Machines.Address)
+		machines := platform.NewMachines(n.conf.Machines.Address)
+		n.conns.parts = append(n.conns.parts, machines)
+		conf.Machines = machines
 	}
 	n.table = holder.NewTable(conf, n.mux)
 	if n.conf.Policy.Address != "" {
-		holder.ServeAdvice(n.mux, platform.NewPolicy(n.conf.Policy.Address))
+		policy := platform.NewPolicy(n.conf.Policy.Address)
+		n.conns.parts = append(n.conns.parts, policy)
+		holder.ServeAdvice(n.mux, policy)
 	}
 	n.claimer = &cell.Claimer{
 		Self: n.self, View: n.view, Store: n.store, Writes: n.writes, Health: n.health, Peers: n.peers, Log: n.log,
--- a/internal/advice/lanes.go
+++ b/internal/advice/lanes.go
@@ -19,10 +19,10 @@
 	// busyUntil is when the questions asked so far are answered.
 	busyUntil time.Time
 	asked     int
-	// fails counts failures in a row; after one the lane is left alone until
-	// restsUntil.
-	fails      int
-	restsUntil time.Time
+	// fails counts failures in a row; after one, at failedAt, the lane is left alone
+	// until restsUntil.
+	fails                int
+	failedAt, restsUntil time.Time
 }
 
 // Limits of what is asked through one lane.
@@ -85,10 +85,10 @@
 // Idle reports whether half of the lanes for a question of that length have
 // nothing to answer.
 func (l *Lanes) Idle(took time.Duration, now time.Time) bool {
-	lanes, _ := l.open(took)
+	lanes, _ := l.open(took, now)
 	idle := 0
 	for _, x := range lanes {
-		if x.asked == 0 && !now.Before(x.restsUntil) {
+		if x.asked == 0 {
 			idle++
 		}
 	}
@@ -97,10 +97,10 @@
 
 // best is the least booked lane for a question of that length, or nil.
 func (l *Lanes) best(took time.Duration, now time.Time) *lane {
-	lanes, backlog := l.open(took)
+	lanes, backlog := l.open(took, now)
 	var best *lane
 	for _, x := range lanes {
-		if x.asked >= mostWaiting || now.Before(x.restsUntil) || x.fails > 0 && x.asked > 0 {
+		if x.asked >= mostWaiting || x.fails > 0 && x.asked > 0 {
 			continue // a lane that has failed is tried with one question
 		}
 		if best == nil || x.busyUntil.Before(best.busyUntil) {
@@ -122,24 +122,42 @@
 
 // open returns the lanes for questions of a length and how far ahead they may be
 // booked. With few lanes all are shared.
-func (l *Lanes) open(took time.Duration) ([]*lane, time.Duration) {
-	n := len(l.lanes)
+func (l *Lanes) open(took time.Duration, now time.Time) ([]*lane, time.Duration) {
+	lanes := l.usable(now)
+	n := len(lanes)
 	if n < mediumShare {
-		return l.lanes, longBacklog
+		return lanes, longBacklog
 	}
 	forShort := max(n/shortShare, 1)
 	forMedium := max(n/mediumShare, forShort)
 	switch {
 	case took <= short:
-		return l.lanes[:forMedium], shortBacklog
+		return lanes[:forMedium], shortBacklog
 	case took < long:
-		return l.lanes[forShort : forMedium+1], mediumBacklog
+		return lanes[forShort : forMedium+1], mediumBacklog
 	}
-	return l.lanes[forMedium:], longBacklog
+	return lanes[forMedium:], longBacklog
 }
 
-// Answered frees a lane's place after an answer, or after a failure, at now.
-func (l *Lanes) Answered(name string, failed bool, now time.Time) {
+// usable returns the lanes that work, and after them those that have failed and are
+// to be tried again.
+func (l *Lanes) usable(now time.Time) []*lane {
+	work := make([]*lane, 0, len(l.lanes))
+	var failed []*lane
+	for _, x := range l.lanes {
+		switch {
+		case x.fails == 0:
+			work = append(work, x)
+		case !now.Before(x.restsUntil):
+			failed = append(failed, x)
+		}
+	}
+	return append(work, failed...)
+}
+
+// Answered frees a lane's place at now, after an answer to a question asked at asked,
+// or after its failure. What was asked before the lane failed last says nothing new.
+func (l *Lanes) Answered(name string, failed bool, asked, now time.Time) {
 	for _, x := range l.lanes {
 		if x.name != name {
 			continue
@@ -148,11 +166,13 @@
 		if x.asked == 0 && x.busyUntil.After(now) {
 			x.busyUntil = now
 		}
-		if !failed {
+		switch {
+		case !failed:
 			x.fails = 0
-			continue
+		case x.fails == 0 || !asked.Before(x.failedAt):
+			x.restsUntil = now.Add(firstRest << min(x.fails, doublings))
+			x.failedAt = now
+			x.fails++
 		}
-		x.restsUntil = now.Add(firstRest << min(x.fails, doublings))
-		x.fails++
 	}
 }
--- a/internal/advice/lanes_test.go
+++ b/internal/advice/lanes_test.go
@@ -55,7 +55,7 @@
 	first, _, _ := l.Book(700*time.Millisecond, start)
 	second, _, _ := l.Book(700*time.Millisecond, start)
 	is.True(first != second)
-	l.Answered(first, false, start.Add(100*time.Millisecond)) // sooner than worked out
+	l.Answered(first, false, start, start.Add(100*time.Millisecond)) // sooner than worked out
 	third, answered, _ := l.Book(700*time.Millisecond, start.Add(100*time.Millisecond))
 	is.True(third != second)
 	is.Equal(answered, start.Add(800*time.Millisecond))
@@ -76,9 +76,56 @@
 		if failed {
 			lost++
 		}
+		asked := now
 		now = now.Add(time.Second)
-		l.Answered(name, failed, now)
+		l.Answered(name, failed, asked, now)
 	}
 	is.True(lost > 0)
 	is.True(lost <= 8)
 }
+
+// TestFailuresOfOneEventCountOnce: when connections fell silent, eight questions of a
+// lane failed at the same moment, and the lane was left alone for ten seconds
+// (roc-comptage, reset_conns silent: 0.615 a day).
+func TestFailuresOfOneEventCountOnce(t *testing.T) {
+	is := is.New(t)
+	l := NewLanes()
+	l.SetMembers([]string{"a"})
+	for range 8 {
+		_, _, ok := l.Book(8*time.Millisecond, start)
+		is.True(ok)
+	}
+	failed := start.Add(400 * time.Millisecond)
+	for range 8 {
+		l.Answered("a", true, start, failed)
+	}
+	_, _, ok := l.Book(8*time.Millisecond, failed.Add(firstRest-1))
+	is.True(!ok)
+	_, _, ok = l.Book(8*time.Millisecond, failed.Add(firstRest))
+	is.True(ok)
+	l.Answered("a", true, failed.Add(firstRest), failed.Add(2*firstRest)) // failed again
+	_, _, ok = l.Book(8*time.Millisecond, failed.Add(3*firstRest))
+	is.True(!ok)
+}
+
+// TestFailedLanesAreStoodInFor: the lanes that short questions may use were all
+// left alone, while others had nothing to do.
+func TestFailedLanesAreStoodInFor(t *testing.T) {
+	is := is.New(t)
+	l := seven()
+	for _, name := range []string{"a", "b"} {
+		l.Answered(name, true, start, start)
+	}
+	for _, took := range []time.Duration{8 * time.Millisecond, 60 * time.Millisecond, 700 * time.Millisecond} {
+		name, _, ok := l.Book(took, start)
+		is.True(ok)
+		is.True(name != "a" && name != "b")
+	}
+	for _, name := range []string{"c", "d", "e", "f", "g"} {
+		l.Answered(name, true, start, start)
+	}
+	_, _, ok := l.Book(8*time.Millisecond, start)
+	is.True(!ok)
+	_, _, ok = l.Book(8*time.Millisecond, start.Add(firstRest))
+	is.True(ok) // one is tried again
+}
--- a/internal/engine/ask.go
+++ b/internal/engine/ask.go
@@ -14,6 +14,7 @@
 	group *group
 	hosts []host.ID
 	lane  string
+	asked time.Time
 }
 
 // Pauses before a step is asked about again.
@@ -219,7 +220,7 @@
 	if !ok {
 		return false
 	}
-	q := &question{group: g, lane: lane}
+	q := &question{group: g, lane: lane, asked: now}
 	for _, h := range hosts {
 		q.hosts = append(q.hosts, h.info.ID)
 	}
@@ -240,7 +241,7 @@
 		return
 	}
 	delete(e.asks, o.ID)
-	e.lanes.Answered(q.lane, err != nil, now)
+	e.lanes.Answered(q.lane, err != nil, q.asked, now)
 	g := q.group
 	g.advice.asking--
 	if err != nil {
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -248,13 +248,43 @@
 	h.do(func(e *engine.Engine, now time.Time) { e.Paced(o, reply, err, now) })
 }
 
+// look asks a host what it runs, and asks again over a new connection when those
+// that are open may have fallen silent.
 func (h *Holder) look(o engine.LookOrder) {
+	for {
+		renewed := h.cfg.Health.Renewed()
+		begun := time.Now()
+		view, err := h.lookOnce(o, renewed)
+		if err != nil && h.ctx.Err() == nil && isClosed(renewed) {
+			continue
+		}
+		h.cfg.Metrics.order("look", begun, outcome(host.Reply{}, err))
+		h.do(func(e *engine.Engine, now time.Time) { e.Viewed(o, begun, view, err, now) })
+		return
+	}
+}
+
+// lookOnce asks once; the question is given up when giveUp is closed.
+func (h *Holder) lookOnce(o engine.LookOrder, giveUp <-chan struct{}) (host.View, error) {
 	ctx, cancel := context.WithTimeout(h.ctx, o.Look.Wait+lookSlack)
 	defer cancel()
-	begun := time.Now()
-	view, err := h.cfg.Hosts.Look(ctx, o.To, h.epoch(), o.Look)
-	h.cfg.Metrics.order("look", begun, outcome(host.Reply{}, err))
-	h.do(func(e *engine.Engine, now time.Time) { e.Viewed(o, begun, view, err, now) })
+	go func() {
+		select {
+		case <-giveUp:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return h.cfg.Hosts.Look(ctx, o.To, h.epoch(), o.Look)
+}
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
 }
 
 // outcome names how an order ended, for the metrics.
--- /dev/null
+++ b/internal/holder/look_test.go
@@ -0,0 +1,72 @@
+package holder
+
+import (
+	"context"
+	"io"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"pulleyquay/internal/catalog"
+	"pulleyquay/internal/engine"
+	"pulleyquay/internal/host"
+	"pulleyquay/internal/ledger"
+	"pulleyquay/internal/platform/follow"
+	"pulleyquay/internal/platform/memstore"
+	"pulleyquay/internal/platform/resend"
+)
+
+// silentHosts answers no look of before renewed is set.
+type silentHosts struct {
+	host.Client
+	renewed atomic.Bool
+	looks   atomic.Int64
+}
+
+func (s *silentHosts) Look(ctx context.Context, _ host.Info, _ uint64, _ host.Look) (host.View, error) {
+	s.looks.Add(1)
+	if !s.renewed.Load() {
+		<-ctx.Done()
+		return host.View{}, host.ErrLost
+	}
+	return host.View{Clock: 1}, nil
+}
+
+// TestLooksAreRenewed: looks wait for seconds on connections to hosts; when those
+// fell silent, ends were heard of up to two and a half seconds late.
+func TestLooksAreRenewed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := memstore.New()
+		defer store.Close()
+		health := follow.NewHealth(nil)
+		l, _, err := ledger.Claim(t.Context(), resend.New(store.Client("a"), health), ledger.Holder{}, ledger.Holder{Name: "a"})
+		is.NoErr(err)
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		hosts := &silentHosts{}
+		h := New(Config{
+			Store: store.Client("a"), Health: health, Hosts: hosts, Log: logrus.NewEntry(log), Tuning: engine.DefaultTuning(),
+			Catalog: func() *catalog.Catalog { return &catalog.Catalog{} }, Metrics: NewMetrics(prometheus.NewRegistry()),
+		}, l)
+		h.ctx, h.cancel = context.WithCancelCause(t.Context())
+		defer h.cancel(errStopping)
+		ended := make(chan struct{})
+		begun := time.Now()
+		go func() {
+			h.look(engine.LookOrder{To: host.Info{ID: "h"}, Look: host.Look{Wait: 2 * time.Second}})
+			close(ended)
+		}()
+		time.Sleep(100 * time.Millisecond)
+		hosts.renewed.Store(true)
+		health.Renew()
+		<-ended
+		is.Equal(hosts.looks.Load(), int64(2))
+		is.Equal(time.Since(begun), 100*time.Millisecond)
+	})
+}
--- a/internal/httponce/httponce_test.go
+++ b/internal/httponce/httponce_test.go
@@ -18,6 +18,7 @@
 	"github.com/matryer/is"
 
 	"pulleyquay/internal/httponce"
+	"pulleyquay/internal/proxytest"
 )
 
 const limit = 1 << 10
@@ -256,3 +257,31 @@
 	is.True(f.Sent)
 	is.True(errors.Is(err, context.DeadlineExceeded))
 }
+
+// TestReconnectLeavesSilentConnections: connections that are open fall silent without
+// a reset while new ones work; each of those that lay idle cost a call.
+func TestReconnectLeavesSilentConnections(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, func(_ int64, c net.Conn, _ *http.Request) bool { ok(c, ""); return true })
+	proxy := proxytest.New(t, "", s.addr)
+	c := httponce.New(httponce.Options{})
+	var calls sync.WaitGroup
+	for range 4 { // four connections that lie idle afterwards
+		calls.Go(func() {
+			if _, err := do(c, proxy.Addr, http.MethodGet, ""); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	calls.Wait()
+	proxy.Mute()
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := c.Do(ctx, proxy.Addr, request(http.MethodGet), nil, limit)
+	is.True(errors.Is(err, context.DeadlineExceeded)) // it met a silent one
+	c.Reconnect()
+	begun := time.Now()
+	_, err = do(c, proxy.Addr, http.MethodGet, "")
+	is.NoErr(err)
+	is.True(time.Since(begun) < time.Second)
+}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -20,10 +20,17 @@
 	writeTimeout  = 5 * time.Second
 	pingInterval  = time.Second
 	pingTimeout   = 3 * time.Second
+
+	// silentAfter is for how long nothing may have come in while a call waits before
+	// another link is tried; heartbeats come more often.
+	silentAfter = 250 * time.Millisecond
 )
 
 var errLinkClosed = errors.New("link closed")
 
+// errLinkSilent ends a link on which nothing comes in any more.
+var errLinkSilent = errors.New("nothing comes in on the link")
+
 // link is one WebSocket to one peer. Both sides may call over it.
 type link struct {
 	conn *websocket.Conn
@@ -51,6 +58,11 @@
 
 	// heard is when the last frame came in, in nanoseconds since the epoch.
 	heard atomic.Int64
+	// replace tries another link to the same peer and ends this one if that works while
+	// nothing comes in here; nil where the peer's address is not known. trying is true
+	// meanwhile.
+	replace func()
+	trying  atomic.Bool
 	// saidGoodbye is true while an answer to our goodbye is expected.
 	saidGoodbye atomic.Bool
 }
@@ -238,6 +250,8 @@
 		}
 		return nil, result.New(result.PeerNotReached, result.RanNo, "%v", err)
 	}
+	silent := time.AfterFunc(silentAfter, l.trySilent)
+	defer silent.Stop()
 	select {
 	case f := <-ch:
 		if f.Type == frameError {
@@ -262,7 +276,7 @@
 		case <-l.ctx.Done():
 			return
 		case <-ticker.C:
-			if time.Since(time.Unix(0, l.heard.Load())) < pingInterval {
+			if l.heardWithin(pingInterval) {
 				continue
 			}
 			ctx, cancel := context.WithTimeout(l.ctx, pingTimeout)
@@ -276,6 +290,29 @@
 	}
 }
 
+// trySilent has the link replaced if nothing comes in on it: an open connection can
+// fall silent for good.
+func (l *link) trySilent() {
+	l.mu.Lock()
+	replace := l.replace
+	l.mu.Unlock()
+	if l.heardWithin(silentAfter) || replace == nil || !l.trying.CompareAndSwap(false, true) {
+		return
+	}
+	defer l.trying.Store(false)
+	replace()
+}
+
+func (l *link) setReplace(replace func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.replace = replace
+}
+
+func (l *link) heardWithin(d time.Duration) bool {
+	return time.Since(time.Unix(0, l.heard.Load())) < d
+}
+
 // close ends the link at once; calls under way end with PeerLost.
 func (l *link) close(cause error) {
 	l.cancel(cause)
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -19,6 +19,9 @@
 // dialTimeout bounds the making of a link, handshake and hello included.
 const dialTimeout = 2 * time.Second
 
+// pongSlack is how much longer than a new link a ping on an old one may take.
+const pongSlack = 100 * time.Millisecond
+
 // Node is this process's end of all peer links: a Caller to others and an
 // http.Handler for links from others. One link serves both directions of a pair.
 type Node struct {
@@ -26,6 +29,10 @@
 	mux  *Mux
 	log  *logrus.Entry
 
+	// Silent is told when a link had fallen silent and a new one to the same address
+	// works. It may be nil.
+	Silent func()
+
 	mu     sync.Mutex
 	links  map[string]*link // by the peer's address
 	extra  map[*link]bool   // links from peers without an address, or doubled
@@ -107,9 +114,47 @@
 	n.mu.Lock()
 	delete(n.dials, addr)
 	n.mu.Unlock()
+	if d.err == nil {
+		n.add(addr, d.link)
+	}
 	close(d.done)
 }
 
+// replace makes another link to addr beside l, and takes it into use in place of l
+// if a ping on l stays unanswered while that one works.
+func (n *Node) replace(addr string, l *link) {
+	ctx, cancel := context.WithTimeout(l.ctx, dialTimeout)
+	defer cancel()
+	ping := make(chan error, 1)
+	go func() { ping <- l.conn.Ping(ctx) }()
+	other, err := n.connect(ctx, addr)
+	if err != nil {
+		return // the peer itself is not reached: the link says no less
+	}
+	select {
+	case err := <-ping:
+		if err == nil {
+			other.close(errLinkClosed)
+			return
+		}
+	case <-time.After(pongSlack): // the ping was sent before the dial and takes less
+	}
+	l.close(errLinkSilent)
+	n.add(addr, other)
+	n.log.WithField("peer", addr).Warn("peer link had fallen silent; replaced")
+	if n.Silent != nil {
+		n.Silent()
+	}
+}
+
+// Try finds out which links have fallen silent, and replaces those.
+func (n *Node) Try() {
+	for _, l := range n.all() {
+		go l.trySilent()
+	}
+}
+
+// connect makes a link that is not in use yet.
 func (n *Node) connect(ctx context.Context, addr string) (*link, error) {
 	conn, _, err := websocket.Dial(ctx, "ws://"+addr+Path, &websocket.DialOptions{Subprotocols: []string{Subprotocol}})
 	if err != nil {
@@ -131,7 +176,6 @@
 		l.close(err)
 		return nil, err
 	}
-	n.add(addr, l)
 	return l, nil
 }
 
@@ -157,6 +201,9 @@
 		l.close(errLinkClosed)
 		return
 	}
+	if addr != "" {
+		l.setReplace(func() { n.replace(addr, l) })
+	}
 	if have := n.links[addr]; addr == "" || have != nil && have.ctx.Err() == nil {
 		n.extra[l] = true
 		return
--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
 
+	"pulleyquay/internal/proxytest"
 	"pulleyquay/internal/result"
 )
 
@@ -217,3 +218,44 @@
 	is.Equal(err.Code, result.PeerLost)
 	is.True(time.Since(start) < 2*(pingInterval+pingTimeout))
 }
+
+// TestSilentLinkIsReplaced: an open link falls silent without a reset while new ones
+// work. It was found out by pings after some five seconds, in which members took
+// their holder for dead (reset_conns silent on lsbma-quay, worth 0.832).
+func TestSilentLinkIsReplaced(t *testing.T) {
+	is := is.New(t)
+	s := newServer(t)
+	proxy := proxytest.New(t, "", s.addr())
+	c := newClient(t)
+	told := make(chan struct{}, 10)
+	c.Silent = func() { told <- struct{}{} }
+	call := func(patience time.Duration) error {
+		ctx, cancel := context.WithTimeout(t.Context(), patience)
+		defer cancel()
+		return c.Call(ctx, proxy.Addr, kindEcho, echo{}, &echo{})
+	}
+	is.NoErr(call(time.Second))
+	time.Sleep(silentAfter) // nothing has come in for a while
+	proxy.Mute()
+	begun := time.Now()
+	err := call(10 * time.Second)
+	is.Equal(result.CodeOf(err), result.PeerLost) // it may have run
+	is.True(time.Since(begun) < pingTimeout)      // not found out by the idle pings
+	<-told
+	is.NoErr(call(time.Second))
+}
+
+// TestWaitingForLongKeepsTheLink: a peer that takes long to answer one call is not
+// silent, though nothing comes in meanwhile.
+func TestWaitingForLongKeepsTheLink(t *testing.T) {
+	is := is.New(t)
+	s := newServer(t)
+	c := newClient(t)
+	c.Silent = func() { t.Error("taken for silent") }
+	ctx, cancel := context.WithTimeout(t.Context(), 6*silentAfter)
+	defer cancel()
+	err := c.Call(ctx, s.addr(), kindBlock, echo{}, &echo{})
+	is.Equal(result.CodeOf(err), result.PeerLost) // given up by the caller
+	is.True(strings.Contains(err.Error(), "gave up"))
+	is.NoErr(c.Call(t.Context(), s.addr(), kindEcho, echo{}, &echo{}))
+}
--- a/internal/platform/follow/follow.go
+++ b/internal/platform/follow/follow.go
@@ -68,6 +68,9 @@
 	}
 	for {
 		batch, err := f.changes(ctx, at)
+		if errors.Is(err, errRenewed) {
+			continue
+		}
 		if err != nil {
 			return true
 		}
@@ -95,16 +98,27 @@
 	return at, err
 }
 
+// errRenewed is why a question is asked again.
+var errRenewed = errors.New("open connections may have fallen silent")
+
+// errRestored is why everything is listed again.
+var errRestored = errors.New("the store answers again")
+
 // changes asks once. The question is given up when the store has answered others
-// after an outage: it may hang on a connection that nothing comes from any more.
+// after an outage, or connections have fallen silent: it may hang on one that
+// nothing comes from any more.
 func (f *Follower) changes(ctx context.Context, after platform.Revision) (platform.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.Wait+changesSlack)
 	defer cancel()
-	restored := f.Health.Restored()
+	ctx, giveUp := context.WithCancelCause(ctx)
+	defer giveUp(nil)
+	restored, renewed := f.Health.Restored(), f.Health.Renewed()
 	go func() {
 		select {
 		case <-restored:
-			cancel()
+			giveUp(errRestored)
+		case <-renewed:
+			giveUp(errRenewed)
 		case <-ctx.Done():
 		}
 	}()
@@ -113,6 +127,8 @@
 		// A question that was cut says nothing: the store cuts those that wait. The
 		// list that follows tells whether it answers.
 		f.Health.Note(true, time.Now())
+	} else if cause := context.Cause(ctx); errors.Is(cause, errRenewed) {
+		err = cause
 	}
 	return batch, err
 }
--- a/internal/platform/follow/follow_test.go
+++ b/internal/platform/follow/follow_test.go
@@ -57,6 +57,7 @@
 			time.Sleep(10 * time.Millisecond)
 		}
 		time.Sleep(3 * time.Second)
+		synctest.Wait()
 		is.Equal(len(seen), 4000)
 		worst := time.Duration(0)
 		for _, late := range seen {
@@ -84,6 +85,7 @@
 		}
 		go f.Run(ctx)
 		time.Sleep(time.Second)
+		synctest.Wait()
 		is.Equal(lists, 1)
 		c.SetFaults(memstore.Faults{Refuse: true})
 		store.Put(platform.Write{Key: "h/1", Value: []byte("x")})
@@ -91,10 +93,70 @@
 		store.Compact()
 		c.SetFaults(memstore.Faults{})
 		time.Sleep(3 * time.Second)
+		synctest.Wait()
 		is.True(lists >= 2)
 		is.Equal(last, "1") // the one record
 		store.Put(platform.Write{Key: "h/2", Value: []byte("y")})
 		time.Sleep(2 * time.Second)
+		synctest.Wait()
 		is.Equal(last, "y")
 	})
 }
+
+// silenced lets the questions for changes that wait hang for good when mute is closed.
+type silenced struct {
+	platform.Poller
+	mute <-chan struct{}
+}
+
+func (s silenced) Changes(ctx context.Context, prefix string, after platform.Revision, wait time.Duration) (platform.Batch, error) {
+	before := !isClosed(s.mute)
+	batch, err := s.Poller.Changes(ctx, prefix, after, wait)
+	if before && isClosed(s.mute) {
+		<-ctx.Done()
+		return platform.Batch{}, ctx.Err()
+	}
+	return batch, err
+}
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// TestFollowerAsksAgainWhenRenewed: a question that waits on a connection that has
+// fallen silent missed a change of the configuration for 26 seconds (CONFIG, with
+// reset_conns silent on lsbma-quay).
+func TestFollowerAsksAgainWhenRenewed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := memstore.New()
+		defer store.Close()
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		mute := make(chan struct{})
+		lists, last := 0, ""
+		health := NewHealth(nil)
+		f := Follower{
+			Store: silenced{store.Client("a"), mute}, Health: health, Prefix: "c/", Wait: 25 * time.Second,
+			List:   func([]platform.Record) { lists++ },
+			Change: func(c platform.Change) { last = string(c.Value) },
+		}
+		go f.Run(ctx)
+		time.Sleep(time.Second)
+		synctest.Wait()
+		close(mute)
+		store.Put(platform.Write{Key: "c/1", Value: []byte("new")})
+		time.Sleep(time.Second)
+		synctest.Wait()
+		is.Equal(last, "")
+		health.Renew()
+		synctest.Wait()
+		is.Equal(last, "new")
+		is.Equal(lists, 1) // it goes on where it was
+	})
+}
--- a/internal/platform/follow/health.go
+++ b/internal/platform/follow/health.go
@@ -15,6 +15,7 @@
 	failing  bool      // the last call that ended went unanswered
 	since    time.Time // when failing began
 	restored chan struct{}
+	renewed  chan struct{}
 	// onChange is told when the store is lost or regained.
 	onChange func(up bool, away time.Duration)
 }
@@ -25,7 +26,7 @@
 	if onChange == nil {
 		onChange = func(bool, time.Duration) {}
 	}
-	return &Health{restored: make(chan struct{}), onChange: onChange}
+	return &Health{restored: make(chan struct{}), renewed: make(chan struct{}), onChange: onChange}
 }
 
 // Note takes in the outcome of a call that ended at now.
@@ -75,3 +76,19 @@
 	defer h.mu.Unlock()
 	return h.restored
 }
+
+// Renew has questions that wait asked again: the connections that they wait on may
+// have fallen silent.
+func (h *Health) Renew() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	close(h.renewed)
+	h.renewed = make(chan struct{})
+}
+
+// Renewed returns a channel that is closed at the next call of Renew.
+func (h *Health) Renewed() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.renewed
+}
--- a/test/soak/cell_test.go
+++ b/test/soak/cell_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pulleyquay/internal/catalog"
+	"pulleyquay/internal/proxytest"
 	"pulleyquay/internal/spec"
 	"pulleyquay/platform/fake"
 	"pulleyquay/test/e2e/harness"
@@ -18,8 +19,8 @@
 	settings map[string]any
 	callers  string
 	ready    string
-	store    *proxy // between it and the store
-	peer     *proxy // in front of its peer listener
+	store    *proxytest.Proxy // between it and the store
+	peer     *proxytest.Proxy // in front of its peer listener
 
 	mu      sync.Mutex
 	process *harness.Process
@@ -69,12 +70,12 @@
 		c.t.Fatal(err)
 	}
 	peer := harness.FreeAddr(c.t)
-	n.store = newProxy(c.t, "", storeTo)
-	n.peer = newProxy(c.t, "", peer)
+	n.store = proxytest.New(c.t, "", storeTo)
+	n.peer = proxytest.New(c.t, "", peer)
 	n.settings = map[string]any{
 		"name": name, "zone": "z", "processors": 1, "log_level": "info",
-		"listen": map[string]any{"callers": n.callers, "ready": n.ready, "peer": peer, "admin": harness.FreeAddr(c.t), "advertise": n.peer.addr},
-		"store":  map[string]any{"address": n.store.addr}, "policy": map[string]any{"address": policy}, "bounds": bounds,
+		"listen": map[string]any{"callers": n.callers, "ready": n.ready, "peer": peer, "admin": harness.FreeAddr(c.t), "advertise": n.peer.Addr},
+		"store":  map[string]any{"address": n.store.Addr}, "policy": map[string]any{"address": policy}, "bounds": bounds,
 	}
 	return n
 }
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"pulleyquay/internal/platform/memstore"
+	"pulleyquay/internal/proxytest"
 	"pulleyquay/internal/spec"
 )
 
@@ -24,7 +25,7 @@
 func (s *storm) node() *node { return s.c.nodes[s.l.intn(len(s.c.nodes))] }
 
 // proxies of a node or the store, one drawn at random.
-func (s *storm) proxy() *proxy {
+func (s *storm) proxy() *proxytest.Proxy {
 	n := s.node()
 	if s.l.intn(2) == 0 {
 		return n.store
@@ -32,10 +33,10 @@
 	return n.peer
 }
 
-func (s *storm) link(m mode) func() {
+func (s *storm) link(m proxytest.Mode) func() {
 	p := s.proxy()
-	p.set(m)
-	return func() { p.set(open) }
+	p.Set(m)
+	return func() { p.Set(proxytest.Open) }
 }
 
 func (s *storm) store(f memstore.Faults) func() {
@@ -81,12 +82,27 @@
 			}
 		}
 	}},
-	{"link delayed", func(s *storm) func() { return s.link(mode{delay: 80 * time.Millisecond, up: true, down: true}) }},
-	{"link reset", func(s *storm) func() { s.proxy().reset(); return nothing }},
-	{"link refused", func(s *storm) func() { return s.link(mode{refuse: true}) }},
-	{"link silent", func(s *storm) func() { return s.link(mode{}) }},
-	{"link one way up", func(s *storm) func() { return s.link(mode{up: true}) }},
-	{"link one way down", func(s *storm) func() { return s.link(mode{down: true}) }},
+	{"link delayed", func(s *storm) func() {
+		return s.link(proxytest.Mode{Delay: 80 * time.Millisecond, Up: true, Down: true})
+	}},
+	{"link reset", func(s *storm) func() { s.proxy().Reset(); return nothing }},
+	{"link refused", func(s *storm) func() { return s.link(proxytest.Mode{Refuse: true}) }},
+	{"link silent", func(s *storm) func() { return s.link(proxytest.Mode{}) }},
+	{"link one way up", func(s *storm) func() { return s.link(proxytest.Mode{Up: true}) }},
+	{"link one way down", func(s *storm) func() { return s.link(proxytest.Mode{Down: true}) }},
+	{"open connections fall silent", func(s *storm) func() {
+		n := s.node()
+		n.store.Mute()
+		n.peer.Mute()
+		return nothing
+	}},
+	{"all open connections fall silent", func(s *storm) func() {
+		for _, n := range s.c.nodes {
+			n.store.Mute()
+			n.peer.Mute()
+		}
+		return nothing
+	}},
 	{"store refuses", func(s *storm) func() { return s.store(memstore.Faults{Refuse: true}) }},
 	{"store silent", func(s *storm) func() { return s.store(memstore.Faults{Hang: true}) }},
 	{"store slow", func(s *storm) func() { return s.store(memstore.Faults{AnswerDelayMS: 150}) }},
