Orders are sent again as they are; looks are short while answers get lost

Cause: a start without an answer was waited for for 0.25 s and then settled by a look, a stop and another look; a gang of which one start was in doubt began anew. A look whose answer got lost held the ends of its host back for up to 2.5 s.

Change: a start or stop that is not answered in the usual time (learned) is sent again, unchanged, over a new connection, up to three copies in 0.3 s: by its run's number a host carries it out once. A refusal counts only when no other copy may have been carried out (internal/holder/repeat.go). While answers get lost, looks wait 0.4 s, and those under way are asked again (internal/holder/look.go).

Tests: TestOrdersAreRepeated, TestLooksAreAskedAgain, TestLossesAreForgotten.

--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -18,6 +18,7 @@
 	"pulleyquay/internal/peer"
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/platform/follow"
+	"pulleyquay/internal/platform/resend"
 	"pulleyquay/internal/upkeep"
 )
 
@@ -33,11 +34,8 @@
 	// commitIdle is how soon a transaction follows the last when there is nothing
 	// to write: it renews the right to give orders.
 	commitIdle = 600 * time.Millisecond
-	// orderPatience bounds the wait for the answer to a start or a stop.
-	orderPatience = 250 * time.Millisecond
-	// lookSlack is how much longer than it may be held back an answer to a look
-	// is waited for.
-	lookSlack = 500 * time.Millisecond
+	// orderPatience bounds the wait for the answer to the copies of a start or a stop.
+	orderPatience = 300 * time.Millisecond
 	// machinePatience bounds a call to the service for machines.
 	machinePatience = 1500 * time.Millisecond
 	// gatherFor is how long events are gathered before decisions are made.
@@ -84,6 +82,10 @@
 	wake   chan struct{}
 	commit chan struct{}
 	calls  sync.WaitGroup
+	// answers is how long hosts take to answer orders; losses tells of those that got
+	// lost.
+	answers resend.Latency
+	losses  *losses
 
 	mu     sync.Mutex
 	engine *engine.Engine
@@ -103,7 +105,7 @@
 	return &Holder{
 		cfg: cfg, ledger: l,
 		log:  cfg.Log.WithFields(logrus.Fields{"partition": self.Partition, "epoch": self.Epoch}),
-		wake: make(chan struct{}, 1), commit: make(chan struct{}, 1), stored: make(chan struct{}),
+		wake: make(chan struct{}, 1), commit: make(chan struct{}, 1), stored: make(chan struct{}), losses: newLosses(),
 		engine: engine.New(engine.Config{
 			Partition: self.Partition, Epoch: self.Epoch, Bounds: cfg.Bounds, Tuning: cfg.Tuning,
 			Seed: self.Epoch, Log: cfg.Event, WaveState: cfg.WaveState,
@@ -225,7 +227,9 @@
 	ctx, cancel := context.WithTimeout(h.ctx, orderPatience)
 	defer cancel()
 	begun := time.Now()
-	reply, err := h.cfg.Hosts.Start(ctx, o.To, h.epoch(), o.Start)
+	reply, err := h.repeat(ctx, o.To, func(ctx context.Context) (host.Reply, error) {
+		return h.cfg.Hosts.Start(ctx, o.To, h.epoch(), o.Start)
+	})
 	h.cfg.Metrics.order("start", begun, outcome(reply, err))
 	h.do(func(e *engine.Engine, now time.Time) { e.Started(o, reply, err, now) })
 }
@@ -234,7 +238,9 @@
 	ctx, cancel := context.WithTimeout(h.ctx, orderPatience)
 	defer cancel()
 	begun := time.Now()
-	reply, err := h.cfg.Hosts.Stop(ctx, o.To, h.epoch(), o.Run)
+	reply, err := h.repeat(ctx, o.To, func(ctx context.Context) (host.Reply, error) {
+		return h.cfg.Hosts.Stop(ctx, o.To, h.epoch(), o.Run)
+	})
 	h.cfg.Metrics.order("stop", begun, outcome(reply, err))
 	h.do(func(e *engine.Engine, now time.Time) { e.Stopped(o, reply, err, now) })
 }
@@ -248,45 +254,6 @@
 	h.do(func(e *engine.Engine, now time.Time) { e.Paced(o, reply, err, now) })
 }
 
-// look asks a host what it runs, and asks again over a new connection when those
-// that are open may have fallen silent.
-func (h *Holder) look(o engine.LookOrder) {
-	for {
-		renewed := h.cfg.Health.Renewed()
-		begun := time.Now()
-		view, err := h.lookOnce(o, renewed)
-		if err != nil && h.ctx.Err() == nil && isClosed(renewed) {
-			continue
-		}
-		h.cfg.Metrics.order("look", begun, outcome(host.Reply{}, err))
-		h.do(func(e *engine.Engine, now time.Time) { e.Viewed(o, begun, view, err, now) })
-		return
-	}
-}
-
-// lookOnce asks once; the question is given up when giveUp is closed.
-func (h *Holder) lookOnce(o engine.LookOrder, giveUp <-chan struct{}) (host.View, error) {
-	ctx, cancel := context.WithTimeout(h.ctx, o.Look.Wait+lookSlack)
-	defer cancel()
-	go func() {
-		select {
-		case <-giveUp:
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
-	return h.cfg.Hosts.Look(ctx, o.To, h.epoch(), o.Look)
-}
-
-func isClosed(c <-chan struct{}) bool {
-	select {
-	case <-c:
-		return true
-	default:
-		return false
-	}
-}
-
 // outcome names how an order ended, for the metrics.
 func outcome(r host.Reply, err error) string {
 	switch {
