pulleyctl report: where the time of jobs goes, by queue

Cause: nothing told at a glance which part of a job's time was the largest; the log had it line by line.

Ruled out: figures between lines of different processes, as their clocks differ.

--- /dev/null
+++ b/internal/ctl/report.go
@@ -0,0 +1,123 @@
+package ctl
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"pulleyquay/internal/report"
+	"pulleyquay/internal/result"
+)
+
+func (a *app) reportCommand() *cobra.Command {
+	var plot string
+	cmd := &cobra.Command{
+		Use: "report FILE...", Short: "Tell from saved logs where the time of jobs goes, by queue (- reads standard input)",
+		Args: cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			var lines []report.Line
+			for _, name := range args {
+				more, err := readLog(cmd.InOrStdin(), name)
+				if err != nil {
+					return err
+				}
+				for _, l := range more {
+					lines = append(lines, l.forReport())
+				}
+			}
+			queues := report.Of(lines)
+			if len(queues) == 0 {
+				return fmt.Errorf("no line of these logs names a job")
+			}
+			if plot != "" {
+				if err := savePlot(plot, queues, lines); err != nil {
+					return err
+				}
+			}
+			return printReport(cmd.OutOrStdout(), queues)
+		},
+	}
+	cmd.Flags().StringVar(&plot, "plot", "", "draw how long jobs took over time into this SVG file")
+	return cmd
+}
+
+func (l logLine) forReport() report.Line {
+	ms := func(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+	return report.Line{Time: l.Time, Msg: l.Msg, Job: l.Job, Queue: l.Queue, Why: l.Why, Took: ms(l.TookMS), Age: ms(l.AgeMS)}
+}
+
+// savePlot draws into a file, with the first line's time as the beginning.
+func savePlot(name string, queues []*report.Queue, lines []report.Line) error {
+	from := lines[0].Time
+	for _, l := range lines {
+		if l.Time.Before(from) {
+			from = l.Time
+		}
+	}
+	f, err := os.Create(name)
+	if err != nil {
+		return result.New(result.BadInput, result.RanNo, "%v", err).At("plot")
+	}
+	err = report.Plot(f, queues, from)
+	if closeErr := f.Close(); err == nil {
+		err = closeErr
+	}
+	return err
+}
+
+// quantiles are what a report shows of each stage.
+var quantiles = []float64{0.5, 0.95, 0.99}
+
+func printReport(w io.Writer, queues []*report.Queue) error {
+	t := newTable(w)
+	for _, heading := range []string{"QUEUE", "ACCEPTED", "REFUSED", "ENDED"} {
+		t.cell(heading)
+	}
+	for _, s := range report.Stages {
+		t.cell(strings.ToUpper(string(s)) + " 50/95/99% MS")
+	}
+	t.end()
+	for _, q := range queues {
+		name := q.Name
+		if name == "" {
+			name = "(not told)"
+		}
+		t.cell(name)
+		t.cell(fmt.Sprint(q.Accepted))
+		t.cell(fmt.Sprint(q.Refused))
+		t.cell(outcomes(q))
+		for _, s := range report.Stages {
+			var parts []string
+			for _, p := range quantiles {
+				parts = append(parts, fmt.Sprint(q.Quantile(s, p).Milliseconds()))
+			}
+			t.cell(strings.Join(parts, "/"))
+		}
+		t.end()
+	}
+	return t.flush()
+}
+
+// outcomes lists how the jobs of a queue ended, the most frequent first.
+func outcomes(q *report.Queue) string {
+	states := make([]string, 0, len(q.Outcomes))
+	for s := range q.Outcomes {
+		states = append(states, s)
+	}
+	sort.Slice(states, func(a, b int) bool {
+		if q.Outcomes[states[a]] != q.Outcomes[states[b]] {
+			return q.Outcomes[states[a]] > q.Outcomes[states[b]]
+		}
+		return states[a] < states[b]
+	})
+	var parts []string
+	for _, s := range states {
+		parts = append(parts, fmt.Sprintf("%d %s", q.Outcomes[s], s))
+	}
+	return strings.Join(parts, ", ")
+}
--- a/internal/ctl/trace.go
+++ b/internal/ctl/trace.go
@@ -29,6 +29,9 @@
 	Code  int       `json:"code"`
 	AgeMS int64     `json:"age_ms"`
 	Epoch uint64    `json:"epoch"`
+	Queue string    `json:"queue"`
+	// TookMS is how long a call of the front took.
+	TookMS int64 `json:"took_ms"`
 }
 
 // turningPoints are lines that tell of the whole cell; those within a job's time
