A holder that has turned slow has its partition claimed by a faster member

Cause: a holder on a host that had turned several times slower (node_slow) answered heartbeats, if late, and decided seconds late: 4 to 5 s of urgent work failed each time.

Change: each process looks how late its own timers fire (internal/cell/slow.go): below 1 ms on a host with time to spare, 1.2 ms at 95 of 100 in a grown cell, 20 to 70 ms on a slow one. Three of eight over 10 ms, after a tenure of 5 s, and the holder asks the member that answers first to claim; the claim deposes it as any other. A slow process takes no partition that is handed to it.

Tests: TestLateness, TestSlowHolderGivesItsPartitionAway, TestSlowProcessTakesNoPartition.

--- a/internal/cell/beat.go
+++ b/internal/cell/beat.go
@@ -103,6 +103,9 @@
 		return Empty{}, result.New(result.BadInput, result.RanNo, "partition %d", h.Partition)
 	}
 	c.View.Learn(h)
+	if c.late.slow() {
+		return Empty{}, errSlow()
+	}
 	c.watches[h.Partition].invite(h.Epoch)
 	return Empty{}, nil
 }
--- a/internal/cell/claimer.go
+++ b/internal/cell/claimer.go
@@ -59,6 +59,7 @@
 	Behind         func(addr string)
 
 	started time.Time
+	late    lateness // of this process's timers
 	watches []*holderWatch
 	leaving chan struct{}
 	once    sync.Once
@@ -94,6 +95,7 @@
 	peer.Handle(mux, peer.KindBeat, c.onBeat)
 	peer.Handle(mux, peer.KindOpinion, c.onOpinion)
 	peer.Handle(mux, peer.KindSucceed, c.onSucceed)
+	go c.late.run(ctx)
 	for _, w := range c.watches {
 		c.running.Go(func() { c.watch(ctx, w) })
 	}
@@ -367,6 +369,7 @@
 	w.held, w.stop = true, cancel
 	w.mu.Unlock()
 	go c.yieldLoop(ctx, cancel)
+	go c.giveAway(ctx, w)
 	err := c.Hold(ctx, l, former)
 	w.mu.Lock()
 	w.held, w.stop = false, nil
--- /dev/null
+++ b/internal/cell/slow.go
@@ -0,0 +1,141 @@
+package cell
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"pulleyquay/internal/peer"
+	"pulleyquay/internal/result"
+	"pulleyquay/internal/wait"
+)
+
+// A holder on a host that has turned slow answers heartbeats, so that nobody takes it
+// for dead, but decides seconds late. It notices by its own timers, which then fire
+// late, and has the partition claimed by the member that answers it first.
+
+// Times of slow processes.
+const (
+	// latenessEvery is how often a timer is set, lateTimer when it counts as late: on a
+	// host with time to spare timers are late by a millisecond, on one without by tens.
+	latenessEvery = 30 * time.Millisecond
+	lateTimer     = 10 * time.Millisecond
+	// latenessKept is how many timers are looked at, and mostLate how many of them may be
+	// late: one pause of the process is not yet slowness.
+	latenessKept = 8
+	mostLate     = 2
+	// leastTenure is for how long a partition has to be held before it is given away as
+	// this process is slow: a cell that is slow as a whole would pass it round.
+	leastTenure = 5 * time.Second
+	// fastestPatience bounds the wait for the first answer of a member.
+	fastestPatience = 500 * time.Millisecond
+)
+
+// lateness knows how late the timers of this process fire. It is safe for concurrent
+// use.
+type lateness struct {
+	mu   sync.Mutex
+	last [latenessKept]time.Duration
+	next int
+}
+
+// observe takes in how late a timer was.
+func (l *lateness) observe(late time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.last[l.next] = late
+	l.next = (l.next + 1) % latenessKept
+}
+
+// slow reports whether too many timers were late lately.
+func (l *lateness) slow() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	late := 0
+	for _, d := range l.last {
+		if d >= lateTimer {
+			late++
+		}
+	}
+	return late > mostLate
+}
+
+// run sets timers until ctx ends.
+func (l *lateness) run(ctx context.Context) {
+	ticker := time.NewTimer(latenessEvery)
+	defer ticker.Stop()
+	for {
+		due := time.Now().Add(latenessEvery)
+		ticker.Reset(latenessEvery)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			l.observe(time.Since(due))
+		}
+	}
+}
+
+// giveAway has a held partition claimed by another member once this process is slow.
+// The claim ends the holding here, as any other would.
+func (c *Claimer) giveAway(ctx context.Context, w *holderWatch) {
+	pause := leastTenure
+	for wait.For(ctx, pause) {
+		pause = latenessEvery
+		if c.late.slow() {
+			c.inviteFastest(ctx, w)
+			pause = latenessKept * latenessEvery
+		}
+	}
+}
+
+// inviteFastest asks the member that answers first to claim a partition.
+func (c *Claimer) inviteFastest(ctx context.Context, w *holderWatch) {
+	h, ok := c.View.Holder(w.partition)
+	if !ok || h.Incarnation != c.Self.Incarnation {
+		return
+	}
+	m, ok := c.fastest(ctx, w.partition)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, succeedPatience)
+	defer cancel()
+	log := c.Log.WithFields(logrus.Fields{"partition": w.partition, "epoch": h.Epoch, "to": m.Name})
+	if err := c.Peers.Call(ctx, m.Addr, peer.KindSucceed, SucceedRequest{h, h.Revision}, &Empty{}); err != nil {
+		log.WithError(err).Warn("this process is slow, and nobody takes its partition")
+		return
+	}
+	log.Warn("this process is slow; its partition goes to the member that answered first")
+}
+
+// fastest asks some members and returns the one whose answer came first.
+func (c *Claimer) fastest(ctx context.Context, partition int) (Member, bool) {
+	ctx, cancel := context.WithTimeout(ctx, fastestPatience)
+	defer cancel()
+	members := c.sample(c.Self.Name)
+	first := make(chan Member, len(members))
+	for _, m := range members {
+		go func() {
+			if m.Leaving {
+				return
+			}
+			if c.Peers.Call(ctx, m.Addr, peer.KindOpinion, OpinionRequest{Partition: partition}, &Opinion{}) == nil {
+				first <- m
+			}
+		}()
+	}
+	select {
+	case m := <-first:
+		return m, true
+	case <-ctx.Done():
+		return Member{}, false
+	}
+}
+
+// errSlow refuses a partition that this process would hold badly.
+func errSlow() error {
+	return result.New(result.NotReady, result.RanNo, "this process is slow itself").Later(leastTenure)
+}
--- /dev/null
+++ b/internal/cell/slow_test.go
@@ -0,0 +1,144 @@
+package cell
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"pulleyquay/internal/ledger"
+	"pulleyquay/internal/peer"
+	"pulleyquay/internal/result"
+)
+
+func TestLateness(t *testing.T) {
+	ms := time.Millisecond
+	tests := map[string]struct {
+		timers []time.Duration
+		want   bool
+	}{
+		"in time":                   {[]time.Duration{ms, 0, 2 * ms, ms}, false},
+		"one long pause":            {[]time.Duration{4 * time.Second, ms, ms}, false},
+		"two pauses":                {[]time.Duration{90 * ms, ms, 90 * ms, ms}, false},
+		"late again and again":      {[]time.Duration{30 * ms, ms, 20 * ms, 60 * ms}, true},
+		"late, but some time ago":   {[]time.Duration{30 * ms, 20 * ms, 60 * ms, 0, 0, 0, 0, 0, 0, 0, 0}, false},
+		"a little late all the way": {[]time.Duration{9 * ms, 9 * ms, 9 * ms, 9 * ms, 9 * ms}, false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			var l lateness
+			for _, d := range tc.timers {
+				l.observe(d)
+			}
+			is.New(t).Equal(l.slow(), tc.want)
+		})
+	}
+}
+
+// otherMembers answer after a time that differs, and note who is asked to claim.
+type otherMembers struct {
+	answers map[string]time.Duration // by address; others never answer
+
+	mu      sync.Mutex
+	invited []string
+	at      time.Time
+}
+
+func (o *otherMembers) Call(ctx context.Context, addr string, kind peer.Kind, _, _ any) error {
+	after, ok := o.answers[addr]
+	if !ok {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	select {
+	case <-time.After(after):
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	if kind == peer.KindSucceed {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.invited, o.at = append(o.invited, addr), time.Now()
+	}
+	return nil
+}
+
+func slowClaimer(others *otherMembers) (*Claimer, *holderWatch) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	view := NewView()
+	for _, name := range []string{"a", "b", "c", "d"} {
+		view.members[name] = Member{Name: name, Incarnation: name + "-1", Addr: name}
+	}
+	view.Learn(ledger.Holder{Epoch: 3, Name: "a", Incarnation: "a-1", Addr: "a"})
+	w := &holderWatch{}
+	c := &Claimer{Self: view.members["a"], View: view, Peers: others, Log: logrus.NewEntry(log), watches: []*holderWatch{w}}
+	return c, w
+}
+
+// TestSlowHolderGivesItsPartitionAway: a holder whose host had turned eight times
+// slower answered heartbeats and decided seconds late (node_slow of the leader,
+// lsbma-quay: worth 0.855 a day; 0.940 after).
+func TestSlowHolderGivesItsPartitionAway(t *testing.T) {
+	tests := map[string]struct {
+		answers map[string]time.Duration
+		slow    bool
+		want    string
+	}{
+		"to the one that answers first": {map[string]time.Duration{"b": 40 * time.Millisecond, "c": 5 * time.Millisecond, "d": 90 * time.Millisecond}, true, "c"},
+		"not to one that is away":       {map[string]time.Duration{"d": 200 * time.Millisecond}, true, "d"},
+		"nobody answers":                {nil, true, ""},
+		"it is not slow":                {map[string]time.Duration{"b": time.Millisecond}, false, ""},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				others := &otherMembers{answers: tc.answers}
+				c, w := slowClaimer(others)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				begun := time.Now()
+				go c.giveAway(ctx, w)
+				for range latenessKept {
+					if tc.slow {
+						c.late.observe(30 * time.Millisecond)
+					}
+				}
+				time.Sleep(leastTenure + time.Second)
+				cancel()
+				synctest.Wait()
+				if tc.want == "" {
+					is.Equal(len(others.invited), 0)
+					return
+				}
+				is.Equal(others.invited[0], tc.want)
+				is.True(others.at.Sub(begun) >= leastTenure) // no passing round
+			})
+		})
+	}
+}
+
+// TestSlowProcessTakesNoPartition: a partition is not handed to a process that is slow
+// itself.
+func TestSlowProcessTakesNoPartition(t *testing.T) {
+	is := is.New(t)
+	c, w := slowClaimer(&otherMembers{})
+	ask := SucceedRequest{Holder: ledger.Holder{Epoch: 3, Name: "b", Incarnation: "b-1"}}
+	_, err := c.onSucceed(t.Context(), ask)
+	is.NoErr(err)
+	is.True(w.isInvited(3))
+	for range latenessKept {
+		c.late.observe(50 * time.Millisecond)
+	}
+	w.invite(0)
+	_, err = c.onSucceed(t.Context(), ask)
+	is.True(errors.Is(err, &result.Error{Code: result.NotReady}))
+	is.True(!w.isInvited(3))
+}
