Late answers are no silence: a busy holder does not renew all its connections

A busy holder takes in the answer to a second copy before that to the first; that counted as a silent connection or a lost answer, so all connections were opened anew and all looks asked again, 3,000 at once, every two seconds, which kept it busy. Late timers alone had it give its partition away besides.

Change: an overtaken copy is waited for for 0.25 s (store) or 0.15 s (orders) more before it counts; looks are asked again over a millisecond each, and wait a millisecond longer each while answers get lost; a process is slow only if a fixed piece of work takes 2.5 times as long as at its best besides.

Tests: resend TestLateAnswersAreNoSilence, holder TestOrdersAreRepeated ("overtaken"), cell TestLateness ("much to do on a sound host").

--- a/internal/cell/slow.go
+++ b/internal/cell/slow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"hash/fnv"
 	"sync"
 	"time"
 
@@ -14,7 +15,9 @@
 
 // A holder on a host that has turned slow answers heartbeats, so that nobody takes it
 // for dead, but decides seconds late. It notices by its own timers, which then fire
-// late, and has the partition claimed by the member that answers it first.
+// late, and by a fixed piece of work, which then takes longer; and it has the partition
+// claimed by the member that answers it first. Late timers alone mean that there is
+// much to do: the next holder would have as much.
 
 // Times of slow processes.
 const (
@@ -26,6 +29,8 @@
 	// late: one pause of the process is not yet slowness.
 	latenessKept = 8
 	mostLate     = 2
+	// slowWork is by how many times longer than at its best the work takes on a slow host.
+	slowWork = 2.5
 	// leastTenure is for how long a partition has to be held before it is given away as
 	// this process is slow: a cell that is slow as a whole would pass it round.
 	leastTenure = 5 * time.Second
@@ -33,48 +38,69 @@
 	fastestPatience = 500 * time.Millisecond
 )
 
-// lateness knows how late the timers of this process fire. It is safe for concurrent
-// use.
+// workBytes is how much is hashed as the fixed piece of work: some 15 microseconds.
+const workBytes = 16 << 10
+
+// timing is what one timer has shown.
+type timing struct {
+	late time.Duration
+	work time.Duration // that the fixed piece of work took
+}
+
+// lateness knows how late the timers of this process fire, and how long a fixed piece
+// of work takes it. It is safe for concurrent use.
 type lateness struct {
 	mu   sync.Mutex
-	last [latenessKept]time.Duration
+	last [latenessKept]timing
 	next int
+	best time.Duration // shortest time of the work so far
 }
 
-// observe takes in how late a timer was.
-func (l *lateness) observe(late time.Duration) {
+// observe takes in what a timer has shown.
+func (l *lateness) observe(t timing) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.last[l.next] = late
+	l.last[l.next] = t
 	l.next = (l.next + 1) % latenessKept
+	if t.work > 0 && (l.best == 0 || t.work < l.best) {
+		l.best = t.work
+	}
 }
 
-// slow reports whether too many timers were late lately.
+// slow reports whether the host is slow: too many timers were late lately, and not
+// once did the work take about as long as usual.
 func (l *lateness) slow() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	late := 0
-	for _, d := range l.last {
-		if d >= lateTimer {
+	late, work := 0, time.Duration(0)
+	for _, t := range l.last {
+		if t.late >= lateTimer {
 			late++
 		}
+		if t.work > 0 && (work == 0 || t.work < work) {
+			work = t.work
+		}
 	}
-	return late > mostLate
+	return late > mostLate && float64(work) >= slowWork*float64(l.best)
 }
 
 // run sets timers until ctx ends.
 func (l *lateness) run(ctx context.Context) {
-	ticker := time.NewTimer(latenessEvery)
-	defer ticker.Stop()
+	buf := make([]byte, workBytes)
+	timer := time.NewTimer(latenessEvery)
+	defer timer.Stop()
 	for {
 		due := time.Now().Add(latenessEvery)
-		ticker.Reset(latenessEvery)
+		timer.Reset(latenessEvery)
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
-			l.observe(time.Since(due))
+		case <-timer.C:
 		}
+		fired := time.Now()
+		h := fnv.New64a()
+		_, _ = h.Write(buf) // a hash takes everything
+		l.observe(timing{late: fired.Sub(due), work: time.Since(fired)})
 	}
 }
 
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -86,6 +87,7 @@
 	// lost.
 	answers resend.Latency
 	losses  *losses
+	looks   atomic.Int64 // under way
 
 	mu     sync.Mutex
 	engine *engine.Engine
@@ -224,10 +226,8 @@
 func (h *Holder) epoch() uint64 { return h.ledger.Holder().Epoch }
 
 func (h *Holder) start(o engine.StartOrder) {
-	ctx, cancel := context.WithTimeout(h.ctx, orderPatience)
-	defer cancel()
 	begun := time.Now()
-	reply, err := h.repeat(ctx, o.To, func(ctx context.Context) (host.Reply, error) {
+	reply, err := h.repeat(o.To, func(ctx context.Context) (host.Reply, error) {
 		return h.cfg.Hosts.Start(ctx, o.To, h.epoch(), o.Start)
 	})
 	h.cfg.Metrics.order("start", begun, outcome(reply, err))
@@ -235,10 +235,8 @@
 }
 
 func (h *Holder) stop(o engine.StopOrder) {
-	ctx, cancel := context.WithTimeout(h.ctx, orderPatience)
-	defer cancel()
 	begun := time.Now()
-	reply, err := h.repeat(ctx, o.To, func(ctx context.Context) (host.Reply, error) {
+	reply, err := h.repeat(o.To, func(ctx context.Context) (host.Reply, error) {
 		return h.cfg.Hosts.Stop(ctx, o.To, h.epoch(), o.Run)
 	})
 	h.cfg.Metrics.order("stop", begun, outcome(reply, err))
--- a/internal/holder/look.go
+++ b/internal/holder/look.go
@@ -7,6 +7,7 @@
 
 	"pulleyquay/internal/engine"
 	"pulleyquay/internal/host"
+	"pulleyquay/internal/wait"
 )
 
 // Times of looks.
@@ -18,6 +19,11 @@
 	// hosts get lost: the end of a task is heard of only by the next look.
 	lossyWait  = 400 * time.Millisecond
 	lossySlack = 250 * time.Millisecond
+	// lossyShare is how much longer looks wait then for each look under way, and relookShare
+	// over how much time for each they are asked again: a holder of thousands of hosts
+	// would be busy with that alone.
+	lossyShare  = time.Millisecond
+	relookShare = time.Millisecond
 	// lossyFor is for how long after a lost answer more are expected to get lost.
 	lossyFor = 3 * time.Second
 	// relookEvery is the least time between two rounds of asking every host again.
@@ -60,10 +66,12 @@
 // look asks a host what it runs, and asks again over a new connection when those
 // that are open may have fallen silent, or answers get lost.
 func (h *Holder) look(o engine.LookOrder) {
+	underWay := time.Duration(h.looks.Add(1))
+	defer h.looks.Add(-1)
 	for {
 		begun := time.Now()
 		view, again, err := h.lookOnce(o, begun)
-		if again && h.ctx.Err() == nil {
+		if again && wait.Jittered(h.ctx, underWay*relookShare) {
 			continue
 		}
 		h.cfg.Metrics.order("look", begun, outcome(host.Reply{}, err))
@@ -77,7 +85,8 @@
 	slack := lookSlack
 	lossy, relook := h.losses.lately(now)
 	if lossy {
-		o.Look.Wait, slack = min(o.Look.Wait, lossyWait), lossySlack
+		o.Look.Wait = min(o.Look.Wait, lossyWait+time.Duration(h.looks.Load())*lossyShare)
+		slack = lossySlack
 	}
 	renewed := h.cfg.Health.Renewed()
 	ctx, cancel := context.WithTimeout(h.ctx, o.Look.Wait+slack)
--- a/internal/holder/repeat.go
+++ b/internal/holder/repeat.go
@@ -23,6 +23,8 @@
 
 // order is one start or stop on its way.
 type order struct {
+	ctx     context.Context // of the copies
+	cancel  context.CancelFunc
 	send    func(ctx context.Context) (host.Reply, error)
 	answers chan orderAnswer
 	copies  int  // sent so far
@@ -35,16 +37,30 @@
 	err   error
 }
 
-// repeat sends copies of an order until one is answered or ctx ends. A refusal counts
-// only while no other copy may have been carried out; otherwise the outcome is
-// host.ErrLost.
-func (h *Holder) repeat(ctx context.Context, to host.Info, send func(context.Context) (host.Reply, error)) (host.Reply, error) {
-	o := order{send: send, answers: make(chan orderAnswer, mostOrderCopies)}
+// repeat sends copies of an order until one is answered or orderPatience is over. A
+// refusal counts only while no other copy may have been carried out; otherwise the
+// outcome is host.ErrLost.
+func (h *Holder) repeat(to host.Info, send func(context.Context) (host.Reply, error)) (host.Reply, error) {
+	ctx, cancel := context.WithTimeout(h.ctx, orderPatience+lateFor)
+	o := order{ctx: ctx, cancel: cancel, send: send, answers: make(chan orderAnswer, mostOrderCopies)}
+	reply, err := h.await(&o, to)
+	if err == nil && o.open > 0 {
+		go h.awaitCopies(&o)
+		return reply, nil
+	}
+	cancel()
+	return reply, err
+}
+
+// await sends the copies and waits for the first answer that settles the order.
+func (h *Holder) await(o *order, to host.Info) (host.Reply, error) {
+	patience := time.NewTimer(orderPatience)
+	defer patience.Stop()
 	gap := h.answers.Wait()
-	timer := time.NewTimer(gap)
-	defer timer.Stop()
+	next := time.NewTimer(gap)
+	defer next.Stop()
 	begun := time.Now()
-	o.start(ctx)
+	o.start()
 	for {
 		select {
 		case a := <-o.answers:
@@ -52,36 +68,61 @@
 				h.answers.Observe(time.Since(begun))
 			}
 			if o.settledBy(a) {
-				if o.open > 0 && a.err == nil {
-					h.losses.note(time.Now()) // an earlier copy was not answered
-				}
 				return a.reply, a.err
 			}
 			if o.open == 0 {
 				return host.Reply{}, o.failure(a.err)
 			}
-		case <-timer.C:
+		case <-next.C:
 			if o.copies == mostOrderCopies {
 				continue
 			}
 			if r, ok := h.cfg.Hosts.(Reconnecter); ok {
 				r.ReconnectTo(to.Addr)
 			}
-			o.start(ctx)
+			o.start()
 			gap *= 2
-			timer.Reset(gap)
-		case <-ctx.Done():
+			next.Reset(gap)
+		case <-patience.C:
 			return host.Reply{}, fmt.Errorf("%w: no answer to %d copies", host.ErrLost, o.copies)
+		case <-h.ctx.Done():
+			return host.Reply{}, fmt.Errorf("%w: %w", host.ErrLost, h.ctx.Err())
+		}
+	}
+}
+
+// lateFor is for how long a copy that was overtaken by another may still be answered: a
+// busy process often takes in the later answer first.
+const lateFor = 150 * time.Millisecond
+
+// awaitCopies notes a loss unless the copies still under way are answered after all.
+func (h *Holder) awaitCopies(o *order) {
+	defer o.cancel()
+	timer := time.NewTimer(lateFor)
+	defer timer.Stop()
+	for o.open > 0 {
+		select {
+		case a := <-o.answers:
+			o.open--
+			if a.err != nil {
+				h.losses.note(time.Now())
+				return
+			}
+		case <-timer.C:
+			h.losses.note(time.Now())
+			return
+		case <-h.ctx.Done():
+			return
 		}
 	}
 }
 
 // start sends one more copy.
-func (o *order) start(ctx context.Context) {
+func (o *order) start() {
 	o.copies++
 	o.open++
 	go func() {
-		reply, err := o.send(ctx)
+		reply, err := o.send(o.ctx)
 		o.answers <- orderAnswer{reply, err}
 	}()
 }
--- a/internal/platform/resend/resend.go
+++ b/internal/platform/resend/resend.go
@@ -35,6 +35,9 @@
 	// failedPause is the pause after a copy that was refused or whose connection broke;
 	// it doubles up to longestGap.
 	failedPause = 30 * time.Millisecond
+	// lateFor is for how long an overtaken copy may still be answered: a busy process
+	// often takes in the later answer first.
+	lateFor = 250 * time.Millisecond
 )
 
 // Reconnecter is a store client that can be told to open new connections for the
@@ -46,8 +49,8 @@
 	store   platform.Store
 	health  *follow.Health
 	latency Latency
-	// Overtaken is told when a later copy was answered while an earlier one stayed
-	// silent: its answer was lost, or its connection is dead. It may be nil.
+	// Overtaken is told when a later copy was answered and an earlier one stays silent:
+	// its answer was lost, or its connection is dead. It may be nil.
 	Overtaken func()
 }
 
@@ -70,27 +73,35 @@
 // The latter two come when ctx ends, ErrUnavailable also when giveUp says so: that is
 // asked, unless it is nil, while it is certain that no copy has an effect.
 func (s *Sender) Commit(ctx context.Context, txn platform.Txn, giveUp func() bool) (Reply, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel() // ends the copies still under way
-	c := copies{sender: s, ctx: ctx, txn: txn, gap: s.latency.Wait(), pause: failedPause, answers: make(chan answer, mostCopies)}
+	calls, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	c := copies{sender: s, ctx: ctx, calls: calls, txn: txn, gap: s.latency.Wait(), pause: failedPause, answers: make(chan answer, mostCopies)}
 	if giveUp == nil {
 		giveUp = func() bool { return false }
 	}
-	return c.run(giveUp)
+	reply, err := c.run(giveUp)
+	if err == nil && c.overtaken && s.Overtaken != nil {
+		go c.awaitOvertaken(cancel)
+		return reply, nil
+	}
+	cancel() // ends the copies still under way
+	return reply, err
 }
 
 // copies is one transaction on its way.
 type copies struct {
 	sender  *Sender
-	ctx     context.Context
+	ctx     context.Context // the caller's
+	calls   context.Context // of the copies
 	txn     platform.Txn
 	answers chan answer
 	// underWay are the copies not answered yet, the oldest first.
 	underWay []*flight
 	sent     int  // copies so far
 	doubt    bool // a copy that was given up may have an effect
-	gap      time.Duration
-	pause    time.Duration
+	// overtaken is true when a later copy was answered before the oldest.
+	overtaken bool
+	gap       time.Duration
+	pause     time.Duration
 }
 
 // flight is one copy under way.
@@ -146,7 +157,7 @@
 		c.underWay[0].cancel()
 		c.underWay, c.doubt = c.underWay[1:], true
 	}
-	ctx, cancel := context.WithCancel(c.ctx)
+	ctx, cancel := context.WithCancel(c.calls)
 	f := &flight{sent: time.Now(), cancel: cancel}
 	c.underWay = append(c.underWay, f)
 	c.sent++
@@ -155,7 +166,7 @@
 		reply, err := c.sender.store.Commit(ctx, c.txn)
 		select {
 		case c.answers <- answer{f, reply, err}:
-		case <-c.ctx.Done():
+		case <-c.calls.Done():
 		}
 	}()
 }
@@ -171,9 +182,7 @@
 	case a.err == nil:
 		c.sender.health.Note(true, now)
 		c.sender.latency.Observe(now.Sub(a.of.sent))
-		if oldest != a.of && c.sender.Overtaken != nil {
-			c.sender.Overtaken()
-		}
+		c.overtaken = oldest != a.of
 		return Reply{TxnReply: a.reply, Repeated: c.sent > 1}, true, nil
 	case errors.Is(a.err, platform.ErrRefused):
 		return Reply{}, true, a.err
@@ -185,6 +194,25 @@
 	return Reply{}, false, nil
 }
 
+// awaitOvertaken tells that a copy was overtaken unless its answer comes after all.
+func (c *copies) awaitOvertaken(cancel context.CancelFunc) {
+	defer cancel()
+	oldest := c.underWay[0]
+	timer := time.NewTimer(lateFor)
+	defer timer.Stop()
+	for {
+		select {
+		case a := <-c.answers:
+			if a.of == oldest {
+				return
+			}
+		case <-timer.C:
+			c.sender.Overtaken()
+			return
+		}
+	}
+}
+
 // land takes a copy off those under way.
 func (c *copies) land(f *flight) bool {
 	for i, other := range c.underWay {
