Copies of orders follow the answers' times and a budget

The wait for an answer was learned from orders of one copy only, so that it never grew.

Change: every copy's answer is learned from, late ones included; copies are within a retry budget (internal/retrybudget) of half of the orders.

Ruled out: advice, the store (1,181 starts refused for tickets that had run out while they waited, 3,096 unanswered).

Test: TestCopiesDoNotKeepAHolderBusy, seen failing without the learning.

--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -20,6 +20,7 @@
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/platform/follow"
 	"pulleyquay/internal/platform/resend"
+	"pulleyquay/internal/retrybudget"
 	"pulleyquay/internal/upkeep"
 )
 
@@ -86,6 +87,7 @@
 	// answers is how long hosts take to answer orders; losses tells of those that got
 	// lost.
 	answers resend.Latency
+	copies  *retrybudget.Budget // of orders
 	losses  *losses
 	looks   atomic.Int64 // under way
 
@@ -107,7 +109,7 @@
 	return &Holder{
 		cfg: cfg, ledger: l,
 		log:  cfg.Log.WithFields(logrus.Fields{"partition": self.Partition, "epoch": self.Epoch}),
-		wake: make(chan struct{}, 1), commit: make(chan struct{}, 1), stored: make(chan struct{}), losses: newLosses(),
+		wake: make(chan struct{}, 1), commit: make(chan struct{}, 1), stored: make(chan struct{}), losses: newLosses(), copies: retrybudget.New(),
 		engine: engine.New(engine.Config{
 			Partition: self.Partition, Epoch: self.Epoch, Bounds: cfg.Bounds, Tuning: cfg.Tuning,
 			Seed: self.Epoch, Log: cfg.Event, WaveState: cfg.WaveState,
--- a/internal/holder/repeat.go
+++ b/internal/holder/repeat.go
@@ -35,12 +35,14 @@
 type orderAnswer struct {
 	reply host.Reply
 	err   error
+	took  time.Duration // of this copy
 }
 
 // repeat sends copies of an order until one is answered or orderPatience is over. A
 // refusal counts only while no other copy may have been carried out; otherwise the
 // outcome is host.ErrLost.
 func (h *Holder) repeat(to host.Info, send func(context.Context) (host.Reply, error)) (host.Reply, error) {
+	h.copies.Earn(copyPercent)
 	ctx, cancel := context.WithTimeout(h.ctx, orderPatience+lateFor)
 	o := order{ctx: ctx, cancel: cancel, send: send, answers: make(chan orderAnswer, mostOrderCopies)}
 	reply, err := h.await(&o, to)
@@ -59,14 +61,11 @@
 	gap := h.answers.Wait()
 	next := time.NewTimer(gap)
 	defer next.Stop()
-	begun := time.Now()
 	o.start()
 	for {
 		select {
 		case a := <-o.answers:
-			if a.err == nil && o.copies == 1 {
-				h.answers.Observe(time.Since(begun))
-			}
+			h.learn(a)
 			if o.settledBy(a) {
 				return a.reply, a.err
 			}
@@ -74,7 +73,7 @@
 				return host.Reply{}, o.failure(a.err)
 			}
 		case <-next.C:
-			if o.copies == mostOrderCopies {
+			if o.copies == mostOrderCopies || !h.copies.Spend() {
 				continue
 			}
 			if r, ok := h.cfg.Hosts.(Reconnecter); ok {
@@ -91,6 +90,18 @@
 	}
 }
 
+// learn takes in how long one copy took: answers that come late, as the holder itself
+// is busy, must lengthen the wait, or copies would keep it busy.
+func (h *Holder) learn(a orderAnswer) {
+	if a.err == nil {
+		h.answers.Observe(a.took)
+	}
+}
+
+// copyPercent is how many copies a hundred orders allow for: enough for a third of them
+// to get lost, and too few to keep an overloaded holder overloaded.
+const copyPercent = 50
+
 // lateFor is for how long a copy that was overtaken by another may still be answered: a
 // busy process often takes in the later answer first.
 const lateFor = 150 * time.Millisecond
@@ -104,6 +115,7 @@
 		select {
 		case a := <-o.answers:
 			o.open--
+			h.learn(a)
 			if a.err != nil {
 				h.losses.note(time.Now())
 				return
@@ -121,9 +133,10 @@
 func (o *order) start() {
 	o.copies++
 	o.open++
+	begun := time.Now()
 	go func() {
 		reply, err := o.send(o.ctx)
-		o.answers <- orderAnswer{reply, err}
+		o.answers <- orderAnswer{reply, err, time.Since(begun)}
 	}()
 }
 
--- a/internal/holder/repeat_test.go
+++ b/internal/holder/repeat_test.go
@@ -88,3 +88,34 @@
 		})
 	}
 }
+
+// TestCopiesDoNotKeepAHolderBusy: a burst left the holder of 350 hosts without processor
+// time; answers came late, each order was sent three times, and that kept it busy for the
+// rest of the day (hunt-9b53-7 on lsbma-quay-grown: served 0.146).
+func TestCopiesDoNotKeepAHolderBusy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := newHolder(t, nil)
+		var sent atomic.Int64
+		order := func(takes time.Duration) {
+			_, err := h.repeat(host.Info{ID: "h"}, func(ctx context.Context) (host.Reply, error) {
+				sent.Add(1)
+				select {
+				case <-time.After(takes):
+					return host.Reply{}, nil
+				case <-ctx.Done():
+					return host.Reply{}, host.ErrLost
+				}
+			})
+			is.NoErr(err)
+		}
+		for range 200 {
+			order(2 * time.Millisecond)
+		}
+		sent.Store(0)
+		for range 200 {
+			order(150 * time.Millisecond) // the holder is busy
+		}
+		is.True(sent.Load() < 230) // it has learned that answers take longer
+	})
+}
--- a/internal/platform/resend/resend.go
+++ b/internal/platform/resend/resend.go
@@ -203,6 +203,9 @@
 	for {
 		select {
 		case a := <-c.answers:
+			if a.err == nil {
+				c.sender.latency.Observe(time.Since(a.of.sent)) // late, as this process is busy
+			}
 			if a.of == oldest {
 				return
 			}
