A busy holder notes no lost answers

A holder without processor time hears answers late; each counted as lost, so that all looks were asked again every 1.5 s and came more often, which kept it busy.

Change: losses count only while answers usually take less than 120 ms here.

Test: TestCopiesDoNotKeepAHolderBusy, last part.

--- a/internal/holder/repeat.go
+++ b/internal/holder/repeat.go
@@ -102,6 +102,18 @@
 // to get lost, and too few to keep an overloaded holder overloaded.
 const copyPercent = 50
 
+// busyWait is from which usual wait for an answer on this holder is taken to be busy
+// itself: what is late then is late here, and asking hosts more often would only add to
+// it.
+const busyWait = 120 * time.Millisecond
+
+// noteLoss notes that an answer got lost, unless this holder is busy.
+func (h *Holder) noteLoss() {
+	if h.answers.Wait() < busyWait {
+		h.losses.note(time.Now())
+	}
+}
+
 // lateFor is for how long a copy that was overtaken by another may still be answered: a
 // busy process often takes in the later answer first.
 const lateFor = 150 * time.Millisecond
@@ -117,11 +129,11 @@
 			o.open--
 			h.learn(a)
 			if a.err != nil {
-				h.losses.note(time.Now())
+				h.noteLoss()
 				return
 			}
 		case <-timer.C:
-			h.losses.note(time.Now())
+			h.noteLoss()
 			return
 		case <-h.ctx.Done():
 			return
--- a/internal/holder/repeat_test.go
+++ b/internal/holder/repeat_test.go
@@ -117,5 +117,10 @@
 			order(150 * time.Millisecond) // the holder is busy
 		}
 		is.True(sent.Load() < 230) // it has learned that answers take longer
+		h.losses.last = time.Time{}
+		order(280 * time.Millisecond) // answered after a copy
+		time.Sleep(time.Second)
+		lossy, _ := h.losses.lately(time.Now())
+		is.True(!lossy) // hosts are not asked more often besides
 	})
 }
