--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -19,8 +19,6 @@
 	"pulleyquay/internal/peer"
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/platform/follow"
-	"pulleyquay/internal/platform/resend"
-	"pulleyquay/internal/retrybudget"
 	"pulleyquay/internal/upkeep"
 )
 
@@ -36,8 +34,8 @@
 	// commitIdle is how soon a transaction follows the last when there is nothing
 	// to write: it renews the right to give orders.
 	commitIdle = 600 * time.Millisecond
-	// orderPatience bounds the wait for the answer to the copies of a start or a stop.
-	orderPatience = 300 * time.Millisecond
+	// orderPatience bounds the wait for the answer to a start or a stop.
+	orderPatience = 250 * time.Millisecond
 	// machinePatience bounds a call to the service for machines.
 	machinePatience = 1500 * time.Millisecond
 	// gatherFor is how long events are gathered before decisions are made.
@@ -84,12 +82,7 @@
 	wake   chan struct{}
 	commit chan struct{}
 	calls  sync.WaitGroup
-	// answers is how long hosts take to answer orders; losses tells of those that got
-	// lost.
-	answers resend.Latency
-	copies  *retrybudget.Budget // of orders
-	losses  *losses
-	looks   atomic.Int64 // under way
+	looks  atomic.Int64 // under way
 
 	mu     sync.Mutex
 	engine *engine.Engine
@@ -109,7 +102,7 @@
 	return &Holder{
 		cfg: cfg, ledger: l,
 		log:  cfg.Log.WithFields(logrus.Fields{"partition": self.Partition, "epoch": self.Epoch}),
-		wake: make(chan struct{}, 1), commit: make(chan struct{}, 1), stored: make(chan struct{}), losses: newLosses(), copies: retrybudget.New(),
+		wake: make(chan struct{}, 1), commit: make(chan struct{}, 1), stored: make(chan struct{}),
 		engine: engine.New(engine.Config{
 			Partition: self.Partition, Epoch: self.Epoch, Bounds: cfg.Bounds, Tuning: cfg.Tuning,
 			Seed: self.Epoch, Log: cfg.Event, WaveState: cfg.WaveState,
@@ -228,19 +221,19 @@
 func (h *Holder) epoch() uint64 { return h.ledger.Holder().Epoch }
 
 func (h *Holder) start(o engine.StartOrder) {
+	ctx, cancel := context.WithTimeout(h.ctx, orderPatience)
+	defer cancel()
 	begun := time.Now()
-	reply, err := h.repeat(o.To, func(ctx context.Context) (host.Reply, error) {
-		return h.cfg.Hosts.Start(ctx, o.To, h.epoch(), o.Start)
-	})
+	reply, err := h.cfg.Hosts.Start(ctx, o.To, h.epoch(), o.Start)
 	h.cfg.Metrics.order("start", begun, outcome(reply, err))
 	h.do(func(e *engine.Engine, now time.Time) { e.Started(o, reply, err, now) })
 }
 
 func (h *Holder) stop(o engine.StopOrder) {
+	ctx, cancel := context.WithTimeout(h.ctx, orderPatience)
+	defer cancel()
 	begun := time.Now()
-	reply, err := h.repeat(o.To, func(ctx context.Context) (host.Reply, error) {
-		return h.cfg.Hosts.Stop(ctx, o.To, h.epoch(), o.Run)
-	})
+	reply, err := h.cfg.Hosts.Stop(ctx, o.To, h.epoch(), o.Run)
 	h.cfg.Metrics.order("stop", begun, outcome(reply, err))
 	h.do(func(e *engine.Engine, now time.Time) { e.Stopped(o, reply, err, now) })
 }
