Callers in doubt are told while they have time to try again

Cause: when the store falls silent for all, jobs on their way to it were held until their callers' time was up (2.94 s of 3 s, 25 to 30 of them in an outage of 4.4 s), then got 504 with no time left. The silence was noticed after 0.9 to 1.2 s, each process by itself: 0.5 s for one call, 0.3 s more, and the wait for its next call.

Change: internal/admission (pure) decides from what a process knows of the store: try, relay, refuse, or tell the doubt. The health counts from the first call that nothing was answered after, so silence is known 0.5 s after it; a caller in doubt is told after two fifths of its time. The copies of a transaction that was given up are still listened to, so that a store that turns slow at once is not taken for a silent one for good. The parallel relay after 0.6 s is gone: an attempt given up is relayed.

Ruled out: 0.25 s of silence: stores sixty times slower (0.24 s an answer, 0.5 s with copies) and the row of 0.8 s were given up; telling the doubt at once: the caller's retry comes 50 ms later and uses up its tries. A longer time to come back than 1 s: callers give up after 3 s in all, they would have one try less.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -34,10 +34,8 @@
 	holderPause = 50 * time.Millisecond
 	// AnswerMargin is left of the caller's time for the answer to travel.
 	AnswerMargin = 60 * time.Millisecond
-	// comeBackSoon and comeBackLater are when callers are told to come back: after
-	// a moment's trouble, or an outage of the store.
-	comeBackSoon  = 500 * time.Millisecond
-	comeBackLater = time.Second
+	// comeBackSoon is when callers are told to come back after a moment's trouble.
+	comeBackSoon = 500 * time.Millisecond
 	// DefaultPatience is how long a caller that does not say waits.
 	DefaultPatience = 3 * time.Second
 )
@@ -80,7 +78,7 @@
 func (f *Front) logSubmit(q *catalog.Queue, id string, made made, err error, begun time.Time) {
 	log := f.Log.WithFields(logrus.Fields{
 		"job": id, "queue": q.Name, "took_ms": time.Since(begun).Milliseconds(),
-		"store_silent_ms": f.Health.Failing(time.Now()).Milliseconds(),
+		"store_silent_ms": max(f.Health.Silent(time.Now()), f.Health.Failing(time.Now())).Milliseconds(),
 	})
 	if err == nil {
 		log.WithField("why", made.String()).Info("job accepted")
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -46,8 +46,6 @@
 
 // relay has a job stored by a peer.
 func (f *Front) relay(ctx context.Context, rec record.Job) (made, error) {
-	away := result.New(result.JobNotStored, result.RanNo, "the store has not answered for %v, nor through a peer",
-		f.Health.Failing(time.Now()).Round(time.Millisecond)).Later(comeBackLater)
 	doubt := false
 	for _, addr := range f.relays(rec.ID) {
 		callCtx, cancel := context.WithTimeout(ctx, relayPatience)
@@ -70,7 +68,7 @@
 	if doubt {
 		return 0, f.unsettled()
 	}
-	return 0, away
+	return 0, f.storeAway()
 }
 
 // relays are the peers to try, one after the other: the holder, which most likely
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -5,23 +5,12 @@
 	"errors"
 	"time"
 
+	"pulleyquay/internal/admission"
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/record"
 	"pulleyquay/internal/result"
 )
 
-// Times of storing a job.
-const (
-	// relayAfter is after how long without an answer a job is given to a peer to
-	// store, if the store answers nothing else of this process either.
-	relayAfter = 600 * time.Millisecond
-	// relayCheck is how often that is looked at.
-	relayCheck = 50 * time.Millisecond
-	// awayAfter is for how long the store has to be unanswering before jobs are
-	// refused at once.
-	awayAfter = 300 * time.Millisecond
-)
-
 // made tells who made a job's record.
 type made int
 
@@ -48,90 +37,72 @@
 	err  error
 }
 
-// unknown reports whether the job may be stored, now or later, although the attempt
+// inDoubt reports whether the job may be stored, now or later, although the attempt
 // failed.
-func (s stored) unknown() bool { return s.err != nil && result.From(s.err).Ran != result.RanNo }
+func (s stored) inDoubt() bool { return s.err != nil && result.From(s.err).Ran != result.RanNo }
 
 // storeSomewhere stores a job: with calls of this process's own, and by a peer while
-// the store does not answer this process.
+// the store does not answer this process. What is tried and what the caller is told in
+// the end is decided in package admission.
 func (f *Front) storeSomewhere(ctx context.Context, rec record.Job) (made, error) {
-	if f.away() {
-		return f.relay(ctx, rec)
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	own := make(chan stored, 1)
-	go func() {
-		m, err := f.storeHere(ctx, rec)
-		own <- stored{m, err}
-	}()
-	first, answered := f.awaitOwn(own)
-	if answered && (first.err == nil || first.unknown() || result.CodeOf(first.err) == result.StoreRefused) {
-		return first.made, first.err
-	}
-	peer := make(chan stored, 1)
-	go func() {
-		m, err := f.relay(ctx, rec)
-		peer <- stored{m, err}
-	}()
-	if answered {
-		own <- first
-	}
-	return f.eitherOf(own, peer)
-}
-
-// awaitOwn waits for this process's own attempt, as long as the store answers it at
-// all. It reports whether the attempt has ended.
-func (f *Front) awaitOwn(own <-chan stored) (stored, bool) {
-	begun := time.Now()
-	check := time.NewTicker(relayCheck)
-	defer check.Stop()
+	var job admission.Job
+	var last stored
 	for {
-		select {
-		case s := <-own:
-			return s, true
-		case now := <-check.C:
-			if now.Sub(begun) >= relayAfter && f.Health.Failing(now) > 0 {
-				return stored{}, false
+		switch step := admission.Next(job, f.outlook()); step {
+		case admission.Try:
+			last.made, last.err = f.storeHere(ctx, rec)
+			job.Tried = true
+		case admission.Relay:
+			last.made, last.err = f.relay(ctx, rec)
+			job.Relayed = true
+			if job.InDoubt && last.err == nil {
+				last.made = mayBeHere // or this process's own attempt has made it
 			}
+		case admission.Doubt:
+			return 0, f.unsettled()
+		default:
+			if last.err == nil {
+				last.err = f.storeAway()
+			}
+			return 0, last.err
 		}
-	}
-}
-
-// eitherOf waits for the first of two attempts that succeeds, or for both to fail.
-func (f *Front) eitherOf(own, peer <-chan stored) (made, error) {
-	var failed []stored
-	for len(failed) < 2 {
-		var s stored
-		select {
-		case s = <-own:
-		case s = <-peer:
+		if last.err == nil || result.CodeOf(last.err) == result.StoreRefused {
+			return last.made, last.err
 		}
-		if s.err == nil {
-			return mayBeHere, nil // the other attempt may have made it, or may yet arrive
+		job.InDoubt = job.InDoubt || last.inDoubt()
+		if ctx.Err() != nil {
+			job.Tried, job.Relayed = true, true // there is no time left for more
 		}
-		failed = append(failed, s)
-	}
-	if failed[0].unknown() || failed[1].unknown() {
-		return 0, f.unsettled()
 	}
-	return 0, failed[0].err
+}
+
+// outlook is what this process knows of the store now.
+func (f *Front) outlook() admission.Store {
+	now := time.Now()
+	return admission.Store{Silent: f.Health.Silent(now), Failing: f.Health.Failing(now), Usual: f.Store.Usual()}
 }
 
 // away reports whether the store has not answered this process for so long that
 // jobs are not tried there.
-func (f *Front) away() bool { return f.Health.Failing(time.Now()) > awayAfter }
+func (f *Front) away() bool { return f.outlook().Away() }
+
+// storeAway is the error of a job that was not sent to the store.
+func (f *Front) storeAway() error {
+	o := f.outlook()
+	return result.New(result.JobNotStored, result.RanNo, "the store has not answered for %v",
+		max(o.Silent, o.Failing).Round(time.Millisecond)).Later(admission.ComeBack)
+}
 
 // store writes a job's record where none is, for a peer.
 func (f *Front) store(ctx context.Context, rec record.Job) (made, error) {
 	if f.away() {
-		return 0, result.New(result.JobNotStored, result.RanNo, "the store has not answered for %v", f.Health.Failing(time.Now()).Round(time.Millisecond)).Later(comeBackLater)
+		return 0, f.storeAway()
 	}
 	return f.storeHere(ctx, rec)
 }
 
 // storeHere writes a job's record with calls of this process's own, until the store
-// has answered, ctx ends, or the store has refused for long.
+// has answered, ctx ends, or the store counts as away.
 func (f *Front) storeHere(ctx context.Context, rec record.Job) (made, error) {
 	value, err := record.Encode(rec)
 	if err != nil {
@@ -139,7 +110,7 @@
 	}
 	key := record.JobKey(f.partition(rec.ID), rec.ID)
 	txn := platform.Txn{If: []platform.Condition{{Key: key}}, Then: []platform.Write{{Key: key, Value: value}}}
-	reply, err := f.Store.Commit(ctx, txn, f.away)
+	reply, err := f.Store.Commit(ctx, txn, f.giveUp(ctx))
 	switch {
 	case errors.Is(err, platform.ErrRefused):
 		return 0, result.New(result.StoreRefused, result.RanNo, "%v", err)
@@ -155,7 +126,20 @@
 	return stoodThere, nil
 }
 
+// giveUp tells when a job that is being stored is given up: while it is certain that it
+// is not stored, when the store counts as away; in doubt, when the caller has waited
+// long enough as well.
+func (f *Front) giveUp(ctx context.Context) func(inDoubt bool) bool {
+	begun, patience := time.Now(), DefaultPatience
+	if end, ok := ctx.Deadline(); ok {
+		patience = end.Sub(begun)
+	}
+	return func(inDoubt bool) bool {
+		return f.away() && (!inDoubt || time.Since(begun) >= admission.DoubtAfter(patience))
+	}
+}
+
 // unsettled is the error of a job that may be stored, now or later.
 func (f *Front) unsettled() error {
-	return result.New(result.JobStoreUnknown, result.RanUnknown, "the store has not answered in the caller's time").Later(comeBackSoon)
+	return result.New(result.JobStoreUnknown, result.RanUnknown, "the store has not answered; handing the job in again tells").Later(admission.ComeBack)
 }
--- a/internal/platform/follow/health.go
+++ b/internal/platform/follow/health.go
@@ -14,6 +14,9 @@
 	answered time.Time // last answer
 	failing  bool      // the last call that ended went unanswered
 	since    time.Time // when failing began
+	// waiting is when the first of the calls was sent that nothing was answered after;
+	// zero when there is none.
+	waiting  time.Time
 	restored chan struct{}
 	renewed  chan struct{}
 	// onChange is told when the store is lost or regained.
@@ -44,7 +47,7 @@
 		changed, h.failing, h.since = true, true, now
 	}
 	if answered {
-		h.answered = now
+		h.answered, h.waiting = now, time.Time{}
 	}
 	h.mu.Unlock()
 	if changed {
@@ -52,6 +55,28 @@
 	}
 }
 
+// Asked takes in that a call was sent which is answered at once where the store is
+// well.
+func (h *Health) Asked(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.waiting.IsZero() {
+		h.waiting = now
+	}
+}
+
+// Silent is since how long calls have been waiting with no answer to any; zero when
+// none waits. It knows of a store that has fallen silent before the first call is given
+// up.
+func (h *Health) Silent(now time.Time) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.waiting.IsZero() {
+		return 0
+	}
+	return now.Sub(h.waiting)
+}
+
 // Age is how long ago the store last answered.
 func (h *Health) Age(now time.Time) time.Duration {
 	h.mu.Lock()
--- a/internal/platform/resend/resend.go
+++ b/internal/platform/resend/resend.go
@@ -28,8 +28,7 @@
 	// for the next. With longestGap it lets a store take six seconds to answer.
 	mostCopies = 12
 	// silentAfter is for how long a copy may go unanswered, where answers take less,
-	// before the store counts as not answering; from then on that is looked at again
-	// every silentCheck.
+	// before the store counts as not answering, which is looked at every silentCheck.
 	silentAfter = 500 * time.Millisecond
 	silentCheck = 50 * time.Millisecond
 	// failedPause is the pause after a copy that was refused or whose connection broke;
@@ -70,15 +69,19 @@
 // Commit sends copies of a transaction until one is answered. It returns
 // platform.ErrRefused for one that the store never takes, ErrUnavailable when it
 // certainly has no effect, and ErrUnknownOutcome when it may have one, now or later.
-// The latter two come when ctx ends, ErrUnavailable also when giveUp says so: that is
-// asked, unless it is nil, while it is certain that no copy has an effect.
-func (s *Sender) Commit(ctx context.Context, txn platform.Txn, giveUp func() bool) (Reply, error) {
+// The latter two come when ctx ends, or when giveUp says so, unless it is nil: it is told
+// whether a copy may have an effect.
+func (s *Sender) Commit(ctx context.Context, txn platform.Txn, giveUp func(inDoubt bool) bool) (Reply, error) {
 	calls, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	c := copies{sender: s, ctx: ctx, calls: calls, txn: txn, gap: s.latency.Wait(), pause: failedPause, answers: make(chan answer, mostCopies)}
 	if giveUp == nil {
-		giveUp = func() bool { return false }
+		giveUp = func(bool) bool { return false }
 	}
 	reply, err := c.run(giveUp)
+	if c.abandoned {
+		go c.awaitAbandoned(cancel)
+		return reply, err
+	}
 	if err == nil && c.overtaken && s.Overtaken != nil {
 		go c.awaitOvertaken(cancel)
 		return reply, nil
@@ -87,6 +90,9 @@
 	return reply, err
 }
 
+// Usual is for how long an answer is worth waiting for, as learned from those so far.
+func (s *Sender) Usual() time.Duration { return s.latency.Wait() }
+
 // copies is one transaction on its way.
 type copies struct {
 	sender  *Sender
@@ -100,6 +106,8 @@
 	doubt    bool // a copy that was given up may have an effect
 	// overtaken is true when a later copy was answered before the oldest.
 	overtaken bool
+	// abandoned is true when it was given up while copies were under way.
+	abandoned bool
 	gap       time.Duration
 	pause     time.Duration
 }
@@ -117,11 +125,11 @@
 	err   error
 }
 
-func (c *copies) run(giveUp func() bool) (Reply, error) {
+func (c *copies) run(giveUp func(inDoubt bool) bool) (Reply, error) {
 	c.send()
 	next := time.NewTimer(c.gap)
 	defer next.Stop()
-	silent := time.NewTimer(c.silentAfter())
+	silent := time.NewTimer(silentCheck)
 	defer silent.Stop()
 	for {
 		select {
@@ -133,7 +141,7 @@
 			if len(c.underWay) > 0 {
 				continue
 			}
-			if !c.doubt && giveUp() || !c.rest() {
+			if giveUp(c.doubt) || !c.rest() {
 				return Reply{}, c.givenUp()
 			}
 		case <-next.C:
@@ -142,6 +150,10 @@
 		case <-silent.C:
 			silent.Reset(silentCheck)
 			c.noteSilence()
+			if c.waitsLong() && giveUp(true) {
+				c.abandoned = true
+				return Reply{}, c.givenUp()
+			}
 			continue
 		case <-c.ctx.Done():
 			return Reply{}, c.givenUp()
@@ -161,6 +173,7 @@
 	f := &flight{sent: time.Now(), cancel: cancel}
 	c.underWay = append(c.underWay, f)
 	c.sent++
+	c.sender.health.Asked(f.sent)
 	go func() {
 		defer cancel()
 		reply, err := c.sender.store.Commit(ctx, c.txn)
@@ -216,6 +229,34 @@
 	}
 }
 
+// abandonedFor is for how long the copies of an abandoned transaction are listened to.
+const abandonedFor = 6 * time.Second
+
+// awaitAbandoned takes in the first answer to an abandoned transaction: it tells that
+// the store is there and how long it takes now. A store that turns slow all at once
+// would else be taken for a silent one for good.
+func (c *copies) awaitAbandoned(cancel context.CancelFunc) {
+	defer cancel()
+	timer := time.NewTimer(abandonedFor)
+	defer timer.Stop()
+	for len(c.underWay) > 0 {
+		select {
+		case a := <-c.answers:
+			if _, done, _ := c.take(a); done {
+				return
+			}
+		case <-timer.C:
+			return
+		}
+	}
+}
+
+// waitsLong reports whether a copy has been under way for a while, so that it is not
+// about to be answered.
+func (c *copies) waitsLong() bool {
+	return len(c.underWay) > 0 && time.Since(c.underWay[0].sent) >= silentCheck
+}
+
 // land takes a copy off those under way.
 func (c *copies) land(f *flight) bool {
 	for i, other := range c.underWay {
