A long queue costs little: goings through it are bounded, and look at room first

The holder went through all of them a thousand times a second, asked about hosts for each, and spent 1.7 of 2 s of wall time in Engine.Next (counted on a copy of the code): answers were taken in late, orders ran out, the partition changed hands, and the cell stayed at a tenth of its work long after the burst.

Change: pauses between goings through the queue grow with it (20 us a step, 20 ms at the most), those between two tries of a step with its rank; one going through tries 200 single tasks or 40 gangs. A step whose tasks fit nowhere in its service is not asked about; a host's free room is looked at before rules and tickets. Ready steps join the queue by a list in place of map lookups. Why a step waits is told for twenty at a time. A place kept for a less urgent step no longer counts against a gang.

--- a/internal/engine/ask.go
+++ b/internal/engine/ask.go
@@ -35,7 +35,8 @@
 
 // askForTasks asks about hosts that have room for tasks that wait.
 func (e *Engine) askForTasks(g *group, c []*hostState, now time.Time) {
-	if !e.mayAsk(g, now) {
+	size := g.step.Booked()
+	if !size.Fits(e.poolOf(g.job.rec.Service).roomiest) || !e.mayAsk(g, now) {
 		return
 	}
 	var open []*hostState
@@ -48,7 +49,7 @@
 		if len(open) == mostWeighed {
 			break
 		}
-		if refusedBy(g, h) == "" && !e.allowed(g, h, now) && g.fits(h, e.roomFor(g, h, now)) > 0 {
+		if size.Fits(h.free()) && !e.allowed(g, h, now) && refusedBy(g, h) == "" && g.fits(h, e.roomFor(g, h, now)) > 0 {
 			open = append(open, h)
 		}
 	}
--- a/internal/engine/bench_test.go
+++ b/internal/engine/bench_test.go
@@ -17,6 +17,7 @@
 	reviews, surveys, tickets float64 // a second
 	reviewWidth, surveyWidth  int
 	ticketWidth               int
+	surveyCPU, ticketCPU      int64 // thousandths of a core, of a task
 	name                      string
 }
 
@@ -27,8 +28,8 @@
 }
 
 var (
-	smallCell = cellLoad{hosts: 48, reviews: 1.16, surveys: 6.83, tickets: 48.3, reviewWidth: 8, surveyWidth: 10, ticketWidth: 2}
-	grownCell = cellLoad{hosts: 350, reviews: 3.46, surveys: 11.2, tickets: 125, reviewWidth: 20, surveyWidth: 25, ticketWidth: 3}
+	smallCell = cellLoad{hosts: 48, reviews: 1.16, surveys: 6.83, tickets: 48.3, reviewWidth: 8, surveyWidth: 10, ticketWidth: 2, surveyCPU: 3900, ticketCPU: 5600}
+	grownCell = cellLoad{hosts: 350, reviews: 3.46, surveys: 11.2, tickets: 125, reviewWidth: 20, surveyWidth: 25, ticketWidth: 3, surveyCPU: 3900, ticketCPU: 5600}
 )
 
 // arrive submits the load's jobs at even distances for a while.
@@ -45,8 +46,8 @@
 		}
 	}
 	review := spec.Step{Count: l.reviewWidth, Size: size(18, 26), EstimateMillis: 6200, Gang: true}
-	survey := spec.Step{Count: l.surveyWidth, Size: spec.Resources{MilliCPU: 3900, MemoryMiB: 7200}, EstimateMillis: 2200, Checkpointing: true}
-	ticket := spec.Step{Count: l.ticketWidth, Size: spec.Resources{MilliCPU: 5600, MemoryMiB: 10000}, EstimateMillis: 640}
+	survey := spec.Step{Count: l.surveyWidth, Size: spec.Resources{MilliCPU: l.surveyCPU, MemoryMiB: 7200}, EstimateMillis: 2200, Checkpointing: true}
+	ticket := spec.Step{Count: l.ticketWidth, Size: spec.Resources{MilliCPU: l.ticketCPU, MemoryMiB: 10000}, EstimateMillis: 640}
 	each("review", l.reviews, catalog.Rules{Priority: 1, Stretch: 2.2, TargetMillis: 1000, Advice: reviewAdvice}, review)
 	each("survey", l.surveys, catalog.Rules{Priority: 2, Stretch: 4, TargetMillis: 3000, Advice: surveyAdvice}, survey)
 	each("ticket", l.tickets, catalog.Rules{Stretch: 1.5, TargetMillis: 250, Advice: ticketAdvice}, ticket)
@@ -103,3 +104,42 @@
 	b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(starts), "us/start")
 	b.ReportMetric(float64(starts)/float64(b.N), "starts")
 }
+
+// BenchmarkOverload plays a burst of tickets that meets a cell whose holder could give no
+// orders for five seconds: some two thousand urgent steps wait for room and leave, and
+// more come. It reports the time that decisions take, for a second of the load.
+func BenchmarkOverload(b *testing.B) {
+	const (
+		held  = 5 * time.Second
+		lasts = 4 * time.Second
+	)
+	load := grownCell
+	load.tickets *= 3
+	load.surveyCPU, load.ticketCPU = 6900, 9900
+	starts, waiting := 0, 0
+	var deciding time.Duration
+	for range b.N {
+		w := newWorld(b, 1)
+		w.fleet.Add(load.hosts, "s", size(64, 128))
+		w.advised = func(o AskOrder) time.Duration { return w.jobs[o.Step.Job].Rules.Advice.Took(len(o.Hosts)) }
+		w.members = nil
+		for i := range 43 {
+			w.members = append(w.members, fmt.Sprint("m", i))
+		}
+		w.takeOver()
+		w.run(100 * time.Millisecond)
+		w.held = true
+		load.arrive(w, held)
+		w.run(held)
+		w.held, w.deciding = false, 0
+		load.named("later").arrive(w, lasts)
+		w.run(lasts)
+		starts += w.fleet.Judge().Starts()
+		waiting += len(w.engine.ready)
+		deciding += w.deciding
+		w.check()
+	}
+	b.ReportMetric(float64(deciding.Microseconds())/float64(b.N)/lasts.Seconds(), "us/s")
+	b.ReportMetric(float64(starts)/float64(b.N), "starts")
+	b.ReportMetric(float64(waiting)/float64(b.N), "waiting")
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -13,7 +13,6 @@
 
 	"pulleyquay/internal/advice"
 	"pulleyquay/internal/catalog"
-	"pulleyquay/internal/fragment"
 	"pulleyquay/internal/host"
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/runtimes"
@@ -64,9 +63,12 @@
 	live    map[string]*job
 	// ready holds the steps with tasks to start, in no order.
 	ready map[spec.StepID]*group
-	// queue holds those of them whose turn it is, the first to serve first.
-	queue []*group
-	hosts map[host.ID]*hostState
+	// queue holds those of them whose turn it is, the first to serve first, fresh those
+	// that are to join it.
+	queue, fresh []*group
+	// planAt is when the queue is to be gone through next.
+	planAt time.Time
+	hosts  map[host.ID]*hostState
 	// sorted are the hosts in the order of their ids.
 	sorted []*hostState
 	// unwanted are the runs to be stopped.
@@ -111,9 +113,8 @@
 	// held counts, for each task, the hosts not heard of on which it may run.
 	held map[spec.StepTask]int
 
-	// shapes are the large tasks seen last, by service, to keep such room whole.
-	shapes map[string]*fragment.Shapes
-	out    Orders
+	pools map[string]*pool // by service
+	out   Orders
 	// unpaced are the hosts whose fillers may not have the pace that they should.
 	unpaced map[*hostState]struct{}
 	// fillShare is the share at which fillers of an image were last too much for the
@@ -127,6 +128,8 @@
 	reserving, reservingLarge int
 	// scratch is reused for the hosts of one plan.
 	scratch []*hostState
+	// waitsTold counts the steps of which the log was told lately why they wait.
+	waitsTold int
 }
 
 // endedJob is a job that is final, until it is forgotten.
@@ -156,7 +159,7 @@
 		strangerEnds: map[string][]strangerEnd{},
 		claiming:     map[host.ID]struct{}{},
 		held:         map[spec.StepTask]int{},
-		shapes:       map[string]*fragment.Shapes{},
+		pools:        map[string]*pool{},
 	}
 }
 
@@ -221,6 +224,10 @@
 // SetProved says until when this process may give orders.
 func (e *Engine) SetProved(until time.Time) { e.proved = until }
 
+// Hosts is how many hosts are known, those included that are gone from the list and may
+// still run something.
+func (e *Engine) Hosts() int { return len(e.sorted) }
+
 // SetMembers names the members through which the policy service can be asked.
 func (e *Engine) SetMembers(names []string) { e.lanes.SetMembers(names) }
 
@@ -236,7 +243,7 @@
 	e.begin(now)
 	e.expireHosts(now)
 	e.watchRuns(now)
-	if now.Before(e.proved) {
+	if now.Before(e.proved) && !now.Before(e.planAt) {
 		e.plan(now)
 	}
 	e.planStops(now)
@@ -255,6 +262,9 @@
 // nextDue returns when something becomes due by the passing of time alone.
 func (e *Engine) nextDue(now time.Time) time.Time {
 	next := now.Add(restInterval)
+	if e.planAt.After(now) && e.planAt.Before(next) {
+		next = e.planAt
+	}
 	for _, h := range e.sorted {
 		if !h.looking && !h.lookAt.IsZero() && h.lookAt.Before(next) {
 			next = h.lookAt
--- a/internal/engine/explain.go
+++ b/internal/engine/explain.go
@@ -13,11 +13,17 @@
 // it says so again.
 const tellAfter = 4 * time.Second
 
+// mostWaitsTold bounds for how many steps that is told between two lines on the load of
+// the cell: it is found out by looking at every host, which for a queue of a thousand
+// took a twentieth of the time of all decisions.
+const mostWaitsTold = 20
+
 // tellWaiting logs why a step waits that has waited for long.
 func (e *Engine) tellWaiting(g *group, now time.Time) {
-	if now.Sub(g.readySince) < tellAfter || now.Sub(g.toldAt) < tellAfter {
+	if now.Sub(g.readySince) < tellAfter || now.Sub(g.toldAt) < tellAfter || e.waitsTold >= mostWaitsTold {
 		return
 	}
+	e.waitsTold++
 	g.toldAt = now
 	e.log(Event{What: "step waits", Job: g.job.id(), Step: g.id.String(), Why: e.whyWaiting(g, now), Age: now.Sub(g.readySince)})
 }
@@ -81,7 +87,7 @@
 	if now.Sub(e.loadToldAt) < tellLoadEvery {
 		return
 	}
-	e.loadToldAt = now
+	e.loadToldAt, e.waitsTold = now, 0
 	var size spec.Resources
 	queues, placeable := map[string]*queueLoad{}, 0
 	of := func(queue string) *queueLoad {
--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -52,6 +52,7 @@
 // hostState is one host with its books.
 type hostState struct {
 	info host.Info
+	pool *pool // of its service
 	// listed is true while the host stands in the platform's list.
 	listed bool
 	// claimed is true once the host has shown what it runs under our epoch.
@@ -101,7 +102,7 @@
 }
 
 func (e *Engine) newHost(info host.Info) *hostState {
-	h := &hostState{info: info, runs: map[host.Run]*run{}}
+	h := &hostState{info: info, pool: e.poolOf(info.Service), runs: map[host.Run]*run{}}
 	e.hosts[info.ID] = h
 	at, _ := e.position(info.ID)
 	e.sorted = slices.Insert(e.sorted, at, h)
@@ -229,7 +230,7 @@
 		e.room++
 	}
 	h.listed = true
-	h.info = info
+	h.info, h.pool = info, e.poolOf(info.Service)
 	if info.Draining {
 		h.leavesAt = now.Add(info.Remaining)
 	}
--- a/internal/engine/job.go
+++ b/internal/engine/job.go
@@ -83,7 +83,9 @@
 	perHost map[*hostState]int
 	advice  opinion
 	tried   attempt
+	ready   bool // among the engine's ready steps
 	queued  bool // among the engine's queue
+	fresh   bool // ready, and to be queued when its time has come
 
 	// gang steps run as a whole.
 	startedHere  bool  // by this holder
@@ -190,10 +192,23 @@
 
 // refresh keeps the group among those with tasks to start, or takes it out.
 func (e *Engine) refresh(g *group) {
-	if g.needs == 0 && g.waiting > 0 && !g.job.state.Final() {
-		e.ready[g.id] = g
+	if g.needs > 0 || g.waiting == 0 || g.job.state.Final() {
+		e.notReady(g)
 		return
 	}
+	if !g.ready {
+		g.ready = true
+		e.ready[g.id] = g
+	}
+	if !g.queued && !g.fresh {
+		g.fresh = true
+		e.fresh = append(e.fresh, g)
+	}
+}
+
+// notReady takes a group out of those with tasks to start.
+func (e *Engine) notReady(g *group) {
+	g.ready = false
 	delete(e.ready, g.id)
 	g.unreserve()
 }
@@ -207,8 +222,7 @@
 	j := g.job
 	j.open--
 	g.doneAt = now
-	delete(e.ready, g.id)
-	g.unreserve()
+	e.notReady(g)
 	for _, other := range j.groups {
 		if other.id.Occurrence != g.id.Occurrence {
 			continue
@@ -238,8 +252,7 @@
 	delete(e.live, j.id())
 	e.ended = append(e.ended, endedJob{j.id(), now})
 	for _, g := range j.groups {
-		delete(e.ready, g.id)
-		g.unreserve()
+		e.notReady(g)
 		for i := range g.tasks {
 			if r := g.tasks[i].cur; r != nil && s != record.StateCompleted {
 				e.unwant(r, "its job is over: "+string(s))
@@ -263,7 +276,7 @@
 
 // begin makes occurrences ready whose time has come.
 func (e *Engine) begin(now time.Time) {
-	for _, g := range e.ready {
+	for _, g := range e.fresh {
 		if g.readySince.IsZero() && !now.Before(g.due) {
 			g.readySince = now
 		}
--- a/internal/engine/large_test.go
+++ b/internal/engine/large_test.go
@@ -126,3 +126,18 @@
 	is.True(whole >= 0.82)
 	is.True(single >= 0.85)
 }
+
+// TestRoomIsNotKeptFromMoreUrgentSteps: places that were kept for large tasks of a less
+// urgent queue stood in the way of gangs that looked for theirs.
+func TestRoomIsNotKeptFromMoreUrgentSteps(t *testing.T) {
+	of := func(priority int) *group {
+		rec := &record.Job{Rules: catalog.Rules{Priority: priority}}
+		return &group{job: &job{rec: rec}, step: &spec.Step{Size: size(18, 26)}}
+	}
+	h := &hostState{reserved: []reservation{{group: of(1), n: 2}}}
+	is := is.New(t)
+	is.Equal(h.reservedFor(of(0)), spec.Resources{})
+	is.Equal(h.reservedFor(of(1)), size(18, 26).Times(2))
+	is.Equal(h.reservedFor(of(2)), size(18, 26).Times(2))
+	is.Equal(h.reservedFor(h.reserved[0].group), spec.Resources{})
+}
--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -15,10 +15,15 @@
 	if len(queue) == 0 {
 		return
 	}
+	e.planAt = now.Add(min(time.Duration(len(queue))*pauseShare, longestPause))
 	hosts := e.choices(now)
 	e.reserving, e.reservingLarge = 0, 0
-	for _, g := range queue {
-		if now.Before(g.notBefore) || e.ready[g.id] != g {
+	effort := mostEffort
+	for rank, g := range queue {
+		if effort <= 0 {
+			return
+		}
+		if now.Before(g.notBefore) || !g.ready {
 			continue
 		}
 		if e.hopeless(g, now) {
@@ -26,7 +31,8 @@
 			continue
 		}
 		e.tellWaiting(g, now)
-		e.noteTry(g, now)
+		e.noteTry(g, rank, now)
+		effort -= g.effort()
 		switch {
 		case g.step.Gang:
 			e.planGang(g, hosts, now)
@@ -50,6 +56,25 @@
 	}
 }
 
+// A long queue costs time with each going through it, which a holder that is behind has
+// least of: it fell ever further behind, with most of the cell idle. So the pauses
+// between goings through grow with the queue, and those between two tries of a step
+// with how many go before it.
+const (
+	// pauseShare is how much longer the pause gets with each waiting step, longestPause
+	// its bound: 20 ms are little beside the seconds that a queue of a thousand takes.
+	pauseShare   = 20 * time.Microsecond
+	longestPause = 20 * time.Millisecond
+	// mostEffort bounds what is tried in one going through the queue, in tries of single
+	// tasks, each of some 10 us; bulkEffort is what a gang or a step of large tasks takes.
+	// Those who come first in the queue are tried first, so the others lose nothing.
+	mostEffort = 200
+	bulkEffort = 5
+	// rankShare is how much longer a step waits for its next try with each one that goes
+	// before it. New leave for it is used at once all the same.
+	rankShare = 100 * time.Microsecond
+)
+
 // Times between two tries of a step. They double with each try in vain, since a
 // try costs the more the more wait.
 const (
@@ -65,6 +90,14 @@
 	longestGang     = 300 * time.Millisecond
 )
 
+// effort is what a try of the step takes, in tries of single tasks.
+func (g *group) effort() int {
+	if g.step.Gang || g.large {
+		return bulkEffort
+	}
+	return 1
+}
+
 // hopeless reports whether a try of the step would end as the last one did, or is
 // not due yet.
 func (e *Engine) hopeless(g *group, now time.Time) bool {
@@ -80,7 +113,7 @@
 }
 
 // noteTry remembers that a step is tried now, and how long to wait if in vain.
-func (e *Engine) noteTry(g *group, now time.Time) {
+func (e *Engine) noteTry(g *group, rank int, now time.Time) {
 	longest := longestTasks
 	switch {
 	case g.job.rec.Rules.Priority == 0:
@@ -90,6 +123,7 @@
 	case g.step.Gang:
 		longest = longestGang
 	}
+	longest += time.Duration(rank) * rankShare
 	gap := min(max(2*g.tried.gap, firstRetry), longest)
 	if g.advice.answers != g.tried.answers {
 		gap = firstRetry
@@ -103,7 +137,7 @@
 func (e *Engine) order(now time.Time) []*group {
 	queue := e.queue[:0]
 	for _, g := range e.queue {
-		if e.ready[g.id] == g {
+		if g.ready {
 			queue = append(queue, g)
 		} else {
 			g.queued = false
@@ -118,8 +152,20 @@
 		}
 		slices.SortFunc(queue, before)
 	}
-	for _, g := range e.ready {
-		if g.queued || g.readySince.IsZero() {
+	e.enqueue(now)
+	return e.queue
+}
+
+// enqueue lets the fresh steps join the queue whose time has come.
+func (e *Engine) enqueue(now time.Time) {
+	later := e.fresh[:0]
+	for _, g := range e.fresh {
+		if g.ready && g.readySince.IsZero() {
+			later = append(later, g)
+			continue
+		}
+		g.fresh = false
+		if !g.ready || g.queued {
 			continue
 		}
 		g.queued = true
@@ -127,7 +173,8 @@
 		at, _ := slices.BinarySearchFunc(e.queue, g, before)
 		e.queue = slices.Insert(e.queue, at, g)
 	}
-	return e.queue
+	clear(e.fresh[len(later):])
+	e.fresh = later
 }
 
 // before compares two steps by whose turn comes first.
@@ -145,9 +192,13 @@
 // choices lists the hosts that new work may go to.
 func (e *Engine) choices(now time.Time) []*hostState {
 	out := e.scratch[:0]
+	for _, p := range e.pools {
+		p.roomiest = spec.Resources{}
+	}
 	for _, h := range e.sorted {
 		if e.placeable(h, now) {
 			out = append(out, h)
+			h.pool.roomiest = h.pool.roomiest.Max(h.free())
 		}
 	}
 	e.scratch = out
@@ -156,7 +207,7 @@
 
 // planTasks starts as many waiting tasks of a step as there is room for.
 func (e *Engine) planTasks(g *group, hosts []*hostState, now time.Time) {
-	e.startTasks(g, e.permitted(g, hosts, now), now)
+	e.startTasks(g, e.withRoom(g, e.permitted(g, hosts, now)), now)
 	if g.waiting > 0 && g.job.rec.Rules.Advice != nil {
 		e.askForTasks(g, hosts, now)
 	}
@@ -183,6 +234,13 @@
 	e.refresh(g)
 }
 
+// withRoom leaves those hosts that have room for a task of the step, if nothing is kept
+// there for others.
+func (e *Engine) withRoom(g *group, hosts []*hostState) []*hostState {
+	size := g.step.Booked()
+	return slices.DeleteFunc(hosts, func(h *hostState) bool { return !size.Fits(h.free()) })
+}
+
 // permitted are the hosts that a step may start on now, as far as rules and
 // policy go.
 func (e *Engine) permitted(g *group, hosts []*hostState, now time.Time) []*hostState {
--- a/internal/engine/plan_gang.go
+++ b/internal/engine/plan_gang.go
@@ -12,7 +12,7 @@
 		return
 	}
 	if g.advice.known == nil && g.left > 1 {
-		e.shapesOf(g.job.rec.Service).Learn(g.step.Booked())
+		e.poolOf(g.job.rec.Service).shapes.Learn(g.step.Booked())
 	}
 	permitted := e.permitted(g, hosts, now)
 	if seats := e.seats(g, permitted, g.left, now); seats != nil {
--- a/internal/engine/plan_large.go
+++ b/internal/engine/plan_large.go
@@ -189,7 +189,7 @@
 	}
 	g.sized, g.large = true, g.isLarge(c)
 	if g.large {
-		e.shapesOf(g.job.rec.Service).Learn(g.step.Booked())
+		e.poolOf(g.job.rec.Service).shapes.Learn(g.step.Booked())
 	}
 	return g.large
 }
--- a/internal/engine/reserve.go
+++ b/internal/engine/reserve.go
@@ -112,11 +112,12 @@
 	return all
 }
 
-// reservedFor is what is kept on a host for gangs other than g.
+// reservedFor is what is kept on a host for steps other than g that are as urgent or
+// more; room that is kept for less urgent ones can be taken.
 func (h *hostState) reservedFor(g *group) spec.Resources {
 	var sum spec.Resources
 	for _, r := range h.reserved {
-		if r.group != g {
+		if r.group != g && r.group.job.rec.Rules.Priority <= g.job.rec.Rules.Priority {
 			sum = sum.Add(r.size())
 		}
 	}
--- a/internal/engine/scores.go
+++ b/internal/engine/scores.go
@@ -22,7 +22,7 @@
 	size := g.step.Booked()
 	free := h.free()
 	left := free.Sub(size)
-	cost := costSlot * e.shapesOf(h.info.Service).PlacesLost(free, left)
+	cost := costSlot * h.pool.shapes.PlacesLost(free, left)
 	cost += costLeftover * leftover(left, h.info.Size)
 	if g.step.DataRack != "" && g.step.DataRack != h.info.Rack {
 		cost += costFar
@@ -43,14 +43,23 @@
 	return cost
 }
 
-// shapesOf are the large tasks seen last of a service, which has its own hosts.
-func (e *Engine) shapesOf(service string) *fragment.Shapes {
-	s := e.shapes[service]
-	if s == nil {
-		s = &fragment.Shapes{}
-		e.shapes[service] = s
+// pool is what is known of the hosts of one service together.
+type pool struct {
+	// shapes are the large tasks seen last, to keep such room whole.
+	shapes fragment.Shapes
+	// roomiest is the most that a host has free in each dimension, as the queue was
+	// begun to be gone through.
+	roomiest spec.Resources
+}
+
+// poolOf is the pool of a service.
+func (e *Engine) poolOf(service string) *pool {
+	p := e.pools[service]
+	if p == nil {
+		p = &pool{}
+		e.pools[service] = p
 	}
-	return s
+	return p
 }
 
 // leftover is which part of a host is left, in the mean over what it has. Accelerators
--- a/internal/engine/world_test.go
+++ b/internal/engine/world_test.go
@@ -36,6 +36,8 @@
 	committing bool
 
 	faults faults
+	// members are those that can ask the policy service.
+	members []string
 	// good tells whether the policy service lets a step run on a host.
 	good func(step spec.StepID, h host.ID) bool
 	// advised is how long the policy service takes for an answer; nil stands for
@@ -56,6 +58,8 @@
 	begun    map[upkeep.MachineID]bool
 
 	longestOver time.Duration
+	// deciding is the real time that the engine's decisions took.
+	deciding time.Duration
 }
 
 // faults of calls to hosts; shares between 0 and 1.
@@ -104,7 +108,7 @@
 	w := &world{
 		t: t, rnd: rand.New(rand.NewPCG(seed, 1)), time: virtualTime{now: time.Unix(1_800_000_000, 0)},
 		store: map[string][]byte{}, jobs: map[string]*record.Job{}, shown: map[string]record.State{}, ended: map[string]time.Time{},
-		good: func(spec.StepID, host.ID) bool { return true },
+		members: []string{"m1", "m2", "m3", "m4", "m5"}, good: func(spec.StepID, host.ID) bool { return true },
 	}
 	w.fleet = hostsim.NewFleet(&w.time)
 	return w
@@ -142,7 +146,7 @@
 			return platform.Write{Key: "state", Value: []byte(fmt.Sprint(p.Completed))}
 		},
 	})
-	w.engine.SetMembers([]string{"m1", "m2", "m3", "m4", "m5"})
+	w.engine.SetMembers(w.members)
 	w.engine.SetCatalog(&catalog.Catalog{})
 	w.committing = false
 	var settleBy time.Time
@@ -190,7 +194,9 @@
 	if w.held {
 		e.SetProved(w.now())
 	}
+	begun := time.Now()
 	o, due := e.Next(w.now())
+	w.deciding += time.Since(begun)
 	w.due = due
 	for _, s := range o.Starts {
 		w.call(s.To, func(h *hostsim.Host) host.Reply { return h.Start(e.cfg.Epoch, s.Start) }, func(r host.Reply, err error) {
--- a/internal/fragment/fragment.go
+++ b/internal/fragment/fragment.go
@@ -14,8 +14,9 @@
 import "pulleyquay/internal/spec"
 
 // remembered is how many of the last large tasks stand for those to come: enough for
-// a mix of four or five sizes.
-const remembered = 8
+// a mix of a few sizes; with twice as many the choice of hosts was no better, and took
+// twice as long.
+const remembered = 4
 
 // Shapes are the sizes of the large tasks seen last. The zero value has seen none.
 type Shapes struct {
