A holder cut from the store is succeeded 0.7 s after its first unanswered call

Cause: a holder told how long it had been without the store from when its first call was given up, 0.5 s after it was sent, and was succeeded 0.9 s after that.

Change: it tells from the first call on that nothing was answered after, once that is 0.5 s ago, and is succeeded after 0.7 s. A member takes over only if the store has answered it since the holder lost it, so that an outage for all moves nothing.

Ruled out: asking the store by a read before each claim: members hear from it often enough (their leases, jobs handed in).

Test: TestHolderCutFromTheStore, seen failing before.

--- a/internal/cell/beat.go
+++ b/internal/cell/beat.go
@@ -78,7 +78,7 @@
 	h, _ := c.View.Holder(b.Partition)
 	reply := BeatReply{
 		Incarnation: c.Self.Incarnation, Holds: c.watches[b.Partition].holding(),
-		Cut: c.Health.Failing(time.Now()), Holder: h, Revision: h.Revision, Catalog: c.CatalogVersion(),
+		Cut: c.cutFor(time.Now()), Holder: h, Revision: h.Revision, Catalog: c.CatalogVersion(),
 	}
 	if b.Members {
 		reply.Members = c.View.Entered()
@@ -86,6 +86,20 @@
 	return reply, nil
 }
 
+// noticedAfter is for how long no call may have been answered before a process counts
+// itself as cut from the store: twice what a store that is sixty times slower takes.
+const noticedAfter = 500 * time.Millisecond
+
+// cutFor is for how long this process has been without the store: since the first call
+// that nothing was answered after.
+func (c *Claimer) cutFor(now time.Time) time.Duration {
+	cut := c.Health.Failing(now)
+	if silent := c.Health.Silent(now); silent >= noticedAfter {
+		cut = max(cut, silent)
+	}
+	return cut
+}
+
 // onOpinion tells another member whether this one hears the holder.
 func (c *Claimer) onOpinion(_ context.Context, q OpinionRequest) (Opinion, error) {
 	if q.Partition < 0 || q.Partition >= len(c.watches) {
--- a/internal/cell/beat_test.go
+++ b/internal/cell/beat_test.go
@@ -3,10 +3,13 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
+	"pulleyquay/internal/ledger"
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/platform/follow"
 )
@@ -36,3 +39,40 @@
 	is.True(size(Beat{Catalog: 3}) < 200)
 	is.True(size(Beat{Catalog: 3, Members: true}) > 300*10) // a member without the store still learns them
 }
+
+// TestHolderCutFromTheStore: a holder tells for how long it has been without the store
+// from its first unanswered call on; a member that the store has not answered since
+// either does not try to take over.
+func TestHolderCutFromTheStore(t *testing.T) {
+	const ms = time.Millisecond
+	tests := map[string]struct {
+		asked    time.Duration // ago, by the holder; zero for answered
+		answered time.Duration // ago, to the member
+		cut      bool
+	}{
+		"the store answers the holder":           {0, 100 * ms, false},
+		"an answer to the holder is due":         {400 * ms, 100 * ms, false},
+		"cut, and the member reaches the store":  {800 * ms, 100 * ms, true},
+		"cut, and nobody has heard of the store": {800 * ms, 900 * ms, false},
+		"cut, heard just before":                 {800 * ms, 800 * ms, false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				now := time.Now()
+				holder, member := follow.NewHealth(nil), follow.NewHealth(nil)
+				holder.Note(true, now.Add(-time.Second))
+				if tc.asked > 0 {
+					holder.Asked(now.Add(-tc.asked))
+				}
+				member.Note(true, now.Add(-tc.answered))
+				reply, err := (&Claimer{View: NewView(), Health: holder, CatalogVersion: func() int64 { return 0 }, watches: []*holderWatch{{}}}).onBeat(t.Context(), Beat{})
+				is.NoErr(err)
+				w := &holderWatch{cut: reply.Cut, heard: now}
+				e := (&Claimer{View: NewView(), Health: member}).evidence(w, ledger.Holder{Epoch: 3, Incarnation: "a-1"})
+				is.Equal(e.Dead(), tc.cut)
+			})
+		})
+	}
+}
--- a/internal/cell/claimer.go
+++ b/internal/cell/claimer.go
@@ -160,8 +160,8 @@
 	if h.Epoch > 0 && h.Incarnation == c.Self.Incarnation {
 		e.Replaced = true // a claim of ours that arrived after we gave it up
 	}
-	if c.Health.Failing(now) > 0 {
-		e.HolderCut = 0 // this process could not take over either
+	if c.Health.Failing(now) > 0 || e.HolderCut > 0 && c.Health.Age(now) >= e.HolderCut {
+		e.HolderCut = 0 // this process could not take over either, as far as it knows
 	}
 	return e
 }
--- a/internal/cell/succession.go
+++ b/internal/cell/succession.go
@@ -19,8 +19,10 @@
 	// member claims that can ask nobody.
 	aloneAfter = 2 * time.Second
 	// cutAfter is how long a holder may have been without the store before one
-	// that reaches it takes over.
-	cutAfter = 900 * time.Millisecond
+	// that reaches it takes over: more than a store that is a hundred times slower than
+	// usual takes for an answer (0.4 s). With 0.9 s, counted from the first call given up
+	// after 0.5 s, nothing was started or stored for 1.8 s when a holder was cut off.
+	cutAfter = 700 * time.Millisecond
 )
 
 // beatShare is how much time each member of a large cell adds to the pause between
