What measures nothing goes: the charge for broken up hosts, room taken by large tasks

Change: internal/fragment (places lost for the last large tasks, and before it the learned size of a gang's task) and the stopping of saved work for large tasks go, with the wait that decided when to stop. Gangs still take room, as before.

Ruled out: keeping either for other sites.

--- a/internal/engine/job.go
+++ b/internal/engine/job.go
@@ -69,8 +69,6 @@
 	// large is true when a host holds very few of its tasks, as far as sized says that
 	// this was found out; see plan_large.go.
 	large, sized bool
-	// patient large tasks wait for room and have no others stopped for them.
-	patient bool
 	// expected is how long one of its tasks is likely to run.
 	expected time.Duration
 	// doneAt is when its last task was done.
--- a/internal/engine/large_test.go
+++ b/internal/engine/large_test.go
@@ -123,8 +123,8 @@
 	}
 	t.Logf("in time: %.3f of the large tasks' jobs, %.3f of the others", whole, single)
 	is := is.New(t)
-	is.True(whole >= 0.82)
-	is.True(single >= 0.85)
+	is.True(whole >= 0.88)
+	is.True(single >= 0.93)
 }
 
 // TestRoomIsNotKeptFromMoreUrgentSteps: places that were kept for large tasks of a less
--- a/internal/engine/plan_gang.go
+++ b/internal/engine/plan_gang.go
@@ -11,9 +11,6 @@
 	if !g.gangIdle() {
 		return
 	}
-	if g.advice.known == nil && g.left > 1 {
-		e.poolOf(g.job.rec.Service).shapes.Learn(g.step.Booked())
-	}
 	permitted := e.permitted(g, hosts, now)
 	if seats := e.seats(g, permitted, g.left, now); seats != nil {
 		e.startGang(g, seats, now)
--- a/internal/engine/plan_large.go
+++ b/internal/engine/plan_large.go
@@ -12,13 +12,14 @@
 // before it has room for one, so that a large task that only takes what is free now
 // waits for ever behind work that came later. So it is treated like a gang of one:
 // it finds out early where it may run, has a place kept there from the moment on at
-// which one will be free, takes room from less urgent work that saves its progress,
-// and has its ticket when the room is there. Its step needs no two places at once.
+// which one will be free, and has its ticket when the room is there. Its step needs no
+// two places at once, and stops nobody's work: taking room from less urgent tasks that
+// save their progress gave large tasks no more than it took from the others.
 //
-// Of the jobs of such tasks 0.87 instead of 0.71 complete in the time that their queue
-// promises, at four fifths of the accelerators in use (the load of
-// TestWholeHostsAreKeptForLargeTasks, mean of 24 seeds). Without the reservations it is
-// 0.71, with tickets asked for only when a place is expected 0.85.
+// Of the jobs of such tasks 0.92 instead of 0.72 complete in the time that their queue
+// promises, at four fifths of the accelerators in use (mean of the eight seeds of
+// TestWholeHostsAreKeptForLargeTasks). Without the reservations it was 0.71; with tickets
+// asked for only when a place is expected 0.02 less.
 
 // largePerHost is how many tasks of a step a host holds at the most, when empty, for
 // them to be large.
@@ -39,22 +40,14 @@
 	return len(c) > 0
 }
 
-// takesRoom reports whether less urgent tasks are stopped for the step.
-func (g *group) takesRoom() bool { return g.step.Gang || g.large }
-
 // planLarge starts the large tasks that have room and leave. For the others it finds
 // out where they may run, reserves places there, and asks for leave in time.
 func (e *Engine) planLarge(g *group, hosts []*hostState, now time.Time) {
-	permitted := e.permitted(g, hosts, now)
-	e.startTasks(g, permitted, now)
+	e.startTasks(g, e.permitted(g, hosts, now), now)
 	if g.waiting == 0 {
 		return
 	}
 	c := e.candidates(g, hosts)
-	g.patient = e.canWait(g, c, now)
-	if !g.patient && e.makeRoom(g, permitted, now) {
-		return
-	}
 	if g.job.rec.Rules.Advice == nil {
 		e.reserveEach(g, c, now)
 		return
@@ -101,13 +94,9 @@
 }
 
 // roomAt is what a step may use of a host after some time: what is free then and not
-// kept for others, with what it may take from less urgent tasks.
+// kept for others.
 func (e *Engine) roomAt(g *group, h *hostState, in time.Duration, now time.Time) spec.Resources {
-	room := h.freeAt(now.Add(in), now).Sub(h.reservedFor(g))
-	if in >= e.cfg.Bounds.StopTakes && !g.patient {
-		room = room.Add(h.yielding(g))
-	}
-	return room
+	return h.freeAt(now.Add(in), now).Sub(h.reservedFor(g))
 }
 
 // hostsPerLarge is for how many hosts one step of large tasks may have places
@@ -188,38 +177,5 @@
 		return false
 	}
 	g.sized, g.large = true, g.isLarge(c)
-	if g.large {
-		e.poolOf(g.job.rec.Service).shapes.Learn(g.step.Booked())
-	}
 	return g.large
 }
-
-// canWait reports whether the step's job reaches no less when its tasks wait until room
-// comes free by itself than when less urgent tasks are stopped for them: a stopped task
-// loses work and the time to go on elsewhere. Of the jobs that make room 0.96 instead
-// of 0.91 complete in time, of those that take it
-// 0.87 instead of 0.90 (the same load).
-func (e *Engine) canWait(g *group, c []*hostState, now time.Time) bool {
-	slack := e.slack(g.job, now)
-	for _, d := range horizons {
-		if d > slack {
-			return false
-		}
-		if e.placesFree(g, c, d, now) >= g.waiting {
-			return true
-		}
-	}
-	return false
-}
-
-// placesFree counts the places for a step that come free by themselves within a time,
-// on hosts that it is known to have leave for.
-func (e *Engine) placesFree(g *group, c []*hostState, in time.Duration, now time.Time) int {
-	n := 0
-	for _, h := range c {
-		if g.advice.known[h] || g.job.rec.Rules.Advice == nil {
-			n += g.fits(h, h.freeAt(now.Add(in), now).Sub(h.reservedFor(g)))
-		}
-	}
-	return n
-}
--- a/internal/engine/preempt.go
+++ b/internal/engine/preempt.go
@@ -22,7 +22,7 @@
 
 // yieldsTo reports whether tasks of the step may be stopped for a gang.
 func (g *group) yieldsTo(gang *group) bool {
-	return gang.takesRoom() && g.step.Checkpointing && !g.step.Gang && !g.step.LongRunning &&
+	return gang.step.Gang && g.step.Checkpointing && !g.step.Gang && !g.step.LongRunning &&
 		g.job.rec.Rules.Priority > gang.job.rec.Rules.Priority
 }
 
@@ -60,7 +60,13 @@
 		}
 	}
 	slices.SortStableFunc(all, func(a, b seat) int { return cmp.Compare(b.n, a.n) })
-	seats := e.seatsToClear(g, all)
+	var seats []seat
+	if g.step.SameRack {
+		seats = e.oneRack(g, all, g.left)
+	}
+	if seats == nil {
+		seats = e.fill(g, all, g.left)
+	}
 	if seats == nil {
 		return false
 	}
@@ -75,33 +81,6 @@
 	return true
 }
 
-// seatsToClear chooses the places to make room for: all that a gang needs, as many
-// as there are for single tasks.
-func (e *Engine) seatsToClear(g *group, all []seat) []seat {
-	n := g.waiting
-	if !g.step.Gang {
-		n = min(n, placesOf(all))
-	}
-	if n == 0 {
-		return nil
-	}
-	if g.step.SameRack {
-		if one := e.oneRack(g, all, n); one != nil {
-			return one
-		}
-	}
-	return e.fill(g, all, n)
-}
-
-// placesOf counts places.
-func placesOf(all []seat) int {
-	n := 0
-	for _, s := range all {
-		n += s.n
-	}
-	return n
-}
-
 // clearAhead plans to make room on the hosts where a gang has places reserved, and
 // for which it has just asked for tickets, so that the room is there when they come.
 func (e *Engine) clearAhead(g *group, took time.Duration, now time.Time) {
--- a/internal/engine/scores.go
+++ b/internal/engine/scores.go
@@ -1,14 +1,13 @@
 package engine
 
-import (
-	"pulleyquay/internal/fragment"
-	"pulleyquay/internal/spec"
-)
+import "pulleyquay/internal/spec"
 
-// Costs of placing a task on a host; the least sum wins. One lost place for a
-// large task outweighs any difference in what is left over.
+// Costs of placing a task on a host; the least sum wins. What is left over decides
+// between hosts that are alike otherwise. A charge for the places that large tasks lose
+// was tried, in all dimensions and over the last sizes seen: worth 0.8780 with it and
+// 0.8778 without on one site, 0.848 and 0.845, 0.8495 and 0.8500 on two others, for a
+// sixth of the time of all decisions.
 const (
-	costSlot     = 10.0 // a place that a large task could have had
 	costLeftover = 1.0
 	costFar      = 100.0 // away from its data
 	costAvoided  = 50.0  // failed there before
@@ -22,8 +21,7 @@
 	size := g.step.Booked()
 	free := h.free()
 	left := free.Sub(size)
-	cost := costSlot * h.pool.shapes.PlacesLost(free, left)
-	cost += costLeftover * leftover(left, h.info.Size)
+	cost := costLeftover * leftover(left, h.info.Size)
 	if g.step.DataRack != "" && g.step.DataRack != h.info.Rack {
 		cost += costFar
 	}
@@ -45,8 +43,6 @@
 
 // pool is what is known of the hosts of one service together.
 type pool struct {
-	// shapes are the large tasks seen last, to keep such room whole.
-	shapes fragment.Shapes
 	// roomiest is the most that a host has free in each dimension, as the queue was
 	// begun to be gone through.
 	roomiest spec.Resources
--- a/internal/engine/urgency.go
+++ b/internal/engine/urgency.go
@@ -42,20 +42,6 @@
 	}
 }
 
-// slack is for how long a job's next tasks may wait without its reaching less than it
-// can now.
-func (e *Engine) slack(j *job, now time.Time) time.Duration {
-	promised, rest := e.promised(j), e.rest(j)
-	took := now.Sub(j.accepted)
-	switch j.urgency {
-	case inTime:
-		return promised - took - rest - time.Duration(slackShare*float64(rest))
-	case late:
-		return worthless*promised - took - rest
-	}
-	return forever
-}
-
 // promised is the time in which a job is to be completed: its longest chain of work
 // stretched by its queue's factor, and some more.
 func (e *Engine) promised(j *job) time.Duration {
