--- a/internal/engine/bench_test.go
+++ b/internal/engine/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"slices"
 	"testing"
 	"time"
 
@@ -143,3 +144,34 @@
 	b.ReportMetric(float64(starts)/float64(b.N), "starts")
 	b.ReportMetric(float64(waiting)/float64(b.N), "waiting")
 }
+
+// BenchmarkDecision plays two seconds of the grown cell's load, scaled to its hosts, and
+// reports how long one decision takes (all that is due at a moment), in the middle and
+// at worst but for one in a hundred.
+func BenchmarkDecision(b *testing.B) {
+	const lasts = 2 * time.Second
+	for _, hosts := range []int{350, 3000, 18000} {
+		b.Run(fmt.Sprint(hosts, " hosts"), func(b *testing.B) {
+			var took []time.Duration
+			for range b.N {
+				load := grownCell
+				scale := float64(hosts) / float64(load.hosts)
+				load.reviews, load.surveys, load.tickets = scale*load.reviews, scale*load.surveys, scale*load.tickets
+				w := newWorld(b, 1)
+				w.fleet.Add(hosts, "s", size(64, 128))
+				w.members = nil
+				for i := range 43 {
+					w.members = append(w.members, fmt.Sprint("m", i))
+				}
+				w.takeOver()
+				w.run(time.Second)
+				load.arrive(w, lasts)
+				w.decided = func(d time.Duration) { took = append(took, d) }
+				w.run(lasts)
+			}
+			slices.Sort(took)
+			b.ReportMetric(float64(took[len(took)/2].Microseconds()), "us/p50")
+			b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), "us/p99")
+		})
+	}
+}
--- a/internal/engine/reserve.go
+++ b/internal/engine/reserve.go
@@ -12,7 +12,7 @@
 // A gang that finds no room gets places from a moment in the future on: the first
 // at which, by the estimates of what runs, enough places on good hosts are free
 // together. Until then others may use that room as long as they end before, or
-// leave as much as the gang needs.
+// leave as much as the gang needs. Large tasks get theirs one by one; see plan_large.go.
 
 // reservation is a number of places for a gang on one host from a moment on.
 type reservation struct {
--- a/internal/engine/world_test.go
+++ b/internal/engine/world_test.go
@@ -60,6 +60,8 @@
 	longestOver time.Duration
 	// deciding is the real time that the engine's decisions took.
 	deciding time.Duration
+	// decided is told how long each decision took; it may be nil.
+	decided func(took time.Duration)
 }
 
 // faults of calls to hosts; shares between 0 and 1.
@@ -196,7 +198,11 @@
 	}
 	begun := time.Now()
 	o, due := e.Next(w.now())
-	w.deciding += time.Since(begun)
+	took := time.Since(begun)
+	w.deciding += took
+	if w.decided != nil {
+		w.decided(took)
+	}
 	w.due = due
 	for _, s := range o.Starts {
 		w.call(s.To, func(h *hostsim.Host) host.Reply { return h.Start(e.cfg.Epoch, s.Start) }, func(r host.Reply, err error) {
