--- a/internal/holder/look.go
+++ b/internal/holder/look.go
@@ -30,7 +30,7 @@
 // mostRepeating is for how many hosts orders are repeated and looks made more often when
 // answers get lost. A holder of 350 hosts has no
 // processor time to spare for that: after a burst answers came late, were taken for lost,
-// and a day that serves 0.78 served 0.05 to 0.46.
+// and a day that serves 0.77 without served 0.04 to 0.74 in five plays.
 const mostRepeating = 128
 
 // repeats reports whether this holder has processor time for more calls than needed
