A lost order to pace is given again at once

Cause: TestFillersKeepTargets/answers lost failed in 9 of 600 runs on (once under -race today). A pace without an answer waited 0.5 s for it and then for the next figures, 0.45 s apart; two such in a row let a target be missed for more than 5 s at 15% of the calls lost. Change: the pace counts as unknown and is ordered anew at once. Ruled out: the order of maps alone (the same paces are chosen whatever the order).

--- a/internal/engine/pace.go
+++ b/internal/engine/pace.go
@@ -151,7 +151,11 @@
 		r.pacing = false
 	}
 	if err != nil {
-		h.unanswered(now) // the next figures have the order repeated
+		h.unanswered(now)
+		if r != nil {
+			r.pace = paceUnknown // it may have been carried out
+		}
+		e.repace(h) // at once: the next figures come half a second later
 		return
 	}
 	h.heardClock(reply.Clock, now)
