Memory is bounded by half of what the process may use

Change: setting memory_mib, from the platform's limit; above half of it garbage is collected as often as needed. Ruled out: less than 300 percent (a sixth of the holder's processor time goes to collecting at 100). Conclusion: kept as a guard.

--- a/cmd/pulley-node/node.go
+++ b/cmd/pulley-node/node.go
@@ -146,7 +146,12 @@
 
 // Collecting garbage took a sixth of a holder's processor time at 1,740 starts a second
 // with the default of 100 percent; with 300 it takes a third of that, for some 60 MB more.
-const holderGC = 300
+// Above memoryShare of its memory, one part in so many, it collects as often as it must:
+// what callers and peers have sent and it has not read takes memory as well.
+const (
+	holderGC    = 300
+	memoryShare = 2
+)
 
 // hold runs a claimed partition, with memory spent to save processor time.
 func (n *node) hold(ctx context.Context, l *ledger.Ledger, former ledger.Holder) error {
@@ -203,6 +208,9 @@
 	n.catalog.Start(ctx, n.mux)
 	n.claimer.Start(ctx, n.mux, partitions)
 	go n.entries.Run(ctx)
+	if n.conf.MemoryMiB > 0 {
+		debug.SetMemoryLimit(n.conf.MemoryMiB << 20 / memoryShare)
+	}
 	n.log.Info("started")
 	return nil
 }
--- a/cmd/pulley-node/settings.go
+++ b/cmd/pulley-node/settings.go
@@ -28,6 +28,9 @@
 	// LinkMbps is what the host's link carries, in megabits a second; zero stands for a
 	// link that does not bind.
 	LinkMbps float64 `json:"link_mbps" validate:"min=0"`
+	// MemoryMiB is the memory that the process may use; zero stands for as much as it
+	// wants.
+	MemoryMiB int64 `json:"memory_mib" validate:"min=0"`
 	// Descriptors is how many files and connections the process may have open; zero
 	// stands for as many as it wants.
 	Descriptors int    `json:"descriptors" validate:"min=0"`
