A holder stores its records over sixteen chains of transactions

Change: each transaction is conditional on the claim and on its own chain's key; as many chains as there are full transactions are used, at most 16, and a batch waits for all of them. Writes that belong together (a job's end and the progress that it makes needless) stay in one transaction: apart, a crash between them would have the next holder run done tasks again. Ruled out: the processor (0.22 cores); batches under way at the same time (an end may be forgotten by its host only when all before it are stored; left for later).

--- a/internal/engine/commit.go
+++ b/internal/engine/commit.go
@@ -10,8 +10,9 @@
 
 // Batch is what has to be written to the store next.
 type Batch struct {
-	Seq    uint64
-	Writes []platform.Write
+	Seq uint64
+	// Groups are the writes; those of one group have to take effect together.
+	Groups [][]platform.Write
 	// marks are the ends, by host, that may be forgotten once it is stored.
 	marks map[host.ID]int64
 	// rostered are the hosts that the batch enters in the roster.
@@ -55,7 +56,7 @@
 	b := &Batch{Seq: e.commits, marks: map[host.ID]int64{}}
 	if e.rosterBehind {
 		e.rosterBehind = false
-		b.Writes = append(b.Writes, encoded(record.RosterKey(e.cfg.Partition), e.roster(now)))
+		b.Groups = append(b.Groups, []platform.Write{encoded(record.RosterKey(e.cfg.Partition), e.roster(now))})
 		for _, h := range e.sorted {
 			if !h.shut {
 				b.rostered = append(b.rostered, h)
@@ -63,16 +64,16 @@
 		}
 	}
 	for _, w := range waves {
-		b.Writes = append(b.Writes, encoded(record.WaveKey(e.cfg.Partition, w.Wave), w), e.cfg.WaveState(w))
+		b.Groups = append(b.Groups, []platform.Write{encoded(record.WaveKey(e.cfg.Partition, w.Wave), w), e.cfg.WaveState(w)})
 	}
 	for id, j := range e.dirty {
-		b.Writes = append(b.Writes, e.writesOf(j, now)...)
+		b.Groups = append(b.Groups, e.writesOf(j, now))
 		j.told = b.Seq
 		delete(e.dirty, id)
 	}
 	n := min(len(e.forget), forgetMost)
 	for _, id := range e.forget[:n] {
-		b.Writes = append(b.Writes, platform.Write{Key: record.JobKey(e.cfg.Partition, id), Delete: true})
+		b.Groups = append(b.Groups, []platform.Write{{Key: record.JobKey(e.cfg.Partition, id), Delete: true}})
 	}
 	e.forget = e.forget[n:]
 	for _, h := range e.sorted {
--- a/internal/engine/world_test.go
+++ b/internal/engine/world_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -362,7 +363,7 @@
 		if e != w.engine {
 			return // a deposed holder can write nothing
 		}
-		w.apply(b.Writes)
+		w.apply(slices.Concat(b.Groups...))
 		w.committing = false
 		w.tell(e, func() { e.Stored(b, w.now()) })
 	})
--- a/internal/holder/commit.go
+++ b/internal/holder/commit.go
@@ -38,16 +38,12 @@
 	h.mu.Lock()
 	b := h.engine.TakeBatch(time.Now())
 	h.mu.Unlock()
-	var writes []platform.Write
+	var groups [][]platform.Write
 	if b != nil {
-		writes = b.Writes
+		groups = b.Groups
 	}
-	for first := true; first || len(writes) > 0; first = false {
-		n := min(len(writes), ledger.MaxWrites)
-		if err := h.write(writes[:n]); err != nil {
-			return false
-		}
-		writes = writes[n:]
+	if !h.write(groups) {
+		return false
 	}
 	if b != nil {
 		h.confirmed(b)
@@ -55,10 +51,11 @@
 	return true
 }
 
-func (h *Holder) write(writes []platform.Write) error {
+// write stores groups of writes. It reports false when the partition is lost.
+func (h *Holder) write(groups [][]platform.Write) bool {
 	begun := time.Now()
-	err := h.ledger.Commit(h.ctx, writes)
-	h.cfg.Metrics.commit(begun, len(writes), err)
+	err := h.ledger.Commit(h.ctx, groups)
+	h.cfg.Metrics.commit(begun, len(groups), err)
 	switch {
 	case err == nil:
 		h.cfg.Health.Note(true, time.Now())
@@ -68,7 +65,7 @@
 		h.log.WithError(err).Error("the store refuses a transaction; giving the partition up")
 		h.cancel(err)
 	}
-	return err
+	return err == nil
 }
 
 // confirmed tells the engine, and those who wait, that a batch is stored.
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -1,6 +1,6 @@
 // Package ledger is what the holder of a partition writes to the platform's
-// store: its claim, and then one transaction after the other, each on condition
-// that the claim still stands and that the one before it took effect.
+// store: its claim, and then chains of transactions, each on condition that the
+// claim still stands and that the one before it in its chain took effect.
 //
 // So a process whose partition was claimed by another can write nothing any
 // more, and a transaction whose answer was lost can be sent again: of all its
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"golang.org/x/sync/errgroup"
 
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/platform/resend"
@@ -24,10 +25,16 @@
 // HolderPrefix is where the holders of the partitions stand in the store.
 const HolderPrefix = "cell/holders/"
 
-// chainPrefix is where each holder's chain of transactions stands. It is apart
+// chainPrefix is where each holder's chains of transactions stand. They are apart
 // from the claim, which others watch.
 const chainPrefix = "chain/"
 
+// Chains is how many transactions of a holder can be under way at a time. A store
+// that takes 0.24 s an answer lets one chain write 120 records a second; 1,100 hosts in
+// a burst end 330 jobs a second, and 0.62 of those that ended in 4 s were not stored
+// before they were worth nothing.
+const Chains = 16
+
 // Errors of a ledger.
 var (
 	// ErrDeposed: another process has claimed the partition.
@@ -69,24 +76,29 @@
 	Sequence uint64 `cbor:"2,keyasint"`
 }
 
-// MaxWrites is how many writes one Commit may have: the platform takes 32
+// maxWrites is how many writes one transaction may have: the platform takes 32
 // entries, of which the claim's and the chain's conditions and the chain's write
 // are three.
-const MaxWrites = 29
+const maxWrites = 29
 
 // Ledger writes for one holder. Commit is for one goroutine at a time.
 type Ledger struct {
 	store *resend.Sender
 	self  Holder
 
-	chain    platform.Revision
-	sequence uint64
+	chains [Chains]chain
 
 	mu sync.Mutex
 	// proved is when the last transaction that took effect was first sent.
 	proved time.Time
 }
 
+// chain is one chain of transactions: the revision of its key, and how many there were.
+type chain struct {
+	at       platform.Revision
+	sequence uint64
+}
+
 // Claim makes self the holder after seen, which is the zero Holder when there
 // was none. It returns ErrRaced with the present holder when seen is no longer
 // the record, and platform.ErrUnavailable when nothing is known to have happened.
@@ -99,7 +111,10 @@
 	l := &Ledger{store: store, self: self}
 	txn := platform.Txn{
 		If:   []platform.Condition{{Key: HolderKey(self.Partition), ModRevision: seen.Revision}},
-		Then: []platform.Write{{Key: HolderKey(self.Partition), Value: value}, l.chainWrite()},
+		Then: []platform.Write{{Key: HolderKey(self.Partition), Value: value}},
+	}
+	for i := range l.chains {
+		txn.Then = append(txn.Then, l.chainWrite(i))
 	}
 	sent := time.Now()
 	reply, err := l.settle(ctx, txn)
@@ -131,7 +146,10 @@
 }
 
 func (l *Ledger) begin(at platform.Revision, sent time.Time) {
-	l.self.Revision, l.chain, l.proved = at, at, sent
+	l.self.Revision, l.proved = at, sent
+	for i := range l.chains {
+		l.chains[i].at = at
+	}
 }
 
 // Holder returns the claim that this ledger writes under.
@@ -145,40 +163,75 @@
 	return l.proved
 }
 
-// Commit applies the writes, at most MaxWrites, unless the partition has another
-// holder. It returns ErrDeposed, platform.ErrRefused for writes that the store
-// never takes, or ctx's error; after the latter the writes may or may not have
-// taken effect, and the ledger can not be used any more.
-func (l *Ledger) Commit(ctx context.Context, writes []platform.Write) error {
-	l.sequence++
+// Commit applies the writes, unless the partition has another holder. Those of one
+// group take effect together; groups may take effect apart, and in any order. It
+// returns ErrDeposed, platform.ErrRefused for writes that the store never takes, or
+// ctx's error; after an error the writes may or may not have taken effect, and the
+// ledger can not be used any more.
+func (l *Ledger) Commit(ctx context.Context, groups [][]platform.Write) error {
+	txns := pack(groups)
+	for len(txns) > 0 {
+		n := min(len(txns), Chains)
+		var all errgroup.Group
+		for i, writes := range txns[:n] {
+			all.Go(func() error { return l.commitTo(ctx, i, writes) })
+		}
+		if err := all.Wait(); err != nil {
+			return err
+		}
+		txns = txns[n:]
+	}
+	return nil
+}
+
+// pack puts groups together into as few transactions as they fit in, one at the least:
+// it proves the claim.
+func pack(groups [][]platform.Write) [][]platform.Write {
+	txns := [][]platform.Write{nil}
+	for _, g := range groups {
+		last := len(txns) - 1
+		if len(txns[last])+len(g) > maxWrites {
+			txns = append(txns, nil)
+			last++
+		}
+		txns[last] = append(txns[last], g...)
+	}
+	return txns
+}
+
+// commitTo makes the next transaction of a chain.
+func (l *Ledger) commitTo(ctx context.Context, i int, writes []platform.Write) error {
+	c := &l.chains[i]
+	c.sequence++
 	txn := platform.Txn{
 		If: []platform.Condition{
 			{Key: HolderKey(l.self.Partition), ModRevision: l.self.Revision},
-			{Key: l.chainKey(), ModRevision: l.chain},
+			{Key: chainKey(l.self.Partition, i), ModRevision: c.at},
 		},
-		Then: append([]platform.Write{l.chainWrite()}, writes...),
+		Then: append([]platform.Write{l.chainWrite(i)}, writes...),
 	}
 	sent := time.Now()
 	reply, err := l.settle(ctx, txn)
 	if err != nil {
 		return err
 	}
-	at := reply.Revision
+	c.at = reply.Revision
 	if !reply.Applied {
-		if at, err = l.applied(reply.Found); err != nil {
+		if c.at, err = l.applied(i, reply.Found); err != nil {
 			return err
 		}
 	}
-	l.chain = at
 	l.mu.Lock()
-	l.proved = sent
-	l.mu.Unlock()
+	defer l.mu.Unlock()
+	if sent.After(l.proved) {
+		l.proved = sent
+	}
 	return nil
 }
 
-// applied returns the revision at which an earlier copy of the present
+// applied returns the revision at which an earlier copy of a chain's present
 // transaction took effect, or ErrDeposed.
-func (l *Ledger) applied(found []platform.Record) (platform.Revision, error) {
+func (l *Ledger) applied(i int, found []platform.Record) (platform.Revision, error) {
 	var at platform.Revision
 	for _, rec := range found {
 		switch rec.Key {
@@ -186,12 +239,12 @@
 			if rec.ModRevision != l.self.Revision {
 				return 0, ErrDeposed
 			}
-		case l.chainKey():
+		case chainKey(l.self.Partition, i):
 			var last link
 			if err := cbor.Unmarshal(rec.Value, &last); err != nil {
 				return 0, fmt.Errorf("record %s: %w", rec.Key, err)
 			}
-			if last == (link{l.self.Epoch, l.sequence}) {
+			if last == (link{l.self.Epoch, l.chains[i].sequence}) {
 				at = rec.ModRevision
 			}
 		}
@@ -211,13 +264,20 @@
 	return reply.TxnReply, err
 }
 
-func (l *Ledger) chainKey() string { return ChainKey(l.self.Partition) }
-
-func (l *Ledger) chainWrite() platform.Write {
-	value, _ := cbor.Marshal(link{l.self.Epoch, l.sequence}) // numbers always encode
-	return platform.Write{Key: l.chainKey(), Value: value}
+// chainWrite is the write of a chain's key that each of its transactions makes.
+func (l *Ledger) chainWrite(i int) platform.Write {
+	value, _ := cbor.Marshal(link{l.self.Epoch, l.chains[i].sequence}) // numbers always encode
+	return platform.Write{Key: chainKey(l.self.Partition, i), Value: value}
 }
 
-// ChainKey returns the key that the holder of a partition writes with each
-// transaction.
-func ChainKey(partition int) string { return chainPrefix + strconv.Itoa(partition) }
+// ChainKey returns the key that the holder of a partition writes at least as often as
+// it renews its right to give orders.
+func ChainKey(partition int) string { return chainKey(partition, 0) }
+
+func chainKey(partition, i int) string {
+	key := chainPrefix + strconv.Itoa(partition)
+	if i > 0 {
+		key += "/" + strconv.Itoa(i)
+	}
+	return key
+}
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -20,8 +20,8 @@
 
 func sender(c *memstore.Client) *resend.Sender { return resend.New(c, follow.NewHealth(nil)) }
 
-func write(key, value string) []platform.Write {
-	return []platform.Write{{Key: key, Value: []byte(value)}}
+func write(key, value string) [][]platform.Write {
+	return [][]platform.Write{{{Key: key, Value: []byte(value)}}}
 }
 
 // value reads a key past every fault.
@@ -144,3 +144,58 @@
 		is.Equal(value(t, e, "k"), "")
 	})
 }
+
+// TestManyRecordsInASlowStore: a store that took 0.24 s an answer let a holder store 120
+// records a second, of 330 jobs that ended.
+func TestManyRecordsInASlowStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := memstore.New()
+		defer e.Close()
+		l, _, err := Claim(t.Context(), sender(e.Client("a")), Holder{}, self("a"))
+		is.NoErr(err)
+		e.Client("a").SetFaults(memstore.Faults{AnswerDelayMS: 240})
+		for round := range 3 {
+			var groups [][]platform.Write
+			for i := range 150 {
+				v := []byte(fmt.Sprint(round))
+				groups = append(groups, []platform.Write{{Key: fmt.Sprint("end/", i), Value: v}, {Key: fmt.Sprint("progress/", i), Value: v}})
+			}
+			begun := time.Now()
+			is.NoErr(l.Commit(t.Context(), groups))
+			if round > 0 { // the first learns how long answers take
+				is.True(time.Since(begun) < 400*time.Millisecond)
+			}
+			for i := range 150 {
+				is.Equal(value(t, e, fmt.Sprint("end/", i)), fmt.Sprint(round))
+				is.Equal(value(t, e, fmt.Sprint("progress/", i)), fmt.Sprint(round))
+			}
+		}
+	})
+}
+
+// TestGroupsStayTogether: the end of a job and what it makes needless take effect
+// together, or a next holder would find a job without either.
+func TestGroupsStayTogether(t *testing.T) {
+	is := is.New(t)
+	var groups [][]platform.Write
+	for i := range 100 {
+		groups = append(groups, make([]platform.Write, 1+i%3))
+		for k := range groups[i] {
+			groups[i][k].Key = fmt.Sprint(i)
+		}
+	}
+	at, sum := map[string]int{}, 0
+	for n, txn := range pack(groups) {
+		is.True(len(txn) <= maxWrites)
+		for _, w := range txn {
+			sum++
+			if before, seen := at[w.Key]; seen {
+				is.Equal(before, n)
+			}
+			at[w.Key] = n
+		}
+	}
+	is.Equal(sum, 199)
+	is.Equal(len(pack(nil)), 1)
+}
