Entries of another writer name no host, and hide no other

One with fields missing or of another type counted as a host (with an empty address, a state taken for ready, no size), one that could not be read left the host in use as it was before, one value that was not even encoded as the store's failed the reading of all hosts, hosts of services that the configuration does not name were claimed and looked at, and each heartbeat of such a writer was a line in the log. Ruled out: refusing entries with more fields than we know.

--- a/internal/cell/view.go
+++ b/internal/cell/view.go
@@ -152,9 +152,9 @@
 	v.mu.Lock()
 	for _, rec := range records {
 		if name, ok := strings.CutPrefix(rec.Key, memberPrefix); ok {
-			var m Member
-			if err := cbor.Unmarshal(rec.Value, &m); err != nil {
-				failed = fmt.Errorf("record %s: %w", rec.Key, err)
+			m, err := decodeMember(name, rec)
+			if err != nil {
+				failed = err
 				continue
 			}
 			members[name] = m
@@ -186,20 +186,32 @@
 		return nil
 	}
 	var m Member
+	var err error
 	if !c.Deleted {
-		if err := cbor.Unmarshal(c.Value, &m); err != nil {
-			return fmt.Errorf("record %s: %w", c.Key, err)
-		}
+		m, err = decodeMember(name, c.Record)
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if c.Deleted {
+	if c.Deleted || err != nil {
 		delete(v.members, name)
 	} else {
 		v.members[name] = m
 	}
 	v.tell()
-	return nil
+	return err
+}
+
+// decodeMember reads a member's entry. One that names another member, or lacks what it
+// takes to reach it, is an error.
+func decodeMember(name string, rec platform.Record) (Member, error) {
+	var m Member
+	if err := cbor.Unmarshal(rec.Value, &m); err != nil {
+		return Member{}, fmt.Errorf("record %s: %w", rec.Key, err)
+	}
+	if m.Name != name || m.Addr == "" {
+		return Member{}, fmt.Errorf("record %s: names %q at %q", rec.Key, m.Name, m.Addr)
+	}
+	return m, nil
 }
 
 func (v *View) learnRecord(rec platform.Record) error {
--- a/internal/cell/view_test.go
+++ b/internal/cell/view_test.go
@@ -117,3 +117,43 @@
 		is.True(float64(members)/beatEvery(members).Seconds() <= 251)
 	}
 }
+
+// TestEntriesOfOtherWriters: an entry that can not be read, or names another member or no
+// address, stands for no member; the others hold.
+func TestEntriesOfOtherWriters(t *testing.T) {
+	is := is.New(t)
+	other := entry(is, "x")
+	other.Key = memberKey("b")
+	bad := map[string]platform.Record{
+		"garbage":        {Key: memberKey("b"), Value: []byte("\xff\x00")},
+		"nothing":        {Key: memberKey("b")},
+		"another name":   other,
+		"another shape":  {Key: memberKey("b"), Value: []byte{0x83, 1, 2, 3}},
+		"without fields": {Key: memberKey("b"), Value: []byte{0xa0}},
+	}
+	for name, rec := range bad {
+		v := NewView()
+		is.True(v.list([]platform.Record{rec, entry(is, "a")}) != nil)
+		is.Equal(names(v.Entered()), []string{"a"})
+		is.NoErr(v.apply(platform.Change{Record: entry(is, "b")}))
+		if v.apply(platform.Change{Record: rec}) == nil {
+			t.Error(name, "taken")
+		}
+		is.Equal(names(v.Entered()), []string{"a"})
+	}
+}
+
+// FuzzMembers: no entry ends the process, and none that is taken lacks an address.
+func FuzzMembers(f *testing.F) {
+	f.Add("a", entry(is.New(f), "a").Value)
+	f.Add("b", []byte{0xa1, 1, 0x61, 'b'})
+	f.Fuzz(func(t *testing.T, name string, value []byte) {
+		v := NewView()
+		err := v.apply(platform.Change{Record: platform.Record{Key: memberKey(name), Value: value}})
+		for _, m := range v.Entered() {
+			if err != nil || m.Addr == "" || m.Name != name {
+				t.Errorf("%+v, %v", m, err)
+			}
+		}
+	})
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -8,7 +8,9 @@
 package engine
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"pulleyquay/internal/advice"
@@ -69,6 +71,8 @@
 	// planAt is when the queue is to be gone through next.
 	planAt time.Time
 	hosts  map[host.ID]*hostState
+	// foreign are the listed hosts of services that the configuration does not name.
+	foreign map[host.ID]host.Info
 	// sorted are the hosts in the order of their ids.
 	sorted []*hostState
 	// unwanted are the runs to be stopped.
@@ -152,6 +156,7 @@
 		live:         map[string]*job{},
 		ready:        map[spec.StepID]*group{},
 		hosts:        map[host.ID]*hostState{},
+		foreign:      map[host.ID]host.Info{},
 		asks:         map[uint64]*question{},
 		unwanted:     map[*run]struct{}{},
 		dirty:        map[string]*job{},
@@ -222,8 +227,28 @@
 	Patience time.Duration
 }
 
-// SetCatalog takes in the configuration in force.
-func (e *Engine) SetCatalog(c *catalog.Catalog) { e.catalog = c }
+// SetCatalog takes in the configuration in force. Hosts of services that it does not
+// name are not used; it may name them later.
+func (e *Engine) SetCatalog(c *catalog.Catalog, now time.Time) {
+	if c == e.catalog {
+		return
+	}
+	e.catalog, e.now = c, now
+	for _, info := range slices.Collect(maps.Values(e.foreign)) {
+		e.setHost(info, now)
+	}
+	for _, h := range slices.Clone(e.sorted) {
+		if h.listed && !e.named(h.info.Service) {
+			e.setHost(h.info, now)
+		}
+	}
+}
+
+// named reports whether a service is one that the configuration names, as far as there
+// is one.
+func (e *Engine) named(service string) bool {
+	return e.catalog == nil || len(e.catalog.Services) == 0 || e.catalog.Service(service) != nil
+}
 
 // SetProved says until when this process may give orders.
 func (e *Engine) SetProved(until time.Time) { e.proved = until }
--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -195,6 +195,7 @@
 
 // SetHosts takes in the platform's list of hosts, whole.
 func (e *Engine) SetHosts(list []host.Info, now time.Time) {
+	clear(e.foreign)
 	listed := make(map[host.ID]bool, len(list))
 	for _, info := range list {
 		listed[info.ID] = true
@@ -212,6 +213,7 @@
 
 // DropHost notes that a host's entry has gone from the list.
 func (e *Engine) DropHost(id host.ID, now time.Time) {
+	delete(e.foreign, id)
 	if h := e.hosts[id]; h != nil && h.listed {
 		e.unlist(h, now)
 	}
@@ -219,6 +221,14 @@
 
 func (e *Engine) setHost(info host.Info, now time.Time) {
 	h := e.hosts[info.ID]
+	if !e.named(info.Service) {
+		e.foreign[info.ID] = info
+		if h != nil && h.listed {
+			e.unlist(h, now)
+		}
+		return
+	}
+	delete(e.foreign, info.ID)
 	if h == nil {
 		h = e.newHost(info)
 		h.lookAt = now
--- a/internal/engine/world_test.go
+++ b/internal/engine/world_test.go
@@ -153,7 +153,7 @@
 		},
 	})
 	w.engine.SetMembers(w.members)
-	w.engine.SetCatalog(&catalog.Catalog{})
+	w.engine.SetCatalog(&catalog.Catalog{}, w.now())
 	w.committing = false
 	var settleBy time.Time
 	if w.epoch > 1 {
--- a/internal/holder/follow.go
+++ b/internal/holder/follow.go
@@ -81,11 +81,10 @@
 	})
 	reads.Go(func() {
 		t.hostsAt = h.list(h.cfg.HostPrefix, func(rec platform.Record) error {
-			info, err := h.cfg.DecodeHost(rec)
-			if err == nil {
+			if info, ok := h.readHost(rec); ok {
 				t.hosts = append(t.hosts, info)
 			}
-			return err
+			return nil
 		})
 	})
 	reads.Go(func() {
@@ -175,29 +174,39 @@
 func (h *Holder) takeHosts(records []platform.Record) {
 	var list []host.Info
 	for _, rec := range records {
-		info, err := h.cfg.DecodeHost(rec)
-		if err != nil {
-			h.log.WithError(err).Error("host's entry can not be read")
-			continue
+		if info, ok := h.readHost(rec); ok {
+			list = append(list, info)
 		}
-		list = append(list, info)
 	}
 	h.do(func(e *engine.Engine, now time.Time) { e.SetHosts(list, now) })
 }
 
 func (h *Holder) takeHost(c platform.Change) {
-	if c.Deleted {
-		h.do(func(e *engine.Engine, now time.Time) { e.DropHost(h.cfg.HostOf(c.Key), now) })
-		return
+	info, ok := host.Info{}, false
+	if !c.Deleted {
+		info, ok = h.readHost(c.Record)
 	}
-	info, err := h.cfg.DecodeHost(c.Record)
-	if err != nil {
-		h.log.WithError(err).Error("host's entry can not be read")
+	if !ok {
+		h.do(func(e *engine.Engine, now time.Time) { e.DropHost(h.cfg.HostOf(c.Key), now) })
 		return
 	}
 	h.do(func(e *engine.Engine, now time.Time) { e.SetHost(info, now) })
 }
 
+// readHost reads a host's entry. One that another writer has made names no host: it is as
+// if it were not there, and the host that it may have stood for gets nothing new.
+func (h *Holder) readHost(rec platform.Record) (host.Info, bool) {
+	info, err := h.cfg.DecodeHost(rec)
+	if err == nil {
+		h.unreadable.Remove(rec.Key)
+		return info, true
+	}
+	if told, _ := h.unreadable.ContainsOrAdd(rec.Key, struct{}{}); !told {
+		h.log.WithError(err).Warn("an entry names no host")
+	}
+	return host.Info{}, false
+}
+
 // followJobs finds jobs that were stored by a member that died before it told.
 func (h *Holder) followJobs() {
 	p := h.ledger.Holder().Partition
--- /dev/null
+++ b/internal/holder/follow_test.go
@@ -0,0 +1,104 @@
+package holder
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"pulleyquay/internal/catalog"
+	"pulleyquay/internal/engine"
+	"pulleyquay/internal/host"
+	"pulleyquay/internal/ledger"
+	"pulleyquay/internal/linkshard"
+	"pulleyquay/internal/platform"
+	"pulleyquay/internal/platform/follow"
+	"pulleyquay/internal/platform/memstore"
+	"pulleyquay/internal/platform/resend"
+)
+
+// idleHosts answer every look and run nothing.
+type idleHosts struct{ host.Client }
+
+func (idleHosts) Look(_ context.Context, _ host.Info, _ uint64, l host.Look) (host.View, error) {
+	time.Sleep(l.Wait)
+	return host.View{Clock: 1}, nil
+}
+
+const prefix = "hosts/"
+
+// decodeHost reads entries that hold an address, and none that hold "garbage".
+func decodeHost(rec platform.Record) (host.Info, error) {
+	if string(rec.Value) == "garbage" {
+		return host.Info{}, errors.New("garbage")
+	}
+	return host.Info{ID: host.ID(strings.TrimPrefix(rec.Key, prefix)), Addr: string(rec.Value)}, nil
+}
+
+// newHolder returns a holder of a partition in a store, its log, and a way to run it.
+func newHolder(t *testing.T, store *memstore.Engine, hosts host.Client) (*Holder, *bytes.Buffer) {
+	t.Helper()
+	health := follow.NewHealth(nil)
+	l, _, err := ledger.Claim(t.Context(), resend.New(store.Client("a"), health), ledger.Holder{}, ledger.Holder{Name: "a"})
+	is.New(t).NoErr(err)
+	var out bytes.Buffer
+	log := logrus.New()
+	log.SetOutput(&out)
+	h := New(Config{
+		Store: store.Client("a"), Health: health, Hosts: hosts, Log: logrus.NewEntry(log), Tuning: engine.DefaultTuning(),
+		Bounds: engine.Bounds{LeaseLimit: 6 * time.Second}, HostPrefix: prefix, DecodeHost: decodeHost,
+		HostOf:  func(key string) host.ID { return host.ID(strings.TrimPrefix(key, prefix)) },
+		Catalog: func() *catalog.Catalog { return &catalog.Catalog{} }, Lanes: func() map[string]string { return nil },
+		Shards: func() []linkshard.Member { return nil }, Self: "a", Busy: func() bool { return false },
+		Metrics: NewMetrics(prometheus.NewRegistry()),
+	}, l)
+	return h, &out
+}
+
+// TestEntriesThatNameNoHost: an entry that can not be read takes its host out of use and
+// no other; the host is back with its next own entry. The log has one line on it, though
+// it is written again and again.
+func TestEntriesThatNameNoHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := memstore.New()
+		put := func(id, value string) {
+			store.Put(platform.Write{Key: prefix + id, Value: []byte(value)})
+			time.Sleep(2 * time.Second)
+		}
+		put("bad", "garbage")
+		put("good", "10.1.1.1:80")
+		put("turns", "10.1.1.2:80")
+		h, out := newHolder(t, store, idleHosts{})
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			_ = h.Run(ctx, ledger.Holder{}, func() {}, func() {}) // it ends as it is told to
+			close(ended)
+		}()
+		time.Sleep(2 * time.Second)
+		count := func() int {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			return h.engine.Hosts()
+		}
+		is.Equal(count(), 2)
+		for range 5 {
+			put("turns", "garbage")
+		}
+		is.Equal(count(), 1)
+		put("turns", "10.1.1.2:80")
+		is.Equal(count(), 2)
+		cancel()
+		<-ended
+		store.Close()
+		is.Equal(strings.Count(out.String(), "an entry names no host"), 2) // bad, and turns once
+	})
+}
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/sirupsen/logrus"
 
 	"pulleyquay/internal/advice"
@@ -40,6 +41,9 @@
 	// busySlack is how much longer a busy process waits for the policy service's answer:
 	// one that is given up as it is taken in late has to be asked for again.
 	busySlack = time.Second
+	// mostUnreadable is how many entries that name no host are remembered, so that the
+	// log has one line on each and not one a heartbeat.
+	mostUnreadable = 1024
 	// gatherFor is how long events are gathered before decisions are made.
 	gatherFor = time.Millisecond
 )
@@ -92,6 +96,8 @@
 	calls  sync.WaitGroup
 	router *linkshard.Router
 	hosts  atomic.Int64 // of the partition
+	// unreadable are the keys of entries that name no host, so that each is told once.
+	unreadable *lru.Cache[string, struct{}]
 
 	mu     sync.Mutex
 	engine *engine.Engine
@@ -108,8 +114,12 @@
 // before Run.
 func New(cfg Config, l *ledger.Ledger) *Holder {
 	self := l.Holder()
+	unreadable, err := lru.New[string, struct{}](mostUnreadable)
+	if err != nil {
+		panic("holder: " + err.Error()) // its size is a constant above zero
+	}
 	h := &Holder{
-		cfg: cfg, ledger: l,
+		cfg: cfg, ledger: l, unreadable: unreadable,
 		log:  cfg.Log.WithFields(logrus.Fields{"partition": self.Partition, "epoch": self.Epoch}),
 		wake: make(chan struct{}, 1), commit: make(chan struct{}, 1), stored: make(chan struct{}),
 		engine: engine.New(engine.Config{
@@ -201,7 +211,7 @@
 	defer h.mu.Unlock()
 	now := time.Now()
 	h.hosts.Store(int64(h.engine.Hosts()))
-	h.engine.SetCatalog(c)
+	h.engine.SetCatalog(c, now)
 	h.engine.SetMembers(names)
 	h.engine.SetProved(h.ledger.Proved().Add(rightTerm))
 	return h.engine.Next(now)
