What a process is busy with: bytes by purpose, decisions, waits, in metrics, log and report

Cause: a link too thin for what crosses it showed nowhere; finding that took the users copies of a site file with other links. Change: internal/traffic counts bytes, messages and connections by purpose (hosts, store, policy service, callers, and messages between members by what they are for), served as metrics; a holder tells every 2 s, others every 10 s, one line 'process load' with the processor, lateness, decisions, the longest wait until something is taken in, the age of the oldest job told, calls under way and the bytes; pulleyctl report sums it up by process and draws the busiest link over time. Ruled out: a line a process each 2 s (147 of them cost more than they tell).

--- a/cmd/pulley-node/node.go
+++ b/cmd/pulley-node/node.go
@@ -25,6 +25,7 @@
 	"pulleyquay/internal/platform/follow"
 	"pulleyquay/internal/platform/resend"
 	"pulleyquay/internal/result"
+	"pulleyquay/internal/traffic"
 	"pulleyquay/platform"
 )
 
@@ -56,6 +57,8 @@
 	entries *cell.Service
 	conns   *connections
 	claimer *cell.Claimer
+	meter   *traffic.Meter
+	load    *loadTeller
 	catalog *catalog.Keeper
 	table   *holder.Table
 	front   *front.Front
@@ -78,12 +81,15 @@
 		}
 		n.log.Warn("store lost")
 	})
-	n.store = platform.NewStore(s.Store.Address)
+	n.meter = traffic.NewMeter()
+	d.Reg.MustRegister(n.meter)
+	n.store = platform.NewStore(s.Store.Address, n.meter.Of("store"))
 	n.conns = &connections{health: n.health, log: n.log}
 	n.writes = resend.New(n.store, n.health)
 	n.writes.Overtaken = n.conns.suspect
 	n.peers = peer.NewNode(peer.Hello{Name: s.Name, Incarnation: n.self.Incarnation, Addr: n.self.Addr}, n.mux, n.log)
 	n.conns.peers, n.peers.Silent = n.peers, n.conns.suspect
+	n.peers.Count = countMessages(n.meter)
 	n.entries = &cell.Service{Store: n.store, Health: n.health, Self: n.self, View: n.view, Log: n.log}
 	n.catalog = &catalog.Keeper{
 		Store: n.store, Health: n.health, Peers: n.peers, Log: n.log,
@@ -97,9 +103,10 @@
 }
 
 func (n *node) addHolder() {
-	orders := platform.NewOrders(hostIdle, n.conf.Descriptors/idleShare)
+	orders := platform.NewOrders(hostIdle, n.conf.Descriptors/idleShare, n.meter.Of("hosts"))
 	n.conns.parts = append(n.conns.parts, n.store, orders)
 	late := &lateness.Timers{}
+	metrics := holder.NewMetrics(n.daemon.Reg)
 	hosts := hostcall.New(orders, n.health, late.Busy, hostcall.NewMetrics(n.daemon.Reg))
 	linkshard.NewServer(n.mux, hosts, n.peers, n.log)
 	conf := holder.Config{
@@ -107,7 +114,7 @@
 		Self: n.self.Name, Addr: n.self.Addr, Shards: n.shards,
 		Bounds: n.conf.Bounds.engine(), Tuning: engine.DefaultTuning(),
 		HostPrefix: platform.HostPrefix, DecodeHost: platform.DecodeHost, HostOf: platform.HostOf,
-		Catalog: n.catalog.Current, Lanes: n.lanes, Metrics: holder.NewMetrics(n.daemon.Reg), Event: n.event,
+		Catalog: n.catalog.Current, Lanes: n.lanes, Metrics: metrics, Event: n.event,
 		WavePrefix: platform.WavePrefix, DecodeWave: platform.DecodeWave, WaveState: platform.WaveState,
 		DutyLease: n.conf.Bounds.DutyLease.Std(), Busy: late.Busy,
 	}
@@ -118,10 +125,11 @@
 	}
 	n.table = holder.NewTable(conf, n.mux)
 	if n.conf.Policy.Address != "" {
-		policy := platform.NewPolicy(n.conf.Policy.Address)
+		policy := platform.NewPolicy(n.conf.Policy.Address, n.meter.Of("policy service"))
 		n.conns.parts = append(n.conns.parts, policy)
 		holder.ServeAdvice(n.mux, policy)
 	}
+	n.load = &loadTeller{meter: n.meter, metrics: metrics, late: late, table: n.table, log: n.log}
 	n.claimer = &cell.Claimer{
 		Self: n.self, View: n.view, Store: n.store, Writes: n.writes, Health: n.health, Peers: n.peers, Log: n.log,
 		Hold: n.hold, CatalogVersion: n.catalog.Version, Behind: n.catalog.Behind, Late: late,
@@ -208,6 +216,7 @@
 	n.catalog.Start(ctx, n.mux)
 	n.claimer.Start(ctx, n.mux, partitions)
 	go n.entries.Run(ctx)
+	go n.load.run(ctx)
 	if n.conf.MemoryMiB > 0 {
 		debug.SetMemoryLimit(n.conf.MemoryMiB << 20 / memoryShare)
 	}
@@ -220,7 +229,7 @@
 	mux := http.NewServeMux()
 	switch field {
 	case "listen.callers":
-		n.server = n.daemon.Serve(l, alice.New(n.closeWhileStopping).Then(platform.Callers{
+		n.server = n.daemon.Serve(n.meter.Of("callers").Listener(l), alice.New(n.closeWhileStopping).Then(platform.Callers{
 			Catalog: n.catalog.Current, Jobs: n.front, Margin: front.AnswerMargin, Patience: front.DefaultPatience,
 		}))
 		return
--- a/internal/ctl/report.go
+++ b/internal/ctl/report.go
@@ -15,12 +15,13 @@
 )
 
 func (a *app) reportCommand() *cobra.Command {
-	var plot string
+	var plot, plotLoad string
 	cmd := &cobra.Command{
-		Use: "report FILE...", Short: "Tell from saved logs where the time of jobs goes, by queue (- reads standard input)",
+		Use: "report FILE...", Short: "Tell from saved logs where the time of jobs goes, by queue, and what processes are busy with (- reads standard input)",
 		Args: cobra.MinimumNArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			var lines []report.Line
+			var loads []report.Load
 			for _, name := range args {
 				more, err := readLog(cmd.InOrStdin(), name)
 				if err != nil {
@@ -28,6 +29,9 @@
 				}
 				for _, l := range more {
 					lines = append(lines, l.forReport())
+					if l.Msg == msgLoad {
+						loads = append(loads, l.load())
+					}
 				}
 			}
 			queues := report.Of(lines)
@@ -35,14 +39,28 @@
 				return fmt.Errorf("no line of these logs names a job")
 			}
 			if plot != "" {
-				if err := savePlot(plot, queues, lines); err != nil {
+				if err := savePlot(plot, lines, func(w io.Writer, from time.Time) error { return report.Plot(w, queues, from) }); err != nil {
 					return err
 				}
 			}
-			return printReport(cmd.OutOrStdout(), queues)
+			processes := report.Processes(loads)
+			if plotLoad != "" {
+				busiest := ""
+				if len(processes) > 0 {
+					busiest = processes[0].Name
+				}
+				if err := savePlot(plotLoad, lines, func(w io.Writer, from time.Time) error { return report.PlotLoad(w, loads, busiest, from) }); err != nil {
+					return err
+				}
+			}
+			if err := printReport(cmd.OutOrStdout(), queues); err != nil || len(processes) == 0 {
+				return err
+			}
+			return printLoads(cmd.OutOrStdout(), processes)
 		},
 	}
 	cmd.Flags().StringVar(&plot, "plot", "", "draw how long jobs took over time into this SVG file")
+	cmd.Flags().StringVar(&plotLoad, "plot-load", "", "draw what crossed the busiest link over time, by purpose, into this SVG file")
 	return cmd
 }
 
@@ -52,7 +70,7 @@
 }
 
 // savePlot draws into a file, with the first line's time as the beginning.
-func savePlot(name string, queues []*report.Queue, lines []report.Line) error {
+func savePlot(name string, lines []report.Line, draw func(w io.Writer, from time.Time) error) error {
 	from := lines[0].Time
 	for _, l := range lines {
 		if l.Time.Before(from) {
@@ -63,7 +81,7 @@
 	if err != nil {
 		return result.New(result.BadInput, result.RanNo, "%v", err).At("plot")
 	}
-	err = report.Plot(f, queues, from)
+	err = draw(f, from)
 	if closeErr := f.Close(); err == nil {
 		err = closeErr
 	}
--- a/internal/ctl/trace.go
+++ b/internal/ctl/trace.go
@@ -32,6 +32,7 @@
 	Queue string    `json:"queue"`
 	// TookMS is how long a call of the front took.
 	TookMS int64 `json:"took_ms"`
+	loadFields
 }
 
 // turningPoints are lines that tell of the whole cell; those within a job's time
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -160,9 +160,12 @@
 
 // do tells the engine something and has it decide again.
 func (h *Holder) do(fn func(e *engine.Engine, now time.Time)) {
+	begun := time.Now()
 	h.mu.Lock()
-	fn(h.engine, time.Now())
+	now := time.Now()
+	fn(h.engine, now)
 	h.mu.Unlock()
+	h.cfg.Metrics.waited(now.Sub(begun))
 	h.rouse()
 }
 
@@ -214,7 +217,9 @@
 	h.engine.SetCatalog(c, now)
 	h.engine.SetMembers(names)
 	h.engine.SetProved(h.ledger.Proved().Add(rightTerm))
-	return h.engine.Next(now)
+	orders, due := h.engine.Next(now)
+	h.cfg.Metrics.decided(time.Since(now))
+	return orders, due
 }
 
 // carryOut sends the orders. Nothing is waited for here.
--- a/internal/holder/metrics.go
+++ b/internal/holder/metrics.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -10,6 +11,21 @@
 type Metrics struct {
 	commits *prometheus.HistogramVec
 	writes  prometheus.Counter
+	// decisions is how long one decision takes, waits how long what happened waits to be
+	// taken in, jobAge how old an accepted job is when the engine knows it.
+	decisions, waits, jobAge prometheus.Histogram
+
+	mu   sync.Mutex
+	load Load
+}
+
+// Load is what holders of this process did since the last reading.
+type Load struct {
+	// Deciding is the time that decisions took.
+	Deciding time.Duration
+	// LongestWait is the longest time for which something waited to be taken in,
+	// OldestJob the age of the oldest job when the engine knew of it.
+	LongestWait, OldestJob time.Duration
 }
 
 // NewMetrics registers the metrics.
@@ -23,10 +39,46 @@
 			Name: "pulleyquay_holder_records_written_total", Help: "Records written with the transactions.",
 		}),
 	}
-	reg.MustRegister(m.commits, m.writes)
+	moments := func(name, help string) prometheus.Histogram {
+		return prometheus.NewHistogram(prometheus.HistogramOpts{Name: name, Help: help, Buckets: prometheus.ExponentialBuckets(0.00005, 4, 9)})
+	}
+	m.decisions = moments("pulleyquay_holder_decision_seconds", "Decisions: all that is due at a moment.")
+	m.waits = moments("pulleyquay_holder_wait_seconds", "Waits of what happened until it is taken in.")
+	m.jobAge = moments("pulleyquay_holder_job_age_seconds", "Ages of accepted jobs when the holder knows of them.")
+	reg.MustRegister(m.commits, m.writes, m.decisions, m.waits, m.jobAge)
 	return m
 }
 
+// TakeLoad returns the load since it was last taken.
+func (m *Metrics) TakeLoad() Load {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	l := m.load
+	m.load = Load{}
+	return l
+}
+
+func (m *Metrics) decided(took time.Duration) {
+	m.decisions.Observe(took.Seconds())
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.load.Deciding += took
+}
+
+func (m *Metrics) waited(d time.Duration) {
+	m.waits.Observe(d.Seconds())
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.load.LongestWait = max(m.load.LongestWait, d)
+}
+
+func (m *Metrics) known(age time.Duration) {
+	m.jobAge.Observe(age.Seconds())
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.load.OldestJob = max(m.load.OldestJob, age)
+}
+
 func (m *Metrics) commit(begun time.Time, records int, err error) {
 	outcome := "done"
 	if err != nil {
--- a/internal/holder/table.go
+++ b/internal/holder/table.go
@@ -67,7 +67,12 @@
 	if err != nil {
 		return Empty{}, err
 	}
-	h.do(func(e *engine.Engine, now time.Time) { e.Accept(&a.Job, a.Fresh, now.Add(-a.Age), now) })
+	begun := time.Now()
+	h.do(func(e *engine.Engine, now time.Time) {
+		age := a.Age + now.Sub(begun)
+		h.cfg.Metrics.known(age)
+		e.Accept(&a.Job, a.Fresh, now.Add(-age), now)
+	})
 	return Empty{}, nil
 }
 
@@ -131,6 +136,17 @@
 	return Empty{}, h.router.Report(r)
 }
 
+// UnderWay is how many calls to hosts wait for their outcome, and whether this process
+// holds a partition at all.
+func (t *Table) UnderWay() (calls int, holds bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, h := range t.holders {
+		calls += h.router.UnderWay()
+	}
+	return calls, len(t.holders) > 0
+}
+
 func (t *Table) onPending(_ context.Context, q PendingRequest) (PendingReply, error) {
 	h, err := t.holder(q.Partition)
 	if err != nil {
--- a/internal/httponce/httponce.go
+++ b/internal/httponce/httponce.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"golang.org/x/sync/semaphore"
+
+	"pulleyquay/internal/traffic"
 )
 
 // Defaults of Options.
@@ -57,6 +59,8 @@
 	MaxIdle int
 	// Probes finds connections that have fallen silent while an answer is awaited.
 	Probes net.KeepAliveConfig
+	// Traffic counts connections and bytes; nil counts nothing.
+	Traffic *traffic.Counter
 }
 
 // Answer is a whole answer.
@@ -173,7 +177,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newLine(conn), nil
+	return newLine(conn, c.opt.Traffic), nil
 }
 
 func (c *Client) takeIdle(p *pool) *line {
--- a/internal/httponce/line.go
+++ b/internal/httponce/line.go
@@ -12,6 +12,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"pulleyquay/internal/traffic"
 )
 
 // errSealed is what a write meets after its request has failed.
@@ -42,8 +44,9 @@
 	close bool
 }
 
-func newLine(conn net.Conn) *line {
-	counting := &countingConn{Conn: conn}
+func newLine(conn net.Conn, count *traffic.Counter) *line {
+	count.Opened()
+	counting := &countingConn{Conn: conn, traffic: count}
 	limit := &io.LimitedReader{R: counting}
 	return &line{
 		conn: counting, limit: limit, opened: time.Now(),
@@ -111,6 +114,7 @@
 // have been written.
 func (l *line) close() (sent bool) {
 	sent = l.conn.seal()
+	l.conn.ended.Do(l.conn.traffic.Closed)
 	_ = l.conn.Close() // nothing is left to be lost on it
 	return sent
 }
@@ -118,6 +122,8 @@
 // countingConn knows whether a byte of the present request was written.
 type countingConn struct {
 	net.Conn
+	traffic *traffic.Counter
+	ended   sync.Once
 
 	mu     sync.Mutex
 	wrote  bool
@@ -156,6 +162,7 @@
 	c.wrote = true
 	c.mu.Unlock()
 	n, err := c.Conn.Write(b)
+	c.traffic.Sent(n)
 	if first && n == 0 && err != nil {
 		c.mu.Lock()
 		c.wrote = false
@@ -164,6 +171,13 @@
 	return n, err
 }
 
+// Read counts what comes in.
+func (c *countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.traffic.Received(n)
+	return n, err
+}
+
 // stands reports whether an idle connection is still open and silent: a read that
 // does not wait finds neither its end nor a byte.
 func (c *countingConn) stands() bool {
--- a/internal/lateness/lateness.go
+++ b/internal/lateness/lateness.go
@@ -84,6 +84,17 @@
 	return l.late() > mostLate
 }
 
+// Latest is by how much the latest of the last timers was late.
+func (l *Timers) Latest() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	most := time.Duration(0)
+	for _, t := range l.last {
+		most = max(most, t.Late)
+	}
+	return most
+}
+
 // late counts the late timers.
 func (l *Timers) late() int {
 	n := 0
--- a/internal/linkshard/router.go
+++ b/internal/linkshard/router.go
@@ -418,6 +418,13 @@
 	r.finish(done)
 }
 
+// UnderWay is how many calls wait for their outcome, at shards or for a batch to them.
+func (r *Router) UnderWay() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.calls)
+}
+
 // Report takes in what a shard has heard from hosts.
 func (r *Router) Report(report Report) error {
 	list, err := report.outcomes()
--- a/internal/peer/goodbye.go
+++ b/internal/peer/goodbye.go
@@ -8,14 +8,14 @@
 	if l.onGoodbye != nil {
 		l.onGoodbye()
 	}
-	_ = l.write(l.ctx, frame{Type: frameGoodbyeAnswer}) // a broken link needs no answer
+	_ = l.write(l.ctx, 0, frame{Type: frameGoodbyeAnswer}) // a broken link needs no answer
 }
 
 // drain says goodbye and waits until no more requests will come and those that
 // came are answered, or until ctx or the link ends.
 func (l *link) drain(ctx context.Context) {
 	l.saidGoodbye.Store(true)
-	if l.write(ctx, frame{Type: frameGoodbye}) != nil {
+	if l.write(ctx, 0, frame{Type: frameGoodbye}) != nil {
 		return
 	}
 	select {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -44,9 +44,12 @@
 
 	mu      sync.Mutex
 	nextID  uint64
-	waiting map[uint64]chan frame
+	waiting map[uint64]waiter
 	serving map[uint64]context.CancelFunc
 
+	// count is told the bytes of each message, by kind; nil counts nothing.
+	count func(kind Kind, in, out int)
+
 	onHello func(Hello) error
 	// onGoodbye is called when the other side wants no more requests.
 	onGoodbye func()
@@ -67,6 +70,12 @@
 	saidGoodbye atomic.Bool
 }
 
+// waiter waits for the answer to a request of a kind.
+type waiter struct {
+	kind   Kind
+	answer chan frame
+}
+
 func newLink(conn *websocket.Conn, mux *Mux, onHello func(Hello) error) *link {
 	conn.SetReadLimit(maxFrameBytes)
 	ctx, cancel := context.WithCancelCause(context.Background())
@@ -74,7 +83,7 @@
 		conn: conn, mux: mux, ctx: ctx, cancel: cancel,
 		writing: make(chan struct{}, 1),
 		inbound: make(chan struct{}, maxInbound),
-		waiting: map[uint64]chan frame{},
+		waiting: map[uint64]waiter{},
 		serving: map[uint64]context.CancelFunc{},
 		onHello: onHello,
 		goodbye: make(chan struct{}),
@@ -100,17 +109,18 @@
 		if err != nil {
 			return err
 		}
-		l.receive(f)
+		l.receive(f, len(data))
 	}
 }
 
 // receive routes one frame. An answer that nobody waits for is dropped: its
 // caller has gone or it came twice.
-func (l *link) receive(f frame) {
+func (l *link) receive(f frame, size int) {
 	switch f.Type {
 	case frameAnswer, frameError:
-		if ch := l.takeWaiter(f.ID); ch != nil {
-			ch <- f
+		if w, ok := l.takeWaiter(f.ID); ok {
+			l.counted(w.kind, size, 0)
+			w.answer <- f
 		}
 	case frameCancel:
 		l.mu.Lock()
@@ -120,6 +130,7 @@
 			cancel()
 		}
 	case frameRequest:
+		l.counted(f.Kind, size, 0)
 		l.accept(f)
 	case frameGoodbye:
 		go l.depart()
@@ -130,12 +141,18 @@
 	}
 }
 
-func (l *link) takeWaiter(id uint64) chan frame {
+func (l *link) takeWaiter(id uint64) (waiter, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	ch := l.waiting[id]
+	w, ok := l.waiting[id]
 	delete(l.waiting, id)
-	return ch
+	return w, ok
+}
+
+func (l *link) counted(kind Kind, in, out int) {
+	if l.count != nil {
+		l.count(kind, in, out)
+	}
 }
 
 func (l *link) accept(f frame) {
@@ -143,7 +160,7 @@
 	case l.inbound <- struct{}{}:
 	default:
 		refusal := result.New(result.NotReady, result.RanNo, "%d requests of this peer are being handled", maxInbound)
-		go l.answer(f.ID, frameError, encodeError(refusal.Later(time.Second)))
+		go l.answer(f, frameError, encodeError(refusal.Later(time.Second)))
 		return
 	}
 	ctx, cancel := context.WithCancel(l.ctx)
@@ -163,10 +180,10 @@
 	}()
 	payload, err := l.handle(ctx, f)
 	if err != nil {
-		l.answer(f.ID, frameError, encodeError(err))
+		l.answer(f, frameError, encodeError(err))
 		return
 	}
-	l.answer(f.ID, frameAnswer, payload)
+	l.answer(f, frameAnswer, payload)
 }
 
 func (l *link) handle(ctx context.Context, f frame) ([]byte, error) {
@@ -185,14 +202,14 @@
 	return cbor.Marshal(struct{}{})
 }
 
-// answer sends an answer; one that can not be sent is dropped with the link.
-func (l *link) answer(id uint64, t frameType, payload []byte) {
-	_ = l.write(l.ctx, frame{ID: id, Type: t, Payload: payload})
+// answer answers a request; an answer that can not be sent is dropped with the link.
+func (l *link) answer(to frame, t frameType, payload []byte) {
+	_ = l.write(l.ctx, to.Kind, frame{ID: to.ID, Type: t, Payload: payload})
 }
 
-// write sends one frame. The returned error is errLinkClosed, or ctx's, when
+// write sends one frame, which counts for a kind. The returned error is errLinkClosed, or ctx's, when
 // nothing was sent; any other error leaves that open and closes the link.
-func (l *link) write(ctx context.Context, f frame) error {
+func (l *link) write(ctx context.Context, kind Kind, f frame) error {
 	data, err := encodeFrame(f)
 	if err != nil {
 		return errLinkClosed
@@ -225,6 +242,7 @@
 		l.close(err)
 		return &brokenWrite{err}
 	}
+	l.counted(kind, 0, len(data))
 	return nil
 }
 
@@ -235,15 +253,15 @@
 
 // call sends a request and waits for its answer.
 func (l *link) call(ctx context.Context, kind Kind, payload []byte) ([]byte, error) {
-	ch := make(chan frame, 1)
+	w := waiter{kind, make(chan frame, 1)}
 	l.mu.Lock()
 	l.nextID++
 	id := l.nextID
-	l.waiting[id] = ch
+	l.waiting[id] = w
 	l.mu.Unlock()
 	defer l.takeWaiter(id)
 
-	if err := l.write(ctx, frame{ID: id, Type: frameRequest, Kind: kind, Payload: payload}); err != nil {
+	if err := l.write(ctx, kind, frame{ID: id, Type: frameRequest, Kind: kind, Payload: payload}); err != nil {
 		var broken *brokenWrite
 		if errors.As(err, &broken) {
 			return nil, result.New(result.PeerLost, result.RanUnknown, "%v", err)
@@ -253,13 +271,13 @@
 	silent := time.AfterFunc(silentAfter, l.trySilent)
 	defer silent.Stop()
 	select {
-	case f := <-ch:
+	case f := <-w.answer:
 		if f.Type == frameError {
 			return nil, decodeError(f.Payload)
 		}
 		return f.Payload, nil
 	case <-ctx.Done():
-		go l.answer(id, frameCancel, nil)
+		go l.answer(frame{ID: id, Kind: kind}, frameCancel, nil)
 		return nil, result.New(result.PeerLost, result.RanUnknown, "gave up waiting for the peer: %v", ctx.Err())
 	case <-l.ctx.Done():
 		return nil, result.New(result.PeerLost, result.RanUnknown, "link broke: %v", context.Cause(l.ctx))
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -32,6 +32,9 @@
 	// Silent is told when a link had fallen silent and a new one to the same address
 	// works. It may be nil.
 	Silent func()
+	// Count is told the bytes of each message, by its kind; answers count for the kind of
+	// their request. It may be nil.
+	Count func(kind Kind, in, out int)
 
 	mu     sync.Mutex
 	links  map[string]*link // by the peer's address
@@ -165,6 +168,7 @@
 		return nil, result.New(result.PeerVersion, result.RanNo, "%s does not speak %s", addr, Subprotocol)
 	}
 	l := newLink(conn, n.mux, nil)
+	l.count = n.Count
 	l.onGoodbye = func() { n.retire(l) }
 	go n.keep(l)
 	hello, err := cbor.Marshal(n.self)
@@ -254,6 +258,7 @@
 	}
 	var l *link
 	l = newLink(conn, n.mux, func(h Hello) error { return n.greet(h, l) })
+	l.count = n.Count
 	l.onGoodbye = func() { n.retire(l) }
 	n.keep(l)
 }
--- /dev/null
+++ b/internal/traffic/traffic.go
@@ -0,0 +1,175 @@
+// Package traffic counts what a process sends and receives, by purpose: calls to hosts,
+// the store, callers, messages between members. A link that is too thin for what crosses
+// it shows nowhere else: its holder's calls are late, and so is all that follows.
+package traffic
+
+import (
+	"net"
+	"sort"
+	"sync"
+	"sync/atomic"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Counter counts the bytes and connections of one purpose. It is safe for concurrent use;
+// a nil Counter counts nothing.
+type Counter struct {
+	purpose string
+	in, out atomic.Int64 // bytes
+	units   atomic.Int64 // connections opened, or messages
+	open    atomic.Int64 // connections
+}
+
+// Message counts one message of so many bytes, received or sent.
+func (c *Counter) Message(in, out int) {
+	c.Received(in)
+	c.Sent(out)
+	c.units.Add(1)
+}
+
+// Opened counts a connection as open, Closed not any more.
+func (c *Counter) Opened() {
+	if c == nil {
+		return
+	}
+	c.units.Add(1)
+	c.open.Add(1)
+}
+
+// Closed counts a connection as closed.
+func (c *Counter) Closed() {
+	if c != nil {
+		c.open.Add(-1)
+	}
+}
+
+// Received counts bytes that came in.
+func (c *Counter) Received(n int) {
+	if c != nil {
+		c.in.Add(int64(n))
+	}
+}
+
+// Sent counts bytes that went out.
+func (c *Counter) Sent(n int) {
+	if c != nil {
+		c.out.Add(int64(n))
+	}
+}
+
+// Conn counts what crosses a connection.
+func (c *Counter) Conn(conn net.Conn) net.Conn {
+	c.Opened()
+	return &counted{Conn: conn, counter: c}
+}
+
+// Listener counts what crosses the connections that a listener accepts.
+func (c *Counter) Listener(l net.Listener) net.Listener { return listener{l, c} }
+
+type listener struct {
+	net.Listener
+	counter *Counter
+}
+
+func (l listener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.counter.Conn(conn), nil
+}
+
+// counted is a connection that counts.
+type counted struct {
+	net.Conn
+	counter *Counter
+	once    sync.Once
+}
+
+func (c *counted) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.counter.Received(n)
+	return n, err
+}
+
+func (c *counted) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.counter.Sent(n)
+	return n, err
+}
+
+func (c *counted) Close() error {
+	c.once.Do(c.counter.Closed)
+	return c.Conn.Close()
+}
+
+// Meter holds the counters of a process. It is safe for concurrent use, and a
+// prometheus.Collector.
+type Meter struct {
+	mu       sync.Mutex
+	counters map[string]*Counter
+
+	bytes, units, open *prometheus.Desc
+}
+
+var _ prometheus.Collector = (*Meter)(nil)
+
+// NewMeter returns a meter without counters.
+func NewMeter() *Meter {
+	return &Meter{
+		counters: map[string]*Counter{},
+		bytes:    prometheus.NewDesc("pulleyquay_traffic_bytes_total", "Bytes received and sent, by purpose.", []string{"purpose", "direction"}, nil),
+		units:    prometheus.NewDesc("pulleyquay_traffic_units_total", "Connections opened or messages carried, by purpose.", []string{"purpose"}, nil),
+		open:     prometheus.NewDesc("pulleyquay_traffic_open_connections", "Connections that are open, by purpose.", []string{"purpose"}, nil),
+	}
+}
+
+// Of returns the counter of a purpose.
+func (m *Meter) Of(purpose string) *Counter {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c := m.counters[purpose]
+	if c == nil {
+		c = &Counter{purpose: purpose}
+		m.counters[purpose] = c
+	}
+	return c
+}
+
+// Reading is what one counter has counted so far.
+type Reading struct {
+	Purpose   string
+	In, Out   int64 // bytes
+	Units     int64
+	OpenConns int64
+}
+
+// Read returns all counters by purpose.
+func (m *Meter) Read() []Reading {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make([]Reading, 0, len(m.counters))
+	for _, c := range m.counters {
+		out = append(out, Reading{c.purpose, c.in.Load(), c.out.Load(), c.units.Load(), c.open.Load()})
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].Purpose < out[b].Purpose })
+	return out
+}
+
+// Describe implements prometheus.Collector.
+func (m *Meter) Describe(ch chan<- *prometheus.Desc) {
+	ch <- m.bytes
+	ch <- m.units
+	ch <- m.open
+}
+
+// Collect implements prometheus.Collector.
+func (m *Meter) Collect(ch chan<- prometheus.Metric) {
+	for _, r := range m.Read() {
+		ch <- prometheus.MustNewConstMetric(m.bytes, prometheus.CounterValue, float64(r.In), r.Purpose, "in")
+		ch <- prometheus.MustNewConstMetric(m.bytes, prometheus.CounterValue, float64(r.Out), r.Purpose, "out")
+		ch <- prometheus.MustNewConstMetric(m.units, prometheus.CounterValue, float64(r.Units), r.Purpose)
+		ch <- prometheus.MustNewConstMetric(m.open, prometheus.GaugeValue, float64(r.OpenConns), r.Purpose)
+	}
+}
--- /dev/null
+++ b/internal/traffic/traffic_test.go
@@ -0,0 +1,54 @@
+package traffic
+
+import (
+	"io"
+	"net"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+)
+
+// TestBytesByPurpose: what crosses a connection counts for its purpose, on both sides, and
+// a connection counts as open until it is closed, once.
+func TestBytesByPurpose(t *testing.T) {
+	is := is.New(t)
+	m := NewMeter()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	counted := m.Of("callers").Listener(l)
+	done := make(chan error, 1)
+	go func() {
+		conn, err := counted.Accept()
+		if err == nil {
+			_, err = io.Copy(conn, io.LimitReader(conn, 5))
+		}
+		if err == nil {
+			err = conn.Close()
+		}
+		done <- err
+	}()
+	raw, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	conn := m.Of("hosts").Conn(raw)
+	_, err = conn.Write([]byte("hello"))
+	is.NoErr(err)
+	back, err := io.ReadAll(conn)
+	is.NoErr(err)
+	is.Equal(string(back), "hello")
+	is.NoErr(<-done)
+	is.Equal(m.Read()[1], Reading{Purpose: "hosts", In: 5, Out: 5, Units: 1, OpenConns: 1})
+	is.NoErr(conn.Close())
+	_ = conn.Close() // a second close changes nothing
+	is.NoErr(counted.Close())
+	m.Of("beats").Message(0, 40)
+	is.Equal(m.Read(), []Reading{
+		{Purpose: "beats", Out: 40, Units: 1}, {Purpose: "callers", In: 5, Out: 5, Units: 1}, {Purpose: "hosts", In: 5, Out: 5, Units: 1},
+	})
+	reg := prometheus.NewRegistry()
+	reg.MustRegister(m)
+	n, err := testutil.GatherAndCount(reg)
+	is.NoErr(err)
+	is.Equal(n, 12)
+}
