A host counts as slow by what work usually takes there, not by the shortest ever

The piece of work was measured once far below its usual time, against which all others looked slow. Change: the measure is what the work takes while timers are in time, followed slowly upward and faster downward.

--- a/internal/lateness/lateness.go
+++ b/internal/lateness/lateness.go
@@ -23,7 +23,7 @@
 	// late: one pause of the process is not yet slowness.
 	Kept     = 8
 	mostLate = 2
-	// slowWork is by how many times longer than at its best the work takes on a slow host.
+	// slowWork is by how many times longer than usual the work takes on a slow host.
 	slowWork = 2.5
 )
 
@@ -45,10 +45,10 @@
 // Timers knows how late the timers of this process fire, and how long a fixed piece of
 // work takes it. It is safe for concurrent use; the zero value knows of no lateness.
 type Timers struct {
-	mu   sync.Mutex
-	last [Kept]Timing
-	next int
-	best time.Duration // shortest time of the work so far
+	mu    sync.Mutex
+	last  [Kept]Timing
+	next  int
+	usual time.Duration // that the work takes while timers are in time
 }
 
 // Observe takes in what a timer has shown.
@@ -57,8 +57,27 @@
 	defer l.mu.Unlock()
 	l.last[l.next] = t
 	l.next = (l.next + 1) % Kept
-	if t.Work > 0 && (l.best == 0 || t.Work < l.best) {
-		l.best = t.Work
+	l.learn(t)
+}
+
+// Over how many timers the usual time of the work follows what is measured, upward and
+// downward: near its lower quarter, and not at one measurement that was far below. With
+// the shortest ever, a sound holder took itself for slow on a calm day.
+const (
+	upward   = 256
+	downward = 16
+)
+
+// learn takes in what the work takes while timers are in time; the lock is held.
+func (l *Timers) learn(t Timing) {
+	switch {
+	case t.Work <= 0 || t.Late >= lateTimer:
+	case l.usual == 0:
+		l.usual = t.Work
+	case t.Work < l.usual:
+		l.usual += (t.Work - l.usual) / downward
+	default:
+		l.usual += (t.Work - l.usual) / upward
 	}
 }
 
@@ -73,7 +92,7 @@
 			work = t.Work
 		}
 	}
-	return l.late() > mostLate && float64(work) >= slowWork*float64(l.best)
+	return l.late() > mostLate && l.usual > 0 && float64(work) >= slowWork*float64(l.usual)
 }
 
 // Busy reports whether too many timers were late lately: there is more to do here than
--- a/internal/lateness/lateness_test.go
+++ b/internal/lateness/lateness_test.go
@@ -40,3 +40,23 @@
 		})
 	}
 }
+
+// TestOneMeasurementFarBelow: a piece of work that was measured at a fifth of its time,
+// once, made a sound holder with much to do give its partition away.
+func TestOneMeasurementFarBelow(t *testing.T) {
+	const usual = 5 * time.Microsecond
+	var l Timers
+	for range 100 {
+		l.Observe(Timing{time.Millisecond, usual})
+	}
+	l.Observe(Timing{0, usual / 5})
+	for range Kept {
+		l.Observe(Timing{20 * time.Millisecond, usual})
+	}
+	is.New(t).True(!l.Slow())
+	is.New(t).True(l.Busy())
+	for range Kept {
+		l.Observe(Timing{20 * time.Millisecond, 5 * usual})
+	}
+	is.New(t).True(l.Slow())
+}
