e2e: a failed hand-in tells all its tries, and what every placer was doing

Cause: TestPlacerDiesYoung failed once beside load with its last answer only (502 peer-lost), from which no cause can be read. Change: MustSubmit keeps each answer with its time; a failed test logs the dump and the goroutines of every placer that still runs. No check is changed. Conclusion: the next failure can be traced.

--- a/test/e2e/harness/calls.go
+++ b/test/e2e/harness/calls.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -106,11 +107,21 @@
 // MustSubmit submits a job until it is accepted; the identifier makes that safe.
 func (c *Cell) MustSubmit(h *Host, job spec.Job) {
 	c.t.Helper()
+	begun := time.Now()
+	var tries []string
+	c.t.Cleanup(func() {
+		if c.t.Failed() {
+			c.t.Logf("tries to hand job %s in that were not accepted:\n%s", job.ID, strings.Join(tries, "\n"))
+		}
+	})
 	Eventually(c.t, ReadyLimit, "job accepted", func() error {
-		if r := c.Submit(h, job); r.Status != http.StatusCreated {
-			return fmt.Errorf("%s", r)
+		sent := time.Since(begun)
+		r := c.Submit(h, job)
+		if r.Status == http.StatusCreated {
+			return nil
 		}
-		return nil
+		tries = append(tries, fmt.Sprintf("after %v, in %v: %s", sent.Round(time.Millisecond), (time.Since(begun)-sent).Round(time.Millisecond), r))
+		return fmt.Errorf("%s", r)
 	})
 }
 
--- a/test/e2e/harness/cell.go
+++ b/test/e2e/harness/cell.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -130,6 +131,11 @@
 		h.StartPlacer()
 		h.StartEntry()
 	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			c.logDumps()
+		}
+	})
 	for _, h := range c.Hosts {
 		h.WaitReady()
 	}
@@ -139,6 +145,27 @@
 	return c
 }
 
+// dumpTail is how many bytes of a dump a failed test shows.
+const dumpTail = 6000
+
+// logDumps logs what the processes that still run say of themselves, and where their
+// goroutines stand: a call that hangs shows there alone.
+func (c *Cell) logDumps() {
+	client := http.Client{Timeout: 2 * time.Second}
+	for _, h := range c.Hosts {
+		for _, path := range []string{"/debug/state", "/debug/pprof/goroutine?debug=1"} {
+			resp, err := client.Get("http://" + h.placerConfig.Listen.Admin + path)
+			if err != nil {
+				c.t.Logf("%s %s: %v", h.Name, path, err)
+				continue
+			}
+			body, err := io.ReadAll(resp.Body)
+			_ = resp.Body.Close() // nothing more is read
+			c.t.Logf("%s %s (%v):\n%s", h.Name, path, err, body[:min(len(body), dumpTail)])
+		}
+	}
+}
+
 func (b Binaries) newHost(t *testing.T, i int, peer string, peers []string, platformAddr string) *Host {
 	name := fmt.Sprintf("host-%d", i)
 	zone := string(rune('a' + i%3))
