--- a/internal/engine/fleet_test.go
+++ b/internal/engine/fleet_test.go
@@ -251,3 +251,47 @@
 	is.True(mean["survey"] >= 0.93)
 	is.True(mean["ticket"] >= 0.97)
 }
+
+// TestTakeoverAtSize: when the holder of 1,100 hosts is succeeded at full load, urgent jobs
+// that come right after are started within a second, and those that waited as well.
+func TestTakeoverAtSize(t *testing.T) {
+	is := is.New(t)
+	l := newFleetLoad(t, 1, 0.87, 12*time.Second)
+	l.w.run(6 * time.Second)
+	at := l.w.now()
+	l.w.takeOver()
+	started := map[string]time.Duration{}
+	settled := time.Duration(0)
+	l.w.engine.cfg.Log = func(e Event) {
+		switch e.What {
+		case "step started":
+			if _, seen := started[e.Job]; !seen {
+				started[e.Job] = l.w.now().Sub(at)
+			}
+		case "takeover settled":
+			settled = l.w.now().Sub(at)
+		}
+	}
+	l.w.run(3 * time.Second)
+	l.w.check()
+	first, late, all := time.Hour, 0, 0
+	for id, j := range l.jobs {
+		since := j.at.Sub(at)
+		if j.kind.name != "ticket" || since < 0 || since > time.Second {
+			continue
+		}
+		all++
+		begun, ok := started[id]
+		if !ok || begun-since > time.Second {
+			late++
+		}
+		if ok {
+			first = min(first, begun)
+		}
+	}
+	t.Logf("settled after %v, the first urgent job started after %v; %d of %d took over a second", settled, first, late, all)
+	is.True(first < 300*time.Millisecond)
+	is.True(settled > 0 && settled < time.Second)
+	is.True(all > 100)
+	is.True(late <= all/50)
+}
