A question that the holder did not answer tells it nothing, now truly; sizes settled at the first host

Cause: the guard that has a busy holder told less looked at the error of the store's answer, not of the holder's: five questions told a holder six times. And each new step had all hosts looked at to find out whether its tasks are large: 7.4 of 11 s of decisions at 18,000 hosts. Change: the holder's answer is kept apart; the first host that holds more settles a step's size; a gang weighs at most 2,048 hosts that nothing is known of.

--- a/internal/engine/ask.go
+++ b/internal/engine/ask.go
@@ -166,13 +166,25 @@
 	return out
 }
 
-// unknownHosts are the hosts, of those that take work, that a step was never asked about.
-func (g *group) unknownHosts(hosts []*hostState) []*hostState {
-	out := make([]*hostState, 0, len(hosts))
-	for _, h := range hosts {
+// mostUnknown is how many hosts that nothing is known of are weighed for a question: a
+// gang of 240 tasks asks about some 1,600 at the most.
+const mostUnknown = 2048
+
+// unknownHosts are hosts, of those that take work, that a step was never asked about.
+func (e *Engine) unknownHosts(g *group, hosts []*hostState) []*hostState {
+	out := make([]*hostState, 0, min(len(hosts), mostUnknown))
+	first := 0
+	if len(hosts) > mostUnknown {
+		first = e.rnd.IntN(len(hosts))
+	}
+	for i := range hosts {
+		h := hosts[(first+i)%len(hosts)]
 		if _, known := g.advice.known[h]; !known && refusedBy(g, h) == "" {
 			out = append(out, h)
 		}
+		if len(out) == mostUnknown {
+			break
+		}
 	}
 	return out
 }
--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -246,6 +246,7 @@
 	}
 	h.listed = true
 	h.info, h.pool = info, e.poolOf(info.Service)
+	h.pool.biggest = h.pool.biggest.Max(info.Size)
 	if info.Draining {
 		h.leavesAt = now.Add(info.Remaining)
 	}
--- a/internal/engine/plan_gang.go
+++ b/internal/engine/plan_gang.go
@@ -35,7 +35,7 @@
 	case admitted && !g.knowsEnough(good) || idle || g.advice.answers == 0:
 		// It can not be held by the hosts that it knows of; or nobody else needs to
 		// ask, and there may be room on others.
-		e.askForPlaces(g, good, g.unknownHosts(hosts), now)
+		e.askForPlaces(g, good, e.unknownHosts(g, hosts), now)
 	}
 }
 
--- a/internal/engine/plan_large.go
+++ b/internal/engine/plan_large.go
@@ -25,21 +25,6 @@
 // them to be large.
 const largePerHost = 2
 
-// isLarge reports whether the tasks of a step are large on all of the hosts that it
-// may run on.
-func (g *group) isLarge(c []*hostState) bool {
-	if g.step.Gang || g.step.LongRunning || g.step.Filler {
-		return false
-	}
-	size := g.step.Booked()
-	for _, h := range c {
-		if h.info.Size.Holds(size) > largePerHost {
-			return false
-		}
-	}
-	return len(c) > 0
-}
-
 // planLarge starts the large tasks that have room and leave. For the others it finds
 // out where they may run, reserves places there, and asks for leave in time.
 func (e *Engine) planLarge(g *group, hosts []*hostState, now time.Time) {
@@ -57,7 +42,7 @@
 		return
 	}
 	if !g.knowsEnough(good) {
-		if unknown := g.unknownHosts(hosts); len(unknown) > 0 {
+		if unknown := e.unknownHosts(g, hosts); len(unknown) > 0 {
 			e.ask(g, e.soonest(g, unknown, now), now)
 			return
 		}
@@ -168,16 +153,27 @@
 	return all
 }
 
-// sizeUp reports whether a step's tasks are large, which is found out when it is
-// first tried and remembered, as hosts that come and go change little of it.
+// sizeUp reports whether a step's tasks are large on all of the hosts that it may run on,
+// which is found out when it is first tried and remembered, as hosts that come and go
+// change little of it. One host that holds more settles it, mostly the first: with all of
+// them looked at, each new step took 2 ms at 18,000 hosts, two thirds of all decisions.
 func (e *Engine) sizeUp(g *group, hosts []*hostState) bool {
 	if g.sized {
 		return g.large
 	}
-	c := e.candidates(g, hosts)
-	if len(c) == 0 {
-		return false
+	size := g.step.Booked()
+	for _, h := range hosts {
+		if refusedBy(g, h) != "" {
+			continue
+		}
+		g.sized, g.large = true, true
+		if g.step.LongRunning || g.step.Filler || h.info.Size.Holds(size) > largePerHost {
+			g.large = false
+			break
+		}
+		if h.pool.biggest.Holds(size) <= largePerHost {
+			break // none holds more
+		}
 	}
-	g.sized, g.large = true, g.isLarge(c)
 	return g.large
 }
--- a/internal/engine/scores.go
+++ b/internal/engine/scores.go
@@ -50,6 +50,8 @@
 	// roomiest is the most that a host has free in each dimension, as the queue was
 	// begun to be gone through.
 	roomiest spec.Resources
+	// biggest is the largest size of a host in each dimension.
+	biggest spec.Resources
 }
 
 // poolOf is the pool of a service.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -111,7 +111,8 @@
 // holder does not know the job or is not reached.
 func (f *Front) State(ctx context.Context, q *catalog.Queue, id string) (record.State, error) {
 	reply, err := f.askHolder(ctx, id, peer.KindState)
-	if err == nil && reply.Known {
+	answered := err == nil
+	if answered && reply.Known {
 		return reply.State, nil
 	}
 	rec, err := f.stored(ctx, id)
@@ -121,7 +122,7 @@
 	if rec.Ended != "" {
 		return rec.Ended, nil
 	}
-	if err == nil {
+	if answered {
 		// The holder itself has said that it does not know the job. One that has not
 		// answered may be behind, and being told again what it knows keeps it behind.
 		f.teller.add(rec, f.partition(id), false, time.Now())
