The router waits for its own calls only once no more are made; batches skip what is no longer pending

Cause: Run waited on the wait group of the holder's own calls while Do could still add to it (a misuse the race detector names), and a queued call that had been reported or given up meanwhile was still sent. Change: Run only gives up late calls, Wait waits once the holder's loops have ended; take leaves out what is no longer pending. The stand-in wires of the burst test are read under a lock: the race detector found its map written by the next holder. Ruled out: a race in the router itself; all reports named the test's own map.

--- a/internal/holder/burst_test.go
+++ b/internal/holder/burst_test.go
@@ -137,12 +137,26 @@
 
 // wires carry messages between members; those of the holder go over its link.
 type wires struct {
-	peer.Local
-	holder *machine
 	mu     sync.Mutex
+	ends   peer.Local
+	holder *machine
 	cut    map[string]bool // members that nothing comes through to or from
 }
 
+// set has a member's calls come to a mux.
+func (w *wires) set(addr string, mux *peer.Mux) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ends[addr] = mux
+}
+
+// way is what lies between two members now.
+func (w *wires) way(from, to string) (there peer.Local, holder *machine, cut bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return peer.Local{to: w.ends[to]}, w.holder, w.cut[from] || w.cut[to]
+}
+
 // end is one member's end of the wires.
 type end struct {
 	*wires
@@ -150,9 +164,7 @@
 }
 
 func (e end) Call(ctx context.Context, addr string, kind peer.Kind, req, resp any) error {
-	e.mu.Lock()
-	cut := e.cut[e.addr] || e.cut[addr]
-	e.mu.Unlock()
+	there, holder, cut := e.way(e.addr, addr)
 	if cut {
 		<-ctx.Done()
 		return result.New(result.PeerLost, result.RanUnknown, "cut")
@@ -161,16 +173,16 @@
 	if err != nil {
 		return err
 	}
-	link := &e.holder.out
+	link := &holder.out
 	if e.addr != "holder" {
-		link = &e.holder.in
+		link = &holder.in
 	}
-	e.holder.core.use(messageTime)
+	holder.core.use(messageTime)
 	link.use(carrying(len(body) + frameBytes))
 	time.Sleep(oneWay)
-	err = e.Local.Call(ctx, addr, kind, req, resp)
+	err = there.Call(ctx, addr, kind, req, resp)
 	time.Sleep(oneWay)
-	e.holder.core.use(messageTime / 2) // the receipt
+	holder.core.use(messageTime / 2) // the receipt
 	return err
 }
 
@@ -193,7 +205,7 @@
 func newBurstCell(t *testing.T, shards int) *burstCell {
 	c := &burstCell{
 		t: t, store: memstore.New(), fleet: hostsim.NewFleet(hostsim.RealClock{}), arrived: map[string]time.Time{}, finished: map[string]time.Time{},
-		wires: &wires{Local: peer.Local{}, cut: map[string]bool{}},
+		wires: &wires{ends: peer.Local{}, cut: map[string]bool{}},
 	}
 	c.fleet.Add(burstHosts, "s", spec.Resources{MilliCPU: 64000, MemoryMiB: 262144})
 	c.shards = []linkshard.Member{{Name: "holder", Addr: "holder", Cores: 0.12, LinkMbps: 2}}
@@ -201,7 +213,7 @@
 		addr := fmt.Sprint("m", i)
 		mux := peer.NewMux()
 		linkshard.NewServer(mux, ownHosts{fleet: c.fleet}, end{c.wires, addr}, quiet())
-		c.wires.Local[addr] = mux
+		c.wires.set(addr, mux)
 		c.shards = append(c.shards, linkshard.Member{Name: addr, Addr: addr, Zone: fmt.Sprint("z", i%3), Cores: 0.12, LinkMbps: 2})
 	}
 	for _, h := range c.fleet.Listed() {
@@ -220,9 +232,7 @@
 // hold has a new process claim the partition after a former one.
 func (c *burstCell) hold(former ledger.Holder) {
 	m := &machine{}
-	c.wires.holder = m
 	mux := peer.NewMux()
-	c.wires.Local["holder"] = mux
 	health := follow.NewHealth(nil)
 	writes := resend.New(c.store.Client("a"), health)
 	listed := map[host.ID]host.Info{}
@@ -247,6 +257,10 @@
 			}
 		},
 	}, mux)
+	c.wires.mu.Lock()
+	c.wires.holder = m
+	c.wires.mu.Unlock()
+	c.wires.set("holder", mux)
 	l, _, err := ledger.Claim(c.t.Context(), writes, former, ledger.Holder{Name: "holder", Incarnation: fmt.Sprint("after-", former.Epoch), Addr: "holder"})
 	if err != nil {
 		c.t.Fatal(err)
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -154,6 +154,7 @@
 		loops.Go(loop)
 	}
 	loops.Wait()
+	h.router.Wait()
 	h.calls.Wait()
 	return context.Cause(h.ctx)
 }
--- a/internal/linkshard/router.go
+++ b/internal/linkshard/router.go
@@ -122,14 +122,17 @@
 	}
 }
 
-// Run gives calls up in time until ctx ends, and waits for those of this process.
+// Run gives calls up in time until ctx ends.
 func (r *Router) Run(ctx context.Context) {
 	for wait.For(ctx, expireEvery) {
 		r.expire(time.Now())
 	}
-	r.work.Wait()
 }
 
+// Wait waits for the calls that this process makes itself. It is to be called once no more
+// are made.
+func (r *Router) Wait() { r.work.Wait() }
+
 // Do makes calls. It does not wait for their outcomes. It is for one goroutine, and not
 // to be called after ctx has ended.
 func (r *Router) Do(ctx context.Context, calls []Call) {
@@ -223,20 +226,23 @@
 		return
 	}
 	s.asking = true
-	ctx, addr := r.ctx, s.member.Addr
-	r.work.Go(func() {
-		callCtx, cancel := context.WithTimeout(ctx, batchPatience)
-		defer cancel()
-		err := r.conf.Peers.Call(callCtx, addr, peer.KindHostCalls, Batch{Partition: r.conf.Partition, Epoch: r.conf.Epoch, Holder: r.conf.Addr}, &Empty{})
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		s.asking = false
-		if err != nil {
-			s.noteLost(time.Now())
-			return
-		}
-		s.lost, r.workedOut = false, time.Time{}
-	})
+	go r.ask(r.ctx, s, s.member.Addr)
+}
+
+// ask takes a lost shard into use again if it answers a batch of nothing.
+func (r *Router) ask(ctx context.Context, s *shard, addr string) {
+	ctx, cancel := context.WithTimeout(ctx, batchPatience)
+	defer cancel()
+	empty := Batch{Partition: r.conf.Partition, Epoch: r.conf.Epoch, Holder: r.conf.Addr}
+	err := r.conf.Peers.Call(ctx, addr, peer.KindHostCalls, empty, &Empty{})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s.asking = false
+	if err != nil {
+		s.noteLost(time.Now())
+		return
+	}
+	s.lost, r.workedOut = false, time.Time{}
 }
 
 // noteLost takes the shard out of use until it has answered again.
@@ -288,6 +294,9 @@
 		if batch == nil || ctx.Err() != nil {
 			return
 		}
+		if len(batch) == 0 {
+			continue
+		}
 		b := newBatch(batch)
 		b.Partition, b.Epoch, b.Holder, b.ReportEvery = r.conf.Partition, r.conf.Epoch, r.conf.Addr, every
 		callCtx, cancel := context.WithTimeout(ctx, batchPatience)
@@ -313,14 +322,15 @@
 		s.sending = false
 		return nil
 	}
-	batch := s.queue[:n:n]
-	s.queue = append([]numbered(nil), s.queue[n:]...)
-	s.last = now
-	for _, c := range batch {
-		if p := r.calls[c.id]; p != nil {
+	batch := make([]numbered, 0, n)
+	for _, c := range s.queue[:n] {
+		if p := r.calls[c.id]; p != nil { // else it has been reported or given up meanwhile
 			p.sendAt(now)
+			batch = append(batch, c)
 		}
 	}
+	s.queue = append([]numbered(nil), s.queue[n:]...)
+	s.last = now
 	return batch
 }
 
--- a/internal/linkshard/router_test.go
+++ b/internal/linkshard/router_test.go
@@ -195,6 +195,7 @@
 	ended := make(chan struct{})
 	go func() {
 		r.router.Run(ctx)
+		r.router.Wait()
 		close(ended)
 	}()
 	t.Cleanup(func() { cancel(); <-ended; time.Sleep(2 * reportFor) })
