A run that is lost with its host is told in the log, events are counted in metrics

Cause: the log of the incident had "host gone" and then "step started", and no line between that said which runs were lost, with which host, in what state and after how long; metrics knew nothing of it. Change: an event "run lost" with cause, number, state, work done and for how long the host had been silent; "host gone" tells how many runs were there; pulleyquay_holder_events_total counts every kind of decision. Ruled out: a line a look (unbounded); the budget of the log bounds these too.

--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -21,6 +21,11 @@
 	runStopping // a stop was answered
 )
 
+// String names the state for the log.
+func (s runState) String() string {
+	return [...]string{"ordered", "in doubt", "running", "stopping"}[s]
+}
+
 // run is one entry in a host's books. It counts against the host's size until
 // the host has listed its end or can not run it any more.
 type run struct {
@@ -146,6 +151,14 @@
 	}
 }
 
+// silentFor is for how long calls have gone unanswered.
+func (h *hostState) silentFor(now time.Time) time.Duration {
+	if h.silent.IsZero() {
+		return 0
+	}
+	return now.Sub(h.silent)
+}
+
 // unanswered notes a call that got no answer.
 func (h *hostState) unanswered(now time.Time) {
 	if h.silent.IsZero() {
--- a/internal/engine/lost.go
+++ b/internal/engine/lost.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -28,11 +29,22 @@
 			}
 			continue
 		}
-		e.remove(r)
-		e.released(r, now)
+		e.lose(r, "its host does not show it any more", now)
 	}
 }
 
+// lose takes a run out of the books that has ended without an end that its host listed,
+// and tells the log with which host and why.
+func (e *Engine) lose(r *run, why string, now time.Time) {
+	e.log(Event{
+		What: "run lost", Job: r.Task.Job, Step: r.Task.StepID.String(), Host: string(r.on.info.ID), Age: now.Sub(r.sent),
+		Why: fmt.Sprintf("%s; task %d, run %d, %s, at %.0f%%, host silent for %d ms",
+			why, r.Task.Index, r.No, r.state, r.percent, r.on.silentFor(now).Milliseconds()),
+	})
+	e.remove(r)
+	e.released(r, now)
+}
+
 // clockGrain is how far a deadline must lie back before a start that was not
 // seen can be said to come to nothing.
 const clockGrain = 20 // milliseconds
@@ -52,16 +64,15 @@
 // hostGone drops a host that has ended for certain, with all that ran there.
 func (e *Engine) hostGone(h *hostState, now time.Time, why string) {
 	h.gone = true
-	e.log(Event{What: "host gone", Host: string(h.info.ID), Why: why})
-	e.dropRuns(h, now)
+	e.log(Event{What: "host gone", Host: string(h.info.ID), Why: fmt.Sprintf("%s; %d runs there", why, len(h.runs)), Age: h.silentFor(now)})
+	e.dropRuns(h, why, now)
 	e.resolve(h, now)
 	e.forgetHost(h)
 }
 
-func (e *Engine) dropRuns(h *hostState, now time.Time) {
+func (e *Engine) dropRuns(h *hostState, why string, now time.Time) {
 	for _, r := range h.runs {
-		e.remove(r)
-		e.released(r, now)
+		e.lose(r, why, now)
 	}
 }
 
@@ -83,8 +94,9 @@
 			continue
 		}
 		if len(h.runs) > 0 {
-			e.log(Event{What: "host lost", Host: string(h.info.ID), Why: "silent until its lease was over", Age: now.Sub(h.heard)})
-			e.dropRuns(h, now)
+			const why = "silent until its lease was over"
+			e.log(Event{What: "host lost", Host: string(h.info.ID), Why: why, Age: now.Sub(h.heard)})
+			e.dropRuns(h, why, now)
 		}
 		if !h.listed {
 			e.forgetHost(h)
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -83,6 +83,14 @@
 	Busy func() bool
 }
 
+// event counts a decision and tells it to the log.
+func (c *Config) event(e engine.Event) {
+	c.Metrics.count(e)
+	if c.Event != nil {
+		c.Event(e)
+	}
+}
+
 // Holder is one held partition.
 type Holder struct {
 	cfg    Config
@@ -124,7 +132,7 @@
 		wake: make(chan struct{}, 1), commit: make(chan struct{}, 1), stored: make(chan struct{}),
 		engine: engine.New(engine.Config{
 			Partition: self.Partition, Epoch: self.Epoch, Bounds: cfg.Bounds, Tuning: cfg.Tuning,
-			Seed: self.Epoch, Log: cfg.Event, WaveState: cfg.WaveState,
+			Seed: self.Epoch, Log: cfg.event, WaveState: cfg.WaveState,
 		}),
 	}
 	h.router = linkshard.New(linkshard.Config{
--- a/internal/holder/metrics.go
+++ b/internal/holder/metrics.go
@@ -5,12 +5,16 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"pulleyquay/internal/engine"
 )
 
 // Metrics are the counters and latencies of all holders of a process.
 type Metrics struct {
 	commits *prometheus.HistogramVec
 	writes  prometheus.Counter
+	// events counts what engines decided or came to believe, by the name of the event.
+	events *prometheus.CounterVec
 	// decisions is how long one decision takes, waits how long what happened waits to be
 	// taken in, jobAge how old an accepted job is when the engine knows it.
 	decisions, waits, jobAge prometheus.Histogram
@@ -39,13 +43,16 @@
 			Name: "pulleyquay_holder_records_written_total", Help: "Records written with the transactions.",
 		}),
 	}
+	m.events = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "pulleyquay_holder_events_total", Help: "Decisions and changes of belief of the holder, by name as in the log.",
+	}, []string{"event"})
 	moments := func(name, help string) prometheus.Histogram {
 		return prometheus.NewHistogram(prometheus.HistogramOpts{Name: name, Help: help, Buckets: prometheus.ExponentialBuckets(0.00005, 4, 9)})
 	}
 	m.decisions = moments("pulleyquay_holder_decision_seconds", "Decisions: all that is due at a moment.")
 	m.waits = moments("pulleyquay_holder_wait_seconds", "Waits of what happened until it is taken in.")
 	m.jobAge = moments("pulleyquay_holder_job_age_seconds", "Ages of accepted jobs when the holder knows of them.")
-	reg.MustRegister(m.commits, m.writes, m.decisions, m.waits, m.jobAge)
+	reg.MustRegister(m.commits, m.writes, m.events, m.decisions, m.waits, m.jobAge)
 	return m
 }
 
@@ -58,6 +65,9 @@
 	return l
 }
 
+// count counts an event of an engine.
+func (m *Metrics) count(e engine.Event) { m.events.WithLabelValues(e.What).Inc() }
+
 func (m *Metrics) decided(took time.Duration) {
 	m.decisions.Observe(took.Seconds())
 	m.mu.Lock()
