Reproduce: tasks that crash their hosts are started without an end (failing, KNOWN-RED)

Cause: a run that is lost with its host goes through released() alone, which puts its task back among those that wait; nothing counts it. Ruled out by "run lost" lines: a count lost at a take-over (rows without one fail alike), copies of orders (rows without faults fail alike).

--- a/internal/engine/world_test.go
+++ b/internal/engine/world_test.go
@@ -38,6 +38,10 @@
 
 	faults faults
 	bounds Bounds
+	// follows has the engine told of the platform's list of hosts as it changes; the
+	// store does not take writes while storeAway.
+	follows, storeAway bool
+	followed           time.Time
 	// members are those that can ask the policy service.
 	members []string
 	// queueOf names the queue of a job.
@@ -284,6 +288,10 @@
 			w.after(oneWay, func() { finish(host.Reply{}, host.ErrOtherLife) })
 			return
 		}
+		if h.Refusing() {
+			w.after(oneWay, func() { finish(host.Reply{}, host.ErrNotSent) })
+			return
+		}
 		if !h.Reachable() {
 			w.after(patience, lost)
 			return
@@ -320,6 +328,10 @@
 			w.after(oneWay, func() { finish(host.View{}, host.ErrOtherLife) })
 			return
 		}
+		if h.Refusing() {
+			w.after(oneWay, func() { finish(host.View{}, host.ErrNotSent) })
+			return
+		}
 		if !h.Reachable() {
 			return
 		}
@@ -359,10 +371,22 @@
 		return
 	}
 	w.committing = true
+	w.carryToStore(e, b)
+}
+
+// storeRetry is how often a write is tried again while the store is away.
+const storeRetry = 50 * time.Millisecond
+
+// carryToStore carries one batch to the store.
+func (w *world) carryToStore(e *Engine, b *Batch) {
 	w.after(commitTakes, func() {
 		if e != w.engine {
 			return // a deposed holder can write nothing
 		}
+		if w.storeAway {
+			w.after(storeRetry, func() { w.carryToStore(e, b) })
+			return
+		}
 		w.apply(slices.Concat(b.Groups...))
 		w.committing = false
 		w.tell(e, func() { e.Stored(b, w.now()) })
@@ -424,7 +448,19 @@
 			w.decide()
 		}
 		w.watch()
+		w.followHosts()
+	}
+}
+
+// followEvery is how often the holder hears of changes in the list of hosts.
+const followEvery = 400 * time.Millisecond
+
+func (w *world) followHosts() {
+	if !w.follows || w.now().Sub(w.followed) < followEvery {
+		return
 	}
+	w.followed = w.now()
+	w.tell(w.engine, func() { w.engine.SetHosts(w.fleet.Listed(), w.now()) })
 }
 
 // watch checks, every few milliseconds, what callers are shown.
--- a/internal/hostsim/calls.go
+++ b/internal/hostsim/calls.go
@@ -51,6 +51,7 @@
 	} else {
 		h.work(r)
 	}
+	h.scheduleCrash(r)
 	return reply
 }
 
--- /dev/null
+++ b/internal/hostsim/crash.go
@@ -0,0 +1,109 @@
+package hostsim
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"pulleyquay/internal/host"
+)
+
+// Times of a host that crashes and starts again, as on the users' platform: the entry of
+// the life that ended stays in the list for three heartbeats of 1.5 s.
+const (
+	backAfter   = 3 * time.Second
+	entryLasts  = 4500 * time.Millisecond
+	mostCrashes = 3 // under one task, before its starts count
+	mostStarts  = 3 // of a task under which so many hosts have crashed: that is one too many
+)
+
+// crash ends the host's life, with all that runs on it.
+func (h *Host) crash() {
+	for _, r := range h.sorted() {
+		h.fleet.judge.ended(h, r)
+		if r.step.Gang {
+			h.breakGang(r)
+		}
+	}
+	h.up = false
+	h.runs = map[host.Run]*run{}
+}
+
+// Restart crashes the host; another life of it answers at its address some seconds later,
+// under a new id, and is listed.
+func (h *Host) Restart() { h.change(h.restart) }
+
+func (h *Host) restart() {
+	if !h.up {
+		return
+	}
+	h.fleet.judge.crashed(h)
+	h.crash()
+	h.refusing = true
+	h.fleet.after(backAfter, func() {
+		h.refusing, h.reborn, h.cut = false, true, false
+		h.fleet.add(h.nextLife())
+	})
+	h.fleet.after(entryLasts, func() { h.listed = false })
+}
+
+// nextLife is what the next life of the host says of itself.
+func (h *Host) nextLife() host.Info {
+	info := h.info
+	name, _, _ := strings.Cut(string(info.ID), ".")
+	h.fleet.lives++
+	info.ID = host.ID(fmt.Sprintf("%s.%d", name, h.fleet.lives))
+	info.Draining, info.Remaining = false, 0
+	return info
+}
+
+// Refusing reports whether the host's address turns calls away, as it is between two
+// lives.
+func (h *Host) Refusing() (refusing bool) {
+	h.change(func() { refusing = h.refusing })
+	return refusing
+}
+
+// scheduleCrash lets a run crash its host, if its task does so.
+func (h *Host) scheduleCrash(r *run) {
+	if h.fleet.Crashes == nil {
+		return
+	}
+	after := h.fleet.Crashes(r.Task)
+	if after <= 0 {
+		return
+	}
+	h.fleet.after(after, func() {
+		if h.up && h.runs[r.Run] == r {
+			h.restart()
+		}
+	})
+}
+
+// crashed notes under which tasks a host has crashed, of those that crash hosts.
+func (j *Judge) crashed(h *Host) {
+	j.lost++
+	for _, r := range h.runs {
+		if j.fleet.Crashes != nil && j.fleet.Crashes(r.Task) > 0 {
+			j.crashes[r.Task]++
+		}
+	}
+}
+
+// startedAgain judges the start of a task under which hosts have crashed.
+func (j *Judge) startedAgain(r *run) {
+	if j.crashes[r.Task] < mostCrashes {
+		return
+	}
+	j.again[r.Task]++
+	if j.again[r.Task] == mostStarts {
+		j.wrongf("BUDGET %v: started %d times more after %d hosts had crashed under it", r.Run, mostStarts, mostCrashes)
+	}
+}
+
+// HostsCrashed is how many hosts have crashed and started again.
+func (j *Judge) HostsCrashed() int {
+	j.fleet.mu.Lock()
+	defer j.fleet.mu.Unlock()
+	return j.lost
+}
--- a/internal/hostsim/fleet.go
+++ b/internal/hostsim/fleet.go
@@ -52,6 +52,10 @@
 	// estimate. Set it before use.
 	Work func(spec.StepTask) time.Duration
 
+	// Crashes is after how long a task crashes the host that has started it; zero stands
+	// for never. Set it before use.
+	Crashes func(spec.StepTask) time.Duration
+
 	clock Clock
 	judge *Judge
 
@@ -62,6 +66,8 @@
 	saved map[spec.StepTask]time.Duration
 	// failNext runs of first tasks fail.
 	failNext int
+	// lives counts the lives of hosts after their first.
+	lives int
 }
 
 // NewFleet returns a fleet without hosts.
--- a/internal/hostsim/host.go
+++ b/internal/hostsim/host.go
@@ -16,11 +16,13 @@
 	up     bool
 	cut    bool // not reached, but running on
 	reborn bool // another life answers at the address
-	born   time.Time
-	rate   float64 // of its clock
-	slow   float64 // factor on run times; zero is one
-	fails  bool    // every task fails
-	stuck  bool    // no task makes progress
+	// refusing hosts are between two lives: their address turns calls away.
+	refusing bool
+	born     time.Time
+	rate     float64 // of its clock
+	slow     float64 // factor on run times; zero is one
+	fails    bool    // every task fails
+	stuck    bool    // no task makes progress
 
 	epoch uint64
 	lease host.Millis
@@ -125,18 +127,7 @@
 }
 
 // Crash ends the host for good, with all that runs on it.
-func (h *Host) Crash() {
-	h.change(func() {
-		for _, r := range h.sorted() {
-			h.fleet.judge.ended(h, r)
-			if r.step.Gang {
-				h.breakGang(r)
-			}
-		}
-		h.up = false
-		h.runs = map[host.Run]*run{}
-	})
-}
+func (h *Host) Crash() { h.change(h.crash) }
 
 // Reborn ends the host for good; from now on another life answers at its address.
 func (h *Host) Reborn() {
--- a/internal/hostsim/judge.go
+++ b/internal/hostsim/judge.go
@@ -20,8 +20,12 @@
 	isDone  map[spec.StepTask]bool
 	isNoted map[spec.StepTask]bool         // its end as done was acknowledged
 	failed  map[spec.StepTask]map[int]bool // acknowledged failures by run
-	starts  int
-	wrong   []string
+	// crashes counts the hosts that have crashed under a task, again its starts after
+	// too many of them, lost the hosts that have crashed at all.
+	crashes, again map[spec.StepTask]int
+	lost           int
+	starts         int
+	wrong          []string
 }
 
 func newJudge(f *Fleet) *Judge {
@@ -29,6 +33,7 @@
 		fleet: f, begun: f.clock.Now(),
 		running: map[spec.StepTask]map[*Host]int{}, isDone: map[spec.StepTask]bool{},
 		isNoted: map[spec.StepTask]bool{}, failed: map[spec.StepTask]map[int]bool{},
+		crashes: map[spec.StepTask]int{}, again: map[spec.StepTask]int{},
 	}
 }
 
@@ -113,6 +118,7 @@
 	if most := j.fleet.jobs[r.Task.Job].Rules.Attempts; len(j.failed[r.Task]) >= most && !r.step.LongRunning {
 		j.wrongf("BUDGET %v starts after %d failures", r.Run, len(j.failed[r.Task]))
 	}
+	j.startedAgain(r)
 	if j.running[r.Task] == nil {
 		j.running[r.Task] = map[*Host]int{}
 	}
