A job is given up only where it is improbable that its hosts just went by themselves

The test fails for a real fault: while one of 16 hosts goes every 0.7 s, an innocent job that had just started (52 ms) on one and was 0.3 s on the next was given up, in each of 30 runs. The rate at which hosts go by themselves was known only once they had come back. Change: each crash keeps its chance (rate x time that the run was there), hosts that are silent now count for the rate, and a job is given up when the product of the chances is at most 1e-5.

--- a/internal/crashloop/crashloop.go
+++ b/internal/crashloop/crashloop.go
@@ -26,6 +26,10 @@
 	enoughWithRecent = 2
 	// enough crashes are so in any case, unless they had another likely cause.
 	enough = 3
+	// atRandom is how probable it may be, at the most, that all these hosts just went by
+	// themselves. While one of 16 hosts went every 0.7 s, one of 440 innocent jobs was
+	// given up in each of 30 runs without this bound.
+	atRandom = 1e-5
 	// enoughAtAll crashes are so whatever their causes: it bounds what a wrong guess at a
 	// cause can cost. The users' bound is five starts in all, three crashes and two more.
 	enoughAtAll = 5
@@ -47,6 +51,8 @@
 	Recent bool `cbor:"3,keyasint,omitempty"`
 	// Excused is true when the crash has a likelier cause than the task.
 	Excused bool `cbor:"4,keyasint,omitempty"`
+	// Chance is how probable it was for the host to go by itself in that time.
+	Chance float32 `cbor:"5,keyasint,omitempty"`
 }
 
 // History is the crashes under one task, the oldest first.
@@ -78,18 +84,21 @@
 
 // Standing judges the history.
 func (h History) Standing() Standing {
-	counted, recent := 0, 0
+	counted, recent, chance := 0, 0, float32(1)
 	for _, c := range h {
 		if c.Excused {
 			continue
 		}
 		counted++
+		chance *= c.Chance
 		if c.Recent {
 			recent++
 		}
 	}
 	switch {
-	case counted >= enoughWithRecent && recent > 0, counted >= enough, len(h) >= enoughAtAll:
+	case len(h) >= enoughAtAll:
+		return GivenUp
+	case chance <= atRandom && (counted >= enough || counted >= enoughWithRecent && recent > 0):
 		return GivenUp
 	case counted >= trialAfter:
 		return OnTrial
@@ -134,19 +143,24 @@
 	// second later at the most where its connections are reset.
 	justStarted = time.Second
 	// likely is how probable it is for the host to have gone by itself in the time that
-	// the run was there, for a crash to be excused, and unlikely for it to speak against
-	// the task by itself.
-	likely   = 0.05
-	unlikely = 0.01
+	// the run was there, for a crash to be excused.
+	likely = 0.05
+	// leastRan is the least time that is reckoned with: the moment at which a host ends is
+	// known no better.
+	leastRan = 20 * time.Millisecond
 )
 
 // Judge makes a crash of the evidence. rate is how often a host goes by itself, per second;
 // together is true when many hosts near it went at that moment.
 func Judge(e Evidence, rate float64, together bool) Crash {
-	chance := rate * e.Ran.Seconds()
+	ran := max(e.Ran, leastRan)
+	if e.Unknown {
+		ran = justStarted
+	}
+	chance := rate * ran.Seconds()
 	return Crash{
-		Run: e.Run, Host: e.Host,
-		Recent:  e.Newest && !e.Unknown && e.Ran <= justStarted && chance <= unlikely,
-		Excused: together || !e.Unknown && chance >= likely,
+		Run: e.Run, Host: e.Host, Chance: float32(chance),
+		Recent:  e.Newest && !e.Unknown && e.Ran <= justStarted,
+		Excused: together || chance >= likely,
 	}
 }
--- a/internal/crashloop/crashloop_test.go
+++ b/internal/crashloop/crashloop_test.go
@@ -8,8 +8,9 @@
 )
 
 func TestStanding(t *testing.T) {
-	counted := Crash{Run: 1, Host: "a"}
-	recent := Crash{Run: 2, Host: "b", Recent: true}
+	counted := Crash{Run: 1, Host: "a", Chance: 1e-3}
+	recent := Crash{Run: 2, Host: "b", Recent: true, Chance: 1e-3}
+	often := Crash{Run: 2, Host: "b", Recent: true, Chance: 0.03}
 	excused := Crash{Run: 3, Host: "c", Excused: true}
 	for name, tc := range map[string]struct {
 		h    History
@@ -25,6 +26,9 @@
 		"two, one excused":            {History{recent, excused}, Suspect},
 		"three":                       {History{counted, counted, counted}, GivenUp},
 		"three, one excused":          {History{counted, excused, counted}, OnTrial},
+		"two, hosts go often":         {History{often, often}, OnTrial},
+		"three, hosts go often":       {History{often, often, often}, OnTrial},
+		"four, hosts go often":        {History{often, often, often, often}, GivenUp},
 		"four, excused":               {History{excused, excused, excused, excused}, Unsuspected},
 		"five, excused":               {History{excused, excused, excused, excused, excused}, GivenUp},
 	} {
@@ -53,15 +57,15 @@
 		"begun by a former holder":              {with(func(e *Evidence) { e.Unknown = true }), calm, false, false, false},
 		"long at work":                          {with(func(e *Evidence) { e.Ran = 5 * time.Second }), calm, false, false, false},
 		"just started, while hosts go often":    {just, stormy, false, true, false},
-		"a while ago, while hosts go often":     {with(func(e *Evidence) { e.Ran = 300 * time.Millisecond }), stormy, false, false, false},
-		"a second ago, while hosts go often":    {with(func(e *Evidence) { e.Ran = time.Second }), stormy, false, false, true},
-		"former holder's, while hosts go often": {with(func(e *Evidence) { e.Unknown = true; e.Ran = 0 }), stormy, false, false, false},
+		"a while ago, while hosts go often":     {with(func(e *Evidence) { e.Ran = 300 * time.Millisecond }), stormy, false, true, false},
+		"a second ago, while hosts go often":    {with(func(e *Evidence) { e.Ran = time.Second }), stormy, false, true, true},
+		"former holder's, while hosts go often": {with(func(e *Evidence) { e.Unknown = true; e.Ran = 0 }), stormy, false, false, true},
 		"with its rack":                         {just, calm, true, true, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			c := Judge(tc.e, tc.rate, tc.together)
-			is.Equal(c, Crash{Run: 4, Host: "a", Recent: tc.recent, Excused: tc.excusing})
+			is.Equal(c, Crash{Run: 4, Host: "a", Recent: tc.recent, Excused: tc.excusing, Chance: c.Chance})
 		})
 	}
 }
@@ -80,15 +84,16 @@
 	t.Run("rate", func(t *testing.T) {
 		is := is.New(t)
 		var l Losses
-		alone := l.Rate(50)
+		alone := l.Rate(50, 0)
 		l.Add("a", "r1", at)
 		l.Add("a", "r1", at.Add(time.Second)) // told twice
 		l.Add("b", "r2", at)
-		is.Equal(l.Rate(50), 3*alone)
+		is.Equal(l.Rate(50, 0), 3*alone)
+		is.Equal(l.Rate(50, 2), 5*alone)
 		l.Explain(History{{Run: 1, Host: "b"}})
-		is.Equal(l.Rate(50), 2*alone)
+		is.Equal(l.Rate(50, 0), 2*alone)
 		l.Forget(at.Add(remembered + time.Millisecond))
-		is.Equal(l.Rate(50), alone)
+		is.Equal(l.Rate(50, 0), alone)
 	})
 	t.Run("together", func(t *testing.T) {
 		is := is.New(t)
--- a/internal/crashloop/losses.go
+++ b/internal/crashloop/losses.go
@@ -54,10 +54,10 @@
 	}
 }
 
-// Rate is how often one of so many hosts goes by itself, per second, counting one more
-// than was seen: that none was says little in a small cell.
-func (l *Losses) Rate(hosts int) float64 {
-	n := 1
+// Rate is how often one of so many hosts goes by itself, per second. It counts those that
+// are silent now, and one more than was seen: that none was says little in a small cell.
+func (l *Losses) Rate(hosts, silent int) float64 {
+	n := 1 + silent
 	for _, x := range l.lost {
 		if !x.explained {
 			n++
--- a/internal/engine/crash.go
+++ b/internal/engine/crash.go
@@ -55,7 +55,7 @@
 }
 
 // newest reports whether no run of another job was started on the host as late, and none
-// there is a suspect itself: without the second, 39 in place of 14 of 14,553 innocent jobs
+// there is a suspect itself: without the second, 26 in place of 4 of 14,553 innocent jobs
 // were given up (load of TestCrashersBesideWork, ten seeds).
 func (r *run) newest() bool {
 	for _, other := range r.on.runs {
@@ -80,7 +80,7 @@
 		at = h.silent
 	}
 	together := e.wentTogether(h, at, now)
-	rate := e.losses.Rate(len(e.sorted))
+	rate := e.losses.Rate(len(e.sorted), e.silentNow(h, now))
 	if h.claimed {
 		e.losses.Add(string(h.info.ID), h.info.Rack, at)
 	}
@@ -96,6 +96,17 @@
 // with a fifth of the calls lost, hosts nearby were silent at any moment.
 const silentForSure = time.Second
 
+// silentNow counts the other hosts that are silent for sure.
+func (e *Engine) silentNow(h *hostState, now time.Time) int {
+	n := 0
+	for _, other := range e.sorted {
+		if other != h && other.listed && other.silentFor(now) >= silentForSure {
+			n++
+		}
+	}
+	return n
+}
+
 // wentTogether reports whether the host's whole rack fell silent with it.
 func (e *Engine) wentTogether(h *hostState, at, now time.Time) bool {
 	silent, present := 0, 0
@@ -197,7 +208,7 @@
 
 // Limits of trials: a job that was twice on a host that crashed starts on a host where
 // nothing else has just begun, with nothing new beside it for a while, and on one host at a
-// time. So a third crash speaks against that job alone: without trials 146 in place of 14
+// time. So a third crash speaks against that job alone: without trials 97 in place of 4
 // of 14,553 innocent jobs were given up (load of TestCrashersBesideWork, ten seeds).
 const (
 	// trialFor is for how long nothing new starts beside a job on trial. Tasks that crash
--- a/internal/engine/crash_load_test.go
+++ b/internal/engine/crash_load_test.go
@@ -49,10 +49,10 @@
 }
 
 // TestCrashersBesideWork: tasks that crash their hosts cost some two hosts each, and next to
-// no innocent job. Over ten seeds of this load 662 such jobs cost 1,449 hosts, and 14 of
-// 14,553 innocent jobs were given up. With three crashes needed in any case it was 1,992
-// hosts and 5 jobs, with two in any case 1,309 and 443; without trials 1,448 and 146; with
-// suspects not kept apart 1,718 and 20.
+// no innocent job. Over ten seeds of this load 662 such jobs cost 1,458 hosts, and 4 of
+// 14,553 innocent jobs were given up. With three crashes needed in any case it was 1,984
+// hosts and 2 jobs, with two in any case 1,302 and 138; without trials 1,446 and 97; with
+// suspects not kept apart 1,743 and 15.
 func TestCrashersBesideWork(t *testing.T) {
 	const seeds = 3
 	var guilty, lost, innocent, givenUp int
@@ -77,5 +77,5 @@
 	t.Logf("%d hosts lost to %d jobs, %d of %d innocent jobs given up", lost, guilty, givenUp, innocent)
 	is := is.New(t)
 	is.True(float64(lost) <= 2.4*float64(guilty))
-	is.True(givenUp <= innocent/300)
+	is.True(givenUp <= innocent/1000)
 }
