The placer's path counts workers that are lost under a task, too

Cause: as in the engine: home.lost had no owner for the loss. Change: each loss is judged by package crashloop and kept in the job's record before the news of it is acknowledged; three end finite work with code 5212, a service waits longer each time (0.5 s doubling to 30 s), a zone that goes is excused, also those of its workers that were told before it was known that it went. Ruled out: learning the rate of losses in the home (it knows its own workers only: with one, each loss had a chance of 5% a second and was excused); the users' daily rate stands in for it.

--- a/internal/crashloop/losses.go
+++ b/internal/crashloop/losses.go
@@ -32,12 +32,25 @@
 	explained bool
 }
 
-// Add notes a host that has gone; at is since when it was silent.
-func (l *Losses) Add(host, rack string, at time.Time) {
+// Add notes a host that has gone; at is since when it was silent. It reports whether that
+// is news.
+func (l *Losses) Add(host, rack string, at time.Time) bool {
 	if slices.ContainsFunc(l.lost, func(x loss) bool { return x.host == host }) {
-		return
+		return false
 	}
 	l.lost = append(l.lost, loss{host: host, rack: rack, at: at})
+	return true
+}
+
+// With lists the hosts of a rack that went at about a moment.
+func (l *Losses) With(rack string, at time.Time) []string {
+	var out []string
+	for _, x := range l.lost {
+		if x.rack == rack && Near(x.at, at) {
+			out = append(out, x.host)
+		}
+	}
+	return out
 }
 
 // Forget drops losses that are too long ago.
--- a/internal/job/home.go
+++ b/internal/job/home.go
@@ -8,6 +8,7 @@
 	"github.com/looplab/fsm"
 	"github.com/sirupsen/logrus"
 
+	"pulleyquay/internal/crashloop"
 	"pulleyquay/internal/fairshare"
 	"pulleyquay/internal/health"
 	"pulleyquay/internal/hold"
@@ -81,6 +82,7 @@
 	ledger    *fairshare.Ledger
 	queue     *fairshare.Queue
 	health    *health.Jobs
+	losses    crashloop.Losses // workers that went lately
 	pacer     *health.Pacer
 	gangs     *fsm.FSM // shared by all gangs
 	sites     map[string]*site
--- a/internal/job/news.go
+++ b/internal/job/news.go
@@ -95,6 +95,7 @@
 	if t.active() && n.Run.Attempt == t.attempt {
 		if t.at == nil || n.Epoch >= t.epoch {
 			h.runs(j, index, h.site(n.Worker, n.Zone, n.Partition), n.Epoch)
+			t.since = time.Now()
 		}
 		return verdictNoted
 	}
@@ -145,6 +146,9 @@
 	case n.State == taskmsg.RunFinished:
 		h.failed(j, index, n, now)
 	case n.State == taskmsg.RunLost:
+		if why := h.crashed(j, index, n, now); why != nil {
+			h.endJob(j, why, now)
+		}
 		h.lost(j, index, "worker "+n.Worker+" is gone", now)
 	case n.State == taskmsg.RunPreempted:
 		h.m.metrics.preempted.Inc()
--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
+	"pulleyquay/internal/crashloop"
 	"pulleyquay/internal/jobmsg"
 	"pulleyquay/internal/result"
 	"pulleyquay/internal/spec"
@@ -36,6 +37,8 @@
 	Peak int        `cbor:"14,keyasint,omitempty"`
 	// Submission identifies the specification as first submitted.
 	Submission uint64 `cbor:"12,keyasint"`
+	// Crashes lists the workers that were lost under a task, by task index.
+	Crashes map[int]crashloop.History `cbor:"15,keyasint,omitempty"`
 }
 
 // keyPrefix returns the prefix of the records of a partition's jobs.
--- a/internal/job/task.go
+++ b/internal/job/task.go
@@ -36,6 +36,9 @@
 	at      *site // nil while it is not known
 	state   taskState
 	spared  bool // the latest attempt was preempted
+	// since is when this home learned that the present attempt runs; zero for one that
+	// an earlier home started.
+	since time.Time
 }
 
 // active reports whether the task may run, so that it holds quota.
--- a/internal/job/transition.go
+++ b/internal/job/transition.go
@@ -136,7 +136,7 @@
 		if j.isService() {
 			j.paced--
 		}
-		h.again(j, l.Task.Index, 0, now)
+		h.again(j, l.Task.Index, j.crashPause(l.Task.Index), now)
 	}
 }
 
