--- /dev/null
+++ b/internal/engine/room_test.go
@@ -0,0 +1,123 @@
+package engine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pulleyquay/internal/catalog"
+	"pulleyquay/internal/record"
+	"pulleyquay/internal/spec"
+)
+
+// heartbeat is after how long what a host says of itself follows what it is.
+const heartbeat = 1500 * time.Millisecond
+
+// roomWorld has hosts of 64 cores whose rooms shrink and grow.
+func roomWorld(t testing.TB, hosts int) *world {
+	w := newWorld(t, 21)
+	w.follows = true
+	w.fleet.Add(hosts, "s", size(64, 128))
+	w.takeOver()
+	w.run(time.Second)
+	return w
+}
+
+// TestRoomShrinksAndGrows: starts follow what a host says of its room, also under a next
+// holder and with what is being stopped; room that grows is used at once.
+func TestRoomShrinksAndGrows(t *testing.T) {
+	for _, guards := range []bool{false, true} {
+		t.Run(fmt.Sprint("guarded ", guards), func(t *testing.T) {
+			is := is.New(t)
+			w := roomWorld(t, 6)
+			w.fleet.Guards = guards
+			w.bystanders(20 * time.Second)
+			for i, h := range w.fleet.Hosts() {
+				for n := range 4 {
+					w.after(time.Duration(1000+i*300+n*4000)*time.Millisecond, func() {
+						h.Resize(size(int64(16+16*(n%2)), int64(32+32*(n%2))), heartbeat)
+					})
+				}
+			}
+			w.after(5*time.Second, w.takeOver)
+			w.run(22 * time.Second)
+			for _, h := range w.fleet.Hosts() {
+				h.Resize(size(64, 128), heartbeat)
+			}
+			w.run(40 * time.Second)
+			w.check()
+			is.Equal(w.innocentsLost(), nil)
+		})
+	}
+}
+
+// TestGuardedRoomIsBelieved: a host whose room has just shrunk refuses a start. Until its
+// entry told so, the same start went to it again every few milliseconds, as its books still
+// showed room: 39 refusals of one task in 0.6 s, with other hosts free.
+func TestGuardedRoomIsBelieved(t *testing.T) {
+	is := is.New(t)
+	w := roomWorld(t, 3)
+	w.fleet.Guards = true
+	w.submit("first", catalog.Rules{}, step(1, 40, 40, 60000)) // the next ones fit best beside it
+	w.run(time.Second)
+	for _, h := range w.fleet.Hosts() {
+		if len(h.Running()) > 0 {
+			h.Resize(size(41, 41), heartbeat)
+		}
+	}
+	w.submit("urgent", catalog.Rules{}, step(1, 6, 10, 300))
+	w.run(600 * time.Millisecond)
+	w.check()
+	t.Log(w.fleet.Judge().RefusedForRoom(), "refusals")
+	is.Equal(w.shown["urgent"], record.StateCompleted)
+	is.True(w.fleet.Judge().RefusedForRoom() <= 2)
+}
+
+// TestHostsOverTheirRoomAreRelieved: a host that stays over its room gives work away that
+// has saved its progress, or that lasts and has a place elsewhere, and no more than it has to.
+// Work that would be lost runs on to its end, and a room that comes back soon costs nothing.
+func TestHostsOverTheirRoomAreRelieved(t *testing.T) {
+	saving := step(8, 7, 10, 60000)
+	saving.Checkpointing = true
+	service := step(8, 7, 10, 0)
+	service.LongRunning, service.MayMiss = true, 1
+	for name, tc := range map[string]struct {
+		step   spec.Step
+		back   time.Duration // when the room is there again; zero for never
+		stops  int           // of runs, at the most
+		sooner time.Duration // when the host is within its room, if at all
+	}{
+		"saved progress":             {step: saving, stops: 4, sooner: 8 * time.Second},
+		"a service":                  {step: service, stops: 4, sooner: 25 * time.Second},
+		"would be lost":              {step: step(8, 7, 10, 60000)},
+		"saved, the room comes back": {step: saving, back: 3 * time.Second, stops: 0, sooner: 4 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := roomWorld(t, 1)
+			w.submit("a", catalog.Rules{}, tc.step)
+			w.run(3 * time.Second)
+			h := w.fleet.Hosts()[0]
+			is.Equal(len(h.Running()), 8)
+			w.fleet.Add(2, "s", size(64, 128))
+			stops := 0
+			w.engine.cfg.Log = func(e Event) {
+				if e.What == "run stopped" {
+					stops++
+				}
+			}
+			h.Resize(size(30, 128), heartbeat)
+			if tc.back > 0 {
+				w.after(tc.back, func() { h.Resize(size(64, 128), heartbeat) })
+			}
+			w.run(tc.sooner)
+			is.Equal(h.Over(), tc.sooner == 0)
+			w.run(10 * time.Second)
+			w.check()
+			is.True(stops <= tc.stops)
+			is.Equal(stops > 0, tc.stops > 0)
+		})
+	}
+}
--- a/internal/hostsim/calls.go
+++ b/internal/hostsim/calls.go
@@ -39,6 +39,11 @@
 		reply.Refused = host.RefusedTicket
 		return reply
 	}
+	if h.guarded(rec.Graph.Steps[s.Task.Step]) {
+		h.grant(s.Deadline)
+		reply.Refused = host.RefusedFull
+		return reply
+	}
 	h.grant(s.Deadline)
 	r := &run{Run: s.Run, step: rec.Graph.Steps[s.Task.Step], pace: fullPace}
 	if s.Checkpoint != "" {
--- a/internal/hostsim/fleet.go
+++ b/internal/hostsim/fleet.go
@@ -56,6 +56,9 @@
 	// for never. Set it before use.
 	Crashes func(spec.StepTask) time.Duration
 
+	// Guards has hosts refuse what they have no room for. Set it before use.
+	Guards bool
+
 	clock Clock
 	judge *Judge
 
@@ -115,7 +118,7 @@
 
 func (f *Fleet) add(info host.Info) *Host {
 	h := &Host{
-		fleet: f, info: info, up: true, listed: true, rate: 1,
+		fleet: f, info: info, size: info.Size, up: true, listed: true, rate: 1,
 		// Hosts have been up for different times; the clocks differ.
 		born: f.clock.Now().Add(-time.Duration(1000+137*len(f.hosts)) * time.Second),
 		runs: map[host.Run]*run{}, over: map[spec.StepTask]int{},
--- a/internal/hostsim/host.go
+++ b/internal/hostsim/host.go
@@ -13,6 +13,8 @@
 	fleet  *Fleet
 	info   host.Info
 	listed bool
+	size   spec.Resources // its room, of which info tells a little later
+	rooms  []room         // what that was before
 	up     bool
 	cut    bool // not reached, but running on
 	reborn bool // another life answers at the address
