Rooms that shrink: a host that refuses is believed, one that stays over its room gives work away

Cause: a start that a guarded host refuses left no trace in the books, so the host was chosen again in the next round; and nothing looked at hosts whose room had shrunk below what runs there. Room that grows is used at once. Ruled out: stopping at once (a room that comes back after 3 s would have cost four stops). No site at hand has such rooms, so nothing was measured on one.

--- a/internal/engine/crash.go
+++ b/internal/engine/crash.go
@@ -225,8 +225,12 @@
 // onTrial reports whether a job is on trial on the host.
 func (h *hostState) onTrial(now time.Time) bool { return h.trialOf != nil && now.Before(h.trialUntil) }
 
-// open reports whether a step may start on a host as far as trials go.
+// open reports whether a step may start on a host as far as trials go, and what the host
+// has refused.
 func (e *Engine) open(g *group, h *hostState, now time.Time) bool {
+	if h.full(g.step.Booked(), now) {
+		return false
+	}
 	if h.onTrial(now) && h.trialOf != g.job {
 		return false
 	}
--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -110,6 +110,12 @@
 	leavesAt time.Time        // when a draining host leaves, at the earliest
 	closed   bool             // to be emptied for its machine's upkeep
 
+	// fullSize is what it has refused for want of room, which is believed until fullUntil;
+	// overSince is since when it has been over its room.
+	fullSize  spec.Resources
+	fullUntil time.Time
+	overSince time.Time
+
 	startedAt time.Time // when something was last started there, and of which job
 	startedOf *job
 	suspects  int // runs there under which hosts have crashed
@@ -201,6 +207,9 @@
 	delete(h.runs, r.Run)
 	delete(e.unwanted, r)
 	h.used = h.used.Sub(r.size)
+	if r.state != runOrdered {
+		h.fullUntil = time.Time{}
+	}
 	e.endTrial(r)
 	e.room++
 	g := r.group
@@ -271,8 +280,9 @@
 	if !h.listed && h.claimed {
 		h.lookAt = now
 	}
-	if !h.listed || h.info.Draining != info.Draining {
+	if !h.listed || h.info.Draining != info.Draining || h.info.Size != info.Size {
 		e.room++
+		h.fullUntil = time.Time{}
 	}
 	h.listed = true
 	h.info, h.pool = info, e.poolOf(info.Service)
--- a/internal/engine/orders.go
+++ b/internal/engine/orders.go
@@ -106,6 +106,9 @@
 		e.setAside(h, now, "said that it is not well")
 	case host.RefusedFull:
 		e.probe(h) // its books are not ours
+		if r != nil {
+			h.noteFull(r.size, now)
+		}
 	}
 	if r != nil {
 		e.log(Event{What: "start refused", Job: r.Task.Job, Step: r.Task.StepID.String(), Host: string(h.info.ID), Why: string(why)})
--- a/internal/engine/watch.go
+++ b/internal/engine/watch.go
@@ -29,6 +29,7 @@
 		if h.info.Draining {
 			e.moveOff(h, now)
 		}
+		e.relieve(h, now)
 		e.stopStrangers(h, now)
 		for _, r := range h.runs {
 			e.prove(r, now)
