Reproduce: a suspended machine's rights do not age (two tests failing, KNOWN-RED)

Ruled out: the hosts' tokens alone (a host that the successor has not reached yet obeys the former holder).

--- /dev/null
+++ b/internal/hold/suspended_test.go
@@ -0,0 +1,47 @@
+package hold
+
+import (
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pulleyquay/internal/result"
+	"pulleyquay/internal/uptime"
+)
+
+// TestSuspendedHolderHasNoRight: the right to act is over for everybody else while a
+// machine is suspended. When it woke, the steady clock had stood still, and the right was
+// held for valid until the rest of its term had passed.
+func TestSuspendedHolderHasNoRight(t *testing.T) {
+	var suspended atomic.Int64
+	defer uptime.Use(func() time.Duration { return time.Duration(suspended.Load()) })()
+	inBubble(t, testConfig(), func(c *testCell) {
+		is := is.New(c.t)
+		a, b := c.start("a"), c.start("b")
+		c.waitSettled(20 * time.Second)
+		for _, n := range []*node{a, b} {
+			for _, id := range n.Held() {
+				_, err := n.Check(id)
+				is.NoErr(err)
+			}
+		}
+		suspended.Add(int64(c.config.Term))
+		for _, n := range []*node{a, b} {
+			for _, id := range n.Held() {
+				_, err := n.Check(id)
+				is.Equal(result.CodeOf(err), result.RightLapsed)
+			}
+		}
+		time.Sleep(2 * c.config.Term)
+		c.waitSettled(20 * time.Second)
+		for _, n := range []*node{a, b} {
+			for _, id := range n.Held() {
+				grant, err := n.Check(id)
+				is.NoErr(err)
+				is.True(time.Until(grant.Until) <= c.config.Term) // by the clock of those who use it
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/ledger/suspended_test.go
@@ -0,0 +1,45 @@
+package ledger
+
+import (
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"pulleyquay/internal/platform/memstore"
+	"pulleyquay/internal/uptime"
+)
+
+// TestProofAgesWhileSuspended: a holder whose machine is suspended for seconds is succeeded
+// meanwhile. The steady clock had not moved when it woke, so its proof seemed as fresh as
+// before, and it would have given orders for the rest of the three seconds that the right
+// lasts, beside its successor.
+func TestProofAgesWhileSuspended(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var suspended atomic.Int64
+		defer uptime.Use(func() time.Duration { return time.Duration(suspended.Load()) })()
+		suspended.Store(int64(time.Minute)) // before the claim
+		e := memstore.New()
+		defer e.Close()
+		c := e.Client("a")
+		l, _, err := Claim(t.Context(), sender(c), Holder{}, self("a"))
+		is.NoErr(err)
+		is.NoErr(l.Commit(t.Context(), write("k", "1")))
+		is.True(time.Since(l.Proved()) < 100*time.Millisecond)
+
+		suspended.Add(int64(5 * time.Second))
+		is.True(time.Since(l.Proved()) >= 5*time.Second)
+
+		is.NoErr(l.Commit(t.Context(), write("k", "2")))
+		is.True(time.Since(l.Proved()) < 100*time.Millisecond)
+
+		// Suspended between a transaction and its answer: the proof is from before.
+		c.SetFaults(memstore.Faults{AnswerDelayMS: 300})
+		time.AfterFunc(100*time.Millisecond, func() { suspended.Add(int64(5 * time.Second)) })
+		is.NoErr(l.Commit(t.Context(), write("k", "3")))
+		is.True(time.Since(l.Proved()) >= 5*time.Second)
+	})
+}
