Rights, proofs and promises age while the machine is suspended

Cause: the steady clock stands still while a machine is suspended, so a holder that woke took its right for as fresh as before; a host that its successor had not reached yet would have obeyed it. Change: Ledger.Proved and the placer's right, session, heartbeats and fences are measured by package uptime; what leaves hold (Grant.Until) is by the users' clock. pulley-node notices a suspension of 200 ms or more within 150 ms of waking, says so in the log and opens its connections anew, as no timer of its own has run. Looked for all other clocks by which something is given up and left them: leases of hosts and the wait of a next holder are too long after a suspension, never too short; estimates of hosts' clocks lie back, so that starts are refused as late until the next answer; tickets that ran out are refused by the host. What a holder sent before it was suspended is left to deadlines by the host's clock (1.2 s) and the hosts' tokens. Ruled out: adding the suspension to time.Now everywhere (due times and records need the time of day).

--- a/cmd/pulley-node/node.go
+++ b/cmd/pulley-node/node.go
@@ -26,6 +26,7 @@
 	"pulleyquay/internal/platform/resend"
 	"pulleyquay/internal/result"
 	"pulleyquay/internal/traffic"
+	"pulleyquay/internal/uptime"
 	"pulleyquay/platform"
 )
 
@@ -217,6 +218,7 @@
 	n.claimer.Start(ctx, n.mux, partitions)
 	go n.entries.Run(ctx)
 	go n.load.run(ctx)
+	go (&waker{suspended: uptime.Suspended, woke: n.conns.suspect, log: n.log}).run(ctx)
 	if n.conf.MemoryMiB > 0 {
 		debug.SetMemoryLimit(n.conf.MemoryMiB << 20 / memoryShare)
 	}
--- a/internal/heartbeat/service.go
+++ b/internal/heartbeat/service.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"pulleyquay/internal/peer"
+	"pulleyquay/internal/uptime"
 	"pulleyquay/internal/view"
 )
 
@@ -96,7 +97,7 @@
 	if err := cbor.Unmarshal(raw, into); err != nil {
 		return 0, false
 	}
-	return time.Since(at), true
+	return uptime.Since(at), true
 }
 
 // Heard returns what was last heard of a member.
@@ -171,7 +172,7 @@
 	ctx, cancel := context.WithTimeout(ctx, 2*s.interval)
 	defer cancel()
 	s.sent.Inc()
-	sent := time.Now()
+	sent := uptime.Now()
 	var reply Reply
 	if err := s.peers.Call(ctx, addr, peer.KindHeartbeat, beat, &reply); err != nil {
 		s.failed.Inc()
@@ -209,7 +210,7 @@
 		h = &Heard{}
 		s.heard[status.Member.Name] = h
 	}
-	h.Status, h.At = status, time.Now()
+	h.Status, h.At = status, uptime.Now()
 	if extras != nil {
 		h.extras, h.beatAt = extras, h.At
 	}
--- a/internal/hold/beats.go
+++ b/internal/hold/beats.go
@@ -8,6 +8,7 @@
 	"pulleyquay/internal/member"
 	"pulleyquay/internal/partition"
 	"pulleyquay/internal/right"
+	"pulleyquay/internal/uptime"
 	"pulleyquay/internal/view"
 )
 
@@ -31,7 +32,7 @@
 	if at.IsZero() {
 		return -1
 	}
-	return time.Since(at)
+	return uptime.Since(at)
 }
 
 // Asks implements heartbeat.Host. It asks once the store is not reached as
@@ -48,7 +49,7 @@
 	for s, c := range b.covers {
 		asks = append(asks, heartbeat.Ask{Subject: s, Session: c.right.Session(), For: b.config.Term})
 	}
-	now := time.Now()
+	now := uptime.Now()
 	self := b.subject().Incarnation
 	for _, ask := range asks {
 		if b.promise(now, ask) {
@@ -72,7 +73,7 @@
 	if !b.needsPromises() {
 		return false
 	}
-	now := time.Now()
+	now := uptime.Now()
 	var until time.Time
 	b.session.Right(func(h *right.Holder) { until = h.Until(now, h.Session()) })
 	return until.Sub(now) < 2*b.config.Heartbeat
@@ -82,7 +83,7 @@
 func (b *beatHost) OnAsk(ask heartbeat.Ask) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.promise(time.Now(), ask)
+	return b.promise(uptime.Now(), ask)
 }
 
 // promise gives this process's vote unless the store is reached by a majority,
@@ -177,7 +178,7 @@
 			continue
 		}
 		h, ok := k.beats.Heard(v.Name)
-		if ok && h.Status.StoreAge >= 0 && h.Status.StoreAge+time.Since(h.At) < fresh {
+		if ok && h.Status.StoreAge >= 0 && h.Status.StoreAge+uptime.Since(h.At) < fresh {
 			up++
 		}
 	}
@@ -196,7 +197,7 @@
 
 func (k *Keeper) heardWithin(s right.Subject, d time.Duration) bool {
 	h, ok := k.beats.Heard(s.Name)
-	return ok && h.Status.Member.Incarnation == s.Incarnation && time.Since(h.At) < d
+	return ok && h.Status.Member.Incarnation == s.Incarnation && uptime.Since(h.At) < d
 }
 
 // deputyOf returns who stands in for the named member: by rendezvous hashing
--- a/internal/hold/cover.go
+++ b/internal/hold/cover.go
@@ -6,6 +6,7 @@
 
 	"pulleyquay/internal/result"
 	"pulleyquay/internal/right"
+	"pulleyquay/internal/uptime"
 	"pulleyquay/internal/view"
 )
 
@@ -42,7 +43,7 @@
 // been silent for long, a majority does not reach the store, and its charter is
 // known.
 func (k *Keeper) covering(s right.Subject) bool {
-	if s == k.subject() || time.Since(k.started) < 2*k.config.Suspect || k.storeUp() {
+	if s == k.subject() || uptime.Since(k.started) < 2*k.config.Suspect || k.storeUp() {
 		return false
 	}
 	if k.heardWithin(s, 2*k.config.Suspect) || k.mirror.charters[s].Charter == nil {
@@ -56,7 +57,7 @@
 	if old := k.covers[s]; old != nil && old.right.Session() == electorate.Session {
 		return &cover{right: old.right}
 	}
-	limit := time.Now()
+	limit := uptime.Now()
 	if h, ok := k.beats.Heard(s.Name); ok && h.Status.StoreAge >= 0 {
 		limit = h.At.Add(-h.Status.StoreAge)
 	}
@@ -99,7 +100,7 @@
 // CheckCover returns the right to renew task leases on the workers of a covered
 // partition. Orders carry the grant's epoch and its end, and only renew.
 func (k *Keeper) CheckCover(id int) (Grant, error) {
-	now := time.Now()
+	now := uptime.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if id >= 0 && id < len(k.slots) && k.coversItself(k.slots[id]) {
@@ -122,5 +123,5 @@
 	if !g.Until.After(now) {
 		return Grant{}, result.New(result.RightLapsed, result.RanNo, "cover of partition %d", g.Partition)
 	}
-	return g, nil
+	return g.usable(now), nil
 }
--- a/internal/hold/dump.go
+++ b/internal/hold/dump.go
@@ -1,10 +1,9 @@
 package hold
 
 import (
-	"time"
-
 	"pulleyquay/internal/heartbeat"
 	"pulleyquay/internal/right"
+	"pulleyquay/internal/uptime"
 	"pulleyquay/internal/view"
 )
 
@@ -53,7 +52,7 @@
 	lacks, covered := k.Lacks(), k.covered()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	now := time.Now()
+	now := uptime.Now()
 	out := State{
 		Self: k.session.Self(), Membership: k.session.State(), Lacks: lacks,
 		StoreUp: k.storeUp(), StoreAgeMS: k.storeAge().Milliseconds(), Table: k.Table(),
--- a/internal/hold/fence.go
+++ b/internal/hold/fence.go
@@ -4,11 +4,11 @@
 	"context"
 	"math/rand/v2"
 	"sync"
-	"time"
 
 	"pulleyquay/internal/peer"
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/right"
+	"pulleyquay/internal/uptime"
 	"pulleyquay/internal/wait"
 )
 
@@ -36,7 +36,7 @@
 		if charter.Charter != nil {
 			electorate = charter.Charter.Electorate
 		}
-		f = &fencing{charter: charter.Revision, tally: right.NewFencing(k.config.times(), electorate, time.Now())}
+		f = &fencing{charter: charter.Revision, tally: right.NewFencing(k.config.times(), electorate, uptime.Now())}
 		k.fencings[s] = f
 		k.log.WithField("member", s.Name).WithField("incarnation", s.Incarnation).Info("asking its electorate to fence a dead holder")
 	}
@@ -75,7 +75,7 @@
 			}
 			k.mu.Lock()
 			f.tally.Answered(v, answer)
-			if f.tally.Done(time.Now()) {
+			if f.tally.Done(uptime.Now()) {
 				cancel()
 			}
 			k.mu.Unlock()
@@ -83,7 +83,7 @@
 	}
 	asked.Wait()
 	k.mu.Lock()
-	done := f.tally.Done(time.Now())
+	done := f.tally.Done(uptime.Now())
 	k.mu.Unlock()
 	if !done {
 		wait.For(ctx, k.config.Heartbeat/4+rand.N(k.config.Heartbeat/4+1))
@@ -101,7 +101,7 @@
 
 // onFence gives this process's vote to a claimant.
 func (k *Keeper) onFence(_ context.Context, request FenceRequest) (right.FenceAnswer, error) {
-	now := time.Now()
+	now := uptime.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	self := k.subject()
--- a/internal/hold/handover.go
+++ b/internal/hold/handover.go
@@ -13,6 +13,7 @@
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/result"
 	"pulleyquay/internal/right"
+	"pulleyquay/internal/uptime"
 	"pulleyquay/internal/view"
 	"pulleyquay/internal/wait"
 )
@@ -157,7 +158,7 @@
 func (k *Keeper) sleepOut(ctx context.Context) bool {
 	var until time.Time
 	k.session.Right(func(h *right.Holder) { until = h.Outstanding() })
-	return wait.For(ctx, time.Until(until))
+	return wait.For(ctx, uptime.Until(until))
 }
 
 // releaseAll ends the residents' work in order and collects their states. It
--- a/internal/hold/keeper.go
+++ b/internal/hold/keeper.go
@@ -15,6 +15,7 @@
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/result"
 	"pulleyquay/internal/right"
+	"pulleyquay/internal/uptime"
 	"pulleyquay/internal/view"
 )
 
@@ -123,7 +124,7 @@
 // Start checks the number of partitions if the store answers, and starts to
 // join, beat and claim. It returns at once; Lacks tells what is still missing.
 func (k *Keeper) Start(ctx context.Context) error {
-	k.started = time.Now()
+	k.started = uptime.Now()
 	if err := k.checkCount(ctx); err != nil {
 		return err
 	}
@@ -174,15 +175,15 @@
 func (k *Keeper) waitHandedOver(ctx context.Context) error {
 	tick := time.NewTicker(k.config.Heartbeat / 10)
 	defer tick.Stop()
-	reached := time.Now()
+	reached := uptime.Now()
 	for {
 		if k.idle() {
 			return nil
 		}
 		if k.storeReached() {
-			reached = time.Now()
+			reached = uptime.Now()
 		}
-		if time.Since(reached) > k.config.Term {
+		if uptime.Since(reached) > k.config.Term {
 			k.finishInPlace(ctx)
 			return result.New(result.HandOverFailed, result.RanNo, "the store is not reached; finished without hand-over")
 		}
@@ -240,7 +241,7 @@
 
 // Check implements Right.
 func (k *Keeper) Check(id int) (Grant, error) {
-	now := time.Now()
+	now := uptime.Now()
 	k.mu.Lock()
 	if id < 0 || id >= len(k.slots) || !k.slots[id].acts() {
 		k.mu.Unlock()
@@ -252,7 +253,21 @@
 		k.metrics.lapsed.Inc()
 		return Grant{}, result.New(result.RightLapsed, result.RanNo, "partition %d epoch %d", id, grant.Epoch)
 	}
-	return grant, nil
+	return grant.usable(now), nil
+}
+
+// usable is the grant with its end by the clock of those who use it. Here it is by one that
+// counts suspensions of the machine: by the steady clock alone a process that was suspended
+// for seconds would act on beside its successor.
+func (g Grant) usable(now time.Time) Grant {
+	g.Until = time.Now().Add(g.Until.Sub(now))
+	return g
+}
+
+// grantNow is the right for a slot as those use it who hold the partition. The lock is held.
+func (k *Keeper) grantNow(s *slot) Grant {
+	now := uptime.Now()
+	return k.grant(now, s).usable(now)
 }
 
 // grant works out the right for a slot. The lock is held.
--- a/internal/hold/loops.go
+++ b/internal/hold/loops.go
@@ -14,6 +14,7 @@
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/result"
 	"pulleyquay/internal/right"
+	"pulleyquay/internal/uptime"
 	"pulleyquay/internal/view"
 )
 
@@ -54,10 +55,10 @@
 func (k *Keeper) renewLoop(ctx context.Context) {
 	retry := k.newBackOff()
 	for ctx.Err() == nil {
-		begun := time.Now()
+		begun := uptime.Now()
 		err := k.renewOnce(ctx)
 		// A slow answer has used up part of the term: renew the sooner.
-		pause := max(k.config.Renew-time.Since(begun), k.config.Renew/8)
+		pause := max(k.config.Renew-uptime.Since(begun), k.config.Renew/8)
 		if err != nil {
 			k.metrics.storeErrors.Inc()
 			pause = min(retry.NextBackOff(), k.config.BackoffMax)
@@ -207,9 +208,9 @@
 func (k *Keeper) watchLoop(ctx context.Context, prefix string) {
 	retry := k.newBackOff()
 	for ctx.Err() == nil {
-		begun := time.Now()
+		begun := uptime.Now()
 		err := k.listAndWatch(ctx, prefix)
-		if time.Since(begun) > k.config.Term {
+		if uptime.Since(begun) > k.config.Term {
 			retry.Reset()
 		}
 		if err != nil && ctx.Err() == nil {
@@ -252,7 +253,7 @@
 // publish makes the mirror's state visible and wakes the decision loop. The
 // lock is held.
 func (k *Keeper) publish() {
-	k.mirror.noteGone(time.Now())
+	k.mirror.noteGone(uptime.Now())
 	k.table.Store(k.mirror.table())
 	k.changes.Tell()
 	k.wake()
--- a/internal/hold/report.go
+++ b/internal/hold/report.go
@@ -1,6 +1,10 @@
 package hold
 
-import "time"
+import (
+	"time"
+
+	"pulleyquay/internal/uptime"
+)
 
 // PartitionKey returns the key of a partition's record in the store. A write
 // conditioned on that record's revision is refused once the partition has
@@ -38,5 +42,5 @@
 	if age := k.storeAge(); age >= 0 {
 		return age
 	}
-	return time.Since(k.started)
+	return uptime.Since(k.started)
 }
--- a/internal/hold/steps.go
+++ b/internal/hold/steps.go
@@ -11,6 +11,7 @@
 	"pulleyquay/internal/member"
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/right"
+	"pulleyquay/internal/uptime"
 	"pulleyquay/internal/view"
 	"pulleyquay/internal/wait"
 )
@@ -77,7 +78,7 @@
 		alive: k.mirror.alive, heard: k.heard, mayFence: k.mayFence,
 		fenced: func(s right.Subject) bool {
 			f := k.fencings[s]
-			return f != nil && f.charter == k.mirror.charters[s].Revision && f.tally.Done(time.Now())
+			return f != nil && f.charter == k.mirror.charters[s].Revision && f.tally.Done(uptime.Now())
 		},
 	}
 }
@@ -85,10 +86,10 @@
 // mayFence applies the rule of patience to a holder without a key. A process
 // that has just started has not heard anybody yet and waits. The lock is held.
 func (k *Keeper) mayFence(s right.Subject) bool {
-	if time.Since(k.started) < 2*k.config.Suspect {
+	if uptime.Since(k.started) < 2*k.config.Suspect {
 		return false
 	}
-	return mayFence(k.heardSubject(s), k.storeUp(), time.Since(k.mirror.gone[s]), k.config.Term)
+	return mayFence(k.heardSubject(s), k.storeUp(), uptime.Since(k.mirror.gone[s]), k.config.Term)
 }
 
 // eligible lists the members that partitions may go to: those with a key that
@@ -234,7 +235,7 @@
 	if k.mirror.partitions[s.id] == s.record {
 		s.session = k.confirmed
 	}
-	takeover := Takeover{Grant: k.grant(time.Now(), s), SignedOff: signedOff, Fresh: fresh, TakenAt: time.Now()}
+	takeover := Takeover{Grant: k.grantNow(s), SignedOff: signedOff, Fresh: fresh, TakenAt: time.Now()}
 	k.mu.Unlock()
 	k.acquireAll(ctx, takeover, states)
 	k.mu.Lock()
--- a/internal/hold/sweep.go
+++ b/internal/hold/sweep.go
@@ -10,6 +10,7 @@
 	"pulleyquay/internal/member"
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/right"
+	"pulleyquay/internal/uptime"
 )
 
 const (
@@ -25,7 +26,7 @@
 func (k *Keeper) sweep(ctx context.Context) error {
 	k.mu.Lock()
 	used := k.usedSubjects()
-	now := time.Now()
+	now := uptime.Now()
 	for s := range k.mirror.charters {
 		if used[s] {
 			delete(k.unused, s)
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -20,6 +20,7 @@
 
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/platform/resend"
+	"pulleyquay/internal/uptime"
 )
 
 // HolderPrefix is where the holders of the partitions stand in the store.
@@ -89,7 +90,7 @@
 	chains [Chains]chain
 
 	mu sync.Mutex
-	// proved is when the last transaction that took effect was first sent.
+	// proved is when the last transaction that took effect was first sent; see uptime.
 	proved time.Time
 }
 
@@ -116,7 +117,7 @@
 	for i := range l.chains {
 		txn.Then = append(txn.Then, l.chainWrite(i))
 	}
-	sent := time.Now()
+	sent := uptime.Now()
 	reply, err := l.settle(ctx, txn)
 	if err != nil {
 		return nil, Holder{}, err
@@ -156,11 +157,13 @@
 func (l *Ledger) Holder() Holder { return l.self }
 
 // Proved is when this process surely was the holder last: when the last
-// transaction that took effect was sent.
+// transaction that took effect was sent. A suspension since then lets it lie back as far:
+// a holder that was suspended for longer than its right lasts must not give one order, as
+// it has been succeeded meanwhile.
 func (l *Ledger) Proved() time.Time {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.proved
+	return time.Now().Add(-uptime.Since(l.proved))
 }
 
 // Commit applies the writes, unless the partition has another holder. Those of one
@@ -210,7 +213,7 @@
 		},
 		Then: append([]platform.Write{l.chainWrite(i)}, writes...),
 	}
-	sent := time.Now()
+	sent := uptime.Now()
 	reply, err := l.settle(ctx, txn)
 	if err != nil {
 		return err
--- a/internal/member/session.go
+++ b/internal/member/session.go
@@ -12,6 +12,7 @@
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/result"
 	"pulleyquay/internal/right"
+	"pulleyquay/internal/uptime"
 	"pulleyquay/internal/view"
 )
 
@@ -72,7 +73,7 @@
 	if done || err != nil {
 		return err
 	}
-	sent := time.Now()
+	sent := uptime.Now()
 	lease, err := s.store.Grant(ctx, int64(s.times.Term/time.Second))
 	s.note(err)
 	if err != nil {
@@ -169,7 +170,7 @@
 	s.mu.Lock()
 	lease := s.lease
 	s.mu.Unlock()
-	sent := time.Now()
+	sent := uptime.Now()
 	err := s.store.KeepAlive(ctx, lease)
 	s.note(err)
 	s.mu.Lock()
@@ -189,7 +190,7 @@
 func (s *Session) SetVoters(ctx context.Context, voters []right.Voter) error {
 	s.mu.Lock()
 	present := s.holder.Electorate()
-	if s.machine.Current() != StateJoined || slices.Equal(present.Voters, voters) || !s.holder.MayChange(time.Now()) {
+	if s.machine.Current() != StateJoined || slices.Equal(present.Voters, voters) || !s.holder.MayChange(uptime.Now()) {
 		s.mu.Unlock()
 		return nil
 	}
