Reproduce: losses of all power have jobs given up (failing, KNOWN-RED)

Cause: since crashes are held against tasks, each host that a next holder finds gone accuses what it may have run, before the others are known to be gone as well. Ruled out: the rule for racks (nobody is heard silent at a take-over).

--- a/internal/engine/takeover_test.go
+++ b/internal/engine/takeover_test.go
@@ -196,3 +196,39 @@
 	is.Equal(w.shown["a"], record.StateCompleted)
 	is.Equal(len(w.engine.claiming) <= 140, true)
 }
+
+// TestAllPowerIsLost: every member and every host goes at the same moment, again and again,
+// also while hosts have crashed under tasks before. What was accepted is done, what was shown
+// stays, and no job is blamed for the power.
+func TestAllPowerIsLost(t *testing.T) {
+	for _, dark := range []time.Duration{0, 300 * time.Millisecond, 3 * time.Second} {
+		t.Run(dark.String(), func(t *testing.T) {
+			is := is.New(t)
+			w := crashWorld(t, 31, 16)
+			w.bystanders(20 * time.Second)
+			gang := step(8, 18, 26, 5000)
+			gang.Gang = true
+			w.submit("gang", catalog.Rules{}, gang)
+			service := step(4, 6, 10, 0)
+			service.LongRunning = true
+			w.submit("service", catalog.Rules{}, service)
+			w.run(700 * time.Millisecond)
+			w.crashAt(3)
+			for range 5 {
+				w.run(4 * time.Second)
+				for i := range 16 {
+					w.crashAt(i)
+				}
+				w.held = true // nobody is there
+				w.run(dark)
+				w.held = false
+				w.takeOver()
+			}
+			w.run(60 * time.Second)
+			w.check()
+			is.Equal(w.shown["service"], record.StateRunning)
+			delete(w.jobs, "service")
+			is.Equal(w.innocentsLost(), nil)
+		})
+	}
+}
