A host that turns calls away leaves the choice at once; losses of the last moments count

Change: a host that was not even reached is not chosen again before it has answered, and is asked at once. Ruled out: counting every silent host (where a third of the answers get lost, a fourth host was lost to a task again).

--- a/internal/crashloop/crashloop_test.go
+++ b/internal/crashloop/crashloop_test.go
@@ -82,16 +82,17 @@
 	t.Run("rate", func(t *testing.T) {
 		is := is.New(t)
 		var l Losses
-		alone := l.Rate(50, 0)
+		alone := l.Rate(50, 0, at.Add(moments+time.Second))
 		l.Add("a", "r1", at)
 		l.Add("a", "r1", at.Add(time.Second)) // told twice
 		l.Add("b", "r2", at)
-		is.Equal(l.Rate(50, 0), 3*alone)
-		is.Equal(l.Rate(50, 2), 5*alone)
+		is.Equal(l.Rate(50, 0, at.Add(moments+time.Second)), 3*alone)
+		is.Equal(l.Rate(50, 2, at.Add(moments+time.Second)), max(5*alone, 2/(50*moments.Seconds())))
+		is.Equal(l.Rate(50, 0, at), 2/(50*moments.Seconds())) // more went in the last moments
 		l.Explain(History{{Run: 1, Host: "b"}})
-		is.Equal(l.Rate(50, 0), 2*alone)
+		is.Equal(l.Rate(50, 0, at.Add(moments+time.Second)), 2*alone)
 		l.Forget(at.Add(remembered + time.Millisecond))
-		is.Equal(l.Rate(50, 0), alone)
+		is.Equal(l.Rate(50, 0, at.Add(moments+time.Second)), alone)
 	})
 	t.Run("together", func(t *testing.T) {
 		is := is.New(t)
--- a/internal/crashloop/losses.go
+++ b/internal/crashloop/losses.go
@@ -11,6 +11,8 @@
 	// one of 16 hosts went every 0.7 s, two of 440 innocent jobs were given up with a minute,
 	// as the rate was found three times too low for its first part.
 	remembered = 20 * time.Second
+	// moments is how far back the last moments go: about as long as a host is away.
+	moments = 4 * time.Second
 	// together is within which time hosts go that have one cause. The end of a host
 	// without power is noticed by the look that waits there, up to 2.5 s late.
 	togetherFor = 3 * time.Second
@@ -67,16 +69,23 @@
 	}
 }
 
-// Rate is how often one of so many hosts goes by itself, per second. It counts those that
-// are silent now, and one more than was seen: that none was says little in a small cell.
-func (l *Losses) Rate(hosts, silent int) float64 {
-	n := 1 + silent
+// Rate is how often one of so many hosts goes by itself, per second: as of the whole time
+// that is remembered, or as of the last moments, when more went then. It counts those that
+// are silent now, and over the whole time one more than was seen: that none was says little
+// in a small cell.
+func (l *Losses) Rate(hosts, silent int, now time.Time) float64 {
+	all, late := 1+silent, silent
 	for _, x := range l.lost {
-		if !x.explained {
-			n++
+		if x.explained {
+			continue
+		}
+		all++
+		if now.Sub(x.at) <= moments {
+			late++
 		}
 	}
-	return float64(n) / (float64(max(hosts, 1)) * remembered.Seconds())
+	whole := float64(all) / remembered.Seconds()
+	return max(whole, float64(late)/moments.Seconds()) / float64(max(hosts, 1))
 }
 
 // Together reports whether the host that went at a moment went with its whole rack, of
--- a/internal/engine/crash.go
+++ b/internal/engine/crash.go
@@ -115,7 +115,7 @@
 	if !h.claimed {
 		if h.inherited {
 			e.foundGone++
-			e.judge(list, e.losses.Rate(len(e.sorted), 0), now)
+			e.judge(list, e.losses.Rate(len(e.sorted), 0, now), now)
 			e.verdicts = append(e.verdicts, verdict{now.Add(verdictAfter), h.info.ID, list})
 		}
 		return // a life that ended before it was ever spoken to
@@ -125,7 +125,7 @@
 		at = h.silent
 	}
 	together := e.wentTogether(h, at, now)
-	rate := e.losses.Rate(len(e.sorted), e.silentNow(h, now))
+	rate := e.losses.Rate(len(e.sorted), e.silentNow(h, now), now)
 	e.losses.Add(string(h.info.ID), h.info.Rack, at)
 	if !h.gone && len(list) > 0 {
 		e.exiles[h.info.ID] = struct{}{}
@@ -191,11 +191,12 @@
 // with a fifth of the calls lost, hosts nearby were silent at any moment.
 const silentForSure = time.Second
 
-// silentNow counts the other hosts that are silent for sure.
+// silentNow counts the other hosts that have surely gone: they are not even reached, or
+// have been silent for about as long as a look takes to fail.
 func (e *Engine) silentNow(h *hostState, now time.Time) int {
 	n := 0
 	for _, other := range e.sorted {
-		if other != h && other.listed && other.silentFor(now) >= silentForSure {
+		if other != h && other.listed && (!other.refused.IsZero() || other.silentFor(now) >= 3*silentForSure) {
 			n++
 		}
 	}
--- a/internal/engine/crash_load_test.go
+++ b/internal/engine/crash_load_test.go
@@ -49,7 +49,7 @@
 }
 
 // TestCrashersBesideWork: tasks that crash their hosts cost some two hosts each, and next to
-// no innocent job. Over ten seeds of this load 662 such jobs cost 1,468 hosts, and 2 of
+// no innocent job. Over ten seeds of this load 662 such jobs cost 1,363 hosts, and 7 of
 // 14,553 innocent jobs were given up. With three crashes needed in any case it was 1,984
 // hosts and 2 jobs, with two in any case 1,302 and 138; without trials 1,446 and 97; with
 // suspects not kept apart 1,743 and 15.
--- a/internal/engine/orders.go
+++ b/internal/engine/orders.go
@@ -54,6 +54,7 @@
 		return
 	case errors.Is(err, host.ErrNotSent):
 		h.unanswered(err, now)
+		e.askAgain(h, now)
 		e.notStarted(h, r, now)
 		return
 	case err != nil:
@@ -81,6 +82,15 @@
 	e.probe(h)
 }
 
+// askAgain has a host looked at that was not reached: it is chosen again once it answers.
+func (e *Engine) askAgain(h *hostState, now time.Time) {
+	if h.looking {
+		e.probe(h)
+		return
+	}
+	h.lookAt = now
+}
+
 // probe asks a host what it runs beside the look that may be waiting there.
 func (e *Engine) probe(h *hostState) { h.probe = true }
 
