linkshard: the router in three files

Cause: router.go had grown to 504 lines, with three matters in it. Change: shards.go has which members are shards and who a host is called through, giveup.go what becomes of calls that a shard did not take or nobody answered; router.go keeps giving calls out and taking reports in (278 lines). Moved, not changed; ruled out: a new type for each (they share one lock).

--- a/internal/linkshard/router.go
+++ b/internal/linkshard/router.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
-	"slices"
 	"sync"
 	"time"
 
@@ -168,102 +165,6 @@
 	r.conf.Apply(func(now time.Time) { c.Done(o, now) })
 }
 
-// chooseShards works out anew, now and then, which members get calls. The lock is held.
-func (r *Router) chooseShards(now time.Time) {
-	if now.Sub(r.workedOut) < membersEvery {
-		return
-	}
-	r.workedOut = now
-	r.forgetHosts()
-	var members []Member
-	for _, m := range Spread(r.answering(now), r.conf.Self, r.conf.Hosts()) {
-		members = append(members, m)
-		if s := r.shards[m.Name]; s != nil {
-			s.member = m
-			continue
-		}
-		r.shards[m.Name] = &shard{member: m}
-	}
-	if slices.Equal(members, r.members) {
-		return
-	}
-	if (len(members) == 0) != (len(r.members) == 0) {
-		r.conf.Log.WithFields(logrus.Fields{"shards": len(members), "hosts": r.conf.Hosts()}).Info("calls to hosts are spread over link shards")
-	}
-	r.members, r.spread = members, newSpreader(members)
-	clear(r.routes)
-}
-
-// answering are the members but for lost shards, which are asked whether they are back.
-// The lock is held.
-func (r *Router) answering(now time.Time) []Member {
-	members := r.conf.Members()
-	out := make([]Member, 0, len(members))
-	for _, m := range members {
-		s := r.shards[m.Name]
-		if s == nil || !s.lost {
-			out = append(out, m)
-			continue
-		}
-		s.member = m
-		r.askLost(s, now)
-	}
-	return out
-}
-
-// forgetHosts lets go of what is known of hosts, most of which have gone, when it has
-// become much. The lock is held.
-func (r *Router) forgetHosts() {
-	if most := forgetFactor * (r.conf.Hosts() + 1); len(r.routes) > most || len(r.passed) > most {
-		clear(r.routes)
-		clear(r.passed)
-	}
-}
-
-// askLost asks a shard that was lost whether it is back, when it is time. The lock is held.
-func (r *Router) askLost(s *shard, now time.Time) {
-	if s.asking || now.Before(s.askAfter) {
-		return
-	}
-	s.asking = true
-	go r.ask(r.ctx, s, s.member.Addr)
-}
-
-// ask takes a lost shard into use again if it answers a batch of nothing.
-func (r *Router) ask(ctx context.Context, s *shard, addr string) {
-	ctx, cancel := context.WithTimeout(ctx, batchPatience)
-	defer cancel()
-	empty := Batch{Partition: r.conf.Partition, Epoch: r.conf.Epoch, Holder: r.conf.Addr}
-	err := r.conf.Peers.Call(ctx, addr, peer.KindHostCalls, empty, &Empty{})
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	s.asking = false
-	if err != nil {
-		s.noteLost(time.Now())
-		return
-	}
-	s.lost, r.workedOut = false, time.Time{}
-}
-
-// noteLost takes the shard out of use until it has answered again.
-func (s *shard) noteLost(now time.Time) {
-	s.lost, s.askAfter = true, now.Add(firstRest<<min(s.fails, doublings))
-	s.fails++
-}
-
-// shardFor returns the shard that calls a host, or nil for this process. The lock is held.
-func (r *Router) shardFor(to *host.Info) *shard {
-	if len(r.members) == 0 {
-		return nil
-	}
-	s := r.routes[to.ID]
-	if s == nil {
-		s = r.shards[r.spread.shardOf(to.ID, to.Zone, r.passed[to.ID])]
-		r.routes[to.ID] = s
-	}
-	return s
-}
-
 // enqueue has a call sent with the next batch to a shard. The lock is held.
 func (r *Router) enqueue(s *shard, n numbered) {
 	s.queue = append(s.queue, n)
@@ -308,11 +209,6 @@
 	}
 }
 
-// late reports whether a call was given up as its time was over. The peer may have
-// answered: a holder that is behind takes its answer in too late, and taking the shard
-// for lost then would have it make all its calls again, through others.
-func late(ctx context.Context) bool { return errors.Is(ctx.Err(), context.DeadlineExceeded) }
-
 // take returns the calls of the next batch, or nil when nothing waits.
 func (r *Router) take(s *shard, now time.Time) []numbered {
 	r.mu.Lock()
@@ -345,89 +241,12 @@
 	}
 }
 
-// failed takes a shard out of use for a while and gives its calls to others: those of
-// the batch that it did not answer, and all that it was given before.
-func (r *Router) failed(s *shard, batch []numbered, err error, now time.Time) {
-	unsent := map[uint64]bool{}
-	if result.From(err).Ran == result.RanNo {
-		for _, n := range batch {
-			unsent[n.id] = true
-		}
-	}
-	r.mu.Lock()
-	s.noteLost(now)
-	for _, n := range s.queue {
-		unsent[n.id] = true
-	}
-	s.queue = nil
-	r.workedOut = time.Time{}
-	r.chooseShards(now)
-	var done []ended
-	moved := 0
-	for id, p := range r.calls {
-		if p.shard != s {
-			continue
-		}
-		p.doubt = p.doubt || !unsent[id]
-		if e, over := r.reroute(id, p); over {
-			done = append(done, e)
-		} else {
-			moved++
-		}
-	}
-	name := s.member.Name
-	r.mu.Unlock()
-	r.conf.Log.WithError(err).WithFields(logrus.Fields{
-		"partition": r.conf.Partition, "epoch": r.conf.Epoch, "member": name, "calls_moved": moved, "calls_failed": len(done),
-	}).Warn("link shard does not answer; its calls go through others")
-	r.finish(done)
-}
-
-// reroute gives a call to another shard, or ends it. The lock is held.
-func (r *Router) reroute(id uint64, p *pending) (ended, bool) {
-	s := r.shardFor(&p.call.To)
-	if p.routes >= mostRoutes || s == nil {
-		delete(r.calls, id)
-		err := host.ErrNotSent
-		if p.doubt {
-			err = host.ErrLost
-		}
-		return ended{p, Outcome{Err: fmt.Errorf("%w: %d link shards did not answer", err, p.routes)}}, true
-	}
-	p.shard, p.until = s, time.Time{}
-	p.routes++
-	r.enqueue(s, numbered{id, p.call})
-	return ended{}, false
-}
-
 // ended is a call with its outcome.
 type ended struct {
 	call    *pending
 	outcome Outcome
 }
 
-// expire gives up the calls that a shard was given and said nothing of in time. While
-// this process is busy, reports wait here to be taken in: a start that is given up then is
-// stopped though it works, which leaves still more to do.
-func (r *Router) expire(now time.Time) {
-	patience := time.Duration(0)
-	if r.conf.Busy() {
-		patience = busyPatience
-	}
-	var done []ended
-	r.mu.Lock()
-	for id, p := range r.calls {
-		if p.until.IsZero() || now.Before(p.until.Add(patience)) {
-			continue
-		}
-		delete(r.calls, id)
-		r.passBy(p.call.To.ID)
-		done = append(done, ended{p, Outcome{Err: fmt.Errorf("%w: nothing heard of it", host.ErrLost)}})
-	}
-	r.mu.Unlock()
-	r.finish(done)
-}
-
 // UnderWay is how many calls wait for their outcome, at shards or for a batch to them.
 func (r *Router) UnderWay() int {
 	r.mu.Lock()
@@ -457,48 +276,3 @@
 	r.finish(done)
 	return nil
 }
-
-// noteReached has a host called through another shard the next time if it was not
-// reached: the path from this one may be cut. The lock is held.
-func (r *Router) noteReached(id host.ID, err error) {
-	switch failureOf(err) {
-	case notSent, lost:
-		r.passBy(id)
-	}
-}
-
-// passBy has a host called through another shard from now on. The lock is held.
-func (r *Router) passBy(id host.ID) {
-	r.passed[id]++
-	delete(r.routes, id)
-}
-
-// finish tells the outcomes, all in one go.
-func (r *Router) finish(done []ended) {
-	if len(done) == 0 {
-		return
-	}
-	r.conf.Apply(func(now time.Time) {
-		for _, e := range done {
-			e.outcome.Sent = e.call.sent
-			e.outcome.settle(e.call.doubt)
-			e.call.call.Done(e.outcome, now)
-		}
-	})
-}
-
-// settle makes an outcome that says that nothing was done one that leaves it open, if
-// another shard may have made the call, or may still make it.
-func (o *Outcome) settle(doubt bool) {
-	if !doubt {
-		return
-	}
-	switch failureOf(o.Err) {
-	case notSent:
-		o.Err = fmt.Errorf("%w: through another link shard", host.ErrLost)
-	case answered:
-		if why := o.Reply.Refused; why != "" && why != host.RefusedFenced {
-			o.Reply, o.Err = host.Reply{}, fmt.Errorf("%w: refused (%s), and given to another link shard before", host.ErrLost, why)
-		}
-	}
-}
