engine: crashes, trials and verdicts in a file each

Change: evidence and what is held against tasks stay there, trial.go has who may start beside whom, verdict.go when a job is given up. Moved, not changed; ruled out: a package of its own (it works on the engine's books; the judgement is one, crashloop).

--- a/internal/engine/crash.go
+++ b/internal/engine/crash.go
@@ -8,7 +8,6 @@
 	"pulleyquay/internal/crashloop"
 	"pulleyquay/internal/host"
 	"pulleyquay/internal/record"
-	"pulleyquay/internal/result"
 )
 
 // A host that crashes takes all its runs with it, and one of them may have caused it. What
@@ -72,40 +71,6 @@
 	return true
 }
 
-// wordWithin is for how long a task on trial waits for it to be known whether the host that
-// it was lost with has crashed: a host is back after some seconds. Without it a fourth host
-// was lost to such a task in 4 of 600 runs where a third of the answers got lost.
-const wordWithin = 3 * time.Second
-
-// waitForWord has tasks on trial wait that were lost with a silent host.
-func (e *Engine) waitForWord(h *hostState, now time.Time) {
-	for _, a := range h.accused {
-		g := e.groupOf(a.run.Task)
-		if g == nil || g.standing < crashloop.OnTrial {
-			continue
-		}
-		g.notBefore = later(g.notBefore, now.Add(wordWithin))
-	}
-}
-
-// verdict is on tasks that were on a host which was found gone at a takeover.
-type verdict struct {
-	due  time.Time
-	host host.ID // empty for a former holder's finding
-	list []accusation
-}
-
-// Hosts that are found gone at a takeover were lost while nobody watched, and are found one
-// by one. Their crashes are counted at once, so that the holder after this one knows of
-// them, but no job is given up for them before the other hosts are known: as many as
-// shareTogether of all went for one cause, such as power, and accuse nobody. Without that
-// five losses of all power had jobs given up.
-const (
-	verdictAfter  = time.Second
-	leastTogether = 3
-	shareTogether = 4 // one in so many
-)
-
 // accuse holds a host's crash against the tasks that were there.
 func (e *Engine) accuse(h *hostState, list []accusation, now time.Time) {
 	h.accused = nil
@@ -143,54 +108,6 @@
 	}
 }
 
-// giveVerdicts decides about jobs whose tasks were lost while the partition changed hands.
-func (e *Engine) giveVerdicts(now time.Time) {
-	together := e.foundGone >= max(leastTogether, e.inheritedHosts/shareTogether)
-	for len(e.verdicts) > 0 && !now.Before(e.verdicts[0].due) {
-		v := e.verdicts[0]
-		e.verdicts = e.verdicts[1:]
-		if together && v.host != "" {
-			e.acquitOf(v.host)
-			continue
-		}
-		e.convict(v.list, now)
-	}
-}
-
-// verdictOn has a verdict given on a group that a former holder found guilty as it was
-// succeeded.
-func (e *Engine) verdictOn(g *group, now time.Time) {
-	if g.standing != crashloop.GivenUp {
-		return
-	}
-	v := verdict{due: now.Add(verdictAfter)}
-	for i := range g.tasks {
-		v.list = append(v.list, accusation{run: host.Run{Task: g.task(i)}})
-	}
-	e.verdicts = append(e.verdicts, v)
-}
-
-// convict gives up the jobs of those tasks whose histories are enough for it.
-func (e *Engine) convict(list []accusation, now time.Time) {
-	for _, a := range list {
-		g := e.groupOf(a.run.Task)
-		if g == nil {
-			continue
-		}
-		t := &g.tasks[a.run.Task.Index]
-		if t.state == taskDone || t.crashes.Standing() != crashloop.GivenUp {
-			continue
-		}
-		e.losses.Explain(t.crashes)
-		g.job.why = result.New(result.JobCrashesHosts, result.RanUnknown, "task %v: %s", a.run.Task, t.crashes).Error()
-		e.finish(g.job, record.StateFailed, now)
-	}
-}
-
-// silentForSure is after how long a silent host is no longer one that merely lost a call:
-// with a fifth of the calls lost, hosts nearby were silent at any moment.
-const silentForSure = time.Second
-
 // silentNow counts the other hosts that have surely gone: they are not even reached, or
 // have been silent for about as long as a look takes to fail.
 func (e *Engine) silentNow(h *hostState, now time.Time) int {
@@ -302,46 +219,6 @@
 	return g.standing == crashloop.GivenUp || g.job.crashesNew || g.job.crashesIn > e.durable
 }
 
-// Limits of trials: a job that was twice on a host that crashed starts on a host where
-// nothing else has just begun, with nothing new beside it for a while, and on one host at a
-// time. So a third crash speaks against that job alone: without trials 97 in place of 4
-// of 14,553 innocent jobs were given up (load of TestCrashersBesideWork, ten seeds).
-const (
-	// trialFor is for how long nothing new starts beside a job on trial. Tasks that crash
-	// their hosts were seen to do so within some ten milliseconds of their start.
-	trialFor = 2 * time.Second
-	// quietFor is for how long nothing must have been started on a host before a trial: by
-	// then the end of the host would have been noticed.
-	quietFor = 300 * time.Millisecond
-	// hostsPerTrial is for how many hosts one may have a trial at the same time: it bounds
-	// how much of a cell such jobs can take down at once, and how much others are kept from.
-	hostsPerTrial = 8
-)
-
-// onTrial reports whether a job is on trial on the host.
-func (h *hostState) onTrial(now time.Time) bool { return h.trialOf != nil && now.Before(h.trialUntil) }
-
-// open reports whether a step may start on a host as far as trials go, and what the host
-// has refused.
-func (e *Engine) open(g *group, h *hostState, now time.Time) bool {
-	if h.full(g.step.Booked(), now) {
-		return false
-	}
-	if h.onTrial(now) && h.trialOf != g.job {
-		return false
-	}
-	if g.standing < crashloop.OnTrial || h.trialOf == g.job && h.onTrial(now) {
-		return true
-	}
-	if h.suspects > g.suspectsOn(h) || h.startedOf != g.job && now.Sub(h.startedAt) < quietFor {
-		return false
-	}
-	if at := g.job.trialAt; !g.step.Gang && at != nil && at != h && at.trialOf == g.job && at.onTrial(now) {
-		return false
-	}
-	return e.trials < max(1, len(e.sorted)/hostsPerTrial)
-}
-
 // present is the present run of the task, or nil.
 func (t *task) present() *record.RunOn {
 	if t.cur == nil {
@@ -364,52 +241,3 @@
 		h.tried = append(h.tried, r)
 	}
 }
-
-// noteStart notes that a task of a group was started on a host.
-func (e *Engine) noteStart(g *group, h *hostState, now time.Time) {
-	h.startedAt, h.startedOf = now, g.job
-	if g.standing >= crashloop.Suspect {
-		e.retried = true
-		e.touch(g.job)
-	}
-	if g.standing < crashloop.OnTrial {
-		return
-	}
-	if !h.onTrial(now) {
-		e.trials++
-	}
-	h.trialOf, h.trialUntil = g.job, now.Add(trialFor)
-	g.job.trialAt = h
-}
-
-// suspectsOn counts the suspect runs of the group's job on a host.
-func (g *group) suspectsOn(h *hostState) int {
-	n := 0
-	if h.suspects == 0 {
-		return 0
-	}
-	for _, r := range h.runs {
-		if r.suspect && r.group != nil && r.group.job == g.job {
-			n++
-		}
-	}
-	return n
-}
-
-// endTrial notes that a run is over: the host is open again when nothing of the job on
-// trial is left there.
-func (e *Engine) endTrial(r *run) {
-	h := r.on
-	if r.suspect {
-		h.suspects--
-	}
-	if h.trialOf == nil || r.group == nil || r.group.job != h.trialOf {
-		return
-	}
-	for _, other := range h.runs {
-		if other.group != nil && other.group.job == h.trialOf {
-			return
-		}
-	}
-	h.trialOf = nil
-}
