--- a/internal/crashloop/crashloop.go
+++ b/internal/crashloop/crashloop.go
@@ -38,7 +38,7 @@
 )
 
 // ProvenAfter is for how long a task that lasts has to run soundly for earlier crashes to
-// be forgotten: at most two of them in ten minutes are held against a service for good.
+// be forgotten, so that a service is given up for a row of them and not for those of a year.
 const ProvenAfter = 5 * time.Minute
 
 // Crash is one host that crashed under a task.
--- a/internal/engine/crash.go
+++ b/internal/engine/crash.go
@@ -102,6 +102,7 @@
 	e.convict(list, now)
 }
 
+// judge holds each accusation against its task as far as its evidence goes.
 func (e *Engine) judge(list []accusation, rate float64, now time.Time) {
 	for _, a := range list {
 		e.holdAgainst(a.run, crashloop.Judge(a.evidence, rate), now)
