--- a/internal/engine/crash_test.go
+++ b/internal/engine/crash_test.go
@@ -90,15 +90,7 @@
 	service.LongRunning = true
 	saving := step(4, 4, 7, 3000)
 	saving.Checkpointing = true
-	for name, tc := range map[string]struct {
-		id    string
-		steps []spec.Step
-		rules catalog.Rules
-		// strike is what else happens while the job is tried.
-		strike func(w *world)
-		// most is how many hosts may be lost to the job.
-		most int
-	}{
+	for name, tc := range map[string]crasher{
 		"one task":             {id: culprit, steps: []spec.Step{single}, most: 3},
 		"a task of many":       {id: culprit, steps: []spec.Step{step(12, 6, 10, 2000)}, most: 3},
 		"all tasks of a job":   {id: culprits, steps: []spec.Step{step(8, 6, 10, 2000)}, most: 6},
@@ -106,7 +98,6 @@
 		"a task that lasts":    {id: culprit, steps: []spec.Step{service}, most: 3},
 		"a task that saves":    {id: culprit, steps: []spec.Step{saving}, most: 3},
 		"on leave of a policy": {id: culprit, steps: []spec.Step{single}, rules: catalog.Rules{Advice: &catalog.Advice{DecideMillis: 6, ValidMillis: 1500}}, most: 3},
-		"answers get lost":     {id: culprit, steps: []spec.Step{single}, strike: func(w *world) { w.faults = faults{lostRequest: 0.2, lostAnswer: 0.3} }, most: 3},
 		"orders come late":     {id: culprit, steps: []spec.Step{single}, strike: func(w *world) { w.faults = faults{late: 0.3} }, most: 3},
 		"holders change": {id: culprit, steps: []spec.Step{single}, most: 4, strike: func(w *world) {
 			for i := 1; i < 8; i++ {
@@ -123,28 +114,48 @@
 			w.after(6*time.Second, func() { w.storeAway = false; w.takeOver() })
 		}},
 	} {
-		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			w := crashWorld(t, 7, 16)
-			w.bystanders(20 * time.Second)
-			w.run(2 * time.Second)
-			w.submit(tc.id+"0", tc.rules, tc.steps...)
-			if tc.strike != nil {
-				tc.strike(w)
-			}
-			w.run(30 * time.Second)
-			w.faults = faults{}
-			w.run(30 * time.Second)
-			w.check()
-			lost := w.fleet.Judge().HostsCrashed()
-			t.Logf("%d hosts lost", lost)
-			is.Equal(w.shown[tc.id+"0"], record.StateFailed)
-			is.Equal(w.innocentsLost(), nil)
-			is.True(lost <= tc.most)
-		})
+		t.Run(name, func(t *testing.T) { tc.play(t) })
 	}
 }
 
+// TestCrasherWhileAnswersGetLost: a fifth of the requests and a third of the answers get lost
+// meanwhile.
+func TestCrasherWhileAnswersGetLost(t *testing.T) {
+	crasher{
+		id: culprit, steps: []spec.Step{step(1, 6, 10, 640)}, most: 3,
+		strike: func(w *world) { w.faults = faults{lostRequest: 0.2, lostAnswer: 0.3} },
+	}.play(t)
+}
+
+// crasher is a job that crashes its hosts, and what else happens while it is tried.
+type crasher struct {
+	id     string
+	steps  []spec.Step
+	rules  catalog.Rules
+	strike func(w *world)
+	most   int // hosts that may be lost to the job
+}
+
+func (tc crasher) play(t *testing.T) {
+	is := is.New(t)
+	w := crashWorld(t, 7, 16)
+	w.bystanders(20 * time.Second)
+	w.run(2 * time.Second)
+	w.submit(tc.id+"0", tc.rules, tc.steps...)
+	if tc.strike != nil {
+		tc.strike(w)
+	}
+	w.run(30 * time.Second)
+	w.faults = faults{}
+	w.run(30 * time.Second)
+	w.check()
+	lost := w.fleet.Judge().HostsCrashed()
+	t.Logf("%d hosts lost", lost)
+	is.Equal(w.shown[tc.id+"0"], record.StateFailed)
+	is.Equal(w.innocentsLost(), nil)
+	is.True(lost <= tc.most)
+}
+
 // TestManyTasksThatCrashTheirHosts: twenty such jobs at once cost a host or two each, and no
 // bystander its job.
 func TestManyTasksThatCrashTheirHosts(t *testing.T) {
