Judge: a job is shown as failed for what hosts saw of the task that is named

What callers saw: jobs shown as failed that had no cause to be. The simulated hosts' judge could not show it: it took a host for crashed under a task that had ended there before, and was content with any task of the job.

Change, by rule: - failed (narrower): a run counts that was there and had not ended when its host crashed ("under it"). An end that nobody had acknowledged is an end: the run no longer was there. - failed (narrower): where the record's reason is code 5212, the task that it names has to be the one, by crashes or by failed ends. A reason that names none is judged as before. - failed (narrower): ends `failed` of tasks that last are no cause, as those have no limit of attempts; a host that drains, or was taken down by order, has left and not crashed. - failed (wider): hosts gone for good, or whose next life answers at once, have crashed; they counted for nobody.

The judge has tests of its own; each was seen failing with the check in question taken out (any task will do; ended runs count; one start more).

--- a/internal/engine/world_calls_test.go
+++ b/internal/engine/world_calls_test.go
@@ -16,6 +16,21 @@
 	patience = 500 * time.Millisecond
 )
 
+// start carries a start to a host, and tells the judge what is heard of it.
+func (w *world) start(e *Engine, s StartOrder) {
+	w.fleet.Judge().Ordered(s.To.ID, s.Start.Run)
+	if w.onStart != nil {
+		w.onStart(s)
+	}
+	arrive := func(h *hostsim.Host) host.Reply { return h.Start(e.cfg.Epoch, s.Start) }
+	w.call(s.To, arrive, func(r host.Reply, err error) {
+		if err == nil && r.Refused == "" {
+			w.fleet.Judge().Answered(s.To.ID, s.Start.Run)
+		}
+		e.Started(s, r, err, w.now())
+	})
+}
+
 // call carries an order to a host and its answer back, through the faults.
 func (w *world) call(to host.Info, arrive func(*hostsim.Host) host.Reply, answer func(host.Reply, error)) {
 	e := w.engine
@@ -75,7 +90,10 @@
 	finish := func(v host.View, err error) {
 		if !over {
 			over = true
-			w.tell(e, func() { e.Viewed(o, sent, v, err, w.now()) })
+			w.tell(e, func() {
+				w.fleet.Judge().Shown(o.To.ID, v.Running)
+				e.Viewed(o, sent, v, err, w.now())
+			})
 		}
 	}
 	fail := func() { finish(host.View{}, host.ErrLost) }
--- a/internal/engine/world_test.go
+++ b/internal/engine/world_test.go
@@ -1,10 +1,13 @@
 package engine
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -73,6 +76,11 @@
 	deciding time.Duration
 	// decided is told how long each decision took; it may be nil.
 	decided func(took time.Duration)
+	// onStart is told of each start as it goes out; it may be nil.
+	onStart func(StartOrder)
+	// logged keeps the engines' events, where wanted.
+	logs   bool
+	logged []loggedEvent
 }
 
 // faults of calls to hosts; shares between 0 and 1.
@@ -125,9 +133,12 @@
 // hostsKeepIDs has hosts that crash in new worlds start again under the ids that they had.
 var hostsKeepIDs bool
 
+// worldBegins is the time at which worlds begin.
+var worldBegins = time.Unix(1_800_000_000, 0)
+
 func newWorld(t testing.TB, seed uint64) *world {
 	w := &world{
-		t: t, rnd: rand.New(rand.NewPCG(seed, 1)), time: virtualTime{now: time.Unix(1_800_000_000, 0)},
+		t: t, rnd: rand.New(rand.NewPCG(seed, 1)), time: virtualTime{now: worldBegins},
 		store: map[string][]byte{}, jobs: map[string]*record.Job{}, shown: map[string]record.State{}, ended: map[string]time.Time{}, entries: map[host.ID]host.Info{},
 		queueOf: func(string) string { return "q" }, bounds: testBounds, members: []string{"m1", "m2", "m3", "m4", "m5"}, good: func(spec.StepID, host.ID) bool { return true },
 	}
@@ -167,6 +178,7 @@
 		WaveState: func(p upkeep.Progress) platform.Write {
 			return platform.Write{Key: "state", Value: []byte(fmt.Sprint(p.Completed))}
 		},
+		Log: w.log,
 	})
 	w.engine.SetMembers(w.members)
 	w.engine.SetCatalog(&catalog.Catalog{}, w.now())
@@ -182,6 +194,18 @@
 	w.decide()
 }
 
+// loggedEvent is an event of an engine's log.
+type loggedEvent struct {
+	Event
+	at time.Duration // since the world began
+}
+
+func (w *world) log(ev Event) {
+	if w.logs {
+		w.logged = append(w.logged, loggedEvent{ev, w.now().Sub(worldBegins)})
+	}
+}
+
 // stored reads the store as a next holder does.
 func (w *world) stored() (jobs []*record.Job, progress map[string]*record.Progress, roster record.Roster) {
 	progress = map[string]*record.Progress{}
@@ -190,7 +214,8 @@
 			w.t.Fatal(err)
 		}
 	}
-	for key, value := range w.store {
+	for _, key := range slices.Sorted(maps.Keys(w.store)) {
+		value := w.store[key]
 		switch {
 		case strings.HasPrefix(key, "jobs/"):
 			j, err := record.DecodeJob(value)
@@ -225,15 +250,15 @@
 	}
 	w.due = due
 	for _, s := range o.Starts {
-		w.call(s.To, func(h *hostsim.Host) host.Reply { return h.Start(e.cfg.Epoch, s.Start) }, func(r host.Reply, err error) {
-			e.Started(s, r, err, w.now())
-		})
+		w.start(e, s)
 	}
+	slices.SortFunc(o.Stops, func(a, b StopOrder) int { return compareOrders(a.To.ID, b.To.ID, a.Run, b.Run) })
 	for _, s := range o.Stops {
 		w.call(s.To, func(h *hostsim.Host) host.Reply { return h.Stop(e.cfg.Epoch, s.Run) }, func(r host.Reply, err error) {
 			e.Stopped(s, r, err, w.now())
 		})
 	}
+	slices.SortFunc(o.Paces, func(a, b PaceOrder) int { return compareOrders(a.To.ID, b.To.ID, a.Run, b.Run) })
 	for _, p := range o.Paces {
 		w.call(p.To, func(h *hostsim.Host) host.Reply { return h.Pace(e.cfg.Epoch, p.Run, p.Percent) }, func(r host.Reply, err error) {
 			e.Paced(p, r, err, w.now())
@@ -251,6 +276,12 @@
 	}
 }
 
+// compareOrders puts orders that may go out in any order into one, so that the runs of a
+// seed are alike.
+func compareOrders(a, b host.ID, x, y host.Run) int {
+	return cmp.Or(cmp.Compare(a, b), cmp.Compare(x.Task.String(), y.Task.String()), cmp.Compare(x.No, y.No))
+}
+
 // gatherFor is how long events are gathered before the engine decides.
 const gatherFor = time.Millisecond
 
@@ -370,7 +401,7 @@
 			w.fleet.Judge().Breach("job %s is shown as completed and is not", id)
 		}
 		if s == record.StateFailed {
-			w.fleet.Judge().GaveUp(id)
+			w.fleet.Judge().GaveUpFor(id, w.whyOf(id))
 		}
 		w.shown[id] = s
 		if s.Final() {
@@ -379,6 +410,15 @@
 	}
 }
 
+// whyOf is the reason for a job's end that the store holds.
+func (w *world) whyOf(id string) string {
+	rec, err := record.DecodeJob(w.store[record.JobKey(0, id)])
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return rec.Why
+}
+
 // completed counts the jobs shown as completed.
 func (w *world) completed() int {
 	n := 0
--- a/internal/hostsim/calls.go
+++ b/internal/hostsim/calls.go
@@ -7,7 +7,12 @@
 
 // Start carries out a start that has arrived.
 func (h *Host) Start(epoch uint64, s host.Start) (reply host.Reply) {
-	h.change(func() { reply = h.start(epoch, s) })
+	h.change(func() {
+		reply = h.start(epoch, s)
+		if reply.Refused != "" {
+			h.fleet.judge.refused(h, s.Run, reply.Refused)
+		}
+	})
 	return reply
 }
 
@@ -50,7 +55,7 @@
 		r.accrued = h.fleet.saved[s.Task]
 	}
 	h.runs[s.Run] = r
-	h.fleet.judge.started(h, r)
+	h.fleet.judge.started(h, r, epoch)
 	if r.step.Gang {
 		h.beginGang(r)
 	} else {
@@ -94,7 +99,7 @@
 // its target alone, and more the more the fillers beside it work.
 func (h *Host) tail(r *run) float64 {
 	ratio := tailAlone
-	for _, other := range h.runs {
+	for _, other := range h.sorted() {
 		if other.step.Filler {
 			ratio += h.fleet.Harm[other.step.Image] * float64(other.pace) / fullPace
 		}
@@ -169,7 +174,7 @@
 	}
 	done, asked := false, h.lives
 	once := func(v host.View) {
-		if !done && h.up && !h.cut && h.lives == asked { // a host that is gone answers nothing
+		if !done && h.up && !h.link.cut && h.lives == asked { // a host that is gone answers nothing
 			done = true
 			answer(v)
 		}
--- a/internal/hostsim/crash.go
+++ b/internal/hostsim/crash.go
@@ -1,11 +1,15 @@
 package hostsim
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
+	"strconv"
 	"strings"
 	"time"
 
 	"pulleyquay/internal/host"
+	"pulleyquay/internal/result"
 	"pulleyquay/internal/spec"
 )
 
@@ -19,10 +23,24 @@
 	mostStarts   = 3 // of a task under which so many hosts have crashed: that is one too many
 )
 
-// crash ends the host's life, with all that runs on it.
-func (h *Host) crash() {
+// crash ends the host's life as its process or machine ends; by is the run that caused it,
+// or nil.
+func (h *Host) crash(by *run) {
+	if !h.up {
+		return
+	}
+	h.fleet.judge.crashed(by)
+	f := fateCrashed
+	if h.info.Draining && by == nil {
+		f = fateLeft
+	}
+	h.finishLife(f)
+}
+
+// finishLife ends the host's life, with all that runs on it.
+func (h *Host) finishLife(f fate) {
 	for _, r := range h.sorted() {
-		h.fleet.judge.ended(h, r)
+		h.fleet.judge.ended(h, r, f)
 		if r.step.Gang {
 			h.breakGang(r)
 		}
@@ -33,7 +51,8 @@
 
 // Restart crashes the host; another life of it answers at its address some seconds later
 // and is listed: under a new id, or, where the fleet keeps ids, under the one that it had.
-func (h *Host) Restart() { h.change(h.restart) }
+// A host that is cut off stays so in its next life, and resets no connection.
+func (h *Host) Restart() { h.change(func() { h.restart(nil) }) }
 
 // RestartDark is the same for a machine that loses power: nothing is reset, and nothing
 // turns calls away while it is off.
@@ -41,31 +60,32 @@
 	h.change(func() {
 		if h.up {
 			h.resets = nil
-			h.restart()
+			h.restart(nil)
 			h.refusing = false
 		}
 	})
 }
 
-func (h *Host) restart() {
+func (h *Host) restart(by *run) {
 	if !h.up {
 		return
 	}
-	h.fleet.judge.crashed(h)
-	h.crash()
+	h.crash(by)
 	h.refusing = true
-	for _, reset := range h.resets {
-		reset()
+	if !h.link.cut {
+		for _, reset := range h.resets {
+			reset()
+		}
 	}
 	h.resets = nil
 	h.fleet.after(h.fleet.backAfter(), func() {
-		h.refusing, h.cut = false, false
+		h.refusing = false
 		if h.fleet.KeepsID {
 			h.startAnew()
 			return
 		}
 		h.reborn = true
-		h.fleet.add(h.nextLife())
+		h.fleet.add(h.nextLife()).link = h.link
 	})
 	crashed := h.lives
 	h.fleet.after(entryLasts, func() {
@@ -106,9 +126,9 @@
 }
 
 // Refusing reports whether the host's address turns calls away, as it is between two
-// lives.
+// lives and can be reached.
 func (h *Host) Refusing() (refusing bool) {
-	h.change(func() { refusing = h.refusing })
+	h.change(func() { refusing = h.refusing && !h.link.cut })
 	return refusing
 }
 
@@ -127,60 +147,108 @@
 	}
 	h.fleet.after(after, func() {
 		if h.up && h.runs[r.Run] == r {
-			h.restart()
+			h.restart(r)
 		}
 	})
 }
 
-// crashed notes under which tasks a host has crashed, of those that crash hosts.
-func (j *Judge) crashed(h *Host) {
+// crashed notes that a host has crashed, by a run's doing or by itself.
+func (j *Judge) crashed(by *run) {
 	j.lost++
-	for _, e := range h.ends {
-		j.under[e.Task]++ // nobody knows yet that it was over
-	}
-	for _, r := range h.runs {
-		j.under[r.Task]++
-		if j.fleet.Crashes != nil && j.fleet.Crashes(r.Task) > 0 {
-			j.crashes[r.Task]++
-		}
+	if by != nil {
+		j.struck++
 	}
 }
 
-// GaveUp judges a job that is shown as failed: one of its tasks has failed as often as it
-// may, or hosts have crashed under it.
-func (j *Judge) GaveUp(id string) {
+// GaveUp judges a job that is shown as failed, where the reason that its record gives is not
+// known.
+func (j *Judge) GaveUp(id string) { j.GaveUpFor(id, "") }
+
+// GaveUpFor judges a job that is shown as failed: a task of it, or a gang, was listed as
+// failed as often as it may, or enough hosts have crashed under one task while a run of it
+// was there and had not ended. why is the reason that the job's record gives; where it is
+// that hosts crash under a task, it has to be the task that it names.
+func (j *Judge) GaveUpFor(id, why string) {
 	j.fleet.mu.Lock()
 	defer j.fleet.mu.Unlock()
-	most := 0
-	for t, n := range j.under {
-		if t.Job == id {
-			most = max(most, n)
-		}
+	accused := j.tasksOf(id)
+	if crashesHosts(why) {
+		accused = slices.DeleteFunc(accused, func(t spec.StepTask) bool { return !names(why, t) })
 	}
-	for t, runs := range j.listed {
-		if t.Job == id && len(runs) >= j.fleet.jobs[id].Rules.Attempts {
+	most := spec.StepTask{StepID: spec.StepID{Job: id}}
+	for i, t := range accused {
+		if j.failedOut(t) || j.crashesUnder(t) >= leastCrashes {
 			return
 		}
+		if i == 0 || j.crashesUnder(t) > j.crashesUnder(most) {
+			most = t
+		}
 	}
-	if most < leastCrashes {
-		j.wrongf("LOST job %s is shown as failed, and %d hosts have crashed under a task of it", id, most)
+	j.wrongf("LOST job %s is shown as failed (%s), and %d hosts have crashed under task %v at the most; its starts: %s",
+		id, why, j.crashesUnder(most), most, j.tell(most))
+}
+
+// crashesHosts reports whether the reason for a job's end is that hosts crashed under a task.
+func crashesHosts(why string) bool {
+	return strings.HasPrefix(why, strconv.Itoa(int(result.JobCrashesHosts))+" ")
+}
+
+// names reports whether the reason for a job's end names a task.
+func names(why string, t spec.StepTask) bool { return strings.Contains(why, "task "+t.String()+":") }
+
+// tasksOf lists the tasks of a job that hosts were told to start, in order.
+func (j *Judge) tasksOf(id string) (out []spec.StepTask) {
+	for t := range j.records {
+		if t.Job == id {
+			out = append(out, t)
+		}
 	}
+	slices.SortFunc(out, func(a, b spec.StepTask) int {
+		return cmp.Or(cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
+	})
+	return out
 }
 
-// startedAgain judges the start of a task under which hosts have crashed.
-func (j *Judge) startedAgain(r *run) {
-	if j.crashes[r.Task] < mostCrashes {
+// failedOut reports whether a task, or its gang, was listed as failed as often as it may. A
+// task that lasts may fail at any time.
+func (j *Judge) failedOut(t spec.StepTask) bool {
+	rec := j.fleet.jobs[t.Job]
+	if rec == nil || rec.Graph.Steps[t.Step].LongRunning {
+		return false
+	}
+	if rec.Graph.Steps[t.Step].Gang {
+		t.Index = 0
+	}
+	return len(j.listed[t]) >= rec.Rules.Attempts
+}
+
+// startedAgain judges the start of a task that crashes hosts. Whether anybody heard of the
+// crashes, or of the start, makes no difference. Where copies may run, late orders of a
+// former holder are excused.
+func (j *Judge) startedAgain(r *run, epoch uint64) {
+	j.epoch = max(j.epoch, epoch)
+	if j.fleet.Crashes == nil || j.fleet.Crashes(r.Task) <= 0 || r.step.Speculative && epoch < j.epoch {
+		return
+	}
+	if j.crashesUnder(r.Task) < mostCrashes {
 		return
 	}
 	j.again[r.Task]++
 	if j.again[r.Task] == mostStarts {
-		j.wrongf("BUDGET %v: started %d times more after %d hosts had crashed under it", r.Run, mostStarts, mostCrashes)
+		j.wrongf("BUDGET %v: started %d times more after %d hosts had crashed under it; its starts: %s", r.Run, mostStarts, mostCrashes, j.tell(r.Task))
 	}
 }
 
-// HostsCrashed is how many hosts have crashed and started again.
+// HostsCrashed is how many lives of hosts have ended in a crash.
 func (j *Judge) HostsCrashed() int {
 	j.fleet.mu.Lock()
 	defer j.fleet.mu.Unlock()
 	return j.lost
 }
+
+// HostsStruck is how many of those ended by what a task did.
+func (j *Judge) HostsStruck() int {
+	j.fleet.mu.Lock()
+	defer j.fleet.mu.Unlock()
+	return j.struck
+}
--- a/internal/hostsim/fleet.go
+++ b/internal/hostsim/fleet.go
@@ -124,7 +124,7 @@
 func (f *Fleet) add(info host.Info) *Host {
 	info.Life = host.Life(f.clock.Now().UnixMilli())
 	h := &Host{
-		fleet: f, info: info, size: info.Size, up: true, listed: true, rate: 1,
+		fleet: f, info: info, link: &link{}, size: info.Size, up: true, listed: true, rate: 1,
 		// Hosts have been up for different times; the clocks differ.
 		born: f.clock.Now().Add(-time.Duration(1000+137*len(f.hosts)) * time.Second),
 		runs: map[host.Run]*run{}, over: map[spec.StepTask]int{},
--- a/internal/hostsim/host.go
+++ b/internal/hostsim/host.go
@@ -16,8 +16,8 @@
 	size   spec.Resources // its room, of which info tells a little later
 	rooms  []room         // what that was before
 	up     bool
-	cut    bool // not reached, but running on
-	reborn bool // another life answers at the address
+	link   *link // to its machine
+	reborn bool  // another life answers at the address
 	// refusing hosts are between two lives: their address turns calls away.
 	refusing bool
 	lives    int // that it has had under its id, before this one
@@ -51,8 +51,12 @@
 	gen     int      // outdates scheduled ends
 	stops   bool
 	through bool // its work is done; a gang's member waits for the others
+	record  *startRecord
 }
 
+// link is how calls come to a machine, whichever life of a host runs on it.
+type link struct{ cut bool }
+
 // change alters a host under the fleet's lock.
 func (h *Host) change(fn func()) {
 	h.fleet.mu.Lock()
@@ -74,7 +78,7 @@
 
 // Reachable reports whether calls reach the host.
 func (h *Host) Reachable() (ok bool) {
-	h.change(func() { ok = h.up && !h.cut })
+	h.change(func() { ok = h.up && !h.link.cut })
 	return ok
 }
 
@@ -91,8 +95,9 @@
 // SetAddr changes where the host is reached, before it is listed.
 func (h *Host) SetAddr(addr string) { h.change(func() { h.info.Addr = addr }) }
 
-// Cut lets no call reach the host any more, or again; it runs on.
-func (h *Host) Cut(cut bool) { h.change(func() { h.cut = cut }) }
+// Cut lets no call reach the host, or any later life of its machine, any more, or again; it
+// runs on.
+func (h *Host) Cut(cut bool) { h.change(func() { h.link.cut = cut }) }
 
 // List puts the host into the platform's list, or takes it out.
 func (h *Host) List(listed bool) { h.change(func() { h.listed = listed }) }
@@ -127,18 +132,18 @@
 			h.fleet.judge.takenAway(h, r)
 		}
 		h.listed = false
+		h.finishLife(fateLeft)
 	})
-	h.Crash()
 }
 
 // Crash ends the host for good, with all that runs on it.
-func (h *Host) Crash() { h.change(h.crash) }
+func (h *Host) Crash() { h.change(func() { h.crash(nil) }) }
 
 // Reborn ends the host's life; from now on another one answers at its address.
 func (h *Host) Reborn() {
 	h.Crash()
 	h.change(func() {
-		h.cut = false
+		h.link.cut = false
 		if h.fleet.KeepsID {
 			h.startAnew()
 			return
@@ -149,16 +154,16 @@
 
 // OtherLife reports whether another life answers at the host's address.
 func (h *Host) OtherLife() (other bool) {
-	h.change(func() { other = h.reborn })
+	h.change(func() { other = h.reborn && !h.link.cut })
 	return other
 }
 
 // breakGang ends the members of a run on other hosts, as one of them is gone.
 func (h *Host) breakGang(r *run) {
 	r.stops = true
-	for m, on := range h.members(r) {
-		if on != h {
-			on.end(m, host.EndBroken)
+	for _, m := range h.members(r) {
+		if m.on != h {
+			m.on.end(m.run, host.EndBroken)
 		}
 	}
 }
--- a/internal/hostsim/judge.go
+++ b/internal/hostsim/judge.go
@@ -20,15 +20,18 @@
 	isDone  map[spec.StepTask]bool
 	isNoted map[spec.StepTask]bool         // its end as done was acknowledged
 	failed  map[spec.StepTask]map[int]bool // acknowledged failures by run
-	// crashes counts the hosts that have crashed under a task, again its starts after
-	// too many of them, lost the hosts that have crashed at all.
-	crashes, again map[spec.StepTask]int
+	// records are the starts of each task, the oldest first; told is true where orders and
+	// answers are told, too.
+	records map[spec.StepTask][]*startRecord
+	told    bool
+	// again counts a task's starts after too many hosts have crashed under it, lost the hosts
+	// that have crashed at all, struck those that a task crashed.
+	again        map[spec.StepTask]int
+	lost, struck int
+	// epoch is the highest under which a host was ordered to start something.
+	epoch uint64
 	// listed are the runs of a task, or of a gang, that hosts have listed as failed.
 	listed map[spec.StepTask]map[int]bool
-	// under counts the hosts that have crashed under any task, or before its end there was
-	// acknowledged.
-	under  map[spec.StepTask]int
-	lost   int
 	full   int // starts refused for want of room
 	starts int
 	wrong  []string
@@ -39,7 +42,7 @@
 		fleet: f, begun: f.clock.Now(),
 		running: map[spec.StepTask]map[*Host]int{}, isDone: map[spec.StepTask]bool{},
 		isNoted: map[spec.StepTask]bool{}, failed: map[spec.StepTask]map[int]bool{},
-		crashes: map[spec.StepTask]int{}, again: map[spec.StepTask]int{}, under: map[spec.StepTask]int{}, listed: map[spec.StepTask]map[int]bool{},
+		records: map[spec.StepTask][]*startRecord{}, again: map[spec.StepTask]int{}, listed: map[spec.StepTask]map[int]bool{},
 	}
 }
 
@@ -99,8 +102,10 @@
 }
 
 // started judges a run that has just begun.
-func (j *Judge) started(h *Host, r *run) {
+func (j *Judge) started(h *Host, r *run, epoch uint64) {
 	j.starts++
+	r.record = j.arrived(h, r.Run)
+	r.record.fate, r.record.begun = fateBegun, j.fleet.clock.Now()
 	if used := h.booked(); !used.Fits(h.largestRoom()) {
 		j.wrongf("LIMIT %s holds %v of %v after the start of %v", h.info.ID, used, h.size, r.Task)
 	}
@@ -120,7 +125,7 @@
 	if most := j.fleet.jobs[r.Task.Job].Rules.Attempts; len(j.failed[r.Task]) >= most && !r.step.LongRunning {
 		j.wrongf("BUDGET %v starts after %d failures", r.Run, len(j.failed[r.Task]))
 	}
-	j.startedAgain(r)
+	j.startedAgain(r, epoch)
 	if j.running[r.Task] == nil {
 		j.running[r.Task] = map[*Host]int{}
 	}
@@ -145,7 +150,10 @@
 	}
 }
 
-func (j *Judge) ended(h *Host, r *run) { j.running[r.Task][h]-- }
+func (j *Judge) ended(h *Host, r *run, f fate) {
+	j.running[r.Task][h]--
+	r.record.fate, r.record.over, r.record.behind = f, j.fleet.clock.Now(), h.link.cut
+}
 
 func (j *Judge) done(t spec.StepTask) { j.isDone[t] = true }
 
--- a/internal/hostsim/work.go
+++ b/internal/hostsim/work.go
@@ -1,21 +1,33 @@
 package hostsim
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"pulleyquay/internal/host"
 )
 
-// members are the present runs of a gang with the same number, on all hosts.
-func (h *Host) members(r *run) map[*run]*Host {
-	out := map[*run]*Host{}
+// member is a present run of a gang and its host.
+type member struct {
+	*run
+	on *Host
+}
+
+// members are the present runs of a gang with the same number, on all hosts, in order: what
+// happens to them at one moment happens in the same order in every run of a test.
+func (h *Host) members(r *run) []member {
+	var out []member
 	for _, other := range h.fleet.hosts {
 		for _, m := range other.runs {
 			if other.up && m.Task.StepID == r.Task.StepID && m.No == r.No && !m.stops {
-				out[m] = other
+				out = append(out, member{m, other})
 			}
 		}
 	}
+	slices.SortFunc(out, func(a, b member) int {
+		return cmp.Or(cmp.Compare(a.Task.Index, b.Task.Index), cmp.Compare(a.on.info.ID, b.on.info.ID))
+	})
 	return out
 }
 
@@ -24,8 +36,8 @@
 func (h *Host) beginGang(r *run) {
 	all := h.members(r)
 	if len(all) == r.step.Count {
-		for m, on := range all {
-			on.work(m)
+		for _, m := range all {
+			m.on.work(m.run)
 		}
 		return
 	}
@@ -114,7 +126,7 @@
 // gangThrough reports whether all members of a run have done their work.
 func (h *Host) gangThrough(r *run) bool {
 	all := h.members(r)
-	for m := range all {
+	for _, m := range all {
 		if !m.through {
 			return false
 		}
@@ -128,12 +140,12 @@
 		h.end(r, how)
 		return
 	}
-	for m, on := range h.members(r) {
+	for _, m := range h.members(r) {
 		switch {
-		case how == host.EndDone || m == r:
-			on.end(m, how)
+		case how == host.EndDone || m.run == r:
+			m.on.end(m.run, how)
 		default:
-			on.end(m, host.EndBroken)
+			m.on.end(m.run, host.EndBroken)
 		}
 	}
 }
@@ -149,7 +161,7 @@
 		h.fleet.saved[r.Task] = r.workDone(h.fleet.clock.Now())
 	}
 	h.ends = append(h.ends, host.End{Number: h.n, Run: r.Run, How: how, Checkpoint: checkpoint})
-	h.fleet.judge.ended(h, r)
+	h.fleet.judge.ended(h, r, fate(how))
 	switch how {
 	case host.EndDone:
 		h.fleet.judge.done(r.Task)
