--- a/internal/engine/world_test.go
+++ b/internal/engine/world_test.go
@@ -78,7 +78,7 @@
 	decided func(took time.Duration)
 	// onStart is told of each start as it goes out; it may be nil.
 	onStart func(StartOrder)
-	// logged keeps the engines' events, where wanted.
+	// logs has the engines' events kept in logged.
 	logs   bool
 	logged []loggedEvent
 }
--- a/internal/hostsim/crash.go
+++ b/internal/hostsim/crash.go
@@ -47,6 +47,7 @@
 	}
 	h.up = false
 	h.runs = map[host.Run]*run{}
+	h.fleet.judge.lives[h.lifeName()] = lifeEnd{f, h.fleet.clock.Now()}
 }
 
 // Restart crashes the host; another life of it answers at its address some seconds later
--- a/internal/hostsim/host.go
+++ b/internal/hostsim/host.go
@@ -82,6 +82,12 @@
 	return ok
 }
 
+// Up reports whether the host's process runs, whether or not calls reach it.
+func (h *Host) Up() (up bool) {
+	h.change(func() { up = h.up })
+	return up
+}
+
 // Running names what runs on the host, in order.
 func (h *Host) Running() (out []host.Run) {
 	h.change(func() {
--- a/internal/hostsim/judge.go
+++ b/internal/hostsim/judge.go
@@ -28,6 +28,8 @@
 	// that have crashed at all, struck those that a task crashed.
 	again        map[spec.StepTask]int
 	lost, struck int
+	// lives are the lives of hosts that are over.
+	lives map[string]lifeEnd
 	// epoch is the highest under which a host was ordered to start something.
 	epoch uint64
 	// listed are the runs of a task, or of a gang, that hosts have listed as failed.
@@ -42,7 +44,7 @@
 		fleet: f, begun: f.clock.Now(),
 		running: map[spec.StepTask]map[*Host]int{}, isDone: map[spec.StepTask]bool{},
 		isNoted: map[spec.StepTask]bool{}, failed: map[spec.StepTask]map[int]bool{},
-		records: map[spec.StepTask][]*startRecord{}, again: map[spec.StepTask]int{}, listed: map[spec.StepTask]map[int]bool{},
+		records: map[spec.StepTask][]*startRecord{}, lives: map[string]lifeEnd{}, again: map[spec.StepTask]int{}, listed: map[spec.StepTask]map[int]bool{},
 	}
 }
 
--- a/internal/hostsim/judge_test.go
+++ b/internal/hostsim/judge_test.go
@@ -236,7 +236,7 @@
 		j.GaveUpFor("job", becauseOfTask1)
 		text := strings.Join(j.Wrong(), "\n")
 		for _, part := range []string{
-			"LOST job job", "1 hosts have crashed under task job/0/0/1", "run 1 on h03, ordered at 0s, never came there",
+			"LOST job job", "1 hosts have crashed under task job/0/0/1", "run 1 on h03/", "ordered at 0s, never came there, its host lives",
 			"run 2 on h00/", "began at 1s, answered, host crashed at 1.1s, while cut off",
 		} {
 			is.True(strings.Contains(text, part)) // the breach tells it
--- a/internal/hostsim/records.go
+++ b/internal/hostsim/records.go
@@ -25,7 +25,7 @@
 // startRecord is what a host made of one start of a task.
 type startRecord struct {
 	host.Run
-	life string // of the host; its id alone as long as nothing has arrived there
+	life string // of the host, as of the order until the start arrives
 	// ordered is when the order went out, where that was told; begun and over are when the
 	// run began and when it was over.
 	ordered, begun, over time.Time
@@ -40,7 +40,11 @@
 	j.fleet.mu.Lock()
 	defer j.fleet.mu.Unlock()
 	j.told = true
-	j.add(&startRecord{Run: r, life: string(to), ordered: j.fleet.clock.Now()})
+	life := string(to)
+	if h := j.fleet.hosts[to]; h != nil {
+		life = h.lifeName()
+	}
+	j.add(&startRecord{Run: r, life: life, ordered: j.fleet.clock.Now()})
 }
 
 // Answered notes that the sender of a start has heard the host's answer to it.
@@ -117,7 +121,11 @@
 	}
 	parts := make([]string, 0, len(j.records[t]))
 	for _, rec := range j.records[t] {
-		parts = append(parts, j.describe(rec))
+		text := j.describe(rec)
+		if rec.fate != fateCrashed {
+			text += j.describeLife(rec.life)
+		}
+		parts = append(parts, text)
 	}
 	return strings.Join(parts, "; ")
 }
@@ -149,6 +157,21 @@
 	return out.String()
 }
 
+// lifeEnd is how one life of a host was over.
+type lifeEnd struct {
+	fate fate
+	at   time.Time
+}
+
+// describeLife tells whether a life of a host is over, beside a run that did not end with it.
+func (j *Judge) describeLife(life string) string {
+	end, over := j.lives[life]
+	if !over {
+		return ", its host lives"
+	}
+	return fmt.Sprintf(", its %s at %v", end.fate, end.at.Sub(j.begun))
+}
+
 func heardOf(rec *startRecord) string {
 	switch {
 	case rec.answered && rec.shown:
