"ran: no" is not told of a request that an earlier attempt may have run

What callers saw: a request of an idempotent method whose first answer from an executor was lost, and for which no executor was left, was refused with "ran: no", though the placer had said "unknown". One that is not idempotent could have been asked of the next placer as well.

Cause: the entry took the code of the refusal (no executor) for a promise and wrote its own, of earlier placers alone, over the placer's word.

Change: the placer's "unknown" stays, and asking the next placer then takes an idempotent method and a retry of the budget, as after a lost link.

Ruled out: the other refusals of a placer; they are returned with its word.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -122,11 +122,15 @@
 	return w
 }
 
+// A placer that lost an executor's answer and then had no executor left for the second
+// attempt says "no executor, ran: unknown". The entry took the code for a promise, asked
+// the next placer, and told the caller "ran: no".
 func TestWhoIsAskedAndWhatIsSaid(t *testing.T) {
 	unreached := result.New(result.PeerNotReached, result.RanNo, "refused")
 	lost := result.New(result.PeerLost, result.RanUnknown, "cut")
 	moved := result.New(result.HomeMoved, result.RanUnknown, "").Later(homeRetry)
 	none := result.New(result.NoExecutor, result.RanNo, "").Later(homeRetry)
+	noneLeft := result.New(result.NoExecutor, result.RanUnknown, "").Later(homeRetry)
 	key := uuid.Must(uuid.NewV7()).String()
 	cases := []struct {
 		name, method string
@@ -143,6 +147,10 @@
 		{"lost, idempotent", "PUT", "", map[string]*result.Error{"own": lost}, []string{"own", "b"}, 0, ""},
 		{"no executor there", "POST", "", map[string]*result.Error{"own": none}, []string{"own", "b"}, 0, ""},
 		{"no executor anywhere", "POST", "", map[string]*result.Error{"own": none, "b": none, "old": none}, []string{"own", "b", "old"}, result.NoExecutor, result.RanNo},
+		{"lost there, then no executor left", "PUT", "", map[string]*result.Error{"own": noneLeft, "b": none, "old": none}, []string{"own", "b", "old"}, result.NoExecutor, result.RanUnknown},
+		{"lost there, then not reached", "PUT", "", map[string]*result.Error{"own": noneLeft, "b": unreached, "old": unreached}, []string{"own", "b", "old"}, result.HomeNotReached, result.RanUnknown},
+		{"lost there, then answered", "PUT", "", map[string]*result.Error{"own": noneLeft}, []string{"own", "b"}, 0, ""},
+		{"lost there, not idempotent", "POST", "", map[string]*result.Error{"own": noneLeft}, []string{"own"}, result.NoExecutor, result.RanUnknown},
 		{"lost, then not reached", "PUT", "", map[string]*result.Error{"own": lost, "b": unreached, "old": unreached}, []string{"own", "b", "old"}, result.HomeNotReached, result.RanUnknown},
 		{"key: not reached may have run before", "POST", key, map[string]*result.Error{"own": unreached}, nil, result.HomeNotReached, result.RanUnknown},
 		{"key: refused by the link", "POST", key, map[string]*result.Error{"own": result.New(result.PeerVersion, result.RanNo, "").Later(homeRetry)}, []string{"own"}, result.PeerVersion, result.RanUnknown},
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -144,11 +144,17 @@
 		case result.PeerLost:
 			ran = result.RanUnknown
 			last = lostOrEnded(ctx, m.Name, err)
-			if !msg.Idempotent || ctx.Err() != nil || !h.loads.of(msg.Service).budget.Spend() {
+			if !h.mayRepeat(ctx, &msg) {
 				return executor.Answer{}, last
 			}
 		case result.NoExecutor: // this placer holds none and has not heard of others' yet
+			if err.Ran != result.RanNo { // or has none left after an attempt that may have run
+				ran = result.RanUnknown
+			}
 			last = withRan(err, ran)
+			if err.Ran != result.RanNo && !h.mayRepeat(ctx, &msg) {
+				return executor.Answer{}, last
+			}
 		default:
 			if err.Ran == result.RanNo {
 				err = withRan(err, ran)
@@ -159,6 +165,11 @@
 	return executor.Answer{}, last
 }
 
+// mayRepeat reports whether a request that may have run is asked again.
+func (h *Handler) mayRepeat(ctx context.Context, msg *requestmsg.Serve) bool {
+	return msg.Idempotent && ctx.Err() == nil && h.loads.of(msg.Service).budget.Spend()
+}
+
 // candidates are the placers to ask, the one on the own host first, then the
 // own zone's, then others; leaving ones last.
 func (h *Handler) candidates() []view.Member {
