An executor is charged with a request's silence once

What callers saw: an executor was ejected after three requests without an answer, where five in a row are asked for, and one that was being probed again was ejected once more by a request sent before its pause; its pause then doubled.

Cause: a request was charged when its usual deadline had passed and again when it was given up, up to 30 s later.

Change: what was charged while the request was under way is not charged at its end. An answer that comes after all counts as one, as before.

Ruled out: silence of another holder's link; it is charged to no executor, only its free slots are taken for none until it tells of them again.

Seen failing first: TestSilenceIsChargedOnce.

--- a/internal/dispatch/health_test.go
+++ b/internal/dispatch/health_test.go
@@ -60,6 +60,31 @@
 	})
 }
 
+// A request without an answer was charged to its executor twice: when its usual deadline
+// had passed and when it was given up. Three such requests in a row ejected an executor for
+// which five are asked; one that had been sent before a pause could end the probing after it.
+func TestSilenceIsChargedOnce(t *testing.T) {
+	cases := map[string]struct {
+		requests int
+		healthy  bool
+	}{
+		"one less than ejects": {4, true},
+		"enough":               {5, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				b := newBench(t, 1, hold.Takeover{Fresh: true})
+				defer b.stop()
+				b.executors.FaultOf = faultAt("executor-0", requesttest.Hang)
+				is.Equal(len(b.wave(tc.requests, "crew", time.Second)), tc.requests) // until each is given up
+				is.Equal(b.Dump().(dispatch.Dump).Services["ledger"].Executors[0].Health == "healthy", tc.healthy)
+			})
+		})
+	}
+}
+
 func TestSlowExecutorIsGivenLess(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -112,8 +112,8 @@
 	start := time.Now()
 	watch := time.AfterFunc(patience(w, values), func() { d.overdue(p, e) })
 	answer, err := d.cfg.Client.Do(ctx, host.Addr, req, values.Request.MaxAnswerBytes)
-	watch.Stop()
-	d.record(p, e, answer, err, time.Since(start))
+	charged := !watch.Stop()
+	d.record(p, e, outcome{answer: answer, err: err, took: time.Since(start), charged: charged})
 	if err == nil {
 		d.release(p, e)
 		return answer, nil
@@ -141,30 +141,46 @@
 	d.release(p, e)
 }
 
-// record learns from an executor's answer.
-func (d *Dispatcher) record(p *pool, e *endpoint, answer executor.Answer, err error, took time.Duration) {
-	d.metrics.dispatched.WithLabelValues(p.service, outcomeLabel(err)).Inc()
+// outcome is how a request ended at its executor.
+type outcome struct {
+	answer executor.Answer
+	err    error
+	took   time.Duration
+	// charged is true when the executor was charged with its silence before the end.
+	charged bool
+}
+
+// record learns from a request's outcome.
+func (d *Dispatcher) record(p *pool, e *endpoint, o outcome) {
+	d.metrics.dispatched.WithLabelValues(p.service, outcomeLabel(o.err)).Inc()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if answer.Leaving && !e.signedLeaving {
+	if o.answer.Leaving && !e.signedLeaving {
 		e.signedLeaving = true
 		d.cfg.Log.WithField("executor", e.host.Name).Info("executor signals that it is leaving")
 	}
 	switch {
-	case errors.Is(err, executor.ErrAnswerTooLarge):
+	case errors.Is(o.err, executor.ErrAnswerTooLarge):
 		return // the request's doing
-	case err != nil:
+	case o.failed() && o.charged:
+		return // once a request
+	case o.err != nil:
 		d.failed(p, e, faultSilent)
 		return
-	case answer.Status >= http.StatusInternalServerError:
+	case o.failed():
 		d.failed(p, e, faultStatus)
 		return
 	}
-	if e.health.succeeded(took) {
+	if e.health.succeeded(o.took) {
 		p.countHealthy()
 		d.cfg.Log.WithField("executor", e.host.Name).Info("executor back in use")
 	}
-	p.learnTime(took)
+	p.learnTime(o.took)
+}
+
+// failed reports whether the executor is to be charged with the outcome.
+func (o *outcome) failed() bool {
+	return o.err != nil || o.answer.Status >= http.StatusInternalServerError
 }
 
 // failed counts a failure against an endpoint. The caller holds the lock.
