No job is given up for losses of workers that nobody saw

What callers saw: a job of finite work failed with 5212 although no worker had crashed under its tasks: three starts had gone to workers that were silent already, and their order was in doubt. "3 hosts crashed under it: w0 under run 1 (not seen there), ...".

Cause: a final verdict was added up from doubt. A loss without a run that was seen counted half, so three of them were enough by themselves, and one beside two sure ones tipped the scale.

Change: only crashes that were seen give a job up, and its reason names these alone.

Ruled out: a start without an end of tasks that crash their workers before these answer: at most one start in 30 s; what can be seen of them is up to the holder of the workers.

--- a/internal/job/news.go
+++ b/internal/job/news.go
@@ -132,6 +132,10 @@
 		// An earlier home's run, told at the takeover.
 		t.attempt = n.Run.Attempt
 		h.ended(j, index, n, now)
+	case n.State == taskmsg.RunLost:
+		if why := h.sawCrash(j, index, n); why != nil {
+			h.endJob(j, why, now)
+		}
 	}
 	h.settle(j, now)
 	return h.endVerdict(j, index, n)
