A worker that was only silent is not told as one that crashed

What callers saw: each run on a worker that had been silent until its leases were over was held against its task as a crash, so that three cuts of 15 s under one task gave its job up. The same went for workers that had been told to leave, and for those whose name had gone to another machine. "worker lost, leases over", then "3 hosts crashed under it".

Cause: the holder told every lost run as one that its worker was seen to run, and nothing of how the worker had gone. Silence counted as a crash, and nothing ever took it back.

Change: a loss is told as seen when the run was there and another life of the worker has answered since without it; in the same life it would list the run until told to forget it. What was lost in silence is told anew when that is learned. A run was there when its worker has shown it, or when the connection broke under its start on a worker that had answered within a second before: else tasks that crash their workers before these can answer would go unseen. Workers that leave, or whose name went to another address, accuse nobody.

Ruled out: waiting for the next life before a lost task starts again; its lease is over, so it starts at once as before, and only the verdict waits. A process that starts again with a clock that goes on is found by the run that it lacks.

Left: what a holder has learned of a silent worker's runs ends with its holding; the losses then stay in doubt, which gives nothing up.

--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -88,8 +88,16 @@
 	// reported is true once a home was or may have been told that the run is
 	// running: if it never started, that home gets news of it.
 	reported bool
-	// unseen is true when it lapses, or was lost, before its worker was seen to run it.
-	unseen bool
+	// begun is true once it was there for certain: its worker has shown it, or the
+	// connection broke under its start on a worker that had just answered.
+	begun bool
+	// crashed is true once another life of its worker has answered, in which it is not.
+	crashed bool
+	// excused is true when its worker was to end, has answered in the same life since, or
+	// has left its name to another machine.
+	excused bool
+	// lostSilent is true once it was lost as its worker was silent until its lease was over.
+	lostSilent bool
 	// preempted is true when it is being stopped to make room.
 	preempted bool
 	// eased is the hardest mode used against it on a worker over its size.
--- a/internal/fleet/claim.go
+++ b/internal/fleet/claim.go
@@ -123,8 +123,13 @@
 			}
 		case runRunning:
 			f.lapse(r, before)
+		case runEnded:
+			f.noteOtherLife(r)
 		case runAcked:
-			f.forget(r)
+			f.noteOtherLife(r)
+			if r.state == runAcked {
+				f.forget(r)
+			}
 		}
 	}
 	return open
--- a/internal/fleet/helpers_test.go
+++ b/internal/fleet/helpers_test.go
@@ -101,24 +101,56 @@
 	news    map[worker.Attempt]taskmsg.RunState
 	orphans map[string]bool // by job
 	deaf    bool
+	// seen are the lost runs of which the last news was that a crash was seen.
+	seen map[worker.Attempt]bool
+	// slow is how long an answer takes.
+	slow time.Duration
 }
 
 func (h *homeStub) take(_ context.Context, n taskmsg.News) (taskmsg.NewsReply, error) {
+	reply, slow, err := h.answer(n)
+	time.Sleep(slow)
+	return reply, err
+}
+
+func (h *homeStub) setSlow(slow time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.slow = slow
+}
+
+func (h *homeStub) answer(n taskmsg.News) (taskmsg.NewsReply, time.Duration, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var reply taskmsg.NewsReply
 	if h.deaf {
-		return reply, result.New(result.NotReady, result.RanNo, "loading")
+		return reply, 0, result.New(result.NotReady, result.RanNo, "loading")
 	}
 	for _, r := range n.Runs {
 		h.news[r.Run] = r.State
+		h.note(r)
 		if h.orphans[r.Run.Task.Job] {
 			reply.Orphans = append(reply.Orphans, r.Run)
 		} else if r.State != taskmsg.RunRunning {
 			reply.Acked = append(reply.Acked, r.Run)
 		}
 	}
-	return reply, nil
+	return reply, h.slow, nil
+}
+
+// note keeps what is told of how a run was lost.
+func (h *homeStub) note(r taskmsg.RunNews) {
+	if h.seen == nil {
+		h.seen = map[worker.Attempt]bool{}
+	}
+	h.seen[r.Run] = r.State == taskmsg.RunLost && !r.Unseen
+}
+
+// crashSeen reports whether the last news of a run was that a crash under it was seen.
+func (h *homeStub) crashSeen(id worker.Attempt) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.seen[id]
 }
 
 func (h *homeStub) state(id worker.Attempt) taskmsg.RunState {
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -42,6 +42,9 @@
 	}
 	a.addr, a.clock, a.retryAt = addr, anchor{}, time.Time{}
 	a.restarted = true
+	for _, r := range a.runs {
+		r.excused = true
+	}
 	f.moveClaim(a, eventRestarted)
 }
 
--- a/internal/fleet/loss.go
+++ b/internal/fleet/loss.go
@@ -101,7 +101,7 @@
 	lost := 0
 	for _, r := range a.runs {
 		if r.state < runEnded {
-			f.endRun(r, taskmsg.RunLost, 0, now)
+			f.loseSilent(r, now)
 			lost++
 		}
 	}
--- a/internal/fleet/news.go
+++ b/internal/fleet/news.go
@@ -154,10 +154,14 @@
 
 // toldRun is what was said of a run, to see whether there is news since.
 type toldRun struct {
-	run   *run
-	state taskmsg.RunState
+	run     *run
+	state   taskmsg.RunState
+	crashed bool
 }
 
+// changed reports whether there is other news of the run by now.
+func (t toldRun) changed() bool { return t.run.news != t.state || t.run.crashed != t.crashed }
+
 func (f *Fleet) composeNews(id int, h *home) (taskmsg.News, []toldRun) {
 	n := min(len(h.pending), newsPerMessage)
 	news := taskmsg.News{HomePartition: id, Runs: make([]taskmsg.RunNews, 0, n)}
@@ -167,7 +171,7 @@
 			break
 		}
 		news.Runs = append(news.Runs, f.newsOf(r, r.news))
-		told = append(told, toldRun{r, r.news})
+		told = append(told, toldRun{r, r.news, r.crashed})
 	}
 	return news, told
 }
@@ -175,7 +179,8 @@
 func (f *Fleet) newsOf(r *run, state taskmsg.RunState) taskmsg.RunNews {
 	return taskmsg.RunNews{
 		Run: r.id, State: state, ExitCode: r.exitCode, Worker: r.agent.name, Zone: r.agent.info.Zone,
-		Partition: r.agent.part.id, Epoch: r.agent.part.epoch, Unseen: r.unseen,
+		Partition: r.agent.part.id, Epoch: r.agent.part.epoch,
+		Unseen: state == taskmsg.RunLost && !r.crashSeen(),
 	}
 }
 
@@ -205,7 +210,7 @@
 	orphans := attemptSet(reply.Orphans)
 	left := 0
 	for _, t := range told {
-		if h.pending[t.run.id] != t.run || t.run.news != t.state {
+		if h.pending[t.run.id] != t.run || t.changed() {
 			continue // forgotten, or there is other news by now
 		}
 		_, isAcked := acked[t.run.id]
--- a/internal/fleet/order.go
+++ b/internal/fleet/order.go
@@ -20,6 +20,8 @@
 	// bound is when the last lease renewed by this order is certainly over,
 	// should no answer tell more; before is what held without this order.
 	bound, before time.Time
+	// broke is true when its connection broke on a worker that had just answered.
+	broke bool
 }
 
 // order sends one order with everything that waits for the worker, and renews
@@ -54,6 +56,7 @@
 	}
 	now := time.Now()
 	f.metrics.orders.WithLabelValues(outcomeLabel(err)).Inc()
+	out.broke = err != nil && ctx.Err() == nil && sent.Sub(a.clock.at) <= justAnswered
 	if err == nil && len(reply.Results) != len(out.starts) {
 		err = worker.ErrLost // not an answer to this order
 	}
@@ -214,7 +217,7 @@
 		a.lostUntil = later(a.lostUntil, out.bound)
 		a.mayRunUntil = later(a.mayRunUntil, out.bound)
 		for _, r := range out.starts {
-			r.state, r.expires = runUnknown, out.order.Expires
+			r.state, r.expires, r.begun = runUnknown, out.order.Expires, out.broke
 			f.answer(r, taskmsg.OutcomeUnknown)
 		}
 		f.moveClaim(a, eventLost)
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -69,7 +69,7 @@
 
 // track adds a run to the books of this package; the scheduler has it already.
 func (f *Fleet) track(a *agent, id worker.Attempt, home int, state runState) *run {
-	r := &run{id: id, agent: a, home: home, state: state}
+	r := &run{id: id, agent: a, home: home, state: state, begun: state == runRunning}
 	f.runs[id] = r
 	a.runs[id] = r
 	return r
@@ -93,7 +93,7 @@
 	if r.start != nil && r.start.RunMillis > 0 {
 		r.endsAt = time.Now().Add(time.Duration(r.start.RunMillis) * time.Millisecond)
 	}
-	r.state, r.start = runRunning, nil
+	r.state, r.start, r.begun = runRunning, nil, true
 	f.metrics.starts.WithLabelValues("started").Inc()
 	f.answer(r, taskmsg.OutcomeStarted)
 }
@@ -115,7 +115,6 @@
 	if r.state >= runEnded {
 		return
 	}
-	r.unseen = r.unseen || r.state < runRunning
 	f.metrics.ends.WithLabelValues(runStateLabel(state)).Inc()
 	f.answer(r, taskmsg.OutcomeRefused) // only if it never started
 	if state == taskmsg.RunFinished {
@@ -135,6 +134,7 @@
 	if r == nil {
 		r = f.adopt(a, id, w, now)
 	}
+	r.excused = r.excused || r.state >= runEnded
 	switch {
 	case w.State == worker.StateRunning:
 		f.observeRunning(r, w, now)
@@ -167,7 +167,7 @@
 	}
 	if r.state == runLapsing {
 		delete(f.lapsing, r)
-		r.state = runRunning
+		r.state, r.begun, r.crashed = runRunning, true, false
 		f.bookAdopted(r, w, now)
 	}
 }
@@ -178,7 +178,7 @@
 	f.answer(r, taskmsg.OutcomeUnknown)
 	f.cell.Unreserve(r.id)
 	delete(r.agent.stops, r.id)
-	r.unseen = r.unseen || r.state < runRunning
+	r.crashed, r.excused = true, r.excused || r.agent.leaving
 	r.state, r.start = runLapsing, nil
 	f.lapsing[r] = until
 }
--- a/internal/job/news.go
+++ b/internal/job/news.go
@@ -153,7 +153,7 @@
 		if why := h.crashed(j, index, n, now); why != nil {
 			h.endJob(j, why, now)
 		}
-		h.lost(j, index, "worker "+n.Worker+" is gone", now)
+		h.lost(j, index, lossReason(n), now)
 	case n.State == taskmsg.RunPreempted:
 		h.m.metrics.preempted.Inc()
 		j.log.add(now, "preempted", "stopped on "+n.Worker+" to make room")
@@ -163,6 +163,14 @@
 	}
 }
 
+// lossReason tells people what is known of how a run was lost.
+func lossReason(n taskmsg.RunNews) string {
+	if n.Unseen {
+		return "worker " + n.Worker + " is gone, or was cut off until the lease was over"
+	}
+	return "worker " + n.Worker + " has crashed"
+}
+
 // endVerdict tells whether the worker may forget an ended run: whatever it
 // meant for the job's record must be in the store.
 func (h *home) endVerdict(j *job, index int, n taskmsg.RunNews) verdict {
