A run whose start was answered is known to run since then

What callers saw: a service waited ever longer before its next start, although it had run soundly for weeks between two losses of a worker.

Cause: since when a run is there was noted by news of it alone, which comes only after an answer that got lost. A run whose start was answered counted as one that an earlier home had begun: its loss was weighed as one after a second, and the five minutes after which a service's losses are forgotten never passed.

Change: the answer notes it.

Seen failing first: TestSinceWhenAnAnsweredStartRuns/proven,_as_lost (4 losses kept, 1 wanted).

--- a/internal/job/crash_test.go
+++ b/internal/job/crash_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"pulleyquay/internal/crashloop"
 	"pulleyquay/internal/result"
 	"pulleyquay/internal/spec"
 	"pulleyquay/internal/taskmsg"
@@ -179,3 +180,30 @@
 		is.Equal(j.rec.Code, result.JobCrashesHosts)
 	})
 }
+
+// A run whose start the holder had answered counted as one that an earlier home had begun:
+// only news told since when it ran, and there is none after an answer. So a crash after
+// hours was weighed as one after a second, and a service's old crashes were never forgotten,
+// however long it ran in between.
+func TestSinceWhenAnAnsweredStartRuns(t *testing.T) {
+	cases := map[string]struct {
+		ran  time.Duration
+		kept int // losses on record
+	}{
+		"lost soon":       {crashloop.ProvenAfter - time.Second, 4},
+		"proven, as lost": {crashloop.ProvenAfter, 1},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h, j := still(t, phaseReady, false, spec.KindService, 1)
+			_, now := losses(h, j, time.Now(), differing)
+			j.rec.Crashes[0] = j.rec.Crashes[0][:3]
+			slot := h.reserve(j, 0)
+			result := taskmsg.SlotResult{Slot: slot, Outcome: taskmsg.OutcomeStarted, Worker: "w", Zone: "z", Partition: 1, Epoch: 1}
+			h.placed(j, holder{member: "m"}, []taskmsg.Slot{slot}, taskmsg.PlaceReply{Results: []taskmsg.SlotResult{result}}, nil, now)
+			h.apply(runOf(j, slot.Attempt, taskmsg.RunLost, 0), now.Add(tc.ran))
+			is.Equal(len(j.rec.Crashes[0]), tc.kept)
+		})
+	}
+}
--- a/internal/job/place.go
+++ b/internal/job/place.go
@@ -135,6 +135,7 @@
 			h.m.metrics.started.Inc()
 			j.lastStart = now
 			h.runs(j, slot.Index, h.site(r.Worker, r.Zone, r.Partition), r.Epoch)
+			j.tasks[slot.Index].since = now
 		case certain || (ok && r.Outcome == taskmsg.OutcomeRefused):
 			refused++
 			h.freed(j, slot.Index)
