A failure that an earlier home has counted is not counted again

What callers saw: a job was given up for fewer failures than its branch allows after its home had moved. "a task ended with a failure on worker w", told once at each home.

Cause: a failed run is told until the store has its record and the worker's holder has heard so. A home that is lost between the two has counted and written it; the next one was told again and counted it again, as the record said how many runs had failed and not which.

Change: the record keeps the latest attempt of each task that was counted; attempts rise from home to home. Records without it count as before.

Ruled out: crashes; they are kept by run. Ends as done; they are a set.

--- a/internal/job/transition.go
+++ b/internal/job/transition.go
@@ -153,12 +153,11 @@
 // a task failed as often as the branch allows, or when the job failed on
 // different workers; a service is tried for ever, ever more slowly.
 func (h *home) failed(j *job, index int, n taskmsg.RunNews, now time.Time) {
-	h.m.metrics.failures.Inc()
-	if j.rec.Failures == nil {
-		j.rec.Failures = map[int]int{}
+	if !h.countFailure(j, index, n.Run.Attempt) {
+		h.again(j, index, failurePause(j.rec.Failures[index]), now)
+		return
 	}
-	j.rec.Failures[index]++
-	h.touch(j)
+	h.m.metrics.failures.Inc()
 	tries := j.rec.Failures[index]
 	blame := h.health.Failed(j.id(), n.Worker, now)
 	if why := h.failureEnds(j, index, n, blame); why != nil {
@@ -169,6 +168,23 @@
 	h.again(j, index, failurePause(tries), now)
 }
 
+// countFailure counts a run that failed, unless an earlier home has counted it.
+func (h *home) countFailure(j *job, index, attempt int) bool {
+	if attempt <= j.rec.LastFailed[index] {
+		return false
+	}
+	if j.rec.Failures == nil {
+		j.rec.Failures = map[int]int{}
+	}
+	if j.rec.LastFailed == nil {
+		j.rec.LastFailed = map[int]int{}
+	}
+	j.rec.Failures[index]++
+	j.rec.LastFailed[index] = attempt
+	h.touch(j)
+	return true
+}
+
 // failureEnds returns why a failure ends the job, or nil.
 func (h *home) failureEnds(j *job, index int, n taskmsg.RunNews, blame *result.Error) *result.Error {
 	if j.isService() {
