One run of a gang fails once, however many of its members do

What callers saw: a gang was stopped as faulty after its first run, when one member ended and the others broke off after it: "failed on 3 different workers within 10m0s".

Cause: each member's failure counted, on a worker of its own, so that three members of one run looked like three runs on three workers.

Change: a failure counts for all members of the gang's run; those told to the next home while it still learns what runs are one run too, as only one can be left over. Where a branch has lost members replaced one by one, each still counts.

Ruled out: members that are told to stop; they count as stopped already.

--- a/internal/job/failures_test.go
+++ b/internal/job/failures_test.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -55,3 +56,67 @@
 	h.apply(news, now)
 	is.Equal(j.rec.Failures[0], 2)
 }
+
+// A gang whose members broke off, as one of them had ended, was stopped as faulty after its
+// first run: each member's failure counted on a worker of its own, "failed on 3 different
+// workers within 10m0s". One run of a gang fails once.
+func TestAGangsRunFailsOnce(t *testing.T) {
+	const members = 5
+	start := func(h *home, j *job) []taskmsg.RunNews {
+		h.moveGang(j, gangEventHold)
+		h.moveGang(j, gangEventStart)
+		var failed []taskmsg.RunNews
+		for i := range j.tasks {
+			slot := h.reserve(j, i)
+			n := runOf(j, slot.Attempt, taskmsg.RunRunning, 0)
+			n.Run.Task.Index, n.Worker = i, fmt.Sprint("w", i)
+			h.apply(n, time.Now())
+			n.State, n.ExitCode = taskmsg.RunFinished, 1
+			failed = append(failed, n)
+		}
+		return failed
+	}
+	failures := func(j *job) int {
+		n := 0
+		for _, f := range j.rec.Failures {
+			n += f
+		}
+		return n
+	}
+	t.Run("one home", func(t *testing.T) {
+		is := is.New(t)
+		h, j := still(t, phaseReady, false, spec.KindGang, members)
+		for run := 1; run <= 2; run++ {
+			for _, n := range start(h, j) {
+				h.apply(n, time.Now())
+			}
+			is.Equal(failures(j), run)
+			is.True(!j.ending())
+			is.Equal(j.active, 0)
+			is.True(j.gang.is(gangIdle))
+		}
+	})
+	t.Run("homes change", func(t *testing.T) {
+		is := is.New(t)
+		h, j := still(t, phaseReady, false, spec.KindGang, members)
+		failed := start(h, j)
+		h.apply(failed[3], time.Now())
+		h, j = nextHome(t, h, j)
+		for _, n := range failed {
+			h.apply(n, time.Now())
+		}
+		is.Equal(failures(j), 1)
+		is.True(!j.ending())
+	})
+	t.Run("told to the next home first", func(t *testing.T) {
+		is := is.New(t)
+		h, j := still(t, phaseReady, false, spec.KindGang, members)
+		failed := start(h, j)
+		h, j = nextHome(t, h, j)
+		for _, n := range failed {
+			h.apply(n, time.Now())
+		}
+		is.Equal(failures(j), 1)
+		is.True(!j.ending())
+	})
+}
--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -39,9 +39,10 @@
 	Submission uint64 `cbor:"12,keyasint"`
 	// Crashes lists the workers that were lost under a task, by task index.
 	Crashes map[int]crashloop.History `cbor:"15,keyasint,omitempty"`
-	// LastFailed is the latest attempt that Failures counts, by task index: news of a
-	// failure comes to the next home too.
+	// LastFailed is the latest attempt that Failures counts, by task index, and GangFailed
+	// the latest of a gang's run that it counts: news of a failure comes to the next home too.
 	LastFailed map[int]int `cbor:"16,keyasint,omitempty"`
+	GangFailed int         `cbor:"17,keyasint,omitempty"`
 }
 
 // keyPrefix returns the prefix of the records of a partition's jobs.
--- a/internal/job/transition.go
+++ b/internal/job/transition.go
@@ -168,9 +168,11 @@
 	h.again(j, index, failurePause(tries), now)
 }
 
-// countFailure counts a run that failed, unless an earlier home has counted it.
+// countFailure counts a run that failed, unless it was counted before: by an earlier home, or
+// as the run of a gang of which other members failed with it.
 func (h *home) countFailure(j *job, index, attempt int) bool {
-	if attempt <= j.rec.LastFailed[index] {
+	whole := j.isGang() && !h.replacesInGang(j)
+	if attempt <= j.rec.LastFailed[index] || whole && attempt <= j.rec.GangFailed {
 		return false
 	}
 	if j.rec.Failures == nil {
@@ -181,10 +183,26 @@
 	}
 	j.rec.Failures[index]++
 	j.rec.LastFailed[index] = attempt
+	if whole {
+		j.rec.GangFailed = h.lastOfGang(j)
+	}
 	h.touch(j)
 	return true
 }
 
+// lastOfGang returns the latest attempt of a gang's present run. Until all holders have told
+// what runs, that is any attempt of an earlier home.
+func (h *home) lastOfGang(j *job) int {
+	if h.recovering(j) {
+		return int(h.epoch) << attemptShift
+	}
+	last := 0
+	for i := range j.tasks {
+		last = max(last, j.tasks[i].attempt)
+	}
+	return last
+}
+
 // failureEnds returns why a failure ends the job, or nil.
 func (h *home) failureEnds(j *job, index int, n taskmsg.RunNews, blame *result.Error) *result.Error {
 	if j.isService() {
