A job in doubt is not told as not accepted when it is handed in again

What callers saw: during an outage of the store a job was told as "may have been taken; send it again" (504), and, sent again a second later, as "not accepted and never runs" (503). The first call had stored it, and it ran.

Cause: each call was judged by itself. While the store is away a job is not tried there, and one that was not tried was told as certainly not stored, whatever an earlier call of the same process had left open.

Change: a process remembers the jobs that it has told as in doubt, for 30 s and up to 16,384 of them, until the store has answered about them; within that time such a job is stored or stays in doubt. One that is found stored then has its holder told at once, as the call that stored it never did.

Ruled out: the same over several processes. One that has not made the first call can not know of it; a caller that changes processes may still be told 503.

Seen failing first: both parts of TestARetryOfAJobInDoubtStaysInDoubt (5202 told, 5203 wanted).

--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -41,11 +41,27 @@
 // failed.
 func (s stored) inDoubt() bool { return s.err != nil && result.From(s.err).Ran != result.RanNo }
 
+// storeInDoubt stores a job that an earlier call of this process may have left in doubt.
+func (f *Front) storeInDoubt(ctx context.Context, rec record.Job) (made, error) {
+	before := f.doubts.has(rec.ID, time.Now())
+	made, err := f.storeSomewhere(ctx, rec, before)
+	switch {
+	case err == nil:
+		f.doubts.settle(rec.ID)
+	case stored{err: err}.inDoubt():
+		f.doubts.note(rec.ID, time.Now())
+	}
+	if err == nil && before && made == stoodThere {
+		return mayBeHere, nil
+	}
+	return made, err
+}
+
 // storeSomewhere stores a job: with calls of this process's own, and by a peer while
 // the store does not answer this process. What is tried and what the caller is told in
 // the end is decided in package admission.
-func (f *Front) storeSomewhere(ctx context.Context, rec record.Job) (made, error) {
-	var job admission.Job
+func (f *Front) storeSomewhere(ctx context.Context, rec record.Job, inDoubt bool) (made, error) {
+	job := admission.Job{InDoubt: inDoubt}
 	var last stored
 	for {
 		switch step := admission.Next(job, f.outlook()); step {
