A busy holder sends a batch again that has not left it

What callers saw: starts were called lost ("nothing heard of it") after 3.2 s although nobody had sent them; their runs were in doubt until then.

Cause: while its process is busy a holder does not take a link shard for lost whose answer is late, as it may itself be what is late, and waits for the outcomes of the batch. It did so as well where the batch had certainly not been sent: no link, or no turn on it, in the time that the call had.

Change: the calls of such a batch are given to their shards again, three times in all; then they are told as not sent. The shard stays in use, as before.

Ruled out, in the rest of the package: "not sent" told of a call that a shard may have made (settle, TestRefusalsInDoubt, TestShardsAreLost).

Seen failing first: both parts of TestABusyHoldersBatchThatWasNotSent (0 of 40 told as wanted).

--- a/internal/linkshard/giveup.go
+++ b/internal/linkshard/giveup.go
@@ -57,6 +57,24 @@
 	r.finish(done)
 }
 
+// unsent gives the calls of a batch that this process, as it is busy, has not sent in time to
+// their shards once more. Nobody will tell of them: waited for, they would end as lost.
+func (r *Router) unsent(s *shard, batch []numbered) {
+	var done []ended
+	r.mu.Lock()
+	for _, n := range batch {
+		p := r.calls[n.id]
+		if p == nil || p.shard != s {
+			continue
+		}
+		if e, over := r.reroute(n.id, p); over {
+			done = append(done, e)
+		}
+	}
+	r.mu.Unlock()
+	r.finish(done)
+}
+
 // reroute gives a call to another shard, or ends it. The lock is held.
 func (r *Router) reroute(id uint64, p *pending) (ended, bool) {
 	s := r.shardFor(&p.call.To)
--- a/internal/linkshard/router.go
+++ b/internal/linkshard/router.go
@@ -202,8 +202,12 @@
 		b.Partition, b.Epoch, b.Holder, b.ReportEvery = r.conf.Partition, r.conf.Epoch, r.conf.Addr, every
 		callCtx, cancel := context.WithTimeout(ctx, batchPatience)
 		err := r.conf.Peers.Call(callCtx, addr, peer.KindHostCalls, b, &Empty{})
-		if err != nil && ctx.Err() == nil && !(r.conf.Busy() && late(callCtx)) {
+		switch {
+		case err == nil, ctx.Err() != nil:
+		case !r.conf.Busy() || !late(callCtx):
 			r.failed(s, batch, err, time.Now())
+		case result.From(err).Ran == result.RanNo:
+			r.unsent(s, batch)
 		}
 		cancel()
 	}
--- a/internal/linkshard/router_test.go
+++ b/internal/linkshard/router_test.go
@@ -29,6 +29,7 @@
 	deaf             // calls are made, but neither their receipt nor their outcomes are told
 	unreported       // the receipt is told, the outcomes are not
 	twice            // each report comes twice
+	stuck            // messages are not sent in the time that they have
 )
 
 // network carries messages between a holder at "holder" and shards at "a0" and so on.
@@ -82,6 +83,9 @@
 	switch {
 	case fault == gone:
 		return result.New(result.PeerNotReached, result.RanNo, "refused")
+	case fault == stuck:
+		<-ctx.Done()
+		return result.New(result.PeerNotReached, result.RanNo, "no link yet")
 	case fault == silent, fault == unreported && kind == peer.KindHostReport, fault == deaf && kind == peer.KindHostReport:
 		return lost()
 	case fault == deaf:
@@ -282,6 +286,38 @@
 	}
 }
 
+// TestABusyHoldersBatchThatWasNotSent: a busy holder, whose calls to shards are late as it
+// is busy, waited for the outcomes of a batch that had never left it. Starts that nobody had
+// sent were called lost after 3.2 s ("nothing heard of it"), and their runs were in doubt.
+func TestABusyHoldersBatchThatWasNotSent(t *testing.T) {
+	const calls = 40
+	tests := map[string]struct {
+		clears time.Duration // zero for never
+		want   func(Outcome) bool
+	}{
+		"sent later":     {500 * time.Millisecond, done},
+		"not sent again": {0, func(o Outcome) bool { return failureOf(o.Err) == notSent }},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				r := newRig(t, 4, 200)
+				r.busy.Store(true)
+				r.network.set(stuck, "a0", "a1", "a2", "a3")
+				r.start(0, calls)
+				if tc.clears > 0 {
+					time.Sleep(tc.clears)
+					r.network.set(well, "a0", "a1", "a2", "a3")
+				}
+				time.Sleep(10 * time.Second)
+				synctest.Wait()
+				is.Equal(r.count(tc.want), calls)
+			})
+		})
+	}
+}
+
 // TestNobodyIsReached: without any shard the holder makes the calls itself.
 func TestNobodyIsReached(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
