A link shard that ended is not taken for the silence of its hosts

What callers saw: hosts counted as silent, and their views were missing for 4.9 s, although each had answered; only the process through which they were called had ended. A lease lasts 6 s at the least, and a busy holder waits up to 2.5 s longer, by which leases ended.

Cause: a shard is found to be gone by the next batch to it. When all its looks are held back at their hosts nothing more is sent to it, and each look was waited for to its end ("nothing heard of it").

Change: a shard that has calls and has said nothing for a second is asked with a batch of nothing, as lost ones are; without an answer its calls go through others at once. A shard without calls is not asked. A busy holder takes none for lost whose answer is late, as before.

Ruled out: watching the link to the shard; one that falls silent has no end to watch.

--- a/internal/linkshard/router.go
+++ b/internal/linkshard/router.go
@@ -40,6 +40,9 @@
 	busyPatience = 2500 * time.Millisecond
 	// expireEvery is how often calls are given up.
 	expireEvery = 50 * time.Millisecond
+	// quietAfter is for how long a shard that has calls may say nothing before it is asked
+	// whether it is there: about as long as a look may take to fail.
+	quietAfter = time.Second
 	// forgetFactor is how many times more hosts than there are may be remembered.
 	forgetFactor = 4
 	// mostRoutes is how many shards one call is given to, one after the other.
@@ -104,6 +107,7 @@
 	queue   []numbered
 	sending bool
 	last    time.Time // when a batch was last sent
+	heard   time.Time // when a batch was last answered, or a report came
 	fails   int       // in a row
 	// lost shards get no calls before they have answered again; they are asked from
 	// askAfter on, and asking is true meanwhile.
@@ -123,6 +127,7 @@
 func (r *Router) Run(ctx context.Context) {
 	for wait.For(ctx, expireEvery) {
 		r.expire(time.Now())
+		r.askQuiet(time.Now())
 	}
 }
 
@@ -203,7 +208,9 @@
 		callCtx, cancel := context.WithTimeout(ctx, batchPatience)
 		err := r.conf.Peers.Call(callCtx, addr, peer.KindHostCalls, b, &Empty{})
 		switch {
-		case err == nil, ctx.Err() != nil:
+		case err == nil:
+			r.hear(s, time.Now())
+		case ctx.Err() != nil:
 		case !r.conf.Busy() || !late(callCtx):
 			r.failed(s, batch, err, time.Now())
 		case result.From(err).Ran == result.RanNo:
@@ -272,7 +279,7 @@
 			continue // given up, or reported before
 		}
 		delete(r.calls, f.id)
-		p.shard.fails = 0
+		p.shard.fails, p.shard.heard = 0, time.Now()
 		r.noteReached(p.call.To.ID, f.outcome.Err)
 		done = append(done, ended{p, f.outcome})
 	}
--- a/internal/linkshard/router_test.go
+++ b/internal/linkshard/router_test.go
@@ -286,6 +286,35 @@
 	}
 }
 
+// TestLooksOutliveTheirShard: a shard that ended while every look that it had was held back
+// at its host went unnoticed, as nothing more was to be sent to it. Its hosts counted as
+// silent after 4.9 s ("nothing heard of it") of the 6 s that a lease may last, though each
+// would have answered; with the time that a busy holder waits besides, leases ended.
+func TestLooksOutliveTheirShard(t *testing.T) {
+	const looks = 40
+	for name, fault := range map[string]fault{"gone": gone, "silent": silent, "well": well} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				r := newRig(t, 4, 200)
+				var calls []Call
+				for i := range looks {
+					calls = append(calls, r.call(i, Call{Look: &host.Look{Wait: 2 * time.Second}}))
+				}
+				r.router.Do(r.ctx, calls)
+				time.Sleep(200 * time.Millisecond)
+				r.network.set(fault, "a0", "a1")
+				time.Sleep(4 * time.Second)
+				synctest.Wait()
+				is.Equal(r.count(func(o Outcome) bool { return o.Err == nil && o.View.Clock == 5 }), looks)
+				before := r.network.batches()
+				time.Sleep(10 * time.Second)
+				is.True(r.network.batches()-before <= 2*30) // a shard without calls is not asked, a lost one now and then
+			})
+		})
+	}
+}
+
 // TestABusyHoldersBatchThatWasNotSent: a busy holder, whose calls to shards are late as it
 // is busy, waited for the outcomes of a batch that had never left it. Starts that nobody had
 // sent were called lost after 3.2 s ("nothing heard of it"), and their runs were in doubt.
--- a/internal/linkshard/shards.go
+++ b/internal/linkshard/shards.go
@@ -74,12 +74,18 @@
 	go r.ask(r.ctx, s, s.member.Addr)
 }
 
-// ask takes a lost shard into use again if it answers a batch of nothing.
-func (r *Router) ask(ctx context.Context, s *shard, addr string) {
+// sendNothing sends a batch of nothing. It reports besides whether the time for that was over.
+func (r *Router) sendNothing(ctx context.Context, addr string) (overtime bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, batchPatience)
 	defer cancel()
 	empty := Batch{Partition: r.conf.Partition, Epoch: r.conf.Epoch, Holder: r.conf.Addr}
-	err := r.conf.Peers.Call(ctx, addr, peer.KindHostCalls, empty, &Empty{})
+	err = r.conf.Peers.Call(ctx, addr, peer.KindHostCalls, empty, &Empty{})
+	return late(ctx), err
+}
+
+// ask takes a lost shard into use again if it answers a batch of nothing.
+func (r *Router) ask(ctx context.Context, s *shard, addr string) {
+	_, err := r.sendNothing(ctx, addr)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s.asking = false
@@ -90,6 +96,46 @@
 	s.lost, r.workedOut = false, time.Time{}
 }
 
+// askQuiet asks the shards that have calls and have said nothing for a while whether they
+// are there. All looks of a shard may be held back at their hosts, and nothing more is sent to
+// it then: without a question its end would be taken for the silence of its hosts.
+func (r *Router) askQuiet(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.calls {
+		s := p.shard
+		if s.lost || s.asking || s.sending || now.Sub(s.heard) < quietAfter || now.Sub(s.last) < quietAfter {
+			continue
+		}
+		s.asking, s.last = true, now
+		go r.askThere(r.ctx, s, s.member.Addr)
+	}
+}
+
+// askThere takes a shard for lost that does not answer a batch of nothing.
+func (r *Router) askThere(ctx context.Context, s *shard, addr string) {
+	overtime, err := r.sendNothing(ctx, addr)
+	now := time.Now()
+	r.mu.Lock()
+	s.asking = false
+	lost := s.lost // a batch has failed meanwhile
+	r.mu.Unlock()
+	switch {
+	case err == nil:
+		r.hear(s, now)
+	case lost:
+	case ctx.Err() == nil && !(r.conf.Busy() && overtime):
+		r.failed(s, nil, err, now)
+	}
+}
+
+// hear notes that a shard has answered.
+func (r *Router) hear(s *shard, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s.heard = now
+}
+
 // noteLost takes the shard out of use until it has answered again.
 func (s *shard) noteLost(now time.Time) {
 	s.lost, s.askAfter = true, now.Add(firstRest<<min(s.fails, doublings))
