What a former process left unanswered is not held against the next one

What callers saw: an executor that had started again at another address got one request at a time, or none, for up to 15 s, and was ejected anew up to 30 s after its start.

Cause: what is thought of an executor stood under its name and outlived its process, as did the requests that still waited for that one.

Change: another address begins with a sound record, and the outcome of a request counts only while the executor is listed at the address that it was sent to.

Ruled out: a process that starts again at the same address; it can not be told apart, and is probed as before.

Seen failing first: TestAnotherProcessUnderTheNameStartsSound; its second part fails with the second half of the change taken out.

--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -76,6 +76,13 @@
 	b.hosts[i].Leaving = true
 }
 
+// move has an executor listed at another address.
+func (b *bench) move(i int, addr string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.hosts[i].Addr = addr
+}
+
 // send makes one request and returns its failure, if any.
 func (b *bench) send(ctx context.Context, caller string, idempotent bool, timeout time.Duration) *result.Error {
 	_, err := b.Do(ctx, dispatch.Work{
--- a/internal/dispatch/health_test.go
+++ b/internal/dispatch/health_test.go
@@ -85,6 +85,38 @@
 	}
 }
 
+// An executor that started again at another address stayed ejected for what the process
+// before it had left unanswered, and requests that still waited for that one were charged to
+// it up to 30 s after its start.
+func TestAnotherProcessUnderTheNameStartsSound(t *testing.T) {
+	cases := map[string]struct {
+		timeout time.Duration // of requests to the process before
+		before  time.Duration // from them to the start of the next one
+	}{
+		"ejected before":           {time.Second, 3 * time.Second},
+		"requests still under way": {10 * time.Second, time.Second},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				b := newBench(t, 1, hold.Takeover{Fresh: true})
+				defer b.stop()
+				b.executors.FaultOf = faultAt("executor-0", requesttest.Hang)
+				var wg sync.WaitGroup
+				defer wg.Wait()
+				wg.Go(func() { b.wave(8, "crew", tc.timeout) })
+				time.Sleep(tc.before)
+				b.move(0, "executor-0-again")
+				for range 40 { // until all that were sent before are given up
+					time.Sleep(time.Second)
+					is.Equal(b.Dump().(dispatch.Dump).Services["ledger"].Executors[0].Health, "healthy")
+				}
+			})
+		})
+	}
+}
+
 func TestSlowExecutorIsGivenLess(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -59,6 +59,10 @@
 	return e.listed && !e.host.Leaving && !e.signedLeaving && !e.blocked && !now.Before(e.usableAt)
 }
 
+// movedFrom reports whether another process has the endpoint's name than the one that was
+// listed as a host: what becomes of requests to that one says nothing of it.
+func (e *endpoint) movedFrom(host *platform.Host) bool { return e.host.Addr != host.Addr }
+
 // take makes one slot busy.
 func (e *endpoint) take() grant {
 	e.busy++
@@ -178,7 +182,7 @@
 		e.signedLeaving = e.signedLeaving || part.leaving[h.Name] == h.Addr
 	}
 	if e.host != nil && e.host.Addr != h.Addr {
-		e.signedLeaving = false // another process under the same name
+		e.signedLeaving, e.health = false, newHealth() // another process under the same name
 	}
 	e.host = &h
 	e.listed = true
--- a/internal/dispatch/send.go
+++ b/internal/dispatch/send.go
@@ -11,6 +11,7 @@
 
 	"pulleyquay/internal/executor"
 	"pulleyquay/internal/peer"
+	"pulleyquay/internal/platform"
 	"pulleyquay/internal/requestmsg"
 	"pulleyquay/internal/result"
 	"pulleyquay/internal/settings"
@@ -110,10 +111,10 @@
 		return executor.Answer{}, result.New(result.NoFreeSlot, result.RanNo, "%v", err)
 	}
 	start := time.Now()
-	watch := time.AfterFunc(patience(w, values), func() { d.overdue(p, e) })
+	watch := time.AfterFunc(patience(w, values), func() { d.overdue(p, e, host) })
 	answer, err := d.cfg.Client.Do(ctx, host.Addr, req, values.Request.MaxAnswerBytes)
 	charged := !watch.Stop()
-	d.record(p, e, outcome{answer: answer, err: err, took: time.Since(start), charged: charged})
+	d.record(p, e, host, outcome{answer: answer, err: err, took: time.Since(start), charged: charged})
 	if err == nil {
 		d.release(p, e)
 		return answer, nil
@@ -150,11 +151,14 @@
 	charged bool
 }
 
-// record learns from a request's outcome.
-func (d *Dispatcher) record(p *pool, e *endpoint, o outcome) {
+// record learns from a request's outcome at a host.
+func (d *Dispatcher) record(p *pool, e *endpoint, host *platform.Host, o outcome) {
 	d.metrics.dispatched.WithLabelValues(p.service, outcomeLabel(o.err)).Inc()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if e.movedFrom(host) {
+		return
+	}
 	if o.answer.Leaving && !e.signedLeaving {
 		e.signedLeaving = true
 		d.cfg.Log.WithField("executor", e.host.Name).Info("executor signals that it is leaving")
@@ -203,10 +207,12 @@
 
 // overdue counts a request without an answer as a failure, while the executor
 // may still answer.
-func (d *Dispatcher) overdue(p *pool, e *endpoint) {
+func (d *Dispatcher) overdue(p *pool, e *endpoint, host *platform.Host) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.failed(p, e, faultSilent)
+	if !e.movedFrom(host) {
+		d.failed(p, e, faultSilent)
+	}
 }
 
 // forwardMargin is how much longer a home waits for another holder than that
