--- a/internal/front/doubt.go
+++ b/internal/front/doubt.go
@@ -10,7 +10,7 @@
 	// doubtFor is for how long a call to the store that was not answered may still take
 	// effect there.
 	doubtFor = 30 * time.Second
-	// mostDoubts bounds their number, some 100 bytes each.
+	// mostDoubts bounds their number, and so their memory.
 	mostDoubts = 16384
 )
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -98,7 +98,7 @@
 		ID: id, Queue: q.Name, Service: q.Service, Rules: q.Rules, Graph: g, AcceptedUnixMilli: time.Now().UnixMilli(),
 	}
 	begun := time.Now()
-	made, err := f.storeInDoubt(ctx, rec)
+	made, err := f.storeJob(ctx, rec)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -41,8 +41,9 @@
 // failed.
 func (s stored) inDoubt() bool { return s.err != nil && result.From(s.err).Ran != result.RanNo }
 
-// storeInDoubt stores a job that an earlier call of this process may have left in doubt.
-func (f *Front) storeInDoubt(ctx context.Context, rec record.Job) (made, error) {
+// storeJob stores a job, and remembers it for as long as it is in doubt: a caller that hands
+// it in again must not be told that it is not accepted.
+func (f *Front) storeJob(ctx context.Context, rec record.Job) (made, error) {
 	before := f.doubts.has(rec.ID, time.Now())
 	made, err := f.storeSomewhere(ctx, rec, before)
 	switch {
--- a/internal/linkshard/router.go
+++ b/internal/linkshard/router.go
@@ -41,7 +41,8 @@
 	// expireEvery is how often calls are given up.
 	expireEvery = 50 * time.Millisecond
 	// quietAfter is for how long a shard that has calls may say nothing before it is asked
-	// whether it is there: about as long as a look may take to fail.
+	// whether it is there. It is well under a lease, which the hosts of a shard that ended
+	// live on until they are called through another one.
 	quietAfter = time.Second
 	// forgetFactor is how many times more hosts than there are may be remembered.
 	forgetFactor = 4
