Log lines: what was decided and why stands before a cut

Callers: a job was shown as failed, and the lines that would have told why were cut to their first 200 bytes. Keys stood in the order of the alphabet: process, time and empty fields came before the reason, which was last.

Change: lines are written by a formatter of our own on top of logrus, with a fixed order: message, job, step, code, reason, error, host, age; then what else there is by name; then epoch, member, level and time, which are the same or told by whoever collects. Fields without a value are left out, times have milliseconds, a step goes without its job's id where that stands beside it, and lines of pulley-node name the member in place of member and program (`started` tells the program). A value that has no JSON becomes text; with logrus' own the whole line was lost. pulleyctl trace reads both forms, also mixed.

--- a/cmd/pulley-node/node.go
+++ b/cmd/pulley-node/node.go
@@ -70,7 +70,8 @@
 
 // newNode makes and connects the parts; nothing runs yet.
 func newNode(s Settings, d *daemon.Daemon) *node {
-	n := &node{conf: s, daemon: d, log: d.Log.WithField("name", s.Name), mux: peer.NewMux(), view: cell.NewView()}
+	d.LogAs(s.Name)
+	n := &node{conf: s, daemon: d, log: d.Log, mux: peer.NewMux(), view: cell.NewView()}
 	n.self = cell.Member{
 		Name: s.Name, Incarnation: uuid.NewString(), Addr: s.Listen.peerAddr(), Zone: s.Zone,
 		Cores: s.Processors, LinkMbps: s.LinkMbps, StartedUnixMilli: time.Now().UnixMilli(),
@@ -180,13 +181,6 @@
 	return out
 }
 
-// event logs a decision.
-func (n *node) event(e engine.Event) {
-	n.log.WithFields(logrus.Fields{
-		"job": e.Job, "step": e.Step, "host": e.Host, "why": e.Why, "age_ms": e.Age.Milliseconds(), "epoch": e.Version,
-	}).Info(e.What)
-}
-
 // unready is for how long neither store nor holder may have answered before the
 // process tells the balancer that it is not ready.
 const unready = time.Second
@@ -222,7 +216,7 @@
 	if n.conf.MemoryMiB > 0 {
 		debug.SetMemoryLimit(n.conf.MemoryMiB << 20 / memoryShare)
 	}
-	n.log.Info("started")
+	n.log.WithField("process", n.daemon.Name).Info("started")
 	return nil
 }
 
--- a/internal/ctl/trace.go
+++ b/internal/ctl/trace.go
@@ -22,14 +22,16 @@
 	Msg   string    `json:"msg"`
 	Level string    `json:"level"`
 	Job   string    `json:"job"`
-	Step  string    `json:"step"`
-	Host  string    `json:"host"`
-	Why   string    `json:"why"`
-	Error string    `json:"error"`
-	Code  int       `json:"code"`
-	AgeMS int64     `json:"age_ms"`
-	Epoch uint64    `json:"epoch"`
-	Queue string    `json:"queue"`
+	// Step begins with the job's id where the line has no job, and in logs of earlier
+	// versions.
+	Step  string `json:"step"`
+	Host  string `json:"host"`
+	Why   string `json:"why"`
+	Error string `json:"error"`
+	Code  int    `json:"code"`
+	AgeMS int64  `json:"age_ms"`
+	Epoch uint64 `json:"epoch"`
+	Queue string `json:"queue"`
 	// TookMS is how long a call of the front took.
 	TookMS int64 `json:"took_ms"`
 	loadFields
@@ -119,11 +121,14 @@
 	return out
 }
 
+// stepOfJob names the step within its job.
+func (l *logLine) stepOfJob() string { return strings.TrimPrefix(l.Step, l.Job+"/") }
+
 func printTrace(w io.Writer, trace []logLine) error {
 	first := trace[0].Time
 	for _, l := range trace {
 		var parts []string
-		for _, p := range []struct{ name, value string }{{"step", l.Step}, {"host", l.Host}, {"", l.Why}, {"error", l.Error}} {
+		for _, p := range []struct{ name, value string }{{"step", l.stepOfJob()}, {"host", l.Host}, {"", l.Why}, {"error", l.Error}} {
 			switch {
 			case p.value == "":
 			case p.name == "":
--- a/internal/ctl/trace_test.go
+++ b/internal/ctl/trace_test.go
@@ -32,6 +32,24 @@
 	is.True(strings.Contains(lines[3], "4.500 s") && strings.Contains(lines[3], "age 4500 ms"))
 }
 
+// TestTraceOfBothForms: logs of processes before and after an upgrade make one trace.
+func TestTraceOfBothForms(t *testing.T) {
+	is := is.New(t)
+	const logs = `{"age_ms":30,"epoch":1,"host":"","job":"aa","level":"info","msg":"step started","name":"edge-1","process":"pulley-node","step":"aa/0/3","time":"2026-12-02T10:00:01.123456789Z","why":"one"}
+{"msg":"run lost","job":"aa","step":"0/3","host":"h06","why":"another life answered","age_ms":2384,"epoch":2,"name":"edge-2","level":"info","time":"2026-12-02T10:00:03.500Z"}
+{"msg":"end passed over","step":"aa/0/3","level":"info","time":"2026-12-02T10:00:04.000Z"}
+`
+	file := filepath.Join(t.TempDir(), "log")
+	is.NoErr(os.WriteFile(file, []byte(logs), 0o600))
+	code, out, _ := run([]string{"127.0.0.1:1"}, "trace", "aa", file)
+	is.Equal(code, ExitOK)
+	lines := strings.Split(strings.TrimSpace(out), "\n")
+	is.Equal(len(lines), 3)
+	is.Equal(strings.Join(strings.Fields(lines[0]), " "), "0.000 s edge-1 step started step 0/3; one; age 30 ms")
+	is.Equal(strings.Join(strings.Fields(lines[1]), " "), "2.377 s edge-2 run lost step 0/3; host h06; another life answered; age 2384 ms")
+	is.True(strings.Contains(lines[2], "step aa/0/3"))
+}
+
 func TestTraceOfNothing(t *testing.T) {
 	is := is.New(t)
 	file := filepath.Join(t.TempDir(), "log")
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -44,6 +44,12 @@
 	lines     *Lines // nil while lines are written one by one
 }
 
+// LogAs has log lines name the member that this process is, which tells the program as
+// well, in place of the program.
+func (d *Daemon) LogAs(member string) {
+	d.Log = d.Log.Logger.WithField(fieldName, member)
+}
+
 // LogTo has log lines gathered and written to out in the background.
 func (d *Daemon) LogTo(out io.Writer) {
 	d.lines = NewLines(out)
@@ -53,7 +59,7 @@
 // New returns a daemon that logs JSON lines to stderr.
 func New(name, level string) (*Daemon, error) {
 	logger := logrus.New()
-	logger.SetFormatter(&budget{Formatter: &logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano}})
+	logger.SetFormatter(&budget{Formatter: jsonLines{}})
 	lv, err := logrus.ParseLevel(level)
 	if err != nil {
 		return nil, result.New(result.ConfigValue, result.RanNo, "%v", err).At("log_level")
@@ -61,7 +67,7 @@
 	logger.SetLevel(lv)
 	reg := prometheus.NewRegistry()
 	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	return &Daemon{Name: name, Log: logger.WithField("process", name), Reg: reg, dumps: map[string]func() any{}}, nil
+	return &Daemon{Name: name, Log: logger.WithField(fieldProcess, name), Reg: reg, dumps: map[string]func() any{}}, nil
 }
 
 // AddDump adds a named section to the state dump.
@@ -245,9 +251,9 @@
 // Fail reports a failed start on stderr and returns the exit status.
 func Fail(name string, err error) int {
 	l := logrus.New()
-	l.SetFormatter(&logrus.JSONFormatter{})
+	l.SetFormatter(jsonLines{})
 	e := result.From(err)
-	l.WithFields(logrus.Fields{"process": name, "code": e.Code, "field": e.Field}).Error(e.Error())
+	l.WithFields(logrus.Fields{fieldProcess: name, "code": e.Code, "field": e.Field}).Error(e.Error())
 	if e.Code == result.StopTimeout {
 		return 1
 	}
