Budget of log lines: final words are not left out for starts

Callers: a job was given up in the moment in which its holder lost a host with many runs, and the lines `crash held against task` and `job ended` were missing from the log.

Cause: 1,000 lines a second were written whatever they said, the first ones of each second; behind an output that blocks whatever came first, too. What was left out was counted, and not named.

Change: lines have a weight. Routine ones come with each start; notable ones tell of losses and of ends, which may come in hundreds; final ones settle something: jobs given up, crashes held against tasks, changes of holder, settings and dependencies. Each weight has 1,000 lines a second, 3,000 in all at the most. Where lines wait for the output, routine ones may fill half of the 512 KiB, notable ones three quarters, final ones, warnings and errors seven eighths. `log lines left out` gives the cause, the numbers by message (32 messages at the most), and is not told before there is room for it, so that none is missing untold.

`run lost` is notable as a whole: the event does not say whether a crash is held against the task; that follows as a line of its own, which is final.

In TestBudgetOfASecond the lines are now counted by `"msg":"decision"` in place of the bare word: the line on what was left out names the message too, as asked; it now also has to give the number by message. TestWeighedLinesAreLogged fails when a weighed message is changed where it is logged.

Ruled out: one budget with shares of it kept for what is final (it takes lines from starts that fit today).

--- a/cmd/pulley-node/main.go
+++ b/cmd/pulley-node/main.go
@@ -19,6 +19,7 @@
 	if err != nil {
 		return err
 	}
+	d.Weigh(weigh)
 	d.LogTo(os.Stdout)
 	n := newNode(s, d)
 	if err := n.start(context.Background()); err != nil {
--- /dev/null
+++ b/cmd/pulley-node/weights_test.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"pulleyquay/internal/daemon"
+)
+
+func TestWeights(t *testing.T) {
+	for name, tc := range map[string]struct {
+		msg, why string
+		want     daemon.Weight
+	}{
+		"a start":            {"step started", "2 tasks, on 2 hosts", daemon.Routine},
+		"a run that is lost": {"run lost", "another life answered", daemon.Notable},
+		"a crash":            {"crash held against task", "task 0: ...", daemon.Final},
+		"a job done":         {"job ended", "completed", daemon.Notable},
+		"a job cancelled":    {"job ended", "cancelled", daemon.Notable},
+		"a job that failed":  {"job ended", "failed", daemon.Final},
+		"a job given up":     {"job ended", "failed 5212 job-crashes-hosts: ...", daemon.Final},
+		"a holder":           {"partition claimed", "", daemon.Final},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).Equal(weigh(&logrus.Entry{Message: tc.msg, Data: logrus.Fields{"why": tc.why}}), tc.want)
+		})
+	}
+}
+
+// TestWeighedLinesAreLogged: a message that is changed where it is logged would lose its
+// weight unnoticed.
+func TestWeighedLinesAreLogged(t *testing.T) {
+	is := is.New(t)
+	var source strings.Builder
+	for _, dir := range []string{"../../internal", "."} {
+		is.NoErr(filepath.WalkDir(dir, func(path string, d fs.DirEntry, err error) error {
+			reads := strings.Contains(path, "internal/ctl") || strings.Contains(path, "internal/report") || d.Name() == "weights.go"
+			if err != nil || d.IsDir() || reads || filepath.Ext(path) != ".go" || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			text, err := os.ReadFile(path)
+			source.Write(text)
+			return err
+		}))
+	}
+	for msg := range weights {
+		if !strings.Contains(source.String(), strconv.Quote(msg)) {
+			t.Errorf("no line %q is logged", msg)
+		}
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -41,6 +41,7 @@
 	dumps     map[string]func() any
 	lacks     []func() []string
 	servers   []*http.Server
+	budget    *budget
 	lines     *Lines // nil while lines are written one by one
 }
 
@@ -53,13 +54,15 @@
 // LogTo has log lines gathered and written to out in the background.
 func (d *Daemon) LogTo(out io.Writer) {
 	d.lines = NewLines(out)
+	d.budget.lines = d.lines
 	d.Log.Logger.SetOutput(d.lines)
 }
 
 // New returns a daemon that logs JSON lines to stderr.
 func New(name, level string) (*Daemon, error) {
 	logger := logrus.New()
-	logger.SetFormatter(&budget{Formatter: jsonLines{}})
+	b := &budget{Formatter: jsonLines{}}
+	logger.SetFormatter(b)
 	lv, err := logrus.ParseLevel(level)
 	if err != nil {
 		return nil, result.New(result.ConfigValue, result.RanNo, "%v", err).At("log_level")
@@ -67,7 +70,7 @@
 	logger.SetLevel(lv)
 	reg := prometheus.NewRegistry()
 	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	return &Daemon{Name: name, Log: logger.WithField(fieldProcess, name), Reg: reg, dumps: map[string]func() any{}}, nil
+	return &Daemon{Name: name, Log: logger.WithField(fieldProcess, name), Reg: reg, budget: b, dumps: map[string]func() any{}}, nil
 }
 
 // AddDump adds a named section to the state dump.
--- a/internal/daemon/lines.go
+++ b/internal/daemon/lines.go
@@ -5,16 +5,10 @@
 	"io"
 	"sync"
 	"time"
-
-	"github.com/sirupsen/logrus"
 )
 
-// Bounds of what a process logs.
+// Bounds of the lines that wait.
 const (
-	// infoPerSecond is how many lines of level info and below are written each
-	// second at the most; warnings and errors are not counted. A cell of the users'
-	// grown size has some 400 decisions a second at its holder.
-	infoPerSecond = 1000
 	// flushEvery is how often gathered lines are written, in one system call.
 	flushEvery = 20 * time.Millisecond
 	// mostGathered is how many bytes wait to be written while the output blocks;
@@ -44,6 +38,16 @@
 	return l
 }
 
+// size is how many bytes wait; none where lines are not gathered.
+func (l *Lines) size() int {
+	if l == nil {
+		return 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.waiting)
+}
+
 // Write implements io.Writer. It never blocks and never fails.
 func (l *Lines) Write(line []byte) (int, error) {
 	l.mu.Lock()
@@ -66,7 +70,7 @@
 	out := l.waiting
 	l.waiting = nil
 	if l.leftOut > 0 {
-		out = append(out, leftOutLine(l.leftOut, "the output is too slow")...)
+		out = append(out, leftOutLine(l.leftOut, outputSlow)...)
 		l.leftOut = 0
 	}
 	l.mu.Unlock()
@@ -75,40 +79,10 @@
 	}
 }
 
-func leftOutLine(n int, why string) string {
-	return fmt.Sprintf("{\"level\":\"warning\",\"msg\":\"log lines left out\",\"lines\":%d,\"why\":%q,\"time\":%q}\n",
-		n, why, time.Now().Format(time.RFC3339Nano))
-}
-
-// budget is a formatter that leaves lines out once a second has had its share.
-type budget struct {
-	logrus.Formatter
+// msgLeftOut is the message of lines that tell of others which were left out.
+const msgLeftOut = "log lines left out"
 
-	mu      sync.Mutex
-	second  time.Time
-	written int
-	leftOut int
-}
-
-// Format implements logrus.Formatter; a line that is left out is empty.
-func (b *budget) Format(entry *logrus.Entry) ([]byte, error) {
-	if entry.Level < logrus.InfoLevel {
-		return b.Formatter.Format(entry)
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	var before string
-	if entry.Time.Sub(b.second) >= time.Second {
-		if b.leftOut > 0 {
-			before = leftOutLine(b.leftOut, "over the budget of a second")
-		}
-		b.second, b.written, b.leftOut = entry.Time, 0, 0
-	}
-	if b.written >= infoPerSecond {
-		b.leftOut++
-		return nil, nil
-	}
-	b.written++
-	line, err := b.Formatter.Format(entry)
-	return append([]byte(before), line...), err
+func leftOutLine(n int, why cause) string {
+	return fmt.Sprintf("{%q:%q,\"why\":%q,\"lines\":%d,\"level\":\"warning\",\"time\":%q}\n",
+		fieldMsg, msgLeftOut, why, n, time.Now().Format(timeLayout))
 }
--- a/internal/daemon/lines_test.go
+++ b/internal/daemon/lines_test.go
@@ -56,11 +56,13 @@
 			log.Info("decision")
 		}
 		log.Warn("seen in any case")
-		is.Equal(strings.Count(out.String(), "decision"), infoPerSecond)
+		const line = `"msg":"decision"`
+		is.Equal(strings.Count(out.String(), line), infoPerSecond)
 		is.Equal(strings.Count(out.String(), "seen in any case"), 1)
 		time.Sleep(time.Second)
 		log.Info("decision")
 		is.True(strings.Contains(out.String(), `"lines":250`))
-		is.Equal(strings.Count(out.String(), "decision"), infoPerSecond+1)
+		is.True(strings.Contains(out.String(), `"kinds":{"decision":250}`))
+		is.Equal(strings.Count(out.String(), line), infoPerSecond+1)
 	})
 }
