State dump of a holder: crashes held against tasks, silent hosts, verdicts that wait

Callers: a job was shown as failed, and its holder's /debug/state said nothing of it; of pulley-node it held nothing at all.

Change: section `held`, by partition: epoch, for how long orders may be given, and what the engine knows: tasks under which hosts have crashed, with standing, the text of their history, whether that is stored, and the present run; jobs that have ended as failed, with code and reason, also those of former holders; hosts that do not answer or were not heard since the takeover, since when, listed, closed, when their leases are over, what runs, may run or was lost there; verdicts that wait. Rows are typed, 100 of each kind at the most with the most telling first, and what is left out is counted.

The record of a crash holds no time, so the dump has none; that is the engine's to add.

Ruled out: going by steps' standings alone, as a task whose crashes are all excused has none.

--- a/cmd/pulley-node/node.go
+++ b/cmd/pulley-node/node.go
@@ -99,6 +99,7 @@
 	}
 	n.addHolder()
 	n.addFront()
+	d.AddDump("held", func() any { return n.table.Dump() })
 	d.AddReadiness(n.catalog.Lacks)
 	d.AddReadiness(n.lacks)
 	return n
--- /dev/null
+++ b/internal/holder/dump.go
@@ -0,0 +1,45 @@
+package holder
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"pulleyquay/internal/engine"
+)
+
+// Dump is what the holder of a partition knows, for people.
+type Dump struct {
+	Partition int    `json:"partition"`
+	Epoch     uint64 `json:"epoch"`
+	// MayOrderMillis is for how long it may give orders unless the store answers again;
+	// below zero when it may not.
+	MayOrderMillis int64       `json:"may_order_ms"`
+	Hosts          int64       `json:"hosts"`
+	Engine         engine.Dump `json:"engine"`
+}
+
+// Dump tells of the partitions that this process holds, by their numbers.
+func (t *Table) Dump() []Dump {
+	t.mu.Lock()
+	held := slices.Collect(maps.Values(t.holders))
+	t.mu.Unlock()
+	out := make([]Dump, 0, len(held))
+	for _, h := range held {
+		out = append(out, h.dump())
+	}
+	slices.SortFunc(out, func(a, b Dump) int { return cmp.Compare(a.Partition, b.Partition) })
+	return out
+}
+
+func (h *Holder) dump() Dump {
+	self, until := h.ledger.Holder(), h.ledger.Proved().Add(rightTerm)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	return Dump{
+		Partition: self.Partition, Epoch: self.Epoch, MayOrderMillis: until.Sub(now).Milliseconds(), Hosts: h.hosts.Load(),
+		Engine: h.engine.Dump(now),
+	}
+}
