Metrics: jobs that failed by code, crashes held by how they were seen

Callers and operators: pulleyquay_holder_events_total{event="job ended"} counts all ends alike, so that jobs that are given up without cause raised no figure.

Change: pulleyquay_holder_jobs_failed_total by code (none: a task has failed as often as it may) and pulleyquay_holder_crashes_held_total by how the last crash was seen, as the log says it in brackets (plain: nothing). Events by name, with `crash held against task`, `run lost`, `host gone` and `host lost` among them, were counted already.

Labels are registered codes, and words without figures.

--- a/internal/holder/metrics.go
+++ b/internal/holder/metrics.go
@@ -1,12 +1,17 @@
 package holder
 
 import (
+	"strconv"
+	"strings"
 	"sync"
 	"time"
+	"unicode"
 
 	"github.com/prometheus/client_golang/prometheus"
 
 	"pulleyquay/internal/engine"
+	"pulleyquay/internal/record"
+	"pulleyquay/internal/result"
 )
 
 // Metrics are the counters and latencies of all holders of a process.
@@ -15,6 +20,9 @@
 	writes  prometheus.Counter
 	// events counts what engines decided or came to believe, by the name of the event.
 	events *prometheus.CounterVec
+	// failed counts jobs that ended as failed, by the code of their reason; crashes counts
+	// those that were held against tasks, by how they were seen.
+	failed, crashes *prometheus.CounterVec
 	// decisions is how long one decision takes, waits how long what happened waits to be
 	// taken in, jobAge how old an accepted job is when the engine knows it.
 	decisions, waits, jobAge prometheus.Histogram
@@ -46,13 +54,19 @@
 	m.events = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "pulleyquay_holder_events_total", Help: "Decisions and changes of belief of the holder, by name as in the log.",
 	}, []string{"event"})
+	m.failed = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "pulleyquay_holder_jobs_failed_total", Help: "Jobs that ended as failed, by the code of the reason; none where a task has failed as often as it may.",
+	}, []string{"code"})
+	m.crashes = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "pulleyquay_holder_crashes_held_total", Help: "Crashes of hosts that were held against tasks, by how they were seen, as in the log.",
+	}, []string{"seen"})
 	moments := func(name, help string) prometheus.Histogram {
 		return prometheus.NewHistogram(prometheus.HistogramOpts{Name: name, Help: help, Buckets: prometheus.ExponentialBuckets(0.00005, 4, 9)})
 	}
 	m.decisions = moments("pulleyquay_holder_decision_seconds", "Decisions: all that is due at a moment.")
 	m.waits = moments("pulleyquay_holder_wait_seconds", "Waits of what happened until it is taken in.")
 	m.jobAge = moments("pulleyquay_holder_job_age_seconds", "Ages of accepted jobs when the holder knows of them.")
-	reg.MustRegister(m.commits, m.writes, m.events, m.decisions, m.waits, m.jobAge)
+	reg.MustRegister(m.commits, m.writes, m.events, m.failed, m.crashes, m.decisions, m.waits, m.jobAge)
 	return m
 }
 
@@ -66,7 +80,47 @@
 }
 
 // count counts an event of an engine.
-func (m *Metrics) count(e engine.Event) { m.events.WithLabelValues(e.What).Inc() }
+func (m *Metrics) count(e engine.Event) {
+	m.events.WithLabelValues(e.What).Inc()
+	switch e.What {
+	case eventEnded:
+		if reason, failed := strings.CutPrefix(e.Why, string(record.StateFailed)); failed {
+			m.failed.WithLabelValues(codeIn(reason)).Inc()
+		}
+	case eventCrash:
+		m.crashes.WithLabelValues(howSeen(e.Why)).Inc()
+	}
+}
+
+// Events that are counted by their reason as well.
+const (
+	eventEnded = "job ended"
+	eventCrash = "crash held against task"
+)
+
+// codeIn is the result code that a reason begins with, or "none".
+func codeIn(reason string) string {
+	word, _, _ := strings.Cut(strings.TrimSpace(reason), " ")
+	n, err := strconv.Atoi(word)
+	if _, known := result.Lookup(result.Code(n)); err != nil || !known {
+		return "none"
+	}
+	return word
+}
+
+// howSeen is what a history of crashes says of the last one in brackets; "plain" where it
+// says nothing. Brackets with figures are "other", so that the label has few values.
+func howSeen(history string) string {
+	_, last, ok := strings.Cut(history[strings.LastIndex(history, ", ")+1:], " (")
+	how, closed := strings.CutSuffix(last, ")")
+	switch {
+	case !ok || !closed:
+		return "plain"
+	case strings.ContainsFunc(how, func(c rune) bool { return c != ' ' && c != '-' && !unicode.IsLetter(c) }):
+		return "other"
+	}
+	return how
+}
 
 func (m *Metrics) decided(took time.Duration) {
 	m.decisions.Observe(took.Seconds())
