Report: jobs that were given up are one outcome

Callers: pulleyctl report listed each job that was given up as an outcome of its own, with the whole reason in the table.

Cause: ends were counted by the full text of their reason. Change: by state and code. Test: TestJobsGivenUpAreOneOutcome, seen failing first. Ruled out: by state alone, which hides jobs that were given up among those that failed as often as they may.

--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -8,6 +8,7 @@
 
 import (
 	"sort"
+	"strings"
 	"time"
 )
 
@@ -60,7 +61,8 @@
 	Accepted int
 	// Refused counts tries that were turned away; a job may be tried again.
 	Refused int
-	// Outcomes counts ended jobs by their final state.
+	// Outcomes counts ended jobs by their final state, and the code of its reason where
+	// there is one.
 	Outcomes map[string]int
 	Samples  map[Stage][]Sample
 }
@@ -91,7 +93,7 @@
 		case l.Msg == msgStarted && first(begun, l.Job):
 			q.add(Waited, l.Time, l.Age)
 		case l.Msg == msgEnded && first(ended, l.Job):
-			q.Outcomes[l.Why]++
+			q.Outcomes[outcome(l.Why)]++
 			q.add(Ended, l.Time, l.Age)
 		}
 	}
@@ -103,6 +105,12 @@
 	return out
 }
 
+// outcome is what a job's end has in common with others: not which task or host it was.
+func outcome(why string) string {
+	state, _, _ := strings.Cut(why, ":")
+	return state
+}
+
 func first(seen map[string]bool, job string) bool {
 	if job == "" || seen[job] {
 		return false
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -81,3 +81,16 @@
 	is.True(strings.Contains(out.String(), "slow"))
 	is.True(errors.Is(Plot(&out, Of(day()[:5]), begin), ErrNothing))
 }
+
+// TestJobsGivenUpAreOneOutcome: each has its own reason, and a report of a cell in which
+// many are given up had a column of them all.
+func TestJobsGivenUpAreOneOutcome(t *testing.T) {
+	is := is.New(t)
+	var lines []Line
+	for i, why := range []string{
+		"completed", "failed", "failed 5212 job-crashes-hosts: task a/0/0/0: 2 hosts crashed under it", "failed 5212 job-crashes-hosts: task b/0/0/0: 3 hosts crashed under it",
+	} {
+		lines = append(lines, Line{Time: begin, Msg: msgEnded, Job: fmt.Sprint("job", i), Queue: "q", Why: why})
+	}
+	is.Equal(Of(lines)[0].Outcomes, map[string]int{"completed": 1, "failed": 1, "failed 5212 job-crashes-hosts": 2})
+}
