Trace and report read lines that were cut

Callers: users keep the first 200 bytes or so of each line. pulleyctl trace passed over all lines that were cut, which are the long ones that tell why, without a word.

Cause: a line that is no whole object was taken for another program's. Change: an object whose end is missing is read as far as it goes: a text that was cut in part, a number not at all. The time, where it was cut, is that of the line before in the same log, the name what the collector has put before the line; a trace marks such lines. Reading of logs moves into a file of its own.

Test: TestLinesThatWereCut cuts lines of both forms at each byte. Ruled out: guessing a cut time from age_ms.

--- a/internal/ctl/trace.go
+++ b/internal/ctl/trace.go
@@ -1,42 +1,14 @@
 package ctl
 
 import (
-	"bufio"
-	"encoding/json"
 	"fmt"
 	"io"
-	"os"
 	"sort"
 	"strings"
-	"time"
 
 	"github.com/spf13/cobra"
-
-	"pulleyquay/internal/result"
 )
 
-// logLine is one line of a process's log, as far as a trace needs it.
-type logLine struct {
-	Time  time.Time `json:"time"`
-	Name  string    `json:"name"`
-	Msg   string    `json:"msg"`
-	Level string    `json:"level"`
-	Job   string    `json:"job"`
-	// Step begins with the job's id where the line has no job, and in logs of earlier
-	// versions.
-	Step  string `json:"step"`
-	Host  string `json:"host"`
-	Why   string `json:"why"`
-	Error string `json:"error"`
-	Code  int    `json:"code"`
-	AgeMS int64  `json:"age_ms"`
-	Epoch uint64 `json:"epoch"`
-	Queue string `json:"queue"`
-	// TookMS is how long a call of the front took.
-	TookMS int64 `json:"took_ms"`
-	loadFields
-}
-
 // turningPoints are lines that tell of the whole cell; those within a job's time
 // stand in its trace.
 var turningPoints = map[string]bool{
@@ -44,9 +16,6 @@
 	"holder taken for dead": true, "partition not held any more": true, "configuration in force": true, "log lines left out": true,
 }
 
-// maxLogLine bounds a line of a log.
-const maxLogLine = 1 << 20
-
 func (a *app) traceCommand() *cobra.Command {
 	return &cobra.Command{
 		Use: "trace JOB FILE...", Short: "Tell from saved logs what happened to a job (- reads standard input)",
@@ -69,34 +38,6 @@
 	}
 }
 
-// readLog reads the lines of one file that are logs; what stands before the object,
-// as a collector may put it there, is passed over.
-func readLog(stdin io.Reader, name string) ([]logLine, error) {
-	in := stdin
-	if name != "-" {
-		f, err := os.Open(name)
-		if err != nil {
-			return nil, result.New(result.BadInput, result.RanNo, "%v", err).At(name)
-		}
-		defer f.Close()
-		in = f
-	}
-	var out []logLine
-	scan := bufio.NewScanner(in)
-	scan.Buffer(nil, maxLogLine)
-	for scan.Scan() {
-		_, object, found := strings.Cut(scan.Text(), "{")
-		var l logLine
-		if found && json.Unmarshal([]byte("{"+object), &l) == nil && l.Msg != "" {
-			out = append(out, l)
-		}
-	}
-	if err := scan.Err(); err != nil {
-		return nil, result.New(result.BadInput, result.RanNo, "%v", err).At(name)
-	}
-	return out, nil
-}
-
 // traceOf picks the lines about a job, and the turning points of the cell between
 // the first and the last of them, in the order of time.
 func traceOf(job string, lines []logLine) []logLine {
@@ -121,9 +62,6 @@
 	return out
 }
 
-// stepOfJob names the step within its job.
-func (l *logLine) stepOfJob() string { return strings.TrimPrefix(l.Step, l.Job+"/") }
-
 func printTrace(w io.Writer, trace []logLine) error {
 	first := trace[0].Time
 	for _, l := range trace {
@@ -143,6 +81,9 @@
 		if l.AgeMS != 0 {
 			parts = append(parts, fmt.Sprintf("age %d ms", l.AgeMS))
 		}
+		if l.cut {
+			parts = append(parts, "(cut)")
+		}
 		if _, err := fmt.Fprintf(w, "%9.3f s  %-22s %-24s %s\n", l.Time.Sub(first).Seconds(), l.Name, l.Msg, strings.Join(parts, "; ")); err != nil {
 			return err
 		}
