Log lines left out are told as a process ends

Callers: what was left out in the last second of a process was never counted in its log, as that is told with the first line of the next second. Change: Wait tells the rest after `stopped`. Test: TestLeftOutIsToldAtTheEnd (does not compile before). A process that is killed tells nothing still.

--- a/internal/daemon/budget.go
+++ b/internal/daemon/budget.go
@@ -124,6 +124,16 @@
 	b.leftOut[why][kind]++
 }
 
+// logRest logs what was left out and not told yet, as a process ends.
+func (b *budget) logRest(like *logrus.Entry) {
+	b.mu.Lock()
+	rest := b.tell(like)
+	b.mu.Unlock()
+	for _, e := range rest {
+		e.Warn(e.Message)
+	}
+}
+
 // tell makes the lines on what was left out, which name the process as the given one does.
 func (b *budget) tell(like *logrus.Entry) []*logrus.Entry {
 	var out []*logrus.Entry
--- a/internal/daemon/budget_test.go
+++ b/internal/daemon/budget_test.go
@@ -64,6 +64,23 @@
 	})
 }
 
+// TestLeftOutIsToldAtTheEnd: a process that stops within the second of a burst still tells.
+func TestLeftOutIsToldAtTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var out bytes.Buffer
+		d := logTo(t, &out)
+		for range infoPerSecond + 1 {
+			d.Log.Info("step started")
+		}
+		for range 2 {
+			d.budget.logRest(d.Log)
+			is.Equal(logged(&out, msgLeftOut), 1) // once
+		}
+		is.True(strings.Contains(out.String(), `"kinds":{"step started":1},"lines":1,`))
+	})
+}
+
 func TestEachWeightIsBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -220,6 +220,7 @@
 	err := d.drain(ctx, s)
 	d.closeServers()
 	d.Log.WithError(err).Info("stopped")
+	d.budget.logRest(d.Log)
 	if d.lines != nil {
 		d.lines.Flush()
 	}
