Calls to hosts tell how they were cut off: broken, turned away, or silent

A call without an answer was ErrLost, whether its connection had broken or nothing was heard at all, and one that was turned away ErrNotSent like one that never got through. For what may be said of a host, they differ: a process that ends breaks its connections and has calls turned away while its machine is there; a host that is cut off, or without power, does neither. ErrBroken and ErrRefused say so; they are kinds of the former two, so nobody who does not ask sees a change. They go over the link shards as numbers of their own; members that do not know these take them for lost, which claims less.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"pulleyquay/internal/spec"
@@ -162,6 +163,12 @@
 	ErrNotSent   = errors.New("host: not reached, nothing was sent")
 	ErrLost      = errors.New("host: sent, no answer")
 	ErrOtherLife = errors.New("host: another life of the host answered")
+	// ErrBroken is an ErrLost whose connection broke before the answer. The process at its
+	// other end was there until then; a host that is cut off or without power breaks none.
+	ErrBroken = fmt.Errorf("%w: the connection broke", ErrLost)
+	// ErrRefused is an ErrNotSent where the host's machine turned the call away, as its
+	// process is gone.
+	ErrRefused = fmt.Errorf("%w: turned away", ErrNotSent)
 )
 
 // Client makes calls to hosts. Each call is sent at most once.
--- a/internal/hostcall/repeat.go
+++ b/internal/hostcall/repeat.go
@@ -33,6 +33,7 @@
 	copies  int        // sent so far
 	open    int        // not answered yet
 	lost    bool       // a copy broke off and may have an effect
+	broke   bool       // the connection of such a copy broke
 	refused host.Reply // by which a copy came to nothing
 }
 
@@ -162,6 +163,7 @@
 		return o.open == 0 && !o.lost
 	case a.err != nil:
 		o.lost = true
+		o.broke = o.broke || errors.Is(a.err, host.ErrBroken)
 		return false
 	case a.reply.Refused == "", a.reply.Refused == host.RefusedFenced:
 		return true
@@ -196,11 +198,14 @@
 			o.open = 0
 		}
 	}
-	return host.Reply{}, fmt.Errorf("%w: no answer to %d copies", host.ErrLost, o.copies)
+	return host.Reply{}, o.failure(fmt.Errorf("%w: no answer to %d copies", host.ErrLost, o.copies))
 }
 
 // failure is the error of an order none of whose copies settled it.
 func (o *order) failure(last error) error {
+	if o.broke {
+		return fmt.Errorf("%w: %d copies", host.ErrBroken, o.copies)
+	}
 	if last != nil && !errors.Is(last, host.ErrNotSent) {
 		return last
 	}
--- a/internal/hostcall/repeat_test.go
+++ b/internal/hostcall/repeat_test.go
@@ -65,6 +65,9 @@
 		"no connection, then lost":    {copies: []copyOf{dials, dials, hangs}, want: host.ErrLost, sent: 3, within: orderPatience},
 		"no connection, then refused": {copies: []copyOf{dials, {after: 2 * ms, refused: host.RefusedFull}, dials}, refused: host.RefusedFull, sent: 3, within: orderPatience},
 		"the connection breaks":       {copies: []copyOf{{after: 10 * ms, err: host.ErrLost}}, want: host.ErrLost, sent: 1, within: 10 * ms},
+		"it breaks by itself":         {copies: []copyOf{{after: 10 * ms, err: host.ErrBroken}}, want: host.ErrBroken, sent: 1, within: 10 * ms},
+		"broken, then turned away":    {copies: []copyOf{{after: 80 * ms, err: host.ErrBroken}, {after: 40 * ms, err: host.ErrRefused}}, want: host.ErrBroken, sent: 2, within: 100 * ms},
+		"turned away":                 {copies: []copyOf{{after: ms, err: host.ErrRefused}}, want: host.ErrRefused, sent: 1, within: ms},
 		"both break, one unsent":      {copies: []copyOf{{after: 80 * ms, err: host.ErrLost}, {after: 40 * ms, err: host.ErrNotSent}}, want: host.ErrLost, sent: 2, within: 100 * ms},
 		"refused twice":               {copies: []copyOf{{after: 90 * ms, refused: host.RefusedFull}, {after: 2 * ms, refused: host.RefusedFull}}, refused: host.RefusedFull, sent: 2, within: 90 * ms},
 	}
--- a/internal/linkshard/giveup.go
+++ b/internal/linkshard/giveup.go
@@ -135,7 +135,7 @@
 		return
 	}
 	switch failureOf(o.Err) {
-	case notSent:
+	case notSent, turnedAway:
 		o.Err = fmt.Errorf("%w: through another link shard", host.ErrLost)
 	case answered:
 		if why := o.Reply.Refused; why != "" && why != host.RefusedFenced {
--- a/internal/linkshard/messages.go
+++ b/internal/linkshard/messages.go
@@ -135,6 +135,8 @@
 	notSent
 	otherLife
 	lost
+	broken // members that do not know these two take them for lost
+	turnedAway
 )
 
 // errReported is what a shard's failure stands for at the holder.
@@ -144,10 +146,14 @@
 	switch {
 	case err == nil:
 		return answered
+	case errors.Is(err, host.ErrRefused):
+		return turnedAway
 	case errors.Is(err, host.ErrNotSent):
 		return notSent
 	case errors.Is(err, host.ErrOtherLife):
 		return otherLife
+	case errors.Is(err, host.ErrBroken):
+		return broken
 	}
 	return lost
 }
@@ -160,6 +166,10 @@
 		return fmt.Errorf("%w: %w", host.ErrNotSent, errReported)
 	case otherLife:
 		return fmt.Errorf("%w: %w", host.ErrOtherLife, errReported)
+	case turnedAway:
+		return fmt.Errorf("%w: %w", host.ErrRefused, errReported)
+	case broken:
+		return fmt.Errorf("%w: %w", host.ErrBroken, errReported)
 	}
 	return fmt.Errorf("%w: %w", host.ErrLost, errReported)
 }
--- a/internal/linkshard/router_test.go
+++ b/internal/linkshard/router_test.go
@@ -396,6 +396,9 @@
 		"not sent":               {Outcome{Err: host.ErrNotSent}, false, notSent, ""},
 		"not sent, in doubt":     {Outcome{Err: host.ErrNotSent}, true, lost, ""},
 		"another life, in doubt": {Outcome{Err: host.ErrOtherLife}, true, otherLife, ""},
+		"broken, in doubt":       {Outcome{Err: host.ErrBroken}, true, broken, ""},
+		"turned away":            {Outcome{Err: host.ErrRefused}, false, turnedAway, ""},
+		"turned away, in doubt":  {Outcome{Err: host.ErrRefused}, true, lost, ""},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/linkshard/shards.go
+++ b/internal/linkshard/shards.go
@@ -159,7 +159,7 @@
 // reached: the path from this one may be cut. The lock is held.
 func (r *Router) noteReached(id host.ID, err error) {
 	switch failureOf(err) {
-	case notSent, lost:
+	case notSent, turnedAway, lost, broken:
 		r.passBy(id)
 	}
 }
