A job is given up only for hosts that are known to have crashed under its task

Callers saw jobs as failed that had no cause to be. Cause: a crash was held against a task for each run that was lost with its host, and the verdict was the sum. Half of what was added up had never been there (orders to hosts that were dark already), and much of the rest had ended before its host did, behind a cut. Class: a final verdict that is added up from what nobody saw.

Now a crash has a grade, and a verdict names it: - proven: the run was on the host as that ended. The host broke its connections, or turned calls away, while it was in touch, or it ended before the run can have. - seen, maybe not at its end: counts only by its chance, three of them at least. - not seen: keeps its task apart, and no amount of it makes a verdict. A host that may still answer in the same life is presumed to have crashed; that counts once another life has answered, or has its address. What was proven is stored at once, as the next holder needs it. Hosts of suspects are asked at once, and again and again, what they run, so that a second loss proves something. How often hosts go by themselves is taken from hosts that did not go under the task itself, is applied to earlier crashes anew, and is told to the next holder.

--- a/cmd/pulley-node/weights.go
+++ b/cmd/pulley-node/weights.go
@@ -15,6 +15,7 @@
 var weights = map[string]daemon.Weight{
 	msgEnded:                  daemon.Final,
 	"crash held against task": daemon.Final,
+	"crash taken back":        daemon.Final,
 	"task failed":             daemon.Notable,
 	"run lost":                daemon.Notable,
 	"start unanswered":        daemon.Notable,
--- a/internal/crashloop/crashloop.go
+++ b/internal/crashloop/crashloop.go
@@ -8,6 +8,12 @@
 // Crashes while hosts go all the time by themselves are noted, and count for little; hosts
 // that go with their whole rack accuse nobody.
 //
+// Giving a task up is final, so it rests on what is known. A crash is proven when the run
+// is known to have been on the host as that ended. One whose run was seen there, but may
+// have ended unheard before the host did, counts only for what it says by its chance. What
+// nobody saw there keeps its task apart and makes it wait, and no amount of it gives the
+// task up.
+//
 // Everything here is pure; the records are kept by whoever places tasks.
 package crashloop
 
@@ -21,28 +27,25 @@
 // Limits of crashes under one task. Each crash costs a host for seconds, with all its work;
 // the least is the users' bound, which lets a task be given up after the second.
 const (
-	// enoughWithRecent crashes are enough to give a task up when one of them came right
-	// after its start, with nothing of another job started on the host since.
+	// enoughWithRecent proven crashes are enough to give a task up when one of them came
+	// right after its start, with nothing of another job started on the host since.
 	enoughWithRecent = 2
-	// enough crashes are so in any case, unless they had another likely cause.
+	// enough proven crashes are so in any case, unless they had another likely cause.
 	enough = 3
 	// atRandom is how probable it may be, at the most, that all these hosts just went by
-	// themselves. While one of 16 hosts went every 0.7 s, one of 440 innocent jobs was
-	// given up in each of 30 runs without this bound.
+	// themselves.
 	atRandom = 1e-5
-	// enoughAtAll crashes are so whatever their causes: it bounds what a wrong guess at a
-	// cause can cost. The users' bound is five starts in all, three crashes and two more.
-	enoughAtAll = 5
-	// sureWorth is what a crash under a run counts that was seen on its host, unsureWorth
-	// what one under a run counts whose start was not answered, of enoughWorth for a task to
-	// be given up: the run may never have begun. Jobs were given up in 20 ms for two hosts
-	// that had ended before their tasks were sent there; yet a task may crash its host
-	// before that can answer. So two that were seen are enough, and three in any case: with
-	// four that were not, a fourth host was lost to a task in 8 of 180 runs in which a third
-	// of the answers got lost.
-	sureWorth   = 2
-	unsureWorth = 1
-	enoughWorth = 4
+	// enoughSeen crashes under runs that were seen on their hosts are so, where it is as
+	// improbable as atRandomSeen that all these hosts just went by themselves.
+	enoughSeen   = 3
+	atRandomSeen = 1e-7
+	// enoughAtAll crashes are so whatever other cause each of them may have, if enough of
+	// them are proven, or all of them were seen, and they are as improbable together as
+	// atRandomInAll or atRandomSeenInAll: it bounds what a wrong guess at a cause can cost.
+	// The users' bound is five starts in all, three crashes and two more.
+	enoughAtAll       = 5
+	atRandomInAll     = 1e-3
+	atRandomSeenInAll = 1e-6
 	// trialAfter crashes put a task on trial: nothing new is started beside it.
 	trialAfter = 2
 )
@@ -65,8 +68,20 @@
 	Chance float32 `cbor:"5,keyasint,omitempty"`
 	// Unsure is true when nobody has seen the run on the host: its start was not answered.
 	Unsure bool `cbor:"6,keyasint,omitempty"`
+	// Presumed is true while the host may still answer again in the same life.
+	Presumed bool `cbor:"7,keyasint,omitempty"`
+	// RanMillis is for how long the run had been there, in milliseconds; zero when unknown.
+	RanMillis int64 `cbor:"8,keyasint,omitempty"`
+	// Unheard is true when the run was seen on the host, and may have ended before that did.
+	Unheard bool `cbor:"9,keyasint,omitempty"`
 }
 
+// Proven reports whether the run was on the host as that ended, for certain.
+func (c Crash) Proven() bool { return c.Seen() && !c.Unheard }
+
+// Seen reports whether the run was seen on the host, and that has ended for certain.
+func (c Crash) Seen() bool { return !c.Unsure && !c.Presumed }
+
 // History is the crashes under one task, the oldest first.
 type History []Crash
 
@@ -75,11 +90,21 @@
 	return slices.ContainsFunc(h, func(c Crash) bool { return c.Run == run })
 }
 
+// names reports whether the history holds the crash of a host.
+func (h History) names(host string) bool {
+	return slices.ContainsFunc(h, func(c Crash) bool { return c.Host == host })
+}
+
 // Without returns the history less the crashes of a host, which turned out to live.
 func (h History) Without(host string) History {
 	return slices.DeleteFunc(slices.Clone(h), func(c Crash) bool { return c.Host == host })
 }
 
+// WithoutUnproven returns the history less those crashes of a host that are not proven.
+func (h History) WithoutUnproven(host string) History {
+	return slices.DeleteFunc(slices.Clone(h), func(c Crash) bool { return c.Host == host && !c.Proven() })
+}
+
 // Standing is what a task's history says of it.
 type Standing uint8
 
@@ -94,28 +119,48 @@
 	GivenUp
 )
 
+// Confirmed returns the history with the end of a host known for certain.
+func (h History) Confirmed(host string) History {
+	out := slices.Clone(h)
+	for i := range out {
+		if out[i].Host == host {
+			out[i].Presumed = false
+		}
+	}
+	return out
+}
+
+// AtRate returns the history judged anew at the rate, per second, at which hosts go by
+// themselves, where that is higher than before: of many hosts that go for one cause the
+// first is judged before the others are known.
+func (h History) AtRate(rate float64) History {
+	out := slices.Clone(h)
+	for i := range out {
+		c := &out[i]
+		chance := chanceOf(time.Duration(c.RanMillis)*time.Millisecond, c.RanMillis == 0, rate)
+		c.Chance = max(c.Chance, float32(chance))
+		c.Excused = c.Excused || chance >= likely
+	}
+	return out
+}
+
+// Presumes reports whether the history holds the end of a host that is not certain.
+func (h History) Presumes(host string) bool {
+	return slices.ContainsFunc(h, func(c Crash) bool { return c.Host == host && c.Presumed })
+}
+
 // Standing judges the history.
 func (h History) Standing() Standing {
-	counted, recent, worth, chance := 0, 0, 0, float32(1)
+	if h.guilty() {
+		return GivenUp
+	}
+	counted := 0
 	for _, c := range h {
-		worth += c.worth()
-		if c.Excused {
-			continue
-		}
-		counted++
-		chance *= c.Chance
-		if c.Recent {
-			recent++
+		if !c.Excused {
+			counted++
 		}
 	}
 	switch {
-	case worth < enoughWorth && counted < enough:
-	case len(h) >= enoughAtAll:
-		return GivenUp
-	case chance <= atRandom && (counted >= enough || counted >= enoughWithRecent && recent > 0):
-		return GivenUp
-	}
-	switch {
 	case counted >= trialAfter:
 		return OnTrial
 	case counted > 0:
@@ -124,31 +169,92 @@
 	return Unsuspected
 }
 
-func (c Crash) worth() int {
-	if c.Unsure {
-		return unsureWorth
+// guilty reports whether the crashes are enough to give the task up.
+func (h History) guilty() bool {
+	seen := tallyOf(h, Crash.Seen)
+	proven := tallyOf(h, Crash.Proven)
+	switch {
+	case proven.chance <= atRandom && (proven.counted >= enough || proven.counted >= enoughWithRecent && proven.recent > 0):
+		return true
+	case seen.chance <= atRandomSeen && seen.counted >= enoughSeen:
+		return true
 	}
-	return sureWorth
+	return len(h) >= enoughAtAll && (proven.all >= enough && proven.chanceInAll <= atRandomInAll ||
+		seen.all >= enoughAtAll && seen.chanceInAll <= atRandomSeenInAll)
 }
 
-// String tells the hosts and runs, for people.
-func (h History) String() string {
-	parts := make([]string, 0, len(h))
+// tally is what crashes of one kind say together. Those that are excused stand in all and
+// chanceInAll alone.
+type tally struct {
+	all, counted, recent int
+	chance, chanceInAll  float64
+}
+
+func tallyOf(h History, is func(Crash) bool) tally {
+	t := tally{chance: 1, chanceInAll: 1}
 	for _, c := range h {
-		part := fmt.Sprintf("%s under run %d", c.Host, c.Run)
-		switch {
-		case c.Excused:
-			part += " (excused)"
-		case c.Recent:
-			part += " (just started)"
-		case c.Unsure:
-			part += " (not seen there)"
+		if !is(c) {
+			continue
+		}
+		t.all++
+		t.chanceInAll *= min(float64(c.Chance), 1)
+		if c.Excused {
+			continue
 		}
-		parts = append(parts, part)
+		t.counted++
+		t.chance *= float64(c.Chance)
+		if c.Recent {
+			t.recent++
+		}
+	}
+	return t
+}
+
+// String tells the hosts and runs, and how each was seen, the last first, for people.
+func (h History) String() string {
+	parts := make([]string, 0, len(h))
+	for _, c := range slices.Backward(h) {
+		parts = append(parts, c.String())
 	}
 	return fmt.Sprintf("%d hosts crashed under it: %s", len(h), strings.Join(parts, ", "))
 }
 
+// The ways in which a run that was lost with its host was seen there.
+const (
+	HowUnsure  = "not seen there"
+	HowUnheard = "seen there, maybe not at its end"
+	HowProven  = "there at its end"
+)
+
+// How tells how the run was seen on the host.
+func (c Crash) How() string {
+	switch {
+	case c.Unsure:
+		return HowUnsure
+	case c.Unheard:
+		return HowUnheard
+	}
+	return HowProven
+}
+
+// String tells the host and run, and how that was seen, for people.
+func (c Crash) String() string {
+	notes := []string{c.How()}
+	if c.RanMillis > 0 && !c.Unsure {
+		notes = append(notes, fmt.Sprintf("after %d ms", c.RanMillis))
+	}
+	if c.Recent {
+		notes = append(notes, "just started")
+	}
+	if c.Excused {
+		notes = append(notes, "excused")
+	}
+	if c.Presumed {
+		notes = append(notes, "host may live")
+	}
+	return fmt.Sprintf("%s under run %d (%s)", c.Host, c.Run, strings.Join(notes, ", "))
+}
+
 // Evidence is what is known of a run that was lost with its host.
 type Evidence struct {
 	Run  int
@@ -157,10 +263,22 @@
 	// Unknown where this process did not start it.
 	Ran     time.Duration
 	Unknown bool
-	// Unsure is true when nobody has seen the run on the host.
-	Unsure bool
+	// Unsure is true when nobody has seen the run on the host; Unheard when it was seen
+	// there and may have ended before the host did.
+	Unsure, Unheard bool
+	// Presumed is true when the host may still answer again in the same life.
+	Presumed bool
 	// Newest is true when no run of another job was started on the host as late.
 	Newest bool
+	// Together is true when the host went with others, as for one cause.
+	Together bool
+}
+
+func (e Evidence) ranMillis() int64 {
+	if e.Unknown {
+		return 0
+	}
+	return max(e.Ran.Milliseconds(), 1)
 }
 
 // Times and shares for the judgement of one crash.
@@ -178,16 +296,20 @@
 )
 
 // Judge makes a crash of the evidence; rate is how often a host goes by itself, per second.
-// Hosts that went with their whole rack are no evidence at all; see Losses.
 func Judge(e Evidence, rate float64) Crash {
-	ran := max(e.Ran, leastRan)
-	if e.Unknown {
-		ran = justStarted
-	}
-	chance := rate * ran.Seconds()
+	chance := chanceOf(e.Ran, e.Unknown, rate)
 	return Crash{
-		Run: e.Run, Host: e.Host, Chance: float32(chance), Unsure: e.Unsure,
+		Run: e.Run, Host: e.Host, Chance: float32(chance), Unsure: e.Unsure, Unheard: e.Unheard, Presumed: e.Presumed, RanMillis: e.ranMillis(),
 		Recent:  e.Newest && !e.Unknown && !e.Unsure && e.Ran <= justStarted,
-		Excused: chance >= likely,
+		Excused: e.Together || chance >= likely,
+	}
+}
+
+// chanceOf is how probable it was for a host to go by itself in the time that a run was
+// there.
+func chanceOf(ran time.Duration, unknown bool, rate float64) float64 {
+	if unknown {
+		ran = justStarted
 	}
+	return rate * max(ran, leastRan).Seconds()
 }
--- a/internal/crashloop/losses.go
+++ b/internal/crashloop/losses.go
@@ -1,6 +1,7 @@
 package crashloop
 
 import (
+	"fmt"
 	"slices"
 	"time"
 )
@@ -44,6 +45,24 @@
 	return true
 }
 
+// Count is how many hosts have gone lately that no task is known to have caused.
+func (l *Losses) Count() int {
+	n := 0
+	for _, x := range l.lost {
+		if !x.explained {
+			n++
+		}
+	}
+	return n
+}
+
+// Inherit takes in how many hosts a former holder had seen go. When they went is not known.
+func (l *Losses) Inherit(n int, now time.Time) {
+	for i := range n {
+		l.lost = append(l.lost, loss{host: fmt.Sprintf("inherited-%d", i), at: now})
+	}
+}
+
 // With lists the hosts of a rack that went at about a moment.
 func (l *Losses) With(rack string, at time.Time) []string {
 	var out []string
@@ -63,7 +82,7 @@
 // Explain notes that tasks were found to have caused the losses in a history.
 func (l *Losses) Explain(h History) {
 	for i := range l.lost {
-		if slices.ContainsFunc(h, func(c Crash) bool { return c.Host == l.lost[i].host }) {
+		if h.names(l.lost[i].host) {
 			l.lost[i].explained = true
 		}
 	}
@@ -72,11 +91,11 @@
 // Rate is how often one of so many hosts goes by itself, per second: as of the whole time
 // that is remembered, or as of the last moments, when more went then. It counts those that
 // are silent now, and over the whole time one more than was seen: that none was says little
-// in a small cell.
-func (l *Losses) Rate(hosts, silent int, now time.Time) float64 {
+// in a small cell. Those that went under the task that is judged by it are left out.
+func (l *Losses) Rate(hosts, silent int, under History, now time.Time) float64 {
 	all, late := 1+silent, silent
 	for _, x := range l.lost {
-		if x.explained {
+		if x.explained || under.names(x.host) {
 			continue
 		}
 		all++
--- a/internal/engine/crash.go
+++ b/internal/engine/crash.go
@@ -14,9 +14,8 @@
 // is held against which task, and when a job is given up, package crashloop decides; here
 // the evidence is gathered and kept, and those under suspicion are kept apart.
 //
-// A crash is certain when another life answers at the host's address, and taken for one
-// when its lease is over and its entry has gone from the list. A host that was only cut off
-// and is heard again acquits the runs that it lost.
+// A crash is certain when another life answers at the host's address, and presumed when its
+// lease is over and its entry has gone from the list; see exile.go.
 
 // accusation is a crash that may be held against a task.
 type accusation struct {
@@ -32,18 +31,15 @@
 	}
 	var out []accusation
 	for _, r := range h.runs {
-		if r.group == nil || r.state == runOrdered {
+		if r.group == nil || r.state == runOrdered && !r.broke {
 			continue // it may have begun nothing: no answer has come yet
 		}
 		out = append(out, accusation{r.Run, crashloop.Evidence{
-			Run: r.No, Host: h.lifeName(), Ran: r.ranFor(now), Unknown: r.adopted, Unsure: !r.begun, Newest: r.newest(),
+			Run: r.No, Host: h.lifeName(), Ran: r.ranFor(now), Unknown: r.adopted, Unsure: !r.seenThere(), Unheard: !r.surelyThere(now), Newest: r.newest(),
 		}})
 	}
-	for _, r := range h.mayRun {
-		out = append(out, accusation{r.Run, crashloop.Evidence{Run: r.No, Host: h.lifeName(), Unknown: true, Unsure: r.unsure}})
-	}
-	for _, r := range h.tried {
-		out = append(out, accusation{r, crashloop.Evidence{Run: r.No, Host: h.lifeName(), Unknown: true}})
+	for _, r := range slices.Concat(h.mayRun, h.tried) {
+		out = append(out, accusation{r.Run, crashloop.Evidence{Run: r.No, Host: h.lifeName(), Unknown: true, Unsure: r.unsure, Unheard: true}})
 	}
 	return out
 }
@@ -51,15 +47,16 @@
 // leaves reports whether the host was to end, and its end so accuses nobody.
 func (h *hostState) leaves() bool { return h.info.Draining || h.drained || h.closed }
 
-// ranFor is for how long a run had been on its host when that fell silent. Where calls were
-// lost before, that is when it was first not reached, or now.
+// ranFor is for how long a run had been on its host when that was first missed since. Where
+// calls were lost before, that is now.
 func (r *run) ranFor(now time.Time) time.Duration {
-	for _, end := range []time.Time{r.on.endedBy, r.on.silent, r.on.refused} {
-		if end.After(r.sent) {
-			return end.Sub(r.sent)
+	missed := now
+	for _, at := range []time.Time{r.on.missedAt, r.on.broken, r.on.endedBy, r.on.silent, r.on.refused} {
+		if at.After(r.sent) && at.Before(missed) {
+			missed = at
 		}
 	}
-	return now.Sub(r.sent)
+	return missed.Sub(r.sent)
 }
 
 // newest reports whether no run of another job was started on the host as late, and none
@@ -86,7 +83,9 @@
 	if !h.claimed {
 		if h.inherited {
 			e.foundGone++
-			e.judge(list, e.losses.Rate(len(e.sorted), 0, now), now)
+			e.losses.Add(h.lifeName(), h.info.Rack, now)
+			e.judge(list, 0, now)
+			list = append(list, e.confirm(h.lifeName())...)
 			e.verdicts = append(e.verdicts, verdict{now.Add(verdictAfter), h.lifeName(), list})
 		}
 		return // a life that ended before it was ever spoken to
@@ -99,22 +98,27 @@
 		at = h.silent
 	}
 	together := e.wentTogether(h, at, now)
-	rate := e.losses.Rate(len(e.sorted), e.silentNow(h, now), now)
+	silent := e.silentNow(h, now)
 	e.losses.Add(h.lifeName(), h.info.Rack, at)
-	if !h.gone && len(list) > 0 {
-		e.exiles[h.lifeName()] = struct{}{}
+	if !h.gone && (len(list) > 0 || h.presumed) {
+		e.exile(h, now)
 	}
-	if together {
-		return
+	for i := range list {
+		list[i].evidence.Presumed, list[i].evidence.Together = !h.gone, together
+	}
+	e.judge(list, silent, now)
+	if h.gone {
+		delete(e.exiles, h.lifeName())
+		list = append(list, e.confirm(h.lifeName())...)
 	}
-	e.judge(list, rate, now)
 	e.convict(list, now)
 }
 
-// judge holds each accusation against its task as far as its evidence goes.
-func (e *Engine) judge(list []accusation, rate float64, now time.Time) {
+// judge holds each accusation against its task as far as its evidence goes, while so many
+// other hosts are silent.
+func (e *Engine) judge(list []accusation, silent int, now time.Time) {
 	for _, a := range list {
-		e.holdAgainst(a.run, crashloop.Judge(a.evidence, rate), now)
+		e.holdAgainst(a.run, a.evidence, silent, now)
 	}
 }
 
@@ -147,20 +151,26 @@
 
 // holdAgainst adds a crash to what a task has caused so far. The task starts again only when
 // the store has it: a next holder counts on.
-func (e *Engine) holdAgainst(r host.Run, c crashloop.Crash, now time.Time) {
+func (e *Engine) holdAgainst(r host.Run, evidence crashloop.Evidence, silent int, now time.Time) {
 	g := e.groupOf(r.Task)
 	if g == nil {
 		return
 	}
 	t := &g.tasks[r.Task.Index]
-	if t.state == taskDone || t.crashes.Has(c.Run) || c.Excused && g.step.LongRunning {
+	if t.state == taskDone || t.crashes.Has(r.No) {
+		return
+	}
+	under := append(slices.Clone(t.crashes), crashloop.Crash{Host: evidence.Host})
+	rate := e.losses.Rate(len(e.sorted), silent, under, now)
+	c := crashloop.Judge(evidence, rate)
+	if c.Excused && g.step.LongRunning {
 		return // hosts crash under a service that runs for months: it is not given up for that
 	}
-	t.crashes = append(t.crashes, c)
+	t.crashes = append(t.crashes.AtRate(rate), c)
 	g.judgeStanding()
 	g.job.crashesNew = true
 	e.touch(g.job)
-	e.log(Event{What: "crash held against task", Job: g.job.id(), Step: g.id.String(), Host: c.Host, Why: fmt.Sprintf("task %d: %s", r.Task.Index, t.crashes)})
+	e.log(Event{What: "crash held against task", Kind: c.How(), Job: g.job.id(), Step: g.id.String(), Host: c.Host, Why: fmt.Sprintf("task %d: %s", r.Task.Index, t.crashes)})
 }
 
 // judgeStanding works out the worst standing of the group's tasks.
@@ -173,36 +183,29 @@
 	}
 }
 
-// acquit drops what is held against tasks as a host was thought to have crashed that has
-// answered again in the same life.
-func (e *Engine) acquit(h *hostState) {
-	h.accused = nil
-	life := h.lifeName()
-	if _, exiled := e.exiles[life]; !exiled {
-		return
-	}
-	delete(e.exiles, life)
-	e.acquitOf(life)
-}
+// acquitting is what is left of a history when something is dropped that is held against its
+// task for a host's end.
+type acquitting func(h crashloop.History, life string) crashloop.History
 
 // acquitOf drops what is held against tasks for a host's end.
-func (e *Engine) acquitOf(life string) {
+func (e *Engine) acquitOf(life string, rest acquitting) {
 	for _, j := range e.live {
 		for _, g := range j.groups {
-			e.acquitGroup(g, life)
+			e.acquitGroup(g, life, rest)
 		}
 	}
 }
 
-func (e *Engine) acquitGroup(g *group, life string) {
+func (e *Engine) acquitGroup(g *group, life string, rest acquitting) {
 	if g.standing == crashloop.Unsuspected {
 		return
 	}
 	for i := range g.tasks {
 		t := &g.tasks[i]
-		if less := t.crashes.Without(life); len(less) < len(t.crashes) {
+		if less := rest(t.crashes, life); len(less) < len(t.crashes) {
 			t.crashes = less
 			e.touch(g.job)
+			e.log(Event{What: "crash taken back", Job: g.job.id(), Step: g.id.String(), Host: life, Why: fmt.Sprintf("task %d: %s", i, less)})
 		}
 	}
 	g.judgeStanding()
@@ -235,13 +238,18 @@
 	if t.cur == nil {
 		return nil
 	}
-	return &record.RunOn{Run: t.cur.No, Host: string(t.cur.on.info.ID)}
+	return &record.RunOn{Run: t.cur.No, Host: string(t.cur.on.info.ID), Seen: t.cur.seenThere()}
 }
 
 // inheritCrashes takes in the crashes under a task that a former holder has stored, and
 // where that one tried it last: the host may have crashed as the partition changed hands.
-func (e *Engine) inheritCrashes(g *group, i int, s record.StepProgress) {
+func (e *Engine) inheritCrashes(g *group, i int, s record.StepProgress, now time.Time) {
 	g.tasks[i].crashes = s.Crashed[i]
+	for _, c := range s.Crashed[i] {
+		if c.Presumed {
+			e.exiles[c.Host] = exile{at: now}
+		}
+	}
 	at, trying := s.Trying[i]
 	h := e.hosts[host.ID(at.Host)]
 	if !trying || h == nil {
@@ -249,6 +257,6 @@
 	}
 	r := host.Run{Task: g.task(i), No: at.Run}
 	if !h.claimed && !slices.ContainsFunc(h.mayRun, func(may mayRun) bool { return may.Run == r }) {
-		h.tried = append(h.tried, r)
+		h.tried = append(h.tried, mayRun{r, !at.Seen})
 	}
 }
--- a/internal/engine/event.go
+++ b/internal/engine/event.go
@@ -10,6 +10,8 @@
 	Job  string
 	Step string
 	Host string
+	// Kind tells events of one name apart, for the metrics: how a crash was seen.
+	Kind string
 	// Why gives the inputs that decided.
 	Why string
 	// Age is how old the inputs were.
--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -43,6 +43,7 @@
 	adopted  bool // it was begun by a former holder
 	suspect  bool // hosts have crashed under its task
 	begun    bool // the host has answered its start, or shown it
+	broke    bool // its start had surely arrived as the host's connections broke
 	// deadline is the start's deadline by the host's clock.
 	deadline host.Millis
 	// sent is when the start was ordered, known since when the host answered it.
@@ -86,11 +87,13 @@
 
 	strange []int64 // numbers of ends of unknown jobs, which the host has to keep
 
-	looking bool // a look is under way
-	probe   bool // another look is wanted beside it
-	lookAt  time.Time
-	heard   time.Time // last answer of any kind
-	viewed  time.Time // when the last look that was answered was sent
+	looking    bool      // a look is under way
+	probe      bool      // another look is wanted beside it
+	provedFrom time.Time // when a suspect was started there, while it is asked for that; see doubt.go
+	proofs     int       // how often it was asked so
+	lookAt     time.Time
+	heard      time.Time // last answer of any kind
+	viewed     time.Time // when the last look that was answered was sent
 	// rostered hosts stand as open in the stored roster; see roster.go.
 	rostered bool
 	// shut hosts are to be closed there, as they are silent.
@@ -99,9 +102,12 @@
 	// were closed, and mayRun is what may run there.
 	inherited, inheritedShut bool
 	mayRun                   []mayRun
-	tried                    []host.Run // suspects that the former holder started there last
-	silent                   time.Time  // since when calls have gone unanswered; zero while they are
-	refused                  time.Time  // since when, besides, it has not even been reached
+	tried                    []mayRun  // suspects that the former holder started there last
+	presumed                 bool      // its end is held against the runs that were there
+	missedAt                 time.Time // when the first question was sent there that was not answered since it was heard
+	silent                   time.Time // since when calls have gone unanswered; zero while they are
+	refused                  time.Time // since when, besides, it has not even been reached
+	broken                   time.Time // when a connection to it broke, unless this life has answered since
 
 	runs map[host.Run]*run
 	used spec.Resources
@@ -177,7 +183,7 @@
 
 // heardFrom notes that the host has answered.
 func (h *hostState) heardFrom(now time.Time) {
-	h.heard, h.silent, h.refused = now, time.Time{}, time.Time{}
+	h.heard, h.silent, h.refused, h.missedAt = now, time.Time{}, time.Time{}, time.Time{}
 }
 
 // knowsClock reports whether the host's clock was ever read. A reading may well be zero, as
@@ -200,6 +206,10 @@
 	if h.refused.IsZero() && errors.Is(err, host.ErrNotSent) {
 		h.refused = now
 	}
+	if (errors.Is(err, host.ErrBroken) || errors.Is(err, host.ErrRefused)) && h.broken.IsZero() {
+		h.broken = now
+		h.witness(now)
+	}
 }
 
 // add books a run.
@@ -288,6 +298,7 @@
 	if h == nil {
 		h = e.newHost(info)
 		h.lookAt = now
+		e.confirmBy(info, now)
 		e.log(Event{What: "host listed", Host: string(info.ID), Why: info.Zone + " " + strings.Join(info.Labels, " ")})
 	}
 	if info.Draining && !h.info.Draining {
--- a/internal/engine/life.go
+++ b/internal/engine/life.go
@@ -89,7 +89,8 @@
 	shown := shownIn(v)
 	var out []*run
 	for key, r := range h.runs {
-		if shown[key] || r.state == runOrdered || r.state == runDoubt || !r.known.Before(sent) {
+		mayReach := !r.broke && (r.state == runOrdered || r.state == runDoubt)
+		if shown[key] || mayReach || !r.known.Before(sent) {
 			out = append(out, r)
 		}
 	}
--- a/internal/engine/lost.go
+++ b/internal/engine/lost.go
@@ -97,9 +97,11 @@
 	e.expiredAt = now
 	e.losses.Forget(now)
 	e.giveVerdicts(now)
+	e.forgetExiles(now)
 	for _, h := range slices.Clone(e.sorted) {
 		e.ageRoom(h, now)
 		e.shutSilent(h, now)
+		e.presume(h, now)
 		e.dropUnheard(h, now)
 		if h.silent.IsZero() || !h.claimed || now.Before(e.leaseOver(h)) {
 			continue
--- a/internal/engine/orders.go
+++ b/internal/engine/orders.go
@@ -26,6 +26,9 @@
 	}
 	h.leased = max(h.leased, r.deadline)
 	r.suspect = len(t.crashes) > 0
+	if r.suspect {
+		h.prove(now)
+	}
 	h.add(r)
 	e.noteStart(g, h, now)
 	t.cur, t.run = r, no
--- a/internal/engine/roster.go
+++ b/internal/engine/roster.go
@@ -19,7 +19,7 @@
 
 // roster is what is to be stored.
 func (e *Engine) roster(now time.Time) record.Roster {
-	out := record.Roster{Shrunk: e.shrunk.share}
+	out := record.Roster{Shrunk: e.shrunk.share, Lost: e.losses.Count()}
 	for _, h := range e.sorted {
 		out.Hosts = append(out.Hosts, e.rosterHost(h, now))
 	}
@@ -32,7 +32,7 @@
 	case h.claimed && h.shut:
 		r.Closed = true
 		for key, there := range h.runs {
-			r.Tasks = append(r.Tasks, rosterTask(key, !there.begun))
+			r.Tasks = append(r.Tasks, rosterTask(key, !there.seenThere()))
 		}
 	case h.claimed || !h.inherited:
 		// open
@@ -55,7 +55,7 @@
 // mayRun is a run that may be on a host, as a former holder has told.
 type mayRun struct {
 	host.Run
-	unsure bool // its start was not answered there
+	unsure bool // nobody knows that it was there
 }
 
 // shutSilent closes hosts that have been silent for a while.
@@ -78,6 +78,7 @@
 // inherit takes in the roster of the former holder.
 func (e *Engine) inherit(roster record.Roster, now time.Time) {
 	e.shrunk = shrinking{roster.Shrunk, now}
+	e.losses.Inherit(roster.Lost, now)
 	for _, r := range roster.Hosts {
 		id := host.ID(r.ID)
 		h := e.hosts[id]
--- a/internal/engine/takeover.go
+++ b/internal/engine/takeover.go
@@ -68,7 +68,7 @@
 			continue
 		}
 		for i := range g.tasks {
-			e.inheritCrashes(g, i, s)
+			e.inheritCrashes(g, i, s, now)
 			if !g.step.Gang {
 				g.tasks[i].failed = s.Failed[i]
 			}
--- a/internal/engine/view.go
+++ b/internal/engine/view.go
@@ -13,6 +13,7 @@
 func (e *Engine) planLooks(now time.Time) {
 	e.lookDue = time.Time{}
 	for _, h := range e.sorted {
+		e.planProof(h, now)
 		if h.probe {
 			h.probe = false
 			e.out.Looks = append(e.out.Looks, LookOrder{To: h.info, Look: host.Look{Seen: h.seen, Life: h.life}, Probe: true})
@@ -21,9 +22,7 @@
 			continue
 		}
 		if now.Before(h.lookAt) {
-			if e.lookDue.IsZero() || h.lookAt.Before(e.lookDue) {
-				e.lookDue = h.lookAt
-			}
+			e.lookBy(h.lookAt)
 			continue
 		}
 		if !h.claimed {
@@ -36,6 +35,13 @@
 	}
 }
 
+// lookBy has looks planned again at a time, or before.
+func (e *Engine) lookBy(at time.Time) {
+	if e.lookDue.IsZero() || at.Before(e.lookDue) {
+		e.lookDue = at
+	}
+}
+
 // mostClaiming is how many hosts are claimed at the same time. Thousands at once
 // would keep a holder from answering heartbeats, and cost it the partition.
 const mostClaiming = 128
@@ -56,6 +62,9 @@
 			if h.mixed() {
 				l.Wait = sampleEvery
 			}
+			if h.suspects > 0 {
+				l.Wait = min(l.Wait, suspectWait)
+			}
 		}
 	}
 	h.looking = true
@@ -82,6 +91,9 @@
 		return
 	case err != nil:
 		h.unanswered(err, now)
+		if o.Probe && h.missedAt.IsZero() && sent.After(h.heard) {
+			h.missedAt = sent
+		}
 		if !o.Probe {
 			h.lookAt = now.Add(e.cfg.Tuning.LookRetry)
 		}
@@ -96,6 +108,7 @@
 		return
 	}
 	h.heardFrom(now)
+	h.mended()
 	e.hear(h, v.Clock, now)
 	e.reopen(h)
 	e.acquit(h)
@@ -244,6 +257,10 @@
 
 // runs notes that a run is on its host.
 func (e *Engine) runs(r *run, now time.Time) {
+	if r.suspect && !r.begun {
+		e.retried = true // a next holder is told that it was there
+		e.touch(r.group.job)
+	}
 	r.state, r.known, r.progressAt, r.begun = runRunning, now, now, true
 	if r.fills() {
 		e.repace(r.on)
--- a/internal/holder/metrics.go
+++ b/internal/holder/metrics.go
@@ -5,7 +5,6 @@
 	"strings"
 	"sync"
 	"time"
-	"unicode"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -88,7 +87,7 @@
 			m.failed.WithLabelValues(codeIn(reason)).Inc()
 		}
 	case eventCrash:
-		m.crashes.WithLabelValues(howSeen(e.Why)).Inc()
+		m.crashes.WithLabelValues(e.Kind).Inc()
 	}
 }
 
@@ -108,20 +107,6 @@
 	return word
 }
 
-// howSeen is what a history of crashes says of the last one in brackets; "plain" where it
-// says nothing. Brackets with figures are "other", so that the label has few values.
-func howSeen(history string) string {
-	_, last, ok := strings.Cut(history[strings.LastIndex(history, ", ")+1:], " (")
-	how, closed := strings.CutSuffix(last, ")")
-	switch {
-	case !ok || !closed:
-		return "plain"
-	case strings.ContainsFunc(how, func(c rune) bool { return c != ' ' && c != '-' && !unicode.IsLetter(c) }):
-		return "other"
-	}
-	return how
-}
-
 func (m *Metrics) decided(took time.Duration) {
 	m.decisions.Observe(took.Seconds())
 	m.mu.Lock()
--- a/internal/hostsim/crash.go
+++ b/internal/hostsim/crash.go
@@ -148,11 +148,22 @@
 	}
 	h.fleet.after(after, func() {
 		if h.up && h.runs[r.Run] == r {
-			h.restart(r)
+			h.crashBy(r)
 		}
 	})
 }
 
+// crashBy crashes the host by a run's doing.
+func (h *Host) crashBy(r *run) {
+	if !h.fleet.DarkCrashes {
+		h.restart(r)
+		return
+	}
+	h.resets = nil
+	h.restart(r)
+	h.refusing = false
+}
+
 // crashed notes that a host has crashed, by a run's doing or by itself.
 func (j *Judge) crashed(by *run) {
 	j.lost++
--- a/internal/hostsim/fleet.go
+++ b/internal/hostsim/fleet.go
@@ -55,6 +55,8 @@
 	// Crashes is after how long a task crashes the host that has started it; zero stands
 	// for never. Set it before use.
 	Crashes func(spec.StepTask) time.Duration
+	// DarkCrashes has the machines of hosts go down that tasks crash: nothing is reset.
+	DarkCrashes bool
 
 	// KeepsID has hosts that crashed start again under the id that they had, after BackAfter;
 	// zero stands for some seconds. Set both before use.
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -78,6 +78,8 @@
 type RunOn struct {
 	Run  int    `cbor:"1,keyasint"`
 	Host string `cbor:"2,keyasint"`
+	// Seen is true once the run is known to be there.
+	Seen bool `cbor:"3,keyasint,omitempty"`
 }
 
 // JobPrefix returns the prefix of the records of a partition's jobs.
@@ -168,6 +170,8 @@
 	// Shrunk is the smallest share of its room that a host has lately shrunk to; zero where
 	// none has shrunk.
 	Shrunk float64 `cbor:"2,keyasint,omitempty"`
+	// Lost is how many hosts have lately gone by themselves.
+	Lost int `cbor:"3,keyasint,omitempty"`
 }
 
 // RosterHost is one host of a roster.
