--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -81,18 +81,21 @@
 		return nil
 	})
 	begun := time.Now()
-	ctx, cancel := context.WithDeadline(t.Context(), begun.Add(*lasts))
+	deadline := begun.Add(*lasts)
+	ctx, cancel := context.WithDeadline(t.Context(), deadline)
 	defer cancel()
-	storms := make([]*storm, *series)
+	var storms []*storm
 	var blowing sync.WaitGroup
-	for i := range storms {
-		storms[i] = &storm{c: c, l: l}
-		blowing.Go(func() { storms[i].blow(begun, begun.Add(*lasts)) })
+	strike := func(blow func(s *storm, begun, deadline time.Time)) {
+		s := &storm{c: c, l: l}
+		storms = append(storms, s)
+		blowing.Go(func() { blow(s, begun, deadline) })
+	}
+	for range *series {
+		strike((*storm).blow)
 	}
 	if world.waves {
-		last := &storm{c: c, l: l}
-		storms = append(storms, last)
-		blowing.Go(func() { last.waves(begun, begun.Add(*lasts)) })
+		strike((*storm).waves)
 	}
 	l.run(ctx, *perSecond)
 	blowing.Wait()
