--- a/test/soak/conditions_test.go
+++ b/test/soak/conditions_test.go
@@ -9,16 +9,16 @@
 
 // conditions are what a seed's cell lives under all the time; faults come on top.
 type conditions struct {
-	seed    uint64
-	name    string // of what happens to calls to hosts
-	calls   fake.CallFaults
-	keepsID bool // hosts that crash start again under their ids
-	waves   bool // several hosts at once go every few seconds
+	seed     uint64
+	name     string // of what happens to calls to hosts
+	calls    fake.CallFaults
+	keepsID  bool // hosts that crash start again under their ids
+	together bool // several hosts at once go every few seconds
 }
 
 // String tells them, for the report.
 func (c conditions) String() string {
-	return fmt.Sprintf("calls to hosts: %s; hosts keep their ids: %t; several hosts go at once: %t", c.name, c.keepsID, c.waves)
+	return fmt.Sprintf("calls to hosts: %s; hosts keep their ids: %t; several hosts go at once: %t", c.name, c.keepsID, c.together)
 }
 
 // How late calls to hosts are carried out: up to twice as late as leases last.
@@ -44,5 +44,5 @@
 // conditionsOf gives the conditions of a seed; those that follow have others each.
 func conditionsOf(seed uint64) conditions {
 	kind := callKinds[seed%uint64(len(callKinds))]
-	return conditions{seed: seed, name: kind.name, calls: kind.calls, keepsID: seed%2 == 1, waves: seed%3 != 0}
+	return conditions{seed: seed, name: kind.name, calls: kind.calls, keepsID: seed%2 == 1, together: seed%3 != 0}
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -94,8 +94,8 @@
 	for range *series {
 		strike((*storm).blow)
 	}
-	if world.waves {
-		strike((*storm).waves)
+	if world.together {
+		strike((*storm).goTogether)
 	}
 	l.run(ctx, *perSecond)
 	blowing.Wait()
--- a/test/soak/waves_test.go
+++ b/test/soak/together_test.go
@@ -8,9 +8,9 @@
 	"pulleyquay/platform/fake"
 )
 
-// waves has a fifth to a third of the hosts go at once every two to four seconds, until
+// goTogether has a fifth to a third of the hosts go at once every two to four seconds, until
 // the deadline.
-func (s *storm) waves(begun, deadline time.Time) {
+func (s *storm) goTogether(begun, deadline time.Time) {
 	var under sync.WaitGroup
 	for time.Now().Before(deadline) {
 		all := s.c.platform.Hosts()
