--- a/internal/hostsim/crash.go
+++ b/internal/hostsim/crash.go
@@ -172,10 +172,6 @@
 	}
 }
 
-// GaveUp judges a job that is shown as failed, where the reason that its record gives is not
-// known.
-func (j *Judge) GaveUp(id string) { j.GaveUpFor(id, "") }
-
 // GaveUpFor judges a job that is shown as failed: a task of it, or a gang, was listed as
 // failed as often as it may, or enough hosts have crashed under one task while a run of it
 // was there and had not ended. why is the reason that the job's record gives; where it is
--- a/internal/platform/memstore/engine.go
+++ b/internal/platform/memstore/engine.go
@@ -256,6 +256,14 @@
 	}
 }
 
+// Get returns the value of a key past all faults; nil where there is none.
+func (e *Engine) Get(key string) []byte {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r, _ := e.get(key)
+	return r.Value
+}
+
 // Put writes past all faults, as the platform itself does.
 func (e *Engine) Put(writes ...platform.Write) {
 	e.mu.Lock()
--- a/test/soak/load_test.go
+++ b/test/soak/load_test.go
@@ -223,7 +223,7 @@
 	case answer.State == record.StateCompleted && !judge.JobDone(w.id):
 		judge.Breach("MIXED job %s is shown as completed and is not", w.id)
 	case answer.State == record.StateFailed && w.state != record.StateFailed:
-		judge.GaveUp(w.id)
+		judge.GaveUpFor(w.id, l.whyOf(w.id))
 	case answer.State == record.StateCancelled && !w.cancel:
 		judge.Breach("LOST job %s is shown as cancelled, which nobody asked for", w.id)
 	}
@@ -231,6 +231,20 @@
 	return w.state.Final()
 }
 
+// whyOf is the reason for a job's end that the store holds; empty where it holds none.
+func (l *load) whyOf(id string) string {
+	value := l.c.platform.Store.Get(record.JobKey(0, id))
+	if value == nil {
+		return ""
+	}
+	rec, err := record.DecodeJob(value)
+	if err != nil {
+		l.c.platform.Fleet.Judge().Breach("the record of job %s can not be read: %v", id, err)
+		return ""
+	}
+	return rec.Why
+}
+
 // finish waits until every accepted job is final, and tells of those that are not.
 func (l *load) finish(limit time.Duration) {
 	deadline := time.Now().Add(limit)
