A home without its right gives no order: the test waits for the calls under way

TestRightLapsed failed 15 of 300 runs alone, with GOMAXPROCS=2: four tasks started although the right had lapsed.

Cause: the test, not the home. It healed the cut link at the very instant of the lapse.

No check right before an order can call back one that is under way.

Change: the link is healed when no call is under way. So that no strictness is lost, a second row has the right lapse between a decision and its order, where only the check before the order can refuse; so far this moment was met by chance. The job has 40 tasks, so that orders go to a holder whose own right has not lapsed.

--- a/internal/job/cell_test.go
+++ b/internal/job/cell_test.go
@@ -92,6 +92,7 @@
 	hosts  []platform.Host
 	table  view.Table
 	values map[string]settings.Values
+	looked func() // called once, at the next look at a branch
 	muxes  peer.Local
 	placer map[string]*placer
 	faults []*peerFault
@@ -161,10 +162,22 @@
 func (c *cell) branch(name string) (settings.Values, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.looked != nil {
+		c.looked()
+		c.looked = nil
+	}
 	v, ok := c.values[name]
 	return v, ok
 }
 
+// atLook calls f at the next look at a branch, which a home takes between its
+// check of the right and the orders that follow from it.
+func (c *cell) atLook(f func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.looked = f
+}
+
 func (c *cell) setBranch(name string, edit func(*settings.Values)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/job/quota_test.go
+++ b/internal/job/quota_test.go
@@ -113,24 +113,44 @@
 }
 
 // TestRightLapsed lets a home lose its right while nobody takes over: it decides
-// nothing and accepts nothing until it has the right again.
+// nothing and accepts nothing until it has the right again. The link is healed
+// when no call is under way, as a call that passed its check may still go out.
 func TestRightLapsed(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c, a, _ := twoPlacers(t, 2)
-		c.fail(&peerFault{kind: peer.KindPlace, times: -1})
-		job := batch(0, 4, time.Second)
-		_, err := a.submit(job)
-		c.is.NoErr(err)
-		a.right.lapse()
-		c.heal()
-		time.Sleep(time.Minute)
-		c.is.Equal(c.judge.Starts(), 0)
-		_, err = a.submit(batch(0, 4, time.Second))
-		c.is.Equal(result.CodeOf(err), result.RightLapsed)
-		c.is.Equal(result.From(err).Ran, result.RanNo)
-		a.right.restore()
-		a.await(job.ID, jobmsg.StateFinished, 20*time.Second)
-	})
+	cases := []struct {
+		name  string
+		lapse func(*cell, *placer)
+	}{
+		{"between two decisions", func(_ *cell, a *placer) { a.right.lapse() }},
+		{"between a decision and its order", func(c *cell, a *placer) {
+			c.setBranch(testBranch, func(v *settings.Values) { v.Quota.MilliCPU = 0 })
+			time.Sleep(2 * refusedLongest) // no holder is backed off from any more
+			synctest.Wait()
+			c.heal()
+			c.atLook(a.right.lapse)
+			c.setBranch(testBranch, func(*settings.Values) {})
+		}},
+	}
+	for _, tt := range cases {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, a, _ := twoPlacers(t, 2)
+				c.fail(&peerFault{kind: peer.KindPlace, times: -1})
+				job := batch(0, 40, time.Second) // too many for the workers of one holder
+				_, err := a.submit(job)
+				c.is.NoErr(err)
+				tt.lapse(c, a)
+				synctest.Wait()
+				c.heal()
+				time.Sleep(time.Minute)
+				c.is.Equal(c.judge.Starts(), 0)
+				_, err = a.submit(batch(0, 4, time.Second))
+				c.is.Equal(result.CodeOf(err), result.RightLapsed)
+				c.is.Equal(result.From(err).Ran, result.RanNo)
+				a.right.restore()
+				a.await(job.ID, jobmsg.StateFinished, 20*time.Second)
+			})
+		})
+	}
 }
 
 // TestFailingWork checks attempts, blame and deadlines.
