Engine: the speed of hosts without figures in comments

The comments keep the failure that they prevent or the gain that they bring; quoted log lines stay.

Comments only: each file's tokens, comments left out, are the same before and after.

--- a/internal/engine/speed.go
+++ b/internal/engine/speed.go
@@ -13,14 +13,14 @@
 // what its tasks take beside the other tasks of their steps.
 
 const (
-	// speedMemory is over about how many runs a host's speed is taken: the tasks of one
-	// step differ by a sixth among themselves.
+	// speedMemory is over about how many runs a host's speed is taken, as the tasks of one
+	// step differ among themselves.
 	speedMemory = 12
 	// leastSiblings is how many tasks of a step have to be done before one is compared
 	// with them.
 	leastSiblings = 2
 	// tightStretch is up to which factor between promised time and work a queue counts as
-	// tight: a third more on a slow host takes most of what such work may wait.
+	// tight: a slow host takes most of what such work may wait.
 	tightStretch = 2.5
 )
 
@@ -63,8 +63,7 @@
 	p.factor += (factor - p.factor) / float64(min(p.runs+1, speedMemory))
 }
 
-// slowHost is from which factor on a host counts as slow: above the error of its speed,
-// and well below the third that slow hosts take more.
+// slowHost is from which factor on a host counts as slow: above the error of its speed.
 const slowHost = 1.08
 
 // slow reports whether tasks take clearly longer on the host than in the mean.
