Crashloop, job: comments give purposes

The comments keep the failure that they prevent or the gain that they bring; quoted log lines stay.

Comments only: each file's tokens, comments left out, are the same before and after.

--- a/internal/crashloop/crashloop.go
+++ b/internal/crashloop/crashloop.go
@@ -1,7 +1,7 @@
 // Package crashloop decides when a task is no longer started, as the hosts that start it
 // crash: which crashes are held against a task, and how many are enough.
 //
-// A crash ends everything on its host, and of ten tasks there nine did not cause it. So a
+// A crash ends everything on its host, and most of the tasks there did not cause it. So a
 // single crash says little: the task is started again, away from others that were there.
 // The second one tells more, if the task had just been started and nothing else had been
 // since; else the task is tried once more, on a host where nothing new comes beside it.
@@ -284,8 +284,7 @@
 // Times and shares for the judgement of one crash.
 const (
 	// justStarted is how soon after its start a crash comes that speaks against a task by
-	// itself. What was seen is some ten milliseconds; a look tells of the end of a host a
-	// second later at the most where its connections are reset.
+	// itself: such tasks crash their hosts at once, but a look may tell of a host's end late.
 	justStarted = time.Second
 	// likely is how probable it is for the host to have gone by itself in the time that
 	// the run was there, for a crash to be excused.
--- a/internal/crashloop/losses.go
+++ b/internal/crashloop/losses.go
@@ -8,18 +8,18 @@
 
 // Times and shares of hosts that go.
 const (
-	// remembered is for how long a host's end tells how often hosts go by themselves. While
-	// one of 16 hosts went every 0.7 s, two of 440 innocent jobs were given up with a minute,
-	// as the rate was found three times too low for its first part.
+	// remembered is for how long a host's end tells how often hosts go by themselves. Over a
+	// longer time the rate is found too low when hosts begin to go, and innocent jobs are
+	// given up.
 	remembered = 20 * time.Second
 	// moments is how far back the last moments go: about as long as a host is away.
 	moments = 4 * time.Second
 	// together is within which time hosts go that have one cause. The end of a host
-	// without power is noticed by the look that waits there, up to 2.5 s late.
+	// without power is noticed by the look that waits there, so it is noticed late.
 	togetherFor = 3 * time.Second
 	// leastTogether hosts, and their whole rack, have gone together when they share a
-	// cause, such as power or a switch. With half of a rack, tasks that crashed their hosts
-	// at the same moment excused each other.
+	// cause, such as power or a switch. If a part of a rack were enough, tasks that crash
+	// their hosts at the same moment would excuse each other.
 	leastTogether = 3
 )
 
--- a/internal/job/crash.go
+++ b/internal/job/crash.go
@@ -15,9 +15,8 @@
 // that nobody saw (a worker that only fell silent, a start without an answer) make the next
 // start wait, ever longer; so does any loss of a service, which is tried for ever.
 
-// usualLossRate is how often a worker goes by itself, per second: the users lose 280 hosts
-// of 18,000 on an ordinary day. A home knows only the workers that run something of its own,
-// too few to learn it.
+// usualLossRate is how often a worker goes by itself, per second, on an ordinary day. A home
+// knows only the workers that run something of its own, too few to learn it.
 const usualLossRate = 280.0 / 18000 / (24 * 60 * 60)
 
 // mostCrashes bounds what is kept of one task's losses, so that a job's record does not
--- a/internal/job/load.go
+++ b/internal/job/load.go
@@ -86,8 +86,7 @@
 }
 
 // told is the outcome of a first write that an earlier home made: a caller who sends the job
-// again is answered at once. Without it each such try lasted until the caller's deadline, for
-// as long as the job lived.
+// again is answered at once, where it would else wait until its deadline each time.
 var told = func() chan struct{} {
 	done := make(chan struct{})
 	close(done)
--- a/internal/job/resubmit_test.go
+++ b/internal/job/resubmit_test.go
@@ -12,7 +12,7 @@
 // its record, and the answer said that this was not known. The caller sent it again, as told,
 // to the next home, which had read the record and waited for the outcome of a first write
 // that only the former home makes: each try ran into the caller's deadline, for as long as
-// the job lived. Seen on real processes as
+// the job lived:
 //
 //	after 0s, in 81ms: 503 job-record-unknown
 //	after 164ms, in 8.001s: 502 peer-lost "gave up waiting for the peer: context deadline exceeded"
