Calls to hosts and to the policy service: comments give purposes

The comments keep the failure that they prevent or the gain that they bring; quoted log lines stay.

Comments only: each file's tokens, comments left out, are the same before and after.

--- a/internal/advice/lanes_test.go
+++ b/internal/advice/lanes_test.go
@@ -62,8 +62,7 @@
 }
 
 // TestFailedLaneIsLeftAlone: a member that was gone for good stayed among those
-// asked, and every question about a large gang was lost there (seen on the users'
-// platform).
+// asked, and every question about a large gang was lost there.
 func TestFailedLaneIsLeftAlone(t *testing.T) {
 	is := is.New(t)
 	l := seven()
@@ -85,8 +84,7 @@
 }
 
 // TestFailuresOfOneEventCountOnce: when connections fell silent, eight questions of a
-// lane failed at the same moment, and the lane was left alone for ten seconds
-// (roc-comptage, reset_conns silent: 0.615 a day).
+// lane failed at the same moment, and the lane was left alone for ten seconds.
 func TestFailuresOfOneEventCountOnce(t *testing.T) {
 	is := is.New(t)
 	l := NewLanes()
--- a/internal/hostcall/look.go
+++ b/internal/hostcall/look.go
@@ -27,9 +27,9 @@
 )
 
 // mostRepeating is for how many hosts of one process orders are repeated and looks made
-// more often when answers get lost. A process that calls 350 hosts has no processor time
-// to spare for that: after a burst answers came late, were taken for lost, and a day that
-// serves 0.77 without served 0.04 to 0.74 in five plays.
+// more often when answers get lost. A process that calls more has no processor time to
+// spare for that: answers that come late after a burst would be taken for lost, and the
+// repeated calls would keep them late.
 const mostRepeating = 128
 
 // repeats reports whether this process has processor time for more calls than needed
--- a/internal/hostcall/look_test.go
+++ b/internal/hostcall/look_test.go
@@ -38,8 +38,7 @@
 }
 
 // TestLooksAreAskedAgain: looks wait for seconds for an answer. When connections fell
-// silent, or answers of hosts got lost, ends were heard of up to two and a half seconds
-// late (applied_late on lsbma-quay: worth 0.858 a day, 0.928 after).
+// silent, or answers of hosts got lost, ends were heard of seconds late.
 func TestLooksAreAskedAgain(t *testing.T) {
 	tests := map[string]struct {
 		event  func(c *Caller)
--- a/internal/hostcall/repeat.go
+++ b/internal/hostcall/repeat.go
@@ -10,9 +10,9 @@
 )
 
 // A start or stop that is not answered in the usual time is sent again as it is: by
-// its run's number a host carries it out once, whichever copy arrives first. On the
-// users' platform orders get lost, or are carried out seconds late, and a gang of
-// which one start is in doubt has to begin anew.
+// its run's number a host carries it out once, whichever copy arrives first. Orders get
+// lost, or are carried out seconds late, and a gang of which one start is in doubt has to
+// begin anew.
 
 // mostOrderCopies bounds the copies of one order; the pauses between them double.
 const mostOrderCopies = 3
--- a/internal/hostcall/repeat_test.go
+++ b/internal/hostcall/repeat_test.go
@@ -109,9 +109,8 @@
 	}
 }
 
-// TestCopiesDoNotKeepAHolderBusy: a burst left the holder of 350 hosts without processor
-// time; answers came late, each order was sent three times, and that kept it busy for the
-// rest of the day (served 0.146 of a day that serves 0.65 without copies).
+// TestCopiesDoNotKeepAHolderBusy: a burst left a holder of many hosts without processor
+// time; answers came late, each order was sent three times, and that kept it busy.
 func TestCopiesDoNotKeepAHolderBusy(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/httponce/httponce_test.go
+++ b/internal/httponce/httponce_test.go
@@ -286,9 +286,8 @@
 	is.True(time.Since(begun) < time.Second)
 }
 
-// TestIdleConnectionsAreBounded: the holder of 3,000 hosts kept so many connections
-// idle that none could be opened any more (sweep at 300 members of roc-comptage-grown:
-// 8,055 connections, served 0.096).
+// TestIdleConnectionsAreBounded: a holder of thousands of hosts kept so many connections
+// idle that none could be opened any more.
 func TestIdleConnectionsAreBounded(t *testing.T) {
 	is := is.New(t)
 	var open atomic.Int64
--- a/internal/linkshard/assign.go
+++ b/internal/linkshard/assign.go
@@ -22,9 +22,7 @@
 	LinkMbps float64
 }
 
-// What a host in use costs whoever calls it, at 1.6 starts a second: two requests a
-// start, each some 0.15 ms of processor time and 1.4 KB, by the tables of calm days on
-// cells of 120 to 1,100 hosts.
+// What a host in use costs whoever calls it, at its usual starts: two requests for each.
 const (
 	hostCores = 0.0005
 	hostMbps  = 0.036
@@ -42,8 +40,7 @@
 // Limits of who calls which hosts.
 const (
 	// ownShare is the part of what a member has that calls to hosts may take: the rest
-	// is for its callers, for a holder's decisions, and for bursts of two and a half
-	// times the usual work.
+	// is for its callers, for a holder's decisions, and for bursts.
 	ownShare = 0.2
 	// strongShare is how much a member has to carry, of what the strongest carries, to
 	// be a shard: batches to many weak ones would cost the holder more than they save.
--- a/internal/linkshard/linkshard.go
+++ b/internal/linkshard/linkshard.go
@@ -2,10 +2,9 @@
 // members, as Borg's link shards do: the holder decides, and members near the hosts
 // carry its starts, stops and looks, and report the outcomes together.
 //
-// One start and the look that hears of its end take some 0.4 ms of processor time and
-// 2.8 KB on a link when every call is a request of HTTP. A holder of 1,100 hosts that
-// makes 1,740 of them a second asks for 0.73 cores, and a burst of urgent work ends its
-// cell for the rest of the day; in batches over one connection a member it is a quarter.
+// When every call is a request of HTTP, starts and the looks that hear of their ends take
+// most of the processor time of a holder of many hosts, and a burst of urgent work leaves
+// it behind. Batches over one connection a member take a fraction of that.
 //
 // A shard keeps nothing and decides nothing. Hosts check the epoch of a call, not who
 // sends it, and carry a run out once, so a call may be given to another shard at any
--- a/internal/linkshard/router.go
+++ b/internal/linkshard/router.go
@@ -18,10 +18,9 @@
 	// membersEvery is how often it is worked out who is a shard.
 	membersEvery = 200 * time.Millisecond
 	// batchesPerSecond bounds the batches to all shards together, and the reports from
-	// them: each costs the holder some 50 us, whatever it holds.
+	// them: each costs the holder time, whatever it holds.
 	batchesPerSecond = 500
-	// mostCalls bounds the calls in one batch, some 100 bytes each and up to 4 KB for
-	// a job's command.
+	// mostCalls bounds the calls in one batch, and with them its size.
 	mostCalls = 512
 	// batchPatience bounds the wait until a shard has a batch: it answers at once.
 	batchPatience = 400 * time.Millisecond
@@ -30,7 +29,7 @@
 	firstRest = 500 * time.Millisecond
 	doublings = 3
 	// orderPatience is how long after its sending a start, stop or pace is given up: a
-	// shard waits 300 ms for the host, and batches and reports wait for each other.
+	// shard waits for the host, and batches and reports wait for each other.
 	orderPatience = 700 * time.Millisecond
 	// lookSlack is how much longer than it may be held back, twice, an answer to a look
 	// is waited for: a shard asks again when its connections have fallen silent.
--- a/internal/linkshard/router_test.go
+++ b/internal/linkshard/router_test.go
@@ -288,8 +288,8 @@
 
 // TestLooksOutliveTheirShard: a shard that ended while every look that it had was held back
 // at its host went unnoticed, as nothing more was to be sent to it. Its hosts counted as
-// silent after 4.9 s ("nothing heard of it") of the 6 s that a lease may last, though each
-// would have answered; with the time that a busy holder waits besides, leases ended.
+// silent ("nothing heard of it") shortly before their leases were over, though each would
+// have answered; with the time that a busy holder waits besides, leases ended.
 func TestLooksOutliveTheirShard(t *testing.T) {
 	const looks = 40
 	for name, fault := range map[string]fault{"gone": gone, "silent": silent, "well": well} {
@@ -317,7 +317,7 @@
 
 // TestABusyHoldersBatchThatWasNotSent: a busy holder, whose calls to shards are late as it
 // is busy, waited for the outcomes of a batch that had never left it. Starts that nobody had
-// sent were called lost after 3.2 s ("nothing heard of it"), and their runs were in doubt.
+// sent were called lost ("nothing heard of it"), and their runs were in doubt.
 func TestABusyHoldersBatchThatWasNotSent(t *testing.T) {
 	const calls = 40
 	tests := map[string]struct {
--- a/internal/linkshard/server.go
+++ b/internal/linkshard/server.go
@@ -23,7 +23,7 @@
 	// reportFor is for how long a report is sent again: the holder has given its calls
 	// up by then.
 	reportFor = 4 * time.Second
-	// mostReported bounds the outcomes in one report, some 300 bytes each.
+	// mostReported bounds the outcomes in one report, and with them its size.
 	mostReported = 512
 )
 
