Nothing is started on a host that the store still holds as closed

A host that was silent under a former holder stands in the roster as closed, with what may run there. The next holder's first batch stored it so again, and then took it for open, as it counted every host of the batch that it had not closed itself. The host came back before it was long enough silent to be closed anew, was started on six milliseconds after it had shown what it ran, and stayed closed in the store. The holder after that one saw no task of the job in the roster, did not wait for the host, and started the tasks elsewhere.

Now a batch opens only hosts that it writes as open, and a host that has shown what it runs is written anew unless it is. Ruled out: an order that came late (all were answered), a holder that was not the holder any more (epochs rise, hosts fence).

--- a/internal/engine/commit.go
+++ b/internal/engine/commit.go
@@ -15,7 +15,7 @@
 	// marks are the ends, by host, that may be forgotten once it is stored. They are those
 	// of one life: its books, and not its id, tell for which.
 	marks map[*hostState]int64
-	// rostered are the hosts that the batch enters in the roster.
+	// rostered are the hosts that the batch enters in the roster as open.
 	rostered []*hostState
 }
 
@@ -60,10 +60,11 @@
 	b := &Batch{Seq: e.commits, marks: map[*hostState]int64{}}
 	if e.rosterBehind {
 		e.rosterBehind = false
-		b.Groups = append(b.Groups, []platform.Write{encoded(record.RosterKey(e.cfg.Partition), e.roster(now))})
-		for _, h := range e.sorted {
-			if !h.shut {
-				b.rostered = append(b.rostered, h)
+		roster := e.roster(now)
+		b.Groups = append(b.Groups, []platform.Write{encoded(record.RosterKey(e.cfg.Partition), roster)})
+		for i, h := range e.sorted {
+			if !roster.Hosts[i].Closed {
+				b.rostered = append(b.rostered, h) // one that is stored as closed may not be started on
 			}
 		}
 	}
--- a/internal/engine/view.go
+++ b/internal/engine/view.go
@@ -116,6 +116,7 @@
 	first := !h.claimed
 	if first {
 		h.claimed, h.tried = true, nil
+		e.rosterBehind = e.rosterBehind || !h.rostered
 		e.room++
 		// What the former holder leased may last this long.
 		h.leased = max(h.leased, v.Clock+host.Millis(e.cfg.Bounds.LeaseLimit.Milliseconds()))
