--- a/internal/crashloop/crashloop.go
+++ b/internal/crashloop/crashloop.go
@@ -10,9 +10,9 @@
 //
 // Giving a task up is final, so it rests on what is known. A crash is proven when the run
 // is known to have been on the host as that ended. One whose run was seen there, but may
-// have ended unheard before the host did, counts only for what it says by its chance. What
-// nobody saw there keeps its task apart and makes it wait, and no amount of it gives the
-// task up.
+// have ended unheard before the host did, counts only where it is the last of many, and all
+// of them together are very improbable. What nobody saw there keeps its task apart, and no
+// amount of it gives the task up.
 //
 // Everything here is pure; the records are kept by whoever places tasks.
 package crashloop
@@ -35,17 +35,13 @@
 	// atRandom is how probable it may be, at the most, that all these hosts just went by
 	// themselves.
 	atRandom = 1e-5
-	// enoughSeen crashes under runs that were seen on their hosts are so, where it is as
-	// improbable as atRandomSeen that all these hosts just went by themselves.
-	enoughSeen   = 3
-	atRandomSeen = 1e-7
 	// enoughAtAll crashes are so whatever other cause each of them may have, if enough of
-	// them are proven, or all of them were seen, and they are as improbable together as
-	// atRandomInAll or atRandomSeenInAll: it bounds what a wrong guess at a cause can cost.
-	// The users' bound is five starts in all, three crashes and two more.
-	enoughAtAll       = 5
-	atRandomInAll     = 1e-3
-	atRandomSeenInAll = 1e-6
+	// them are proven, or all of them were seen on machines of their own, and they are as
+	// improbable together as atRandomInAll or atRandomSeen: it bounds what a wrong guess at a cause can cost. The
+	// users' bound is five starts in all, three crashes and two more.
+	enoughAtAll   = 5
+	atRandomInAll = 1e-3
+	atRandomSeen  = 1e-6
 	// trialAfter crashes put a task on trial: nothing new is started beside it.
 	trialAfter = 2
 )
@@ -68,19 +64,51 @@
 	Chance float32 `cbor:"5,keyasint,omitempty"`
 	// Unsure is true when nobody has seen the run on the host: its start was not answered.
 	Unsure bool `cbor:"6,keyasint,omitempty"`
-	// Presumed is true while the host may still answer again in the same life.
-	Presumed bool `cbor:"7,keyasint,omitempty"`
 	// RanMillis is for how long the run had been there, in milliseconds; zero when unknown.
 	RanMillis int64 `cbor:"8,keyasint,omitempty"`
-	// Unheard is true when the run was seen on the host, and may have ended before that did.
+	// Unheard is what versions before Proven read: without it they take a run for proven.
 	Unheard bool `cbor:"9,keyasint,omitempty"`
+	// Machine is the address of the host, which its next lives have as well.
+	Machine string `cbor:"10,keyasint,omitempty"`
+	// Proven is true when the run is known to have been on the host as that ended. What was
+	// stored before this was told proves nothing.
+	Proven bool `cbor:"11,keyasint,omitempty"`
 }
 
-// Proven reports whether the run was on the host as that ended, for certain.
-func (c Crash) Proven() bool { return c.Seen() && !c.Unheard }
+// Seen reports whether the run was seen on the host.
+func (c Crash) Seen() bool { return !c.Unsure }
 
-// Seen reports whether the run was seen on the host, and that has ended for certain.
-func (c Crash) Seen() bool { return !c.Unsure && !c.Presumed }
+func (c Crash) isProven() bool { return c.Proven }
+
+// mostCrashes bounds what is kept of one task, so that a job's record does not grow for as
+// long as the job lives.
+const mostCrashes = 16
+
+// With returns the history with one crash more. Of too many the oldest goes that proves
+// least.
+func (h History) With(c Crash) History {
+	out := append(slices.Clone(h), c)
+	if len(out) <= mostCrashes {
+		return out
+	}
+	least := 0
+	for i := range out[:len(out)-1] {
+		if out[i].weight() < out[least].weight() {
+			least = i
+		}
+	}
+	return slices.Delete(out, least, least+1)
+}
+
+func (c Crash) weight() int {
+	switch {
+	case c.Proven:
+		return 2
+	case c.Seen():
+		return 1
+	}
+	return 0
+}
 
 // History is the crashes under one task, the oldest first.
 type History []Crash
@@ -90,6 +118,12 @@
 	return slices.ContainsFunc(h, func(c Crash) bool { return c.Run == run })
 }
 
+// On reports whether a host of a machine has crashed under the task: the next loss tells more
+// on another one.
+func (h History) On(machine string) bool {
+	return slices.ContainsFunc(h, func(c Crash) bool { return c.Machine == machine })
+}
+
 // names reports whether the history holds the crash of a host.
 func (h History) names(host string) bool {
 	return slices.ContainsFunc(h, func(c Crash) bool { return c.Host == host })
@@ -102,7 +136,7 @@
 
 // WithoutUnproven returns the history less those crashes of a host that are not proven.
 func (h History) WithoutUnproven(host string) History {
-	return slices.DeleteFunc(slices.Clone(h), func(c Crash) bool { return c.Host == host && !c.Proven() })
+	return slices.DeleteFunc(slices.Clone(h), func(c Crash) bool { return c.Host == host && !c.Proven })
 }
 
 // Standing is what a task's history says of it.
@@ -119,17 +153,6 @@
 	GivenUp
 )
 
-// Confirmed returns the history with the end of a host known for certain.
-func (h History) Confirmed(host string) History {
-	out := slices.Clone(h)
-	for i := range out {
-		if out[i].Host == host {
-			out[i].Presumed = false
-		}
-	}
-	return out
-}
-
 // AtRate returns the history judged anew at the rate, per second, at which hosts go by
 // themselves, where that is higher than before: of many hosts that go for one cause the
 // first is judged before the others are known.
@@ -144,9 +167,13 @@
 	return out
 }
 
-// Presumes reports whether the history holds the end of a host that is not certain.
-func (h History) Presumes(host string) bool {
-	return slices.ContainsFunc(h, func(c Crash) bool { return c.Host == host && c.Presumed })
+// Excuse returns the history with the crashes of a host put down to a cause of its own.
+func (h History) Excuse(host string) History {
+	out := slices.Clone(h)
+	for i := range out {
+		out[i].Excused = out[i].Excused || out[i].Host == host
+	}
+	return out
 }
 
 // Standing judges the history.
@@ -171,16 +198,13 @@
 
 // guilty reports whether the crashes are enough to give the task up.
 func (h History) guilty() bool {
-	seen := tallyOf(h, Crash.Seen)
-	proven := tallyOf(h, Crash.Proven)
-	switch {
-	case proven.chance <= atRandom && (proven.counted >= enough || proven.counted >= enoughWithRecent && proven.recent > 0):
-		return true
-	case seen.chance <= atRandomSeen && seen.counted >= enoughSeen:
+	proven, seen := tallyOf(h, Crash.isProven), tallyOf(h, Crash.Seen)
+	if proven.chance <= atRandom && (proven.counted >= enough || proven.counted >= enoughWithRecent && proven.recent > 0) {
 		return true
 	}
-	return len(h) >= enoughAtAll && (proven.all >= enough && proven.chanceInAll <= atRandomInAll ||
-		seen.all >= enoughAtAll && seen.chanceInAll <= atRandomSeenInAll)
+	manyProven := proven.all >= enough && proven.chanceInAll <= atRandomInAll
+	allSeen := len(seen.machines) >= enoughAtAll && seen.chanceInAll <= atRandomSeen
+	return len(h) >= enoughAtAll && (manyProven || allSeen)
 }
 
 // tally is what crashes of one kind say together. Those that are excused stand in all and
@@ -188,15 +212,17 @@
 type tally struct {
 	all, counted, recent int
 	chance, chanceInAll  float64
+	machines             map[string]bool
 }
 
 func tallyOf(h History, is func(Crash) bool) tally {
-	t := tally{chance: 1, chanceInAll: 1}
+	t := tally{chance: 1, chanceInAll: 1, machines: map[string]bool{}}
 	for _, c := range h {
 		if !is(c) {
 			continue
 		}
 		t.all++
+		t.machines[c.Machine] = true
 		t.chanceInAll *= min(float64(c.Chance), 1)
 		if c.Excused {
 			continue
@@ -221,9 +247,9 @@
 
 // The ways in which a run that was lost with its host was seen there.
 const (
-	HowUnsure  = "not seen there"
-	HowUnheard = "seen there, maybe not at its end"
-	HowProven  = "there at its end"
+	HowUnsure = "not seen there"
+	HowSeen   = "seen there, maybe not at its end"
+	HowProven = "there at its end"
 )
 
 // How tells how the run was seen on the host.
@@ -231,8 +257,8 @@
 	switch {
 	case c.Unsure:
 		return HowUnsure
-	case c.Unheard:
-		return HowUnheard
+	case !c.Proven:
+		return HowSeen
 	}
 	return HowProven
 }
@@ -249,25 +275,21 @@
 	if c.Excused {
 		notes = append(notes, "excused")
 	}
-	if c.Presumed {
-		notes = append(notes, "host may live")
-	}
 	return fmt.Sprintf("%s under run %d (%s)", c.Host, c.Run, strings.Join(notes, ", "))
 }
 
 // Evidence is what is known of a run that was lost with its host.
 type Evidence struct {
-	Run  int
-	Host string
+	Run int
+	// Host is the life that ended, Machine its address.
+	Host, Machine string
 	// Ran is for how long the run had been there when the host was last known to live;
 	// Unknown where this process did not start it.
 	Ran     time.Duration
 	Unknown bool
-	// Unsure is true when nobody has seen the run on the host; Unheard when it was seen
-	// there and may have ended before the host did.
-	Unsure, Unheard bool
-	// Presumed is true when the host may still answer again in the same life.
-	Presumed bool
+	// Unsure is true when nobody has seen the run on the host, Proven when it is known to
+	// have been there as the host ended.
+	Unsure, Proven bool
 	// Newest is true when no run of another job was started on the host as late.
 	Newest bool
 	// Together is true when the host went with others, as for one cause.
@@ -298,7 +320,7 @@
 func Judge(e Evidence, rate float64) Crash {
 	chance := chanceOf(e.Ran, e.Unknown, rate)
 	return Crash{
-		Run: e.Run, Host: e.Host, Chance: float32(chance), Unsure: e.Unsure, Unheard: e.Unheard, Presumed: e.Presumed, RanMillis: e.ranMillis(),
+		Run: e.Run, Host: e.Host, Machine: e.Machine, Chance: float32(chance), Unsure: e.Unsure, Proven: e.Proven, Unheard: !e.Proven, RanMillis: e.ranMillis(),
 		Recent:  e.Newest && !e.Unknown && !e.Unsure && e.Ran <= justStarted,
 		Excused: e.Together || chance >= likely,
 	}
--- a/internal/crashloop/losses.go
+++ b/internal/crashloop/losses.go
@@ -1,7 +1,6 @@
 package crashloop
 
 import (
-	"fmt"
 	"slices"
 	"time"
 )
@@ -45,21 +44,25 @@
 	return true
 }
 
-// Count is how many hosts have gone lately that no task is known to have caused.
-func (l *Losses) Count() int {
-	n := 0
+// mostTold is how many hosts that have gone a next holder is told of.
+const mostTold = 64
+
+// Names lists hosts that have gone lately and that no task is known to have caused, the
+// last ones if there are many.
+func (l *Losses) Names() []string {
+	var out []string
 	for _, x := range l.lost {
 		if !x.explained {
-			n++
+			out = append(out, x.host)
 		}
 	}
-	return n
+	return out[max(0, len(out)-mostTold):]
 }
 
-// Inherit takes in how many hosts a former holder had seen go. When they went is not known.
-func (l *Losses) Inherit(n int, now time.Time) {
-	for i := range n {
-		l.lost = append(l.lost, loss{host: fmt.Sprintf("inherited-%d", i), at: now})
+// Inherit takes in the hosts that a former holder had seen go, at the latest now.
+func (l *Losses) Inherit(names []string, now time.Time) {
+	for _, name := range names {
+		l.Add(name, "", now)
 	}
 }
 
--- a/internal/engine/crash.go
+++ b/internal/engine/crash.go
@@ -14,8 +14,9 @@
 // is held against which task, and when a job is given up, package crashloop decides; here
 // the evidence is gathered and kept, and those under suspicion are kept apart.
 //
-// A crash is certain when another life answers at the host's address, and presumed when its
-// lease is over and its entry has gone from the list; see exile.go.
+// A crash is certain when the host's machine turns calls away, or another life answers at
+// its address; it is taken for one when its lease is over and its entry has gone from the
+// list. A host that is heard again in the same life acquits the runs that it lost.
 
 // accusation is a crash that may be held against a task.
 type accusation struct {
@@ -31,15 +32,15 @@
 	}
 	var out []accusation
 	for _, r := range h.runs {
-		if r.group == nil || r.state == runOrdered && !r.broke {
+		if r.group == nil || r.state == runOrdered {
 			continue // it may have begun nothing: no answer has come yet
 		}
 		out = append(out, accusation{r.Run, crashloop.Evidence{
-			Run: r.No, Host: h.lifeName(), Ran: r.ranFor(now), Unknown: r.adopted, Unsure: !r.seenThere(), Unheard: !r.surelyThere(now), Newest: r.newest(),
+			Run: r.No, Host: h.lifeName(), Machine: h.info.Addr, Ran: r.ranFor(now), Unknown: r.adopted, Unsure: !r.begun, Proven: r.there, Newest: r.newest(),
 		}})
 	}
 	for _, r := range slices.Concat(h.mayRun, h.tried) {
-		out = append(out, accusation{r.Run, crashloop.Evidence{Run: r.No, Host: h.lifeName(), Unknown: true, Unsure: r.unsure, Unheard: true}})
+		out = append(out, accusation{r.Run, crashloop.Evidence{Run: r.No, Host: h.lifeName(), Machine: h.info.Addr, Unknown: true, Unsure: r.unsure}})
 	}
 	return out
 }
@@ -51,7 +52,7 @@
 // calls were lost before, that is now.
 func (r *run) ranFor(now time.Time) time.Duration {
 	missed := now
-	for _, at := range []time.Time{r.on.missedAt, r.on.broken, r.on.endedBy, r.on.silent, r.on.refused} {
+	for _, at := range []time.Time{r.on.missedAt, r.on.endedBy, r.on.silent, r.on.refused} {
 		if at.After(r.sent) && at.Before(missed) {
 			missed = at
 		}
@@ -84,7 +85,6 @@
 			e.foundGone++
 			e.losses.Add(h.lifeName(), h.info.Rack, now)
 			e.judge(list, 0, now)
-			list = append(list, e.confirm(h.lifeName())...)
 			e.verdicts = append(e.verdicts, verdict{now.Add(verdictAfter), h.lifeName(), list})
 		}
 		return // a life that ended before it was ever spoken to
@@ -99,17 +99,16 @@
 	together := e.wentTogether(h, at, now)
 	silent := e.silentNow(h, now)
 	e.losses.Add(h.lifeName(), h.info.Rack, at)
-	if !h.gone && (len(list) > 0 || h.presumed) {
-		e.exile(h, now)
+	if !h.gone && len(list) > 0 {
+		e.exiles[h.lifeName()] = now
 	}
 	for i := range list {
-		list[i].evidence.Presumed, list[i].evidence.Together = !h.gone, together
+		list[i].evidence.Together = together
 	}
-	e.judge(list, silent, now)
-	if h.gone {
-		delete(e.exiles, h.lifeName())
-		list = append(list, e.confirm(h.lifeName())...)
+	if together {
+		e.revise(h.lifeName(), crashloop.History.Excuse)
 	}
+	e.judge(list, silent, now)
 	e.convict(list, now)
 }
 
@@ -165,7 +164,7 @@
 	if c.Excused && g.step.LongRunning {
 		return // hosts crash under a service that runs for months: it is not given up for that
 	}
-	t.crashes = append(t.crashes.AtRate(rate), c)
+	t.crashes = t.crashes.AtRate(rate).With(c)
 	g.judgeStanding()
 	g.job.crashesNew = true
 	e.touch(g.job)
@@ -182,30 +181,52 @@
 	}
 }
 
-// acquitting is what is left of a history when something is dropped that is held against its
-// task for a host's end.
-type acquitting func(h crashloop.History, life string) crashloop.History
+// acquit drops what is held against tasks as a host was thought to have crashed that has
+// answered again in the same life.
+func (e *Engine) acquit(h *hostState) {
+	h.accused, h.held = nil, false
+	life := h.lifeName()
+	if _, exiled := e.exiles[life]; !exiled {
+		return
+	}
+	delete(e.exiles, life)
+	e.revise(life, crashloop.History.Without)
+}
+
+// exiledFor is for how long a life that is thought to be over acquits the tasks that were
+// there if it answers.
+const exiledFor = 5 * time.Minute
 
-// acquitOf drops what is held against tasks for a host's end.
-func (e *Engine) acquitOf(life string, rest acquitting) {
+func (e *Engine) forgetExiles(now time.Time) {
+	for life, since := range e.exiles {
+		if now.Sub(since) > exiledFor {
+			delete(e.exiles, life)
+		}
+	}
+}
+
+// revise changes what is held against tasks for a host's end.
+func (e *Engine) revise(life string, change func(h crashloop.History, life string) crashloop.History) {
 	for _, j := range e.live {
 		for _, g := range j.groups {
-			e.acquitGroup(g, life, rest)
+			e.reviseGroup(g, life, change)
 		}
 	}
 }
 
-func (e *Engine) acquitGroup(g *group, life string, rest acquitting) {
+func (e *Engine) reviseGroup(g *group, life string, change func(h crashloop.History, life string) crashloop.History) {
 	if g.standing == crashloop.Unsuspected {
 		return
 	}
 	for i := range g.tasks {
 		t := &g.tasks[i]
-		if less := rest(t.crashes, life); len(less) < len(t.crashes) {
-			t.crashes = less
-			e.touch(g.job)
-			e.log(Event{What: "crash taken back", Job: g.job.id(), Step: g.id.String(), Host: life, Why: fmt.Sprintf("task %d: %s", i, less)})
+		revised := change(t.crashes, life)
+		if slices.Equal(revised, t.crashes) {
+			continue
 		}
+		t.crashes = revised
+		e.touch(g.job)
+		e.log(Event{What: "crash taken back", Job: g.job.id(), Step: g.id.String(), Host: life, Why: fmt.Sprintf("task %d: %s", i, revised)})
 	}
 	g.judgeStanding()
 }
@@ -237,7 +258,7 @@
 	if t.cur == nil {
 		return nil
 	}
-	return &record.RunOn{Run: t.cur.No, Host: string(t.cur.on.info.ID), Seen: t.cur.seenThere()}
+	return &record.RunOn{Run: t.cur.No, Host: string(t.cur.on.info.ID), Seen: t.cur.begun}
 }
 
 // inheritCrashes takes in the crashes under a task that a former holder has stored, and
@@ -245,9 +266,7 @@
 func (e *Engine) inheritCrashes(g *group, i int, s record.StepProgress, now time.Time) {
 	g.tasks[i].crashes = s.Crashed[i]
 	for _, c := range s.Crashed[i] {
-		if c.Presumed {
-			e.exiles[c.Host] = exile{at: now}
-		}
+		e.exiles[c.Host] = now
 	}
 	at, trying := s.Trying[i]
 	h := e.hosts[host.ID(at.Host)]
--- a/internal/engine/ends.go
+++ b/internal/engine/ends.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"pulleyquay/internal/crashloop"
 	"pulleyquay/internal/host"
 	"pulleyquay/internal/record"
 )
@@ -70,6 +71,9 @@
 	}
 	g.setState(i, taskDone)
 	g.left--
+	if g.standing != crashloop.Unsuspected {
+		g.judgeStanding() // what is held against a task that is done holds no other back
+	}
 	e.refresh(g)
 }
 
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -135,7 +135,7 @@
 	// losses are the lives of hosts that ended lately, exiles those that are held against
 	// tasks though they may come back, trials the hosts on which a job is on trial.
 	losses crashloop.Losses
-	exiles map[string]exile
+	exiles map[string]time.Time
 	trials int
 	// verdicts are accusations that wait, foundGone counts the inherited hosts that were
 	// gone before this holder spoke to them, of inheritedHosts.
@@ -184,7 +184,7 @@
 		claiming:     map[host.ID]struct{}{},
 		held:         map[spec.StepTask]int{},
 		pools:        map[string]*pool{},
-		exiles:       map[string]exile{},
+		exiles:       map[string]time.Time{},
 	}
 }
 
--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -43,7 +43,7 @@
 	adopted  bool // it was begun by a former holder
 	suspect  bool // hosts have crashed under its task
 	begun    bool // the host has answered its start, or shown it
-	broke    bool // its start had surely arrived as the host's connections broke
+	there    bool // it was there as its host ended; see evidence.go
 	// deadline is the start's deadline by the host's clock.
 	deadline host.Millis
 	// sent is when the start was ordered, known since when the host answered it.
@@ -103,11 +103,11 @@
 	inherited, inheritedShut bool
 	mayRun                   []mayRun
 	tried                    []mayRun  // suspects that the former holder started there last
-	presumed                 bool      // its end is held against the runs that were there
+	ended, held              bool      // it has ended for certain; that is held against the runs that were there
 	missedAt                 time.Time // when the first question was sent there that was not answered since it was heard
+	broken                   time.Time // when a connection to it broke, unless it was heard since
 	silent                   time.Time // since when calls have gone unanswered; zero while they are
 	refused                  time.Time // since when, besides, it has not even been reached
-	broken                   time.Time // when a connection to it broke, unless this life has answered since
 
 	runs map[host.Run]*run
 	used spec.Resources
@@ -183,7 +183,7 @@
 
 // heardFrom notes that the host has answered.
 func (h *hostState) heardFrom(now time.Time) {
-	h.heard, h.silent, h.refused, h.missedAt = now, time.Time{}, time.Time{}, time.Time{}
+	h.heard, h.silent, h.refused, h.missedAt, h.broken = now, time.Time{}, time.Time{}, time.Time{}, time.Time{}
 }
 
 // knowsClock reports whether the host's clock was ever read. A reading may well be zero, as
@@ -206,8 +206,10 @@
 	if h.refused.IsZero() && errors.Is(err, host.ErrNotSent) {
 		h.refused = now
 	}
-	if (errors.Is(err, host.ErrBroken) || errors.Is(err, host.ErrRefused)) && h.broken.IsZero() {
+	if errors.Is(err, host.ErrBroken) && h.broken.IsZero() {
 		h.broken = now
+	}
+	if errors.Is(err, host.ErrRefused) && !h.ended {
 		h.witness(now)
 	}
 }
@@ -298,7 +300,6 @@
 	if h == nil {
 		h = e.newHost(info)
 		h.lookAt = now
-		e.confirmBy(info, now)
 		e.log(Event{What: "host listed", Host: string(info.ID), Why: info.Zone + " " + strings.Join(info.Labels, " ")})
 	}
 	if info.Draining && !h.info.Draining {
--- a/internal/engine/life.go
+++ b/internal/engine/life.go
@@ -89,8 +89,7 @@
 	shown := shownIn(v)
 	var out []*run
 	for key, r := range h.runs {
-		mayReach := !r.broke && (r.state == runOrdered || r.state == runDoubt)
-		if shown[key] || mayReach || !r.known.Before(sent) {
+		if shown[key] || r.state == runOrdered || r.state == runDoubt || !r.known.Before(sent) {
 			out = append(out, r)
 		}
 	}
--- a/internal/engine/lost.go
+++ b/internal/engine/lost.go
@@ -101,7 +101,7 @@
 	for _, h := range slices.Clone(e.sorted) {
 		e.ageRoom(h, now)
 		e.shutSilent(h, now)
-		e.presume(h, now)
+		e.holdEnd(h, now)
 		e.dropUnheard(h, now)
 		if h.silent.IsZero() || !h.claimed || now.Before(e.leaseOver(h)) {
 			continue
--- a/internal/engine/orders.go
+++ b/internal/engine/orders.go
@@ -53,7 +53,7 @@
 	switch {
 	case errors.Is(err, host.ErrOtherLife):
 		e.notStarted(h, r, now)
-		e.hostGone(h, now, "another life answered")
+		e.otherLife(h, o.To, now)
 		return
 	case errors.Is(err, host.ErrNotSent):
 		h.unanswered(err, now)
@@ -75,6 +75,16 @@
 	e.refused(h, r, reply.Refused, now)
 }
 
+// otherLife drops a host at whose address another one has answered, unless it was called at
+// an address that it had before.
+func (e *Engine) otherLife(h *hostState, called host.Info, now time.Time) {
+	if called.Addr != h.info.Addr {
+		e.askAgain(h, now)
+		return
+	}
+	e.hostGone(h, now, "another life answered")
+}
+
 // doubt notes a start without an answer. The host is asked at once what it runs.
 func (e *Engine) doubt(h *hostState, r *run, now time.Time) {
 	if r == nil || r.state != runOrdered {
@@ -153,7 +163,7 @@
 	}
 	switch {
 	case errors.Is(err, host.ErrOtherLife):
-		e.hostGone(h, now, "another life answered")
+		e.otherLife(h, o.To, now)
 	case err != nil:
 		h.unanswered(err, now)
 	case reply.Refused == host.RefusedFenced:
--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -285,7 +285,7 @@
 			continue
 		}
 		cost := e.cost(g, h)
-		if t.avoid == h.info.ID {
+		if t.avoid == h.info.ID || t.crashes.On(h.info.Addr) {
 			cost += costAvoided
 		}
 		if best == nil || cost < least {
--- a/internal/engine/roster.go
+++ b/internal/engine/roster.go
@@ -19,7 +19,7 @@
 
 // roster is what is to be stored.
 func (e *Engine) roster(now time.Time) record.Roster {
-	out := record.Roster{Shrunk: e.shrunk.share, Lost: e.losses.Count()}
+	out := record.Roster{Shrunk: e.shrunk.share, Lost: e.losses.Names()}
 	for _, h := range e.sorted {
 		out.Hosts = append(out.Hosts, e.rosterHost(h, now))
 	}
@@ -32,7 +32,7 @@
 	case h.claimed && h.shut:
 		r.Closed = true
 		for key, there := range h.runs {
-			r.Tasks = append(r.Tasks, rosterTask(key, !there.seenThere()))
+			r.Tasks = append(r.Tasks, rosterTask(key, !there.begun))
 		}
 	case h.claimed || !h.inherited:
 		// open
--- a/internal/engine/verdict.go
+++ b/internal/engine/verdict.go
@@ -50,7 +50,7 @@
 		v := e.verdicts[0]
 		e.verdicts = e.verdicts[1:]
 		if together && v.life != "" {
-			e.acquitOf(v.life, crashloop.History.WithoutUnproven)
+			e.revise(v.life, crashloop.History.WithoutUnproven)
 		}
 		e.convict(v.list, now)
 	}
--- a/internal/engine/view.go
+++ b/internal/engine/view.go
@@ -87,7 +87,7 @@
 	}
 	switch {
 	case errors.Is(err, host.ErrOtherLife):
-		e.hostGone(h, now, "another life answered")
+		e.otherLife(h, o.To, now)
 		return
 	case err != nil:
 		h.unanswered(err, now)
@@ -97,6 +97,9 @@
 		if !o.Probe {
 			h.lookAt = now.Add(e.cfg.Tuning.LookRetry)
 		}
+		if errors.Is(err, host.ErrBroken) {
+			e.askAgain(h, now) // whether its machine still lets calls through
+		}
 		return
 	case v.Fenced:
 		e.fencedBy(h)
@@ -108,7 +111,7 @@
 		return
 	}
 	h.heardFrom(now)
-	h.mended()
+	h.lives()
 	e.hear(h, v.Clock, now)
 	e.reopen(h)
 	e.acquit(h)
--- a/internal/job/crash.go
+++ b/internal/job/crash.go
@@ -32,7 +32,7 @@
 		h.excuse(h.losses.With(n.Zone, now))
 	}
 	t := &j.tasks[index]
-	e := crashloop.Evidence{Run: n.Run.Attempt, Host: n.Worker, Unknown: t.since.IsZero(), Unsure: n.Unseen}
+	e := crashloop.Evidence{Run: n.Run.Attempt, Host: n.Worker, Unknown: t.since.IsZero(), Unsure: n.Unseen, Proven: !n.Unseen}
 	if !e.Unknown {
 		e.Ran = now.Sub(t.since)
 	}
@@ -63,7 +63,7 @@
 		return nil
 	}
 	history = slices.Clone(history)
-	history[at].Unsure = false
+	history[at].Unsure, history[at].Unheard, history[at].Proven = false, false, true
 	j.rec.Crashes[index] = history
 	h.touch(j)
 	return j.crashVerdict(index)
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -170,8 +170,8 @@
 	// Shrunk is the smallest share of its room that a host has lately shrunk to; zero where
 	// none has shrunk.
 	Shrunk float64 `cbor:"2,keyasint,omitempty"`
-	// Lost is how many hosts have lately gone by themselves.
-	Lost int `cbor:"3,keyasint,omitempty"`
+	// Lost are hosts that have lately gone by themselves.
+	Lost []string `cbor:"4,keyasint,omitempty"`
 }
 
 // RosterHost is one host of a roster.
