--- a/internal/engine/job.go
+++ b/internal/engine/job.go
@@ -229,8 +229,13 @@
 	g.unreserve()
 }
 
-// touch notes that the job's stored record is behind.
-func (e *Engine) touch(j *job) { e.dirty[j.id()] = j }
+// touch notes that the job's stored record is behind. One that has ended is stored as such
+// and stays so: news of a run that is left over would else have its end told as not stored.
+func (e *Engine) touch(j *job) {
+	if !j.state.Final() {
+		e.dirty[j.id()] = j
+	}
+}
 
 // stepDone opens the steps that waited for a step, and ends the job after the
 // last one.
@@ -264,7 +269,7 @@
 		return
 	}
 	j.state = s
-	e.touch(j)
+	e.dirty[j.id()] = j
 	delete(e.live, j.id())
 	e.ended = append(e.ended, endedJob{j.id(), now})
 	for _, g := range j.groups {
