--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -14,11 +14,22 @@
 	Queues   []Queue   `cbor:"2,keyasint"`
 	Services []Service `cbor:"3,keyasint"`
 	Limits   Limits    `cbor:"4,keyasint"`
+	// Keyed is true where calls need a key of one of the Accounts.
+	Keyed    bool      `cbor:"5,keyasint,omitempty"`
+	Accounts []Account `cbor:"6,keyasint,omitempty"`
+	// Form is that of the process that read the configuration; see CurrentForm.
+	Form int `cbor:"7,keyasint,omitempty"`
 
 	byHost   map[string][]*Queue // longest prefix first
 	services map[string]*Service
+	accounts map[string]*Account
+	keys     map[KeyDigest]*Account
 }
 
+// CurrentForm rises whenever catalogs hold more than before. A peer of a version before
+// leaves out what it does not know, so that its catalogs are not taken over.
+const CurrentForm = 1
+
 // Queue is where callers hand jobs in, with the rules for its jobs.
 type Queue struct {
 	Name string `cbor:"1,keyasint"`
@@ -30,6 +41,8 @@
 	Rules   Rules  `cbor:"5,keyasint"`
 	// TimeoutMillis bounds the answer to one call.
 	TimeoutMillis int64 `cbor:"6,keyasint"`
+	// Public queues need no key.
+	Public bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Rules govern the jobs of a queue. A job keeps those it was accepted under.
@@ -97,6 +110,7 @@
 	for i := range c.Services {
 		c.services[c.Services[i].Name] = &c.Services[i]
 	}
+	c.indexAccounts()
 }
 
 // Route returns the queue for a call and the rest of the path behind the
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -76,12 +76,17 @@
 }
 
 func start(t *testing.T, store *memstore.Engine, p *peers) *Keeper {
+	t.Helper()
+	return startDecoding(t, store, p, decodeVersion)
+}
+
+func startDecoding(t *testing.T, store *memstore.Engine, p *peers, decode func(platform.Record) (*Catalog, error)) *Keeper {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	k := &Keeper{
 		Store: store.Client("a"), Health: follow.NewHealth(nil), Peers: p, Log: log.WithField("test", t.Name()),
-		Key: key, Decode: decodeVersion,
+		Key: key, Decode: decode,
 	}
 	k.Start(t.Context(), peer.NewMux())
 	return k
@@ -114,12 +119,12 @@
 		put(store, "7")
 		time.Sleep(time.Second)
 		is.Equal(k.Version(), int64(3))
-		p.newest = &Catalog{Version: 7}
+		p.newest = &Catalog{Version: 7, Form: CurrentForm}
 		k.Behind("b:1") // a heartbeat has told of a newer one
 		time.Sleep(time.Second)
 		is.Equal(k.Version(), int64(7))
 
-		p.newest = &Catalog{Version: 5}
+		p.newest = &Catalog{Version: 5, Form: CurrentForm}
 		k.Behind("b:1")
 		time.Sleep(time.Second)
 		is.Equal(k.Version(), int64(7))
@@ -131,3 +136,85 @@
 		is.Equal(k.Version(), int64(9))
 	})
 }
+
+// keyedVersion decodes "version key key": one client account with these keys.
+func keyedVersion(rec platform.Record) (*Catalog, error) {
+	words := strings.Fields(string(rec.Value))
+	v, err := strconv.ParseInt(words[0], 10, 64)
+	if err != nil {
+		return nil, err
+	}
+	a := Account{Name: "crew"}
+	for _, key := range words[1:] {
+		a.Keys = append(a.Keys, DigestOf(key))
+	}
+	c := &Catalog{Version: v, Form: CurrentForm, Keyed: true, Accounts: []Account{a}}
+	c.Index()
+	return c, nil
+}
+
+// TestKeysComeAndGo: a key that was taken away stays so, and one that was added is in force,
+// within the bound of settings (4 s), while the member is cut from the store, from its peers,
+// from both, or starts anew; and no older version comes back by either way.
+func TestKeysComeAndGo(t *testing.T) {
+	const bound = 4 * time.Second
+	before, after := "3 old kept", "7 new kept"
+	refuses, sound := memstore.Faults{Refuse: true}, memstore.Faults{}
+	newest, _ := keyedVersion(platform.Record{Value: []byte(after)})
+	former, _ := keyedVersion(platform.Record{Value: []byte(before)})
+	unread := &Catalog{Version: 9, Keyed: false} // as a version before this one passes it on
+	cases := map[string]struct {
+		faults  memstore.Faults
+		newest  *Catalog // that peers have
+		learns  bool
+		restart bool
+	}{
+		"in touch":                           {faults: sound, learns: true},
+		"cut from the store":                 {faults: refuses, newest: newest, learns: true},
+		"cut from the store, peers behind":   {faults: refuses, newest: former},
+		"cut from both":                      {faults: refuses},
+		"a peer of the version before":       {faults: refuses, newest: unread},
+		"in touch, a peer behind":            {faults: sound, newest: former, learns: true},
+		"starts anew":                        {faults: sound, learns: true, restart: true},
+		"starts anew, cut from the store":    {faults: refuses, newest: newest, learns: true, restart: true},
+		"starts anew, peers behind":          {faults: sound, newest: former, learns: true, restart: true},
+		"starts anew, of the version before": {faults: sound, newest: unread, learns: true, restart: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				store := memstore.New()
+				defer store.Close()
+				p := &peers{}
+				k := startDecoding(t, store, p, keyedVersion)
+				put(store, before)
+				time.Sleep(time.Second)
+				is.True(k.Current().AccountOf("old") != nil)
+				is.True(k.Current().AccountOf("new") == nil)
+				if tc.restart {
+					k = startDecoding(t, store, p, keyedVersion)
+				}
+				store.Client("a").SetFaults(tc.faults)
+				put(store, after)
+				p.newest = tc.newest
+				for range 4 {
+					k.Behind("b:1")
+					time.Sleep(bound / 4)
+				}
+				c := k.Current()
+				is.Equal(c.AccountOf("new") != nil, tc.learns)
+				is.Equal(c.AccountOf("old") == nil, tc.learns || c == nil)
+				is.True(c == nil || c.AccountOf("kept") != nil) // also one that was refused nothing meanwhile
+				store.Client("a").SetFaults(sound)
+				p.newest = former
+				time.Sleep(2 * bound)
+				k.Behind("b:1")
+				time.Sleep(time.Second)
+				is.True(k.Current().AccountOf("new") != nil)
+				is.True(k.Current().AccountOf("old") == nil)
+				is.Equal(k.Version(), int64(7))
+			})
+		})
+	}
+}
--- a/internal/catalog/keeper.go
+++ b/internal/catalog/keeper.go
@@ -134,6 +134,9 @@
 		if err := k.Peers.Call(ctx, addr, peer.KindCatalog, Request{Newer: k.Version()}, &reply); err != nil || reply.Catalog == nil {
 			return // the next heartbeat tells again
 		}
+		if reply.Catalog.Form < CurrentForm {
+			return // a version before this one has read it, and left out what it does not know
+		}
 		reply.Catalog.Index()
 		k.apply(reply.Catalog, addr)
 	}()
--- a/internal/engine/takeover.go
+++ b/internal/engine/takeover.go
@@ -176,5 +176,11 @@
 	return n
 }
 
+// Open reports whether a job is known, and may be read and cancelled for a client account.
+func (e *Engine) Open(id, account string) bool {
+	j := e.jobs[id]
+	return j != nil && j.rec.Open(account)
+}
+
 // Knows reports whether a job is in the table.
 func (e *Engine) Knows(id string) bool { return e.jobs[id] != nil }
--- a/internal/fairshare/fairshare_test.go
+++ b/internal/fairshare/fairshare_test.go
@@ -9,7 +9,6 @@
 	"pgregory.net/rapid"
 
 	"pulleyquay/internal/result"
-	"pulleyquay/internal/settings"
 	"pulleyquay/internal/spec"
 )
 
@@ -22,7 +21,7 @@
 func nothing(string) spec.Resources { return spec.Resources{} }
 
 func TestReserve(t *testing.T) {
-	quota := settings.Quota{MilliCPU: 10, MemoryMiB: -1, Accelerators: 0}
+	quota := Quota{MilliCPU: 10, MemoryMiB: -1, Accelerators: 0}
 	cases := []struct {
 		name  string
 		size  spec.Resources
@@ -56,7 +55,7 @@
 func TestQuotaHolds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		l := NewLedger()
-		quota := settings.Quota{MilliCPU: 50, MemoryMiB: 80, Accelerators: -1}
+		quota := Quota{MilliCPU: 50, MemoryMiB: 80, Accelerators: -1}
 		held := map[string]int{}
 		size := func(job string) spec.Resources {
 			return spec.Resources{MilliCPU: int64(len(job)), MemoryMiB: 3}
@@ -88,7 +87,7 @@
 				held[job] -= min(n, held[job])
 			},
 			"": func(t *rapid.T) {
-				if l.Used("team") != sum() || Exceeds(sum(), quota) != "" {
+				if l.Used("team") != sum() || quota.Exceeds(sum()) != "" {
 					t.Fatalf("ledger %v, held %v", l.Used("team"), sum())
 				}
 			},
--- a/internal/fairshare/ledger.go
+++ b/internal/fairshare/ledger.go
@@ -1,15 +1,11 @@
-// Package fairshare decides, in the home of a team's jobs, what may be asked
-// for and in which order: exact quotas, shares between teams with work waiting,
-// ageing, and the order in which gangs come back after a failed hold. It is
-// pure: the caller passes the time and serialises calls.
+// Package fairshare decides what teams and client accounts may have at once, and whose
+// work comes first: exact quotas, shares, allowances of jobs a second, ageing, and the
+// order in which gangs come back after a failed hold. It is pure: the caller passes the
+// time and serialises calls.
 package fairshare
 
 import (
-	"fmt"
-	"strings"
-
 	"pulleyquay/internal/result"
-	"pulleyquay/internal/settings"
 	"pulleyquay/internal/spec"
 )
 
@@ -37,12 +33,12 @@
 // Reserve counts tasks of a job against the quota, all of them or none. It
 // refuses with QuotaExceeded when others of the team's jobs have to end first,
 // with QuotaUnset when the whole quota would not do.
-func (l *Ledger) Reserve(team, job string, quota settings.Quota, size spec.Resources, tasks int) *result.Error {
+func (l *Ledger) Reserve(team, job string, quota Quota, size spec.Resources, tasks int) *result.Error {
 	need := size.Times(int64(tasks))
-	if over := Exceeds(need, quota); over != "" {
+	if over := quota.Exceeds(need); over != "" {
 		return result.New(result.QuotaUnset, result.RanNo, "team %s: %s", team, over)
 	}
-	if over := Exceeds(l.Used(team).Add(need), quota); over != "" {
+	if over := quota.Exceeds(l.Used(team).Add(need)); over != "" {
 		return result.New(result.QuotaExceeded, result.RanNo, "team %s: %s", team, over)
 	}
 	l.Restore(team, job, size, tasks)
@@ -51,19 +47,8 @@
 
 // Room returns how many tasks of the size the team's quota leaves room for, at
 // most limit.
-func (l *Ledger) Room(team string, quota settings.Quota, size spec.Resources, limit int) int {
-	used := l.Used(team)
-	room := int64(limit)
-	for _, r := range []struct{ quota, used, size int64 }{
-		{quota.MilliCPU, used.MilliCPU, size.MilliCPU},
-		{quota.MemoryMiB, used.MemoryMiB, size.MemoryMiB},
-		{quota.Accelerators, used.Accelerators, size.Accelerators},
-	} {
-		if r.quota >= 0 && r.size > 0 {
-			room = min(room, max(0, r.quota-r.used)/r.size)
-		}
-	}
-	return int(room)
+func (l *Ledger) Room(team string, quota Quota, size spec.Resources, limit int) int {
+	return quota.Room(l.Used(team), size, limit)
 }
 
 // Restore counts tasks that are known to run, whatever the quota says: after a
@@ -110,18 +95,3 @@
 	}
 	return spec.Resources{}
 }
-
-// Exceeds names the resources of need that are above the quota; "" when none
-// is. A negative quota is no bound.
-func Exceeds(need spec.Resources, quota settings.Quota) string {
-	var parts []string
-	check := func(name string, need, quota int64) {
-		if quota >= 0 && need > quota {
-			parts = append(parts, fmt.Sprintf("%s: %d of %d", name, need, quota))
-		}
-	}
-	check("milli_cpu", need.MilliCPU, quota.MilliCPU)
-	check("memory_mib", need.MemoryMiB, quota.MemoryMiB)
-	check("accelerators", need.Accelerators, quota.Accelerators)
-	return strings.Join(parts, "; ")
-}
--- a/internal/fairshare/queue.go
+++ b/internal/fairshare/queue.go
@@ -221,10 +221,7 @@
 }
 
 // share is the largest part of any resource that the team would hold.
-func (r *round) share(t *teamRound) float64 {
-	return max(part(t.used.MilliCPU, r.total.MilliCPU), part(t.used.MemoryMiB, r.total.MemoryMiB),
-		part(t.used.Accelerators, r.total.Accelerators))
-}
+func (r *round) share(t *teamRound) float64 { return DominantShare(t.used, r.total) }
 
 // waiting drops jobs at the front that have nothing pending.
 func waiting(entries []*Entry) []*Entry {
@@ -233,10 +230,3 @@
 	}
 	return entries
 }
-
-func part(used, total int64) float64 {
-	if total <= 0 {
-		return 0
-	}
-	return float64(used) / float64(total)
-}
--- a/internal/front/behind_test.go
+++ b/internal/front/behind_test.go
@@ -50,9 +50,9 @@
 		b := newBench(t)
 		behind := &behindHolder{after: 2 * time.Second, kinds: map[peer.Kind]int{}}
 		b.Peers = behind
-		is.NoErr(b.Submit(t.Context(), queue, "00000000000000aa", graph))
+		is.NoErr(b.Submit(t.Context(), Caller{}, queue, "00000000000000aa", graph))
 		for range 5 {
-			_, err := b.State(t.Context(), queue, "00000000000000aa")
+			_, err := b.State(t.Context(), Caller{}, queue, "00000000000000aa")
 			is.NoErr(err)
 		}
 		time.Sleep(2 * tellFor)
@@ -69,7 +69,7 @@
 		b := newBench(t)
 		behind := &behindHolder{after: time.Hour, kinds: map[peer.Kind]int{}}
 		b.Peers = behind
-		is.NoErr(b.Submit(t.Context(), queue, "00000000000000aa", graph))
+		is.NoErr(b.Submit(t.Context(), Caller{}, queue, "00000000000000aa", graph))
 		time.Sleep(100 * time.Millisecond)
 		is.Equal(behind.count(peer.KindAccepted), 1)
 		b.View.Learn(ledger.Holder{Epoch: 2, Name: "c", Addr: "c:1"})
--- a/internal/front/check.go
+++ b/internal/front/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"pulleyquay/internal/catalog"
 	"pulleyquay/internal/result"
 	"pulleyquay/internal/spec"
 )
@@ -61,6 +62,21 @@
 	return nil
 }
 
+// checkQuota refuses a job that its account's quota could never let run, with the numbers:
+// one task of each step, and all members of a gang.
+func checkQuota(a *catalog.Account, g *spec.Graph) error {
+	if a == nil {
+		return nil
+	}
+	for i := range g.Steps {
+		s := &g.Steps[i]
+		if over := a.Quota.Exceeds(s.AtOnce()); over != "" {
+			return result.New(result.AccountQuotaSmall, result.RanNo, "account %s may not have running at once what the step needs: %s", a.Name, over).At(fmt.Sprintf("steps[%d]", i))
+		}
+	}
+	return nil
+}
+
 func refuse(field, format string, args ...any) error {
 	return result.New(result.JobBodyInvalid, result.RanNo, format, args...).At(field)
 }
--- a/internal/front/doubt_test.go
+++ b/internal/front/doubt_test.go
@@ -25,7 +25,7 @@
 	submit := func(t *testing.T, b *bench, id string) *result.Error {
 		ctx, cancel := context.WithTimeout(t.Context(), 2940*time.Millisecond)
 		defer cancel()
-		if err := b.Submit(ctx, queue, id, graph); err != nil {
+		if err := b.Submit(ctx, Caller{}, queue, id, graph); err != nil {
 			return result.From(err)
 		}
 		return nil
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -67,18 +67,18 @@
 // Submit accepts a job. It returns nil once the job is stored; handing in the
 // same job again returns nil as well. An error with RanNo promises that the job
 // was not accepted.
-func (f *Front) Submit(ctx context.Context, q *catalog.Queue, id string, g spec.Graph) error {
+func (f *Front) Submit(ctx context.Context, by Caller, q *catalog.Queue, id string, g spec.Graph) error {
 	begun := time.Now()
-	made, err := f.submit(ctx, q, id, g)
+	made, err := f.submit(ctx, by, q, id, g)
 	f.Metrics.submit(begun, err)
-	f.logSubmit(q, id, made, err, begun)
+	f.logSubmit(by, q, id, made, err, begun)
 	return err
 }
 
 // logSubmit tells what became of a job that was handed in.
-func (f *Front) logSubmit(q *catalog.Queue, id string, made made, err error, begun time.Time) {
+func (f *Front) logSubmit(by Caller, q *catalog.Queue, id string, made made, err error, begun time.Time) {
 	log := f.Log.WithFields(logrus.Fields{
-		"job": id, "queue": q.Name, "took_ms": time.Since(begun).Milliseconds(),
+		"job": id, "queue": q.Name, "account": by.name(), "took_ms": time.Since(begun).Milliseconds(),
 		"store_silent_ms": max(f.Health.Silent(time.Now()), f.Health.Failing(time.Now())).Milliseconds(),
 	})
 	if err == nil {
@@ -90,36 +90,58 @@
 }
 
 // submit checks a job, stores it and has its holder told.
-func (f *Front) submit(ctx context.Context, q *catalog.Queue, id string, g spec.Graph) (made, error) {
+func (f *Front) submit(ctx context.Context, by Caller, q *catalog.Queue, id string, g spec.Graph) (made, error) {
 	if err := check(&g); err != nil {
 		return 0, err
 	}
+	if err := checkQuota(by.Account, &g); err != nil {
+		return 0, err
+	}
 	rec := record.Job{
-		ID: id, Queue: q.Name, Service: q.Service, Rules: q.Rules, Graph: g, AcceptedUnixMilli: time.Now().UnixMilli(),
+		ID: id, Account: by.name(), Queue: q.Name, Service: q.Service, Rules: q.Rules, Graph: g, AcceptedUnixMilli: time.Now().UnixMilli(),
 	}
 	begun := time.Now()
 	made, err := f.storeJob(ctx, rec)
 	if err != nil {
 		return 0, err
 	}
-	if made != stoodThere {
-		f.teller.add(&rec, f.partition(id), made == madeHere, begun)
+	if made == stoodThere {
+		return made, f.checkOwner(ctx, by, id)
 	}
+	f.teller.add(&rec, f.partition(id), made == madeHere, begun)
 	return made, nil
 }
 
+// checkOwner refuses a job handed in under the id of another account's job.
+func (f *Front) checkOwner(ctx context.Context, by Caller, id string) error {
+	if by.Account == nil {
+		return nil
+	}
+	_, err := f.stored(ctx, by, id)
+	switch result.CodeOf(err) {
+	case result.JobUnknown:
+		return result.New(result.JobNameTaken, result.RanNo, "job %s", id)
+	case result.HolderAway:
+		return f.unsettled()
+	}
+	return err
+}
+
 // State returns the state of a job: from its holder, or from the store when the
 // holder does not know the job or is not reached.
-func (f *Front) State(ctx context.Context, q *catalog.Queue, id string) (record.State, error) {
-	reply, err := f.askHolder(ctx, id, peer.KindState)
+func (f *Front) State(ctx context.Context, by Caller, q *catalog.Queue, id string) (record.State, error) {
+	reply, err := f.askHolder(ctx, by, id, peer.KindState)
 	answered := err == nil
-	if answered && reply.Known {
+	if answered && reply.Known && (reply.Checked || by.Account == nil) {
 		return reply.State, nil
 	}
-	rec, err := f.stored(ctx, id)
+	rec, err := f.stored(ctx, by, id)
 	if err != nil {
 		return "", err
 	}
+	if answered && reply.Known {
+		return reply.State, nil // of a version that knows no accounts
+	}
 	if rec.Ended != "" {
 		return rec.Ended, nil
 	}
@@ -131,8 +153,9 @@
 	return record.StateQueued, nil
 }
 
-// stored reads a job's record, or returns JobUnknown when there is none.
-func (f *Front) stored(ctx context.Context, id string) (*record.Job, error) {
+// stored reads a job's record, or returns JobUnknown when there is none that is open to
+// the caller.
+func (f *Front) stored(ctx context.Context, by Caller, id string) (*record.Job, error) {
 	ctx, cancel := context.WithTimeout(ctx, holderPatience)
 	defer cancel()
 	rec, ok, err := f.Get(ctx, record.JobKey(f.partition(id), id))
@@ -147,15 +170,18 @@
 	if err != nil {
 		return nil, result.New(result.Internal, result.RanUnknown, "%v", err)
 	}
+	if !j.Open(by.name()) {
+		return nil, result.New(result.JobUnknown, result.RanNo, "job %s", id)
+	}
 	j.ID = id
 	return j, nil
 }
 
 // Cancel ends a job. It returns nil once that is stored, also when the job had
 // ended before.
-func (f *Front) Cancel(ctx context.Context, q *catalog.Queue, id string) error {
+func (f *Front) Cancel(ctx context.Context, by Caller, q *catalog.Queue, id string) error {
 	begun := time.Now()
-	err := f.cancel(ctx, id)
+	err := f.cancel(ctx, by, id)
 	log := f.Log.WithFields(logrus.Fields{"job": id, "queue": q.Name, "took_ms": time.Since(begun).Milliseconds()})
 	if err != nil {
 		log.WithError(err).Info("cancellation not stored")
@@ -165,14 +191,14 @@
 	return nil
 }
 
-func (f *Front) cancel(ctx context.Context, id string) error {
+func (f *Front) cancel(ctx context.Context, by Caller, id string) error {
 	for {
-		reply, err := f.askHolder(ctx, id, peer.KindCancelJob)
+		reply, err := f.askHolder(ctx, by, id, peer.KindCancelJob)
 		if err == nil && reply.Known {
 			return nil
 		}
 		if err == nil {
-			rec, err := f.stored(ctx, id)
+			rec, err := f.stored(ctx, by, id)
 			if err != nil {
 				return err
 			}
@@ -203,10 +229,10 @@
 }
 
 // askHolder asks the holder of a job's partition about the job.
-func (f *Front) askHolder(ctx context.Context, id string, kind peer.Kind) (holder.JobReply, error) {
+func (f *Front) askHolder(ctx context.Context, by Caller, id string, kind peer.Kind) (holder.JobReply, error) {
 	var reply holder.JobReply
 	p := f.partition(id)
-	err := f.call(ctx, p, kind, holder.JobRequest{Partition: p, Job: id}, &reply)
+	err := f.call(ctx, p, kind, holder.JobRequest{Partition: p, Job: id, Account: by.name()}, &reply)
 	return reply, err
 }
 
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -36,6 +36,10 @@
 	// front stores jobs for peers; nil where no peer is there.
 	front *Front
 	loses int // answers to calls to store that are lost
+	// owner is the account of each job that it was told of; a former version knows none.
+	owner     map[string]string
+	former    bool
+	cancelled []string
 }
 
 func (h *fakeHolder) Call(ctx context.Context, _ string, kind peer.Kind, req, resp any) error {
@@ -46,10 +50,16 @@
 	}
 	switch kind {
 	case peer.KindAccepted:
-		h.told[req.(holder.Accepted).Job.ID]++
+		j := req.(holder.Accepted).Job
+		h.told[j.ID]++
+		h.owner[j.ID] = j.Account
 	case peer.KindState, peer.KindCancelJob:
-		known := h.told[req.(holder.JobRequest).Job] > 0
-		*resp.(*holder.JobReply) = holder.JobReply{Known: known, State: h.state}
+		q := req.(holder.JobRequest)
+		known := h.told[q.Job] > 0 && (h.former || h.owner[q.Job] == "" || h.owner[q.Job] == q.Account)
+		if known && kind == peer.KindCancelJob {
+			h.cancelled = append(h.cancelled, q.Job)
+		}
+		*resp.(*holder.JobReply) = holder.JobReply{Known: known, State: h.state, Checked: known && !h.former}
 	case peer.KindStoreJob:
 		if h.front == nil {
 			return result.New(result.PeerNotReached, result.RanNo, "away")
@@ -83,7 +93,7 @@
 	view.Learn(ledger.Holder{Epoch: 1, Name: "b", Addr: "b:1"})
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	h := &fakeHolder{told: map[string]int{}, state: record.StateRunning}
+	h := &fakeHolder{told: map[string]int{}, owner: map[string]string{}, state: record.StateRunning}
 	health := follow.NewHealth(nil)
 	f := &Front{
 		Store: resend.New(c, health), Get: c.Get, Health: health, Peers: h, View: view, Partitions: 1,
@@ -141,7 +151,7 @@
 				ctx, cancel := context.WithTimeout(t.Context(), 2940*time.Millisecond)
 				defer cancel()
 				begun := time.Now()
-				err := b.Submit(ctx, queue, "00000000000000aa", graph)
+				err := b.Submit(ctx, Caller{}, queue, "00000000000000aa", graph)
 				is.True(time.Since(begun) <= tc.within)
 				time.Sleep(20 * time.Second) // copies under way have arrived
 				synctest.Wait()
@@ -179,7 +189,7 @@
 			ctx, cancel := context.WithTimeout(t.Context(), 2940*time.Millisecond)
 			defer cancel()
 			begun := time.Now()
-			if err := b.Submit(ctx, queue, id, graph); err != nil {
+			if err := b.Submit(ctx, Caller{}, queue, id, graph); err != nil {
 				return result.From(err), time.Since(begun)
 			}
 			return nil, time.Since(begun)
@@ -211,14 +221,14 @@
 		is := is.New(t)
 		b := newBench(t)
 		for i := range 5 {
-			is.NoErr(b.Submit(t.Context(), queue, fmt.Sprintf("%016x", i), graph))
+			is.NoErr(b.Submit(t.Context(), Caller{}, queue, fmt.Sprintf("%016x", i), graph))
 		}
 		b.store.Client("a").SetFaults(memstore.Faults{AnswerDelayMS: 1500})
-		e := result.From(b.Submit(t.Context(), queue, "00000000000000aa", graph))
+		e := result.From(b.Submit(t.Context(), Caller{}, queue, "00000000000000aa", graph))
 		is.Equal(e.Ran, result.RanUnknown)
 		time.Sleep(e.RetryAfter)
-		is.NoErr(b.Submit(t.Context(), queue, "00000000000000aa", graph))
-		is.NoErr(b.Submit(t.Context(), queue, "00000000000000bb", graph))
+		is.NoErr(b.Submit(t.Context(), Caller{}, queue, "00000000000000aa", graph))
+		is.NoErr(b.Submit(t.Context(), Caller{}, queue, "00000000000000bb", graph))
 		time.Sleep(20 * time.Second)
 	})
 }
@@ -234,7 +244,7 @@
 		b.Health.Note(false, now.Add(-time.Second))
 		b.store.Client("a").SetFaults(memstore.Faults{Hang: true})
 		begun := time.Now()
-		e := result.From(b.Submit(t.Context(), queue, "00000000000000aa", graph))
+		e := result.From(b.Submit(t.Context(), Caller{}, queue, "00000000000000aa", graph))
 		is.Equal(e.Code, result.JobNotStored)
 		is.Equal(e.Ran, result.RanNo)
 		is.True(e.RetryAfter > 0)
@@ -247,7 +257,7 @@
 		is := is.New(t)
 		b := newBench(t)
 		for range 3 {
-			is.NoErr(b.Submit(t.Context(), queue, "00000000000000aa", graph))
+			is.NoErr(b.Submit(t.Context(), Caller{}, queue, "00000000000000aa", graph))
 			time.Sleep(time.Second)
 		}
 		synctest.Wait()
@@ -278,7 +288,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			b := newBench(t)
-			e := result.From(b.Submit(t.Context(), queue, "00000000000000aa", tc.graph))
+			e := result.From(b.Submit(t.Context(), Caller{}, queue, "00000000000000aa", tc.graph))
 			is.Equal(e.Code, result.JobBodyInvalid)
 			is.Equal(e.Field, tc.field)
 			is.Equal(e.Ran, result.RanNo)
@@ -295,20 +305,20 @@
 		b := newBench(t)
 		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 		defer cancel()
-		_, err := b.State(ctx, queue, "00000000000000aa")
+		_, err := b.State(ctx, Caller{}, queue, "00000000000000aa")
 		is.Equal(result.CodeOf(err), result.JobUnknown)
-		is.NoErr(b.Submit(ctx, queue, "00000000000000aa", graph))
+		is.NoErr(b.Submit(ctx, Caller{}, queue, "00000000000000aa", graph))
 		time.Sleep(100 * time.Millisecond)
 		synctest.Wait()
-		s, err := b.State(ctx, queue, "00000000000000aa")
+		s, err := b.State(ctx, Caller{}, queue, "00000000000000aa")
 		is.NoErr(err)
 		is.Equal(s, record.StateRunning)
 		b.holder.away = true
-		s, err = b.State(ctx, queue, "00000000000000aa")
+		s, err = b.State(ctx, Caller{}, queue, "00000000000000aa")
 		is.NoErr(err)
 		is.Equal(s, record.StateQueued) // all that the store tells
 		b.store.Client("a").SetFaults(memstore.Faults{Refuse: true})
-		_, err = b.State(ctx, queue, "00000000000000aa")
+		_, err = b.State(ctx, Caller{}, queue, "00000000000000aa")
 		is.Equal(result.CodeOf(err), result.HolderAway)
 		time.Sleep(2 * tellFor) // the holder is told no more
 	})
@@ -320,12 +330,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		b := newBench(t)
-		is.NoErr(b.Submit(t.Context(), queue, "00000000000000aa", graph))
+		is.NoErr(b.Submit(t.Context(), Caller{}, queue, "00000000000000aa", graph))
 		b.holder.mu.Lock()
 		b.holder.away = true
 		b.holder.mu.Unlock()
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
-		e := result.From(b.Cancel(ctx, queue, "00000000000000aa"))
+		e := result.From(b.Cancel(ctx, Caller{}, queue, "00000000000000aa"))
 		cancel()
 		is.Equal(e.Code, result.HolderAway)
 		is.True(e.RetryAfter > 0)
@@ -336,8 +346,8 @@
 			defer b.holder.mu.Unlock()
 			b.holder.away = false
 		})
-		is.NoErr(b.Cancel(ctx, queue, "00000000000000aa"))
-		is.Equal(result.CodeOf(b.Cancel(ctx, queue, "00000000000000bb")), result.JobUnknown)
+		is.NoErr(b.Cancel(ctx, Caller{}, queue, "00000000000000aa"))
+		is.Equal(result.CodeOf(b.Cancel(ctx, Caller{}, queue, "00000000000000bb")), result.JobUnknown)
 		time.Sleep(2 * tellFor)
 	})
 }
@@ -370,7 +380,7 @@
 				b.holder.front = other.Front
 				b.View.Learn(ledger.Holder{Epoch: 2, Name: "c", Addr: "c:1"})
 				if tc.again {
-					is.NoErr(b.Submit(t.Context(), queue, "00000000000000aa", graph))
+					is.NoErr(b.Submit(t.Context(), Caller{}, queue, "00000000000000aa", graph))
 					time.Sleep(time.Second)
 				}
 				b.Health.Note(true, time.Now().Add(-time.Minute))
@@ -379,7 +389,7 @@
 				tc.peer(b)
 				ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 				defer cancel()
-				err := b.Submit(ctx, queue, "00000000000000aa", graph)
+				err := b.Submit(ctx, Caller{}, queue, "00000000000000aa", graph)
 				time.Sleep(2 * tellFor)
 				synctest.Wait()
 				if tc.want == 0 {
--- a/internal/holder/messages.go
+++ b/internal/holder/messages.go
@@ -47,6 +47,9 @@
 type JobRequest struct {
 	Partition int    `cbor:"1,keyasint"`
 	Job       string `cbor:"2,keyasint"`
+	// Account is the caller's; a job of another one is not known to it. Versions that knew no
+	// accounts leave it out.
+	Account string `cbor:"3,keyasint,omitempty"`
 }
 
 // JobReply tells the state of a job; Known is false when the holder has no such
@@ -54,6 +57,8 @@
 type JobReply struct {
 	Known bool         `cbor:"1,keyasint"`
 	State record.State `cbor:"2,keyasint"`
+	// Checked is true when the holder has seen to it that the job is open to the account.
+	Checked bool `cbor:"3,keyasint,omitempty"`
 }
 
 // PendingRequest asks how many jobs of a queue have not begun.
--- a/internal/holder/table.go
+++ b/internal/holder/table.go
@@ -81,14 +81,17 @@
 	if err != nil {
 		return JobReply{}, err
 	}
-	return h.state(q.Job), nil
+	return h.state(q), nil
 }
 
-func (h *Holder) state(id string) JobReply {
+func (h *Holder) state(q JobRequest) JobReply {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	s, known := h.engine.State(id)
-	return JobReply{Known: known, State: s}
+	if !h.engine.Open(q.Job, q.Account) {
+		return JobReply{}
+	}
+	s, _ := h.engine.State(q.Job)
+	return JobReply{Known: true, State: s, Checked: true}
 }
 
 func (t *Table) onCancel(ctx context.Context, q JobRequest) (JobReply, error) {
@@ -96,13 +99,17 @@
 	if err != nil {
 		return JobReply{}, err
 	}
-	return h.cancelJob(ctx, q.Job)
+	return h.cancelJob(ctx, q)
 }
 
 // cancelJob ends a job and waits until that is stored.
-func (h *Holder) cancelJob(ctx context.Context, id string) (JobReply, error) {
-	known := false
-	h.do(func(e *engine.Engine, now time.Time) { _, known = e.Cancel(id, now) })
+func (h *Holder) cancelJob(ctx context.Context, q JobRequest) (JobReply, error) {
+	id, known := q.Job, false
+	h.do(func(e *engine.Engine, now time.Time) {
+		if e.Open(id, q.Account) {
+			_, known = e.Cancel(id, now)
+		}
+	})
 	if !known {
 		return JobReply{}, nil
 	}
@@ -112,7 +119,7 @@
 		stored := h.stored
 		h.mu.Unlock()
 		if s.Final() {
-			return JobReply{Known: true, State: s}, nil
+			return JobReply{Known: true, State: s, Checked: true}, nil
 		}
 		select {
 		case <-stored:
--- a/internal/job/validate.go
+++ b/internal/job/validate.go
@@ -10,7 +10,6 @@
 	"github.com/go-playground/validator/v10"
 	"github.com/google/uuid"
 
-	"pulleyquay/internal/fairshare"
 	"pulleyquay/internal/result"
 	"pulleyquay/internal/settings"
 	"pulleyquay/internal/spec"
@@ -107,7 +106,7 @@
 	if j.Kind == spec.KindGang {
 		need = need.Times(int64(j.Tasks))
 	}
-	over := fairshare.Exceeds(need, q)
+	over := q.Exceeds(need)
 	if over == "" {
 		return nil
 	}
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -52,8 +52,18 @@
 	// Why is the result code and the reason for which it ended, for operators; empty where
 	// the state says all.
 	Why string `cbor:"9,keyasint,omitempty"`
+	// Account is the client account whose job it is, also once it has ended; empty where its
+	// queue needs no key, and for jobs of versions that knew no accounts.
+	Account string `cbor:"10,keyasint,omitempty"`
+	// Largest is the most that a task of it takes in each dimension, once the job is final: one
+	// may still run.
+	Largest spec.Resources `cbor:"11,keyasint,omitzero"`
 }
 
+// Open reports whether the job may be read and cancelled for a client account; empty for
+// callers without one.
+func (j *Job) Open(account string) bool { return j.Account == "" || j.Account == account }
+
 // Progress is what is known of a live job's steps.
 type Progress struct {
 	Steps []StepProgress `cbor:"1,keyasint"`
--- a/internal/result/codes_cell.go
+++ b/internal/result/codes_cell.go
@@ -17,6 +17,9 @@
 	AdviceFailed      Code = 5210
 	JobCannotBePlaced Code = 5211
 	JobCrashesHosts   Code = 5212
+	KeyUnknown        Code = 5213
+	JobNameTaken      Code = 5214
+	AccountQuotaSmall Code = 5215
 )
 
 func init() {
@@ -34,5 +37,8 @@
 		Info{AdviceFailed, "advice-failed", http.StatusBadGateway, "the policy service gave no usable answer"},
 		Info{JobCannotBePlaced, "job-cannot-be-placed", http.StatusUnprocessableEntity, "the job's steps contradict each other or no host could hold them"},
 		Info{JobCrashesHosts, "job-crashes-hosts", http.StatusUnprocessableEntity, "the hosts that started a task of the job crashed; the job was given up"},
+		Info{KeyUnknown, "key-unknown", http.StatusUnauthorized, "the call carries no key that is in force, and the queue needs one"},
+		Info{JobNameTaken, "job-name-taken", http.StatusConflict, "the job's id is that of another client account's job"},
+		Info{AccountQuotaSmall, "account-quota-too-small", http.StatusUnprocessableEntity, "the job needs more at once than its client account may have running"},
 	)
 }
--- a/internal/settings/values.go
+++ b/internal/settings/values.go
@@ -2,6 +2,8 @@
 // content-addressed branches under one head that moves by compare-and-swap.
 package settings
 
+import "pulleyquay/internal/fairshare"
+
 // Values are the effective settings of a branch, after inheritance. Each has
 // its unit in its name. The JSON names are also the names in a branch's
 // overrides, grouped by the objects below.
@@ -45,13 +47,8 @@
 	PolicyWaiting = "waiting"
 )
 
-// Quota bounds what a team's jobs may hold at once; zero means none allowed,
-// negative means no bound.
-type Quota struct {
-	MilliCPU     int64 `json:"milli_cpu" validate:"min=-1"`
-	MemoryMiB    int64 `json:"memory_mib" validate:"min=-1"`
-	Accelerators int64 `json:"accelerators" validate:"min=-1"`
-}
+// Quota bounds what a team's jobs may hold at once.
+type Quota = fairshare.Quota
 
 // Task governs the tasks of a branch's jobs.
 type Task struct {
--- a/internal/spec/graph.go
+++ b/internal/spec/graph.go
@@ -27,6 +27,14 @@
 // Occurrences is how often the steps of the job run.
 func (g *Graph) Occurrences() int { return max(g.Repeat.Times, 1) }
 
+// Largest is the most that a task of any step takes in each dimension.
+func (g *Graph) Largest() (most Resources) {
+	for i := range g.Steps {
+		most = most.Max(g.Steps[i].Size)
+	}
+	return most
+}
+
 // Due is when an occurrence may begin; the zero time for a job that is not
 // repeated.
 func (g *Graph) Due(occurrence int) time.Time {
@@ -75,6 +83,14 @@
 	MayMiss int `cbor:"16,keyasint,omitempty" json:"may_miss,omitempty"`
 }
 
+// AtOnce is the least that the step has to have running to get on: one task, or a gang.
+func (s *Step) AtOnce() Resources {
+	if s.Gang {
+		return s.Size.Times(int64(s.Count))
+	}
+	return s.Size
+}
+
 // Booked is what a task of the step takes from a host's size.
 func (s *Step) Booked() Resources {
 	if !s.Filler {
