--- a/internal/engine/account.go
+++ b/internal/engine/account.go
@@ -138,9 +138,10 @@
 	return n
 }
 
-// promise keeps a gang's part of its account's quota from steps that come after it.
-func (g *group) promise() {
-	if a := g.job.account; a != nil && g.step.Gang {
+// promise keeps its part of its account's quota for a gang for which others were stopped:
+// steps that come after it leave it.
+func (g *group) promise(now time.Time) {
+	if a := g.job.account; a != nil && g.waiting > 0 && now.Before(g.roomAt) {
 		a.promised = a.promised.Add(g.step.Size.Times(int64(g.waiting)))
 	}
 }
--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -28,38 +28,45 @@
 		if now.Before(g.notBefore) || !g.ready {
 			continue
 		}
-		if e.overQuota(g, now) {
-			continue
-		}
-		if e.hopeless(g, now) {
-			e.countReserving(g)
-			continue
-		}
-		e.tellWaiting(g, now)
-		e.noteTry(g, rank, now)
-		effort -= g.effort()
-		switch {
-		case g.step.Gang:
-			e.planGang(g, hosts, now)
-		case e.sizeUp(g, hosts):
-			e.planLarge(g, hosts, now)
-		default:
-			e.planTasks(g, hosts, now)
-		}
+		effort -= e.planStep(g, rank, hosts, now)
+		g.promise(now)
 	}
 }
 
+// planStep starts what can be started of a step, the rank-th of the queue. It returns what
+// that took, in tries of single tasks.
+func (e *Engine) planStep(g *group, rank int, hosts []*hostState, now time.Time) (effort int) {
+	if e.overQuota(g, now) {
+		return 0
+	}
+	if e.hopeless(g, now) {
+		e.countReserving(g)
+		return 0
+	}
+	e.tellWaiting(g, now)
+	e.noteTry(g, rank, now)
+	effort = g.effort()
+	switch {
+	case g.step.Gang:
+		e.planGang(g, hosts, now)
+	case e.sizeUp(g, hosts):
+		e.planLarge(g, hosts, now)
+	default:
+		e.planTasks(g, hosts, now)
+	}
+	return effort
+}
+
 // overQuota reports whether the step's account has too much running for any of it to
 // start. It keeps no places meanwhile, which others could use.
 func (e *Engine) overQuota(g *group, now time.Time) bool {
-	if now.Before(g.roomAt) {
-		g.promise() // others were stopped for it
-		return false
-	}
 	if e.allowedNow(g) > 0 {
 		return false
 	}
 	e.tellWaiting(g, now)
+	if now.Before(g.roomAt) {
+		return true // others were stopped for it: it keeps its places
+	}
 	g.unreserve()
 	g.tried.gap = 0 // it is tried as soon as there is quota
 	return true
