--- a/cmd/pulley-node/node.go
+++ b/cmd/pulley-node/node.go
@@ -100,6 +100,7 @@
 	n.addHolder()
 	n.addFront()
 	d.AddDump("held", func() any { return n.table.Dump() })
+	d.AddQuestion("explain", n.table.Explain)
 	d.AddReadiness(n.catalog.Lacks)
 	d.AddReadiness(n.lacks)
 	return n
@@ -228,6 +229,7 @@
 	case "listen.callers":
 		n.server = n.daemon.Serve(n.meter.Of("callers").Listener(l), alice.New(n.closeWhileStopping).Then(platform.Callers{
 			Catalog: n.catalog.Current, Jobs: n.front, Margin: front.AnswerMargin, Patience: front.DefaultPatience,
+			Refused: n.front.Metrics.Refused,
 		}))
 		return
 	case "listen.ready":
--- /dev/null
+++ b/internal/ctl/accounts.go
@@ -0,0 +1,119 @@
+package ctl
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"pulleyquay/internal/engine"
+	"pulleyquay/internal/result"
+)
+
+// accountsCommand shows what each client account has and waits for.
+func (a *app) accountsCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "accounts ADDR", Short: "Show what client accounts have running, their quotas and what waits: ADDR is the administration listener of the process that holds the partition", Args: cobra.ExactArgs(1),
+		Example: "  pulleyctl accounts 127.0.0.1:9464",
+		RunE: func(_ *cobra.Command, args []string) error {
+			body, err := a.admin(args[0]).get("/debug/state")
+			if err != nil || a.output == outputJSON {
+				return a.orJSON(body, err)
+			}
+			var state struct {
+				Held []struct {
+					Engine engine.Dump `json:"engine"`
+				} `json:"held"`
+			}
+			if err := json.Unmarshal(body, &state); err != nil {
+				return result.New(result.Internal, result.RanNo, "%v", err)
+			}
+			if len(state.Held) == 0 {
+				return result.New(result.HolderAway, result.RanNo, "the process at %s holds no partition", args[0])
+			}
+			for _, h := range state.Held {
+				if err := a.printAccounts(h.Engine); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+	}
+}
+
+func (a *app) printAccounts(d engine.Dump) error {
+	t := newTable(a.out)
+	for _, heading := range []string{"ACCOUNT", "SHARE", "OF QUOTA", "CORES", "MAY HAVE", "WAITING", "FOR QUOTA", "NEXT", "WHY"} {
+		t.cell(heading)
+	}
+	t.end()
+	for _, row := range d.Accounts {
+		t.cell(row.Account)
+		t.cell(percent(row.Share))
+		t.cell(percent(row.Full))
+		t.cell(strconv.FormatInt(row.Running.MilliCPU/1000, 10))
+		t.cell(quotaCores(row.Quota.MilliCPU))
+		t.cell(strconv.Itoa(row.Steps))
+		t.cell(strconv.Itoa(row.ForQuota))
+		t.cell(row.Next)
+		t.cell(row.NextWhy)
+		t.end()
+	}
+	return t.flush()
+}
+
+func percent(share float64) string { return fmt.Sprintf("%.0f%%", 100*share) }
+
+func quotaCores(milli int64) string {
+	if milli < 0 {
+		return "any"
+	}
+	return strconv.FormatInt(milli/1000, 10)
+}
+
+// explainCommand shows why a job waits.
+func (a *app) explainCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "explain ADDR JOB", Short: "Show where a job stands and what its steps wait for: ADDR is the administration listener of the process that holds the partition", Args: cobra.ExactArgs(2),
+		Example: "  pulleyctl explain 127.0.0.1:9464 5c0e7a21d94b36f8",
+		RunE: func(_ *cobra.Command, args []string) error {
+			body, err := a.admin(args[0]).get("/debug/explain?of=" + url.QueryEscape(args[1]))
+			if err != nil || a.output == outputJSON {
+				return a.orJSON(body, err)
+			}
+			var x engine.Explanation
+			if err := json.Unmarshal(body, &x); err != nil {
+				return result.New(result.Internal, result.RanNo, "%v", err)
+			}
+			return a.printExplanation(x)
+		},
+	}
+}
+
+func (a *app) printExplanation(x engine.Explanation) error {
+	if _, err := fmt.Fprintf(a.out, "%s: %s; account %q, queue %q %s\n", x.Job, x.State, x.Account, x.Queue, x.Why); err != nil {
+		return err
+	}
+	t := newTable(a.out)
+	for _, heading := range []string{"STEP", "DONE", "RUNNING", "WAITING", "WHY"} {
+		t.cell(heading)
+	}
+	t.end()
+	for _, s := range x.Steps {
+		t.cell(s.Step)
+		t.cell(strconv.Itoa(s.Done))
+		t.cell(strconv.Itoa(s.Running))
+		t.cell(strconv.Itoa(s.Waiting))
+		t.cell(s.Why)
+		t.end()
+	}
+	return t.flush()
+}
+
+// admin is a client of a process's administration listener.
+func (a *app) admin(addr string) *client {
+	return newClient([]string{strings.TrimPrefix(addr, "http://")}, a.timeout)
+}
--- a/internal/ctl/codes.go
+++ b/internal/ctl/codes.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"strconv"
-	"strings"
 
 	"github.com/spf13/cobra"
 
@@ -53,8 +52,7 @@
 		Use: "dump ADDR", Short: "Show a process's state: ADDR is the host:port of its administration listener", Args: cobra.ExactArgs(1),
 		Example: "  pulleyctl dump 127.0.0.1:9101",
 		RunE: func(_ *cobra.Command, args []string) error {
-			addr := strings.TrimPrefix(args[0], "http://")
-			body, err := newClient([]string{addr}, a.timeout).get("/debug/state")
+			body, err := a.admin(args[0]).get("/debug/state")
 			return a.orJSON(body, err)
 		},
 	}
--- a/internal/ctl/root.go
+++ b/internal/ctl/root.go
@@ -120,7 +120,7 @@
 	flags.DurationVar(&a.timeout, "timeout", 15*time.Second, "limit on the whole command")
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &usageError{err} })
 	root.AddCommand(a.settingsCommand(), a.membersCommand(), a.workersCommand(), a.jobCommand(),
-		a.callCommand(), a.codesCommand(), a.traceCommand(), a.reportCommand(), a.dumpCommand())
+		a.callCommand(), a.codesCommand(), a.traceCommand(), a.reportCommand(), a.dumpCommand(), a.accountsCommand(), a.explainCommand())
 	asUsage(root)
 	return root
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/sirupsen/logrus"
 
+	"pulleyquay/internal/problem"
 	"pulleyquay/internal/result"
 )
 
@@ -39,6 +40,7 @@
 	listening atomic.Bool // signals are being caught
 	mu        sync.Mutex
 	dumps     map[string]func() any
+	questions map[string]func(arg string) (any, error)
 	lacks     []func() []string
 	servers   []*http.Server
 	budget    *budget
@@ -70,7 +72,7 @@
 	logger.SetLevel(lv)
 	reg := prometheus.NewRegistry()
 	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	return &Daemon{Name: name, Log: logger.WithField(fieldProcess, name), Reg: reg, budget: b, dumps: map[string]func() any{}}, nil
+	return &Daemon{Name: name, Log: logger.WithField(fieldProcess, name), Reg: reg, budget: b, dumps: map[string]func() any{}, questions: map[string]func(string) (any, error){}}, nil
 }
 
 // AddDump adds a named section to the state dump.
@@ -80,6 +82,14 @@
 	d.dumps[name] = fn
 }
 
+// AddQuestion adds a function that answers about one thing, as /debug/NAME?of=THING. Its
+// errors are *result.Error. Call it before Admin.
+func (d *Daemon) AddQuestion(name string, fn func(thing string) (any, error)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.questions[name] = fn
+}
+
 // AddReadiness adds a function that lists what the process lacks; it is ready
 // while all lists are empty and no planned stop has begun.
 func (d *Daemon) AddReadiness(fn func() []string) {
@@ -142,6 +152,11 @@
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, "ok") })
 	mux.HandleFunc("GET /readyz", d.ServeReady)
 	mux.HandleFunc("GET /debug/state", d.serveDump)
+	d.mu.Lock()
+	for name, fn := range d.questions {
+		mux.HandleFunc("GET /debug/"+name, func(w http.ResponseWriter, r *http.Request) { serveAnswer(w, r, fn) })
+	}
+	d.mu.Unlock()
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	return alice.New(noStore).Then(mux)
@@ -181,6 +196,15 @@
 	writeJSON(w, http.StatusOK, state)
 }
 
+func serveAnswer(w http.ResponseWriter, r *http.Request, fn func(string) (any, error)) {
+	answer, err := fn(r.URL.Query().Get("of"))
+	if err != nil {
+		problem.Write(w, result.From(err))
+		return
+	}
+	writeJSON(w, http.StatusOK, answer)
+}
+
 func writeJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
--- a/internal/engine/account.go
+++ b/internal/engine/account.go
@@ -24,6 +24,8 @@
 	used, unsure spec.Resources
 	// promised is kept, in this going through the queue, for gangs that go before others.
 	promised spec.Resources
+	known    bool // the configuration has told of it
+	atQuota  bool // as the log was last told: steps of it wait for its quota
 }
 
 // accountOf returns the books of an account, or nil for work that is nobody's.
@@ -47,7 +49,7 @@
 	if said == nil {
 		return
 	}
-	a.quota = said.Quota
+	a.quota, a.known = said.Quota, true
 	a.allowance.Set(said.Weight, now)
 }
 
@@ -55,9 +57,9 @@
 func (e *Engine) applyAccounts(now time.Time) {
 	for _, a := range e.accounts {
 		a.promised = spec.Resources{}
-		before := a.quota
+		before, known := a.quota, a.known
 		e.applyAccount(a, now)
-		if a.quota != before {
+		if a.quota != before && known {
 			e.room++
 			e.logQuota(a)
 		}
--- a/internal/engine/dump.go
+++ b/internal/engine/dump.go
@@ -17,7 +17,8 @@
 	mostTasksDumped = 20
 )
 
-// Dump is what an engine holds against tasks, and which hosts it does not hear, for people.
+// Dump is what an engine holds against tasks, which hosts it does not hear, and what client
+// accounts have and wait for, for people.
 // Each list has a bounded number of rows, the most telling first; LeftOut counts the others.
 type Dump struct {
 	// Suspects are tasks under which hosts have crashed, the worst standing first.
@@ -29,6 +30,8 @@
 	Silent []DumpedHost `json:"silent"`
 	// Verdicts are those that wait, the next first.
 	Verdicts []DumpedVerdict `json:"verdicts"`
+	// Accounts are the client accounts, those of which most waits for their quotas first.
+	Accounts []DumpedAccount `json:"accounts"`
 	LeftOut  DumpLeftOut     `json:"left_out"`
 }
 
@@ -38,6 +41,7 @@
 	Failed   int `json:"failed"`
 	Silent   int `json:"silent"`
 	Verdicts int `json:"verdicts"`
+	Accounts int `json:"accounts"`
 }
 
 // DumpedTask is a task under which hosts have crashed.
@@ -109,6 +113,8 @@
 	d.Failed, d.LeftOut.Failed = bounded(e.dumpFailed(now))
 	d.Silent, d.LeftOut.Silent = bounded(e.dumpSilent(now))
 	d.Verdicts, d.LeftOut.Verdicts = bounded(e.dumpVerdicts(now))
+	loads, leftOut := bounded(e.AccountLoads(now))
+	d.Accounts, d.LeftOut.Accounts = e.dumpAccounts(loads, now), leftOut
 	return d
 }
 
--- /dev/null
+++ b/internal/engine/dump_account.go
@@ -0,0 +1,178 @@
+package engine
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"pulleyquay/internal/fairshare"
+	"pulleyquay/internal/record"
+	"pulleyquay/internal/spec"
+)
+
+// AccountLoad is what a client account has, and how much of it waits.
+type AccountLoad struct {
+	Account string `json:"account"`
+	// Running is what may be running, InDoubt the part of it that may run on hosts which were
+	// not heard of since the takeover.
+	Running spec.Resources `json:"running"`
+	InDoubt spec.Resources `json:"in_doubt,omitzero"`
+	// Quota is what it may have running; -1 is no bound.
+	Quota fairshare.Quota `json:"quota"`
+	// Share is the largest part of any resource of the cell that it has, Full of its quota.
+	Share float64 `json:"share"`
+	Full  float64 `json:"full"`
+	// Steps wait for their start, ForQuota of them for the account's own quota.
+	Steps    int `json:"steps_waiting"`
+	ForQuota int `json:"steps_waiting_for_quota"`
+
+	first *group // of those that wait
+}
+
+// AccountLoads tells of all client accounts, those of which most waits first.
+func (e *Engine) AccountLoads(now time.Time) []AccountLoad {
+	total := e.cellSize(now)
+	rows := make(map[*account]*AccountLoad, len(e.accounts))
+	for _, a := range e.accounts {
+		counted := e.counted(a)
+		rows[a] = &AccountLoad{
+			Account: a.name, Running: counted, InDoubt: a.unsure.Min(e.unheardRoom), Quota: a.quota,
+			Share: fairshare.DominantShare(counted, total), Full: a.quota.Full(counted),
+		}
+	}
+	for _, g := range e.queue {
+		row := rows[g.job.account]
+		if row == nil || !g.ready {
+			continue
+		}
+		if row.first == nil {
+			row.first = g
+		}
+		row.Steps++
+		if e.allowedNow(g) == 0 {
+			row.ForQuota++
+		}
+	}
+	out := make([]AccountLoad, 0, len(rows))
+	for _, row := range rows {
+		out = append(out, *row)
+	}
+	slices.SortFunc(out, func(a, b AccountLoad) int {
+		return cmp.Or(cmp.Compare(b.ForQuota, a.ForQuota), cmp.Compare(b.Steps, a.Steps), cmp.Compare(a.Account, b.Account))
+	})
+	return out
+}
+
+// DumpedAccount is a client account with the step of it that goes first.
+type DumpedAccount struct {
+	AccountLoad
+	// Next is that step, since when it waits, and why.
+	Next        string `json:"next,omitempty"`
+	NextWaitsMS int64  `json:"next_waits_ms,omitempty"`
+	NextWhy     string `json:"next_why,omitempty"`
+}
+
+func (e *Engine) dumpAccounts(loads []AccountLoad, now time.Time) []DumpedAccount {
+	out := make([]DumpedAccount, 0, len(loads))
+	for _, l := range loads {
+		row := DumpedAccount{AccountLoad: l}
+		if g := l.first; g != nil {
+			row.Next, row.NextWaitsMS, row.NextWhy = g.id.String(), now.Sub(g.readySince).Milliseconds(), e.whyWaiting(g, now)
+		}
+		out = append(out, row)
+	}
+	return out
+}
+
+// cellSize is what the hosts that take work have together.
+func (e *Engine) cellSize(now time.Time) (sum spec.Resources) {
+	for _, h := range e.sorted {
+		if e.placeable(h, now) {
+			sum = sum.Add(h.info.Size)
+		}
+	}
+	return sum
+}
+
+// Explanation tells where a job stands, and why what waits of it waits.
+type Explanation struct {
+	Job     string       `json:"job"`
+	Account string       `json:"account,omitempty"`
+	Queue   string       `json:"queue,omitempty"`
+	State   record.State `json:"state"`
+	// Why is the reason of its end, where its state does not say all.
+	Why   string          `json:"why,omitempty"`
+	Steps []ExplainedStep `json:"steps"`
+	// LeftOut counts the steps that there is no room for.
+	LeftOut int `json:"steps_left_out,omitempty"`
+}
+
+// ExplainedStep is one step of one occurrence that is not done.
+type ExplainedStep struct {
+	Step string `json:"step"`
+	// Done, Running and Waiting count its tasks.
+	Done    int `json:"done"`
+	Running int `json:"running"`
+	Waiting int `json:"waiting"`
+	// Why names what the waiting ones lack.
+	Why string `json:"why,omitempty"`
+}
+
+// Explain tells why a job waits. The second value is false when it is not known.
+func (e *Engine) Explain(id string, now time.Time) (Explanation, bool) {
+	j := e.jobs[id]
+	if j == nil {
+		return Explanation{}, false
+	}
+	out := Explanation{Job: id, Account: j.rec.Account, Queue: j.rec.Queue, State: j.state, Why: cmp.Or(j.why, j.rec.Why), Steps: []ExplainedStep{}}
+	for _, g := range j.groups {
+		if g.left == 0 || j.state.Final() {
+			continue
+		}
+		if len(out.Steps) == mostDumped {
+			out.LeftOut++
+			continue
+		}
+		out.Steps = append(out.Steps, e.explainStep(g, now))
+	}
+	return out, true
+}
+
+func (e *Engine) explainStep(g *group, now time.Time) ExplainedStep {
+	s := ExplainedStep{Step: g.id.String(), Done: len(g.tasks) - g.left, Waiting: g.waiting, Running: g.left - g.waiting}
+	switch {
+	case g.waiting == 0:
+	case g.needs > 0:
+		s.Why = fmt.Sprintf("%d steps before it are not done", g.needs)
+	case now.Before(g.due):
+		s.Why = fmt.Sprintf("its time comes in %v", g.due.Sub(now).Round(time.Millisecond))
+	case e.unsettled:
+		s.Why = "the partition has changed hands; hosts are being asked what they run"
+	default:
+		s.Why = e.whyWaiting(g, now)
+	}
+	return s
+}
+
+// tellAccounts logs which accounts have come to wait for their quotas, and which do no more.
+func (e *Engine) tellAccounts(now time.Time) {
+	waiting := map[*account]int{}
+	for _, g := range e.queue {
+		if a := g.job.account; a != nil && g.ready && e.allowedNow(g) == 0 {
+			waiting[a]++
+		}
+	}
+	for _, a := range e.accounts {
+		n := waiting[a]
+		if (n > 0) == a.atQuota {
+			continue
+		}
+		a.atQuota = n > 0
+		what := "account waits for its quota"
+		if n == 0 {
+			what = "account waits for its quota no more"
+		}
+		e.log(Event{What: what, Why: fmt.Sprintf("account %s: %d steps, may have running %s, %.0f%% of its quota", a.name, n, describeSize(e.counted(a)), 100*a.quota.Full(e.counted(a)))})
+	}
+}
--- a/internal/engine/dump_test.go
+++ b/internal/engine/dump_test.go
@@ -21,7 +21,7 @@
 	w := crashWorld(t, 21, 16)
 	w.submit("bystander", catalog.Rules{}, step(16, 6, 10, 60000))
 	w.run(time.Second)
-	is.Equal(w.engine.Dump(w.now()), Dump{Suspects: []DumpedTask{}, Failed: []DumpedEnd{}, Silent: []DumpedHost{}, Verdicts: []DumpedVerdict{}})
+	is.Equal(w.engine.Dump(w.now()), Dump{Suspects: []DumpedTask{}, Failed: []DumpedEnd{}, Silent: []DumpedHost{}, Verdicts: []DumpedVerdict{}, Accounts: []DumpedAccount{}})
 	w.submit(culprit+"0", catalog.Rules{}, step(1, 6, 10, 640))
 	suspected, silent := false, false
 	var d Dump
--- a/internal/engine/explain.go
+++ b/internal/engine/explain.go
@@ -115,6 +115,7 @@
 		return
 	}
 	e.loadToldAt, e.waitsTold = now, 0
+	e.tellAccounts(now)
 	var size spec.Resources
 	queues, placeable := map[string]*queueLoad{}, 0
 	of := func(queue string) *queueLoad {
--- a/internal/fairshare/quota.go
+++ b/internal/fairshare/quota.go
@@ -55,6 +55,17 @@
 	return strings.Join(parts, "; ")
 }
 
+// Full is the largest part of any bounded resource of the quota that is used.
+func (q Quota) Full(used spec.Resources) float64 {
+	full := 0.0
+	for _, d := range q.dimensions(used, spec.Resources{}) {
+		if d.quota > 0 {
+			full = max(full, part(d.used, d.quota))
+		}
+	}
+	return full
+}
+
 // DominantShare is the largest part of any resource of total that is used.
 func DominantShare(used, total spec.Resources) float64 {
 	return max(part(used.MilliCPU, total.MilliCPU), part(used.MemoryMiB, total.MemoryMiB),
--- a/internal/front/metrics.go
+++ b/internal/front/metrics.go
@@ -12,6 +12,7 @@
 // Metrics are the counters and latencies of callers' requests.
 type Metrics struct {
 	submits *prometheus.HistogramVec
+	refused *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics.
@@ -20,10 +21,16 @@
 		Name: "pulleyquay_front_submit_seconds", Help: "Jobs handed in, until stored or refused, by result code (0: stored).",
 		Buckets: prometheus.ExponentialBuckets(0.002, 3, 8),
 	}, []string{"code"})}
-	reg.MustRegister(m.submits)
+	m.refused = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "pulleyquay_front_refused_total", Help: "Calls that were not served, by result code; keys that are not in force among them.",
+	}, []string{"code"})
+	reg.MustRegister(m.submits, m.refused)
 	return m
 }
 
+// Refused counts a call that was not served.
+func (m *Metrics) Refused(c result.Code) { m.refused.WithLabelValues(strconv.Itoa(int(c))).Inc() }
+
 func (m *Metrics) submit(begun time.Time, err error) {
 	code := 0
 	if err != nil {
--- a/internal/holder/dump.go
+++ b/internal/holder/dump.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pulleyquay/internal/engine"
+	"pulleyquay/internal/result"
 )
 
 // Dump is what the holder of a partition knows, for people.
@@ -33,6 +34,29 @@
 	return out
 }
 
+// Explain tells why a job waits, for people; the partition that it belongs to has to be held
+// here.
+func (t *Table) Explain(id string) (any, error) {
+	t.mu.Lock()
+	held := slices.Collect(maps.Values(t.holders))
+	t.mu.Unlock()
+	for _, h := range held {
+		if x, known := h.explain(id); known {
+			return x, nil
+		}
+	}
+	if len(held) == 0 {
+		return nil, result.New(result.HolderAway, result.RanNo, "this process holds no partition")
+	}
+	return nil, result.New(result.JobUnknown, result.RanNo, "job %s", id)
+}
+
+func (h *Holder) explain(id string) (engine.Explanation, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.engine.Explain(id, time.Now())
+}
+
 func (h *Holder) dump() Dump {
 	self, until := h.ledger.Holder(), h.ledger.Proved().Add(rightTerm)
 	h.mu.Lock()
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -44,6 +44,8 @@
 	// mostUnreadable is how many entries that name no host are remembered, so that the
 	// log has one line on each and not one a heartbeat.
 	mostUnreadable = 1024
+	// accountsEvery is how often the metrics of client accounts are renewed.
+	accountsEvery = 5 * time.Second
 	// gatherFor is how long events are gathered before decisions are made.
 	gatherFor = time.Millisecond
 )
@@ -154,7 +156,7 @@
 	taken()
 	defer lost()
 	var loops sync.WaitGroup
-	work := []func(){h.decideLoop, h.commitLoop, h.followHosts, h.followJobs, func() { h.router.Run(h.ctx) }}
+	work := []func(){h.decideLoop, h.commitLoop, h.followHosts, h.followJobs, h.tellAccounts, func() { h.router.Run(h.ctx) }}
 	if h.cfg.Machines != nil {
 		work = append(work, h.followWaves)
 	}
@@ -167,6 +169,24 @@
 	return context.Cause(h.ctx)
 }
 
+// tellAccounts keeps the metrics of client accounts up to date.
+func (h *Holder) tellAccounts() {
+	tick := time.NewTicker(accountsEvery)
+	defer tick.Stop()
+	defer h.cfg.Metrics.tellAccounts(nil)
+	for {
+		select {
+		case <-h.ctx.Done():
+			return
+		case now := <-tick.C:
+			h.mu.Lock()
+			loads := h.engine.AccountLoads(now)
+			h.mu.Unlock()
+			h.cfg.Metrics.tellAccounts(loads)
+		}
+	}
+}
+
 // do tells the engine something and has it decide again.
 func (h *Holder) do(fn func(e *engine.Engine, now time.Time)) {
 	begun := time.Now()
--- a/internal/holder/metrics.go
+++ b/internal/holder/metrics.go
@@ -26,10 +26,35 @@
 	// taken in, jobAge how old an accepted job is when the engine knows it.
 	decisions, waits, jobAge prometheus.Histogram
 
+	// accounts is what client accounts have and wait for, of a bounded number of them.
+	accounts *prometheus.GaugeVec
+
 	mu   sync.Mutex
 	load Load
 }
 
+// mostAccounts bounds how many client accounts have metrics, those of which most waits.
+const mostAccounts = 32
+
+// What the metric of client accounts tells.
+const (
+	accountShare    = "share"
+	accountFull     = "full"
+	accountSteps    = "steps_waiting"
+	accountForQuota = "steps_waiting_for_quota"
+)
+
+// tellAccounts sets what client accounts have and wait for.
+func (m *Metrics) tellAccounts(loads []engine.AccountLoad) {
+	m.accounts.Reset()
+	for _, l := range loads[:min(len(loads), mostAccounts)] {
+		m.accounts.WithLabelValues(l.Account, accountShare).Set(l.Share)
+		m.accounts.WithLabelValues(l.Account, accountFull).Set(l.Full)
+		m.accounts.WithLabelValues(l.Account, accountSteps).Set(float64(l.Steps))
+		m.accounts.WithLabelValues(l.Account, accountForQuota).Set(float64(l.ForQuota))
+	}
+}
+
 // Load is what holders of this process did since the last reading.
 type Load struct {
 	// Deciding is the time that decisions took.
@@ -65,7 +90,10 @@
 	m.decisions = moments("pulleyquay_holder_decision_seconds", "Decisions: all that is due at a moment.")
 	m.waits = moments("pulleyquay_holder_wait_seconds", "Waits of what happened until it is taken in.")
 	m.jobAge = moments("pulleyquay_holder_job_age_seconds", "Ages of accepted jobs when the holder knows of them.")
-	reg.MustRegister(m.commits, m.writes, m.events, m.failed, m.crashes, m.decisions, m.waits, m.jobAge)
+	m.accounts = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "pulleyquay_holder_account", Help: "Client accounts of which most waits: their share of the cell, how full their quotas are (1: full), and the steps that wait, also for the quota alone.",
+	}, []string{"account", "what"})
+	reg.MustRegister(m.accounts, m.commits, m.writes, m.events, m.failed, m.crashes, m.decisions, m.waits, m.jobAge)
 	return m
 }
 
