--- a/internal/engine/account.go
+++ b/internal/engine/account.go
@@ -22,7 +22,7 @@
 	// used is of the runs in the books, unsure of tasks that may run on hosts that were not
 	// heard of since the takeover.
 	used, unsure spec.Resources
-	// promised is kept, in this going through the queue, for gangs that go before others.
+	// promised is kept, in this going through the queue, for steps that go before others.
 	promised spec.Resources
 	known    bool // the configuration has told of it
 	atQuota  bool // as the log was last told: steps of it wait for its quota
@@ -140,15 +140,17 @@
 	return n
 }
 
-// promise keeps its part of its account's quota for a gang for which others were stopped:
-// steps that come after it leave it.
-func (g *group) promise(now time.Time) {
-	if a := g.job.account; a != nil && g.waiting > 0 && now.Before(g.roomAt) {
+// promise keeps the quota that a step waits for from the steps of its account that come
+// after it, and that of a gang for which others were stopped. Small tasks would take what
+// comes free bit by bit, and those before them that need more at once would never start.
+func (e *Engine) promise(g *group, now time.Time) {
+	a := g.job.account
+	if a != nil && g.waiting > 0 && (now.Before(g.roomAt) || e.allowedNow(g) < g.waiting) {
 		a.promised = a.promised.Add(g.step.Size.Times(int64(g.waiting)))
 	}
 }
 
-// clearPromises begins a going through the queue.
+// clearPromises ends a going through the queue.
 func (e *Engine) clearPromises() {
 	for _, a := range e.accounts {
 		a.promised = spec.Resources{}
@@ -166,7 +168,7 @@
 	if never := a.quota.Exceeds(need); never != "" {
 		return fmt.Sprintf("waits for its account's quota to rise: %s needs more at once than %s may have: %s", g.id, a.name, never)
 	}
-	return fmt.Sprintf("waits for its account's quota: %s has %s, of it %s in doubt, and %s promised to gangs before it",
+	return fmt.Sprintf("waits for its account's quota: %s has %s, of it %s in doubt, and %s promised to steps before it",
 		a.name, a.quota.Exceeds(e.counted(a).Add(a.promised).Add(need)), describeSize(a.unsure.Min(e.unheardRoom)), describeSize(a.promised))
 }
 
--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -18,7 +18,7 @@
 	e.planAt = now.Add(min(time.Duration(len(queue))*pauseShare, longestPause))
 	hosts := e.choices(now)
 	e.weighUnheard(now)
-	e.clearPromises()
+	defer e.clearPromises() // they are kept from those that come after, in this going through the queue
 	e.reserving, e.reservingLarge = 0, 0
 	effort := mostEffort
 	for rank, g := range queue {
@@ -29,7 +29,7 @@
 			continue
 		}
 		effort -= e.planStep(g, rank, hosts, now)
-		g.promise(now)
+		e.promise(g, now)
 	}
 }
 
