--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -161,7 +161,8 @@
 }
 
 // order lists the steps whose turn it is: by the priority of their queue, then by
-// what their jobs can still reach, then the oldest jobs first.
+// what their jobs can still reach, then the oldest jobs first. Those that reach nothing any
+// more come last of all: before others they would only make these late as well.
 func (e *Engine) order(now time.Time) []*group {
 	queue := e.queue[:0]
 	for _, g := range e.queue {
@@ -208,6 +209,7 @@
 // before compares two steps by whose turn comes first.
 func before(x, y *group) int {
 	return cmp.Or(
+		cmp.Compare(x.job.lastOfAll(), y.job.lastOfAll()),
 		cmp.Compare(x.job.rec.Rules.Priority, y.job.rec.Rules.Priority),
 		cmp.Compare(x.job.urgency, y.job.urgency),
 		x.job.accepted.Compare(y.job.accepted),
--- a/internal/engine/preempt.go
+++ b/internal/engine/preempt.go
@@ -20,10 +20,11 @@
 // and ends are listed by a look.
 const preemptMargin = 200 * time.Millisecond
 
-// yieldsTo reports whether tasks of the step may be stopped for a gang.
+// yieldsTo reports whether tasks of the step may be stopped for a gang: one whose turn comes
+// first, and whose queue is more urgent.
 func (g *group) yieldsTo(gang *group) bool {
 	return gang.step.Gang && g.step.Checkpointing && !g.step.Gang && !g.step.LongRunning &&
-		g.job.rec.Rules.Priority > gang.job.rec.Rules.Priority
+		g.job.rec.Rules.Priority > gang.job.rec.Rules.Priority && before(gang, g) < 0
 }
 
 // yields reports whether a run may be stopped for a gang now.
--- a/internal/engine/turns_test.go
+++ b/internal/engine/turns_test.go
@@ -10,6 +10,52 @@
 	"pulleyquay/internal/catalog"
 )
 
+// completedIn counts the jobs of a kind, named kind-N, that were completed within a time.
+func (w *world) completedIn(kind string, from, to int, within time.Duration) (n int) {
+	for i := from; i < to; i++ {
+		j := w.engine.jobs[fmt.Sprint(kind, "-", i)]
+		if j == nil || !j.state.Final() {
+			continue
+		}
+		if w.ended[j.id()].Sub(j.accepted) <= within {
+			n++
+		}
+	}
+	return n
+}
+
+// A burst of urgent jobs is more than the cell can do in time. Those that had become too late
+// to be worth anything kept coming before everything of less urgent queues: on scale-1 of the
+// shifted deployment steps of reviews waited for up to 20 s with 30 of them in the queue, and
+// what they took was lost to surveys that could still be in time. The load is that burst, and
+// less urgent jobs that come all the while.
+func TestWhatIsTooLateHoldsNobodyUp(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 29)
+	w.fleet.Add(4, "s", size(16, 64))
+	w.takeOver()
+	w.run(time.Second)
+	urgent := catalog.Rules{Priority: 1, Stretch: 2.2, TargetMillis: 1000}
+	less := catalog.Rules{Priority: 2, Stretch: 4, TargetMillis: 3000}
+	const burst, small = 40, 60
+	gang := step(8, 4, 1, 2000)
+	gang.Gang = true
+	survey := step(8, 3, 1, 2000)
+	survey.Checkpointing = true
+	for i := range burst {
+		w.submit(fmt.Sprint("burst-", i), urgent, gang)
+	}
+	for i := range small {
+		w.after(time.Duration(i)*time.Second, func() { w.submit(fmt.Sprint("less-", i), less, survey) })
+	}
+	w.run(150 * time.Second)
+	w.check()
+	is.Equal(w.completed(), burst+small)
+	// From 17 s on every job of the burst is too late: three times 5.4 s have passed.
+	// The others take three quarters of the cell, besides what of them waits by then.
+	is.True(3*w.completedIn("less", 17, small, 11*time.Second) >= 2*(small-17))
+}
+
 // The small work of an account filled its quota, bit by bit: whenever a task of it ended, the
 // next one took what came free, and urgent work of the same account, which needs more at once,
 // waited ("waits for its account's quota" for 53 steps of tickets on trouble-1 of the shifted
--- a/internal/engine/urgency.go
+++ b/internal/engine/urgency.go
@@ -42,6 +42,14 @@
 	}
 }
 
+// lastOfAll is 1 for a job that is not worth anything any more, and 0 for others.
+func (j *job) lastOfAll() int {
+	if j.urgency == tooLate {
+		return 1
+	}
+	return 0
+}
+
 // promised is the time in which a job is to be completed: its longest chain of work
 // stretched by its queue's factor, and some more.
 func (e *Engine) promised(j *job) time.Duration {
