--- a/internal/engine/account.go
+++ b/internal/engine/account.go
@@ -56,7 +56,6 @@
 // applyAccounts takes in a new configuration. A quota that rose is room for those that wait.
 func (e *Engine) applyAccounts(now time.Time) {
 	for _, a := range e.accounts {
-		a.promised = spec.Resources{}
 		before, known := a.quota, a.known
 		e.applyAccount(a, now)
 		if a.quota != before && known {
@@ -146,15 +145,19 @@
 func (e *Engine) promise(g *group, now time.Time) {
 	a := g.job.account
 	if a != nil && g.waiting > 0 && (now.Before(g.roomAt) || e.allowedNow(g) < g.waiting) {
+		if a.promised.IsZero() {
+			e.promising = append(e.promising, a)
+		}
 		a.promised = a.promised.Add(g.step.Size.Times(int64(g.waiting)))
 	}
 }
 
 // clearPromises ends a going through the queue.
 func (e *Engine) clearPromises() {
-	for _, a := range e.accounts {
+	for _, a := range e.promising {
 		a.promised = spec.Resources{}
 	}
+	e.promising = e.promising[:0]
 }
 
 // quotaLacks tells what of its account's quota a step that may start nothing lacks; empty
--- a/internal/engine/bench_test.go
+++ b/internal/engine/bench_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"pulleyquay/internal/catalog"
+	"pulleyquay/internal/fairshare"
 	"pulleyquay/internal/host"
 	"pulleyquay/internal/spec"
 )
@@ -148,7 +149,7 @@
 
 // BenchmarkDecision plays two seconds of the grown cell's load, scaled to its hosts, and
 // reports how long one decision takes (all that is due at a moment), in the middle and
-// at worst but for one in a hundred.
+// at worst but for one in a hundred. The jobs are of as many client accounts as the aim has.
 func BenchmarkDecision(b *testing.B) {
 	const lasts = 2 * time.Second
 	for _, hosts := range []int{350, 3000, 18000} {
@@ -164,6 +165,7 @@
 				for i := range 43 {
 					w.members = append(w.members, fmt.Sprint("m", i))
 				}
+				w.addAccounts(440)
 				w.takeOver()
 				w.run(time.Second)
 				load.arrive(w, lasts)
@@ -176,3 +178,12 @@
 		})
 	}
 }
+
+// addAccounts has jobs be of so many client accounts, by their ids, with quotas of half the cell.
+func (w *world) addAccounts(n int) {
+	half := fairshare.Quota{MilliCPU: int64(len(w.fleet.Hosts())) * 32000, MemoryMiB: -1, Accelerators: -1}
+	for i := range n {
+		w.setQuota(fmt.Sprint("account-", i), half)
+	}
+	w.accountOf = func(id string) string { return fmt.Sprint("account-", fnvOf(id)%uint32(n)) }
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -66,6 +66,8 @@
 	catalog *catalog.Catalog
 	// accounts are the client accounts that have jobs here, by name.
 	accounts map[string]*account
+	// promising are those of them that have promised quota in this going through the queue.
+	promising []*account
 	// unheardRoom is how much may run on hosts that were not heard of since the takeover.
 	unheardRoom spec.Resources
 	jobs        map[string]*job
