--- a/internal/catalog/account.go
+++ b/internal/catalog/account.go
@@ -22,8 +22,7 @@
 	Name string `cbor:"1,keyasint"`
 	// Keys are the digests of the keys that its callers carry.
 	Keys []KeyDigest `cbor:"2,keyasint,omitempty"`
-	// Weight is its share when all is full, and how many of its jobs a second come before
-	// others' surplus.
+	// Weight is its share when all is full; no order of work goes by it yet.
 	Weight float64 `cbor:"3,keyasint,omitempty"`
 	// Quota is what its jobs may have running at once, over all hosts.
 	Quota fairshare.Quota `cbor:"4,keyasint"`
--- a/internal/engine/account.go
+++ b/internal/engine/account.go
@@ -16,9 +16,8 @@
 
 // account is what a client account has in the books.
 type account struct {
-	name      string
-	quota     fairshare.Quota
-	allowance fairshare.Allowance
+	name  string
+	quota fairshare.Quota
 	// used is of the runs in the books, unsure of tasks that may run on hosts that were not
 	// heard of since the takeover.
 	used, unsure spec.Resources
@@ -37,27 +36,26 @@
 	if a == nil {
 		a = &account{name: name, quota: fairshare.Unlimited}
 		e.accounts[name] = a
-		e.applyAccount(a, e.now)
+		e.applyAccount(a)
 	}
 	return a
 }
 
 // applyAccount takes in what the configuration says of an account. One that it does not
 // name any more keeps what was last said.
-func (e *Engine) applyAccount(a *account, now time.Time) {
+func (e *Engine) applyAccount(a *account) {
 	said := e.catalog.Account(a.name)
 	if said == nil {
 		return
 	}
 	a.quota, a.known = said.Quota, true
-	a.allowance.Set(said.Weight, now)
 }
 
 // applyAccounts takes in a new configuration. A quota that rose is room for those that wait.
-func (e *Engine) applyAccounts(now time.Time) {
+func (e *Engine) applyAccounts() {
 	for _, a := range e.accounts {
 		before, known := a.quota, a.known
-		e.applyAccount(a, now)
+		e.applyAccount(a)
 		if a.quota != before && known {
 			e.room++
 			e.logQuota(a)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -257,7 +257,7 @@
 		return
 	}
 	e.catalog, e.now = c, now
-	e.applyAccounts(now)
+	e.applyAccounts()
 	for _, info := range slices.Collect(maps.Values(e.foreign)) {
 		e.setHost(info, now)
 	}
--- a/internal/fairshare/ledger.go
+++ b/internal/fairshare/ledger.go
@@ -1,5 +1,5 @@
 // Package fairshare decides what teams and client accounts may have at once, and whose
-// work comes first: exact quotas, shares, allowances of jobs a second, ageing, and the
+// work comes first: exact quotas, shares, ageing, and the
 // order in which gangs come back after a failed hold. It is pure: the caller passes the
 // time and serialises calls.
 package fairshare
