A start is begun only by the life of a host that it is meant for

Callers saw a task on two hosts at once. A start was under way as its host ended; the holder changed; the host started again under its id, and the start came then. The new life had seen no epoch, and its clock stood below the start's deadline, so neither kept it out, and the next holder had started the task elsewhere (or did so 68 ms later).

Cause: the fence and the deadline belong to a life and begin anew with the next one, and the header that names the host names an id which the lives share.

Change: a start names its life and goes over connections on which that life has answered; a new one is asked first. A connection ends with its process, so nothing of it reaches the next one. Where another life answers, nothing was sent, and the host is looked at before it is tried again. Simulated hosts do the same; with CarriesOver they do what they did before.

Ruled out: the next holder's books alone, as the start may come after the task was started elsewhere; the deadline, as clocks begin anew; the fence, as the new life has seen none.

Cost: one question for each new connection to a host that tells its lives apart, none elsewhere.

--- a/internal/engine/orders.go
+++ b/internal/engine/orders.go
@@ -34,7 +34,7 @@
 	t.cur, t.run = r, no
 	g.setState(i, taskActive)
 	e.out.Starts = append(e.out.Starts, StartOrder{To: h.info, Start: host.Start{
-		Run: r.Run, Command: g.job.rec.Graph.Command, Deadline: r.deadline,
+		Run: r.Run, Life: h.life, Command: g.job.rec.Graph.Command, Deadline: r.deadline,
 		Checkpoint: checkpoint, Ticket: g.advice.tickets[h].text,
 	}})
 	if !h.looking {
@@ -51,14 +51,15 @@
 	}
 	r := h.runs[o.Start.Run]
 	switch {
-	case errors.Is(err, host.ErrOtherLife):
+	case errors.Is(err, host.ErrOtherLife) && o.Start.Life == 0:
 		e.notStarted(h, r, now)
 		e.otherLife(h, o.To, now)
 		return
+	case errors.Is(err, host.ErrOtherLife):
+		e.lifeUnreached(h, r, host.ErrNotSent, now)
+		return
 	case errors.Is(err, host.ErrNotSent):
-		h.unanswered(err, now)
-		e.askAgain(h, now)
-		e.notStarted(h, r, now)
+		e.lifeUnreached(h, r, err, now)
 		return
 	case err != nil:
 		h.unanswered(err, now)
@@ -75,6 +76,14 @@
 	e.refused(h, r, reply.Refused, now)
 }
 
+// lifeUnreached handles a start that has not reached the life that was meant. A look tells
+// whether that is over; until then nothing more is started there.
+func (e *Engine) lifeUnreached(h *hostState, r *run, err error, now time.Time) {
+	h.unanswered(err, now)
+	e.askAgain(h, now)
+	e.notStarted(h, r, now)
+}
+
 // otherLife drops a host at whose address another one has answered, unless it was called at
 // an address that it had before.
 func (e *Engine) otherLife(h *hostState, called host.Info, now time.Time) {
--- a/internal/engine/world_calls_test.go
+++ b/internal/engine/world_calls_test.go
@@ -22,8 +22,15 @@
 	if w.onStart != nil {
 		w.onStart(s)
 	}
-	arrive := func(h *hostsim.Host) host.Reply { return h.Start(e.cfg.Epoch, s.Start) }
+	met := true // the life that is meant
+	arrive := func(h *hostsim.Host) host.Reply {
+		met = h.IsLife(s.Start.Life)
+		return h.Start(e.cfg.Epoch, s.Start)
+	}
 	w.call(s.To, arrive, func(r host.Reply, err error) {
+		if err == nil && !met {
+			err = host.ErrOtherLife
+		}
 		if err == nil && r.Refused == "" {
 			w.fleet.Judge().Answered(s.To.ID, s.Start.Run)
 		}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -67,6 +67,10 @@
 // Start orders a run.
 type Start struct {
 	Run
+	// Life is the life of the host that is to begin it. Another one under the same id has its
+	// clock and its highest epoch begin anew, so neither keeps it from a start that comes late.
+	// Zero is a host that does not tell its lives apart.
+	Life    Life
 	Command string
 	// Deadline is by the host's clock: a start that arrives later is refused. It
 	// also makes the host's lease last at least as long.
@@ -173,6 +177,7 @@
 
 // Client makes calls to hosts. Each call is sent at most once.
 type Client interface {
+	// Start never has another life than s.Life begin the run, unless that is zero.
 	Start(ctx context.Context, to Info, epoch uint64, s Start) (Reply, error)
 	Stop(ctx context.Context, to Info, epoch uint64, r Run) (Reply, error)
 	// Look never has another life than l.Life forget anything, unless that is zero. It may
--- a/internal/hostsim/calls.go
+++ b/internal/hostsim/calls.go
@@ -5,9 +5,13 @@
 	"pulleyquay/internal/spec"
 )
 
-// Start carries out a start that has arrived.
+// Start carries out a start that has arrived. One that was sent to another life does not
+// arrive: its connection has ended with that.
 func (h *Host) Start(epoch uint64, s host.Start) (reply host.Reply) {
 	h.change(func() {
+		if !h.up || !h.isLife(s.Life) {
+			return
+		}
 		reply = h.start(epoch, s)
 		if reply.Refused != "" {
 			h.fleet.judge.refused(h, s.Run, reply.Refused)
@@ -16,6 +20,16 @@
 	return reply
 }
 
+// IsLife reports whether the host is up in a life; zero stands for any.
+func (h *Host) IsLife(life host.Life) (is bool) {
+	h.change(func() { is = h.up && h.isLife(life) })
+	return is
+}
+
+func (h *Host) isLife(life host.Life) bool {
+	return life == 0 || life == h.info.Life || h.fleet.CarriesOver
+}
+
 func (h *Host) start(epoch uint64, s host.Start) host.Reply {
 	reply := host.Reply{Clock: h.clock()}
 	if epoch < h.epoch {
--- a/internal/hostsim/fleet.go
+++ b/internal/hostsim/fleet.go
@@ -63,6 +63,10 @@
 	KeepsID   bool
 	BackAfter time.Duration
 
+	// CarriesOver has hosts carry out starts that were sent to an earlier life under their
+	// ids. Set it before use.
+	CarriesOver bool
+
 	// Guards has hosts refuse what they have no room for. Set it before use.
 	Guards bool
 
--- a/internal/httponce/httponce.go
+++ b/internal/httponce/httponce.go
@@ -139,8 +139,25 @@
 	// Mark gives the connection's mark from now on; nil leaves it as it is.
 	Mark    func(Answer) int64
 	MaxBody int64
+	// Bound, unless nil, keeps the request to connections with one mark.
+	Bound *Bound
 }
 
+// Bound keeps a request to the process that a mark stands for.
+type Bound struct {
+	Mark int64
+	// Ask is sent first over a connection that has no mark yet, and gives it one. It has to
+	// do no harm, whichever process gets it.
+	Ask Marked
+}
+
+// Causes of a failure whose request is bound to a process: another one answers at the address,
+// or it is not known which.
+var (
+	ErrOtherMark = errors.New("another process answers there")
+	ErrNoMark    = errors.New("it is not known which process answers there")
+)
+
 // DoMarked is Do for a request whose body depends on the connection.
 func (c *Client) DoMarked(ctx context.Context, addr string, m Marked) (Answer, error) {
 	p := c.pool(addr)
@@ -153,11 +170,15 @@
 		if err != nil {
 			return Answer{}, &Failure{Err: err}
 		}
-		reply, err := l.roundTrip(ctx, m.Request, m.Body(l.mark), m.MaxBody)
-		if err == nil {
-			if m.Mark != nil {
-				l.mark = m.Mark(reply.Answer)
+		if err := l.leadTo(ctx, m.Bound); err != nil {
+			l.close()
+			if l.reused && ctx.Err() == nil {
+				continue // a new connection may lead to the process that is meant
 			}
+			return Answer{}, &Failure{Err: err}
+		}
+		reply, err := l.exchangeMarked(ctx, m)
+		if err == nil {
 			c.release(p, l, reply.close)
 			return reply.Answer, nil
 		}
--- a/internal/httponce/httponce_test.go
+++ b/internal/httponce/httponce_test.go
@@ -351,3 +351,59 @@
 	}
 	is.Equal(marks, []int64{0, 10, 0, 12})
 }
+
+// TestBoundRequestsReachOneProcess guards against a request that reaches the process after the
+// one that it was meant for: it goes over connections with the mark of that one only.
+func TestBoundRequestsReachOneProcess(t *testing.T) {
+	for name, tc := range map[string]struct {
+		known int64 // mark that the connections have at first
+		now   int64 // mark that is told by the answer to the question
+		want  int64
+		paths string // that the server sees
+		err   error
+	}{
+		"no connection yet":                  {now: 7, want: 7, paths: "/ask /do"},
+		"another process":                    {now: 8, want: 7, paths: "/ask", err: httponce.ErrOtherMark},
+		"the connection is known":            {known: 7, now: 7, want: 7, paths: "/ask /do"},
+		"the connection is another's":        {known: 6, now: 7, want: 7, paths: "/ask /ask /do"},
+		"the connection is the next one's":   {known: 8, now: 8, want: 7, paths: "/ask /ask", err: httponce.ErrOtherMark},
+		"the process does not tell its mark": {now: 0, want: 7, paths: "/ask", err: httponce.ErrNoMark},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var mu sync.Mutex
+			var paths []string
+			s := serve(t, func(_ int64, c net.Conn, r *http.Request) bool {
+				mu.Lock()
+				paths = append(paths, r.URL.Path)
+				mu.Unlock()
+				fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				return true
+			})
+			client := httponce.New(httponce.Options{})
+			defer client.Close()
+			request := func(path string, mark int64) httponce.Marked {
+				u, err := url.Parse("http://" + s.addr + path)
+				is.NoErr(err)
+				return httponce.Marked{
+					Request: &http.Request{Method: http.MethodPost, URL: u, Header: http.Header{}},
+					Body:    func(int64) []byte { return []byte("x") },
+					Mark:    func(httponce.Answer) int64 { return mark },
+				}
+			}
+			if tc.known != 0 {
+				_, err := client.DoMarked(t.Context(), s.addr, request("/ask", tc.known))
+				is.NoErr(err)
+			}
+			bound := request("/do", 0)
+			bound.Mark, bound.Bound = nil, &httponce.Bound{Mark: tc.want, Ask: request("/ask", tc.now)}
+			_, err := client.DoMarked(t.Context(), s.addr, bound)
+			is.True(errors.Is(err, tc.err))
+			var f *httponce.Failure
+			is.True(tc.err == nil || errors.As(err, &f) && !f.Sent) // nothing of it was sent
+			mu.Lock()
+			defer mu.Unlock()
+			is.Equal(strings.Join(paths, " "), tc.paths)
+		})
+	}
+}
--- a/internal/httponce/line.go
+++ b/internal/httponce/line.go
@@ -22,6 +22,9 @@
 // errHeader is the cause of a failure whose answer's header was over the limit.
 var errHeader = errors.New("answer's header larger than allowed")
 
+// errClosing is met where a server ends the connection with the answer that gave it a mark.
+var errClosing = errors.New("the connection ends before the request")
+
 // maxHeaderBytes bounds an answer's header.
 const maxHeaderBytes = 1 << 20
 
@@ -55,6 +58,39 @@
 	}
 }
 
+// leadTo returns an error unless the connection leads to the process that b means, which is
+// asked for if that is not known.
+func (l *line) leadTo(ctx context.Context, b *Bound) error {
+	if b == nil {
+		return nil
+	}
+	if l.mark == 0 {
+		r, err := l.exchangeMarked(ctx, b.Ask)
+		if err != nil {
+			return err
+		}
+		if r.close {
+			return errClosing
+		}
+	}
+	switch l.mark {
+	case b.Mark:
+		return nil
+	case 0:
+		return ErrNoMark
+	}
+	return ErrOtherMark
+}
+
+// exchangeMarked makes one request and notes what its answer tells of the process.
+func (l *line) exchangeMarked(ctx context.Context, m Marked) (reply, error) {
+	r, err := l.roundTrip(ctx, m.Request, m.Body(l.mark), m.MaxBody)
+	if err == nil && m.Mark != nil {
+		l.mark = m.Mark(r.Answer)
+	}
+	return r, err
+}
+
 // roundTrip sends the request and reads the whole answer.
 func (l *line) roundTrip(ctx context.Context, req *http.Request, body []byte, maxBody int64) (reply, error) {
 	req = req.WithContext(ctx)
--- a/internal/linkshard/batch.go
+++ b/internal/linkshard/batch.go
@@ -30,6 +30,7 @@
 				ID: n.id, Host: place, Run: steps.row(c.Start.Run), Command: commands.place(c.Start.Command),
 				Deadline: c.Start.Deadline, Checkpoint: c.Start.Checkpoint, Ticket: c.Start.Ticket,
 			})
+			b.StartLives = append(b.StartLives, c.Start.Life)
 		case c.Stop != nil:
 			b.Stops = append(b.Stops, stopRow{ID: n.id, Host: place, Run: steps.row(*c.Stop)})
 		case c.Look != nil:
@@ -62,14 +63,14 @@
 		run, err := runOf(b.Steps, r.Run)
 		add(r.ID, r.Host, Call{Stop: &run}, err)
 	}
-	for _, r := range b.Starts {
+	for i, r := range b.Starts {
 		run, err := runOf(b.Steps, r.Run)
 		command, commandErr := at(b.Commands, r.Command)
 		if err == nil {
 			err = commandErr
 		}
 		add(r.ID, r.Host, Call{Start: &host.Start{
-			Run: run, Command: command, Deadline: r.Deadline, Checkpoint: r.Checkpoint, Ticket: r.Ticket,
+			Run: run, Life: lifeAt(b.StartLives, i), Command: command, Deadline: r.Deadline, Checkpoint: r.Checkpoint, Ticket: r.Ticket,
 		}}, err)
 	}
 	for i, r := range b.Looks {
--- a/internal/linkshard/batch_test.go
+++ b/internal/linkshard/batch_test.go
@@ -29,7 +29,7 @@
 	switch rapid.IntRange(0, 3).Draw(t, "kind") {
 	case 0:
 		c.Start = &host.Start{
-			Run: run, Command: rapid.SampledFrom([]string{"", "run a", "run b"}).Draw(t, "command"),
+			Run: run, Life: host.Life(rapid.Int64Min(0).Draw(t, "life")), Command: rapid.SampledFrom([]string{"", "run a", "run b"}).Draw(t, "command"),
 			Deadline: host.Millis(rapid.Int64Range(0, 1<<40).Draw(t, "deadline")), Checkpoint: rapid.String().Draw(t, "checkpoint"), Ticket: rapid.String().Draw(t, "ticket"),
 		}
 	case 1:
--- a/internal/linkshard/messages.go
+++ b/internal/linkshard/messages.go
@@ -26,10 +26,11 @@
 	Stops    []stopRow     `cbor:"9,keyasint,omitempty"`
 	Looks    []lookRow     `cbor:"10,keyasint,omitempty"`
 	Paces    []paceRow     `cbor:"11,keyasint,omitempty"`
-	// LookLives are the lives that the looks mean, in their order. They stand beside the
-	// rows, as members of before and after an update of the rows could not read each
-	// other's: who does not know them leaves them out, and means no life.
-	LookLives []host.Life `cbor:"12,keyasint,omitempty"`
+	// LookLives and StartLives are the lives that the looks and the starts mean, in their
+	// order. They stand beside the rows, as members of before and after an update of the rows
+	// could not read each other's: who does not know them leaves them out, and means no life.
+	LookLives  []host.Life `cbor:"12,keyasint,omitempty"`
+	StartLives []host.Life `cbor:"13,keyasint,omitempty"`
 }
 
 type hostRow struct {
