A task does not start while an older run of it is left over on a host

Callers saw a task on two hosts at once. A next holder was shown a run of a former holder on a host, with a lower number than the last one that it knew of; it ordered the run's stop and started the task elsewhere a millisecond later, while the run was there until the stop was carried out.

Cause: only the present run of a task held it back. Evidence, in the trace: "run stopped h00 its task is cared for elsewhere" at 10.427, "step started" at 10.428, TWICE at 10.429.

Change: runs that are left over count for their task, and for their gang, until they are out of the books, as any run is: by their end, with their host, or when they can not be there any more.

TestLateStartThatIsCarriedOver, rows "of a former holder" and "a gang's", fail without "t.leftOver > 0" and without "g.leftOver > 0" (TWICE run 1002), and pass with them; the engine's suite passes. Ruled out: taking the older run for the present one, as a gang's members share one number.

--- a/internal/engine/crash.go
+++ b/internal/engine/crash.go
@@ -244,9 +244,13 @@
 	e.touch(r.group.job)
 }
 
-// heldBack reports whether a task, or, without one, the whole group, may not start yet as
-// crashes under it are not in the store, or the verdict on it is to come.
+// heldBack reports whether a task, or, without one, the whole group, may not start yet as a
+// run of it is left over on a host, as crashes under it are not in the store, or as the verdict
+// on it is to come.
 func (e *Engine) heldBack(g *group, t *task) bool {
+	if g.anyLeftOver(t) {
+		return true
+	}
 	if g.standing == crashloop.Unsuspected || t != nil && len(t.crashes) == 0 {
 		return false
 	}
--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -44,6 +44,7 @@
 	adopted  bool // it was begun by a former holder
 	suspect  bool // hosts have crashed under its task
 	begun    bool // the host has answered its start, or shown it
+	leftOver bool // its task has another run, or had a later one
 	there    bool // it was there as its host ended; see evidence.go
 	// deadline is the start's deadline by the host's clock.
 	deadline host.Millis
@@ -227,6 +228,9 @@
 	if r.group != nil {
 		r.group.perHost[h]++
 	}
+	if r.leftOver {
+		r.group.countLeftOver(r, 1)
+	}
 }
 
 // remove takes a run out of its host's books.
@@ -252,6 +256,9 @@
 	if g.perHost[h]--; g.perHost[h] <= 0 {
 		delete(g.perHost, h)
 	}
+	if r.leftOver {
+		g.countLeftOver(r, -1)
+	}
 }
 
 // unwant has a run stopped.
--- a/internal/engine/job.go
+++ b/internal/engine/job.go
@@ -50,10 +50,12 @@
 
 // task is one task of a step.
 type task struct {
-	state  taskState
-	run    int // number of the present or last run
-	cur    *run
-	failed []int // numbers of the runs that failed
+	state taskState
+	run   int // number of the present or last run
+	cur   *run
+	// leftOver counts the other runs of it in hosts' books: it does not start before they are gone.
+	leftOver int
+	failed   []int // numbers of the runs that failed
 	// crashes are the hosts that crashed under it.
 	crashes crashloop.History
 	// checkpoint is where the next run goes on; empty begins anew.
@@ -75,8 +77,8 @@
 	needs int       // steps before this one that are not done
 	tasks []task
 	left  int // tasks that are not done
-	// waiting counts tasks in taskWaiting.
-	waiting int
+	// waiting counts tasks in taskWaiting, leftOver the runs that its tasks wait for.
+	waiting, leftOver int
 	// large is true when a host holds very few of its tasks, as far as sized says that
 	// this was found out; see plan_large.go.
 	large, sized bool
--- a/internal/engine/late_start_test.go
+++ b/internal/engine/late_start_test.go
@@ -12,6 +12,7 @@
 // lateStart is a job whose start is held up on its way to a host that ends meanwhile.
 type lateStart struct {
 	keepsID     bool
+	gang        bool          // the job is a gang of two
 	carriesOver bool          // the host's next life carries out what an earlier one was sent
 	takeOvers   time.Duration // when the holder changes, counted from the start; zero stands for never
 	again       time.Duration // when it changes once more
@@ -26,12 +27,16 @@
 		l.keepsID, l.takeOvers, l.again, l.restart, l.back, l.arrives)
 }
 
-// play plays it in a cell of two hosts.
+// play plays it in a cell with room for the job, and, for a gang, one host more than it needs.
 func (l lateStart) play(t *testing.T, seed uint64) *world {
 	w := newWorld(t, seed)
 	w.follows, w.logs = true, true
 	w.fleet.KeepsID, w.fleet.CarriesOver, w.fleet.BackAfter = l.keepsID, l.carriesOver, l.back
+	w.fleet.Bounds.StopTakes, w.bounds.StopTakes = l.stopTakes(), l.stopTakes()
 	w.fleet.Add(2, "s", size(64, 128))
+	if l.gang {
+		w.fleet.Add(3, "s", size(64, 128))
+	}
 	w.takeOver()
 	w.run(10 * time.Second)
 	held := true
@@ -57,10 +62,24 @@
 	}
 	w.submit("beside", catalog.Rules{}, step(2, 40, 60, 5000))
 	w.run(150 * time.Millisecond)
-	w.submit("job", catalog.Rules{}, step(1, 6, 10, 5000))
+	s := step(1, 6, 10, 5000)
+	if l.gang {
+		s = step(2, 40, 60, 5000)
+		s.Gang = true
+	}
+	w.submit("job", catalog.Rules{}, s)
 	return w
 }
 
+// stopTakes is how long a stop takes at most: long for gangs, of which a run that is left over
+// would else be gone before the next run is ready.
+func (l lateStart) stopTakes() time.Duration {
+	if l.gang {
+		return 900 * time.Millisecond
+	}
+	return testBounds.StopTakes
+}
+
 // arriveAt brings a start to every life that is up at an address.
 func (w *world) arriveAt(addr string, epoch uint64, s host.Start) {
 	for _, h := range w.fleet.Hosts() {
@@ -112,8 +131,10 @@
 func TestLateStartThatIsCarriedOver(t *testing.T) {
 	const restart, back = 20 * time.Millisecond, 150 * time.Millisecond
 	for name, l := range map[string]lateStart{
-		"ordered":  {arrives: 450 * time.Millisecond},
-		"in doubt": {arrives: 450 * time.Millisecond, answered: 100 * time.Millisecond},
+		"ordered":                      {arrives: 450 * time.Millisecond},
+		"in doubt":                     {arrives: 450 * time.Millisecond, answered: 100 * time.Millisecond},
+		"of a former holder":           {arrives: 210 * time.Millisecond, takeOvers: 10 * time.Millisecond},
+		"of a former holder, a gang's": {gang: true, arrives: 210 * time.Millisecond, takeOvers: 10 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
 			l.keepsID, l.carriesOver, l.restart, l.back = true, true, restart, back
--- a/internal/engine/strangers.go
+++ b/internal/engine/strangers.go
@@ -136,6 +136,20 @@
 	e.take(g, r)
 }
 
+// anyLeftOver reports whether runs of a task, or, without one, of any of the group, are left
+// over on hosts.
+func (g *group) anyLeftOver(t *task) bool {
+	if t != nil {
+		return t.leftOver > 0
+	}
+	return g.leftOver > 0
+}
+
+func (g *group) countLeftOver(r *run, n int) {
+	g.tasks[r.Task.Index].leftOver += n
+	g.leftOver += n
+}
+
 // take makes a run that the books lacked the present one of its task, unless the
 // task has another.
 func (e *Engine) take(g *group, r *run) {
@@ -143,6 +157,8 @@
 	t := &g.tasks[i]
 	free := t.state == taskUnsure || t.state == taskWaiting && (!g.step.Gang || !g.startedHere)
 	if t.cur != nil || !free || r.No < t.run {
+		r.leftOver = true
+		g.countLeftOver(r, 1)
 		e.unwant(r, "its task is cared for elsewhere")
 		return
 	}
