What a view shows is as old as the view, and proves little 75 ms later

Callers saw a job as failed ("3 hosts crashed under it ... there at its end") under whose task no host had crashed. The task was done; its host ended by itself a tenth of a second later, while the view that listed the end was under way; an earlier view had come a moment before.

Cause: a run counted as there at the end of its host if it was known or viewed 250 ms before. Answers to starts and to stops, and first views, counted from when they came; and 250 ms is long enough for a run to end unheard.

--- a/internal/engine/evidence.go
+++ b/internal/engine/evidence.go
@@ -1,6 +1,10 @@
 package engine
 
-import "time"
+import (
+	"time"
+
+	"pulleyquay/internal/host"
+)
 
 // A crash of a host proves something against a task only where its run was there as the
 // host ended. Neither silence tells that nor a connection that broke: what ends on a host
@@ -11,12 +15,31 @@
 const (
 	// inTouch is how long before the end of its host a run was shown at the most for it to
 	// have been there still.
-	inTouch = 250 * time.Millisecond
+	inTouch = 75 * time.Millisecond
 	// endsWithin is how long after its connections have broken a host's machine turns calls
 	// away at the latest for the process to have ended when they broke.
 	endsWithin = time.Second
 )
 
+// zeroPoint is when a host's clock read zero, at the earliest, as known at a time: no answer is
+// drawn up before its question was sent.
+type zeroPoint struct{ at, known time.Time }
+
+// drawnUp takes in a reading of the host's clock in an answer to what was sent at sent, and
+// returns when that answer was drawn up, at the earliest. It may have come late, and tells
+// nothing of the time since.
+func (h *hostState) drawnUp(clock host.Millis, sent, now time.Time, drift float64) time.Time {
+	if clock == 0 {
+		return sent
+	}
+	since := time.Duration(clock) * time.Millisecond
+	zero := h.zero.at.Add(-time.Duration(drift * float64(now.Sub(h.zero.known))))
+	if by := sent.Add(-since); h.zero.at.IsZero() || by.After(zero) {
+		h.zero, zero = zeroPoint{by, now}, by
+	}
+	return zero.Add(since)
+}
+
 // witness notes, as a host's machine turns a call away, the runs that were there.
 func (h *hostState) witness(now time.Time) {
 	h.ended = true
@@ -25,7 +48,7 @@
 		end = h.broken
 	}
 	for _, r := range h.runs {
-		r.there = r.begun && end.Sub(later(r.known, h.viewed)) <= inTouch
+		r.there = r.begun && end.Sub(later(r.shown, h.viewed)) <= inTouch
 	}
 }
 
--- a/internal/engine/evidence_test.go
+++ b/internal/engine/evidence_test.go
@@ -28,7 +28,11 @@
 
 // strikeWorld has the starts of one job meet one strike after the other, once each run.
 func strikeWorld(t *testing.T, hosts int, keepsID bool, strikes ...strike) *world {
-	w := newWorld(t, 21)
+	return strikeWorldOf(t, 21, hosts, keepsID, strikes...)
+}
+
+func strikeWorldOf(t *testing.T, seed uint64, hosts int, keepsID bool, strikes ...strike) *world {
+	w := newWorld(t, seed)
 	w.follows, w.logs = true, true
 	w.fleet.KeepsID = keepsID
 	w.fleet.Add(hosts, "s", size(64, 128))
--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -48,8 +48,9 @@
 	there    bool // it was there as its host ended; see evidence.go
 	// deadline is the start's deadline by the host's clock.
 	deadline host.Millis
-	// sent is when the start was ordered, known since when the host answered it.
-	sent, known time.Time
+	// sent is when the start was ordered, known since when the host answered it, shown when it
+	// said that the run is there.
+	sent, known, shown time.Time
 
 	// percent is how much of its work was done at progressAt, when that last
 	// moved; the first that was seen is kept to tell its rate.
@@ -95,7 +96,8 @@
 	proofs     int       // how often it was asked so
 	lookAt     time.Time
 	heard      time.Time // last answer of any kind
-	viewed     time.Time // when the last look that was answered was sent
+	viewed     time.Time // when the latest view was drawn up, at the earliest
+	zero       zeroPoint // of its clock
 	// rostered hosts stand as open in the stored roster; see roster.go.
 	rostered bool
 	// shut hosts are to be closed there, as they are silent.
--- a/internal/engine/orders.go
+++ b/internal/engine/orders.go
@@ -69,7 +69,7 @@
 	e.hearReply(h, reply.Clock, now)
 	if reply.Refused == "" {
 		if r != nil && (r.state == runOrdered || r.state == runDoubt) {
-			e.runs(r, now)
+			e.runs(r, h.drawnUp(reply.Clock, r.sent, now, e.cfg.Tuning.ClockDrift), now)
 		}
 		return
 	}
--- a/internal/engine/strangers.go
+++ b/internal/engine/strangers.go
@@ -166,6 +166,7 @@
 	if len(t.crashes) > 0 {
 		r.suspect = true
 		r.on.suspects++
+		r.on.prove(e.now)
 	}
 	g.run = max(g.run, r.No)
 	g.setState(i, taskActive)
--- a/internal/engine/view.go
+++ b/internal/engine/view.go
@@ -63,7 +63,7 @@
 				l.Wait = sampleEvery
 			}
 			if h.suspects > 0 {
-				l.Wait = min(l.Wait, suspectWait)
+				l.Wait = min(l.Wait, h.lookWait())
 			}
 		}
 	}
@@ -115,7 +115,8 @@
 	e.hear(h, v.Clock, now)
 	e.reopen(h)
 	e.acquit(h)
-	h.viewed = later(h.viewed, sent)
+	drawnUp := h.drawnUp(v.Clock, sent, now, e.cfg.Tuning.ClockDrift)
+	h.viewed = later(h.viewed, drawnUp)
 	first := !h.claimed
 	if first {
 		h.claimed, h.tried = true, nil
@@ -126,7 +127,7 @@
 	}
 	kept := keeps(v, o.Look.Seen)
 	ended := e.takeEnds(h, v.Ended, now)
-	e.takeRunning(h, v.Running, sent, now)
+	e.takeRunning(h, v.Running, drawnUp, now)
 	e.dropVanished(h, v, sent, now)
 	e.govern(h, now)
 	if first {
@@ -205,15 +206,15 @@
 	})
 }
 
-// takeRunning brings the books up to date with what runs.
-func (e *Engine) takeRunning(h *hostState, rows []host.Running, sent, now time.Time) {
+// takeRunning brings the books up to date with what ran as the view was drawn up.
+func (e *Engine) takeRunning(h *hostState, rows []host.Running, drawnUp, now time.Time) {
 	for _, row := range rows {
 		r := h.runs[row.Run]
 		if r == nil {
 			r = e.adopt(h, row, now)
 		}
 		if r.state == runOrdered || r.state == runDoubt {
-			e.runs(r, now)
+			e.runs(r, drawnUp, now)
 		}
 		e.progress(r, row, now)
 	}
@@ -264,13 +265,14 @@
 	}
 }
 
-// runs notes that a run is on its host.
-func (e *Engine) runs(r *run, now time.Time) {
+// runs notes that a run is on its host, which has said so at shown.
+func (e *Engine) runs(r *run, shown, now time.Time) {
 	if r.suspect && !r.begun {
 		e.retried = true // a next holder is told that it was there
 		e.touch(r.group.job)
 	}
 	r.state, r.known, r.progressAt, r.begun = runRunning, now, now, true
+	r.shown = later(r.shown, shown)
 	if r.fills() {
 		e.repace(r.on)
 	}
