How old an answer is goes by the clock of one life

A reading of another life's clock, ahead of the former one, had an answer of that life count as drawn up in the future, so that a run would have counted as there at any end of its host.

A reading that does not fit begins the count anew. TestDrawnUp, row "another clock, far ahead", fails without that (drawn up 900 s later).

--- a/internal/engine/late_view_test.go
+++ b/internal/engine/late_view_test.go
@@ -65,3 +65,35 @@
 		}
 	})
 }
+
+// TestDrawnUp: an answer is no older than its question, and as old as the readings of the host's
+// clock tell; readings of another life's clock say nothing of this one's.
+func TestDrawnUp(t *testing.T) {
+	const drift = 0.02
+	at := func(ms int) time.Time { return worldBegins.Add(time.Duration(ms) * time.Millisecond) }
+	for name, tc := range map[string]struct {
+		first, clock host.Millis // readings
+		sent, now    int         // of the second answer, in milliseconds; the first was sent at 0
+		want         int         // when it was drawn up, at the earliest
+	}{
+		"answered at once":          {5000, 5010, 10, 12, 10},
+		"held back":                 {5000, 5100, 10, 112, 98}, // 100 less the drift of 112 ms
+		"came late":                 {5000, 5010, 10, 900, 10},
+		"held back, and came late":  {5000, 5100, 10, 900, 82},
+		"without a reading":         {5000, 0, 10, 112, 10},
+		"the first one was slow":    {5000, 5010, 100, 102, 100},
+		"another clock, begun anew": {900000, 50, 1000, 1002, 1000},
+		"another clock, far ahead":  {50, 900000, 1000, 1002, 1000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e, h := New(Config{Tuning: DefaultTuning()}), &hostState{}
+			e.hear(h, tc.first, at(2))
+			h.drawnUp(tc.first, at(0), at(2), drift)
+			e.hear(h, tc.clock, at(tc.now))
+			got := h.drawnUp(tc.clock, at(tc.sent), at(tc.now), drift)
+			if want := at(tc.want); got.Sub(want).Abs() >= time.Millisecond {
+				t.Errorf("drawn up at %v, not %v", got.Sub(worldBegins), want.Sub(worldBegins))
+			}
+		})
+	}
+}
--- a/internal/engine/life.go
+++ b/internal/engine/life.go
@@ -119,6 +119,7 @@
 	fits = !h.knowsClock() || e.clockFits(h, c, now)
 	h.clock, h.clockAt = c, now
 	if !fits {
+		h.zero = zeroPoint{}
 		h.leased = c + host.Millis((e.cfg.Bounds.LeaseLimit + e.cfg.Tuning.OrderLife).Milliseconds())
 	}
 	return fits
