Orders to workers are carried out by the life that they are meant for

Callers saw a task on two workers. A start hung on its way to a worker that had been up for long; the worker started again and was claimed anew; the start was told as lost once every lease was over, and its home had the task started elsewhere. Then the start came and began.

Cause, the same as of late starts on hosts: the expiry of an order is by the clock of one life and its fence is the claim of one life, and both begin anew; the holder claims the new life under the epoch that it had. Seen first in TestStartHungAcrossARestart ("2 != 1" running, and the judge).

Change: a claim tells the worker's life, an order names it, another life refuses it as one that was not claimed. The port's contract test has it, on the simulated workers and over HTTP. Ruled out: a longer bound for lost orders, as what hangs has none; the epoch, as the holder is the same.

TestStartHungAcrossARestart fails without "Life: a.life" in the order and passes with it. One row of TestWhichLossesAreSeenAsCrashes, "the start hung, and another life carried it out and fell silent", can not come about any more where lives are told; it is played, with its checks as they were, on a worker that tells none, and a row beside it says what becomes of it otherwise. Workers that do not tell a life are served as before.

--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -17,6 +17,7 @@
 type agent struct {
 	name  string
 	addr  string
+	life  worker.Life // that was claimed
 	part  *part
 	claim string // state of the claim machine
 	info  worker.Info
--- a/internal/fleet/claim.go
+++ b/internal/fleet/claim.go
@@ -72,7 +72,7 @@
 	}
 	before := a.mayRunUntil
 	a.clock = anchor{reading: reply.Now, at: now}
-	a.info, a.usage = reply.Info, reply.Usage
+	a.info, a.life, a.usage = reply.Info, reply.Life, reply.Usage
 	// The leases in the inventory were renewed before now; older orders that
 	// are still under way are part of lostUntil.
 	a.mayRunUntil = later(a.lostUntil, now.Add(f.times.leaseBound()))
--- a/internal/fleet/crash_test.go
+++ b/internal/fleet/crash_test.go
@@ -92,15 +92,24 @@
 			},
 		},
 		"the start hung, and another life carried it out and fell silent": {
-			before: func(b *bench) { b.faults(workersim.Faults{Slow: 5 * time.Second}) },
+			before: func(b *bench) { b.faults(workersim.Faults{Slow: 5 * time.Second, Lifeless: true}) },
 			after: func(b *bench) {
 				b.worker0().Restart()
-				b.faults(sound)
+				b.faults(workersim.Faults{Lifeless: true})
 				time.Sleep(testLease / 2)
 				b.is.Equal(b.running(), 1)
 				b.faults(silent)
 			},
 		},
+		"the start hung, and another life turned it away": {
+			before: func(b *bench) { b.faults(workersim.Faults{Slow: 5 * time.Second}) },
+			after: func(b *bench) {
+				b.worker0().Restart()
+				b.faults(sound)
+				time.Sleep(testLease / 2)
+				b.is.Equal(b.running(), 0)
+			},
+		},
 		"the connection broke under the start, and it restarted": {
 			before: func(b *bench) { b.faults(workersim.Faults{LoseAnswers: 1}) },
 			after:  func(b *bench) { b.worker0().Restart() }, seen: true, seenLater: true,
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -323,3 +323,41 @@
 		b.is.Equal(len(reply.Unknown), 1)
 	})
 }
+
+// A start hung on its way to a worker that had been up for long; the worker started again and was
+// claimed anew, and the start was told as lost once its lease was over. Its home had it started
+// elsewhere. Then the start came: its expiry was by the clock of the former life, and the claim
+// was of the same epoch, so the new life began it.
+//
+// TestStartHungAcrossARestart guards against two runs of one task by orders that another life of a
+// worker carries out.
+func TestStartHungAcrossARestart(t *testing.T) {
+	bubble(t, 2, func(b *bench) {
+		both := b.hosts
+		b.hosts = both[:1]
+		m := b.member("a")
+		defer m.stop()
+		m.take(1, nil)
+		time.Sleep(10 * time.Minute)
+		m.put(shapeOf("earlier", 1000, 0), 1) // so that no renewal is under way
+		b.faults(workersim.Faults{Slow: 40 * time.Second})
+		res := m.put(shapeOf("job", 1000, 0), 1)
+		b.is.Equal(count(res, taskmsg.OutcomeUnknown), 1)
+		b.worker0().Restart()
+		b.faults(workersim.Faults{})
+		b.mu.Lock()
+		b.hosts = both
+		b.mu.Unlock()
+		for b.home.state(attempt("job", 0)) != taskmsg.RunLost {
+			time.Sleep(100 * time.Millisecond)
+		}
+		again, err := m.place(context.Background(), taskmsg.PlaceRequest{
+			Home: taskmsg.Home{Partition: homePartition, Epoch: 1}, Shape: shapeOf("job", 1000, 0), Slots: []taskmsg.Slot{{Attempt: 2}},
+		})
+		b.is.NoErr(err)
+		b.is.Equal(count(again.Results, taskmsg.OutcomeStarted), 1)
+		time.Sleep(time.Minute)
+		b.is.Equal(b.running(), 1)
+		b.held()
+	})
+}
--- a/internal/fleet/order.go
+++ b/internal/fleet/order.go
@@ -81,7 +81,7 @@
 	if a.gone {
 		return nil
 	}
-	out := &outgoing{addr: a.addr, order: worker.Order{Partition: a.part.id, Epoch: a.part.epoch, RenewMillis: f.times.lease.Milliseconds()}}
+	out := &outgoing{addr: a.addr, order: worker.Order{Partition: a.part.id, Epoch: a.part.epoch, Life: a.life, RenewMillis: f.times.lease.Milliseconds()}}
 	for id, mode := range a.stops {
 		out.order.Stops = append(out.order.Stops, worker.Stop{Attempt: id, Mode: mode})
 	}
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -71,10 +71,16 @@
 	Holder    string `json:"holder"`
 }
 
+// Life tells the lives of one worker apart: the runs of its process. Zero is one that is not
+// told.
+type Life int64
+
 // ClaimReply is the inventory: everything that runs or waits for its
 // acknowledgement.
 type ClaimReply struct {
-	Info  Info           `json:"info"`
+	Info Info `json:"info"`
+	// Life is the life that answers.
+	Life  Life           `json:"life,omitempty"`
 	Now   Millis         `json:"now"`
 	Runs  []Run          `json:"runs"`
 	Usage spec.Resources `json:"usage"`
@@ -119,6 +125,9 @@
 type Order struct {
 	Partition int    `json:"partition"`
 	Epoch     uint64 `json:"epoch"`
+	// Life is the one that is meant: another one refuses the order whole, as its clock and its
+	// claims begin anew. Zero is any.
+	Life Life `json:"life,omitempty"`
 	// Expires is by the worker's own clock: an order that arrives later is
 	// refused whole. It is worked out from the last reply's Now.
 	Expires Millis `json:"expires"`
@@ -152,7 +161,7 @@
 var (
 	ErrFenced     = errors.New("worker: a higher epoch has claimed it")
 	ErrExpired    = errors.New("worker: order came after its expiry")
-	ErrNotClaimed = errors.New("worker: not claimed since its start")
+	ErrNotClaimed = errors.New("worker: not claimed since its start, or another life is meant")
 	ErrNotReached = errors.New("worker: not reached, nothing was sent")
 	ErrLost       = errors.New("worker: sent, no answer")
 )
--- a/internal/worker/workersim/faults.go
+++ b/internal/worker/workersim/faults.go
@@ -19,6 +19,8 @@
 	// LoseAnswers drops that many answers after their calls took effect;
 	// negative drops all.
 	LoseAnswers int `json:"lose_answers,omitempty"`
+	// Lifeless has the worker tell no life, and take orders whichever one they are meant for.
+	Lifeless bool `json:"lifeless,omitempty"`
 	// UsageLag is the age of reported usage.
 	UsageLag time.Duration `json:"usage_lag_ns,omitempty"`
 	// RealSizePercent is the real usage of a task in percent of its declared
--- a/internal/worker/workersim/worker.go
+++ b/internal/worker/workersim/worker.go
@@ -8,6 +8,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"pulleyquay/internal/judge"
@@ -44,6 +45,7 @@
 
 	mu      sync.Mutex
 	boot    time.Time
+	life    worker.Life
 	faults  Faults
 	claimed bool
 	epoch   uint64
@@ -53,10 +55,17 @@
 	usage   []usageSample
 }
 
+// counter numbers the lives of all workers.
+type counter struct{ last atomic.Int64 }
+
+var lives counter
+
+func (c *counter) next() worker.Life { return worker.Life(c.last.Add(1)) }
+
 // New returns a worker that starts now, empty and unclaimed.
 func New(info worker.Info, j *judge.Judge) *Worker {
 	j.Worker(info.Name, info.Size)
-	return &Worker{info: info, judge: j, boot: time.Now(), runs: map[worker.Attempt]*run{}}
+	return &Worker{info: info, judge: j, boot: time.Now(), life: lives.next(), runs: map[worker.Attempt]*run{}}
 }
 
 // Info returns what the worker says of itself.
@@ -74,6 +83,9 @@
 	w.judge.Claimed(w.info.Name, req.Epoch, req.Holder, now)
 	w.claimed, w.epoch, w.holder = true, req.Epoch, req.Holder
 	reply := worker.ClaimReply{Info: w.info, Now: w.clock(now), Usage: w.reported(now)}
+	if !w.faults.Lifeless {
+		reply.Life = w.life
+	}
 	for _, id := range w.order {
 		reply.Runs = append(reply.Runs, w.runs[id].Run)
 	}
@@ -110,12 +122,14 @@
 	return reply, nil
 }
 
-// admit refuses orders of lower epochs, then late ones, then ones without a
-// claim of the very epoch.
+// admit refuses orders of lower epochs, then those that are meant for another life, then late
+// ones, then ones without a claim of the very epoch.
 func (w *Worker) admit(o worker.Order, now time.Time) error {
 	switch {
 	case o.Epoch < w.epoch:
 		return worker.ErrFenced
+	case o.Life != 0 && o.Life != w.life && !w.faults.Lifeless:
+		return worker.ErrNotClaimed
 	case w.clock(now) > o.Expires:
 		return worker.ErrExpired
 	case !w.claimed || o.Epoch > w.epoch:
@@ -243,6 +257,7 @@
 			w.end(r, now, worker.StateStopped, 0)
 		}
 	}
+	w.life = lives.next()
 	w.boot, w.claimed, w.epoch, w.holder = now, false, 0, ""
 	w.runs, w.order, w.usage = map[worker.Attempt]*run{}, nil, nil
 }
--- a/internal/worker/workertest/workertest.go
+++ b/internal/worker/workertest/workertest.go
@@ -44,6 +44,7 @@
 		{"lower epochs are fenced", lowerEpochsAreFenced},
 		{"a late order is refused whole", lateOrderIsRefused},
 		{"nothing without a claim", nothingWithoutClaim},
+		{"an order for another life is refused whole", orderForAnotherLife},
 		{"a run ends by itself and stays until acknowledged", runEndsAndStays},
 		{"a lapsed lease stops the run", lapsedLeaseStops},
 		{"stops by mode", stopsByMode},
@@ -154,6 +155,28 @@
 	is.Equal(len(c.Runs), 0)
 }
 
+func orderForAnotherLife(is *is.I, x Target) {
+	before, err := x.claim(1)
+	is.NoErr(err)
+	is.True(before.Life != 0)
+	o := worker.Order{Epoch: 1, Life: before.Life, Expires: 1 << 50, Starts: []worker.Start{start(0, 0)}}
+	x.Restart()
+	_, err = x.order(o)
+	is.True(errors.Is(err, worker.ErrNotClaimed))
+	c, err := x.claim(1)
+	is.NoErr(err)
+	is.True(c.Life != before.Life)
+	_, err = x.order(o)
+	is.True(errors.Is(err, worker.ErrNotClaimed)) // though it is claimed, under the same epoch
+	c, err = x.claim(1)
+	is.NoErr(err)
+	is.Equal(len(c.Runs), 0)
+	o.Life = c.Life
+	r, err := x.order(o)
+	is.NoErr(err)
+	is.Equal(r.Running, 1)
+}
+
 func runEndsAndStays(is *is.I, x Target) {
 	c, err := x.claim(1)
 	is.NoErr(err)
