A worker's restart is told as a crash only under runs that it had just shown

Callers saw jobs of the placer's path given up ("3 hosts crashed under it ... there at its end") whose runs had been over before their workers went: at the end of their lease or work behind a cut, or between two orders, without any cut.

Cause: news of a loss knew two answers, and told a crash for any run that had been there once and that the worker's next life did not know. Workers are asked every five seconds; what ends in between nobody has heard of.

Change: three answers, none, there, crash. A crash is one whose worker had shown the run 75 ms at the most before its next life began, which a claim tells now; a home counts the second as one that was seen, and may have ended unheard (crashloop had that kind already). On the wire, members that do not know the third answer read it as "not seen", and hold it against nobody.

What it costs: a task that crashes workers late, more than 75 ms after their last answer, costs five of them for three.

--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -39,6 +39,9 @@
 	backoff backoff.ExponentialBackOff
 	clock   anchor
 	renewAt time.Time
+	// heard is when the last call was sent whose answer told of all runs that are running in
+	// the books as running.
+	heard time.Time
 	// restarted is true after the worker said that it was not claimed since
 	// its start: nothing sent before can reach it any more.
 	restarted bool
@@ -92,8 +95,9 @@
 	// begun is true once it was there for certain: its worker has shown it, or the
 	// connection broke under its start on a worker that had just answered.
 	begun bool
-	// crashed is true once another life of its worker has answered, in which it is not.
-	crashed bool
+	// otherLife is true once another life of its worker has answered, in which it is not, and
+	// atEnd where it was there as the former one ended.
+	otherLife, atEnd bool
 	// excused is true when its worker was to end, has answered in the same life since, or
 	// has left its name to another machine.
 	excused bool
--- a/internal/fleet/claim.go
+++ b/internal/fleet/claim.go
@@ -79,6 +79,7 @@
 	f.cell.Upsert(scheduler.Worker{Info: a.info, Addr: a.addr, Partition: a.part.id, Status: a.status()})
 	f.cell.Observe(a.name, a.usage, now)
 	open := f.reconcile(a, reply, before, now)
+	a.heard = sent
 	if open > 0 {
 		f.retryLater(a, now)
 		return
@@ -115,18 +116,18 @@
 		case runUnknown:
 			switch {
 			case a.restarted:
-				f.lapse(r, before)
+				f.lapse(r, before, began(reply, now))
 			case reply.Now <= r.expires:
 				open++
 			default:
 				f.endRun(r, taskmsg.RunNever, 0, now)
 			}
 		case runRunning:
-			f.lapse(r, before)
+			f.lapse(r, before, began(reply, now))
 		case runEnded:
-			f.noteOtherLife(r)
+			f.noteOtherLife(r, began(reply, now))
 		case runAcked:
-			f.noteOtherLife(r)
+			f.noteOtherLife(r, began(reply, now))
 			if r.state == runAcked {
 				f.forget(r)
 			}
--- a/internal/fleet/news.go
+++ b/internal/fleet/news.go
@@ -154,13 +154,13 @@
 
 // toldRun is what was said of a run, to see whether there is news since.
 type toldRun struct {
-	run     *run
-	state   taskmsg.RunState
-	crashed bool
+	run   *run
+	state taskmsg.RunState
+	sight taskmsg.Sight
 }
 
 // changed reports whether there is other news of the run by now.
-func (t toldRun) changed() bool { return t.run.news != t.state || t.run.crashed != t.crashed }
+func (t toldRun) changed() bool { return t.run.news != t.state || t.run.sight() != t.sight }
 
 func (f *Fleet) composeNews(id int, h *home) (taskmsg.News, []toldRun) {
 	n := min(len(h.pending), newsPerMessage)
@@ -171,17 +171,20 @@
 			break
 		}
 		news.Runs = append(news.Runs, f.newsOf(r, r.news))
-		told = append(told, toldRun{r, r.news, r.crashed})
+		told = append(told, toldRun{r, r.news, r.sight()})
 	}
 	return news, told
 }
 
 func (f *Fleet) newsOf(r *run, state taskmsg.RunState) taskmsg.RunNews {
-	return taskmsg.RunNews{
+	news := taskmsg.RunNews{
 		Run: r.id, State: state, ExitCode: r.exitCode, Worker: r.agent.name, Zone: r.agent.info.Zone,
 		Partition: r.agent.part.id, Epoch: r.agent.part.epoch,
-		Unseen: state == taskmsg.RunLost && !r.crashSeen(),
 	}
+	if state == taskmsg.RunLost {
+		news.Saw(r.sight())
+	}
+	return news
 }
 
 func (f *Fleet) callHome(id int, news taskmsg.News) (taskmsg.NewsReply, error) {
--- a/internal/fleet/order.go
+++ b/internal/fleet/order.go
@@ -70,7 +70,9 @@
 		// A worker that started anew and was claimed since by this holder's
 		// deputy, or lost runs otherwise: its inventory tells.
 		f.moveClaim(a, eventLost)
+		return
 	}
+	a.heard = sent
 }
 
 // compose takes what waits into an order. It returns nil when the agent has
--- a/internal/fleet/runs.go
+++ b/internal/fleet/runs.go
@@ -167,18 +167,19 @@
 	}
 	if r.state == runLapsing {
 		delete(f.lapsing, r)
-		r.state, r.begun, r.crashed = runRunning, true, false
+		r.state, r.begun, r.otherLife = runRunning, true, false
 		f.bookAdopted(r, w, now)
 	}
 }
 
-// lapse notes that a run is not at its worker any more. Its room there is free;
-// its home may have it started elsewhere only when its lease is over.
-func (f *Fleet) lapse(r *run, until time.Time) {
+// lapse notes that a run is not at its worker any more, whose present life has begun at a time.
+// Its room there is free; its home may have it started elsewhere only when its lease is over.
+func (f *Fleet) lapse(r *run, until, began time.Time) {
 	f.answer(r, taskmsg.OutcomeUnknown)
 	f.cell.Unreserve(r.id)
 	delete(r.agent.stops, r.id)
-	r.crashed, r.excused = true, r.excused || r.agent.leaving
+	r.meetOtherLife(began)
+	r.excused = r.excused || r.agent.leaving
 	r.state, r.start = runLapsing, nil
 	f.lapsing[r] = until
 }
--- a/internal/job/crash.go
+++ b/internal/job/crash.go
@@ -32,7 +32,7 @@
 		h.excuse(h.losses.With(n.Zone, now))
 	}
 	t := &j.tasks[index]
-	e := crashloop.Evidence{Run: n.Run.Attempt, Host: n.Worker, Unknown: t.since.IsZero(), Unsure: n.Unseen, Proven: !n.Unseen}
+	e := crashloop.Evidence{Run: n.Run.Attempt, Host: n.Worker, Machine: n.Worker, Unknown: t.since.IsZero(), Unsure: n.Sight() == taskmsg.SightNone, Proven: n.Sight() == taskmsg.SightCrash}
 	if !e.Unknown {
 		e.Ran = now.Sub(t.since)
 	}
@@ -54,16 +54,17 @@
 	return j.crashVerdict(index)
 }
 
-// sawCrash takes in that a worker has turned out to have crashed under a run whose loss was
-// held against its task in doubt. It returns why the job ends by it, or nil.
+// sawCrash takes in what has turned out of a run whose loss was held against its task: that it
+// was there, or that its worker has crashed under it. It returns why the job ends by it, or nil.
 func (h *home) sawCrash(j *job, index int, n taskmsg.RunNews) *result.Error {
 	history := j.rec.Crashes[index]
-	at := slices.IndexFunc(history, func(c crashloop.Crash) bool { return c.Run == n.Run.Attempt && c.Unsure })
-	if at < 0 || n.Unseen {
+	at := slices.IndexFunc(history, func(c crashloop.Crash) bool { return c.Run == n.Run.Attempt && sightOf(c) < n.Sight() })
+	if at < 0 {
 		return nil
 	}
+	proven := n.Sight() == taskmsg.SightCrash
 	history = slices.Clone(history)
-	history[at].Unsure, history[at].Unheard, history[at].Proven = false, false, true
+	history[at].Unsure, history[at].Unheard, history[at].Proven = false, !proven, proven
 	j.rec.Crashes[index] = history
 	h.touch(j)
 	return j.crashVerdict(index)
@@ -79,6 +80,17 @@
 	return result.New(result.JobCrashesHosts, result.RanYes, "task %d: %s", index, seen)
 }
 
+// sightOf is what is known of the run of a crash.
+func sightOf(c crashloop.Crash) taskmsg.Sight {
+	switch {
+	case c.Proven:
+		return taskmsg.SightCrash
+	case c.Unsure:
+		return taskmsg.SightNone
+	}
+	return taskmsg.SightThere
+}
+
 func isUnseen(c crashloop.Crash) bool { return c.Unsure }
 
 // shorten returns the history with room for one more crash: the oldest that nobody saw
--- a/internal/job/crash_test.go
+++ b/internal/job/crash_test.go
@@ -207,3 +207,44 @@
 		})
 	}
 }
+
+// A run that was there once, and may have ended unheard before its worker started again, was told
+// as a crash: three of them gave a job up, whose reason said of each "there at its end".
+//
+// TestRunsThatWereThereOnce guards against verdicts on such news: less than five on workers of
+// their own give nothing up, nor any number on one worker, until they turn out to be more.
+func TestRunsThatWereThereOnce(t *testing.T) {
+	for name, tc := range map[string]struct {
+		workers func(n int) (worker, zone string)
+		first   taskmsg.Sight // what is told of each at first
+		later   taskmsg.Sight // what is told of each in the end
+		most    int           // losses until the job is given up; zero for never
+	}{
+		"told at once":                {workers: differing, first: taskmsg.SightThere, later: taskmsg.SightThere, most: 5},
+		"each on a worker of its own": {workers: differing, later: taskmsg.SightThere, most: 5},
+		"all on one worker":           {workers: func(int) (string, string) { return "w", "z" }, later: taskmsg.SightThere},
+		"proven later":                {workers: differing, later: taskmsg.SightCrash, most: 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h, j := still(t, phaseReady, false, spec.KindBatch, 1)
+			lost, now := 0, time.Now()
+			for ; !j.ending() && lost < 2*mostCrashes; lost++ {
+				news := runOf(j, h.reserve(j, 0).Attempt, taskmsg.RunLost, 0)
+				news.Worker, news.Zone = tc.workers(lost)
+				for s := tc.first; s <= tc.later; s++ {
+					news.Saw(s)
+					h.apply(news, now)
+				}
+				now = now.Add(time.Minute)
+				j.ready, j.later = nil, nil
+				h.replaceLost(now)
+			}
+			is.Equal(j.ending(), tc.most > 0)
+			if tc.most > 0 {
+				is.Equal(lost, tc.most)
+				is.Equal(strings.Contains(j.rec.Reason, crashloop.HowProven), tc.later == taskmsg.SightCrash)
+			}
+		})
+	}
+}
--- a/internal/job/news.go
+++ b/internal/job/news.go
@@ -165,10 +165,13 @@
 
 // lossReason tells people what is known of how a run was lost.
 func lossReason(n taskmsg.RunNews) string {
-	if n.Unseen {
-		return "worker " + n.Worker + " is gone, or was cut off until the lease was over"
+	switch n.Sight() {
+	case taskmsg.SightCrash:
+		return "worker " + n.Worker + " has crashed"
+	case taskmsg.SightThere:
+		return "worker " + n.Worker + " has started again, and the run may have ended before"
 	}
-	return "worker " + n.Worker + " has crashed"
+	return "worker " + n.Worker + " is gone, or was cut off until the lease was over"
 }
 
 // endVerdict tells whether the worker may forget an ended run: whatever it
--- a/internal/taskmsg/taskmsg.go
+++ b/internal/taskmsg/taskmsg.go
@@ -168,8 +168,41 @@
 	Zone      string         `cbor:"5,keyasint,omitempty"`
 	Partition int            `cbor:"6,keyasint"`
 	Epoch     uint64         `cbor:"7,keyasint"`
-	// Unseen is true for a lost run that its worker was never seen to run.
+	// Unseen and There tell what is known of a lost run; see Sight. Members that do not know
+	// There read Unseen alone, and hold no run against its task that has it.
 	Unseen bool `cbor:"8,keyasint,omitempty"`
+	There  bool `cbor:"9,keyasint,omitempty"`
+}
+
+// Sight is what is known of a run that was lost with its worker.
+type Sight int
+
+// What is known, each more than the one before.
+const (
+	// SightNone: the worker may only be silent, or nobody has seen the run there.
+	SightNone Sight = iota
+	// SightThere: the run was there, and its worker is in another life. It may have ended
+	// unheard before the former one did.
+	SightThere
+	// SightCrash: the run was there as the worker's former life ended.
+	SightCrash
+)
+
+// String names what is known, for the log.
+func (s Sight) String() string { return [...]string{"none", "there", "crash"}[s] }
+
+// Saw notes what is known of a lost run.
+func (n *RunNews) Saw(s Sight) { n.Unseen, n.There = s < SightCrash, s == SightThere }
+
+// Sight is what is known of a lost run.
+func (n RunNews) Sight() Sight {
+	switch {
+	case !n.Unseen:
+		return SightCrash
+	case n.There:
+		return SightThere
+	}
+	return SightNone
 }
 
 // News goes from a holder to the home at HomePartition. The holder repeats it
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -79,8 +79,10 @@
 // acknowledgement.
 type ClaimReply struct {
 	Info Info `json:"info"`
-	// Life is the life that answers.
+	// Life is the life that answers, Up for how long it has been there; zero where that is not
+	// told.
 	Life  Life           `json:"life,omitempty"`
+	Up    Millis         `json:"up_ms,omitempty"`
 	Now   Millis         `json:"now"`
 	Runs  []Run          `json:"runs"`
 	Usage spec.Resources `json:"usage"`
--- a/internal/worker/workersim/worker.go
+++ b/internal/worker/workersim/worker.go
@@ -84,7 +84,7 @@
 	w.claimed, w.epoch, w.holder = true, req.Epoch, req.Holder
 	reply := worker.ClaimReply{Info: w.info, Now: w.clock(now), Usage: w.reported(now)}
 	if !w.faults.Lifeless {
-		reply.Life = w.life
+		reply.Life, reply.Up = w.life, max(1, worker.Millis(now.Sub(w.boot).Milliseconds()))
 	}
 	for _, id := range w.order {
 		reply.Runs = append(reply.Runs, w.runs[id].Run)
