A start in doubt is held against its task when its host begins another life

Operators saw a task that crashes its hosts take down four and five of them before anything was held against it, where answers get lost and hosts keep their ids; it was started three times more after three hosts had crashed under it.

Cause: a start without an answer goes over to the host's next life, as it might begin there, and is settled there by a stop: "run lost ... its host does not show it any more; task 0, run 3, stopping, at 0%, host silent for 0 ms". Its former life's end was held against nobody.

Change: it goes over, and the end of the life before is held against it as not seen there, which keeps it apart and has its next hosts asked, and gives nothing up.

TestDoubtOutlivesALife fails without the line, on hosts that keep their ids.

--- a/internal/engine/doubt_test.go
+++ b/internal/engine/doubt_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"pulleyquay/internal/catalog"
 	"pulleyquay/internal/hostsim"
 	"pulleyquay/internal/record"
@@ -141,3 +143,29 @@
 	sort.Strings(left)
 	return left
 }
+
+// Starts were not answered, and their hosts crashed ten milliseconds later and started again under
+// their ids. The starts went over to the next lives, as they might yet begin there, and nothing was
+// held against their task: four hosts were lost to it before the first was.
+//
+//	run lost  h28  its host does not show it any more; task 0, run 3, stopping, at 0%, host silent for 0 ms
+//
+// TestDoubtOutlivesALife guards against starts in doubt that leave no trace on their task.
+func TestDoubtOutlivesALife(t *testing.T) {
+	onBoth(t, func(t *testing.T, keepsID bool) {
+		is := is.New(t)
+		unheard := func(w *world, h *hostsim.Host) {
+			w.faults.lostAnswer = 1
+			w.after(10*time.Millisecond, h.Restart)
+			w.after(20*time.Millisecond, func() { w.faults.lostAnswer = 0 })
+		}
+		w := strikeStep(t, keepsID, step(1, 6, 10, 2000), unheard, unheard)
+		w.run(6 * time.Second)
+		task := &w.engine.jobs["job"].groups[0].tasks[0]
+		is.True(task.cur != nil && task.cur.suspect) // the second start is looked after
+		is.Equal(len(task.crashes), 1)
+		is.True(task.crashes[0].Unsure)
+		w.neverGivenUp(t, 20*time.Second)
+		is.Equal(w.shown["job"], record.StateCompleted)
+	})
+}
--- a/internal/engine/life.go
+++ b/internal/engine/life.go
@@ -65,6 +65,7 @@
 			v.Life, h.life, v.Clock, h.now(now), h.leased, len(h.runs), len(v.Running), h.handled, h.seen, len(v.Ended)),
 	})
 	h.noteEnd(h.silent, v.Clock, now)
+	h.accused = append(h.accused, e.doubted(h, v, now)...)
 	kept := e.takeOut(h, v, sent)
 	trialOf, trialUntil := h.trialOf, h.trialUntil
 	e.hostGone(h, now, "it has started again under its id")
@@ -83,6 +84,17 @@
 	return next
 }
 
+// doubted gathers the evidence against starts without an answer that a next life does not show.
+// It may yet begin them, so they go over to it; but they may as well have ended the former one,
+// and would end one after the other if none of it were held against them.
+func (e *Engine) doubted(h *hostState, v host.View, now time.Time) []accusation {
+	shown := shownIn(v)
+	return slices.DeleteFunc(e.accusations(h, now), func(a accusation) bool {
+		r := h.runs[a.run]
+		return r == nil || r.state != runDoubt || shown[a.run]
+	})
+}
+
 // takeOut takes those runs out of the books of a life that is over that may be in the next
 // one: those that it shows, and those whose starts may have reached it since, or may yet.
 func (e *Engine) takeOut(h *hostState, v host.View, sent time.Time) []*run {
