A crash whose machine turned calls away is not excused for its rack

Operators saw a task started three times more after three hosts had crashed under it, where hosts go all the time: within three seconds a rack of four is complete, and all of its crashes were excused, as for a power cut, the proven ones too.

Cause: the excuse for a rack that goes together did not ask how its hosts had gone. A proven crash is one whose machine turned calls away: it has power and network, which is what racks share.

TestRevised asked for the excuse of a proven crash; it asks for the contrary now, and for the excuse of one that was only seen.

--- a/internal/crashloop/crashloop.go
+++ b/internal/crashloop/crashloop.go
@@ -167,11 +167,13 @@
 	return out
 }
 
-// Excuse returns the history with the crashes of a host put down to a cause of its own.
+// Excuse returns the history with the crashes of a host put down to a cause that it shared with
+// its rack, such as power or a switch. One that is proven has none of these: its machine had
+// power, and could be reached, as it turned calls away.
 func (h History) Excuse(host string) History {
 	out := slices.Clone(h)
 	for i := range out {
-		out[i].Excused = out[i].Excused || out[i].Host == host
+		out[i].Excused = out[i].Excused || out[i].Host == host && !out[i].Proven
 	}
 	return out
 }
@@ -292,7 +294,7 @@
 	Unsure, Proven bool
 	// Newest is true when no run of another job was started on the host as late.
 	Newest bool
-	// Together is true when the host went with others, as for one cause.
+	// Together is true when the host went with its rack, as for one cause; see Excuse.
 	Together bool
 }
 
@@ -322,7 +324,7 @@
 	return Crash{
 		Run: e.Run, Host: e.Host, Machine: e.Machine, Chance: float32(chance), Unsure: e.Unsure, Proven: e.Proven, Unheard: !e.Proven, RanMillis: e.ranMillis(),
 		Recent:  e.Newest && !e.Unknown && !e.Unsure && e.Ran <= justStarted,
-		Excused: e.Together || chance >= likely,
+		Excused: e.Together && !e.Proven || chance >= likely,
 	}
 }
 
--- a/internal/crashloop/crashloop_test.go
+++ b/internal/crashloop/crashloop_test.go
@@ -138,8 +138,12 @@
 	is := is.New(t)
 	h := History{{Run: 1, Host: "a", Recent: true, Proven: true, Chance: 1e-4}, {Run: 2, Host: "b", Proven: true, Chance: 1e-4}, {Run: 3, Host: "c"}}
 	is.Equal(h.Standing(), GivenUp)
-	is.Equal(h.Excuse("a").Standing(), OnTrial)
-	is.Equal(h.Standing(), GivenUp) // the former one stays as it was
+	is.Equal(h.Excuse("a").Standing(), GivenUp) // its machine was there: it had power and network
+	seen := History{{Run: 1, Host: "a", Chance: 1e-4}, {Run: 2, Host: "b", Chance: 1e-4}}
+	is.Equal(seen.Standing(), OnTrial)
+	is.Equal(seen.Excuse("a").Standing(), Suspect)
+	is.Equal(seen.Standing(), OnTrial) // the former one stays as it was
+	is.Equal(h.Standing(), GivenUp)
 	is.Equal(len(h.WithoutUnproven("a")), 3)
 	is.Equal(len(h.WithoutUnproven("c")), 2)
 }
--- a/internal/engine/crash_trouble_test.go
+++ b/internal/engine/crash_trouble_test.go
@@ -170,3 +170,14 @@
 		})
 	}
 }
+
+// Hosts of one rack ended one after the other, by tasks and by themselves, and once the whole rack
+// had, each of these crashes was excused, as for a power cut: tasks were started three times more
+// after three hosts had crashed under them, each of which had turned calls away.
+//
+// TestCrashersWhoseRackGoes guards against excuses for crashes whose machines had power.
+func TestCrashersWhoseRackGoes(t *testing.T) {
+	for _, seed := range []uint64{119, 139} {
+		playTrouble(t, seed, troublesOfHolders["all"]).check()
+	}
+}
