--- a/internal/crashloop/crashloop_test.go
+++ b/internal/crashloop/crashloop_test.go
@@ -87,6 +87,8 @@
 		"a while ago, while hosts go often":     {with(func(e *Evidence) { e.Ran = 300 * time.Millisecond }), stormy, true, false},
 		"a second ago, while hosts go often":    {with(func(e *Evidence) { e.Ran = time.Second }), stormy, true, true},
 		"former holder's, while hosts go often": {with(func(e *Evidence) { e.Unknown = true; e.Ran = 0 }), stormy, false, true},
+		"with its rack":                         {with(func(e *Evidence) { e.Together = true }), calm, true, true},
+		"with its rack, and proven":             {with(func(e *Evidence) { e.Together, e.Proven = true, true }), calm, true, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -95,7 +97,7 @@
 			if tc.e.Unknown {
 				ran = 0
 			}
-			is.Equal(c, Crash{Run: 4, Host: "a", Recent: tc.recent, Excused: tc.excusing, Chance: c.Chance, RanMillis: ran, Unheard: true})
+			is.Equal(c, Crash{Run: 4, Host: "a", Recent: tc.recent, Excused: tc.excusing, Chance: c.Chance, RanMillis: ran, Proven: tc.e.Proven, Unheard: !tc.e.Proven})
 		})
 	}
 }
