--- a/internal/engine/orders.go
+++ b/internal/engine/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"time"
 
 	"pulleyquay/internal/host"
@@ -56,6 +57,7 @@
 		e.otherLife(h, o.To, now)
 		return
 	case errors.Is(err, host.ErrOtherLife):
+		e.log(Event{What: "start met another life", Job: o.Start.Task.Job, Step: o.Start.Task.StepID.String(), Host: string(h.info.ID), Why: fmt.Sprintf("meant for the one that started at %d", o.Start.Life)})
 		e.lifeUnreached(h, r, host.ErrNotSent, now)
 		return
 	case errors.Is(err, host.ErrNotSent):
