--- a/internal/engine/quota_test.go
+++ b/internal/engine/quota_test.go
@@ -33,6 +33,16 @@
 	return w
 }
 
+// crewWorld is a cell in which the account "crew" may have so many processors, a second after its
+// first holder took over.
+func crewWorld(t testing.TB, seed uint64, hosts int, most int64) *world {
+	w := accountWorld(t, seed, hosts)
+	w.setQuota("crew", cores(most))
+	w.takeOver()
+	w.run(time.Second)
+	return w
+}
+
 func cores(n int64) fairshare.Quota {
 	return fairshare.Quota{MilliCPU: n * 1000, MemoryMiB: -1, Accelerators: -1}
 }
@@ -121,10 +131,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			w := accountWorld(t, 7, 4)
-			w.setQuota("crew", cores(32))
-			w.takeOver()
-			w.run(time.Second)
+			w := crewWorld(t, 7, 4, 32)
 			w.submit("crew-1", catalog.Rules{}, step(16, 2, 1, 6000))
 			w.submit("crew-2", catalog.Rules{}, step(40, 2, 1, 3000))
 			w.run(time.Second)
@@ -154,10 +161,7 @@
 // may run. They count until it is certain that they do not.
 func TestHostsNotHeardCount(t *testing.T) {
 	is := is.New(t)
-	w := accountWorld(t, 11, 4)
-	w.setQuota("crew", cores(24))
-	w.takeOver()
-	w.run(time.Second)
+	w := crewWorld(t, 11, 4, 24)
 	w.submit("crew-1", catalog.Rules{}, step(12, 2, 1, 30000))
 	w.run(time.Second)
 	is.Equal(w.coresOf("crew"), int64(24))
@@ -334,10 +338,7 @@
 	for name, most := range map[string]int64{"little memory each": 48, "all the memory of a host": 16} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			w := accountWorld(t, 11, 2)
-			w.setQuota("crew", cores(most))
-			w.takeOver()
-			w.run(time.Second)
+			w := crewWorld(t, 11, 2, most)
 			fillers := step(int(most)/4, 4, 1, 30000)
 			fillers.Filler = true
 			if most == 16 {
@@ -360,10 +361,7 @@
 // heard of, so that an account with many that wait is not kept from its quota by one host.
 func TestFillersNotHeardLeaveTheRest(t *testing.T) {
 	is := is.New(t)
-	w := accountWorld(t, 11, 4)
-	w.setQuota("crew", cores(40))
-	w.takeOver()
-	w.run(time.Second)
+	w := crewWorld(t, 11, 4, 40)
 	fillers := step(100, 4, 32, 30000) // two to a host
 	fillers.Filler = true
 	w.submit("crew-1", catalog.Rules{}, fillers)
@@ -416,10 +414,7 @@
 // TestRunsOfEndedJobsCount guards against quotas that leave out what a job may still have running.
 func TestRunsOfEndedJobsCount(t *testing.T) {
 	is := is.New(t)
-	w := accountWorld(t, 11, 4)
-	w.setQuota("crew", cores(8))
-	w.takeOver()
-	w.run(time.Second)
+	w := crewWorld(t, 11, 4, 8)
 	w.submit("crew-1", catalog.Rules{}, step(4, 2, 1, 60000))
 	w.run(500 * time.Millisecond)
 	is.Equal(w.coresOf("crew"), int64(8))
@@ -442,10 +437,7 @@
 // TestLongEndedJobsCountNothing: what a job had running as it ended is over some seconds later.
 func TestLongEndedJobsCountNothing(t *testing.T) {
 	is := is.New(t)
-	w := accountWorld(t, 11, 4)
-	w.setQuota("crew", cores(8))
-	w.takeOver()
-	w.run(time.Second)
+	w := crewWorld(t, 11, 4, 8)
 	w.submit("crew-1", catalog.Rules{}, step(4, 2, 1, 60000))
 	w.run(500 * time.Millisecond)
 	w.tell(w.engine, func() { w.engine.Cancel("crew-1", w.now()) })
