Starts are not bound to a life that a host tells no more

Found in review: a next holder knows a host's life from the roster; where the host's views tell none (its software was changed), starts would have been bound to it and never got there, tried again and again. A view without a life has the starts go unbound, as to any host that tells none.

TestLifeThatIsNotToldAnyMore fails without the line ("a start on h00 is for life ...").

--- a/internal/engine/late_start_test.go
+++ b/internal/engine/late_start_test.go
@@ -167,3 +167,26 @@
 		t.Errorf("the job is shown as %s: %s", w.shown["job"], w.describe("job"))
 	}
 }
+
+// TestLifeThatIsNotToldAnyMore guards against starts that never get to a host: its software was
+// changed, and it tells no life where it told one to an earlier holder.
+func TestLifeThatIsNotToldAnyMore(t *testing.T) {
+	w := newWorld(t, 21)
+	w.follows = true
+	w.fleet.Add(2, "s", size(64, 128))
+	w.takeOver()
+	w.run(time.Second)
+	w.onStart = func(s StartOrder) {
+		if s.Start.Life != 0 {
+			t.Errorf("a start on %s is for life %d", s.To.ID, s.Start.Life)
+		}
+	}
+	w.fleet.Lifeless = true
+	w.takeOver()
+	w.run(time.Second)
+	w.submit("job", catalog.Rules{}, step(2, 6, 10, 500))
+	w.neverGivenUp(t, 10*time.Second)
+	if !w.fleet.Judge().JobDone("job") {
+		t.Errorf("the job is shown as %s: %s", w.shown["job"], w.describe("job"))
+	}
+}
--- a/internal/engine/life.go
+++ b/internal/engine/life.go
@@ -27,7 +27,10 @@
 // returns the books of that life, or nil when the life is over.
 func (e *Engine) lifeShown(h *hostState, v host.View, sent, now time.Time) *hostState {
 	switch {
-	case v.Life == 0 || v.Life == h.life:
+	case v.Life == 0:
+		h.life = 0 // a start for a life that is not told any more would never get there
+		return h
+	case v.Life == h.life:
 		return h
 	case h.life == 0:
 		h.setLife(v.Life, now)
--- a/internal/hostsim/calls.go
+++ b/internal/hostsim/calls.go
@@ -209,7 +209,7 @@
 const mostEnds = 500
 
 func (h *Host) view() host.View {
-	v := host.View{Clock: h.clock(), Life: h.info.Life, Ended: append([]host.End(nil), h.ends[:min(len(h.ends), mostEnds)]...)}
+	v := host.View{Clock: h.clock(), Life: h.toldLife(), Ended: append([]host.End(nil), h.ends[:min(len(h.ends), mostEnds)]...)}
 	for _, r := range h.sorted() {
 		row := host.Running{Run: r.Run, Percent: h.percent(r), Gauge: float64(r.step.Size.MilliCPU)}
 		if r.step.TailTargetMillis > 0 {
@@ -220,6 +220,13 @@
 	return v
 }
 
+func (h *Host) toldLife() host.Life {
+	if h.fleet.Lifeless {
+		return 0
+	}
+	return h.info.Life
+}
+
 func (h *Host) percent(r *run) float64 {
 	if r.worked.IsZero() || h.stuck {
 		return 0
--- a/internal/hostsim/fleet.go
+++ b/internal/hostsim/fleet.go
@@ -67,6 +67,9 @@
 	// ids. Set it before use.
 	CarriesOver bool
 
+	// Lifeless has hosts tell no life in their views.
+	Lifeless bool
+
 	// Guards has hosts refuse what they have no room for. Set it before use.
 	Guards bool
 
