What ended jobs have left counts for no more than unheard hosts can hold

Cause, in the log: "account lexa6118: 6 steps, may have running 480 cores ... 246% of its quota". What cancelled jobs had running as their ends were recorded counted in full where a single host was not heard of; brought that. It counts within the room of the hosts in doubt now, with the tasks in doubt; what fills counts apart, as it takes no room.

--- a/internal/engine/account.go
+++ b/internal/engine/account.go
@@ -22,8 +22,9 @@
 	// heard of since the takeover. Tasks that fill are counted by their steps.
 	used, unsure  spec.Resources
 	unsureFillers map[*group]int64
-	// left is what jobs that a former holder had just ended may still have on such hosts.
-	left spec.Resources
+	// left and leftFillers are what jobs that a former holder had just ended may still have on
+	// such hosts.
+	left, leftFillers spec.Resources
 	// promised is kept, in this going through the queue, for steps that go before others.
 	promised spec.Resources
 	known    bool // the configuration has told of it
@@ -112,9 +113,9 @@
 // inDoubt is at the most what the hosts that were not heard of can hold. Tasks that fill take no
 // processors there, so many of them may run beside the others, as far as the rest allows.
 func (e *Engine) inDoubt(a *account) spec.Resources {
-	sum := a.unsure.Min(e.unheard.room)
+	sum := a.unsure.Add(a.left).Min(e.unheard.room)
 	if len(e.unheard.sizes) > 0 {
-		sum = sum.Add(a.left)
+		sum = sum.Add(a.leftFillers)
 	}
 	for g, n := range a.unsureFillers {
 		sum = sum.Add(g.step.Size.Times(min(n, e.unheard.holds(g.step.Booked()))))
--- a/internal/engine/commit.go
+++ b/internal/engine/commit.go
@@ -99,7 +99,8 @@
 		j.storedProgress = true
 		return []platform.Write{encoded(record.ProgressKey(e.cfg.Partition, j.id()), progressOf(j))}
 	}
-	short := record.Job{ID: j.id(), Ended: j.state, EndedUnixMilli: now.UnixMilli(), Why: j.why, Account: j.rec.Account, Largest: j.rec.Graph.Largest(), Left: j.left()}
+	short := record.Job{ID: j.id(), Ended: j.state, EndedUnixMilli: now.UnixMilli(), Why: j.why, Account: j.rec.Account, Largest: j.rec.Graph.Largest()}
+	short.Left, short.LeftFillers = j.left()
 	writes := []platform.Write{encoded(record.JobKey(e.cfg.Partition, j.id()), short)}
 	if j.storedProgress {
 		writes = append(writes, platform.Write{Key: record.ProgressKey(e.cfg.Partition, j.id()), Delete: true})
--- a/internal/engine/job.go
+++ b/internal/engine/job.go
@@ -212,8 +212,8 @@
 	}
 }
 
-// left is what the job's tasks may have running.
-func (j *job) left() (sum spec.Resources) {
+// left is what the job's tasks may have running, apart for those that fill.
+func (j *job) left() (others, fillers spec.Resources) {
 	for _, g := range j.groups {
 		n := g.leftOver
 		for i := range g.tasks {
@@ -221,9 +221,13 @@
 				n++
 			}
 		}
-		sum = sum.Add(g.step.Size.Times(int64(n)))
+		if g.step.Filler {
+			fillers = fillers.Add(g.step.Size.Times(int64(n)))
+		} else {
+			others = others.Add(g.step.Size.Times(int64(n)))
+		}
 	}
-	return sum
+	return others, fillers
 }
 
 // task names one task of the group.
--- a/internal/engine/quota_test.go
+++ b/internal/engine/quota_test.go
@@ -450,3 +450,28 @@
 	w.check()
 	is.Equal(w.coresOf("crew"), int64(8))
 }
+
+// Many jobs were cancelled within some seconds, the holder was succeeded, and one host was not heard
+// of. All that had run of these jobs counted against their accounts until nothing could run there
+// any more: accounts stood at up to 246% of their quotas and started nothing for nine seconds, with
+// nearly the whole cell free.
+//
+// TestCancelledJobsLeaveTheRest guards against work in doubt that counts for more than the hosts in
+// doubt can hold.
+func TestCancelledJobsLeaveTheRest(t *testing.T) {
+	is := is.New(t)
+	w := crewWorld(t, 11, 8, 64)
+	for i := range 10 {
+		id := fmt.Sprint("crew-", i)
+		w.submit(id, catalog.Rules{}, step(16, 4, 1, 60000))
+		w.run(300 * time.Millisecond)
+		w.tell(w.engine, func() { w.engine.Cancel(id, w.now()) })
+		w.run(300 * time.Millisecond)
+	}
+	w.host("h00").Cut(true)
+	w.takeOver()
+	w.submit("crew-next", catalog.Rules{}, step(12, 4, 1, 60000))
+	w.run(time.Second)
+	w.check()
+	is.Equal(w.coresOf("crew"), int64(48)) // less than the quota by the one host
+}
--- a/internal/engine/takeover.go
+++ b/internal/engine/takeover.go
@@ -20,6 +20,7 @@
 		j := e.addJob(rec, e.unsettled, now.Add(-age(rec)), now)
 		if j.account != nil && age(rec) < leftFor*settleBy.Sub(now) {
 			j.account.left = j.account.left.Add(rec.Left)
+			j.account.leftFillers = j.account.leftFillers.Add(rec.LeftFillers)
 		}
 		if p := progress[rec.ID]; p != nil && !j.state.Final() {
 			e.applyProgress(j, p, now)
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -59,8 +59,9 @@
 	// may still run.
 	Largest spec.Resources `cbor:"11,keyasint,omitzero"`
 	// Left is what its tasks may have had running, on hosts that were told to stop them, when its
-	// end was recorded.
-	Left spec.Resources `cbor:"12,keyasint,omitzero"`
+	// end was recorded; LeftFillers those of them that fill.
+	Left        spec.Resources `cbor:"12,keyasint,omitzero"`
+	LeftFillers spec.Resources `cbor:"13,keyasint,omitzero"`
 }
 
 // Open reports whether the job may be read and cancelled for a client account; empty for
