Engine: a long-running task without a run tells why

What could not be told: a long-running task had no run at work for seconds while the cell had room, and neither the log nor a metric said what held it back. "step waits" comes from the scheduling pass, so it is silent for a step that the pass skips: unconfirmed, not in the queue, over the budget of the pass, backing off. It says nothing of superseded runs that a task waits for, of a run that is recorded but not at work, or of capacity that was there when a policy query was sent and taken when it was answered.

What can be told now, independently of the pass, once a second: - "long-running task waits", one line a step every 3 s at the most and ten steps a check: since when the task that lacks a run longest has had none, the step's position in the queue, the urgency and age of its job, what blocks the task, the recorded run if there is one, and where permission, capacity and tickets meet. - "policy answered" for long-running steps: slots on the permitted hosts when the query was sent and when it was answered. - "long-running task runs again" with the length of the gap. - pulleyquay_holder_long_running_gap_seconds{queue}, 32 queues at the most.

A gap counts from the last view that showed the task's run as ready, from the end that the host reported, or from when the step became ready at this holder, whichever is last; it ends with the view that shows a ready run.

No decision changes.

--- a/internal/engine/ask.go
+++ b/internal/engine/ask.go
@@ -16,6 +16,8 @@
 	hosts  []host.ID
 	slot   string
 	sentAt time.Time
+	// snapshot is nil unless the step is long-running.
+	snapshot *querySnapshot
 }
 
 // Delays before the next query about a step, after an answer and after a failure.
@@ -273,7 +275,7 @@
 	if !ok {
 		return false
 	}
-	q := &policyQuery{group: g, slot: slot, sentAt: now}
+	q := &policyQuery{group: g, slot: slot, sentAt: now, snapshot: e.snapshotQuery(g, hosts, now)}
 	for _, h := range hosts {
 		q.hosts = append(q.hosts, h.info.ID)
 	}
@@ -309,6 +311,7 @@
 		g.policy.tickets = map[*hostState]ticket{}
 	}
 	fresh, permitted := 0, 0
+	var permittedIDs []host.ID
 	for _, id := range q.hosts {
 		if h := e.hosts[id]; h != nil {
 			if _, known := g.policy.permission[h]; !known {
@@ -327,8 +330,10 @@
 			g.policy.permission[h] = true
 			g.policy.tickets[h] = ticket{text: t.Ticket, until: now.Add(a.ValidFor)}
 			permitted++
+			permittedIDs = append(permittedIDs, t.Host)
 		}
 	}
+	e.logPolicyAnswer(q, permittedIDs, now)
 	if fresh == len(q.hosts) {
 		e.updatePermittedShare(g, permitted, fresh)
 	}
--- a/internal/engine/ends.go
+++ b/internal/engine/ends.go
@@ -13,6 +13,7 @@
 func (e *Engine) processEnd(h *hostState, end host.End, now time.Time) {
 	r := h.runs[end.Run]
 	if r != nil {
+		r.recordWorkEnd(now)
 		e.removeRun(r)
 		if end.Checkpoint != "" {
 			r.checkpoint = end.Checkpoint
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -163,6 +163,12 @@
 	hostBuf []*hostState
 	// waitsLogged counts the steps whose reason to wait was logged in the current interval.
 	waitsLogged int
+	// longRunning are the steps of long-running tasks of live jobs, last checked at longRunningCheckedAt.
+	longRunning          map[*group]struct{}
+	longRunningCheckedAt time.Time
+	// passEndedAt is the number of queued steps that the last pass considered before its budget was used up;
+	// zero if it considered all.
+	passEndedAt int
 }
 
 // endedJob is a job in a final state, kept until it expires.
@@ -197,6 +203,7 @@
 		possibleHosts:         map[spec.StepTask]int{},
 		pools:                 map[string]*servicePool{},
 		presumedEnded:         map[string]time.Time{},
+		longRunning:           map[*group]struct{}{},
 	}
 }
 
@@ -307,6 +314,7 @@
 	e.planThrottling(now)
 	e.planUpkeep(now)
 	e.logLoad(now)
+	e.logLongRunning(now)
 	e.planPolls(now)
 	e.expireEndedJobs(now)
 	e.planCommit()
--- a/internal/engine/job.go
+++ b/internal/engine/job.go
@@ -67,6 +67,8 @@
 	notBefore time.Time
 	// preempted counts the preemptions of the task.
 	preempted int
+	// lastAtWork is when a view last showed a run of a long-running task at work.
+	lastAtWork time.Time
 }
 
 // group is a step of one occurrence of a job.
@@ -92,6 +94,8 @@
 	// doneAt is when its last task was done.
 	doneAt       time.Time
 	waitLoggedAt time.Time // when the reason to wait was last logged
+	gapLoggedAt  time.Time // when the gap of its long-running tasks was last logged
+	overQuotaAt  time.Time // when the quota last kept a pass from attempting it
 	// readySince is when the step became due.
 	readySince time.Time
 
@@ -301,6 +305,7 @@
 	delete(e.live, j.id())
 	e.ended = append(e.ended, endedJob{j.id(), now})
 	for _, g := range j.groups {
+		delete(e.longRunning, g)
 		e.removeReady(g)
 		for i := range g.tasks {
 			if r := g.tasks[i].cur; r != nil && s != record.StateCompleted {
--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -21,8 +21,10 @@
 	defer e.clearWithheld() // withheld quota is valid for one scheduling pass
 	e.reservingGangs, e.reservingLarge = 0, 0
 	budget := passBudget
+	e.passEndedAt = 0
 	for rank, g := range queue {
 		if budget <= 0 {
+			e.passEndedAt = rank
 			return
 		}
 		if now.Before(g.notBefore) || !g.ready {
@@ -37,6 +39,7 @@
 // the cost in single-task attempts.
 func (e *Engine) planStep(g *group, rank int, hosts []*hostState, now time.Time) (attemptCost int) {
 	if e.overQuota(g, now) {
+		g.overQuotaAt = now
 		return 0
 	}
 	if e.retryNotDue(g, now) {
--- a/internal/engine/takeover.go
+++ b/internal/engine/takeover.go
@@ -53,6 +53,7 @@
 	}
 	e.live[rec.ID] = j
 	for _, g := range j.groups {
+		e.watchLongRunning(g)
 		e.updateExpected(g)
 		for i := range g.tasks {
 			if unconfirmed || e.possibleHosts[g.task(i)] > 0 {
--- a/internal/engine/view.go
+++ b/internal/engine/view.go
@@ -256,6 +256,7 @@
 func (e *Engine) updateProgress(r *run, row host.Running, now time.Time) {
 	if r.group != nil && r.group.step.LongRunning {
 		r.observeReadiness(row.Percent, now)
+		e.recordAtWork(r, now)
 	} else {
 		r.observeProgress(row.Percent, now)
 	}
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -45,8 +45,8 @@
 	// maxUnreadableKeys bounds the number of remembered host entries that cannot be decoded.
 	// They are remembered to log each of them once and not at every heartbeat.
 	maxUnreadableKeys = 1024
-	// accountMetricsInterval is the update interval of the metrics of client accounts.
-	accountMetricsInterval = 5 * time.Second
+	// loadMetricsInterval is the update interval of the metrics of client accounts and of long-running tasks.
+	loadMetricsInterval = 5 * time.Second
 	// eventBatchDelay is how long events are batched before the engine decides.
 	eventBatchDelay = time.Millisecond
 )
@@ -159,7 +159,7 @@
 	onAcquired()
 	defer onLost()
 	var loops sync.WaitGroup
-	loopFuncs := []func(){h.decideLoop, h.commitLoop, h.followHosts, h.followJobs, h.reportAccounts, func() { h.router.Run(h.ctx) }}
+	loopFuncs := []func(){h.decideLoop, h.commitLoop, h.followHosts, h.followJobs, h.reportLoads, func() { h.router.Run(h.ctx) }}
 	if h.cfg.Machines != nil {
 		loopFuncs = append(loopFuncs, h.followRollouts)
 	}
@@ -172,20 +172,22 @@
 	return context.Cause(h.ctx)
 }
 
-// reportAccounts updates the metrics of client accounts periodically.
-func (h *Holder) reportAccounts() {
-	tick := time.NewTicker(accountMetricsInterval)
+// reportLoads updates the metrics of client accounts and of long-running tasks periodically.
+func (h *Holder) reportLoads() {
+	tick := time.NewTicker(loadMetricsInterval)
 	defer tick.Stop()
 	defer h.cfg.Metrics.reportAccounts(nil)
+	defer h.cfg.Metrics.reportLongRunningGaps(nil)
 	for {
 		select {
 		case <-h.ctx.Done():
 			return
 		case now := <-tick.C:
 			h.mu.Lock()
-			loads := h.engine.AccountLoads(now)
+			loads, gaps := h.engine.AccountLoads(now), h.engine.LongRunningGaps(now)
 			h.mu.Unlock()
 			h.cfg.Metrics.reportAccounts(loads)
+			h.cfg.Metrics.reportLongRunningGaps(gaps)
 		}
 	}
 }
--- a/internal/holder/metrics.go
+++ b/internal/holder/metrics.go
@@ -28,6 +28,8 @@
 
 	// accounts has the usage and the waiting steps of at most maxAccountMetrics client accounts.
 	accounts *prometheus.GaugeVec
+	// longRunningGaps has the longest gaps of at most maxQueueMetrics queues.
+	longRunningGaps *prometheus.GaugeVec
 
 	mu   sync.Mutex
 	load Load
@@ -57,6 +59,19 @@
 	}
 }
 
+// maxQueueMetrics bounds the number of queues with a metric of their long-running tasks. The queues with the
+// longest gaps are included.
+const maxQueueMetrics = 32
+
+// reportLongRunningGaps sets the metrics of long-running tasks to gaps, which are sorted as maxQueueMetrics
+// requires.
+func (m *Metrics) reportLongRunningGaps(gaps []engine.LongRunningGap) {
+	m.longRunningGaps.Reset()
+	for _, g := range gaps[:min(len(gaps), maxQueueMetrics)] {
+		m.longRunningGaps.WithLabelValues(g.Queue).Set(g.Gap.Seconds())
+	}
+}
+
 // Load summarizes the work of the holders of this process since the previous call of TakeLoad.
 type Load struct {
 	// DecisionTime is the total duration of decisions.
@@ -95,7 +110,10 @@
 	m.accounts = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "pulleyquay_holder_account", Help: "Client accounts of which most waits: their share of the cell, how full their quotas are (1: full), and the steps that wait, also for the quota alone.",
 	}, []string{"account", "what"})
-	reg.MustRegister(m.accounts, m.commits, m.writes, m.events, m.failed, m.crashes, m.decisions, m.waits, m.jobAge)
+	m.longRunningGaps = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "pulleyquay_holder_long_running_gap_seconds", Help: "Longest time for which a long-running task of the queue has had no run at work at present, of the queues with the longest.",
+	}, []string{"queue"})
+	reg.MustRegister(m.longRunningGaps, m.accounts, m.commits, m.writes, m.events, m.failed, m.crashes, m.decisions, m.waits, m.jobAge)
 	return m
 }
 
--- a/internal/holder/metrics_test.go
+++ b/internal/holder/metrics_test.go
@@ -1,7 +1,9 @@
 package holder
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus"
@@ -43,3 +45,20 @@
 	is.Equal(testutil.ToFloat64(m.crashes.WithLabelValues(crashloop.ObservedAtEnd)), 2.0)
 	is.Equal(testutil.ToFloat64(m.crashes.WithLabelValues(crashloop.ObservedNever)), 1.0)
 }
+
+// TestLongestGapOfLongRunningTasksIsReported guards against a metric that leaves out the queue with the
+// longest gap, grows with the number of queues, or keeps the gap of a queue that has none any more.
+func TestLongestGapOfLongRunningTasksIsReported(t *testing.T) {
+	is := is.New(t)
+	m := NewMetrics(prometheus.NewRegistry())
+	var gaps []engine.LongRunningGap
+	for i := range maxQueueMetrics + 8 {
+		gaps = append(gaps, engine.LongRunningGap{Queue: fmt.Sprint("q", i), Gap: time.Duration(100-i) * time.Second})
+	}
+	m.reportLongRunningGaps(gaps)
+	is.Equal(testutil.CollectAndCount(m.longRunningGaps), maxQueueMetrics)
+	is.Equal(testutil.ToFloat64(m.longRunningGaps.WithLabelValues("q0")), 100.0)
+	m.reportLongRunningGaps([]engine.LongRunningGap{{Queue: "q1"}})
+	is.Equal(testutil.CollectAndCount(m.longRunningGaps), 1)
+	is.Equal(testutil.ToFloat64(m.longRunningGaps.WithLabelValues("q1")), 0.0)
+}
