Long-running jobs never count as late or expired

What callers saw: a long-running task that lost its host stayed without a run for as long as other work queued (17 s in the test, until the load ended). Cause: a job is classed by whether it can complete within its target duration and three times that. A long-running job never completes: some seconds after its acceptance it was late, then expired for good, and a task of it that had to run again stood behind the work of all queues, behind their reservations and behind their policy queries. Class of fault: a rule for work that ends applied to work that doesn't. Evidence: the test's row without a target, where no job is classed, has 6.3 s; the row with the target of a site 17 s. Change: such jobs stay on time, as jobs with due times do. In the queue their age then decides among jobs of one priority, so a job that lost a task goes before newer ones. Figures: longest gap 17 s before (3 of 8 tasks missing at the end), 6.3 s after. Ruled out: classing by the time since the task's last run; the value of a second of work of such a task is the same at any age.

--- a/internal/engine/job.go
+++ b/internal/engine/job.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -177,6 +178,11 @@
 	}
 }
 
+// longRunning reports whether the job has tasks that run until it is cancelled.
+func (j *job) longRunning() bool {
+	return slices.ContainsFunc(j.groups, func(g *group) bool { return g.step.LongRunning })
+}
+
 // group returns a step of an occurrence, or nil.
 func (j *job) group(occurrence, step int) *group {
 	i := occurrence*j.steps + step
--- a/internal/engine/urgency.go
+++ b/internal/engine/urgency.go
@@ -23,9 +23,10 @@
 const urgencyInterval = 250 * time.Millisecond
 
 // updateUrgency classifies the job by its expected completion. Jobs whose occurrences have due times of
-// their own stay on time.
+// their own stay on time, and so do long-running jobs: they never complete, and a task without a run is
+// needed as much late as early.
 func (e *Engine) updateUrgency(j *job, now time.Time) {
-	if now.Sub(j.urgencyAt) < urgencyInterval || j.rec.Graph.Repeat.Times > 0 {
+	if now.Sub(j.urgencyAt) < urgencyInterval || j.rec.Graph.Repeat.Times > 0 || j.longRunning() {
 		return
 	}
 	j.urgencyAt = now
