Long-running tasks reserve the slots that they wait for

What callers saw: a wide long-running job got its places one or two at a time, the last one 8 to 21 s after its acceptance, beside a cell used to 55%; the same for tasks that had lost their host. Cause: the tasks could only use what was free at the moment in which the policy service had answered, half a second and more after it was asked. A query named the hosts with room, few more than needed; smaller tasks of other queues had refilled them by then, and the tickets expired after two seconds. Large tasks and gangs have slots reserved for that reason. Long-running tasks were left out of it, as a reservation had been thought of as a wait for an end. Class of fault: a step left out of the protection that its size needs. Change: long-running tasks of any size are placed like large ones: enough permitted hosts are found first, slots are reserved there, and tickets are requested for when these are free. Backfill tasks stay out, as they take no slots. isLarge and largeTasks are reservesSlots now.

--- a/internal/engine/job.go
+++ b/internal/engine/job.go
@@ -83,9 +83,9 @@
 	undone      int // tasks that are not done
 	// waiting counts the tasks in taskWaiting, superseded the superseded runs that its tasks wait for.
 	waiting, superseded int
-	// largeTasks is true when a host holds only a few of its tasks. It is valid once classified is set; see
-	// plan_large.go.
-	largeTasks, classified bool
+	// reservesSlots is true when slots are reserved for its tasks one by one, as for large tasks. It is valid
+	// once classified is set; see plan_large.go.
+	reservesSlots, classified bool
 	// sampledTasks counts the done tasks whose run times were sampled; sampledTime is the sum of these
 	// times, normalised to a host of mean speed.
 	sampledTasks int
--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -52,7 +52,7 @@
 	switch {
 	case g.step.Gang:
 		e.planGang(g, hosts, now)
-	case e.isLarge(g, hosts):
+	case e.reservesSlots(g, hosts):
 		e.planLarge(g, hosts, now)
 	default:
 		e.planTasks(g, hosts, now)
@@ -79,7 +79,7 @@
 func (e *Engine) countReserving(g *group) {
 	switch {
 	case len(g.reserved) == 0:
-	case g.largeTasks:
+	case g.reservesSlots:
 		e.reservingLarge++
 	default:
 		e.reservingGangs++
@@ -121,7 +121,7 @@
 
 // attemptCost returns the cost of an attempt of the step, in single-task attempts.
 func (g *group) attemptCost() int {
-	if g.step.Gang || g.largeTasks {
+	if g.step.Gang || g.reservesSlots {
 		return bulkAttemptCost
 	}
 	return 1
--- a/internal/engine/plan_large.go
+++ b/internal/engine/plan_large.go
@@ -15,6 +15,10 @@
 // a step of large tasks need not start together. The step preempts nothing: preempting less urgent
 // checkpointing tasks would cost those tasks as much as the step gained. With reservations more such jobs
 // meet the target of their queue.
+//
+// Long-running tasks of any size are placed in the same way: they are few, each second without a run is
+// lost, and a task that has lost its host must not wait until the policy's reply and free capacity meet by
+// chance.
 
 // maxLargePerHost is the number of tasks of a step on an empty host up to which they are large.
 const maxLargePerHost = 2
@@ -148,27 +152,34 @@
 	return all
 }
 
-// isLarge reports whether the tasks of a step are large on all hosts that may run it. The result is
-// computed at the first attempt and cached, as hosts that join or leave rarely change it. One host that
-// holds more tasks decides it, mostly the first one: checking all hosts for each new step would take most
-// of the decision time in a large cell.
-func (e *Engine) isLarge(g *group, hosts []*hostState) bool {
-	if g.classified {
-		return g.largeTasks
+// reservesSlots reports whether slots are reserved for the tasks of a step one by one: the tasks are
+// long-running, or large on all hosts that may run them. The result is computed at the first attempt and
+// cached, as hosts that join or leave rarely change it. One host that holds more tasks decides it, mostly
+// the first one: checking all hosts for each new step would take most of the decision time in a large cell.
+func (e *Engine) reservesSlots(g *group, hosts []*hostState) bool {
+	switch {
+	case g.classified:
+		return g.reservesSlots
+	case g.step.Backfill:
+		g.classified = true
+		return false
+	case g.step.LongRunning:
+		g.classified, g.reservesSlots = true, true
+		return true
 	}
 	size := g.step.Allocation()
 	for _, h := range hosts {
 		if rejectedBy(g, h) != "" {
 			continue
 		}
-		g.classified, g.largeTasks = true, true
-		if g.step.LongRunning || g.step.Backfill || h.info.Size.FitCount(size) > maxLargePerHost {
-			g.largeTasks = false
+		g.classified, g.reservesSlots = true, true
+		if h.info.Size.FitCount(size) > maxLargePerHost {
+			g.reservesSlots = false
 			break
 		}
 		if h.servicePool.maxSize.FitCount(size) <= maxLargePerHost {
 			break // no host holds more
 		}
 	}
-	return g.largeTasks
+	return g.reservesSlots
 }
