Draining hosts are closed in the roster

What callers saw: after a change of the holder nothing of former jobs started for 13.4 s: a long-running task was judged as lost, and batch work waited beside room. Cause: a host that drains leaves soon. If it has left when the next holder claims the partition, that holder waits for its report until its lease must be over, with all tasks of all jobs, as the roster lists the host as open: anything might have been started there. A holder closes a host when its calls go unanswered, but it polls an idle host every four seconds and one with runs by a call that waits, so a host that has just left is not missed yet. The notice came a second or more before the kill. Change: a host is closed in the roster from its notice on, with the runs recorded on it. Nothing new is started on a draining host, so that list holds all that may be there later, and the next holder waits for it with these tasks alone. A draining host that was never claimed is stored as closed without any. Ruled out: taking a draining host that is not listed any more for gone; its entry also goes when it is cut off, and its work goes on. Test: TestDrainedHostHoldsATakeoverUp, three rows, each seen failing before ("queued" 1.5 s after the take-over).

--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -100,7 +100,7 @@
 	origin            clockOrigin // of its clock
 	// openInRoster is true while the stored roster has the host as open; see roster.go.
 	openInRoster bool
-	// closeInRoster is true while the host is unresponsive and therefore to be closed in the roster.
+	// closeInRoster is true while the host is unresponsive or draining and therefore to be closed in the roster.
 	closeInRoster bool
 	// inherited is true if the host was in the previous holder's roster, inheritedClosed if it was closed
 	// there; possibleRuns lists the runs that may be on it.
@@ -335,6 +335,7 @@
 	h.servicePool.maxSize = h.servicePool.maxSize.Max(info.Size)
 	if info.Draining {
 		h.departsAt = now.Add(info.Remaining)
+		e.closeDraining(h)
 	}
 }
 
--- a/internal/engine/roster.go
+++ b/internal/engine/roster.go
@@ -12,9 +12,10 @@
 // next holder knows which hosts have to report before it starts tasks again. No run is
 // started on a host before the stored roster lists the host as open.
 //
-// An unresponsive host is closed in the roster: its entry then lists the runs that may be
-// on it, and nothing is started there until the entry is stored as open again. A next
+// An unresponsive or draining host is closed in the roster: its entry then lists the runs that
+// may be on it, and nothing is started there until the entry is stored as open again. A next
 // holder that gets no report from a closed host delays only the listed tasks and not all.
+// Draining hosts are closed since they leave soon, perhaps at the moment of a failover.
 
 // roster returns the roster that is to be stored.
 func (e *Engine) roster(now time.Time) record.Roster {
@@ -33,6 +34,8 @@
 		for key, tracked := range h.runs {
 			r.Tasks = append(r.Tasks, rosterTask(key, !tracked.acknowledged))
 		}
+	case !h.claimed && !h.inherited && h.info.Draining:
+		r.Closed = true // nothing was ever started there
 	case h.claimed || !h.inherited:
 		// open
 	case !now.Before(e.reconcileDeadline):
@@ -63,14 +66,26 @@
 	if h.closeInRoster || h.unresponsiveSince.IsZero() || now.Sub(h.unresponsiveSince) < e.cfg.Tuning.UnresponsiveAfter {
 		return
 	}
+	e.close(h)
+}
+
+// closeDraining closes a draining host in the roster. Nothing new is started there, so the runs that are
+// recorded then include all that may be there later.
+func (e *Engine) closeDraining(h *hostState) {
+	if h.info.Draining && !h.closeInRoster {
+		e.close(h)
+	}
+}
+
+func (e *Engine) close(h *hostState) {
 	h.closeInRoster, h.openInRoster = true, false
 	e.rosterOutdated = true
 }
 
-// reopen marks a closed host that has answered again as open. It takes work once the
+// reopen marks a closed host that has answered again as open, unless it drains. It takes work once the
 // roster is stored.
 func (e *Engine) reopen(h *hostState) {
-	if h.closeInRoster {
+	if h.closeInRoster && !h.info.Draining {
 		h.closeInRoster = false
 		e.rosterOutdated = true
 	}
--- a/internal/engine/takeover_test.go
+++ b/internal/engine/takeover_test.go
@@ -54,6 +54,44 @@
 	}
 }
 
+// TestDrainedHostHoldsATakeoverUp guards against a host that drains, leaves, and had not been missed yet when
+// the holder changed: all tasks of all jobs waited until its lease was over.
+func TestDrainedHostHoldsATakeoverUp(t *testing.T) {
+	tests := map[string]func(w *world){
+		"with runs": func(w *world) {},
+		"idle":      func(w *world) { w.run(2 * time.Second) }, // they have been stopped
+		"never claimed": func(w *world) {
+			w.fleet.Add(1, "s", size(64, 128))
+			w.host("h04").SetDisconnected(true)
+			w.host("h04").Drain(time.Minute)
+			w.run(time.Second)
+		},
+	}
+	for name, drained := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := idleWorld(t, 4)
+			w.followsHosts = true
+			w.submit("wide", catalog.Rules{}, step(16, 14, 8, 60000))
+			w.run(time.Second)
+			w.host("h02").Drain(time.Minute)
+			w.run(time.Second)
+			drained(w)
+			w.submit("new", catalog.Rules{}, step(2, 4, 4, 300))
+			w.host("h02").SetDisconnected(true)
+			w.paused = true // the previous holder gives no more orders
+			w.run(100 * time.Millisecond)
+			w.paused = false
+			w.failOver()
+			w.run(1500 * time.Millisecond)
+			is.Equal(w.reported["new"], record.StateCompleted)
+			w.run(150 * time.Second)
+			w.checkInvariants()
+			is.Equal(w.reported["wide"], record.StateCompleted)
+		})
+	}
+}
+
 // TestTasksOfAReplacedHostStartAgain: a host was disconnected, closed in the roster
 // with its possible runs, and answered the next holder as a new incarnation. Its tasks
 // were held back forever, as only hosts that had reported released their tasks.
