A closed host's runs are stored again when one has ended

Cause: the roster lists the runs of a closed host as of the moment of closing, and was not written again as these ended. The next holder took the tasks to be on the vanished host. Change: the roster is stored again when a run is removed from a closed host. Test: a row of TestLongRunningTaskWaitsForAHostThatItWasNotOn, 10.65 s before, 1.45 s after.

--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -253,6 +253,9 @@
 	}
 	e.endQuarantine(r)
 	e.capacityChanges++
+	if h.closeInRoster {
+		e.rosterOutdated = true // the run is listed there
+	}
 	g := r.group
 	if g == nil {
 		e.countOrphan(r, -1)
--- a/internal/engine/long_running_gap_test.go
+++ b/internal/engine/long_running_gap_test.go
@@ -208,6 +208,15 @@
 			w.run(time.Second) // the policy service has not answered yet
 			return r
 		},
+		"its host drained and vanished": func(w *world) *gapRecorder {
+			r := w.recordGaps("web", lastingRules, onePerHost(4))
+			w.run(10 * time.Second)
+			w.policyDelay = func(QueryOrder) time.Duration { return 5 * time.Second }
+			w.host("h00").Drain(time.Minute)
+			w.run(time.Second) // the run is stopped
+			w.host("h00").SetDisconnected(true)
+			return r
+		},
 		"never started": func(w *world) *gapRecorder {
 			w.run(10 * time.Second)
 			r := w.recordGaps("web", lastingRules, onePerHost(4))
