Holder: a known end of the previous holder shortens the reconciliation

What callers saw: after a holder was killed in the seconds in which hosts vanished, lost work waited for up to 13.4 s after the take-over although there was capacity, and a long-running task was judged as lost.

Cause (of a part of it): the next holder always waits for the authority of the previous one, 3 s, and for a lease, both counted from its own start. If the previous process has ended it gives no orders, so that the 3 s and the time since its end need not be waited for.

Change: the end is proven by another incarnation that answers heartbeats at the holder's address, before the claim or during the reconciliation, in which the next holder goes on asking; or by a handover request in which the holder states that it has stopped (a slow holder, which gives orders until it is deposed, does not). The reply tells for how long its process has had the address. The bound is the earlier one of the former bound and lastLeaseEnd; the engine never raises it.

Why it is safe: - Silence and refused connections prove nothing. Uptime counts from Claimer.Start, which runs after the peer listener has been opened, not from the start of the process, which could precede the end of the one before. - The holder before the previous one may outlive it, paused: its authority ends 3 s after the previous one's claim at the latest. The last order is therefore taken to be no earlier than 3 s after this member first observed that claim. - Orders on their way, also at link shards, extend nothing: a start's deadline (1.2 s, below a lease) and a renewal's are absolute times on the host's clock, computed while the holder had the authority, and repeated unchanged. The delay of a clock reading makes them earlier. A renewal is not bound to an incarnation: one for an ended incarnation that reaches the next one, with a lower clock, more than the margin after the holder's end would extend its lease from its arrival. It needs a connection opened by a link shard in that moment, and runs of the ended holder on the next incarnation; the former bound left 3 s more for it. - Quotas: hosts count as unreported until the lowered deadline, when they can run nothing. The maintenance planner keeps its own first order time.

--- a/cmd/pulley-node/node.go
+++ b/cmd/pulley-node/node.go
@@ -167,7 +167,7 @@
 )
 
 // hold runs a claimed partition, with a GC target that trades memory for processor time.
-func (n *node) hold(ctx context.Context, l *ledger.Ledger, previous ledger.Holder) error {
+func (n *node) hold(ctx context.Context, l *ledger.Ledger, previous ledger.Predecessor) error {
 	before := debug.SetGCPercent(holderGCPercent)
 	defer debug.SetGCPercent(before)
 	return n.table.Hold(ctx, l, previous)
--- a/cmd/pulley-node/weights.go
+++ b/cmd/pulley-node/weights.go
@@ -37,6 +37,7 @@
 	"partition handed to a stronger member":      daemon.PriorityFinal,
 	"records read":                               daemon.PriorityFinal,
 	"takeover settled":                           daemon.PriorityFinal,
+	"previous holder has ended":                  daemon.PriorityFinal,
 	"fenced by a host":                           daemon.PriorityFinal,
 	"configuration in force":                     daemon.PriorityFinal,
 	"settings reloaded":                          daemon.PriorityFinal,
--- a/internal/cell/claimer.go
+++ b/internal/cell/claimer.go
@@ -14,6 +14,7 @@
 	"pulleyquay/internal/platform/follow"
 	"pulleyquay/internal/platform/resend"
 	"pulleyquay/internal/result"
+	"pulleyquay/internal/uptime"
 	"pulleyquay/internal/wait"
 )
 
@@ -38,7 +39,7 @@
 
 // Hold runs a partition that this process has claimed after the previous holder, until ctx
 // ends or the partition is lost. It returns the cause.
-type Hold func(ctx context.Context, l *ledger.Ledger, previous ledger.Holder) error
+type Hold func(ctx context.Context, l *ledger.Ledger, previous ledger.Predecessor) error
 
 // Claimer monitors the holders of all partitions and claims the partitions of failed holders.
 type Claimer struct {
@@ -57,7 +58,7 @@
 	// Lateness measures the lateness of this process's timers. Start runs it.
 	Lateness *lateness.Timers
 
-	started   time.Time
+	started   time.Time // by package uptime; the peer address was this process's by then
 	monitors  []*holderMonitor
 	leaving   chan struct{}
 	leaveOnce sync.Once
@@ -70,6 +71,7 @@
 
 	mu          sync.Mutex
 	epoch       uint64    // of the monitored holder
+	heldSince   time.Time // when this process first observed that holder's claim
 	lastContact time.Time // when it last replied as the holder
 	// refused is true while connections to its address are refused, replaced once another
 	// incarnation has replied there; storeOutage is the outage that its last reply reported.
@@ -81,11 +83,16 @@
 	chainRevision     platform.Revision  // of the chain's key when last read
 	chainChangedAt    time.Time          // when a read first returned chainRevision
 	chainReadAt       time.Time          // when the chain's key was last read
+	// endedEpoch is the epoch of a holder that is proven to give no more orders, zero if there is
+	// none. endObservedAt and endAge are as in ledger.HolderEnd.
+	endedEpoch    uint64
+	endObservedAt time.Time
+	endAge        time.Duration
 }
 
 // Start registers the message handlers and starts monitoring the partitions.
 func (c *Claimer) Start(ctx context.Context, mux *peer.Mux, partitions int) {
-	c.started, c.leaving = time.Now(), make(chan struct{})
+	c.started, c.leaving = uptime.Now(), make(chan struct{})
 	for p := range partitions {
 		c.monitors = append(c.monitors, &holderMonitor{partition: p})
 	}
@@ -123,6 +130,7 @@
 	defer monitor.mu.Unlock()
 	if monitor.epoch != epoch {
 		monitor.epoch, monitor.lastContact, monitor.chainChangedAt, monitor.chainRevision = epoch, now, time.Time{}, 0
+		monitor.heldSince = now
 		monitor.refused, monitor.replaced, monitor.storeOutage = false, false, 0
 	}
 }
@@ -184,8 +192,13 @@
 		Partition: monitor.partition, From: c.Self.Name, FromAddr: c.Self.Addr, Catalog: c.CatalogVersion(),
 		Members: c.Health.FailingFor(time.Now()) > 0,
 	}, &reply)
-	if err == nil && reply.Incarnation == h.Incarnation {
+	received := time.Now()
+	switch {
+	case err != nil:
+	case reply.Incarnation == h.Incarnation:
 		c.applyReply(reply)
+	case reply.Incarnation != "":
+		monitor.recordEnd(h.Epoch, received, reply.Uptime)
 	}
 	monitor.mu.Lock()
 	defer monitor.mu.Unlock()
--- a/internal/cell/heartbeat.go
+++ b/internal/cell/heartbeat.go
@@ -7,6 +7,7 @@
 	"pulleyquay/internal/ledger"
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/result"
+	"pulleyquay/internal/uptime"
 )
 
 // Heartbeat is sent periodically by each member to the holder of a partition.
@@ -36,6 +37,10 @@
 	Catalog  int64             `cbor:"6,keyasint"`
 	// Members are the registered members, if they were requested.
 	Members []Member `cbor:"7,keyasint,omitempty"`
+	// Uptime is for how long the replying process has had its peer address at least, including
+	// suspensions. The process that had the address before had ended by then. It is zero if the
+	// replying process does not report it.
+	Uptime time.Duration `cbor:"8,keyasint,omitempty"`
 }
 
 // HolderStatusRequest asks a member whether it is in contact with a holder.
@@ -57,6 +62,9 @@
 type HandoverRequest struct {
 	Holder   ledger.Holder     `cbor:"1,keyasint"`
 	Revision platform.Revision `cbor:"2,keyasint"`
+	// Released is true if the holder has stopped and gives no more orders. A holder that is slow
+	// stays the holder until its partition is claimed.
+	Released bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Empty is a reply without content: it only acknowledges the request.
@@ -81,6 +89,7 @@
 	reply := HeartbeatReply{
 		Incarnation: c.Self.Incarnation, Holds: c.monitors[req.Partition].isHeld(),
 		StoreOutage: c.storeOutage(time.Now()), Holder: h, Revision: h.Revision, Catalog: c.CatalogVersion(),
+		Uptime: uptime.Since(c.started),
 	}
 	if req.Members {
 		reply.Members = c.View.Registered()
@@ -119,6 +128,9 @@
 		return Empty{}, result.New(result.BadInput, result.RanNo, "partition %d", h.Partition)
 	}
 	c.View.UpdateHolder(h)
+	if req.Released {
+		c.monitors[h.Partition].recordEnd(h.Epoch, time.Now(), 0)
+	}
 	if c.Lateness.Slow() {
 		return Empty{}, errProcessSlow()
 	}
--- a/internal/cell/slow.go
+++ b/internal/cell/slow.go
@@ -64,7 +64,7 @@
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
 	log := c.Log.WithFields(logrus.Fields{"partition": monitor.partition, "epoch": h.Epoch, "to": m.Name})
-	if err := c.Peers.Call(ctx, m.Addr, peer.KindHandover, HandoverRequest{h, h.Revision}, &Empty{}); err != nil {
+	if err := c.Peers.Call(ctx, m.Addr, peer.KindHandover, HandoverRequest{Holder: h, Revision: h.Revision}, &Empty{}); err != nil {
 		log.WithError(err).Warn("this process is slow, and nobody takes its partition")
 		return
 	}
--- a/internal/cell/takeover.go
+++ b/internal/cell/takeover.go
@@ -9,6 +9,7 @@
 
 	"pulleyquay/internal/ledger"
 	"pulleyquay/internal/peer"
+	"pulleyquay/internal/uptime"
 	"pulleyquay/internal/wait"
 )
 
@@ -16,7 +17,7 @@
 // it if the claim succeeds.
 func (c *Claimer) claim(ctx context.Context, monitor *holderMonitor, previous ledger.Holder) {
 	if previous.Epoch == 0 {
-		wait.For(ctx, firstClaimDelay-time.Since(c.started))
+		wait.For(ctx, firstClaimDelay-uptime.Since(c.started))
 	}
 	if !monitor.isInvited(previous.Epoch) && !c.waitClaimDelay(ctx, monitor, previous) {
 		return
@@ -67,7 +68,9 @@
 	monitor.mu.Unlock()
 	go c.yieldToStronger(ctx, cancel)
 	go c.handOverWhenSlow(ctx, monitor)
-	err := c.Hold(ctx, l, previous)
+	err := c.Hold(ctx, l, ledger.Predecessor{Holder: previous, AwaitEnd: func(ctx context.Context) (ledger.HolderEnd, bool) {
+		return c.awaitEnd(ctx, monitor, previous)
+	}})
 	monitor.mu.Lock()
 	monitor.held, monitor.stop = false, nil
 	monitor.mu.Unlock()
@@ -160,7 +163,7 @@
 func (c *Claimer) requestClaim(ctx context.Context, m Member, h ledger.Holder) bool {
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
-	if c.Peers.Call(ctx, m.Addr, peer.KindHandover, HandoverRequest{h, h.Revision}, &Empty{}) != nil {
+	if c.Peers.Call(ctx, m.Addr, peer.KindHandover, HandoverRequest{Holder: h, Revision: h.Revision, Released: true}, &Empty{}) != nil {
 		return false
 	}
 	for {
--- a/internal/holder/burst_test.go
+++ b/internal/holder/burst_test.go
@@ -269,7 +269,7 @@
 	ctx, cancel := context.WithCancel(c.t.Context())
 	ended := make(chan struct{})
 	go func() {
-		_ = c.table.Hold(ctx, l, previous) // returns the error of the cancelled ctx
+		_ = c.table.Hold(ctx, l, ledger.Predecessor{Holder: previous}) // returns the error of the cancelled ctx
 		close(ended)
 	}()
 	c.stop = func() { cancel(); <-ended }
--- a/internal/holder/dump_test.go
+++ b/internal/holder/dump_test.go
@@ -26,7 +26,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan struct{})
 		go func() {
-			_ = table.Hold(ctx, h.ledger, ledger.Holder{}) // returns the error of the cancelled ctx
+			_ = table.Hold(ctx, h.ledger, ledger.Predecessor{}) // returns the error of the cancelled ctx
 			close(ended)
 		}()
 		time.Sleep(2 * time.Second)
--- a/internal/holder/follow.go
+++ b/internal/holder/follow.go
@@ -112,13 +112,12 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
-	var reconcileDeadline time.Time
 	if previous.Epoch > 0 {
 		lease := float64(h.cfg.Bounds.MaxLease) * (1 + h.cfg.Tuning.ClockDrift)
-		reconcileDeadline = start.Add(authorityDuration + time.Duration(lease) + reconcileMargin)
+		h.reconcileDeadline = start.Add(authorityDuration + time.Duration(lease) + reconcileMargin)
 	}
 	wall := now.UnixMilli()
-	h.engine.Load(state.jobs, state.progress, state.roster, reconcileDeadline, now, func(j *record.Job) time.Duration {
+	h.engine.Load(state.jobs, state.progress, state.roster, h.reconcileDeadline, now, func(j *record.Job) time.Duration {
 		at := j.AcceptedUnixMilli
 		if j.Ended != "" {
 			at = j.EndedUnixMilli
--- a/internal/holder/follow_test.go
+++ b/internal/holder/follow_test.go
@@ -79,7 +79,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan struct{})
 		go func() {
-			_ = h.Run(ctx, ledger.Holder{}, func() {}, func() {}) // returns the error of the cancelled ctx
+			_ = h.Run(ctx, ledger.Predecessor{}, func() {}, func() {}) // returns the error of the cancelled ctx
 			close(ended)
 		}()
 		time.Sleep(2 * time.Second)
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -28,7 +28,8 @@
 const (
 	// authorityDuration is how long a holder may give orders after its claim was last
 	// confirmed. The next holder waits for this duration plus a lease before it restarts
-	// tasks that may still run on hosts that it cannot reach.
+	// tasks that may still run on hosts that it cannot reach, unless the holder is known to have
+	// ended; see lastLeaseEnd.
 	authorityDuration = 3 * time.Second
 	// minCommitInterval is the minimum time between two rounds of transactions. Writes that
 	// accumulate in between are committed together.
@@ -118,6 +119,9 @@
 	// jobsRevision and hostsRevision are the store revisions after which changes of jobs and
 	// hosts are followed.
 	jobsRevision, hostsRevision platform.Revision
+	// reconcileDeadline is when nothing that earlier holders ordered can still run on an unreported
+	// host, as long as the end of the previous holder is not known; zero for the first holder.
+	reconcileDeadline time.Time
 }
 
 // errStopping is the cause of a stop that this process initiated.
@@ -150,10 +154,10 @@
 // Run loads the state that the previous holder stored and runs the partition until ctx ends
 // or another process claims it. It returns the cause. Run calls onAcquired once the holder
 // can answer messages and onLost when it no longer can.
-func (h *Holder) Run(ctx context.Context, previous ledger.Holder, onAcquired, onLost func()) error {
+func (h *Holder) Run(ctx context.Context, previous ledger.Predecessor, onAcquired, onLost func()) error {
 	h.ctx, h.cancel = context.WithCancelCause(ctx)
 	defer h.cancel(errStopping)
-	if err := h.loadFromStore(previous); err != nil {
+	if err := h.loadFromStore(previous.Holder); err != nil {
 		return err
 	}
 	onAcquired()
@@ -163,6 +167,9 @@
 	if h.cfg.Machines != nil {
 		loopFuncs = append(loopFuncs, h.followRollouts)
 	}
+	if !h.reconcileDeadline.IsZero() && previous.AwaitEnd != nil {
+		loopFuncs = append(loopFuncs, func() { h.applyPreviousEnd(previous) })
+	}
 	for _, loop := range loopFuncs {
 		loops.Go(loop)
 	}
--- a/internal/holder/table.go
+++ b/internal/holder/table.go
@@ -37,7 +37,7 @@
 }
 
 // Hold runs a claimed partition until it is lost or ctx ends, and returns the cause.
-func (t *Table) Hold(ctx context.Context, l *ledger.Ledger, previous ledger.Holder) error {
+func (t *Table) Hold(ctx context.Context, l *ledger.Ledger, previous ledger.Predecessor) error {
 	h := New(t.cfg, l)
 	p := l.Holder().Partition
 	return h.Run(ctx, previous, func() {
