Hosts: one fault excludes a host once

What callers saw: nothing reported for certain. In the simulated cell a long-running task waits up to 32 s for a host that has room and whose fault is over; with few permitted hosts there is no other. Cause: exclude() doubles the time at each call, and one fault calls it once per run: for each run that stalls on the host, for each start of one pass that an unhealthy host refuses, for every second failed run in one view. Four runs are enough for 32 s instead of 4 s. On a host that runs long-running tasks only, no task ever completes, so the doubling is never taken back either. Why it works: while a host is excluded nothing new starts there, so what is seen of it meanwhile belongs to the fault for which it is excluded. The next fault after that still doubles the time.

--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -392,10 +392,15 @@
 // maxExclusionDoublings bounds the doubling of the time for which a host is excluded from placement.
 const maxExclusionDoublings = 3
 
+// exclude excludes a host from placement. What happens while it is excluded has the same cause as the
+// exclusion: the host takes no new work meanwhile, and one fault shows on many of its runs.
 func (e *Engine) exclude(h *hostState, now time.Time, why string) {
+	h.failures = 0
+	if now.Before(h.excludedUntil) {
+		return
+	}
 	h.excludedUntil = now.Add(e.cfg.Tuning.ExcludeFor << min(h.exclusions, maxExclusionDoublings))
 	h.exclusions++
-	h.failures = 0
 	e.log(Event{What: "host set aside", Host: string(h.info.ID), Why: why})
 }
 
--- a/internal/hostsim/calls.go
+++ b/internal/hostsim/calls.go
@@ -49,6 +49,10 @@
 		reply.Refused = host.RefusedSuperseded
 		return reply
 	}
+	if h.unhealthy {
+		reply.Refused = host.RefusedUnhealthy
+		return reply
+	}
 	rec := h.fleet.jobs[s.Task.Job]
 	if rec == nil {
 		h.fleet.checker.violationf("UNASKED start of %v", s.Task)
--- a/internal/hostsim/host.go
+++ b/internal/hostsim/host.go
@@ -26,6 +26,7 @@
 	slowdown            float64 // factor on run times; zero is one
 	failTasks           bool    // every task fails
 	stalled             bool    // no task makes progress
+	unhealthy           bool    // every start is refused
 
 	epoch         uint64
 	lease         host.Millis
@@ -130,6 +131,9 @@
 // SetFailTasks sets whether every task that starts from now on fails.
 func (h *Host) SetFailTasks(failTasks bool) { h.withLock(func() { h.failTasks = failTasks }) }
 
+// SetUnhealthy sets whether the host reports itself unhealthy and refuses every start.
+func (h *Host) SetUnhealthy(unhealthy bool) { h.withLock(func() { h.unhealthy = unhealthy }) }
+
 // SetStalled stops the progress of all tasks. Turned off again, it has an effect only on tasks that
 // start from now on.
 func (h *Host) SetStalled(stalled bool) { h.withLock(func() { h.stalled = stalled }) }
