Random test: long-running tasks run again after faults

What it searches: a long-running task of a live job that has no run for more than 9 s (a lease and three seconds) in a calm cell with at least twice its size free on permitted hosts, and counts of the engine that do not match what they count (tasks by state, superseded runs, tasks per host, open queries, usage of hosts and accounts, orphans, requested stops, membership of ready and queue). Faults: calls lost or late, replies of one host cut, hosts that are cut off, restart with the same or a new id, stall, fail tasks, refuse as unhealthy, drain and leave, listed or not; the store away for up to 7 s; failovers; queries lost, members that come and go; 30%, 60% or all hosts permitted; one or two tasks per host; short tasks beside them.

--- a/internal/engine/world_calls_test.go
+++ b/internal/engine/world_calls_test.go
@@ -61,7 +61,7 @@
 		w.after(callTimeout, lost)
 		return
 	}
-	answerLost := w.rnd.Float64() < w.faults.lostReply
+	answerLost := w.rnd.Float64() < w.faults.lostReply || w.repliesCut[to.ID]
 	w.after(oneWay, func() {
 		if h.OtherIncarnation() {
 			w.after(oneWay, func() { finish(host.Reply{}, host.ErrOtherIncarnation) })
@@ -122,7 +122,7 @@
 			return
 		}
 		h.OnReset(func() { w.after(oneWay, func() { finish(host.View{}, host.ErrConnectionBroken) }) })
-		answerLost := w.rnd.Float64() < w.faults.lostReply
+		answerLost := w.rnd.Float64() < w.faults.lostReply || w.repliesCut[o.To.ID]
 		h.Poll(e.cfg.Epoch, request, func(v host.View) {
 			if answerLost {
 				return
@@ -155,7 +155,11 @@
 	if w.policyDelay != nil {
 		takes = w.policyDelay(o)
 	}
-	w.after(takes, func() { w.deliver(e, func() { e.PolicyAnswered(o, a, nil, w.now()) }) })
+	var err error
+	if w.faults.lostQuery > 0 && w.rnd.Float64() < w.faults.lostQuery {
+		takes, err = o.Timeout, host.ErrLost
+	}
+	w.after(takes, func() { w.deliver(e, func() { e.PolicyAnswered(o, a, err, w.now()) }) })
 }
 
 // commitTakes is how long a batch takes to be stored, unless the simulation sets a longer time.
--- a/internal/engine/world_test.go
+++ b/internal/engine/world_test.go
@@ -43,6 +43,8 @@
 
 	faults faults
 	bounds Bounds
+	// repliesCut are the hosts that receive calls and whose replies get lost.
+	repliesCut map[host.ID]bool
 	// followsHosts makes the engine receive the platform's list of hosts periodically. While
 	// storeUnavailable is set the store accepts no writes.
 	followsHosts, storeUnavailable bool
@@ -99,6 +101,8 @@
 	unidentifiedPolls float64
 	// latePolls is that of a delayed poll, lateViews that of a delayed reply.
 	latePolls, lateViews float64
+	// lostQuery is that of a query to the policy service whose reply gets lost.
+	lostQuery float64
 }
 
 // virtualTime is a clock that advances from one scheduled event to the next.
