Hosts: a task that fails everywhere excludes no hosts

What callers saw: nothing reported. Cause: recordFailure counts each failed run against its host, and consecutive failures of two jobs exclude it. A long-running task has no limit of attempts and avoids only the host of its last failure, so two such tasks go from host to host until all are excluded; no task completes there that would take back the doubling. Why it works: a failure on another host within 30 s shows that the task is the likelier cause; its first failure on a host still counts, as do failures on one and the same host. TestHostThatFailsServicesIsExcluded passes: a host that fails four services is excluded, and the others take work. hostsim: long-running tasks fail on hosts that fail tasks, and those of jobs that always fail.

--- a/internal/engine/ends.go
+++ b/internal/engine/ends.go
@@ -37,7 +37,9 @@
 		e.observeSpeed(r, now)
 		e.taskDone(g, i, now)
 	case host.EndFailed:
-		e.recordFailure(h, g.job.id(), now)
+		if !g.failedElsewhere(i, h, now) {
+			e.recordFailure(h, g.job.id(), now)
+		}
 		e.recordTaskFailure(g, i, r, now)
 	}
 	e.runEnded(r, now)
@@ -77,13 +79,24 @@
 	e.refresh(g)
 }
 
+// taskFaultWindow is how long after a failure of a long-running task its next failure on another host counts
+// as the task's own fault.
+const taskFaultWindow = 30 * time.Second
+
+// failedElsewhere reports whether a long-running task has just failed on another host as well. Such a task
+// has no limit of attempts, so without this it would have one host after the other excluded.
+func (g *group) failedElsewhere(i int, h *hostState, now time.Time) bool {
+	t := &g.tasks[i]
+	return g.step.LongRunning && t.avoid != "" && t.avoid != h.info.ID && now.Sub(t.failedAt) < taskFaultWindow
+}
+
 // recordTaskFailure counts a failed run. A run of a gang counts once, whichever members fail.
 func (e *Engine) recordTaskFailure(g *group, i int, r *run, now time.Time) {
 	t := &g.tasks[i]
 	if t.state == taskDone {
 		return
 	}
-	t.avoid = r.placedOn.info.ID
+	t.avoid, t.failedAt = r.placedOn.info.ID, now
 	if g.step.LongRunning {
 		return
 	}
--- a/internal/engine/job.go
+++ b/internal/engine/job.go
@@ -61,8 +61,9 @@
 	crashes crashloop.History
 	// checkpoint is where the next run resumes; empty starts from the beginning.
 	checkpoint string
-	// avoid is the host of the last failure.
-	avoid host.ID
+	// avoid is the host of the last failure, failedAt the time of that failure.
+	avoid    host.ID
+	failedAt time.Time
 	// notBefore is the earliest time of the next start.
 	notBefore time.Time
 	// preempted counts the preemptions of the task.
--- a/internal/hostsim/work.go
+++ b/internal/hostsim/work.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"pulleyquay/internal/host"
@@ -73,14 +74,16 @@
 		h.fleet.failNext--
 		return true
 	}
-	return h.failTasks || len(r.Task.Job) >= len(AlwaysFailsPrefix) && r.Task.Job[:len(AlwaysFailsPrefix)] == AlwaysFailsPrefix
+	return h.failTasks || alwaysFails(r)
 }
 
+func alwaysFails(r *run) bool { return strings.HasPrefix(r.Task.Job, AlwaysFailsPrefix) }
+
 // beginWork begins the work of a run.
 func (h *Host) beginWork(r *run) {
 	r.workStartedAt = h.fleet.clock.Now()
 	r.speedSetAt, r.speed, r.endReason = r.workStartedAt, fullSpeed, host.EndDone
-	if h.stalled || r.step.LongRunning {
+	if h.stalled || r.step.LongRunning && !h.failTasks && !alwaysFails(r) {
 		r.gen++
 		return
 	}
