Failover: a silent host delays the tasks of one failover only

What callers see: after a failover, every long-running task that has lost its host waits 9.2 s more than it has to, for a listed host that runs nothing and has answered neither this holder nor the one before. Cause: a holder that gets no answer from an open host of the roster waits until every lease there is over. From then on the host counts as closed, but nothing marks the stored roster as out of date: it still has the host as open, and the next holder waits for it again. rosterHost has the rule; it took effect only with the next change of another host. Why it works: the host is closed in the roster at the time when its leases are over, without runs. It takes no start until the roster is stored with it as open, as for each closed host: openInRoster is taken back, also where a batch with it as open is under way.

--- a/internal/engine/commit.go
+++ b/internal/engine/commit.go
@@ -147,7 +147,7 @@
 func (e *Engine) Stored(b *Batch, now time.Time) {
 	e.durable = b.Seq
 	for _, h := range b.openInRoster {
-		if !h.closeInRoster { // the host may have been closed as unresponsive meanwhile
+		if !h.closeInRoster && (h.claimed || !h.expiredUnreported) { // the host may have been closed meanwhile
 			h.openInRoster = true
 		}
 	}
--- a/internal/engine/roster.go
+++ b/internal/engine/roster.go
@@ -125,7 +125,7 @@
 }
 
 // expireUnreported releases the tasks of an inherited host that has not reported once every
-// lease there has expired, and forgets the host unless it is listed.
+// lease there has expired. It closes the host in the roster, or forgets it unless it is listed.
 func (e *Engine) expireUnreported(h *hostState, now time.Time) {
 	if !h.inherited || h.claimed || now.Before(e.reconcileDeadline) {
 		return
@@ -135,5 +135,10 @@
 	}
 	if !h.listed {
 		e.forgetHost(h)
+		return
+	}
+	if !h.expiredUnreported {
+		h.expiredUnreported, h.openInRoster = true, false
+		e.rosterOutdated = true // stored as closed without runs, it delays no task of the next holder
 	}
 }
