--- a/internal/engine/commit.go
+++ b/internal/engine/commit.go
@@ -150,7 +150,7 @@
 	e.durable = b.Seq
 	e.confirmPlacements()
 	for _, h := range b.openInRoster {
-		if !h.closeInRoster { // the host may have been closed as unresponsive meanwhile
+		if !h.closeInRoster && (h.claimed || !h.expiredUnreported) { // the host may have been closed meanwhile
 			h.openInRoster = true
 		}
 	}
