Steps with reserved slots query further hosts when the permitted ones stay full

Cause: a step asks about no further hosts once the known permitted ones hold three times its waiting tasks when empty. For one waiting task one such host is enough, and these were filled by other long-running tasks, which never end. The rule was made for large tasks, which do. Evidence: "position 1 of 1 in the queue ... 6 placeable hosts known as permitted, 0 of them with capacity ... 164 hosts with capacity not queried; 0 open queries", each 3 s. Change: if the slots reserved by the time of an answer are fewer than the tasks that wait, hosts without an answer that will have slots by then are queried as well; the tickets for what is reserved are requested beside that. Ruled out: a higher factor than three; any number of permitted hosts can be full. Test: TestLongRunningTaskWaitsForFullPermittedHosts, seen failing before (a task without a run at the end, 20 s), 0.85 s after.

--- a/internal/engine/long_running_gap_test.go
+++ b/internal/engine/long_running_gap_test.go
@@ -250,3 +250,25 @@
 	s.MaxPerHost = 1
 	return s
 }
+
+// TestLongRunningTaskWaitsForFullPermittedHosts guards against a task that waits for the hosts that are known
+// to be permitted, although long-running tasks of other jobs fill them, and is not queried elsewhere.
+func TestLongRunningTaskWaitsForFullPermittedHosts(t *testing.T) {
+	w := newWorld(t, 7)
+	w.fleet.Add(40, "s", size(32, 128))
+	w.permitted = func(step spec.StepID, h host.ID) bool {
+		return step.Job == "web" || w.engine.jobs["web"].groups[0].policy.permission[w.engine.hosts[h]]
+	}
+	w.followsHosts = true
+	w.failOver()
+	r := w.recordGaps("web", lastingRules, onePerHost(3))
+	w.run(2 * time.Second)
+	fill := longRunningStep(40, 16, 19)
+	fill.MaxPerHost = 2
+	w.submit("fill", lastingRules, fill)
+	w.run(10 * time.Second)
+	w.host(w.engine.jobs["web"].groups[0].tasks[0].cur.placedOn.info.ID).ReplaceIncarnation()
+	w.run(20 * time.Second)
+	w.checkInvariants()
+	r.mustStayBelow(t, maxGap)
+}
--- a/internal/engine/plan_large.go
+++ b/internal/engine/plan_large.go
@@ -39,17 +39,45 @@
 	if !e.mayQuery(g, now) {
 		return
 	}
-	if !g.hasEnoughPermitted(permitted) {
-		if unknown := e.unqueriedHosts(g, hosts); len(unknown) > 0 {
-			e.query(g, e.earliestHosts(g, unknown, now), now)
-			return
-		}
+	unknown := e.unqueriedHosts(g, hosts)
+	if len(unknown) > 0 && !g.hasEnoughPermitted(permitted) {
+		e.query(g, e.earliestHosts(g, unknown, now), now)
+		return
+	}
+	if sooner := e.hostsFreeSooner(g, unknown, now); len(sooner) > 0 {
+		e.query(g, e.earliestHosts(g, sooner, now), now)
 	}
 	if len(g.reserved) > 0 && (e.slotsDueSoon(g, now) || e.querySlots.HalfIdle(g.job.rec.Rules.PolicyQuery.QueryDuration(1), now)) {
 		e.requestTickets(g, permitted, now)
 	}
 }
 
+// hostsFreeSooner returns the hosts without an answer that are expected to have slots by the time of an
+// answer, if the hosts known to be permitted are not expected to have enough by then. Long-running tasks
+// may fill these for good.
+func (e *Engine) hostsFreeSooner(g *group, unknown []*hostState, now time.Time) []*hostState {
+	answer := g.job.rec.Rules.PolicyQuery.QueryDuration(minQueryHosts) + ticketLeadTime
+	if len(unknown) == 0 || g.reservedSlots(now.Add(answer)) >= e.startableNow(g) {
+		return nil
+	}
+	return slices.DeleteFunc(unknown, func(h *hostState) bool {
+		return g.slotsFor(h, e.capacityAt(g, h, answer, now)) == 0
+	})
+}
+
+// reservedSlots returns the number of slots that are reserved for the step by a time.
+func (g *group) reservedSlots(by time.Time) int {
+	n := 0
+	for _, h := range g.reserved {
+		for _, r := range h.reserved {
+			if r.group == g && !r.at.After(by) {
+				n += r.n
+			}
+		}
+	}
+	return n
+}
+
 // earliestHosts selects the hosts for a policy query about large tasks: those that have capacity first, as
 // many as are expected to include enough permitted ones.
 func (e *Engine) earliestHosts(g *group, unknown []*hostState, now time.Time) []*hostState {
