--- a/internal/engine/plan_large.go
+++ b/internal/engine/plan_large.go
@@ -39,29 +39,35 @@
 	if !e.mayQuery(g, now) {
 		return
 	}
-	unknown := e.unqueriedHosts(g, hosts)
-	if len(unknown) > 0 && !g.hasEnoughPermitted(permitted) {
-		e.query(g, e.earliestHosts(g, unknown, now), now)
+	if e.queryFurtherHosts(g, hosts, permitted, now) {
 		return
 	}
-	if sooner := e.hostsFreeSooner(g, unknown, now); len(sooner) > 0 {
-		e.query(g, e.earliestHosts(g, sooner, now), now)
-	}
 	if len(g.reserved) > 0 && (e.slotsDueSoon(g, now) || e.querySlots.HalfIdle(g.job.rec.Rules.PolicyQuery.QueryDuration(1), now)) {
 		e.requestTickets(g, permitted, now)
 	}
 }
 
-// hostsFreeSooner returns the hosts without an answer that are expected to have slots by the time of an
-// answer, if the hosts known to be permitted are not expected to have enough by then. Long-running tasks
-// may fill these for good.
-func (e *Engine) hostsFreeSooner(g *group, unknown []*hostState, now time.Time) []*hostState {
+// queryFurtherHosts queries about hosts without an answer if the permitted hosts would not hold the waiting
+// tasks even when empty, or if they will not have enough slots by the time of an answer: long-running tasks
+// may fill them for good. In the first case it reports true, and tickets are requested later.
+func (e *Engine) queryFurtherHosts(g *group, hosts, permitted []*hostState, now time.Time) bool {
+	if !g.hasEnoughPermitted(permitted) {
+		unknown := e.unqueriedHosts(g, hosts)
+		e.query(g, e.earliestHosts(g, unknown, now), now)
+		return len(unknown) > 0
+	}
 	answer := g.job.rec.Rules.PolicyQuery.QueryDuration(minQueryHosts) + ticketLeadTime
-	if len(unknown) == 0 || g.reservedSlots(now.Add(answer)) >= e.startableNow(g) {
-		return nil
+	if g.reservedSlots(now.Add(answer)) < e.startableNow(g) {
+		unknown := e.hostsFreeWithin(answer, g, e.unqueriedHosts(g, hosts), now)
+		e.query(g, e.earliestHosts(g, unknown, now), now)
 	}
-	return slices.DeleteFunc(unknown, func(h *hostState) bool {
-		return g.slotsFor(h, e.capacityAt(g, h, answer, now)) == 0
+	return false
+}
+
+// hostsFreeWithin returns the hosts that are expected to have slots for the step after the given time.
+func (e *Engine) hostsFreeWithin(after time.Duration, g *group, hosts []*hostState, now time.Time) []*hostState {
+	return slices.DeleteFunc(hosts, func(h *hostState) bool {
+		return g.slotsFor(h, e.capacityAt(g, h, after, now)) == 0
 	})
 }
 
