Random test: the store names every run at every moment

Guards against a holder that dies between an order, its batch and the replies while the store lacks a run that the next holder has to know of.

--- a/internal/engine/world_calls_test.go
+++ b/internal/engine/world_calls_test.go
@@ -170,7 +170,7 @@
 	if b == nil {
 		return
 	}
-	w.committing = true
+	w.committing, w.unstored = true, b
 	w.writeBatch(e, b)
 }
 
@@ -180,15 +180,19 @@
 // writeBatch writes one batch to the store.
 func (w *world) writeBatch(e *Engine, b *Batch) {
 	w.after(max(commitTakes, w.commitTakes), func() {
-		if e != w.engine {
+		if e != w.engine || w.claimedByNext {
 			return // the store rejects writes of a deposed holder
 		}
 		if w.storeUnavailable {
 			w.after(storeRetry, func() { w.writeBatch(e, b) })
 			return
 		}
-		w.applyWrites(slices.Concat(b.Groups...))
-		w.committing = false
+		writes := slices.Concat(b.Groups...)
+		if w.onWrite != nil {
+			writes = w.onWrite(writes)
+		}
+		w.applyWrites(writes)
+		w.committing, w.unstored = false, nil
 		w.deliver(e, func() { e.Stored(b, w.now()) })
 	})
 }
--- a/internal/engine/world_test.go
+++ b/internal/engine/world_test.go
@@ -38,8 +38,14 @@
 	paused bool
 	// commitTakes is how long a write to the store takes, if longer than the default.
 	commitTakes time.Duration
-	// committing is true while a batch is being written to the store.
+	// committing is true while a batch is being written to the store; unstored is that batch.
 	committing bool
+	unstored   *Batch
+	// claimedByNext is true while the next holder has claimed the partition and reads the store: the store
+	// rejects the writes of the present one, which may still give orders.
+	claimedByNext bool
+	// onWrite, if not nil, returns the writes that are made instead of those of a batch.
+	onWrite func([]platform.Write) []platform.Write
 
 	faults faults
 	bounds Bounds
@@ -213,7 +219,7 @@
 	})
 	w.engine.SetMembers(w.members)
 	w.engine.SetCatalog(w.catalog(), w.now())
-	w.committing = false
+	w.committing, w.unstored, w.claimedByNext = false, nil, false
 	var reconcileBy time.Time
 	if w.epoch > 1 {
 		reconcileBy = w.now().Add(testReconcile)
--- a/internal/hostsim/host.go
+++ b/internal/hostsim/host.go
@@ -116,6 +116,9 @@
 	h.withLock(func() { h.info.Draining, h.info.Remaining = true, remaining })
 }
 
+// StopDraining makes the host report that it stays.
+func (h *Host) StopDraining() { h.withLock(func() { h.info.Draining, h.info.Remaining = false, 0 }) }
+
 // SetRate changes the rate of the host's clock from now on.
 func (h *Host) SetRate(rate float64) {
 	h.withLock(func() {
