A long-running run that is being stopped frees its host

What callers saw: nothing reported; a reviewer read it. Capacity that a stop is about to free, as at a cancelled job, was reserved for nobody. Cause: expectedEnd calls every long-running run endless, before it looks whether its stop is requested. Change: a requested stop counts as for other runs. Test: TestStoppedLongRunningRunCountsAsEndless, seen failing before.

--- a/internal/engine/estimate.go
+++ b/internal/engine/estimate.go
@@ -31,7 +31,7 @@
 // expectedEnd returns the expected end of a run. A gang ends with its slowest member.
 func (r *run) expectedEnd(now time.Time) time.Time {
 	g := r.group
-	if g == nil || g.step.LongRunning {
+	if g == nil || g.step.LongRunning && !r.stopRequested {
 		return now.Add(unboundedDuration)
 	}
 	if !g.step.Gang {
--- a/internal/engine/long_running_gap_test.go
+++ b/internal/engine/long_running_gap_test.go
@@ -272,3 +272,18 @@
 	w.checkInvariants()
 	r.mustStayBelow(t, maxGap)
 }
+
+// TestStoppedLongRunningRunCountsAsEndless guards against capacity that a stopped long-running run is about to
+// free, and that nothing reserves as the run seems to have no end.
+func TestStoppedLongRunningRunCountsAsEndless(t *testing.T) {
+	w := idleWorld(t, 1)
+	w.submit("web", catalog.Rules{}, longRunningStep(1, 60, 19))
+	w.run(time.Second)
+	h := w.engine.hosts["h00"]
+	soon := w.now().Add(time.Second)
+	before := h.freeAt(soon, w.now())
+	w.engine.requestStop(w.engine.jobs["web"].groups[0].tasks[0].cur, "test")
+	if after := h.freeAt(soon, w.now()); before != size(4, 109) || after != size(64, 128) {
+		t.Errorf("free in a second: %v before the stop is requested, %v after", before, after)
+	}
+}
