Tests of the log line: its number, and the line without stored placements

A reviewer's remark on the change of these tests: nothing bounded the lines of a gap after its first 8 s any more, and no test reached the line for a task of which no placement is stored. Both are checked now.

--- a/internal/engine/long_running_test.go
+++ b/internal/engine/long_running_test.go
@@ -8,6 +8,8 @@
 	"github.com/matryer/is"
 
 	"pulleyquay/internal/catalog"
+	"pulleyquay/internal/platform"
+	"pulleyquay/internal/record"
 )
 
 // These tests guard against a long-running task that has no run at work while neither the log nor the
@@ -81,6 +83,7 @@
 	}
 	is.Equal(ends, 1)
 	is.Equal(w.engine.LongRunningGaps(w.now()), []LongRunningGap{{Queue: "q"}})
+	is.Equal(len(w.gapLines(t, "web")), 3) // the gap lasts for 11 s
 	w.engine.Cancel("web", w.now())
 	is.Equal(len(w.engine.LongRunningGaps(w.now())), 0)
 }
@@ -110,6 +113,20 @@
 	mustSay(t, w.gapLines(t, "web"), "0 wait, 1 are unconfirmed", "unconfirmed on "+string(h)+", which has not reported since the failover", "not in the queue")
 }
 
+func TestUnreportedHostIsNamedWithoutStoredPlacements(t *testing.T) {
+	w := gapWorld(t, 3)
+	w.submit("web", catalog.Rules{}, longRunningStep(1, 16, 32))
+	w.run(4 * time.Second)
+	h := w.engine.jobs["web"].groups[0].tasks[0].cur.placedOn.info.ID
+	_, _, roster := w.stored()
+	roster.PlacementsStored = false // as a holder of a former version has it
+	w.applyWrites([]platform.Write{putWrite(record.RosterKey(0), roster)})
+	w.host(h).SetDisconnected(true)
+	w.failOver()
+	w.run(5 * time.Second)
+	mustSay(t, w.gapLines(t, "web"), "0 wait, 1 are unconfirmed", "have not reported since the failover, first "+string(h), "not in the queue")
+}
+
 func TestSilentHostIsNamedForRecordedLongRunningRun(t *testing.T) {
 	w := gapWorld(t, 1)
 	w.submit("web", catalog.Rules{}, longRunningStep(1, 16, 32))
