A start that waited for the store is checked again as it is ordered

What callers saw: LIMIT in a test: with a store that takes 1.8 s a batch, a start of a long-running task was ordered on a host whose entry had shown for two seconds that it lacks the capacity (54 cores allocated of 16). Cause: a start waits until its placement is stored. Host and ticket were checked again then; capacity, quarantine and quota were those of the scheduling pass. Change: all of them are checked again; a start that may not begin is dropped, and its task waits again.

--- a/internal/engine/placements.go
+++ b/internal/engine/placements.go
@@ -38,7 +38,7 @@
 }
 
 // releasePendingStarts orders the starts whose placements are stored, or drops them if they may not begin
-// any more.
+// any more: the host, the ticket or the quota may have changed since the scheduling pass.
 func (e *Engine) releasePendingStarts(now time.Time) {
 	stored := func(p pendingStart) bool { return p.batch > 0 && p.batch <= e.durable }
 	for _, p := range e.pendingStarts {
@@ -54,7 +54,7 @@
 	if !r.recorded() || r.state != runOrdered {
 		return // its host was lost meanwhile
 	}
-	if r.stopRequested || !now.Before(e.authorityUntil) || h.incarnation != p.order.Start.Incarnation || !e.placeable(h, now) || !e.hasPermission(r.group, h, now) {
+	if r.stopRequested || h.incarnation != p.order.Start.Incarnation || !e.mayBegin(r, now) {
 		e.removeUnstarted(h, r, now)
 		return
 	}
@@ -65,6 +65,18 @@
 	e.sendStart(h, p.order, now)
 }
 
+// mayBegin reports whether a recorded run that has not been ordered may still begin.
+func (e *Engine) mayBegin(r *run, now time.Time) bool {
+	h, g := r.placedOn, r.group
+	return now.Before(e.authorityUntil) && e.placeable(h, now) && h.used.Fits(h.capacity) &&
+		e.hasPermission(g, h, now) && e.startAllowed(g, h, now) && e.withinQuota(r.account)
+}
+
+// withinQuota reports whether all that an account, which may be nil, may have running is within its quota.
+func (e *Engine) withinQuota(a *account) bool {
+	return a == nil || a.quota.Exceeds(e.maxUsage(a)) == ""
+}
+
 // anywhere is the placement of a task that may run on any host that has not reported.
 var anywhere = record.RunOn{}
 
