Placements of former versions are stated as complete after two minutes only

What callers saw: TWICE in a test of mixed versions: a holder of a former version starts a job after the next one has claimed the partition, that one reads the job's record late, and the one after it starts the job again. Cause: the word that all placements are stored was given as soon as the take-over had settled, without the jobs not read yet; and a run taken over with its job was not stored. Change: after a holder without placements the word waits for two minutes, in which the records are read, and for the end of runs of unknown jobs; a run that is assigned to its job marks the record. A progress record says of itself that it lists the placements, so one that a former version rewrote is not read as saying that nothing runs. Until then such a take-over waits as before the placements.

--- a/internal/engine/commit.go
+++ b/internal/engine/commit.go
@@ -122,7 +122,7 @@
 }
 
 func (e *Engine) progressRecord(j *job) record.Progress {
-	var p record.Progress
+	p := record.Progress{PlacementsListed: j.longRunning()}
 	for _, g := range j.groups {
 		s := record.StepProgress{Occurrence: g.id.Occurrence, Step: g.id.Step}
 		for i := range g.tasks {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -159,6 +159,7 @@
 	// placementsStored is true if the store lists every run of a long-running task that may exist. If earlier
 	// holders did not store them, placementsBatch is the batch with which this one does; see placements.go.
 	placementsStored bool
+	placementsDueAt  time.Time // when it may do so
 	placementsBatch  uint64
 	// upkeep plans maintenance rollouts; nil where the platform offers no orders to machines.
 	upkeep          *upkeep.Planner
@@ -185,8 +186,7 @@
 }
 
 // New returns an engine without jobs or hosts. Unless its process is the first holder of the partition, it
-// starts no task of an earlier job before the hosts have been reconciled or the reconcile deadline has
-// passed; see Load.
+// starts no task of an earlier job that may run on a host which has not reported; see Load.
 func New(cfg Config) *Engine {
 	return &Engine{
 		cfg:                   cfg,
@@ -315,6 +315,7 @@
 	e.expireHosts(now)
 	e.checkRuns(now)
 	e.releasePendingStarts(now)
+	e.storeAllPlacements(now)
 	if now.Before(e.authorityUntil) && !now.Before(e.nextPassAt) {
 		e.plan(now)
 	}
--- a/internal/engine/orphans.go
+++ b/internal/engine/orphans.go
@@ -142,6 +142,9 @@
 	h.used = h.used.Add(r.size)
 	r.account.charge(r)
 	g.perHost[h]++
+	if g.step.LongRunning {
+		e.markDirty(g.job) // its placement may not be stored
+	}
 	e.makeCurrent(g, r)
 }
 
--- a/internal/engine/placements.go
+++ b/internal/engine/placements.go
@@ -117,6 +117,9 @@
 	if !e.reconciling || !e.placementsStored || j.state.Final() {
 		return
 	}
+	if p != nil && !p.PlacementsListed {
+		return // written by a holder of a former version
+	}
 	for _, g := range j.groups {
 		stored := p.PlacementsOf(g.id.Occurrence, g.id.Step)
 		if !g.step.LongRunning || g.step.Gang || mayRunAnywhere(stored) {
@@ -163,10 +166,15 @@
 	return slices.ContainsFunc(h.possibleRuns, func(p possibleRun) bool { return p.Run == r })
 }
 
-// storeAllPlacements stores the placements of all long-running tasks if earlier holders did not. It is
-// called when every run of earlier holders is known.
-func (e *Engine) storeAllPlacements() {
-	if e.placementsStored {
+// formerVersionGrace is how long after a failover the placements of earlier holders, of a version that did
+// not store them, may be incomplete: such a holder may have started jobs whose records this process reads
+// late.
+const formerVersionGrace = 2 * time.Minute
+
+// storeAllPlacements stores the placements of all long-running tasks if earlier holders did not, once every
+// run of theirs is known.
+func (e *Engine) storeAllPlacements(now time.Time) {
+	if e.placementsStored || e.placementsBatch > 0 || e.reconciling || e.orphanRuns > 0 || now.Before(e.placementsDueAt) {
 		return
 	}
 	for _, j := range e.live {
--- a/internal/engine/roster.go
+++ b/internal/engine/roster.go
@@ -54,7 +54,7 @@
 	return record.RosterTask{Job: t.Job, Occurrence: t.Occurrence, Step: t.Step, Index: t.Index, Run: r.No, Unconfirmed: unconfirmed}
 }
 
-// possibleRun is a run that may be on a host according to the roster of the previous holder.
+// possibleRun is a run that may be on a host according to what the previous holder stored.
 type possibleRun struct {
 	host.Run
 	unconfirmed bool // the host never confirmed that the run had begun
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -74,6 +74,9 @@
 // Progress is the recorded progress of the steps of a job that has not ended.
 type Progress struct {
 	Steps []StepProgress `cbor:"1,keyasint"`
+	// PlacementsListed is true if the placements of all long-running tasks are listed. Holders of former
+	// versions leave it out.
+	PlacementsListed bool `cbor:"2,keyasint,omitempty"`
 }
 
 // StepProgress is the recorded progress of the tasks of one step in one occurrence of a job.
@@ -229,7 +232,7 @@
 type RosterHost struct {
 	ID   string `cbor:"1,keyasint"`
 	Addr string `cbor:"2,keyasint"`
-	// Closed is true if the host was unresponsive when the roster was written. Only Tasks may
+	// Closed is true if the host was unresponsive or draining when the roster was written. Only Tasks may
 	// be running on it, and nothing is started on it until it is stored as open again.
 	Closed bool         `cbor:"3,keyasint,omitempty"`
 	Tasks  []RosterTask `cbor:"4,keyasint,omitempty"`
