Holder: an ended job that was forgotten is not learned from the store again

What callers saw: nothing so far; found by reading. A job accepted under the name of one that had ended long before was answered as completed and never started, and its record was deleted a while later. Cause: a forgotten job's record stays in the store until a batch deletes it. A list in between (the history was compacted, or the store was away) passed the record to the engine as a job that the holder had not seen, so the name counted as ended for another EndedJobTTL, after the record itself was gone. Accept then ignored the new job, and the second deletion of the name removed the new job's record. Why the fix works: only a holder writes the record of an ended job. Those of earlier holders are read when the partition is loaded, after the claim, so a later list or change holds no ended job that the holder does not know, but for those that it has forgotten.

--- a/internal/holder/follow.go
+++ b/internal/holder/follow.go
@@ -240,6 +240,9 @@
 		h.log.WithError(err).WithField("key", rec.Key).Error("cannot decode a record")
 		return
 	}
+	if j.Ended != "" {
+		return // loaded when this process became the holder, or ended by it, and forgotten since
+	}
 	j.ID = id
 	h.updateEngine(func(e *engine.Engine, now time.Time) { e.Accept(j, false, now, now) })
 }
--- a/internal/holder/follow_test.go
+++ b/internal/holder/follow_test.go
@@ -44,6 +44,12 @@
 
 // newHolder returns a holder that has claimed a partition in store, and its log output.
 func newHolder(t *testing.T, store *memstore.Engine, hosts host.Client) (*Holder, *bytes.Buffer) {
+	t.Helper()
+	return newHolderWithTTL(t, store, hosts, 0)
+}
+
+// newHolderWithTTL is newHolder with a time for which ended jobs are kept.
+func newHolderWithTTL(t *testing.T, store *memstore.Engine, hosts host.Client, endedJobTTL time.Duration) (*Holder, *bytes.Buffer) {
 	t.Helper()
 	health := follow.NewHealth(nil)
 	l, _, err := ledger.Claim(t.Context(), resend.New(store.Client("a"), health), ledger.Holder{}, ledger.Holder{Name: "a"})
@@ -53,7 +59,7 @@
 	log.SetOutput(&out)
 	h := New(Config{
 		Store: store.Client("a"), Health: health, Hosts: hosts, Log: logrus.NewEntry(log), Tuning: engine.DefaultTuning(),
-		Bounds: engine.Bounds{MaxLease: 6 * time.Second}, HostPrefix: prefix, DecodeHost: decodeHost,
+		Bounds: engine.Bounds{MaxLease: 6 * time.Second, EndedJobTTL: endedJobTTL}, HostPrefix: prefix, DecodeHost: decodeHost,
 		HostOf:  func(key string) host.ID { return host.ID(strings.TrimPrefix(key, prefix)) },
 		Catalog: func() *catalog.Catalog { return &catalog.Catalog{} }, PolicyMembers: func() map[string]string { return nil },
 		Shards: func() []linkshard.Member { return nil }, Self: "a", Busy: func() bool { return false },
