Cell: the wait for the release of a partition ends with the planned stop's time limit

Cause: Leave waits in steps of 10 ms until a partition is released, and did not look at the result of the wait. Once the time limit had passed each step ended at once, so a loop without any pause used a whole core until the release, beside the requests that the stop still had to answer. Why the fix works: the loop ends when the wait reports that its context ended.

--- a/internal/cell/takeover.go
+++ b/internal/cell/takeover.go
@@ -77,6 +77,9 @@
 	c.Log.WithError(err).WithFields(logrus.Fields{"partition": monitor.partition, "epoch": l.Holder().Epoch}).Warn("partition not held any more")
 }
 
+// releasePollInterval is the pause between two checks whether a partition has been released.
+const releasePollInterval = 10 * time.Millisecond
+
 // Leave stops claiming and hands all held partitions over. It returns when other members have
 // claimed them or ctx ends.
 func (c *Claimer) Leave(ctx context.Context) {
@@ -93,8 +96,7 @@
 	released := make(chan struct{})
 	go func() {
 		for _, monitor := range c.monitors {
-			for monitor.isHeld() {
-				wait.For(ctx, MinHeartbeatInterval/20)
+			for monitor.isHeld() && wait.For(ctx, releasePollInterval) {
 			}
 			c.awaitSuccessor(ctx, monitor)
 		}
