Store: the time limit of a list holds for each page and not for all of them

What callers saw: nothing reported; found by reading. While the store is slow, a member that takes the partition over never gets to know the accepted jobs, and nothing is started until the store is fast again. Cause: the holder allowed 1.5 s for a whole list and the followers 2 s. A list of n pages takes n answers: with 240 ms an answer (a store slowed 60 times) that is over after 6 and 8 pages, at about 500 records each. A cell that ends 58 jobs a second and keeps their results for 150 s has 18 pages. Each attempt began anew with the first page. A follower's list that timed out also counted as an outage of the store, at whose end all followers listed again. Why the fix works: the store's client bounds each page with 1.5 s, so a connection on which nothing arrives is given up as soon as before, and the limit of a list is 15 s, 60 pages of a store that slow.

--- a/internal/front/cell_test.go
+++ b/internal/front/cell_test.go
@@ -56,6 +56,8 @@
 	simEndedJobTTL = 4 * time.Second
 	// pageRecords is the number of records in one page of a list.
 	pageRecords = 7
+	// pageTimeout bounds one page of a list.
+	pageTimeout = 1500 * time.Millisecond
 )
 
 func newSimCell(t *testing.T, members, hosts int, logOutput io.Writer, mute bool) *simCell {
@@ -246,7 +248,9 @@
 	var out []platform.Record
 	var first platform.Revision
 	for {
-		records, revision, err := s.Client.List(ctx, prefix)
+		pageCtx, cancel := context.WithTimeout(ctx, pageTimeout)
+		records, revision, err := s.Client.List(pageCtx, prefix)
+		cancel()
 		if err != nil {
 			return nil, 0, err
 		}
--- a/internal/holder/follow.go
+++ b/internal/holder/follow.go
@@ -26,8 +26,8 @@
 	jobsPollPause = 900 * time.Millisecond
 	// readRetryDelay is the pause after a failed read of stored state in Run.
 	readRetryDelay = 60 * time.Millisecond
-	// readTimeout bounds each of these reads.
-	readTimeout = 1500 * time.Millisecond
+	// readTimeout bounds each of these reads with all its pages. The store's client bounds each page.
+	readTimeout = 15 * time.Second
 	// reconcileMargin is added to the time after which no run that the previous holder
 	// ordered can still exist on an unreported host.
 	reconcileMargin = 200 * time.Millisecond
--- a/internal/platform/follow/follow.go
+++ b/internal/platform/follow/follow.go
@@ -13,8 +13,8 @@
 const (
 	minPause = 50 * time.Millisecond // after a failed call; doubles up to maxPause
 	maxPause = 800 * time.Millisecond
-	// listTimeout is the time limit of a list.
-	listTimeout = 2 * time.Second
+	// listTimeout bounds a list with all its pages. The store's client bounds each page.
+	listTimeout = 15 * time.Second
 	// fullBatch is the number of changes from which a reply is taken to be one of several: the
 	// platform's replies hold about 500.
 	fullBatch = 250
--- a/internal/platform/follow/follow_test.go
+++ b/internal/platform/follow/follow_test.go
@@ -11,6 +11,7 @@
 
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/platform/memstore"
+	"pulleyquay/internal/wait"
 )
 
 // pagingStore returns at most maxChanges changes per poll.
@@ -103,6 +104,48 @@
 	})
 }
 
+// slowListStore takes some time for each list.
+type slowListStore struct {
+	platform.Poller
+	takes time.Duration
+}
+
+func (s slowListStore) List(ctx context.Context, prefix string) ([]platform.Record, platform.Revision, error) {
+	if !wait.For(ctx, s.takes) {
+		return nil, 0, platform.ErrUnavailable
+	}
+	return s.Poller.List(ctx, prefix)
+}
+
+// TestFollowerReadsALongList guards against a follower that never reads a list of many pages while the
+// store is slow, and takes the store for unavailable because of that.
+func TestFollowerReadsALongList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := memstore.New()
+		defer store.Close()
+		store.Put(platform.Write{Key: "h/1", Value: []byte("x")})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		outages, listed := 0, 0
+		health := NewHealth(func(up bool, _ time.Duration) {
+			if !up {
+				outages++
+			}
+		})
+		f := Follower{
+			Store: slowListStore{store.Client("a"), 18 * 240 * time.Millisecond}, Health: health, Prefix: "h/", Wait: time.Second,
+			List:   func(records []platform.Record) { listed = len(records) },
+			Change: func(platform.Change) {},
+		}
+		go f.Run(ctx)
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+		is.Equal(listed, 1)
+		is.Equal(outages, 0)
+	})
+}
+
 // silencedStore makes the polls that are waiting when silence is closed hang until their context ends.
 type silencedStore struct {
 	platform.Poller
