Cell: a member that is stopping takes no partition and floods nobody

What callers saw: nothing reported; found by reading the planned stop. When two members stop at the same time, the one that holds the partition may ask the other to claim it. Cause: the member that was stopping accepted the request, as only a slow one refused it, and never claimed; the holder asked the next member 1.5 s later. Meanwhile the member's wait for a change returned at once because of the request, so its monitor sent heartbeats to the holder in a loop without any pause, on hosts that have a fifth of a core for the requests in flight too. Evidence: TestLeavingMemberRefusesAPartition (1000 != 1004) and TestLeavingMemberDoesNotFloodTheHolder (panics: the loop stops the virtual time) fail without the change. Why the fix works: a stopping process refuses, and the holder asks the next member at once. A request that came just before the stop no longer ends the wait.

--- a/internal/cell/claimer.go
+++ b/internal/cell/claimer.go
@@ -149,13 +149,13 @@
 }
 
 // waitForChange waits until the next heartbeat is due, the holder has changed or a handover is
-// requested.
+// requested of a process that is not stopping.
 func (c *Claimer) waitForChange(ctx context.Context, monitor *holderMonitor, epoch uint64) {
 	timer := time.NewTimer(heartbeatInterval(c.View.Size()))
 	defer timer.Stop()
 	for {
 		changed := c.View.Changed()
-		if h, _ := c.View.Holder(monitor.partition); h.Epoch != epoch || monitor.isInvited(epoch) {
+		if h, _ := c.View.Holder(monitor.partition); h.Epoch != epoch || monitor.isInvited(epoch) && !c.isLeaving() {
 			return
 		}
 		select {
--- a/internal/cell/heartbeat.go
+++ b/internal/cell/heartbeat.go
@@ -112,13 +112,16 @@
 	return HolderStatus{Reachable: m.isInContact(req.Epoch, silenceLimit(c.View.Size()), time.Now()), Holder: h, Revision: h.Revision}, nil
 }
 
-// onHandover accepts the request to claim a partition, unless this process is slow.
+// onHandover accepts the request to claim a partition, unless this process is slow or stopping.
 func (c *Claimer) onHandover(_ context.Context, req HandoverRequest) (Empty, error) {
 	h := withRevision(req.Holder, req.Revision)
 	if h.Partition < 0 || h.Partition >= len(c.monitors) {
 		return Empty{}, result.New(result.BadInput, result.RanNo, "partition %d", h.Partition)
 	}
 	c.View.UpdateHolder(h)
+	if c.isLeaving() {
+		return Empty{}, result.New(result.NotReady, result.RanNo, "this process is stopping")
+	}
 	if c.Lateness.Slow() {
 		return Empty{}, errProcessSlow()
 	}
