Front: the simulated cell registers a process's handlers before messages reach it

The race detector found a message at a mux to which handlers were still being added, which peer.Mux forbids.

--- a/internal/front/cell_test.go
+++ b/internal/front/cell_test.go
@@ -131,8 +131,8 @@
 		m.notifier.pending = maxPending
 	}
 	m.Serve(mux)
-	c.net.register(name, mux)
 	m.claimer.Start(m.ctx, mux, 1)
+	c.net.register(name, mux) // all handlers are registered
 	go m.entries.Run(m.ctx)
 	c.members[name] = m
 }
