--- a/internal/cell/heartbeat.go
+++ b/internal/cell/heartbeat.go
@@ -121,7 +121,7 @@
 	return HolderStatus{Reachable: m.isInContact(req.Epoch, silenceLimit(c.View.Size()), time.Now()), Holder: h, Revision: h.Revision}, nil
 }
 
-// onHandover accepts the request to claim a partition, unless this process is slow.
+// onHandover accepts the request to claim a partition, unless this process is slow or stopping.
 func (c *Claimer) onHandover(_ context.Context, req HandoverRequest) (Empty, error) {
 	h := withRevision(req.Holder, req.Revision)
 	if h.Partition < 0 || h.Partition >= len(c.monitors) {
@@ -131,6 +131,9 @@
 	if req.Released {
 		c.monitors[h.Partition].recordEnd(h.Epoch, time.Now(), 0)
 	}
+	if c.isLeaving() {
+		return Empty{}, result.New(result.NotReady, result.RanNo, "this process is stopping")
+	}
 	if c.Lateness.Slow() {
 		return Empty{}, errProcessSlow()
 	}
