daemon: a planned stop answers what is unread on open connections

What callers saw: a planned stop of an entry closed connections without an answer. e2e TestRollingStop under load, with the error of each request logged in a scratch copy: a request sent 76 ms after the signal ended with EOF after 288 ms, at the close of the listener (announce is 300 ms). Callers that use open connections without a pause were hit each time: of 16 such connections, 15 ended without an answer (pulley-node announces nothing before it shuts down).

Cause: http.Server.Shutdown. It sets a flag at once, and net/http closes every connection whose request it reads after that (conn.serve returns when shuttingDown). It closes idle connections without a look at what has arrived on them; if the request was already read, the handler still runs and its answer is lost. It closes the listener with connections in its queue, which the kernel resets.

Fix: Server.Shutdown lets the queue be accepted before it closes the listener, then serves all connections until none is left. Each answer says Connection: close, so that a client that goes on sending leaves after one more answer. A connection without a request is closed after 100 ms of idleness, by ending the wait for the next request, and only if the kernel has no input for it; a request that was read meanwhile is served. Only then http.Server.Shutdown is called, with nothing left to cut. Counted sockets show their raw connection, so that the same holds in pulley-node. A connection without a request may delay the stop by 5 s, as before (readHeaderTimeout).

What arrives between the last look at a socket and its close is still reset: two system calls, instead of the time to schedule a goroutine.

--- a/cmd/pulley-entry/process.go
+++ b/cmd/pulley-entry/process.go
@@ -28,7 +28,7 @@
 	table    *view.Follower
 	settings *settings.Follower
 	callers  *entry.Handler
-	server   *http.Server
+	server   *daemon.Server
 
 	cancel context.CancelFunc
 }
--- a/cmd/pulley-node/node.go
+++ b/cmd/pulley-node/node.go
@@ -63,7 +63,7 @@
 	catalog *catalog.Watcher
 	table   *holder.Table
 	front   *front.Front
-	server  *http.Server
+	server  *daemon.Server
 
 	cancel context.CancelFunc
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -42,7 +42,7 @@
 	dumps           map[string]func() any
 	queries         map[string]func(arg string) (any, error)
 	readinessChecks []func() []string
-	servers         []*http.Server
+	servers         []*Server
 	limiter         *limiter
 	buffer          *Lines // nil if lines are written one by one
 }
@@ -132,13 +132,13 @@
 
 // Serve starts an HTTP server on the listener, which the daemon closes at the end of a planned
 // stop. With the returned server a planned stop can wait for the requests in flight.
-func (d *Daemon) Serve(l net.Listener, h http.Handler) *http.Server {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+func (d *Daemon) Serve(l net.Listener, h http.Handler) *Server {
+	s := newServer(l, h)
 	d.mu.Lock()
 	d.servers = append(d.servers, s)
 	d.mu.Unlock()
 	go func() {
-		if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := s.serve(); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			d.Log.WithError(err).Error("listener failed")
 		}
 	}()
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -5,10 +5,12 @@
 package traffic
 
 import (
+	"errors"
 	"net"
 	"sort"
 	"sync"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/prometheus/client_golang/prometheus"
 )
@@ -81,6 +83,17 @@
 	return l.counter.Conn(conn), nil
 }
 
+// SyscallConn implements syscall.Conn.
+func (l countedListener) SyscallConn() (syscall.RawConn, error) { return rawConn(l.Listener) }
+
+// rawConn returns the raw connection of a socket, or an error if it has none.
+func rawConn(socket any) (syscall.RawConn, error) {
+	if c, ok := socket.(syscall.Conn); ok {
+		return c.SyscallConn()
+	}
+	return nil, errors.ErrUnsupported
+}
+
 // countedConn is a connection whose traffic is counted.
 type countedConn struct {
 	net.Conn
@@ -105,6 +118,9 @@
 	return c.Conn.Close()
 }
 
+// SyscallConn implements syscall.Conn.
+func (c *countedConn) SyscallConn() (syscall.RawConn, error) { return rawConn(c.Conn) }
+
 // Meter holds the counters of a process. It is safe for concurrent use, and a
 // prometheus.Collector.
 type Meter struct {
