e2e: the summary of replies counts incomplete connections by their error

"incomplete 2" did not tell a request that was cut (EOF, reset) from a dial that was refused, so the failure of TestRollingStop could not be traced from its output. What counts as incomplete is unchanged.

--- a/test/e2e/harness/load.go
+++ b/test/e2e/harness/load.go
@@ -1,7 +1,9 @@
 package harness
 
 import (
+	"errors"
 	"fmt"
+	"net"
 	"sync"
 	"time"
 
@@ -119,13 +121,15 @@
 	Unknown    int // problem documents of unknown outcome
 	// Codes counts the problem documents by their code.
 	Codes map[result.Code]int
+	// Errors counts the incomplete connections by the innermost error of each.
+	Errors map[string]int
 	// Violations describes replies and executions that violate a guarantee.
 	Violations []string
 }
 
 // CheckReplies compares the replies, by key, with the record.
 func CheckReplies(replies map[string]Reply, record judge.Record) ReplySummary {
-	v := ReplySummary{Codes: map[result.Code]int{}}
+	v := ReplySummary{Codes: map[result.Code]int{}, Errors: map[string]int{}}
 	for key, r := range replies {
 		v.add(key, r, len(record.Keys[key]))
 	}
@@ -142,6 +146,7 @@
 	switch {
 	case r.Err != nil:
 		v.Incomplete++
+		v.Errors[innermost(r.Err)]++
 	case r.OK():
 		v.Answered++
 		if string(r.Body) != key {
@@ -167,10 +172,24 @@
 	}
 }
 
+// innermost returns the text of an error without its url and addresses, such as "dial: connection
+// refused".
+func innermost(err error) string {
+	operation := ""
+	var op *net.OpError
+	if errors.As(err, &op) {
+		operation = op.Op + ": "
+	}
+	for next := errors.Unwrap(err); next != nil; next = errors.Unwrap(err) {
+		err = next
+	}
+	return operation + err.Error()
+}
+
 // String returns the counts of replies by kind.
 func (v ReplySummary) String() string {
-	return fmt.Sprintf("answered %d, refused %d of which unknown %d, incomplete %d, by code %v",
-		v.Answered, v.Refused, v.Unknown, v.Incomplete, v.Codes)
+	return fmt.Sprintf("answered %d, refused %d of which unknown %d, incomplete %d, by code %v, by error %v",
+		v.Answered, v.Refused, v.Unknown, v.Incomplete, v.Codes, v.Errors)
 }
 
 func (v *ReplySummary) violation(format string, args ...any) {
