--- a/cmd/pulley-node/weights.go
+++ b/cmd/pulley-node/weights.go
@@ -22,6 +22,9 @@
 	"end passed over":         daemon.PriorityNotable,
 	"job not accepted":        daemon.PriorityNotable,
 
+	"long-running task waits":      daemon.PriorityNotable,
+	"long-running task runs again": daemon.PriorityNotable,
+
 	"host gone":                 daemon.PriorityNotable,
 	"host lost":                 daemon.PriorityNotable,
 	"host in another life":      daemon.PriorityNotable,
