Gangs reserve no more than a host has, and keep no slots that are overdue

Cause, two faults of one place. (1) slotsAt adds what preemption would free to what will be free at the time, so a run counts twice that is both preemptible and about to end: a host that holds five members got six reserved. (2) Each request for tickets keeps the reservation for an answer and a ticket more, and the next request comes before that is over: a reservation that can not be fulfilled is never computed anew. Change: what preemption would free counts only runs that last beyond the time; slots that are overdue are kept no longer than an answer and a ticket from when they were due, then the hosts are chosen anew.

--- a/internal/engine/ask.go
+++ b/internal/engine/ask.go
@@ -114,7 +114,7 @@
 	if !e.queryInBatches(g, hosts, now) {
 		return
 	}
-	g.keepUntil = now.Add(queryTime + rules.TicketTTL())
+	g.keepUntil = earlier(now, g.reservedFrom).Add(queryTime + rules.TicketTTL()) // slots that are overdue are not kept
 	e.schedulePreemption(g, queryTime, now)
 }
 
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -345,6 +345,13 @@
 	return later(next, now.Add(time.Millisecond))
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/engine/reserve.go
+++ b/internal/engine/reserve.go
@@ -87,7 +87,7 @@
 	for _, h := range hosts {
 		capacity := h.freeAt(at, now).Sub(h.reservedAheadOf(g))
 		if at.Sub(now) >= e.cfg.Bounds.MaxStopTime {
-			capacity = capacity.Add(h.preemptibleSize(g))
+			capacity = capacity.Add(h.preemptibleAfter(g, at, now))
 		}
 		if n := g.slotsFor(h, capacity); n > 0 {
 			all = append(all, hostSlots{h, n})
