Gangs: a host's slots are bounded by what can come free there

Cause: counted runs that end soon no longer among what preemption frees, which moved the reservations of gangs on hosts that are large enough as well. Change: the sum is as it was, and the slots taken from it are no more than what can come free: the host's capacity without its long-running tasks. That is what the fault needs: slots that never come. Tests: TestGangReservesMoreSlotsThanAHostHas and TestGangReservesSlotsOfLongRunningTasks fail without the bound; TestExpiredJobsDoNotDelayOthers passes unchanged.

--- a/internal/engine/preempt.go
+++ b/internal/engine/preempt.go
@@ -42,17 +42,6 @@
 	return sum
 }
 
-// preemptibleAfter returns the capacity that preemption for a gang would free on a host, of runs that will
-// not have ended by a time anyway: freeAt counts those that will.
-func (h *hostState) preemptibleAfter(gang *group, at, now time.Time) (sum spec.Resources) {
-	for _, r := range h.runs {
-		if r.preemptibleNow(gang) && r.expectedEnd(now).After(at) {
-			sum = sum.Add(r.size)
-		}
-	}
-	return sum
-}
-
 // preemptFor preempts tasks for a gang that has permission for enough hosts to start once these tasks have
 // ended. It reports whether preemption is under way.
 func (e *Engine) preemptFor(g *group, permitted []*hostState, now time.Time) bool {
--- a/internal/engine/reserve.go
+++ b/internal/engine/reserve.go
@@ -87,9 +87,10 @@
 	for _, h := range hosts {
 		capacity := h.freeAt(at, now).Sub(h.reservedAheadOf(g))
 		if at.Sub(now) >= e.cfg.Bounds.MaxStopTime {
-			capacity = capacity.Add(h.preemptibleAfter(g, at, now))
+			capacity = capacity.Add(h.preemptibleSize(g))
 		}
-		if n := g.slotsFor(h, capacity); n > 0 {
+		// A run that ends by then and can be preempted as well counts twice in capacity.
+		if n := min(g.slotsFor(h, capacity), g.slotsFor(h, h.attainableCapacity())); n > 0 {
 			all = append(all, hostSlots{h, n})
 		}
 	}
@@ -142,6 +143,17 @@
 	return free
 }
 
+// attainableCapacity returns the capacity of a host that can come free: all but that of long-running tasks.
+func (h *hostState) attainableCapacity() spec.Resources {
+	capacity := h.capacity
+	for _, r := range h.runs {
+		if r.group != nil && r.group.step.LongRunning && !r.stopRequested {
+			capacity = capacity.Sub(r.size)
+		}
+	}
+	return capacity
+}
+
 // capacityFor returns the capacity of a host that a step may use now: the free capacity less what is needed
 // for reservations. A reservation does not apply to steps that end before it begins, to steps whose tasks
 // can still be preempted for it, or to steps that come first in the scheduling order. If gangs of one
--- a/internal/engine/reserve_test.go
+++ b/internal/engine/reserve_test.go
@@ -33,6 +33,22 @@
 	is.Equal(len(w.engine.slotsAt(g, []*hostState{h}, nil, w.now().Add(2*time.Second), w.now())), 0)
 }
 
+// TestGangReservesSlotsOfLongRunningTasks guards against the same with slots that a long-running task uses.
+func TestGangReservesSlotsOfLongRunningTasks(t *testing.T) {
+	is := is.New(t)
+	w := idleWorld(t, 1)
+	w.submit("web", catalog.Rules{}, longRunningStep(1, 16, 10))
+	w.run(100 * time.Millisecond)
+	short := step(4, 12, 10, 500)
+	short.Checkpointing = true
+	w.submit("short", catalog.Rules{Priority: 2}, short)
+	w.run(200 * time.Millisecond)
+	w.submit("gang", catalog.Rules{Priority: 1}, spec.Step{Count: 5, Gang: true, Size: size(12, 10), EstimateMillis: 1000})
+	w.run(time.Millisecond)
+	g, h := w.engine.jobs["gang"].groups[0], w.engine.hosts["h00"]
+	is.Equal(len(w.engine.slotsAt(g, []*hostState{h}, nil, w.now().Add(2*time.Second), w.now())), 0)
+}
+
 // TestReservationIsRenewedForEver guards against a gang that keeps slots which do not become free, as each
 // request for tickets extends the reservation, while other hosts are idle.
 func TestReservationIsRenewedForEver(t *testing.T) {
