--- a/test/e2e/ctl_test.go
+++ b/test/e2e/ctl_test.go
@@ -32,7 +32,7 @@
 		{"settings set /lakeshore/ledgr request.queue_limit=1", "", ctl.ExitUsage, "no branch /lakeshore/ledgr"},
 		{"settings remove /regie", "", ctl.ExitRefused, "6015 settings-branch-in-use"},
 		{"settings history", "", ctl.ExitOK, "demo"},
-		{"settings rollback 0", "", ctl.ExitOK, "REVISION"},
+		{"settings rollback 0 --wait 10s", "", ctl.ExitOK, "REVISION"},
 		{"settings get /lakeshore/ledger", "", ctl.ExitRefused, "6000 settings-unknown-branch"},
 		{"settings load ../../examples/regie.json --wait 10s", "", ctl.ExitOK, "REVISION"},
 		{"members", "", ctl.ExitOK, c.Hosts[2].Name},
