daemon: the end of the announcement tells who still comes

What was not seen: a stopping entry closes its listener stop.announce after the signal; whether callers still came at that moment stood in no log and no metric, and a refused dial leaves no trace in the process that refused it.

Change: the server counts requests, and "announcement over" tells how many came since the signal and how long ago the last one did. A connection without a request (a health check that only connects) counts for nothing.

No behaviour changed.

--- a/cmd/pulley-entry/main.go
+++ b/cmd/pulley-entry/main.go
@@ -21,5 +21,8 @@
 	if err := e.start(context.Background()); err != nil {
 		return err
 	}
-	return d.Wait(daemon.StopPhases{Announce: s.Stop.Announce.Std(), Limit: s.Stop.Limit.Std(), Drain: e.stop})
+	return d.Wait(daemon.StopPhases{
+		Announce: s.Stop.Announce.Std(), Callers: e.server,
+		Limit: s.Stop.Limit.Std(), Drain: e.stop,
+	})
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -219,6 +219,8 @@
 	// Announce is how long listeners stay open after the process ceased to be
 	// ready, so that the load balancer can detect it.
 	Announce time.Duration
+	// Callers is the server whose clients come through the load balancer; nil if there is none.
+	Callers *Server
 	// Limit is the timeout of Drain.
 	Limit time.Duration
 	// Drain finishes or hands over the process's work. Its error says what was
@@ -254,10 +256,8 @@
 }
 
 func (d *Daemon) drain(ctx context.Context, s StopPhases) error {
-	select {
-	case <-time.After(s.Announce):
-	case <-ctx.Done():
-		return result.New(result.StopTimeout, result.RanUnknown, "second signal")
+	if err := d.announce(ctx, s); err != nil {
+		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, s.Limit)
 	defer cancel()
@@ -270,6 +270,33 @@
 	return nil
 }
 
+// announce waits until the load balancer can have noticed that the process is not ready.
+func (d *Daemon) announce(ctx context.Context, s StopPhases) error {
+	var before arrivals
+	if s.Callers != nil {
+		before = s.Callers.requests()
+	}
+	select {
+	case <-time.After(s.Announce):
+	case <-ctx.Done():
+		return result.New(result.StopTimeout, result.RanUnknown, "second signal")
+	}
+	if s.Callers != nil {
+		d.logAnnounced(before, s.Callers.requests(), time.Now())
+	}
+	return nil
+}
+
+// logAnnounced logs how many requests arrived during the announcement, and when the last one did.
+// Requests up to its end mean that more callers come.
+func (d *Daemon) logAnnounced(before, after arrivals, now time.Time) {
+	line := d.Log.WithField("requests", after.count-before.count)
+	if !after.last.IsZero() {
+		line = line.WithField("last_request_ago_ms", now.Sub(after.last).Milliseconds())
+	}
+	line.Info("announcement over")
+}
+
 func (d *Daemon) closeServers() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -29,8 +29,9 @@
 	stopped  chan struct{} // closed when no more connections are accepted
 	draining atomic.Bool
 
-	mu    sync.Mutex
-	conns map[net.Conn]*connState
+	mu       sync.Mutex
+	conns    map[net.Conn]*connState
+	arrivals arrivals // of requests, on new and on open connections
 }
 
 // connState is the state of an open connection that is served.
@@ -73,7 +74,19 @@
 		delete(s.conns, c)
 		return
 	}
-	s.conns[c] = &connState{state: state, since: time.Now()}
+	now := time.Now()
+	if state == http.StateActive {
+		s.arrivals.add(now)
+	}
+	s.conns[c] = &connState{state: state, since: now}
+}
+
+// requests returns what is known of the requests so far. A connection without a request, such as that of
+// a health check which only connects, adds none.
+func (s *Server) requests() arrivals {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.arrivals
 }
 
 // Shutdown stops the server. It accepts the connections that wait in the listener's queue, closes
--- a/internal/daemon/server_test.go
+++ b/internal/daemon/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -13,6 +14,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
 
 	"pulleyquay/internal/traffic"
 )
@@ -254,3 +256,31 @@
 	_, err := c.in.ReadByte()
 	is.Equal(err, io.EOF)
 }
+
+// TestAnnouncementTellsWhoStillComes: the log line at the end of the announcement counts the requests that
+// came since its start and says when the last one did; a connection without a request is none.
+func TestAnnouncementTellsWhoStillComes(t *testing.T) {
+	is := is.New(t)
+	d := newDaemon(t)
+	var out bytes.Buffer
+	d.Log.Logger.SetLevel(logrus.InfoLevel)
+	d.Log.Logger.SetOutput(&out)
+	l := listenGated(t)
+	close(l.accept)
+	s := d.Serve(l, echo)
+	ask := func() {
+		c := dialServer(t, l.Addr())
+		c.send()
+		c.receive()
+	}
+	ask()
+	stop := StopPhases{Announce: shutdownStarted, Callers: s, Limit: testLimit, Drain: s.Shutdown}
+	done := make(chan error, 1)
+	go func() { done <- d.drain(context.Background(), stop) }()
+	time.Sleep(shutdownStarted / 2)
+	is.NoErr(dialServer(t, l.Addr()).conn.Close()) // a health check that only connects
+	ask()
+	is.NoErr(<-done)
+	is.True(strings.Contains(out.String(), `"requests":1,`))
+	is.True(strings.Contains(out.String(), `"last_request_ago_ms":`))
+}
