Quarantine: a job starts on twice as many hosts while they survive

What callers saw: eight of twelve tasks of a service lost their hosts and ran again one each two seconds, the last after 23 s, with hosts idle. Two hosts had crashed under another task of the service.

Cause: quarantine is the step's (its worst task's), and a job in quarantine started on one host at a time for a fixed 2 s each, whatever became of the hosts. Of the tasks that waited seven crash nothing.

Change: a job in quarantine starts on a cohort of hosts: one, then twice as many as the cohort before had, once each of those has given a view that was produced after its quarantine (or the job's runs there have ended). Hosts without suspected runs hold answers back for up to 2 s, so they are asked at the end. Any crash under a run of the job, excused or not, ends the growth, also in the cohort at work; so does a host that is silent, gone, or has not answered within 0.3 s. Nothing is stored: a new holder begins with one host.

A step's tasks run the same image, so the step stays what is judged.

Evidence: TestQuarantineOfOneTaskDelaysAllTasksOfItsStep, unchanged, "8 != 12" before, passes. TestHostsAnswerAtEndOfQuarantine: seven tasks start 1, 2, 3, 1 at 3.3, 5.3, 7.3, 9.4 s after the loss (the cell's bound is 3). TestQuarantineCohorts, TestAnyCrashEndsGrowthOfCohorts: each of six lines taken out alone fails one of the four.

--- a/internal/engine/crash.go
+++ b/internal/engine/crash.go
@@ -161,6 +161,7 @@
 	if t.state == taskDone || t.crashes.HasRun(r.No) {
 		return
 	}
+	g.job.cohort.crashed = true
 	crashes := append(slices.Clone(t.crashes), crashloop.Crash{Host: evidence.Host})
 	rate := e.losses.SpontaneousRate(len(e.hostsByID), unreachable, crashes, now)
 	c := crashloop.Assess(evidence, rate)
--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -144,8 +144,9 @@
 	startedJob  *job
 	suspectRuns int // runs there under whose tasks hosts have crashed
 	// Until quarantineUntil only starts of quarantinedJob are accepted there; see quarantine.go.
-	quarantinedJob  *job
-	quarantineUntil time.Time
+	quarantinedJob     *job
+	quarantineUntil    time.Time
+	quarantineProbedAt time.Time // when it was last asked whether it has outlived the quarantine
 	// pendingAttributions are the runs lost when the host's lease was over, while it is not known whether the
 	// host has crashed.
 	pendingAttributions []attribution
--- a/internal/engine/job.go
+++ b/internal/engine/job.go
@@ -33,8 +33,8 @@
 	// the last batch that held some.
 	crashesUnsaved bool
 	crashesBatch   uint64
-	quarantinedOn  *hostState // host on which it is quarantined, valid only while that host's quarantinedJob is this job
-	endReason      string     // reason of its end, where the state does not give it
+	cohort         cohort // hosts of its present quarantine
+	endReason      string // reason of its end, where the state does not give it
 }
 
 func (j *job) id() string { return j.rec.ID }
--- a/internal/engine/quarantine.go
+++ b/internal/engine/quarantine.go
@@ -7,9 +7,9 @@
 )
 
 // Limits of quarantine. A job that was on two hosts as they crashed starts only on a host where nothing
-// else has just started, with nothing new started beside it for a while, and on one host at a time. A
-// third crash is then evidence against that job alone, and unrelated jobs are not failed for what ran
-// beside them.
+// else has just started, with nothing new started beside it for a while, and on few hosts at a time: see
+// cohort. A third crash is then evidence against that job alone, and unrelated jobs are not failed for what
+// ran beside them.
 const (
 	// quarantinePeriod is how long nothing new starts beside a quarantined job. Tasks that crash their
 	// hosts mostly do so right after their start.
@@ -43,7 +43,7 @@
 	if h.suspectRuns > g.suspectRunsOn(h) || h.startedJob != g.job && now.Sub(h.startedAt) < quietPeriod {
 		return false
 	}
-	if at := g.job.quarantinedOn; !g.step.Gang && at != nil && at != h && at.quarantinedJob == g.job && at.hasQuarantine(now) {
+	if !g.step.Gang && !g.job.admitsHost(now) {
 		return false
 	}
 	return e.quarantines < max(1, len(e.hostsByID)/hostsPerQuarantine)
@@ -62,8 +62,8 @@
 	if !h.hasQuarantine(now) {
 		e.quarantines++
 	}
+	g.job.addToCohort(h, now)
 	h.quarantinedJob, h.quarantineUntil = g.job, now.Add(quarantinePeriod)
-	g.job.quarantinedOn = h
 }
 
 // suspectRunsOn counts the suspect runs of the group's job on the host.
--- a/internal/engine/view.go
+++ b/internal/engine/view.go
@@ -14,6 +14,7 @@
 	e.nextPollDue = time.Time{}
 	for _, h := range e.hostsByID {
 		e.planPresencePoll(h, now)
+		e.planQuarantineProbe(h, now)
 		if h.probe {
 			h.probe = false
 			e.out.Polls = append(e.out.Polls, PollOrder{To: h.info, Poll: host.Poll{AckedEnds: h.endsAcked, Incarnation: h.incarnation}, Probe: true})
