--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -289,7 +289,7 @@
 	case <-ctx.Done():
 	}
 	if s.Callers != nil {
-		d.AwaitCallers(ctx, s.Callers, s.AnnounceLimit-s.Announce)
+		d.awaitCallers(ctx, s.Callers, s.AnnounceLimit-s.Announce)
 	}
 	if ctx.Err() != nil {
 		return result.New(result.StopTimeout, result.RanUnknown, "second signal")
@@ -297,10 +297,10 @@
 	return nil
 }
 
-// AwaitCallers waits until the callers of a server have stopped sending requests, at most for the given
+// awaitCallers waits until the callers of a server have stopped sending requests, at most for the given
 // time, and logs how many requests arrived meanwhile. A load balancer sends requests until it has noticed
 // that the process is not ready.
-func (d *Daemon) AwaitCallers(ctx context.Context, s *Server, limit time.Duration) {
+func (d *Daemon) awaitCallers(ctx context.Context, s *Server, limit time.Duration) {
 	start, before := time.Now(), s.requests().count
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
