Test that fails: failovers in succession restart the wait for a silent host

Cause: each holder computes one deadline for all hosts from its own claim. None of the later holders was heard by the host, so none can have prolonged a lease there; the roster does not tell since when a host has been silent.

--- a/internal/engine/takeover_wait_test.go
+++ b/internal/engine/takeover_wait_test.go
@@ -31,3 +31,26 @@
 	is.Equal(w.running("web"), 8)
 	w.checkInvariants()
 }
+
+// TestFailoversInSuccessionRestartTheWait guards against long-running tasks that wait for a silent host
+// anew with each change of the holder. The host of a task was cut off as the first holder ended, and two
+// more holders ended four seconds after each other. None of them was heard by the host, so every lease
+// there was over in the time that one failover takes; the task waited for the third one.
+func TestFailoversInSuccessionRestartTheWait(t *testing.T) {
+	const failovers, apart, settles = 3, 4 * time.Second, 3 * time.Second
+	w := idleWorld(t, 12)
+	w.followsHosts = true
+	s := longRunningStep(8, 8, 8)
+	s.MaxPerHost = 1
+	w.submit("web", catalog.Rules{}, s)
+	w.run(3 * time.Second)
+	w.hostOfTask("web", 0).SetDisconnected(true)
+	first := w.now()
+	for range failovers {
+		w.failOver()
+		w.run(apart)
+	}
+	w.run(testReconcile + settles - w.now().Sub(first))
+	is.New(t).Equal(w.running("web"), 8)
+	w.checkInvariants()
+}
