Test that fails: a service that crashes all its hosts is never failed

What callers see: a service of which every task crashes its host 1.5 s after the start takes host after host, 240 in 90 s of a cell of 32, and unrelated jobs starve. Cause, as read: attributeToTask drops crashes of long-running steps that are excused, and the rate of spontaneous crashes that excuses them is made of those that the service causes.

--- a/internal/engine/crash_ways_test.go
+++ b/internal/engine/crash_ways_test.go
@@ -58,3 +58,18 @@
 		})
 	}
 }
+
+// TestServiceThatCrashesAllItsHosts guards against a service that crashes hosts without end: each of its
+// tasks crashes its host late. The crashes that it causes itself raise the rate at which hosts seem to
+// crash by themselves, and so excuse it.
+func TestServiceThatCrashesAllItsHosts(t *testing.T) {
+	w := crashWorld(t, 2001, 32)
+	w.fleet.CrashAfter = func(spec.StepTask) time.Duration { return 1500 * time.Millisecond }
+	s := longRunningStep(12, 6, 10)
+	s.MaxPerHost = 1
+	w.submit(allCrashingJob, catalog.Rules{}, s)
+	w.run(90 * time.Second)
+	t.Logf("%d hosts lost", w.fleet.Checker().HostsCrashedByTasks())
+	is.New(t).Equal(w.reported[allCrashingJob], record.StateFailed)
+	w.checkInvariants()
+}
