daemon: the announcement's test has no check in the moment of the signal

Cause: the row had a readiness check at time zero, the instant at which the stop begins. The two run in either order, and whichever answer that check gets is right: as "ready" it is not one of the two since the signal, which then come at 50 and 100 ms.

--- a/internal/daemon/arrivals_test.go
+++ b/internal/daemon/arrivals_test.go
@@ -57,7 +57,7 @@
 		"no callers, checks":                  {nil, every(100*ms, -s, s), announce, announce},
 		"callers of long ago":                 {every(s, -20*s, -10*s), every(5*s, -20*s, -s), announce, announce},
 		"callers leave at once":               {every(10*ms, -s, 0), nil, announce, announce + goneInterval},
-		"callers leave at once, checks":       {every(10*ms, -s, 0), every(50*ms, -s, s), 50*ms + minQuiet, 50*ms + minQuiet + goneInterval},
+		"callers leave at once, checks":       {every(10*ms, -s, 0), every(50*ms, -975*ms, s), 75*ms + minQuiet, 75*ms + minQuiet + goneInterval},
 		"callers come for seconds":            {every(10*ms, -s, 3*s), nil, 3*s + minQuiet, 3*s + minQuiet + goneInterval},
 		"few callers come for seconds":        {every(350*ms, -7*s, 3500*ms), nil, 3500*ms + 5*350*ms, 3500*ms + 5*350*ms + goneInterval},
 		"rare callers":                        {every(3*s, -30*s, 0), nil, maxQuiet, maxQuiet + goneInterval},
