hostcall: the budget of repeated calls follows from the process's processors

Cause: orders and polls were repeated only in processes that call at most 128 hosts.

Change: the limit is a quarter of the process's processors (400 hosts for 0.8 cores, 96 for 0.192), hosts count while called and up to 2 s longer, and copies of orders and shortened polls share a budget of 1,000 calls a second a core, none while timers are late. A counter tells the decisions.

--- a/cmd/pulley-node/node.go
+++ b/cmd/pulley-node/node.go
@@ -111,7 +111,7 @@
 	n.conns.clients = append(n.conns.clients, n.store, orders)
 	timers := &lateness.Timers{}
 	metrics := holder.NewMetrics(n.daemon.Reg)
-	hosts := hostcall.New(orders, n.health, timers.Busy, hostcall.NewMetrics(n.daemon.Reg))
+	hosts := hostcall.New(orders, n.health, n.conf.Processors, timers.Busy, hostcall.NewMetrics(n.daemon.Reg))
 	linkshard.NewServer(n.mux, hosts, n.peers, n.log)
 	conf := holder.Config{
 		Store: n.store, Health: n.health, Hosts: hosts, Peers: n.peers, Log: n.log,
--- a/internal/hostcall/hostcall.go
+++ b/internal/hostcall/hostcall.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -35,17 +34,17 @@
 	copies        *retrybudget.Budget // budget for copies of orders
 	lossTracker   *lossTracker
 	pollsInFlight atomic.Int64
-	// called are the hosts that were called recently.
-	called recentHosts
+	repeats       *repeatBudget // budget for all repeated calls
 }
 
 var _ host.Client = (*Caller)(nil)
 
-// New returns a caller of hosts. Polls in flight are repeated when health is renewed.
-func New(hosts host.Client, health *follow.Health, busy func() bool, metrics *Metrics) *Caller {
+// New returns a caller of hosts in a process that has the given number of cores. Polls in flight are
+// repeated when health is renewed.
+func New(hosts host.Client, health *follow.Health, cores float64, busy func() bool, metrics *Metrics) *Caller {
 	return &Caller{
 		hosts: hosts, health: health, busy: busy, metrics: metrics,
-		copies: retrybudget.New(), lossTracker: newLossTracker(),
+		copies: retrybudget.New(), lossTracker: newLossTracker(), repeats: newRepeatBudget(cores),
 	}
 }
 
@@ -76,49 +75,13 @@
 // order sends an order, with copies, and counts it in the metrics.
 func (c *Caller) order(ctx context.Context, kind string, to host.Info, send func(context.Context) (host.Reply, error)) (host.Reply, error) {
 	started := time.Now()
-	c.called.record(to.ID, started)
+	c.repeats.active.begin(to.ID)
 	reply, err := c.sendCopies(ctx, to, send)
+	c.repeats.active.end(to.ID, time.Now())
 	c.metrics.called(kind, started, reply, err)
 	return reply, err
 }
 
-// recentPeriod is how long after a call a host counts as one that this process calls. Idle hosts
-// are polled at shorter intervals, so they count as well.
-const recentPeriod = 10 * time.Second
-
-// recentHosts counts the hosts that were called recently.
-type recentHosts struct {
-	mu       sync.Mutex
-	lastCall map[host.ID]time.Time
-	prunedAt time.Time
-}
-
-// record records a call to a host.
-func (r *recentHosts) record(id host.ID, now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.lastCall == nil {
-		r.lastCall = map[host.ID]time.Time{}
-	}
-	r.lastCall[id] = now
-	if now.Sub(r.prunedAt) < recentPeriod {
-		return
-	}
-	r.prunedAt = now
-	for id, at := range r.lastCall {
-		if now.Sub(at) > recentPeriod {
-			delete(r.lastCall, id)
-		}
-	}
-}
-
-// size returns the number of recently called hosts.
-func (r *recentHosts) size() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return len(r.lastCall)
-}
-
 // outcome returns the metric label of a call's outcome.
 func outcome(r host.Reply, err error) string {
 	switch {
--- a/internal/hostcall/poll.go
+++ b/internal/hostcall/poll.go
@@ -28,16 +28,31 @@
 	repollInterval = 1500 * time.Millisecond
 )
 
-// maxRepeatHosts is the number of hosts up to which a process repeats orders, and polls more often,
-// when answers are lost. A process that calls more hosts has no processor time to spare for that:
-// answers that are late after a burst would be taken for lost, and the repeated calls would keep
-// them late.
-const maxRepeatHosts = 128
-
 // mayRepeat reports whether this process has processor time for additional calls while answers are
 // lost.
-func (c *Caller) mayRepeat() bool {
-	return !c.busy() && c.called.size() <= maxRepeatHosts
+func (c *Caller) mayRepeat(now time.Time) bool {
+	return !c.busy() && c.repeats.fewHosts(now)
+}
+
+// tryShortPoll decides whether a poll is cut short now, and withdraws it from the budget.
+func (c *Caller) tryShortPoll(now time.Time) bool {
+	d := c.decideRepeat(now)
+	c.metrics.repeatDecided("look", d)
+	return d == repeatAllowed
+}
+
+// decideRepeat decides whether this process has processor time for one more call, and withdraws it
+// from the budget.
+func (c *Caller) decideRepeat(now time.Time) repeatDecision {
+	switch {
+	case c.busy():
+		return repeatLate
+	case !c.repeats.fewHosts(now):
+		return repeatManyHosts
+	case !c.repeats.tryWithdraw(now):
+		return repeatExceeded
+	}
+	return repeatAllowed
 }
 
 // lossTracker tracks whether answers of hosts were lost recently. It is safe for concurrent use.
@@ -77,9 +92,10 @@
 func (c *Caller) Poll(ctx context.Context, to host.Info, epoch uint64, p host.Poll) (host.View, error) {
 	inFlight := time.Duration(c.pollsInFlight.Add(1))
 	defer c.pollsInFlight.Add(-1)
+	c.repeats.active.begin(to.ID)
+	defer func() { c.repeats.active.end(to.ID, time.Now()) }()
 	for {
 		started := time.Now()
-		c.called.record(to.ID, started)
 		view, retry, err := c.pollOnce(ctx, to, epoch, p, started)
 		if retry && wait.Jittered(ctx, inFlight*repollSpread) {
 			continue
@@ -93,7 +109,7 @@
 func (c *Caller) pollOnce(ctx context.Context, to host.Info, epoch uint64, p host.Poll, now time.Time) (view host.View, retry bool, err error) {
 	slack := pollSlack
 	lossy, repoll := c.lossTracker.recentLoss(now)
-	if lossy && c.mayRepeat() {
+	if lossy && c.tryShortPoll(now) {
 		p.Wait = min(p.Wait, lossyPollWait)
 		slack = lossyPollSlack
 	}
--- a/internal/hostcall/poll_test.go
+++ b/internal/hostcall/poll_test.go
@@ -16,7 +16,7 @@
 
 // newCaller returns a caller of hosts in a process that is not busy.
 func newCaller(hosts host.Client) *Caller {
-	return New(hosts, follow.NewHealth(nil), func() bool { return false }, NewMetrics(prometheus.NewRegistry()))
+	return New(hosts, follow.NewHealth(nil), 0.8, func() bool { return false }, NewMetrics(prometheus.NewRegistry()))
 }
 
 // unresponsiveHosts answers no poll until responsive is set.
--- a/internal/hostcall/repeat.go
+++ b/internal/hostcall/repeat.go
@@ -78,7 +78,7 @@
 				return host.Reply{}, o.failure(a.err)
 			}
 		case <-next.C:
-			if o.copies == maxOrderCopies || !c.mayRepeat() || !c.copies.TryWithdraw() {
+			if o.copies == maxOrderCopies || !c.tryCopy(time.Now()) {
 				continue
 			}
 			if r, ok := c.hosts.(Reconnecter); ok {
@@ -103,6 +103,16 @@
 	}
 }
 
+// tryCopy decides whether a copy of an order is sent now, and withdraws it from the budgets.
+func (c *Caller) tryCopy(now time.Time) bool {
+	d := c.decideRepeat(now)
+	if d == repeatAllowed && !c.copies.TryWithdraw() {
+		d = repeatExceeded
+	}
+	c.metrics.repeatDecided("order", d)
+	return d == repeatAllowed
+}
+
 // copyBudgetPercent is how many copies are allowed for a hundred orders: enough when a third of
 // them is lost.
 const copyBudgetPercent = 50
@@ -110,8 +120,8 @@
 // recordLoss records that an answer was lost, unless this process is busy or has many hosts: then
 // the delay is more likely in this process, and polling hosts more often would only add to it.
 func (c *Caller) recordLoss() {
-	if c.mayRepeat() {
-		c.lossTracker.record(time.Now())
+	if now := time.Now(); c.mayRepeat(now) {
+		c.lossTracker.record(now)
 	}
 }
 
--- a/internal/hostcall/repeat_test.go
+++ b/internal/hostcall/repeat_test.go
@@ -154,8 +154,8 @@
 		busy.Store(true) // in production, derived from late timers
 		expectSingleCopies()
 		busy.Store(false)
-		for i := range maxRepeatHosts + 1 {
-			c.called.record(host.ID(strconv.Itoa(i)), time.Now())
+		for i := range 401 { // one more than 0.8 cores allow
+			c.repeats.active.begin(host.ID(strconv.Itoa(i)))
 		}
 		expectSingleCopies()
 	})
--- a/internal/linkshard/assign.go
+++ b/internal/linkshard/assign.go
@@ -25,13 +25,14 @@
 // Resources that calls to a host in use take at the usual rate of starts: two requests for each
 // start.
 const (
-	coresPerHost = 0.0005
+	// CoresPerHost is the processor time that the calls to a host take, in cores.
+	CoresPerHost = 0.0005
 	mbpsPerHost  = 0.036
 )
 
 // hostCapacity is how many hosts a member could call with all of its resources.
 func (m Member) hostCapacity() float64 {
-	hosts := m.Cores / coresPerHost
+	hosts := m.Cores / CoresPerHost
 	if m.LinkMbps > 0 {
 		hosts = min(hosts, m.LinkMbps/mbpsPerHost)
 	}
