hostcall: a poll whose answers get lost is a sequence of short polls

Cause: while answers were lost, hosts held polls for 0.4 s, and a poll counted as lost after 0.65 s; the holder polled again 0.25 s later. An end whose answer got lost was known up to 0.9 s late, and the lost poll made its host count as unresponsive and be called by another link shard.

Change: the process that calls the host makes a sequence of polls of 0.4 s, repeats one without an answer at once with a wait of zero over a new connection, and reports one outcome to the holder: a view with an end, the last view, or the loss after three polls without an answer. The budget pays for every poll after the first, and keeps a quarter of its burst for those without an answer.

--- a/internal/hostcall/budget.go
+++ b/internal/hostcall/budget.go
@@ -57,8 +57,25 @@
 // calls.
 func (b *repeatBudget) fewHosts(now time.Time) bool { return b.active.count(now) <= b.maxHosts }
 
+// budgetUse is what a repeated call is for.
+type budgetUse bool
+
+const (
+	forUnanswered budgetUse = false // a call got no answer
+	forShortPoll  budgetUse = true  // the next poll of a sequence whose polls are answered
+)
+
+// unansweredReserve is the part of the burst that is kept for calls without an answer: one that is not
+// repeated is reported as lost.
+const unansweredReserve = 0.25
+
 // tryWithdraw withdraws one repeated call. It reports whether the budget sufficed.
-func (b *repeatBudget) tryWithdraw(now time.Time) bool { return b.calls.AllowN(now, 1) }
+func (b *repeatBudget) tryWithdraw(now time.Time, use budgetUse) bool {
+	if use == forShortPoll && b.calls.TokensAt(now) < unansweredReserve*float64(b.calls.Burst()) {
+		return false
+	}
+	return b.calls.AllowN(now, 1)
+}
 
 // activePeriod is how long after its last call a host counts as called by this process. It exceeds
 // the pauses between the calls to a host in use, of 0.25 s at the most, and is below the interval of
--- a/internal/hostcall/budget_test.go
+++ b/internal/hostcall/budget_test.go
@@ -39,7 +39,7 @@
 			const seconds = 10
 			for ms := range seconds * 1000 {
 				at := now.Add(time.Duration(ms) * time.Millisecond)
-				for b.tryWithdraw(at) {
+				for b.tryWithdraw(at, forUnanswered) {
 					withdrawn++
 				}
 			}
--- a/internal/hostcall/poll.go
+++ b/internal/hostcall/poll.go
@@ -14,11 +14,9 @@
 	// pollSlack is the time that the answer to a poll may take in addition to the time that the
 	// host may hold it.
 	pollSlack = 500 * time.Millisecond
-	// While answers of hosts are lost, hosts may hold polls for at most lossyPollWait, and
-	// lossyPollSlack replaces pollSlack: if an answer that reports the end of a task is lost, the
-	// end is received only with the next poll.
-	lossyPollWait  = 400 * time.Millisecond
-	lossyPollSlack = 250 * time.Millisecond
+	// lossyPollWait is how long hosts may hold polls while their answers are lost. With the time
+	// after which an answer counts as lost, an end is known within 0.5 s if one answer is lost.
+	lossyPollWait = 400 * time.Millisecond
 	// repollSpread, multiplied by the number of polls in flight, is the time over which repeated
 	// polls are spread.
 	repollSpread = time.Millisecond
@@ -34,22 +32,23 @@
 	return !c.busy() && c.repeats.fewHosts(now)
 }
 
-// tryShortPoll decides whether a poll is cut short now, and withdraws it from the budget.
-func (c *Caller) tryShortPoll(now time.Time) bool {
-	d := c.decideRepeat(now)
+// tryShortPoll decides whether a sequence of short polls continues, and withdraws its next poll from
+// the budget.
+func (c *Caller) tryShortPoll(now time.Time, use budgetUse) bool {
+	d := c.decideRepeat(now, use)
 	c.metrics.repeatDecided("look", d)
 	return d == repeatAllowed
 }
 
 // decideRepeat decides whether this process has processor time for one more call, and withdraws it
 // from the budget.
-func (c *Caller) decideRepeat(now time.Time) repeatDecision {
+func (c *Caller) decideRepeat(now time.Time, use budgetUse) repeatDecision {
 	switch {
 	case c.busy():
 		return repeatLate
 	case !c.repeats.fewHosts(now):
 		return repeatManyHosts
-	case !c.repeats.tryWithdraw(now):
+	case !c.repeats.tryWithdraw(now, use):
 		return repeatExceeded
 	}
 	return repeatAllowed
@@ -90,13 +89,14 @@
 // Poll implements host.Client. It polls again over a new connection when the open ones may have
 // become silent, or answers are lost.
 func (c *Caller) Poll(ctx context.Context, to host.Info, epoch uint64, p host.Poll) (host.View, error) {
+	until := time.Now().Add(p.Wait)
 	inFlight := time.Duration(c.pollsInFlight.Add(1))
 	defer c.pollsInFlight.Add(-1)
 	c.repeats.active.begin(to.ID)
 	defer func() { c.repeats.active.end(to.ID, time.Now()) }()
 	for {
 		started := time.Now()
-		view, retry, err := c.pollOnce(ctx, to, epoch, p, started)
+		view, retry, err := c.pollOnce(ctx, to, epoch, p, until)
 		if retry && wait.Jittered(ctx, inFlight*repollSpread) {
 			continue
 		}
@@ -105,16 +105,17 @@
 	}
 }
 
-// pollOnce polls once. It reports whether the poll was cancelled to be repeated.
-func (c *Caller) pollOnce(ctx context.Context, to host.Info, epoch uint64, p host.Poll, now time.Time) (view host.View, retry bool, err error) {
-	slack := pollSlack
+// pollOnce polls once, or while answers are lost in a sequence of short polls that ends after until.
+// It reports whether the poll was cancelled to be repeated.
+func (c *Caller) pollOnce(ctx context.Context, to host.Info, epoch uint64, p host.Poll, until time.Time) (view host.View, retry bool, err error) {
+	now := time.Now()
 	lossy, repoll := c.lossTracker.recentLoss(now)
-	if lossy && c.tryShortPoll(now) {
-		p.Wait = min(p.Wait, lossyPollWait)
-		slack = lossyPollSlack
+	if lossy && c.mayRepeat(now) {
+		view, err = c.pollShort(ctx, &shortPolls{to: to, epoch: epoch, poll: p, until: until})
+		return view, false, err
 	}
 	renewed := c.health.PollsRepeated()
-	ctx, cancel := context.WithTimeout(ctx, p.Wait+slack)
+	ctx, cancel := context.WithTimeout(ctx, p.Wait+pollSlack)
 	defer cancel()
 	go func() {
 		select {
--- a/internal/hostcall/repeat.go
+++ b/internal/hostcall/repeat.go
@@ -81,9 +81,7 @@
 			if o.copies == maxOrderCopies || !c.tryCopy(time.Now()) {
 				continue
 			}
-			if r, ok := c.hosts.(Reconnecter); ok {
-				r.ReconnectTo(to.Addr)
-			}
+			c.reconnect(to)
 			o.sendCopy()
 			delay *= 2
 			next.Reset(delay)
@@ -105,7 +103,7 @@
 
 // tryCopy decides whether a copy of an order is sent now, and withdraws it from the budgets.
 func (c *Caller) tryCopy(now time.Time) bool {
-	d := c.decideRepeat(now)
+	d := c.decideRepeat(now, forUnanswered)
 	if d == repeatAllowed && !c.copies.TryWithdraw() {
 		d = repeatExceeded
 	}
