--- a/internal/runtimes/runtimes.go
+++ b/internal/runtimes/runtimes.go
@@ -17,7 +17,10 @@
 
 // Estimator estimates run times from the tasks that have ended, by queue. It is not safe for concurrent
 // use.
-type Estimator struct{ queues map[string]*queueStats }
+type Estimator struct {
+	queues    map[string]*queueStats
+	residuals map[string]*residuals
+}
 
 // queueStats are running means of logarithms, because run times differ by factors.
 type queueStats struct {
@@ -29,7 +32,9 @@
 }
 
 // NewEstimator returns a learner without samples, which estimates the declared run times.
-func NewEstimator() *Estimator { return &Estimator{queues: map[string]*queueStats{}} }
+func NewEstimator() *Estimator {
+	return &Estimator{queues: map[string]*queueStats{}, residuals: map[string]*residuals{}}
+}
 
 // AddSample adds the sample of a task that has run at full speed until it finished.
 func (l *Estimator) AddSample(queue string, declared, runTime time.Duration) {
