linkshard: a call whose outcome is not reported says nothing about its host

Cause: a call that expires in the router, or that no shard accepted, ended as ErrLost or ErrNotSent like one that its host did not answer, so the host counted as unresponsive or unreachable. Change: such errors also are host.ErrUnreported. Measured: TestUnreportedOutcomes (40 of 40 calls, shards that do not report, and none that can be reached).

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -174,6 +174,9 @@
 	// ErrConnectionRefused is an ErrNotSent for which the host's machine refused the connection,
 	// because the host's process has ended.
 	ErrConnectionRefused = fmt.Errorf("%w: connection refused", ErrNotSent)
+	// ErrUnreported marks an ErrLost or ErrNotSent whose outcome the process that was to make the
+	// call has not reported: it says nothing about the host.
+	ErrUnreported = errors.New("host: outcome of the call not reported")
 )
 
 // Client makes calls to hosts. Each call is sent at most once.
--- a/internal/linkshard/failure.go
+++ b/internal/linkshard/failure.go
@@ -84,7 +84,7 @@
 		if p.possiblySent {
 			err = host.ErrLost
 		}
-		return endedCall{p, Outcome{Err: fmt.Errorf("%w: %d link shards did not answer", err, p.routes)}}, true
+		return endedCall{p, Outcome{Err: fmt.Errorf("%w: %w: %d link shards did not answer", err, host.ErrUnreported, p.routes)}}, true
 	}
 	p.shard, p.expiresAt = s, time.Time{}
 	p.routes++
@@ -94,7 +94,7 @@
 
 // expire ends the calls whose outcome a shard has not reported in time. It waits longer while this
 // process is busy, as reports are then queued here: a start that is given up is stopped although it
-// works, which adds to the load.
+// works, which adds to the load. What the host did is not known, so it does not count as unresponsive.
 func (r *Router) expire(now time.Time) {
 	grace := time.Duration(0)
 	if r.conf.Busy() {
@@ -108,7 +108,7 @@
 		}
 		delete(r.calls, id)
 		r.rerouteHost(p.call.To.ID)
-		done = append(done, endedCall{p, Outcome{Err: fmt.Errorf("%w: no outcome reported in time", host.ErrLost)}})
+		done = append(done, endedCall{p, Outcome{Err: fmt.Errorf("%w: %w", host.ErrLost, host.ErrUnreported)}})
 	}
 	r.mu.Unlock()
 	r.finish(done)
@@ -136,7 +136,11 @@
 	}
 	switch failureOf(o.Err) {
 	case failureNotSent, failureRefused:
+		unreported := errors.Is(o.Err, host.ErrUnreported)
 		o.Err = fmt.Errorf("%w: through another link shard", host.ErrLost)
+		if unreported {
+			o.Err = fmt.Errorf("%w: %w", o.Err, host.ErrUnreported)
+		}
 	case failureNone:
 		if reason := o.Reply.Refused; reason != "" && reason != host.RefusedFenced {
 			o.Reply, o.Err = host.Reply{}, fmt.Errorf("%w: refused (%s), and given to another link shard before", host.ErrLost, reason)
--- a/internal/linkshard/router_test.go
+++ b/internal/linkshard/router_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"sync"
@@ -494,3 +495,21 @@
 		is.Equal(reports, 1)
 	})
 }
+
+// TestUnreportedOutcomes: guards against hosts that count as unresponsive because a link shard does not report the
+// outcomes of their calls, or because no shard can be reached.
+func TestUnreportedOutcomes(t *testing.T) {
+	for name, fault := range map[string]fault{"outcomes not reported": noReports, "connections refused": notListening} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				r := newFixture(t, 4, 200)
+				r.network.set(fault, "a0", "a1", "a2", "a3")
+				r.start(0, 40)
+				time.Sleep(2 * time.Second)
+				synctest.Wait()
+				is.Equal(r.count(func(o Outcome) bool { return errors.Is(o.Err, host.ErrUnreported) }), 40)
+			})
+		})
+	}
+}
