engine: a second poll for runs that should have ended; one lost call delays nothing else

Cause: a poll waits at its host until a run ends there. If the reply gets lost, every end on that host is known only when the poll times out, 2.5 s after it was sent, plus 0.25 s until the next. One lost order made a host count as unresponsive until its waiting poll was answered: not used after 0.4 s, its leases not renewed. A call that the router gave up counted like one that its host did not answer.

Change: a run that is late by the run times of its queue has its host probed, at growing intervals, within 4 probes for 100 starts and polls. A poll that has not told of an end 0.1 s after a probe did is replaced. A host that leaves a call unanswered is probed at once, and a failed poll is repeated at once the first time. host.ErrUnreported does not count against a host that has answered in the last 4.5 s.

--- a/internal/engine/ends.go
+++ b/internal/engine/ends.go
@@ -35,6 +35,7 @@
 	case host.EndDone:
 		h.recordSuccess()
 		e.observeRunTime(r, now)
+		e.observeLateness(r, now)
 		e.observeSpeed(r, now)
 		e.taskDone(g, i, now)
 	case host.EndFailed:
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -17,6 +17,7 @@
 	"pulleyquay/internal/crashloop"
 	"pulleyquay/internal/host"
 	"pulleyquay/internal/platform"
+	"pulleyquay/internal/retrybudget"
 	"pulleyquay/internal/runtimes"
 	"pulleyquay/internal/spec"
 	"pulleyquay/internal/upkeep"
@@ -96,6 +97,9 @@
 	progressCheckedAt time.Time // when the runs were last checked for progress
 	expiredAt         time.Time // when hosts were last checked for missing answers
 	nextPollDue       time.Time // when the next host has to be polled
+	pollNumber        uint64    // of the last poll
+	// lateProbes is the budget of probes for late runs.
+	lateProbes *retrybudget.Budget
 	// reconciling is true after a failover until every inherited host has reported its runs, is closed in
 	// the roster, or can run nothing any more.
 	reconciling bool
@@ -211,6 +215,7 @@
 		pools:                 map[string]*servicePool{},
 		presumedEnded:         map[string]time.Time{},
 		longRunning:           map[*group]struct{}{},
+		lateProbes:            retrybudget.New(),
 	}
 }
 
@@ -257,6 +262,8 @@
 	Poll host.Poll
 	// Probe polls are sent in addition to a poll that waits at the host.
 	Probe bool
+	// Number distinguishes the other polls.
+	Number uint64
 }
 
 // QueryOrder queries the policy service through a member.
--- a/internal/engine/explain.go
+++ b/internal/engine/explain.go
@@ -92,9 +92,9 @@
 		return "none of it in the books"
 	}
 	h := first.placedOn
-	return fmt.Sprintf("%d of it in the books, the oldest task %d, run %d on %s (%s, unwanted %t, known for %d ms; listed %t, life %d, silent for %d ms, lease over in %d ms)",
+	return fmt.Sprintf("%d of it in the books, the oldest task %d, run %d on %s (%s, unwanted %t, known for %d ms; listed %t, life %d, silent for %d ms, lease over in %d ms%s)",
 		n, first.Task.Index, first.No, h.info.ID, first.state, first.stopRequested, now.Sub(first.confirmedAt).Milliseconds(),
-		h.listed, h.incarnation, h.unresponsiveFor(now).Milliseconds(), e.leasesExpireAt(h).Sub(now).Milliseconds())
+		h.listed, h.incarnation, h.unresponsiveFor(now).Milliseconds(), e.leasesExpireAt(h).Sub(now).Milliseconds(), first.lateness.describe(now))
 }
 
 // loadLogInterval is the interval between two "cell load" lines of the log.
--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -57,6 +57,7 @@
 	percent, firstPercent float64
 	progressAt, firstAt   time.Time
 	gauge                 float64
+	lateness              runLateness
 	checkpoint            string
 	throttle              int  // percent of its full speed at which the run may run
 	throttleInFlight      bool // an order to change throttle is in flight
@@ -90,6 +91,7 @@
 
 	orphanEnds []int64 // numbers of orphan ends (of unknown jobs), which the host has to keep
 
+	late              lateEnds
 	pollInFlight      bool      // a poll other than a probe is in flight
 	probe             bool      // a poll in addition to the one in flight is requested
 	presencePollsFrom time.Time // start of a suspect run from which presence polls are timed, zero when there are none
@@ -190,6 +192,7 @@
 // recordContact records an answer of the host.
 func (h *hostState) recordContact(now time.Time) {
 	h.lastContact, h.unresponsiveSince, h.unreachableSince, h.firstMissedAt, h.connBrokenAt = now, time.Time{}, time.Time{}, time.Time{}, time.Time{}
+	h.late.silentAt = time.Time{}
 }
 
 // knowsClock reports whether the host's clock was ever read. A reading may be zero, as a host's clock
@@ -206,8 +209,12 @@
 
 // recordFailedCall records a call that got no answer.
 func (h *hostState) recordFailedCall(err error, now time.Time) {
+	if !h.countsAgainst(err, now) {
+		return
+	}
 	if h.unresponsiveSince.IsZero() {
 		h.unresponsiveSince = now
+		h.probeSilent(now)
 	}
 	if h.unreachableSince.IsZero() && errors.Is(err, host.ErrNotSent) {
 		h.unreachableSince = now
--- a/internal/engine/view.go
+++ b/internal/engine/view.go
@@ -15,6 +15,7 @@
 	for _, h := range e.hostsByID {
 		e.planPresencePoll(h, now)
 		e.planQuarantineProbe(h, now)
+		e.planLateProbe(h, now)
 		if h.probe {
 			h.probe = false
 			e.out.Polls = append(e.out.Polls, PollOrder{To: h.info, Poll: host.Poll{AckedEnds: h.endsAcked, Incarnation: h.incarnation}, Probe: true})
@@ -34,6 +35,7 @@
 		}
 		e.poll(h, now)
 	}
+	e.lateProbes.Deposit(lateProbePercent * int64(len(e.out.Starts)+len(e.out.Polls)))
 }
 
 // planPollsBy schedules the next planning of polls for a time at the latest.
@@ -69,7 +71,7 @@
 		}
 	}
 	h.pollInFlight = true
-	e.out.Polls = append(e.out.Polls, PollOrder{To: h.info, Poll: p})
+	e.out.Polls = append(e.out.Polls, PollOrder{To: h.info, Poll: p, Number: e.numberPoll(h)})
 }
 
 // Polled handles the outcome of a poll that was sent at sent.
@@ -83,21 +85,27 @@
 	if h == nil {
 		return
 	}
+	if h.replaced(o) {
+		if err != nil && h.lastContact.After(sent) {
+			return // the host has answered another poll since
+		}
+		o.Probe = true
+	}
 	if !o.Probe {
-		h.pollInFlight = false
+		h.pollInFlight, h.late.hungAt = false, time.Time{}
 	}
 	switch {
 	case errors.Is(err, host.ErrOtherIncarnation):
 		e.handleOtherIncarnation(h, o.To, now)
 		return
 	case err != nil:
+		if !o.Probe {
+			h.nextPollAt = e.retryPollAt(h, now)
+		}
 		h.recordFailedCall(err, now)
-		if o.Probe && h.firstMissedAt.IsZero() && sent.After(h.lastContact) {
+		if o.Probe && h.countsAgainst(err, now) && h.firstMissedAt.IsZero() && sent.After(h.lastContact) {
 			h.firstMissedAt = sent
 		}
-		if !o.Probe {
-			h.nextPollAt = now.Add(e.cfg.Tuning.PollRetryInterval)
-		}
 		if errors.Is(err, host.ErrConnectionBroken) {
 			e.pollSoon(h, now) // finds out whether its machine can still be reached
 		}
@@ -135,6 +143,9 @@
 		e.releasePossibleRuns(h, now)
 		e.log(Event{What: "host claimed", Host: string(id)})
 	}
+	if o.Probe && ended {
+		e.observeProbe(h, now)
+	}
 	if !o.Probe {
 		h.nextPollAt = e.nextPoll(h, first, ended, now)
 		if ackedEndsListed && !h.ackedEndsListed {
@@ -278,6 +289,7 @@
 	}
 	r.state, r.confirmedAt, r.progressAt, r.acknowledged = runRunning, now, now, true
 	r.reportedAt = later(r.reportedAt, reportedAt)
+	e.expectEnd(r, now)
 	if r.isBackfill() {
 		e.scheduleThrottling(r.placedOn)
 	}
--- a/internal/engine/world_calls_test.go
+++ b/internal/engine/world_calls_test.go
@@ -88,6 +88,9 @@
 // has elapsed.
 func (w *world) poll(e *Engine, o PollOrder) {
 	sent := w.now()
+	if w.onPoll != nil {
+		w.onPoll(o)
+	}
 	h := w.host(o.To.ID)
 	request := o.Poll
 	if w.rnd.Float64() < w.faults.unidentifiedPolls {
@@ -122,7 +125,7 @@
 			return
 		}
 		h.OnReset(func() { w.after(oneWay, func() { finish(host.View{}, host.ErrConnectionBroken) }) })
-		answerLost := w.rnd.Float64() < w.faults.lostReply || w.repliesCut[o.To.ID]
+		answerLost := w.rnd.Float64() < w.faults.lostReply+w.faults.lostView || w.repliesCut[o.To.ID]
 		h.Poll(e.cfg.Epoch, request, func(v host.View) {
 			if answerLost {
 				return
--- a/internal/engine/world_test.go
+++ b/internal/engine/world_test.go
@@ -61,8 +61,8 @@
 	lastUnavailable time.Time
 	// members are the names of the members that can query the policy service.
 	members []string
-	// queueOf returns the queue of a job.
-	queueOf func(id string) string
+	// queueOf returns the queue of a job, serviceOf its service.
+	queueOf, serviceOf func(id string) string
 	// permitted reports whether the policy service permits a step on a host.
 	permitted func(step spec.StepID, h host.ID) bool
 	// accountOf returns the client account of a job; quotas are the quotas of the accounts.
@@ -94,6 +94,8 @@
 	onDecision func(took time.Duration)
 	// onStart, if not nil, is called with each start order.
 	onStart func(StartOrder)
+	// onPoll, if not nil, is called with each poll.
+	onPoll func(PollOrder)
 	// keepEvents makes the events of the engines be kept in logged.
 	keepEvents bool
 	events     []loggedEvent
@@ -107,6 +109,8 @@
 	unidentifiedPolls float64
 	// latePolls is that of a delayed poll, lateViews that of a delayed reply.
 	latePolls, lateViews float64
+	// lostView is that of a poll whose reply gets lost, in addition to lostReply.
+	lostView float64
 	// lostQuery is that of a query to the policy service whose reply gets lost.
 	lostQuery float64
 }
@@ -158,7 +162,7 @@
 	w := &world{
 		t: t, rnd: rand.New(rand.NewPCG(seed, 1)), time: virtualTime{now: simulationStart},
 		store: map[string][]byte{}, jobs: map[string]*record.Job{}, reported: map[string]record.State{}, finalSince: map[string]time.Time{}, entries: map[host.ID]host.Info{},
-		queueOf: func(string) string { return "q" }, accountOf: func(string) string { return "" }, quotas: map[string]fairshare.Quota{}, bounds: testBounds, members: []string{"m1", "m2", "m3", "m4", "m5"}, permitted: func(spec.StepID, host.ID) bool { return true },
+		queueOf: func(string) string { return "q" }, serviceOf: func(string) string { return "s" }, accountOf: func(string) string { return "" }, quotas: map[string]fairshare.Quota{}, bounds: testBounds, members: []string{"m1", "m2", "m3", "m4", "m5"}, permitted: func(spec.StepID, host.ID) bool { return true },
 	}
 	w.fleet = hostsim.NewFleet(&w.time)
 	w.fleet.KeepID = hostsKeepIDs
@@ -343,7 +347,7 @@
 	if rules.MaxAttempts == 0 {
 		rules.MaxAttempts = 3
 	}
-	rec := &record.Job{ID: id, Account: w.accountOf(id), Queue: w.queueOf(id), Service: "s", Rules: rules, Graph: g}
+	rec := &record.Job{ID: id, Account: w.accountOf(id), Queue: w.queueOf(id), Service: w.serviceOf(id), Rules: rules, Graph: g}
 	value, err := record.Encode(rec)
 	if err != nil {
 		w.t.Fatal(err)
