fairshare: order between accounts by weighted dominant share

Order takes entries from accounts or teams by weighted dominant share with progressive filling, lazily: O(a + k log a) for k entries of a accounts. Queue uses it in place of a search through all teams for each pick; a team's weight is 1 unless Config.Weights lists it. Picks without weights are as before.

--- a/internal/fairshare/queue.go
+++ b/internal/fairshare/queue.go
@@ -17,6 +17,8 @@
 	AgedEvery int
 	// Batch is the maximum number of tasks in one pick.
 	Batch int
+	// Weights are the weights of teams by name; a team that is not listed has weight 1.
+	Weights map[string]float64
 }
 
 // DefaultConfig returns the default settings of a home partition.
@@ -77,8 +79,8 @@
 func (q *Queue) Len() int { return len(q.entries) }
 
 // Round returns the order in which to place tasks, up to budget tasks: urgent jobs first, then
-// the team with the smallest dominant share of total; within a team aged jobs first, then by
-// priority, then by waiting time. One in AgedEvery picks goes to the job that has waited
+// the team with the smallest weighted dominant share of total; within a team aged jobs first, then
+// by priority, then by waiting time. One in AgedEvery picks goes to the job that has waited
 // longest, whichever its team. Each pick increases the share of its team, so that teams with a
 // backlog alternate. Gangs are picked with all their tasks even above the budget. used returns
 // the resources that a team already uses.
@@ -106,8 +108,8 @@
 type round struct {
 	config Config
 	now    time.Time
-	total  spec.Resources
-	teams  []*teamQueue
+	teams  map[string]*teamQueue
+	order  Order[*teamQueue]
 	// urgent and aged hold jobs in the order of their wait. Their entries are shared with
 	// teams.
 	urgent, aged []*Entry
@@ -118,22 +120,23 @@
 type teamQueue struct {
 	name    string
 	entries []*Entry
-	used    spec.Resources
+	flow    Flow[*teamQueue]
 }
 
 func (q *Queue) newRound(now time.Time, total spec.Resources, used func(string) spec.Resources) *round {
-	r := &round{config: q.config, now: now, total: total}
-	teams := map[string]*teamQueue{}
+	r := &round{config: q.config, now: now, teams: map[string]*teamQueue{}}
+	r.order.Reset(total, func(a, b *teamQueue) int { return cmp.Compare(a.name, b.name) })
 	for _, e := range q.entries {
 		if now.Before(e.NotBefore) {
 			continue
 		}
 		e := &e
-		t := teams[e.Team]
+		t := r.teams[e.Team]
 		if t == nil {
-			t = &teamQueue{name: e.Team, used: used(e.Team)}
-			teams[e.Team] = t
-			r.teams = append(r.teams, t)
+			t = &teamQueue{name: e.Team}
+			t.flow = Flow[*teamQueue]{Head: t, Weight: q.config.Weights[e.Team], Used: used(e.Team)}
+			r.teams[e.Team] = t
+			r.order.Add(&t.flow)
 		}
 		t.entries = append(t.entries, e)
 		if e.Urgent {
@@ -148,7 +151,6 @@
 }
 
 func (r *round) sort() {
-	slices.SortFunc(r.teams, func(a, b *teamQueue) int { return cmp.Compare(a.name, b.name) })
 	for _, t := range r.teams {
 		slices.SortFunc(t.entries, func(a, b *Entry) int {
 			return cmp.Or(r.compareAged(a, b), cmp.Compare(b.Priority, a.Priority), compareWait(a, b))
@@ -191,37 +193,28 @@
 	return e, e != nil && r.isAged(e)
 }
 
-// nextByShare returns the first job of the team with the smallest dominant share.
+// nextByShare returns the first job of the team with the smallest weighted dominant share.
 func (r *round) nextByShare() *Entry {
-	var best *teamQueue
-	for _, t := range r.teams {
-		t.entries = dropExhausted(t.entries)
-		if len(t.entries) == 0 {
-			continue
+	for {
+		f := r.order.First()
+		if f == nil {
+			return nil
 		}
-		if best == nil || r.share(t) < r.share(best) {
-			best = t
+		t := f.Head
+		if t.entries = dropExhausted(t.entries); len(t.entries) > 0 {
+			return t.entries[0]
 		}
+		r.order.Remove(f)
+		delete(r.teams, t.name)
 	}
-	if best == nil {
-		return nil
-	}
-	return best.entries[0]
 }
 
 // charge counts picked tasks towards the share of their team.
 func (r *round) charge(e *Entry, tasks int) {
 	e.Pending -= tasks
-	for _, t := range r.teams {
-		if t.name == e.Team {
-			t.used = t.used.Add(e.Size.Times(int64(tasks)))
-		}
-	}
+	r.order.Take(&r.teams[e.Team].flow, e.Size.Times(int64(tasks)))
 }
 
-// share returns the largest fraction of any resource that the team would use.
-func (r *round) share(t *teamQueue) float64 { return DominantShare(t.used, r.total) }
-
 // dropExhausted drops jobs without pending tasks from the front.
 func dropExhausted(entries []*Entry) []*Entry {
 	for len(entries) > 0 && entries[0].Pending <= 0 {
