--- a/internal/catalog/account.go
+++ b/internal/catalog/account.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"crypto/subtle"
+	"slices"
 
 	"pulleyquay/internal/fairshare"
 )
@@ -22,7 +23,7 @@
 	Name string `cbor:"1,keyasint"`
 	// Keys holds the digests of the keys with which its callers authenticate.
 	Keys []KeyDigest `cbor:"2,keyasint,omitempty"`
-	// Weight is the account's share when capacity is exhausted; scheduling doesn't use it yet.
+	// Weight is the account's share when capacity is exhausted, relative to other accounts. See Catalog.Weighted.
 	Weight float64 `cbor:"3,keyasint,omitempty"`
 	// Quota bounds the resources of the account's running jobs, over all hosts.
 	Quota fairshare.Quota `cbor:"4,keyasint"`
@@ -52,6 +53,22 @@
 	return c.accounts[name]
 }
 
+// defaultWeight is the weight of accounts that have none, and of the work of no account.
+const defaultWeight = 1.0
+
+// Weighted reports whether any account has a weight. Without weights, work isn't ordered by the shares of accounts.
+func (c *Catalog) Weighted() bool {
+	return c != nil && slices.ContainsFunc(c.Accounts, func(a Account) bool { return a.Weight > 0 })
+}
+
+// WeightOf returns the weight of an account. It is 1 if the account has none, isn't configured, or has no name.
+func (c *Catalog) WeightOf(name string) float64 {
+	if a := c.Account(name); a != nil && a.Weight > 0 {
+		return a.Weight
+	}
+	return defaultWeight
+}
+
 // AccountOf returns the account that a key belongs to, or nil when the key isn't valid. Its duration reveals nothing
 // about a key, since it looks up the key's digest.
 func (c *Catalog) AccountOf(key string) *Account {
