engine: only steps that lack nothing but quota withhold it

Cause: a step withheld the quota of all its waiting tasks whenever the quota did not allow all of them, also while it waited for hosts or permission, and even if it needed more than the quota allows at all. An account that used 16,034 of 17,259 cores had 42,540 withheld. Change: a step withholds what it needs to start next (a task, or the gang), if quota is all that it lacks. One that lacks more as well does so once it is overdue, one step of an account at a time, as it would starve otherwise.

--- a/internal/engine/account.go
+++ b/internal/engine/account.go
@@ -25,8 +25,8 @@
 	// endedUsage and endedBackfill are the sizes of the tasks that may still run on such hosts for jobs that
 	// ended shortly before the failover.
 	endedUsage, endedBackfill spec.Resources
-	// withheld is the quota that is withheld in this scheduling pass for steps earlier in the queue.
-	withheld   spec.Resources
+	// withheld is the quota that is withheld in this scheduling pass for steps taken earlier.
+	withheld   withheldQuota
 	configured bool // the configuration names the account
 	atQuota    bool // last logged state: steps wait for the quota
 }
@@ -171,34 +171,13 @@
 	if e.catalog == nil {
 		return 0 // no configuration, and so no quota, has been loaded yet
 	}
-	n := a.quota.MaxTasks(e.maxUsage(a).Add(a.withheld), g.step.Size, g.waiting)
+	n := a.quota.MaxTasks(e.maxUsage(a).Add(a.withheld.Resources), g.step.Size, g.waiting)
 	if g.step.Gang && n < g.waiting {
 		return 0
 	}
 	return n
 }
 
-// withholdQuota withholds the quota that a step waits for from later steps of its account, also that of a
-// gang for which others were preempted. Otherwise small tasks would take quota as it comes free, and
-// earlier steps that need more at once would starve.
-func (e *Engine) withholdQuota(g *group, now time.Time) {
-	a := g.job.account
-	if a != nil && g.waiting > 0 && (now.Before(g.preemptedAt) || e.startableNow(g) < g.waiting) {
-		if a.withheld.IsZero() {
-			e.withheldAccounts = append(e.withheldAccounts, a)
-		}
-		a.withheld = a.withheld.Add(g.step.Size.Times(int64(g.waiting)))
-	}
-}
-
-// clearWithheld resets the withheld quota at the end of a scheduling pass.
-func (e *Engine) clearWithheld() {
-	for _, a := range e.withheldAccounts {
-		a.withheld = spec.Resources{}
-	}
-	e.withheldAccounts = e.withheldAccounts[:0]
-}
-
 // describeMissingQuota describes the quota that a step lacks to start any task; it returns an empty string
 // if the step does not wait for quota.
 func (e *Engine) describeMissingQuota(g *group) string {
@@ -211,7 +190,7 @@
 		return fmt.Sprintf("waits for its account's quota to rise: %s needs more at once than %s may have: %s", g.id, a.name, exceeded)
 	}
 	return fmt.Sprintf("waits for its account's quota: %s has %s, of it %s in doubt, and %s promised to steps before it",
-		a.name, a.quota.Exceeds(e.maxUsage(a).Add(a.withheld).Add(need)), describeSize(e.unconfirmedUsage(a)), describeSize(a.withheld))
+		a.name, a.quota.Exceeds(e.maxUsage(a).Add(a.withheld.Resources).Add(need)), describeSize(e.unconfirmedUsage(a)), describeSize(a.withheld.Resources))
 }
 
 func describeSize(r spec.Resources) string {
--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -32,7 +32,7 @@
 			continue
 		}
 		budget -= e.planStep(g, e.order.rank(), hosts, now)
-		e.withholdQuota(g, now)
+		budget -= e.withholdQuota(g, hosts, now)
 	}
 }
 
--- a/internal/fairshare/quota.go
+++ b/internal/fairshare/quota.go
@@ -80,3 +80,25 @@
 	}
 	return float64(used) / float64(total)
 }
+
+// ResourceSet is a set of the resources that a quota limits.
+type ResourceSet uint8
+
+// Lacking returns the resources of which the quota does not allow the needed amount beside the used one.
+func (q Quota) Lacking(used, need spec.Resources) (lacking ResourceSet) {
+	for i, d := range q.dimensions(used, need) {
+		if d.quota >= 0 && d.size > 0 && d.used+d.size > d.quota {
+			lacking |= 1 << i
+		}
+	}
+	return lacking
+}
+
+// Minus returns the resources of the set that are not in o.
+func (s ResourceSet) Minus(o ResourceSet) ResourceSet { return s &^ o }
+
+// Plus returns the resources of both sets.
+func (s ResourceSet) Plus(o ResourceSet) ResourceSet { return s | o }
+
+// IsEmpty reports whether the set has no resources.
+func (s ResourceSet) IsEmpty() bool { return s == 0 }
