--- a/internal/ctl/accounts.go
+++ b/internal/ctl/accounts.go
@@ -46,13 +46,15 @@
 
 func (a *app) printAccounts(d engine.Dump) error {
 	t := newTable(a.out)
-	for _, heading := range []string{"ACCOUNT", "SHARE", "OF QUOTA", "CORES", "MAY HAVE", "WAITING", "FOR QUOTA", "NEXT", "WHY"} {
+	for _, heading := range []string{"ACCOUNT", "WEIGHT", "SHARE", "ORDER", "OF QUOTA", "CORES", "MAY HAVE", "WAITING", "FOR QUOTA", "NEXT", "WHY"} {
 		t.cell(heading)
 	}
 	t.endRow()
 	for _, row := range d.Accounts {
 		t.cell(row.Account)
+		t.cell(weight(row.Weight))
 		t.cell(percent(row.Share))
+		t.cell(orderShares(row.Shares))
 		t.cell(percent(row.Full))
 		t.cell(strconv.FormatInt(row.Running.MilliCPU/1000, 10))
 		t.cell(quotaCores(row.Quota.MilliCPU))
@@ -67,6 +69,23 @@
 
 func percent(share float64) string { return fmt.Sprintf("%.0f%%", 100*share) }
 
+// weight formats the weight of an account; without weights it is empty.
+func weight(w float64) string {
+	if w == 0 {
+		return ""
+	}
+	return strconv.FormatFloat(w, 'g', -1, 64)
+}
+
+// orderShares formats the weighted shares that decide the order of an account's steps, by priority and service.
+func orderShares(shares []engine.AccountShare) string {
+	parts := make([]string, 0, len(shares))
+	for _, s := range shares {
+		parts = append(parts, fmt.Sprintf("%d/%s %.2f%%", s.Priority, s.Service, 100*s.Weighted))
+	}
+	return strings.Join(parts, ", ")
+}
+
 func quotaCores(milli int64) string {
 	if milli < 0 {
 		return "any"
@@ -97,6 +116,11 @@
 	if _, err := fmt.Fprintf(a.out, "%s: %s; account %q, queue %q %s\n", x.Job, x.State, x.Account, x.Queue, x.Why); err != nil {
 		return err
 	}
+	if x.Order != "" {
+		if _, err := fmt.Fprintln(a.out, x.Order); err != nil {
+			return err
+		}
+	}
 	t := newTable(a.out)
 	for _, heading := range []string{"STEP", "DONE", "RUNNING", "WAITING", "WHY"} {
 		t.cell(heading)
--- a/internal/ctl/accounts_test.go
+++ b/internal/ctl/accounts_test.go
@@ -13,10 +13,10 @@
 )
 
 const heldState = `{"held":[{"engine":{"accounts":[
- {"account":"crew","running":{"milli_cpu":8000},"quota":{"milli_cpu":8000,"memory_mib":-1,"accelerators":-1},"share":0.125,"full":1,"steps_waiting":3,"steps_waiting_for_quota":2,"next":"crew-1/0/0","next_why":"waits for its account's quota"},
+ {"account":"crew","running":{"milli_cpu":8000},"quota":{"milli_cpu":8000,"memory_mib":-1,"accelerators":-1},"weight":2.5,"share":0.125,"shares":[{"service":"s1","priority":0,"share":0.1,"weighted":0.04},{"service":"s2","priority":1,"weighted":0}],"full":1,"steps_waiting":3,"steps_waiting_for_quota":2,"next":"crew-1/0/0","next_why":"waits for its account's quota"},
  {"account":"other","running":{"milli_cpu":2500},"quota":{"milli_cpu":-1,"memory_mib":-1,"accelerators":-1},"share":0.04,"full":0}]}}]}`
 
-const explanation = `{"job":"5c0e7a21d94b36f8","account":"crew","queue":"q","state":"running","steps":[{"step":"5c0e7a21d94b36f8/0/1","done":1,"running":2,"waiting":3,"why":"has room for 0"}]}`
+const explanation = `{"job":"5c0e7a21d94b36f8","account":"crew","queue":"q","state":"running","order":"account crew runs 8 cores","steps":[{"step":"5c0e7a21d94b36f8/0/1","done":1,"running":2,"waiting":3,"why":"has room for 0"}]}`
 
 // adminServer serves the given responses by request URI, as a process's administration listener
 // does, and returns its address. Other requests get the result code job-unknown.
@@ -40,7 +40,7 @@
 	is.Equal(code, ExitOK)
 	lines := strings.Split(strings.TrimSpace(out), "\n")
 	is.Equal(len(lines), 3)
-	is.Equal(strings.Join(strings.Fields(lines[1]), " "), "crew 12% 100% 8 8 3 2 crew-1/0/0 waits for its account's quota")
+	is.Equal(strings.Join(strings.Fields(lines[1]), " "), "crew 2.5 12% 0/s1 4.00%, 1/s2 0.00% 100% 8 8 3 2 crew-1/0/0 waits for its account's quota")
 	is.Equal(strings.Join(strings.Fields(lines[2]), " "), "other 4% 0% 2 any 0 0")
 
 	code, _, errs := run([]string{"127.0.0.1:1"}, "accounts", adminServer(t, map[string]string{"/debug/state": `{}`}))
@@ -55,6 +55,7 @@
 	is.Equal(code, ExitOK)
 	is.True(strings.Contains(out, `account "crew"`))
 	is.True(strings.Contains(out, "has room for 0"))
+	is.True(strings.Contains(out, "account crew runs 8 cores"))
 	code, _, errs := run([]string{"127.0.0.1:1"}, "explain", addr, "x")
 	is.True(code != ExitOK)
 	is.True(strings.Contains(errs, "5201"))
--- a/internal/engine/dump_account.go
+++ b/internal/engine/dump_account.go
@@ -23,6 +23,10 @@
 	// Share is the account's dominant share of the cell's resources, Full that of its quota.
 	Share float64 `json:"share"`
 	Full  float64 `json:"full"`
+	// Weight is the account's weight, and Shares what decides the order of its steps; empty if no account
+	// has a weight.
+	Weight float64        `json:"weight,omitempty"`
+	Shares []AccountShare `json:"shares,omitempty"`
 	// Steps counts the steps that wait for their start, ForQuota those of them that wait for
 	// the account's quota.
 	Steps    int `json:"steps_waiting"`
@@ -34,12 +38,17 @@
 // AccountLoads returns the loads of all client accounts; those with most waiting steps first.
 func (e *Engine) AccountLoads(now time.Time) []AccountLoad {
 	total := e.placeableCapacity(now)
+	shares := e.accountShares(now)
 	rows := make(map[*account]*AccountLoad, len(e.accounts))
 	for _, a := range e.accounts {
 		maxUsage := e.maxUsage(a)
 		rows[a] = &AccountLoad{
 			Account: a.name, Running: maxUsage, InDoubt: e.unconfirmedUsage(a), Quota: a.quota,
 			Share: fairshare.DominantShare(maxUsage, total), Full: a.quota.Utilization(maxUsage),
+			Shares: shares[a.name],
+		}
+		if e.weighted {
+			rows[a].Weight = e.catalog.WeightOf(a.name)
 		}
 	}
 	for _, g := range e.queue {
@@ -103,7 +112,9 @@
 	Queue   string       `json:"queue,omitempty"`
 	State   record.State `json:"state"`
 	// Why is the reason for its end, if the state alone does not give it.
-	Why   string          `json:"why,omitempty"`
+	Why string `json:"why,omitempty"`
+	// Order is what decides the order of its steps among those of other accounts.
+	Order string          `json:"order,omitempty"`
 	Steps []ExplainedStep `json:"steps"`
 	// LeftOut counts the steps that were omitted from Steps.
 	LeftOut int `json:"steps_left_out,omitempty"`
@@ -127,7 +138,7 @@
 	if j == nil {
 		return Explanation{}, false
 	}
-	out := Explanation{Job: id, Account: j.rec.Account, Queue: j.rec.Queue, State: j.state, Why: cmp.Or(j.endReason, j.rec.Why), Steps: []ExplainedStep{}}
+	out := Explanation{Job: id, Account: j.rec.Account, Queue: j.rec.Queue, State: j.state, Why: cmp.Or(j.endReason, j.rec.Why), Order: e.explainOrder(j, now), Steps: []ExplainedStep{}}
 	for _, g := range j.groups {
 		if g.undone == 0 || j.state.Final() {
 			continue
--- a/internal/engine/explain.go
+++ b/internal/engine/explain.go
@@ -114,6 +114,7 @@
 	}
 	e.loadLoggedAt, e.waitsLogged = now, 0
 	e.logQuotaWaits(now)
+	e.logDelayedAccounts(now)
 	var size spec.Resources
 	queues, placeable := map[string]*queueLoad{}, 0
 	of := func(queue string) *queueLoad {
--- a/internal/holder/metrics.go
+++ b/internal/holder/metrics.go
@@ -28,6 +28,8 @@
 
 	// accounts has the usage and the waiting steps of at most maxAccountMetrics client accounts.
 	accounts *prometheus.GaugeVec
+	// shares has the shares by weight of the same accounts, by service and priority.
+	shares *prometheus.GaugeVec
 	// longRunningGaps has the longest gaps of at most maxQueueMetrics queues.
 	longRunningGaps *prometheus.GaugeVec
 
@@ -42,6 +44,7 @@
 // Values of the label "what" of the metric of client accounts.
 const (
 	accountShare         = "share"
+	accountWeight        = "weight"
 	accountFull          = "full"
 	accountStepsWaiting  = "steps_waiting"
 	accountStepsForQuota = "steps_waiting_for_quota"
@@ -51,12 +54,37 @@
 // maxAccountMetrics requires.
 func (m *Metrics) reportAccounts(loads []engine.AccountLoad) {
 	m.accounts.Reset()
+	m.shares.Reset()
 	for _, l := range loads[:min(len(loads), maxAccountMetrics)] {
 		m.accounts.WithLabelValues(l.Account, accountShare).Set(l.Share)
 		m.accounts.WithLabelValues(l.Account, accountFull).Set(l.Full)
 		m.accounts.WithLabelValues(l.Account, accountStepsWaiting).Set(float64(l.Steps))
 		m.accounts.WithLabelValues(l.Account, accountStepsForQuota).Set(float64(l.ForQuota))
+		if l.Weight > 0 {
+			m.accounts.WithLabelValues(l.Account, accountWeight).Set(l.Weight)
+		}
+		for _, s := range l.Shares {
+			m.reportShare(l.Account, s)
+		}
+	}
+}
+
+// Values of the label "what" of the metric of shares.
+const (
+	shareUsed         = "share"
+	shareWeighted     = "weighted"
+	shareStepsWaiting = "steps_waiting"
+	shareLongestWait  = "longest_wait_seconds"
+)
+
+func (m *Metrics) reportShare(account string, s engine.AccountShare) {
+	set := func(what string, value float64) {
+		m.shares.WithLabelValues(account, s.Service, strconv.Itoa(s.Priority), what).Set(value)
 	}
+	set(shareUsed, s.Share)
+	set(shareWeighted, s.Weighted)
+	set(shareStepsWaiting, float64(s.Steps))
+	set(shareLongestWait, (time.Duration(s.LongestMS) * time.Millisecond).Seconds())
 }
 
 // maxQueueMetrics bounds the number of queues with a metric of their long-running tasks. The queues with the
@@ -110,10 +138,13 @@
 	m.accounts = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "pulleyquay_holder_account", Help: "Client accounts of which most waits: their share of the cell, how full their quotas are (1: full), and the steps that wait, also for the quota alone.",
 	}, []string{"account", "what"})
+	m.shares = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "pulleyquay_holder_account_share", Help: "What decides the order of steps between client accounts, by service and priority: the share of the service's hosts that the account runs, that share by its weight, the steps that wait, and the longest wait that its quota allows to end.",
+	}, []string{"account", "service", "priority", "what"})
 	m.longRunningGaps = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "pulleyquay_holder_long_running_gap_seconds", Help: "Longest time for which a long-running task of the queue has had no run at work at present, of the queues with the longest.",
 	}, []string{"queue"})
-	reg.MustRegister(m.longRunningGaps, m.accounts, m.commits, m.writes, m.events, m.failed, m.crashes, m.decisions, m.waits, m.jobAge)
+	reg.MustRegister(m.longRunningGaps, m.accounts, m.shares, m.commits, m.writes, m.events, m.failed, m.crashes, m.decisions, m.waits, m.jobAge)
 	return m
 }
 
--- a/internal/holder/metrics_test.go
+++ b/internal/holder/metrics_test.go
@@ -62,3 +62,19 @@
 	is.Equal(testutil.CollectAndCount(m.longRunningGaps), 1)
 	is.Equal(testutil.ToFloat64(m.longRunningGaps.WithLabelValues("q1")), 0.0)
 }
+
+func TestSharesAreReported(t *testing.T) {
+	is := is.New(t)
+	m := NewMetrics(prometheus.NewRegistry())
+	m.reportAccounts([]engine.AccountLoad{{
+		Account: "crew", Weight: 2.5,
+		Shares: []engine.AccountShare{{Service: "s", Priority: 1, Share: 0.5, Weighted: 0.2, Steps: 3, LongestMS: 1500}},
+	}, {Account: "other"}})
+	is.Equal(testutil.ToFloat64(m.accounts.WithLabelValues("crew", accountWeight)), 2.5)
+	for what, want := range map[string]float64{shareUsed: 0.5, shareWeighted: 0.2, shareStepsWaiting: 3, shareLongestWait: 1.5} {
+		is.Equal(testutil.ToFloat64(m.shares.WithLabelValues("crew", "s", "1", what)), want)
+	}
+	is.Equal(testutil.CollectAndCount(m.shares), 4)
+	m.reportAccounts(nil)
+	is.Equal(testutil.CollectAndCount(m.shares), 0)
+}
