--- a/internal/engine/queue.go
+++ b/internal/engine/queue.go
@@ -194,13 +194,18 @@
 // start begins a pass over a queue that is sorted by compareSteps.
 func (o *stepOrder) start(queue []*group, weighted bool, now time.Time) {
 	o.weighted, o.queue, o.now, o.taken, o.last = weighted, queue, now, 0, nil
-	o.spare = append(o.spare, o.services...)
-	o.services = o.services[:0]
+	o.closePriority()
 	if weighted {
 		o.pass++
 	}
 }
 
+// closePriority puts the orders of the services aside for later use.
+func (o *stepOrder) closePriority() {
+	o.spare = append(o.spare, o.services...)
+	o.services = o.services[:0]
+}
+
 // rank returns the number of steps that were taken before the last one.
 func (o *stepOrder) rank() int { return o.taken - 1 }
 
@@ -238,6 +243,7 @@
 
 // openPriority divides the steps of the next priority into flows.
 func (o *stepOrder) openPriority() {
+	o.closePriority()
 	o.segment++
 	first, n := o.queue[0], 0
 	for n < len(o.queue) && samePriority(o.queue[n], first) {
--- a/internal/fairshare/order.go
+++ b/internal/fairshare/order.go
@@ -48,10 +48,11 @@
 	o.built = false
 }
 
-// Add adds a flow, which must have a head. All flows must be added before the first call of First.
+// Add adds a flow, which must have a head.
 func (o *Order[T]) Add(f *Flow[T]) {
 	f.share = WeightedShare(f.Used, o.flows.total, f.Weight)
 	o.flows.append(f)
+	o.built = false
 }
 
 // First returns the flow whose head is next, or nil if no flow is left.
