engine: failovers in succession no longer restart the wait for silent hosts

Cause: a holder waits for a host that does not report until authority and leases of all earlier holders are over, counted from its own claim. The store did not say that the holder before it had waited for the same host and had never reached it, so each failover started the wait anew.

Change: the roster states for each host that is silent since the failover how much is left of the wait (RosterHost.LeaseLeftMillis, lease_bound.go), stored again each second while hosts are silent. A host that answers after it was listed so gets no lease and no start before a roster without the bound is stored. The roster has its writer's epoch, and a bound counts for the next epoch alone.

--- a/internal/engine/commit.go
+++ b/internal/engine/commit.go
@@ -19,6 +19,8 @@
 	// openInRoster are the hosts that the batch stores as open in the roster, the stored list of the
 	// hosts that may have been given orders. Tasks are started only on open hosts; see roster.go.
 	openInRoster []*hostState
+	// hasRoster is true if the batch stores the roster.
+	hasRoster bool
 }
 
 // maxDeletesPerBatch bounds the job records deleted with one batch.
@@ -62,10 +64,14 @@
 	e.storePendingStarts()
 	b := &Batch{Seq: e.commits, pendingEnds: map[*hostState]int64{}}
 	if e.rosterOutdated {
-		e.rosterOutdated = false
+		e.rosterOutdated, b.hasRoster = false, true
 		roster := e.roster(now)
 		b.Groups = append(b.Groups, []platform.Write{putWrite(record.RosterKey(e.cfg.Partition), roster)})
 		for i, h := range e.hostsByID {
+			if roster.Hosts[i].LeaseLeftMillis > 0 {
+				e.listBound(h, b.Seq)
+				continue
+			}
 			if !roster.Hosts[i].Closed {
 				b.openInRoster = append(b.openInRoster, h) // nothing may be started on a host that is stored as closed
 			}
@@ -149,8 +155,11 @@
 func (e *Engine) Stored(b *Batch, now time.Time) {
 	e.durable = b.Seq
 	e.confirmPlacements()
+	if b.hasRoster {
+		e.confirmBounds(b.Seq, now)
+	}
 	for _, h := range b.openInRoster {
-		if !h.closeInRoster && (h.claimed || !h.expiredUnreported) { // the host may have been closed meanwhile
+		if !h.closeInRoster && !e.leaseWithheld(h.info.ID) && (h.claimed || !h.expiredUnreported) { // the host may have been closed meanwhile
 			h.openInRoster = true
 		}
 	}
--- a/internal/engine/dump.go
+++ b/internal/engine/dump.go
@@ -200,7 +200,7 @@
 	case h.knowsClock():
 		row.LeaseOverMillis = millisUntil(e.leasesExpireAt(h), now)
 	case h.inherited:
-		row.LeaseOverMillis = millisUntil(e.reconcileDeadline, now)
+		row.LeaseOverMillis = millisUntil(e.leasesOver(h), now)
 	}
 	return row
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -101,6 +101,11 @@
 	reconciling bool
 	// reconcileDeadline is when hosts that have not reported since the failover can run nothing any more.
 	reconcileDeadline time.Time
+	// loadedAt is when this process loaded the stored state; boundsStoredAt is when the roster was last due
+	// for its lease bounds. listedBounds are the hosts that may be listed with a bound in the store, with the
+	// last batch that lists them so; see lease_bound.go.
+	loadedAt, boundsStoredAt time.Time
+	listedBounds             map[host.ID]uint64
 	// authorityUntil is the time until which this process may issue orders.
 	authorityUntil time.Time
 	// deposed is true once a host has reported a later holder.
@@ -211,6 +216,7 @@
 		pools:                 map[string]*servicePool{},
 		presumedEnded:         map[string]time.Time{},
 		longRunning:           map[*group]struct{}{},
+		listedBounds:          map[host.ID]uint64{},
 	}
 }
 
--- a/internal/engine/lost.go
+++ b/internal/engine/lost.go
@@ -96,6 +96,7 @@
 	e.losses.Expire(now)
 	e.processDecisions(now)
 	e.expirePresumedEnded(now)
+	e.refreshLeaseBounds(now)
 	for _, h := range slices.Clone(e.hostsByID) {
 		e.limitStaleCapacity(h, now)
 		e.closeUnresponsive(h, now)
--- a/internal/engine/roster.go
+++ b/internal/engine/roster.go
@@ -19,7 +19,7 @@
 
 // roster returns the roster that is to be stored.
 func (e *Engine) roster(now time.Time) record.Roster {
-	out := record.Roster{CapacityRatio: e.reduction.share, UnattributedFailures: e.losses.Unattributed(), PlacementsStored: e.placementsStored}
+	out := record.Roster{Epoch: e.cfg.Epoch, CapacityRatio: e.reduction.share, UnattributedFailures: e.losses.Unattributed(), PlacementsStored: e.placementsStored}
 	for _, h := range e.hostsByID {
 		out.Hosts = append(out.Hosts, e.rosterHost(h, now))
 	}
@@ -27,7 +27,7 @@
 }
 
 func (e *Engine) rosterHost(h *hostState, now time.Time) record.RosterHost {
-	r := record.RosterHost{ID: string(h.info.ID), Addr: h.info.Addr, Incarnation: int64(h.incarnation)}
+	r := record.RosterHost{ID: string(h.info.ID), Addr: h.info.Addr, Incarnation: int64(h.incarnation), LeaseLeftMillis: e.leaseLeftMillis(h, now)}
 	switch {
 	case h.claimed && h.closeInRoster:
 		r.Closed = true
@@ -38,7 +38,7 @@
 		r.Closed = true // nothing was ever started there
 	case h.claimed || !h.inherited:
 		// open
-	case !now.Before(e.reconcileDeadline):
+	case !now.Before(e.leasesOver(h)):
 		r.Closed = true // the leases of earlier holders have expired there
 	case h.inheritedClosed:
 		r.Closed = true
@@ -103,6 +103,7 @@
 		}
 		h.nextPollAt, h.inherited, h.inheritedClosed = now, true, r.Closed
 		h.incarnation = host.Incarnation(r.Incarnation)
+		e.applyLeaseBound(h, r, roster.Epoch, now)
 		e.inheritedHosts++
 		for _, t := range r.Tasks {
 			task := spec.StepTask{StepID: spec.StepID{Job: t.Job, Occurrence: t.Occurrence, Step: t.Step}, Index: t.Index}
@@ -120,7 +121,7 @@
 // isUnreported reports whether runs of earlier holders may be on a host that has not
 // reported to this holder.
 func (e *Engine) isUnreported(h *hostState, now time.Time) bool {
-	return h.inherited && !h.claimed && !h.terminated && now.Before(e.reconcileDeadline)
+	return h.inherited && !h.claimed && !h.terminated && now.Before(e.leasesOver(h))
 }
 
 // releasePossibleRuns releases the tasks that are held back because they may run on a host: the
@@ -145,7 +146,7 @@
 // expireUnreported releases the tasks of an inherited host that has not reported once every
 // lease there has expired. It closes the host in the roster, or forgets it unless it is listed.
 func (e *Engine) expireUnreported(h *hostState, now time.Time) {
-	if !h.inherited || h.claimed || now.Before(e.reconcileDeadline) {
+	if !h.inherited || h.claimed || now.Before(e.leasesOver(h)) {
 		return
 	}
 	if len(h.possibleRuns) > 0 {
--- a/internal/engine/view.go
+++ b/internal/engine/view.go
@@ -52,13 +52,13 @@
 func (e *Engine) poll(h *hostState, now time.Time) {
 	p := host.Poll{AckedEnds: h.endsAcked, Incarnation: h.incarnation}
 	if now.Before(e.authorityUntil) {
-		if h.knowsClock() && h.unresponsiveSince.IsZero() {
+		if h.knowsClock() && h.unresponsiveSince.IsZero() && !e.leaseWithheld(h.info.ID) {
 			// No renewal for an unresponsive host: each one would postpone the time after
 			// which nothing can run there.
 			p.Lease = h.deadline(now, e.cfg.Bounds.MaxLease)
 			h.leased = max(h.leased, p.Lease)
 		}
-		if h.claimed && len(h.runs) > 0 && h.unresponsiveSince.IsZero() && h.endsProcessed == h.endsAcked {
+		if p.Lease > 0 && h.claimed && len(h.runs) > 0 && h.endsProcessed == h.endsAcked {
 			p.Wait = e.cfg.Tuning.PollWait
 			if h.mixesBackfill() {
 				p.Wait = sampleInterval
@@ -162,6 +162,8 @@
 // Stored moves it forward.
 func (e *Engine) nextPoll(h *hostState, first, ended bool, now time.Time) time.Time {
 	switch {
+	case e.leaseWithheld(h.info.ID):
+		return now.Add(e.cfg.Tuning.PollRetryInterval) // Stored moves it forward
 	case first && len(h.runs) > 0:
 		return now // the first poll renewed no lease, as the host's clock was not known
 	case ended || h.endsProcessed > h.endsAcked:
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -225,6 +225,8 @@
 	// PlacementsStored is true if no run of a long-running task was ordered before the progress record of its
 	// job listed the run. Holders of former versions leave it out.
 	PlacementsStored bool `cbor:"5,keyasint,omitempty"`
+	// Epoch is that of the holder that wrote the roster. Holders of former versions leave it out.
+	Epoch uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // RosterHost is a host in a Roster, the list of the hosts that may have received orders
@@ -238,6 +240,10 @@
 	Tasks  []RosterTask `cbor:"4,keyasint,omitempty"`
 	// Incarnation is the incarnation of the host that last answered the holder; zero if unknown.
 	Incarnation int64 `cbor:"5,keyasint,omitempty"`
+	// LeaseLeftMillis bounds the leases on a host that has not answered the writing holder: all of them are
+	// over so many milliseconds after the roster was written, if the next holder is that of the next epoch.
+	// Zero means that no bound is known.
+	LeaseLeftMillis int64 `cbor:"6,keyasint,omitempty"`
 }
 
 // RosterTask identifies a run of a task that may be on a closed host.
