runtimes: quantile of the run time of a task

Copies of late tasks need the run time that nearly all tasks like one do not exceed. Estimator keeps the mean squared difference between the logarithms of run times and their estimates, and Quantile derives the bound from it. ExpectedRunTime is unchanged.

--- a/internal/runtimes/runtimes.go
+++ b/internal/runtimes/runtimes.go
@@ -26,6 +26,10 @@
 	// of the run time divided by the declared one. runTimeSq and logErrorSq are the means
 	// of their squares.
 	runTime, runTimeSq, logError, logErrorSq float64
+	// residualSq is the mean of the squared differences between the logarithms of the run times and their
+	// estimates, residuals the number of estimates that were compared.
+	residualSq float64
+	residuals  int
 }
 
 // NewEstimator returns a learner without samples, which estimates the declared run times.
@@ -41,9 +45,10 @@
 		f = &queueStats{}
 		l.queues[queue] = f
 	}
+	logTime, logError := math.Log(runTime.Seconds()), math.Log(float64(runTime)/float64(declared))
+	f.observeResidual(declared, logTime)
 	f.n++
 	step := 1 / float64(min(f.n, sampleWindow))
-	logTime, logError := math.Log(runTime.Seconds()), math.Log(float64(runTime)/float64(declared))
 	f.runTime += step * (logTime - f.runTime)
 	f.runTimeSq += step * (logTime*logTime - f.runTimeSq)
 	f.logError += step * (logError - f.logError)
@@ -58,6 +63,37 @@
 	if f == nil || f.n < minSamples || declared <= 0 {
 		return declared
 	}
+	return f.estimate(declared)
+}
+
+// observeResidual compares the estimate for a task with its run time.
+func (f *queueStats) observeResidual(declared time.Duration, logTime float64) {
+	if f.n < minSamples {
+		return
+	}
+	f.residuals++
+	residual := logTime - math.Log(f.estimate(declared).Seconds())
+	f.residualSq += (residual*residual - f.residualSq) / float64(min(f.residuals, sampleWindow))
+}
+
+// minResiduals is the number of compared estimates from which on quantiles are estimated: the relative error
+// of a standard deviation from 30 samples is an eighth.
+const minResiduals = 30
+
+// Quantile estimates the run time that a task does not exceed with probability p, between 0 and 1. It takes
+// the errors of the estimates as normally distributed logarithms. The second result is false while too few
+// tasks of the queue have ended.
+func (l *Estimator) Quantile(queue string, declared time.Duration, p float64) (time.Duration, bool) {
+	f := l.queues[queue]
+	if f == nil || f.residuals < minResiduals || declared <= 0 {
+		return 0, false
+	}
+	deviations := math.Sqrt2 * math.Erfinv(2*p-1)
+	return time.Duration(float64(f.estimate(declared)) * math.Exp(deviations*math.Sqrt(f.residualSq))), true
+}
+
+// estimate returns the estimated run time of a task.
+func (f *queueStats) estimate(declared time.Duration) time.Duration {
 	timeVariance := max(f.runTimeSq-f.runTime*f.runTime, 0)
 	errorVariance := max(f.logErrorSq-f.logError*f.logError, 0)
 	if timeVariance+errorVariance == 0 {
--- a/internal/runtimes/runtimes_test.go
+++ b/internal/runtimes/runtimes_test.go
@@ -64,3 +64,55 @@
 	l.AddSample("q", 0, time.Second) // ignored
 	is.Equal(l.ExpectedRunTime("q", 0), time.Duration(0))
 }
+
+// TestQuantile checks that the quantile covers the share of the run times that it names, whatever
+// the accuracy of the declared run times. Too low a quantile would make ordinary runs count as late.
+func TestQuantile(t *testing.T) {
+	tests := map[string]struct{ spread, estimateError, bias float64 }{
+		"accurate declarations":       {0.5, 0.05, 1},
+		"inaccurate declarations":     {0.3, 0.9, 1},
+		"equal declarations":          {0.2, 0, 1},
+		"declarations twice too long": {0.5, 0.2, 2},
+	}
+	const p, n = 0.98, 20_000
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			rnd := rand.New(rand.NewPCG(3, 4))
+			l := NewEstimator()
+			above, asked := 0, 0
+			for range n {
+				took := time.Duration(math.Exp(tc.spread*rnd.NormFloat64()) * float64(time.Second))
+				declared := time.Duration(tc.bias * float64(took) * math.Exp(tc.estimateError*rnd.NormFloat64()))
+				if tc.estimateError == 0 {
+					declared = time.Second // the same for all tasks
+				}
+				if q, ok := l.Quantile("q", declared, p); ok {
+					asked++
+					if took > q {
+						above++
+					}
+				}
+				l.AddSample("q", declared, took)
+			}
+			if share := float64(above) / float64(asked); share > 2*(1-p) || share < (1-p)/8 {
+				t.Errorf("%.4f of the run times exceed the quantile, want about %.2f", share, 1-p)
+			}
+		})
+	}
+}
+
+func TestQuantileNeedsSamples(t *testing.T) {
+	is := is.New(t)
+	l := NewEstimator()
+	for range minSamples + minResiduals - 1 {
+		l.AddSample("q", time.Second, 2*time.Second)
+	}
+	_, ok := l.Quantile("q", time.Second, 0.98)
+	is.True(!ok)
+	l.AddSample("q", time.Second, 2*time.Second)
+	d, ok := l.Quantile("q", time.Second, 0.98)
+	is.True(ok)
+	is.True(math.Abs(d.Seconds()-2) < 0.001) // run times without spread
+	_, ok = l.Quantile("q", 0, 0.98)
+	is.True(!ok)
+}
