--- a/internal/runtimes/runtimes.go
+++ b/internal/runtimes/runtimes.go
@@ -72,7 +72,7 @@
 		return
 	}
 	f.residuals++
-	residual := logTime - math.Log(f.estimate(declared).Seconds())
+	residual := logTime - math.Log(max(f.estimate(declared), time.Nanosecond).Seconds())
 	f.residualSq += (residual*residual - f.residualSq) / float64(min(f.residuals, sampleWindow))
 }
 
