engine: copies of late tasks of speculative steps

A late run of a task was waited for, or restarted after its host's call had timed out and two polls and a stop were answered, about 0.3 to 0.5 s after the order. A short task has 0.28 s of slack.

Existing files have one-line hooks.

--- /dev/null
+++ b/internal/engine/copies.go
@@ -0,0 +1,450 @@
+package engine
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"pulleyquay/internal/crashloop"
+	"pulleyquay/internal/speculation"
+)
+
+// The copies of late tasks: the calls of package speculation. A late run of a speculative step gets a copy, a
+// second run of its task on another host; see pairs.go and docs/design/late-task-copies.md.
+
+const (
+	// copyCheckInterval is the interval between checks for late runs, besides at the times at which known
+	// runs become late: a fraction of the shortest time after which a host counts as unresponsive.
+	copyCheckInterval = 25 * time.Millisecond
+	// minCopyCheckInterval bounds the checks per second, each of which takes time for every such run.
+	minCopyCheckInterval = 10 * time.Millisecond
+	// copyRetryDelay is the delay before a late run without a copy is considered again. Tickets take about
+	// as long, and capacity may have come free.
+	copyRetryDelay = 40 * time.Millisecond
+	// failedCopyDelay is the delay before another copy of a task after one that ended without a result.
+	failedCopyDelay = 100 * time.Millisecond
+	// maxCopySearches bounds the late runs for which a host is searched in one check, which takes as long as
+	// the attempt of a waiting step.
+	maxCopySearches = 8
+	// costSameRack is the placement cost of the rack of the first run for a copy, as racks fail and slow
+	// down as a whole. It is less than that of remote data, with which the copy would take twice as long.
+	costSameRack = 40.0
+)
+
+// copyBook is the state of the copies of late tasks.
+type copyBook struct {
+	// groups are the live speculative steps with runs.
+	groups map[*group]struct{}
+	// checkedAt is when runs were last checked, dueAt when the next known run becomes late.
+	checkedAt, dueAt time.Time
+	// held are the end records whose acknowledgement is held back.
+	held []heldEnd
+	// totals are the totals by queue since the last call of TakeCopyTotals.
+	totals map[string]*CopyTotals
+	// refusalsLogged counts the refusals logged since loggedAt.
+	refusalsLogged int
+	loggedAt       time.Time
+}
+
+// watchCopies has the runs of a step checked for late ones if they may be copied.
+func (e *Engine) watchCopies(g *group) {
+	if !g.copyable() {
+		return
+	}
+	if e.copies.groups == nil {
+		e.copies.groups = map[*group]struct{}{}
+	}
+	e.copies.groups[g] = struct{}{}
+	if due := e.now.Add(copyCheckInterval); e.copies.dueAt.IsZero() || due.Before(e.copies.dueAt) {
+		e.copies.dueAt = due
+	}
+}
+
+// lateRun is the current run of a task that is late.
+type lateRun struct {
+	*run
+	since time.Time
+	cause speculation.Cause
+}
+
+// runCount counts the tasks of a queue or a step with a run, and the late ones.
+type runCount struct{ running, late int }
+
+// runSurvey is the result of a check for late runs.
+type runSurvey struct {
+	late    []lateRun // without a second run
+	byQueue map[string]*runCount
+	byGroup map[*group]runCount
+	pairs   int
+	// nextAt is when the next of the other runs becomes late, zero if none does.
+	nextAt time.Time
+	// runs counts the runs of all hosts, and waiting has the services and priorities of which steps wait for
+	// capacity. Both are computed once there is a late run.
+	runs    int
+	waiting map[waitingClass]struct{}
+}
+
+// waitingClass is a service and a priority of steps that wait for capacity.
+type waitingClass struct {
+	service  string
+	priority int
+}
+
+// planCopies starts copies of late runs.
+func (e *Engine) planCopies(now time.Time) {
+	b := &e.copies
+	if len(b.groups) == 0 || now.Sub(b.checkedAt) < minCopyCheckInterval || now.Before(b.dueAt) && now.Sub(b.checkedAt) < copyCheckInterval {
+		return
+	}
+	s := e.surveyRuns(now)
+	b.checkedAt, b.dueAt = now, s.nextAt
+	if !s.nextAt.IsZero() {
+		b.dueAt = later(s.nextAt, now.Add(minCopyCheckInterval))
+	}
+	if len(s.late) == 0 {
+		return
+	}
+	if retry := now.Add(copyRetryDelay); b.dueAt.IsZero() || retry.Before(b.dueAt) {
+		b.dueAt = retry
+	}
+	e.measureUnreported(now)
+	s.runs, s.waiting = e.countRuns(), e.waitingClasses(now)
+	searches := 0
+	for _, l := range s.late {
+		refusal := e.refuseCopy(l, &s, now)
+		if refusal == speculation.Permitted && searches < maxCopySearches {
+			searches++
+			refusal = e.placeCopy(l, now)
+			if refusal == speculation.Permitted {
+				s.pairs++
+				continue
+			}
+		}
+		e.recordCopyRefusal(l, refusal, &s, now)
+	}
+}
+
+// surveyRuns checks the runs of speculative steps, and drops the steps without any.
+func (e *Engine) surveyRuns(now time.Time) runSurvey {
+	s := runSurvey{byQueue: map[string]*runCount{}, byGroup: map[*group]runCount{}}
+	for g := range e.copies.groups {
+		if !e.surveyGroup(g, &s, now) {
+			delete(e.copies.groups, g)
+		}
+	}
+	slices.SortFunc(s.late, func(a, b lateRun) int {
+		return cmp.Or(compareSteps(a.group, b.group), a.since.Compare(b.since), cmp.Compare(a.Task.Index, b.Task.Index))
+	})
+	return s
+}
+
+// surveyGroup checks the runs of one step. It reports whether there are any.
+func (e *Engine) surveyGroup(g *group, s *runSurvey, now time.Time) bool {
+	if g.job.state.Final() || g.undone == 0 {
+		return false
+	}
+	count := s.byQueue[g.job.rec.Queue]
+	if count == nil {
+		count = &runCount{}
+		s.byQueue[g.job.rec.Queue] = count
+	}
+	var own runCount
+	limits := e.lateLimits(g)
+	for i := range g.tasks {
+		t := &g.tasks[i]
+		if t.state != taskActive || t.cur == nil {
+			continue
+		}
+		own.running++
+		at, cause := limits.of(t.cur).LateAt()
+		late := cause != speculation.NotLate && !now.Before(at)
+		if late {
+			own.late++
+		}
+		switch {
+		case t.second != nil:
+			s.pairs++
+		case late && !now.Before(t.retryAt):
+			s.late = append(s.late, lateRun{t.cur, at, cause})
+		case cause != speculation.NotLate:
+			s.expect(later(at, t.retryAt))
+		}
+	}
+	count.running += own.running
+	count.late += own.late
+	s.byGroup[g] = own
+	return own.running > 0
+}
+
+// expect records when a run becomes late.
+func (s *runSurvey) expect(at time.Time) {
+	if s.nextAt.IsZero() || at.Before(s.nextAt) {
+		s.nextAt = at
+	}
+}
+
+// lateLimits are the times after which runs of a step are late.
+type lateLimits struct{ expected, nearlyAll, patience time.Duration }
+
+func (e *Engine) lateLimits(g *group) lateLimits {
+	nearlyAll, _ := e.runtimes.Quantile(g.job.rec.Queue, g.step.Estimate(), speculation.LateQuantile)
+	return lateLimits{g.expected, nearlyAll, speculation.Patience(g.expected, g.job.rec.Rules.CriticalPathFactor)}
+}
+
+// of describes a run for package speculation.
+func (l lateLimits) of(r *run) speculation.Run {
+	out := speculation.Run{
+		OrderedAt: r.orderedAt, UnresponsiveSince: r.placedOn.unresponsiveSince, PredictedEnd: r.predictedEnd(),
+		Expected: l.expected, NearlyAll: l.nearlyAll, Patience: l.patience,
+	}
+	if r.acknowledged {
+		out.AcknowledgedAt = r.confirmedAt
+	}
+	if r.stopRequested {
+		out.NearlyAll = 0 // its end arrives soon if its host answers
+	}
+	return out
+}
+
+// predictedEnd returns when the run ends according to its progress; zero if it has not been observed for long
+// enough.
+func (r *run) predictedEnd() time.Time {
+	observed, done := r.progressAt.Sub(r.firstAt), r.percent-r.firstPercent
+	if r.firstAt.IsZero() || observed <= minRateWindow || done <= 0 {
+		return time.Time{}
+	}
+	return r.progressAt.Add(time.Duration((percentDone - r.percent) / done * float64(observed)))
+}
+
+// refuseCopy returns the reason for which a late run may not have a copy at present, apart from the lack of
+// a host.
+func (e *Engine) refuseCopy(l lateRun, s *runSurvey, now time.Time) speculation.Refusal {
+	g := l.group
+	t := &g.tasks[l.Task.Index]
+	task := speculation.Task{
+		Copyable: g.copyable(), Suspect: l.mayCrashHost(), SilentHosts: g.job.silentHosts(),
+		Failures: len(t.failed), MaxAttempts: g.job.rec.Rules.MaxAttempts,
+		OtherRun: t.second != nil || t.possible || e.startBlocked(g, t), Copies: t.copies, Expired: g.job.urgency == expired,
+	}
+	if refusal := task.Refuse(); refusal != speculation.Permitted {
+		return refusal
+	}
+	queue, step := s.byQueue[g.job.rec.Queue], s.byGroup[g]
+	load := speculation.Load{
+		QueueRunning: queue.running, QueueLate: queue.late, StepRunning: step.running, StepLate: step.late,
+		Running: s.runs, Copies: s.pairs, StepsWait: s.stepsWait(g),
+	}
+	if refusal := load.Refuse(); refusal != speculation.Permitted {
+		return refusal
+	}
+	if !e.quotaForCopy(g) {
+		return speculation.NoQuota
+	}
+	return speculation.Permitted
+}
+
+// mayCrashHost reports whether hosts have crashed under a task of the run's job, or there is evidence that
+// the run's host has crashed. Its crash is attributed first.
+func (r *run) mayCrashHost() bool {
+	for _, g := range r.group.job.groups {
+		if g.suspicion != crashloop.Unsuspected {
+			return true
+		}
+	}
+	h := r.placedOn
+	return h.processEnded || h.terminated || !h.unreachableSince.IsZero() || !h.connBrokenAt.IsZero() || len(h.pendingAttributions) > 0
+}
+
+// silentHosts counts the unresponsive hosts with runs of the job.
+func (j *job) silentHosts() int {
+	silent := map[*hostState]struct{}{}
+	for _, g := range j.groups {
+		for h := range g.perHost {
+			if !h.unresponsiveSince.IsZero() {
+				silent[h] = struct{}{}
+			}
+		}
+	}
+	return len(silent)
+}
+
+// countRuns counts the recorded runs of all hosts.
+func (e *Engine) countRuns() (n int) {
+	for _, h := range e.hostsByID {
+		n += len(h.runs)
+	}
+	return n
+}
+
+// usualStartQueries is how many policy queries a step usually needs before it starts; one that has waited
+// for longer waits for capacity.
+const usualStartQueries = 2
+
+// waitingClasses returns the services and priorities of which steps wait for capacity. Steps that wait for
+// their accounts' quotas, and those of jobs without value, do not count.
+func (e *Engine) waitingClasses(now time.Time) map[waitingClass]struct{} {
+	out := map[waitingClass]struct{}{}
+	for _, g := range e.queue {
+		class := waitingClass{g.job.rec.Service, g.job.rec.Rules.Priority}
+		if _, known := out[class]; known || !g.ready || g.waiting == 0 || g.job.expiredRank() > 0 {
+			continue
+		}
+		if now.Sub(g.readySince) > e.usualStart(g) && e.startableNow(g) > 0 {
+			out[class] = struct{}{}
+		}
+	}
+	return out
+}
+
+// stepsWait reports whether other steps of the same or a more urgent priority than g wait for capacity.
+func (s *runSurvey) stepsWait(g *group) bool {
+	for class := range s.waiting {
+		if class.service == g.job.rec.Service && class.priority <= g.job.rec.Rules.Priority {
+			return true
+		}
+	}
+	return false
+}
+
+// usualStart returns how long a step usually waits for its start if there is capacity.
+func (e *Engine) usualStart(g *group) time.Duration {
+	wait := maxPassDelay
+	if rules := g.job.rec.Rules.PolicyQuery; rules != nil {
+		wait += usualStartQueries * rules.QueryDuration(e.cfg.Tuning.MaxHostsPerQuery)
+	}
+	return wait
+}
+
+// quotaForCopy reports whether the account of a step has quota for a copy that no waiting step of it needs.
+func (e *Engine) quotaForCopy(g *group) bool {
+	a := g.job.account
+	if a == nil {
+		return true
+	}
+	if e.catalog == nil || a.quota.MaxTasks(e.maxUsage(a), g.step.Size, 1) < 1 {
+		return false
+	}
+	return !slices.ContainsFunc(e.queue, func(other *group) bool {
+		return other.job.account == a && other.ready && e.startableNow(other) < other.waiting
+	})
+}
+
+// placeCopy starts a copy of a late run on the best host, or queries the policy service.
+func (e *Engine) placeCopy(l lateRun, now time.Time) speculation.Refusal {
+	g := l.group
+	hosts := e.placeableHosts(now)
+	if h := e.copyHost(l.run, e.permittedHosts(g, hosts, now), now); h != nil {
+		e.startCopy(l, h, now)
+		return speculation.Permitted
+	}
+	if g.job.rec.Rules.PolicyQuery == nil {
+		return speculation.NoHost
+	}
+	if !e.queriesWait() {
+		e.queryForTasks(g, hosts, now)
+	}
+	if g.policy.openQueries > 0 {
+		return speculation.NoTicket
+	}
+	return speculation.NoHost
+}
+
+// queriesWait reports whether a waiting step may still need a query to the policy service.
+func (e *Engine) queriesWait() bool {
+	return slices.ContainsFunc(e.queue, func(g *group) bool {
+		return g.ready && g.waiting > 0 && g.job.rec.Rules.PolicyQuery != nil && g.policy.openQueries == 0
+	})
+}
+
+// copyHost returns the best host for a copy of a run, or nil: one that answers, other than that of the run.
+func (e *Engine) copyHost(first *run, permitted []*hostState, now time.Time) *hostState {
+	g := first.group
+	size := g.step.Allocation()
+	var best *hostState
+	var lowest float64
+	for _, h := range permitted {
+		if h == first.placedOn || !h.unresponsiveSince.IsZero() || !g.belowHostLimit(h) || !size.Fits(e.capacityFor(g, h, now)) || !e.startAllowed(g, h, now) {
+			continue
+		}
+		if cost := e.copyCost(first, h); best == nil || cost < lowest {
+			best, lowest = h, cost
+		}
+	}
+	return best
+}
+
+// copyCost returns the placement cost of a copy of a run on a host. Copies are latency-sensitive whatever
+// their queue is.
+func (e *Engine) copyCost(first *run, h *hostState) float64 {
+	g := first.group
+	cost := e.cost(g, h)
+	if !g.latencySensitive() {
+		cost += (costSlowHost + gainSlowHost) * (h.relativeRunTime() - 1)
+	}
+	if h.info.Rack == first.placedOn.info.Rack {
+		cost += costSameRack
+	}
+	if g.tasks[first.Task.Index].avoid == h.info.ID {
+		cost += costFailedBefore
+	}
+	return cost
+}
+
+// startCopy starts a second run of the task of a late run on a host, from where the late one started.
+func (e *Engine) startCopy(l lateRun, h *hostState, now time.Time) {
+	g, i := l.group, l.Task.Index
+	t := &g.tasks[i]
+	first := t.cur
+	e.orderStart(g, i, e.nextRunNumber(t.run), h, t.checkpoint, now)
+	t.cur, t.second = first, t.cur
+	t.second.copyOf = first.No
+	t.copies++
+	t.refusal = speculation.Permitted
+	e.copyTotals(g).Started++
+	e.logCopy("copy started", string(l.cause), t.second, now)
+}
+
+// logCopy logs what has become of a copy.
+func (e *Engine) logCopy(what, kind string, c *run, now time.Time) {
+	why := fmt.Sprintf("%s; task %d, run %d", kind, c.Task.Index, c.No)
+	if first := c.other(); first != nil {
+		why = fmt.Sprintf("%s beside run %d on %s (%s, %v after its order, host unresponsive for %v)", why,
+			first.No, first.placedOn.info.ID, first.state, now.Sub(first.orderedAt).Round(time.Millisecond), first.placedOn.unresponsiveFor(now).Round(time.Millisecond))
+	}
+	e.log(Event{What: what, Kind: kind, Job: c.Task.Job, Step: c.Task.StepID.String(), Host: string(c.placedOn.info.ID), Why: why, Age: now.Sub(c.orderedAt)})
+}
+
+// other returns the other run of the task of a run, or nil.
+func (r *run) other() *run {
+	t := &r.group.tasks[r.Task.Index]
+	switch r {
+	case t.cur:
+		return t.second
+	case t.second:
+		return t.cur
+	}
+	return nil
+}
+
+// recordCopyRefusal records and logs why a late run got no copy.
+func (e *Engine) recordCopyRefusal(l lateRun, refusal speculation.Refusal, s *runSurvey, now time.Time) {
+	t := &l.group.tasks[l.Task.Index]
+	if refusal == speculation.Permitted || refusal == t.refusal {
+		return
+	}
+	t.refusal = refusal
+	b := &e.copies
+	if now.Sub(b.loggedAt) >= loadLogInterval {
+		b.loggedAt, b.refusalsLogged = now, 0
+	}
+	if b.refusalsLogged++; b.refusalsLogged > maxWaitsLogged {
+		return
+	}
+	queue := s.byQueue[l.group.job.rec.Queue]
+	e.log(Event{
+		What: "late run not copied", Kind: string(refusal), Job: l.Task.Job, Step: l.Task.StepID.String(), Host: string(l.placedOn.info.ID), Age: now.Sub(l.orderedAt),
+		Why: fmt.Sprintf("%s; task %d, run %d, %s for %v; %d of %d runs of speculative steps of the queue are late, %d tasks have two runs",
+			refusal, l.Task.Index, l.No, l.cause, now.Sub(l.since).Round(time.Millisecond), queue.late, queue.running, s.pairs),
+	})
+}
--- a/internal/engine/crash.go
+++ b/internal/engine/crash.go
@@ -170,6 +170,7 @@
 	}
 	t.crashes = t.crashes.Reassess(rate).Append(c)
 	g.updateSuspicion()
+	e.watchRemaining(g, t, evidence.Host)
 	g.job.crashesUnsaved = true
 	e.markDirty(g.job)
 	e.log(Event{What: "crash held against task", Kind: c.Observation(), Job: g.job.id(), Step: g.id.String(), Host: c.Host, Why: fmt.Sprintf("task %d: %s", r.Task.Index, t.crashes)})
--- a/internal/engine/ends.go
+++ b/internal/engine/ends.go
@@ -14,6 +14,7 @@
 	r := h.runs[end.Run]
 	if r != nil {
 		r.recordWorkEnd(now)
+		e.recordRunRemoved(r, end.EndReason, now)
 		e.removeRun(r)
 		if end.Checkpoint != "" {
 			r.checkpoint = end.Checkpoint
@@ -36,7 +37,9 @@
 		h.recordSuccess()
 		e.observeRunTime(r, now)
 		e.observeSpeed(r, now)
+		e.recordDone(g, r, now)
 		e.taskDone(g, i, now)
+		e.holdDone(h, end, g, now)
 	case host.EndFailed:
 		if !g.failedElsewhere(i, h, now) {
 			e.recordFailure(h, g.job.id(), now)
@@ -71,6 +74,7 @@
 	}
 	if t.cur != nil && !g.step.Gang {
 		e.requestStop(t.cur, "another run has completed its task")
+		e.stopSecond(t, "another run has completed its task")
 	}
 	g.setState(i, taskDone)
 	g.undone--
@@ -129,6 +133,9 @@
 	if g.step.LongRunning {
 		e.markDirty(g.job) // the run is no longer among its placements
 	}
+	if e.pairEnded(g, r) {
+		return
+	}
 	if t.cur != r {
 		g.inheritCheckpoint(r)
 		return // a later run of the task may be on a host that has not reported yet
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -99,6 +99,10 @@
 	// reconciling is true after a failover until every inherited host has reported its runs, is closed in
 	// the roster, or can run nothing any more.
 	reconciling bool
+	// startsSettledAt is when no start order of an earlier holder can take effect any more.
+	startsSettledAt time.Time
+	// copies is the state of the copies of late tasks.
+	copies copyBook
 	// reconcileDeadline is when hosts that have not reported since the failover can run nothing any more.
 	reconcileDeadline time.Time
 	// authorityUntil is the time until which this process may issue orders.
@@ -315,10 +319,14 @@
 	e.expireHosts(now)
 	e.checkRuns(now)
 	e.releasePendingStarts(now)
+	e.releaseHeld(now)
 	e.storeAllPlacements(now)
 	if now.Before(e.authorityUntil) && !now.Before(e.nextPassAt) {
 		e.plan(now)
 	}
+	if now.Before(e.authorityUntil) {
+		e.planCopies(now)
+	}
 	e.planStops(now)
 	e.planThrottling(now)
 	e.planUpkeep(now)
@@ -342,6 +350,9 @@
 	if !e.nextPollDue.IsZero() && e.nextPollDue.Before(next) {
 		next = e.nextPollDue
 	}
+	if at := e.copies.dueAt; at.After(now) && at.Before(next) {
+		next = at
+	}
 	return later(next, now.Add(time.Millisecond))
 }
 
--- a/internal/engine/job.go
+++ b/internal/engine/job.go
@@ -71,6 +71,7 @@
 	preempted int
 	// lastAtWork is when a view last showed a run of a long-running task at work.
 	lastAtWork time.Time
+	taskCopies
 }
 
 // group is a step of one occurrence of a job.
@@ -234,6 +235,7 @@
 			if t := &g.tasks[i]; t.state == taskUnconfirmed || t.cur.recorded() {
 				n++
 			}
+			n += g.tasks[i].extraRuns()
 		}
 		if g.step.Backfill {
 			backfill = backfill.Add(g.step.Size.Times(int64(n)))
@@ -319,6 +321,7 @@
 		for i := range g.tasks {
 			if r := g.tasks[i].cur; r != nil && s != record.StateCompleted {
 				e.requestStop(r, "its job has ended: "+string(s))
+				e.stopSecond(&g.tasks[i], "its job has ended: "+string(s))
 			}
 		}
 	}
--- a/internal/engine/lost.go
+++ b/internal/engine/lost.go
@@ -46,6 +46,7 @@
 		Why: fmt.Sprintf("%s; task %d, run %d, %s, at %.0f%%, host unresponsive for %d ms",
 			why, r.Task.Index, r.No, r.state, r.percent, r.placedOn.unresponsiveFor(now).Milliseconds()),
 	})
+	e.recordRunRemoved(r, "", now)
 	e.removeRun(r)
 	e.runEnded(r, now)
 }
--- a/internal/engine/orders.go
+++ b/internal/engine/orders.go
@@ -34,6 +34,7 @@
 	e.recordStart(g, h, now)
 	t.cur, t.run = r, no
 	g.setState(i, taskActive)
+	e.watchCopies(g)
 	order := StartOrder{To: h.info, Start: host.Start{
 		Run: r.Run, Incarnation: h.incarnation, Command: g.job.rec.Graph.Command, Deadline: r.deadline,
 		Checkpoint: checkpoint, Ticket: g.policy.tickets[h].text,
@@ -135,6 +136,7 @@
 	if r == nil || r.state == runRunning {
 		return
 	}
+	e.recordRunRemoved(r, "", now)
 	e.removeRun(r)
 	e.runEnded(r, now)
 }
--- a/internal/engine/orphans.go
+++ b/internal/engine/orphans.go
@@ -169,13 +169,16 @@
 	i := r.Task.Index
 	t := &g.tasks[i]
 	adoptable := t.state == taskUnconfirmed || t.state == taskWaiting && (!g.step.Gang || !g.startedHere)
-	if t.cur != nil || !adoptable || r.No < t.run {
+	if t.cur != nil || !adoptable || r.No < t.run && !g.copyable() {
+		if e.adoptSecond(g, r) {
+			return
+		}
 		r.superseded = true
 		g.countSuperseded(r, 1)
 		e.requestStop(r, "its task has another or a later run, or is done")
 		return
 	}
-	t.cur, t.run = r, r.No
+	t.cur, t.run = r, max(t.run, r.No)
 	if len(t.crashes) > 0 {
 		r.suspect = true
 		r.placedOn.suspectRuns++
@@ -183,6 +186,7 @@
 	}
 	g.run = max(g.run, r.No)
 	g.setState(i, taskActive)
+	e.watchCopies(g)
 	g.job.started = true
 	e.refresh(g)
 }
--- a/internal/engine/takeover.go
+++ b/internal/engine/takeover.go
@@ -16,6 +16,9 @@
 	e.now = now
 	e.reconciling = !reconcileDeadline.IsZero()
 	e.reconcileDeadline = reconcileDeadline
+	if e.reconciling {
+		e.startsSettledAt = e.startSettledAt(now)
+	}
 	e.loadRoster(roster, now)
 	e.placementsStored, e.placementsDueAt = !e.reconciling || roster.PlacementsStored, now.Add(formerVersionGrace)
 	for _, rec := range jobs {
@@ -61,6 +64,7 @@
 		for i := range g.tasks {
 			if unconfirmed || e.possibleHosts[g.task(i)] > 0 {
 				g.setState(i, taskUnconfirmed)
+				g.expectSecond(i)
 			}
 		}
 		if g.pendingDeps == 0 && !now.Before(g.due) {
@@ -129,6 +133,7 @@
 func (e *Engine) reconcileGroup(g *group, now time.Time) {
 	held := false
 	for i := range g.tasks {
+		e.reconcileSecond(g, i)
 		if g.tasks[i].state != taskUnconfirmed {
 			continue
 		}
--- a/internal/speculation/speculation.go
+++ b/internal/speculation/speculation.go
@@ -118,7 +118,7 @@
 	CopiedBefore Refusal = "copied before"
 	// NoValue: the completion of the job has no value any more.
 	NoValue Refusal = "job has no value any more"
-	// ManyLate: many runs of the queue are late, so that the cause is not the task.
+	// ManyLate: many runs of the queue or the step are late, so that the cause is not the task.
 	ManyLate Refusal = "many runs are late"
 	// StepsWait: other steps of the same or a more urgent priority wait for capacity.
 	StepsWait Refusal = "other steps wait"
@@ -144,6 +144,9 @@
 	maxSilentHosts = 1
 )
 
+// EnoughAttempts reports whether a task with so many failed runs has attempts for two runs at a time.
+func EnoughAttempts(failures, maxAttempts int) bool { return maxAttempts-failures >= attemptsPerPair }
+
 // Task is what is known of the task of a late run.
 type Task struct {
 	// Copyable is true for a speculative step that is no gang, not long-running and not a backfill step.
@@ -174,7 +177,7 @@
 		return TwoRuns
 	case t.Copies >= MaxCopiesPerTask:
 		return CopiedBefore
-	case t.MaxAttempts-t.Failures < attemptsPerPair:
+	case !EnoughAttempts(t.Failures, t.MaxAttempts):
 		return FewAttempts
 	case t.Expired:
 		return NoValue
@@ -198,16 +201,21 @@
 type Load struct {
 	// QueueRunning counts the tasks of the queue's speculative steps with a run, QueueLate the late ones.
 	QueueRunning, QueueLate int
+	// StepRunning and StepLate are the same for the step of the run alone.
+	StepRunning, StepLate int
 	// Running counts all runs, Copies the tasks with two runs.
 	Running, Copies int
 	// StepsWait is true if other steps of the same or a more urgent priority wait for capacity.
 	StepsWait bool
 }
 
+// many reports whether so many of the running tasks are late that the cause is not the single task.
+func many(late, running int) bool { return late > max(minManyLate, running/lateDivisor) }
+
 // Refuse returns the reason for which there may not be one more copy, or Permitted.
 func (l Load) Refuse() Refusal {
 	switch {
-	case l.QueueLate > max(minManyLate, l.QueueRunning/lateDivisor):
+	case many(l.QueueLate, l.QueueRunning) || many(l.StepLate, l.StepRunning):
 		return ManyLate
 	case l.StepsWait:
 		return StepsWait
--- a/internal/speculation/speculation_test.go
+++ b/internal/speculation/speculation_test.go
@@ -96,15 +96,16 @@
 		load Load
 		want Refusal
 	}{
-		"one late":                {Load{QueueRunning: 20, QueueLate: 1, Running: 100}, Permitted},
-		"alone in the cell":       {Load{QueueRunning: 1, QueueLate: 1, Running: 1}, Permitted},
-		"a fifth late":            {Load{QueueRunning: 100, QueueLate: 20, Running: 300}, Permitted},
-		"more than a fifth late":  {Load{QueueRunning: 100, QueueLate: 21, Running: 300}, ManyLate},
-		"half of the hosts slow":  {Load{QueueRunning: 400, QueueLate: 200, Running: 900}, ManyLate},
-		"small step, four late":   {Load{QueueRunning: 10, QueueLate: 4, Running: 10}, ManyLate},
-		"other steps wait":        {Load{QueueRunning: 20, QueueLate: 1, Running: 100, StepsWait: true}, StepsWait},
-		"a tenth are copies":      {Load{QueueRunning: 20, QueueLate: 1, Running: 100, Copies: 10}, ShareExceeded},
-		"few runs, one is a copy": {Load{QueueRunning: 4, QueueLate: 2, Running: 5, Copies: 1}, ShareExceeded},
+		"one late":                 {Load{QueueRunning: 20, QueueLate: 1, Running: 100}, Permitted},
+		"alone in the cell":        {Load{QueueRunning: 1, QueueLate: 1, Running: 1}, Permitted},
+		"a fifth late":             {Load{QueueRunning: 100, QueueLate: 20, Running: 300}, Permitted},
+		"more than a fifth late":   {Load{QueueRunning: 100, QueueLate: 21, Running: 300}, ManyLate},
+		"half of the hosts slow":   {Load{QueueRunning: 400, QueueLate: 200, Running: 900}, ManyLate},
+		"small step, four late":    {Load{QueueRunning: 10, QueueLate: 4, Running: 10}, ManyLate},
+		"one step late as a whole": {Load{QueueRunning: 400, QueueLate: 10, StepRunning: 10, StepLate: 10, Running: 900}, ManyLate},
+		"other steps wait":         {Load{QueueRunning: 20, QueueLate: 1, Running: 100, StepsWait: true}, StepsWait},
+		"a tenth are copies":       {Load{QueueRunning: 20, QueueLate: 1, Running: 100, Copies: 10}, ShareExceeded},
+		"few runs, one is a copy":  {Load{QueueRunning: 4, QueueLate: 2, Running: 5, Copies: 1}, ShareExceeded},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
