engine: tests of copies of late tasks

The totals of a job's copies are counted by the queue that the job had when it was accepted, as the stored record of an ended job does not name it.

--- a/internal/engine/copy_outcomes.go
+++ b/internal/engine/copy_outcomes.go
@@ -32,7 +32,7 @@
 
 // copyTotals returns the totals of a step's queue.
 func (e *Engine) copyTotals(g *group) *CopyTotals {
-	queue := g.job.rec.Queue
+	queue := g.job.queue
 	if e.copies.totals == nil {
 		e.copies.totals = map[string]*CopyTotals{}
 	}
--- a/internal/engine/job.go
+++ b/internal/engine/job.go
@@ -14,6 +14,7 @@
 // job is an accepted job.
 type job struct {
 	rec          *record.Job
+	queue        string   // its queue, which the stored record of an ended job does not name
 	account      *account // the client account that owns it; nil if it has none
 	state        record.State
 	groups       []*group // by occurrence, then step
@@ -157,7 +158,7 @@
 
 // newJob returns the state of a live job.
 func newJob(rec *record.Job, now time.Time) *job {
-	j := &job{rec: rec, state: record.StateQueued, accepted: now}
+	j := &job{rec: rec, queue: rec.Queue, state: record.StateQueued, accepted: now}
 	if rec.Ended != "" {
 		j.state = rec.Ended
 		return j
--- a/internal/engine/world_calls_test.go
+++ b/internal/engine/world_calls_test.go
@@ -22,6 +22,10 @@
 	if w.onStart != nil {
 		w.onStart(s)
 	}
+	if w.hangs != nil && w.hangs(s) {
+		w.after(callTimeout, func() { w.deliver(e, func() { e.Started(s, host.Reply{}, host.ErrLost, w.now()) }) })
+		return
+	}
 	sameIncarnation := true // the intended incarnation was reached
 	arrive := func(h *hostsim.Host) host.Reply {
 		sameIncarnation = h.IsIncarnation(s.Start.Incarnation)
