--- a/internal/engine/job.go
+++ b/internal/engine/job.go
@@ -14,6 +14,7 @@
 // job is an accepted job.
 type job struct {
 	rec          *record.Job
+	queue        string   // its queue, which the stored record of an ended job does not name
 	account      *account // the client account that owns it; nil if it has none
 	flow         *stepFlow
 	state        record.State
@@ -72,6 +73,7 @@
 	preempted int
 	// lastAtWork is when a view last showed a run of a long-running task at work.
 	lastAtWork time.Time
+	taskCopies
 }
 
 // group is a step of one occurrence of a job.
@@ -160,7 +162,7 @@
 
 // newJob returns the state of a live job.
 func newJob(rec *record.Job, now time.Time) *job {
-	j := &job{rec: rec, state: record.StateQueued, accepted: now}
+	j := &job{rec: rec, queue: rec.Queue, state: record.StateQueued, accepted: now}
 	if rec.Ended != "" {
 		j.state = rec.Ended
 		return j
@@ -238,6 +240,7 @@
 			if t := &g.tasks[i]; t.state == taskUnconfirmed || t.cur.recorded() {
 				n++
 			}
+			n += g.tasks[i].extraRuns()
 		}
 		if g.step.Backfill {
 			backfill = backfill.Add(g.step.Size.Times(int64(n)))
@@ -323,6 +326,7 @@
 		for i := range g.tasks {
 			if r := g.tasks[i].cur; r != nil && s != record.StateCompleted {
 				e.requestStop(r, "its job has ended: "+string(s))
+				e.stopSecond(&g.tasks[i], "its job has ended: "+string(s))
 			}
 		}
 	}
