--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -198,6 +198,7 @@
 		rnd:                   rand.New(rand.NewPCG(cfg.Seed, cfg.Epoch)),
 		accounts:              map[string]*account{},
 		flows:                 map[stepClass]*stepFlow{},
+		order:                 stepOrder{limit: maxOrderedSteps},
 		jobs:                  map[string]*job{},
 		live:                  map[string]*job{},
 		ready:                 map[spec.StepID]*group{},
--- a/internal/engine/queue.go
+++ b/internal/engine/queue.go
@@ -155,7 +155,7 @@
 
 // earlyRetrySteps is the number of steps, from the first, that are retried regardless of their backoff when
 // capacity has come free: more than start with what comes free between two passes.
-const earlyRetrySteps = 40
+const earlyRetrySteps = 20
 
 // retriesEarly reports whether a step is retried regardless of its backoff. During a burst, capacity that
 // comes free would otherwise mostly go to whichever of many steps is not in backoff: an account with one
@@ -181,9 +181,16 @@
 	return a.job.expiredRank() == b.job.expiredRank() && a.job.rec.Rules.Priority == b.job.rec.Rules.Priority
 }
 
+// maxOrderedSteps is the number of steps of one priority that a pass takes by shares, five times as many as
+// it attempts. The steps behind them follow in the fixed order: nearly all are in backoff, and ordering a
+// queue of 10,000 steps would take longer than the attempts of the pass.
+const maxOrderedSteps = 5 * passBudget
+
 // stepOrder is the order in which one scheduling pass takes the steps of the queue. It is evaluated
 // lazily: the steps of a priority are divided into flows when the pass reaches the priority.
 type stepOrder struct {
+	// limit is the number of steps of one priority that are taken by shares.
+	limit    int
 	weighted bool
 	now      time.Time
 	pass     uint64 // number of the present pass with weights
@@ -191,6 +198,10 @@
 	// queue holds the steps of priorities that the pass has not reached; taken counts the steps taken.
 	queue []*group
 	taken int
+	// priority holds the steps of the present priority in the fixed order, of which byShare were taken by
+	// shares.
+	priority []*group
+	byShare  int
 	// services are the orders of the services with steps of the present priority, spare those not in use.
 	services, spare []*serviceOrder
 	// last is the step taken last, of lastService, lastSize the size of the tasks that waited then.
@@ -219,6 +230,7 @@
 func (o *stepOrder) closePriority() {
 	o.spare = append(o.spare, o.services...)
 	o.services = o.services[:0]
+	o.priority, o.byShare = nil, 0
 }
 
 // rank returns the number of steps that were taken before the last one.
@@ -229,22 +241,55 @@
 	if !o.weighted {
 		return o.nextFixed()
 	}
+	g := o.nextOfPriority()
+	for g == nil && len(o.queue) > 0 {
+		o.openPriority()
+		g = o.nextOfPriority()
+	}
+	if g != nil {
+		g.taken = passPosition{pass: o.pass, rank: o.taken}
+		o.taken++
+	}
+	return g
+}
+
+// nextOfPriority returns the next step of the present priority, or nil if none is left.
+func (o *stepOrder) nextOfPriority() *group {
+	if g := o.nextByShare(); g != nil {
+		return g
+	}
+	return o.nextBehind()
+}
+
+// nextByShare returns the next step of the present priority by shares, or nil if there is none or the limit
+// is reached.
+func (o *stepOrder) nextByShare() *group {
 	o.countLast()
+	if o.byShare >= o.limit {
+		return nil
+	}
 	s := o.firstService()
 	if s == nil {
-		if len(o.queue) == 0 {
-			return nil
-		}
-		o.openPriority()
-		s = o.firstService()
+		return nil
 	}
+	o.byShare++
 	g := s.order.First().Head
-	g.taken = passPosition{pass: o.pass, rank: o.taken}
-	o.taken++
 	o.last, o.lastService, o.lastSize = g, s, g.step.Allocation().Times(int64(g.waiting))
 	return g
 }
 
+// nextBehind returns the next of the steps of the present priority that are not taken by shares.
+func (o *stepOrder) nextBehind() *group {
+	for len(o.priority) > 0 {
+		g := o.priority[0]
+		o.priority = o.priority[1:]
+		if g.taken.pass != o.pass {
+			return g
+		}
+	}
+	return nil
+}
+
 // nextFixed takes the next step in the order of the queue.
 func (o *stepOrder) nextFixed() *group {
 	if len(o.queue) == 0 {
@@ -265,7 +310,7 @@
 		o.link(o.queue[n])
 		n++
 	}
-	o.queue = o.queue[n:]
+	o.priority, o.queue = o.queue[:n], o.queue[n:]
 }
 
 // link appends a step to its flow.
