engine: test that a failover keeps the order between accounts

TestFailoverKeepsTheOrder: after a failover, with one host that does not report, the order is that of the former shares less the runs on this host, and the former order once it has reported. It fails if recorded runs do not count.

--- a/internal/engine/shares_test.go
+++ b/internal/engine/shares_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"testing"
@@ -205,3 +206,70 @@
 	is.True(longestPreview <= expiryFactor)
 	is.True(longestMosaic <= mosaicTarget)
 }
+
+// TestFailoverKeepsTheOrder guards against an order that depends on what a former holder knew: the next
+// holder counts what hosts have reported, so that the share of an account lacks just its runs on hosts that
+// have not, and is the former one once all have.
+func TestFailoverKeepsTheOrder(t *testing.T) {
+	is := is.New(t)
+	names := tilesAccountNames()
+	w := tilesWorld(t, 53, true)
+	long := spec.Step{Count: 10, Size: spec.Resources{MilliCPU: 11000, MemoryMiB: 8 << 10}, EstimateMillis: 60_000}
+	for i := range 60 {
+		w.submit(fmt.Sprint(names[i%tilesAccounts], "-long-", i), catalog.Rules{}, long)
+	}
+	w.run(2 * time.Second)
+	before := w.sharesOf(names)
+	is.True(before[0] != before[19])
+
+	silent := w.fleet.Hosts()[5]
+	w.repliesCut = map[host.ID]bool{silent.Info().ID: true}
+	w.failOver()
+	w.run(time.Second)
+	reported := slices.Clone(before)
+	for _, r := range silent.Running() {
+		reported[slices.Index(names, w.accountOf(r.Task.Job))] -= 11
+	}
+	is.True(!slices.Equal(reported, before))
+	is.Equal(w.sharesOf(names), reported)
+	for _, name := range names {
+		w.submit(name+"-next", catalog.Rules{}, long)
+	}
+	w.run(100 * time.Millisecond) // the cell is full
+	is.Equal(w.orderOfAccounts(), sortedByShare(names, reported))
+
+	w.repliesCut = nil
+	w.run(time.Second)
+	is.Equal(w.sharesOf(names), before)
+	is.Equal(w.orderOfAccounts(), sortedByShare(names, before))
+	w.checkInvariants()
+}
+
+// sharesOf returns the cores that count towards the shares of accounts at priority 0.
+func (w *world) sharesOf(accounts []string) (out []int64) {
+	for _, name := range accounts {
+		out = append(out, w.engine.flows[stepClass{account: name, service: "s"}].used.MilliCPU/1000)
+	}
+	return out
+}
+
+// orderOfAccounts returns the accounts in the order in which a pass takes the first waiting step of each.
+func (w *world) orderOfAccounts() (out []string) {
+	for _, g := range (&stepOrder{limit: maxOrderedSteps, pass: 1 << 40}).takeAll(w.engine.queue, true) {
+		if !slices.Contains(out, g.job.rec.Account) {
+			out = append(out, g.job.rec.Account)
+		}
+	}
+	return out
+}
+
+// sortedByShare sorts accounts by their cores in use, divided by their weights.
+func sortedByShare(accounts []string, used []int64) []string {
+	out := slices.Clone(accounts)
+	share := func(name string) float64 {
+		i := slices.Index(accounts, name)
+		return float64(used[i]) / tilesWeight(i)
+	}
+	slices.SortStableFunc(out, func(a, b string) int { return cmp.Compare(share(a), share(b)) })
+	return out
+}
