--- a/internal/engine/queue.go
+++ b/internal/engine/queue.go
@@ -59,7 +59,7 @@
 	e.incoming = notDue
 }
 
-// compareSteps compares two steps by their scheduling order.
+// compareSteps compares two steps by the fixed scheduling order, which ignores shares.
 func compareSteps(a, b *group) int {
 	return cmp.Or(
 		cmp.Compare(a.job.expiredRank(), b.job.expiredRank()),
