--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -218,3 +218,21 @@
 		})
 	}
 }
+
+// TestWeights checks which accounts have a weight of their own, and that weights only count if some account
+// has one.
+func TestWeights(t *testing.T) {
+	is := is.New(t)
+	c := &Catalog{Accounts: []Account{{Name: "a", Weight: 2.5}, {Name: "b"}}}
+	c.Index()
+	is.True(c.Weighted())
+	is.Equal(c.WeightOf("a"), 2.5)
+	for _, name := range []string{"b", "unknown", ""} {
+		is.Equal(c.WeightOf(name), 1.0)
+	}
+	c.Accounts[0].Weight = 0
+	is.True(!c.Weighted())
+	var none *Catalog
+	is.True(!none.Weighted())
+	is.Equal(none.WeightOf("a"), 1.0)
+}
--- a/internal/engine/queue_test.go
+++ b/internal/engine/queue_test.go
@@ -244,3 +244,23 @@
 		}
 	}
 }
+
+// TestRemovedWeightsRestoreTheFixedOrder guards against positions of earlier passes that still decide which
+// step yields to a reservation after the weights were removed from the configuration.
+func TestRemovedWeightsRestoreTheFixedOrder(t *testing.T) {
+	is := is.New(t)
+	names := tilesAccountNames()
+	w := tilesWorld(t, 67, true)
+	for i := range 60 {
+		w.submit(fmt.Sprint(names[i%tilesAccounts], "-", i), catalog.Rules{}, step(10, 11, 8, 60_000))
+	}
+	w.run(time.Second)
+	byPosition := slices.SortedFunc(slices.Values(w.engine.queue), compareTaken)
+	is.True(!slices.Equal(byPosition, w.engine.queue))
+	w.weights = nil
+	w.setQuota(names[0], fairshare.Unlimited)
+	w.run(100 * time.Millisecond)
+	byPosition = slices.SortedFunc(slices.Values(w.engine.queue), compareTaken)
+	is.True(slices.Equal(byPosition, w.engine.queue))
+	is.True(len(byPosition) > 10)
+}
