engine: measure waiting and completed work by queue and account

The holder knows what each account waits for and completes, and used it for log lines only.

queue_load.go feeds overload.Monitor: accepted jobs, completed tasks, and each 250 ms a sample of the waiting work. Hooks in existing files: a line in Next, Accept and taskDone, and fields of Engine and job. The dump (`admission`), the explanation of a job and two log events tell the figures. No figures are kept without weights, while hosts are asked for their runs after a failover, or without authority. TestDump expects the new, empty list.

--- a/internal/engine/dump.go
+++ b/internal/engine/dump.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pulleyquay/internal/crashloop"
+	"pulleyquay/internal/overload"
 	"pulleyquay/internal/record"
 )
 
@@ -31,7 +32,10 @@
 	Decisions []DumpedDecision `json:"verdicts"`
 	// Accounts are the client accounts; those with most steps waiting for their quota first.
 	Accounts []DumpedAccount `json:"accounts"`
-	LeftOut  DumpLeftOut     `json:"left_out"`
+	// Admission is the load by queue and client account from which limits are derived; those with the most
+	// waiting work first.
+	Admission []overload.Row `json:"admission"`
+	LeftOut   DumpLeftOut    `json:"left_out"`
 }
 
 // DumpLeftOut counts the rows that were omitted from each list of a dump.
@@ -41,6 +45,7 @@
 	Silent    int `json:"silent"`
 	Decisions int `json:"verdicts"`
 	Accounts  int `json:"accounts"`
+	Admission int `json:"admission"`
 }
 
 // DumpedTask is a task under which hosts have crashed.
@@ -114,6 +119,7 @@
 	d.Silent, d.LeftOut.Silent = truncateRows(e.dumpSilent(now))
 	d.Decisions, d.LeftOut.Decisions = truncateRows(e.dumpDecisions(now))
 	loads, leftOut := truncateRows(e.AccountLoads(now))
+	d.Admission, d.LeftOut.Admission = truncateRows(e.QueueLoads())
 	d.Accounts, d.LeftOut.Accounts = e.dumpAccounts(loads, now), leftOut
 	return d
 }
--- a/internal/engine/dump_account.go
+++ b/internal/engine/dump_account.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pulleyquay/internal/fairshare"
+	"pulleyquay/internal/overload"
 	"pulleyquay/internal/record"
 	"pulleyquay/internal/spec"
 )
@@ -103,8 +104,10 @@
 	Queue   string       `json:"queue,omitempty"`
 	State   record.State `json:"state"`
 	// Why is the reason for its end, if the state alone does not give it.
-	Why   string          `json:"why,omitempty"`
-	Steps []ExplainedStep `json:"steps"`
+	Why string `json:"why,omitempty"`
+	// Admission is the load of its queue and account, from which limits are derived.
+	Admission *overload.Row   `json:"admission,omitempty"`
+	Steps     []ExplainedStep `json:"steps"`
 	// LeftOut counts the steps that were omitted from Steps.
 	LeftOut int `json:"steps_left_out,omitempty"`
 }
@@ -127,7 +130,7 @@
 	if j == nil {
 		return Explanation{}, false
 	}
-	out := Explanation{Job: id, Account: j.rec.Account, Queue: j.rec.Queue, State: j.state, Why: cmp.Or(j.endReason, j.rec.Why), Steps: []ExplainedStep{}}
+	out := Explanation{Job: id, Account: j.rec.Account, Queue: j.rec.Queue, State: j.state, Why: cmp.Or(j.endReason, j.rec.Why), Admission: e.explainAdmission(j), Steps: []ExplainedStep{}}
 	for _, g := range j.groups {
 		if g.undone == 0 || j.state.Final() {
 			continue
--- a/internal/engine/dump_test.go
+++ b/internal/engine/dump_test.go
@@ -12,6 +12,7 @@
 	"pulleyquay/internal/catalog"
 	"pulleyquay/internal/crashloop"
 	"pulleyquay/internal/host"
+	"pulleyquay/internal/overload"
 )
 
 // TestDump: while a task crashes its hosts, the dump lists the recorded crashes and the
@@ -21,7 +22,7 @@
 	w := crashWorld(t, 21, 16)
 	w.submit("bystander", catalog.Rules{}, step(16, 6, 10, 60000))
 	w.run(time.Second)
-	is.Equal(w.engine.Dump(w.now()), Dump{Suspects: []DumpedTask{}, Failed: []DumpedFailure{}, Silent: []DumpedHost{}, Decisions: []DumpedDecision{}, Accounts: []DumpedAccount{}})
+	is.Equal(w.engine.Dump(w.now()), Dump{Suspects: []DumpedTask{}, Failed: []DumpedFailure{}, Silent: []DumpedHost{}, Decisions: []DumpedDecision{}, Accounts: []DumpedAccount{}, Admission: []overload.Row{}})
 	w.submit(crashingJob+"0", catalog.Rules{}, step(1, 6, 10, 640))
 	suspected, silent := false, false
 	var d Dump
--- a/internal/engine/ends.go
+++ b/internal/engine/ends.go
@@ -51,6 +51,7 @@
 	if g.step.LongRunning || g.tasks[i].state == taskDone {
 		return
 	}
+	undone := g.undone
 	if g.step.Gang {
 		for k := range g.tasks {
 			e.markDone(g, k)
@@ -58,6 +59,7 @@
 	} else {
 		e.markDone(g, i)
 	}
+	e.countDone(g, undone-g.undone)
 	e.markDirty(g.job)
 	if g.undone == 0 {
 		e.stepDone(g, now)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -109,6 +109,8 @@
 	now time.Time
 
 	querySlots *advice.QuerySlots
+	// overload limits the jobs of accounts that send more than completes in time; see queue_load.go.
+	overload loadFeed
 	// runtimes estimates the run times of tasks, by queue.
 	runtimes *runtimes.Estimator
 	// permittedByQueue is the estimated share of hosts that the policy service permits for a step, by queue.
@@ -204,6 +206,7 @@
 		throttlesOutdated:     map[*hostState]struct{}{},
 		backfillOverloadShare: map[string]int{},
 		querySlots:            advice.NewQuerySlots(),
+		overload:              newLoadFeed(),
 		runtimes:              runtimes.NewEstimator(),
 		orphanEndRecords:      map[string][]orphanEnd{},
 		claiming:              map[host.ID]struct{}{},
@@ -319,6 +322,7 @@
 	if now.Before(e.authorityUntil) && !now.Before(e.nextPassAt) {
 		e.plan(now)
 	}
+	e.sampleQueueLoad(now)
 	e.planStops(now)
 	e.planThrottling(now)
 	e.planUpkeep(now)
--- a/internal/engine/job.go
+++ b/internal/engine/job.go
@@ -33,8 +33,9 @@
 	// the last batch that held some.
 	crashesUnsaved bool
 	crashesBatch   uint64
-	cohort         cohort // hosts of its present quarantine
-	endReason      string // reason of its end, where the state does not give it
+	cohort         cohort  // hosts of its present quarantine
+	load           jobLoad // where its work is counted for the limits of accepted jobs
+	endReason      string  // reason of its end, where the state does not give it
 }
 
 func (j *job) id() string { return j.rec.ID }
--- a/internal/engine/takeover.go
+++ b/internal/engine/takeover.go
@@ -41,7 +41,7 @@
 	if e.jobs[rec.ID] != nil {
 		return
 	}
-	e.addJob(rec, e.reconciling && !fresh, accepted, now)
+	e.countAccepted(e.addJob(rec, e.reconciling && !fresh, accepted, now))
 }
 
 // addJob adds the state of a job. If unconfirmed is set, its tasks may run on hosts that
--- a/internal/overload/monitor.go
+++ b/internal/overload/monitor.go
@@ -424,57 +424,6 @@
 // Limits returns the limits of the last sample, those with the longest waits first.
 func (m *Monitor) Limits() []Limit { return m.limits }
 
-// Row is the state of one queue and account, for metrics and the state dump.
-type Row struct {
-	Key
-	// Admit is the admitted fraction; 1 if there is no limit.
-	Admit float64 `json:"admit"`
-	// WaitMillis is the expected wait of the next job, zero without evidence; MaxWaitMillis is the limit.
-	WaitMillis    int64 `json:"wait_ms"`
-	MaxWaitMillis int64 `json:"max_wait_ms"`
-	// WaitingWork and ExpiredWork are the waiting work with and without value, in processor seconds by declared run times.
-	WaitingWork float64 `json:"waiting_work"`
-	ExpiredWork float64 `json:"expired_work"`
-	// Evidence is true if enough work has completed, while work was waiting, to tell the wait.
-	Evidence bool `json:"evidence"`
-	// CompletedSteps is the number of steps' worth of tasks that the rate is based on.
-	CompletedSteps float64 `json:"completed_steps"`
-	// CompletedRate and OfferedRate are processor seconds per second, by declared run times.
-	CompletedRate float64 `json:"completed_rate"`
-	OfferedRate   float64 `json:"offered_rate"`
-}
-
-// workUnit is the declared work of one processor in one second.
-const workUnit = 1000 * 1000
-
-func (a *accountLoad) row(k Key) Row {
-	return Row{
-		Key: k, Admit: a.admit, WaitMillis: a.wait.Milliseconds(), MaxWaitMillis: a.maxWait.Milliseconds(), Evidence: a.evidence, WaitingWork: a.waiting.Work / workUnit, ExpiredWork: a.waiting.Expired / workUnit,
-		CompletedSteps: a.servedSteps.sum, CompletedRate: a.rate / workUnit, OfferedRate: a.offeredRate() / workUnit,
-	}
-}
-
-// Row returns the state of one queue and account; ok is false if it is not known.
-func (m *Monitor) Row(k Key) (row Row, ok bool) {
-	a := m.accounts[k]
-	if a == nil {
-		return Row{}, false
-	}
-	return a.row(k), true
-}
-
-// Rows returns the state of all queues and accounts, those with the most waiting work first.
-func (m *Monitor) Rows() []Row {
-	out := make([]Row, 0, len(m.accounts))
-	for k, a := range m.accounts {
-		out = append(out, a.row(k))
-	}
-	slices.SortFunc(out, func(a, b Row) int {
-		return cmp.Or(cmp.Compare(b.WaitingWork, a.WaitingWork), compareKeys(a.Key, b.Key))
-	})
-	return out
-}
-
 func sortLimits(limits []Limit) {
 	slices.SortFunc(limits, func(a, b Limit) int {
 		return cmp.Or(cmp.Compare(b.Wait, a.Wait), compareKeys(a.Key, b.Key))
