--- a/internal/result/codes_cell.go
+++ b/internal/result/codes_cell.go
@@ -20,6 +20,7 @@
 	KeyUnknown        Code = 5213
 	JobNameTaken      Code = 5214
 	AccountQuotaSmall Code = 5215
+	AccountOverloaded Code = 5216
 )
 
 func init() {
@@ -40,5 +41,6 @@
 		Info{KeyUnknown, "key-unknown", http.StatusUnauthorized, "the call carries no key that is in force, and the queue needs one"},
 		Info{JobNameTaken, "job-name-taken", http.StatusConflict, "the job's id is that of another client account's job"},
 		Info{AccountQuotaSmall, "account-quota-too-small", http.StatusUnprocessableEntity, "the job needs more at once than its client account may have running"},
+		Info{AccountOverloaded, "account-overloaded", http.StatusTooManyRequests, "so much work of the client account waits in the queue that the job would end too late; it was not accepted and never runs"},
 	)
 }
