overload: Retry-After in whole seconds

HTTP rounds parts of a second up, so the random part of a Retry-After of 1 to 2 s was 2 s for all callers. Both parts are whole seconds now.

--- a/internal/overload/limits.go
+++ b/internal/overload/limits.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -84,10 +83,11 @@
 }
 
 // RetryAfter returns when a caller should try again: the time until the wait has fallen below the limit, plus a random
-// part of the same length, so that callers do not all return at once.
-func (d Decision) RetryAfter(rnd *rand.Rand) time.Duration {
-	base := max(d.Limit.RetryAfter, minRetryAfter)
-	return base + time.Duration(rnd.Int64N(int64(base)))
+// part of at most the same length, so that callers do not all return at once. Both are whole seconds, the unit of the HTTP
+// header: a part of a second would be rounded up for all callers alike. random is a random number from 0 to below 1.
+func (d Decision) RetryAfter(random float64) time.Duration {
+	seconds := math.Ceil(max(d.Limit.RetryAfter, minRetryAfter).Seconds())
+	return time.Duration(seconds+math.Floor(random*(seconds+1))) * time.Second
 }
 
 // DumpedLimits are the limits of one partition in the state dump of a member.
--- a/internal/overload/limits_test.go
+++ b/internal/overload/limits_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -104,15 +103,12 @@
 // TestRetryAfter: at least 1 s, and at most twice the time until the wait has fallen below the limit.
 func TestRetryAfter(t *testing.T) {
 	is := is.New(t)
-	rnd := rand.New(rand.NewPCG(1, 2))
-	seen := map[time.Duration]bool{}
-	for range 100 {
-		is.True(Decision{}.RetryAfter(rnd) >= time.Second)
-		after := Decision{Limit: Limit{RetryAfter: 4 * time.Second}}.RetryAfter(rnd)
-		is.True(after >= 4*time.Second && after < 8*time.Second)
-		seen[after.Truncate(time.Second)] = true
-	}
-	is.Equal(len(seen), 4)
+	is.Equal(Decision{}.RetryAfter(0), time.Second)
+	is.Equal(Decision{}.RetryAfter(0.5), 2*time.Second)
+	d := Decision{Limit: Limit{RetryAfter: 3100 * time.Millisecond}}
+	is.Equal(d.RetryAfter(0), 4*time.Second)
+	is.Equal(d.RetryAfter(0.75), 7*time.Second)
+	is.Equal(d.RetryAfter(0.999), 8*time.Second)
 }
 
 // TestReportIsSmall: the longest report adds less than 4 kB to a heartbeat reply, and is read as it was sent.
