cell: limits on jobs travel with the replies to heartbeats

The holder knows the limits and the members need them. The holder applies its own.

Heartbeat field 6 says that the sender has jobs in doubt. The holder then reports that there are no limits, since the caller may submit such a job to a member that does not know of it, and an answer that it was not accepted would be false.

--- a/internal/cell/claimer.go
+++ b/internal/cell/claimer.go
@@ -55,6 +55,8 @@
 	// the address of a member that has a newer one.
 	CatalogVersion func() int64
 	Behind         func(addr string)
+	// Limits connects this process to the limits on jobs; nil if it neither measures nor applies any.
+	Limits *LimitExchange
 	// Lateness measures the lateness of this process's timers. Start runs it.
 	Lateness *lateness.Timers
 
@@ -88,6 +90,7 @@
 	endedEpoch    uint64
 	endObservedAt time.Time
 	endAge        time.Duration
+	doubtAt       time.Time // when a member last reported jobs in doubt
 }
 
 // Start registers the message handlers and starts monitoring the partitions.
@@ -188,15 +191,17 @@
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	var reply HeartbeatReply
+	sent := time.Now()
 	err := c.Peers.Call(ctx, h.Addr, peer.KindMemberHeartbeat, Heartbeat{
 		Partition: monitor.partition, From: c.Self.Name, FromAddr: c.Self.Addr, Catalog: c.CatalogVersion(),
-		Members: c.Health.FailingFor(time.Now()) > 0,
+		Members: c.Health.FailingFor(time.Now()) > 0, JobsInDoubt: c.Limits.jobsInDoubt(),
 	}, &reply)
 	received := time.Now()
 	switch {
 	case err != nil:
 	case reply.Incarnation == h.Incarnation:
 		c.applyReply(reply)
+		c.Limits.apply(monitor.partition, reply.Limits, c.View.Size(), sent)
 	case reply.Incarnation != "":
 		monitor.recordEnd(h.Epoch, received, reply.Uptime)
 	}
--- a/internal/cell/heartbeat.go
+++ b/internal/cell/heartbeat.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"pulleyquay/internal/ledger"
+	"pulleyquay/internal/overload"
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/result"
 	"pulleyquay/internal/uptime"
@@ -21,6 +22,9 @@
 	// Members requests the member list in the reply, since the store does not answer the
 	// sender. The list is large in a large cell.
 	Members bool `cbor:"5,keyasint,omitempty"`
+	// JobsInDoubt is true if the sender has told callers lately that it does not know whether their jobs are
+	// stored, or is about to. They may submit these jobs to any member.
+	JobsInDoubt bool `cbor:"6,keyasint,omitempty"`
 }
 
 // HeartbeatReply is the reply of the process at the holder's address, which may not be the
@@ -41,6 +45,9 @@
 	// suspensions. The process that had the address before had ended by then. It is zero if the
 	// replying process does not report it.
 	Uptime time.Duration `cbor:"8,keyasint,omitempty"`
+	// Limits are the limits on jobs that the replying process measured as the holder; nil if it has no figures or
+	// does not report them.
+	Limits *overload.Report `cbor:"9,keyasint,omitempty"`
 }
 
 // HolderStatusRequest asks a member whether it is in contact with a holder.
@@ -94,6 +101,12 @@
 	if req.Members {
 		reply.Members = c.View.Registered()
 	}
+	if req.JobsInDoubt {
+		c.monitors[req.Partition].recordDoubt(time.Now())
+	}
+	if reply.Holds {
+		reply.Limits = c.measuredLimits(c.monitors[req.Partition], time.Now())
+	}
 	return reply, nil
 }
 
--- a/internal/cell/takeover.go
+++ b/internal/cell/takeover.go
@@ -68,6 +68,7 @@
 	monitor.mu.Unlock()
 	go c.yieldToStronger(ctx, cancel)
 	go c.handOverWhenSlow(ctx, monitor)
+	go c.applyOwnLimits(ctx, monitor)
 	err := c.Hold(ctx, l, ledger.Predecessor{Holder: previous, AwaitEnd: func(ctx context.Context) (ledger.HolderEnd, bool) {
 		return c.awaitEnd(ctx, monitor, previous)
 	}})
