front: jobs beyond the limit of their queue and account are refused

An account that sends more than completes had all of its jobs accepted, also those that end long after their target.

Front.submit checks the limit before the job is stored, and refuses with 5216. It never refuses a job that is stored (one read, only for jobs that would be refused), one whose outcome is unknown here, or any while the store does not answer. The line of the refusal has the wait, the age of the figures and the admitted fraction; pulleyquay_front_limited_total counts by queue. Limits is not set anywhere yet.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -16,6 +16,7 @@
 	"pulleyquay/internal/catalog"
 	"pulleyquay/internal/cell"
 	"pulleyquay/internal/holder"
+	"pulleyquay/internal/overload"
 	"pulleyquay/internal/peer"
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/platform/follow"
@@ -52,6 +53,8 @@
 	Partitions int
 	Log        *logrus.Entry
 	Metrics    *Metrics
+	// Limits are the limits on jobs of queues and client accounts; nil if there never are any.
+	Limits *overload.Limits
 
 	notifier       notifier
 	unresolvedJobs unresolvedJobs
@@ -85,7 +88,7 @@
 		return
 	}
 	e := result.From(err)
-	log.WithFields(logrus.Fields{"code": e.Code, "ran": e.Ran, "why": e.Error()}).Info("job not accepted")
+	log.WithFields(limitFields(err)).WithFields(logrus.Fields{"code": e.Code, "ran": e.Ran, "why": e.Error()}).Info("job not accepted")
 }
 
 // submit validates a job, stores it and enqueues the notification of its holder.
@@ -96,6 +99,9 @@
 	if err := checkQuota(by.Account, &g); err != nil {
 		return 0, err
 	}
+	if err := f.checkLimit(ctx, by, q, id, &g); err != nil {
+		return 0, err
+	}
 	rec := record.Job{
 		ID: id, Account: by.accountName(), Queue: q.Name, Service: q.Service, Rules: q.Rules, Graph: g, AcceptedUnixMilli: time.Now().UnixMilli(),
 	}
--- a/internal/front/metrics.go
+++ b/internal/front/metrics.go
@@ -13,6 +13,8 @@
 type Metrics struct {
 	submits *prometheus.HistogramVec
 	refused *prometheus.CounterVec
+	// limited counts the jobs refused for a limit, by queue.
+	limited *prometheus.CounterVec
 }
 
 // NewMetrics creates the metrics and registers them.
@@ -24,7 +26,10 @@
 	m.refused = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "pulleyquay_front_refused_total", Help: "Calls that were not served, by result code; keys that are not in force among them.",
 	}, []string{"code"})
-	reg.MustRegister(m.submits, m.refused)
+	m.limited = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "pulleyquay_front_limited_total", Help: "Jobs refused because they would have ended too late, by queue.",
+	}, []string{"queue"})
+	reg.MustRegister(m.submits, m.refused, m.limited)
 	return m
 }
 
--- a/internal/front/unresolved.go
+++ b/internal/front/unresolved.go
@@ -20,6 +20,7 @@
 type unresolvedJobs struct {
 	mu         sync.Mutex
 	addedAt    map[string]time.Time // by job id
+	lastAdded  time.Time
 	lastExpiry time.Time
 }
 
@@ -31,6 +32,7 @@
 		u.addedAt = map[string]time.Time{}
 	}
 	u.expire(now)
+	u.lastAdded = now
 	if len(u.addedAt) < maxUnresolvedJobs {
 		u.addedAt[id] = now
 	}
@@ -57,6 +59,13 @@
 	return ok && now.Sub(at) <= unresolvedRetention
 }
 
+// addedSince reports whether a job was added since a time, and not all jobs have been removed.
+func (u *unresolvedJobs) addedSince(at time.Time) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return len(u.addedAt) > 0 && !u.lastAdded.Before(at)
+}
+
 // remove deletes a job after the store has answered for it.
 func (u *unresolvedJobs) remove(id string) {
 	u.mu.Lock()
