--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -109,6 +109,7 @@
 	calls           sync.WaitGroup
 	router          *linkshard.Router
 	hostCount       atomic.Int64 // hosts of the partition
+	limits          atomic.Pointer[measuredLimits]
 	// unreadable are the keys of host entries whose decoding error has been logged.
 	unreadable *lru.Cache[string, struct{}]
 
@@ -185,16 +186,18 @@
 	defer tick.Stop()
 	defer h.cfg.Metrics.reportAccounts(nil)
 	defer h.cfg.Metrics.reportLongRunningGaps(nil)
+	defer h.cfg.Metrics.reportAdmission(nil)
 	for {
 		select {
 		case <-h.ctx.Done():
 			return
 		case now := <-tick.C:
 			h.mu.Lock()
-			loads, gaps := h.engine.AccountLoads(now), h.engine.LongRunningGaps(now)
+			loads, gaps, admission := h.engine.AccountLoads(now), h.engine.LongRunningGaps(now), h.engine.QueueLoads()
 			h.mu.Unlock()
 			h.cfg.Metrics.reportAccounts(loads)
 			h.cfg.Metrics.reportLongRunningGaps(gaps)
+			h.cfg.Metrics.reportAdmission(admission)
 		}
 	}
 }
@@ -259,6 +262,7 @@
 	h.engine.SetMembers(names)
 	h.engine.SetAuthority(h.ledger.LastConfirmed().Add(authorityDuration))
 	orders, due := h.engine.Next(now)
+	h.publishLimits()
 	h.cfg.Metrics.observeDecision(time.Since(now))
 	return orders, due
 }
--- a/internal/holder/metrics.go
+++ b/internal/holder/metrics.go
@@ -30,6 +30,8 @@
 	accounts *prometheus.GaugeVec
 	// longRunningGaps has the longest gaps of at most maxQueueMetrics queues.
 	longRunningGaps *prometheus.GaugeVec
+	// admission has the figures of at most maxAccountMetrics queues and accounts from which limits on jobs are derived.
+	admission *prometheus.GaugeVec
 
 	mu   sync.Mutex
 	load Load
@@ -113,7 +115,10 @@
 	m.longRunningGaps = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "pulleyquay_holder_long_running_gap_seconds", Help: "Longest time for which a long-running task of the queue has had no run at work at present, of the queues with the longest.",
 	}, []string{"queue"})
-	reg.MustRegister(m.longRunningGaps, m.accounts, m.commits, m.writes, m.events, m.failed, m.crashes, m.decisions, m.waits, m.jobAge)
+	m.admission = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "pulleyquay_holder_admission", Help: "Queues and client accounts of which most work waits: the fraction of jobs admitted, the expected wait of the next job and its limit in seconds, and the work that waits, completes and is sent, in processor seconds by declared run times.",
+	}, []string{"queue", "account", "what"})
+	reg.MustRegister(m.admission, m.longRunningGaps, m.accounts, m.commits, m.writes, m.events, m.failed, m.crashes, m.decisions, m.waits, m.jobAge)
 	return m
 }
 
