--- a/internal/ctl/accounts.go
+++ b/internal/ctl/accounts.go
@@ -10,6 +10,7 @@
 	"github.com/spf13/cobra"
 
 	"pulleyquay/internal/engine"
+	"pulleyquay/internal/overload"
 	"pulleyquay/internal/result"
 )
 
@@ -97,6 +98,9 @@
 	if _, err := fmt.Fprintf(a.out, "%s: %s; account %q, queue %q %s\n", x.Job, x.State, x.Account, x.Queue, x.Why); err != nil {
 		return err
 	}
+	if err := a.printAdmission(x.Admission); err != nil {
+		return err
+	}
 	t := newTable(a.out)
 	for _, heading := range []string{"STEP", "DONE", "RUNNING", "WAITING", "WHY"} {
 		t.cell(heading)
@@ -113,6 +117,20 @@
 	return t.flush()
 }
 
+// printAdmission prints what the next job of a queue and account meets, if that is known.
+func (a *app) printAdmission(r *overload.Row) error {
+	switch {
+	case r == nil:
+		return nil
+	case !r.Evidence:
+		_, err := fmt.Fprintf(a.out, "admission: %.0f%% of the account's jobs in the queue; no backlog from which a wait would follow\n", 100*r.Admit)
+		return err
+	}
+	_, err := fmt.Fprintf(a.out, "admission: %.0f%% of the account's jobs in the queue; the next one waits for %d ms, limit %d ms; completes %.1f processor seconds a second, is sent %.1f\n",
+		100*r.Admit, r.WaitMillis, r.MaxWaitMillis, r.CompletedRate, r.OfferedRate)
+	return err
+}
+
 // adminClient returns a client for a process's administration listener.
 func (a *app) adminClient(addr string) *client {
 	return newClient([]string{strings.TrimPrefix(addr, "http://")}, a.timeout)
--- a/internal/ctl/accounts_test.go
+++ b/internal/ctl/accounts_test.go
@@ -59,3 +59,20 @@
 	is.True(code != ExitOK)
 	is.True(strings.Contains(errs, "5201"))
 }
+
+// TestExplainTellsTheLimit: the figures of a job's queue and account, if there are any.
+func TestExplainTellsTheLimit(t *testing.T) {
+	const job = "5c0e7a21d94b36f8"
+	for admission, want := range map[string]string{
+		``: "",
+		`"admission":{"queue":"q","account":"crew","admit":1,"evidence":false},`:                                                                                   "admission: 100% of the account's jobs in the queue; no backlog from which a wait would follow",
+		`"admission":{"queue":"q","account":"crew","admit":0.4,"evidence":true,"wait_ms":5200,"max_wait_ms":2710,"completed_rate":1200.5,"offered_rate":3000.25},`: "admission: 40% of the account's jobs in the queue; the next one waits for 5200 ms, limit 2710 ms; completes 1200.5 processor seconds a second, is sent 3000.2",
+	} {
+		is := is.New(t)
+		addr := adminServer(t, map[string]string{"/debug/explain?of=" + job: strings.Replace(explanation, `"state"`, admission+`"state"`, 1)})
+		code, out, _ := run([]string{"127.0.0.1:1"}, "explain", addr, job)
+		is.Equal(code, ExitOK)
+		is.Equal(strings.Contains(out, "admission:"), want != "")
+		is.True(strings.Contains(out, want))
+	}
+}
