pulley-node: admission under load is in use

Connects the holder's limits, the heartbeats and the front. The dump has a section limits with what this member applies; the lines of begin and end of a limit are kept in bursts of lines.

--- a/cmd/pulley-node/node.go
+++ b/cmd/pulley-node/node.go
@@ -21,6 +21,7 @@
 	"pulleyquay/internal/lateness"
 	"pulleyquay/internal/ledger"
 	"pulleyquay/internal/linkshard"
+	"pulleyquay/internal/overload"
 	"pulleyquay/internal/peer"
 	"pulleyquay/internal/platform/follow"
 	"pulleyquay/internal/platform/resend"
@@ -63,6 +64,7 @@
 	catalog *catalog.Watcher
 	table   *holder.Table
 	front   *front.Front
+	limits  *overload.Limits
 	server  *daemon.Server
 
 	cancel context.CancelFunc
@@ -71,7 +73,7 @@
 // newNode creates and connects the components without starting them.
 func newNode(s Settings, d *daemon.Daemon) *node {
 	d.SetMemberName(s.Name)
-	n := &node{conf: s, daemon: d, log: d.Log, mux: peer.NewMux(), view: cell.NewView()}
+	n := &node{conf: s, daemon: d, log: d.Log, mux: peer.NewMux(), view: cell.NewView(), limits: &overload.Limits{}}
 	n.self = cell.Member{
 		Name: s.Name, Incarnation: uuid.NewString(), Addr: s.Listen.peerAddr(), Zone: s.Zone,
 		Cores: s.Processors, LinkMbps: s.LinkMbps, StartedUnixMilli: time.Now().UnixMilli(),
@@ -100,6 +102,7 @@
 	n.addHolder()
 	n.addFront()
 	d.AddDump("held", func() any { return n.table.Dump() })
+	d.AddDump("limits", func() any { return n.limits.Dump(time.Now()) })
 	d.AddQuery("explain", n.table.Explain)
 	d.AddReadinessCheck(n.catalog.NotReadyReasons)
 	d.AddReadinessCheck(n.unreadyReasons)
@@ -143,8 +146,9 @@
 func (n *node) addFront() {
 	n.front = &front.Front{
 		Store: n.writes, Get: n.store.Get, Health: n.health, Peers: n.peers, View: n.view, Self: n.self.Addr,
-		Partitions: partitions, Log: n.log, Metrics: front.NewMetrics(n.daemon.Reg),
+		Partitions: partitions, Log: n.log, Metrics: front.NewMetrics(n.daemon.Reg), Limits: n.limits,
 	}
+	n.claimer.Limits = &cell.LimitExchange{Measured: n.table.Limits, Apply: n.limits.Apply, JobsInDoubt: n.front.JobsInDoubt}
 }
 
 // querySlots maps the members that can query the policy service to their addresses. Each
--- a/cmd/pulley-node/weights.go
+++ b/cmd/pulley-node/weights.go
@@ -43,6 +43,8 @@
 	"previous holder has ended":                  daemon.PriorityFinal,
 	"fenced by a host":                           daemon.PriorityFinal,
 	"configuration in force":                     daemon.PriorityFinal,
+	"jobs limited":                               daemon.PriorityFinal,
+	"jobs limited no more":                       daemon.PriorityFinal,
 	"settings reloaded":                          daemon.PriorityFinal,
 	"store regained":                             daemon.PriorityFinal,
 	"machines not listed":                        daemon.PriorityFinal,
