--- a/internal/front/cell_test.go
+++ b/internal/front/cell_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,6 +22,7 @@
 	"pulleyquay/internal/lateness"
 	"pulleyquay/internal/ledger"
 	"pulleyquay/internal/linkshard"
+	"pulleyquay/internal/overload"
 	"pulleyquay/internal/peer"
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/platform/follow"
@@ -40,6 +42,8 @@
 	net   *simNetwork
 	// mute keeps members from notifying the holder of accepted jobs.
 	mute bool
+	// configuration is the configuration in force; empty if nil.
+	configuration atomic.Pointer[catalog.Catalog]
 
 	mu      sync.Mutex
 	members map[string]*simMember // the running ones, by name
@@ -118,13 +122,14 @@
 	m.ctx, m.cancel = context.WithCancel(c.t.Context())
 	m.Front = &Front{
 		Store: writes, Get: client.Get, Health: health, Peers: port, View: view, Self: name, Partitions: 1,
-		Log: log, Metrics: NewMetrics(prometheus.NewRegistry()),
+		Log: log, Metrics: NewMetrics(prometheus.NewRegistry()), Limits: &overload.Limits{},
 	}
 	table := holder.NewTable(c.holderConfig(m, store), mux)
 	m.claimer = &cell.Claimer{
 		Self: self, View: view, Store: store, Writes: writes, Health: health, Peers: port, Log: log, Hold: table.Hold,
 		CatalogVersion: func() int64 { return 1 }, Behind: func(string) {}, Lateness: &lateness.Timers{},
 	}
+	m.claimer.Limits = &cell.LimitExchange{Measured: table.Limits, Apply: m.Limits.Apply, JobsInDoubt: m.JobsInDoubt}
 	m.entries = &cell.Service{Store: store, Health: health, Self: self, View: view, Log: log}
 	m.Start()
 	if c.mute {
@@ -149,7 +154,7 @@
 		DecodeHost: func(rec platform.Record) (host.Info, error) {
 			return c.fleet.Host(host.ID(strings.TrimPrefix(rec.Key, hostPrefix))).Info(), nil
 		},
-		Catalog: func() *catalog.Catalog { return &catalog.Catalog{} }, PolicyMembers: func() map[string]string { return nil },
+		Catalog: c.currentConfiguration, PolicyMembers: func() map[string]string { return nil },
 		Metrics: holder.NewMetrics(prometheus.NewRegistry()), Busy: func() bool { return false },
 		Event: func(e engine.Event) {
 			m.Log.WithFields(logrus.Fields{"job": e.Job, "host": e.Host, "why": e.Why}).Info(e.What)
@@ -157,6 +162,13 @@
 	}
 }
 
+func (c *simCell) currentConfiguration() *catalog.Catalog {
+	if current := c.configuration.Load(); current != nil {
+		return current
+	}
+	return &catalog.Catalog{}
+}
+
 // kill ends a process without any notice. Its calls to the store may still arrive.
 func (c *simCell) kill(name string) {
 	c.mu.Lock()
