--- a/internal/engine/queue_load.go
+++ b/internal/engine/queue_load.go
@@ -85,9 +85,9 @@
 }
 
 // sampleQueueLoad samples the waiting work and updates the limits. While this holder does not know all runs, or may
-// give no orders, what waits does not depend on the accounts.
+// give no orders, what waits does not depend on the accounts. Without weights, nothing is measured.
 func (e *Engine) sampleQueueLoad(now time.Time) {
-	if e.reconciling || !now.Before(e.authorityUntil) {
+	if e.reconciling || !now.Before(e.authorityUntil) || !e.weightsConfigured() {
 		e.logLimits(e.overload.Discard())
 		return
 	}
@@ -157,11 +157,11 @@
 	}
 }
 
-// Limits returns the limits for the members and when they were measured. ok is false while there are no figures, or if no
-// account has a weight.
+// Limits returns the limits for the members and when they were measured. ok is false while there are no figures, as
+// when no account has a weight.
 func (e *Engine) Limits() (limits []overload.Limit, measuredAt time.Time, ok bool) {
 	measuredAt = e.overload.SampledAt()
-	return e.overload.Limits(), measuredAt, !measuredAt.IsZero() && e.weightsConfigured()
+	return e.overload.Limits(), measuredAt, !measuredAt.IsZero()
 }
 
 func (e *Engine) weightsConfigured() bool {
