--- a/internal/engine/queue_load_test.go
+++ b/internal/engine/queue_load_test.go
@@ -199,21 +199,21 @@
 	is.Equal(len(w.engine.QueueLoads()), 0)
 }
 
-// BenchmarkQueueLoadSample measures a sample, which is taken each 250 ms, with 440 accounts.
+// BenchmarkQueueLoadSample measures a sample, which is taken each 250 ms.
 func BenchmarkQueueLoadSample(b *testing.B) {
-	for _, steps := range []int{700, 10000} {
-		b.Run(fmt.Sprint(steps, " steps"), func(b *testing.B) {
+	for _, load := range []struct{ steps, accounts int }{{700, 20}, {700, 440}, {10000, 440}} {
+		b.Run(fmt.Sprintf("%d steps of %d accounts", load.steps, load.accounts), func(b *testing.B) {
 			w := newWorld(b, 1)
 			w.accountOf = func(id string) string { return id[:3] }
 			w.failOver()
 			c := &catalog.Catalog{}
-			for i := range 440 {
+			for i := range load.accounts {
 				c.Accounts = append(c.Accounts, catalog.Account{Name: fmt.Sprintf("%03d", i), Weight: 1})
 			}
 			c.Index()
 			w.engine.SetCatalog(c, w.now())
-			for i := range steps {
-				w.submit(fmt.Sprintf("%03d-%d", i%440, i), previewRules, step(10, 11, 1, 560))
+			for i := range load.steps {
+				w.submit(fmt.Sprintf("%03d-%d", i%load.accounts, i), previewRules, step(10, 11, 1, 560))
 			}
 			w.run(time.Second)
 			now := w.now()
