engine: tests of bursts in two queues in turn, and of lost calls

A starved queue with a target many times longer is not limited, and an account that fits into the cell is not limited where 6% of the calls to hosts get lost.

The log line of a limit's end tells the wait itself; it told at least the limit, as members are told while the fraction rises.

--- a/internal/engine/queue_load_test.go
+++ b/internal/engine/queue_load_test.go
@@ -226,3 +226,57 @@
 		})
 	}
 }
+
+// mosaicRules are the rules of the mosaics of HARD-LOAD.md.
+var mosaicRules = catalog.Rules{Priority: 2, CriticalPathFactor: 4, TargetMillis: 3000}
+
+// sendTo submits jobs of 8 tasks to a queue at even intervals. The queue is part of their ids.
+func (w *world) sendTo(queue, account string, rules catalog.Rules, estimateMillis int64, perSecond float64, d time.Duration) {
+	w.queueOf = func(id string) string { return strings.Split(id, "-")[1] }
+	for i := range int(d.Seconds() * perSecond) {
+		w.after(time.Duration(float64(i)/perSecond*float64(time.Second)), func() {
+			w.submit(fmt.Sprintf("%s-%s-%d-%d", account, queue, w.now().UnixMilli(), i), rules, step(8, 1, 1, estimateMillis))
+		})
+	}
+}
+
+// limitedQueues runs the simulation for d and returns the queues with a limit at any time.
+func (w *world) limitedQueues(d time.Duration) map[string]bool {
+	out := map[string]bool{}
+	for range d / (100 * time.Millisecond) {
+		w.run(100 * time.Millisecond)
+		limits, _, _ := w.engine.Limits()
+		for _, l := range limits {
+			out[l.Queue] = true
+		}
+	}
+	return out
+}
+
+// TestBurstsInTwoQueuesInTurn: a burst of urgent work starves the mosaics of the same account, whose target is many times
+// longer: they are not limited. A burst of mosaics does not limit the previews, which go before them.
+func TestBurstsInTwoQueuesInTurn(t *testing.T) {
+	is := is.New(t)
+	w := weightedWorld(t, fairshare.Unlimited)
+	w.run(time.Second)
+	w.sendTo("previews", "heavy", previewRules, 560, 10, 60*time.Second)
+	w.sendTo("mosaics", "heavy", mosaicRules, 2000, 3, 20*time.Second)
+	w.sendTo("previews", "light", previewRules, 560, 70, 10*time.Second) // the cell completes 35 a second
+	is.Equal(w.limitedQueues(20*time.Second), map[string]bool{"previews": true})
+	w.sendTo("mosaics", "heavy", mosaicRules, 2000, 40, 20*time.Second) // the cell completes 7 a second beside the previews
+	is.Equal(w.limitedQueues(40*time.Second), map[string]bool{"mosaics": true})
+	w.checkInvariants()
+}
+
+// TestFaultsLimitNoOne: the load fits into the cell, although calls to hosts get lost. What waits for hosts that
+// do not answer is no reason for a limit.
+func TestFaultsLimitNoOne(t *testing.T) {
+	is := is.New(t)
+	w := weightedWorld(t, fairshare.Unlimited)
+	w.faults = faults{lostRequest: 0.03, lostReply: 0.03}
+	w.run(time.Second)
+	w.sendTo("previews", "light", previewRules, 560, 5, 30*time.Second)
+	w.sendTo("previews", "heavy", previewRules, 560, 13, 30*time.Second) // 50% of the processors; with 69%, the lost runs use all
+	is.Equal(len(w.limitedQueues(35*time.Second)), 0)
+	w.checkInvariants()
+}
--- a/internal/overload/monitor.go
+++ b/internal/overload/monitor.go
@@ -416,7 +416,7 @@
 
 func (a *accountLoad) change(k Key) Change {
 	return Change{
-		Limit: a.limit(k), Began: a.admit < 1, MaxWait: a.maxWait,
+		Limit: Limit{Key: k, Admit: a.admit, Wait: a.wait, RetryAfter: a.retryAfter()}, Began: a.admit < 1, MaxWait: a.maxWait,
 		Waiting: a.waiting, Rate: a.rate, Offered: a.offeredRate(),
 	}
 }
