--- a/internal/engine/dump_account.go
+++ b/internal/engine/dump_account.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pulleyquay/internal/fairshare"
+	"pulleyquay/internal/overload"
 	"pulleyquay/internal/record"
 	"pulleyquay/internal/spec"
 )
@@ -114,8 +115,10 @@
 	// Why is the reason for its end, if the state alone does not give it.
 	Why string `json:"why,omitempty"`
 	// Order is what decides the order of its steps among those of other accounts.
-	Order string          `json:"order,omitempty"`
-	Steps []ExplainedStep `json:"steps"`
+	Order string `json:"order,omitempty"`
+	// Admission is the load of its queue and account, from which limits are derived.
+	Admission *overload.Row   `json:"admission,omitempty"`
+	Steps     []ExplainedStep `json:"steps"`
 	// LeftOut counts the steps that were omitted from Steps.
 	LeftOut int `json:"steps_left_out,omitempty"`
 }
@@ -138,7 +141,10 @@
 	if j == nil {
 		return Explanation{}, false
 	}
-	out := Explanation{Job: id, Account: j.rec.Account, Queue: j.rec.Queue, State: j.state, Why: cmp.Or(j.endReason, j.rec.Why), Order: e.explainOrder(j, now), Steps: []ExplainedStep{}}
+	out := Explanation{
+		Job: id, Account: j.rec.Account, Queue: j.rec.Queue, State: j.state, Why: cmp.Or(j.endReason, j.rec.Why),
+		Order: e.explainOrder(j, now), Admission: e.explainAdmission(j), Steps: []ExplainedStep{},
+	}
 	for _, g := range j.groups {
 		if g.undone == 0 || j.state.Final() {
 			continue
