--- a/internal/engine/copies_test.go
+++ b/internal/engine/copies_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -687,3 +688,44 @@
 		}
 	}
 }
+
+// TestCopiesDoNotSpreadCrashes guards against copies of tasks that crash their hosts: a host that crashes is
+// silent at first, as is one that merely lost a call. With power losses no connection is reset, and the
+// engine learns of the crash only from the next incarnation.
+func TestCopiesDoNotSpreadCrashes(t *testing.T) {
+	for _, powerLoss := range []bool{false, true} {
+		t.Run(fmt.Sprintf("power loss %t", powerLoss), func(t *testing.T) {
+			lost := map[bool]int{}
+			for _, speculative := range []bool{false, true} {
+				w := crashWorld(t, 1, 48)
+				w.fleet.PowerLossCrashes = powerLoss
+				w.keepEvents = true
+				for i := range 400 {
+					w.after(time.Duration(i)*40*time.Millisecond, func() { w.submitCrashLoad(i, speculative) })
+				}
+				w.run(60 * time.Second)
+				w.checkInvariants()
+				lost[speculative] += w.fleet.Checker().HostsCrashedByTasks()
+				for id, reported := range w.reported {
+					if failed := reported == record.StateFailed; failed != strings.HasPrefix(id, crashingJob) {
+						t.Errorf("speculative %t: %s is %s", speculative, id, reported)
+					}
+				}
+			}
+			t.Logf("%d hosts crashed under speculative tasks, %d under others", lost[true], lost[false])
+			if lost[true] > lost[false]*11/10 {
+				t.Errorf("%d hosts crashed under speculative tasks, %d under others", lost[true], lost[false])
+			}
+		})
+	}
+}
+
+// submitCrashLoad submits short work and, at times, a job of which one task crashes its hosts.
+func (w *world) submitCrashLoad(i int, speculative bool) {
+	s := step(3, 11, 10, 560) // so that each host has a small share of the runs
+	s.Speculative = speculative
+	w.submit(fmt.Sprint("short-", i), shortRules, s)
+	if i%20 == 5 {
+		w.submit(fmt.Sprint(crashingJob, i), shortRules, s)
+	}
+}
