--- a/internal/engine/copies_test.go
+++ b/internal/engine/copies_test.go
@@ -95,6 +95,30 @@
 	}
 }
 
+// TestDumpShowsCopies: the dump and the explanation show the late run, its copy, and why there is none.
+func TestDumpShowsCopies(t *testing.T) {
+	is := is.New(t)
+	w := copyWorld(t, 1, 12)
+	w.hangFirst("job", 1)
+	w.submit("job", shortRules, speculativeStep(3))
+	w.run(60 * time.Millisecond)
+	is.Equal(w.engine.Dump(w.now()).Copies, nil)
+	w.run(200 * time.Millisecond)
+	rows := w.engine.Dump(w.now()).Copies
+	is.Equal(len(rows), 1)
+	is.Equal(rows[0].Task, "job/0/0/0")
+	is.Equal(rows[0].Late, string(speculation.Unacknowledged))
+	is.True(rows[0].SecondRun == 2 && rows[0].SecondHost != rows[0].Host)
+	x, _ := w.engine.Explain("job", w.now())
+	is.True(strings.Contains(x.Steps[0].Copies, "run 2 on "+rows[0].SecondHost+" beside it (running)"))
+
+	w.hangFirst("one-attempt", 1)
+	w.submit("one-attempt", catalog.Rules{CriticalPathFactor: 1.5, MaxAttempts: 1}, speculativeStep(1))
+	w.run(200 * time.Millisecond)
+	x, _ = w.engine.Explain("one-attempt", w.now())
+	is.True(strings.Contains(x.Steps[0].Copies, "no copy: "+string(speculation.FewAttempts)))
+}
+
 // TestCopyOfSlowRun guards against a host that has become slow and holds up a job: the run is copied when it
 // has taken longer than nearly all, on a host in another rack, and stopped when the copy is done.
 func TestCopyOfSlowRun(t *testing.T) {
--- a/internal/engine/dump.go
+++ b/internal/engine/dump.go
@@ -31,7 +31,9 @@
 	Decisions []DumpedDecision `json:"verdicts"`
 	// Accounts are the client accounts; those with most steps waiting for their quota first.
 	Accounts []DumpedAccount `json:"accounts"`
-	LeftOut  DumpLeftOut     `json:"left_out"`
+	// Copies are the tasks with two runs or a late one, those with the oldest runs first.
+	Copies  []DumpedCopy `json:"copies,omitempty"`
+	LeftOut DumpLeftOut  `json:"left_out"`
 }
 
 // DumpLeftOut counts the rows that were omitted from each list of a dump.
@@ -41,6 +43,7 @@
 	Silent    int `json:"silent"`
 	Decisions int `json:"verdicts"`
 	Accounts  int `json:"accounts"`
+	Copies    int `json:"copies,omitempty"`
 }
 
 // DumpedTask is a task under which hosts have crashed.
@@ -113,6 +116,7 @@
 	d.Failed, d.LeftOut.Failed = truncateRows(e.dumpFailed(now))
 	d.Silent, d.LeftOut.Silent = truncateRows(e.dumpSilent(now))
 	d.Decisions, d.LeftOut.Decisions = truncateRows(e.dumpDecisions(now))
+	d.Copies, d.LeftOut.Copies = truncateRows(e.dumpCopies(now))
 	loads, leftOut := truncateRows(e.AccountLoads(now))
 	d.Accounts, d.LeftOut.Accounts = e.dumpAccounts(loads, now), leftOut
 	return d
--- a/internal/engine/dump_account.go
+++ b/internal/engine/dump_account.go
@@ -118,6 +118,8 @@
 	Waiting int `json:"waiting"`
 	// Why is the reason why the waiting tasks wait.
 	Why string `json:"why,omitempty"`
+	// Copies describes the late tasks of a speculative step and their copies.
+	Copies string `json:"copies,omitempty"`
 }
 
 // Explain returns the progress of a job and the reasons why its steps wait. The second
@@ -142,7 +144,7 @@
 }
 
 func (e *Engine) explainStep(g *group, now time.Time) ExplainedStep {
-	s := ExplainedStep{Step: g.id.String(), Done: len(g.tasks) - g.undone, Waiting: g.waiting, Running: g.undone - g.waiting}
+	s := ExplainedStep{Step: g.id.String(), Done: len(g.tasks) - g.undone, Waiting: g.waiting, Running: g.undone - g.waiting, Copies: e.explainCopies(g, now)}
 	switch {
 	case g.waiting == 0:
 	case g.pendingDeps > 0:
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -179,7 +179,7 @@
 	return context.Cause(h.ctx)
 }
 
-// reportLoads updates the metrics of client accounts and of long-running tasks periodically.
+// reportLoads updates the metrics of client accounts, of long-running tasks and of copies periodically.
 func (h *Holder) reportLoads() {
 	tick := time.NewTicker(loadMetricsInterval)
 	defer tick.Stop()
@@ -191,8 +191,9 @@
 			return
 		case now := <-tick.C:
 			h.mu.Lock()
-			loads, gaps := h.engine.AccountLoads(now), h.engine.LongRunningGaps(now)
+			loads, gaps, copies := h.engine.AccountLoads(now), h.engine.LongRunningGaps(now), h.engine.TakeCopyTotals()
 			h.mu.Unlock()
+			h.cfg.Metrics.reportCopies(copies)
 			h.cfg.Metrics.reportAccounts(loads)
 			h.cfg.Metrics.reportLongRunningGaps(gaps)
 		}
--- a/internal/holder/metrics.go
+++ b/internal/holder/metrics.go
@@ -31,8 +31,12 @@
 	// longRunningGaps has the longest gaps of at most maxQueueMetrics queues.
 	longRunningGaps *prometheus.GaugeVec
 
+	copyMetrics copyMetrics
+
 	mu   sync.Mutex
 	load Load
+	// copyQueues are the queues with metrics of their copies.
+	copyQueues map[string]struct{}
 }
 
 // maxAccountMetrics bounds the number of client accounts with metrics. The accounts with the
@@ -84,6 +88,7 @@
 // NewMetrics returns the metrics, registered with reg.
 func NewMetrics(reg prometheus.Registerer) *Metrics {
 	m := &Metrics{
+		copyMetrics: newCopyMetrics(reg), copyQueues: map[string]struct{}{},
 		commits: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "pulleyquay_holder_commit_seconds", Help: "Transactions of the holder, until settled.",
 			Buckets: prometheus.ExponentialBuckets(0.002, 3, 8),
