--- a/internal/engine/copies_test.go
+++ b/internal/engine/copies_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -94,6 +95,30 @@
 	}
 }
 
+// TestDumpShowsCopies: the dump and the explanation show the late run, its copy, and why there is none.
+func TestDumpShowsCopies(t *testing.T) {
+	is := is.New(t)
+	w := copyWorld(t, 1, 12)
+	w.hangFirst("job", 1)
+	w.submit("job", shortRules, speculativeStep(3))
+	w.run(60 * time.Millisecond)
+	is.Equal(w.engine.Dump(w.now()).Copies, nil)
+	w.run(200 * time.Millisecond)
+	rows := w.engine.Dump(w.now()).Copies
+	is.Equal(len(rows), 1)
+	is.Equal(rows[0].Task, "job/0/0/0")
+	is.Equal(rows[0].Late, string(speculation.Unacknowledged))
+	is.True(rows[0].SecondRun == 2 && rows[0].SecondHost != rows[0].Host)
+	x, _ := w.engine.Explain("job", w.now())
+	is.True(strings.Contains(x.Steps[0].Copies, "run 2 on "+rows[0].SecondHost+" beside it (running)"))
+
+	w.hangFirst("one-attempt", 1)
+	w.submit("one-attempt", catalog.Rules{CriticalPathFactor: 1.5, MaxAttempts: 1}, speculativeStep(1))
+	w.run(200 * time.Millisecond)
+	x, _ = w.engine.Explain("one-attempt", w.now())
+	is.True(strings.Contains(x.Steps[0].Copies, "no copy: "+string(speculation.FewAttempts)))
+}
+
 // TestCopyOfSlowRun guards against a host that has become slow and holds up a job: the run is copied when it
 // has taken longer than nearly all, on a host in another rack, and stopped when the copy is done.
 func TestCopyOfSlowRun(t *testing.T) {
@@ -687,3 +712,44 @@
 		}
 	}
 }
+
+// TestCopiesDoNotSpreadCrashes guards against copies of tasks that crash their hosts: a host that crashes is
+// silent at first, as is one that merely lost a call. With power losses no connection is reset, and the
+// engine learns of the crash only from the next incarnation.
+func TestCopiesDoNotSpreadCrashes(t *testing.T) {
+	for _, powerLoss := range []bool{false, true} {
+		t.Run(fmt.Sprintf("power loss %t", powerLoss), func(t *testing.T) {
+			lost := map[bool]int{}
+			for _, speculative := range []bool{false, true} {
+				w := crashWorld(t, 1, 48)
+				w.fleet.PowerLossCrashes = powerLoss
+				w.keepEvents = true
+				for i := range 400 {
+					w.after(time.Duration(i)*40*time.Millisecond, func() { w.submitCrashLoad(i, speculative) })
+				}
+				w.run(60 * time.Second)
+				w.checkInvariants()
+				lost[speculative] += w.fleet.Checker().HostsCrashedByTasks()
+				for id, reported := range w.reported {
+					if failed := reported == record.StateFailed; failed != strings.HasPrefix(id, crashingJob) {
+						t.Errorf("speculative %t: %s is %s", speculative, id, reported)
+					}
+				}
+			}
+			t.Logf("%d hosts crashed under speculative tasks, %d under others", lost[true], lost[false])
+			if lost[true] > lost[false]*11/10 {
+				t.Errorf("%d hosts crashed under speculative tasks, %d under others", lost[true], lost[false])
+			}
+		})
+	}
+}
+
+// submitCrashLoad submits short work and, at times, a job of which one task crashes its hosts.
+func (w *world) submitCrashLoad(i int, speculative bool) {
+	s := step(3, 11, 10, 560) // so that each host has a small share of the runs
+	s.Speculative = speculative
+	w.submit(fmt.Sprint("short-", i), shortRules, s)
+	if i%20 == 5 {
+		w.submit(fmt.Sprint(crashingJob, i), shortRules, s)
+	}
+}
--- a/internal/engine/dump.go
+++ b/internal/engine/dump.go
@@ -35,7 +35,9 @@
 	// Admission is the load by queue and client account from which limits are derived; those with the most
 	// waiting work first.
 	Admission []overload.Row `json:"admission"`
-	LeftOut   DumpLeftOut    `json:"left_out"`
+	// Copies are the tasks with two runs or a late one, those with the oldest runs first.
+	Copies  []DumpedCopy `json:"copies,omitempty"`
+	LeftOut DumpLeftOut  `json:"left_out"`
 }
 
 // DumpLeftOut counts the rows that were omitted from each list of a dump.
@@ -46,6 +48,7 @@
 	Decisions int `json:"verdicts"`
 	Accounts  int `json:"accounts"`
 	Admission int `json:"admission"`
+	Copies    int `json:"copies,omitempty"`
 }
 
 // DumpedTask is a task under which hosts have crashed.
@@ -118,6 +121,7 @@
 	d.Failed, d.LeftOut.Failed = truncateRows(e.dumpFailed(now))
 	d.Silent, d.LeftOut.Silent = truncateRows(e.dumpSilent(now))
 	d.Decisions, d.LeftOut.Decisions = truncateRows(e.dumpDecisions(now))
+	d.Copies, d.LeftOut.Copies = truncateRows(e.dumpCopies(now))
 	loads, leftOut := truncateRows(e.AccountLoads(now))
 	d.Admission, d.LeftOut.Admission = truncateRows(e.QueueLoads())
 	d.Accounts, d.LeftOut.Accounts = e.dumpAccounts(loads, now), leftOut
--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"pulleyquay/internal/host"
+	"pulleyquay/internal/hostspeed"
 	"pulleyquay/internal/pacing"
 	"pulleyquay/internal/spec"
 )
@@ -127,7 +128,8 @@
 	excludedUntil time.Time // excluded from placement until then
 	exclusions    int
 
-	speed runTimeFactor // how fast tasks run here
+	speed        hostspeed.Estimate // how fast tasks run here
+	unansweredAt time.Time          // when a call last got no answer
 
 	reserved []reservation // capacity reserved for gangs
 
@@ -215,6 +217,7 @@
 	if !h.countsAgainst(err, now) {
 		return
 	}
+	h.unansweredAt = now
 	if h.unresponsiveSince.IsZero() {
 		h.unresponsiveSince = now
 		h.probeSilent(now)
--- a/internal/engine/late_ends.go
+++ b/internal/engine/late_ends.go
@@ -78,7 +78,7 @@
 	if g == nil || g.step.LongRunning || g.step.Backfill || r.resumed || r.adopted || r.throttle != pacing.Full {
 		return 0
 	}
-	return time.Duration(float64(g.expected) * r.placedOn.relativeRunTime())
+	return time.Duration(float64(g.expected) * r.placedOn.speed.RelativeRunTime())
 }
 
 // observeLateness compares the run time of a completed run with its prediction. An end that was known late
--- a/internal/engine/queue_load_test.go
+++ b/internal/engine/queue_load_test.go
@@ -13,8 +13,8 @@
 	"pulleyquay/internal/overload"
 )
 
-// previewRules are the rules of the previews of HARD-LOAD.md.
-var previewRules = catalog.Rules{CriticalPathFactor: 1.5, TargetMillis: 250}
+// shortJobRules are the rules of short work without a policy.
+var shortJobRules = catalog.Rules{CriticalPathFactor: 1.5, TargetMillis: 250}
 
 // weightedWorld is a cell of 160 cores in which the accounts "light" and "heavy" have weights of 1 and 3.
 func weightedWorld(t *testing.T, quota fairshare.Quota) *world {
@@ -40,7 +40,7 @@
 func (w *world) send(account string, perSecond float64, d time.Duration) {
 	for i := range int(d.Seconds() * perSecond) {
 		w.after(time.Duration(float64(i)/perSecond*float64(time.Second)), func() {
-			w.submit(fmt.Sprintf("%s-%d-%d", account, w.now().UnixMilli(), i), previewRules, step(8, 1, 1, 560))
+			w.submit(fmt.Sprintf("%s-%d-%d", account, w.now().UnixMilli(), i), shortJobRules, step(8, 1, 1, 560))
 		})
 	}
 }
@@ -111,7 +111,7 @@
 	is.Equal(len(rows), 1)
 	is.Equal(rows[0].Key, overload.Key{Queue: "q", Account: "heavy"})
 	is.True(rows[0].Admit < 1 && rows[0].Evidence && rows[0].WaitMillis > rows[0].MaxWaitMillis)
-	w.submit("heavy-last", previewRules, step(8, 1, 1, 560))
+	w.submit("heavy-last", shortJobRules, step(8, 1, 1, 560))
 	x, known := w.engine.Explain("heavy-last", w.now())
 	is.True(known)
 	is.Equal(*x.Admission, rows[0])
@@ -213,7 +213,7 @@
 			c.Index()
 			w.engine.SetCatalog(c, w.now())
 			for i := range load.steps {
-				w.submit(fmt.Sprintf("%03d-%d", i%load.accounts, i), previewRules, step(10, 11, 1, 560))
+				w.submit(fmt.Sprintf("%03d-%d", i%load.accounts, i), shortJobRules, step(10, 11, 1, 560))
 			}
 			w.run(time.Second)
 			now := w.now()
@@ -227,8 +227,8 @@
 	}
 }
 
-// mosaicRules are the rules of the mosaics of HARD-LOAD.md.
-var mosaicRules = catalog.Rules{Priority: 2, CriticalPathFactor: 4, TargetMillis: 3000}
+// batchJobRules are the rules of long batch work without a policy.
+var batchJobRules = catalog.Rules{Priority: 2, CriticalPathFactor: 4, TargetMillis: 3000}
 
 // sendTo submits jobs of 8 tasks to a queue at even intervals. The queue is part of their ids.
 func (w *world) sendTo(queue, account string, rules catalog.Rules, estimateMillis int64, perSecond float64, d time.Duration) {
@@ -259,11 +259,11 @@
 	is := is.New(t)
 	w := weightedWorld(t, fairshare.Unlimited)
 	w.run(time.Second)
-	w.sendTo("previews", "heavy", previewRules, 560, 10, 60*time.Second)
-	w.sendTo("mosaics", "heavy", mosaicRules, 2000, 3, 20*time.Second)
-	w.sendTo("previews", "light", previewRules, 560, 70, 10*time.Second) // the cell completes 35 a second
+	w.sendTo("previews", "heavy", shortJobRules, 560, 10, 60*time.Second)
+	w.sendTo("mosaics", "heavy", batchJobRules, 2000, 3, 20*time.Second)
+	w.sendTo("previews", "light", shortJobRules, 560, 70, 10*time.Second) // the cell completes 35 a second
 	is.Equal(w.limitedQueues(20*time.Second), map[string]bool{"previews": true})
-	w.sendTo("mosaics", "heavy", mosaicRules, 2000, 40, 20*time.Second) // the cell completes 7 a second beside the previews
+	w.sendTo("mosaics", "heavy", batchJobRules, 2000, 40, 20*time.Second) // the cell completes 7 a second beside the previews
 	is.Equal(w.limitedQueues(40*time.Second), map[string]bool{"mosaics": true})
 	w.checkInvariants()
 }
@@ -275,8 +275,8 @@
 	w := weightedWorld(t, fairshare.Unlimited)
 	w.faults = faults{lostRequest: 0.03, lostReply: 0.03}
 	w.run(time.Second)
-	w.sendTo("previews", "light", previewRules, 560, 5, 30*time.Second)
-	w.sendTo("previews", "heavy", previewRules, 560, 13, 30*time.Second) // 50% of the processors; with 69%, the lost runs use all
+	w.sendTo("previews", "light", shortJobRules, 560, 5, 30*time.Second)
+	w.sendTo("previews", "heavy", shortJobRules, 560, 13, 30*time.Second) // 50% of the processors; with 69%, the lost runs use all
 	is.Equal(len(w.limitedQueues(35*time.Second)), 0)
 	w.checkInvariants()
 }
--- a/internal/holder/metrics.go
+++ b/internal/holder/metrics.go
@@ -35,8 +35,12 @@
 	// admission has the figures of at most maxAccountMetrics queues and accounts from which limits on jobs are derived.
 	admission *prometheus.GaugeVec
 
+	copyMetrics copyMetrics
+
 	mu   sync.Mutex
 	load Load
+	// copyQueues are the queues with metrics of their copies.
+	copyQueues map[string]struct{}
 }
 
 // maxAccountMetrics bounds the number of client accounts with metrics. The accounts with the
@@ -114,6 +118,7 @@
 // NewMetrics returns the metrics, registered with reg.
 func NewMetrics(reg prometheus.Registerer) *Metrics {
 	m := &Metrics{
+		copyMetrics: newCopyMetrics(reg), copyQueues: map[string]struct{}{},
 		commits: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "pulleyquay_holder_commit_seconds", Help: "Transactions of the holder, until settled.",
 			Buckets: prometheus.ExponentialBuckets(0.002, 3, 8),
