hostcall: test that repeated calls stay within the budget

Cause: the budget's bound was tested on the budget alone. Change: a test with 20, 50 and 90% of the calls of 350 hosts unanswered, in one process of 0.8 cores.

--- a/internal/hostcall/losses_test.go
+++ b/internal/hostcall/losses_test.go
@@ -149,11 +149,13 @@
 	route  map[host.ID]int
 	delays []time.Duration // from the end of a run until the holder knows it
 	lost   int             // calls reported as lost
+	made   int             // calls made by the holder
 }
 
 func (c *lossyCell) callerOf(id host.ID) *Caller {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.made++
 	return c.callers[c.route[id]%len(c.callers)]
 }
 
@@ -256,3 +258,21 @@
 		})
 	}
 }
+
+// TestRepeatedCallsAreBounded: guards against repeated calls that take the processor time of a process, however many
+// answers are lost: a large cell that repeated orders without a limit by processors served 0.04 to 0.74 of a day that
+// serves 0.77.
+func TestRepeatedCallsAreBounded(t *testing.T) {
+	for _, lost := range []float64{0.2, 0.5, 0.9} {
+		t.Run(fmt.Sprint(lost), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := runLossyCell(t, 1, lost)
+				repeated := c.hosts.calls - c.made
+				t.Logf("%d calls, %d repeated", c.hosts.calls, repeated)
+				const perSecond, burst = 800, 400 // of 0.8 cores
+				is.True(repeated <= perSecond*int(observed.Seconds()+3)+burst)
+			})
+		})
+	}
+}
