engine: the first steps in the queue query the policy service first

Cause: the policy service answers one query at a time for each member. In a burst, hundreds of steps far back kept the query slots full up to their backlog limits, so the steps that could start at once waited for their answers. Short queries about many hosts counted as medium ones and put their backlog on slots for short ones. Steps of short work used up the budget of each pass, so image work on other hosts was not even attempted.

Change: each step's use of the slots follows from its position among the steps with queries of the same length and placement: the first ones up to the backlog limit, the next ones when a slot is about to become idle, those far back only through idle slots, and not at all if the work ahead takes all that is free and becomes free until their tickets expire. A first step with few tickets also names busy hosts. A class that finds no slot for 0.3 s has one kept for it (bound 1.55 s). The pass budget is divided by service and placement. cell load, step waits and explain tell the uses.

--- a/internal/advice/lanes.go
+++ b/internal/advice/lanes.go
@@ -11,6 +11,8 @@
 // queries, so that short queries never wait behind long ones.
 type QuerySlots struct {
 	slots []*querySlot // sorted by name
+	// claims are the waits of the classes whose first steps find no slot.
+	claims map[Class]*claim
 }
 
 // querySlot is one member's queue of queries at the policy service.
@@ -30,7 +32,8 @@
 	// maxOutstanding bounds the unanswered queries of one query slot; the policy service
 	// itself refuses queries from 32 on.
 	maxOutstanding = 8
-	// shortQuery and longQuery separate short, medium and long queries by their duration.
+	// shortQuery and longQuery separate short, medium and long queries by their duration for
+	// one host.
 	shortQuery = 20 * time.Millisecond
 	longQuery  = 200 * time.Millisecond
 	// shortBacklog, mediumBacklog and longBacklog are the largest backlogs at which a query
@@ -45,7 +48,7 @@
 )
 
 // NewQuerySlots returns an empty set of query slots; SetMembers adds them.
-func NewQuerySlots() *QuerySlots { return &QuerySlots{} }
+func NewQuerySlots() *QuerySlots { return &QuerySlots{claims: map[Class]*claim{}} }
 
 // SetMembers replaces the set of members. Members that stay keep their state.
 func (q *QuerySlots) SetMembers(names []string) {
@@ -65,54 +68,97 @@
 	}
 }
 
-// Assign adds a query of the given duration to the query slot that will answer it first.
-// It returns the member's name and the expected time of the reply, or false if the
-// backlogs of all query slots that the query may use are too long.
-func (q *QuerySlots) Assign(duration time.Duration, now time.Time) (name string, replyAt time.Time, ok bool) {
-	slot := q.leastLoaded(duration, now)
+// Assign adds a query to the query slot that will answer it first. It returns the member's
+// name and the expected time of the reply, or false if the query may use no query slot now.
+func (q *QuerySlots) Assign(r Request, now time.Time) (name string, replyAt time.Time, ok bool) {
+	slot := q.leastLoaded(r, now)
 	if slot == nil {
 		return "", time.Time{}, false
 	}
+	delete(q.claims, r.Class)
 	if slot.busyUntil.Before(now) {
 		slot.busyUntil = now
 	}
-	slot.busyUntil = slot.busyUntil.Add(duration)
+	slot.busyUntil = slot.busyUntil.Add(r.Duration)
 	slot.outstanding++
 	return slot.name, slot.busyUntil, true
 }
 
-// MayAssign reports whether a query slot may take a query of the given duration now.
-func (q *QuerySlots) MayAssign(duration time.Duration, now time.Time) bool {
-	return q.leastLoaded(duration, now) != nil
+// MayAssign reports whether a query slot may take a query now. If one of the first steps of
+// a class is refused for long, a slot is kept for its class.
+func (q *QuerySlots) MayAssign(r Request, now time.Time) bool {
+	if q.leastLoaded(r, now) != nil {
+		delete(q.claims, r.Class)
+		return true
+	}
+	q.recordRefusal(r, now)
+	return false
 }
 
-// HalfIdle reports whether at least half of the query slots for a query of the given duration
+// HalfIdle reports whether at least half of the query slots for queries of the given length
 // have no outstanding queries.
-func (q *QuerySlots) HalfIdle(duration time.Duration, now time.Time) bool {
-	slots, _ := q.eligible(duration, now)
+func (q *QuerySlots) HalfIdle(length time.Duration, now time.Time) bool {
+	slots, _ := q.eligible(length, now)
+	idle := countIdle(slots)
+	return 2*idle >= len(slots) && idle > 0
+}
+
+// idleReserveDivisor is the divisor that gives the part of the slots of a class that stays
+// idle for its first steps.
+const idleReserveDivisor = 4
+
+// soonIdleBacklog is the backlog up to which a query slot counts as idle soon: without another
+// query it would be idle before the next pass through the queue, 20 ms later.
+const soonIdleBacklog = 10 * time.Millisecond
+
+func (s *querySlot) soonIdle(now time.Time) bool { return s.busyUntil.Sub(now) <= soonIdleBacklog }
+
+// countSoonIdle counts the query slots that are idle or will be soon.
+func countSoonIdle(slots []*querySlot, now time.Time) int {
+	idle := 0
+	for _, slot := range slots {
+		if slot.soonIdle(now) {
+			idle++
+		}
+	}
+	return idle
+}
+
+// countIdle counts the query slots without outstanding queries.
+func countIdle(slots []*querySlot) int {
 	idle := 0
 	for _, slot := range slots {
 		if slot.outstanding == 0 {
 			idle++
 		}
 	}
-	return 2*idle >= len(slots) && idle > 0
+	return idle
 }
 
-// leastLoaded returns the query slot with the shortest backlog for a query of the given
-// duration, or nil if none may take the query now.
-func (q *QuerySlots) leastLoaded(duration time.Duration, now time.Time) *querySlot {
-	slots, backlog := q.eligible(duration, now)
+// leastLoaded returns the query slot with the shortest backlog for a query, or nil if none
+// may take the query now.
+func (q *QuerySlots) leastLoaded(r Request, now time.Time) *querySlot {
+	slots, backlog := q.eligible(r.Length, now)
+	if r.Use == UseNone || r.Use == UseIdle && countSoonIdle(slots, now) <= len(slots)/idleReserveDivisor {
+		return nil
+	}
+	claimant, claimed := q.claimedBy(now)
+	if claimant == r.Class {
+		r.Share = 1
+	}
 	var best *querySlot
 	for _, slot := range slots {
 		if slot.outstanding >= maxOutstanding || slot.failures > 0 && slot.outstanding > 0 {
 			continue // after a failure a query slot gets one query at a time
 		}
+		if r.Use == UseIdle && !slot.soonIdle(now) || claimant != r.Class && slot == claimed {
+			continue
+		}
 		if best == nil || slot.busyUntil.Before(best.busyUntil) {
 			best = slot
 		}
 	}
-	if best == nil || best.busyUntil.Sub(now) > backlog {
+	if best == nil || best.busyUntil.Sub(now) > time.Duration(r.Share*float64(backlog)) {
 		return nil
 	}
 	return best
@@ -125,9 +171,11 @@
 	shortOrMediumDivisor = 3
 )
 
-// eligible returns the query slots for queries of the given duration, and their largest
-// permitted backlog. Queries of all durations share the slots if there are few.
-func (q *QuerySlots) eligible(duration time.Duration, now time.Time) ([]*querySlot, time.Duration) {
+// eligible returns the query slots for queries of the given length, and their largest
+// permitted backlog. Queries of all lengths share the slots if there are few. The length of
+// a query is its duration if it is about one host: with more hosts, short queries would
+// otherwise count as medium ones and take the backlog of those to slots for short ones.
+func (q *QuerySlots) eligible(length time.Duration, now time.Time) ([]*querySlot, time.Duration) {
 	slots := q.usable(now)
 	n := len(slots)
 	if n < shortOrMediumDivisor {
@@ -136,9 +184,9 @@
 	shortOnly := max(n/shortDivisor, 1)
 	shortOrMedium := max(n/shortOrMediumDivisor, shortOnly)
 	switch {
-	case duration <= shortQuery:
+	case length <= shortQuery:
 		return slots[:shortOrMedium], shortBacklog
-	case duration < longQuery:
+	case length < longQuery:
 		return slots[shortOnly : shortOrMedium+1], mediumBacklog
 	}
 	return slots[shortOrMedium:], longBacklog
--- a/internal/advice/lanes_test.go
+++ b/internal/advice/lanes_test.go
@@ -15,6 +15,11 @@
 	return q
 }
 
+// query returns a query of one of the first steps of a class.
+func query(d time.Duration) Request {
+	return Request{Class: ClassOf(d, ByTask), Length: d, Duration: d, Share: 1}
+}
+
 // TestShortQueriesNeverWaitBehindLongOnes fills the query slots with long queries and
 // checks that a short query is still answered without a wait.
 func TestShortQueriesNeverWaitBehindLongOnes(t *testing.T) {
@@ -23,14 +28,14 @@
 		q := NewQuerySlots()
 		q.SetMembers([]string{"a", "b", "c", "d", "e", "f", "g", "h", "i"}[:members])
 		for {
-			if _, _, ok := q.Assign(900*time.Millisecond, start); !ok {
+			if _, _, ok := q.Assign(query(900*time.Millisecond), start); !ok {
 				break
 			}
 		}
 		if members < 3 {
 			continue // queries of all durations share two query slots
 		}
-		_, replyAt, ok := q.Assign(8*time.Millisecond, start)
+		_, replyAt, ok := q.Assign(query(8*time.Millisecond), start)
 		is.True(ok)
 		is.Equal(replyAt, start.Add(8*time.Millisecond))
 	}
@@ -41,22 +46,22 @@
 	q := NewQuerySlots()
 	q.SetMembers([]string{"a"})
 	for _, duration := range []time.Duration{5 * time.Millisecond, 60 * time.Millisecond, 700 * time.Millisecond} {
-		name, _, ok := q.Assign(duration, start)
+		name, _, ok := q.Assign(query(duration), start)
 		is.True(ok)
 		is.Equal(name, "a")
 	}
-	_, _, ok := NewQuerySlots().Assign(time.Millisecond, start)
+	_, _, ok := NewQuerySlots().Assign(query(time.Millisecond), start)
 	is.True(!ok) // there is no member to send the query
 }
 
 func TestLeastLoadedQuerySlotIsChosen(t *testing.T) {
 	is := is.New(t)
 	q := newSevenSlots()
-	first, _, _ := q.Assign(700*time.Millisecond, start)
-	second, _, _ := q.Assign(700*time.Millisecond, start)
+	first, _, _ := q.Assign(query(700*time.Millisecond), start)
+	second, _, _ := q.Assign(query(700*time.Millisecond), start)
 	is.True(first != second)
 	q.RecordReply(first, false, start, start.Add(100*time.Millisecond)) // earlier than estimated
-	third, replyAt, _ := q.Assign(700*time.Millisecond, start.Add(100*time.Millisecond))
+	third, replyAt, _ := q.Assign(query(700*time.Millisecond), start.Add(100*time.Millisecond))
 	is.True(third != second)
 	is.Equal(replyAt, start.Add(800*time.Millisecond))
 }
@@ -69,7 +74,7 @@
 	now := start
 	failures := 0
 	for range 40 {
-		name, _, ok := q.Assign(700*time.Millisecond, now)
+		name, _, ok := q.Assign(query(700*time.Millisecond), now)
 		is.True(ok)
 		failed := name == "g"
 		if failed {
@@ -91,19 +96,19 @@
 	q := NewQuerySlots()
 	q.SetMembers([]string{"a"})
 	for range 8 {
-		_, _, ok := q.Assign(8*time.Millisecond, start)
+		_, _, ok := q.Assign(query(8*time.Millisecond), start)
 		is.True(ok)
 	}
 	failedAt := start.Add(400 * time.Millisecond)
 	for range 8 {
 		q.RecordReply("a", true, start, failedAt)
 	}
-	_, _, ok := q.Assign(8*time.Millisecond, failedAt.Add(initialBackoff-1))
+	_, _, ok := q.Assign(query(8*time.Millisecond), failedAt.Add(initialBackoff-1))
 	is.True(!ok)
-	_, _, ok = q.Assign(8*time.Millisecond, failedAt.Add(initialBackoff))
+	_, _, ok = q.Assign(query(8*time.Millisecond), failedAt.Add(initialBackoff))
 	is.True(ok)
 	q.RecordReply("a", true, failedAt.Add(initialBackoff), failedAt.Add(2*initialBackoff)) // failed again
-	_, _, ok = q.Assign(8*time.Millisecond, failedAt.Add(3*initialBackoff))
+	_, _, ok = q.Assign(query(8*time.Millisecond), failedAt.Add(3*initialBackoff))
 	is.True(!ok)
 }
 
@@ -116,15 +121,15 @@
 		q.RecordReply(name, true, start, start)
 	}
 	for _, duration := range []time.Duration{8 * time.Millisecond, 60 * time.Millisecond, 700 * time.Millisecond} {
-		name, _, ok := q.Assign(duration, start)
+		name, _, ok := q.Assign(query(duration), start)
 		is.True(ok)
 		is.True(name != "a" && name != "b")
 	}
 	for _, name := range []string{"c", "d", "e", "f", "g"} {
 		q.RecordReply(name, true, start, start)
 	}
-	_, _, ok := q.Assign(8*time.Millisecond, start)
+	_, _, ok := q.Assign(query(8*time.Millisecond), start)
 	is.True(!ok)
-	_, _, ok = q.Assign(8*time.Millisecond, start.Add(initialBackoff))
+	_, _, ok = q.Assign(query(8*time.Millisecond), start.Add(initialBackoff))
 	is.True(ok) // one query slot is tried again
 }
--- /dev/null
+++ b/internal/advice/order_test.go
@@ -0,0 +1,149 @@
+package advice
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// newSlots returns n idle query slots.
+func newSlots(n int) *QuerySlots {
+	q := NewQuerySlots()
+	var names []string
+	for i := range n {
+		names = append(names, fmt.Sprintf("m%02d", i))
+	}
+	q.SetMembers(names)
+	return q
+}
+
+// Durations of queries about one host and about the usual number.
+const (
+	shortLength, shortDuration = 16 * time.Millisecond, 22 * time.Millisecond
+	imageLength, imageDuration = 203 * time.Millisecond, 300 * time.Millisecond
+	gangLength, gangDuration   = 730 * time.Millisecond, 1235 * time.Millisecond
+)
+
+// pendingReply is a query that the policy service has yet to answer.
+type pendingReply struct {
+	name     string
+	sent, at time.Time
+}
+
+// queryLoad sends the queries of waiting steps in the order of the steps. Each step has one query at a time, and
+// sends the next one requeryDelay after the reply.
+type queryLoad struct {
+	slots   *QuerySlots
+	order   Order
+	pending []pendingReply
+	nextAt  map[int]time.Time // by step
+}
+
+// requeryDelay is the engine's delay between a reply and the next query of a step.
+const requeryDelay = 20 * time.Millisecond
+
+// answer records the replies that are due.
+func (l *queryLoad) answer(now time.Time) {
+	left := l.pending[:0]
+	for _, p := range l.pending {
+		if p.at.After(now) {
+			left = append(left, p)
+			continue
+		}
+		l.slots.RecordReply(p.name, false, p.sent, now)
+	}
+	l.pending = left
+}
+
+// query lets a step, the next one of its class, query, and returns how long the reply takes.
+func (l *queryLoad) query(step int, c Class, length, duration time.Duration, now time.Time) (time.Duration, bool) {
+	r := Request{Class: c, Length: length, Duration: duration, Share: l.order.Next(c, length, l.slots, now)}
+	if r.Share == 0 {
+		r.Use = UseIdle
+	}
+	if now.Before(l.nextAt[step]) || !l.slots.MayAssign(r, now) {
+		return 0, false
+	}
+	name, at, ok := l.slots.Assign(r, now)
+	if !ok {
+		return 0, false
+	}
+	l.pending = append(l.pending, pendingReply{name, now, at})
+	l.nextAt[step] = at.Add(requeryDelay)
+	return at.Sub(now), true
+}
+
+// TestFirstStepFindsLittleBacklog: guards against the first step in the queue waiting for the queries of hundreds of
+// steps behind it (HARD-LOAD.md, d: 140 ms in place of 30 ms). With 600 waiting steps, each of which queries again as
+// soon as it may, the first finds less backlog than one query of the others, in the mean.
+func TestFirstStepFindsLittleBacklog(t *testing.T) {
+	is := is.New(t)
+	l := &queryLoad{slots: newSlots(32), nextAt: map[int]time.Time{}}
+	short := ClassOf(shortLength, ByTask)
+	sum, longest, n := time.Duration(0), time.Duration(0), 0
+	for ms := 0; ms < 2000; ms += 10 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		l.answer(now)
+		l.order.Reset()
+		if reply, ok := l.query(ms, short, shortLength, shortDuration, now); ok { // another step comes first each time
+			sum, longest, n = sum+reply-shortDuration, max(longest, reply-shortDuration), n+1
+		}
+		for i := range 599 {
+			l.query(-1-i, short, shortLength, shortDuration, now)
+		}
+	}
+	t.Logf("backlog found by the first step: mean %v, longest %v, %d queries", sum/time.Duration(n), longest, n)
+	is.Equal(n, 200)
+	is.True(sum/time.Duration(n) <= 2*shortDuration)
+	is.True(longest <= shortBacklog-shortDuration)
+}
+
+// claimBound is the time within which a class whose steps find no slot gets one.
+const claimBound = claimAfter + gangDuration + 20*time.Millisecond
+
+// TestNoClassStarves: guards against few steps with long queries that wait behind hundreds of others: with
+// positions in the whole queue, two jobs had nothing running for 3 s although there was capacity. One step of image
+// work that comes last gets a slot within the bound, again and again.
+func TestNoClassStarves(t *testing.T) {
+	for name, tc := range map[string]struct {
+		members, gangs, shorts int
+		slowest                time.Duration
+	}{
+		"behind gangs":                      {32, 300, 0, claimBound},
+		"behind gangs and short work":       {32, 100, 500, claimBound},
+		"behind both, few members":          {3, 100, 500, claimBound},
+		"behind both, one member":           {1, 20, 100, claimBound},
+		"behind short work only, 4 members": {4, 0, 500, claimBound},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l := &queryLoad{slots: newSlots(tc.members), nextAt: map[int]time.Time{}}
+			image, gang, short := ClassOf(imageLength, ByTask), ClassOf(gangLength, ByGang), ClassOf(shortLength, ByTask)
+			waitsSince, longest, served := start, time.Duration(0), 0
+			for ms := 0; ms < 20000; ms += 10 {
+				now := start.Add(time.Duration(ms) * time.Millisecond)
+				l.answer(now)
+				l.order.Reset()
+				for i := range tc.gangs {
+					l.query(1+i, gang, gangLength, gangDuration, now)
+				}
+				for i := range tc.shorts {
+					l.query(-1-i, short, shortLength, shortDuration, now)
+				}
+				if now.Before(waitsSince) {
+					continue
+				}
+				longest = max(longest, now.Sub(waitsSince))
+				if _, ok := l.query(0, image, imageLength, imageDuration, now); ok {
+					served++
+					waitsSince = now.Add(time.Second) // its next query
+				}
+			}
+			t.Logf("longest wait for a slot %v, %d queries", longest, served)
+			is.True(longest <= tc.slowest)
+			is.True(served >= 8)
+		})
+	}
+}
--- a/internal/engine/ask.go
+++ b/internal/engine/ask.go
@@ -38,7 +38,8 @@
 // queryForTasks queries the policy service about hosts that have free capacity for waiting tasks.
 func (e *Engine) queryForTasks(g *group, hosts []*hostState, now time.Time) {
 	size := g.step.Allocation()
-	if !size.Fits(e.poolOf(g.job.rec.Service).maxFree) || !e.mayQuery(g, now) {
+	ahead := e.mayQueryAhead(g, now)
+	if !ahead && !size.Fits(e.poolOf(g.job.rec.Service).maxFree) || !e.mayQuery(g, now) {
 		return
 	}
 	var candidates []*hostState
@@ -55,7 +56,7 @@
 			candidates = append(candidates, h)
 		}
 	}
-	if len(candidates) == 0 {
+	if len(candidates) == 0 && !ahead {
 		return
 	}
 	cost := make(map[*hostState]float64, len(candidates))
@@ -63,7 +64,11 @@
 		cost[h] = e.cost(g, h)
 	}
 	sort.SliceStable(candidates, func(a, b int) bool { return cost[candidates[a]] < cost[candidates[b]] })
-	e.query(g, e.enoughHosts(g, candidates, float64(e.startableNow(g))), now)
+	chosen := e.enoughHosts(g, candidates, float64(e.startableNow(g)))
+	if ahead && len(chosen) == len(candidates) {
+		chosen = e.addBusyHosts(g, chosen, hosts, now)
+	}
+	e.query(g, chosen, now)
 }
 
 // querySlotFactor is the factor by which the slots that a query covers exceed those needed.
@@ -261,7 +266,13 @@
 
 // mayQuery reports whether a query about a step may be sent now.
 func (e *Engine) mayQuery(g *group, now time.Time) bool {
-	return g.policy.openQueries == 0 && !now.Before(g.policy.nextQueryAt) && e.querySlots.MayAssign(g.job.rec.Rules.PolicyQuery.QueryDuration(1), now)
+	return g.policy.openQueries == 0 && !now.Before(g.policy.nextQueryAt) && e.querySlots.MayAssign(e.queryRequest(g, 1), now)
+}
+
+// queryRequest describes a query about n hosts for the step that is being planned.
+func (e *Engine) queryRequest(g *group, n int) advice.Request {
+	class, length := g.queryClass()
+	return advice.Request{Class: class, Length: length, Duration: g.job.rec.Rules.PolicyQuery.QueryDuration(n), Use: e.queryOrder.use, Share: e.queryOrder.share}
 }
 
 // query orders a query through a free query slot. It returns false if there are no hosts or no
@@ -270,8 +281,7 @@
 	if len(hosts) == 0 {
 		return false
 	}
-	queryTime := g.job.rec.Rules.PolicyQuery.QueryDuration(len(hosts))
-	slot, answeredAt, ok := e.querySlots.Assign(queryTime, now)
+	slot, answeredAt, ok := e.querySlots.Assign(e.queryRequest(g, len(hosts)), now)
 	if !ok {
 		return false
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -113,6 +113,7 @@
 	now time.Time
 
 	querySlots *advice.QuerySlots
+	queryOrder queryOrder
 	// runtimes estimates the run times of tasks, by queue.
 	runtimes *runtimes.Estimator
 	// permittedByQueue is the estimated share of hosts that the policy service permits for a step, by queue.
--- a/internal/engine/explain.go
+++ b/internal/engine/explain.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"pulleyquay/internal/advice"
 	"pulleyquay/internal/spec"
 )
 
@@ -69,8 +70,8 @@
 	if over := e.describeMissingQuota(g); over != "" {
 		return over
 	}
-	return fmt.Sprintf("wants %d places (%d cores, %d MiB, %d accelerators each, label %q); has room for %d, %d if empty; %d hosts good, %d ticketed, places reserved on %d, for it on %d, %d questions asked; refused by rule: %s; %s",
-		g.waiting, g.step.Size.MilliCPU/1000, g.step.Size.MemoryMiB, g.step.Size.Accelerators, g.step.Label, slots, slotsIfEmpty, permitted, ticketed, reservedOn, len(g.reserved), g.policy.openQueries, strings.Join(rules, ", "), g.describeRuns(e, now))
+	return fmt.Sprintf("wants %d places (%d cores, %d MiB, %d accelerators each, label %q); has room for %d, %d if empty; %d hosts good, %d ticketed, places reserved on %d, for it on %d, %d questions asked, query slots: %s; refused by rule: %s; %s",
+		g.waiting, g.step.Size.MilliCPU/1000, g.step.Size.MemoryMiB, g.step.Size.Accelerators, g.step.Label, slots, slotsIfEmpty, permitted, ticketed, reservedOn, len(g.reserved), g.policy.openQueries, g.policy.use, strings.Join(rules, ", "), g.describeRuns(e, now))
 }
 
 // describeRuns describes the recorded runs of a step: a gang starts only when there are none.
@@ -158,8 +159,9 @@
 		parts = append(parts, q.describe(name, size))
 	}
 	sort.Strings(parts)
-	e.log(Event{What: "cell load", Why: fmt.Sprintf("%d of %d hosts take work; %s; %d steps have places reserved; %d questions asked; %d runs on silent hosts, the last lease over in %d ms",
-		placeable, len(e.hostsByID), strings.Join(parts, ", "), reserving, len(e.queries), unresponsiveRuns, longest.Milliseconds())})
+	uses := e.queryOrder.lastUses
+	e.log(Event{What: "cell load", Why: fmt.Sprintf("%d of %d hosts take work; %s; %d steps have places reserved; %d questions asked, of the steps of a pass %d up to the backlog limit, %d through idle slots, %d not; %d runs on silent hosts, the last lease over in %d ms",
+		placeable, len(e.hostsByID), strings.Join(parts, ", "), reserving, len(e.queries), uses[advice.UseBacklog], uses[advice.UseIdle], uses[advice.UseNone], unresponsiveRuns, longest.Milliseconds())})
 }
 
 // describe returns the queue's load as text for the log.
--- a/internal/engine/job.go
+++ b/internal/engine/job.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"pulleyquay/internal/advice"
 	"slices"
 	"strings"
 	"time"
@@ -139,6 +140,8 @@
 	answers     int // queries answered so far
 	// nextQueryAt is the earliest time of the next query.
 	nextQueryAt time.Time
+	// use is how the step could use the query slots in the last pass.
+	use advice.Use
 }
 
 // placementAttempt is the last placement attempt of a step and the state on which it was based.
--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -37,18 +37,18 @@
 
 // planStep starts as much of a step as possible; rank is the position of the step in the queue. It returns
 // the cost in single-task attempts.
-func (e *Engine) planStep(g *group, rank int, hosts []*hostState, now time.Time) (attemptCost int) {
+func (e *Engine) planStep(g *group, rank int, hosts []*hostState, now time.Time) int {
 	if e.overQuota(g, now) {
 		g.overQuotaAt = now
 		return 0
 	}
-	if e.retryNotDue(g, now) {
+	if mayAttempt := e.orderQueries(g, hosts, now); !mayAttempt || e.retryNotDue(g, now) {
 		e.countReserving(g)
 		return 0
 	}
 	e.logWaiting(g, now)
 	e.recordAttempt(g, rank, now)
-	attemptCost = g.attemptCost()
+	waiting := g.waiting
 	switch {
 	case g.step.Gang:
 		e.planGang(g, hosts, now)
@@ -57,7 +57,7 @@
 	default:
 		e.planTasks(g, hosts, now)
 	}
-	return attemptCost
+	return e.recordAttempted(g, waiting-g.waiting, now)
 }
 
 // overQuota reports whether the quota of the step's account allows no task of it to start. Reservations of
