advice: a slot kept for a waiting class is used by it

Cause: MayAssign ended the wait of the class, so that the query that followed found the slot kept for another class. The first step of image work behind three classes with long queries on 4 members had no slot for 20 s. Change: the wait ends with the query.

--- a/internal/advice/lanes.go
+++ b/internal/advice/lanes.go
@@ -88,7 +88,6 @@
 // a class is refused for long, a slot is kept for its class.
 func (q *QuerySlots) MayAssign(r Request, now time.Time) bool {
 	if q.leastLoaded(r, now) != nil {
-		delete(q.claims, r.Class)
 		return true
 	}
 	q.recordRefusal(r, now)
