engine: hosts are checked for late ends at intervals, not in each decision

Change: one check every 20 ms and 10 us for each host, and earlier only when a run is due. The state of probes is at the end of hostState, as each decision reads the fields beside the poll's state for all hosts.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -98,8 +98,10 @@
 	expiredAt         time.Time // when hosts were last checked for missing answers
 	nextPollDue       time.Time // when the next host has to be polled
 	pollNumber        uint64    // of the last poll
-	// lateProbes is the budget of probes for late runs.
-	lateProbes *retrybudget.Budget
+	// lateProbes is the budget of probes for late runs; lateCheckedAt is when hosts were last checked for
+	// them, lateDueAt when the next check is needed.
+	lateProbes               *retrybudget.Budget
+	lateCheckedAt, lateDueAt time.Time
 	// reconciling is true after a failover until every inherited host has reported its runs, is closed in
 	// the roster, or can run nothing any more.
 	reconciling bool
--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -91,7 +91,6 @@
 
 	orphanEnds []int64 // numbers of orphan ends (of unknown jobs), which the host has to keep
 
-	late              lateEnds
 	pollInFlight      bool      // a poll other than a probe is in flight
 	probe             bool      // a poll in addition to the one in flight is requested
 	presencePollsFrom time.Time // start of a suspect run from which presence polls are timed, zero when there are none
@@ -152,6 +151,7 @@
 	// pendingAttributions are the runs lost when the host's lease was over, while it is not known whether the
 	// host has crashed.
 	pendingAttributions []attribution
+	late                lateEnds
 }
 
 func (e *Engine) newHost(info host.Info) *hostState {
--- a/internal/engine/late_ends.go
+++ b/internal/engine/late_ends.go
@@ -27,9 +27,10 @@
 	// lateProbePercent is the number of probes allowed for a hundred starts and polls, which bounds the
 	// cost of probes in a cell whose run times can not be predicted.
 	lateProbePercent = 4
-	// lateProbeGrid is the interval to which the times of probes are rounded up, so that they do not
-	// cause more decisions.
-	lateProbeGrid = 20 * time.Millisecond
+	// lateCheckInterval is the least interval between two checks of all hosts, and lateCheckPerHost what
+	// each host adds to it: a check takes some 50 ns a host, and must not slow the decisions of large cells.
+	lateCheckInterval = 20 * time.Millisecond
+	lateCheckPerHost  = 10 * time.Microsecond
 )
 
 // lateEnds are the probes of one host for ends that are not known in time.
@@ -68,7 +69,7 @@
 		return
 	}
 	r.lateness = runLateness{at: now.Add(after + lateMargin)}
-	r.placedOn.scheduleLateProbe(r.lateness.at)
+	e.scheduleLateProbe(r.placedOn, r.lateness.at)
 }
 
 // predictedRunTime returns the run time of a run by the run times of its queue and of its host; zero if
@@ -94,20 +95,51 @@
 
 // scheduleLateProbe schedules the next check for late runs of a host for a time at the latest.
 func (h *hostState) scheduleLateProbe(at time.Time) {
-	at = at.Truncate(lateProbeGrid).Add(lateProbeGrid)
 	if h.late.dueAt.IsZero() || at.Before(h.late.dueAt) {
 		h.late.dueAt = at
 	}
 }
 
-// planLateProbe probes a host if a run there is late while a poll waits there, and replaces a poll that hangs.
-func (e *Engine) planLateProbe(h *hostState, now time.Time) {
-	e.replaceHungPoll(h, now)
-	if h.late.dueAt.IsZero() {
+// scheduleLateProbe schedules the next check for late runs of a host, and of all hosts, for a time at the latest.
+func (e *Engine) scheduleLateProbe(h *hostState, at time.Time) {
+	h.scheduleLateProbe(at)
+	e.lateCheckBy(at)
+}
+
+// lateCheckBy schedules the next check of all hosts for a time at the latest.
+func (e *Engine) lateCheckBy(at time.Time) {
+	if e.lateDueAt.IsZero() || at.Before(e.lateDueAt) {
+		e.lateDueAt = at
+	}
+}
+
+// planLateProbes checks all hosts for late runs, unanswered calls and polls that hang.
+func (e *Engine) planLateProbes(now time.Time) {
+	next := e.lateCheckedAt.Add(lateCheckInterval + time.Duration(len(e.hostsByID))*lateCheckPerHost)
+	if now.Before(next) {
+		if !e.lateDueAt.IsZero() {
+			e.planPollsBy(later(e.lateDueAt, next))
+		}
 		return
 	}
+	e.lateCheckedAt, e.lateDueAt = now, time.Time{}
+	for _, h := range e.hostsByID {
+		if !h.late.hungAt.IsZero() {
+			e.replaceHungPoll(h, now)
+		}
+		if !h.late.dueAt.IsZero() {
+			e.planLateProbe(h, now)
+		}
+	}
+	if !e.lateDueAt.IsZero() {
+		e.planPollsBy(later(e.lateDueAt, now.Add(lateCheckInterval)))
+	}
+}
+
+// planLateProbe probes a host if a run there is late, or a call got no answer, while a poll waits there.
+func (e *Engine) planLateProbe(h *hostState, now time.Time) {
 	if now.Before(h.late.dueAt) {
-		e.planPollsBy(h.late.dueAt)
+		e.lateCheckBy(h.late.dueAt)
 		return
 	}
 	h.late.dueAt = time.Time{}
@@ -116,7 +148,7 @@
 		e.probe(h)
 	}
 	if !h.late.dueAt.IsZero() {
-		e.planPollsBy(h.late.dueAt)
+		e.lateCheckBy(h.late.dueAt)
 	}
 }
 
@@ -189,18 +221,15 @@
 func (e *Engine) observeProbe(h *hostState, now time.Time) {
 	if h.pollInFlight && h.late.hungAt.IsZero() {
 		h.late.hungAt = now.Add(hungPollGrace)
-		e.planPollsBy(h.late.hungAt)
+		e.lateCheckBy(h.late.hungAt)
 	}
 }
 
 // replaceHungPoll polls a host again whose poll hangs. What the former poll still tells is processed like
 // the answer to a probe.
 func (e *Engine) replaceHungPoll(h *hostState, now time.Time) {
-	switch {
-	case h.late.hungAt.IsZero():
-		return
-	case now.Before(h.late.hungAt):
-		e.planPollsBy(h.late.hungAt)
+	if now.Before(h.late.hungAt) {
+		e.lateCheckBy(h.late.hungAt)
 		return
 	}
 	since := h.late.hungAt.Add(-hungPollGrace)
--- a/internal/engine/view.go
+++ b/internal/engine/view.go
@@ -12,10 +12,10 @@
 // acquired, of hosts with runs continuously, and of idle hosts at longer intervals.
 func (e *Engine) planPolls(now time.Time) {
 	e.nextPollDue = time.Time{}
+	e.planLateProbes(now)
 	for _, h := range e.hostsByID {
 		e.planPresencePoll(h, now)
 		e.planQuarantineProbe(h, now)
-		e.planLateProbe(h, now)
 		if h.probe {
 			h.probe = false
 			e.out.Polls = append(e.out.Polls, PollOrder{To: h.info, Poll: host.Poll{AckedEnds: h.endsAcked, Incarnation: h.incarnation}, Probe: true})
