engine, crashloop: the crashes of a service no longer excuse it

Cause: the hosts that a service crashes raised the rate at which hosts seem to crash by themselves, and whole racks of them were taken for a loss of power. An excused crash of a long-running task was not recorded, so its task never became a suspect, and no later crash could be proven.

Change: for a long-running step of which no task survives, a crash is assessed by the failures of the hosts that might run the step and do not. A crash that this rate does not excuse is recorded, also if another cause excuses it. The probability of a run that may have ended before its host stays that of all failures, so the rate decides about proven crashes alone. What fails a service is unchanged. Silence, presumed ends and services with survivors stay with the rate of all failures.

--- a/internal/crashloop/crashloop.go
+++ b/internal/crashloop/crashloop.go
@@ -340,6 +340,28 @@
 	}
 }
 
+// AssessBeside assesses the evidence with the rate of spontaneous failures beside the step, which leaves out the
+// failures that the step may have caused. A run that may have ended before its host keeps the probability by the
+// rate of all failures, or certainty if its rack has failed: such a crash makes its task suspect, so that the next
+// one can be proven, and adds little or nothing to the evidence on which the task is failed.
+func AssessBeside(e Evidence, rate, beside float64) Crash {
+	c := Assess(e, beside)
+	switch {
+	case e.Proven:
+	case e.WithRack:
+		c.Chance = 1
+	default:
+		c.Chance = max(c.Chance, Assess(e, rate).Chance)
+	}
+	return c
+}
+
+// IsLikely reports whether a crash is likely enough to be spontaneous, at a rate of spontaneous failures per host
+// and second, that it is excused for that alone.
+func IsLikely(e Evidence, rate float64) bool {
+	return spontaneousFailureChance(e.RunTime, e.RunTimeUnknown, rate) >= minExcusedChance
+}
+
 // spontaneousFailureChance returns the probability that a host failed spontaneously during the
 // run time.
 func spontaneousFailureChance(runTime time.Duration, unknown bool, rate float64) float64 {
--- a/internal/crashloop/crashloop_test.go
+++ b/internal/crashloop/crashloop_test.go
@@ -183,6 +183,30 @@
 		l.Expire(at.Add(failureRetention + time.Millisecond))
 		is.Equal(l.SpontaneousRate(50, 0, nil, at.Add(recentWindow+time.Second)), alone)
 	})
+	t.Run("rate beside a step", func(t *testing.T) {
+		is := is.New(t)
+		var l HostFailures
+		later := at.Add(recentWindow + time.Second)
+		alone := l.RateBeside("s", 20, 0, later)
+		fail := func(host, machine string, steps ...string) {
+			l.Add(host, "", at)
+			l.SetRuns(host, machine, steps)
+		}
+		fail("a/1", "a", "s")
+		fail("b/1", "b", "s", "other")
+		is.Equal(l.RateBeside("s", 20, 0, later), alone) // failures under the step say nothing
+		is.Equal(l.RateBeside("other", 20, 0, later), 2*alone)
+		fail("c/1", "c")
+		is.Equal(l.RateBeside("s", 20, 0, later), 2*alone)
+		fail("a/2", "a", "other")
+		is.Equal(l.RateBeside("s", 20, 0, later), 4*alone) // the machine fails with the step and without it
+		l.Add("d/1", "", at)
+		is.Equal(l.RateBeside("s", 20, 0, later), 5*alone) // it is not known what ran there
+		is.Equal(l.RateBeside("s", 20, 1, later), max(6*alone, 1/(20*recentWindow.Seconds())))
+		is.Equal(l.RateBeside("s", 5, 0, later), 20*alone)
+		l.MarkAttributed(History{{Run: 1, Host: "c/1"}})
+		is.Equal(l.RateBeside("s", 20, 0, later), 4*alone)
+	})
 	t.Run("rack failure", func(t *testing.T) {
 		is := is.New(t)
 		var l HostFailures
@@ -195,3 +219,28 @@
 		is.True(!l.RackFailed("a", "", at, 9, 9))   // the rack is unknown
 	})
 }
+
+// TestAssessBeside guards against a service that is failed for runs that may have ended before their hosts,
+// because the failures under the service itself were left out of the rate that excuses them.
+func TestAssessBeside(t *testing.T) {
+	const high, low = 0.1, 1e-4
+	seen := Evidence{Run: 1, Host: "a", RunTime: 2 * time.Second}
+	proven, withRack := seen, seen
+	proven.Proven, withRack.WithRack = true, true
+	for name, tc := range map[string]struct {
+		evidence Evidence
+		chance   float32
+		excused  bool
+	}{
+		"there at its end":                    {proven, 2 * low, false},
+		"seen there":                          {seen, 2 * high, false},
+		"seen there, its rack failed as well": {withRack, 1, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := AssessBeside(tc.evidence, high, low)
+			is.Equal(c.Chance, tc.chance)
+			is.Equal(c.Excused, tc.excused)
+		})
+	}
+}
--- a/internal/crashloop/losses.go
+++ b/internal/crashloop/losses.go
@@ -35,6 +35,9 @@
 	at         time.Time
 	// attributed is true once the failure is attributed to a task.
 	attributed bool
+	// machine is the host's address, steps are the steps that had runs on the host; unknown if empty.
+	machine string
+	steps   []string
 }
 
 // Add records a host that failed and has been unresponsive since at. It reports whether the
@@ -47,6 +50,15 @@
 	return true
 }
 
+// SetRuns records the machine of a failed host and the steps that had runs on it.
+func (f *HostFailures) SetRuns(host, machine string, steps []string) {
+	for i := range f.failed {
+		if x := &f.failed[i]; x.host == host {
+			x.machine, x.steps = machine, steps
+		}
+	}
+}
+
 // maxInherited bounds the host failures that are handed over to the next holder.
 const maxInherited = 64
 
@@ -101,9 +113,31 @@
 // since no failures in a small cell are little evidence. Failures attributed to a task, and
 // those in the history that is to be assessed with the rate, are not counted.
 func (f *HostFailures) SpontaneousRate(hosts, unresponsive int, assessed History, now time.Time) float64 {
+	return f.rate(hosts, unresponsive, now, func(x failure) bool { return !assessed.hasHost(x.host) })
+}
+
+// RateBeside returns the rate of spontaneous failures among the hosts that had no run of a step; hosts is
+// the number of these, and unresponsive that of the unresponsive ones of them. If each run of a step ended
+// with its host, the failures under it say nothing of how often hosts fail spontaneously. The failure of a
+// machine that has also failed without the step is counted all the same.
+func (f *HostFailures) RateBeside(step string, hosts, unresponsive int, now time.Time) float64 {
+	return f.rate(hosts, unresponsive, now, func(x failure) bool {
+		return !slices.Contains(x.steps, step) || f.failedWithout(step, x.machine)
+	})
+}
+
+// failedWithout reports whether a machine failed while it had no run of a step.
+func (f *HostFailures) failedWithout(step, machine string) bool {
+	return slices.ContainsFunc(f.failed, func(x failure) bool {
+		return x.machine == machine && !slices.Contains(x.steps, step)
+	})
+}
+
+// rate returns the rate of the failures that are not attributed to a task and that count as spontaneous.
+func (f *HostFailures) rate(hosts, unresponsive int, now time.Time, counts func(failure) bool) float64 {
 	total, recent := 1+unresponsive, unresponsive
 	for _, x := range f.failed {
-		if x.attributed || assessed.hasHost(x.host) {
+		if x.attributed || !counts(x) {
 			continue
 		}
 		total++
--- a/internal/engine/crash.go
+++ b/internal/engine/crash.go
@@ -22,6 +22,7 @@
 type attribution struct {
 	run      host.Run
 	evidence crashloop.Evidence
+	ended    bool // the host has certainly ended
 }
 
 // attributions gathers the evidence against every run on a host, including runs that a previous holder
@@ -37,13 +38,13 @@
 		}
 		out = append(out, attribution{r.Run, crashloop.Evidence{
 			Run: r.No, Host: h.incarnationName(), Machine: h.info.Addr, RunTime: r.ranFor(now), RunTimeUnknown: r.adopted, Unconfirmed: !r.acknowledged, Proven: r.presentAtEnd, LastStarted: r.newest(),
-		}})
+		}, h.terminated || r.presentAtEnd})
 	}
 	for _, r := range slices.Concat(h.possibleRuns, h.lastAttempts) {
 		if r.placement {
 			continue // it may have ended before its host did
 		}
-		out = append(out, attribution{r.Run, crashloop.Evidence{Run: r.No, Host: h.incarnationName(), Machine: h.info.Addr, RunTimeUnknown: true, Unconfirmed: r.unconfirmed}})
+		out = append(out, attribution{r.Run, crashloop.Evidence{Run: r.No, Host: h.incarnationName(), Machine: h.info.Addr, RunTimeUnknown: true, Unconfirmed: r.unconfirmed}, h.terminated})
 	}
 	return out
 }
@@ -102,6 +103,7 @@
 	together := e.rackFailedTogether(h, at, now)
 	unreachable := e.countUnreachable(h, now)
 	e.losses.Add(h.incarnationName(), h.info.Rack, at)
+	e.losses.SetRuns(h.incarnationName(), h.info.Addr, stepsOf(list))
 	if !h.terminated && len(list) > 0 {
 		e.presumedEnded[h.incarnationName()] = now
 	}
@@ -119,7 +121,7 @@
 // the number of other hosts that are unreachable at present.
 func (e *Engine) attributeToTasks(list []attribution, unreachable int, now time.Time) {
 	for _, a := range list {
-		e.attributeToTask(a.run, a.evidence, unreachable, now)
+		e.attributeToTask(a, unreachable, now)
 	}
 }
 
@@ -128,13 +130,17 @@
 func (e *Engine) countUnreachable(h *hostState, now time.Time) int {
 	n := 0
 	for _, other := range e.hostsByID {
-		if other != h && other.listed && (!other.unreachableSince.IsZero() || other.unresponsiveFor(now) >= 3*certainSilence) {
+		if other != h && other.isUnreachable(now) {
 			n++
 		}
 	}
 	return n
 }
 
+func (h *hostState) isUnreachable(now time.Time) bool {
+	return h.listed && (!h.unreachableSince.IsZero() || h.unresponsiveFor(now) >= 3*certainSilence)
+}
+
 // rackFailedTogether reports whether the host's whole rack became unresponsive with it.
 func (e *Engine) rackFailedTogether(h *hostState, at, now time.Time) bool {
 	unresponsive, present := 0, 0
@@ -152,7 +158,8 @@
 
 // attributeToTask adds a crash to a task's history. The task is not started again before the history is
 // stored, because the next holder continues from it.
-func (e *Engine) attributeToTask(r host.Run, evidence crashloop.Evidence, unreachable int, now time.Time) {
+func (e *Engine) attributeToTask(a attribution, unreachable int, now time.Time) {
+	r, evidence := a.run, a.evidence
 	g := e.groupOf(r.Task)
 	if g == nil {
 		return
@@ -165,7 +172,11 @@
 	crashes := append(slices.Clone(t.crashes), crashloop.Crash{Host: evidence.Host})
 	rate := e.losses.SpontaneousRate(len(e.hostsByID), unreachable, crashes, now)
 	c := crashloop.Assess(evidence, rate)
-	if c.Excused && g.step.LongRunning {
+	beside := e.rateBeside(g, a, unreachable, now)
+	if beside < rate {
+		c, rate = crashloop.AssessBeside(evidence, rate, beside), beside
+	}
+	if c.Excused && g.step.LongRunning && crashloop.IsLikely(evidence, beside) {
 		return // hosts crash under any service that runs for months, so it is not failed for that
 	}
 	t.crashes = t.crashes.Reassess(rate).Append(c)
