speculation: patience follows the usual time of acknowledgements

Through many link shards an acknowledgement may take longer than the 70 ms of patience for short work, so that ordinary runs would be copied. TestSlowAcknowledgementsAreNoCause fails without the observation.

--- a/internal/engine/copies_test.go
+++ b/internal/engine/copies_test.go
@@ -753,3 +753,22 @@
 		w.submit(fmt.Sprint(crashingJob, i), shortRules, s)
 	}
 }
+
+// TestSlowAcknowledgementsAreNoCause guards against copies of ordinary runs in a cell whose acknowledgements
+// usually take longer than the patience for short work.
+func TestSlowAcknowledgementsAreNoCause(t *testing.T) {
+	is := is.New(t)
+	w := copyWorld(t, 12, 24)
+	w.replyDelay = 100 * time.Millisecond
+	for i := range 100 {
+		w.after(time.Duration(i)*50*time.Millisecond, func() { w.submit(fmt.Sprint("short-", i), shortRules, speculativeStep(6)) })
+	}
+	w.run(2 * time.Second) // the time is learned
+	before := len(w.eventsNamed("copy started"))
+	w.run(8 * time.Second)
+	copies := len(w.eventsNamed("copy started"))
+	t.Logf("%d copies until the time is learned, %d later", before, copies-before)
+	is.True(copies-before <= 4) // of 400
+	is.Equal(w.completed(), 101)
+	w.checkInvariants()
+}
--- a/internal/engine/view.go
+++ b/internal/engine/view.go
@@ -276,6 +276,9 @@
 		e.runsUnstored = true // the next holder has to know that the start was acknowledged
 		e.markDirty(r.group.job)
 	}
+	if !r.acknowledged {
+		e.copies.ackTime.Observe(now.Sub(r.orderedAt))
+	}
 	r.state, r.confirmedAt, r.progressAt, r.acknowledged = runRunning, now, now, true
 	r.reportedAt = later(r.reportedAt, reportedAt)
 	if r.isBackfill() {
--- a/internal/engine/world_calls_test.go
+++ b/internal/engine/world_calls_test.go
@@ -84,7 +84,7 @@
 			w.after(callTimeout, lost)
 			return
 		}
-		w.after(oneWay, func() { finish(reply, nil) })
+		w.after(oneWay+w.replyDelay, func() { finish(reply, nil) })
 	})
 }
 
--- a/internal/engine/world_test.go
+++ b/internal/engine/world_test.go
@@ -94,6 +94,8 @@
 	onDecision func(took time.Duration)
 	// onStart, if not nil, is called with each start order.
 	onStart func(StartOrder)
+	// replyDelay is the additional time that the reply to an order takes.
+	replyDelay time.Duration
 	// hangs, if not nil, reports whether a start order gets lost and is not answered.
 	hangs func(StartOrder) bool
 	// keepEvents makes the events of the engines be kept in logged.
