--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -130,7 +130,7 @@
 
 	querySlots *advice.QuerySlots
 	// overload limits the jobs of accounts that send more than completes in time; see queue_load.go.
-	overload loadFeed
+	overload   loadFeed
 	queryOrder queryOrder
 	// runtimes estimates the run times of tasks, by queue.
 	runtimes *runtimes.Estimator
--- a/internal/engine/world_test.go
+++ b/internal/engine/world_test.go
@@ -98,6 +98,8 @@
 	onStart func(StartOrder)
 	// onPoll, if not nil, is called with each poll.
 	onPoll func(PollOrder)
+	// replyDelay is the additional time that the reply to an order takes.
+	replyDelay time.Duration
 	// hangs, if not nil, reports whether a start order gets lost and is not answered.
 	hangs func(StartOrder) bool
 	// keepEvents makes the events of the engines be kept in logged.
