engine: runs that took long count for when a run is late

Cause: a run that was late was no sample for the spread of run times, so the spread would shrink and more runs be late. Change: only ends that a probe told of, or the first answer after a lost one, are no samples.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -102,6 +102,8 @@
 	// them, lateDueAt when the next check is needed.
 	lateProbes               *retrybudget.Budget
 	lateCheckedAt, lateDueAt time.Time
+	// endsOnTime is true if the ends in the view that is being processed were reported without delay.
+	endsOnTime bool
 	// reconciling is true after a failover until every inherited host has reported its runs, is closed in
 	// the roster, or can run nothing any more.
 	reconciling bool
--- a/internal/engine/late_ends.go
+++ b/internal/engine/late_ends.go
@@ -82,10 +82,11 @@
 	return time.Duration(float64(g.expected) * r.placedOn.relativeRunTime())
 }
 
-// observeLateness compares the run time of a completed run with its prediction. An end that was known late
-// says nothing about the run time.
+// observeLateness compares the run time of a completed run with its prediction. An end that a probe has told of, or
+// the first answer after a lost one, was known late and says nothing about the run time. Runs that took long count:
+// without them, ever shorter ones would be late.
 func (e *Engine) observeLateness(r *run, now time.Time) {
-	if r.placedOn == nil || r.confirmedAt.IsZero() || r.lateness.probes > 0 {
+	if r.placedOn == nil || r.confirmedAt.IsZero() || !e.endsOnTime {
 		return
 	}
 	if predicted := r.predictedRunTime(); predicted > 0 {
--- a/internal/engine/view.go
+++ b/internal/engine/view.go
@@ -119,6 +119,7 @@
 		e.hosts[id].nextPollAt = now
 		return
 	}
+	e.endsOnTime = !o.Probe && h.unresponsiveSince.IsZero()
 	h.recordContact(now)
 	h.confirmAlive()
 	e.updateClock(h, v.Clock, now)
