engine: keep the lease bound of a host apart from its hot fields

Cause: the field between those that each decision reads for each host moved them to other cache lines.

Change: the field stands last.

--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -105,8 +105,7 @@
 	// inherited is true if the host was in the previous holder's roster, inheritedClosed if it was closed
 	// there; possibleRuns lists the runs that may be on it.
 	inherited, inheritedClosed  bool
-	leasesOverAt                time.Time // bound on leases of earlier holders from the roster; zero if there is none
-	expiredUnreported           bool      // it had not reported when the leases of earlier holders were over
+	expiredUnreported           bool // it had not reported when the leases of earlier holders were over
 	possibleRuns                []possibleRun
 	lastAttempts                []possibleRun // suspect runs that the previous holder last started there
 	processEnded, endAttributed bool          // the process has certainly ended; that end was attributed to the runs present
@@ -151,6 +150,8 @@
 	// pendingAttributions are the runs lost when the host's lease was over, while it is not known whether the
 	// host has crashed.
 	pendingAttributions []attribution
+	// leasesOverAt bounds the leases of earlier holders, by the roster; zero if it states no bound.
+	leasesOverAt time.Time
 }
 
 func (e *Engine) newHost(info host.Info) *hostState {
