--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -109,8 +109,7 @@
 	// inherited is true if the host was in the previous holder's roster, inheritedClosed if it was closed
 	// there; possibleRuns lists the runs that may be on it.
 	inherited, inheritedClosed  bool
-	leasesOverAt                time.Time // bound on leases of earlier holders from the roster; zero if there is none
-	expiredUnreported           bool      // it had not reported when the leases of earlier holders were over
+	expiredUnreported           bool // it had not reported when the leases of earlier holders were over
 	possibleRuns                []possibleRun
 	lastAttempts                []possibleRun // suspect runs that the previous holder last started there
 	processEnded, endAttributed bool          // the process has certainly ended; that end was attributed to the runs present
@@ -157,6 +156,8 @@
 	// host has crashed.
 	pendingAttributions []attribution
 	late                lateEnds
+	// leasesOverAt bounds the leases of earlier holders, by the roster; zero if it states no bound.
+	leasesOverAt time.Time
 }
 
 func (e *Engine) newHost(info host.Info) *hostState {
