--- a/internal/engine/copy_dump.go
+++ b/internal/engine/copy_dump.go
@@ -40,6 +40,9 @@
 }
 
 func (e *Engine) dumpGroupCopies(g *group, now time.Time) (rows []DumpedCopy) {
+	if g.job.state.Final() {
+		return nil
+	}
 	limits := e.lateLimits(g)
 	for i := range g.tasks {
 		t := &g.tasks[i]
