--- a/internal/engine/dump.go
+++ b/internal/engine/dump.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pulleyquay/internal/crashloop"
+	"pulleyquay/internal/overload"
 	"pulleyquay/internal/record"
 )
 
@@ -31,7 +32,12 @@
 	Decisions []DumpedDecision `json:"verdicts"`
 	// Accounts are the client accounts; those with most steps waiting for their quota first.
 	Accounts []DumpedAccount `json:"accounts"`
-	LeftOut  DumpLeftOut     `json:"left_out"`
+	// Admission is the load by queue and client account from which limits are derived; those with the most
+	// waiting work first.
+	Admission []overload.Row `json:"admission"`
+	// Copies are the tasks with two runs or a late one, those with the oldest runs first.
+	Copies  []DumpedCopy `json:"copies,omitempty"`
+	LeftOut DumpLeftOut  `json:"left_out"`
 }
 
 // DumpLeftOut counts the rows that were omitted from each list of a dump.
@@ -41,6 +47,8 @@
 	Silent    int `json:"silent"`
 	Decisions int `json:"verdicts"`
 	Accounts  int `json:"accounts"`
+	Admission int `json:"admission"`
+	Copies    int `json:"copies,omitempty"`
 }
 
 // DumpedTask is a task under which hosts have crashed.
@@ -113,7 +121,9 @@
 	d.Failed, d.LeftOut.Failed = truncateRows(e.dumpFailed(now))
 	d.Silent, d.LeftOut.Silent = truncateRows(e.dumpSilent(now))
 	d.Decisions, d.LeftOut.Decisions = truncateRows(e.dumpDecisions(now))
+	d.Copies, d.LeftOut.Copies = truncateRows(e.dumpCopies(now))
 	loads, leftOut := truncateRows(e.AccountLoads(now))
+	d.Admission, d.LeftOut.Admission = truncateRows(e.QueueLoads())
 	d.Accounts, d.LeftOut.Accounts = e.dumpAccounts(loads, now), leftOut
 	return d
 }
@@ -200,7 +210,7 @@
 	case h.knowsClock():
 		row.LeaseOverMillis = millisUntil(e.leasesExpireAt(h), now)
 	case h.inherited:
-		row.LeaseOverMillis = millisUntil(e.reconcileDeadline, now)
+		row.LeaseOverMillis = millisUntil(e.leasesOver(h), now)
 	}
 	return row
 }
--- a/internal/engine/dump_account.go
+++ b/internal/engine/dump_account.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pulleyquay/internal/fairshare"
+	"pulleyquay/internal/overload"
 	"pulleyquay/internal/record"
 	"pulleyquay/internal/spec"
 )
@@ -23,6 +24,10 @@
 	// Share is the account's dominant share of the cell's resources, Full that of its quota.
 	Share float64 `json:"share"`
 	Full  float64 `json:"full"`
+	// Weight is the account's weight, and Shares what decides the order of its steps; empty if no account
+	// has a weight.
+	Weight float64        `json:"weight,omitempty"`
+	Shares []AccountShare `json:"shares,omitempty"`
 	// Steps counts the steps that wait for their start, ForQuota those of them that wait for
 	// the account's quota.
 	Steps    int `json:"steps_waiting"`
@@ -34,12 +39,17 @@
 // AccountLoads returns the loads of all client accounts; those with most waiting steps first.
 func (e *Engine) AccountLoads(now time.Time) []AccountLoad {
 	total := e.placeableCapacity(now)
+	shares := e.accountShares(now)
 	rows := make(map[*account]*AccountLoad, len(e.accounts))
 	for _, a := range e.accounts {
 		maxUsage := e.maxUsage(a)
 		rows[a] = &AccountLoad{
 			Account: a.name, Running: maxUsage, InDoubt: e.unconfirmedUsage(a), Quota: a.quota,
 			Share: fairshare.DominantShare(maxUsage, total), Full: a.quota.Utilization(maxUsage),
+			Shares: shares[a.name],
+		}
+		if e.weighted {
+			rows[a].Weight = e.catalog.WeightOf(a.name)
 		}
 	}
 	for _, g := range e.queue {
@@ -103,8 +113,12 @@
 	Queue   string       `json:"queue,omitempty"`
 	State   record.State `json:"state"`
 	// Why is the reason for its end, if the state alone does not give it.
-	Why   string          `json:"why,omitempty"`
-	Steps []ExplainedStep `json:"steps"`
+	Why string `json:"why,omitempty"`
+	// Order is what decides the order of its steps among those of other accounts.
+	Order string `json:"order,omitempty"`
+	// Admission is the load of its queue and account, from which limits are derived.
+	Admission *overload.Row   `json:"admission,omitempty"`
+	Steps     []ExplainedStep `json:"steps"`
 	// LeftOut counts the steps that were omitted from Steps.
 	LeftOut int `json:"steps_left_out,omitempty"`
 }
@@ -118,6 +132,8 @@
 	Waiting int `json:"waiting"`
 	// Why is the reason why the waiting tasks wait.
 	Why string `json:"why,omitempty"`
+	// Copies describes the late tasks of a speculative step and their copies.
+	Copies string `json:"copies,omitempty"`
 }
 
 // Explain returns the progress of a job and the reasons why its steps wait. The second
@@ -127,7 +143,10 @@
 	if j == nil {
 		return Explanation{}, false
 	}
-	out := Explanation{Job: id, Account: j.rec.Account, Queue: j.rec.Queue, State: j.state, Why: cmp.Or(j.endReason, j.rec.Why), Steps: []ExplainedStep{}}
+	out := Explanation{
+		Job: id, Account: j.rec.Account, Queue: j.rec.Queue, State: j.state, Why: cmp.Or(j.endReason, j.rec.Why),
+		Order: e.explainOrder(j, now), Admission: e.explainAdmission(j), Steps: []ExplainedStep{},
+	}
 	for _, g := range j.groups {
 		if g.undone == 0 || j.state.Final() {
 			continue
@@ -142,7 +161,7 @@
 }
 
 func (e *Engine) explainStep(g *group, now time.Time) ExplainedStep {
-	s := ExplainedStep{Step: g.id.String(), Done: len(g.tasks) - g.undone, Waiting: g.waiting, Running: g.undone - g.waiting}
+	s := ExplainedStep{Step: g.id.String(), Done: len(g.tasks) - g.undone, Waiting: g.waiting, Running: g.undone - g.waiting, Copies: e.explainCopies(g, now)}
 	switch {
 	case g.waiting == 0:
 	case g.pendingDeps > 0:
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -17,6 +17,7 @@
 	"pulleyquay/internal/crashloop"
 	"pulleyquay/internal/host"
 	"pulleyquay/internal/platform"
+	"pulleyquay/internal/retrybudget"
 	"pulleyquay/internal/runtimes"
 	"pulleyquay/internal/spec"
 	"pulleyquay/internal/upkeep"
@@ -76,9 +77,14 @@
 	live map[string]*job
 	// ready holds the steps with tasks to start, in no order.
 	ready map[spec.StepID]*group
-	// queue holds the ready steps that are due, in scheduling order; incoming holds those that are not in
-	// the queue yet.
+	// queue holds the ready steps that are due, in the order of compareSteps; incoming holds those that are
+	// not in the queue yet.
 	queue, incoming []*group
+	// order is the order in which a scheduling pass takes the steps of the queue: by the weighted shares of
+	// their flows if accounts have weights (weighted), and that of the queue otherwise.
+	order    stepOrder
+	flows    map[stepClass]*stepFlow
+	weighted bool
 	// nextPassAt is the earliest time of the next scheduling pass.
 	nextPassAt time.Time
 	hosts      map[host.ID]*hostState
@@ -96,11 +102,27 @@
 	progressCheckedAt time.Time // when the runs were last checked for progress
 	expiredAt         time.Time // when hosts were last checked for missing answers
 	nextPollDue       time.Time // when the next host has to be polled
+	pollNumber        uint64    // of the last poll
+	// lateProbes is the budget of probes for late runs; lateCheckedAt is when hosts were last checked for
+	// them, lateDueAt when the next check is needed.
+	lateProbes               *retrybudget.Budget
+	lateCheckedAt, lateDueAt time.Time
+	// endsOnTime is true if the ends in the view that is being processed were reported without delay.
+	endsOnTime bool
 	// reconciling is true after a failover until every inherited host has reported its runs, is closed in
 	// the roster, or can run nothing any more.
 	reconciling bool
+	// startsSettledAt is when no start order of an earlier holder can take effect any more.
+	startsSettledAt time.Time
+	// copies is the state of the copies of late tasks.
+	copies copyBook
 	// reconcileDeadline is when hosts that have not reported since the failover can run nothing any more.
 	reconcileDeadline time.Time
+	// loadedAt is when this process loaded the stored state; boundsStoredAt is when the roster was last due
+	// for its lease bounds. listedBounds are the hosts that may be listed with a bound in the store, with the
+	// last batch that lists them so; see lease_bound.go.
+	loadedAt, boundsStoredAt time.Time
+	listedBounds             map[host.ID]uint64
 	// authorityUntil is the time until which this process may issue orders.
 	authorityUntil time.Time
 	// deposed is true once a host has reported a later holder.
@@ -109,6 +131,9 @@
 	now time.Time
 
 	querySlots *advice.QuerySlots
+	// overload limits the jobs of accounts that send more than completes in time; see queue_load.go.
+	overload   loadFeed
+	queryOrder queryOrder
 	// runtimes estimates the run times of tasks, by queue.
 	runtimes *runtimes.Estimator
 	// permittedByQueue is the estimated share of hosts that the policy service permits for a step, by queue.
@@ -192,6 +217,8 @@
 		cfg:                   cfg,
 		rnd:                   rand.New(rand.NewPCG(cfg.Seed, cfg.Epoch)),
 		accounts:              map[string]*account{},
+		flows:                 map[stepClass]*stepFlow{},
+		order:                 stepOrder{limit: maxOrderedSteps},
 		jobs:                  map[string]*job{},
 		live:                  map[string]*job{},
 		ready:                 map[spec.StepID]*group{},
@@ -204,6 +231,7 @@
 		throttlesOutdated:     map[*hostState]struct{}{},
 		backfillOverloadShare: map[string]int{},
 		querySlots:            advice.NewQuerySlots(),
+		overload:              newLoadFeed(),
 		runtimes:              runtimes.NewEstimator(),
 		orphanEndRecords:      map[string][]orphanEnd{},
 		claiming:              map[host.ID]struct{}{},
@@ -211,6 +239,8 @@
 		pools:                 map[string]*servicePool{},
 		presumedEnded:         map[string]time.Time{},
 		longRunning:           map[*group]struct{}{},
+		lateProbes:            retrybudget.New(),
+		listedBounds:          map[host.ID]uint64{},
 	}
 }
 
@@ -257,6 +287,8 @@
 	Poll host.Poll
 	// Probe polls are sent in addition to a poll that waits at the host.
 	Probe bool
+	// Number distinguishes the other polls.
+	Number uint64
 }
 
 // QueryOrder queries the policy service through a member.
@@ -277,6 +309,7 @@
 	}
 	e.catalog, e.now = c, now
 	e.applyAccounts()
+	e.applyWeights()
 	for _, info := range slices.Collect(maps.Values(e.unconfiguredHosts)) {
 		e.setHost(info, now)
 	}
@@ -315,10 +348,15 @@
 	e.expireHosts(now)
 	e.checkRuns(now)
 	e.releasePendingStarts(now)
+	e.releaseHeld(now)
 	e.storeAllPlacements(now)
 	if now.Before(e.authorityUntil) && !now.Before(e.nextPassAt) {
 		e.plan(now)
 	}
+	if now.Before(e.authorityUntil) {
+		e.planCopies(now)
+	}
+	e.sampleQueueLoad(now)
 	e.planStops(now)
 	e.planThrottling(now)
 	e.planUpkeep(now)
@@ -342,6 +380,9 @@
 	if !e.nextPollDue.IsZero() && e.nextPollDue.Before(next) {
 		next = e.nextPollDue
 	}
+	if at := e.copies.dueAt; at.After(now) && at.Before(next) {
+		next = at
+	}
 	return later(next, now.Add(time.Millisecond))
 }
 
--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"pulleyquay/internal/host"
+	"pulleyquay/internal/hostspeed"
 	"pulleyquay/internal/pacing"
 	"pulleyquay/internal/spec"
 )
@@ -46,6 +47,8 @@
 	acknowledged  bool // the host has acknowledged the start or reported the run
 	superseded    bool // its task has another run, or had a later one
 	presentAtEnd  bool // on the host when the host ended; see evidence.go
+	copyOf        int  // number of the run of which it is a copy; zero if it is none
+	lostRace      bool // another run has completed its task
 	// deadline is the start's deadline by the host's clock.
 	deadline host.Millis
 	// orderedAt is when the start was ordered, confirmedAt when the host's answer or view last confirmed the
@@ -57,6 +60,7 @@
 	percent, firstPercent float64
 	progressAt, firstAt   time.Time
 	gauge                 float64
+	lateness              runLateness
 	checkpoint            string
 	throttle              int  // percent of its full speed at which the run may run
 	throttleInFlight      bool // an order to change throttle is in flight
@@ -122,7 +126,8 @@
 	excludedUntil time.Time // excluded from placement until then
 	exclusions    int
 
-	speed runTimeFactor // how fast tasks run here
+	speed        hostspeed.Estimate // how fast tasks run here
+	unansweredAt time.Time          // when a call last got no answer
 
 	reserved []reservation // capacity reserved for gangs
 
@@ -150,6 +155,9 @@
 	// pendingAttributions are the runs lost when the host's lease was over, while it is not known whether the
 	// host has crashed.
 	pendingAttributions []attribution
+	late                lateEnds
+	// leasesOverAt bounds the leases of earlier holders, by the roster; zero if it states no bound.
+	leasesOverAt time.Time
 }
 
 func (e *Engine) newHost(info host.Info) *hostState {
@@ -190,6 +198,7 @@
 // recordContact records an answer of the host.
 func (h *hostState) recordContact(now time.Time) {
 	h.lastContact, h.unresponsiveSince, h.unreachableSince, h.firstMissedAt, h.connBrokenAt = now, time.Time{}, time.Time{}, time.Time{}, time.Time{}
+	h.late.silentAt = time.Time{}
 }
 
 // knowsClock reports whether the host's clock was ever read. A reading may be zero, as a host's clock
@@ -206,8 +215,13 @@
 
 // recordFailedCall records a call that got no answer.
 func (h *hostState) recordFailedCall(err error, now time.Time) {
+	if !h.countsAgainst(err, now) {
+		return
+	}
+	h.unansweredAt = now
 	if h.unresponsiveSince.IsZero() {
 		h.unresponsiveSince = now
+		h.probeSilent(now)
 	}
 	if h.unreachableSince.IsZero() && errors.Is(err, host.ErrNotSent) {
 		h.unreachableSince = now
@@ -229,6 +243,7 @@
 	h.runs[r.Run] = r
 	h.used = h.used.Add(r.size)
 	r.account.charge(r)
+	r.countUsage(1)
 	if r.suspect {
 		h.suspectRuns++
 	}
@@ -250,6 +265,7 @@
 	delete(e.stopRequested, r)
 	h.used = h.used.Sub(r.size)
 	r.account.discharge(r)
+	r.countUsage(-1)
 	if r.state != runOrdered {
 		h.refusedUntil = time.Time{}
 	}
--- a/internal/engine/job.go
+++ b/internal/engine/job.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"pulleyquay/internal/advice"
 	"slices"
 	"strings"
 	"time"
@@ -14,7 +15,9 @@
 // job is an accepted job.
 type job struct {
 	rec          *record.Job
+	queue        string   // its queue, which the stored record of an ended job does not name
 	account      *account // the client account that owns it; nil if it has none
+	flow         *stepFlow
 	state        record.State
 	groups       []*group // by occurrence, then step
 	steps        int      // steps per occurrence
@@ -33,8 +36,9 @@
 	// the last batch that held some.
 	crashesUnsaved bool
 	crashesBatch   uint64
-	cohort         cohort // hosts of its present quarantine
-	endReason      string // reason of its end, where the state does not give it
+	cohort         cohort  // hosts of its present quarantine
+	load           jobLoad // where its work is counted for the limits of accepted jobs
+	endReason      string  // reason of its end, where the state does not give it
 }
 
 func (j *job) id() string { return j.rec.ID }
@@ -71,6 +75,7 @@
 	preempted int
 	// lastAtWork is when a view last showed a run of a long-running task at work.
 	lastAtWork time.Time
+	taskCopies
 }
 
 // group is a step of one occurrence of a job.
@@ -112,6 +117,9 @@
 	ready           bool // in the engine's ready steps
 	queued          bool // in the engine's queue
 	incoming        bool // ready and waiting to be enqueued
+	// taken is where a scheduling pass last took the step, next the step that follows in its flow during one.
+	taken passPosition
+	next  *group
 
 	// The following fields concern gangs, which run as a whole.
 	startedHere       bool  // by this holder
@@ -139,6 +147,8 @@
 	answers     int // queries answered so far
 	// nextQueryAt is the earliest time of the next query.
 	nextQueryAt time.Time
+	// use is how the step could use the query slots in the last pass.
+	use advice.Use
 }
 
 // placementAttempt is the last placement attempt of a step and the state on which it was based.
@@ -156,7 +166,7 @@
 
 // newJob returns the state of a live job.
 func newJob(rec *record.Job, now time.Time) *job {
-	j := &job{rec: rec, state: record.StateQueued, accepted: now}
+	j := &job{rec: rec, queue: rec.Queue, state: record.StateQueued, accepted: now}
 	if rec.Ended != "" {
 		j.state = rec.Ended
 		return j
@@ -234,6 +244,7 @@
 			if t := &g.tasks[i]; t.state == taskUnconfirmed || t.cur.recorded() {
 				n++
 			}
+			n += g.tasks[i].extraRuns()
 		}
 		if g.step.Backfill {
 			backfill = backfill.Add(g.step.Size.Times(int64(n)))
@@ -319,6 +330,7 @@
 		for i := range g.tasks {
 			if r := g.tasks[i].cur; r != nil && s != record.StateCompleted {
 				e.requestStop(r, "its job has ended: "+string(s))
+				e.stopSecond(&g.tasks[i], "its job has ended: "+string(s))
 			}
 		}
 	}
--- a/internal/engine/takeover.go
+++ b/internal/engine/takeover.go
@@ -9,13 +9,16 @@
 // Load adds the stored jobs of the partition when this process has acquired it. Tasks
 // of live jobs may run on any open host in the roster of the previous holder, so none is
 // started before each of these hosts has reported its runs, or before reconcileDeadline, when
-// every lease of earlier holders has expired. Long-running tasks, and tasks listed with closed
+// every lease of earlier holders has expired, or before the bound that the roster states for the host. Long-running tasks, and tasks listed with closed
 // hosts, wait only for the hosts that they may run on. reconcileDeadline is zero for the first holder
 // of the partition. age returns how long ago a job was accepted or, if it is over, ended.
 func (e *Engine) Load(jobs []*record.Job, progress map[string]*record.Progress, roster record.Roster, reconcileDeadline, now time.Time, age func(*record.Job) time.Duration) {
 	e.now = now
 	e.reconciling = !reconcileDeadline.IsZero()
-	e.reconcileDeadline = reconcileDeadline
+	e.reconcileDeadline, e.loadedAt, e.boundsStoredAt = reconcileDeadline, now, now
+	if e.reconciling {
+		e.startsSettledAt = e.startSettledAt(now)
+	}
 	e.loadRoster(roster, now)
 	e.placementsStored, e.placementsDueAt = !e.reconciling || roster.PlacementsStored, now.Add(formerVersionGrace)
 	for _, rec := range jobs {
@@ -41,14 +44,14 @@
 	if e.jobs[rec.ID] != nil {
 		return
 	}
-	e.addJob(rec, e.reconciling && !fresh, accepted, now)
+	e.countAccepted(e.addJob(rec, e.reconciling && !fresh, accepted, now))
 }
 
 // addJob adds the state of a job. If unconfirmed is set, its tasks may run on hosts that
 // have not reported yet.
 func (e *Engine) addJob(rec *record.Job, unconfirmed bool, accepted, now time.Time) *job {
 	j := newJob(rec, accepted)
-	j.account = e.accountOf(rec.Account)
+	j.account, j.flow = e.accountOf(rec.Account), e.flowOf(j)
 	e.jobs[rec.ID] = j
 	if j.state.Final() {
 		e.ended = append(e.ended, endedJob{rec.ID, accepted})
@@ -61,6 +64,7 @@
 		for i := range g.tasks {
 			if unconfirmed || e.possibleHosts[g.task(i)] > 0 {
 				g.setState(i, taskUnconfirmed)
+				g.expectSecond(i)
 			}
 		}
 		if g.pendingDeps == 0 && !now.Before(g.due) {
@@ -129,6 +133,7 @@
 func (e *Engine) reconcileGroup(g *group, now time.Time) {
 	held := false
 	for i := range g.tasks {
+		e.reconcileSecond(g, i)
 		if g.tasks[i].state != taskUnconfirmed {
 			continue
 		}
--- a/internal/engine/view.go
+++ b/internal/engine/view.go
@@ -12,6 +12,7 @@
 // acquired, of hosts with runs continuously, and of idle hosts at longer intervals.
 func (e *Engine) planPolls(now time.Time) {
 	e.nextPollDue = time.Time{}
+	e.planLateProbes(now)
 	for _, h := range e.hostsByID {
 		e.planPresencePoll(h, now)
 		e.planQuarantineProbe(h, now)
@@ -34,6 +35,7 @@
 		}
 		e.poll(h, now)
 	}
+	e.lateProbes.Deposit(lateProbePercent * int64(len(e.out.Starts)+len(e.out.Polls)))
 }
 
 // planPollsBy schedules the next planning of polls for a time at the latest.
@@ -52,13 +54,13 @@
 func (e *Engine) poll(h *hostState, now time.Time) {
 	p := host.Poll{AckedEnds: h.endsAcked, Incarnation: h.incarnation}
 	if now.Before(e.authorityUntil) {
-		if h.knowsClock() && h.unresponsiveSince.IsZero() {
+		if h.knowsClock() && h.unresponsiveSince.IsZero() && !e.leaseWithheld(h.info.ID) {
 			// No renewal for an unresponsive host: each one would postpone the time after
 			// which nothing can run there.
 			p.Lease = h.deadline(now, e.cfg.Bounds.MaxLease)
 			h.leased = max(h.leased, p.Lease)
 		}
-		if h.claimed && len(h.runs) > 0 && h.unresponsiveSince.IsZero() && h.endsProcessed == h.endsAcked {
+		if p.Lease > 0 && h.claimed && len(h.runs) > 0 && h.endsProcessed == h.endsAcked {
 			p.Wait = e.cfg.Tuning.PollWait
 			if h.mixesBackfill() {
 				p.Wait = sampleInterval
@@ -69,7 +71,7 @@
 		}
 	}
 	h.pollInFlight = true
-	e.out.Polls = append(e.out.Polls, PollOrder{To: h.info, Poll: p})
+	e.out.Polls = append(e.out.Polls, PollOrder{To: h.info, Poll: p, Number: e.numberPoll(h)})
 }
 
 // Polled handles the outcome of a poll that was sent at sent.
@@ -83,21 +85,27 @@
 	if h == nil {
 		return
 	}
+	if h.replaced(o) {
+		if err != nil && h.lastContact.After(sent) {
+			return // the host has answered another poll since
+		}
+		o.Probe = true
+	}
 	if !o.Probe {
-		h.pollInFlight = false
+		h.pollInFlight, h.late.hungAt = false, time.Time{}
 	}
 	switch {
 	case errors.Is(err, host.ErrOtherIncarnation):
 		e.handleOtherIncarnation(h, o.To, now)
 		return
 	case err != nil:
+		if !o.Probe {
+			h.nextPollAt = e.retryPollAt(h, now)
+		}
 		h.recordFailedCall(err, now)
-		if o.Probe && h.firstMissedAt.IsZero() && sent.After(h.lastContact) {
+		if o.Probe && h.countsAgainst(err, now) && h.firstMissedAt.IsZero() && sent.After(h.lastContact) {
 			h.firstMissedAt = sent
 		}
-		if !o.Probe {
-			h.nextPollAt = now.Add(e.cfg.Tuning.PollRetryInterval)
-		}
 		if errors.Is(err, host.ErrConnectionBroken) {
 			e.pollSoon(h, now) // finds out whether its machine can still be reached
 		}
@@ -111,6 +119,7 @@
 		e.hosts[id].nextPollAt = now
 		return
 	}
+	e.endsOnTime = !o.Probe && h.unresponsiveSince.IsZero()
 	h.recordContact(now)
 	h.confirmAlive()
 	e.updateClock(h, v.Clock, now)
@@ -135,6 +144,9 @@
 		e.releasePossibleRuns(h, now)
 		e.log(Event{What: "host claimed", Host: string(id)})
 	}
+	if o.Probe && ended {
+		e.observeProbe(h, now)
+	}
 	if !o.Probe {
 		h.nextPollAt = e.nextPoll(h, first, ended, now)
 		if ackedEndsListed && !h.ackedEndsListed {
@@ -162,6 +174,8 @@
 // Stored moves it forward.
 func (e *Engine) nextPoll(h *hostState, first, ended bool, now time.Time) time.Time {
 	switch {
+	case e.leaseWithheld(h.info.ID):
+		return now.Add(e.cfg.Tuning.PollRetryInterval) // Stored moves it forward
 	case first && len(h.runs) > 0:
 		return now // the first poll renewed no lease, as the host's clock was not known
 	case ended || h.endsProcessed > h.endsAcked:
@@ -276,8 +290,12 @@
 		e.runsUnstored = true // the next holder has to know that the start was acknowledged
 		e.markDirty(r.group.job)
 	}
+	if !r.acknowledged {
+		e.copies.ackTime.Observe(now.Sub(r.orderedAt))
+	}
 	r.state, r.confirmedAt, r.progressAt, r.acknowledged = runRunning, now, now, true
 	r.reportedAt = later(r.reportedAt, reportedAt)
+	e.expectEnd(r, now)
 	if r.isBackfill() {
 		e.scheduleThrottling(r.placedOn)
 	}
--- a/internal/engine/world_calls_test.go
+++ b/internal/engine/world_calls_test.go
@@ -22,6 +22,10 @@
 	if w.onStart != nil {
 		w.onStart(s)
 	}
+	if w.hangs != nil && w.hangs(s) {
+		w.after(callTimeout, func() { w.deliver(e, func() { e.Started(s, host.Reply{}, host.ErrLost, w.now()) }) })
+		return
+	}
 	sameIncarnation := true // the intended incarnation was reached
 	arrive := func(h *hostsim.Host) host.Reply {
 		sameIncarnation = h.IsIncarnation(s.Start.Incarnation)
@@ -80,7 +84,7 @@
 			w.after(callTimeout, lost)
 			return
 		}
-		w.after(oneWay, func() { finish(reply, nil) })
+		w.after(oneWay+w.replyDelay, func() { finish(reply, nil) })
 	})
 }
 
@@ -88,6 +92,9 @@
 // has elapsed.
 func (w *world) poll(e *Engine, o PollOrder) {
 	sent := w.now()
+	if w.onPoll != nil {
+		w.onPoll(o)
+	}
 	h := w.host(o.To.ID)
 	request := o.Poll
 	if w.rnd.Float64() < w.faults.unidentifiedPolls {
@@ -122,7 +129,7 @@
 			return
 		}
 		h.OnReset(func() { w.after(oneWay, func() { finish(host.View{}, host.ErrConnectionBroken) }) })
-		answerLost := w.rnd.Float64() < w.faults.lostReply || w.repliesCut[o.To.ID]
+		answerLost := w.rnd.Float64() < w.faults.lostReply+w.faults.lostView || w.repliesCut[o.To.ID]
 		h.Poll(e.cfg.Epoch, request, func(v host.View) {
 			if answerLost {
 				return
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -109,6 +109,7 @@
 	calls           sync.WaitGroup
 	router          *linkshard.Router
 	hostCount       atomic.Int64 // hosts of the partition
+	limits          atomic.Pointer[measuredLimits]
 	// unreadable are the keys of host entries whose decoding error has been logged.
 	unreadable *lru.Cache[string, struct{}]
 
@@ -179,12 +180,13 @@
 	return context.Cause(h.ctx)
 }
 
-// reportLoads updates the metrics of client accounts and of long-running tasks periodically.
+// reportLoads updates the metrics of client accounts, of long-running tasks and of copies periodically.
 func (h *Holder) reportLoads() {
 	tick := time.NewTicker(loadMetricsInterval)
 	defer tick.Stop()
 	defer h.cfg.Metrics.reportAccounts(nil)
 	defer h.cfg.Metrics.reportLongRunningGaps(nil)
+	defer h.cfg.Metrics.reportAdmission(nil)
 	for {
 		select {
 		case <-h.ctx.Done():
@@ -192,9 +194,12 @@
 		case now := <-tick.C:
 			h.mu.Lock()
 			loads, gaps := h.engine.AccountLoads(now), h.engine.LongRunningGaps(now)
+			admission, copies := h.engine.QueueLoads(), h.engine.TakeCopyTotals()
 			h.mu.Unlock()
+			h.cfg.Metrics.reportCopies(copies)
 			h.cfg.Metrics.reportAccounts(loads)
 			h.cfg.Metrics.reportLongRunningGaps(gaps)
+			h.cfg.Metrics.reportAdmission(admission)
 		}
 	}
 }
@@ -259,6 +264,7 @@
 	h.engine.SetMembers(names)
 	h.engine.SetAuthority(h.ledger.LastConfirmed().Add(authorityDuration))
 	orders, due := h.engine.Next(now)
+	h.publishLimits()
 	h.cfg.Metrics.observeDecision(time.Since(now))
 	return orders, due
 }
--- a/internal/holder/metrics.go
+++ b/internal/holder/metrics.go
@@ -28,11 +28,19 @@
 
 	// accounts has the usage and the waiting steps of at most maxAccountMetrics client accounts.
 	accounts *prometheus.GaugeVec
+	// shares has the shares by weight of the same accounts, by service and priority.
+	shares *prometheus.GaugeVec
 	// longRunningGaps has the longest gaps of at most maxQueueMetrics queues.
 	longRunningGaps *prometheus.GaugeVec
+	// admission has the figures of at most maxAccountMetrics queues and accounts from which limits on jobs are derived.
+	admission *prometheus.GaugeVec
+
+	copyMetrics copyMetrics
 
 	mu   sync.Mutex
 	load Load
+	// copyQueues are the queues with metrics of their copies.
+	copyQueues map[string]struct{}
 }
 
 // maxAccountMetrics bounds the number of client accounts with metrics. The accounts with the
@@ -42,6 +50,7 @@
 // Values of the label "what" of the metric of client accounts.
 const (
 	accountShare         = "share"
+	accountWeight        = "weight"
 	accountFull          = "full"
 	accountStepsWaiting  = "steps_waiting"
 	accountStepsForQuota = "steps_waiting_for_quota"
@@ -51,12 +60,37 @@
 // maxAccountMetrics requires.
 func (m *Metrics) reportAccounts(loads []engine.AccountLoad) {
 	m.accounts.Reset()
+	m.shares.Reset()
 	for _, l := range loads[:min(len(loads), maxAccountMetrics)] {
 		m.accounts.WithLabelValues(l.Account, accountShare).Set(l.Share)
 		m.accounts.WithLabelValues(l.Account, accountFull).Set(l.Full)
 		m.accounts.WithLabelValues(l.Account, accountStepsWaiting).Set(float64(l.Steps))
 		m.accounts.WithLabelValues(l.Account, accountStepsForQuota).Set(float64(l.ForQuota))
+		if l.Weight > 0 {
+			m.accounts.WithLabelValues(l.Account, accountWeight).Set(l.Weight)
+		}
+		for _, s := range l.Shares {
+			m.reportShare(l.Account, s)
+		}
+	}
+}
+
+// Values of the label "what" of the metric of shares.
+const (
+	shareUsed         = "share"
+	shareWeighted     = "weighted"
+	shareStepsWaiting = "steps_waiting"
+	shareLongestWait  = "longest_wait_seconds"
+)
+
+func (m *Metrics) reportShare(account string, s engine.AccountShare) {
+	set := func(what string, value float64) {
+		m.shares.WithLabelValues(account, s.Service, strconv.Itoa(s.Priority), what).Set(value)
 	}
+	set(shareUsed, s.Share)
+	set(shareWeighted, s.Weighted)
+	set(shareStepsWaiting, float64(s.Steps))
+	set(shareLongestWait, (time.Duration(s.LongestMS) * time.Millisecond).Seconds())
 }
 
 // maxQueueMetrics bounds the number of queues with a metric of their long-running tasks. The queues with the
@@ -84,6 +118,7 @@
 // NewMetrics returns the metrics, registered with reg.
 func NewMetrics(reg prometheus.Registerer) *Metrics {
 	m := &Metrics{
+		copyMetrics: newCopyMetrics(reg), copyQueues: map[string]struct{}{},
 		commits: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "pulleyquay_holder_commit_seconds", Help: "Transactions of the holder, until settled.",
 			Buckets: prometheus.ExponentialBuckets(0.002, 3, 8),
@@ -110,10 +145,16 @@
 	m.accounts = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "pulleyquay_holder_account", Help: "Client accounts of which most waits: their share of the cell, how full their quotas are (1: full), and the steps that wait, also for the quota alone.",
 	}, []string{"account", "what"})
+	m.shares = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "pulleyquay_holder_account_share", Help: "What decides the order of steps between client accounts, by service and priority: the share of the service's hosts that the account runs, that share by its weight, the steps that wait, and the longest wait that its quota allows to end.",
+	}, []string{"account", "service", "priority", "what"})
 	m.longRunningGaps = prometheus.NewGaugeVec(prometheus.GaugeOpts{
 		Name: "pulleyquay_holder_long_running_gap_seconds", Help: "Longest time for which a long-running task of the queue has had no run at work at present, of the queues with the longest.",
 	}, []string{"queue"})
-	reg.MustRegister(m.longRunningGaps, m.accounts, m.commits, m.writes, m.events, m.failed, m.crashes, m.decisions, m.waits, m.jobAge)
+	m.admission = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "pulleyquay_holder_admission", Help: "Queues and client accounts of which most work waits: the fraction of jobs admitted, the expected wait of the next job and its limit in seconds, and the work that waits, completes and is sent, in processor seconds by declared run times.",
+	}, []string{"queue", "account", "what"})
+	reg.MustRegister(m.admission, m.longRunningGaps, m.accounts, m.shares, m.commits, m.writes, m.events, m.failed, m.crashes, m.decisions, m.waits, m.jobAge)
 	return m
 }
 
