--- a/cmd/pulley-node/node.go
+++ b/cmd/pulley-node/node.go
@@ -15,6 +15,7 @@
 	"pulleyquay/internal/cell"
 	"pulleyquay/internal/daemon"
 	"pulleyquay/internal/engine"
+	"pulleyquay/internal/evacuation"
 	"pulleyquay/internal/front"
 	"pulleyquay/internal/holder"
 	"pulleyquay/internal/hostcall"
@@ -97,7 +98,8 @@
 	n.entries = &cell.Service{Store: n.store, Health: n.health, Self: n.self, View: n.view, Log: n.log}
 	n.catalog = &catalog.Watcher{
 		Store: n.store, Health: n.health, Peers: n.peers, Log: n.log,
-		Key: platform.CatalogKey, Decode: platform.DecodeCatalog,
+		Key: platform.CatalogKey, Decode: platform.DecodeCatalog, Prefix: platform.OperatorPrefix,
+		Evacuations: &evacuation.Tracker{Prefix: platform.EvacuationPrefix, Log: n.log},
 	}
 	n.addHolder()
 	n.addFront()
@@ -121,7 +123,7 @@
 		Self: n.self.Name, Addr: n.self.Addr, Shards: n.shards,
 		Bounds: n.conf.Bounds.engine(), Tuning: engine.DefaultTuning(),
 		HostPrefix: platform.HostPrefix, DecodeHost: platform.DecodeHost, HostOf: platform.HostOf,
-		Catalog: n.catalog.Current, PolicyMembers: n.querySlots, Metrics: metrics, Event: n.logEvent,
+		Catalog: n.catalog.Current, Evacuations: n.catalog.Evacuations.Current, PolicyMembers: n.querySlots, Metrics: metrics, Event: n.logEvent,
 		WavePrefix: platform.WavePrefix, DecodeWave: platform.DecodeWave, WaveState: platform.WaveState,
 		DutyLease: n.conf.Bounds.DutyLease.Std(), Busy: timers.Busy,
 	}
@@ -140,6 +142,7 @@
 	n.claimer = &cell.Claimer{
 		Self: n.self, View: n.view, Store: n.store, Writes: n.writes, Health: n.health, Peers: n.peers, Log: n.log,
 		Hold: n.hold, CatalogVersion: n.catalog.Version, Behind: n.catalog.FetchFrom, Lateness: timers,
+		EvacuationsRevision: n.catalog.EvacuationsRevision,
 	}
 }
 
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
 
+	"pulleyquay/internal/evacuation"
 	"pulleyquay/internal/peer"
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/platform/follow"
@@ -51,9 +52,16 @@
 }
 
 // peers is a peer.Caller that answers with the catalog of another member.
-type peers struct{ newest *Catalog }
+type peers struct {
+	newest      *Catalog
+	evacuations *evacuation.Set
+}
 
 func (p *peers) Call(_ context.Context, _ string, _ peer.Kind, req, resp any) error {
+	if p.evacuations != nil && p.evacuations.Revision > req.(Request).NewerEvacuations {
+		resp.(*Reply).Evacuations = p.evacuations
+		return nil
+	}
 	if p.newest == nil {
 		return result.New(result.PeerNotReached, result.RanNo, "away")
 	}
@@ -236,3 +244,47 @@
 	is.True(!none.Weighted())
 	is.Equal(none.WeightOf("a"), 1.0)
 }
+
+// TestEvacuationsSurviveOutages checks that an evacuation and its withdrawal are known within the propagation bound of
+// settings, from the store or, while the store doesn't answer, from a peer; and that a peer that is behind changes nothing.
+func TestEvacuationsSurviveOutages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const bound = 4 * time.Second
+		store := memstore.New()
+		defer store.Close()
+		p := &peers{}
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		w := &Watcher{
+			Store: store.Client("a"), Health: follow.NewHealth(nil), Peers: p, Log: log.WithField("test", t.Name()),
+			Key: key, Decode: decodeVersion, Prefix: "op/", Evacuations: &evacuation.Tracker{Prefix: "op/evacuate/", Log: logrus.NewEntry(log)},
+		}
+		w.Start(t.Context(), peer.NewMux())
+		put(store, "3")
+		store.Put(platform.Write{Key: "op/evacuate/z1", Value: []byte("{}")})
+		time.Sleep(bound)
+		is.Equal(w.Version(), int64(3))
+		is.Equal(w.Evacuations.Current().Zones, []string{"z1"})
+
+		known := w.EvacuationsRevision()
+		store.Client("a").SetFaults(memstore.Faults{Refuse: true})
+		p.evacuations = &evacuation.Set{Revision: known + 4, Zones: []string{"z1", "z2"}}
+		w.FetchFrom("b:1") // a heartbeat has reported a newer revision
+		time.Sleep(bound)
+		is.Equal(w.Evacuations.Current().Zones, []string{"z1", "z2"})
+		p.evacuations = &evacuation.Set{Revision: known + 2}
+		w.FetchFrom("b:1")
+		time.Sleep(bound)
+		is.Equal(w.Evacuations.Current().Zones, []string{"z1", "z2"})
+
+		for range 8 {
+			put(store, "4")
+		}
+		store.Put(platform.Write{Key: "op/evacuate/z1", Delete: true})
+		store.Compact()
+		store.Client("a").SetFaults(memstore.Faults{})
+		time.Sleep(bound)
+		is.Equal(len(w.Evacuations.Current().Zones), 0)
+	})
+}
--- a/internal/catalog/watcher.go
+++ b/internal/catalog/watcher.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"pulleyquay/internal/evacuation"
 	"pulleyquay/internal/peer"
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/platform/follow"
@@ -21,8 +22,8 @@
 	fetchTimeout = time.Second
 )
 
-// Watcher follows the newest catalog in the store and, if the store doesn't answer, at peers. The active version
-// never decreases.
+// Watcher follows the newest catalog and the evacuated zones in the store and, if the store doesn't answer, at peers.
+// The active version never decreases.
 type Watcher struct {
 	Store  platform.Poller
 	Health *follow.Health
@@ -31,6 +32,10 @@
 	// Key is the store key that operators write; Decode decodes its record.
 	Key    string
 	Decode func(platform.Record) (*Catalog, error)
+	// Prefix is the store prefix of all records of operators, which are followed with one poll.
+	Prefix string
+	// Evacuations receives the records of the evacuated zones; nil if they aren't followed.
+	Evacuations *evacuation.Tracker
 
 	current   atomic.Pointer[Catalog]
 	fetching  atomic.Bool
@@ -38,14 +43,16 @@
 	listeners []func(*Catalog)
 }
 
-// Request requests a catalog newer than version Newer.
+// Request requests a catalog newer than version Newer and a set of evacuated zones newer than NewerEvacuations.
 type Request struct {
-	Newer int64 `cbor:"1,keyasint"`
+	Newer            int64             `cbor:"1,keyasint"`
+	NewerEvacuations platform.Revision `cbor:"2,keyasint,omitempty"`
 }
 
-// Reply holds a newer catalog, or nil if the peer has none.
+// Reply holds a newer catalog and newer evacuated zones; nil for what the peer has none of.
 type Reply struct {
-	Catalog *Catalog `cbor:"1,keyasint,omitempty"`
+	Catalog     *Catalog        `cbor:"1,keyasint,omitempty"`
+	Evacuations *evacuation.Set `cbor:"2,keyasint,omitempty"`
 }
 
 // OnChange registers a function that is called with each newer catalog, in order. Call it before Start.
@@ -53,20 +60,25 @@
 
 // Start registers the message handler and follows the store's catalog in the background until ctx ends.
 func (w *Watcher) Start(ctx context.Context, mux *peer.Mux) {
-	peer.Handle(mux, peer.KindCatalog, func(_ context.Context, q Request) (Reply, error) {
-		if c := w.Current(); c != nil && c.Version > q.Newer {
-			return Reply{Catalog: c}, nil
-		}
-		return Reply{}, nil
-	})
+	peer.Handle(mux, peer.KindCatalog, func(_ context.Context, q Request) (Reply, error) { return w.newerThan(q), nil })
+	prefix := w.Prefix
+	if prefix == "" {
+		prefix = w.Key
+	}
 	f := follow.Follower{
-		Store: w.Store, Health: w.Health, Prefix: w.Key, Wait: longPollTimeout,
-		List: func(records []platform.Record) {
+		Store: w.Store, Health: w.Health, Prefix: prefix, Wait: longPollTimeout,
+		List: func(records []platform.Record, at platform.Revision) {
+			if w.Evacuations != nil {
+				w.Evacuations.ApplyList(records, at)
+			}
 			for _, rec := range records {
 				w.processRecord(rec)
 			}
 		},
 		Change: func(c platform.Change) {
+			if w.Evacuations != nil {
+				w.Evacuations.ApplyChange(c)
+			}
 			if !c.Deleted {
 				w.processRecord(c.Record)
 			}
@@ -75,6 +87,26 @@
 	go f.Run(ctx)
 }
 
+// newerThan returns what this process has that is newer than what a peer has.
+func (w *Watcher) newerThan(q Request) Reply {
+	var reply Reply
+	if c := w.Current(); c != nil && c.Version > q.Newer {
+		reply.Catalog = c
+	}
+	if w.EvacuationsRevision() > q.NewerEvacuations {
+		reply.Evacuations = w.Evacuations.Current()
+	}
+	return reply
+}
+
+// EvacuationsRevision returns the revision of the known evacuated zones, 0 before the first read.
+func (w *Watcher) EvacuationsRevision() platform.Revision {
+	if w.Evacuations == nil {
+		return 0
+	}
+	return w.Evacuations.Revision()
+}
+
 // Current returns the active catalog, or nil before the first.
 func (w *Watcher) Current() *Catalog { return w.current.Load() }
 
@@ -120,7 +152,8 @@
 	}
 }
 
-// FetchFrom fetches a newer catalog from a peer in the background. It does nothing while another fetch is in progress.
+// FetchFrom fetches a newer catalog and newer evacuated zones from a peer in the background. It does nothing while
+// another fetch is in progress.
 func (w *Watcher) FetchFrom(addr string) {
 	if !w.fetching.CompareAndSwap(false, true) {
 		return
@@ -130,13 +163,21 @@
 		ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 		defer cancel()
 		var reply Reply
-		if err := w.Peers.Call(ctx, addr, peer.KindCatalog, Request{Newer: w.Version()}, &reply); err != nil || reply.Catalog == nil {
+		request := Request{Newer: w.Version(), NewerEvacuations: w.EvacuationsRevision()}
+		if err := w.Peers.Call(ctx, addr, peer.KindCatalog, request, &reply); err != nil {
 			return // the next heartbeat triggers another fetch
 		}
-		if reply.Catalog.FormatVersion < CurrentFormatVersion {
-			return // decoded by an older program version, which omitted fields that it doesn't know
-		}
-		reply.Catalog.Index()
-		w.apply(reply.Catalog, addr)
+		w.applyReply(reply, addr)
 	}()
 }
+
+func (w *Watcher) applyReply(reply Reply, addr string) {
+	if reply.Evacuations != nil && w.Evacuations != nil {
+		w.Evacuations.ApplyFrom(*reply.Evacuations, addr)
+	}
+	if reply.Catalog == nil || reply.Catalog.FormatVersion < CurrentFormatVersion {
+		return // a peer of an older program version omits the fields that it doesn't know
+	}
+	reply.Catalog.Index()
+	w.apply(reply.Catalog, addr)
+}
--- a/internal/cell/claimer.go
+++ b/internal/cell/claimer.go
@@ -55,6 +55,9 @@
 	// the address of a member that has a newer one.
 	CatalogVersion func() int64
 	Behind         func(addr string)
+	// EvacuationsRevision returns the revision of the known evacuated zones. Behind is called for a newer one as
+	// well. It is nil if they aren't followed.
+	EvacuationsRevision func() platform.Revision
 	// Limits connects this process to the limits on jobs; nil if it neither measures nor applies any.
 	Limits *LimitExchange
 	// Lateness measures the lateness of this process's timers. Start runs it.
@@ -195,6 +198,7 @@
 	err := c.Peers.Call(ctx, h.Addr, peer.KindMemberHeartbeat, Heartbeat{
 		Partition: monitor.partition, From: c.Self.Name, FromAddr: c.Self.Addr, Catalog: c.CatalogVersion(),
 		Members: c.Health.FailingFor(time.Now()) > 0, JobsInDoubt: c.Limits.jobsInDoubt(),
+		Evacuations: c.evacuationsRevision(),
 	}, &reply)
 	received := time.Now()
 	switch {
@@ -228,7 +232,7 @@
 	if c.Health.FailingFor(time.Now()) > 0 {
 		c.View.addReported(reply.Members, time.Now())
 	}
-	if reply.Catalog > c.CatalogVersion() {
+	if reply.Catalog > c.CatalogVersion() || reply.Evacuations > c.evacuationsRevision() {
 		c.Behind(reply.Holder.Addr)
 	}
 }
--- a/internal/cell/heartbeat.go
+++ b/internal/cell/heartbeat.go
@@ -25,6 +25,8 @@
 	// JobsInDoubt is true if the sender has told callers lately that it does not know whether their jobs are
 	// stored, or is about to. They may submit these jobs to any member.
 	JobsInDoubt bool `cbor:"6,keyasint,omitempty"`
+	// Evacuations is the revision of the evacuated zones that the sender knows.
+	Evacuations platform.Revision `cbor:"7,keyasint,omitempty"`
 }
 
 // HeartbeatReply is the reply of the process at the holder's address, which may not be the
@@ -48,6 +50,8 @@
 	// Limits are the limits on jobs that the replying process measured as the holder; nil if it has no figures or
 	// does not report them.
 	Limits *overload.Report `cbor:"9,keyasint,omitempty"`
+	// Evacuations is the revision of the evacuated zones that the replying process knows.
+	Evacuations platform.Revision `cbor:"10,keyasint,omitempty"`
 }
 
 // HolderStatusRequest asks a member whether it is in contact with a holder.
@@ -89,14 +93,14 @@
 	if req.Partition < 0 || req.Partition >= len(c.monitors) {
 		return HeartbeatReply{}, result.New(result.BadInput, result.RanNo, "partition %d", req.Partition)
 	}
-	if req.Catalog > c.CatalogVersion() {
+	if req.Catalog > c.CatalogVersion() || req.Evacuations > c.evacuationsRevision() {
 		c.Behind(req.FromAddr)
 	}
 	h, _ := c.View.Holder(req.Partition)
 	reply := HeartbeatReply{
 		Incarnation: c.Self.Incarnation, Holds: c.monitors[req.Partition].isHeld(),
 		StoreOutage: c.storeOutage(time.Now()), Holder: h, Revision: h.Revision, Catalog: c.CatalogVersion(),
-		Uptime: uptime.Since(c.started),
+		Uptime: uptime.Since(c.started), Evacuations: c.evacuationsRevision(),
 	}
 	if req.Members {
 		reply.Members = c.View.Registered()
@@ -110,6 +114,14 @@
 	return reply, nil
 }
 
+// evacuationsRevision returns the revision of the evacuated zones that this process knows.
+func (c *Claimer) evacuationsRevision() platform.Revision {
+	if c.EvacuationsRevision == nil {
+		return 0
+	}
+	return c.EvacuationsRevision()
+}
+
 // storeSilenceThreshold is the time without any answered call after which a process considers
 // itself disconnected from the store. It exceeds the latency of a store that is merely slow.
 const storeSilenceThreshold = 500 * time.Millisecond
--- a/internal/cell/service.go
+++ b/internal/cell/service.go
@@ -40,7 +40,7 @@
 func (s *Service) Run(ctx context.Context) {
 	f := follow.Follower{
 		Store: s.Store, Health: s.Health, Prefix: Prefix, Wait: watchTimeout,
-		List: func(records []platform.Record) {
+		List: func(records []platform.Record, _ platform.Revision) {
 			s.logError(s.View.applyList(records))
 		},
 		Change: func(c platform.Change) { s.logError(s.View.applyChange(c)) },
--- a/internal/engine/dump.go
+++ b/internal/engine/dump.go
@@ -21,6 +21,8 @@
 // unresponsive hosts, and the usage and waiting work of client accounts. Each list has a
 // bounded number of rows, the most important first; LeftOut counts the others.
 type Dump struct {
+	// EvacuatedZones are the availability zones in which nothing new starts.
+	EvacuatedZones []string `json:"evacuated_zones,omitempty"`
 	// Suspects are tasks under which hosts have crashed, the highest suspicion level first.
 	Suspects []DumpedTask `json:"suspects"`
 	// Failed are the jobs that ended as failed and are not forgotten yet, the latest first.
@@ -117,6 +119,9 @@
 // Dump returns the diagnostic state for operators.
 func (e *Engine) Dump(now time.Time) Dump {
 	var d Dump
+	if e.evacuations != nil {
+		d.EvacuatedZones = e.evacuations.Zones
+	}
 	d.Suspects, d.LeftOut.Suspects = truncateRows(e.dumpSuspects(now))
 	d.Failed, d.LeftOut.Failed = truncateRows(e.dumpFailed(now))
 	d.Silent, d.LeftOut.Silent = truncateRows(e.dumpSilent(now))
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -15,6 +15,7 @@
 	"pulleyquay/internal/advice"
 	"pulleyquay/internal/catalog"
 	"pulleyquay/internal/crashloop"
+	"pulleyquay/internal/evacuation"
 	"pulleyquay/internal/host"
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/retrybudget"
@@ -64,6 +65,8 @@
 	rnd *rand.Rand
 
 	catalog *catalog.Catalog
+	// evacuations are the evacuated availability zones; nil before they are known.
+	evacuations *evacuation.Set
 	// accounts are the client accounts with jobs in this partition, by name.
 	accounts map[string]*account
 	// withheldAccounts are the accounts with quota withheld in the current scheduling pass.
--- a/internal/engine/explain.go
+++ b/internal/engine/explain.go
@@ -46,6 +46,9 @@
 		if !e.placeable(h, now) {
 			rule = "not placeable"
 		}
+		if h.evacuated {
+			rule = "zone evacuated"
+		}
 		if rule != "" {
 			refused[rule]++
 			continue
--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -134,6 +134,7 @@
 	throttle  *pacing.Throttle // nil until serving tasks and backfill tasks have shared the host
 	departsAt time.Time        // earliest departure of a draining host
 	cordoned  bool             // cordoned: to be emptied for the maintenance of its machine
+	evacuated bool             // its availability zone is evacuated
 
 	// capacity is how much of the host's size may be allocated, as last reported by the host;
 	// capacityReportedAt is the time of that report.
@@ -162,6 +163,7 @@
 
 func (e *Engine) newHost(info host.Info) *hostState {
 	h := &hostState{info: info, capacity: info.Size, servicePool: e.poolOf(info.Service), runs: map[host.Run]*run{}}
+	h.evacuated = e.evacuations.Contains(info.Zone)
 	e.hosts[info.ID] = h
 	at, _ := e.position(info.ID)
 	e.hostsByID = slices.Insert(e.hostsByID, at, h)
@@ -353,6 +355,7 @@
 	e.updateCapacity(h, info, now)
 	h.listed = true
 	h.info, h.servicePool = info, e.poolOf(info.Service)
+	e.updateEvacuated(h)
 	h.servicePool.maxSize = h.servicePool.maxSize.Max(info.Size)
 	if info.Draining {
 		h.departsAt = now.Add(info.Remaining)
@@ -379,7 +382,7 @@
 // eligible for a moment. One that could not even be reached is excluded at once, because its next call
 // fails as well and urgent work would be tried there until it is late.
 func (e *Engine) placeable(h *hostState, now time.Time) bool {
-	return h.listed && h.claimed && h.openInRoster && !h.terminated && !h.info.Draining && !h.cordoned && !now.Before(h.excludedUntil) &&
+	return h.listed && h.claimed && h.openInRoster && !h.terminated && !h.info.Draining && !h.cordoned && !h.evacuated && !now.Before(h.excludedUntil) &&
 		h.unreachableSince.IsZero() && (h.unresponsiveSince.IsZero() || now.Sub(h.unresponsiveSince) < e.cfg.Tuning.UnresponsiveAfter)
 }
 
--- a/internal/engine/watch.go
+++ b/internal/engine/watch.go
@@ -28,6 +28,8 @@
 		}
 		if h.info.Draining {
 			e.evictRuns(h, now)
+		} else if h.evacuated {
+			e.moveLongRunning(h, "its availability zone is evacuated", now)
 		}
 		e.evictExcess(h, now)
 		h.speed.Expire(now)
--- a/internal/engine/world_test.go
+++ b/internal/engine/world_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"pulleyquay/internal/catalog"
+	"pulleyquay/internal/evacuation"
 	"pulleyquay/internal/fairshare"
 	"pulleyquay/internal/host"
 	"pulleyquay/internal/hostsim"
@@ -74,6 +75,9 @@
 	// policyReplyDelay.
 	policyDelay func(o QueryOrder) time.Duration
 
+	// evacuations are the evacuated zones that every holder knows; nil if there are none.
+	evacuations *evacuation.Set
+
 	jobs map[string]*record.Job
 	// recordAge is the age of job records at a failover, since their acceptance or end.
 	recordAge  time.Duration
@@ -288,6 +292,7 @@
 	if w.paused {
 		e.SetAuthority(w.now())
 	}
+	e.SetEvacuations(w.evacuations, w.now())
 	begun := time.Now()
 	o, due := e.Next(w.now())
 	took := time.Since(begun)
--- a/internal/holder/follow.go
+++ b/internal/holder/follow.go
@@ -170,7 +170,7 @@
 	f.Run(h.ctx)
 }
 
-func (h *Holder) applyHostList(records []platform.Record) {
+func (h *Holder) applyHostList(records []platform.Record, _ platform.Revision) {
 	var list []host.Info
 	for _, rec := range records {
 		if info, ok := h.parseHost(rec); ok {
@@ -212,7 +212,7 @@
 	p := h.ledger.Holder().Partition
 	f := follow.Follower{
 		Store: h.cfg.Store, Health: h.cfg.Health, Prefix: record.JobPrefix(p), After: h.jobsRevision, PollPause: jobsPollPause,
-		List: func(records []platform.Record) {
+		List: func(records []platform.Record, _ platform.Revision) {
 			for _, rec := range records {
 				h.applyJob(rec)
 			}
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -16,6 +16,7 @@
 	"pulleyquay/internal/advice"
 	"pulleyquay/internal/catalog"
 	"pulleyquay/internal/engine"
+	"pulleyquay/internal/evacuation"
 	"pulleyquay/internal/host"
 	"pulleyquay/internal/ledger"
 	"pulleyquay/internal/linkshard"
@@ -80,6 +81,8 @@
 	// and the next holder's first one.
 	DutyLease time.Duration
 	Catalog   func() *catalog.Catalog
+	// Evacuations returns the evacuated availability zones; nil where operators can't evacuate any.
+	Evacuations func() *evacuation.Set
 	// PolicyMembers returns the members that can query the policy service, with their addresses.
 	PolicyMembers func() map[string]string
 	Metrics       *Metrics
@@ -261,6 +264,9 @@
 	now := time.Now()
 	h.hostCount.Store(int64(h.engine.Hosts()))
 	h.engine.SetCatalog(c, now)
+	if h.cfg.Evacuations != nil {
+		h.engine.SetEvacuations(h.cfg.Evacuations(), now)
+	}
 	h.engine.SetMembers(names)
 	h.engine.SetAuthority(h.ledger.LastConfirmed().Add(authorityDuration))
 	orders, due := h.engine.Next(now)
--- a/internal/holder/upkeep.go
+++ b/internal/holder/upkeep.go
@@ -16,7 +16,7 @@
 func (h *Holder) followRollouts() {
 	f := follow.Follower{
 		Store: h.cfg.Store, Health: h.cfg.Health, Prefix: h.cfg.WavePrefix, Wait: rolloutWatchTimeout,
-		List: func(records []platform.Record) {
+		List: func(records []platform.Record, _ platform.Revision) {
 			for _, rec := range records {
 				h.applyRollout(rec)
 			}
--- a/internal/platform/follow/follow.go
+++ b/internal/platform/follow/follow.go
@@ -33,9 +33,9 @@
 	After platform.Revision
 	// PollPause is the pause between two polls, so that the changes in between are returned together.
 	PollPause time.Duration
-	// List is called with all records, at the start and whenever changes may have been missed; Change
-	// is called with one change.
-	List   func([]platform.Record)
+	// List is called with all records and the revision at which they were read, at the start and whenever
+	// changes may have been missed; Change is called with one change.
+	List   func(records []platform.Record, at platform.Revision)
 	Change func(platform.Change)
 }
 
@@ -92,7 +92,7 @@
 	records, at, err := f.Store.List(listCtx, f.Prefix)
 	f.recordOutcome(ctx, err)
 	if err == nil {
-		f.List(records)
+		f.List(records, at)
 	}
 	return at, err
 }
--- a/internal/platform/follow/follow_test.go
+++ b/internal/platform/follow/follow_test.go
@@ -41,7 +41,7 @@
 		seen := map[string]time.Duration{} // delay of each change
 		f := Follower{
 			Store: pagingStore{store.Client("a"), 400}, Health: NewHealth(nil), Prefix: "h/", Wait: time.Second, PollPause: 400 * time.Millisecond,
-			List: func([]platform.Record) {},
+			List: func([]platform.Record, platform.Revision) {},
 			Change: func(c platform.Change) {
 				var at int64
 				_, err := fmt.Sscan(string(c.Value), &at)
@@ -81,7 +81,7 @@
 		lists, last := 0, ""
 		f := Follower{
 			Store: c, Health: NewHealth(nil), Prefix: "h/", Wait: time.Second, PollPause: 100 * time.Millisecond,
-			List:   func(records []platform.Record) { lists++; last = fmt.Sprint(len(records)) },
+			List:   func(records []platform.Record, _ platform.Revision) { lists++; last = fmt.Sprint(len(records)) },
 			Change: func(c platform.Change) { last = string(c.Value) },
 		}
 		go f.Run(ctx)
@@ -135,7 +135,7 @@
 		})
 		f := Follower{
 			Store: slowListStore{store.Client("a"), 18 * 240 * time.Millisecond}, Health: health, Prefix: "h/", Wait: time.Second,
-			List:   func(records []platform.Record) { listed = len(records) },
+			List:   func(records []platform.Record, _ platform.Revision) { listed = len(records) },
 			Change: func(platform.Change) {},
 		}
 		go f.Run(ctx)
@@ -185,7 +185,7 @@
 		health := NewHealth(nil)
 		f := Follower{
 			Store: silencedStore{store.Client("a"), silence}, Health: health, Prefix: "c/", Wait: 25 * time.Second,
-			List:   func([]platform.Record) { lists++ },
+			List:   func([]platform.Record, platform.Revision) { lists++ },
 			Change: func(c platform.Change) { last = string(c.Value) },
 		}
 		go f.Run(ctx)
