--- a/internal/advice/lanes.go
+++ b/internal/advice/lanes.go
@@ -170,6 +170,16 @@
 	shortOrMediumDivisor = 3
 )
 
+// SlotLength returns the duration by which the slots of a query are chosen, from its duration if it is about one host
+// and if it is about the usual number. A short query stays one whatever the number of hosts; longer ones keep their
+// slots busy for as long as they usually take.
+func SlotLength(aboutOne, usual time.Duration) time.Duration {
+	if aboutOne <= shortQuery {
+		return aboutOne
+	}
+	return usual
+}
+
 // eligible returns the query slots for queries of the given length, and their largest
 // permitted backlog. Queries of all lengths share the slots if there are few. The length of
 // a query is its duration if it is about one host: with more hosts, short queries would
--- a/internal/advice/order_test.go
+++ b/internal/advice/order_test.go
@@ -57,6 +57,11 @@
 	l.pending = left
 }
 
+// isOpen reports whether a step has a query that is not answered yet.
+func (l *queryLoad) isOpen(step int, now time.Time) bool {
+	return now.Add(requeryDelay).Before(l.nextAt[step])
+}
+
 // query lets a step, the next one of its class, query, and returns how long the reply takes.
 func (l *queryLoad) query(step int, c Class, length, duration time.Duration, now time.Time) (time.Duration, bool) {
 	r := Request{Class: c, Length: length, Duration: duration, Share: l.order.Next(c, length, l.slots, now)}
@@ -158,3 +163,51 @@
 		})
 	}
 }
+
+// TestShortStepsBesideLongerQueries guards against steps of urgent work that wait for seconds in a cell that is mostly
+// idle: queries ten times as long used the same slots, as they would be a little shorter if they were about one host.
+// Each of 70 steps a second needs one answer; 30 steps of other work query again and again.
+func TestShortStepsBesideLongerQueries(t *testing.T) {
+	const (
+		perSecond, lasts             = 70, 8 * time.Second
+		urgentLength, urgentDuration = 21 * time.Millisecond, 25 * time.Millisecond
+		longerOne, longerUsual       = 198 * time.Millisecond, 222 * time.Millisecond
+		longerDuration               = 330 * time.Millisecond
+		longerSteps, firstUrgent     = 30, 1000
+		longestWait                  = 100 * time.Millisecond // a third of the target of such work
+		passInterval                 = 20 * time.Millisecond
+	)
+	is := is.New(t)
+	l := &queryLoad{slots: newSlots(43), nextAt: map[int]time.Time{}}
+	longerLength := SlotLength(longerOne, longerUsual)
+	urgent, longer := ClassOf(urgentLength, ByTask), ClassOf(longerLength, ByReserve)
+	arrived := map[int]time.Time{}
+	var waiting []int
+	worst := time.Duration(0)
+	for now := start; now.Before(start.Add(lasts)); now = now.Add(passInterval) {
+		l.answer(now)
+		l.order.Reset()
+		for next := firstUrgent + len(arrived); float64(next-firstUrgent) < now.Sub(start).Seconds()*perSecond; next++ {
+			arrived[next] = now
+			waiting = append(waiting, next)
+		}
+		var left []int
+		for _, step := range waiting {
+			at := l.nextAt[step]
+			if !at.IsZero() && !l.isOpen(step, now) {
+				continue // it has its answer and starts
+			}
+			left = append(left, step)
+			if at.IsZero() {
+				worst = max(worst, now.Sub(arrived[step]))
+			}
+			l.query(step, urgent, urgentLength, urgentDuration, now)
+		}
+		waiting = left
+		for step := range longerSteps {
+			l.query(step, longer, longerLength, longerDuration, now)
+		}
+	}
+	t.Logf("longest wait for a query %v, %d steps wait", worst, len(waiting))
+	is.True(worst <= longestWait)
+}
--- a/internal/engine/plan_gang.go
+++ b/internal/engine/plan_gang.go
@@ -28,7 +28,7 @@
 	if !e.mayQuery(g, now) {
 		return
 	}
-	idle := e.querySlots.HalfIdle(g.job.rec.Rules.PolicyQuery.QueryDuration(1), now)
+	idle := e.slotsHalfIdle(g, now)
 	switch {
 	case len(g.reserved) > 0 && e.slotsDueSoon(g, now):
 		e.requestTickets(g, permitted, now)
--- a/internal/engine/plan_large.go
+++ b/internal/engine/plan_large.go
@@ -42,7 +42,7 @@
 	if e.queryFurtherHosts(g, hosts, permitted, now) {
 		return
 	}
-	if len(g.reserved) > 0 && (e.slotsDueSoon(g, now) || e.querySlots.HalfIdle(g.job.rec.Rules.PolicyQuery.QueryDuration(1), now)) {
+	if len(g.reserved) > 0 && (e.slotsDueSoon(g, now) || e.slotsHalfIdle(g, now)) {
 		e.requestTickets(g, permitted, now)
 	}
 }
--- a/internal/engine/query_order.go
+++ b/internal/engine/query_order.go
@@ -30,16 +30,22 @@
 	started map[string]*startRate
 }
 
-// queryClass returns the class of the queries of a step and the duration of one about one host, zero for a step
-// that needs none.
+// queryClass returns the class of the queries of a step and the duration by which their slots are chosen, zero for a
+// step that needs none.
 func (g *group) queryClass() (advice.Class, time.Duration) {
 	length := time.Duration(0)
 	if q := g.job.rec.Rules.PolicyQuery; q != nil {
-		length = q.QueryDuration(1)
+		length = advice.SlotLength(q.QueryDuration(1), q.QueryDuration(minQueryHosts))
 	}
 	return advice.ClassOf(length, g.placement()), length
 }
 
+// slotsHalfIdle reports whether at least half of the slots for the queries of a step are idle.
+func (e *Engine) slotsHalfIdle(g *group, now time.Time) bool {
+	_, length := g.queryClass()
+	return e.querySlots.HalfIdle(length, now)
+}
+
 // kind returns the kind of a step.
 func (g *group) kind() stepKind { return stepKind{g.job.rec.Service, g.placement()} }
 
