--- a/internal/engine/account.go
+++ b/internal/engine/account.go
@@ -145,7 +145,8 @@
 	if !e.reconciling && len(e.possibleHosts) == 0 {
 		return
 	}
-	for _, h := range e.hostsByID {
+	e.refreshHosts(now)
+	for _, h := range e.index.unreported.All() {
 		if !e.isUnreported(h, now) {
 			continue
 		}
--- a/internal/engine/bench_test.go
+++ b/internal/engine/bench_test.go
@@ -36,6 +36,9 @@
 	grownCell = cellLoad{hosts: 350, reviews: 3.46, surveys: 11.2, tickets: 125, reviewWidth: 20, surveyWidth: 25, ticketWidth: 3, surveyCPU: 3900, ticketCPU: 5600}
 )
 
+// wholeFleet is the load of a whole fleet of 6,000 hosts.
+var wholeFleet = cellLoad{hosts: 6000, reviews: 2.95, surveys: 6.72, tickets: 85.2, reviewWidth: 48, surveyWidth: 75, ticketWidth: 4, surveyCPU: 9900, ticketCPU: 14000}
+
 // arrive submits the load's jobs at even intervals for a duration.
 func (l cellLoad) arrive(w *world, d time.Duration) {
 	reviewAdvice := &catalog.PolicyQuery{DecideMillis: 560, PerHostMillis: 8.1, ValidMillis: 1500}
@@ -86,6 +89,35 @@
 	}
 }
 
+// BenchmarkFleet runs six seconds of the same load in cells of more and more hosts; the time includes the cost of the
+// simulated hosts.
+func BenchmarkFleet(b *testing.B) {
+	for _, hosts := range []int{1100, 3000, 6000, 12000} {
+		b.Run(fmt.Sprint(hosts, " hosts"), func(b *testing.B) {
+			starts := 0
+			var decisionTime time.Duration
+			b.ReportAllocs()
+			for range b.N {
+				b.StopTimer()
+				w := newWorld(b, 1)
+				w.fleet.Add(hosts, "s", size(64, 256))
+				w.failOver()
+				w.run(4 * time.Second)
+				w.decisionTime = 0
+				b.StartTimer()
+				wholeFleet.arrive(w, 6*time.Second)
+				w.run(6 * time.Second)
+				starts += w.fleet.Checker().Starts()
+				decisionTime += w.decisionTime
+				w.checkInvariants()
+			}
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(starts), "us/start")
+			b.ReportMetric(float64(decisionTime.Microseconds())/float64(starts), "us/start-decisions")
+			b.ReportMetric(float64(starts)/float64(b.N), "starts")
+		})
+	}
+}
+
 // BenchmarkBacklog runs five seconds of the grown cell's load on top of the backlog of another five
 // seconds, as after a failover.
 func BenchmarkBacklog(b *testing.B) {
--- a/internal/engine/capacity.go
+++ b/internal/engine/capacity.go
@@ -64,6 +64,7 @@
 		})
 	}
 	h.capacity = info.Size
+	h.touch()
 }
 
 // minRemainingShare divides the size after a change by the size before it, for each resource, and returns
@@ -78,18 +79,23 @@
 	return smallest
 }
 
-// limitStaleCapacity limits the usable capacity of a host whose last report is too old, if hosts have recently
-// shrunk: its capacity may be down to the smallest share that was observed. If no host has shrunk, an
+// limitStaleCapacities limits the usable capacity of the hosts whose last reports are too old, if hosts have
+// recently shrunk: their capacity may be down to the smallest share that was observed. If no host has shrunk, an
 // outage of the store stops no starts. The limit keeps hosts that shrink just before an outage from being
-// overcommitted.
-func (e *Engine) limitStaleCapacity(h *hostState, now time.Time) {
+// overcommitted. It visits all hosts, but only for reductionTTL after a host has shrunk.
+func (e *Engine) limitStaleCapacities(now time.Time) {
 	if e.reduction.share > 0 && now.Sub(e.reduction.at) > reductionTTL {
 		e.reduction = capacityReduction{}
 	}
-	if e.reduction.share == 0 || e.cfg.Bounds.CapacityLag == 0 || now.Sub(h.capacityReportedAt) < e.cfg.Bounds.CapacityLag-maxEntryDelay {
+	if e.reduction.share == 0 || e.cfg.Bounds.CapacityLag == 0 {
 		return
 	}
-	h.capacity = scaled(h.info.Size, e.reduction.share)
+	for _, h := range e.hostsByID {
+		if now.Sub(h.capacityReportedAt) >= e.cfg.Bounds.CapacityLag-maxEntryDelay {
+			h.capacity = scaled(h.info.Size, e.reduction.share)
+			h.touch()
+		}
+	}
 }
 
 func scaled(s spec.Resources, share float64) spec.Resources {
--- a/internal/engine/cohort.go
+++ b/internal/engine/cohort.go
@@ -70,16 +70,25 @@
 
 // planQuarantineProbe polls a host at the end of its quarantine.
 func (e *Engine) planQuarantineProbe(h *hostState, now time.Time) {
-	j := h.quarantinedJob
-	if j == nil || j.survivedOn(h) || h.terminated || !now.Before(h.quarantineUntil.Add(quietPeriod)) {
+	due := h.nextQuarantineProbe()
+	if due.IsZero() || now.Before(due) {
 		return
 	}
-	due := later(h.quarantineUntil, h.quarantineProbedAt.Add(quarantineProbeInterval))
-	if now.Before(due) {
-		e.planPollsBy(due)
-		return
+	if now.Before(h.quarantineUntil.Add(quietPeriod)) {
+		h.requestProbe()
 	}
-	e.probe(h)
 	h.quarantineProbedAt = now
-	e.planPollsBy(now.Add(quarantineProbeInterval))
+}
+
+// nextQuarantineProbe returns when the next poll of planQuarantineProbe is due; zero if none is.
+func (h *hostState) nextQuarantineProbe() time.Time {
+	j := h.quarantinedJob
+	if j == nil || j.survivedOn(h) || h.terminated {
+		return time.Time{}
+	}
+	due := later(h.quarantineUntil, h.quarantineProbedAt.Add(quarantineProbeInterval))
+	if !due.Before(h.quarantineUntil.Add(quietPeriod)) {
+		return time.Time{}
+	}
+	return due
 }
--- a/internal/engine/commit.go
+++ b/internal/engine/commit.go
@@ -45,8 +45,10 @@
 		e.out.CommitNow = true
 	}
 	if len(e.dirty) == 0 && e.commits == e.durable && e.pendingEnds > 0 {
-		for _, h := range e.hostsByID {
+		e.refreshHosts(e.now)
+		for _, h := range e.index.unacked.All() {
 			h.endsAcked = h.ackable()
+			h.touch()
 		}
 		e.pendingEnds = 0
 	}
@@ -93,7 +95,8 @@
 		b.Groups = append(b.Groups, []platform.Write{{Key: record.JobKey(e.cfg.Partition, id), Delete: true}})
 	}
 	e.recordsToDelete = e.recordsToDelete[n:]
-	for _, h := range e.hostsByID {
+	e.refreshHosts(now)
+	for _, h := range e.index.unacked.All() {
 		if n := h.ackable(); n > h.endsAcked {
 			b.pendingEnds[h] = n
 		}
@@ -161,6 +164,7 @@
 	for _, h := range b.openInRoster {
 		if !h.closeInRoster && !e.leaseWithheld(h.info.ID) && (h.claimed || !h.expiredUnreported) { // the host may have been closed meanwhile
 			h.openInRoster = true
+			h.touch()
 		}
 	}
 	if len(b.openInRoster) > 0 {
@@ -168,8 +172,9 @@
 	}
 	for h, n := range b.pendingEnds {
 		h.endsAcked = max(h.endsAcked, n)
+		h.touch()
 		if !h.pollInFlight && h.endsAcked == h.endsProcessed && len(h.runs) > 0 {
-			h.nextPollAt = now
+			h.schedulePoll(now)
 		}
 	}
 }
--- a/internal/engine/copy_survey.go
+++ b/internal/engine/copy_survey.go
@@ -161,7 +161,7 @@
 
 // countRuns counts the recorded runs of all hosts.
 func (e *Engine) countRuns() (n int) {
-	for _, h := range e.hostsByID {
+	for _, h := range e.index.busy.All() {
 		n += len(h.runs)
 	}
 	return n
--- a/internal/engine/crash.go
+++ b/internal/engine/crash.go
@@ -50,7 +50,9 @@
 }
 
 // departing reports whether the host is leaving as planned; its end is then attributed to no task.
-func (h *hostState) departing() bool { return h.info.Draining || h.drained || h.cordoned || h.evacuated }
+func (h *hostState) departing() bool {
+	return h.info.Draining || h.drained || h.cordoned || h.evacuated
+}
 
 // ranFor returns how long the run had been on its host when the host first failed to answer after the
 // start. If it had failed to answer before the start already, that is the time until now.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -93,8 +93,9 @@
 	hosts      map[host.ID]*hostState
 	// unconfiguredHosts are the listed hosts of services that the configuration does not name.
 	unconfiguredHosts map[host.ID]host.Info
-	// hostsByID are the hosts in the order of their ids.
+	// hostsByID are the hosts in the order of their ids; index has those with something to be done.
 	hostsByID []*hostState
+	index     *hostIndex
 	// stopRequested are the runs for which a stop is requested.
 	stopRequested map[*run]struct{}
 	// capacityChanges is incremented whenever capacity comes free or hosts become usable, so that a step
@@ -107,9 +108,9 @@
 	nextPollDue       time.Time // when the next host has to be polled
 	pollNumber        uint64    // of the last poll
 	// lateProbes is the budget of probes for late runs; lateCheckedAt is when hosts were last checked for
-	// them, lateDueAt when the next check is needed.
-	lateProbes               *retrybudget.Budget
-	lateCheckedAt, lateDueAt time.Time
+	// them.
+	lateProbes    *retrybudget.Budget
+	lateCheckedAt time.Time
 	// endsOnTime is true if the ends in the view that is being processed were reported without delay.
 	endsOnTime bool
 	// reconciling is true after a failover until every inherited host has reported its runs, is closed in
@@ -195,8 +196,6 @@
 	// reservingGangs counts the gangs with reservations in this pass, reservingLarge the steps of large
 	// tasks.
 	reservingGangs, reservingLarge int
-	// hostBuf is reused for the placeable hosts of each pass.
-	hostBuf []*hostState
 	// waitsLogged counts the steps whose reason to wait was logged in the current interval.
 	waitsLogged int
 	// longRunning are the steps of long-running tasks of live jobs, last checked at longRunningCheckedAt.
@@ -226,6 +225,7 @@
 		live:                  map[string]*job{},
 		ready:                 map[spec.StepID]*group{},
 		hosts:                 map[host.ID]*hostState{},
+		index:                 newHostIndex(),
 		unconfiguredHosts:     map[host.ID]host.Info{},
 		queries:               map[uint64]*policyQuery{},
 		stopRequested:         map[*run]struct{}{},
--- a/internal/engine/evacuate.go
+++ b/internal/engine/evacuate.go
@@ -33,6 +33,7 @@
 		return
 	}
 	h.evacuated = evacuated
+	h.touch()
 	if evacuated {
 		h.releaseReservations()
 		return
--- a/internal/engine/evidence.go
+++ b/internal/engine/evidence.go
@@ -44,6 +44,7 @@
 // its process ended.
 func (h *hostState) recordPresence(now time.Time) {
 	h.processEnded = true
+	h.touch()
 	end := now
 	if now.Sub(h.connBrokenAt) <= refusalWindow {
 		end = h.connBrokenAt
--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -68,6 +68,7 @@
 
 // hostState is the state of one host and of the runs recorded on it.
 type hostState struct {
+	entry            hostEntry // in the index of hosts
 	info             host.Info
 	servicePool      *servicePool     // of its service
 	incarnation      host.Incarnation // last reported, or taken from the roster; zero while not known
@@ -163,6 +164,7 @@
 
 func (e *Engine) newHost(info host.Info) *hostState {
 	h := &hostState{info: info, capacity: info.Size, servicePool: e.poolOf(info.Service), runs: map[host.Run]*run{}}
+	e.index.add(h)
 	h.evacuated = e.evacuations.Contains(info.Zone)
 	e.hosts[info.ID] = h
 	at, _ := e.position(info.ID)
@@ -185,6 +187,8 @@
 		e.hostsByID = slices.Delete(e.hostsByID, at, at+1)
 	}
 	h.releaseReservations()
+	h.entry.forgotten = true
+	h.touch()
 	delete(e.throttlesOutdated, h)
 	e.rosterOutdated = true
 }
@@ -201,6 +205,7 @@
 func (h *hostState) recordContact(now time.Time) {
 	h.lastContact, h.unresponsiveSince, h.unreachableSince, h.firstMissedAt, h.connBrokenAt = now, time.Time{}, time.Time{}, time.Time{}, time.Time{}
 	h.late.silentAt = time.Time{}
+	h.touch()
 }
 
 // knowsClock reports whether the host's clock was ever read. A reading may be zero, as a host's clock
@@ -221,6 +226,7 @@
 		return
 	}
 	h.unansweredAt = now
+	h.touch()
 	if h.unresponsiveSince.IsZero() {
 		h.unresponsiveSince = now
 		h.probeSilent(now)
@@ -244,6 +250,7 @@
 	r.placedOn = h
 	h.runs[r.Run] = r
 	h.used = h.used.Add(r.size)
+	h.touch()
 	r.account.charge(r)
 	r.countUsage(1)
 	if r.suspect {
@@ -266,6 +273,7 @@
 	delete(h.runs, r.Run)
 	delete(e.stopRequested, r)
 	h.used = h.used.Sub(r.size)
+	h.touch()
 	r.account.discharge(r)
 	r.countUsage(-1)
 	if r.state != runOrdered {
@@ -317,6 +325,19 @@
 // SetHost updates one host from its entry.
 func (e *Engine) SetHost(info host.Info, now time.Time) { e.setHost(info, now) }
 
+// RenewEntry handles an entry of a host that differs from the one before in its heartbeat number only.
+func (e *Engine) RenewEntry(id host.ID, seq int64, now time.Time) {
+	h := e.hosts[id]
+	if h == nil || !h.listed || seq == h.info.HeartbeatSeq {
+		return
+	}
+	h.info.HeartbeatSeq, h.capacityReportedAt = seq, now
+	if h.capacity != h.info.Size {
+		h.capacity = h.info.Size
+		h.touch()
+	}
+}
+
 // DropHost handles the removal of a host's entry from the list.
 func (e *Engine) DropHost(id host.ID, now time.Time) {
 	delete(e.unconfiguredHosts, id)
@@ -337,7 +358,7 @@
 	delete(e.unconfiguredHosts, info.ID)
 	if h == nil {
 		h = e.newHost(info)
-		h.nextPollAt = now
+		h.schedulePoll(now)
 		e.log(Event{What: "host listed", Host: string(info.ID), Why: info.Zone + " " + strings.Join(info.Labels, " ")})
 	}
 	if info.Draining && !h.info.Draining {
@@ -345,7 +366,7 @@
 		h.releaseReservations()
 	}
 	if !h.listed && h.claimed {
-		h.nextPollAt = now
+		h.schedulePoll(now)
 	}
 	if !h.listed || h.info.Draining != info.Draining || h.info.Size != info.Size {
 		e.capacityChanges++
@@ -354,6 +375,7 @@
 	e.checkListedIncarnation(h, info, now)
 	e.updateCapacity(h, info, now)
 	h.listed = true
+	h.touch()
 	h.info, h.servicePool = info, e.poolOf(info.Service)
 	e.updateEvacuated(h)
 	h.servicePool.maxSize = h.servicePool.maxSize.Max(info.Size)
@@ -367,6 +389,7 @@
 // there.
 func (e *Engine) unlist(h *hostState, now time.Time) {
 	h.listed = false
+	h.touch()
 	e.log(Event{What: "host not listed", Host: string(h.info.ID)})
 	if len(h.runs) == 0 && h.claimed {
 		e.attributeCrash(h, h.pendingAttributions, now)
@@ -374,7 +397,7 @@
 		return
 	}
 	if !h.pollInFlight {
-		h.nextPollAt = now
+		h.schedulePoll(now)
 	}
 }
 
@@ -382,8 +405,8 @@
 // eligible for a moment. One that could not even be reached is excluded at once, because its next call
 // fails as well and urgent work would be tried there until it is late.
 func (e *Engine) placeable(h *hostState, now time.Time) bool {
-	return h.listed && h.claimed && h.openInRoster && !h.terminated && !h.info.Draining && !h.cordoned && !h.evacuated && !now.Before(h.excludedUntil) &&
-		h.unreachableSince.IsZero() && (h.unresponsiveSince.IsZero() || now.Sub(h.unresponsiveSince) < e.cfg.Tuning.UnresponsiveAfter)
+	placeable, _ := e.placeability(h, now)
+	return placeable
 }
 
 // deadline returns the reading of the host's clock in d from now.
@@ -426,6 +449,7 @@
 	}
 	h.excludedUntil = now.Add(e.cfg.Tuning.ExcludeFor << min(h.exclusions, maxExclusionDoublings))
 	h.exclusions++
+	h.touch()
 	e.log(Event{What: "host set aside", Host: string(h.info.ID), Why: why})
 }
 
--- a/internal/engine/incarnation.go
+++ b/internal/engine/incarnation.go
@@ -78,6 +78,7 @@
 	next.listed, next.openInRoster, next.closeInRoster, next.cordoned = h.listed, h.openInRoster, h.closeInRoster, h.cordoned
 	next.departsAt, next.pollInFlight, next.late.poll, next.probe = h.departsAt, h.pollInFlight, h.late.poll, h.probe
 	next.pastIncarnations = append(h.pastIncarnations[max(0, len(h.pastIncarnations)-maxPastIncarnations+1):], h.incarnation)
+	next.touch()
 	next.setIncarnation(v.Incarnation, now)
 	for _, r := range survivors {
 		e.attach(next, r)
--- a/internal/engine/late_ends.go
+++ b/internal/engine/late_ends.go
@@ -27,10 +27,8 @@
 	// lateProbePercent is the number of probes allowed for a hundred starts and polls, which bounds the
 	// cost of probes in a cell whose run times can not be predicted.
 	lateProbePercent = 4
-	// lateCheckInterval is the least interval between two checks of all hosts, and lateCheckPerHost what
-	// each host adds to it: a check takes some 50 ns a host, and must not slow the decisions of large cells.
+	// lateCheckInterval is the least interval between two checks.
 	lateCheckInterval = 20 * time.Millisecond
-	lateCheckPerHost  = 10 * time.Microsecond
 )
 
 // lateEnds are the probes of one host for ends that are not known in time.
@@ -69,7 +67,7 @@
 		return
 	}
 	r.lateness = runLateness{at: now.Add(after + lateMargin)}
-	e.scheduleLateProbe(r.placedOn, r.lateness.at)
+	r.placedOn.scheduleLateProbe(r.lateness.at)
 }
 
 // predictedRunTime returns the run time of a run by the run times of its queue and of its host; zero if
@@ -98,58 +96,51 @@
 func (h *hostState) scheduleLateProbe(at time.Time) {
 	if h.late.dueAt.IsZero() || at.Before(h.late.dueAt) {
 		h.late.dueAt = at
+		h.touch()
 	}
 }
 
-// scheduleLateProbe schedules the next check for late runs of a host, and of all hosts, for a time at the latest.
-func (e *Engine) scheduleLateProbe(h *hostState, at time.Time) {
-	h.scheduleLateProbe(at)
-	e.lateCheckBy(at)
-}
-
-// lateCheckBy schedules the next check of all hosts for a time at the latest.
-func (e *Engine) lateCheckBy(at time.Time) {
-	if e.lateDueAt.IsZero() || at.Before(e.lateDueAt) {
-		e.lateDueAt = at
+// nextLateEndCheck returns when the host is to be checked for late ends; zero if nothing is late there.
+func (h *hostState) nextLateEndCheck() time.Time {
+	if h.late.dueAt.IsZero() || !h.late.hungAt.IsZero() && h.late.hungAt.Before(h.late.dueAt) {
+		return h.late.hungAt
 	}
+	return h.late.dueAt
 }
 
-// planLateProbes checks all hosts for late runs, unanswered calls and polls that hang.
+// planLateProbes checks the hosts that are due for late runs, unanswered calls and polls that hang.
 func (e *Engine) planLateProbes(now time.Time) {
-	next := e.lateCheckedAt.Add(lateCheckInterval + time.Duration(len(e.hostsByID))*lateCheckPerHost)
-	if now.Before(next) {
-		if !e.lateDueAt.IsZero() {
-			e.planPollsBy(later(e.lateDueAt, next))
+	next := e.lateCheckedAt.Add(lateCheckInterval)
+	if !now.Before(next) {
+		e.lateCheckedAt, next = now, now.Add(lateCheckInterval)
+		for _, h := range takeDue(e.index.lateEnds, now) {
+			e.checkLateEnds(h, now)
 		}
-		return
+		e.refreshHosts(now)
 	}
-	e.lateCheckedAt, e.lateDueAt = now, time.Time{}
-	for _, h := range e.hostsByID {
-		if !h.late.hungAt.IsZero() {
-			e.replaceHungPoll(h, now)
-		}
-		if !h.late.dueAt.IsZero() {
-			e.planLateProbe(h, now)
-		}
+	if first := e.index.lateEnds.First(); first != nil {
+		e.planPollsBy(later(first.Priority(), next))
 	}
-	if !e.lateDueAt.IsZero() {
-		e.planPollsBy(later(e.lateDueAt, now.Add(lateCheckInterval)))
+}
+
+func (e *Engine) checkLateEnds(h *hostState, now time.Time) {
+	if !h.late.hungAt.IsZero() {
+		e.replaceHungPoll(h, now)
+	}
+	if !h.late.dueAt.IsZero() {
+		e.planLateProbe(h, now)
 	}
 }
 
 // planLateProbe probes a host if a run there is late, or a call got no answer, while a poll waits there.
 func (e *Engine) planLateProbe(h *hostState, now time.Time) {
 	if now.Before(h.late.dueAt) {
-		e.lateCheckBy(h.late.dueAt)
 		return
 	}
 	h.late.dueAt = time.Time{}
 	late, silent := e.lateRuns(h, now) > 0, h.stillSilent(now)
 	if (late || silent) && h.pollInFlight && e.lateProbes.TryWithdraw() {
-		e.probe(h)
-	}
-	if !h.late.dueAt.IsZero() {
-		e.lateCheckBy(h.late.dueAt)
+		h.requestProbe()
 	}
 }
 
@@ -179,7 +170,7 @@
 // probeSilent has a host probed that has just become unresponsive while a poll waits there.
 func (h *hostState) probeSilent(now time.Time) {
 	if h.pollInFlight {
-		h.probe = true
+		h.requestProbe()
 	}
 	h.late.silentAt, h.late.silentProbes = now.Add(lateProbeInterval), 0
 	h.scheduleLateProbe(h.late.silentAt)
@@ -222,7 +213,7 @@
 func (e *Engine) observeProbe(h *hostState, now time.Time) {
 	if h.pollInFlight && h.late.hungAt.IsZero() {
 		h.late.hungAt = now.Add(hungPollGrace)
-		e.lateCheckBy(h.late.hungAt)
+		h.touch()
 	}
 }
 
@@ -230,12 +221,12 @@
 // the answer to a probe.
 func (e *Engine) replaceHungPoll(h *hostState, now time.Time) {
 	if now.Before(h.late.hungAt) {
-		e.lateCheckBy(h.late.hungAt)
 		return
 	}
 	since := h.late.hungAt.Add(-hungPollGrace)
 	h.late.hungAt = time.Time{}
-	h.pollInFlight, h.nextPollAt = false, now
+	h.pollInFlight = false
+	h.schedulePoll(now)
 	e.log(Event{What: "hung poll replaced", Host: string(h.info.ID), Why: fmt.Sprintf("a probe told of an end; %d runs", len(h.runs)), Age: now.Sub(since)})
 }
 
@@ -243,6 +234,7 @@
 func (e *Engine) numberPoll(h *hostState) uint64 {
 	e.pollNumber++
 	h.late.poll, h.late.hungAt = e.pollNumber, time.Time{}
+	h.touch()
 	return e.pollNumber
 }
 
--- a/internal/engine/lease_bound.go
+++ b/internal/engine/lease_bound.go
@@ -61,7 +61,7 @@
 	if !now.Before(e.reconcileDeadline) || now.Sub(e.boundsStoredAt) < leaseBoundInterval {
 		return
 	}
-	for _, h := range e.hostsByID {
+	for _, h := range e.index.unreported.All() {
 		if e.leaseLeftMillis(h, now) > 0 {
 			e.rosterOutdated, e.boundsStoredAt = true, now
 			return
@@ -73,6 +73,7 @@
 func (e *Engine) listBound(h *hostState, seq uint64) {
 	e.listedBounds[h.info.ID] = seq
 	h.openInRoster = false
+	h.touch()
 }
 
 // confirmBounds records that the roster of batch seq is stored: it has replaced the bounds of earlier ones.
@@ -83,7 +84,7 @@
 		}
 		delete(e.listedBounds, id)
 		if h := e.hosts[id]; h != nil && h.claimed && !h.pollInFlight {
-			h.nextPollAt = now // renews the lease that was withheld
+			h.schedulePoll(now) // renews the lease that was withheld
 		}
 	}
 }
--- a/internal/engine/lost.go
+++ b/internal/engine/lost.go
@@ -70,6 +70,7 @@
 // removeTerminatedHost removes a host that has certainly terminated, with all its runs.
 func (e *Engine) removeTerminatedHost(h *hostState, now time.Time, why string) {
 	h.terminated = true
+	h.touch()
 	e.log(Event{What: "host gone", Host: string(h.info.ID), Why: fmt.Sprintf("%s; %d runs recorded", why, len(h.runs)), Age: h.unresponsiveFor(now)})
 	pendingAttributions := append(h.pendingAttributions, e.attributions(h, now)...)
 	e.dropLostRuns(h, why, now)
@@ -98,8 +99,10 @@
 	e.processDecisions(now)
 	e.expirePresumedEnded(now)
 	e.refreshLeaseBounds(now)
-	for _, h := range slices.Clone(e.hostsByID) {
-		e.limitStaleCapacity(h, now)
+	e.limitStaleCapacities(now)
+	e.refreshHosts(now)
+	e.index.visits += uint64(e.index.troubled.Len())
+	for _, h := range slices.Clone(e.index.troubled.All()) {
 		e.closeUnresponsive(h, now)
 		e.attributeEnd(h, now)
 		e.expireUnreported(h, now)
--- a/internal/engine/orders.go
+++ b/internal/engine/orders.go
@@ -50,7 +50,7 @@
 func (e *Engine) sendStart(h *hostState, order StartOrder, now time.Time) {
 	e.out.Starts = append(e.out.Starts, order)
 	if !h.pollInFlight {
-		h.nextPollAt = now // polls renew the lease of the run
+		h.schedulePoll(now) // polls renew the lease of the run
 	}
 }
 
@@ -115,22 +115,19 @@
 	}
 	r.state, r.confirmedAt = runUnacknowledged, now
 	e.log(Event{What: "start unanswered", Job: r.Task.Job, Step: r.Task.StepID.String(), Host: string(h.info.ID)})
-	e.probe(h)
+	h.requestProbe()
 }
 
 // pollSoon has a host polled as soon as possible. A host that was not reached is eligible for
 // placement again once it answers.
 func (e *Engine) pollSoon(h *hostState, now time.Time) {
 	if h.pollInFlight {
-		e.probe(h)
+		h.requestProbe()
 		return
 	}
-	h.nextPollAt = now
+	h.schedulePoll(now)
 }
 
-// probe has a host polled in addition to a poll that may be waiting there.
-func (e *Engine) probe(h *hostState) { h.probe = true }
-
 // removeUnstarted removes a run that certainly never starts.
 func (e *Engine) removeUnstarted(h *hostState, r *run, now time.Time) {
 	if r == nil || r.state == runRunning {
@@ -153,7 +150,7 @@
 	case host.RefusedUnhealthy:
 		e.exclude(h, now, "it reported itself unhealthy")
 	case host.RefusedNoCapacity:
-		e.probe(h) // its runs differ from those recorded here
+		h.requestProbe() // its runs differ from those recorded here
 		if r != nil {
 			h.recordRefusal(r.size, now)
 		}
@@ -200,9 +197,9 @@
 			r.state, r.confirmedAt = runStopping, now
 			switch {
 			case unacknowledged && h.pollInFlight:
-				e.probe(h) // a run that never began has no end that would answer the waiting poll
+				h.requestProbe() // a run that never began has no end that would answer the waiting poll
 			case !h.pollInFlight:
-				h.nextPollAt = now
+				h.schedulePoll(now)
 			}
 		}
 	}
--- a/internal/engine/orphans.go
+++ b/internal/engine/orphans.go
@@ -140,6 +140,7 @@
 	e.countOrphan(r, -1)
 	r.group, r.size, r.account = g, g.step.Allocation(), g.job.account
 	h.used = h.used.Add(r.size)
+	h.touch()
 	r.account.charge(r)
 	r.countUsage(1)
 	g.perHost[h]++
--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -163,25 +163,19 @@
 	g.lastAttempt = placementAttempt{at: now, backoff: backoff, capacityChanges: e.capacityChanges, answers: g.policy.answers}
 }
 
-// placeableHosts returns the hosts that accept new work.
+// placeableHosts returns the hosts that accept new work. The list is valid until the index of hosts is refreshed.
 func (e *Engine) placeableHosts(now time.Time) []*hostState {
-	out := e.hostBuf[:0]
+	e.refreshHosts(now)
 	for _, p := range e.pools {
-		p.maxFree, p.total = spec.Resources{}, spec.Resources{}
+		p.maxFree = p.largestFree()
 	}
 	e.quarantines = 0
-	for _, h := range e.hostsByID {
-		if e.placeable(h, now) {
-			out = append(out, h)
-			h.servicePool.maxFree = h.servicePool.maxFree.Max(h.free())
-			h.servicePool.total = h.servicePool.total.Add(h.info.Size)
-			if h.hasQuarantine(now) {
-				e.quarantines++
-			}
+	for _, h := range e.index.quarantined.All() {
+		if h.entry.placeable && h.hasQuarantine(now) {
+			e.quarantines++
 		}
 	}
-	e.hostBuf = out
-	return out
+	return e.index.placeable
 }
 
 // planTasks starts as many waiting tasks of a step as capacity allows.
--- a/internal/engine/presence_poll.go
+++ b/internal/engine/presence_poll.go
@@ -38,6 +38,7 @@
 // schedulePresencePolls schedules the polls of a host on which a suspect run starts now.
 func (h *hostState) schedulePresencePolls(now time.Time) {
 	h.presencePollsFrom, h.presencePolls = now, 0
+	h.touch()
 }
 
 // planPresencePoll polls a host on which a suspect run was started, if a poll is due.
@@ -45,17 +46,15 @@
 	if h.presencePollsFrom.IsZero() {
 		return
 	}
-	if due := h.nextPresencePoll(); now.Before(due) {
-		e.planPollsBy(due)
+	if now.Before(h.nextPresencePoll()) {
 		return
 	}
 	if h.suspectRuns == 0 {
 		h.presencePollsFrom = time.Time{}
 		return
 	}
-	e.probe(h)
+	h.requestProbe()
 	h.presencePolls++
-	e.planPollsBy(h.nextPresencePoll())
 }
 
 // nextPresencePoll returns when the next poll of planPresencePoll is due.
--- a/internal/engine/quarantine.go
+++ b/internal/engine/quarantine.go
@@ -64,6 +64,7 @@
 	}
 	g.job.addToCohort(h, now)
 	h.quarantinedJob, h.quarantineUntil = g.job, now.Add(quarantinePeriod)
+	h.touch()
 }
 
 // suspectRunsOn counts the suspect runs of the group's job on the host.
@@ -96,4 +97,5 @@
 		}
 	}
 	h.quarantinedJob = nil
+	h.touch()
 }
--- a/internal/engine/roster.go
+++ b/internal/engine/roster.go
@@ -79,6 +79,7 @@
 
 func (e *Engine) close(h *hostState) {
 	h.closeInRoster, h.openInRoster = true, false
+	h.touch()
 	e.rosterOutdated = true
 }
 
@@ -101,7 +102,8 @@
 		if h == nil {
 			h = e.newHost(host.Info{ID: id, Addr: r.Addr})
 		}
-		h.nextPollAt, h.inherited, h.inheritedClosed = now, true, r.Closed
+		h.inherited, h.inheritedClosed = true, r.Closed
+		h.schedulePoll(now)
 		h.incarnation = host.Incarnation(r.Incarnation)
 		e.applyLeaseBound(h, r, roster.Epoch, now)
 		e.inheritedHosts++
@@ -158,6 +160,7 @@
 	}
 	if !h.expiredUnreported {
 		h.expiredUnreported, h.openInRoster = true, false
+		h.touch()
 		e.rosterOutdated = true // stored as closed without runs, it delays no task of the next holder
 	}
 }
--- a/internal/engine/scores.go
+++ b/internal/engine/scores.go
@@ -3,6 +3,7 @@
 import (
 	"pulleyquay/internal/crashloop"
 	"pulleyquay/internal/hostspeed"
+	"pulleyquay/internal/prioqueue"
 	"pulleyquay/internal/spec"
 )
 
@@ -63,13 +64,55 @@
 	total spec.Resources
 	// maxSize is the largest size of a host in each dimension.
 	maxSize spec.Resources
+
+	// freeCPU, freeMem and freeAcc have the hosts that total counts by what is free, the most first.
+	freeCPU, freeMem, freeAcc *prioqueue.Queue[*hostState, int64]
+}
+
+func newServicePool() *servicePool {
+	mostFirst := func(a, b int64) bool { return a > b }
+	return &servicePool{
+		freeCPU: prioqueue.New[*hostState](mostFirst), freeMem: prioqueue.New[*hostState](mostFirst), freeAcc: prioqueue.New[*hostState](mostFirst),
+	}
+}
+
+// putHost counts a placeable host, or updates what it counts for.
+func (p *servicePool) putHost(h *hostState) {
+	entry := &h.entry
+	if entry.pool == nil {
+		entry.pool, entry.size = p, h.info.Size
+		p.total = p.total.Add(entry.size)
+	}
+	free := h.free()
+	p.freeCPU.Set(entry.freeCPU, free.MilliCPU)
+	p.freeMem.Set(entry.freeMem, free.MemoryMiB)
+	p.freeAcc.Set(entry.freeAcc, free.Accelerators)
+}
+
+// removeHost stops counting a host.
+func (p *servicePool) removeHost(h *hostState) {
+	entry := &h.entry
+	p.total = p.total.Sub(entry.size)
+	entry.pool, entry.size = nil, spec.Resources{}
+	p.freeCPU.Remove(entry.freeCPU)
+	p.freeMem.Remove(entry.freeMem)
+	p.freeAcc.Remove(entry.freeAcc)
+}
+
+// largestFree returns the largest free capacity of a host in each dimension.
+func (p *servicePool) largestFree() spec.Resources {
+	if p.freeCPU.Len() == 0 {
+		return spec.Resources{}
+	}
+	largest := spec.Resources{MilliCPU: p.freeCPU.First().Priority(), MemoryMiB: p.freeMem.First().Priority(), Accelerators: p.freeAcc.First().Priority()}
+	return largest.Max(spec.Resources{})
 }
 
 // poolOf returns the pool of a service.
 func (e *Engine) poolOf(service string) *servicePool {
 	p := e.pools[service]
 	if p == nil {
-		p = &servicePool{}
+		p = newServicePool()
 		e.pools[service] = p
 	}
 	return p
--- a/internal/engine/speed.go
+++ b/internal/engine/speed.go
@@ -31,6 +31,7 @@
 	relative := r.placedOn.speed.RelativeRunTime()
 	if g.sampledTasks >= minSampledTasks {
 		r.placedOn.speed.Observe(took/(g.sampledTime/float64(g.sampledTasks)), now)
+		r.placedOn.touch()
 	}
 	g.sampledTasks++
 	g.sampledTime += took / relative
--- a/internal/engine/takeover.go
+++ b/internal/engine/takeover.go
@@ -112,7 +112,8 @@
 		return
 	}
 	why := "every host has reported its runs or was closed as unresponsive"
-	for _, h := range e.hostsByID {
+	e.refreshHosts(now)
+	for _, h := range e.index.unreported.All() {
 		if e.isUnreported(h, now) && !h.inheritedClosed {
 			return
 		}
--- a/internal/engine/upkeep.go
+++ b/internal/engine/upkeep.go
@@ -65,7 +65,7 @@
 	}
 	e.upkeep.RecordOutcome(o, out, err, hostDrainer{e, now}, now)
 	if h := e.hosts[o.Host]; h != nil && !h.pollInFlight {
-		h.nextPollAt = now // the poll shows whether the host has terminated
+		h.schedulePoll(now) // the poll shows whether the host has terminated
 	}
 }
 
@@ -85,6 +85,7 @@
 	}
 	if !h.cordoned {
 		h.cordoned = true
+		h.touch()
 		h.releaseReservations()
 		e.log(Event{What: "host emptied", Host: string(id), Why: "upkeep"})
 	}
@@ -96,6 +97,7 @@
 func (e hostDrainer) Uncordon(id host.ID) {
 	if h := e.hosts[id]; h != nil && h.cordoned {
 		h.cordoned = false
+		h.touch()
 		e.capacityChanges++
 	}
 }
--- a/internal/engine/view.go
+++ b/internal/engine/view.go
@@ -8,47 +8,6 @@
 	"pulleyquay/internal/host"
 )
 
-// planPolls orders the polls that are due: of every host once after the partition was
-// acquired, of hosts with runs continuously, and of idle hosts at longer intervals.
-func (e *Engine) planPolls(now time.Time) {
-	e.nextPollDue = time.Time{}
-	e.planLateProbes(now)
-	for _, h := range e.hostsByID {
-		e.planPresencePoll(h, now)
-		e.planQuarantineProbe(h, now)
-		if h.probe {
-			h.probe = false
-			e.out.Polls = append(e.out.Polls, PollOrder{To: h.info, Poll: host.Poll{AckedEnds: h.endsAcked, Incarnation: h.incarnation}, Probe: true})
-		}
-		if h.pollInFlight || h.terminated || h.nextPollAt.IsZero() {
-			continue
-		}
-		if now.Before(h.nextPollAt) {
-			e.planPollsBy(h.nextPollAt)
-			continue
-		}
-		if !h.claimed {
-			if !h.listed && h.info.Addr == "" || len(e.claiming) >= maxClaiming {
-				continue // its address is not known yet, or enough other hosts are being claimed
-			}
-			e.claiming[h.info.ID] = struct{}{}
-		}
-		e.poll(h, now)
-	}
-	e.lateProbes.Deposit(lateProbePercent * int64(len(e.out.Starts)+len(e.out.Polls)))
-}
-
-// planPollsBy schedules the next planning of polls for a time at the latest.
-func (e *Engine) planPollsBy(at time.Time) {
-	if e.nextPollDue.IsZero() || at.Before(e.nextPollDue) {
-		e.nextPollDue = at
-	}
-}
-
-// maxClaiming bounds how many hosts are claimed at the same time. Thousands at once
-// would keep the holder from answering heartbeats, so that it loses the partition.
-const maxClaiming = 128
-
 // poll orders a poll of a host. The poll renews the host's lease while this process has
 // the authority for the partition.
 func (e *Engine) poll(h *hostState, now time.Time) {
@@ -71,6 +30,7 @@
 		}
 	}
 	h.pollInFlight = true
+	h.touch()
 	e.out.Polls = append(e.out.Polls, PollOrder{To: h.info, Poll: p, Number: e.numberPoll(h)})
 }
 
@@ -85,6 +45,7 @@
 	if h == nil {
 		return
 	}
+	h.touch()
 	if h.replaced(o) {
 		if err != nil && h.lastContact.After(sent) {
 			return // the host has answered another poll since
@@ -100,7 +61,7 @@
 		return
 	case err != nil:
 		if !o.Probe {
-			h.nextPollAt = e.retryPollAt(h, now)
+			h.schedulePoll(e.retryPollAt(h, now))
 		}
 		h.recordFailedCall(err, now)
 		if o.Probe && h.countsAgainst(err, now) && h.firstMissedAt.IsZero() && sent.After(h.lastContact) {
@@ -112,14 +73,15 @@
 		return
 	case v.Fenced:
 		e.fencedBy(h)
-		h.nextPollAt = now.Add(maxNextInterval)
+		h.schedulePoll(now.Add(maxNextInterval))
 		return
 	}
 	if h = e.observeIncarnation(h, v, sent, now); h == nil {
-		e.hosts[id].nextPollAt = now
+		e.hosts[id].schedulePoll(now)
 		return
 	}
 	e.endsOnTime = !o.Probe && h.unresponsiveSince.IsZero()
+	h.touch() // it may be the next incarnation's state
 	h.recordContact(now)
 	h.confirmAlive()
 	e.updateClock(h, v.Clock, now)
@@ -148,9 +110,9 @@
 		e.observeProbe(h, now)
 	}
 	if !o.Probe {
-		h.nextPollAt = e.nextPoll(h, first, ended, now)
+		h.schedulePoll(e.nextPoll(h, first, ended, now))
 		if ackedEndsListed && !h.ackedEndsListed {
-			h.nextPollAt = now
+			h.schedulePoll(now)
 		}
 		h.ackedEndsListed = ackedEndsListed
 	}
--- a/internal/engine/watch.go
+++ b/internal/engine/watch.go
@@ -22,7 +22,9 @@
 	}
 	e.progressCheckedAt = now
 	e.expireOrphanEnds(now)
-	for _, h := range e.hostsByID {
+	e.refreshHosts(now)
+	e.index.visits += uint64(e.index.busy.Len())
+	for _, h := range e.index.busy.All() {
 		if !h.claimed || !h.unresponsiveSince.IsZero() {
 			continue
 		}
@@ -33,6 +35,7 @@
 		}
 		e.evictExcess(h, now)
 		h.speed.Expire(now)
+		h.touch()
 		e.stopOrphans(h, now)
 		for _, r := range h.runs {
 			e.clearStableService(r, now)
--- a/internal/engine/world_test.go
+++ b/internal/engine/world_test.go
@@ -94,6 +94,10 @@
 	maintenanceStarted map[upkeep.MachineID]bool
 
 	longestOverTarget time.Duration
+	// decisions counts the decisions.
+	decisions int
+	// benchmark is true in benchmarks, in which the index of hosts isn't checked.
+	benchmark bool
 	// decisionTime is the real time spent in the engine's decisions.
 	decisionTime time.Duration
 	// onDecision, if not nil, is called with the real time of each decision.
@@ -174,6 +178,7 @@
 		store: map[string][]byte{}, jobs: map[string]*record.Job{}, reported: map[string]record.State{}, finalSince: map[string]time.Time{}, entries: map[host.ID]host.Info{},
 		queueOf: func(string) string { return "q" }, serviceOf: func(string) string { return "s" }, accountOf: func(string) string { return "" }, quotas: map[string]fairshare.Quota{}, bounds: testBounds, members: []string{"m1", "m2", "m3", "m4", "m5"}, permitted: func(spec.StepID, host.ID) bool { return true },
 	}
+	_, w.benchmark = t.(*testing.B)
 	w.fleet = hostsim.NewFleet(&w.time)
 	w.fleet.KeepID = hostsKeepIDs
 	return w
@@ -301,6 +306,7 @@
 		w.onDecision(took)
 	}
 	w.due = due
+	w.checkIndexSometimes()
 	for _, s := range o.Starts {
 		w.start(e, s)
 	}
--- a/internal/hostspeed/hostspeed.go
+++ b/internal/hostspeed/hostspeed.go
@@ -39,6 +39,9 @@
 	return e.factor
 }
 
+// Known reports whether the estimate rests on any observation.
+func (e *Estimate) Known() bool { return e.runs > 0 }
+
 // Slow reports whether tasks take significantly longer on the host than the mean.
 func (e *Estimate) Slow() bool { return e.RelativeRunTime() > slowFactor }
 
