--- a/cmd/pulley-node/node.go
+++ b/cmd/pulley-node/node.go
@@ -122,7 +122,7 @@
 		Store: n.store, Health: n.health, Hosts: hosts, Peers: n.peers, Log: n.log,
 		Self: n.self.Name, Addr: n.self.Addr, Shards: n.shards,
 		Bounds: n.conf.Bounds.engine(), Tuning: engine.DefaultTuning(),
-		HostPrefix: platform.HostPrefix, DecodeHost: platform.DecodeHost, HostOf: platform.HostOf,
+		HostPrefix: platform.HostPrefix, DecodeHost: platform.DecodeHost, HostOf: platform.HostOf, HeartbeatOnly: platform.HeartbeatOnly,
 		Catalog: n.catalog.Current, Evacuations: n.catalog.Evacuations.Current, PolicyMembers: n.querySlots, Metrics: metrics, Event: n.logEvent,
 		WavePrefix: platform.WavePrefix, DecodeWave: platform.DecodeWave, WaveState: platform.WaveState,
 		DutyLease: n.conf.Bounds.DutyLease.Std(), Busy: timers.Busy,
--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -325,17 +325,22 @@
 // SetHost updates one host from its entry.
 func (e *Engine) SetHost(info host.Info, now time.Time) { e.setHost(info, now) }
 
-// RenewEntry handles an entry of a host that differs from the one before in its heartbeat number only.
-func (e *Engine) RenewEntry(id host.ID, seq int64, now time.Time) {
+// RenewEntry handles an entry of a host that differs from the one before in its heartbeat number only. It returns
+// false if the host is not listed, so that the entry has to be passed to SetHost.
+func (e *Engine) RenewEntry(id host.ID, seq int64, now time.Time) bool {
 	h := e.hosts[id]
-	if h == nil || !h.listed || seq == h.info.HeartbeatSeq {
-		return
+	if h == nil || !h.listed {
+		return false
+	}
+	if seq == h.info.HeartbeatSeq {
+		return true
 	}
 	h.info.HeartbeatSeq, h.capacityReportedAt = seq, now
 	if h.capacity != h.info.Size {
 		h.capacity = h.info.Size
 		h.touch()
 	}
+	return true
 }
 
 // DropHost handles the removal of a host's entry from the list.
--- a/internal/holder/follow.go
+++ b/internal/holder/follow.go
@@ -164,14 +164,15 @@
 	f := follow.Follower{
 		Store: h.cfg.Store, Health: h.cfg.Health, Prefix: h.cfg.HostPrefix, After: h.hostsRevision,
 		Wait: time.Second, PollPause: hostsPollPause,
-		List:   h.applyHostList,
-		Change: h.applyHostChange,
+		List:    h.applyHostList,
+		Changes: h.applyHostChanges,
 	}
 	f.Run(h.ctx)
 }
 
 func (h *Holder) applyHostList(records []platform.Record, _ platform.Revision) {
 	var list []host.Info
+	h.entries.replace(records, h.cfg.HostOf)
 	for _, rec := range records {
 		if info, ok := h.parseHost(rec); ok {
 			list = append(list, info)
@@ -180,18 +181,6 @@
 	h.updateEngine(func(e *engine.Engine, now time.Time) { e.SetHosts(list, now) })
 }
 
-func (h *Holder) applyHostChange(c platform.Change) {
-	info, ok := host.Info{}, false
-	if !c.Deleted {
-		info, ok = h.parseHost(c.Record)
-	}
-	if !ok {
-		h.updateEngine(func(e *engine.Engine, now time.Time) { e.DropHost(h.cfg.HostOf(c.Key), now) })
-		return
-	}
-	h.updateEngine(func(e *engine.Engine, now time.Time) { e.SetHost(info, now) })
-}
-
 // parseHost decodes a host's entry. An entry that cannot be decoded, as another writer may
 // have made it, is handled like a missing entry: its host is given no new work.
 func (h *Holder) parseHost(rec platform.Record) (host.Info, bool) {
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -70,6 +70,9 @@
 	HostPrefix string
 	DecodeHost func(platform.Record) (host.Info, error)
 	HostOf     func(key string) host.ID
+	// HeartbeatOnly reports whether two entries of a host differ in nothing but the heartbeat number, and returns
+	// that of the later one; nil if that can't be told without decoding them.
+	HeartbeatOnly func(before, after []byte) (seq int64, ok bool)
 	// Machines takes machines down for maintenance; nil where no machine service is
 	// configured. WavePrefix is the store prefix of the rollouts that operators request,
 	// WaveState returns the write that reports the progress of one.
@@ -113,6 +116,7 @@
 	router          *linkshard.Router
 	hostCount       atomic.Int64 // hosts of the partition
 	limits          atomic.Pointer[measuredLimits]
+	entries         hostEntries
 	// unreadable are the keys of host entries whose decoding error has been logged.
 	unreadable *lru.Cache[string, struct{}]
 
--- a/internal/platform/follow/follow.go
+++ b/internal/platform/follow/follow.go
@@ -37,6 +37,8 @@
 	// changes may have been missed; Change is called with one change.
 	List   func(records []platform.Record, at platform.Revision)
 	Change func(platform.Change)
+	// Changes, if set, is called in place of Change, with all changes that arrived together.
+	Changes func([]platform.Change)
 }
 
 // Run follows the prefix until ctx ends.
@@ -73,9 +75,7 @@
 		if err != nil {
 			return true
 		}
-		for _, c := range batch.Changes {
-			f.Change(c)
-		}
+		f.apply(batch.Changes)
 		at = batch.Revision
 		if len(batch.Changes) >= fullBatch {
 			continue // more changes are pending: a pause would let the backlog grow
@@ -86,6 +86,19 @@
 	}
 }
 
+// apply passes changes on.
+func (f *Follower) apply(changes []platform.Change) {
+	if f.Changes != nil {
+		if len(changes) > 0 {
+			f.Changes(changes)
+		}
+		return
+	}
+	for _, c := range changes {
+		f.Change(c)
+	}
+}
+
 func (f *Follower) list(ctx context.Context) (platform.Revision, error) {
 	listCtx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
