--- a/cmd/pulley-node/node.go
+++ b/cmd/pulley-node/node.go
@@ -123,7 +123,7 @@
 		Self: n.self.Name, Addr: n.self.Addr, Shards: n.shards,
 		Bounds: n.conf.Bounds.engine(), Tuning: engine.DefaultTuning(),
 		HostPrefix: platform.HostPrefix, DecodeHost: platform.DecodeHost, HostOf: platform.HostOf, HeartbeatOnly: platform.HeartbeatOnly,
-		Catalog: n.catalog.Current, Evacuations: n.catalog.Evacuations.Current, PolicyMembers: n.querySlots, Metrics: metrics, Event: n.logEvent,
+		Catalog: n.catalog.Current, Evacuations: n.catalog.Evacuations.Current, PolicyMembers: (&policyMembers{view: n.view}).current, Metrics: metrics, Event: n.logEvent,
 		WavePrefix: platform.WavePrefix, DecodeWave: platform.DecodeWave, WaveState: platform.WaveState,
 		DutyLease: n.conf.Bounds.DutyLease.Std(), Busy: timers.Busy,
 	}
@@ -154,16 +154,6 @@
 	n.claimer.Limits = &cell.LimitExchange{Measured: n.table.Limits, Apply: n.limits.Apply, JobsInDoubt: n.front.JobsInDoubt}
 }
 
-// querySlots maps the members that can query the policy service to their addresses. Each
-// member has at most one query in flight.
-func (n *node) querySlots() map[string]string {
-	out := map[string]string{}
-	for _, m := range n.view.Members(time.Now()) {
-		out[m.Name] = m.Addr
-	}
-	return out
-}
-
 // Garbage collection took a sixth of a holder's processor time at 1,740 starts a second
 // with the default of 100 percent; with 300 it takes a third of that, for some 60 MB more.
 // Above the process's memory divided by gcMemoryShare the runtime collects as often as needed:
--- a/internal/advice/lanes.go
+++ b/internal/advice/lanes.go
@@ -13,6 +13,9 @@
 	slots []*querySlot // sorted by name
 	// claims are the waits of the classes whose first steps find no slot.
 	claims map[Class]*claim
+	// usableSlots is the result of usable until usableUntil; nil if it has to be computed.
+	usableSlots []*querySlot
+	usableUntil time.Time // zero if no slot is in back-off
 }
 
 // querySlot is one member's queue of queries at the policy service.
@@ -47,6 +50,12 @@
 	maxDoublings   = 5
 )
 
+// Members are the members that can query the policy service. They are immutable.
+type Members struct {
+	Names []string          // in ascending order
+	Addrs map[string]string // peer addresses, by name
+}
+
 // NewQuerySlots returns an empty set of query slots; SetMembers adds them.
 func NewQuerySlots() *QuerySlots { return &QuerySlots{claims: map[Class]*claim{}} }
 
@@ -56,7 +65,7 @@
 	for _, slot := range q.slots {
 		old[slot.name] = slot
 	}
-	q.slots = q.slots[:0]
+	q.slots, q.usableSlots = q.slots[:0], nil
 	sorted := append([]string(nil), names...)
 	sort.Strings(sorted)
 	for _, name := range sorted {
@@ -204,17 +213,24 @@
 // usable returns the query slots without failures, followed by those whose back-off after
 // a failure has ended.
 func (q *QuerySlots) usable(now time.Time) []*querySlot {
+	if q.usableSlots != nil && (q.usableUntil.IsZero() || now.Before(q.usableUntil)) {
+		return q.usableSlots
+	}
 	working := make([]*querySlot, 0, len(q.slots))
 	var failed []*querySlot
+	q.usableUntil = time.Time{}
 	for _, slot := range q.slots {
 		switch {
 		case slot.failures == 0:
 			working = append(working, slot)
 		case !now.Before(slot.backoffUntil):
 			failed = append(failed, slot)
+		case q.usableUntil.IsZero() || slot.backoffUntil.Before(q.usableUntil):
+			q.usableUntil = slot.backoffUntil
 		}
 	}
-	return append(working, failed...)
+	q.usableSlots = append(working, failed...)
+	return q.usableSlots
 }
 
 // RecordReply records at now the reply to a query sent at sent, or its failure. A failure
@@ -228,6 +244,9 @@
 		if slot.outstanding == 0 && slot.busyUntil.After(now) {
 			slot.busyUntil = now
 		}
+		if failed || slot.failures > 0 {
+			q.usableSlots = nil
+		}
 		switch {
 		case !failed:
 			slot.failures = 0
--- a/internal/cell/view.go
+++ b/internal/cell/view.go
@@ -54,6 +54,9 @@
 	reported map[string]reportedMember
 	holders  map[int]ledger.Holder
 	changed  chan struct{}
+	// list is the result of Members until listExpiresAt; nil once members or reported have changed.
+	list          []Member
+	listExpiresAt time.Time // zero if no report is in the list
 }
 
 type reportedMember struct {
@@ -87,21 +90,34 @@
 }
 
 // Members returns the registered members and those that peers recently reported, sorted by
-// name.
+// name. Calls return the same slice until a member changes; it must not be modified.
 func (v *View) Members(now time.Time) []Member {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if v.list == nil || !v.listExpiresAt.IsZero() && !now.Before(v.listExpiresAt) {
+		v.buildList(now)
+	}
+	return v.list
+}
+
+// buildList builds the list of members. The caller holds the lock.
+func (v *View) buildList(now time.Time) {
 	out := make([]Member, 0, len(v.members))
 	for _, m := range v.members {
 		out = append(out, m)
 	}
+	v.listExpiresAt = time.Time{}
 	for name, r := range v.reported {
-		if _, known := v.members[name]; !known && now.Before(r.expiresAt) {
-			out = append(out, r.member)
+		if _, known := v.members[name]; known || !now.Before(r.expiresAt) {
+			continue
+		}
+		out = append(out, r.member)
+		if v.listExpiresAt.IsZero() || r.expiresAt.Before(v.listExpiresAt) {
+			v.listExpiresAt = r.expiresAt
 		}
 	}
 	sort.Slice(out, func(a, b int) bool { return out[a].Name < out[b].Name })
-	return out
+	v.list = out
 }
 
 // Registered returns the members that have an entry in the store, as last observed.
@@ -163,7 +179,7 @@
 			members[name] = m
 		}
 	}
-	v.members = members
+	v.members, v.list = members, nil
 	v.notify()
 	v.mu.Unlock()
 	for _, rec := range records {
@@ -196,6 +212,7 @@
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.list = nil
 	if c.Deleted || err != nil {
 		delete(v.members, name)
 	} else {
@@ -231,6 +248,7 @@
 func (v *View) addReported(members []Member, now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.list = nil
 	for _, m := range members {
 		v.reported[m.Name] = reportedMember{m, now.Add(reportedMemberTTL)}
 	}
--- a/internal/front/cell_test.go
+++ b/internal/front/cell_test.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"pulleyquay/internal/advice"
 	"pulleyquay/internal/catalog"
 	"pulleyquay/internal/cell"
 	"pulleyquay/internal/engine"
@@ -154,7 +155,7 @@
 		DecodeHost: func(rec platform.Record) (host.Info, error) {
 			return c.fleet.Host(host.ID(strings.TrimPrefix(rec.Key, hostPrefix))).Info(), nil
 		},
-		Catalog: c.currentConfiguration, PolicyMembers: func() map[string]string { return nil },
+		Catalog: c.currentConfiguration, PolicyMembers: func() *advice.Members { return &advice.Members{} },
 		Metrics: holder.NewMetrics(prometheus.NewRegistry()), Busy: func() bool { return false },
 		Event: func(e engine.Event) {
 			m.Log.WithFields(logrus.Fields{"job": e.Job, "host": e.Host, "why": e.Why}).Info(e.What)
--- a/internal/holder/burst_test.go
+++ b/internal/holder/burst_test.go
@@ -15,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"pulleyquay/internal/advice"
 	"pulleyquay/internal/catalog"
 	"pulleyquay/internal/engine"
 	"pulleyquay/internal/host"
@@ -248,7 +249,7 @@
 		},
 		HostPrefix: prefix, HostOf: func(key string) host.ID { return host.ID(key[len(prefix):]) },
 		DecodeHost: func(rec platform.Record) (host.Info, error) { return listed[host.ID(rec.Key[len(prefix):])], nil },
-		Catalog:    func() *catalog.Catalog { return &catalog.Catalog{} }, PolicyMembers: func() map[string]string { return nil },
+		Catalog:    func() *catalog.Catalog { return &catalog.Catalog{} }, PolicyMembers: func() *advice.Members { return &advice.Members{} },
 		Metrics: NewMetrics(prometheus.NewRegistry()), Busy: func() bool { return false },
 		Event: func(e engine.Event) {
 			if e.What == "job ended" && e.Why == string(record.StateCompleted) {
--- a/internal/holder/follow_test.go
+++ b/internal/holder/follow_test.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"pulleyquay/internal/advice"
 	"pulleyquay/internal/catalog"
 	"pulleyquay/internal/engine"
 	"pulleyquay/internal/host"
@@ -61,7 +62,7 @@
 		Store: store.Client("a"), Health: health, Hosts: hosts, Log: logrus.NewEntry(log), Tuning: engine.DefaultTuning(),
 		Bounds: engine.Bounds{MaxLease: 6 * time.Second, EndedJobTTL: endedJobTTL}, HostPrefix: prefix, DecodeHost: decodeHost,
 		HostOf:  func(key string) host.ID { return host.ID(strings.TrimPrefix(key, prefix)) },
-		Catalog: func() *catalog.Catalog { return &catalog.Catalog{} }, PolicyMembers: func() map[string]string { return nil },
+		Catalog: func() *catalog.Catalog { return &catalog.Catalog{} }, PolicyMembers: func() *advice.Members { return &advice.Members{} },
 		Shards: func() []linkshard.Member { return nil }, Self: "a", Busy: func() bool { return false },
 		Metrics: NewMetrics(prometheus.NewRegistry()),
 	}, l)
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -87,7 +87,8 @@
 	// Evacuations returns the evacuated availability zones; nil where operators can't evacuate any.
 	Evacuations func() *evacuation.Set
 	// PolicyMembers returns the members that can query the policy service, with their addresses.
-	PolicyMembers func() map[string]string
+	// They stay the same until a member changes.
+	PolicyMembers func() *advice.Members
 	Metrics       *Metrics
 	Event         func(engine.Event)
 	// Busy reports whether this process is short of processor time.
@@ -122,6 +123,8 @@
 
 	mu     sync.Mutex
 	engine *engine.Engine
+	// members are the members that the engine knows.
+	members *advice.Members
 	// batchStored is closed and replaced after each stored batch.
 	batchStored chan struct{}
 	// jobsRevision and hostsRevision are the store revisions after which changes of jobs and
@@ -259,10 +262,6 @@
 func (h *Holder) decide() (engine.Orders, time.Time) {
 	c := h.cfg.Catalog()
 	members := h.cfg.PolicyMembers()
-	names := make([]string, 0, len(members))
-	for name := range members {
-		names = append(names, name)
-	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
@@ -271,7 +270,10 @@
 	if h.cfg.Evacuations != nil {
 		h.engine.SetEvacuations(h.cfg.Evacuations(), now)
 	}
-	h.engine.SetMembers(names)
+	if members != h.members {
+		h.members = members
+		h.engine.SetMembers(members.Names)
+	}
 	h.engine.SetAuthority(h.ledger.LastConfirmed().Add(authorityDuration))
 	orders, due := h.engine.Next(now)
 	h.publishLimits()
@@ -337,6 +339,6 @@
 	ctx, cancel := context.WithTimeout(h.ctx, timeout)
 	defer cancel()
 	var reply advice.Reply
-	err := h.cfg.Peers.Call(ctx, h.cfg.PolicyMembers()[o.Member], peer.KindPolicyQuery, PolicyQuery{Step: o.Step, Hosts: o.Hosts}, &reply)
+	err := h.cfg.Peers.Call(ctx, h.cfg.PolicyMembers().Addrs[o.Member], peer.KindPolicyQuery, PolicyQuery{Step: o.Step, Hosts: o.Hosts}, &reply)
 	h.updateEngine(func(e *engine.Engine, now time.Time) { e.PolicyAnswered(o, reply, err, now) })
 }
