--- a/internal/engine/commit.go
+++ b/internal/engine/commit.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"pulleyquay/internal/host"
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/record"
 )
@@ -69,12 +70,13 @@
 		e.rosterOutdated, b.hasRoster = false, true
 		roster := e.roster(now)
 		b.Groups = append(b.Groups, []platform.Write{putWrite(record.RosterKey(e.cfg.Partition), roster)})
-		for i, h := range e.hostsByID {
-			if roster.Hosts[i].LeaseLeftMillis > 0 {
+		for _, stored := range roster.Hosts {
+			h := e.hosts[host.ID(stored.ID)]
+			if stored.LeaseLeftMillis > 0 {
 				e.listBound(h, b.Seq)
 				continue
 			}
-			if !roster.Hosts[i].Closed {
+			if !stored.Closed {
 				b.openInRoster = append(b.openInRoster, h) // nothing may be started on a host that is stored as closed
 			}
 		}
@@ -161,13 +163,14 @@
 	if b.hasRoster {
 		e.confirmBounds(b.Seq, now)
 	}
+	opened := false
 	for _, h := range b.openInRoster {
-		if !h.closeInRoster && !e.leaseWithheld(h.info.ID) && (h.claimed || !h.expiredUnreported) { // the host may have been closed meanwhile
-			h.openInRoster = true
-			h.touch()
+		if !h.parked && !h.closeInRoster && !e.leaseWithheld(h.info.ID) && (h.claimed || !h.expiredUnreported) { // the host may have been closed meanwhile
+			opened = opened || !h.openInRoster
+			h.markOpen()
 		}
 	}
-	if len(b.openInRoster) > 0 {
+	if opened {
 		e.capacityChanges++
 	}
 	for h, n := range b.pendingEnds {
--- a/internal/engine/crash.go
+++ b/internal/engine/crash.go
@@ -172,7 +172,7 @@
 	}
 	g.job.cohort.crashed = true
 	crashes := append(slices.Clone(t.crashes), crashloop.Crash{Host: evidence.Host})
-	rate := e.losses.SpontaneousRate(len(e.hostsByID), unreachable, crashes, now)
+	rate := e.losses.SpontaneousRate(e.unparkedHosts(), unreachable, crashes, now)
 	c := crashloop.Assess(evidence, rate)
 	beside := e.rateBeside(g, a, unreachable, now)
 	if beside < rate {
--- a/internal/engine/crash_rate.go
+++ b/internal/engine/crash_rate.go
@@ -22,7 +22,7 @@
 		return math.Inf(1)
 	}
 	// When many hosts fail at once, counting the hosts for each lost run would take too long.
-	atLeast := e.losses.RateBeside(g.id.String(), len(e.hostsByID), max(unreachable-len(g.perHost), 0), now)
+	atLeast := e.losses.RateBeside(g.id.String(), e.unparkedHosts(), max(unreachable-len(g.perHost), 0), now)
 	if crashloop.IsLikely(a.evidence, atLeast) {
 		return math.Inf(1)
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -196,6 +196,7 @@
 	// reservingGangs counts the gangs with reservations in this pass, reservingLarge the steps of large
 	// tasks.
 	reservingGangs, reservingLarge int
+	parkedAt                       time.Time // when idle hosts were last parked
 	// waitsLogged counts the steps whose reason to wait was logged in the current interval.
 	waitsLogged int
 	// longRunning are the steps of long-running tasks of live jobs, last checked at longRunningCheckedAt.
@@ -346,6 +347,7 @@
 	if e.deposed {
 		return e.out, now.Add(maxNextInterval)
 	}
+	e.adjustWorkingSets(now)
 	e.reconcile(now)
 	e.setReadyTimes(now)
 	e.expireHosts(now)
--- a/internal/engine/explain.go
+++ b/internal/engine/explain.go
@@ -46,6 +46,9 @@
 		if !e.placeable(h, now) {
 			rule = "not placeable"
 		}
+		if h.parked {
+			rule = "parked"
+		}
 		if h.evacuated {
 			rule = "zone evacuated"
 		}
@@ -164,8 +167,8 @@
 	}
 	sort.Strings(parts)
 	uses := e.queryOrder.lastUses
-	e.log(Event{What: "cell load", Why: fmt.Sprintf("%d of %d hosts take work; %s; %d steps have places reserved; %d questions asked, of the steps of a pass %d up to the backlog limit, %d through idle slots, %d not; %d runs on silent hosts, the last lease over in %d ms",
-		placeable, len(e.hostsByID), strings.Join(parts, ", "), reserving, len(e.queries), uses[advice.UseBacklog], uses[advice.UseIdle], uses[advice.UseNone], unresponsiveRuns, longest.Milliseconds())})
+	e.log(Event{What: "cell load", Why: fmt.Sprintf("%d of %d hosts take work, %d are parked; %s; %d steps have places reserved; %d questions asked, of the steps of a pass %d up to the backlog limit, %d through idle slots, %d not; %d runs on silent hosts, the last lease over in %d ms",
+		placeable, len(e.hostsByID), e.index.parked.Len(), strings.Join(parts, ", "), reserving, len(e.queries), uses[advice.UseBacklog], uses[advice.UseIdle], uses[advice.UseNone], unresponsiveRuns, longest.Milliseconds())})
 }
 
 // describe returns the queue's load as text for the log.
--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -136,6 +136,7 @@
 	departsAt time.Time        // earliest departure of a draining host
 	cordoned  bool             // cordoned: to be emptied for the maintenance of its machine
 	evacuated bool             // its availability zone is evacuated
+	parked    bool             // outside the working set of its service; see working_set.go
 
 	// capacity is how much of the host's size may be allocated, as last reported by the host;
 	// capacityReportedAt is the time of that report.
@@ -162,14 +163,16 @@
 	leasesOverAt time.Time
 }
 
-func (e *Engine) newHost(info host.Info) *hostState {
+// newHost adds a host. A parked one is not in the roster.
+func (e *Engine) newHost(info host.Info, parked bool) *hostState {
 	h := &hostState{info: info, capacity: info.Size, servicePool: e.poolOf(info.Service), runs: map[host.Run]*run{}}
 	e.index.add(h)
+	h.parked = parked
 	h.evacuated = e.evacuations.Contains(info.Zone)
 	e.hosts[info.ID] = h
 	at, _ := e.position(info.ID)
 	e.hostsByID = slices.Insert(e.hostsByID, at, h)
-	e.rosterOutdated = true
+	e.rosterOutdated = e.rosterOutdated || !parked
 	return h
 }
 
@@ -190,7 +193,7 @@
 	h.entry.forgotten = true
 	h.touch()
 	delete(e.throttlesOutdated, h)
-	e.rosterOutdated = true
+	e.rosterOutdated = e.rosterOutdated || !h.parked
 }
 
 // free returns the capacity that is not allocated.
@@ -362,7 +365,7 @@
 	}
 	delete(e.unconfiguredHosts, info.ID)
 	if h == nil {
-		h = e.newHost(info)
+		h = e.newHost(info, true)
 		h.schedulePoll(now)
 		e.log(Event{What: "host listed", Host: string(info.ID), Why: info.Zone + " " + strings.Join(info.Labels, " ")})
 	}
@@ -396,7 +399,7 @@
 	h.listed = false
 	h.touch()
 	e.log(Event{What: "host not listed", Host: string(h.info.ID)})
-	if len(h.runs) == 0 && h.claimed {
+	if len(h.runs) == 0 && (h.claimed || h.parked) {
 		e.attributeCrash(h, h.pendingAttributions, now)
 		e.forgetHost(h)
 		return
--- a/internal/engine/host_index.go
+++ b/internal/engine/host_index.go
@@ -35,6 +35,8 @@
 	troubled, unreported denseset.Set[*hostState]
 	// busy are the hosts to be checked for stalled or excess runs, and for outdated estimates of their speed.
 	busy denseset.Set[*hostState]
+	// parked are the hosts outside the working set of their service.
+	parked denseset.Set[*hostState]
 	// quarantined are the hosts on which a job is in quarantine.
 	quarantined denseset.Set[*hostState]
 	// unacked are the hosts with end records that are not acknowledged to them.
@@ -51,6 +53,13 @@
 	pool                      *servicePool // that counts the host among the placeable ones; nil if none does
 	size                      spec.Resources
 	freeCPU, freeMem, freeAcc *prioqueue.Item[*hostState, int64]
+
+	// workingSet is the pool in whose working set the host is counted, with used, and with openSize if it is
+	// open. parkedRack has the host if it may be unparked.
+	workingSet     *servicePool
+	used, openSize spec.Resources
+	parked         *prioqueue.Item[*hostState, parkedRank]
+	parkedRack     *denseset.Set[*hostState]
 }
 
 func newHostIndex() *hostIndex {
@@ -66,7 +75,7 @@
 	h.entry = hostEntry{
 		index: x, change: prioqueue.NewItem[*hostState, time.Time](h), poll: prioqueue.NewItem[*hostState, time.Time](h),
 		lateEnd: prioqueue.NewItem[*hostState, time.Time](h), claim: prioqueue.NewItem[*hostState, claimPriority](h),
-		freeCPU: prioqueue.NewItem[*hostState, int64](h), freeMem: prioqueue.NewItem[*hostState, int64](h), freeAcc: prioqueue.NewItem[*hostState, int64](h),
+		freeCPU: prioqueue.NewItem[*hostState, int64](h), freeMem: prioqueue.NewItem[*hostState, int64](h), freeAcc: prioqueue.NewItem[*hostState, int64](h), parked: prioqueue.NewItem[*hostState, parkedRank](h),
 	}
 	h.touch()
 }
@@ -105,11 +114,10 @@
 	placeable, changesAt := e.placeability(h, now)
 	setDue(x.changes, h.entry.change, changesAt)
 	x.setPlaceable(h, placeable)
+	x.setWorkingSet(h)
 	setDue(x.polls, h.entry.poll, h.nextPollCheck())
 	setDue(x.lateEnds, h.entry.lateEnd, h.nextLateEndCheck())
-	if h.entry.claim.Queued() && !h.claimDue(now) {
-		x.claims.Remove(h.entry.claim)
-	}
+	x.updateClaim(h, now)
 	unreported := h.inherited && !h.claimed && !h.terminated
 	x.unreported.Put(h, unreported)
 	x.troubled.Put(h, unreported || !h.unresponsiveSince.IsZero() || h.processEnded)
@@ -118,6 +126,18 @@
 	x.unacked.Put(h, h.endsProcessed > h.endsAcked)
 }
 
+// updateClaim removes a host that is no longer to be claimed from the claims, or gives it its present priority.
+func (x *hostIndex) updateClaim(h *hostState, now time.Time) {
+	claim := h.entry.claim
+	switch {
+	case !claim.Queued():
+	case !h.claimDue(now):
+		x.claims.Remove(claim)
+	case claim.Priority() != h.claimPriority():
+		x.claims.Set(claim, h.claimPriority())
+	}
+}
+
 // setDue sets when an item is due; at the zero time it is removed.
 func setDue(q *hostQueue, i *prioqueue.Item[*hostState, time.Time], at time.Time) {
 	switch {
@@ -147,6 +167,7 @@
 	x.lateEnds.Remove(h.entry.lateEnd)
 	x.claims.Remove(h.entry.claim)
 	x.setPlaceable(h, false)
+	x.setWorkingSet(h)
 	x.unreported.Remove(h)
 	x.troubled.Remove(h)
 	x.busy.Remove(h)
--- a/internal/engine/host_index_test.go
+++ b/internal/engine/host_index_test.go
@@ -38,6 +38,34 @@
 	for _, h := range e.hostsByID {
 		w.checkEntry(h)
 	}
+	w.checkWorkingSets()
+}
+
+// checkWorkingSets compares the sums of the working sets with those of a scan of all hosts.
+func (w *world) checkWorkingSets() {
+	w.t.Helper()
+	type sums struct {
+		open, parked    int
+		openSize, inUse spec.Resources
+	}
+	want := map[*servicePool]sums{}
+	for _, h := range w.engine.hostsByID {
+		s := want[h.servicePool]
+		s.inUse = s.inUse.Add(h.used)
+		if h.isOpen() {
+			s.open++
+			s.openSize = s.openSize.Add(h.info.Size)
+		}
+		if h.mayUnpark() {
+			s.parked++
+		}
+		want[h.servicePool] = s
+	}
+	for service, p := range w.engine.pools {
+		if got := (sums{p.open, p.parked.Len(), p.openSize, p.inUse}); got != want[p] {
+			w.t.Fatalf("service %q: the working set is %v, the index has %v", service, want[p], got)
+		}
+	}
 }
 
 // indexCheckHosts is the number of hosts for each of which the index is checked less often: a check visits all hosts.
--- a/internal/engine/incarnation.go
+++ b/internal/engine/incarnation.go
@@ -33,7 +33,7 @@
 		return h
 	case h.incarnation == 0:
 		h.setIncarnation(v.Incarnation, now)
-		e.rosterOutdated = true
+		e.rosterOutdated = e.rosterOutdated || !h.parked
 		return h
 	case h.isPast(v.Incarnation, sent):
 		return nil
@@ -73,7 +73,7 @@
 	survivors := e.detachSurvivors(h, v, sent)
 	quarantinedJob, quarantineUntil := h.quarantinedJob, h.quarantineUntil
 	e.removeTerminatedHost(h, now, "restarted under the same id")
-	next := e.newHost(h.info)
+	next := e.newHost(h.info, h.parked)
 	next.capacity, next.capacityReportedAt = h.capacity, h.capacityReportedAt
 	next.listed, next.openInRoster, next.closeInRoster, next.cordoned = h.listed, h.openInRoster, h.closeInRoster, h.cordoned
 	next.departsAt, next.pollInFlight, next.late.poll, next.probe = h.departsAt, h.pollInFlight, h.late.poll, h.probe
--- a/internal/engine/plan_large.go
+++ b/internal/engine/plan_large.go
@@ -124,7 +124,7 @@
 
 // mayReserveLarge reports whether one more step of large tasks may have reservations.
 func (e *Engine) mayReserveLarge() bool {
-	return e.reservingLarge < max(minReservingSteps, len(e.hostsByID)/hostsPerLargeReservation)
+	return e.reservingLarge < max(minReservingSteps, e.unparkedHosts()/hostsPerLargeReservation)
 }
 
 // reserveLarge reserves a slot for each waiting task of a step, each from the earliest moment at which one
--- a/internal/engine/poll_plan.go
+++ b/internal/engine/poll_plan.go
@@ -105,7 +105,11 @@
 
 // maxClaiming bounds how many hosts are claimed at the same time. Thousands at once
 // would keep the holder from answering heartbeats, so that it loses the partition.
-const maxClaiming = 128
+// Parked hosts are claimed in the background: nothing waits for them.
+const (
+	maxClaiming       = 128
+	maxClaimingParked = 16
+)
 
 // claimPriority orders the hosts to be claimed.
 type claimPriority struct {
@@ -118,7 +122,8 @@
 
 const (
 	claimInherited claimClass = iota // tasks wait until the host has reported
-	claimNew                         // the host may take new work
+	claimOpen                        // the host may be given work
+	claimParked                      // the host is parked
 )
 
 func (p claimPriority) before(q claimPriority) bool {
@@ -126,9 +131,12 @@
 }
 
 func (h *hostState) claimPriority() claimPriority {
-	class := claimNew
-	if h.inherited && !h.inheritedClosed || len(h.possibleRuns) > 0 {
+	class := claimOpen
+	switch {
+	case h.inherited && !h.inheritedClosed || len(h.possibleRuns) > 0:
 		class = claimInherited
+	case h.parked:
+		class = claimParked
 	}
 	return claimPriority{class, h.info.ID}
 }
@@ -140,7 +148,7 @@
 func (e *Engine) planClaims(now time.Time) {
 	for len(e.claiming) < maxClaiming {
 		first := e.index.claims.First()
-		if first == nil {
+		if first == nil || first.Priority().class == claimParked && len(e.claiming) >= maxClaimingParked {
 			return
 		}
 		h := first.Value
--- a/internal/engine/quarantine.go
+++ b/internal/engine/quarantine.go
@@ -46,7 +46,7 @@
 	if !g.step.Gang && !g.job.admitsHost(now) {
 		return false
 	}
-	return e.quarantines < max(1, len(e.hostsByID)/hostsPerQuarantine)
+	return e.quarantines < max(1, e.unparkedHosts()/hostsPerQuarantine)
 }
 
 // recordStart records that a task of the group was started on the host.
--- a/internal/engine/reserve.go
+++ b/internal/engine/reserve.go
@@ -39,7 +39,7 @@
 
 // mayReserveGang reports whether one more gang may have a reservation.
 func (e *Engine) mayReserveGang() bool {
-	return e.reservingGangs < max(minReservingSteps, len(e.hostsByID)/hostsPerGangReservation)
+	return e.reservingGangs < max(minReservingSteps, e.unparkedHosts()/hostsPerGangReservation)
 }
 
 // reserveGang finds the earliest moment at which the hosts, which the policy permits, have capacity for a
--- a/internal/engine/roster.go
+++ b/internal/engine/roster.go
@@ -17,11 +17,13 @@
 // holder that gets no report from a closed host delays only the listed tasks and not all.
 // Draining hosts are closed since they leave soon, perhaps at the moment of a failover.
 
-// roster returns the roster that is to be stored.
+// roster returns the roster that is to be stored: all hosts that are not parked, in the order of their ids.
 func (e *Engine) roster(now time.Time) record.Roster {
 	out := record.Roster{Epoch: e.cfg.Epoch, CapacityRatio: e.reduction.share, UnattributedFailures: e.losses.Unattributed(), PlacementsStored: e.placementsStored}
 	for _, h := range e.hostsByID {
-		out.Hosts = append(out.Hosts, e.rosterHost(h, now))
+		if !h.parked {
+			out.Hosts = append(out.Hosts, e.rosterHost(h, now))
+		}
 	}
 	return out
 }
@@ -80,7 +82,15 @@
 func (e *Engine) close(h *hostState) {
 	h.closeInRoster, h.openInRoster = true, false
 	h.touch()
-	e.rosterOutdated = true
+	e.rosterOutdated = e.rosterOutdated || !h.parked
+}
+
+// markOpen records that the stored roster has the host as open.
+func (h *hostState) markOpen() {
+	if !h.openInRoster {
+		h.openInRoster = true
+		h.touch()
+	}
 }
 
 // reopen marks a closed host that has answered again as open, unless it drains. It takes work once the
@@ -88,7 +98,7 @@
 func (e *Engine) reopen(h *hostState) {
 	if h.closeInRoster && !h.info.Draining {
 		h.closeInRoster = false
-		e.rosterOutdated = true
+		e.rosterOutdated = e.rosterOutdated || !h.parked
 	}
 }
 
@@ -100,7 +110,7 @@
 		id := host.ID(r.ID)
 		h := e.hosts[id]
 		if h == nil {
-			h = e.newHost(host.Info{ID: id, Addr: r.Addr})
+			h = e.newHost(host.Info{ID: id, Addr: r.Addr}, false)
 		}
 		h.inherited, h.inheritedClosed = true, r.Closed
 		h.schedulePoll(now)
--- a/internal/engine/scores.go
+++ b/internal/engine/scores.go
@@ -1,7 +1,10 @@
 package engine
 
 import (
+	"time"
+
 	"pulleyquay/internal/crashloop"
+	"pulleyquay/internal/denseset"
 	"pulleyquay/internal/hostspeed"
 	"pulleyquay/internal/prioqueue"
 	"pulleyquay/internal/spec"
@@ -65,6 +68,15 @@
 	// maxSize is the largest size of a host in each dimension.
 	maxSize spec.Resources
 
+	// open counts the hosts of the working set, openSize is their size; inUse is what runs on all hosts use.
+	open            int
+	openSize, inUse spec.Resources
+	// parked are the hosts that may be unparked, parkedRacks the same hosts by rack; extendedAt is when the
+	// working set was last extended for a step.
+	parked      *prioqueue.Queue[*hostState, parkedRank]
+	parkedRacks map[string]*denseset.Set[*hostState]
+	extendedAt  time.Time
+
 	// freeCPU, freeMem and freeAcc have the hosts that total counts by what is free, the most first.
 	freeCPU, freeMem, freeAcc *prioqueue.Queue[*hostState, int64]
 }
@@ -72,6 +84,7 @@
 func newServicePool() *servicePool {
 	mostFirst := func(a, b int64) bool { return a > b }
 	return &servicePool{
+		parked: prioqueue.New[*hostState](parkedRank.before), parkedRacks: map[string]*denseset.Set[*hostState]{},
 		freeCPU: prioqueue.New[*hostState](mostFirst), freeMem: prioqueue.New[*hostState](mostFirst), freeAcc: prioqueue.New[*hostState](mostFirst),
 	}
 }
--- a/internal/engine/takeover.go
+++ b/internal/engine/takeover.go
@@ -61,6 +61,7 @@
 	for _, g := range j.groups {
 		e.watchLongRunning(g)
 		e.updateExpected(g)
+		e.openDataRack(g, now)
 		for i := range g.tasks {
 			if unconfirmed || e.possibleHosts[g.task(i)] > 0 {
 				g.setState(i, taskUnconfirmed)
--- a/internal/engine/tuning.go
+++ b/internal/engine/tuning.go
@@ -36,6 +36,8 @@
 	TicketMargin time.Duration
 	// MaxStartupTime is the longest time that a long-running task may take to become ready.
 	MaxStartupTime time.Duration
+	// WorkingSet bounds the hosts that may be given work.
+	WorkingSet WorkingSetTuning
 	// Pacing is the policy for throttling backfill tasks beside serving tasks.
 	Pacing pacing.Params
 }
@@ -56,6 +58,7 @@
 		MaxHostsPerQuery:  50,
 		TicketMargin:      60 * time.Millisecond,
 		MaxStartupTime:    6 * time.Second,
+		WorkingSet:        defaultWorkingSetTuning(),
 		Pacing:            pacing.DefaultParams(),
 	}
 }
--- a/internal/engine/view.go
+++ b/internal/engine/view.go
@@ -92,7 +92,7 @@
 	first := !h.claimed
 	if first {
 		h.claimed, h.lastAttempts = true, nil
-		e.rosterOutdated = e.rosterOutdated || !h.openInRoster
+		e.rosterOutdated = e.rosterOutdated || !h.openInRoster && !h.parked
 		e.capacityChanges++
 		// Leases that the previous holder granted may last this long.
 		h.leased = max(h.leased, v.Clock+host.Millis(e.cfg.Bounds.MaxLease.Milliseconds()))
@@ -145,6 +145,9 @@
 	case len(h.runs) > 0:
 		return now
 	}
+	if h.parked {
+		return now.Add(parkedPollInterval)
+	}
 	return now.Add(e.cfg.Tuning.IdlePollInterval)
 }
 
--- a/internal/engine/world_test.go
+++ b/internal/engine/world_test.go
@@ -94,6 +94,8 @@
 	maintenanceStarted map[upkeep.MachineID]bool
 
 	longestOverTarget time.Duration
+	// workingSet is used in place of the default tuning, unless it is zero.
+	workingSet WorkingSetTuning
 	// decisions counts the decisions.
 	decisions int
 	// benchmark is true in benchmarks, in which the index of hosts isn't checked.
@@ -181,6 +183,9 @@
 	_, w.benchmark = t.(*testing.B)
 	w.fleet = hostsim.NewFleet(&w.time)
 	w.fleet.KeepID = hostsKeepIDs
+	if parksEarly {
+		w.workingSet = earlyParking
+	}
 	return w
 }
 
@@ -229,8 +234,12 @@
 // engine receives no more calls.
 func (w *world) failOver() {
 	w.epoch++
+	tuning := DefaultTuning()
+	if w.workingSet != (WorkingSetTuning{}) {
+		tuning.WorkingSet = w.workingSet
+	}
 	w.engine = New(Config{
-		Epoch: w.epoch, Bounds: w.bounds, Tuning: DefaultTuning(), Seed: w.epoch,
+		Epoch: w.epoch, Bounds: w.bounds, Tuning: tuning, Seed: w.epoch,
 		WaveState: func(p upkeep.Progress) platform.Write {
 			return platform.Write{Key: "state", Value: []byte(fmt.Sprint(p.Completed))}
 		},
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -116,6 +116,7 @@
 	calls           sync.WaitGroup
 	router          *linkshard.Router
 	hostCount       atomic.Int64 // hosts of the partition
+	calledHosts     atomic.Int64 // hosts to which calls are made
 	limits          atomic.Pointer[measuredLimits]
 	entries         hostEntries
 	// unreadable are the keys of host entries whose decoding error has been logged.
@@ -157,7 +158,7 @@
 	}
 	h.router = linkshard.New(linkshard.Config{
 		Partition: self.Partition, Epoch: self.Epoch, Self: cfg.Self, Addr: cfg.Addr, Peers: cfg.Peers, Local: cfg.Hosts,
-		Members: cfg.Shards, Hosts: func() int { return int(h.hostCount.Load()) }, Apply: h.applyOutcomes, Busy: cfg.Busy, Log: h.log,
+		Members: cfg.Shards, Hosts: func() int { return int(h.calledHosts.Load()) }, Apply: h.applyOutcomes, Busy: cfg.Busy, Log: h.log,
 	})
 	return h
 }
@@ -266,6 +267,7 @@
 	defer h.mu.Unlock()
 	now := time.Now()
 	h.hostCount.Store(int64(h.engine.Hosts()))
+	h.calledHosts.Store(int64(h.engine.CalledHosts()))
 	h.engine.SetCatalog(c, now)
 	if h.cfg.Evacuations != nil {
 		h.engine.SetEvacuations(h.cfg.Evacuations(), now)
--- a/internal/prioqueue/prioqueue.go
+++ b/internal/prioqueue/prioqueue.go
@@ -1,7 +1,10 @@
 // Package prioqueue implements a priority queue whose items can be moved and removed at logarithmic cost.
 package prioqueue
 
-import "container/heap"
+import (
+	"container/heap"
+	"iter"
+)
 
 // Queue is a priority queue of values V with priorities P. Use New to create one.
 type Queue[V, P any] struct{ items itemHeap[V, P] }
@@ -39,6 +42,17 @@
 	return q.items.list[0]
 }
 
+// All returns the values in no particular order. The queue must not change meanwhile.
+func (q *Queue[V, P]) All() iter.Seq[V] {
+	return func(yield func(V) bool) {
+		for _, i := range q.items.list {
+			if !yield(i.Value) {
+				return
+			}
+		}
+	}
+}
+
 // Set adds an item, or moves it if it is in the queue.
 func (q *Queue[V, P]) Set(i *Item[V, P], priority P) {
 	i.priority = priority
