--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -59,7 +59,7 @@
 	default:
 		e.planTasks(g, hosts, now)
 	}
-	e.extendWorkingSet(g, now)
+	e.extendWorkingSet(g, hosts, now)
 	return e.recordAttempted(g, waiting-g.waiting, now)
 }
 
--- a/internal/engine/working_set.go
+++ b/internal/engine/working_set.go
@@ -172,24 +172,39 @@
 	return h.speed.Slow() && p.parked.Len() > 0 && !p.parked.First().Priority().slow
 }
 
-// extendWorkingSet unparks hosts for a step that has not found capacity for a while.
-func (e *Engine) extendWorkingSet(g *group, now time.Time) {
+// extendWorkingSet unparks hosts for a step that has waited for a while and does not fit into the working set.
+func (e *Engine) extendWorkingSet(g *group, hosts []*hostState, now time.Time) {
 	p := g.job.flow.pool
 	if g.waiting == 0 || p.parked.Len() == 0 || now.Sub(g.readySince) < e.shortageDelay(g) || now.Sub(p.extendedAt) < shortageInterval {
 		return
 	}
 	p.extendedAt = now
-	want := shortageFactor * float64(g.waiting) / e.permittedShare(g)
+	missing := e.missingSlots(g, hosts)
 	examined := 0
 	for h := range p.parked.All() {
-		if examined++; want <= 0 || examined > maxShortageSearch {
-			break
+		if examined++; missing <= 0 || examined > maxShortageSearch {
+			return
 		}
 		if slots := g.slotsFor(h, h.info.Size); slots > 0 && rejectedBy(g, h) == "" {
 			e.unpark(h, now)
-			want -= float64(slots)
+			missing -= float64(slots)
+		}
+	}
+}
+
+// missingSlots returns how many more free slots a step needs, in the mean, to find enough that the policy service
+// permits; zero or less if the hosts that take work have enough.
+func (e *Engine) missingSlots(g *group, hosts []*hostState) float64 {
+	missing := shortageFactor * float64(g.waiting) / e.permittedShare(g)
+	for _, h := range hosts {
+		if missing <= 0 {
+			break
+		}
+		if rejectedBy(g, h) == "" {
+			missing -= float64(g.slotsFor(h, h.free()))
 		}
 	}
+	return missing
 }
 
 // shortageDelay returns how long a step has to wait before hosts are unparked for it.
