--- a/internal/cell/claimer.go
+++ b/internal/cell/claimer.go
@@ -65,6 +65,7 @@
 
 	started   time.Time // by package uptime; the peer address was this process's by then
 	monitors  []*holderMonitor
+	watch     watch
 	leaving   chan struct{}
 	leaveOnce sync.Once
 	running   sync.WaitGroup
@@ -165,7 +166,8 @@
 // waitForChange waits until the next heartbeat is due, the holder has changed or a handover is
 // requested of a process that is not stopping.
 func (c *Claimer) waitForChange(ctx context.Context, monitor *holderMonitor, epoch uint64) {
-	timer := time.NewTimer(heartbeatInterval(c.View.Size()))
+	holder, _ := c.View.Holder(monitor.partition)
+	timer := time.NewTimer(c.watch.interval(c.View.Members(time.Now()), holder.Name, c.Self.Name))
 	defer timer.Stop()
 	for {
 		changed := c.View.Changed()
--- a/internal/cell/evidence.go
+++ b/internal/cell/evidence.go
@@ -15,9 +15,10 @@
 // evidence returns the evidence on a holder from heartbeats alone.
 func (c *Claimer) evidence(monitor *holderMonitor, h ledger.Holder) Evidence {
 	now := time.Now()
+	limit := silenceLimit(c.watch.interval(c.View.Members(now), h.Name, c.Self.Name))
 	monitor.mu.Lock()
 	defer monitor.mu.Unlock()
-	e := Evidence{Holder: h, Silence: now.Sub(monitor.lastContact), Limit: silenceLimit(c.View.Size()), Refused: monitor.refused, Replaced: monitor.replaced, HolderStoreOutage: monitor.storeOutage}
+	e := Evidence{Holder: h, Silence: now.Sub(monitor.lastContact), Limit: limit, Refused: monitor.refused, Replaced: monitor.replaced, HolderStoreOutage: monitor.storeOutage}
 	if h.Epoch > 0 && h.Incarnation == c.Self.Incarnation {
 		e.Replaced = true // a claim of this process took effect after its time-out
 	}
@@ -57,7 +58,7 @@
 	defer cancel()
 	var mu sync.Mutex
 	var calls sync.WaitGroup
-	for _, m := range sampleMembers(c.otherMembers(e.Holder.Name)) {
+	for _, m := range sampleMembers(c.otherWatchers(e.Holder.Name)) {
 		e.Others++
 		calls.Go(func() {
 			var status HolderStatus
@@ -82,10 +83,16 @@
 // all others, a large cell would be overloaded by the queries.
 const maxQueriedMembers = 6
 
-// otherMembers returns the members except this one and the holder.
-func (c *Claimer) otherMembers(holder string) []Member {
+// otherWatchers returns the watchers of a holder except this member. The other members of a large cell notice its
+// failure later. A leaving member is asked only where all members are watchers.
+func (c *Claimer) otherWatchers(holder string) []Member {
+	members := c.View.Members(time.Now())
+	asked := members
+	if heartbeatInterval(len(members)) > MinHeartbeatInterval {
+		asked = c.watch.watchers(members, holder)
+	}
 	var out []Member
-	for _, m := range c.View.Members(time.Now()) {
+	for _, m := range asked {
 		if m.Name != c.Self.Name && m.Name != holder {
 			out = append(out, m)
 		}
--- a/internal/cell/heartbeat.go
+++ b/internal/cell/heartbeat.go
@@ -143,7 +143,9 @@
 	}
 	m := c.monitors[req.Partition]
 	h, _ := c.View.Holder(req.Partition)
-	return HolderStatus{Reachable: m.isInContact(req.Epoch, silenceLimit(c.View.Size()), time.Now()), Holder: h, Revision: h.Revision}, nil
+	now := time.Now()
+	limit := silenceLimit(c.watch.interval(c.View.Members(now), h.Name, c.Self.Name))
+	return HolderStatus{Reachable: m.isInContact(req.Epoch, limit, now), Holder: h, Revision: h.Revision}, nil
 }
 
 // onHandover accepts the request to claim a partition, unless this process is slow or stopping.
--- a/internal/cell/heartbeat_test.go
+++ b/internal/cell/heartbeat_test.go
@@ -23,7 +23,7 @@
 	for i := range 300 {
 		records = append(records, entry(is, fmt.Sprint("edge-", i)))
 	}
-	is.NoErr(view.applyList(records))
+	is.NoErr(view.applyMembers(records))
 	c := &Claimer{
 		View: view, Health: follow.NewHealth(nil), CatalogVersion: func() int64 { return 3 },
 		monitors: []*holderMonitor{{}},
--- a/internal/cell/service.go
+++ b/internal/cell/service.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 
+	"pulleyquay/internal/ledger"
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/platform/follow"
 	"pulleyquay/internal/wait"
@@ -22,7 +23,10 @@
 	// entryTimeout bounds a renewal.
 	entryTimeout = 700 * time.Millisecond
 	// watchTimeout is how long the store holds a watch request without changes.
-	watchTimeout = 20 * time.Second
+	watchTimeout = 25 * time.Second
+	// memberPollsPerSecond bounds the polls for changed members of all members together: each change answers the
+	// polls of all, so that without a pause their number would grow with the square of the members.
+	memberPollsPerSecond = 200
 )
 
 // Service keeps this process registered as a member and the View up to date.
@@ -34,21 +38,38 @@
 	Log    *logrus.Entry
 
 	lease platform.LeaseID
+	// registeredAt is when the entry was last written. The view may not show it for a while.
+	registeredAt time.Time
 }
 
-// Run follows the cell's records and renews the record of this process until ctx ends.
+// Run follows the cell's records and renews the record of this process until ctx ends. A new holder has to be known at
+// once; members may join and leave a little late.
 func (s *Service) Run(ctx context.Context) {
-	f := follow.Follower{
-		Store: s.Store, Health: s.Health, Prefix: Prefix, Wait: watchTimeout,
-		List: func(records []platform.Record, _ platform.Revision) {
-			s.logError(s.View.applyList(records))
-		},
+	holders := follow.Follower{
+		Store: s.Store, Health: s.Health, Prefix: ledger.HolderPrefix, Wait: watchTimeout,
+		List:   func(records []platform.Record, _ platform.Revision) { s.logError(s.View.applyHolders(records)) },
 		Change: func(c platform.Change) { s.logError(s.View.applyChange(c)) },
 	}
-	go f.Run(ctx)
+	members := follow.Follower{
+		Store: s.Store, Health: s.Health, Prefix: memberPrefix, Wait: watchTimeout,
+		Pause:  s.memberPollPause,
+		List:   func(records []platform.Record, _ platform.Revision) { s.logError(s.View.applyMembers(records)) },
+		Change: func(c platform.Change) { s.logError(s.View.applyChange(c)) },
+	}
+	go holders.Run(ctx)
+	go members.Run(ctx)
 	s.renewLoop(ctx)
 }
 
+// memberPollPause returns the time between two polls for changed members: none for a holder, whose decisions depend on
+// the members.
+func (s *Service) memberPollPause() time.Duration {
+	if s.View.isHeldBy(s.Self.Incarnation) {
+		return 0
+	}
+	return time.Duration(s.View.Size()) * time.Second / memberPollsPerSecond
+}
+
 func (s *Service) logError(err error) {
 	if err != nil {
 		s.Log.WithError(err).Error("cannot decode a record of the cell")
@@ -102,14 +123,17 @@
 		{Key: memberKey(s.Self.Name), Value: value, Lease: lease},
 	}})
 	if err == nil {
-		s.lease = lease
+		s.lease, s.registeredAt = lease, time.Now()
 	}
 	return err
 }
 
-// isRegistered reports whether the View has this process's entry. Keys may be deleted while
+// isRegistered reports whether the View has this process's entry, or can't have it yet. Keys may be deleted while
 // their lease is still valid.
 func (s *Service) isRegistered() bool {
+	if time.Since(s.registeredAt) < 2*s.memberPollPause() {
+		return true
+	}
 	for _, m := range s.View.Registered() {
 		if m.Name == s.Self.Name {
 			return m.Incarnation == s.Self.Incarnation
--- a/internal/cell/slow.go
+++ b/internal/cell/slow.go
@@ -75,7 +75,7 @@
 func (c *Claimer) fastestResponder(ctx context.Context, partition int) (Member, bool) {
 	ctx, cancel := context.WithTimeout(ctx, fastestTimeout)
 	defer cancel()
-	members := sampleMembers(c.atLeastAsStrong(c.otherMembers(c.Self.Name)))
+	members := sampleMembers(c.atLeastAsStrong(c.otherWatchers(c.Self.Name)))
 	first := make(chan Member, len(members))
 	for _, m := range members {
 		go func() {
--- a/internal/cell/succession.go
+++ b/internal/cell/succession.go
@@ -27,16 +27,29 @@
 // the number of heartbeats that a holder answers per second.
 const heartbeatIntervalPerMember = 4 * time.Millisecond
 
+// maxWatchers is the number of members of a large cell that send heartbeats as often as those of a small one: the best
+// candidates for the succession. A failed holder is found as soon as in a small cell, however many members there are.
+const maxWatchers = 25
+
+// Watchers returns the members that send heartbeats to a holder at MinHeartbeatInterval, in order of preference as its
+// successors: all in a small cell.
+func Watchers(members []Member, holder string) []Member {
+	candidates := Candidates(members, holder)
+	if heartbeatInterval(len(members)) <= MinHeartbeatInterval {
+		return candidates
+	}
+	return candidates[:min(len(candidates), maxWatchers)]
+}
+
 // heartbeatInterval returns the interval at which each member of a cell with that many members
-// sends heartbeats to a holder.
+// sends heartbeats to a holder, unless it is a watcher.
 func heartbeatInterval(members int) time.Duration {
 	return max(MinHeartbeatInterval, time.Duration(members)*heartbeatIntervalPerMember)
 }
 
-// silenceLimit returns how long a holder may leave heartbeats unanswered in a cell with that
-// many members.
-func silenceLimit(members int) time.Duration {
-	return silenceThreshold + heartbeatInterval(members) - MinHeartbeatInterval
+// silenceLimit returns how long a holder may leave heartbeats unanswered that are sent at an interval.
+func silenceLimit(interval time.Duration) time.Duration {
+	return silenceThreshold + interval - MinHeartbeatInterval
 }
 
 // Evidence is what a member knows about the health of a partition's holder.
--- a/internal/cell/view.go
+++ b/internal/cell/view.go
@@ -19,8 +19,7 @@
 	"pulleyquay/internal/platform"
 )
 
-// Prefix is the store prefix of the member entries and the holder records. Every member watches
-// it.
+// Prefix is the store prefix of the member entries and the holder records, which every member watches.
 const Prefix = "cell/"
 
 const memberPrefix = Prefix + "members/"
@@ -147,6 +146,18 @@
 	return h, ok
 }
 
+// isHeldBy reports whether an incarnation of a member is the known holder of any partition.
+func (v *View) isHeldBy(incarnation string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, h := range v.holders {
+		if h.Incarnation == incarnation {
+			return true
+		}
+	}
+	return false
+}
+
 // UpdateHolder records a holder read from the store or reported by a peer if its epoch is higher
 // than that of the known holder. A holder of the same epoch is recorded only while the revision of
 // the known holder's record is unknown (zero).
@@ -163,30 +174,39 @@
 	}
 }
 
-// applyList replaces the members by those in records, which are all records under Prefix, and
-// records the holders. It skips invalid records and returns the last error.
-func (v *View) applyList(records []platform.Record) error {
+// applyMembers replaces the members by those in records, which are all records of members. It skips invalid records and
+// returns the last error.
+func (v *View) applyMembers(records []platform.Record) error {
 	members := map[string]Member{}
 	var failed error
-	v.mu.Lock()
 	for _, rec := range records {
-		if name, ok := strings.CutPrefix(rec.Key, memberPrefix); ok {
-			m, err := decodeMember(name, rec)
-			if err != nil {
-				failed = err
-				continue
-			}
-			members[name] = m
+		name, ok := strings.CutPrefix(rec.Key, memberPrefix)
+		if !ok {
+			continue
+		}
+		m, err := decodeMember(name, rec)
+		if err != nil {
+			failed = err
+			continue
 		}
+		members[name] = m
 	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
 	v.members, v.list = members, nil
 	v.notify()
-	v.mu.Unlock()
+	return failed
+}
+
+// applyHolders records the holders in records. It skips invalid records and returns the last error.
+func (v *View) applyHolders(records []platform.Record) error {
+	var failed error
 	for _, rec := range records {
-		if strings.HasPrefix(rec.Key, ledger.HolderPrefix) {
-			if err := v.applyHolderRecord(rec); err != nil {
-				failed = err
-			}
+		if !strings.HasPrefix(rec.Key, ledger.HolderPrefix) {
+			continue
+		}
+		if err := v.applyHolderRecord(rec); err != nil {
+			failed = err
 		}
 	}
 	return failed
--- a/internal/cell/view_test.go
+++ b/internal/cell/view_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -30,7 +31,7 @@
 func TestReportedMembersExpire(t *testing.T) {
 	is := is.New(t)
 	v := NewView()
-	is.NoErr(v.applyList([]platform.Record{entry(is, "a"), entry(is, "b")}))
+	is.NoErr(v.applyMembers([]platform.Record{entry(is, "a"), entry(is, "b")}))
 	is.NoErr(v.applyChange(platform.Change{Record: platform.Record{Key: memberKey("b")}, Deleted: true}))
 	now := time.Unix(1_800_000_000, 0)
 	v.addReported([]Member{{Name: "b"}, {Name: "c"}}, now)
@@ -113,11 +114,38 @@
 	is := is.New(t)
 	for members, want := range map[int]time.Duration{1: MinHeartbeatInterval, 7: MinHeartbeatInterval, 43: MinHeartbeatInterval, 100: 400 * time.Millisecond, 300: 1200 * time.Millisecond} {
 		is.Equal(heartbeatInterval(members), want)
-		is.Equal(silenceLimit(members)-silenceThreshold, want-MinHeartbeatInterval)
+		is.Equal(silenceLimit(heartbeatInterval(members))-silenceThreshold, want-MinHeartbeatInterval)
 		is.True(float64(members)/heartbeatInterval(members).Seconds() <= 251)
 	}
 }
 
+// TestFailureIsNoticedAsSoonInLargeCells guards against a failure detection that slows down as the cell grows: members of
+// a cell of 585 sent a heartbeat each 2.3 s, and a holder that had lost the store was replaced after 4.2 s.
+func TestFailureIsNoticedAsSoonInLargeCells(t *testing.T) {
+	const (
+		maxHeartbeats = 400 // a second, that the holder answers
+		noticedAfter  = silenceThreshold
+	)
+	is := is.New(t)
+	for _, size := range []int{7, 43, 300, 585, 1170, 12000} {
+		var members []Member
+		for i := range size {
+			members = append(members, Member{Name: fmt.Sprintf("m%05d", i), Cores: 0.2 + float64(i%3), Addr: "x"})
+		}
+		var w watch
+		rate, soonest := 0.0, time.Hour
+		for _, m := range members[1:] {
+			interval := w.interval(members, members[0].Name, m.Name)
+			rate += 1 / interval.Seconds()
+			soonest = min(soonest, silenceLimit(interval))
+		}
+		is.True(rate <= maxHeartbeats)
+		is.Equal(soonest, noticedAfter)
+		best := Candidates(members, members[0].Name)[0]
+		is.Equal(silenceLimit(w.interval(members, members[0].Name, best.Name)), noticedAfter)
+	}
+}
+
 // TestEntriesOfOtherWriters checks that an entry that cannot be decoded, has another member's
 // name or has no address is skipped, and that the other entries remain valid.
 func TestEntriesOfOtherWriters(t *testing.T) {
@@ -133,7 +161,7 @@
 	}
 	for name, rec := range bad {
 		v := NewView()
-		is.True(v.applyList([]platform.Record{rec, entry(is, "a")}) != nil)
+		is.True(v.applyMembers([]platform.Record{rec, entry(is, "a")}) != nil)
 		is.Equal(names(v.Registered()), []string{"a"})
 		is.NoErr(v.applyChange(platform.Change{Record: entry(is, "b")}))
 		if v.applyChange(platform.Change{Record: rec}) == nil {
--- a/internal/platform/follow/follow.go
+++ b/internal/platform/follow/follow.go
@@ -31,8 +31,10 @@
 	Wait time.Duration
 	// After is the revision after which to follow; 0 starts with a list.
 	After platform.Revision
-	// PollPause is the pause between two polls, so that the changes in between are returned together.
+	// PollPause is the pause between two polls, so that the changes in between are returned together. Pause, if
+	// set, returns it instead.
 	PollPause time.Duration
+	Pause     func() time.Duration
 	// List is called with all records and the revision at which they were read, at the start and whenever
 	// changes may have been missed; Change is called with one change.
 	List   func(records []platform.Record, at platform.Revision)
@@ -80,12 +82,19 @@
 		if len(batch.Changes) >= fullBatch {
 			continue // more changes are pending: a pause would let the backlog grow
 		}
-		if !wait.For(ctx, f.PollPause) {
+		if !wait.For(ctx, f.pause()) {
 			return true
 		}
 	}
 }
 
+func (f *Follower) pause() time.Duration {
+	if f.Pause != nil {
+		return f.Pause()
+	}
+	return f.PollPause
+}
+
 // apply passes changes on.
 func (f *Follower) apply(changes []platform.Change) {
 	if f.Changes != nil {
