--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -267,7 +267,6 @@
 	defer h.mu.Unlock()
 	now := time.Now()
 	h.hostCount.Store(int64(h.engine.Hosts()))
-	h.calledHosts.Store(int64(h.engine.CalledHosts()))
 	h.engine.SetCatalog(c, now)
 	if h.cfg.Evacuations != nil {
 		h.engine.SetEvacuations(h.cfg.Evacuations(), now)
@@ -278,6 +277,7 @@
 	}
 	h.engine.SetAuthority(h.ledger.LastConfirmed().Add(authorityDuration))
 	orders, due := h.engine.Next(now)
+	h.calledHosts.Store(int64(h.engine.CalledHosts()))
 	h.publishLimits()
 	h.cfg.Metrics.observeDecision(time.Since(now))
 	return orders, due
