--- a/internal/engine/host_index.go
+++ b/internal/engine/host_index.go
@@ -9,13 +9,12 @@
 	"pulleyquay/internal/spec"
 )
 
-// A decision must not cost time for hosts on which nothing happens, of which a large cell has thousands. The
-// hostIndex therefore has the hosts by what is to be done about them. A change of a host's state only marks the
-// host with touch; refreshHosts then updates the index for the marked hosts.
-
 // hostQueue orders hosts by the time at which they are due.
 type hostQueue = prioqueue.Queue[*hostState, time.Time]
 
+// hostIndex has the hosts by what is to be done about them, so that a decision costs no time for hosts on which nothing
+// happens, of which a large cell has thousands. A change of a host's state only marks the host with touch; refreshHosts
+// then updates the index for the marked hosts.
 type hostIndex struct {
 	// visits counts the hosts that decisions have examined through the index.
 	visits uint64
@@ -45,12 +44,18 @@
 
 // hostEntry is what the index knows of one host.
 type hostEntry struct {
-	index                     *hostIndex
-	touched, forgotten        bool
-	change, poll, lateEnd     *prioqueue.Item[*hostState, time.Time]
-	claim                     *prioqueue.Item[*hostState, claimPriority]
+	index *hostIndex
+	// touched is true while the host is in index.touched, forgotten once the engine no longer knows the host.
+	touched, forgotten bool
+
+	// Items of the queues of the index.
+	change, poll, lateEnd *prioqueue.Item[*hostState, time.Time]
+	claim                 *prioqueue.Item[*hostState, claimPriority]
+
+	// placeable is true while the host is in index.placeable. pool is then its pool, which counts size and has the
+	// items of what is free.
 	placeable                 bool
-	pool                      *servicePool // that counts the host among the placeable ones; nil if none does
+	pool                      *servicePool
 	size                      spec.Resources
 	freeCPU, freeMem, freeAcc *prioqueue.Item[*hostState, int64]
 
@@ -72,10 +77,11 @@
 
 // add adds a new host.
 func (x *hostIndex) add(h *hostState) {
+	due := func() *prioqueue.Item[*hostState, time.Time] { return prioqueue.NewItem[*hostState, time.Time](h) }
+	free := func() *prioqueue.Item[*hostState, int64] { return prioqueue.NewItem[*hostState, int64](h) }
 	h.entry = hostEntry{
-		index: x, change: prioqueue.NewItem[*hostState, time.Time](h), poll: prioqueue.NewItem[*hostState, time.Time](h),
-		lateEnd: prioqueue.NewItem[*hostState, time.Time](h), claim: prioqueue.NewItem[*hostState, claimPriority](h),
-		freeCPU: prioqueue.NewItem[*hostState, int64](h), freeMem: prioqueue.NewItem[*hostState, int64](h), freeAcc: prioqueue.NewItem[*hostState, int64](h), parked: prioqueue.NewItem[*hostState, parkedRank](h),
+		index: x, change: due(), poll: due(), lateEnd: due(), claim: prioqueue.NewItem[*hostState, claimPriority](h),
+		freeCPU: free(), freeMem: free(), freeAcc: free(), parked: prioqueue.NewItem[*hostState, parkedRank](h),
 	}
 	h.touch()
 }
