--- a/cmd/pulley-node/node.go
+++ b/cmd/pulley-node/node.go
@@ -142,7 +142,7 @@
 	n.claimer = &cell.Claimer{
 		Self: n.self, View: n.view, Store: n.store, Writes: n.writes, Health: n.health, Peers: n.peers, Log: n.log,
 		Hold: n.hold, CatalogVersion: n.catalog.Version, Behind: n.catalog.FetchFrom, Lateness: timers,
-		EvacuationsRevision: n.catalog.EvacuationsRevision,
+		EvacuationsRevision: n.catalog.EvacuationsRevision, EvacuationsChanged: n.catalog.EvacuationsChanged,
 	}
 }
 
--- a/internal/catalog/watcher.go
+++ b/internal/catalog/watcher.go
@@ -43,7 +43,8 @@
 	listeners []func(*Catalog)
 }
 
-// Request requests a catalog newer than version Newer and a set of evacuated zones newer than NewerEvacuations.
+// Request requests a catalog newer than version Newer, and the evacuated zones if they have changed after the revision
+// NewerEvacuations.
 type Request struct {
 	Newer            int64             `cbor:"1,keyasint"`
 	NewerEvacuations platform.Revision `cbor:"2,keyasint,omitempty"`
@@ -93,18 +94,26 @@
 	if c := w.Current(); c != nil && c.Version > q.Newer {
 		reply.Catalog = c
 	}
-	if w.EvacuationsRevision() > q.NewerEvacuations {
+	if w.EvacuationsChanged() > q.NewerEvacuations {
 		reply.Evacuations = w.Evacuations.Current()
 	}
 	return reply
 }
 
-// EvacuationsRevision returns the revision of the known evacuated zones, 0 before the first read.
+// EvacuationsRevision returns the revision up to which the evacuated zones are known, 0 before the first read.
 func (w *Watcher) EvacuationsRevision() platform.Revision {
 	if w.Evacuations == nil {
 		return 0
 	}
-	return w.Evacuations.Revision()
+	return w.Evacuations.Current().Revision
+}
+
+// EvacuationsChanged returns the revision of the last known change of the evacuated zones, 0 if there was none.
+func (w *Watcher) EvacuationsChanged() platform.Revision {
+	if w.Evacuations == nil {
+		return 0
+	}
+	return w.Evacuations.Current().Changed
 }
 
 // Current returns the active catalog, or nil before the first.
--- a/internal/cell/claimer.go
+++ b/internal/cell/claimer.go
@@ -55,9 +55,9 @@
 	// the address of a member that has a newer one.
 	CatalogVersion func() int64
 	Behind         func(addr string)
-	// EvacuationsRevision returns the revision of the known evacuated zones. Behind is called for a newer one as
-	// well. It is nil if they aren't followed.
-	EvacuationsRevision func() platform.Revision
+	// EvacuationsRevision returns the revision up to which the evacuated zones are known, EvacuationsChanged that of
+	// their last known change. Behind is called for a later change as well. They are nil if the zones aren't followed.
+	EvacuationsRevision, EvacuationsChanged func() platform.Revision
 	// Limits connects this process to the limits on jobs; nil if it neither measures nor applies any.
 	Limits *LimitExchange
 	// Lateness measures the lateness of this process's timers. Start runs it.
@@ -200,7 +200,7 @@
 	err := c.Peers.Call(ctx, h.Addr, peer.KindMemberHeartbeat, Heartbeat{
 		Partition: monitor.partition, From: c.Self.Name, FromAddr: c.Self.Addr, Catalog: c.CatalogVersion(),
 		Members: c.Health.FailingFor(time.Now()) > 0, MembersDigest: c.View.reportedDigest(time.Now()), JobsInDoubt: c.Limits.jobsInDoubt(),
-		Evacuations: c.evacuationsRevision(),
+		Evacuations: revisionOf(c.EvacuationsChanged),
 	}, &reply)
 	received := time.Now()
 	switch {
@@ -234,7 +234,7 @@
 	if c.Health.FailingFor(time.Now()) > 0 {
 		c.View.applyReport(reply.Members, reply.MembersDigest, time.Now())
 	}
-	if reply.Catalog > c.CatalogVersion() || reply.Evacuations > c.evacuationsRevision() {
+	if reply.Catalog > c.CatalogVersion() || reply.Evacuations > revisionOf(c.EvacuationsRevision) {
 		c.Behind(reply.Holder.Addr)
 	}
 }
--- a/internal/cell/heartbeat.go
+++ b/internal/cell/heartbeat.go
@@ -25,7 +25,7 @@
 	// JobsInDoubt is true if the sender has told callers lately that it does not know whether their jobs are
 	// stored, or is about to. They may submit these jobs to any member.
 	JobsInDoubt bool `cbor:"6,keyasint,omitempty"`
-	// Evacuations is the revision of the evacuated zones that the sender knows.
+	// Evacuations is the revision of the last change of the evacuated zones that the sender knows.
 	Evacuations platform.Revision `cbor:"7,keyasint,omitempty"`
 	// MembersDigest is the digest of the member list that the sender last received; zero for none.
 	MembersDigest uint64 `cbor:"8,keyasint,omitempty"`
@@ -52,7 +52,7 @@
 	// Limits are the limits on jobs that the replying process measured as the holder; nil if it has no figures or
 	// does not report them.
 	Limits *overload.Report `cbor:"9,keyasint,omitempty"`
-	// Evacuations is the revision of the evacuated zones that the replying process knows.
+	// Evacuations is the revision of the last change of the evacuated zones that the replying process knows.
 	Evacuations platform.Revision `cbor:"10,keyasint,omitempty"`
 	// MembersDigest is the digest of the requested member list; zero if none was requested.
 	MembersDigest uint64 `cbor:"11,keyasint,omitempty"`
@@ -97,14 +97,14 @@
 	if req.Partition < 0 || req.Partition >= len(c.monitors) {
 		return HeartbeatReply{}, result.New(result.BadInput, result.RanNo, "partition %d", req.Partition)
 	}
-	if req.Catalog > c.CatalogVersion() || req.Evacuations > c.evacuationsRevision() {
+	if req.Catalog > c.CatalogVersion() || req.Evacuations > revisionOf(c.EvacuationsRevision) {
 		c.Behind(req.FromAddr)
 	}
 	h, _ := c.View.Holder(req.Partition)
 	reply := HeartbeatReply{
 		Incarnation: c.Self.Incarnation, Holds: c.monitors[req.Partition].isHeld(),
 		StoreOutage: c.storeOutage(time.Now()), Holder: h, Revision: h.Revision, Catalog: c.CatalogVersion(),
-		Uptime: uptime.Since(c.started), Evacuations: c.evacuationsRevision(),
+		Uptime: uptime.Since(c.started), Evacuations: revisionOf(c.EvacuationsChanged),
 	}
 	if req.Members {
 		reply.Members, reply.MembersDigest = c.View.registeredSince(req.MembersDigest)
@@ -118,12 +118,12 @@
 	return reply, nil
 }
 
-// evacuationsRevision returns the revision of the evacuated zones that this process knows.
-func (c *Claimer) evacuationsRevision() platform.Revision {
-	if c.EvacuationsRevision == nil {
+// revisionOf returns the result of a function, 0 if it is nil.
+func revisionOf(fn func() platform.Revision) platform.Revision {
+	if fn == nil {
 		return 0
 	}
-	return c.EvacuationsRevision()
+	return fn()
 }
 
 // storeSilenceThreshold is the time without any answered call after which a process considers
--- a/internal/cell/service.go
+++ b/internal/cell/service.go
@@ -27,6 +27,9 @@
 	// memberPollsPerSecond bounds the polls for changed members of all members together: each change answers the
 	// polls of all, so that without a pause their number would grow with the square of the members.
 	memberPollsPerSecond = 200
+	// joiningPeriod is how long after its start a process polls for members at least each joiningPollPause.
+	joiningPeriod    = 5 * time.Second
+	joiningPollPause = 200 * time.Millisecond
 )
 
 // Service keeps this process registered as a member and the View up to date.
@@ -37,7 +40,8 @@
 	View   *View
 	Log    *logrus.Entry
 
-	lease platform.LeaseID
+	lease     platform.LeaseID
+	startedAt time.Time
 	// registeredAt is when the entry was last written. The view may not show it for a while.
 	registeredAt time.Time
 }
@@ -45,6 +49,7 @@
 // Run follows the cell's records and renews the record of this process until ctx ends. A new holder has to be known at
 // once; members may join and leave a little late.
 func (s *Service) Run(ctx context.Context) {
+	s.startedAt = time.Now()
 	holders := follow.Follower{
 		Store: s.Store, Health: s.Health, Prefix: ledger.HolderPrefix, Wait: watchTimeout,
 		List:   func(records []platform.Record, _ platform.Revision) { s.logError(s.View.applyHolders(records)) },
@@ -61,13 +66,19 @@
 	s.renewLoop(ctx)
 }
 
-// memberPollPause returns the time between two polls for changed members: none for a holder, whose decisions depend on
-// the members.
+// memberPollPause returns the time between two polls for changed members: none in a small cell, and none for a holder,
+// whose decisions depend on the members. While this process is young, all may have started together, and the next
+// holder is chosen among those that are known.
 func (s *Service) memberPollPause() time.Duration {
-	if s.View.isHeldBy(s.Self.Incarnation) {
+	size := s.View.Size()
+	if heartbeatInterval(size) <= MinHeartbeatInterval || s.View.isHeldBy(s.Self.Incarnation) {
 		return 0
 	}
-	return time.Duration(s.View.Size()) * time.Second / memberPollsPerSecond
+	pause := time.Duration(size) * time.Second / memberPollsPerSecond
+	if time.Since(s.startedAt) < joiningPeriod {
+		return min(pause, joiningPollPause)
+	}
+	return pause
 }
 
 func (s *Service) logError(err error) {
--- a/internal/evacuation/evacuation.go
+++ b/internal/evacuation/evacuation.go
@@ -19,7 +19,10 @@
 // Set is the set of evacuated availability zones as of a revision of the store. The zero value is the empty set
 // before the first read. A Set is immutable.
 type Set struct {
+	// Revision is the revision up to which the set is known, Changed that of its last known change: zero if no zone
+	// has been evacuated as far as this process knows.
 	Revision platform.Revision `cbor:"1,keyasint"`
+	Changed  platform.Revision `cbor:"3,keyasint,omitempty"`
 	// Zones are the evacuated zones in ascending order.
 	Zones []string `cbor:"2,keyasint,omitempty"`
 }
@@ -50,9 +53,6 @@
 	return t.get()
 }
 
-// Revision returns the revision of the newest known set.
-func (t *Tracker) Revision() platform.Revision { return t.Current().Revision }
-
 // get returns the newest known set. The caller holds the lock.
 func (t *Tracker) get() *Set {
 	if t.current == nil {
@@ -64,14 +64,19 @@
 // ApplyList replaces the set by the records listed at a revision. Records outside the prefix are ignored.
 func (t *Tracker) ApplyList(records []platform.Record, at platform.Revision) {
 	zones := map[string]struct{}{}
+	changed := platform.Revision(0)
 	for _, rec := range records {
 		if zone, ok := t.zoneOf(rec.Key); ok {
 			zones[zone] = struct{}{}
+			changed = max(changed, rec.ModRevision)
 		}
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.update(Set{Revision: at, Zones: slices.Sorted(maps.Keys(zones))}, fromStore)
+	if t.get().Revision > 0 {
+		changed = at // a record may have been deleted as well
+	}
+	t.update(Set{Revision: at, Changed: changed, Zones: slices.Sorted(maps.Keys(zones))}, fromStore)
 }
 
 // ApplyChange applies the change of one record. A change outside the prefix is ignored.
@@ -90,7 +95,7 @@
 	case !c.Deleted && !evacuated:
 		zones = slices.Insert(zones, at, zone)
 	}
-	t.update(Set{Revision: c.ModRevision, Zones: zones}, fromStore)
+	t.update(Set{Revision: c.ModRevision, Changed: c.ModRevision, Zones: zones}, fromStore)
 }
 
 // ApplyFrom applies the set of a peer, named by its address in the log.
@@ -103,13 +108,17 @@
 // fromStore is the source of a set in the log, if it isn't a peer.
 const fromStore = "store"
 
-// update makes s the current set if it is newer and differs. The caller holds the lock.
+// update makes s the current set if it is newer. Of a set with the same zones it takes only the revision. The caller
+// holds the lock.
 func (t *Tracker) update(s Set, from string) {
 	before := t.get()
-	same := slices.Equal(s.Zones, before.Zones)
-	if s.Revision <= before.Revision || same && before.Revision > 0 {
+	if s.Revision <= before.Revision {
 		return
 	}
+	same := slices.Equal(s.Zones, before.Zones)
+	if same && before.Revision > 0 {
+		s.Changed = before.Changed
+	}
 	t.current = &s
 	if !same {
 		t.Log.WithFields(logrus.Fields{"zones": strings.Join(s.Zones, " "), "revision": s.Revision, "from": from}).Warn("evacuated zones changed")
