--- a/cmd/pulley-entry/config.go
+++ b/cmd/pulley-entry/config.go
@@ -16,7 +16,9 @@
 	// Zone is the host's availability zone.
 	Zone     string `json:"zone" validate:"required"`
 	LogLevel string `json:"log_level" validate:"oneof=debug info warn error"`
-	Listen   Listen `json:"listen"`
+	// Profiling is true if the administration listener serves profiles of the process.
+	Profiling bool   `json:"profiling"`
+	Listen    Listen `json:"listen"`
 	// Placers are the peer addresses of placers, starting with the placer on the same host.
 	Placers []string `json:"placers" validate:"min=1,dive,hostname_port"`
 	// Partitions must equal the placers' setting.
--- a/cmd/pulley-entry/main.go
+++ b/cmd/pulley-entry/main.go
@@ -17,6 +17,9 @@
 	if err != nil {
 		return err
 	}
+	if s.Profiling {
+		d.EnableProfiles()
+	}
 	e := newProcess(s, d)
 	if err := e.start(context.Background()); err != nil {
 		return err
--- a/cmd/pulley-node/main.go
+++ b/cmd/pulley-node/main.go
@@ -19,6 +19,9 @@
 	if err != nil {
 		return err
 	}
+	if s.Profiling {
+		d.EnableProfiles()
+	}
 	d.SetPriorityFunc(linePriority)
 	d.LogInBackground(os.Stdout)
 	n := newNode(s, d)
--- a/cmd/pulley-node/settings.go
+++ b/cmd/pulley-node/settings.go
@@ -15,8 +15,10 @@
 	// Zone is the host's availability zone.
 	Zone     string `json:"zone" validate:"required"`
 	LogLevel string `json:"log_level" validate:"oneof=debug info warn error"`
-	Listen   Listen `json:"listen"`
-	Store    Server `json:"store"`
+	// Profiling is true if the administration listener serves profiles of the process.
+	Profiling bool   `json:"profiling"`
+	Listen    Listen `json:"listen"`
+	Store     Server `json:"store"`
 	// Policy is the service that decides which hosts may run a step; an empty
 	// address means that there is no such service.
 	Policy OptionalServer `json:"policy"`
--- a/cmd/pulley-placer/config.go
+++ b/cmd/pulley-placer/config.go
@@ -19,11 +19,13 @@
 	// Zone is the host's availability zone.
 	Zone     string `json:"zone" validate:"required"`
 	LogLevel string `json:"log_level" validate:"oneof=debug info warn error"`
-	Listen   Listen `json:"listen"`
-	Store    Store  `json:"store"`
-	HostList Hosts  `json:"host_list"`
-	Holding  Hold   `json:"holding"`
-	Stop     Stop   `json:"stop"`
+	// Profiling is true if the administration listener serves profiles of the process.
+	Profiling bool   `json:"profiling"`
+	Listen    Listen `json:"listen"`
+	Store     Store  `json:"store"`
+	HostList  Hosts  `json:"host_list"`
+	Holding   Hold   `json:"holding"`
+	Stop      Stop   `json:"stop"`
 }
 
 // Listen holds the addresses to listen on, host:port.
--- a/cmd/pulley-placer/main.go
+++ b/cmd/pulley-placer/main.go
@@ -17,6 +17,9 @@
 	if err != nil {
 		return err
 	}
+	if s.Profiling {
+		d.EnableProfiles()
+	}
 	p, err := newPlacer(s, d)
 	if err != nil {
 		return err
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -50,6 +50,7 @@
 	readinessChecks []func() []string
 	checks          readinessChecks // answered by ServeReady
 	servers         []*Server
+	profiles        bool // served by Admin
 	limiter         *limiter
 	buffer          *Lines // nil if lines are written one by one
 }
@@ -152,8 +153,10 @@
 	return s
 }
 
-// Admin returns the handler of /metrics, /healthz, /readyz, /debug/state and the
-// profiles under /debug/pprof/.
+// EnableProfiles has Admin serve the profiles of the process under /debug/pprof/. Call it before Admin.
+func (d *Daemon) EnableProfiles() { d.profiles = true }
+
+// Admin returns the handler of /metrics, /healthz, /readyz, /debug/state and, if they are enabled, of the profiles.
 func (d *Daemon) Admin() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(d.Reg, promhttp.HandlerOpts{}))
@@ -165,8 +168,10 @@
 		mux.HandleFunc("GET /debug/"+name, func(w http.ResponseWriter, r *http.Request) { serveQuery(w, r, fn) })
 	}
 	d.mu.Unlock()
-	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
-	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	if d.profiles {
+		mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+		mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	}
 	return alice.New(noStore).Then(mux)
 }
 
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -136,3 +136,14 @@
 	is.NoErr(syscall.Kill(os.Getpid(), syscall.SIGTERM))
 	is.Equal(result.CodeOf(<-done), result.StopTimeout)
 }
+
+// TestProfilesAreServedOnlyIfEnabled: profiles tell what a process works on, and take its time.
+func TestProfilesAreServedOnlyIfEnabled(t *testing.T) {
+	is := is.New(t)
+	d := newDaemon(t)
+	code, _ := get(d, "/debug/pprof/goroutine")
+	is.Equal(code, http.StatusNotFound)
+	d.EnableProfiles()
+	code, _ = get(d, "/debug/pprof/goroutine")
+	is.Equal(code, http.StatusOK)
+}
--- a/test/e2e/harness/cell.go
+++ b/test/e2e/harness/cell.go
@@ -61,6 +61,8 @@
 	HostList hostConfig  `json:"host_list"`
 	Holding  holdConfig  `json:"holding"`
 	Stop     stopConfig  `json:"stop"`
+	// Profiling is set for the stacks that logDumps reads.
+	Profiling bool `json:"profiling"`
 }
 
 type peerListen struct {
@@ -176,7 +178,8 @@
 	return &Host{
 		Name: name, Zone: zone, t: t, binaries: b,
 		placerConfig: placerConfig{
-			Name: name, Zone: zone, Listen: peerListen{peer, FreeAddr(t)},
+			Profiling: true,
+			Name:      name, Zone: zone, Listen: peerListen{peer, FreeAddr(t)},
 			Store:    storeConfig{[]string{platformAddr}, 1500, 300},
 			HostList: hostConfig{platformAddr, config.Duration(200 * time.Millisecond)},
 			Holding: holdConfig{
