--- a/internal/engine/ask.go
+++ b/internal/engine/ask.go
@@ -293,8 +293,7 @@
 	e.queries[e.queryID] = q
 	g.policy.openQueries++
 	e.out.Queries = append(e.out.Queries, QueryOrder{
-		ID: e.queryID, Member: slot, Step: g.id, Hosts: q.hosts,
-		Expected: answeredAt.Sub(now), Timeout: answeredAt.Sub(now) + queryTimeoutSlack,
+		ID: e.queryID, Member: slot, Step: g.id, Hosts: q.hosts, Timeout: answeredAt.Sub(now) + queryTimeoutSlack,
 	})
 	return true
 }
@@ -307,7 +306,7 @@
 		return
 	}
 	delete(e.queries, o.ID)
-	e.querySlots.RecordReply(q.slot, err != nil || o.MemberSilent, q.sentAt, now)
+	e.querySlots.RecordReply(q.slot, err != nil, q.sentAt, now)
 	g := q.group
 	g.policy.openQueries--
 	if err != nil {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -301,10 +301,8 @@
 	Member string // the member that sends the query
 	Step   spec.StepID
 	Hosts  []host.ID
-	// Expected is the expected time until the answer, Timeout the time-out of the query.
-	Expected, Timeout time.Duration
-	// MemberSilent is set by the driver if another member has answered in place of Member, which has not.
-	MemberSilent bool
+	// Timeout is the time-out of the query.
+	Timeout time.Duration
 }
 
 // SetCatalog applies a new configuration. Hosts of services that it does not name stay unused, as a later
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -115,7 +115,6 @@
 	commitRequested chan struct{}
 	calls           sync.WaitGroup
 	router          *linkshard.Router
-	queries         *queryRunner
 	hostCount       atomic.Int64 // hosts of the partition
 	calledHosts     atomic.Int64 // hosts to which calls are made
 	limits          atomic.Pointer[measuredLimits]
@@ -157,7 +156,6 @@
 			Seed: self.Epoch, Log: cfg.recordEvent, WaveState: cfg.WaveState,
 		}),
 	}
-	h.queries = newQueryRunner(h)
 	h.router = linkshard.New(linkshard.Config{
 		Partition: self.Partition, Epoch: self.Epoch, Self: cfg.Self, Addr: cfg.Addr, Peers: cfg.Peers, Local: cfg.Hosts,
 		Members: cfg.Shards, Hosts: func() int { return int(h.calledHosts.Load()) }, Apply: h.applyOutcomes, Busy: cfg.Busy, Log: h.log,
@@ -289,7 +287,7 @@
 func (h *Holder) dispatchOrders(o engine.Orders) {
 	h.router.Do(h.ctx, h.hostCalls(o))
 	for _, q := range o.Queries {
-		h.calls.Go(func() { h.queries.run(h.ctx, q) })
+		h.calls.Go(func() { h.queryPolicy(q) })
 	}
 	for _, u := range o.MachineOrders {
 		h.calls.Go(func() { h.startMaintenance(u) })
@@ -333,3 +331,16 @@
 	}
 	return calls
 }
+
+// queryPolicy queries the policy service through the member that the engine selected.
+func (h *Holder) queryPolicy(o engine.QueryOrder) {
+	timeout := o.Timeout
+	if h.cfg.Busy() {
+		timeout += busyTimeoutExtension
+	}
+	ctx, cancel := context.WithTimeout(h.ctx, timeout)
+	defer cancel()
+	var reply advice.Reply
+	err := h.cfg.Peers.Call(ctx, h.cfg.PolicyMembers().Addrs[o.Member], peer.KindPolicyQuery, PolicyQuery{Step: o.Step, Hosts: o.Hosts}, &reply)
+	h.updateEngine(func(e *engine.Engine, now time.Time) { e.PolicyAnswered(o, reply, err, now) })
+}
