--- a/internal/cell/heartbeat_test.go
+++ b/internal/cell/heartbeat_test.go
@@ -60,6 +60,12 @@
 		v.applyReport(nil, 7, now)
 		is.Equal(names(v.Members(now)), []string{"a"})
 	}
+	v.applyReport([]Member{{Name: "b", Addr: "b:1"}}, 9, now) // a has left
+	for range 3 {
+		now = now.Add(reportedMemberTTL / 2)
+		v.applyReport(nil, 9, now)
+		is.Equal(names(v.Members(now)), []string{"b"})
+	}
 	v.applyReport(nil, 8, now) // of another list
 	now = now.Add(reportedMemberTTL + 1)
 	is.Equal(v.reportedDigest(now), uint64(0))
--- a/internal/cell/view.go
+++ b/internal/cell/view.go
@@ -306,18 +306,19 @@
 	return v.report
 }
 
-// applyReport records the members that a peer reported, or that the peer still has the list that it reported before.
+// applyReport records the members that a peer reported, in place of those reported before, or that the peer still has
+// the list that it reported before.
 func (v *View) applyReport(members []Member, digest uint64, now time.Time) {
-	if len(members) > 0 {
-		v.addReported(members, now)
-		v.mu.Lock()
-		v.report, v.reportExpiresAt = digest, now.Add(v.reportTTL())
-		v.mu.Unlock()
-		return
-	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if digest == 0 || digest != v.report {
+	switch {
+	case len(members) > 0:
+		v.report = digest
+		v.reported = map[string]reportedMember{}
+		for _, m := range members {
+			v.reported[m.Name] = reportedMember{member: m}
+		}
+	case digest == 0 || digest != v.report:
 		return
 	}
 	v.list, v.reportExpiresAt = nil, now.Add(v.reportTTL())
@@ -330,18 +331,3 @@
 func (v *View) reportTTL() time.Duration {
 	return reportedMemberTTL + heartbeatInterval(max(len(v.members), len(v.reported))) - MinHeartbeatInterval
 }
-
-// addReported records the members that a peer reported and removes expired reports.
-func (v *View) addReported(members []Member, now time.Time) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.list = nil
-	for _, m := range members {
-		v.reported[m.Name] = reportedMember{m, now.Add(v.reportTTL())}
-	}
-	for name, r := range v.reported {
-		if now.After(r.expiresAt) {
-			delete(v.reported, name)
-		}
-	}
-}
--- a/internal/cell/view_test.go
+++ b/internal/cell/view_test.go
@@ -34,7 +34,7 @@
 	is.NoErr(v.applyMembers([]platform.Record{entry(is, "a"), entry(is, "b")}))
 	is.NoErr(v.applyChange(platform.Change{Record: platform.Record{Key: memberKey("b")}, Deleted: true}))
 	now := time.Unix(1_800_000_000, 0)
-	v.addReported([]Member{{Name: "b"}, {Name: "c"}}, now)
+	v.applyReport([]Member{{Name: "b"}, {Name: "c"}}, 1, now)
 	is.Equal(names(v.Members(now)), []string{"a", "b", "c"})
 	is.Equal(names(v.Members(now.Add(reportedMemberTTL))), []string{"a"})
 	is.Equal(names(v.Registered()), []string{"a"})
