--- a/review/rig/tasks.go
+++ b/review/rig/tasks.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -20,6 +21,7 @@
 
 // taskRun is one run of a task on an executor.
 type taskRun struct {
+	task       string
 	no         int
 	executor   string
 	start, end time.Time
@@ -35,7 +37,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.starts++
-	t.runs[key.task] = append(t.runs[key.task], &taskRun{no: key.no, executor: executor, start: time.Now()})
+	t.runs[key.task] = append(t.runs[key.task], &taskRun{task: key.task, no: key.no, executor: executor, start: time.Now()})
 }
 
 func (t *tasks) find(key runKey) *taskRun {
@@ -60,6 +62,18 @@
 	t.find(key).seenAt = time.Now()
 }
 
+// of returns the runs of a job's tasks.
+func (t *tasks) of(j job) (out []*taskRun) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for task, runs := range t.runs {
+		if strings.HasPrefix(task, j.id+".") {
+			out = append(out, runs...)
+		}
+	}
+	return out
+}
+
 // lapsed records that the lease of an executor is over.
 func (t *tasks) lapsed(executor string) {
 	t.mu.Lock()
