engine: no run counts as lost by a view that does not list all ends

Cause: a host lists its 500 oldest end records. While the store is silent no end is acknowledged, and a host of short tasks keeps more than it lists. A run whose end is not among them is in neither list of the view, and dropAbsentRuns took such a view as proof that the run is gone. A holder that has just taken over had the same fault by another way: its first view of a host released every task that the host did not list, and ended the wait for that host (releasePossibleRuns, reconcile).

Absence in such a view proves nothing: no run is dropped by it. hostState.reported is new beside claimed: the host has answered, and all its ends are known. Whatever rested on "not listed" now waits for reported: the release of tasks after a take-over, the end of the reconciliation, the roster (a host whose ends are not all known stays listed as open, so that the next holder waits for it too), forgetting and parking a host. The next page is asked for as soon as the ends of this one are stored, also from hosts without runs. New events: "ends truncated", "ends listed whole".

What grows: the unacknowledged ends of a host were bounded by nothing but the rate of ends times the outage.

TestNoJobFailedWithoutCause has two more kinds, with two ends in a view.

Ruled out: acknowledging ends before they are stored (a done task would be forgotten with the holder).

--- a/internal/engine/account.go
+++ b/internal/engine/account.go
@@ -147,7 +147,7 @@
 	}
 	e.refreshHosts(now)
 	for _, h := range e.index.unreported.All() {
-		if !e.isUnreported(h, now) {
+		if h.claimed || !e.isUnreported(h, now) {
 			continue
 		}
 		size := h.info.Size
--- a/internal/engine/commit.go
+++ b/internal/engine/commit.go
@@ -176,7 +176,7 @@
 	for h, n := range b.pendingEnds {
 		h.endsAcked = max(h.endsAcked, n)
 		h.touch()
-		if !h.pollInFlight && h.endsAcked == h.endsProcessed && len(h.runs) > 0 {
+		if !h.pollInFlight && h.endsAcked == h.endsProcessed && (len(h.runs) > 0 || h.endsTruncated) {
 			h.schedulePoll(now)
 		}
 	}
--- a/internal/engine/dump.go
+++ b/internal/engine/dump.go
@@ -194,7 +194,7 @@
 func (e *Engine) dumpSilent(now time.Time) []DumpedHost {
 	rows := []DumpedHost{}
 	for _, h := range e.hostsByID {
-		if !h.unresponsiveSince.IsZero() || h.inherited && !h.claimed {
+		if !h.unresponsiveSince.IsZero() || h.inherited && !h.reported {
 			rows = append(rows, e.dumpHost(h, now))
 		}
 	}
@@ -205,7 +205,7 @@
 
 func (e *Engine) dumpHost(h *hostState, now time.Time) DumpedHost {
 	row := DumpedHost{
-		Host: h.incarnationName(), Reported: h.claimed, Listed: h.listed, Closed: h.closeInRoster, SilentMillis: h.unresponsiveFor(now).Milliseconds(),
+		Host: h.incarnationName(), Reported: h.reported, Listed: h.listed, Closed: h.closeInRoster, SilentMillis: h.unresponsiveFor(now).Milliseconds(),
 		Runs: len(h.runs), PossibleRuns: len(h.possibleRuns) + len(h.lastAttempts), Unattributed: len(h.pendingAttributions),
 	}
 	if !h.unreachableSince.IsZero() {
--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -80,6 +80,11 @@
 	listed bool
 	// claimed is true once the host has reported its runs under this holder's epoch.
 	claimed bool
+	// reported is true once the host has reported all end records that it keeps as well, or the leases that this
+	// holder granted there have expired: a run of an earlier holder that was not reported is then not there.
+	reported bool
+	// endsTruncated is true while the host's latest view has not listed all end records that the host keeps.
+	endsTruncated bool
 	// terminated is true once the host has certainly terminated.
 	terminated bool
 
@@ -401,7 +406,7 @@
 	h.listed = false
 	h.touch()
 	e.log(Event{What: "host not listed", Host: string(h.info.ID)})
-	if len(h.runs) == 0 && (h.claimed || h.parked) {
+	if len(h.runs) == 0 && (h.reported || h.parked) {
 		e.attributeCrash(h, h.pendingAttributions, now)
 		e.forgetHost(h)
 		return
--- a/internal/engine/host_index.go
+++ b/internal/engine/host_index.go
@@ -124,7 +124,7 @@
 	setDue(x.polls, h.entry.poll, h.nextPollCheck())
 	setDue(x.lateEnds, h.entry.lateEnd, h.nextLateEndCheck())
 	x.updateClaim(h, now)
-	unreported := h.inherited && !h.claimed && !h.terminated
+	unreported := h.inherited && !h.reported && !h.terminated
 	x.unreported.Put(h, unreported)
 	x.troubled.Put(h, unreported || !h.unresponsiveSince.IsZero() || h.processEnded)
 	x.busy.Put(h, len(h.runs) > 0 || !h.overCapacitySince.IsZero() || h.speed.Known())
--- a/internal/engine/host_index_test.go
+++ b/internal/engine/host_index_test.go
@@ -95,7 +95,7 @@
 			w.t.Fatalf("%s is among the %s hosts: %t, in the index: %t", id, name, want, set.Has(h))
 		}
 	}
-	unreported := h.inherited && !h.claimed && !h.terminated
+	unreported := h.inherited && !h.reported && !h.terminated
 	member("unreported", &x.unreported, unreported)
 	member("troubled", &x.troubled, unreported || !h.unresponsiveSince.IsZero() || h.processEnded)
 	member("busy", &x.busy, len(h.runs) > 0 || !h.overCapacitySince.IsZero() || h.speed.Known())
--- a/internal/engine/lease_bound.go
+++ b/internal/engine/lease_bound.go
@@ -50,7 +50,7 @@
 // leaseLeftMillis returns the bound to be stored for a host; zero if there is none. A host that has not been
 // polled yet, as others come first, has none.
 func (e *Engine) leaseLeftMillis(h *hostState, now time.Time) int64 {
-	if !e.isUnreported(h, now) || h.unresponsiveSince.IsZero() || now.Sub(e.loadedAt) < leaseBoundInterval {
+	if h.claimed || !e.isUnreported(h, now) || h.unresponsiveSince.IsZero() || now.Sub(e.loadedAt) < leaseBoundInterval {
 		return 0
 	}
 	return e.leasesOver(h).Sub(now).Milliseconds() + 1 // rounded up
--- a/internal/engine/lost.go
+++ b/internal/engine/lost.go
@@ -8,8 +8,8 @@
 	"pulleyquay/internal/host"
 )
 
-// dropAbsentRuns drops runs that the host does not report: starts that have not taken effect and can not
-// any more, and runs that the host no longer has.
+// dropAbsentRuns drops runs that the host does not report in a view with all its end records: starts that have
+// not taken effect and can not any more, and runs that the host no longer has.
 func (e *Engine) dropAbsentRuns(h *hostState, v host.View, sent, now time.Time) {
 	if len(h.runs) == 0 {
 		return
@@ -116,6 +116,7 @@
 			e.dropLostRuns(h, why, now)
 			e.awaitConfirmation(h, now)
 		}
+		e.markReported(h, now)
 		if !h.listed {
 			e.attributeCrash(h, h.pendingAttributions, now)
 			e.forgetHost(h)
--- a/internal/engine/random_faults_test.go
+++ b/internal/engine/random_faults_test.go
@@ -33,7 +33,9 @@
 	"late polls and views":      {latePolls: 0.5, lateViews: 0.5},
 	"late polls, views, orders": {delayedRequest: 0.3, latePolls: 0.5, lateViews: 0.5},
 	"polls without acknowledgements, lost calls": {lostRequest: 0.2, lostReply: 0.2, unidentifiedPolls: 0.5},
-	"all": {lostRequest: 0.1, lostReply: 0.1, delayedRequest: 0.1, unidentifiedPolls: 0.3, latePolls: 0.3, lateViews: 0.3},
+	"few ends in a view":                         {listedEnds: 2},
+	"few ends in a view, late polls, lost":       {listedEnds: 2, lostReply: 0.2, latePolls: 0.3, lateViews: 0.3, unidentifiedPolls: 0.3},
+	"all":                                        {lostRequest: 0.1, lostReply: 0.1, delayedRequest: 0.1, unidentifiedPolls: 0.3, latePolls: 0.3, lateViews: 0.3},
 }
 
 // TestNoJobFailedWithoutCause has hosts that are disconnected, restart while disconnected or not, lose
@@ -76,6 +78,7 @@
 	w := newWorld(t, seed)
 	w.followsHosts, w.keepEvents = true, *searchLog
 	w.fleet.KeepID = seed%2 == 0
+	w.fleet.ListedEnds = kind.listedEnds
 	w.fleet.RestartDelay = time.Duration(100+w.rnd.IntN(4000)) * time.Millisecond
 	w.fleet.Add(16, "s", size(64, 128))
 	w.failOver()
--- a/internal/engine/roster.go
+++ b/internal/engine/roster.go
@@ -31,11 +31,18 @@
 func (e *Engine) rosterHost(h *hostState, now time.Time) record.RosterHost {
 	r := record.RosterHost{ID: string(h.info.ID), Addr: h.info.Addr, Incarnation: int64(h.incarnation), LeaseLeftMillis: e.leaseLeftMillis(h, now)}
 	switch {
+	case h.claimed && !h.reported && h.inherited && !h.inheritedClosed:
+		// open: the end of any task may be among the records that are not listed yet
 	case h.claimed && h.closeInRoster:
 		r.Closed = true
 		for key, tracked := range h.runs {
 			r.Tasks = append(r.Tasks, rosterTask(key, !tracked.acknowledged))
 		}
+		for _, p := range h.possibleRuns {
+			if h.runs[p.Run] == nil {
+				r.Tasks = append(r.Tasks, rosterTask(p.Run, p.unconfirmed))
+			}
+		}
 	case !h.claimed && !h.inherited && h.info.Draining:
 		r.Closed = true // nothing was ever started there
 	case h.claimed || !h.inherited:
@@ -131,9 +138,12 @@
 }
 
 // isUnreported reports whether runs of earlier holders may be on a host that has not
-// reported to this holder.
+// reported them, or their ends, to this holder.
 func (e *Engine) isUnreported(h *hostState, now time.Time) bool {
-	return h.inherited && !h.claimed && !h.terminated && now.Before(e.leasesOver(h))
+	if !h.inherited || h.reported || h.terminated {
+		return false
+	}
+	return h.claimed || now.Before(e.leasesOver(h)) // this holder renews the lease of a host that it has claimed
 }
 
 // releasePossibleRuns releases the tasks that are held back because they may run on a host: the
--- a/internal/engine/view.go
+++ b/internal/engine/view.go
@@ -100,10 +100,13 @@
 	ackedEndsListed := relistsAcked(v, o.Poll.AckedEnds)
 	ended := e.processEnds(h, v.Ended, now)
 	e.processRunning(h, v.Running, producedAt, now)
-	e.dropAbsentRuns(h, v, sent, now)
+	e.observeTruncation(h, v)
+	if !v.EndsTruncated {
+		e.dropAbsentRuns(h, v, sent, now)
+		e.markReported(h, now)
+	}
 	e.updateThrottle(h, now)
 	if first {
-		e.releasePossibleRuns(h, now)
 		e.log(Event{What: "host claimed", Host: string(id)})
 	}
 	if o.Probe && ended {
@@ -116,11 +119,40 @@
 		}
 		h.ackedEndsListed = ackedEndsListed
 	}
-	if !h.listed && len(h.runs) == 0 {
+	if !h.listed && h.reported && len(h.runs) == 0 {
 		e.forgetHost(h)
 	}
 }
 
+// observeTruncation records whether a view lists all end records that its host keeps.
+func (e *Engine) observeTruncation(h *hostState, v host.View) {
+	if v.EndsTruncated == h.endsTruncated {
+		return
+	}
+	h.endsTruncated = v.EndsTruncated
+	h.touch()
+	what := "ends listed whole"
+	if v.EndsTruncated {
+		what = "ends truncated"
+	}
+	e.log(Event{
+		What: what, Host: string(h.info.ID),
+		Why: fmt.Sprintf("%d listed, processed up to %d, acknowledged up to %d; %d running, %d runs recorded, %d possible",
+			len(v.Ended), h.endsProcessed, h.endsAcked, len(v.Running), len(h.runs), len(h.possibleRuns)),
+	})
+}
+
+// markReported records that nothing of earlier holders is on a host but what is recorded.
+func (e *Engine) markReported(h *hostState, now time.Time) {
+	if h.reported {
+		return
+	}
+	h.reported = true
+	h.touch()
+	e.rosterOutdated = e.rosterOutdated || h.closeInRoster && !h.parked // it can be stored as closed now
+	e.releasePossibleRuns(h, now)
+}
+
 // fencedBy records that a host has seen a higher epoch: another process has acquired the
 // partition, and this one gives no more orders.
 func (e *Engine) fencedBy(h *hostState) {
--- a/internal/engine/working_set.go
+++ b/internal/engine/working_set.go
@@ -101,7 +101,7 @@
 // mayPark reports whether nothing runs on a host, nothing can start there any more, and nothing is expected of it.
 func (e *Engine) mayPark(h *hostState, now time.Time) bool {
 	idle := len(h.runs) == 0 && len(h.reserved) == 0 && now.Sub(h.startedAt) >= e.cfg.Tuning.WorkingSet.ParkAfter
-	settled := h.claimed && h.openInRoster && h.unresponsiveSince.IsZero() && h.endsProcessed == h.endsAcked && len(h.orphanEnds) == 0 && len(h.possibleRuns) == 0
+	settled := h.reported && h.openInRoster && h.unresponsiveSince.IsZero() && h.endsProcessed == h.endsAcked && len(h.orphanEnds) == 0 && len(h.possibleRuns) == 0
 	undisturbed := !h.info.Draining && !h.cordoned && h.quarantinedJob == nil && len(h.pendingAttributions) == 0 && !now.Before(h.excludedUntil)
 	return idle && settled && undisturbed
 }
--- a/internal/engine/world_test.go
+++ b/internal/engine/world_test.go
@@ -117,7 +117,7 @@
 	events     []loggedEvent
 }
 
-// faults are the probabilities, between 0 and 1, of faults in calls to hosts.
+// faults are the probabilities, between 0 and 1, of faults in calls to hosts, and limits of their answers.
 type faults struct {
 	lostRequest, lostReply, delayedRequest float64
 	// unidentifiedPolls is that of a poll over a connection on which no incarnation has answered yet; such
@@ -127,6 +127,8 @@
 	latePolls, lateViews float64
 	// lostView is that of a poll whose reply gets lost, in addition to lostReply.
 	lostView float64
+	// listedEnds is the maximum number of end records in a view of a host; zero is the usual one.
+	listedEnds int
 	// lostQuery is that of a query to the policy service whose reply gets lost.
 	lostQuery float64
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -150,13 +150,17 @@
 	Checkpoint string
 }
 
-// View is the state that a host reports: all runs, and the end records that are not acknowledged
-// (the oldest few hundred of them).
+// View is the state that a host reports: all runs, and the end records that are not acknowledged, or
+// the oldest few hundred of them.
 type View struct {
 	Clock       Millis
 	Incarnation Incarnation
 	Running     []Running
 	Ended       []End
+	// EndsTruncated is true if the host may keep more end records than are listed in Ended: a run
+	// that is in neither list may then have ended. The others are listed once those in Ended are
+	// acknowledged.
+	EndsTruncated bool
 	// Fenced is true if the host has received a higher epoch; all other fields are then empty.
 	Fenced bool
 }
--- a/internal/hostsim/calls.go
+++ b/internal/hostsim/calls.go
@@ -1,6 +1,8 @@
 package hostsim
 
 import (
+	"cmp"
+
 	"pulleyquay/internal/host"
 	"pulleyquay/internal/spec"
 )
@@ -203,16 +205,21 @@
 // forget deletes acknowledged end records.
 func (h *Host) forget(acked int64) {
 	for len(h.ends) > 0 && h.ends[0].Number <= acked {
-		h.fleet.checker.recordAck(h.ends[0])
+		h.fleet.checker.recordAck(h, h.ends[0])
 		h.ends = h.ends[1:]
 	}
 }
 
-// maxListedEnds is the maximum number of end records in one view.
-const maxListedEnds = 500
+// MaxListedEnds is the default maximum number of end records in one view.
+const MaxListedEnds = 500
 
 func (h *Host) view() host.View {
-	v := host.View{Clock: h.clock(), Incarnation: h.reportedIncarnation(), Ended: append([]host.End(nil), h.ends[:min(len(h.ends), maxListedEnds)]...)}
+	limit := cmp.Or(h.fleet.ListedEnds, MaxListedEnds)
+	listed := h.ends[:min(len(h.ends), limit)]
+	v := host.View{
+		Clock: h.clock(), Incarnation: h.reportedIncarnation(), Ended: append([]host.End(nil), listed...),
+		EndsTruncated: len(listed) == limit, // whether there are more can not be seen on the wire
+	}
 	for _, r := range h.sorted() {
 		row := host.Running{Run: r.Run, Percent: h.percent(r), Gauge: float64(r.step.Size.MilliCPU)}
 		if r.step.TailLatencyTargetMillis > 0 {
--- a/internal/hostsim/checker.go
+++ b/internal/hostsim/checker.go
@@ -177,11 +177,13 @@
 	c.reportedFailures[t][r.No] = true
 }
 
-// recordAck records an end that the holder has acknowledged.
-func (c *Checker) recordAck(e host.End) {
+// recordAck records an end that the holder has acknowledged. A task must not have been started again between its
+// end as done and the acknowledgement, unless the lease of its host has expired since that end.
+func (c *Checker) recordAck(h *Host, e host.End) {
 	switch e.EndReason {
 	case host.EndDone:
 		c.doneAcknowledged[e.Task] = true
+		c.checkStartsSince(h, e)
 	case host.EndFailed:
 		if c.failed[e.Task] == nil {
 			c.failed[e.Task] = map[int]bool{}
@@ -190,6 +192,21 @@
 	}
 }
 
+// checkStartsSince checks that a task was not started after its end as done, which is acknowledged now.
+func (c *Checker) checkStartsSince(h *Host, e host.End) {
+	done := c.lastOf(e.Run, h.info.ID)
+	job := c.fleet.jobs[e.Task.Job]
+	if done == nil || done.endedAt.Before(h.leaseExpiredAt) || job.Graph.Steps[e.Task.Step].Speculative {
+		return
+	}
+	for _, rec := range c.records[e.Task] {
+		if rec != done && rec.startedAt.After(done.endedAt) {
+			c.violationf("TWICE %v started on %s %v after %v had ended as done on %s, which is acknowledged now",
+				rec.Run, rec.incarnation, rec.startedAt.Sub(done.endedAt), e.Run, h.info.ID)
+		}
+	}
+}
+
 // Started reports whether any task of a job has ever been started.
 func (c *Checker) Started(job string) bool {
 	c.fleet.mu.Lock()
--- a/internal/hostsim/checker_test.go
+++ b/internal/hostsim/checker_test.go
@@ -272,3 +272,32 @@
 		})
 	}
 }
+
+// TestStartBetweenEndAndAcknowledgement: a start after an end as done that is acknowledged later is a violation,
+// unless the lease of the host has expired in between.
+func TestStartBetweenEndAndAcknowledgement(t *testing.T) {
+	for name, tc := range map[string]struct {
+		lease         host.Millis // that the first start grants
+		change        func(*spec.Step)
+		wantViolation bool
+	}{
+		"leased":         {lease: 5000, wantViolation: true},
+		"lease expired":  {lease: 1500},
+		"a copy may run": {lease: 5000, change: speculative},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newTestFleet(tc.change)
+				f.hosts[0].Poll(1, host.Poll{}, func(v host.View) {
+					tc.lease += v.Clock
+				})
+				f.hosts[0].Start(1, host.Start{Run: host.Run{Task: taskNo(0), No: 1}, Deadline: tc.lease})
+				time.Sleep(2 * time.Second)
+				f.start(1, 1, 0, 2)
+				is.New(t).Equal(len(f.fleet.Checker().Violations()), 0)
+				f.hosts[0].Poll(1, host.Poll{AckedEnds: 1}, func(host.View) {})
+				is.New(t).Equal(len(f.fleet.Checker().Violations()) > 0, tc.wantViolation)
+			})
+		})
+	}
+}
--- a/internal/hostsim/fleet.go
+++ b/internal/hostsim/fleet.go
@@ -69,6 +69,9 @@
 	// OmitIncarnation makes hosts omit their incarnation in their views.
 	OmitIncarnation bool
 
+	// ListedEnds is the maximum number of end records in one view; zero is MaxListedEnds. Set it before use.
+	ListedEnds int
+
 	// EnforceCapacity makes hosts refuse starts for which they lack capacity. Set it before use.
 	EnforceCapacity bool
 
--- a/internal/hostsim/host.go
+++ b/internal/hostsim/host.go
@@ -28,12 +28,14 @@
 	stalled             bool    // no task makes progress
 	unhealthy           bool    // every start is refused
 
-	epoch         uint64
-	lease         host.Millis
-	runs          map[host.Run]*run
-	highestEnded  map[spec.StepTask]int // highest run that was stopped or ended here
-	ends          []host.End
-	lastEndNumber int64
+	epoch uint64
+	lease host.Millis
+	// leaseExpiredAt is when the lease was last found to have expired.
+	leaseExpiredAt time.Time
+	runs           map[host.Run]*run
+	highestEnded   map[spec.StepTask]int // highest run that was stopped or ended here
+	ends           []host.End
+	lastEndNumber  int64
 	// resetCallbacks are called when the process ends.
 	resetCallbacks []func()
 	// waitingPolls are polls that wait for an end record.
@@ -174,6 +176,12 @@
 	return other
 }
 
+// KeptEnds returns the number of end records that the host keeps because they are not acknowledged.
+func (h *Host) KeptEnds() (n int) {
+	h.withLock(func() { n = len(h.ends) })
+	return n
+}
+
 // breakGang ends the members of a run on other hosts, because one of them has ended.
 func (h *Host) breakGang(r *run) {
 	r.stopping = true
@@ -201,6 +209,7 @@
 	if !h.up || h.clock() < h.lease {
 		return
 	}
+	h.leaseExpiredAt = h.fleet.clock.Now()
 	for _, r := range h.sorted() {
 		h.end(r, host.EndLeaseExpired)
 	}
--- a/internal/linkshard/batch.go
+++ b/internal/linkshard/batch.go
@@ -1,6 +1,7 @@
 package linkshard
 
 import (
+	"slices"
 	"time"
 
 	"pulleyquay/internal/host"
@@ -109,6 +110,9 @@
 		for _, v := range o.View.Ended {
 			row.Ended = append(row.Ended, endRow{Number: v.Number, Run: steps.row(v.Run), EndReason: v.EndReason, Checkpoint: v.Checkpoint})
 		}
+		if o.View.EndsTruncated {
+			r.TruncatedViews = append(r.TruncatedViews, len(r.Views))
+		}
 		r.Views = append(r.Views, row)
 		r.ViewIncarnations = append(r.ViewIncarnations, o.View.Incarnation)
 	}
@@ -131,6 +135,7 @@
 			return nil, err
 		}
 		view.Incarnation = incarnationAt(r.ViewIncarnations, i)
+		view.EndsTruncated = slices.Contains(r.TruncatedViews, i)
 		out = append(out, numberedOutcome{id: row.ID, isPoll: true, outcome: Outcome{View: view, Err: row.Failure.err()}})
 	}
 	return out, nil
--- a/internal/linkshard/batch_test.go
+++ b/internal/linkshard/batch_test.go
@@ -73,7 +73,7 @@
 				list = append(list, f)
 				continue
 			}
-			f.outcome.View = host.View{Clock: host.Millis(i), Incarnation: host.Incarnation(rapid.Int64Min(0).Draw(t, "life")), Fenced: rapid.Bool().Draw(t, "fenced")}
+			f.outcome.View = host.View{Clock: host.Millis(i), Incarnation: host.Incarnation(rapid.Int64Min(0).Draw(t, "life")), Fenced: rapid.Bool().Draw(t, "fenced"), EndsTruncated: rapid.Bool().Draw(t, "truncated")}
 			for range rapid.IntRange(0, 4).Draw(t, "running") {
 				f.outcome.View.Running = append(f.outcome.View.Running, host.Running{Run: drawRun(t), Checkpoint: "c", Percent: 41.5, Gauge: 7})
 			}
--- a/internal/linkshard/messages.go
+++ b/internal/linkshard/messages.go
@@ -91,6 +91,8 @@
 	// ViewIncarnations are the incarnations that the views report, in their order; see
 	// Batch.PollIncarnations.
 	ViewIncarnations []host.Incarnation `cbor:"6,keyasint,omitempty"`
+	// TruncatedViews are the indexes, in Views, of the views with host.View.EndsTruncated.
+	TruncatedViews []int `cbor:"7,keyasint,omitempty"`
 }
 
 type replyRow struct {
