engine: a run that a truncated view does not list is no evidence of a crash

Cause: a run that is still recorded counts as present at its host's end if the host's latest view is at most 75 ms old. A view that does not list all ends says nothing about a run that it does not list either. The same in the next incarnation's first view (unacknowledgedStarts).

Change: such runs are marked possiblyEnded until a view lists them. They keep their capacity, and are no evidence against their task; they are not queried as late either, as their ends wait for the store and not for a lost answer.

Test: TestRunsWithUnlistedEndsAreNoEvidence, seen failing without the two conditions in crash.go and evidence.go ("crash held against task" for a job that was done).

--- a/internal/engine/crash.go
+++ b/internal/engine/crash.go
@@ -33,8 +33,8 @@
 	}
 	var out []attribution
 	for _, r := range h.runs {
-		if r.group == nil || r.state == runOrdered {
-			continue // no answer has come yet, so it may not have started
+		if r.group == nil || r.state == runOrdered || r.possiblyEnded {
+			continue // it may not have started, as no answer has come yet, or have ended before its host did
 		}
 		out = append(out, attribution{r.Run, crashloop.Evidence{
 			Run: r.No, Host: h.incarnationName(), Machine: h.info.Addr, RunTime: r.ranFor(now), RunTimeUnknown: r.adopted, Unconfirmed: !r.acknowledged, Proven: r.presentAtEnd, LastStarted: r.newest(),
--- a/internal/engine/evidence.go
+++ b/internal/engine/evidence.go
@@ -50,7 +50,7 @@
 		end = h.connBrokenAt
 	}
 	for _, r := range h.runs {
-		r.presentAtEnd = r.acknowledged && end.Sub(later(r.reportedAt, h.viewProducedAt)) <= presenceWindow
+		r.presentAtEnd = r.acknowledged && !r.possiblyEnded && end.Sub(later(r.reportedAt, h.viewProducedAt)) <= presenceWindow
 	}
 }
 
--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -47,6 +47,7 @@
 	acknowledged  bool // the host has acknowledged the start or reported the run
 	superseded    bool // its task has another run, or had a later one
 	presentAtEnd  bool // on the host when the host ended; see evidence.go
+	possiblyEnded bool // its end may be among the records that the host has not listed yet
 	copyOf        int  // number of the run of which it is a copy; zero if it is none
 	lostRace      bool // another run has completed its task
 	// deadline is the start's deadline by the host's clock.
--- a/internal/engine/incarnation.go
+++ b/internal/engine/incarnation.go
@@ -93,6 +93,9 @@
 // report. They move over to it because it may yet start them; but they may also have crashed the
 // previous incarnation, and would crash one host after another if nothing were attributed to them.
 func (e *Engine) unacknowledgedStarts(h *hostState, v host.View, now time.Time) []attribution {
+	if v.EndsTruncated {
+		return nil // any of them may have ended in the next incarnation
+	}
 	reported := reportedRuns(v)
 	return slices.DeleteFunc(e.attributions(h, now), func(a attribution) bool {
 		r := h.runs[a.run]
--- a/internal/engine/late_ends.go
+++ b/internal/engine/late_ends.go
@@ -148,7 +148,7 @@
 func (e *Engine) lateRuns(h *hostState, now time.Time) int {
 	late := 0
 	for _, r := range h.runs {
-		if r.lateness.at.IsZero() || r.state != runRunning {
+		if r.lateness.at.IsZero() || r.state != runRunning || r.possiblyEnded {
 			continue
 		}
 		if !now.Before(r.lateness.at) {
--- a/internal/engine/lost.go
+++ b/internal/engine/lost.go
@@ -26,6 +26,18 @@
 	}
 }
 
+// markPossiblyEnded marks the runs that are not listed in a view without all end records. Whether they have ended
+// is known once the other records are listed; until then they count as present for the capacity of the host, and
+// as absent where a crash of the host would be evidence against them.
+func (h *hostState) markPossiblyEnded(v host.View, sent time.Time) {
+	reported := reportedRuns(v)
+	for key, r := range h.runs {
+		if !reported[key] && r.confirmedAt.Before(sent) && r.state != runOrdered {
+			r.possiblyEnded = true
+		}
+	}
+}
+
 // reportedRuns returns the runs that a view lists as running or ended.
 func reportedRuns(v host.View) map[host.Run]bool {
 	reported := make(map[host.Run]bool, len(v.Running)+len(v.Ended))
--- a/internal/engine/truncated_view_test.go
+++ b/internal/engine/truncated_view_test.go
@@ -120,3 +120,26 @@
 		})
 	}
 }
+
+// TestRunsWithUnlistedEndsAreNoEvidence guards against a crash that counts against a task whose run had ended on the
+// host: its end was not among the listed ones, and the view was taken to show that the run was still there.
+func TestRunsWithUnlistedEndsAreNoEvidence(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 3)
+	w.keepEvents, w.fleet.ListedEnds, w.fleet.KeepID = true, 1, true
+	h := w.fleet.Add(1, "s", size(64, 128))[0]
+	w.failOver()
+	w.run(500 * time.Millisecond)
+	w.submit("done", catalog.Rules{}, step(4, 4, 4, 100))
+	w.submit("running", catalog.Rules{}, step(1, 4, 4, 5000))
+	w.run(20 * time.Millisecond)
+	w.storeUnavailable = true
+	w.run(time.Second)
+	is.Equal(h.KeptEnds(), 4)
+	h.Restart()
+	w.run(8 * time.Second)
+	for _, ev := range w.eventsNamed("crash held against task") {
+		is.Equal(ev.Job, "running")
+	}
+	is.Equal(len(w.eventsNamed("crash held against task")), 1)
+}
--- a/internal/engine/view.go
+++ b/internal/engine/view.go
@@ -101,7 +101,9 @@
 	ended := e.processEnds(h, v.Ended, now)
 	e.processRunning(h, v.Running, producedAt, now)
 	e.observeTruncation(h, v)
-	if !v.EndsTruncated {
+	if v.EndsTruncated {
+		h.markPossiblyEnded(v, sent)
+	} else {
 		e.dropAbsentRuns(h, v, sent, now)
 		e.markReported(h, now)
 	}
@@ -228,6 +230,7 @@
 		if r.state == runOrdered || r.state == runUnacknowledged {
 			e.recordRunning(r, producedAt, now)
 		}
+		r.possiblyEnded = false
 		e.updateProgress(r, row, now)
 	}
 }
