httponce: connections to hosts are counted by host, and those turned away

The line "process load" has host_connections, most_to_one_host and turned_away_by_hosts (connections that the host closed before its first answer).

--- a/cmd/pulley-node/load.go
+++ b/cmd/pulley-node/load.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"pulleyquay/internal/holder"
+	"pulleyquay/internal/httponce"
 	"pulleyquay/internal/lateness"
 	"pulleyquay/internal/peer"
 	"pulleyquay/internal/traffic"
@@ -57,6 +58,8 @@
 	timers  *lateness.Timers
 	table   *holder.Table
 	log     *logrus.Entry
+	// hostConns returns the connections to hosts.
+	hostConns func() httponce.Stats
 
 	// Time and counters at the previous report.
 	at     time.Time
@@ -93,9 +96,11 @@
 	}
 	if log {
 		calls, holds := l.table.PendingCalls()
+		hosts := l.hostConns()
 		l.log.WithFields(logrus.Fields{
 			"cores": math.Round(1000*(cpu-l.cpu).Seconds()/span) / 1000, "late_ms": l.timers.MaxLateness().Milliseconds(), "heap_mb": heap() >> 20,
-			"connections": conns, "holds": holds, "host_calls_under_way": calls, "deciding_ms_a_second": math.Round(float64(load.DecisionTime.Milliseconds()) / span),
+			"connections": conns, "host_connections": hosts.Open, "most_to_one_host": hosts.MostToOne, "turned_away_by_hosts": hosts.TurnedAway,
+			"holds": holds, "host_calls_under_way": calls, "deciding_ms_a_second": math.Round(float64(load.DecisionTime.Milliseconds()) / span),
 			"longest_wait_ms": load.LongestWait.Milliseconds(), "oldest_job_ms": load.OldestJobAge.Milliseconds(),
 			"in_kb_a_second": in, "out_kb_a_second": out,
 		}).Info("process load")
--- a/cmd/pulley-node/node.go
+++ b/cmd/pulley-node/node.go
@@ -138,7 +138,7 @@
 		n.conns.clients = append(n.conns.clients, policy)
 		holder.ServePolicyQueries(n.mux, policy)
 	}
-	n.load = &loadReporter{meter: n.meter, metrics: metrics, timers: timers, table: n.table, log: n.log}
+	n.load = &loadReporter{meter: n.meter, metrics: metrics, timers: timers, table: n.table, log: n.log, hostConns: orders.Connections}
 	n.claimer = &cell.Claimer{
 		Self: n.self, View: n.view, Store: n.store, Writes: n.writes, Health: n.health, Peers: n.peers, Log: n.log,
 		Hold: n.hold, CatalogVersion: n.catalog.Version, Behind: n.catalog.FetchFrom, Lateness: timers,
--- a/internal/httponce/connection.go
+++ b/internal/httponce/connection.go
@@ -40,6 +40,8 @@
 	opened    time.Time
 	idleSince time.Time
 	reused    bool
+	answered  bool // the server has answered over it
+	onClose   func()
 	serverID  int64 // identifies the process at the other end; see TrackedRequest
 }
 
@@ -49,12 +51,13 @@
 	close bool
 }
 
-func newConnection(conn net.Conn, count *traffic.Counter) *connection {
+// newConnection returns a connection over conn that calls onClose once when it is closed.
+func newConnection(conn net.Conn, count *traffic.Counter, onClose func()) *connection {
 	count.ConnOpened()
 	counting := &countingConn{Conn: conn, traffic: count}
 	limit := &io.LimitedReader{R: counting}
 	return &connection{
-		conn: counting, limit: limit, opened: time.Now(),
+		conn: counting, limit: limit, opened: time.Now(), onClose: sync.OnceFunc(onClose),
 		in: bufio.NewReader(limit), out: bufio.NewWriter(counting),
 	}
 }
@@ -129,6 +132,7 @@
 			}
 			return reply{}, err
 		}
+		cn.answered = true
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
@@ -151,6 +155,7 @@
 func (cn *connection) close() (sent bool) {
 	sent = cn.conn.blockWrites()
 	cn.conn.closedOnce.Do(cn.conn.traffic.ConnClosed)
+	cn.onClose()
 	_ = cn.conn.Close() // no data is left to be lost on it
 	return sent
 }
--- a/internal/httponce/httponce.go
+++ b/internal/httponce/httponce.go
@@ -92,12 +92,14 @@
 	idle  int // idle connections, to all addresses
 	// reconnectedAt is when Reconnect was last called.
 	reconnectedAt time.Time
+	turnedAway    int64 // see Stats
 }
 
 // pool holds the connections to one address, the most recently used at the end.
 type pool struct {
 	slots *semaphore.Weighted
 	idle  []*connection
+	open  int // connections, idle or in use
 }
 
 // New returns a client without connections.
@@ -170,6 +172,7 @@
 			return Answer{}, &Failure{Err: err}
 		}
 		if err := cn.checkServer(ctx, m.Binding); err != nil {
+			c.recordFailure(cn, err)
 			cn.close()
 			if cn.reused && ctx.Err() == nil {
 				continue // a new connection may lead to the right process
@@ -181,6 +184,7 @@
 			c.release(p, cn, reply.close)
 			return reply.Answer, nil
 		}
+		c.recordFailure(cn, err)
 		sent := cn.close()
 		// An idle connection may turn out closed before anything was written: the request is then
 		// safe to send on another one.
@@ -218,7 +222,24 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConnection(conn, c.opt.Traffic), nil
+	c.countOpen(p, 1)
+	return newConnection(conn, c.opt.Traffic, func() { c.countOpen(p, -1) }), nil
+}
+
+func (c *Client) countOpen(p *pool, n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p.open += n
+}
+
+// recordFailure counts a connection that its server has turned away.
+func (c *Client) recordFailure(cn *connection, err error) {
+	if !cn.turnedAway(err) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.turnedAway++
 }
 
 func (c *Client) takeIdle(p *pool) *connection {
