hosts: a process holds two connections to a host, whatever its load

Cause, by the counters of the commit before: a connection for each call under way, kept for 8 s, so that a holder has 200 to 300 to 48 hosts, up to 15 to one, and a host closes none of a process without power. The ninth holder in succession is turned away.

Change: requests to one host share connections: one for the poll that waits there, one for orders, in turn. An order that has waited 25 ms may use another one, up to four in all while answers are missing, of which one is always left for the lease and one for orders. Two are kept when idle. A server that turns connections away is tried again after 50 ms, then twice that, up to 2 s. After two refusals it counts as crowded: the open connections are shared, stops come first, then polls (that hold for 100 ms at most), then starts, which try another connection once in a while. Nothing sent: the call fails at once if its deadline comes before the next try.

What grows: connections of one process to a host, from the calls under way within 8 s (up to 64) to two, four in trouble. Left by vanished ones: two each.

Ruled out: a Connection: close header on each call, which would have the host close what a vanished process leaves: a connection and a question for the incarnation for each order.

--- a/internal/httponce/connection.go
+++ b/internal/httponce/connection.go
@@ -40,9 +40,9 @@
 	opened    time.Time
 	idleSince time.Time
 	reused    bool
-	answered  bool // the server has answered over it
-	onClose   func()
-	serverID  int64 // identifies the process at the other end; see TrackedRequest
+	answered  bool   // the server has answered over it
+	onClose   func() // called once by close
+	serverID  int64  // identifies the process at the other end; see TrackedRequest
 }
 
 // reply is an answer and whether the connection ends with it.
@@ -51,13 +51,12 @@
 	close bool
 }
 
-// newConnection returns a connection over conn that calls onClose once when it is closed.
-func newConnection(conn net.Conn, count *traffic.Counter, onClose func()) *connection {
+func newConnection(conn net.Conn, count *traffic.Counter) *connection {
 	count.ConnOpened()
 	counting := &countingConn{Conn: conn, traffic: count}
 	limit := &io.LimitedReader{R: counting}
 	return &connection{
-		conn: counting, limit: limit, opened: time.Now(), onClose: sync.OnceFunc(onClose),
+		conn: counting, limit: limit, opened: time.Now(),
 		in: bufio.NewReader(limit), out: bufio.NewWriter(counting),
 	}
 }
--- a/internal/httponce/httponce.go
+++ b/internal/httponce/httponce.go
@@ -16,8 +16,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sync/semaphore"
-
 	"pulleyquay/internal/traffic"
 )
 
@@ -51,6 +49,8 @@
 type Options struct {
 	// MaxConns bounds the open connections to one address.
 	MaxConns int
+	// Limits, if not nil, keeps the connections to one address few.
+	Limits *Limits
 	// IdleTimeout is the time without use after which a connection is closed.
 	IdleTimeout time.Duration
 	// DialTimeout bounds the opening of a connection.
@@ -87,21 +87,14 @@
 type Client struct {
 	opt Options
 
-	mu    sync.Mutex
-	pools map[string]*pool
-	idle  int // idle connections, to all addresses
+	mu       sync.Mutex
+	pools    map[string]*pool
+	idle     int  // idle connections, to all addresses
 	// reconnectedAt is when Reconnect was last called.
 	reconnectedAt time.Time
 	turnedAway    int64 // see Stats
 }
 
-// pool holds the connections to one address, the most recently used at the end.
-type pool struct {
-	slots *semaphore.Weighted
-	idle  []*connection
-	open  int // connections, idle or in use
-}
-
 // New returns a client without connections.
 func New(opt Options) *Client {
 	if opt.MaxConns <= 0 {
@@ -140,6 +133,10 @@
 	// ServerID extracts the connection's new server ID from an answer; nil keeps the present one.
 	ServerID func(Answer) int64
 	MaxBody  int64
+	// Held is true if the server may hold back its answer for long. Priority orders requests that wait for a
+	// connection.
+	Held     bool
+	Priority Priority
 	// Binding, unless nil, restricts the request to connections to one process.
 	Binding *Binding
 }
@@ -161,30 +158,49 @@
 
 // DoTracked is Do for a request whose body depends on the connection.
 func (c *Client) DoTracked(ctx context.Context, addr string, m TrackedRequest) (Answer, error) {
-	p := c.pool(addr)
-	if err := p.slots.Acquire(ctx, 1); err != nil {
-		return Answer{}, &Failure{Err: err}
+	p := c.usePool(addr)
+	defer c.leavePool(p)
+	for {
+		if err := c.acquire(ctx, p, &m); err != nil {
+			return Answer{}, &Failure{Err: err}
+		}
+		answer, failed := c.attempt(ctx, p, addr, &m)
+		c.releaseSlot(p, m.Held)
+		if failed == nil {
+			return answer, nil
+		}
+		if c.opt.Limits == nil || !failed.maySendElsewhere() || ctx.Err() != nil {
+			return Answer{}, failed
+		}
 	}
-	defer p.slots.Release(1)
+}
+
+// maySendElsewhere reports whether the request was not sent because the server turned its connection away: it may
+// accept the request over another one.
+func (f *Failure) maySendElsewhere() bool { return !f.Sent && errors.Is(f.Err, ErrTurnedAway) }
+
+// attempt sends a request that has been admitted.
+func (c *Client) attempt(ctx context.Context, p *pool, addr string, m *TrackedRequest) (Answer, *Failure) {
 	for {
 		cn, err := c.connection(ctx, p, addr)
 		if err != nil {
 			return Answer{}, &Failure{Err: err}
 		}
 		if err := cn.checkServer(ctx, m.Binding); err != nil {
-			c.recordFailure(cn, err)
+			err = c.recordFailure(p, cn, err)
 			cn.close()
 			if cn.reused && ctx.Err() == nil {
 				continue // a new connection may lead to the right process
 			}
 			return Answer{}, &Failure{Err: err}
 		}
-		reply, err := cn.roundTripTracked(ctx, m)
+		reply, err := cn.roundTripTracked(ctx, *m)
 		if err == nil {
+			c.recordAnswer(p, cn)
 			c.release(p, cn, reply.close)
 			return reply.Answer, nil
 		}
-		c.recordFailure(cn, err)
+		err = c.recordFailure(p, cn, err)
 		sent := cn.close()
 		// An idle connection may turn out closed before anything was written: the request is then
 		// safe to send on another one.
@@ -194,17 +210,25 @@
 	}
 }
 
-func (c *Client) pool(addr string) *pool {
+// usePool returns the pool of an address, which is kept until leavePool.
+func (c *Client) usePool(addr string) *pool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.pools[addr]
 	if p == nil {
-		p = &pool{slots: semaphore.NewWeighted(int64(c.opt.MaxConns))}
+		p = &pool{}
 		c.pools[addr] = p
 	}
+	p.users++
 	return p
 }
 
+func (c *Client) leavePool(p *pool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p.users--
+}
+
 // connection returns an idle connection that is still open, or a new one.
 func (c *Client) connection(ctx context.Context, p *pool, addr string) (*connection, error) {
 	for {
@@ -222,24 +246,47 @@
 	if err != nil {
 		return nil, err
 	}
-	c.countOpen(p, 1)
-	return newConnection(conn, c.opt.Traffic, func() { c.countOpen(p, -1) }), nil
+	c.mu.Lock()
+	p.open++
+	c.mu.Unlock()
+	cn := newConnection(conn, c.opt.Traffic)
+	cn.onClose = sync.OnceFunc(func() { c.recordClosed(p, cn) })
+	return cn, nil
 }
 
-func (c *Client) countOpen(p *pool, n int) {
+// recordClosed records that a connection is closed. If it was the last one, its place at the server is free.
+func (c *Client) recordClosed(p *pool, cn *connection) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	p.open += n
+	p.open--
+	if p.open == 0 && cn.answered {
+		p.dialAfter = time.Time{}
+		c.dispatch(p)
+	}
 }
 
-// recordFailure counts a connection that its server has turned away.
-func (c *Client) recordFailure(cn *connection, err error) {
+// recordFailure records a connection that its server has turned away, and returns the cause of the failure.
+func (c *Client) recordFailure(p *pool, cn *connection, err error) error {
 	if !cn.turnedAway(err) {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.recordTurnedAway(p)
+	return fmt.Errorf("%w: %w", ErrTurnedAway, err)
+}
+
+// recordAnswer records an answer over a connection. A new one beside another shows that the server accepts more;
+// one alone may be the only one that it accepts.
+func (c *Client) recordAnswer(p *pool, cn *connection) {
+	if cn.reused {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.turnedAway++
+	if p.open > 1 {
+		p.refusals, p.dialAfter = 0, time.Time{}
+	}
 }
 
 func (c *Client) takeIdle(p *pool) *connection {
@@ -263,7 +310,7 @@
 	}
 	cn.idleSince, cn.reused = time.Now(), true
 	c.mu.Lock()
-	if cn.opened.Before(c.reconnectedAt) || c.idle >= c.opt.MaxIdle {
+	if cn.opened.Before(c.reconnectedAt) || c.idle >= c.opt.MaxIdle || len(p.idle) >= c.maxIdle() {
 		c.mu.Unlock()
 		cn.close()
 		return
