httponce: idle connections are closed though no request follows

Cause: a connection that was idle for too long was closed by the next request to the same address. A former holder, or a link shard whose hosts have moved to another one, makes no next request: its connections stayed open at every host it had called, and counted against what the host accepts from others. By seven members that held in turn, each with eight, 56 of 64.

Change: a timer closes them after IdleTimeout, and drops the state of addresses that nobody calls (it grew with every host that was ever called).

--- a/internal/httponce/httponce.go
+++ b/internal/httponce/httponce.go
@@ -90,6 +90,7 @@
 	mu       sync.Mutex
 	pools    map[string]*pool
 	idle     int  // idle connections, to all addresses
+	sweeping bool // sweep is scheduled
 	// reconnectedAt is when Reconnect was last called.
 	reconnectedAt time.Time
 	turnedAway    int64 // see Stats
@@ -317,6 +318,7 @@
 	}
 	p.idle = append(p.idle, cn)
 	c.idle++
+	c.scheduleSweep()
 	expired := 0
 	for expired < len(p.idle) && !p.idle[expired].usable(c.opt.IdleTimeout) {
 		expired++
--- a/internal/httponce/pool.go
+++ b/internal/httponce/pool.go
@@ -220,3 +220,40 @@
 	}
 	return c.opt.Limits.Prompt + 1
 }
+
+// scheduleSweep schedules the closing of connections that stay idle. The lock is held.
+func (c *Client) scheduleSweep() {
+	if c.sweeping {
+		return
+	}
+	c.sweeping = true
+	time.AfterFunc(c.opt.IdleTimeout, c.sweep)
+}
+
+// sweep closes the connections that have been idle for IdleTimeout, to all addresses: no later request would
+// do so for an address that is not called any more. It also drops the state of such addresses.
+func (c *Client) sweep() {
+	var expired []*connection
+	now := time.Now()
+	c.mu.Lock()
+	for addr, p := range c.pools {
+		kept := slices.IndexFunc(p.idle, func(cn *connection) bool { return now.Sub(cn.idleSince) < c.opt.IdleTimeout })
+		if kept < 0 {
+			kept = len(p.idle)
+		}
+		expired = append(expired, p.idle[:kept]...)
+		p.idle = slices.Clone(p.idle[kept:])
+		if p.users == 0 && len(p.idle) == 0 && !now.Before(p.dialAfter) {
+			delete(c.pools, addr)
+		}
+	}
+	c.idle -= len(expired)
+	c.sweeping = false
+	if c.idle > 0 {
+		c.scheduleSweep()
+	}
+	c.mu.Unlock()
+	for _, cn := range expired {
+		cn.close()
+	}
+}
