front: the targets of a relayed job are chosen from a copy of the member list

Data race (TestReviewRace): relayTargets shuffled the list that cell.View shares with all its readers, in place. Two readers could see a member twice and another one not at all.

Change: a copy. Test: TestRelayTargetsLeaveTheMemberListAlone, seen failing before; existing tests of the package report the race before and none after (go test -race ./internal/front). The other callers of View.Members build lists of their own (linkshard.Router, node.shards, policyMembers: read).

--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"pulleyquay/internal/peer"
@@ -78,7 +79,7 @@
 	if h, ok := f.View.Holder(f.partition(id)); ok && h.Addr != f.Self {
 		out = append(out, h.Addr)
 	}
-	members := f.View.Members(time.Now())
+	members := slices.Clone(f.View.Members(time.Now())) // the view's list is shared
 	rand.Shuffle(len(members), func(a, b int) { members[a], members[b] = members[b], members[a] })
 	for _, m := range members {
 		if len(out) >= maxRelayTargets {
