--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Two commands matter: `make demo` runs the main job, `make test` the tests.
 GO ?= go
 
-.PHONY: build test lint bench demo codes
+.PHONY: build test race lint bench demo codes
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -10,6 +10,13 @@
 test:
 	$(GO) test -count=1 $(if $(SKIP),-skip '$(SKIP)') ./...
 
+# The race detector, for the packages whose data is shared by many goroutines and whose tests take little time.
+RACE_PACKAGES = ./internal/front ./internal/cell ./internal/catalog ./internal/admission ./internal/traffic \
+	./internal/httponce ./internal/hostcall ./internal/linkshard ./platform/...
+
+race:
+	$(GO) test -race -count=1 $(if $(SKIP),-skip '$(SKIP)') $(RACE_PACKAGES)
+
 lint:
 	@unformatted=$$(gofmt -l cmd internal platform test); if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
 	$(GO) vet ./...
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -53,20 +54,21 @@
 
 // peers is a peer.Caller that answers with the catalog of another member.
 type peers struct {
-	newest      *Catalog
-	evacuations *evacuation.Set
+	newest      atomic.Pointer[Catalog]
+	evacuations atomic.Pointer[evacuation.Set]
 }
 
 func (p *peers) Call(_ context.Context, _ string, _ peer.Kind, req, resp any) error {
-	if p.evacuations != nil && p.evacuations.Revision > req.(Request).NewerEvacuations {
-		resp.(*Reply).Evacuations = p.evacuations
+	if set := p.evacuations.Load(); set != nil && set.Revision > req.(Request).NewerEvacuations {
+		resp.(*Reply).Evacuations = set
 		return nil
 	}
-	if p.newest == nil {
+	newest := p.newest.Load()
+	if newest == nil {
 		return result.New(result.PeerNotReached, result.RanNo, "away")
 	}
-	if p.newest.Version > req.(Request).Newer {
-		resp.(*Reply).Catalog = p.newest
+	if newest.Version > req.(Request).Newer {
+		resp.(*Reply).Catalog = newest
 	}
 	return nil
 }
@@ -127,12 +129,12 @@
 		put(store, "7")
 		time.Sleep(time.Second)
 		is.Equal(w.Version(), int64(3))
-		p.newest = &Catalog{Version: 7, FormatVersion: CurrentFormatVersion}
+		p.newest.Store(&Catalog{Version: 7, FormatVersion: CurrentFormatVersion})
 		w.FetchFrom("b:1") // a heartbeat has reported a newer version
 		time.Sleep(time.Second)
 		is.Equal(w.Version(), int64(7))
 
-		p.newest = &Catalog{Version: 5, FormatVersion: CurrentFormatVersion}
+		p.newest.Store(&Catalog{Version: 5, FormatVersion: CurrentFormatVersion})
 		w.FetchFrom("b:1")
 		time.Sleep(time.Second)
 		is.Equal(w.Version(), int64(7))
@@ -205,7 +207,7 @@
 				}
 				store.Client("a").SetFaults(tc.faults)
 				put(store, after)
-				p.newest = tc.newest
+				p.newest.Store(tc.newest)
 				for range 4 {
 					w.FetchFrom("b:1")
 					time.Sleep(bound / 4)
@@ -215,7 +217,7 @@
 				is.Equal(c.AccountOf("old") == nil, tc.wantNew || c == nil)
 				is.True(c == nil || c.AccountOf("kept") != nil) // an unchanged key stays valid in both versions
 				store.Client("a").SetFaults(healthy)
-				p.newest = previous
+				p.newest.Store(previous)
 				time.Sleep(2 * bound)
 				w.FetchFrom("b:1")
 				time.Sleep(time.Second)
@@ -269,11 +271,11 @@
 
 		known := w.EvacuationsRevision()
 		store.Client("a").SetFaults(memstore.Faults{Refuse: true})
-		p.evacuations = &evacuation.Set{Revision: known + 4, Zones: []string{"z1", "z2"}}
+		p.evacuations.Store(&evacuation.Set{Revision: known + 4, Zones: []string{"z1", "z2"}})
 		w.FetchFrom("b:1") // a heartbeat has reported a newer revision
 		time.Sleep(bound)
 		is.Equal(w.Evacuations.Current().Zones, []string{"z1", "z2"})
-		p.evacuations = &evacuation.Set{Revision: known + 2}
+		p.evacuations.Store(&evacuation.Set{Revision: known + 2})
 		w.FetchFrom("b:1")
 		time.Sleep(bound)
 		is.Equal(w.Evacuations.Current().Zones, []string{"z1", "z2"})
