front: a cancellation is acknowledged only once the job can't be stored any more

Cause: absence of the record was taken for absence of the job.

Change: before 410 is answered for a job without a record, a record is created under the same condition (withdrawn), so that the late create finds it. If it can't be, the job has just been stored and is cancelled as any other. A withdrawn record is no job: it is read, listed and cancelled by nobody; a late copy of the POST is answered like one for a cancelled job; another account that hands a job in under the id is refused (job-name-taken), as it would never run. The holder finds the record by its watch and deletes it with those of ended jobs.

What grows: one write for each cancellation of a job without a record; the record lives as long as that of an ended job.

--- a/internal/engine/takeover.go
+++ b/internal/engine/takeover.go
@@ -44,6 +44,10 @@
 	if e.jobs[rec.ID] != nil {
 		return
 	}
+	if rec.Withdrawn {
+		e.addJob(rec, false, accepted, now) // only until its record is deleted
+		return
+	}
 	e.countAccepted(e.addJob(rec, e.reconciling && !fresh, accepted, now))
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -122,11 +122,13 @@
 	if by.Account == nil {
 		return nil
 	}
-	_, err := f.readJob(ctx, by, id)
-	switch result.CodeOf(err) {
-	case result.JobUnknown:
+	rec, err := f.readRecord(ctx, id)
+	switch {
+	case err == nil && (rec.AccessibleTo(by.accountName()) || rec.WithdrawnBy(by.accountName())):
+		return nil
+	case err == nil, result.CodeOf(err) == result.JobUnknown:
 		return result.New(result.JobNameTaken, result.RanNo, "job %s", id)
-	case result.HolderUnreachable:
+	case result.CodeOf(err) == result.HolderUnreachable:
 		return f.errOutcomeUnknown()
 	}
 	return err
@@ -160,6 +162,17 @@
 
 // readJob reads a job's record. It returns JobUnknown if there is none that the caller may read.
 func (f *Front) readJob(ctx context.Context, by Caller, id string) (*record.Job, error) {
+	j, err := f.readRecord(ctx, id)
+	if err == nil && !j.AccessibleTo(by.accountName()) {
+		return nil, errJobUnknown(id)
+	}
+	return j, err
+}
+
+func errJobUnknown(id string) error { return result.New(result.JobUnknown, result.RanNo, "job %s", id) }
+
+// readRecord reads a job's record, whoever may read it. It returns JobUnknown if there is none.
+func (f *Front) readRecord(ctx context.Context, id string) (*record.Job, error) {
 	ctx, cancel := context.WithTimeout(ctx, holderTimeout)
 	defer cancel()
 	rec, ok, err := f.Get(ctx, record.JobKey(f.partition(id), id))
@@ -168,21 +181,18 @@
 		return nil, result.New(result.HolderUnreachable, result.RanNo, "neither the holder nor the store answers: %v", err).WithRetryAfter(briefRetryDelay)
 	}
 	if !ok {
-		return nil, result.New(result.JobUnknown, result.RanNo, "job %s", id)
+		return nil, errJobUnknown(id)
 	}
 	j, err := record.DecodeJob(rec.Value)
 	if err != nil {
 		return nil, result.New(result.Internal, result.RanUnknown, "%v", err)
 	}
-	if !j.AccessibleTo(by.accountName()) {
-		return nil, result.New(result.JobUnknown, result.RanNo, "job %s", id)
-	}
 	j.ID = id
 	return j, nil
 }
 
 // Cancel ends a job. It returns nil once the cancellation is stored, also if the job had already
-// ended.
+// ended, and JobUnknown if there is no such job and none can be stored any more by an earlier call.
 func (f *Front) Cancel(ctx context.Context, by Caller, q *catalog.Queue, id string) error {
 	start := time.Now()
 	err := f.cancel(ctx, by, id)
@@ -202,16 +212,10 @@
 			return nil
 		}
 		if err == nil {
-			rec, err := f.readJob(ctx, by, id)
-			if err != nil {
+			done, err := f.cancelStored(ctx, by, id)
+			if done || err != nil {
 				return err
 			}
-			if rec.Ended != "" {
-				return nil
-			}
-			if err := f.notifier.notify(ctx, rec, f.partition(id), false, 0); err != nil {
-				f.Log.WithError(err).WithField("job", id).Debug("failed to notify the holder of a job to be cancelled")
-			}
 		}
 		if !wait.For(ctx, holderRetryDelay) {
 			return result.New(result.HolderUnreachable, result.RanUnknown, "the cancellation is not stored").WithRetryAfter(briefRetryDelay)
@@ -219,6 +223,33 @@
 	}
 }
 
+// cancelStored cancels a job that its holder does not know, by the job's record. It reports whether that is done;
+// otherwise the holder has to be asked again.
+func (f *Front) cancelStored(ctx context.Context, by Caller, id string) (done bool, err error) {
+	rec, err := f.readRecord(ctx, id)
+	switch {
+	case result.CodeOf(err) == result.JobUnknown:
+		withdrawn, withdrawErr := f.withdraw(ctx, by, id)
+		if withdrawErr != nil {
+			return false, withdrawErr
+		}
+		if !withdrawn {
+			return false, nil // it has been stored meanwhile
+		}
+		return true, err
+	case err != nil:
+		return false, err
+	case !rec.AccessibleTo(by.accountName()):
+		return true, errJobUnknown(id)
+	case rec.Ended != "":
+		return true, nil
+	}
+	if err := f.notifier.notify(ctx, rec, f.partition(id), false, 0); err != nil {
+		f.Log.WithError(err).WithField("job", id).Debug("failed to notify the holder of a job to be cancelled")
+	}
+	return false, nil
+}
+
 // Pending counts the accepted jobs of a queue that have not started.
 func (f *Front) Pending(ctx context.Context, q *catalog.Queue) (int, error) {
 	total := 0
--- a/internal/holder/follow.go
+++ b/internal/holder/follow.go
@@ -228,7 +228,7 @@
 		h.log.WithError(err).WithField("key", rec.Key).Error("cannot decode a record")
 		return
 	}
-	if j.Ended != "" {
+	if j.Ended != "" && !j.Withdrawn {
 		return // loaded when this process became the holder, or ended by it, and forgotten since
 	}
 	j.ID = id
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -65,11 +65,19 @@
 	// of it that belongs to backfill tasks.
 	RunningAtEnd  spec.Resources `cbor:"12,keyasint,omitzero"`
 	BackfillAtEnd spec.Resources `cbor:"13,keyasint,omitzero"`
+	// Withdrawn is true if the job was cancelled before it was stored. The record only keeps the job from being
+	// stored; callers are told that there is no such job.
+	Withdrawn bool `cbor:"14,keyasint,omitempty"`
 }
 
 // AccessibleTo reports whether a client account may read and cancel the job. Account is empty for
 // callers without one.
-func (j *Job) AccessibleTo(account string) bool { return j.Account == "" || j.Account == account }
+func (j *Job) AccessibleTo(account string) bool { return !j.Withdrawn && j.ownedBy(account) }
+
+// WithdrawnBy reports whether a client account has cancelled the job before it was stored.
+func (j *Job) WithdrawnBy(account string) bool { return j.Withdrawn && j.ownedBy(account) }
+
+func (j *Job) ownedBy(account string) bool { return j.Account == "" || j.Account == account }
 
 // Progress is the recorded progress of the steps of a job that has not ended.
 type Progress struct {
