engine: the handling of a poll's outcome in steps

Polled had a hundred lines: which poll it was, failures, the answer, the first answer, ends, runs, absent runs and the next poll. Now a function each.

--- a/internal/engine/view.go
+++ b/internal/engine/view.go
@@ -37,11 +37,10 @@
 // Polled handles the outcome of a poll that was sent at sent.
 func (e *Engine) Polled(o PollOrder, sent time.Time, v host.View, err error, now time.Time) {
 	e.now = now
-	id := o.To.ID
 	if !o.Probe {
-		delete(e.claiming, id)
+		delete(e.claiming, o.To.ID)
 	}
-	h := e.hosts[id]
+	h := e.hosts[o.To.ID]
 	if h == nil {
 		return
 	}
@@ -60,16 +59,7 @@
 		e.handleOtherIncarnation(h, o.To, now)
 		return
 	case err != nil:
-		if !o.Probe {
-			h.schedulePoll(e.retryPollAt(h, now))
-		}
-		h.recordFailedCall(err, now)
-		if o.Probe && h.countsAgainst(err, now) && h.firstMissedAt.IsZero() && sent.After(h.lastContact) {
-			h.firstMissedAt = sent
-		}
-		if errors.Is(err, host.ErrConnectionBroken) {
-			e.pollSoon(h, now) // finds out whether its machine can still be reached
-		}
+		e.handleFailedPoll(h, o, sent, err, now)
 		return
 	case v.Fenced:
 		e.fencedBy(h)
@@ -77,53 +67,90 @@
 		return
 	}
 	if h = e.observeIncarnation(h, v, sent, now); h == nil {
-		e.hosts[id].schedulePoll(now)
+		e.hosts[o.To.ID].schedulePoll(now)
 		return
 	}
+	e.processView(h, o, sent, v, now)
+	if !h.listed && h.reported && len(h.runs) == 0 {
+		e.forgetHost(h)
+	}
+}
+
+// handleFailedPoll handles a poll that got no answer.
+func (e *Engine) handleFailedPoll(h *hostState, o PollOrder, sent time.Time, err error, now time.Time) {
+	if !o.Probe {
+		h.schedulePoll(e.retryPollAt(h, now))
+	}
+	h.recordFailedCall(err, now)
+	if o.Probe && h.countsAgainst(err, now) && h.firstMissedAt.IsZero() && sent.After(h.lastContact) {
+		h.firstMissedAt = sent
+	}
+	if errors.Is(err, host.ErrConnectionBroken) {
+		e.pollSoon(h, now) // finds out whether its machine can still be reached
+	}
+}
+
+// processView processes a view of the current incarnation of a host, and schedules the next poll.
+func (e *Engine) processView(h *hostState, o PollOrder, sent time.Time, v host.View, now time.Time) {
 	e.endsOnTime = !o.Probe && h.unresponsiveSince.IsZero()
-	h.touch() // it may be the next incarnation's state
-	h.recordContact(now)
-	h.confirmAlive()
-	e.updateClock(h, v.Clock, now)
-	e.reopen(h)
-	e.retractCrashes(h)
-	producedAt := h.producedAt(v.Clock, sent, now, e.cfg.Tuning.ClockDrift)
-	h.viewProducedAt = later(h.viewProducedAt, producedAt)
+	producedAt := e.observeAnswer(h, v, sent, now)
 	first := !h.claimed
 	if first {
-		h.claimed, h.lastAttempts = true, nil
-		e.rosterOutdated = e.rosterOutdated || !h.openInRoster && !h.parked
-		e.capacityChanges++
-		// Leases that the previous holder granted may last this long.
-		h.leased = max(h.leased, v.Clock+host.Millis(e.cfg.Bounds.MaxLease.Milliseconds()))
+		e.markClaimed(h, v)
 	}
 	ackedEndsListed := relistsAcked(v, o.Poll.AckedEnds)
 	ended := e.processEnds(h, v.Ended, now)
 	e.processRunning(h, v.Running, producedAt, now)
-	e.observeTruncation(h, v)
-	if v.EndsTruncated {
-		h.markPossiblyEnded(v, sent)
-	} else {
-		e.dropAbsentRuns(h, v, sent, now)
-		e.markReported(h, now)
-	}
+	e.processAbsent(h, v, sent, now)
 	e.updateThrottle(h, now)
 	if first {
-		e.log(Event{What: "host claimed", Host: string(id)})
-	}
-	if o.Probe && ended {
-		e.observeProbe(h, now)
+		e.log(Event{What: "host claimed", Host: string(h.info.ID)})
 	}
-	if !o.Probe {
-		h.schedulePoll(e.nextPoll(h, first, ended, now))
-		if ackedEndsListed && !h.ackedEndsListed {
-			h.schedulePoll(now)
+	if o.Probe {
+		if ended {
+			e.observeProbe(h, now)
 		}
-		h.ackedEndsListed = ackedEndsListed
+		return
 	}
-	if !h.listed && h.reported && len(h.runs) == 0 {
-		e.forgetHost(h)
+	h.schedulePoll(e.nextPoll(h, first, ended, now))
+	if ackedEndsListed && !h.ackedEndsListed {
+		h.schedulePoll(now)
+	}
+	h.ackedEndsListed = ackedEndsListed
+}
+
+// observeAnswer records that a host has answered, and returns the earliest time at which the view can have been
+// produced.
+func (e *Engine) observeAnswer(h *hostState, v host.View, sent, now time.Time) time.Time {
+	h.touch() // it may be the next incarnation's state
+	h.recordContact(now)
+	h.confirmAlive()
+	e.updateClock(h, v.Clock, now)
+	e.reopen(h)
+	e.retractCrashes(h)
+	producedAt := h.producedAt(v.Clock, sent, now, e.cfg.Tuning.ClockDrift)
+	h.viewProducedAt = later(h.viewProducedAt, producedAt)
+	return producedAt
+}
+
+// markClaimed records that a host has answered under this holder's epoch.
+func (e *Engine) markClaimed(h *hostState, v host.View) {
+	h.claimed, h.lastAttempts = true, nil
+	e.rosterOutdated = e.rosterOutdated || !h.openInRoster && !h.parked
+	e.capacityChanges++
+	// Leases that the previous holder granted may last this long.
+	h.leased = max(h.leased, v.Clock+host.Millis(e.cfg.Bounds.MaxLease.Milliseconds()))
+}
+
+// processAbsent handles the runs that a view does not list. They are certainly gone only if it lists all end records.
+func (e *Engine) processAbsent(h *hostState, v host.View, sent, now time.Time) {
+	e.observeTruncation(h, v)
+	if v.EndsTruncated {
+		h.markPossiblyEnded(v, sent)
+		return
 	}
+	e.dropAbsentRuns(h, v, sent, now)
+	e.markReported(h, now)
 }
 
 // observeTruncation records whether a view lists all end records that its host keeps.
