httponce: a request given up as it is admitted breaks no connection

A request whose deadline came as it was admitted was sent all the same: the write failed at once, and the connection was closed with it. At a host that accepts a single connection that was the only one. Now the next request gets it.

--- a/internal/httponce/pool.go
+++ b/internal/httponce/pool.go
@@ -145,15 +145,16 @@
 	}
 }
 
-// giveUp removes a request whose context has ended from the queue, unless it has just been admitted.
+// giveUp removes a request whose context has ended from the queue, or ends its use of a connection if it has just
+// been admitted: sending it would only break the connection.
 func (c *Client) giveUp(ctx context.Context, p *pool, w *waiter) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	at := slices.Index(p.waiting, w)
-	if at < 0 {
-		return nil
+	if at := slices.Index(p.waiting, w); at >= 0 {
+		p.waiting = slices.Delete(p.waiting, at, at+1)
+	} else {
+		c.endUse(p, w.held)
 	}
-	p.waiting = slices.Delete(p.waiting, at, at+1)
 	return ctx.Err()
 }
 
@@ -178,6 +179,11 @@
 func (c *Client) releaseSlot(p *pool, held bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.endUse(p, held)
+}
+
+// endUse records that a request no longer uses a connection, and admits others. The lock is held.
+func (c *Client) endUse(p *pool, held bool) {
 	if held {
 		p.held--
 	} else {
