httponce: tries at a crowded server are paced when its only connection is replaced

And a connection that was given up before its first answer left a backoff of up to 2 s without any connection, though its place was free.

Change: the backoff goes on after the only connection is replaced; a connection that the server did not turn away leaves none.

--- a/internal/httponce/connection.go
+++ b/internal/httponce/connection.go
@@ -41,6 +41,7 @@
 	idleSince time.Time
 	reused    bool
 	answered  bool   // the server has answered over it
+	refused   bool   // the server has turned it away
 	onClose   func() // called once by close
 	serverID  int64  // identifies the process at the other end; see TrackedRequest
 }
--- a/internal/httponce/httponce.go
+++ b/internal/httponce/httponce.go
@@ -260,7 +260,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p.open--
-	if p.open == 0 && cn.answered {
+	if p.open == 0 && !cn.refused {
 		p.dialAfter = time.Time{}
 		c.dispatch(p)
 	}
@@ -273,6 +273,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	cn.refused = true
 	c.recordTurnedAway(p)
 	return fmt.Errorf("%w: %w", ErrTurnedAway, err)
 }
@@ -285,8 +286,11 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if p.open > 1 {
+	switch {
+	case p.open > 1:
 		p.refusals, p.dialAfter = 0, time.Time{}
+	case p.refusals >= crowdedAfter:
+		p.dialAfter = time.Now().Add(p.backoff())
 	}
 }
 
--- a/internal/httponce/pool.go
+++ b/internal/httponce/pool.go
@@ -198,9 +198,7 @@
 	if c.opt.Limits == nil {
 		return
 	}
-	now := time.Now()
-	backoff := min(initialBackoff<<min(p.refusals, 10), maxBackoff)
-	backoff = backoff/2 + rand.N(backoff/2)
+	now, backoff := time.Now(), p.backoff()
 	p.refusals++
 	p.refusedAt, p.dialAfter = now, now.Add(backoff)
 	time.AfterFunc(backoff, func() {
@@ -210,6 +208,12 @@
 	})
 }
 
+// backoff returns how long to wait before the next connection is tried: half of it is random.
+func (p *pool) backoff() time.Duration {
+	longest := min(initialBackoff<<min(p.refusals, 10), maxBackoff)
+	return longest/2 + rand.N(longest/2)
+}
+
 // Crowded reports whether the server at addr turns new connections away, so that all requests to it should
 // share the open ones.
 func (c *Client) Crowded(addr string) bool {
