engine: a test of renewals that the next incarnation of a host carries out fails

Callers saw a task run twice at the same time on hosts that start again under their ids and are cut off soon after. The test carries the last renewal of the former incarnation out in the next one, 0.8 to 2.7 s after its start, and disconnects the host up to a second later; the holder starts the task elsewhere when the lease is over by its own renewals.

--- /dev/null
+++ b/internal/engine/former_calls_test.go
@@ -0,0 +1,114 @@
+package engine
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pulleyquay/internal/catalog"
+	"pulleyquay/internal/host"
+	"pulleyquay/internal/hostsim"
+)
+
+// A call that got no answer may be carried out seconds later, also by the next incarnation of its host. The
+// deadline in it is by the clock of the former incarnation, so the next one grants its longest lease from then on.
+
+// TestRenewalForFormerIncarnation guards against two runs of one task: a renewal for the former incarnation of a
+// host extended the lease of the next one, the host was disconnected, and the holder started the task elsewhere
+// when the lease was over by its own renewals.
+func TestRenewalForFormerIncarnation(t *testing.T) {
+	const restarted = 100 * time.Millisecond
+	broken, played := 0, 0
+	for _, rate := range []float64{1, 0.98} {
+		for arrives := 800 * time.Millisecond; arrives <= 2700*time.Millisecond; arrives += 100 * time.Millisecond {
+			for _, cutAfter := range []time.Duration{0, 300 * time.Millisecond, time.Second} {
+				played++
+				w := formerRenewal{rate: rate, arrives: arrives, cutAfter: cutAfter, downtime: restarted}.execute(t)
+				if v := w.fleet.Checker().Violations(); len(v) > 0 {
+					broken++
+					t.Errorf("clock rate %v, renewal carried out %v after the restart, disconnected %v later: %s", rate, arrives, cutAfter, v[0])
+				}
+			}
+		}
+	}
+	if broken > 0 {
+		t.Errorf("%d of %d cases broken", broken, played)
+	}
+}
+
+// formerRenewal is a renewal of a lease that the next incarnation of its host carries out.
+type formerRenewal struct {
+	rate     float64       // of the clock of the next incarnation
+	downtime time.Duration // between the incarnations
+	arrives  time.Duration // when the renewal is carried out, counted from the start of the next incarnation
+	cutAfter time.Duration // when the host is disconnected, counted from that
+}
+
+// execute runs a long task on a host that restarts and is disconnected later. There is capacity for the task
+// elsewhere by the time that its lease is over.
+func (f formerRenewal) execute(t *testing.T) *world {
+	w := newWorld(t, 31)
+	w.followsHosts = true
+	w.fleet.KeepID, w.fleet.RestartDelay = true, f.downtime
+	w.fleet.Add(2, "s", size(64, 128))
+	w.failOver()
+	w.run(10 * time.Second)
+	w.submit("beside", catalog.Rules{}, step(1, 40, 60, 12_000))
+	w.run(time.Second)
+	h := w.hostWithout("beside")
+	last := w.lastRenewal(h.Info().ID)
+	w.run(4 * time.Second)
+	former := *last
+	h.RestartAfterPowerLoss()
+	w.after(f.downtime, func() { h.SetRate(f.rate) })
+	w.after(f.downtime+500*time.Millisecond, func() { w.submit("job", catalog.Rules{}, step(1, 40, 60, 30_000)) })
+	w.after(f.downtime+f.arrives, func() { carryOut(h, former) })
+	w.after(f.downtime+f.arrives+f.cutAfter, func() { h.SetDisconnected(true) })
+	w.run(40 * time.Second)
+	return w
+}
+
+// hostWithout returns a host that runs no task of a job.
+func (w *world) hostWithout(job string) *hostsim.Host {
+	w.t.Helper()
+	for _, h := range w.fleet.Hosts() {
+		if !slices.ContainsFunc(h.Running(), func(r host.Run) bool { return r.Task.Job == job }) {
+			return h
+		}
+	}
+	w.t.Fatalf("job %s runs on every host", job)
+	return nil
+}
+
+// lastRenewal keeps the last poll that renewed the lease of a host.
+func (w *world) lastRenewal(id host.ID) *formerCall {
+	last := &formerCall{}
+	w.onPoll = func(o PollOrder) {
+		if o.To.ID == id && o.Poll.Lease > 0 {
+			*last = formerCall{token: w.engine.cfg.Epoch, poll: o.Poll}
+		}
+	}
+	return last
+}
+
+// formerCall is a poll that was not answered.
+type formerCall struct {
+	token uint64
+	poll  host.Poll
+}
+
+// carryOut has whichever incarnation of a host is up carry a call out; its answer is discarded.
+func carryOut(h *hostsim.Host, c formerCall) {
+	if !h.Up() {
+		return
+	}
+	p := c.poll
+	p.Incarnation, p.Wait = 0, 0 // nothing in the call tells the host for which incarnation it was sent
+	h.Poll(c.token, p, func(host.View) {})
+}
+
+// String describes the case for messages.
+func (f formerRenewal) String() string {
+	return fmt.Sprintf("clock rate %v, carried out after %v, disconnected %v later", f.rate, f.arrives, f.cutAfter)
+}
