engine: the log states what a presumed loss rests on

Callers saw a task run twice at the same time; the record does not tell a call for a former incarnation from a lease that another member granted or a clock that drifts. A host whose runs are presumed lost is now logged with its incarnation, the deadline that bounds its leases, what set it (the claim, a poll, a start, a clock that does not fit) and when, the last reading of its clock, and the calls that got no answer, those to former incarnations apart. The bound is the same as before: it moves from a number into a small type with its source.

--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -92,8 +92,10 @@
 	// clock is the host's clock in its last answer, which arrived at clockAt.
 	clock   host.Millis
 	clockAt time.Time
-	// leased is the latest deadline that this process has sent to the host.
-	leased host.Millis
+	// leased bounds the leases on the host, as far as this process has granted them.
+	leased leaseBound
+	// unanswered are the calls to this incarnation without an answer, formerUnanswered those to its former ones.
+	unanswered, formerUnanswered unansweredCalls
 
 	endsProcessed   int64 // number of the last run end processed
 	endsAcked       int64 // number of the last run end stored, up to which the host may delete them
@@ -233,6 +235,9 @@
 
 // recordFailedCall records a call that got no answer.
 func (h *hostState) recordFailedCall(err error, now time.Time) {
+	if !errors.Is(err, host.ErrNotSent) {
+		h.unanswered.record(now)
+	}
 	if !h.countsAgainst(err, now) {
 		return
 	}
@@ -433,10 +438,10 @@
 // leasesExpireAt returns when everything that this process has ever leased on the host has expired, if
 // the host's clock runs as slowly as the drift allows.
 func (e *Engine) leasesExpireAt(h *hostState) time.Time {
-	if h.leased <= h.clock {
+	if h.leased.until <= h.clock {
 		return h.clockAt
 	}
-	left := time.Duration(h.leased-h.clock) * time.Millisecond
+	left := time.Duration(h.leased.until-h.clock) * time.Millisecond
 	return h.clockAt.Add(time.Duration(float64(left) / (1 - e.cfg.Tuning.ClockDrift)))
 }
 
--- a/internal/engine/incarnation.go
+++ b/internal/engine/incarnation.go
@@ -66,7 +66,7 @@
 	e.log(Event{
 		What: "host in another life", Host: string(h.info.ID), Age: now.Sub(h.lastContact),
 		Why: fmt.Sprintf("incarnation started at %d, the previous one at %d; clock %d, expected %d, leased until %d; %d runs recorded, %d reported; ends processed up to %d, acknowledged up to %d, %d listed",
-			v.Incarnation, h.incarnation, v.Clock, h.estimateClock(now), h.leased, len(h.runs), len(v.Running), h.endsProcessed, h.endsAcked, len(v.Ended)),
+			v.Incarnation, h.incarnation, v.Clock, h.estimateClock(now), h.leased.until, len(h.runs), len(v.Running), h.endsProcessed, h.endsAcked, len(v.Ended)),
 	})
 	h.recordEndedBy(h.unresponsiveSince, v.Clock, now)
 	h.pendingAttributions = append(h.pendingAttributions, e.unacknowledgedStarts(h, v, now)...)
@@ -78,6 +78,7 @@
 	next.listed, next.openInRoster, next.closeInRoster, next.cordoned = h.listed, h.openInRoster, h.closeInRoster, h.cordoned
 	next.departsAt, next.pollInFlight, next.late.poll, next.probe = h.departsAt, h.pollInFlight, h.late.poll, h.probe
 	next.pastIncarnations = append(h.pastIncarnations[max(0, len(h.pastIncarnations)-maxPastIncarnations+1):], h.incarnation)
+	next.formerUnanswered = h.allUnanswered(now)
 	next.touch()
 	next.setIncarnation(v.Incarnation, now)
 	for _, r := range survivors {
@@ -141,7 +142,7 @@
 	h.clock, h.clockAt = c, now
 	if !fits {
 		h.origin = clockOrigin{}
-		h.leased = c + host.Millis((e.cfg.Bounds.MaxLease + e.cfg.Tuning.StartTTL).Milliseconds())
+		h.leased = leaseBound{c + host.Millis((e.cfg.Bounds.MaxLease + e.cfg.Tuning.StartTTL).Milliseconds()), leaseOfClock, now}
 	}
 	return fits
 }
--- a/internal/engine/lost.go
+++ b/internal/engine/lost.go
@@ -123,7 +123,7 @@
 		}
 		if len(h.runs) > 0 {
 			const why = "unresponsive until its lease expired"
-			e.log(Event{What: "host lost", Host: string(h.info.ID), Why: why, Age: now.Sub(h.lastContact)})
+			e.log(Event{What: "host lost", Host: string(h.info.ID), Why: why + ": " + e.describeLease(h, now), Age: now.Sub(h.lastContact)})
 			h.pendingAttributions = append(h.pendingAttributions, e.attributions(h, now)...)
 			e.dropLostRuns(h, why, now)
 			e.awaitConfirmation(h, now)
--- a/internal/engine/orders.go
+++ b/internal/engine/orders.go
@@ -25,7 +25,7 @@
 		Run: host.Run{Task: g.task(i), No: no}, group: g, account: g.job.account, size: g.step.Allocation(), state: runOrdered,
 		orderedAt: now, progressAt: now, resumed: checkpoint != "", throttle: pacing.Full, deadline: h.deadline(now, e.cfg.Tuning.StartTTL),
 	}
-	h.leased = max(h.leased, r.deadline)
+	h.leased.extend(r.deadline, leaseOfStart, now)
 	r.suspect = len(t.crashes) > 0
 	if r.suspect {
 		h.schedulePresencePolls(now)
--- a/internal/engine/placements.go
+++ b/internal/engine/placements.go
@@ -59,7 +59,7 @@
 		return
 	}
 	r.orderedAt, r.progressAt, r.deadline = now, now, h.deadline(now, e.cfg.Tuning.StartTTL)
-	h.leased = max(h.leased, r.deadline)
+	h.leased.extend(r.deadline, leaseOfStart, now)
 	p.order.Start.Deadline = r.deadline
 	p.order.Start.Ticket = r.group.policy.tickets[h].text
 	e.sendStart(h, p.order, now)
--- a/internal/engine/view.go
+++ b/internal/engine/view.go
@@ -17,7 +17,7 @@
 			// No renewal for an unresponsive host: each one would postpone the time after
 			// which nothing can run there.
 			p.Lease = h.deadline(now, e.cfg.Bounds.MaxLease)
-			h.leased = max(h.leased, p.Lease)
+			h.leased.extend(p.Lease, leaseOfPoll, now)
 		}
 		if p.Lease > 0 && h.claimed && len(h.runs) > 0 && h.endsProcessed == h.endsAcked {
 			p.Wait = e.cfg.Tuning.PollWait
@@ -139,7 +139,7 @@
 	e.rosterOutdated = e.rosterOutdated || !h.openInRoster && !h.parked
 	e.capacityChanges++
 	// Leases that the previous holder granted may last this long.
-	h.leased = max(h.leased, v.Clock+host.Millis(e.cfg.Bounds.MaxLease.Milliseconds()))
+	h.leased.extend(v.Clock+host.Millis(e.cfg.Bounds.MaxLease.Milliseconds()), leaseOfClaim, e.now)
 }
 
 // processAbsent handles the runs that a view does not list. They are certainly gone only if it lists all end records.
