engine: each incarnation of a host gets a fencing token of its own

Callers saw a task run twice at the same time: a host started again under its id, was cut off 2 s later, and its run was started elsewhere 174 ms before its lease was over.

Cause: a renewal that was sent to the former incarnation, and never answered, was carried out by the next one. The deadline in it is by another clock, so the host cut it to the longest lease, from then on; the holder's bound was that of its own later polls. Epochs keep late calls of earlier holders out, but nothing kept out those of the same holder: the token was the holder's, and the next incarnation has received none. Class: an identity that is used again; here on the way to the host.

Change: the calls to a host have generations, and a generation's token is the epoch plus its number. An incarnation that answers a call to its predecessor is first polled with the next token, and is claimed only by the answer to that: from then on it refuses what was sent before, and what it carried out until then is listed in that answer or leased at most for the longest lease from it. The runs of the former incarnation are kept until then, so that no task starts elsewhere while an earlier start may still begin. Starts without an answer that the claimed incarnation does not list are over at once. A host's refusal of an outdated call is no sign of another holder, and its clock is not read from such an answer. Successive epochs are TokensPerEpoch apart; a holder that uses its tokens up for one host (999 incarnations) gives the partition up. Link shards carry the token of each call; members of earlier versions use the epoch, as before, and an earlier version can take over.

Ruled out: a bound on the delay alone, as every restart would wait for it; a check of the incarnation on the connection, as the next incarnation takes calls that its predecessor had received; tokens as a multiple of the epoch, as members of an earlier version could then give no orders after a takeover.

TestClaims: the second epoch is no longer the first one plus one; the test now demands the distance that leaves the first holder its tokens.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -91,6 +91,8 @@
 	// nextPassAt is the earliest time of the next scheduling pass.
 	nextPassAt time.Time
 	hosts      map[host.ID]*hostState
+	// generations are those of the next calls to hosts that were dropped; see fencing.go.
+	generations map[host.ID]uint64
 	// unconfiguredHosts are the listed hosts of services that the configuration does not name.
 	unconfiguredHosts map[host.ID]host.Info
 	// hostsByID are the hosts in the order of their ids; index has those with something to be done.
@@ -226,6 +228,7 @@
 		live:                  map[string]*job{},
 		ready:                 map[spec.StepID]*group{},
 		hosts:                 map[host.ID]*hostState{},
+		generations:           map[host.ID]uint64{},
 		index:                 newHostIndex(),
 		unconfiguredHosts:     map[host.ID]host.Info{},
 		queries:               map[uint64]*policyQuery{},
@@ -268,27 +271,32 @@
 
 // StartOrder starts a run on a host.
 type StartOrder struct {
-	To    host.Info
-	Start host.Start
+	To host.Info
+	// Generation is that of the calls to the host; see fencing.go. The other orders have it as well.
+	Generation uint64
+	Start      host.Start
 }
 
 // StopOrder stops a run on a host.
 type StopOrder struct {
-	To  host.Info
-	Run host.Run
+	To         host.Info
+	Generation uint64
+	Run        host.Run
 }
 
 // ThrottleOrder limits a run to a share of its speed.
 type ThrottleOrder struct {
-	To      host.Info
-	Run     host.Run
-	Percent int
+	To         host.Info
+	Generation uint64
+	Run        host.Run
+	Percent    int
 }
 
 // PollOrder polls a host for its runs.
 type PollOrder struct {
-	To   host.Info
-	Poll host.Poll
+	To         host.Info
+	Generation uint64
+	Poll       host.Poll
 	// Probe polls are sent in addition to a poll that waits at the host.
 	Probe bool
 	// Number distinguishes the other polls.
--- a/internal/engine/former_calls_test.go
+++ b/internal/engine/former_calls_test.go
@@ -86,7 +86,7 @@
 	last := &formerCall{}
 	w.onPoll = func(o PollOrder) {
 		if o.To.ID == id && o.Poll.Lease > 0 {
-			*last = formerCall{token: w.engine.cfg.Epoch, poll: o.Poll}
+			*last = formerCall{token: w.engine.Token(o.Generation), poll: o.Poll}
 		}
 	}
 	return last
--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -52,6 +52,8 @@
 	lostRace      bool // another run has completed its task
 	// deadline is the start's deadline by the host's clock.
 	deadline host.Millis
+	// generation is that of the start order.
+	generation uint64
 	// orderedAt is when the start was ordered, confirmedAt when the host's answer or view last confirmed the
 	// state, reportedAt the production time of the last answer that confirms the run.
 	orderedAt, confirmedAt, reportedAt time.Time
@@ -75,8 +77,11 @@
 	incarnation      host.Incarnation // last reported, or taken from the roster; zero while not known
 	incarnationSince time.Time        // when it was first reported
 	pastIncarnations []host.Incarnation
-	endedBy          time.Time // latest time at which this incarnation can have ended; zero while it has not ended
-	drained          bool      // was draining before the next incarnation's entry replaced its entry
+	// generation is that of the calls to the host, claimedGeneration that by which this incarnation was claimed;
+	// see fencing.go.
+	generation, claimedGeneration uint64
+	endedBy                       time.Time // latest time at which this incarnation can have ended; zero while it has not ended
+	drained                       bool      // was draining before the next incarnation's entry replaced its entry
 	// listed is true while the host has an entry in the platform's list.
 	listed bool
 	// claimed is true once the host has reported its runs under this holder's epoch.
@@ -175,7 +180,11 @@
 
 // newHost adds a host. A parked one is not in the roster.
 func (e *Engine) newHost(info host.Info, parked bool) *hostState {
-	h := &hostState{info: info, capacity: info.Size, servicePool: e.poolOf(info.Service), runs: map[host.Run]*run{}}
+	generation := e.generations[info.ID]
+	h := &hostState{
+		info: info, capacity: info.Size, servicePool: e.poolOf(info.Service), runs: map[host.Run]*run{},
+		generation: generation, claimedGeneration: generation,
+	}
 	e.index.add(h)
 	h.parked = parked
 	h.evacuated = e.evacuations.Contains(info.Zone)
@@ -195,6 +204,7 @@
 
 // forgetHost removes a host from the state.
 func (e *Engine) forgetHost(h *hostState) {
+	e.rememberGeneration(h)
 	delete(e.hosts, h.info.ID)
 	if at, found := e.position(h.info.ID); found {
 		e.hostsByID = slices.Delete(e.hostsByID, at, at+1)
--- a/internal/engine/host_index.go
+++ b/internal/engine/host_index.go
@@ -208,7 +208,7 @@
 // placeability reports whether new work may be placed on the host, and when that changes by the passage of time
 // alone; zero if it does not.
 func (e *Engine) placeability(h *hostState, now time.Time) (placeable bool, changesAt time.Time) {
-	ready := h.listed && h.claimed && h.openInRoster && !h.answerAwaited && !h.terminated && !h.info.Draining && !h.cordoned && !h.evacuated && h.unreachableSince.IsZero()
+	ready := h.listed && h.claimed && !h.beingFenced() && h.openInRoster && !h.answerAwaited && !h.terminated && !h.info.Draining && !h.cordoned && !h.evacuated && h.unreachableSince.IsZero()
 	switch {
 	case !ready:
 		return false, time.Time{}
--- a/internal/engine/incarnation.go
+++ b/internal/engine/incarnation.go
@@ -13,7 +13,8 @@
 // state is then created anew, as for a host with another id: the numbers of its run ends, its clock and
 // the leases by that clock, its tickets and what was observed of it belong to the ended incarnation. A
 // view names the incarnation that produced it. An answer to an order carries only the clock, so a
-// reading that does not fit triggers an immediate poll.
+// reading that does not fit triggers an immediate poll. What was sent to the ended incarnation is kept out
+// of the next one by a fencing token; see fencing.go.
 
 // maxPastIncarnations is how many ended incarnations of a host are remembered, so that a late answer
 // from one of them is not taken for a new incarnation.
@@ -23,13 +24,17 @@
 const noDeadline = host.Millis(math.MaxInt64 / 4)
 
 // observeIncarnation handles the incarnation named in the answer to a poll that was sent at sent. It
-// returns the state of that incarnation, or nil if the incarnation has ended.
-func (e *Engine) observeIncarnation(h *hostState, v host.View, sent, now time.Time) *hostState {
+// returns the state of that incarnation, or nil if the view can not be used: the incarnation has ended, or
+// it may still carry out calls to the one before.
+func (e *Engine) observeIncarnation(h *hostState, o PollOrder, v host.View, sent, now time.Time) *hostState {
 	switch {
+	case v.Incarnation == h.incarnation && h.isOutdated(o.Generation):
+		return nil
 	case v.Incarnation == 0:
 		h.incarnation = 0 // the host stopped naming its incarnation, so a start for a named one would never arrive
 		return h
 	case v.Incarnation == h.incarnation:
+		h.claimedGeneration = h.generation
 		return h
 	case h.incarnation == 0:
 		h.setIncarnation(v.Incarnation, now)
@@ -37,6 +42,9 @@
 		return h
 	case h.isPast(v.Incarnation, sent):
 		return nil
+	case h.claimed && o.Generation <= h.claimedGeneration:
+		e.fenceIncarnation(h, v.Incarnation)
+		return nil
 	}
 	return e.beginIncarnation(h, v, sent, now)
 }
@@ -74,6 +82,7 @@
 	quarantinedJob, quarantineUntil := h.quarantinedJob, h.quarantineUntil
 	e.removeTerminatedHost(h, now, "restarted under the same id")
 	next := e.newHost(h.info, h.parked)
+	next.generation, next.claimedGeneration = h.generation, h.generation
 	next.capacity, next.capacityReportedAt = h.capacity, h.capacityReportedAt
 	next.listed, next.openInRoster, next.closeInRoster, next.cordoned = h.listed, h.openInRoster, h.closeInRoster, h.cordoned
 	next.departsAt, next.pollInFlight, next.late.poll, next.probe = h.departsAt, h.pollInFlight, h.late.poll, h.probe
--- a/internal/engine/lease_bound.go
+++ b/internal/engine/lease_bound.go
@@ -38,7 +38,7 @@
 // applyLeaseBound takes the bound that the previous holder stored for a host. The clocks of the two holders
 // may differ by the allowed drift.
 func (e *Engine) applyLeaseBound(h *hostState, r record.RosterHost, writtenBy uint64, now time.Time) {
-	if r.LeaseLeftMillis <= 0 || writtenBy+1 != e.cfg.Epoch {
+	if r.LeaseLeftMillis <= 0 || host.NextEpoch(writtenBy) != e.cfg.Epoch {
 		return
 	}
 	left := time.Duration(r.LeaseLeftMillis) * time.Millisecond
--- a/internal/engine/lost.go
+++ b/internal/engine/lost.go
@@ -16,7 +16,7 @@
 	}
 	reported := reportedRuns(v)
 	for key, r := range h.runs {
-		if reported[key] || !certainlyAbsent(r, v.Clock, sent) {
+		if reported[key] || !h.certainlyAbsent(r, v.Clock, sent) {
 			if r.state == runUnacknowledged && !reported[key] && !sent.Before(r.confirmedAt) {
 				e.requestStop(r, "start not acknowledged and run not reported by the host") // the answer to the stop shows whether the host has the run
 			}
@@ -69,12 +69,12 @@
 
 // certainlyAbsent reports whether a run that is missing from the answer to a poll sent at sent is
 // certainly not on the host, now or later.
-func certainlyAbsent(r *run, clock host.Millis, sent time.Time) bool {
+func (h *hostState) certainlyAbsent(r *run, clock host.Millis, sent time.Time) bool {
 	switch r.state {
 	case runRunning, runStopping:
 		return r.confirmedAt.Before(sent)
 	case runUnacknowledged:
-		return clock > r.deadline+deadlineMargin
+		return clock > r.deadline+deadlineMargin || h.isOutdated(r.generation)
 	}
 	return false
 }
--- a/internal/engine/orders.go
+++ b/internal/engine/orders.go
@@ -24,6 +24,7 @@
 	r := &run{
 		Run: host.Run{Task: g.task(i), No: no}, group: g, account: g.job.account, size: g.step.Allocation(), state: runOrdered,
 		orderedAt: now, progressAt: now, resumed: checkpoint != "", throttle: pacing.Full, deadline: h.deadline(now, e.cfg.Tuning.StartTTL),
+		generation: h.generation,
 	}
 	h.leased.extend(r.deadline, leaseOfStart, now)
 	r.suspect = len(t.crashes) > 0
@@ -35,7 +36,7 @@
 	t.cur, t.run = r, no
 	g.setState(i, taskActive)
 	e.watchCopies(g)
-	order := StartOrder{To: h.info, Start: host.Start{
+	order := StartOrder{To: h.info, Generation: h.generation, Start: host.Start{
 		Run: r.Run, Incarnation: h.incarnation, Command: g.job.rec.Graph.Command, Deadline: r.deadline,
 		Checkpoint: checkpoint, Ticket: g.policy.tickets[h].text,
 	}}
@@ -79,14 +80,16 @@
 		e.markUnacknowledged(h, r, now)
 		return
 	}
-	e.recordReply(h, reply.Clock, now)
+	if !h.isOutdated(o.Generation) {
+		e.recordReply(h, reply.Clock, now)
+	}
 	if reply.Refused == "" {
 		if r != nil && (r.state == runOrdered || r.state == runUnacknowledged) {
 			e.recordRunning(r, h.producedAt(reply.Clock, r.orderedAt, now, e.cfg.Tuning.ClockDrift), now)
 		}
 		return
 	}
-	e.handleRefusal(h, r, reply.Refused, now)
+	e.handleRefusal(h, o, r, reply.Refused, now)
 }
 
 // handleUnreachedIncarnation handles a start order that has not reached the intended incarnation
@@ -139,9 +142,13 @@
 }
 
 // handleRefusal handles a start order that the host has refused.
-func (e *Engine) handleRefusal(h *hostState, r *run, why host.Refusal, now time.Time) {
+func (e *Engine) handleRefusal(h *hostState, o StartOrder, r *run, why host.Refusal, now time.Time) {
 	switch why {
 	case host.RefusedFenced:
+		if h.isOutdated(o.Generation) {
+			e.refusedOutdated(h)
+			break
+		}
 		e.fencedBy(h)
 	case host.RefusedTicket:
 		if r != nil && r.group != nil {
@@ -168,7 +175,7 @@
 			continue
 		}
 		r.stopSentAt, r.stopInFlight = now, true
-		e.out.Stops = append(e.out.Stops, StopOrder{To: r.placedOn.info, Run: r.Run})
+		e.out.Stops = append(e.out.Stops, StopOrder{To: r.placedOn.info, Generation: r.placedOn.generation, Run: r.Run})
 	}
 }
 
@@ -188,6 +195,8 @@
 		e.handleOtherIncarnation(h, o.To, now)
 	case err != nil:
 		h.recordFailedCall(err, now)
+	case h.isOutdated(o.Generation):
+		// the stop is ordered again: a former incarnation may have answered
 	case reply.Refused == host.RefusedFenced:
 		e.fencedBy(h)
 	default:
--- a/internal/engine/pace.go
+++ b/internal/engine/pace.go
@@ -136,7 +136,7 @@
 			continue
 		}
 		r.throttleInFlight = true
-		e.out.Throttles = append(e.out.Throttles, ThrottleOrder{To: h.info, Run: r.Run, Percent: int(percent)})
+		e.out.Throttles = append(e.out.Throttles, ThrottleOrder{To: h.info, Generation: h.generation, Run: r.Run, Percent: int(percent)})
 	}
 }
 
@@ -159,6 +159,13 @@
 		e.scheduleThrottling(h) // without waiting for the next measurements half a second later
 		return
 	}
+	if h.isOutdated(o.Generation) {
+		if r != nil {
+			r.throttle = throttleUnknown
+		}
+		e.scheduleThrottling(h)
+		return
+	}
 	e.recordReply(h, reply.Clock, now)
 	switch {
 	case reply.Refused == host.RefusedFenced:
--- a/internal/engine/poll_plan.go
+++ b/internal/engine/poll_plan.go
@@ -37,7 +37,7 @@
 	e.planQuarantineProbe(h, now)
 	if h.probe {
 		h.probe = false
-		e.out.Polls = append(e.out.Polls, PollOrder{To: h.info, Poll: host.Poll{AckedEnds: h.endsAcked, Incarnation: h.incarnation}, Probe: true})
+		e.out.Polls = append(e.out.Polls, PollOrder{To: h.info, Generation: h.generation, Poll: h.basePoll(), Probe: true})
 	}
 	switch {
 	case !h.pollDue(now):
--- a/internal/engine/view.go
+++ b/internal/engine/view.go
@@ -11,8 +11,8 @@
 // poll orders a poll of a host. The poll renews the host's lease while this process has
 // the authority for the partition.
 func (e *Engine) poll(h *hostState, now time.Time) {
-	p := host.Poll{AckedEnds: h.endsAcked, Incarnation: h.incarnation}
-	if now.Before(e.authorityUntil) {
+	p := h.basePoll()
+	if now.Before(e.authorityUntil) && !h.beingFenced() {
 		if h.knowsClock() && h.unresponsiveSince.IsZero() && !e.leaseWithheld(h.info.ID) {
 			// No renewal for an unresponsive host: each one would postpone the time after
 			// which nothing can run there.
@@ -31,7 +31,15 @@
 	}
 	h.pollInFlight = true
 	h.touch()
-	e.out.Polls = append(e.out.Polls, PollOrder{To: h.info, Poll: p, Number: e.numberPoll(h)})
+	e.out.Polls = append(e.out.Polls, PollOrder{To: h.info, Generation: h.generation, Poll: p, Number: e.numberPoll(h)})
+}
+
+// basePoll returns a poll that acknowledges the processed ends and renews no lease.
+func (h *hostState) basePoll() host.Poll {
+	if h.beingFenced() {
+		return host.Poll{} // the ends belong to an incarnation that has ended
+	}
+	return host.Poll{AckedEnds: h.endsAcked, Incarnation: h.incarnation}
 }
 
 // Polled handles the outcome of a poll that was sent at sent.
@@ -61,13 +69,17 @@
 	case err != nil:
 		e.handleFailedPoll(h, o, sent, err, now)
 		return
+	case v.Fenced && h.isOutdated(o.Generation):
+		e.refusedOutdated(h)
+		e.pollSoon(h, now)
+		return
 	case v.Fenced:
 		e.fencedBy(h)
 		h.schedulePoll(now.Add(maxNextInterval))
 		return
 	}
-	if h = e.observeIncarnation(h, v, sent, now); h == nil {
-		e.hosts[o.To.ID].schedulePoll(now)
+	if h = e.observeIncarnation(h, o, v, sent, now); h == nil {
+		e.pollSoon(e.hosts[o.To.ID], now)
 		return
 	}
 	e.processView(h, o, sent, v, now)
--- a/internal/engine/world_calls_test.go
+++ b/internal/engine/world_calls_test.go
@@ -29,9 +29,14 @@
 	sameIncarnation := true // the intended incarnation was reached
 	arrive := func(h *hostsim.Host) host.Reply {
 		sameIncarnation = h.IsIncarnation(s.Start.Incarnation)
-		return h.Start(e.cfg.Epoch, s.Start)
+		return h.Start(e.Token(s.Generation), s.Start)
 	}
-	w.call(s.To, arrive, func(r host.Reply, err error) {
+	carryOut := func(h *hostsim.Host) {
+		late := s.Start
+		late.Incarnation = 0 // nothing in the order tells the host for which incarnation it was sent
+		h.Start(e.Token(s.Generation), late)
+	}
+	w.call(s.To, arrive, carryOut, func(r host.Reply, err error) {
 		if err == nil && !sameIncarnation {
 			err = host.ErrOtherIncarnation
 		}
@@ -42,8 +47,9 @@
 	})
 }
 
-// call delivers an order to a host and the reply to the engine, subject to the faults.
-func (w *world) call(to host.Info, arrive func(*hostsim.Host) host.Reply, answer func(host.Reply, error)) {
+// call delivers an order to a host and the reply to the engine, subject to the faults. A delayed order is carried
+// out by the incarnation that it was sent to or, with faults.carriedOver, by whichever is up then.
+func (w *world) call(to host.Info, arrive func(*hostsim.Host) host.Reply, carryOut func(*hostsim.Host), answer func(host.Reply, error)) {
 	e := w.engine
 	finish := func(reply host.Reply, err error) { w.deliver(e, func() { answer(reply, err) }) }
 	lost := func() { finish(host.Reply{}, host.ErrLost) }
@@ -58,7 +64,10 @@
 	case w.rnd.Float64() < w.faults.delayedRequest:
 		incarnation := h.Info().Incarnation
 		w.after(2*time.Second+time.Duration(w.rnd.IntN(10000))*time.Millisecond, func() {
-			if h.Reachable() && h.Info().Incarnation == incarnation { // a process that ends drops its pending calls
+			switch {
+			case w.faults.carriedOver && h.Up():
+				carryOut(h)
+			case h.Reachable() && h.Info().Incarnation == incarnation:
 				arrive(h)
 			}
 		})
@@ -116,6 +125,12 @@
 		return
 	}
 	w.after(o.Poll.Wait+callTimeout, fail)
+	if w.faults.delayedPoll > 0 && w.rnd.Float64() < w.faults.delayedPoll {
+		w.after(2*time.Second+time.Duration(w.rnd.IntN(10000))*time.Millisecond, func() {
+			carryOut(h, formerCall{e.Token(o.Generation), o.Poll})
+		})
+		return
+	}
 	w.after(w.messageDelay(w.faults.latePolls), func() {
 		if h.OtherIncarnation() {
 			w.after(oneWay, func() { finish(host.View{}, host.ErrOtherIncarnation) })
@@ -130,7 +145,7 @@
 		}
 		h.OnReset(func() { w.after(oneWay, func() { finish(host.View{}, host.ErrConnectionBroken) }) })
 		answerLost := w.rnd.Float64() < w.faults.lostReply+w.faults.lostView || w.repliesCut[o.To.ID]
-		h.Poll(e.cfg.Epoch, request, func(v host.View) {
+		h.Poll(e.Token(o.Generation), request, func(v host.View) {
 			if answerLost {
 				return
 			}
--- a/internal/engine/world_test.go
+++ b/internal/engine/world_test.go
@@ -120,6 +120,11 @@
 // faults are the probabilities, between 0 and 1, of faults in calls to hosts, and limits of their answers.
 type faults struct {
 	lostRequest, lostReply, delayedRequest float64
+	// delayedPoll is that of a poll that gets no answer and is carried out seconds later.
+	delayedPoll float64
+	// carriedOver makes the next incarnations of hosts carry out delayed orders to former ones, also while they can
+	// not be reached.
+	carriedOver bool
 	// unidentifiedPolls is that of a poll over a connection on which no incarnation has answered yet; such
 	// a poll acknowledges no end records.
 	unidentifiedPolls float64
@@ -235,7 +240,7 @@
 // failOver replaces the engine by one of the next epoch that loads the store; the previous
 // engine receives no more calls.
 func (w *world) failOver() {
-	w.epoch++
+	w.epoch = host.NextEpoch(w.epoch)
 	tuning := DefaultTuning()
 	if w.workingSet != (WorkingSetTuning{}) {
 		tuning.WorkingSet = w.workingSet
@@ -323,13 +328,15 @@
 	}
 	slices.SortFunc(o.Stops, func(a, b StopOrder) int { return compareOrders(a.To.ID, b.To.ID, a.Run, b.Run) })
 	for _, s := range o.Stops {
-		w.call(s.To, func(h *hostsim.Host) host.Reply { return h.Stop(e.cfg.Epoch, s.Run) }, func(r host.Reply, err error) {
+		stop := func(h *hostsim.Host) host.Reply { return h.Stop(e.Token(s.Generation), s.Run) }
+		w.call(s.To, stop, func(h *hostsim.Host) { stop(h) }, func(r host.Reply, err error) {
 			e.Stopped(s, r, err, w.now())
 		})
 	}
 	slices.SortFunc(o.Throttles, func(a, b ThrottleOrder) int { return compareOrders(a.To.ID, b.To.ID, a.Run, b.Run) })
 	for _, p := range o.Throttles {
-		w.call(p.To, func(h *hostsim.Host) host.Reply { return h.Throttle(e.cfg.Epoch, p.Run, p.Percent) }, func(r host.Reply, err error) {
+		throttle := func(h *hostsim.Host) host.Reply { return h.Throttle(e.Token(p.Generation), p.Run, p.Percent) }
+		w.call(p.To, throttle, func(h *hostsim.Host) { throttle(h) }, func(r host.Reply, err error) {
 			e.HandleThrottleResult(p, r, err, w.now())
 		})
 	}
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -309,23 +309,23 @@
 	e := h.engine
 	calls := make([]linkshard.Call, 0, len(o.Stops)+len(o.Starts)+len(o.Throttles)+len(o.Polls))
 	for _, s := range o.Stops {
-		calls = append(calls, linkshard.Call{To: s.To, Stop: &s.Run, Done: func(x linkshard.Outcome, now time.Time) {
+		calls = append(calls, linkshard.Call{To: s.To, Token: e.Token(s.Generation), Stop: &s.Run, Done: func(x linkshard.Outcome, now time.Time) {
 			e.Stopped(s, x.Reply, x.Err, now)
 		}})
 	}
 	for _, s := range o.Starts {
-		calls = append(calls, linkshard.Call{To: s.To, Start: &s.Start, Done: func(x linkshard.Outcome, now time.Time) {
+		calls = append(calls, linkshard.Call{To: s.To, Token: e.Token(s.Generation), Start: &s.Start, Done: func(x linkshard.Outcome, now time.Time) {
 			e.Started(s, x.Reply, x.Err, now)
 		}})
 	}
 	for _, p := range o.Throttles {
 		throttle := &linkshard.Throttle{Run: p.Run, Percent: p.Percent}
-		calls = append(calls, linkshard.Call{To: p.To, Throttle: throttle, Done: func(x linkshard.Outcome, now time.Time) {
+		calls = append(calls, linkshard.Call{To: p.To, Token: e.Token(p.Generation), Throttle: throttle, Done: func(x linkshard.Outcome, now time.Time) {
 			e.HandleThrottleResult(p, x.Reply, x.Err, now)
 		}})
 	}
 	for _, p := range o.Polls {
-		calls = append(calls, linkshard.Call{To: p.To, Poll: &p.Poll, Done: func(x linkshard.Outcome, now time.Time) {
+		calls = append(calls, linkshard.Call{To: p.To, Token: e.Token(p.Generation), Poll: &p.Poll, Done: func(x linkshard.Outcome, now time.Time) {
 			e.Polled(p, x.Sent, x.View, x.Err, now)
 		}})
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -1,9 +1,14 @@
 // Package host defines the interface to the hosts that run tasks: the data of a host, its calls,
 // and what a failed call guarantees.
 //
-// A host is the authoritative record of what runs on it. It keeps the highest epoch that it has
-// received and rejects calls with a lower one. Everything that runs on a host shares one lease,
-// measured by the host's own monotonic clock; when the lease expires, the host kills everything.
+// A host is the authoritative record of what runs on it. It keeps the highest fencing token that its
+// present incarnation has received and rejects calls with a lower one. Everything that runs on a host
+// shares one lease, measured by the host's own monotonic clock; when the lease expires, the host kills
+// everything.
+//
+// A call that gets no answer may be carried out seconds later, also by the next incarnation of the host
+// under the same id, which has received no token yet. A caller keeps such calls out by giving each
+// incarnation that it has observed a higher token than its predecessor.
 package host
 
 import (
@@ -66,9 +71,8 @@
 // Start is an order to start a run.
 type Start struct {
 	Run
-	// Incarnation is the incarnation that has to start the run. Another incarnation under the same
-	// id has a new clock and no epoch, so neither Deadline nor the epoch prevents it from carrying
-	// out a late start. Zero is for a host that does not report its incarnation.
+	// Incarnation is the incarnation that has to start the run. Zero is for a host that does not report
+	// its incarnation.
 	Incarnation Incarnation
 	Command     string
 	// Deadline is a time on the host's clock: a start that arrives later is refused. A start also
@@ -86,7 +90,7 @@
 
 // Reasons for a refusal. In all of these cases nothing was started.
 const (
-	RefusedFenced       Refusal = "fenced"    // it has received a higher epoch
+	RefusedFenced       Refusal = "fenced"    // it has received a higher token
 	RefusedSuperseded   Refusal = "old"       // a run with this number or a higher one was stopped or has ended there
 	RefusedPastDeadline Refusal = "late"      // it arrived after its deadline
 	RefusedNoCapacity   Refusal = "full"      // not enough free capacity
@@ -161,12 +165,13 @@
 	// that is in neither list may then have ended. The others are listed once those in Ended are
 	// acknowledged.
 	EndsTruncated bool
-	// Fenced is true if the host has received a higher epoch; all other fields are then empty.
+	// Fenced is true if the host has received a higher token; all other fields are then empty.
 	Fenced bool
 }
 
 // Errors of a call. After ErrNotSent and ErrOtherIncarnation the call has had no effect and never
-// will; after ErrLost it may take effect, even seconds later.
+// will; after ErrLost it may take effect, even seconds later and in the host's next incarnation, until
+// that has received a higher token.
 var (
 	ErrNotSent          = errors.New("host: not reachable, nothing was sent")
 	ErrLost             = errors.New("host: request sent, no reply")
@@ -183,16 +188,16 @@
 	ErrUnreported = errors.New("host: outcome of the call not reported")
 )
 
-// Client makes calls to hosts. Each call is sent at most once.
+// Client makes calls to hosts, with a fencing token. Each call is sent at most once.
 type Client interface {
-	// Start never lets an incarnation other than s.Incarnation start the run; a zero
-	// s.Incarnation allows any.
-	Start(ctx context.Context, to Info, epoch uint64, s Start) (Reply, error)
-	Stop(ctx context.Context, to Info, epoch uint64, r Run) (Reply, error)
-	// Poll never lets an incarnation other than p.Incarnation delete end records; a zero
-	// p.Incarnation allows any. It may omit the acknowledgement if it is not certain of the
-	// incarnation; the host then reports the end records again.
-	Poll(ctx context.Context, to Info, epoch uint64, p Poll) (View, error)
+	// Start sends the order only to s.Incarnation; zero allows any. An order without an answer may
+	// still be carried out by the next incarnation.
+	Start(ctx context.Context, to Info, token uint64, s Start) (Reply, error)
+	Stop(ctx context.Context, to Info, token uint64, r Run) (Reply, error)
+	// Poll acknowledges end records only to p.Incarnation; zero allows any. It may omit the
+	// acknowledgement if it is not certain of the incarnation; the host then reports the end records
+	// again. A poll without an answer may still be carried out by the next incarnation.
+	Poll(ctx context.Context, to Info, token uint64, p Poll) (View, error)
 	// Throttle limits a run to a percentage of its full speed, 0 to 100.
-	Throttle(ctx context.Context, to Info, epoch uint64, r Run, percent int) (Reply, error)
+	Throttle(ctx context.Context, to Info, token uint64, r Run, percent int) (Reply, error)
 }
--- a/internal/hostcall/hostcall.go
+++ b/internal/hostcall/hostcall.go
@@ -49,25 +49,25 @@
 }
 
 // Start implements host.Client.
-func (c *Caller) Start(ctx context.Context, to host.Info, epoch uint64, s host.Start) (host.Reply, error) {
+func (c *Caller) Start(ctx context.Context, to host.Info, token uint64, s host.Start) (host.Reply, error) {
 	return c.order(ctx, "start", to, func(ctx context.Context) (host.Reply, error) {
-		return c.hosts.Start(ctx, to, epoch, s)
+		return c.hosts.Start(ctx, to, token, s)
 	})
 }
 
 // Stop implements host.Client.
-func (c *Caller) Stop(ctx context.Context, to host.Info, epoch uint64, r host.Run) (host.Reply, error) {
+func (c *Caller) Stop(ctx context.Context, to host.Info, token uint64, r host.Run) (host.Reply, error) {
 	return c.order(ctx, "stop", to, func(ctx context.Context) (host.Reply, error) {
-		return c.hosts.Stop(ctx, to, epoch, r)
+		return c.hosts.Stop(ctx, to, token, r)
 	})
 }
 
 // Throttle implements host.Client. It is sent once, as the next one corrects a lost one.
-func (c *Caller) Throttle(ctx context.Context, to host.Info, epoch uint64, r host.Run, percent int) (host.Reply, error) {
+func (c *Caller) Throttle(ctx context.Context, to host.Info, token uint64, r host.Run, percent int) (host.Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	started := time.Now()
-	reply, err := c.hosts.Throttle(ctx, to, epoch, r, percent)
+	reply, err := c.hosts.Throttle(ctx, to, token, r, percent)
 	c.metrics.called("pace", started, reply, err)
 	return reply, err
 }
--- a/internal/hostcall/poll.go
+++ b/internal/hostcall/poll.go
@@ -88,7 +88,7 @@
 
 // Poll implements host.Client. It polls again over a new connection when the open ones may have
 // become silent, or answers are lost.
-func (c *Caller) Poll(ctx context.Context, to host.Info, epoch uint64, p host.Poll) (host.View, error) {
+func (c *Caller) Poll(ctx context.Context, to host.Info, token uint64, p host.Poll) (host.View, error) {
 	until := time.Now().Add(p.Wait)
 	inFlight := time.Duration(c.pollsInFlight.Add(1))
 	defer c.pollsInFlight.Add(-1)
@@ -96,7 +96,7 @@
 	defer func() { c.repeats.active.end(to.ID, time.Now()) }()
 	for {
 		started := time.Now()
-		view, retry, err := c.pollOnce(ctx, to, epoch, p, until)
+		view, retry, err := c.pollOnce(ctx, to, token, p, until)
 		if retry && wait.Jittered(ctx, inFlight*repollSpread) {
 			continue
 		}
@@ -107,11 +107,11 @@
 
 // pollOnce polls once, or while answers are lost in a sequence of short polls that ends after until.
 // It reports whether the poll was cancelled to be repeated.
-func (c *Caller) pollOnce(ctx context.Context, to host.Info, epoch uint64, p host.Poll, until time.Time) (view host.View, retry bool, err error) {
+func (c *Caller) pollOnce(ctx context.Context, to host.Info, token uint64, p host.Poll, until time.Time) (view host.View, retry bool, err error) {
 	now := time.Now()
 	lossy, repoll := c.lossTracker.recentLoss(now)
 	if lossy && c.mayRepeat(now) {
-		view, err = c.pollShort(ctx, &shortPolls{to: to, epoch: epoch, poll: p, until: until})
+		view, err = c.pollShort(ctx, &shortPolls{to: to, token: token, poll: p, until: until})
 		return view, false, err
 	}
 	renewed := c.health.PollsRepeated()
@@ -126,7 +126,7 @@
 		case <-ctx.Done():
 		}
 	}()
-	view, err = c.hosts.Poll(ctx, to, epoch, p)
+	view, err = c.hosts.Poll(ctx, to, token, p)
 	return view, err != nil && (isClosed(renewed) || isClosed(repoll)), err
 }
 
--- a/internal/hostcall/short_polls.go
+++ b/internal/hostcall/short_polls.go
@@ -18,7 +18,7 @@
 // shortPolls is one sequence of short polls.
 type shortPolls struct {
 	to    host.Info
-	epoch uint64
+	token uint64
 	poll  host.Poll
 	// until is when the whole wait of the poll is over.
 	until time.Time
@@ -80,7 +80,7 @@
 	partCtx, cancel := context.WithTimeout(ctx, p.Wait+s.slack(c.answers.Wait()))
 	defer cancel()
 	started := time.Now()
-	view, err := c.hosts.Poll(partCtx, s.to, s.epoch, p)
+	view, err := c.hosts.Poll(partCtx, s.to, s.token, p)
 	took := time.Since(started)
 	o := partOutcome{view: view, err: err, news: len(view.Ended) > 0 || view.Fenced || took < p.Wait}
 	if err != nil {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -18,6 +18,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"golang.org/x/sync/errgroup"
 
+	"pulleyquay/internal/host"
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/platform/resend"
 	"pulleyquay/internal/uptime"
@@ -45,7 +46,8 @@
 // Holder is the record of the process that holds a partition.
 type Holder struct {
 	Partition int `cbor:"1,keyasint"`
-	// Epoch increases with each claim; hosts refuse orders with a lower epoch.
+	// Epoch increases with each claim; hosts refuse orders with lower fencing tokens. The tokens up to the
+	// next epoch are the holder's.
 	Epoch uint64 `cbor:"2,keyasint"`
 	Name  string `cbor:"3,keyasint"`
 	// Incarnation identifies one run of the process named Name.
@@ -102,7 +104,7 @@
 // returns ErrClaimConflict with the current holder if previous is no longer the record, and
 // platform.ErrUnavailable if the outcome is unknown.
 func Claim(ctx context.Context, store *resend.Sender, previous, self Holder) (*Ledger, Holder, error) {
-	self.Epoch = previous.Epoch + 1
+	self.Epoch = host.NextEpoch(previous.Epoch)
 	value, err := cbor.Marshal(self)
 	if err != nil {
 		return nil, Holder{}, err
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"pulleyquay/internal/host"
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/platform/follow"
 	"pulleyquay/internal/platform/memstore"
@@ -125,7 +126,7 @@
 		is.Equal(current.Name, "a") // a retry with the current holder can succeed
 		_, second, err := Claim(t.Context(), sender(e.Client("b")), current, self("b"))
 		is.NoErr(err)
-		is.Equal(second.Epoch, uint64(2))
+		is.Equal(second.Epoch, first.Epoch+host.TokensPerEpoch) // the tokens in between are those of the first
 		is.True(errors.Is(l.Commit(t.Context(), nil), ErrDeposed))
 	})
 }
--- a/internal/linkshard/batch.go
+++ b/internal/linkshard/batch.go
@@ -16,13 +16,14 @@
 // newBatch encodes calls. The sender sets partition, epoch and address.
 func newBatch(calls []numberedCall) Batch {
 	var b Batch
-	var hosts table[host.ID]
+	var hosts table[hostToken]
 	var steps stepTable
 	var commands table[string]
 	for _, n := range calls {
 		c := &n.call
-		index := hosts.index(c.To.ID)
+		index := hosts.index(hostToken{c.To.ID, c.Token})
 		if index == len(b.Hosts) {
+			b.HostTokens = append(b.HostTokens, c.Token)
 			b.Hosts = append(b.Hosts, hostRow{ID: c.To.ID, Addr: c.To.Addr})
 		}
 		switch {
@@ -57,7 +58,7 @@
 		if failed == nil && hostErr != nil {
 			failed = hostErr
 		}
-		c.To = host.Info{ID: h.ID, Addr: h.Addr}
+		c.To, c.Token = host.Info{ID: h.ID, Addr: h.Addr}, b.tokenAt(index)
 		out = append(out, numberedCall{id, c})
 	}
 	for _, r := range b.Stops {
--- a/internal/linkshard/batch_test.go
+++ b/internal/linkshard/batch_test.go
@@ -24,7 +24,7 @@
 
 func drawCall(t *rapid.T) Call {
 	id := rapid.SampledFrom([]host.ID{"h1", "h2", "h3"}).Draw(t, "host")
-	c := Call{To: host.Info{ID: id, Addr: "addr-" + string(id)}}
+	c := Call{To: host.Info{ID: id, Addr: "addr-" + string(id)}, Token: rapid.Uint64Range(1, 3).Draw(t, "token")}
 	run := drawRun(t)
 	switch rapid.IntRange(0, 3).Draw(t, "kind") {
 	case 0:
@@ -161,6 +161,22 @@
 	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/starts, "ns/start")
 }
 
+// TestMembersWithoutTokens: during a rolling update, members of the earlier version neither send fencing tokens
+// nor read them. Their calls have the epoch as token.
+func TestMembersWithoutTokens(t *testing.T) {
+	is := is.New(t)
+	b := newBatch([]numberedCall{{1, Call{To: host.Info{ID: "h1"}, Token: 1003, Poll: &host.Poll{}}}, {2, Call{To: host.Info{ID: "h1"}, Token: 1002, Poll: &host.Poll{}}}})
+	b.Epoch = 1001
+	calls, err := b.decode()
+	is.NoErr(err)
+	is.Equal(calls[0].call.Token, uint64(1003)) // calls to one host may have different tokens
+	is.Equal(calls[1].call.Token, uint64(1002))
+	b.HostTokens = nil
+	calls, err = b.decode()
+	is.NoErr(err)
+	is.Equal(calls[0].call.Token, uint64(1001))
+}
+
 // TestMembersWithoutIncarnations: during a rolling update, members of the earlier version neither
 // send incarnations nor read them. Their polls and views decode without an incarnation, and
 // otherwise unchanged.
--- a/internal/linkshard/linkshard.go
+++ b/internal/linkshard/linkshard.go
@@ -20,7 +20,9 @@
 
 // Call is one call to a host. Exactly one of Start, Stop, Poll and Throttle is set.
 type Call struct {
-	To       host.Info
+	To host.Info
+	// Token is the fencing token of the call.
+	Token    uint64
 	Start    *host.Start
 	Stop     *host.Run
 	Poll     *host.Poll
@@ -46,17 +48,17 @@
 }
 
 // perform makes a call to its host.
-func perform(ctx context.Context, hosts host.Client, epoch uint64, c *Call) Outcome {
+func perform(ctx context.Context, hosts host.Client, c *Call) Outcome {
 	var o Outcome
 	switch {
 	case c.Start != nil:
-		o.Reply, o.Err = hosts.Start(ctx, c.To, epoch, *c.Start)
+		o.Reply, o.Err = hosts.Start(ctx, c.To, c.Token, *c.Start)
 	case c.Stop != nil:
-		o.Reply, o.Err = hosts.Stop(ctx, c.To, epoch, *c.Stop)
+		o.Reply, o.Err = hosts.Stop(ctx, c.To, c.Token, *c.Stop)
 	case c.Throttle != nil:
-		o.Reply, o.Err = hosts.Throttle(ctx, c.To, epoch, c.Throttle.Run, c.Throttle.Percent)
+		o.Reply, o.Err = hosts.Throttle(ctx, c.To, c.Token, c.Throttle.Run, c.Throttle.Percent)
 	case c.Poll != nil:
-		o.View, o.Err = hosts.Poll(ctx, c.To, epoch, *c.Poll)
+		o.View, o.Err = hosts.Poll(ctx, c.To, c.Token, *c.Poll)
 	}
 	return o
 }
--- a/internal/linkshard/messages.go
+++ b/internal/linkshard/messages.go
@@ -32,6 +32,23 @@
 	// them, which specifies no incarnation.
 	PollIncarnations  []host.Incarnation `cbor:"12,keyasint,omitempty"`
 	StartIncarnations []host.Incarnation `cbor:"13,keyasint,omitempty"`
+	// HostTokens are the fencing tokens of the calls to the hosts, in the order of Hosts. A sender of an
+	// earlier version omits them; its token is the epoch.
+	HostTokens []uint64 `cbor:"14,keyasint,omitempty"`
+}
+
+// hostToken identifies a row of Hosts: calls to one host may have different tokens.
+type hostToken struct {
+	id    host.ID
+	token uint64
+}
+
+// tokenAt returns the fencing token of the calls to the host at an index.
+func (b *Batch) tokenAt(index int) uint64 {
+	if index < 0 || index >= len(b.HostTokens) {
+		return b.Epoch
+	}
+	return b.HostTokens[index]
 }
 
 type hostRow struct {
--- a/internal/linkshard/router.go
+++ b/internal/linkshard/router.go
@@ -166,7 +166,7 @@
 // callDirectly makes a call from this process.
 func (r *Router) callDirectly(ctx context.Context, c Call) {
 	sent := time.Now()
-	o := perform(ctx, r.conf.Local, r.conf.Epoch, &c)
+	o := perform(ctx, r.conf.Local, &c)
 	o.Sent = sent
 	r.conf.Apply(func(now time.Time) { c.Done(o, now) })
 }
--- a/internal/linkshard/server.go
+++ b/internal/linkshard/server.go
@@ -59,7 +59,7 @@
 	r := s.reporter(reportKey{b.Holder, b.Partition, b.Epoch})
 	for _, n := range calls {
 		go func() {
-			o := perform(context.Background(), s.hosts, b.Epoch, &n.call)
+			o := perform(context.Background(), s.hosts, &n.call)
 			r.add(numberedOutcome{n.id, n.call.Poll != nil, o}, b.ReportEvery)
 		}()
 	}
