engine: runs that an incarnation which has not answered may start are held

Callers would see a task run twice at the same time: a host is disconnected, starts again behind the cut, and carries out a start that got no answer, up to 12 s after it was sent. The holder counted the run as lost when the leases of the incarnation that it knew were over, some 7 s after the last answer, and started the task elsewhere.

Cause: the end of the leases was computed for the known incarnation alone. One that has not answered has received no token, so it still takes earlier starts, and grants the longest lease from then on. Same class as the renewals: an identity that is used again.

Evidence: TestStartForFormerIncarnation. Cases in which the host answers after its restart are closed by its token.

Change: a run without an acknowledged start is held while the entry of its host is listed, and every recent run while that entry names another incarnation than the one that is known, until 12 s (Tuning.MaxCallDelay) and the longest lease after the last call that could grant one. After a takeover a host whose entry names another incarnation than the roster is waited for as long. A host whose entry is removed counts as gone, as before, so that hosts that are lost for good delay nothing.

Ruled out: holding every run of every silent host for that long, which would delay the restart of all tasks of a lost host from 7 s to 18 s.

--- a/internal/engine/former_calls_test.go
+++ b/internal/engine/former_calls_test.go
@@ -112,3 +112,99 @@
 func (f formerRenewal) String() string {
 	return fmt.Sprintf("clock rate %v, carried out after %v, disconnected %v later", f.rate, f.arrives, f.cutAfter)
 }
+
+// formerStart is a start that gets no answer and that the next incarnation of its host carries out.
+type formerStart struct {
+	arrives  time.Duration // when it is carried out, counted from the order
+	restart  time.Duration // when the host restarts
+	cut      time.Duration // when the host is disconnected; zero for never
+	failover time.Duration // when the holder changes; zero for never
+}
+
+// execute runs a task on one of two hosts, each with capacity for it.
+func (f formerStart) execute(t *testing.T) *world {
+	w := newWorld(t, 33)
+	w.followsHosts = true
+	w.fleet.KeepID, w.fleet.RestartDelay = true, 200*time.Millisecond
+	w.fleet.Add(2, "s", size(64, 128))
+	w.failOver()
+	w.run(10 * time.Second)
+	ordered := false
+	w.hangs = func(s StartOrder) bool {
+		if ordered {
+			return false
+		}
+		ordered = true
+		h, token, late := w.host(s.To.ID), w.engine.Token(s.Generation), s.Start
+		late.Incarnation = 0 // nothing in the order tells the host for which incarnation it was sent
+		w.after(f.restart, h.RestartAfterPowerLoss)
+		w.after(f.arrives, func() {
+			if h.Up() {
+				h.Start(token, late)
+			}
+		})
+		if f.cut > 0 {
+			w.after(f.cut, func() { h.SetDisconnected(true) })
+		}
+		if f.failover > 0 {
+			w.after(f.failover, w.failOver)
+		}
+		return true
+	}
+	w.submit("job", catalog.Rules{}, step(1, 40, 60, 5_000))
+	w.run(60 * time.Second)
+	if !w.fleet.Checker().JobDone("job") {
+		t.Errorf("%+v: the job is reported as %s: %s", f, w.reported["job"], w.describe("job"))
+	}
+	return w
+}
+
+// TestStartForFormerIncarnation guards against two runs of one task: a start that got no answer was carried out
+// by the next incarnation of its host, after the task had been started elsewhere.
+func TestStartForFormerIncarnation(t *testing.T) {
+	for name, f := range map[string]formerStart{
+		"the host answers again":                 {restart: 50 * time.Millisecond},
+		"the host restarts later":                {restart: 900 * time.Millisecond},
+		"the host restarts behind a cut":         {restart: 50 * time.Millisecond, cut: 10 * time.Millisecond},
+		"the host is cut soon after its restart": {restart: 50 * time.Millisecond, cut: 500 * time.Millisecond},
+		"the holder changes":                     {restart: 50 * time.Millisecond, failover: 100 * time.Millisecond},
+		"the holder changes behind a cut":        {restart: 50 * time.Millisecond, cut: 10 * time.Millisecond, failover: time.Second},
+		"the holder changes before the restart":  {restart: 2 * time.Second, cut: 10 * time.Millisecond, failover: time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			broken, played := 0, 0
+			for arrives := 300 * time.Millisecond; arrives <= 12*time.Second; arrives += 300 * time.Millisecond {
+				f.arrives = arrives
+				played++
+				if v := f.execute(t).fleet.Checker().Violations(); len(v) > 0 {
+					broken++
+					t.Errorf("carried out %v after the order: %s", arrives, v[0])
+				}
+			}
+			if broken > 0 {
+				t.Errorf("%d of %d cases broken", broken, played)
+			}
+		})
+	}
+}
+
+// TestRandomRestartsWithCarriedOverPolls restarts hosts at random times while polls are carried out seconds late, also
+// by the next incarnations of their hosts.
+func TestRandomRestartsWithCarriedOverPolls(t *testing.T) {
+	const seeds = 12
+	for seed := uint64(1); seed <= seeds; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			restartAtRandomTimes(t, seed, faults{delayedPoll: 0.2, carriedOver: true})
+		})
+	}
+}
+
+// TestRandomRestartsWithCarriedOverOrders is the same for orders.
+func TestRandomRestartsWithCarriedOverOrders(t *testing.T) {
+	const seeds = 12
+	for seed := uint64(1); seed <= seeds; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			restartAtRandomTimes(t, seed, faults{delayedRequest: 0.2, carriedOver: true})
+		})
+	}
+}
--- a/internal/engine/lease_bound.go
+++ b/internal/engine/lease_bound.go
@@ -27,12 +27,17 @@
 // most this interval; a host is waited for during about ten seconds, so a failover causes some ten writes.
 const leaseBoundInterval = time.Second
 
-// leasesOver returns when everything that earlier holders have leased on an inherited host is over.
+// leasesOver returns when everything that earlier holders have leased on an inherited host is over. An incarnation
+// that has not answered may carry their calls out later.
 func (e *Engine) leasesOver(h *hostState) time.Time {
+	over := e.reconcileDeadline
+	if h.hasUnclaimedIncarnation() && !h.expiredUnreported {
+		over = over.Add(e.cfg.Tuning.MaxCallDelay)
+	}
 	if h.leasesOverAt.IsZero() {
-		return e.reconcileDeadline
+		return over
 	}
-	return earlier(h.leasesOverAt, e.reconcileDeadline)
+	return earlier(h.leasesOverAt, over)
 }
 
 // applyLeaseBound takes the bound that the previous holder stored for a host. The clocks of the two holders
--- a/internal/engine/lost.go
+++ b/internal/engine/lost.go
@@ -97,6 +97,34 @@
 	}
 }
 
+// dropExpiredRuns drops the runs of an unresponsive host that are over, as every lease there is.
+func (e *Engine) dropExpiredRuns(h *hostState, now time.Time) {
+	expired := e.expiredRuns(h, now)
+	if len(expired) == 0 {
+		return
+	}
+	const why = "unresponsive until its lease expired"
+	e.log(Event{
+		What: "host lost", Host: string(h.info.ID), Age: now.Sub(h.lastContact),
+		Why: fmt.Sprintf("%s: %s; %d runs are held, as another incarnation may start them", why, e.describeLease(h, now), len(h.runs)-len(expired)),
+	})
+	h.pendingAttributions = append(h.pendingAttributions, e.attributionsOf(h, expired, now)...)
+	for _, r := range expired {
+		e.dropLostRun(r, why, now)
+	}
+	e.awaitConfirmation(h, now)
+}
+
+// attributionsOf returns the attributions for some of the runs of a host; those for runs of earlier holders are
+// among them once no other run is left.
+func (e *Engine) attributionsOf(h *hostState, runs []*run, now time.Time) []attribution {
+	all := len(runs) == len(h.runs)
+	return slices.DeleteFunc(e.attributions(h, now), func(a attribution) bool {
+		r := h.runs[a.run]
+		return r == nil && !all || r != nil && !slices.Contains(runs, r)
+	})
+}
+
 // expireInterval is how often hosts are checked for unanswered calls: the reactions to them
 // are timed in hundreds of milliseconds, and each check takes time for every host.
 const expireInterval = 20 * time.Millisecond
@@ -121,12 +149,9 @@
 		if h.unresponsiveSince.IsZero() || !h.claimed || now.Before(e.leasesExpireAt(h)) {
 			continue
 		}
+		e.dropExpiredRuns(h, now)
 		if len(h.runs) > 0 {
-			const why = "unresponsive until its lease expired"
-			e.log(Event{What: "host lost", Host: string(h.info.ID), Why: why + ": " + e.describeLease(h, now), Age: now.Sub(h.lastContact)})
-			h.pendingAttributions = append(h.pendingAttributions, e.attributions(h, now)...)
-			e.dropLostRuns(h, why, now)
-			e.awaitConfirmation(h, now)
+			continue // they may be on an incarnation that has not answered
 		}
 		e.markReported(h, now)
 		if !h.listed {
--- a/internal/engine/restart_test.go
+++ b/internal/engine/restart_test.go
@@ -149,9 +149,13 @@
 }
 
 func testRandomRestarts(t *testing.T, seed uint64) {
+	restartAtRandomTimes(t, seed, []faults{{}, {lostRequest: 0.1, lostReply: 0.2}, {delayedRequest: 0.2}, {unidentifiedPolls: 0.5}, {latePolls: 0.5}, {lateViews: 0.5}}[seed%6])
+}
+
+func restartAtRandomTimes(t *testing.T, seed uint64, f faults) {
 	w := newRestartWorld(t, seed, 8)
 	w.fleet.RestartDelay = time.Duration(100+w.rnd.IntN(2500)) * time.Millisecond
-	w.faults = []faults{{}, {lostRequest: 0.1, lostReply: 0.2}, {delayedRequest: 0.2}, {unidentifiedPolls: 0.5}, {latePolls: 0.5}, {lateViews: 0.5}}[seed%6]
+	w.faults = f
 	const busy = 20 * time.Second
 	w.submitUnrelated(busy)
 	w.after(time.Second, func() { w.submit("gang", catalog.Rules{Priority: 1}, gangOf(6, 18, 20, 4000)) })
--- a/internal/engine/tuning.go
+++ b/internal/engine/tuning.go
@@ -11,6 +11,8 @@
 	// StartTTL is the time to live of a start order, which sets the start's deadline at the host. The
 	// host refuses orders that arrive after it: the network may deliver an order seconds late.
 	StartTTL time.Duration
+	// MaxCallDelay is how long after it was sent a call without an answer may still be carried out.
+	MaxCallDelay time.Duration
 	// PollWait is how long a host may delay the answer to a poll until a run ends.
 	PollWait time.Duration
 	// IdlePollInterval is the interval between polls of a host that runs nothing.
@@ -46,6 +48,7 @@
 func DefaultTuning() Tuning {
 	return Tuning{
 		StartTTL:          1200 * time.Millisecond,
+		MaxCallDelay:      12 * time.Second,
 		PollWait:          2 * time.Second,
 		IdlePollInterval:  4 * time.Second,
 		PollRetryInterval: 250 * time.Millisecond,
