engine: run ends are acknowledged only until the host has deleted them

Every poll acknowledged all stored ends, also those that the host had deleted long ago. The poll that waits at a host as it ends may be carried out by the next incarnation, whose ends have the same numbers: it would delete them before anybody has read them, and tasks that are done would start again. Until an incarnation has its first token nothing else keeps such a poll out. Polls now carry an acknowledgement only until an answer shows that the host has deleted these ends, so that the poll which waits at a host usually has none.

TestEndsAreAcknowledgedUntilDeleted failed before: "polls acknowledge up to [1 1], ... want 0 once it has deleted them". Not closed: an acknowledgement that is under way as the host ends.

--- a/internal/engine/former_calls_test.go
+++ b/internal/engine/former_calls_test.go
@@ -188,6 +188,31 @@
 	}
 }
 
+// TestEndsAreAcknowledgedUntilDeleted guards against ends that are deleted unread: the poll that waited at a host as it
+// ended was carried out by the next incarnation, and acknowledged ends that the former one had deleted long ago.
+func TestEndsAreAcknowledgedUntilDeleted(t *testing.T) {
+	w := newWorld(t, 37)
+	w.fleet.Add(1, "s", size(64, 128))
+	w.failOver()
+	w.run(time.Second)
+	w.faults.unidentifiedPolls = 1 // acknowledgements do not reach the host
+	w.submit("job", catalog.Rules{}, step(1, 6, 10, 300))
+	w.run(3 * time.Second)
+	var acked []int64
+	w.onPoll = func(o PollOrder) { acked = append(acked, o.Poll.AckedEnds) }
+	w.run(5 * time.Second)
+	if len(acked) == 0 || slices.Contains(acked, 0) || w.host("h00").KeptEnds() != 1 {
+		t.Errorf("polls acknowledge up to %v, and the host keeps %d ends, want 1 in each poll", acked, w.host("h00").KeptEnds())
+	}
+	w.faults.unidentifiedPolls = 0
+	w.run(5 * time.Second)
+	acked = nil
+	w.run(10 * time.Second)
+	if len(acked) == 0 || slices.Max(acked) > 0 || w.host("h00").KeptEnds() != 0 {
+		t.Errorf("polls acknowledge up to %v, and the host keeps %d ends, want 0 once it has deleted them", acked, w.host("h00").KeptEnds())
+	}
+}
+
 // TestRandomRestartsWithCarriedOverPolls restarts hosts at random times while polls are carried out seconds late, also
 // by the next incarnations of their hosts.
 func TestRandomRestartsWithCarriedOverPolls(t *testing.T) {
--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -104,6 +104,7 @@
 
 	endsProcessed   int64 // number of the last run end processed
 	endsAcked       int64 // number of the last run end stored, up to which the host may delete them
+	acksDelivered   int64 // number of the last run end that the host has certainly deleted
 	ackedEndsListed bool  // its last view listed ends that had been acknowledged to it
 
 	orphanEnds []int64 // numbers of orphan ends (of unknown jobs), which the host has to keep
--- a/internal/engine/view.go
+++ b/internal/engine/view.go
@@ -34,14 +34,22 @@
 	e.out.Polls = append(e.out.Polls, PollOrder{To: h.info, Generation: h.generation, Poll: p, Number: e.numberPoll(h)})
 }
 
-// basePoll returns a poll that acknowledges the processed ends and renews no lease.
+// basePoll returns a poll that acknowledges the stored ends and renews no lease. Ends are acknowledged only until the
+// host has deleted them: a poll that is carried out by the next incarnation would have it delete its own.
 func (h *hostState) basePoll() host.Poll {
-	if h.beingFenced() {
-		return host.Poll{} // the ends belong to an incarnation that has ended
+	if h.beingFenced() || h.endsAcked <= h.acksDelivered {
+		return host.Poll{Incarnation: h.incarnation}
 	}
 	return host.Poll{AckedEnds: h.endsAcked, Incarnation: h.incarnation}
 }
 
+// recordAck records which ends a host has deleted, by its answer to a poll.
+func (h *hostState) recordAck(acked int64, v host.View) {
+	if !relistsAcked(v, acked) {
+		h.acksDelivered = max(h.acksDelivered, acked)
+	}
+}
+
 // Polled handles the outcome of a poll that was sent at sent.
 func (e *Engine) Polled(o PollOrder, sent time.Time, v host.View, err error, now time.Time) {
 	e.now = now
@@ -111,6 +119,7 @@
 		e.markClaimed(h, v)
 	}
 	ackedEndsListed := relistsAcked(v, o.Poll.AckedEnds)
+	h.recordAck(o.Poll.AckedEnds, v)
 	ended := e.processEnds(h, v.Ended, now)
 	e.processRunning(h, v.Running, producedAt, now)
 	e.processAbsent(h, v, sent, now)
