engine: a test that a host which was dropped keeps its generation

A host that has received the token of a later generation refuses the first one, which the holder takes for another holder's claim: it would give the partition up.

--- a/internal/engine/former_calls_test.go
+++ b/internal/engine/former_calls_test.go
@@ -188,6 +188,27 @@
 	}
 }
 
+// TestDroppedHostKeepsItsGeneration guards against a holder that gives the partition up: a host that has received the
+// token of a later generation was dropped and listed again, and refused a call with the first one.
+func TestDroppedHostKeepsItsGeneration(t *testing.T) {
+	for name, omits := range map[string]bool{"incarnation named": false, "incarnation not named any more": true} {
+		t.Run(name, func(t *testing.T) {
+			w := newRestartWorld(t, 5, 2)
+			w.host("h00").Restart()
+			w.run(2 * time.Second)
+			w.fleet.OmitIncarnation = omits
+			w.run(10 * time.Second)
+			info := w.engine.hosts["h00"].info
+			w.engine.DropHost("h00", w.now())
+			w.engine.SetHost(info, w.now())
+			w.run(10 * time.Second)
+			if h := w.engine.hosts["h00"]; w.engine.deposed || h.generation == 0 || !h.claimed {
+				t.Errorf("deposed: %t; the host has generation %d, claimed: %t", w.engine.deposed, h.generation, h.claimed)
+			}
+		})
+	}
+}
+
 // TestEndsAreAcknowledgedUntilDeleted guards against ends that are deleted unread: the poll that waited at a host as it
 // ended was carried out by the next incarnation, and acknowledged ends that the former one had deleted long ago.
 func TestEndsAreAcknowledgedUntilDeleted(t *testing.T) {
