engine, hostcall: a copy that meets the next incarnation settles no other copy

Callers would see a task run twice at the same time: the first copy of a start gets no answer and is carried out by the next incarnation of its host, and a later copy finds that incarnation, or is refused by it as outdated. The run was removed as never started, and the task was started elsewhere at once.

Cause: two places took "the intended incarnation has ended" for "no copy can be carried out". hostcall settled a start by ErrOtherIncarnation while an earlier copy was lost or pending, and the engine removed a run on a refusal of an outdated generation, which can overtake the view that lists the run.

Change: such a start is reported as lost unless no other copy was sent, and one refused as outdated counts as unanswered. The claim of the next incarnation settles it: its view lists the run, or the start is refused from then on. Outcomes of a single copy are as before.

--- /dev/null
+++ b/internal/engine/fencing_test.go
@@ -0,0 +1,56 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	"pulleyquay/internal/catalog"
+)
+
+// TestCopyRefusedBeforeClaim guards against two runs of one task: a copy of a start was carried out by the next
+// incarnation, which refused another copy after it had received its token, and the refusal arrived before the view
+// that lists the run.
+func TestCopyRefusedBeforeClaim(t *testing.T) {
+	w := newWorld(t, 33)
+	w.followsHosts = true
+	w.fleet.KeepID, w.fleet.RestartDelay = true, 50*time.Millisecond
+	w.fleet.Add(2, "s", size(64, 128))
+	w.failOver()
+	w.run(10 * time.Second)
+	ordered, refused := false, false
+	w.hangs = func(s StartOrder) bool {
+		if ordered {
+			return false
+		}
+		ordered = true
+		e := w.engine
+		h, token, late := w.host(s.To.ID), e.Token(s.Generation), s.Start
+		late.Incarnation = 0 // nothing in the order tells the host for which incarnation it was sent
+		h.RestartAfterPowerLoss()
+		w.after(w.fleet.RestartDelay+time.Millisecond, func() { h.Start(token, late) })
+		w.onPoll = func(o PollOrder) {
+			if o.To.ID != s.To.ID || o.Generation <= s.Generation {
+				return
+			}
+			w.onPoll, w.faults.lateViews = nil, 1 // the refusal overtakes the view
+			w.after(2*time.Second, func() { w.faults.lateViews = 0 })
+			w.after(oneWay+oneWay/2, func() {
+				reply := h.Start(token, late)
+				refused = reply.Refused != ""
+				w.deliver(e, func() { e.Started(s, reply, nil, w.now()) })
+			})
+		}
+		return true
+	}
+	w.submit("job", catalog.Rules{}, step(1, 40, 60, 5_000))
+	w.run(40 * time.Second)
+	if !refused {
+		t.Error("no copy was refused")
+	}
+	if v := w.fleet.Checker().Violations(); len(v) > 0 {
+		t.Error(v[0])
+	}
+	if !w.fleet.Checker().JobDone("job") {
+		t.Errorf("the job is reported as %s", w.reported["job"])
+	}
+}
--- a/internal/engine/orders.go
+++ b/internal/engine/orders.go
@@ -147,7 +147,8 @@
 	case host.RefusedFenced:
 		if h.isOutdated(o.Generation) {
 			e.refusedOutdated(h)
-			break
+			e.markUnacknowledged(h, r, now) // another copy may have been carried out before the token arrived
+			return
 		}
 		e.fencedBy(h)
 	case host.RefusedTicket:
--- a/internal/hostcall/repeat.go
+++ b/internal/hostcall/repeat.go
@@ -74,6 +74,9 @@
 			if o.settles(a) {
 				return o.outcome(a)
 			}
+			if errors.Is(a.err, host.ErrOtherIncarnation) {
+				return o.abort() // the copies sent before may be carried out by that incarnation
+			}
 			if o.pending == 0 {
 				return host.Reply{}, o.failure(a.err)
 			}
@@ -165,9 +168,7 @@
 func (o *orderInFlight) settles(a copyResult) bool {
 	o.pending--
 	switch {
-	case errors.Is(a.err, host.ErrOtherIncarnation):
-		return true // nothing can run there
-	case errors.Is(a.err, host.ErrNotSent):
+	case errors.Is(a.err, host.ErrOtherIncarnation), errors.Is(a.err, host.ErrNotSent):
 		return o.pending == 0 && !o.lost
 	case a.err != nil:
 		o.lost = true
