engine: an answer to a call of an earlier generation claims no host

Cause: a host that was dropped and is listed again has no known incarnation, and observeIncarnation took any answer for its first one, also that to a poll from before. The host has not received the token of the new generation then, so a renewal from before can be carried out after the claim and exceed the bound of the leases. The same held for an outdated answer that names no incarnation.

Evidence: TestOutdatedAnswerDoesNotClaim, both cases failed before.

Change: outdated answers are used only to learn of an unknown incarnation of a host whose incarnation is known. The host is polled again with its present token.

--- a/internal/engine/fencing_test.go
+++ b/internal/engine/fencing_test.go
@@ -4,7 +4,10 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"pulleyquay/internal/catalog"
+	"pulleyquay/internal/host"
 )
 
 // TestCopyRefusedBeforeClaim guards against two runs of one task: a copy of a start was carried out by the next
@@ -54,3 +57,28 @@
 		t.Errorf("the job is reported as %s", w.reported["job"])
 	}
 }
+
+// TestOutdatedAnswerDoesNotClaim guards against a host that is listed again being claimed by the answer to a poll
+// from before: the host has not received the token of the present generation then, so a renewal from before can
+// still extend its leases.
+func TestOutdatedAnswerDoesNotClaim(t *testing.T) {
+	for name, named := range map[string]bool{"named": true, "not named": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newRestartWorld(t, 5, 2)
+			h := w.engine.hosts["h00"]
+			before := PollOrder{To: h.info, Generation: h.generation, Poll: h.basePoll(), Probe: true}
+			view := host.View{Clock: h.estimateClock(w.now())}
+			if named {
+				view.Incarnation = h.incarnation
+			}
+			w.engine.DropHost("h00", w.now())
+			is.True(w.engine.hosts["h00"] == nil)
+			w.engine.SetHost(before.To, w.now())
+			w.engine.Polled(before, w.now(), view, nil, w.now())
+			is.True(!w.engine.hosts["h00"].claimed) // by an answer to a call of an earlier generation
+			w.run(time.Second)
+			is.True(w.engine.hosts["h00"].claimed)
+		})
+	}
+}
--- a/internal/engine/incarnation.go
+++ b/internal/engine/incarnation.go
@@ -28,7 +28,7 @@
 // it may still carry out calls to the one before.
 func (e *Engine) observeIncarnation(h *hostState, o PollOrder, v host.View, sent, now time.Time) *hostState {
 	switch {
-	case v.Incarnation == h.incarnation && h.isOutdated(o.Generation):
+	case h.isOutdated(o.Generation) && (v.Incarnation == h.incarnation || v.Incarnation == 0 || h.incarnation == 0):
 		return nil
 	case v.Incarnation == 0:
 		h.incarnation = 0 // the host stopped naming its incarnation, so a start for a named one would never arrive
