linkshard: a start that another shard may have sent is not settled by the next incarnation

Cause: a start given to a second shard, after the first did not answer, ended as ErrOtherIncarnation when the second shard met the next incarnation of the host. The engine then removed the run as never started, though the copy of the first shard may be carried out by that incarnation until it has received its token. Same class as the copies of hostcall.

Evidence: TestRefusalsOfPossiblySentCalls, "start, another incarnation, possibly sent", failed without the change.

Change: such a start is reported as lost; the claim of the next incarnation settles it. Polls and stops are not bound to an incarnation: ErrOtherIncarnation means that a host with another id answered, so they keep it, as the row from before demands.

--- a/internal/linkshard/failure.go
+++ b/internal/linkshard/failure.go
@@ -122,19 +122,24 @@
 	r.conf.Apply(func(now time.Time) {
 		for _, e := range done {
 			e.outcome.Sent = e.call.firstSentAt
-			e.outcome.markUncertain(e.call.possiblySent)
+			e.outcome.markUncertain(e.call.possiblySent, e.call.call.Start != nil)
 			e.call.call.Done(e.outcome, now)
 		}
 	})
 }
 
 // markUncertain changes an outcome that excludes any effect of the call to an unknown one, if
-// another shard may have made the call, or may still make it.
-func (o *Outcome) markUncertain(possiblySent bool) {
+// another shard may have made the call, or may still make it. A start that another shard has sent to the
+// intended incarnation may be carried out by the next one, so that one's answer proves nothing.
+func (o *Outcome) markUncertain(possiblySent, start bool) {
 	if !possiblySent {
 		return
 	}
 	switch failureOf(o.Err) {
+	case failureOtherIncarnation:
+		if start {
+			o.Err = fmt.Errorf("%w: another incarnation answered another link shard", host.ErrLost)
+		}
 	case failureNotSent, failureRefused:
 		unreported := errors.Is(o.Err, host.ErrUnreported)
 		o.Err = fmt.Errorf("%w: through another link shard", host.ErrLost)
--- a/internal/linkshard/router_test.go
+++ b/internal/linkshard/router_test.go
@@ -390,23 +390,26 @@
 		possiblySent bool
 		want         failure
 		refused      host.Refusal
+		start        bool
 	}{
-		"done":                               {Outcome{}, true, failureNone, ""},
-		"refused":                            {Outcome{Reply: refused}, false, failureNone, host.RefusedNoCapacity},
-		"refused, possibly sent":             {Outcome{Reply: refused}, true, failureLost, ""},
-		"too old, possibly sent":             {Outcome{Reply: host.Reply{Refused: host.RefusedSuperseded}}, true, failureLost, ""},
-		"fenced, possibly sent":              {Outcome{Reply: host.Reply{Refused: host.RefusedFenced}}, true, failureNone, host.RefusedFenced},
-		"not sent":                           {Outcome{Err: host.ErrNotSent}, false, failureNotSent, ""},
-		"not sent, possibly sent by another": {Outcome{Err: host.ErrNotSent}, true, failureLost, ""},
-		"another incarnation, possibly sent": {Outcome{Err: host.ErrOtherIncarnation}, true, failureOtherIncarnation, ""},
-		"broken, possibly sent":              {Outcome{Err: host.ErrConnectionBroken}, true, failureBroken, ""},
-		"connection refused":                 {Outcome{Err: host.ErrConnectionRefused}, false, failureRefused, ""},
-		"connection refused, possibly sent":  {Outcome{Err: host.ErrConnectionRefused}, true, failureLost, ""},
+		"done":                                      {Outcome{}, true, failureNone, "", false},
+		"refused":                                   {Outcome{Reply: refused}, false, failureNone, host.RefusedNoCapacity, false},
+		"refused, possibly sent":                    {Outcome{Reply: refused}, true, failureLost, "", false},
+		"too old, possibly sent":                    {Outcome{Reply: host.Reply{Refused: host.RefusedSuperseded}}, true, failureLost, "", false},
+		"fenced, possibly sent":                     {Outcome{Reply: host.Reply{Refused: host.RefusedFenced}}, true, failureNone, host.RefusedFenced, false},
+		"not sent":                                  {Outcome{Err: host.ErrNotSent}, false, failureNotSent, "", false},
+		"not sent, possibly sent by another":        {Outcome{Err: host.ErrNotSent}, true, failureLost, "", false},
+		"another incarnation, possibly sent":        {Outcome{Err: host.ErrOtherIncarnation}, true, failureOtherIncarnation, "", false},
+		"start, another incarnation, possibly sent": {Outcome{Err: host.ErrOtherIncarnation}, true, failureLost, "", true},
+		"start, another incarnation":                {Outcome{Err: host.ErrOtherIncarnation}, false, failureOtherIncarnation, "", true},
+		"broken, possibly sent":                     {Outcome{Err: host.ErrConnectionBroken}, true, failureBroken, "", false},
+		"connection refused":                        {Outcome{Err: host.ErrConnectionRefused}, false, failureRefused, "", false},
+		"connection refused, possibly sent":         {Outcome{Err: host.ErrConnectionRefused}, true, failureLost, "", false},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			tc.outcome.markUncertain(tc.possiblySent)
+			tc.outcome.markUncertain(tc.possiblySent, tc.start)
 			is.Equal(failureOf(tc.outcome.Err), tc.want)
 			is.Equal(tc.outcome.Reply.Refused, tc.refused)
 		})
