engine: a fenced host that stops naming its incarnation is claimed again

Cause: observeIncarnation took an answer without an incarnation as the known host's and left claimedGeneration behind, so beingFenced held for good: no new work and no renewals, so that what ran there lapsed. When such a host was dropped, its generation was not remembered either, as it had no known incarnation; its calls then had a lower token than before, and the host's refusal made the holder give the partition up.

Evidence: TestHostThatStopsNamingItsIncarnation and TestGenerationIsRemembered, both failed without the change.

Change: an answer to a call of the present generation claims the host by it, with the longest lease from that answer as bound, and a generation above zero is always remembered.

--- a/internal/engine/fencing.go
+++ b/internal/engine/fencing.go
@@ -33,6 +33,16 @@
 	h.touch()
 }
 
+// claimUnnamed ends the fencing of a host that has answered a call of its generation without naming its incarnation.
+// Until then a call from before may have granted the longest lease.
+func (e *Engine) claimUnnamed(h *hostState, v host.View) {
+	if !h.beingFenced() {
+		return
+	}
+	h.claimedGeneration = h.generation
+	h.leased.extend(v.Clock+host.Millis(e.cfg.Bounds.MaxLease.Milliseconds()), leaseOfClaim, e.now)
+}
+
 // nextGeneration returns the generation after another one. The holder gives the partition up when the tokens of
 // its epoch are used up, as the next holder's epoch has others.
 func (e *Engine) nextGeneration(generation uint64) uint64 {
@@ -49,7 +59,7 @@
 // rememberGeneration makes later calls to a host that is dropped outrank the present ones, as it may be listed
 // again while these can still be carried out.
 func (e *Engine) rememberGeneration(h *hostState) {
-	if h.incarnation != 0 && (h.claimed || h.generation > 0) {
+	if h.generation > 0 || h.incarnation != 0 && h.claimed {
 		e.generations[h.info.ID] = e.nextGeneration(h.generation)
 	}
 }
--- a/internal/engine/fencing_test.go
+++ b/internal/engine/fencing_test.go
@@ -82,3 +82,36 @@
 		})
 	}
 }
+
+// TestHostThatStopsNamingItsIncarnation guards against a host that gets no work and no leases for good: it was fenced,
+// and what answered with the new token named no incarnation.
+func TestHostThatStopsNamingItsIncarnation(t *testing.T) {
+	is := is.New(t)
+	w := newRestartWorld(t, 5, 2)
+	poll := func(incarnation host.Incarnation) *hostState {
+		h := w.engine.hosts["h00"]
+		v := host.View{Incarnation: incarnation, Clock: h.estimateClock(w.now())}
+		w.engine.Polled(PollOrder{To: h.info, Generation: h.generation, Probe: true}, w.now(), v, nil, w.now())
+		return w.engine.hosts["h00"]
+	}
+	known := w.engine.hosts["h00"].incarnation
+	is.True(poll(known + 1).beingFenced())
+	h := poll(0)
+	is.True(!h.beingFenced())
+	is.True(h.leased.until >= h.clock+host.Millis(w.engine.cfg.Bounds.MaxLease.Milliseconds())) // a call from before may have granted that
+	is.True(!poll(known + 2).beingFenced())                                                     // it names itself again
+}
+
+// TestGenerationIsRemembered guards against a holder that gives the partition up: a host that was dropped and is
+// listed again refused its calls, as their token was lower than before.
+func TestGenerationIsRemembered(t *testing.T) {
+	is := is.New(t)
+	w := newRestartWorld(t, 5, 2)
+	info := w.engine.hosts["h00"].info
+	w.engine.fenceIncarnation(w.engine.hosts["h00"], info.Incarnation+1)
+	w.engine.hosts["h00"].incarnation = 0 // it has stopped naming itself
+	used := w.engine.hosts["h00"].generation
+	w.engine.DropHost("h00", w.now())
+	w.engine.SetHost(info, w.now())
+	is.True(w.engine.hosts["h00"].generation > used)
+}
--- a/internal/engine/incarnation.go
+++ b/internal/engine/incarnation.go
@@ -32,11 +32,13 @@
 		return nil
 	case v.Incarnation == 0:
 		h.incarnation = 0 // the host stopped naming its incarnation, so a start for a named one would never arrive
+		e.claimUnnamed(h, v)
 		return h
 	case v.Incarnation == h.incarnation:
 		h.claimedGeneration = h.generation
 		return h
 	case h.incarnation == 0:
+		h.claimedGeneration = h.generation
 		h.setIncarnation(v.Incarnation, now)
 		e.rosterOutdated = e.rosterOutdated || !h.parked
 		return h
