engine: the hold of runs counts renewals that are sent again

Callers would see a task run twice at the same time: a host restarts behind a cut, carries out a start that got no answer, and later a copy of the last renewal. The holder released the run 12 s and the longest lease after the order of that poll.

Cause: hostcall sends a poll again, unchanged, until its wait is over, so its last copy is up to Tuning.PollWait younger than the order. Besides, the order of the last renewal was taken from the time at which the bound last moved; after a clock reading that does not fit, renewals do not move it for 1.2 s.

Change: the time of the last call that may grant a lease is kept apart from what set the bound, and the wait of a poll is added. Runs that are held wait up to 2 s longer; no other run waits.

--- a/internal/engine/fencing_test.go
+++ b/internal/engine/fencing_test.go
@@ -115,3 +115,52 @@
 	w.engine.SetHost(info, w.now())
 	is.True(w.engine.hosts["h00"].generation > used)
 }
+
+// TestRepeatedRenewalForFormerIncarnation guards against two runs of one task: a host restarts behind a cut and carries
+// out a start that got no answer, and later a renewal that was sent again while its poll waited. The holder had counted
+// the delay of calls from the order of the poll.
+func TestRepeatedRenewalForFormerIncarnation(t *testing.T) {
+	w := newWorld(t, 33)
+	w.followsHosts = true
+	w.fleet.KeepID, w.fleet.RestartDelay = true, 50*time.Millisecond
+	w.fleet.Add(2, "s", size(64, 128))
+	w.failOver()
+	w.run(10 * time.Second)
+	delay := w.engine.cfg.Tuning.MaxCallDelay - 10*time.Millisecond
+	ordered := false
+	w.hangs = func(s StartOrder) bool {
+		if ordered {
+			return false
+		}
+		ordered = true
+		h, token, late := w.host(s.To.ID), w.engine.Token(s.Generation), s.Start
+		late.Incarnation = 0 // nothing in the order tells the host for which incarnation it was sent
+		w.onPoll = func(o PollOrder) {
+			if o.To.ID == s.To.ID && o.Poll.Lease > 0 {
+				w.after(o.Poll.Wait+delay, func() { carryOut(h, formerCall{w.engine.Token(o.Generation), o.Poll}) })
+			}
+		}
+		w.after(10*time.Millisecond, func() { h.SetDisconnected(true) })
+		w.after(50*time.Millisecond, h.RestartAfterPowerLoss)
+		w.after(delay, func() { h.Start(token, late) })
+		return true
+	}
+	w.submit("job", catalog.Rules{}, step(1, 40, 60, 12_000))
+	w.run(60 * time.Second)
+	if v := w.fleet.Checker().Violations(); len(v) > 0 {
+		t.Error(v[0])
+	}
+	if !w.fleet.Checker().JobDone("job") {
+		t.Errorf("the job is reported as %s", w.reported["job"])
+	}
+}
+
+// TestRenewalThatDoesNotMoveTheBound guards against runs that are released too early: after a clock reading that does
+// not fit, renewals end earlier than the bound, and the last call that may grant a lease was taken for an older one.
+func TestRenewalThatDoesNotMoveTheBound(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(100, 0)
+	b := leaseBound{until: 10_000, source: leaseOfClock, setAt: start, calledAt: start}
+	b.extend(9_000, leaseOfPoll, start.Add(time.Second))
+	is.Equal(b, leaseBound{until: 10_000, source: leaseOfClock, setAt: start, calledAt: start.Add(time.Second)})
+}
--- a/internal/engine/incarnation.go
+++ b/internal/engine/incarnation.go
@@ -153,7 +153,7 @@
 	h.clock, h.clockAt = c, now
 	if !fits {
 		h.origin = clockOrigin{}
-		h.leased = leaseBound{c + host.Millis((e.cfg.Bounds.MaxLease + e.cfg.Tuning.StartTTL).Milliseconds()), leaseOfClock, now}
+		h.leased = leaseBound{c + host.Millis((e.cfg.Bounds.MaxLease + e.cfg.Tuning.StartTTL).Milliseconds()), leaseOfClock, now, now}
 	}
 	return fits
 }
--- a/internal/engine/lease.go
+++ b/internal/engine/lease.go
@@ -22,12 +22,15 @@
 	until  host.Millis
 	source leaseSource
 	setAt  time.Time
+	// calledAt is when a call that may grant a lease was last ordered, whether or not it has moved the bound.
+	calledAt time.Time
 }
 
 // extend moves the bound to a later deadline; an earlier one does not shorten a lease.
 func (b *leaseBound) extend(until host.Millis, source leaseSource, now time.Time) {
+	b.calledAt = later(b.calledAt, now)
 	if until > b.until {
-		*b = leaseBound{until, source, now}
+		b.until, b.source, b.setAt = until, source, now
 	}
 }
 
--- a/internal/engine/unseen.go
+++ b/internal/engine/unseen.go
@@ -43,8 +43,9 @@
 	if !e.mayStartUnseen(r) {
 		return time.Time{}
 	}
-	lastCall := later(r.orderedAt, r.placedOn.leased.setAt)
-	return lastCall.Add(e.cfg.Tuning.MaxCallDelay + e.longestLease())
+	lastCall := later(r.orderedAt, r.placedOn.leased.calledAt)
+	// A poll is sent again while it waits, and an order for less long; each time unchanged.
+	return lastCall.Add(e.cfg.Tuning.PollWait + e.cfg.Tuning.MaxCallDelay + e.longestLease())
 }
 
 // longestLease returns how long the longest lease lasts on a host with a slow clock.
