--- a/internal/engine/incarnation.go
+++ b/internal/engine/incarnation.go
@@ -28,15 +28,17 @@
 // it may still carry out calls to the one before.
 func (e *Engine) observeIncarnation(h *hostState, o PollOrder, v host.View, sent, now time.Time) *hostState {
 	switch {
-	case v.Incarnation == h.incarnation && h.isOutdated(o.Generation):
+	case h.isOutdated(o.Generation) && (v.Incarnation == h.incarnation || v.Incarnation == 0 || h.incarnation == 0):
 		return nil
 	case v.Incarnation == 0:
 		h.incarnation = 0 // the host stopped naming its incarnation, so a start for a named one would never arrive
+		e.claimUnnamed(h, v)
 		return h
 	case v.Incarnation == h.incarnation:
 		h.claimedGeneration = h.generation
 		return h
 	case h.incarnation == 0:
+		h.claimedGeneration = h.generation
 		h.setIncarnation(v.Incarnation, now)
 		e.rosterOutdated = e.rosterOutdated || !h.parked
 		return h
@@ -151,7 +153,7 @@
 	h.clock, h.clockAt = c, now
 	if !fits {
 		h.origin = clockOrigin{}
-		h.leased = leaseBound{c + host.Millis((e.cfg.Bounds.MaxLease + e.cfg.Tuning.StartTTL).Milliseconds()), leaseOfClock, now}
+		h.leased = leaseBound{c + host.Millis((e.cfg.Bounds.MaxLease + e.cfg.Tuning.StartTTL).Milliseconds()), leaseOfClock, now, now}
 	}
 	return fits
 }
