engine: the speed of a run that moves to the next incarnation is not known

A late order to the former incarnation may have throttled it there before that one's first token, so the record of its speed could be wrong for good: nothing was sent as the speed seemed to be as intended. It now counts as unknown, as with a run of a previous holder, and is set again. Found by review; by reading, no play has shown it.

--- a/internal/engine/incarnation.go
+++ b/internal/engine/incarnation.go
@@ -136,6 +136,7 @@
 // incarnation's clock, so it does not show when the start can no longer take effect.
 func (e *Engine) attach(h *hostState, r *run) {
 	r.deadline = noDeadline
+	r.throttle = throttleUnknown // a late order to the previous incarnation may have changed it
 	h.addRun(r)
 	if r.stopRequested {
 		e.stopRequested[r] = struct{}{}
