engine: a stored lease bound allows for an incarnation that was named later

After two changes of the holder a silent host was waited for until the bound that the first one had stored, though its entry named another incarnation by then, which may still carry earlier calls out for 12 s: the longer wait was applied before the bound, which then cut it. It is applied after the bound now, and a host with such an entry has no bound stored, so that the wait is not added twice. Found by review. TestLeaseBoundOfUnclaimedIncarnation failed before: "leases are over in 4s, though the entry names another incarnation".

--- a/internal/engine/former_calls_test.go
+++ b/internal/engine/former_calls_test.go
@@ -234,6 +234,29 @@
 	}
 }
 
+// TestLeaseBoundOfUnclaimedIncarnation guards against a wait that ends too early after a second change of the holder:
+// a bound that was stored for a silent host did not allow for the incarnation that its entry named later.
+func TestLeaseBoundOfUnclaimedIncarnation(t *testing.T) {
+	w := newWorld(t, 39)
+	w.fleet.Add(1, "s", size(64, 128))
+	w.failOver()
+	w.run(time.Second)
+	e, h := w.engine, w.engine.hosts["h00"]
+	h.inherited, h.claimed, h.reported = true, false, false
+	e.reconcileDeadline, h.leasesOverAt = w.now().Add(9*time.Second), w.now().Add(4*time.Second)
+	if over := e.leasesOver(h).Sub(w.now()); over != 4*time.Second {
+		t.Errorf("leases are over in %v, want the stored bound", over)
+	}
+	h.info.Incarnation++
+	if over := e.leasesOver(h).Sub(w.now()); over != 4*time.Second+e.cfg.Tuning.MaxCallDelay {
+		t.Errorf("leases are over in %v, though the entry names another incarnation", over)
+	}
+	h.unresponsiveSince = w.now()
+	if left := e.leaseLeftMillis(h, w.now().Add(2*time.Second)); left != 0 {
+		t.Errorf("a bound of %d ms is stored for an unclaimed incarnation", left)
+	}
+}
+
 // TestRandomRestartsWithCarriedOverPolls restarts hosts at random times while polls are carried out seconds late, also
 // by the next incarnations of their hosts.
 func TestRandomRestartsWithCarriedOverPolls(t *testing.T) {
--- a/internal/engine/lease_bound.go
+++ b/internal/engine/lease_bound.go
@@ -31,13 +31,13 @@
 // that has not answered may carry their calls out later.
 func (e *Engine) leasesOver(h *hostState) time.Time {
 	over := e.reconcileDeadline
+	if !h.leasesOverAt.IsZero() {
+		over = earlier(h.leasesOverAt, over)
+	}
 	if h.hasUnclaimedIncarnation() && !h.expiredUnreported {
 		over = over.Add(e.cfg.Tuning.MaxCallDelay)
 	}
-	if h.leasesOverAt.IsZero() {
-		return over
-	}
-	return earlier(h.leasesOverAt, over)
+	return over
 }
 
 // applyLeaseBound takes the bound that the previous holder stored for a host. The clocks of the two holders
@@ -53,9 +53,10 @@
 }
 
 // leaseLeftMillis returns the bound to be stored for a host; zero if there is none. A host that has not been
-// polled yet, as others come first, has none.
+// polled yet, as others come first, has none. Nor has one with an unclaimed incarnation: the next holder waits
+// longer for it by its entry.
 func (e *Engine) leaseLeftMillis(h *hostState, now time.Time) int64 {
-	if h.claimed || !e.isUnreported(h, now) || h.unresponsiveSince.IsZero() || now.Sub(e.loadedAt) < leaseBoundInterval {
+	if h.claimed || h.hasUnclaimedIncarnation() || !e.isUnreported(h, now) || h.unresponsiveSince.IsZero() || now.Sub(e.loadedAt) < leaseBoundInterval {
 		return 0
 	}
 	return e.leasesOver(h).Sub(now).Milliseconds() + 1 // rounded up
