Unreadable records: one log line and one count for each change

Operators asked for one line for each change of a bad entry. Here a line was written with each reading of an unreadable configuration, member entry, holder record, job record or maintenance wave, and a host's entry that another writer and the host write in turn was logged at each turn.

Cause: each list logged where it decoded, and the memory of host entries was dropped by the next readable one.

Change: package unreadable remembers a digest of the last reported value of a key, also while the key is readable; for hosts without the heartbeat number and the clock. A deleted key is forgotten.

Ruled out: the error's text as the mark of a change. It names the first field found missing in no fixed order, and stays the same while the value changes.

--- a/cmd/pulley-node/node.go
+++ b/cmd/pulley-node/node.go
@@ -26,6 +26,7 @@
 	"pulleyquay/internal/peer"
 	"pulleyquay/internal/platform/follow"
 	"pulleyquay/internal/platform/resend"
+	"pulleyquay/internal/platform/unreadable"
 	"pulleyquay/internal/result"
 	"pulleyquay/internal/traffic"
 	"pulleyquay/internal/uptime"
@@ -67,6 +68,8 @@
 	front   *front.Front
 	limits  *overload.Limits
 	server  *daemon.Server
+	// unreadable counts records in the store that can't be decoded.
+	unreadable *unreadable.Counters
 
 	cancel context.CancelFunc
 }
@@ -86,6 +89,7 @@
 		}
 		n.log.Warn("store lost")
 	})
+	n.unreadable = unreadable.NewCounters(d.Reg)
 	n.meter = traffic.NewMeter()
 	d.Reg.MustRegister(n.meter)
 	n.store = platform.NewStore(s.Store.Address, n.meter.ForPurpose("store"))
@@ -95,11 +99,11 @@
 	n.peers = peer.NewNode(peer.Hello{Name: s.Name, Incarnation: n.self.Incarnation, Addr: n.self.Addr}, n.mux, n.log)
 	n.conns.peers, n.peers.OnSilentLink = n.peers, n.conns.reconnectAll
 	n.peers.OnTraffic = countMessages(n.meter)
-	n.entries = &cell.Service{Store: n.store, Health: n.health, Self: n.self, View: n.view, Log: n.log}
+	n.entries = &cell.Service{Store: n.store, Health: n.health, Self: n.self, View: n.view, Log: n.log, Unreadable: n.unreadable}
 	n.catalog = &catalog.Watcher{
 		Store: n.store, Health: n.health, Peers: n.peers, Log: n.log,
 		Key: platform.CatalogKey, Decode: platform.DecodeCatalog, Prefix: platform.OperatorPrefix,
-		Evacuations: &evacuation.Tracker{Prefix: platform.EvacuationPrefix, Log: n.log},
+		Evacuations: &evacuation.Tracker{Prefix: platform.EvacuationPrefix, Log: n.log}, Unreadable: n.unreadable,
 	}
 	n.addHolder()
 	n.addFront()
@@ -123,6 +127,7 @@
 		Self: n.self.Name, Addr: n.self.Addr, Shards: n.shards,
 		Bounds: n.conf.Bounds.engine(), Tuning: engine.DefaultTuning(),
 		HostPrefix: platform.HostPrefix, DecodeHost: platform.DecodeHost, HostOf: platform.HostOf, HeartbeatOnly: platform.HeartbeatOnly,
+		HostContent: platform.WithoutHeartbeat, Unreadable: n.unreadable,
 		Catalog: n.catalog.Current, Evacuations: n.catalog.Evacuations.Current, PolicyMembers: (&policyMembers{view: n.view}).current, Metrics: metrics, Event: n.logEvent,
 		WavePrefix: platform.WavePrefix, DecodeWave: platform.DecodeWave, WaveState: platform.WaveState,
 		DutyLease: n.conf.Bounds.DutyLease.Std(), Busy: timers.Busy,
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -290,3 +290,36 @@
 		is.Equal(len(w.Evacuations.Current().Zones), 0)
 	})
 }
+
+// TestOneLineForEachUnreadableConfiguration guards against a log line each time that the configuration is read.
+func TestOneLineForEachUnreadableConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := memstore.New()
+		defer store.Close()
+		var out strings.Builder
+		log := logrus.New()
+		log.SetOutput(&out)
+		w := &Watcher{Store: store.Client("a"), Health: follow.NewHealth(nil), Peers: &peers{}, Log: log.WithField("test", t.Name()), Key: key, Decode: decodeVersion}
+		ctx, cancel := context.WithCancel(t.Context())
+		w.Start(ctx, peer.NewMux())
+		put(store, "3")
+		time.Sleep(time.Second)
+		for _, value := range []string{"x", "y"} {
+			put(store, value)
+			for range 5 {
+				time.Sleep(time.Second)
+				store.Put(platform.Write{Key: "elsewhere", Value: []byte("x")})
+				store.Compact()
+				store.Client("a").SetFaults(memstore.Faults{BreakWatches: true})
+				time.Sleep(time.Second)
+				store.Client("a").SetFaults(memstore.Faults{})
+			}
+		}
+		time.Sleep(time.Minute)
+		cancel()
+		synctest.Wait()
+		is.Equal(w.Version(), int64(3))
+		is.Equal(strings.Count(out.String(), "configuration can not be decoded"), 2)
+	})
+}
--- a/internal/catalog/watcher.go
+++ b/internal/catalog/watcher.go
@@ -12,6 +12,7 @@
 	"pulleyquay/internal/peer"
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/platform/follow"
+	"pulleyquay/internal/platform/unreadable"
 	"pulleyquay/internal/result"
 )
 
@@ -36,7 +37,10 @@
 	Prefix string
 	// Evacuations receives the records of the evacuated zones; nil if they aren't followed.
 	Evacuations *evacuation.Tracker
+	// Unreadable counts configurations that can't be decoded; nil to count none.
+	Unreadable *unreadable.Counters
 
+	odd       *unreadable.Reporter
 	current   atomic.Pointer[Catalog]
 	fetching  atomic.Bool
 	mu        sync.Mutex // serializes updates of current
@@ -62,6 +66,10 @@
 // Start registers the message handler and follows the store's catalog in the background until ctx ends.
 func (w *Watcher) Start(ctx context.Context, mux *peer.Mux) {
 	peer.Handle(mux, peer.KindCatalog, func(_ context.Context, q Request) (Reply, error) { return w.newerThan(q), nil })
+	w.odd = &unreadable.Reporter{
+		Log: w.Log.WithField("code", result.ConfigValue), List: "configuration", Level: logrus.ErrorLevel, Counters: w.Unreadable,
+		Message: "configuration can not be decoded; the previous one stays in force",
+	}
 	prefix := w.Prefix
 	if prefix == "" {
 		prefix = w.Key
@@ -141,7 +149,7 @@
 	}
 	c, err := w.Decode(rec)
 	if err != nil {
-		w.Log.WithError(err).WithField("code", result.ConfigValue).Error("configuration can not be decoded; the previous one stays in force")
+		w.odd.Report(rec, err)
 		return
 	}
 	w.apply(c, "store")
--- a/internal/cell/service.go
+++ b/internal/cell/service.go
@@ -11,6 +11,7 @@
 	"pulleyquay/internal/ledger"
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/platform/follow"
+	"pulleyquay/internal/platform/unreadable"
 	"pulleyquay/internal/wait"
 )
 
@@ -39,6 +40,8 @@
 	Self   Member
 	View   *View
 	Log    *logrus.Entry
+	// Unreadable counts records of the cell that can't be decoded; nil to count none.
+	Unreadable *unreadable.Counters
 
 	lease     platform.LeaseID
 	startedAt time.Time
@@ -50,16 +53,18 @@
 // once; members may join and leave a little late.
 func (s *Service) Run(ctx context.Context) {
 	s.startedAt = time.Now()
+	s.View.odd = &unreadable.Reporter{Log: s.Log, List: "cell", Message: "cannot decode a record of the cell", Level: logrus.ErrorLevel, Counters: s.Unreadable}
+	// The errors of the View have been reported.
 	holders := follow.Follower{
 		Store: s.Store, Health: s.Health, Prefix: ledger.HolderPrefix, Wait: watchTimeout,
-		List:   func(records []platform.Record, _ platform.Revision) { s.logError(s.View.applyHolders(records)) },
-		Change: func(c platform.Change) { s.logError(s.View.applyChange(c)) },
+		List:   func(records []platform.Record, _ platform.Revision) { _ = s.View.applyHolders(records) },
+		Change: func(c platform.Change) { _ = s.View.applyChange(c) },
 	}
 	members := follow.Follower{
 		Store: s.Store, Health: s.Health, Prefix: memberPrefix, Wait: watchTimeout,
 		Pause:  s.memberPollPause,
-		List:   func(records []platform.Record, _ platform.Revision) { s.logError(s.View.applyMembers(records)) },
-		Change: func(c platform.Change) { s.logError(s.View.applyChange(c)) },
+		List:   func(records []platform.Record, _ platform.Revision) { _ = s.View.applyMembers(records) },
+		Change: func(c platform.Change) { _ = s.View.applyChange(c) },
 	}
 	go holders.Run(ctx)
 	go members.Run(ctx)
@@ -81,12 +86,6 @@
 	return pause
 }
 
-func (s *Service) logError(err error) {
-	if err != nil {
-		s.Log.WithError(err).Error("cannot decode a record of the cell")
-	}
-}
-
 // renewLoop registers this process and renews its entry until ctx ends.
 func (s *Service) renewLoop(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/cell/view.go
+++ b/internal/cell/view.go
@@ -20,6 +20,7 @@
 
 	"pulleyquay/internal/ledger"
 	"pulleyquay/internal/platform"
+	"pulleyquay/internal/platform/unreadable"
 )
 
 // Prefix is the store prefix of the member entries and the holder records, which every member watches.
@@ -65,6 +66,8 @@
 	// list is the result of Members until listExpiresAt; nil once members or reported have changed.
 	list          []Member
 	listExpiresAt time.Time // zero if no report is in the list
+	// odd reports the records that can't be decoded; nil to report none.
+	odd *unreadable.Reporter
 }
 
 type reportedMember struct {
@@ -195,7 +198,7 @@
 		}
 		m, err := decodeMember(name, rec)
 		if err != nil {
-			failed = err
+			failed = v.reportOdd(rec, err)
 			continue
 		}
 		members[name] = m
@@ -236,8 +239,10 @@
 	}
 	var m Member
 	var err error
-	if !c.Deleted {
-		m, err = decodeMember(name, c.Record)
+	if c.Deleted {
+		v.forgetOdd(c.Key)
+	} else if m, err = decodeMember(name, c.Record); err != nil {
+		err = v.reportOdd(c.Record, err)
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -267,12 +272,26 @@
 func (v *View) applyHolderRecord(rec platform.Record) error {
 	h, err := ledger.DecodeHolder(rec)
 	if err != nil {
-		return err
+		return v.reportOdd(rec, err)
 	}
 	v.UpdateHolder(h)
 	return nil
 }
 
+// reportOdd reports a record that can't be decoded and returns the reason.
+func (v *View) reportOdd(rec platform.Record, reason error) error {
+	if v.odd != nil {
+		v.odd.Report(rec, reason)
+	}
+	return reason
+}
+
+func (v *View) forgetOdd(key string) {
+	if v.odd != nil {
+		v.odd.Forget(key)
+	}
+}
+
 // registeredSince returns the registered members and their digest. The list is left out if it has the given digest.
 func (v *View) registeredSince(digest uint64) ([]Member, uint64) {
 	v.mu.Lock()
--- a/internal/holder/entries.go
+++ b/internal/holder/entries.go
@@ -56,6 +56,7 @@
 		id := h.cfg.HostOf(c.Key)
 		if c.Deleted {
 			delete(h.entries.values, id)
+			h.oddHosts.Forget(c.Key)
 			out.dropped = append(out.dropped, id)
 			continue
 		}
--- a/internal/holder/follow.go
+++ b/internal/holder/follow.go
@@ -151,7 +151,7 @@
 		}
 		for _, rec := range records {
 			if err := handle(rec); err != nil {
-				h.log.WithError(err).WithField("key", rec.Key).Error("cannot decode a record")
+				h.oddRecords.Report(rec, err)
 			}
 		}
 		return revision
@@ -185,14 +185,11 @@
 // have made it, is handled like a missing entry: its host is given no new work.
 func (h *Holder) parseHost(rec platform.Record) (host.Info, bool) {
 	info, err := h.cfg.DecodeHost(rec)
-	if err == nil {
-		h.unreadable.Remove(rec.Key)
-		return info, true
-	}
-	if logged, _ := h.unreadable.ContainsOrAdd(rec.Key, struct{}{}); !logged {
-		h.log.WithError(err).Warn("an entry names no host")
+	if err != nil {
+		h.oddHosts.Report(rec, err)
+		return host.Info{}, false
 	}
-	return host.Info{}, false
+	return info, true
 }
 
 // followJobs finds stored jobs of which the holder was not notified, because the accepting
@@ -207,9 +204,11 @@
 			}
 		},
 		Change: func(c platform.Change) {
-			if !c.Deleted {
-				h.applyJob(c.Record)
+			if c.Deleted {
+				h.oddRecords.Forget(c.Key)
+				return
 			}
+			h.applyJob(c.Record)
 		},
 	}
 	f.Run(h.ctx)
@@ -225,7 +224,7 @@
 	}
 	j, err := record.DecodeJob(rec.Value)
 	if err != nil {
-		h.log.WithError(err).WithField("key", rec.Key).Error("cannot decode a record")
+		h.oddRecords.Report(rec, err)
 		return
 	}
 	if j.Ended != "" && !j.Withdrawn {
--- a/internal/holder/follow_test.go
+++ b/internal/holder/follow_test.go
@@ -108,3 +108,28 @@
 		is.Equal(strings.Count(out.String(), "an entry names no host"), 2) // one for bad, one for turns
 	})
 }
+
+// badIfMarked is decodeHost for values in which garbage may have a heartbeat number.
+func badIfMarked(rec platform.Record) (host.Info, error) {
+	if bytes.Contains(rec.Value, []byte("garbage")) {
+		return host.Info{}, errors.New("garbage")
+	}
+	return decodeHost(rec)
+}
+
+// runHolder runs a holder until the test ends and returns after it has read the store.
+func runHolder(t *testing.T, h *Holder, store *memstore.Engine, previous ledger.Predecessor) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		_ = h.Run(ctx, previous, func() {}, func() {}) // returns the error of the cancelled ctx
+		close(ended)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+		store.Close()
+	})
+	time.Sleep(time.Second)
+}
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/sirupsen/logrus"
 
 	"pulleyquay/internal/advice"
@@ -23,6 +22,7 @@
 	"pulleyquay/internal/peer"
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/platform/follow"
+	"pulleyquay/internal/platform/unreadable"
 	"pulleyquay/internal/upkeep"
 )
 
@@ -44,9 +44,6 @@
 	// short of processor time. Without it, queries time out only because their replies are
 	// processed late, and have to be sent again.
 	busyTimeoutExtension = time.Second
-	// maxUnreadableKeys bounds the number of remembered host entries that cannot be decoded.
-	// They are remembered to log each of them once and not at every heartbeat.
-	maxUnreadableKeys = 1024
 	// loadMetricsInterval is the update interval of the metrics of client accounts and of long-running tasks.
 	loadMetricsInterval = 5 * time.Second
 	// eventBatchDelay is how long events are batched before the engine decides.
@@ -73,6 +70,10 @@
 	// HeartbeatOnly reports whether two entries of a host differ in nothing but the heartbeat number, and returns
 	// that of the later one; nil if that can't be told without decoding them.
 	HeartbeatOnly func(before, after []byte) (seq int64, ok bool)
+	// HostContent returns what is left of an entry without that number; nil to compare whole entries. Unreadable counts
+	// the records that can't be decoded; nil to count none.
+	HostContent func(value []byte) []byte
+	Unreadable  *unreadable.Counters
 	// Machines takes machines down for maintenance; nil where no machine service is
 	// configured. WavePrefix is the store prefix of the rollouts that operators request,
 	// WaveState returns the write that reports the progress of one.
@@ -119,8 +120,9 @@
 	calledHosts     atomic.Int64 // hosts to which calls are made
 	limits          atomic.Pointer[measuredLimits]
 	entries         hostEntries
-	// unreadable are the keys of host entries whose decoding error has been logged.
-	unreadable *lru.Cache[string, struct{}]
+	// oddHosts, oddRecords and oddWaves report what cannot be decoded among the entries of hosts, the records of this
+	// partition and the rollouts that operators request.
+	oddHosts, oddRecords, oddWaves *unreadable.Reporter
 
 	mu     sync.Mutex
 	engine *engine.Engine
@@ -143,12 +145,8 @@
 // called.
 func New(cfg Config, l *ledger.Ledger) *Holder {
 	self := l.Holder()
-	unreadable, err := lru.New[string, struct{}](maxUnreadableKeys)
-	if err != nil {
-		panic("holder: " + err.Error()) // unreachable: the size is a positive constant
-	}
 	h := &Holder{
-		cfg: cfg, ledger: l, unreadable: unreadable,
+		cfg: cfg, ledger: l,
 		log:  cfg.Log.WithFields(logrus.Fields{"partition": self.Partition, "epoch": self.Epoch}),
 		wake: make(chan struct{}, 1), commitRequested: make(chan struct{}, 1), batchStored: make(chan struct{}),
 		engine: engine.New(engine.Config{
@@ -156,6 +154,10 @@
 			Seed: self.Epoch, Log: cfg.recordEvent, WaveState: cfg.WaveState,
 		}),
 	}
+	h.oddHosts = h.reporter("hosts", "an entry names no host", logrus.WarnLevel)
+	h.oddHosts.Content = cfg.HostContent
+	h.oddRecords = h.reporter("records", "cannot decode a record", logrus.ErrorLevel)
+	h.oddWaves = h.reporter("waves", "cannot decode a maintenance rollout", logrus.ErrorLevel)
 	h.router = linkshard.New(linkshard.Config{
 		Partition: self.Partition, Epoch: self.Epoch, Self: cfg.Self, Addr: cfg.Addr, Peers: cfg.Peers, Local: cfg.Hosts,
 		Members: cfg.Shards, Hosts: func() int { return int(h.calledHosts.Load()) }, Apply: h.applyOutcomes, Busy: cfg.Busy, Log: h.log,
@@ -163,6 +165,11 @@
 	return h
 }
 
+// reporter returns a reporter of the unreadable records of a list.
+func (h *Holder) reporter(list, message string, level logrus.Level) *unreadable.Reporter {
+	return &unreadable.Reporter{Log: h.log, List: list, Message: message, Level: level, Counters: h.cfg.Unreadable}
+}
+
 // Run loads the state that the previous holder stored and runs the partition until ctx ends
 // or another process claims it. It returns the cause. Run calls onAcquired once the holder
 // can answer messages and onLost when it no longer can.
--- a/internal/holder/upkeep.go
+++ b/internal/holder/upkeep.go
@@ -22,9 +22,11 @@
 			}
 		},
 		Change: func(c platform.Change) {
-			if !c.Deleted {
-				h.applyRollout(c.Record)
+			if c.Deleted {
+				h.oddWaves.Forget(c.Key)
+				return
 			}
+			h.applyRollout(c.Record)
 		},
 	}
 	f.Run(h.ctx)
@@ -33,7 +35,7 @@
 func (h *Holder) applyRollout(rec platform.Record) {
 	rollout, err := h.cfg.DecodeWave(rec)
 	if err != nil {
-		h.log.WithError(err).Error("cannot decode a maintenance rollout")
+		h.oddWaves.Report(rec, err)
 		return
 	}
 	h.updateEngine(func(e *engine.Engine, _ time.Time) { e.SetWave(rollout) })
