Job records: one that cannot be scheduled ends no process

Operators saw machines that end again and again over one odd entry. It happens here with a job record, which another version of this program, or another writer, leaves: the next holder ended when it read the record, and so did each of its successors. Nothing is scheduled any more until the record is removed.

Cause: jobs are checked where callers submit them. What is read from the store or received from another member was trusted: a negative count of tasks is the length of a slice, `after` an index.

Shown by TestOddJobRecords on the old code, each case a process of its own: negative-count and huge-count `panic: makeslice: len out of range`, unknown-step `panic: index out of range [7] with length 2`, negative-step `index out of range [-1]`, huge-repetitions `fatal error: out of memory` (with 6 GB of address space). Accepted as jobs that can not end or overflow sums: later-step, no-steps, huge-size, unknown-state, negative-acceptance (`not true: !h.engine.HasJob(name)`). Another type, nesting (also in a field that this version does not know), text and no bytes were errors before and were logged with each reading (`4 != 1`). TestOddJobOfAnotherMember ended with the same panics. TestOddJobOfAPeerIsNotStored: the job was stored.

Resources in the record of an ended job are limited rather than refused, so that its state is still reported.

The record stays in the store, since another version may know what it is; callers who ask for it get an error.

Ruled out: a recover in the holder's loops, which would leave an engine behind that stopped in the middle of an update.

--- a/internal/holder/table.go
+++ b/internal/holder/table.go
@@ -67,6 +67,9 @@
 	if err != nil {
 		return Empty{}, err
 	}
+	if err := a.Job.Check(); err != nil {
+		return Empty{}, result.New(result.BadInput, result.RanNo, "job %s: %v", a.Job.ID, err)
+	}
 	received := time.Now()
 	h.updateEngine(func(e *engine.Engine, now time.Time) {
 		age := a.Age + now.Sub(received)
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -140,12 +140,18 @@
 // Encode returns the CBOR encoding in which records are stored.
 func Encode(v any) ([]byte, error) { return cbor.Marshal(v) }
 
-// DecodeJob decodes a job record. It ignores fields that this version does not know.
+// DecodeJob decodes a job record. It ignores fields that this version does not know. A record that Check refuses is an
+// error: another version, or another writer, has made it.
 func DecodeJob(value []byte) (*Job, error) {
 	j := &Job{}
-	if err := cbor.Unmarshal(value, j); err != nil {
+	err := cbor.Unmarshal(value, j)
+	if err == nil {
+		err = j.Check()
+	}
+	if err != nil {
 		return nil, fmt.Errorf("job record: %w", err)
 	}
+	j.limitTotals()
 	return j, nil
 }
 
