A roster that cannot be read is not an empty one

The roster lists the hosts to which earlier holders may have given orders; the next holder starts nothing before they have reported or their leases are over. A roster that could not be decoded, as another version may leave it, was logged and taken for one without hosts: the takeover was settled at once, and tasks that ran on a silent host started elsewhere.

Change: DecodeRoster marks such a roster as unreadable, also one that lists a host twice or without a name. Every task then waits until the time at which nothing that earlier holders ordered can run any more, listed or not. Until then the holder stores no roster of its own, so that the next one does not take it for a whole one; no run starts on a host before a roster lists it, so new jobs wait as well. Figures beyond their range count as not stated: the wait gets longer, never shorter.

Why it works: reconcileDeadline bounds every lease of every earlier holder, and each further holder in between renews it from its own start.

Ruled out: using what a partly decoded roster has. What is missing in it is what matters.

--- a/internal/engine/commit.go
+++ b/internal/engine/commit.go
@@ -42,7 +42,7 @@
 	if len(e.recordsToDelete) >= maxDeletesPerBatch {
 		e.out.Commit = true
 	}
-	if e.rosterOutdated {
+	if e.rosterDue(e.now) {
 		e.out.CommitNow = true
 	}
 	if len(e.dirty) == 0 && e.commits == e.durable && e.pendingEnds > 0 {
@@ -59,14 +59,14 @@
 // caller stores batches in order and calls Stored after each.
 func (e *Engine) TakeBatch(now time.Time) *Batch {
 	waves := e.rolloutsToStore()
-	if len(e.dirty) == 0 && len(e.recordsToDelete) < maxDeletesPerBatch && !e.rosterOutdated && len(waves) == 0 {
+	if len(e.dirty) == 0 && len(e.recordsToDelete) < maxDeletesPerBatch && !e.rosterDue(now) && len(waves) == 0 {
 		return nil
 	}
 	e.commits++
 	e.runsUnstored = false
 	e.storePendingStarts()
 	b := &Batch{Seq: e.commits, pendingEnds: map[*hostState]int64{}}
-	if e.rosterOutdated {
+	if e.rosterDue(now) {
 		e.rosterOutdated, b.hasRoster = false, true
 		roster := e.roster(now)
 		b.Groups = append(b.Groups, []platform.Write{putWrite(record.RosterKey(e.cfg.Partition), roster)})
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -122,6 +122,8 @@
 	copies copyBook
 	// reconcileDeadline is when hosts that have not reported since the failover can run nothing any more.
 	reconcileDeadline time.Time
+	// rosterUnreadable is true if it is not known which hosts earlier holders have used.
+	rosterUnreadable bool
 	// loadedAt is when this process loaded the stored state; boundsStoredAt is when the roster was last due
 	// for its lease bounds. listedBounds are the hosts that may be listed with a bound in the store, with the
 	// last batch that lists them so; see lease_bound.go.
--- a/internal/engine/roster.go
+++ b/internal/engine/roster.go
@@ -109,6 +109,16 @@
 	}
 }
 
+// awaitsUnknownHosts reports whether tasks may run on hosts of which this holder does not know, as it could not read the
+// roster of its predecessor. Until then it stores no roster: its own would hide from the next holder that hosts are
+// missing there.
+func (e *Engine) awaitsUnknownHosts(now time.Time) bool {
+	return e.rosterUnreadable && now.Before(e.reconcileDeadline)
+}
+
+// rosterDue reports whether the roster is to be stored.
+func (e *Engine) rosterDue(now time.Time) bool { return e.rosterOutdated && !e.awaitsUnknownHosts(now) }
+
 // loadRoster loads the roster of the previous holder.
 func (e *Engine) loadRoster(roster record.Roster, now time.Time) {
 	e.reduction = capacityReduction{roster.CapacityRatio, now}
--- a/internal/engine/takeover.go
+++ b/internal/engine/takeover.go
@@ -11,7 +11,7 @@
 // started before each of these hosts has reported its runs, or before reconcileDeadline, when
 // every lease of earlier holders has expired, or before the bound that the roster states for the host. Long-running tasks, and tasks listed with closed
 // hosts, wait only for the hosts that they may run on. reconcileDeadline is zero for the first holder
-// of the partition. age returns how long ago a job was accepted or, if it is over, ended.
+// of the partition. If the roster is unreadable, every task waits until reconcileDeadline, as any host may run it. age returns how long ago a job was accepted or, if it is over, ended.
 func (e *Engine) Load(jobs []*record.Job, progress map[string]*record.Progress, roster record.Roster, reconcileDeadline, now time.Time, age func(*record.Job) time.Duration) {
 	e.now = now
 	e.reconciling = !reconcileDeadline.IsZero()
@@ -19,6 +19,7 @@
 	if e.reconciling {
 		e.startsSettledAt = e.startSettledAt(now)
 	}
+	e.rosterUnreadable = roster.Unreadable
 	e.loadRoster(roster, now)
 	e.placementsStored, e.placementsDueAt = !e.reconciling || roster.PlacementsStored, now.Add(formerVersionGrace)
 	for _, rec := range jobs {
@@ -113,7 +114,7 @@
 // its runs, is closed in the roster, or can run nothing any more. Tasks that no host has
 // reported then wait for their start.
 func (e *Engine) reconcile(now time.Time) {
-	if !e.reconciling {
+	if !e.reconciling || e.awaitsUnknownHosts(now) {
 		return
 	}
 	why := "every host has reported its runs or was closed as unresponsive"
--- a/internal/record/check.go
+++ b/internal/record/check.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"time"
 
 	"pulleyquay/internal/spec"
 )
@@ -15,6 +16,9 @@
 	maxTotal = int64(1) << 56
 )
 
+// maxLeaseLeftMillis bounds the leases that a roster states: a longer one is none.
+const maxLeaseLeftMillis = int64(24 * time.Hour / time.Millisecond)
+
 var errRange = errors.New("out of range")
 
 // Check returns an error if the job is none that this version can schedule or report. The graph of an ended job is not
@@ -38,3 +42,28 @@
 		*r = r.Max(spec.Resources{}).Min(spec.Resources{MilliCPU: maxTotal, MemoryMiB: maxTotal, Accelerators: maxTotal})
 	}
 }
+
+// check returns an error if the roster does not tell which hosts have received orders.
+func (r *Roster) check() error {
+	seen := make(map[string]bool, len(r.Hosts))
+	for i := range r.Hosts {
+		id := r.Hosts[i].ID
+		if id == "" || seen[id] {
+			return fmt.Errorf("host %q without a name or listed twice", id)
+		}
+		seen[id] = true
+	}
+	return nil
+}
+
+// limit removes figures beyond their range. Without them the next holder waits longer and assumes no reduction.
+func (r *Roster) limit() {
+	if !(r.CapacityRatio > 0 && r.CapacityRatio <= 1) { // also NaN
+		r.CapacityRatio = 0
+	}
+	for i := range r.Hosts {
+		if left := &r.Hosts[i].LeaseLeftMillis; *left < 0 || *left > maxLeaseLeftMillis {
+			*left = 0
+		}
+	}
+}
