Configuration: numbers beyond their range are limited where they enter

Operators asked whether an odd number in the configuration can do harm. A time-out or target whose nanoseconds overflow is negative, so that each job of the queue is late at once and each ticket expired; two weights of 1e308 add up to infinity; a weight of NaN, which CBOR of another member can carry, orders nothing; a quota of -9 admitted everything. The conversion of 1e308 ms to a time.Duration differs between processors.

A quota below zero admits nothing, as a job over a quota can't be taken back; -1 stays "no limit" between members.

Why limit and not refuse: one number would keep the whole configuration, and each later one, from being in force, while the store accepts only valid ones. A configuration that can't be decoded leaves the previous one in force, which TestVersionsOnlyRise holds.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -99,8 +99,9 @@
 	IdleTimeoutMillis   int64 `cbor:"4,keyasint"`
 }
 
-// Index builds the lookup indexes. Call it once, before the catalog is shared.
+// Index builds the lookup indexes, and limits numbers to their ranges. Call it once, before the catalog is shared.
 func (c *Catalog) Index() {
+	c.limitNumbers()
 	c.byHost = map[string][]*Queue{}
 	c.services = map[string]*Service{}
 	for i := range c.Queues {
--- a/internal/front/store.go
+++ b/internal/front/store.go
@@ -114,7 +114,7 @@
 
 // storeOnPeerRequest creates a job's record, if none exists, at the request of a peer.
 func (f *Front) storeOnPeerRequest(ctx context.Context, rec record.Job) (origin, error) {
-	if err := rec.Check(); err != nil {
+	if err := rec.Sanitize(); err != nil {
 		return 0, result.New(result.BadInput, result.RanNo, "%v", err)
 	}
 	if f.storeUnavailable() {
--- a/internal/holder/table.go
+++ b/internal/holder/table.go
@@ -67,7 +67,7 @@
 	if err != nil {
 		return Empty{}, err
 	}
-	if err := a.Job.Check(); err != nil {
+	if err := a.Job.Sanitize(); err != nil {
 		return Empty{}, result.New(result.BadInput, result.RanNo, "job %s: %v", a.Job.ID, err)
 	}
 	received := time.Now()
--- a/internal/record/check.go
+++ b/internal/record/check.go
@@ -21,9 +21,19 @@
 
 var errRange = errors.New("out of range")
 
-// Check returns an error if the job is none that this version can schedule or report. The graph of an ended job is not
-// checked, as its record has none.
-func (j *Job) Check() error {
+// Sanitize returns an error if the job is none that this version can schedule or report, and brings the other numbers
+// into their ranges. It has to be called for each job of another writer.
+func (j *Job) Sanitize() error {
+	if err := j.check(); err != nil {
+		return err
+	}
+	j.Rules = j.Rules.Limited()
+	j.limitTotals()
+	return nil
+}
+
+// check checks the times and the state, and the graph unless the job has ended: its record has none then.
+func (j *Job) check() error {
 	if j.AcceptedUnixMilli < 0 || j.AcceptedUnixMilli > maxUnixMilli || j.EndedUnixMilli < 0 || j.EndedUnixMilli > maxUnixMilli {
 		return fmt.Errorf("accepted at %d, ended at %d: %w", j.AcceptedUnixMilli, j.EndedUnixMilli, errRange)
 	}
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -140,18 +140,17 @@
 // Encode returns the CBOR encoding in which records are stored.
 func Encode(v any) ([]byte, error) { return cbor.Marshal(v) }
 
-// DecodeJob decodes a job record. It ignores fields that this version does not know. A record that Check refuses is an
+// DecodeJob decodes a job record. It ignores fields that this version does not know. A record that Sanitize refuses is an
 // error: another version, or another writer, has made it.
 func DecodeJob(value []byte) (*Job, error) {
 	j := &Job{}
 	err := cbor.Unmarshal(value, j)
 	if err == nil {
-		err = j.Check()
+		err = j.Sanitize()
 	}
 	if err != nil {
 		return nil, fmt.Errorf("job record: %w", err)
 	}
-	j.limitTotals()
 	return j, nil
 }
 
