Changes of one host entry that arrive together apply in order

Found while looking at what a bad entry does between two good ones. An entry that was written (as draining, say) and deleted within one poll stayed listed until the next whole list, as did one that was written, deleted and then left unreadable.

Change: one pass over the changes in their order, under the lock as before. Heartbeats still cost no decoding and no decision (TestHeartbeatsNeedNoDecisions).

--- a/internal/holder/entries.go
+++ b/internal/holder/entries.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"pulleyquay/internal/engine"
 	"pulleyquay/internal/host"
 	"pulleyquay/internal/platform"
 )
@@ -17,20 +16,23 @@
 	values map[host.ID][]byte
 }
 
-// entryChanges are the changes of entries that arrived together.
-type entryChanges struct {
-	renewed []renewedEntry
-	updated []host.Info
-	dropped []host.ID
-}
-
-// renewedEntry is an entry in which only the heartbeat number has changed.
-type renewedEntry struct {
+// entryChange is a change of one entry, with what the engine has to be told.
+type entryChange struct {
 	record platform.Record
 	id     host.ID
-	seq    int64
+	kind   entryChangeKind
+	seq    int64      // the heartbeat number of a renewed entry
+	info   *host.Info // of an updated one
 }
 
+type entryChangeKind uint8
+
+const (
+	entryRenewed entryChangeKind = iota // only the heartbeat number has changed
+	entryUpdated
+	entryDropped
+)
+
 // replace replaces all entries by listed ones.
 func (s *hostEntries) replace(records []platform.Record, id func(key string) host.ID) {
 	s.values = make(map[host.ID][]byte, len(records))
@@ -49,60 +51,69 @@
 	return before
 }
 
-// classify sorts changes by what the engine has to be told.
-func (h *Holder) classify(changes []platform.Change) entryChanges {
-	var out entryChanges
+// classify returns what the engine has to be told of changes, in their order.
+func (h *Holder) classify(changes []platform.Change) []entryChange {
+	out := make([]entryChange, 0, len(changes))
 	for _, c := range changes {
 		id := h.cfg.HostOf(c.Key)
 		if c.Deleted {
 			delete(h.entries.values, id)
 			h.oddHosts.Forget(c.Key)
-			out.dropped = append(out.dropped, id)
+			out = append(out, entryChange{id: id, kind: entryDropped})
 			continue
 		}
 		before := h.entries.put(id, c.Value)
 		if h.cfg.HeartbeatOnly != nil && before != nil {
 			if seq, ok := h.cfg.HeartbeatOnly(before, c.Value); ok {
-				out.renewed = append(out.renewed, renewedEntry{c.Record, id, seq})
+				out = append(out, entryChange{record: c.Record, id: id, kind: entryRenewed, seq: seq})
 				continue
 			}
 		}
-		out.decode(h, id, c.Record)
+		out = append(out, h.decodeEntry(id, c.Record))
 	}
 	return out
 }
 
-// decode adds an entry that has to be decoded.
-func (c *entryChanges) decode(h *Holder, id host.ID, rec platform.Record) {
+// decodeEntry returns the change by an entry that has to be decoded.
+func (h *Holder) decodeEntry(id host.ID, rec platform.Record) entryChange {
 	info, ok := h.parseHost(rec)
 	if !ok {
-		c.dropped = append(c.dropped, id)
-		return
+		return entryChange{id: id, kind: entryDropped}
 	}
-	c.updated = append(c.updated, info)
+	return entryChange{id: id, kind: entryUpdated, info: &info}
 }
 
 // applyHostChanges passes the changes of entries that arrived together to the engine. It triggers a decision only if
 // any of them tells more than that a host is alive.
 func (h *Holder) applyHostChanges(changes []platform.Change) {
-	c := h.classify(changes)
+	list := h.classify(changes)
+	news := false
+	start := time.Now()
 	h.mu.Lock()
 	now := time.Now()
-	for _, r := range c.renewed {
-		if !h.engine.RenewEntry(r.id, r.seq, now) {
-			c.decode(h, r.id, r.record) // the host was forgotten meanwhile
-		}
+	for _, c := range list {
+		news = h.applyEntry(c, now) || news
 	}
 	h.mu.Unlock()
-	if len(c.dropped)+len(c.updated) == 0 {
-		return
+	if news {
+		h.cfg.Metrics.observeWait(now.Sub(start))
+		h.wakeDecider()
 	}
-	h.updateEngine(func(e *engine.Engine, now time.Time) {
-		for _, id := range c.dropped {
-			e.DropHost(id, now)
-		}
-		for _, info := range c.updated {
-			e.SetHost(info, now)
+}
+
+// applyEntry passes the change of an entry to the engine. It reports whether it tells more than that a host is alive.
+// The caller holds the lock.
+func (h *Holder) applyEntry(c entryChange, now time.Time) (news bool) {
+	if c.kind == entryRenewed {
+		if h.engine.RenewEntry(c.id, c.seq, now) {
+			return false
 		}
-	})
+		c = h.decodeEntry(c.id, c.record) // the host was forgotten meanwhile
+	}
+	if c.kind == entryDropped {
+		h.engine.DropHost(c.id, now)
+		return true
+	}
+	h.engine.SetHost(*c.info, now)
+	return true
 }
--- a/internal/holder/odd_entries_test.go
+++ b/internal/holder/odd_entries_test.go
@@ -49,3 +49,37 @@
 		is.Equal(lines(), 4)
 	})
 }
+
+// TestChangesOfOneEntryApplyInOrder guards against a host that stays listed after its entry was deleted: changes that
+// arrived together were sorted by kind, and an entry written just before its deletion was applied after it.
+func TestChangesOfOneEntryApplyInOrder(t *testing.T) {
+	const good, other, bad = "10.1.1.1:80", "10.1.1.2:80", "garbage"
+	tests := map[string]struct {
+		values []string // an empty one deletes the entry
+		listed bool
+	}{
+		"written and deleted":                {[]string{good, ""}, false},
+		"changed and deleted":                {[]string{good, other, ""}, false},
+		"deleted and written":                {[]string{good, "", good}, true},
+		"deleted, written and deleted":       {[]string{good, "", good, ""}, false},
+		"unreadable, then readable":          {[]string{bad, good}, true},
+		"readable, deleted, then unreadable": {[]string{good, "", bad}, false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				store := memstore.New()
+				h, _ := newHolder(t, store, idleHosts{})
+				runHolder(t, h, store, ledger.Predecessor{})
+				for _, value := range tc.values {
+					store.Put(platform.Write{Key: prefix + "a", Value: []byte(value), Delete: value == ""})
+				}
+				time.Sleep(3 * time.Second) // all of them arrive together
+				h.mu.Lock()
+				defer h.mu.Unlock()
+				is.Equal(h.engine.Hosts() == 1, tc.listed)
+			})
+		})
+	}
+}
