A host's entry outlives an unreadable one as it outlives silence

What a reader does with the earlier entry of a host when another writer replaces it by one that cannot be decoded: until now the host counted as missing at once. It got nothing new, a host without work was forgotten and had to be claimed again, and reservations there ended, with each turn of the two writers; its running work went on, and still does.

Seen on the old code: TestBadEntryInPlaceOfAHosts, `not true: listed("a")` in eight cases of ten, "one bad entry, then the host's own" among them; "deleted, then a bad one" and "deleted after a bad one" passed.

Decision: an unreadable entry tells nothing of its host. A live host writes its own again with its next heartbeat, so the earlier one stays in force for as long as the platform keeps that of a silent host, three heartbeat intervals, and no longer however often the bad one is rewritten or the list read anew. Then the host counts as not listed, as before.

Ruled out: keeping the earlier entry until the key is deleted. Nobody deletes what another writer has left without a lease, and a host that is gone would stay listed for good.

--- a/cmd/pulley-node/node.go
+++ b/cmd/pulley-node/node.go
@@ -45,6 +45,9 @@
 // opened a connection, and a share of 0.65 of urgent work was in time (0.92 without a limit).
 const idleDescriptorShare = 2
 
+// entryHeartbeats is the number of heartbeat intervals for which the platform keeps the entry of a silent host.
+const entryHeartbeats = 3
+
 // node holds the components of the process.
 type node struct {
 	conf   Settings
@@ -128,7 +131,8 @@
 		Bounds: n.conf.Bounds.engine(), Tuning: engine.DefaultTuning(),
 		HostPrefix: platform.HostPrefix, DecodeHost: platform.DecodeHost, HostOf: platform.HostOf, HeartbeatOnly: platform.HeartbeatOnly,
 		HostContent: platform.WithoutHeartbeat, Unreadable: n.unreadable,
-		Catalog: n.catalog.Current, Evacuations: n.catalog.Evacuations.Current, PolicyMembers: (&policyMembers{view: n.view}).current, Metrics: metrics, Event: n.logEvent,
+		EntryLifetime: entryHeartbeats * n.conf.Bounds.Heartbeat.Std(),
+		Catalog:       n.catalog.Current, Evacuations: n.catalog.Evacuations.Current, PolicyMembers: (&policyMembers{view: n.view}).current, Metrics: metrics, Event: n.logEvent,
 		WavePrefix: platform.WavePrefix, DecodeWave: platform.DecodeWave, WaveState: platform.WaveState,
 		DutyLease: n.conf.Bounds.DutyLease.Std(), Busy: timers.Busy,
 	}
--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -354,6 +354,15 @@
 	return true
 }
 
+// Entry returns the last entry of a host that is listed.
+func (e *Engine) Entry(id host.ID) (info host.Info, listed bool) {
+	h := e.hosts[id]
+	if h == nil || !h.listed {
+		return host.Info{}, false
+	}
+	return h.info, true
+}
+
 // DropHost handles the removal of a host's entry from the list.
 func (e *Engine) DropHost(id host.ID, now time.Time) {
 	delete(e.unconfiguredHosts, id)
--- a/internal/holder/entries.go
+++ b/internal/holder/entries.go
@@ -11,7 +11,8 @@
 // their heartbeat number. In a large cell thousands arrive each second, so that such an entry is told by its bytes:
 // it is not decoded, and all that arrive together reach the engine at once and without a decision.
 
-// hostEntries has the entries of hosts as last read. It is used by one goroutine at a time.
+// hostEntries has the entries of hosts as last read, without those that can't be decoded. It is used by one goroutine
+// at a time.
 type hostEntries struct {
 	values map[host.ID][]byte
 }
@@ -30,25 +31,16 @@
 const (
 	entryRenewed entryChangeKind = iota // only the heartbeat number has changed
 	entryUpdated
+	entryUnreadable
 	entryDropped
 )
 
-// replace replaces all entries by listed ones.
-func (s *hostEntries) replace(records []platform.Record, id func(key string) host.ID) {
-	s.values = make(map[host.ID][]byte, len(records))
-	for _, rec := range records {
-		s.values[id(rec.Key)] = rec.Value
-	}
-}
-
-// put stores a value and returns the one before; nil if there was none.
-func (s *hostEntries) put(id host.ID, value []byte) (before []byte) {
+// put stores a value.
+func (s *hostEntries) put(id host.ID, value []byte) {
 	if s.values == nil {
 		s.values = map[host.ID][]byte{}
 	}
-	before = s.values[id]
 	s.values[id] = value
-	return before
 }
 
 // classify returns what the engine has to be told of changes, in their order.
@@ -62,9 +54,10 @@
 			out = append(out, entryChange{id: id, kind: entryDropped})
 			continue
 		}
-		before := h.entries.put(id, c.Value)
+		before := h.entries.values[id]
 		if h.cfg.HeartbeatOnly != nil && before != nil {
 			if seq, ok := h.cfg.HeartbeatOnly(before, c.Value); ok {
+				h.entries.put(id, c.Value)
 				out = append(out, entryChange{record: c.Record, id: id, kind: entryRenewed, seq: seq})
 				continue
 			}
@@ -78,8 +71,9 @@
 func (h *Holder) decodeEntry(id host.ID, rec platform.Record) entryChange {
 	info, ok := h.parseHost(rec)
 	if !ok {
-		return entryChange{id: id, kind: entryDropped}
+		return entryChange{id: id, kind: entryUnreadable}
 	}
+	h.entries.put(id, rec.Value)
 	return entryChange{id: id, kind: entryUpdated, info: &info}
 }
 
@@ -106,11 +100,16 @@
 func (h *Holder) applyEntry(c entryChange, now time.Time) (news bool) {
 	if c.kind == entryRenewed {
 		if h.engine.RenewEntry(c.id, c.seq, now) {
+			h.kept.remove(c.id)
 			return false
 		}
 		c = h.decodeEntry(c.id, c.record) // the host was forgotten meanwhile
 	}
-	if c.kind == entryDropped {
+	if c.kind == entryUnreadable && h.keepEntry(c.id, now) {
+		return false
+	}
+	h.kept.remove(c.id)
+	if c.kind != entryUpdated {
 		h.engine.DropHost(c.id, now)
 		return true
 	}
--- a/internal/holder/follow.go
+++ b/internal/holder/follow.go
@@ -170,19 +170,8 @@
 	f.Run(h.ctx)
 }
 
-func (h *Holder) applyHostList(records []platform.Record, _ platform.Revision) {
-	var list []host.Info
-	h.entries.replace(records, h.cfg.HostOf)
-	for _, rec := range records {
-		if info, ok := h.parseHost(rec); ok {
-			list = append(list, info)
-		}
-	}
-	h.updateEngine(func(e *engine.Engine, now time.Time) { e.SetHosts(list, now) })
-}
-
-// parseHost decodes a host's entry. An entry that cannot be decoded, as another writer may
-// have made it, is handled like a missing entry: its host is given no new work.
+// parseHost decodes a host's entry and reports one that cannot be decoded, as another writer may have made it; see
+// kept_entries.go.
 func (h *Holder) parseHost(rec platform.Record) (host.Info, bool) {
 	info, err := h.cfg.DecodeHost(rec)
 	if err != nil {
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -74,6 +74,9 @@
 	// the records that can't be decoded; nil to count none.
 	HostContent func(value []byte) []byte
 	Unreadable  *unreadable.Counters
+	// EntryLifetime is how long the entry of a host stays in force after an unreadable one has replaced it; zero ends
+	// it at once.
+	EntryLifetime time.Duration
 	// Machines takes machines down for maintenance; nil where no machine service is
 	// configured. WavePrefix is the store prefix of the rollouts that operators request,
 	// WaveState returns the write that reports the progress of one.
@@ -126,6 +129,7 @@
 
 	mu     sync.Mutex
 	engine *engine.Engine
+	kept   keptEntries
 	// members are the members that the engine knows.
 	members *advice.Members
 	// batchStored is closed and replaced after each stored batch.
--- a/internal/holder/odd_entries_test.go
+++ b/internal/holder/odd_entries_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"pulleyquay/internal/host"
 	"pulleyquay/internal/ledger"
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/platform/memstore"
@@ -83,3 +84,68 @@
 		})
 	}
 }
+
+// TestBadEntryInPlaceOfAHosts guards against the work of a live host that is given up, or placed elsewhere, because
+// another writer has replaced the host's entry: the earlier one stays in force until the host's next heartbeats, and no
+// longer than that of a silent host.
+func TestBadEntryInPlaceOfAHosts(t *testing.T) {
+	const lifetime = 4500 * time.Millisecond
+	const good, bad = "10.1.1.1:80", "garbage"
+	tests := map[string]struct {
+		values     []string // one each second; an empty one deletes the entry
+		relist     bool     // the entries are listed again after each
+		listedFor  time.Duration
+		thenListed bool
+	}{
+		"one bad entry, then the host's own":     {[]string{bad, good}, false, 2 * time.Second, true},
+		"three bad entries, then the host's own": {[]string{bad, bad + "2", bad + "3", good}, false, 4 * time.Second, true},
+		"in turn":                                {[]string{bad, good, bad, good, bad, good, bad, good}, false, 8 * time.Second, true},
+		"for good":                               {[]string{bad}, false, lifetime - time.Second, false},
+		"for good, rewritten":                    {[]string{bad, bad, bad, bad, bad, bad, bad, bad}, false, lifetime - time.Second, false},
+		"listed again, then the host's own":      {[]string{bad, bad, good}, true, 3 * time.Second, true},
+		"listed again, for good":                 {[]string{bad, bad, bad, bad, bad, bad, bad}, true, lifetime - time.Second, false},
+		"deleted after a bad one":                {[]string{bad, ""}, false, time.Second / 2, false},
+		"for good, and then the host's own":      {[]string{bad, bad, bad, bad, bad, bad, good}, false, lifetime - time.Second, true},
+		"deleted, then a bad one":                {[]string{"", bad}, false, 0, false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				store := memstore.New()
+				put := func(id, value string) {
+					store.Put(platform.Write{Key: prefix + id, Value: []byte(value), Delete: value == ""})
+				}
+				put("a", good)
+				put("other", "10.1.1.2:80")
+				h, _ := newHolder(t, store, idleHosts{})
+				h.cfg.DecodeHost, h.cfg.EntryLifetime = badIfMarked, lifetime
+				runHolder(t, h, store, ledger.Predecessor{})
+				listed := func(id host.ID) bool {
+					h.mu.Lock()
+					defer h.mu.Unlock()
+					_, ok := h.engine.Entry(id)
+					return ok
+				}
+				is.True(listed("a"))
+				start := time.Now()
+				const step = 100 * time.Millisecond
+				for i := 0; i < 12*10; i++ {
+					if second := i / 10; i%10 == 0 && second < len(tc.values) {
+						put("a", tc.values[second])
+						if tc.relist {
+							put("elsewhere", bad)
+							store.Compact()
+						}
+					}
+					if time.Since(start) < tc.listedFor {
+						is.True(listed("a"))
+					}
+					is.True(listed("other"))
+					time.Sleep(step)
+				}
+				is.Equal(listed("a"), tc.thenListed)
+			})
+		})
+	}
+}
