Member and holder records: those of another key or port count for nothing

Another version of this program, or another writer, may leave records in the list of members. A holder record was taken for the partition that it names, whatever its key: one of a higher epoch under another key replaced the known holder in every member's view for good, as lower epochs are ignored, and all jobs went to a process that does not hold them. A member's port was not looked at; a share of a core that is NaN orders members differently at each of them, so that they disagree on who succeeds the holder.

Change: DecodeHolder wants the record of its key, with an epoch that has a next one; decodeMember wants a port in range and limits amounts. A member whose entry is replaced by an unreadable one is missing until it has written its entry again, which it does when its own view lacks it, at most 0.9 s and a poll later. The simulated cell of internal/front decoded the holder record without its key; it passes the key now.

What remains: an unreadable record under the key of the partition itself blocks the next claim, as nobody knows the epoch to exceed.

--- a/internal/cell/view.go
+++ b/internal/cell/view.go
@@ -12,6 +12,7 @@
 	"maps"
 	"slices"
 	"sort"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -21,6 +22,7 @@
 	"pulleyquay/internal/ledger"
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/platform/unreadable"
+	"pulleyquay/internal/saturate"
 )
 
 // Prefix is the store prefix of the member entries and the holder records, which every member watches.
@@ -256,8 +258,14 @@
 	return err
 }
 
-// decodeMember decodes a member entry. It returns an error for an entry with another name or
-// without an address.
+// Largest amounts of a member.
+const (
+	maxCores    = 1 << 20
+	maxLinkMbps = 1 << 30
+)
+
+// decodeMember decodes a member entry. It returns an error for an entry with another name, without an address or with a
+// port out of range. Amounts beyond what they can be are limited: they only weigh members against each other.
 func decodeMember(name string, rec platform.Record) (Member, error) {
 	var m Member
 	if err := cbor.Unmarshal(rec.Value, &m); err != nil {
@@ -266,9 +274,28 @@
 	if m.Name != name || m.Addr == "" {
 		return Member{}, fmt.Errorf("record %s: invalid entry: member name %q, address %q", rec.Key, m.Name, m.Addr)
 	}
+	if port, found := portOf(m.Addr); found && !validPort(port) {
+		return Member{}, fmt.Errorf("record %s: invalid entry: port %q", rec.Key, port)
+	}
+	m.Cores, m.LinkMbps = saturate.Float(m.Cores, 0, maxCores), saturate.Float(m.LinkMbps, 0, maxLinkMbps)
+	m.StartedUnixMilli = max(m.StartedUnixMilli, 0)
 	return m, nil
 }
 
+// portOf returns the port of an address; found is false for an address without one.
+func portOf(addr string) (port string, found bool) {
+	i := strings.LastIndexByte(addr, ':')
+	if i < 0 {
+		return "", false
+	}
+	return addr[i+1:], true
+}
+
+func validPort(port string) bool {
+	n, err := strconv.ParseUint(port, 10, 16)
+	return err == nil && n > 0
+}
+
 func (v *View) applyHolderRecord(rec platform.Record) error {
 	h, err := ledger.DecodeHolder(rec)
 	if err != nil {
--- a/internal/front/cell_test.go
+++ b/internal/front/cell_test.go
@@ -211,7 +211,7 @@
 
 // holder returns the holder in force according to the store.
 func (c *simCell) holder() ledger.Holder {
-	h, err := ledger.DecodeHolder(platform.Record{Value: c.store.Get(ledger.HolderKey(0))})
+	h, err := ledger.DecodeHolder(platform.Record{Key: ledger.HolderKey(0), Value: c.store.Get(ledger.HolderKey(0))})
 	if err != nil {
 		return ledger.Holder{} // none yet
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -11,6 +11,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"strconv"
 	"sync"
 	"time"
@@ -59,12 +60,19 @@
 // HolderKey returns the key of a partition's holder.
 func HolderKey(partition int) string { return HolderPrefix + strconv.Itoa(partition) }
 
-// DecodeHolder decodes a holder record and sets its Revision.
+// errHolder is the error for a record that is no holder's.
+var errHolder = errors.New("not a valid holder record")
+
+// DecodeHolder decodes a holder record and sets its Revision. A record under the key of another partition is an error,
+// and so is one with an epoch that no successor can exceed.
 func DecodeHolder(rec platform.Record) (Holder, error) {
 	var h Holder
 	if err := cbor.Unmarshal(rec.Value, &h); err != nil {
 		return Holder{}, fmt.Errorf("record %s: %w", rec.Key, err)
 	}
+	if rec.Key != HolderKey(h.Partition) || h.Epoch == 0 || h.Epoch == math.MaxUint64 {
+		return Holder{}, fmt.Errorf("record %s: %w: partition %d, epoch %d", rec.Key, errHolder, h.Partition, h.Epoch)
+	}
 	h.Revision = rec.ModRevision
 	return h, nil
 }
