--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -140,10 +140,15 @@
 // Encode returns the CBOR encoding in which records are stored.
 func Encode(v any) ([]byte, error) { return cbor.Marshal(v) }
 
-// DecodeJob decodes a job record. It ignores fields that this version does not know.
+// DecodeJob decodes a job record. It ignores fields that this version does not know. A record that Sanitize refuses is an
+// error: another version, or another writer, has made it.
 func DecodeJob(value []byte) (*Job, error) {
 	j := &Job{}
-	if err := cbor.Unmarshal(value, j); err != nil {
+	err := cbor.Unmarshal(value, j)
+	if err == nil {
+		err = j.Sanitize()
+	}
+	if err != nil {
 		return nil, fmt.Errorf("job record: %w", err)
 	}
 	return j, nil
@@ -235,6 +240,9 @@
 	PlacementsStored bool `cbor:"5,keyasint,omitempty"`
 	// Epoch is that of the holder that wrote the roster. Holders of former versions leave it out.
 	Epoch uint64 `cbor:"6,keyasint,omitempty"`
+	// Unreadable is true if the stored roster could not be decoded: any host may then have received orders. It is
+	// not part of the record.
+	Unreadable bool `cbor:"-"`
 }
 
 // RosterHost is a host in a Roster, the list of the hosts that may have received orders
@@ -269,11 +277,17 @@
 // RosterKey returns the key of the single roster record of a partition.
 func RosterKey(partition int) string { return "roster/" + strconv.Itoa(partition) }
 
-// DecodeRoster decodes a roster. It ignores fields that this version does not know.
+// DecodeRoster decodes a roster. It ignores fields that this version does not know. With an error it returns a roster
+// that is marked as unreadable.
 func DecodeRoster(value []byte) (Roster, error) {
 	var r Roster
-	if err := cbor.Unmarshal(value, &r); err != nil {
-		return Roster{}, fmt.Errorf("roster: %w", err)
+	err := cbor.Unmarshal(value, &r)
+	if err == nil {
+		err = r.check()
+	}
+	if err != nil {
+		return Roster{Unreadable: true}, fmt.Errorf("roster: %w", err)
 	}
+	r.limit()
 	return r, nil
 }
