--- a/test/e2e/harness/cell.go
+++ b/test/e2e/harness/cell.go
@@ -218,6 +218,15 @@
 // Addr returns the address at which the host's entry serves callers and operators.
 func (h *Host) Addr() string { return h.entryConfig.Listen.HTTP }
 
+// EntryAdmin returns the address of the administration of the host's entry.
+func (h *Host) EntryAdmin() string { return h.entryConfig.Listen.Admin }
+
+// PlacerAdmin returns the address of the administration of the host's placer.
+func (h *Host) PlacerAdmin() string { return h.placerConfig.Listen.Admin }
+
+// PlacerPeer returns the address at which peers reach the host's placer.
+func (h *Host) PlacerPeer() string { return h.placerConfig.Listen.Peer }
+
 func ready(admin string) error {
 	client := http.Client{Timeout: time.Second}
 	resp, err := client.Get("http://" + admin + "/readyz")
--- a/test/e2e/harness/process.go
+++ b/test/e2e/harness/process.go
@@ -86,6 +86,9 @@
 	}
 }
 
+// PID returns the process id.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
 // Kill sends SIGKILL and waits until the process has ended.
 func (p *Process) Kill() {
 	p.signal(syscall.SIGKILL)
