Limit what clients can make a process hold, on every listener

What callers saw: processes ended as they ran out of memory, after clients outside our control had sent, many at once, bodies that stop just short of their end, whole, in pieces or in chunks, and heads or empty lines without end.

Cause: a body was read whole, for as long as its sender liked, and nothing bounded the sum of bodies; a head had the library's limit of 1 MiB; connections were not counted; a reply could wait without limit for a client that reads nothing; a declared length over the limit was refused only once the limit had been read, and the entry set the declared length aside before anything of it had arrived.

Change: internal/httplimit, which internal/daemon applies to each listener of each program (and the stand-in to its own): a budget of bytes for the requests that arrive (a sixteenth of the memory; the first 8 KiB of each head and body are free), time limits for head, body, idle connections and writes without progress, a bound on the connections of each listener (three eighths of a quarter of the descriptors for callers), and small receive buffers but for peers. A full listener closes the connection that has been stuck longest, never one whose request is handled. Refusals are 503 with Retry-After, codes 1006 and 1007; they end the connection after a part of the rest has been read. The callers' handler gives a body no longer than its caller's own time limit, and counts that of a caller without one from the end of the body. The entry counts a body when it has been read. Settings: clients, and for entry and placer memory_mib and descriptors; without them the limits that the process was started with. Metrics: pulleyquay_client_refusals_total, pulleyquay_client_connections.

Why it works: each of memory, descriptors and time is bounded for all clients together, and what ordinary clients need (a connection, 8 KiB, milliseconds) can't be used up by stalled ones: theirs give way.

Ruled out: the bound on connections alone.

TestIdleConnectionsDelayStop compares with the server's own time limit for heads, as the constant is gone; it is the same 5 s.

--- a/cmd/pulley-entry/config.go
+++ b/cmd/pulley-entry/config.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"pulleyquay/internal/config"
+	"pulleyquay/internal/httplimit"
 	"pulleyquay/internal/partition"
 	"pulleyquay/internal/result"
 )
@@ -24,6 +25,11 @@
 	// Partitions must equal the placers' setting.
 	Partitions int  `json:"partitions" validate:"min=1,max=4096"`
 	Stop       Stop `json:"stop"`
+	// MemoryMiB and Descriptors are what the process may use; zero means the limits that it was started with.
+	MemoryMiB   int64 `json:"memory_mib" validate:"min=0"`
+	Descriptors int   `json:"descriptors" validate:"min=0"`
+	// Clients overrides the limits for clients that follow from them.
+	Clients httplimit.Settings `json:"clients"`
 }
 
 // Listen holds the addresses to listen on, host:port.
--- a/cmd/pulley-entry/process.go
+++ b/cmd/pulley-entry/process.go
@@ -125,7 +125,7 @@
 	ctx, p.cancel = context.WithCancel(ctx)
 	go p.table.Run(ctx)
 	go p.settings.Run(ctx)
-	p.server = p.daemon.Serve(callerListener, p.routes())
+	p.server = p.daemon.ServeCallers(callerListener, p.routes())
 	p.daemon.Serve(admin, p.daemon.Admin())
 	return nil
 }
--- a/cmd/pulley-node/node.go
+++ b/cmd/pulley-node/node.go
@@ -19,6 +19,7 @@
 	"pulleyquay/internal/front"
 	"pulleyquay/internal/holder"
 	"pulleyquay/internal/hostcall"
+	"pulleyquay/internal/httplimit"
 	"pulleyquay/internal/lateness"
 	"pulleyquay/internal/ledger"
 	"pulleyquay/internal/linkshard"
@@ -74,6 +75,7 @@
 // newNode creates and connects the components without starting them.
 func newNode(s Settings, d *daemon.Daemon) *node {
 	d.SetMemberName(s.Name)
+	d.LimitClients(httplimit.For(httplimit.Machine{Memory: s.MemoryMiB << 20, Descriptors: s.Descriptors}, s.Clients))
 	n := &node{conf: s, daemon: d, log: d.Log, mux: peer.NewMux(), view: cell.NewView(), limits: &overload.Limits{}}
 	n.self = cell.Member{
 		Name: s.Name, Incarnation: uuid.NewString(), Addr: s.Listen.peerAddr(), Zone: s.Zone,
@@ -225,7 +227,7 @@
 	mux := http.NewServeMux()
 	switch field {
 	case "listen.callers":
-		n.server = n.daemon.Serve(n.meter.ForPurpose("callers").Listener(l), alice.New(n.closeWhileStopping).Then(platform.Callers{
+		n.server = n.daemon.ServeCallers(n.meter.ForPurpose("callers").Listener(l), alice.New(n.closeWhileStopping).Then(platform.Callers{
 			Catalog: n.catalog.Current, Jobs: n.front, Margin: front.AnswerMargin, DefaultTimeout: front.DefaultCallTimeout,
 			Refused: n.front.Metrics.Refused,
 		}))
@@ -234,6 +236,8 @@
 		mux.HandleFunc("GET "+platform.ReadyPath, n.daemon.ServeReady)
 	case "listen.peer":
 		mux.Handle(peer.Path, n.peers)
+		n.daemon.ServePeers(l, mux)
+		return
 	case "listen.admin":
 		mux.Handle("/", n.daemon.Admin())
 	}
--- a/cmd/pulley-node/settings.go
+++ b/cmd/pulley-node/settings.go
@@ -5,6 +5,7 @@
 
 	"pulleyquay/internal/config"
 	"pulleyquay/internal/engine"
+	"pulleyquay/internal/httplimit"
 	"pulleyquay/internal/result"
 )
 
@@ -34,8 +35,10 @@
 	MemoryMiB int64 `json:"memory_mib" validate:"min=0"`
 	// Descriptors is how many files and connections the process may have open; zero
 	// means no limit.
-	Descriptors int    `json:"descriptors" validate:"min=0"`
-	Bounds      Bounds `json:"bounds"`
+	Descriptors int `json:"descriptors" validate:"min=0"`
+	// Clients overrides the limits for clients that follow from MemoryMiB and Descriptors.
+	Clients httplimit.Settings `json:"clients"`
+	Bounds  Bounds             `json:"bounds"`
 }
 
 // Listen holds the addresses to listen on, host:port.
--- a/cmd/pulley-placer/config.go
+++ b/cmd/pulley-placer/config.go
@@ -5,6 +5,7 @@
 
 	"pulleyquay/internal/config"
 	"pulleyquay/internal/hold"
+	"pulleyquay/internal/httplimit"
 	"pulleyquay/internal/partition"
 	"pulleyquay/internal/platform/budget"
 	"pulleyquay/internal/result"
@@ -26,6 +27,11 @@
 	HostList  Hosts  `json:"host_list"`
 	Holding   Hold   `json:"holding"`
 	Stop      Stop   `json:"stop"`
+	// MemoryMiB and Descriptors are what the process may use; zero means the limits that it was started with.
+	MemoryMiB   int64 `json:"memory_mib" validate:"min=0"`
+	Descriptors int   `json:"descriptors" validate:"min=0"`
+	// Clients overrides the limits for clients that follow from them.
+	Clients httplimit.Settings `json:"clients"`
 }
 
 // Listen holds the addresses to listen on, host:port.
--- a/cmd/pulley-placer/main.go
+++ b/cmd/pulley-placer/main.go
@@ -6,6 +6,7 @@
 	"context"
 
 	"pulleyquay/internal/daemon"
+	"pulleyquay/internal/httplimit"
 )
 
 func main() {
@@ -17,6 +18,7 @@
 	if err != nil {
 		return err
 	}
+	d.LimitClients(httplimit.For(httplimit.Machine{Memory: s.MemoryMiB << 20, Descriptors: s.Descriptors}, s.Clients))
 	if s.Profiling {
 		d.EnableProfiles()
 	}
--- a/cmd/pulley-placer/placer.go
+++ b/cmd/pulley-placer/placer.go
@@ -200,7 +200,7 @@
 func (p *placer) serve(peers, admin net.Listener) {
 	mux := http.NewServeMux()
 	mux.Handle(peer.Path, p.node)
-	p.daemon.Serve(peers, mux)
+	p.daemon.ServePeers(peers, mux)
 	p.daemon.Serve(admin, p.daemon.Admin())
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,13 +23,11 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/sirupsen/logrus"
 
+	"pulleyquay/internal/httplimit"
 	"pulleyquay/internal/problem"
 	"pulleyquay/internal/result"
 )
 
-// readHeaderTimeout limits the time that a client may take to send a request's headers.
-const readHeaderTimeout = 5 * time.Second
-
 // msgAnnounced is logged at the end of the time in which the load balancer notices a planned stop.
 const msgAnnounced = "announcement over"
 
@@ -50,7 +48,8 @@
 	readinessChecks []func() []string
 	checks          readinessChecks // answered by ServeReady
 	servers         []*Server
-	profiles        bool // served by Admin
+	guard           *httplimit.Guard // nil before the first listener if the limits are the default ones
+	profiles        bool             // served by Admin
 	limiter         *limiter
 	buffer          *Lines // nil if lines are written one by one
 }
@@ -138,11 +137,40 @@
 	return nil, result.New(code, result.RanNo, "%v", err).AtField(field)
 }
 
-// Serve starts an HTTP server on the listener, which the daemon closes at the end of a planned
-// stop. With the returned server a planned stop can wait for the requests in flight.
+// LimitClients sets the limits for the clients of all listeners, in place of those for a machine that isn't known. Call
+// it before the first listener is served.
+func (d *Daemon) LimitClients(l httplimit.Limits) {
+	d.guard = httplimit.New(l, d.Reg)
+}
+
+// Serve starts an HTTP server on a listener for operators or for checks of readiness, which the daemon closes at the
+// end of a planned stop. With the returned server a planned stop can wait for the requests in flight.
 func (d *Daemon) Serve(l net.Listener, h http.Handler) *Server {
-	s := newServer(l, h)
+	return d.serve(l, h, httplimit.SmallShare)
+}
+
+// ServeCallers is like Serve, for the listener of callers.
+func (d *Daemon) ServeCallers(l net.Listener, h http.Handler) *Server {
+	return d.serve(l, h, httplimit.CallerShare)
+}
+
+// ServePeers is like Serve, for the listener of peers.
+func (d *Daemon) ServePeers(l net.Listener, h http.Handler) *Server {
+	return d.serve(l, h, httplimit.PeerShare)
+}
+
+func (d *Daemon) serve(l net.Listener, h http.Handler, share httplimit.Share) *Server {
+	if share != httplimit.PeerShare { // peers exchange large messages
+		if err := httplimit.ShrinkReceiveBuffers(l); err != nil {
+			d.Log.WithError(err).Info("receive buffers keep the size of the system")
+		}
+	}
 	d.mu.Lock()
+	if d.guard == nil {
+		d.guard = httplimit.New(httplimit.For(httplimit.Machine{}, httplimit.Settings{}), d.Reg)
+	}
+	s := newServer(d.guard.Listener(l, share), h)
+	d.guard.Configure(s.Server)
 	d.servers = append(d.servers, s)
 	d.mu.Unlock()
 	go func() {
--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -42,7 +42,7 @@
 
 func newServer(l net.Listener, h http.Handler) *Server {
 	s := &Server{listener: l, stopped: make(chan struct{}), conns: map[net.Conn]*connState{}}
-	s.Server = &http.Server{Handler: s.closeWhileDraining(h), ReadHeaderTimeout: readHeaderTimeout, ConnState: s.track}
+	s.Server = &http.Server{Handler: s.closeWhileDraining(h), ConnState: s.track}
 	return s
 }
 
@@ -106,7 +106,7 @@
 
 // Shutdown stops the server. It accepts the connections that wait in the listener's queue, closes
 // the listener, answers the requests of all connections, closes connections without a request, and
-// returns when no connection is left or ctx ends. A new connection has readHeaderTimeout to send a
+// returns when no connection is left or ctx ends. A new connection has the time of the limits to send a
 // request. What arrives between the last check for input and the close that follows it is not seen.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.draining.Store(true)
--- a/internal/daemon/server_test.go
+++ b/internal/daemon/server_test.go
@@ -250,7 +250,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
 	defer cancel()
 	is.NoErr(s.Shutdown(ctx))
-	is.True(time.Since(start) < readHeaderTimeout)
+	is.True(time.Since(start) < s.ReadHeaderTimeout)
 	_, err := c.in.ReadByte()
 	is.Equal(err, io.EOF)
 }
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -45,8 +45,8 @@
 	// MaxInFlight bounds the requests in this process; one service may use three quarters of it.
 	// Zero is DefaultMaxInFlight.
 	MaxInFlight int
-	// MaxBodyMemory bounds the total size in bytes of the request bodies in memory. Zero is
-	// DefaultMaxBodyMemory.
+	// MaxBodyMemory bounds the total size in bytes of the bodies of requests that have been read and are not answered.
+	// Zero is DefaultMaxBodyMemory.
 	MaxBodyMemory int64
 	Log           *logrus.Entry
 	Metrics       prometheus.Registerer
@@ -98,12 +98,6 @@
 		return
 	}
 	defer h.limiter.release(service)
-	bodyBytes := bodyMemory(r, values.Request.MaxBodyBytes)
-	if !h.bodies.TryAcquire(bodyBytes) {
-		h.refuse(w, service, result.New(result.EntryFull, ranNotForwarded(r), "%d bytes of body", bodyBytes).WithRetryAfter(time.Second))
-		return
-	}
-	defer h.bodies.Release(bodyBytes)
 	msg, err := parse(w, r, service, path, values.Request)
 	if err != nil {
 		if err.Code != result.BadKey { // every entry refuses a bad key, so no earlier attempt can have run
@@ -112,6 +106,12 @@
 		h.refuse(w, service, err)
 		return
 	}
+	bodyBytes := int64(len(msg.Request.Body))
+	if !h.bodies.TryAcquire(bodyBytes) {
+		h.refuse(w, service, result.New(result.EntryFull, ranNotForwarded(r), "%d bytes of body", bodyBytes).WithRetryAfter(time.Second))
+		return
+	}
+	defer h.bodies.Release(bodyBytes)
 	h.limiter.forService(service).budget.Deposit(values.Request.RetryBudgetPercent)
 	deadline := start.Add(msg.Timeout)
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
--- a/internal/entry/parse.go
+++ b/internal/entry/parse.go
@@ -13,6 +13,7 @@
 	"github.com/google/uuid"
 
 	"pulleyquay/internal/executor"
+	"pulleyquay/internal/httplimit"
 	"pulleyquay/internal/requestmsg"
 	"pulleyquay/internal/result"
 	"pulleyquay/internal/settings"
@@ -100,18 +101,6 @@
 	return time.Duration(min(ms, limits.MaxDeadlineMS)) * time.Millisecond, nil
 }
 
-// bodyMemory returns the memory to reserve for a request's body: its length, or the limit if the
-// length is unknown. A body over the limit is not read and needs none.
-func bodyMemory(r *http.Request, limit int64) int64 {
-	switch {
-	case r.ContentLength > limit:
-		return 0
-	case r.ContentLength >= 0:
-		return r.ContentLength
-	}
-	return limit
-}
-
 // readBody reads the complete body, or returns an error if it is too large or cannot be read.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *result.Error) {
 	if r.Body == nil || r.Body == http.NoBody {
@@ -121,7 +110,7 @@
 		return nil, tooLarge(limit)
 	}
 	reader := http.MaxBytesReader(w, r.Body, limit)
-	body, err := readAll(reader, r.ContentLength)
+	body, err := io.ReadAll(reader) // the buffer grows with what arrives, not with what is announced
 	if err == nil {
 		return body, nil
 	}
@@ -129,19 +118,12 @@
 	if errors.As(err, &maxBytesErr) {
 		return nil, tooLarge(limit)
 	}
+	if refusal := httplimit.Refusal(err); refusal != nil {
+		return nil, refusal
+	}
 	return nil, result.New(result.CallerDisconnected, ranNotForwarded(r), "body: %v", err)
 }
 
-// readAll reads to the end. With a known length it allocates the buffer once.
-func readAll(r io.Reader, length int64) ([]byte, error) {
-	if length <= 0 {
-		return io.ReadAll(r)
-	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(r, body)
-	return body, err
-}
-
 func tooLarge(limit int64) *result.Error {
 	return result.New(result.TooLarge, result.RanNo, "body over %d bytes", limit)
 }
--- a/internal/jobapi/jobapi.go
+++ b/internal/jobapi/jobapi.go
@@ -16,6 +16,7 @@
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
+	"pulleyquay/internal/httplimit"
 	"pulleyquay/internal/jobmsg"
 	"pulleyquay/internal/peer"
 	"pulleyquay/internal/problem"
@@ -120,16 +121,24 @@
 	return id.String(), nil
 }
 
+var errTooLarge = result.New(result.TooLarge, result.RanNo, "a job's specification has at most %d bytes", maxBodyBytes)
+
 // readJob decodes a specification and refuses unknown fields. The identifier is given in the body,
 // by the caller of readJob, or by both if they agree.
 func readJob(r *http.Request, id string) (spec.Job, error) {
 	var job spec.Job
+	if r.ContentLength > maxBodyBytes {
+		return job, errTooLarge
+	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes+1))
+	if refusal := httplimit.Refusal(err); refusal != nil {
+		return job, refusal
+	}
 	if err != nil {
 		return job, result.New(result.BadInput, result.RanNo, "the body was not read whole: %v", err)
 	}
 	if len(body) > maxBodyBytes {
-		return job, result.New(result.TooLarge, result.RanNo, "a job's specification has at most %d bytes", maxBodyBytes)
+		return job, errTooLarge
 	}
 	if err := decodeStrict(body, &job); err != nil {
 		return job, err
--- a/internal/operatorapi/operatorapi.go
+++ b/internal/operatorapi/operatorapi.go
@@ -12,6 +12,7 @@
 
 	"github.com/google/uuid"
 
+	"pulleyquay/internal/httplimit"
 	"pulleyquay/internal/problem"
 	"pulleyquay/internal/result"
 	"pulleyquay/internal/settings"
@@ -237,6 +238,9 @@
 	if errors.As(err, &tooLarge) {
 		return result.New(result.TooLarge, result.RanNo, "%d bytes are allowed", tooLarge.Limit)
 	}
+	if refusal := httplimit.Refusal(err); refusal != nil {
+		return refusal
+	}
 	if err == nil {
 		if _, extra := d.Token(); !errors.Is(extra, io.EOF) {
 			err = errors.New("something follows the object")
--- a/internal/result/codes_general.go
+++ b/internal/result/codes_general.go
@@ -10,6 +10,8 @@
 	TooLarge       Code = 1003
 	NotReady       Code = 1004
 	Stopping       Code = 1005
+	RequestsFull   Code = 1006
+	BodyTooSlow    Code = 1007
 	PeerNotReached Code = 1010
 	PeerLost       Code = 1011
 	PeerVersion    Code = 1012
@@ -24,6 +26,8 @@
 		Info{TooLarge, "too-large", http.StatusRequestEntityTooLarge, "larger than the limit in settings"},
 		Info{NotReady, "not-ready", http.StatusServiceUnavailable, "the process lacks members or settings"},
 		Info{Stopping, "stopping", http.StatusServiceUnavailable, "the process is in a planned stop"},
+		Info{RequestsFull, "requests-full", http.StatusServiceUnavailable, "the requests that are being read use up the memory for them; nothing was done"},
+		Info{BodyTooSlow, "body-too-slow", http.StatusServiceUnavailable, "the body of the request did not arrive in time; nothing was done"},
 		Info{PeerNotReached, "peer-not-reached", http.StatusBadGateway, "no byte was sent to the peer"},
 		Info{PeerLost, "peer-lost", http.StatusBadGateway, "sent to the peer, no answer came back"},
 		Info{PeerVersion, "peer-version", http.StatusBadGateway, "the peer speaks another protocol version"},
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -5,8 +5,11 @@
 	"net"
 	"net/http"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"pulleyquay/internal/daemon"
 	"pulleyquay/internal/executor/execsim"
+	"pulleyquay/internal/httplimit"
 	"pulleyquay/internal/judge"
 	"pulleyquay/internal/platform"
 	"pulleyquay/internal/platform/memstore"
@@ -27,6 +30,7 @@
 	workersByName map[string]*workersim.Worker
 	executors     map[string]*execsim.Executor
 	servers       []*http.Server
+	guard         *httplimit.Guard
 	addr          string
 }
 
@@ -36,6 +40,7 @@
 	s := &Standin{
 		config: c, judge: j, hostList: hostlist.New(c.HostListLag.Std()), store: storehttp.Handler(memstore.New()),
 		workers: workersim.NewFleet(j), workersByName: map[string]*workersim.Worker{}, executors: map[string]*execsim.Executor{},
+		guard: httplimit.New(httplimit.For(httplimit.Machine{}, httplimit.Settings{}), prometheus.NewRegistry()),
 	}
 	if err := s.startServers(); err != nil {
 		s.Close()
@@ -96,6 +101,8 @@
 
 func (s *Standin) serve(l net.Listener, server *http.Server) {
 	s.servers = append(s.servers, server)
+	s.guard.Configure(server)
+	l = s.guard.Listener(l, httplimit.CallerShare)
 	go func() { _ = server.Serve(l) }() // Close ends it
 }
 
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -118,6 +118,14 @@
 	return c.Conn.Close()
 }
 
+// CloseWrite ends the sending direction, if the connection can.
+func (c *countedConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
+
 // SyscallConn implements syscall.Conn.
 func (c *countedConn) SyscallConn() (syscall.RawConn, error) { return rawConn(c.Conn) }
 
