--- a/internal/front/check.go
+++ b/internal/front/check.go
@@ -11,7 +11,7 @@
 // Limits of a job.
 const (
 	maxCommandBytes = 4000
-	maxSteps        = 256
+	MaxSteps        = 256
 	maxTasks        = 20000
 	maxRepetitions  = 10000
 	maxAmount       = int64(1) << 40 // of any resource
@@ -22,8 +22,8 @@
 	if len(g.Command) > maxCommandBytes {
 		return refuse("spec", "%d bytes, at most %d", len(g.Command), maxCommandBytes)
 	}
-	if n := len(g.Steps); n == 0 || n > maxSteps {
-		return refuse("steps", "%d steps, 1 to %d", n, maxSteps)
+	if n := len(g.Steps); n == 0 || n > MaxSteps {
+		return refuse("steps", "%d steps, 1 to %d", n, MaxSteps)
 	}
 	if r := g.Repeat; r.Times < 0 || r.Times > maxRepetitions || r.EveryMillis < 0 || r.FirstUnixMilli < 0 {
 		return refuse("repetitions", "%d times each %d ms from %d", r.Times, r.EveryMillis, r.FirstUnixMilli)
