--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 
 # The race detector, for the packages whose data is shared by many goroutines and whose tests take little time.
 RACE_PACKAGES = ./internal/front ./internal/cell ./internal/catalog ./internal/admission ./internal/traffic \
-	./internal/httponce ./internal/hostcall ./internal/linkshard ./platform/...
+	./internal/httponce ./internal/httplimit ./internal/hostcall ./internal/linkshard ./platform/...
 
 # What these tests count at one instant of virtual time hangs on the order of goroutines, which the detector changes;
 # make test runs them.
