--- a/internal/spec/check.go
+++ b/internal/spec/check.go
@@ -2,10 +2,12 @@
 
 import "fmt"
 
-// Limits of a job.
+// MaxSteps is the largest number of steps of a job.
+const MaxSteps = 256
+
+// Other limits of a job.
 const (
 	maxCommandBytes = 4000
-	maxSteps        = 256
 	maxTasks        = 20000
 	maxRepetitions  = 10000
 	// maxAmount bounds the amount of any resource, in its unit, and times in milliseconds.
@@ -31,8 +33,8 @@
 	if len(g.Command) > maxCommandBytes {
 		return violation("spec", "%d bytes, at most %d", len(g.Command), maxCommandBytes)
 	}
-	if n := len(g.Steps); n == 0 || n > maxSteps {
-		return violation("steps", "%d steps, 1 to %d", n, maxSteps)
+	if n := len(g.Steps); n == 0 || n > MaxSteps {
+		return violation("steps", "%d steps, 1 to %d", n, MaxSteps)
 	}
 	if r := g.Repeat; r.Times < 0 || r.Times > maxRepetitions || r.EveryMillis < 0 || r.FirstUnixMilli < 0 {
 		return violation("repetitions", "%d times each %d ms from %d", r.Times, r.EveryMillis, r.FirstUnixMilli)
