httplimit: clients may have half of the descriptors that are for connections

With a quarter of them a machine with 3,075 descriptors closed an idle connection for each new one from 269 connections of callers on, of which it could bear more: its memory allows 345. Ordinary clients in a burst would have met the limit. It is now half, so that the fifth of the memory decides on machines with little.

--- a/internal/engine/takeover.go
+++ b/internal/engine/takeover.go
@@ -9,9 +9,11 @@
 // Load adds the stored jobs of the partition when this process has acquired it. Tasks
 // of live jobs may run on any open host in the roster of the previous holder, so none is
 // started before each of these hosts has reported its runs, or before reconcileDeadline, when
-// every lease of earlier holders has expired, or before the bound that the roster states for the host. Long-running tasks, and tasks listed with closed
-// hosts, wait only for the hosts that they may run on. reconcileDeadline is zero for the first holder
-// of the partition. If the roster is unreadable, every task waits until reconcileDeadline, as any host may run it. age returns how long ago a job was accepted or, if it is over, ended.
+// every lease of earlier holders has expired, or before the bound that the roster states for the host.
+// Long-running tasks, and tasks listed with closed hosts, wait only for the hosts that they may run on.
+// If the roster is unreadable, every task waits until reconcileDeadline, as any host may run it.
+// reconcileDeadline is zero for the first holder of the partition. age returns how long ago a job was
+// accepted or, if it is over, ended.
 func (e *Engine) Load(jobs []*record.Job, progress map[string]*record.Progress, roster record.Roster, reconcileDeadline, now time.Time, age func(*record.Job) time.Duration) {
 	e.now = now
 	e.reconciling = !reconcileDeadline.IsZero()
--- a/internal/httplimit/limits.go
+++ b/internal/httplimit/limits.go
@@ -58,7 +58,7 @@
 	connectionBytes = 32 << 10
 	// descriptorShare is the divisor that gives the part of the descriptors for clients; the others are for hosts,
 	// the store and links with peers.
-	descriptorShare = 4
+	descriptorShare = 2
 	// fileDescriptors of a process are for files, not for connections.
 	fileDescriptors = 200
 	// minConnections is the number of connections that a process accepts in any case.
