engine: logs tell what a holder forgets and what its successor reads

Cause: the logs of a take-over did not tell which roster the next holder had read, nor whether a host that was forgotten had ends that were not stored yet.

Change: "host forgotten" with the numbers of its ends that were processed and acknowledged and with the batch under way; "roster loaded" with the epoch and the batch that wrote it. The roster record has the number of its batch for that.

--- a/internal/engine/commit.go
+++ b/internal/engine/commit.go
@@ -69,6 +69,7 @@
 	if e.rosterDue(now) {
 		e.rosterOutdated, b.hasRoster = false, true
 		roster := e.roster(now)
+		roster.Batch = b.Seq
 		b.Groups = append(b.Groups, []platform.Write{putWrite(record.RosterKey(e.cfg.Partition), roster)})
 		for _, stored := range roster.Hosts {
 			h := e.hosts[host.ID(stored.ID)]
--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"errors"
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -205,6 +206,8 @@
 
 // forgetHost removes a host from the state.
 func (e *Engine) forgetHost(h *hostState) {
+	e.log(Event{What: "host forgotten", Host: string(h.info.ID), Why: fmt.Sprintf("ends processed up to %d, acknowledged up to %d, %d held back; batch %d taken, %d stored",
+		h.endsProcessed, h.endsAcked, len(h.orphanEnds), e.commits, e.durable)})
 	e.rememberGeneration(h)
 	delete(e.hosts, h.info.ID)
 	if at, found := e.position(h.info.ID); found {
--- a/internal/engine/roster.go
+++ b/internal/engine/roster.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"fmt"
 	"time"
 
 	"pulleyquay/internal/host"
@@ -139,6 +140,19 @@
 			e.addPossibleRun(h, possibleRun{Run: host.Run{Task: task, No: t.Run}, unconfirmed: t.Unconfirmed})
 		}
 	}
+	e.logRoster(roster)
+}
+
+// logRoster logs what the roster of the previous holder tells.
+func (e *Engine) logRoster(roster record.Roster) {
+	closed, tasks := 0, 0
+	for _, r := range roster.Hosts {
+		if r.Closed {
+			closed++
+			tasks += len(r.Tasks)
+		}
+	}
+	e.log(Event{What: "roster loaded", Why: fmt.Sprintf("of epoch %d, batch %d: %d hosts, %d closed with %d runs", roster.Epoch, roster.Batch, len(roster.Hosts), closed, tasks)})
 }
 
 // addPossibleRun records a run that may be on a host. Its task does not start before the host has reported.
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -240,6 +240,8 @@
 	PlacementsStored bool `cbor:"5,keyasint,omitempty"`
 	// Epoch is that of the holder that wrote the roster. Holders of former versions leave it out.
 	Epoch uint64 `cbor:"6,keyasint,omitempty"`
+	// Batch is the number of the batch in which that holder wrote the roster. Holders of former versions leave it out.
+	Batch uint64 `cbor:"7,keyasint,omitempty"`
 	// Unreadable is true if the stored roster could not be decoded: any host may then have received orders. It is
 	// not part of the record.
 	Unreadable bool `cbor:"-"`
