ledger, engine: the roster is stored with the ends that it rests on, or after them

Cause: one batch becomes several transactions, which were carried out in parallel and in any order. The next holder takes it from the roster that a host which isn't listed has nothing to report, and a closed one only the listed runs. That promise rests on the ends that the holder has processed, and those stand in the progress records of the same batch. If the roster took effect and a progress record didn't before the next claim, the next holder started tasks that were done.

Change: a batch has the roster apart from its groups, and the ledger writes it in the transaction of the groups if there is only one, and else in a transaction after all of them. So no place that forgets or closes a host has to ask what is stored, and a place that is added later can't forget to. Not taken: to keep a host in the roster, open, until its ends are stored. That needs a condition at each of seven callers of forgetHost and three of close, a second roster for each batch of departures (some 60 bytes a host), and lets the next holder wait up to the longest lease for hosts that are gone. The order costs one more round trip for a batch that has a roster and over 28 groups, and no transaction more than one.

Ruled out: lists of ends that are cut off (the hosts listed all), ends of unknown jobs ("0 held back"), writes of the former holder after the claim (its batch ended with "another process has claimed the partition").

--- a/internal/engine/commit.go
+++ b/internal/engine/commit.go
@@ -11,8 +11,12 @@
 // Batch is the next set of writes to the store.
 type Batch struct {
 	Seq uint64
-	// Groups are the writes; those of one group have to be applied atomically.
+	// Groups are the writes; those of one group have to be applied atomically. Groups may take effect in any order.
 	Groups [][]platform.Write
+	// Roster is the write of the roster; empty if it has not changed. It has to take effect together with all groups
+	// or after them: the next holder takes it that a host that is not listed, or that is listed as closed without a
+	// run, has no end to report that is not stored.
+	Roster []platform.Write
 	// pendingEnds are, by host, the end records to acknowledge, up to a number, once the batch is
 	// stored. The numbers are valid for one incarnation, so the key is its state and not the
 	// host's id.
@@ -20,8 +24,6 @@
 	// openInRoster are the hosts that the batch stores as open in the roster, the stored list of the
 	// hosts that may have been given orders. Tasks are started only on open hosts; see roster.go.
 	openInRoster []*hostState
-	// hasRoster is true if the batch stores the roster.
-	hasRoster bool
 }
 
 // maxDeletesPerBatch bounds the job records deleted with one batch.
@@ -67,10 +69,10 @@
 	e.storePendingStarts()
 	b := &Batch{Seq: e.commits, pendingEnds: map[*hostState]int64{}}
 	if e.rosterDue(now) {
-		e.rosterOutdated, b.hasRoster = false, true
+		e.rosterOutdated = false
 		roster := e.roster(now)
 		roster.Batch = b.Seq
-		b.Groups = append(b.Groups, []platform.Write{putWrite(record.RosterKey(e.cfg.Partition), roster)})
+		b.Roster = []platform.Write{putWrite(record.RosterKey(e.cfg.Partition), roster)}
 		for _, stored := range roster.Hosts {
 			h := e.hosts[host.ID(stored.ID)]
 			if stored.LeaseLeftMillis > 0 {
@@ -161,7 +163,7 @@
 func (e *Engine) Stored(b *Batch, now time.Time) {
 	e.durable = b.Seq
 	e.confirmPlacements()
-	if b.hasRoster {
+	if len(b.Roster) > 0 {
 		e.confirmBounds(b.Seq, now)
 	}
 	opened := false
--- a/internal/engine/failover_moments_test.go
+++ b/internal/engine/failover_moments_test.go
@@ -184,17 +184,22 @@
 }
 
 // claim has the next holder claim the partition, which takes over after it has read the store. Of the batch
-// that is being written any transactions may have taken effect.
+// that is being written any groups may have taken effect, and the roster if all have.
 func (c *momentsCell) claim() {
 	if c.claimedByNext || c.storeUnavailable {
 		return
 	}
 	if c.unstored != nil {
+		stored := 0
 		for _, group := range c.unstored.Groups {
 			if c.rnd.IntN(2) == 0 {
 				c.applyWrites(c.written(group))
+				stored++
 			}
 		}
+		if stored == len(c.unstored.Groups) && c.rnd.IntN(2) == 0 {
+			c.applyWrites(c.written(c.unstored.Roster))
+		}
 	}
 	c.claimedByNext, c.claimed = true, c.now()
 	c.checkStore()
--- a/internal/engine/lease_bound_test.go
+++ b/internal/engine/lease_bound_test.go
@@ -199,6 +199,7 @@
 		for _, group := range w.unstored.Groups {
 			w.applyWrites(group)
 		}
+		w.applyWrites(w.unstored.Roster)
 	}
 	switch w.rnd.IntN(3) {
 	case 0:
--- a/internal/engine/world_calls_test.go
+++ b/internal/engine/world_calls_test.go
@@ -201,21 +201,52 @@
 
 // writeBatch writes one batch to the store.
 func (w *world) writeBatch(e *Engine, b *Batch) {
-	w.after(max(commitTakes, w.commitTakes), func() {
+	stored := func() {
+		w.committing, w.unstored = false, nil
+		w.deliver(e, func() { e.Stored(b, w.now()) })
+	}
+	if w.transactionTakes != nil {
+		w.writeGroups(e, b, stored)
+		return
+	}
+	writes := slices.Concat(slices.Concat(b.Groups...), b.Roster)
+	w.writeTransaction(e, writes, max(commitTakes, w.commitTakes), stored)
+}
+
+// writeGroups writes each group of a batch by itself, each with a delay of its own, and then the roster, which
+// depends on them; then it calls stored.
+func (w *world) writeGroups(e *Engine, b *Batch, stored func()) {
+	left := len(b.Groups)
+	finish := func() { w.writeTransaction(e, b.Roster, w.transactionTakes(), stored) }
+	if left == 0 {
+		finish()
+		return
+	}
+	for _, group := range b.Groups {
+		w.writeTransaction(e, group, w.transactionTakes(), func() {
+			if left--; left == 0 {
+				finish()
+			}
+		})
+	}
+}
+
+// writeTransaction makes writes take effect together after a delay, once the store is available and unless the next
+// holder has claimed the partition by then, and calls done.
+func (w *world) writeTransaction(e *Engine, writes []platform.Write, takes time.Duration, done func()) {
+	w.after(takes, func() {
 		if e != w.engine || w.claimedByNext {
 			return // the store rejects writes of a deposed holder
 		}
 		if w.storeUnavailable {
-			w.after(storeRetry, func() { w.writeBatch(e, b) })
+			w.writeTransaction(e, writes, storeRetry, done)
 			return
 		}
-		writes := slices.Concat(b.Groups...)
 		if w.onWrite != nil {
 			writes = w.onWrite(writes)
 		}
 		w.applyWrites(writes)
-		w.committing, w.unstored = false, nil
-		w.deliver(e, func() { e.Stored(b, w.now()) })
+		done()
 	})
 }
 
--- a/internal/engine/world_test.go
+++ b/internal/engine/world_test.go
@@ -39,6 +39,9 @@
 	paused bool
 	// commitTakes is how long a write to the store takes, if longer than the default.
 	commitTakes time.Duration
+	// transactionTakes, if not nil, returns how long a transaction takes; each group of a batch is then written by
+	// a transaction of its own, in any order.
+	transactionTakes func() time.Duration
 	// committing is true while a batch is being written to the store; unstored is that batch.
 	committing bool
 	unstored   *Batch
--- a/internal/holder/commit.go
+++ b/internal/holder/commit.go
@@ -38,23 +38,20 @@
 	h.mu.Lock()
 	b := h.engine.TakeBatch(time.Now())
 	h.mu.Unlock()
-	var groups [][]platform.Write
-	if b != nil {
-		groups = b.Groups
+	if b == nil {
+		return h.commitWrites(nil, nil)
 	}
-	if !h.commitWrites(groups) {
+	if !h.commitWrites(b.Groups, b.Roster) {
 		return false
 	}
-	if b != nil {
-		h.confirmBatch(b)
-	}
+	h.confirmBatch(b)
 	return true
 }
 
-// commitWrites stores groups of writes. It returns false if the partition is lost.
-func (h *Holder) commitWrites(groups [][]platform.Write) bool {
+// commitWrites stores groups of writes, and writes that depend on them. It returns false if the partition is lost.
+func (h *Holder) commitWrites(groups [][]platform.Write, dependent []platform.Write) bool {
 	start := time.Now()
-	err := h.ledger.Commit(h.ctx, groups)
+	err := h.ledger.Commit(h.ctx, groups, dependent)
 	h.cfg.Metrics.observeCommit(start, len(groups), err)
 	switch {
 	case err == nil:
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -12,6 +12,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -175,12 +176,25 @@
 }
 
 // Commit applies the writes unless another process has claimed the partition. The writes of
-// one group take effect atomically; groups may take effect separately and in any order.
+// one group take effect atomically; groups may take effect separately and in any order. The
+// dependent writes, at most maxWrites, take effect atomically as well, and only together with
+// all groups or after them, so that whoever reads them finds the groups too.
 // Commit returns ErrDeposed, platform.ErrRefused for writes that the store rejects
 // permanently, or ctx's error. After an error it is unknown which writes have taken effect,
 // and the ledger must not be used again.
-func (l *Ledger) Commit(ctx context.Context, groups [][]platform.Write) error {
+func (l *Ledger) Commit(ctx context.Context, groups [][]platform.Write, dependent []platform.Write) error {
 	txns := pack(groups)
+	if len(txns) == 1 && len(txns[0])+len(dependent) <= maxWrites {
+		return l.commitAll(ctx, [][]platform.Write{slices.Concat(txns[0], dependent)})
+	}
+	if err := l.commitAll(ctx, txns); err != nil || len(dependent) == 0 {
+		return err
+	}
+	return l.commitAll(ctx, [][]platform.Write{dependent})
+}
+
+// commitAll commits transactions in parallel, as many at a time as there are chains.
+func (l *Ledger) commitAll(ctx context.Context, txns [][]platform.Write) error {
 	for len(txns) > 0 {
 		n := min(len(txns), Chains)
 		var commits errgroup.Group
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -65,7 +65,7 @@
 						time.AfterFunc(5*time.Second, func() { c.SetFaults(memstore.Faults{}) })
 					}
 					before := time.Now()
-					is.NoErr(l.Commit(t.Context(), write("k", fmt.Sprint(i))))
+					is.NoErr(l.Commit(t.Context(), write("k", fmt.Sprint(i)), nil))
 					is.Equal(value(t, e, "k"), fmt.Sprint(i))
 					is.True(!l.LastConfirmed().Before(before)) // each commit confirms the claim
 				}
@@ -87,15 +87,15 @@
 				defer e.Close()
 				old, previous, err := Claim(t.Context(), sender(e.Client("a")), Holder{}, self("a"))
 				is.NoErr(err)
-				is.NoErr(old.Commit(t.Context(), write("k", "old")))
+				is.NoErr(old.Commit(t.Context(), write("k", "old"), nil))
 				e.Client("a").SetFaults(memstore.Faults{RequestDelayMS: delay})
 				ended := make(chan error, 1)
-				go func() { ended <- old.Commit(t.Context(), write("k", "late")) }()
+				go func() { ended <- old.Commit(t.Context(), write("k", "late"), nil) }()
 				if delay > 0 {
 					time.Sleep(10 * time.Millisecond) // the commit is in flight
 					next, _, err := Claim(t.Context(), sender(e.Client("b")), previous, self("b"))
 					is.NoErr(err)
-					is.NoErr(next.Commit(t.Context(), write("k", "new")))
+					is.NoErr(next.Commit(t.Context(), write("k", "new"), nil))
 					is.True(errors.Is(<-ended, ErrDeposed))
 					time.Sleep(10 * time.Second)
 					is.Equal(value(t, e, "k"), "new")
@@ -119,7 +119,7 @@
 		l, first, err := Claim(t.Context(), sender(e.Client("a")), Holder{}, self("a"))
 		is.NoErr(err)
 		is.Equal(first.Epoch, uint64(1))
-		is.NoErr(l.Commit(t.Context(), nil))
+		is.NoErr(l.Commit(t.Context(), nil, nil))
 
 		_, current, err := Claim(t.Context(), sender(e.Client("b")), Holder{}, self("b"))
 		is.True(errors.Is(err, ErrClaimConflict))
@@ -127,7 +127,7 @@
 		_, second, err := Claim(t.Context(), sender(e.Client("b")), current, self("b"))
 		is.NoErr(err)
 		is.Equal(second.Epoch, first.Epoch+host.TokensPerEpoch) // the tokens in between are those of the first
-		is.True(errors.Is(l.Commit(t.Context(), nil), ErrDeposed))
+		is.True(errors.Is(l.Commit(t.Context(), nil, nil), ErrDeposed))
 	})
 }
 
@@ -141,7 +141,7 @@
 		e.Client("a").SetFaults(memstore.Faults{Refuse: true})
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		is.True(errors.Is(l.Commit(ctx, write("k", "v")), context.DeadlineExceeded))
+		is.True(errors.Is(l.Commit(ctx, write("k", "v"), nil), context.DeadlineExceeded))
 		is.Equal(value(t, e, "k"), "")
 	})
 }
@@ -163,7 +163,7 @@
 				groups = append(groups, []platform.Write{{Key: fmt.Sprint("end/", i), Value: v}, {Key: fmt.Sprint("progress/", i), Value: v}})
 			}
 			start := time.Now()
-			is.NoErr(l.Commit(t.Context(), groups))
+			is.NoErr(l.Commit(t.Context(), groups, nil))
 			if round > 0 { // the first round measures the latency
 				is.True(time.Since(start) < 400*time.Millisecond)
 			}
@@ -200,3 +200,51 @@
 	is.Equal(writes, 199)
 	is.Equal(len(pack(nil)), 1)
 }
+
+// TestDependentWritesFollowTheGroups guards against dependent writes that the next holder finds without all of the
+// groups, of which a lost request may delay any.
+func TestDependentWritesFollowTheGroups(t *testing.T) {
+	for name, tc := range map[string]struct{ groups, lost, transactions int }{
+		"nothing lost":           {100, 0, 5},
+		"some requests lost":     {100, 2, 5},
+		"most requests lost":     {100, 4, 5},
+		"more than the chains":   {29*Chains + 40, 3, Chains + 3},
+		"all in one transaction": {28, 1, 1},
+		"a transaction is full":  {29, 1, 2},
+		"no groups":              {0, 1, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				e := memstore.New()
+				defer e.Close()
+				l, _, err := Claim(t.Context(), sender(e.Client("a")), Holder{}, self("a"))
+				is.NoErr(err)
+				before := sequences(l)
+				e.Client("a").SetFaults(memstore.Faults{LoseRequests: tc.lost, AnswerDelayMS: 40})
+				var groups [][]platform.Write
+				for i := range tc.groups {
+					groups = append(groups, write(fmt.Sprint("end/", i), "1")...)
+				}
+				committed := make(chan error, 1)
+				go func() { committed <- l.Commit(t.Context(), groups, write("roster", "1")[0]) }()
+				for value(t, e, "roster") == "" {
+					time.Sleep(time.Millisecond)
+				}
+				for i := range tc.groups {
+					is.Equal(value(t, e, fmt.Sprint("end/", i)), "1")
+				}
+				is.NoErr(<-committed)
+				is.Equal(sequences(l)-before, uint64(tc.transactions))
+			})
+		})
+	}
+}
+
+// sequences returns the number of transactions of all chains.
+func sequences(l *Ledger) (n uint64) {
+	for i := range l.chains {
+		n += l.chains[i].sequence
+	}
+	return n
+}
--- a/internal/ledger/suspended_test.go
+++ b/internal/ledger/suspended_test.go
@@ -27,20 +27,20 @@
 		c := e.Client("a")
 		l, _, err := Claim(t.Context(), sender(c), Holder{}, self("a"))
 		is.NoErr(err)
-		is.NoErr(l.Commit(t.Context(), write("k", "1")))
+		is.NoErr(l.Commit(t.Context(), write("k", "1"), nil))
 		is.True(time.Since(l.LastConfirmed()) < 100*time.Millisecond)
 
 		suspended.Add(int64(5 * time.Second))
 		is.True(time.Since(l.LastConfirmed()) >= 5*time.Second)
 
-		is.NoErr(l.Commit(t.Context(), write("k", "2")))
+		is.NoErr(l.Commit(t.Context(), write("k", "2"), nil))
 		is.True(time.Since(l.LastConfirmed()) < 100*time.Millisecond)
 
 		// A suspension between a transaction and its reply counts, as LastConfirmed is the time
 		// of sending.
 		c.SetFaults(memstore.Faults{AnswerDelayMS: 300})
 		time.AfterFunc(100*time.Millisecond, func() { suspended.Add(int64(5 * time.Second)) })
-		is.NoErr(l.Commit(t.Context(), write("k", "3")))
+		is.NoErr(l.Commit(t.Context(), write("k", "3"), nil))
 		is.True(time.Since(l.LastConfirmed()) >= 5*time.Second)
 	})
 }
