engine: whether a step is ready follows from its state alone, in one place

Cause: readySince was both the time since which a step is due and the sign that it had been put into the ready set. Seven places set it, each under a condition of its own. The end of a run set it whatever steps came before, and stepDone then took the step for one that was in the set.

Steps before their due time are told by that time and not by an empty field. A gang is in the ready set only as a whole, which its planner demanded already. A progress record that names a step twice no longer counts its end twice. Accept and the changes of the list of hosts set the engine's time, from which dueSince is taken.

It mends this order of events and leaves six others to remember theirs.

After each decision of every simulation of the package, checkReadySteps derives from the states of the tasks which steps are to be ready and compares.

--- a/internal/engine/copy_survey.go
+++ b/internal/engine/copy_survey.go
@@ -180,7 +180,7 @@
 		if _, known := out[class]; known || !g.ready || g.waiting == 0 || g.job.expiredRank() > 0 {
 			continue
 		}
-		if now.Sub(g.readySince) > e.usualStart(g) && e.startableNow(g) > 0 {
+		if now.Sub(g.dueSince) > e.usualStart(g) && e.startableNow(g) > 0 {
 			out[class] = struct{}{}
 		}
 	}
--- a/internal/engine/dump_account.go
+++ b/internal/engine/dump_account.go
@@ -89,7 +89,7 @@
 	for _, l := range loads {
 		row := DumpedAccount{AccountLoad: l}
 		if g := l.firstWaiting; g != nil {
-			row.Next, row.NextWaitsMS, row.NextWhy = g.id.String(), now.Sub(g.readySince).Milliseconds(), e.waitReason(g, now)
+			row.Next, row.NextWaitsMS, row.NextWhy = g.id.String(), now.Sub(g.dueSince).Milliseconds(), e.waitReason(g, now)
 		}
 		out = append(out, row)
 	}
--- a/internal/engine/dump_shares.go
+++ b/internal/engine/dump_shares.go
@@ -41,7 +41,7 @@
 		l := loads[g.job.flow]
 		l.steps++
 		if e.startableNow(g) > 0 {
-			l.longest = max(l.longest, now.Sub(g.readySince))
+			l.longest = max(l.longest, now.Sub(g.dueSince))
 		}
 		loads[g.job.flow] = l
 	}
--- a/internal/engine/ends.go
+++ b/internal/engine/ends.go
@@ -47,7 +47,7 @@
 		}
 		e.recordTaskFailure(g, i, r, now)
 	}
-	e.runEnded(r, now)
+	e.runEnded(r)
 }
 
 // taskDone records that a task is done. For a gang the end of one member counts for all.
@@ -79,12 +79,10 @@
 		e.requestStop(t.cur, "another run has completed its task")
 		e.stopSecond(t, "another run has completed its task")
 	}
-	g.setState(i, taskDone)
-	g.undone--
+	e.setState(g, i, taskDone)
 	if g.suspicion != crashloop.Unsuspected {
 		g.updateSuspicion() // crashes under a task that is done no longer delay the others
 	}
-	e.refresh(g)
 }
 
 // taskFaultWindow is how long after a failure of a long-running task its next failure on another host counts
@@ -125,7 +123,7 @@
 }
 
 // runEnded updates the task of a run that has ended for any reason.
-func (e *Engine) runEnded(r *run, now time.Time) {
+func (e *Engine) runEnded(r *run) {
 	g := r.group
 	if g == nil || g.job.state.Final() {
 		return
@@ -148,17 +146,13 @@
 		return
 	}
 	if g.step.Gang {
-		e.handleMemberEnd(g, r, now)
+		e.handleMemberEnd(g, r)
 		return
 	}
 	if r.checkpoint != "" {
 		t.checkpoint = r.checkpoint
 	}
-	g.setState(i, taskWaiting)
-	if g.readySince.IsZero() {
-		g.readySince = now
-	}
-	e.refresh(g)
+	e.setState(g, i, taskWaiting)
 }
 
 // inheritCheckpoint keeps the checkpoint of a run that a previous holder started and
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -359,7 +359,7 @@
 	}
 	e.adjustWorkingSets(now)
 	e.reconcile(now)
-	e.setReadyTimes(now)
+	e.updateIncoming(now)
 	e.expireHosts(now)
 	e.checkRuns(now)
 	e.releasePendingStarts(now)
--- a/internal/engine/explain.go
+++ b/internal/engine/explain.go
@@ -20,18 +20,18 @@
 
 // logWaiting logs the reason for which a step waits, if it has waited for waitLogInterval.
 func (e *Engine) logWaiting(g *group, now time.Time) {
-	if now.Sub(g.readySince) < waitLogInterval || now.Sub(g.waitLoggedAt) < waitLogInterval || e.waitsLogged >= maxWaitsLogged {
+	if now.Sub(g.dueSince) < waitLogInterval || now.Sub(g.waitLoggedAt) < waitLogInterval || e.waitsLogged >= maxWaitsLogged {
 		return
 	}
 	e.waitsLogged++
 	g.waitLoggedAt = now
-	e.log(Event{What: "step waits", Job: g.job.id(), Step: g.id.String(), Why: e.waitReason(g, now), Age: now.Sub(g.readySince)})
+	e.log(Event{What: "step waits", Job: g.job.id(), Step: g.id.String(), Why: e.waitReason(g, now), Age: now.Sub(g.dueSince)})
 }
 
 // logStart logs that starts of tasks of a step were ordered.
 func (e *Engine) logStart(g *group, tasks, hosts int, now time.Time) {
 	e.log(Event{
-		What: "step started", Job: g.job.id(), Step: g.id.String(), Age: now.Sub(g.readySince),
+		What: "step started", Job: g.job.id(), Step: g.id.String(), Age: now.Sub(g.dueSince),
 		Why: fmt.Sprintf("%d tasks, on %d hosts, after %d answers of the policy service; %d wait", tasks, hosts, g.policy.answers, g.waiting),
 	})
 }
@@ -152,10 +152,10 @@
 	}
 	reserving := 0
 	for _, g := range e.ready {
-		if !g.readySince.IsZero() {
+		if !g.dueSince.IsZero() {
 			q := of(g.job.rec.Queue)
 			q.waiting++
-			q.longest = max(q.longest, now.Sub(g.readySince))
+			q.longest = max(q.longest, now.Sub(g.dueSince))
 		}
 		if len(g.reserved) > 0 {
 			reserving++
--- a/internal/engine/gang.go
+++ b/internal/engine/gang.go
@@ -10,23 +10,17 @@
 func (g *group) gangIdle() bool { return g.waiting == g.undone && g.undone > 0 }
 
 // handleMemberEnd handles a member's run that ended before the gang was done.
-func (e *Engine) handleMemberEnd(g *group, r *run, now time.Time) {
+func (e *Engine) handleMemberEnd(g *group, r *run) {
 	g.run = max(g.run, r.No)
 	if r.checkpoint != "" && r.percent >= g.checkpointPercent {
 		g.checkpoint, g.checkpointPercent = r.checkpoint, r.percent
 	}
-	g.setState(r.Task.Index, taskWaiting)
+	e.setState(g, r.Task.Index, taskWaiting)
 	for i := range g.tasks {
 		if cur := g.tasks[i].cur; cur != nil {
 			e.requestStop(cur, "another member of its gang has ended")
 		}
 	}
-	if g.gangIdle() {
-		if g.readySince.IsZero() {
-			g.readySince = now
-		}
-		e.refresh(g)
-	}
 }
 
 // startGang starts every member on the chosen hosts.
@@ -41,7 +35,6 @@
 		}
 	}
 	g.releaseReservation()
-	e.refresh(g)
 }
 
 // hostSlots is a number of task slots on a host.
--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -339,6 +339,7 @@
 
 // SetHosts replaces the list of hosts by the platform's whole list.
 func (e *Engine) SetHosts(list []host.Info, now time.Time) {
+	e.now = now
 	clear(e.unconfiguredHosts)
 	listed := make(map[host.ID]bool, len(list))
 	for _, info := range list {
@@ -353,7 +354,10 @@
 }
 
 // SetHost updates one host from its entry.
-func (e *Engine) SetHost(info host.Info, now time.Time) { e.setHost(info, now) }
+func (e *Engine) SetHost(info host.Info, now time.Time) {
+	e.now = now
+	e.setHost(info, now)
+}
 
 // RenewEntry handles an entry of a host that differs from the one before in its heartbeat number only. It returns
 // false if the host is not listed, so that the entry has to be passed to SetHost.
@@ -384,6 +388,7 @@
 
 // DropHost handles the removal of a host's entry from the list.
 func (e *Engine) DropHost(id host.ID, now time.Time) {
+	e.now = now
 	delete(e.unconfiguredHosts, id)
 	if h := e.hosts[id]; h != nil && h.listed {
 		e.unlist(h, now)
--- a/internal/engine/job.go
+++ b/internal/engine/job.go
@@ -103,8 +103,8 @@
 	waitLoggedAt time.Time // when the reason to wait was last logged
 	gapLoggedAt  time.Time // when the gap of its long-running tasks was last logged
 	overQuotaAt  time.Time // when the quota last kept a pass from attempting it
-	// readySince is when the step became due.
-	readySince time.Time
+	// dueSince is since when its turn has come; zero before. See readiness.go.
+	dueSince time.Time
 
 	// perHost counts active tasks by host.
 	perHost map[*hostState]int
@@ -218,24 +218,6 @@
 	return g
 }
 
-// setState changes the state of a task and updates the counts.
-func (g *group) setState(i int, s taskState) {
-	t := &g.tasks[i]
-	switch t.state {
-	case taskWaiting:
-		g.waiting--
-	case taskUnconfirmed:
-		g.job.account.addUnconfirmed(g, -1)
-	}
-	t.state = s
-	switch s {
-	case taskWaiting:
-		g.waiting++
-	case taskUnconfirmed:
-		g.job.account.addUnconfirmed(g, 1)
-	}
-}
-
 // possibleUsage returns the size of the tasks of the job that may be running; backfill tasks are summed separately.
 func (j *job) possibleUsage() (others, backfill spec.Resources) {
 	for _, g := range j.groups {
@@ -258,29 +240,6 @@
 // task returns the name of a task of the group.
 func (g *group) task(i int) spec.StepTask { return spec.StepTask{StepID: g.id, Index: i} }
 
-// refresh updates the membership of the group in the ready set.
-func (e *Engine) refresh(g *group) {
-	if g.pendingDeps > 0 || g.waiting == 0 || g.job.state.Final() {
-		e.removeReady(g)
-		return
-	}
-	if !g.ready {
-		g.ready = true
-		e.ready[g.id] = g
-	}
-	if !g.queued && !g.incoming {
-		g.incoming = true
-		e.incoming = append(e.incoming, g)
-	}
-}
-
-// removeReady takes a group out of the ready set.
-func (e *Engine) removeReady(g *group) {
-	g.ready = false
-	delete(e.ready, g.id)
-	g.releaseReservation()
-}
-
 // markDirty marks the stored record of the job as out of date. A job in a final state has its record stored
 // once and is not marked again: a later report of a superseded run would otherwise make its end count as
 // not stored.
@@ -295,7 +254,6 @@
 	j := g.job
 	j.undoneGroups--
 	g.doneAt = now
-	e.removeReady(g)
 	for _, other := range j.groups {
 		if other.id.Occurrence != g.id.Occurrence {
 			continue
@@ -305,10 +263,7 @@
 				other.pendingDeps--
 			}
 		}
-		if other.pendingDeps == 0 && other.undone > 0 && other.readySince.IsZero() {
-			other.readySince = now
-			e.refresh(other)
-		}
+		e.refresh(other)
 	}
 	if j.undoneGroups == 0 {
 		e.finish(j, record.StateCompleted, now)
@@ -326,7 +281,7 @@
 	e.ended = append(e.ended, endedJob{j.id(), now})
 	for _, g := range j.groups {
 		delete(e.longRunning, g)
-		e.removeReady(g)
+		e.refresh(g)
 		for i := range g.tasks {
 			if r := g.tasks[i].cur; r != nil && s != record.StateCompleted {
 				e.requestStop(r, "its job has ended: "+string(s))
@@ -348,12 +303,3 @@
 	}
 	e.ended = e.ended[n:]
 }
-
-// setReadyTimes marks the incoming steps ready whose occurrence is due.
-func (e *Engine) setReadyTimes(now time.Time) {
-	for _, g := range e.incoming {
-		if g.readySince.IsZero() && !now.Before(g.due) {
-			g.readySince = now
-		}
-	}
-}
--- a/internal/engine/long_running.go
+++ b/internal/engine/long_running.go
@@ -41,7 +41,7 @@
 // gap returns for how long a task has had no run at work: zero if it has one or its step is not ready yet.
 func (g *group) gap(i int, now time.Time) time.Duration {
 	t := &g.tasks[i]
-	since := later(t.lastAtWork, g.readySince)
+	since := later(t.lastAtWork, g.dueSince)
 	if since.IsZero() || t.state == taskDone {
 		return 0
 	}
--- a/internal/engine/long_running_test.go
+++ b/internal/engine/long_running_test.go
@@ -97,7 +97,7 @@
 	r.superseded = true // as if a view had shown it beside a later run, which has ended
 	g.countSuperseded(r, 1)
 	w.host(r.placedOn.info.ID).SetDisconnected(true)
-	w.engine.runEnded(r, w.now())
+	w.engine.runEnded(r)
 	w.run(5 * time.Second)
 	mustSay(t, w.gapLines(t, "web"), "superseded run 1 on "+string(r.placedOn.info.ID), "unresponsive for", "1 wait", "task 0")
 }
--- a/internal/engine/lost.go
+++ b/internal/engine/lost.go
@@ -60,7 +60,7 @@
 	})
 	e.recordRunRemoved(r, "", now)
 	e.removeRun(r)
-	e.runEnded(r, now)
+	e.runEnded(r)
 }
 
 // deadlineMargin is how far a deadline must have passed on the host's clock before an unreported start
--- a/internal/engine/orders.go
+++ b/internal/engine/orders.go
@@ -34,7 +34,7 @@
 	h.addRun(r)
 	e.recordStart(g, h, now)
 	t.cur, t.run = r, no
-	g.setState(i, taskActive)
+	e.setState(g, i, taskActive)
 	e.watchCopies(g)
 	order := StartOrder{To: h.info, Generation: h.generation, Start: host.Start{
 		Run: r.Run, Incarnation: h.incarnation, Command: g.job.rec.Graph.Command, Deadline: r.deadline,
@@ -138,7 +138,7 @@
 	}
 	e.recordRunRemoved(r, "", now)
 	e.removeRun(r)
-	e.runEnded(r, now)
+	e.runEnded(r)
 }
 
 // handleRefusal handles a start order that the host has refused.
--- a/internal/engine/orphans.go
+++ b/internal/engine/orphans.go
@@ -187,8 +187,7 @@
 		r.placedOn.schedulePresencePolls(e.now)
 	}
 	g.run = max(g.run, r.No)
-	g.setState(i, taskActive)
+	e.setState(g, i, taskActive)
 	e.watchCopies(g)
 	g.job.started = true
-	e.refresh(g)
 }
--- a/internal/engine/pairs.go
+++ b/internal/engine/pairs.go
@@ -102,7 +102,7 @@
 	case t.cur == r && t.possible && t.state == taskActive:
 		t.cur = nil
 		g.excludeSecond(i)
-		g.setState(i, taskUnconfirmed)
+		e.setState(g, i, taskUnconfirmed)
 	default:
 		return false
 	}
--- a/internal/engine/placements.go
+++ b/internal/engine/placements.go
@@ -129,7 +129,6 @@
 		for i := range g.tasks {
 			e.restorePlacement(g, i, stored[i])
 		}
-		e.refresh(g)
 	}
 }
 
@@ -157,7 +156,7 @@
 		e.addPossibleRun(h, possibleRun{Run: run, unconfirmed: !on.Observed, placement: true})
 	}
 	if e.possibleHosts[g.task(i)] == 0 {
-		g.setState(i, taskWaiting)
+		e.setState(g, i, taskWaiting)
 	}
 }
 
--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -209,7 +209,6 @@
 	if started > 0 {
 		e.logStart(g, started, len(g.perHost), now)
 	}
-	e.refresh(g)
 }
 
 // withCapacity returns the hosts that have capacity for a task of the step, regardless of reservations of
--- a/internal/engine/queue.go
+++ b/internal/engine/queue.go
@@ -42,7 +42,7 @@
 func (e *Engine) enqueueIncoming(now time.Time) {
 	notDue := e.incoming[:0]
 	for _, g := range e.incoming {
-		if g.ready && g.readySince.IsZero() {
+		if g.ready && now.Before(g.due) {
 			notDue = append(notDue, g)
 			continue
 		}
--- a/internal/engine/queue_load.go
+++ b/internal/engine/queue_load.go
@@ -124,7 +124,7 @@
 	}
 	l.Work += work
 	l.Steps += float64(g.waiting) / float64(len(g.tasks))
-	l.age += work * now.Sub(g.readySince).Seconds()
+	l.age += work * now.Sub(g.dueSince).Seconds()
 	l.runTime += work * g.runTimeBound().Seconds()
 	if !g.overQuotaAt.IsZero() && now.Sub(g.overQuotaAt) < quotaWaitWindow {
 		l.ForQuota += work
--- a/internal/engine/takeover.go
+++ b/internal/engine/takeover.go
@@ -44,6 +44,7 @@
 
 // Accept adds an accepted job. A fresh job is certainly not known to any other holder.
 func (e *Engine) Accept(rec *record.Job, fresh bool, accepted, now time.Time) {
+	e.now = now
 	if e.jobs[rec.ID] != nil {
 		return
 	}
@@ -71,13 +72,10 @@
 		e.openDataRack(g, now)
 		for i := range g.tasks {
 			if unconfirmed || e.possibleHosts[g.task(i)] > 0 {
-				g.setState(i, taskUnconfirmed)
+				e.setState(g, i, taskUnconfirmed)
 				g.expectSecond(i)
 			}
 		}
-		if g.pendingDeps == 0 && !now.Before(g.due) {
-			g.readySince = now
-		}
 		e.refresh(g)
 	}
 	e.assignOrphans(j, now)
@@ -92,6 +90,7 @@
 		if g == nil {
 			continue
 		}
+		undone := g.undone
 		for i := range g.tasks {
 			e.restoreCrashes(g, i, s, now)
 			if !g.step.Gang {
@@ -106,7 +105,7 @@
 		}
 		g.updateSuspicion()
 		e.scheduleDecision(g, now)
-		if g.undone == 0 {
+		if undone > 0 && g.undone == 0 {
 			e.stepDone(g, now)
 		}
 	}
@@ -150,7 +149,7 @@
 			held = true
 			continue
 		}
-		g.setState(i, taskWaiting)
+		e.setState(g, i, taskWaiting)
 	}
 	if g.step.Gang && !held && g.waiting > 0 && g.waiting < g.undone {
 		for i := range g.tasks {
@@ -159,10 +158,6 @@
 			}
 		}
 	}
-	if g.pendingDeps == 0 && g.readySince.IsZero() && !now.Before(g.due) {
-		g.readySince = now
-	}
-	e.refresh(g)
 }
 
 // Cancel ends a job as cancelled, unless it has ended already, and returns its state.
--- a/internal/engine/withhold.go
+++ b/internal/engine/withhold.go
@@ -95,7 +95,7 @@
 	if g.overQuotaAt.IsZero() || g.job.account.withheld.overdue || g.job.urgency == expired {
 		return false
 	}
-	waited := now.Sub(g.readySince)
+	waited := now.Sub(g.dueSince)
 	if waited < time.Duration(g.job.rec.Rules.TargetMillis)*time.Millisecond {
 		return false // less than any target
 	}
--- a/internal/engine/working_set.go
+++ b/internal/engine/working_set.go
@@ -176,7 +176,7 @@
 // extendWorkingSet unparks hosts for a step that has waited for a while and does not fit into the working set.
 func (e *Engine) extendWorkingSet(g *group, hosts []*hostState, now time.Time) {
 	p := g.job.flow.pool
-	if g.waiting == 0 || p.parked.Len() == 0 || now.Sub(g.readySince) < e.shortageDelay(g) || now.Sub(p.extendedAt) < shortageInterval {
+	if g.waiting == 0 || p.parked.Len() == 0 || now.Sub(g.dueSince) < e.shortageDelay(g) || now.Sub(p.extendedAt) < shortageInterval {
 		return
 	}
 	p.extendedAt = now
--- a/internal/engine/world_test.go
+++ b/internal/engine/world_test.go
@@ -327,6 +327,7 @@
 	}
 	w.due = due
 	w.checkIndexSometimes()
+	w.checkReadySteps()
 	for _, s := range o.Starts {
 		w.start(e, s)
 	}
@@ -523,7 +524,7 @@
 func (w *world) describe(id string) string {
 	var out strings.Builder
 	for _, g := range w.engine.jobs[id].groups {
-		fmt.Fprintf(&out, "%v needs %d left %d waiting %d ready %t asking %d;", g.id, g.pendingDeps, g.undone, g.waiting, !g.readySince.IsZero(), g.policy.openQueries)
+		fmt.Fprintf(&out, "%v needs %d left %d waiting %d ready %t asking %d;", g.id, g.pendingDeps, g.undone, g.waiting, !g.dueSince.IsZero(), g.policy.openQueries)
 		for i := range g.tasks {
 			t := &g.tasks[i]
 			fmt.Fprintf(&out, " %d:%d", i, t.state)
