--- a/internal/engine/world_calls_test.go
+++ b/internal/engine/world_calls_test.go
@@ -216,14 +216,14 @@
 // writeGroups writes each group of a batch by itself, each with a delay of its own, and then the roster, which
 // depends on them; then it calls stored.
 func (w *world) writeGroups(e *Engine, b *Batch, stored func()) {
-	left := len(b.Groups)
-	finish := func() { w.writeTransaction(e, b.Roster, w.transactionTakes(), stored) }
+	left, takes := len(b.Groups), w.transactionTakes
+	finish := func() { w.writeTransaction(e, b.Roster, takes(), stored) }
 	if left == 0 {
 		finish()
 		return
 	}
 	for _, group := range b.Groups {
-		w.writeTransaction(e, group, w.transactionTakes(), func() {
+		w.writeTransaction(e, group, takes(), func() {
 			if left--; left == 0 {
 				finish()
 			}
