engine: ends of unknown jobs keep their host in the roster

Cause: a holder that has just taken over may not know a job that was accepted while it read the jobs. It keeps the ends of that job's runs and doesn't acknowledge them, and no record tells of them. But a host without an entry was forgotten, and one that didn't answer was closed, by its runs alone. A next holder, which reads the job, started its tasks again.

Change: holdsNothing is asked before a host is forgotten while leases may be in force there, and a closed host lists the runs of unknown jobs that have ended there. So the next holder waits for such a host, or delays these tasks. It lasts until the job is known or, as before, 5 s after the end.

--- a/internal/engine/host.go
+++ b/internal/engine/host.go
@@ -434,13 +434,12 @@
 	}
 }
 
-// unlist keeps a host without an entry for as long as anything may run on it; nothing new is started
-// there.
+// unlist keeps a host without an entry for as long as it may hold anything; nothing new is started there.
 func (e *Engine) unlist(h *hostState, now time.Time) {
 	h.listed = false
 	h.touch()
 	e.log(Event{What: "host not listed", Host: string(h.info.ID)})
-	if len(h.runs) == 0 && (h.reported || h.parked) {
+	if h.holdsNothing() && (h.reported || h.parked) {
 		e.attributeCrash(h, h.pendingAttributions, now)
 		e.forgetHost(h)
 		return
@@ -450,6 +449,10 @@
 	}
 }
 
+// holdsNothing reports whether nothing is recorded on the host that the store does not tell of: no run, and no end of an
+// unknown job. What else has ended there is stored with the roster that leaves the host out, or before it.
+func (h *hostState) holdsNothing() bool { return len(h.runs) == 0 && len(h.orphanEnds) == 0 }
+
 // placeable reports whether new work may be placed on the host. A host that merely lost a call stays
 // eligible for a moment. One that could not even be reached is excluded at once, because its next call
 // fails as well and urgent work would be tried there until it is late.
--- a/internal/engine/orphans.go
+++ b/internal/engine/orphans.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -37,6 +38,22 @@
 	h.orphanEnds = append(h.orphanEnds, end.Number)
 }
 
+// orphansOf returns the runs of unknown jobs that have ended on a host and whose ends are not acknowledged, in the order
+// of their jobs.
+func (e *Engine) orphansOf(h *hostState) (out []host.Run) {
+	if len(h.orphanEnds) == 0 {
+		return nil // the usual case
+	}
+	for _, job := range slices.Sorted(maps.Keys(e.orphanEndRecords)) {
+		for _, s := range e.orphanEndRecords[job] {
+			if s.host == h && slices.Contains(h.orphanEnds, s.end.Number) {
+				out = append(out, s.end.Run)
+			}
+		}
+	}
+	return out
+}
+
 // ackable returns the number up to which end records of the host may be acknowledged once
 // the present batch is stored.
 func (h *hostState) ackable() int64 {
--- a/internal/engine/roster.go
+++ b/internal/engine/roster.go
@@ -44,6 +44,9 @@
 				r.Tasks = append(r.Tasks, rosterTask(p.Run, p.unconfirmed))
 			}
 		}
+		for _, ended := range e.orphansOf(h) {
+			r.Tasks = append(r.Tasks, rosterTask(ended, false))
+		}
 	case !h.claimed && !h.inherited && h.info.Draining:
 		r.Closed = true // nothing was ever started there
 	case h.claimed || !h.inherited:
--- a/internal/engine/view.go
+++ b/internal/engine/view.go
@@ -91,7 +91,7 @@
 		return
 	}
 	e.processView(h, o, sent, v, now)
-	if !h.listed && h.reported && len(h.runs) == 0 {
+	if !h.listed && h.reported && h.holdsNothing() {
 		e.forgetHost(h)
 	}
 }
