upkeep: a machine whose order is refused as busy counts as down until a later list

Cause: an order's answer is lost, and the repeated order is refused as busy, since the machine is down by the first one. The planner took that for "not taken down" and ordered the next machine down; the list of machines, by which it would have seen the first one's upkeep, was up to 1.5 s old.

Change: refused is a phase of its own, in which the machine counts as unavailable until a list that was requested after the answer; then it is a waiting machine, or one in maintenance by that list, as before.

Ruled out: to take such a machine for one whose maintenance has begun. It may be down by an order of another wave, and this wave would be told to be completed without its upkeep (MIXED).

--- a/internal/upkeep/planner.go
+++ b/internal/upkeep/planner.go
@@ -45,6 +45,7 @@
 	waiting  phase = iota
 	draining       // its host is cordoned and being drained
 	ordered        // the order was sent; the machine may be down
+	refused        // refused as busy: whether an earlier order has taken it down shows in a later list
 	down           // its maintenance has started
 	done           // it is up again after its maintenance
 	removed        // it is no longer part of the platform or of the rollout
@@ -204,6 +205,8 @@
 			m.remove(cell)
 		case m.phase == down && back && m.since.Before(p.listRequestedAt):
 			m.phase = done
+		case m.phase == refused && m.since.Before(p.listRequestedAt):
+			m.phase = waiting
 		}
 	}
 }
@@ -251,10 +254,10 @@
 	var candidates []*target
 	for _, m := range r.targets {
 		switch {
-		case m.phase == draining || m.phase == ordered || m.phase == down:
+		case m.phase == draining || m.phase == ordered || m.phase == refused || m.phase == down:
 			unavailable++
 		case m.phase == waiting && p.machines[m.id].InMaintenance:
-			unavailable++ // taken down by an order of a previous holder that was not saved
+			unavailable++ // taken down by an order that got no answer, or of a previous holder that was not saved
 		case m.phase == waiting && p.machines[m.id].Up && !now.Before(m.notBefore):
 			candidates = append(candidates, m)
 		}
@@ -301,7 +304,7 @@
 		m.remove(cell)
 	case out == Busy:
 		cell.Uncordon(m.host)
-		m.phase = waiting
+		m.phase, m.since = refused, now
 	}
 }
 
--- a/internal/upkeep/planner_test.go
+++ b/internal/upkeep/planner_test.go
@@ -91,10 +91,10 @@
 	switch {
 	case m == nil || m.removed:
 		return NotInRollout
+	case !m.Up:
+		return Busy // also if this order has been carried out before
 	case slices.Contains(m.maintained, o.Rollout):
 		return Started
-	case !m.Up:
-		return Busy
 	}
 	if s.now.Before(s.busyUntil[m.Host]) && !s.mayTerminate {
 		s.violations = append(s.violations, fmt.Sprintf("%s is taken down while runs are left on its host", o.Machine))
@@ -195,6 +195,22 @@
 	}
 }
 
+// TestRepeatedOrderIsRefused guards against a second machine that is ordered down while the first one is: the answer to
+// its order was lost, and the repeated order was refused, as the machine was down already.
+func TestRepeatedOrderIsRefused(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(4)
+	rnd := rand.New(rand.NewPCG(1, 3))
+	p := NewPlanner(s.now, nil)
+	p.SetWave(Rollout{ID: 7, Machines: s.ids(), MaxUnavailable: 1})
+	s.run(p, 300*time.Millisecond, rnd, faults{lostReplies: 1})
+	is.Equal(s.maxDown, 1)
+	s.run(p, 60*time.Second, rnd, faults{})
+	is.Equal(s.maxDown, 1)
+	is.True(completed(p))
+	is.Equal(len(s.cordoned), 0)
+}
+
 // TestNextHolderContinuesRollout checks that the next holder neither repeats nor omits
 // maintenance that the previous holder has started, whether its progress was saved or not.
 func TestNextHolderContinuesRollout(t *testing.T) {
