--- a/internal/engine/readiness_test.go
+++ b/internal/engine/readiness_test.go
@@ -108,3 +108,21 @@
 		})
 	}
 }
+
+// TestStepNamedTwiceCountsOnce guards against a job that is shown as completed before its last step has run, since its
+// progress record names the step before twice.
+func TestStepNamedTwiceCountsOnce(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1)
+	w.fleet.Add(2, "s", size(64, 128))
+	w.failOver()
+	last := step(1, 6, 10, 400)
+	last.After = []int{0}
+	w.submit("job", catalog.Rules{}, step(1, 6, 10, 400), last)
+	done := record.StepProgress{Step: 0, Done: record.NewBitmap(1)}
+	done.Done.Set(0)
+	w.engine.applyProgress(w.engine.jobs["job"], &record.Progress{Steps: []record.StepProgress{done, done}}, w.now())
+	state, _ := w.engine.State("job")
+	is.Equal(state, record.StateRunning)
+	is.Equal(w.engine.jobs["job"].undoneGroups, 1)
+}
